Add the foundations and the chart interpreter

Cause: every state change is to be an event of a chart that is read from a file, so the interpreter comes before anything that has state. Ruled out: XState at run time. Change: chart files in a subset of XState's format, checked on load with the file and path in each error, compiled into a table; bindings by name, each missing or unused one reported; typed errors, results, disposable store, hybrid clock, logger with part prefixes, INI settings.

--- /dev/null
+++ b/packages/charts/src/chart.ts
@@ -0,0 +1,50 @@
+/**
+ * A chart compiled into a flat table.
+ *
+ * For each leaf state and event the table holds the candidate transitions of
+ * the leaf and its ancestors, innermost first, each with the whole sequence of
+ * exit, transition and entry actions worked out in advance.
+ */
+
+/** A timer that runs while its state is active. */
+export interface ChartTimer {
+  /** Name of the delay, or milliseconds written as digits. */
+  readonly delay: string;
+  readonly event: number;
+  /** Index of the state that owns the timer. */
+  readonly owner: number;
+}
+
+/** One transition, ready to be taken. */
+export interface Candidate {
+  /** Name of the guard; absent when the transition is unconditional. */
+  readonly guard: string | undefined;
+  /** Index of the leaf that is active afterwards. */
+  readonly target: number;
+  readonly actions: readonly string[];
+  /** States whose timers end. */
+  readonly exited: readonly number[];
+  /** Timers that begin. */
+  readonly timers: readonly ChartTimer[];
+}
+
+/** A compiled leaf state. */
+export interface Leaf {
+  readonly path: string;
+  readonly isFinal: boolean;
+  /** Candidates by event index; empty where the event is ignored. */
+  readonly candidates: readonly (readonly Candidate[])[];
+}
+
+/** A compiled chart. */
+export interface Chart {
+  readonly id: string;
+  /** Event names by index; timer events follow the declared ones. */
+  readonly events: readonly string[];
+  readonly eventIndex: ReadonlyMap<string, number>;
+  readonly leaves: readonly Leaf[];
+  readonly initial: Candidate;
+  readonly actionNames: ReadonlySet<string>;
+  readonly guardNames: ReadonlySet<string>;
+  readonly delayNames: ReadonlySet<string>;
+}
--- /dev/null
+++ b/packages/charts/src/chartFiles.ts
@@ -0,0 +1,46 @@
+/** Loads the chart files that ship with this package. */
+import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import {
+  Err,
+  ErrorKind,
+  TypedError,
+  toMessage,
+  type Result,
+  type ValueOf,
+} from '@lycheetally/common';
+import type { Chart } from './chart.js';
+import { compileChart } from './compileChart.js';
+
+/** The charts that ship with this package, by file name. */
+export const ChartName = {
+  Lifecycle: 'lifecycle',
+  Request: 'request',
+  Attempt: 'attempt',
+  AgentWork: 'agentWork',
+  PeerConnection: 'peerConnection',
+  AcceptedConnection: 'acceptedConnection',
+  ConfigFollower: 'configFollower',
+} as const;
+export type ChartName = ValueOf<typeof ChartName>;
+
+const chartFolder = fileURLToPath(new URL('../charts/', import.meta.url));
+
+/** Loads and compiles a chart. Fails with `BadChart`. */
+export const loadChart = (
+  name: ChartName,
+  folder = chartFolder,
+): Result<Chart> => {
+  const file = `${folder}${name}.json`;
+  try {
+    return compileChart(file, readFileSync(file, 'utf8'));
+  } catch (thrown) {
+    return Err(
+      new TypedError(
+        ErrorKind.BadChart,
+        `${file}: cannot be read (${toMessage(thrown)})`,
+        'install the package again',
+      ),
+    );
+  }
+};
--- /dev/null
+++ b/packages/charts/src/index.ts
@@ -0,0 +1,6 @@
+/** State charts: their file format, their compiler and their interpreter. */
+export * from './chart.js';
+export * from './chartDefinition.js';
+export * from './chartFiles.js';
+export * from './chartMachine.js';
+export * from './compileChart.js';
--- /dev/null
+++ b/packages/common/src/eventRing.ts
@@ -0,0 +1,39 @@
+/** A bounded ring of stamped events, from which the time line is read. */
+import type { HybridStamp } from './hybridClock.js';
+
+/** One event of one process. */
+export interface EventRecord {
+  readonly stamp: HybridStamp;
+  readonly process: string;
+  readonly kind: string;
+  readonly requestId?: string | undefined;
+  readonly attempt?: number | undefined;
+  readonly detail?: Readonly<Record<string, string | number | boolean>>;
+}
+
+export class EventRing {
+  private readonly records: EventRecord[] = [];
+  private next = 0;
+  /** Number of records overwritten since the start. */
+  overwritten = 0;
+
+  constructor(private readonly capacity: number) {}
+
+  add(record: EventRecord): void {
+    if (this.records.length < this.capacity) {
+      this.records.push(record);
+      return;
+    }
+    this.records[this.next] = record;
+    this.next = (this.next + 1) % this.capacity;
+    this.overwritten += 1;
+  }
+
+  /** Lists the records, oldest first. */
+  list(): EventRecord[] {
+    return [
+      ...this.records.slice(this.next),
+      ...this.records.slice(0, this.next),
+    ];
+  }
+}
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,13 @@
+/** Foundations that every package shares. */
+export * from './constants.js';
+export * from './disposableStore.js';
+export * from './emitter.js';
+export * from './errors.js';
+export * from './eventRing.js';
+export * from './hash.js';
+export * from './hybridClock.js';
+export * from './logger.js';
+export * from './result.js';
+export * from './settings.js';
+export * from './typeChecks.js';
+export * from './types.js';
