--- /dev/null
+++ b/packages/decisions/src/admission.ts
@@ -0,0 +1,77 @@
+/** Decides whether an entry takes a request on. */
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
+import type { RequestView, RouterConfiguration } from './types.js';
+
+/** A rule that admits or refuses requests. */
+export abstract class AdmissionPolicy {
+  /** Fails with the typed error that the caller is told. */
+  abstract decideAdmission(
+    request: RequestView,
+    configuration: RouterConfiguration,
+    now: Milliseconds,
+  ): Result<true>;
+}
+
+/** Admits every well-formed request that can still meet its deadline. */
+export class OpenAdmission extends AdmissionPolicy {
+  override decideAdmission(
+    request: RequestView,
+    configuration: RouterConfiguration,
+    now: Milliseconds,
+  ): Result<true> {
+    return checkKnown(request, configuration).andThen(() =>
+      checkDeadline(request, now),
+    );
+  }
+}
+
+const checkKnown = (
+  request: RequestView,
+  configuration: RouterConfiguration,
+): Result<true> => {
+  const service = configuration.services.find(
+    rule => rule.name === request.service,
+  );
+  if (!service?.accounts.includes(request.account)) {
+    return Err(
+      new TypedError(
+        ErrorKind.UnknownService,
+        `service "${request.service}" does not exist for account "${request.account}"`,
+        'name one that /v1/models lists or ask the operator for access',
+      ),
+    );
+  }
+  if (!configuration.ranks.some(rank => rank.name === request.rank)) {
+    return Err(
+      new TypedError(
+        ErrorKind.UnknownRank,
+        `rank "${request.rank}" does not exist`,
+        `use one of: ${configuration.ranks.map(rank => rank.name).join(', ')}`,
+      ),
+    );
+  }
+  return Ok(true);
+};
+
+const checkDeadline = (
+  request: RequestView,
+  now: Milliseconds,
+): Result<true> => {
+  if (request.deadlineAt > now) {
+    return Ok(true);
+  }
+  return Err(
+    new TypedError(
+      ErrorKind.DeadlineExceeded,
+      'the deadline has passed before the request could start',
+      'send the request with a later deadline',
+    ),
+  );
+};
--- /dev/null
+++ b/packages/decisions/src/types.ts
@@ -0,0 +1,76 @@
+/** The plain values that decisions are made from. */
+import type { Milliseconds, ValueOf } from '@lycheetally/common';
+
+export const ServiceKind = { Model: 'model', Plain: 'plain' } as const;
+export type ServiceKind = ValueOf<typeof ServiceKind>;
+
+/** A rank of work; a lower urgency number is served first. */
+export interface RankRule {
+  readonly name: string;
+  /** 0 is the most urgent. */
+  readonly urgency: number;
+  /** Share of capacity that the rank keeps in a flood, from 0 to 1. */
+  readonly floor: number;
+  /** Target for the first token or the answer, in milliseconds. */
+  readonly targetMs: number;
+}
+
+/** A client account. */
+export interface AccountRule {
+  readonly name: string;
+  /** Salt and SHA-256 of the bearer key, as `salt:hex`. */
+  readonly keyHash: string;
+  readonly weight: number;
+}
+
+/** A service that callers reach. */
+export interface ServiceRule {
+  readonly name: string;
+  readonly kind: ServiceKind;
+  /** Number of layers of a model; 0 for a plain service. */
+  readonly layers: number;
+  /** Says whether a call may be run again after it may have run. */
+  readonly idempotent: boolean;
+  readonly accounts: readonly string[];
+}
+
+/** A configuration in force. */
+export interface RouterConfiguration {
+  readonly version: number;
+  readonly ranks: readonly RankRule[];
+  readonly accounts: readonly AccountRule[];
+  readonly services: readonly ServiceRule[];
+}
+
+/** A backend server as an entry knows it. */
+export interface ServerView {
+  readonly serverId: string;
+  /** Address of its agent, as `host:port`. */
+  readonly agentAddress: string;
+  readonly incarnation: string;
+  readonly service: string;
+  readonly kind: ServiceKind;
+  /** First layer held, counted from 0. */
+  readonly layerFrom: number;
+  /** One past the last layer held. */
+  readonly layerTo: number;
+  readonly failureDomain: string;
+  readonly isConnected: boolean;
+  readonly isLeaving: boolean;
+  /** Pieces of work that this entry has there. */
+  readonly outstanding: number;
+}
+
+/** What a decision knows of a request. */
+export interface RequestView {
+  readonly requestId: string;
+  readonly account: string;
+  readonly rank: string;
+  readonly service: string;
+  readonly deadlineAt: Milliseconds;
+  readonly isRepeatable: boolean;
+  /** Attempts made so far. */
+  readonly attempts: number;
+  /** Servers that refused or failed this request. */
+  readonly avoided: readonly string[];
+}
