--- /dev/null
+++ b/apps/lycheetally/src/commands/command.ts
@@ -0,0 +1,26 @@
+/** A command of the command line. */
+import type { CAC } from 'cac';
+import {
+  ErrorKind,
+  ExitCode,
+  TypedError,
+  toTypedError,
+} from '@lycheetally/common';
+
+export abstract class Command {
+  /** Adds the command to the command line. */
+  abstract register(cli: CAC): void;
+
+  /** Runs a part that returns an exit code, and ends the process with it. */
+  protected async finish(run: () => Promise<number>): Promise<void> {
+    try {
+      process.exitCode = await run();
+    } catch (thrown) {
+      const remedy = 'run the command again with --help';
+      const error = toTypedError(thrown, ErrorKind.Usage, remedy);
+      process.stderr.write(`${error.kind}: ${error.message}\n`);
+      process.exitCode =
+        thrown instanceof TypedError ? ExitCode.Usage : ExitCode.Failure;
+    }
+  }
+}
--- /dev/null
+++ b/apps/lycheetally/src/commands/demoCommand.ts
@@ -0,0 +1,18 @@
+/** `lycheetally demo`: shows a whole small system at work. */
+import type { CAC } from 'cac';
+import { ExitCode } from '@lycheetally/common';
+import { Command } from './command.js';
+
+export class DemoCommand extends Command {
+  override register(cli: CAC): void {
+    cli.command('demo', 'Start a small system, use it and stop it').action(() =>
+      this.finish(async () => {
+        const { runDemo } = await import('@lycheetally/bench');
+        const isRight = await runDemo(line => {
+          process.stdout.write(`${line}\n`);
+        });
+        return isRight ? ExitCode.Ok : ExitCode.Failure;
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/apps/lycheetally/src/main.ts
@@ -0,0 +1,47 @@
+#!/usr/bin/env node
+/** The command line `lycheetally`. */
+import cac from 'cac';
+import { ExitCode, toMessage } from '@lycheetally/common';
+import { BenchCommand } from './commands/benchCommand.js';
+import type { Command } from './commands/command.js';
+import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
+import { DemoCommand } from './commands/demoCommand.js';
+
+const commands: readonly Command[] = [
+  new EntryCommand(),
+  new AgentCommand(),
+  new DemoCommand(),
+  new BenchCommand(),
+];
+
+const reportUsage = (fault: string): void => {
+  process.stderr.write(`usage: ${fault}; see lycheetally --help\n`);
+  process.exitCode = ExitCode.Usage;
+};
+
+const runParsed = async (): Promise<void> => {
+  if (cli.options.help === true) {
+    return;
+  }
+  if (cli.matchedCommand) {
+    await cli.runMatchedCommand();
+    return;
+  }
+  if (cli.args.length > 0) {
+    reportUsage(`command "${cli.args.join(' ')}" does not exist`);
+    return;
+  }
+  cli.outputHelp();
+};
+
+const cli = cac('lycheetally');
+commands.forEach(command => {
+  command.register(cli);
+});
+cli.help();
+try {
+  cli.parse(process.argv, { run: false });
+  await runParsed();
+} catch (thrown) {
+  reportUsage(toMessage(thrown));
+}
--- /dev/null
+++ b/apps/standins/src/main.ts
@@ -0,0 +1,42 @@
+/** The daemon of the stand-ins: `main.js KIND [--option NUMBER]...`. */
+import { ExitCode, type Address } from '@lycheetally/common';
+import {
+  LogServiceStandIn,
+  ModelEngineStandIn,
+  PlainServiceStandIn,
+  VmListStandIn,
+} from '@lycheetally/testkit';
+
+interface StandIn {
+  listen(address: Address): Promise<string>;
+}
+
+const readNumber = (name: string, fallback: number): number => {
+  const index = process.argv.indexOf(`--${name}`);
+  return index < 0 ? fallback : Number(process.argv[index + 1]);
+};
+
+const creators: Readonly<Record<string, () => StandIn>> = {
+  log: () => new LogServiceStandIn(),
+  'vm-list': () => new VmListStandIn(),
+  'plain-service': () => new PlainServiceStandIn(readNumber('workMs', 0)),
+  'model-engine': () =>
+    new ModelEngineStandIn({
+      layerFrom: readNumber('layerFrom', 0),
+      layerTo: readNumber('layerTo', 1),
+      layers: readNumber('layers', 1),
+      stepMs: readNumber('stepMs', 0),
+    }),
+};
+
+const create = creators[process.argv[2] ?? ''];
+if (!create) {
+  const kinds = Object.keys(creators).join(', ');
+  process.stderr.write(`usage: name one of the stand-ins ${kinds}\n`);
+  process.exit(ExitCode.Usage);
+}
+const host = '127.0.0.1';
+const address = await create().listen({ host, port: readNumber('port', 0) });
+const line = { ready: true, addresses: { http: address } };
+process.stdout.write(`${JSON.stringify(line)}\n`);
+process.on('SIGTERM', () => process.exit(ExitCode.Ok));
--- /dev/null
+++ b/packages/router/src/adapters/asyncQueue.ts
@@ -0,0 +1,43 @@
+/** An async iterable that is fed by calls. */
+
+export class AsyncQueue<T> implements AsyncIterable<T> {
+  private values: T[] = [];
+  private wake: (() => void) | undefined;
+  private isEnded = false;
+
+  push(value: T): void {
+    if (this.isEnded) {
+      return;
+    }
+    this.values.push(value);
+    this.wake?.();
+  }
+
+  /** Ends the iteration after the values that were pushed. */
+  end(): void {
+    this.isEnded = true;
+    this.wake?.();
+  }
+
+  async *[Symbol.asyncIterator](): AsyncIterator<T> {
+    for (;;) {
+      const ready = this.values;
+      this.values = [];
+      yield* ready;
+      if (this.isEnded && this.values.length === 0) {
+        return;
+      }
+      await this.waitForValue();
+    }
+  }
+
+  private async waitForValue(): Promise<void> {
+    if (this.values.length > 0 || this.isEnded) {
+      return;
+    }
+    await new Promise<void>(resolve => {
+      this.wake = resolve;
+    });
+    this.wake = undefined;
+  }
+}
--- /dev/null
+++ b/packages/router/src/adapters/callersHttp.ts
@@ -0,0 +1,136 @@
+/** The callers' port: HTTP and server-sent events in the OpenAI forms. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  toTypedError,
+  type Address,
+  type Result,
+} from '@lycheetally/common';
+import { Outcome } from '@lycheetally/decisions';
+import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
+import { readCall } from './callerFormats.js';
+import { HttpExchange, sendRefusal } from './httpExchange.js';
+import { readBody } from './httpClient.js';
+import { startListening } from './listen.js';
+import { sendJson } from './operatorsHttp.js';
+
+/** What the callers' port hands on. Called from outside the loop. */
+export abstract class CallersSink {
+  abstract receiveCall(call: CallerCall, exchange: CallerExchange): void;
+  abstract handleCallerGone(exchange: CallerExchange): void;
+  /** Lists the services that a bearer key may use. */
+  abstract listServices(bearerKey: string): readonly string[];
+  /** Says whether new requests are taken. */
+  abstract isOpen(): boolean;
+}
+
+export class CallersServer {
+  private server: Server | undefined;
+
+  constructor(
+    private readonly sink: CallersSink,
+    private readonly maxBodyBytes: number,
+  ) {}
+
+  /** Starts listening. Fails with `BadAddress`. */
+  async listen(address: Address): Promise<Result<Address>> {
+    const server = createServer((request, response) => {
+      void this.serve(request, response);
+    });
+    const bound = await startListening(server, address);
+    if (bound.err) {
+      return Err(bound.val);
+    }
+    this.server = server;
+    return Ok(bound.val);
+  }
+
+  /** Takes no more connections; the open ones go on. */
+  close(): void {
+    this.server?.close();
+    this.server?.closeIdleConnections();
+  }
+
+  dispose(): void {
+    this.close();
+    this.server?.closeAllConnections();
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.method === 'GET' && request.url === '/v1/models') {
+      this.serveModels(request, response);
+      return;
+    }
+    try {
+      await this.serveCall(request, response);
+    } catch (thrown) {
+      const remedy = 'send a well-formed HTTP request';
+      const error = toTypedError(thrown, ErrorKind.BadRequest, remedy);
+      sendRefusal(response, { requestId: '', outcome: Outcome.NotRun, error });
+    }
+  }
+
+  private async serveCall(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (!this.sink.isOpen()) {
+      sendRefusal(response, {
+        requestId: '',
+        outcome: Outcome.NotRun,
+        retryAfterMs: 1_000,
+        error: createLeavingError(),
+      });
+      return;
+    }
+    const body = await readBody(request, this.maxBodyBytes);
+    const formed = readCall({
+      method: request.method ?? 'GET',
+      url: new URL(request.url ?? '/', 'http://callers'),
+      headers: request.headers,
+      body,
+    });
+    if (formed.err) {
+      const error = formed.val;
+      sendRefusal(response, { requestId: '', outcome: Outcome.NotRun, error });
+      return;
+    }
+    const { call, form, isStream } = formed.val;
+    const exchange = new HttpExchange(response, call, form, isStream);
+    response.on('close', () => {
+      if (!exchange.isFinished) {
+        this.sink.handleCallerGone(exchange);
+      }
+    });
+    this.sink.receiveCall(call, exchange);
+  }
+
+  private serveModels(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const key = /^Bearer (.+)$/i.exec(request.headers.authorization ?? '')?.[1];
+    const data = this.sink
+      .listServices(key ?? '')
+      .map(id => ({ id, object: 'model', owned_by: 'lycheetally' }));
+    sendJson(response, 200, { object: 'list', data });
+  }
+}
+
+const createLeavingError = (): TypedError =>
+  new TypedError(
+    ErrorKind.Leaving,
+    'this entry is stopping',
+    'send the request again; another entry will take it',
+  );
--- /dev/null
+++ b/packages/router/src/adapters/httpClient.ts
@@ -0,0 +1,93 @@
+/** Small JSON calls over Node's `http`. */
+import { request, type Agent, type IncomingMessage } from 'node:http';
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  toMessage,
+  type Result,
+} from '@lycheetally/common';
+
+/** The largest answer that is read, in bytes. */
+const maxAnswerBytes = 16 * 1_024 * 1_024;
+
+export interface JsonCall {
+  readonly method: 'GET' | 'POST';
+  readonly url: string;
+  readonly body?: unknown;
+  readonly timeoutMs: number;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly agent?: Agent;
+}
+
+/** A status code and the parsed body; `undefined` when it is not JSON. */
+export interface JsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Reads a body to its end. Rejects when it is larger than the limit. */
+export const readBody = async (
+  message: IncomingMessage,
+  limit: number,
+): Promise<Buffer> => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of message as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > limit) {
+      throw new TypedError(
+        ErrorKind.TooLarge,
+        `the body is larger than ${String(limit)} bytes`,
+        'send less in one request',
+      );
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+};
+
+/** Makes one call. Fails with `PlatformUnavailable` when no answer comes in time. */
+export const callJson = async (call: JsonCall): Promise<Result<JsonAnswer>> => {
+  try {
+    return Ok(await exchangeJson(call));
+  } catch (thrown) {
+    return Err(
+      new TypedError(
+        ErrorKind.PlatformUnavailable,
+        `${call.method} ${call.url} failed (${toMessage(thrown)})`,
+        'check the address in the settings and that the service is up',
+      ),
+    );
+  }
+};
+
+const exchangeJson = async (call: JsonCall): Promise<JsonAnswer> => {
+  const text = call.body === undefined ? '' : JSON.stringify(call.body);
+  const message = await new Promise<IncomingMessage>((resolve, reject) => {
+    const outgoing = request(
+      call.url,
+      {
+        method: call.method,
+        headers: { 'content-type': 'application/json', ...call.headers },
+        signal: AbortSignal.timeout(call.timeoutMs),
+        ...(call.agent ? { agent: call.agent } : {}),
+      },
+      resolve,
+    );
+    outgoing.on('error', reject);
+    outgoing.end(text);
+  });
+  const body = await readBody(message, maxAnswerBytes);
+  return { status: message.statusCode ?? 0, body: parseJson(body.toString()) };
+};
+
+/** Parses JSON; returns `undefined` when the text is not JSON. */
+export const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
--- /dev/null
+++ b/packages/router/src/adapters/httpExchange.ts
@@ -0,0 +1,192 @@
+/** One caller's HTTP exchange: a whole answer or a stream of events. */
+import type { ServerResponse } from 'node:http';
+import { ErrorKind, millisecondsPerSecond } from '@lycheetally/common';
+import { Outcome } from '@lycheetally/decisions';
+import type { Token } from '@lycheetally/protocol';
+import {
+  CallerExchange,
+  type CallerCall,
+  type CallerOutcome,
+} from '../ports/callerExchange.js';
+import { AnswerForm } from './callerFormats.js';
+import { sendJson } from './operatorsHttp.js';
+
+/** The HTTP status that each kind of error is told with. */
+const statusByKind: Readonly<Record<ErrorKind, number>> = {
+  [ErrorKind.BadSetting]: 500,
+  [ErrorKind.BadChart]: 500,
+  [ErrorKind.BadAddress]: 500,
+  [ErrorKind.BadRequest]: 400,
+  [ErrorKind.TooLarge]: 413,
+  [ErrorKind.UnknownAccount]: 401,
+  [ErrorKind.UnknownService]: 404,
+  [ErrorKind.UnknownRank]: 400,
+  [ErrorKind.NoCapacity]: 503,
+  [ErrorKind.DeadlineExceeded]: 504,
+  [ErrorKind.Leaving]: 503,
+  [ErrorKind.BackendFailed]: 502,
+  [ErrorKind.ConnectionLost]: 502,
+  [ErrorKind.PlatformUnavailable]: 503,
+  [ErrorKind.BadMessage]: 502,
+  [ErrorKind.Usage]: 400,
+};
+
+const outcomeHeader = 'x-lycheetally-outcome';
+
+/** Formats an outcome other than complete as the body of an error. */
+const formatError = (outcome: CallerOutcome): object => ({
+  error: {
+    type: outcome.error?.kind ?? 'error',
+    message: outcome.error?.message ?? 'the request did not complete',
+    remedy: outcome.error?.remedy ?? '',
+    outcome: outcome.outcome,
+    request_id: outcome.requestId,
+  },
+});
+
+/** Sends an outcome other than complete as a whole answer. */
+export const sendRefusal = (
+  response: ServerResponse,
+  outcome: CallerOutcome,
+): void => {
+  if (response.headersSent || response.destroyed) {
+    return;
+  }
+  response.setHeader(outcomeHeader, outcome.outcome);
+  if (outcome.retryAfterMs !== undefined) {
+    const seconds = Math.ceil(outcome.retryAfterMs / millisecondsPerSecond);
+    response.setHeader('retry-after', String(seconds));
+  }
+  const status = statusByKind[outcome.error?.kind ?? ErrorKind.BackendFailed];
+  sendJson(response, status, formatError(outcome));
+};
+
+export class HttpExchange extends CallerExchange {
+  isFinished = false;
+  private requestId = '';
+  private text = '';
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly call: CallerCall,
+    private readonly form: AnswerForm,
+    private readonly isStream: boolean,
+  ) {
+    super();
+  }
+
+  override noteAccepted(requestId: string): void {
+    this.requestId = requestId;
+    const shown = this.call.callerRequestId ?? requestId;
+    this.response.setHeader('x-request-id', shown);
+    this.response.setHeader('x-lycheetally-request', requestId);
+  }
+
+  override sendToken(token: Token): void {
+    if (!this.isStream) {
+      this.text += token.text;
+      return;
+    }
+    this.beginStream();
+    this.sendEvent(this.formatChunk(token.text, null));
+  }
+
+  override finish(outcome: CallerOutcome): void {
+    this.isFinished = true;
+    if (this.response.destroyed) {
+      return;
+    }
+    if (outcome.outcome === Outcome.Complete) {
+      this.finishComplete(outcome);
+      return;
+    }
+    if (!this.response.headersSent) {
+      sendRefusal(this.response, outcome);
+      return;
+    }
+    this.response.write('event: error\n');
+    this.sendEvent(formatError(outcome));
+    this.response.addTrailers({ [outcomeHeader]: outcome.outcome });
+    this.response.end();
+  }
+
+  private finishComplete(outcome: CallerOutcome): void {
+    if (this.form === AnswerForm.Plain) {
+      this.finishPlain(outcome);
+      return;
+    }
+    if (this.isStream) {
+      this.finishStream(outcome);
+      return;
+    }
+    this.response.setHeader(outcomeHeader, outcome.outcome);
+    sendJson(this.response, 200, this.formatWhole(outcome));
+  }
+
+  private finishPlain(outcome: CallerOutcome): void {
+    this.response.setHeader(outcomeHeader, outcome.outcome);
+    this.response.statusCode = outcome.plain?.status ?? 200;
+    if (outcome.plain?.contentType) {
+      this.response.setHeader('content-type', outcome.plain.contentType);
+    }
+    this.response.end(outcome.plain?.body);
+  }
+
+  private finishStream(outcome: CallerOutcome): void {
+    this.beginStream();
+    this.sendEvent({
+      ...this.formatChunk('', outcome.finishReason ?? 'stop'),
+      usage: formatUsage(outcome),
+      lycheetally: { outcome: outcome.outcome },
+    });
+    this.response.addTrailers({ [outcomeHeader]: outcome.outcome });
+    this.response.end('data: [DONE]\n\n');
+  }
+
+  private beginStream(): void {
+    if (this.response.headersSent) {
+      return;
+    }
+    this.response.setHeader('content-type', 'text/event-stream');
+    this.response.setHeader('cache-control', 'no-store');
+    this.response.setHeader('trailer', outcomeHeader);
+    this.response.flushHeaders();
+  }
+
+  private sendEvent(data: object): void {
+    this.response.write(`data: ${JSON.stringify(data)}\n\n`);
+  }
+
+  private formatChunk(text: string, finish: string | null): object {
+    const isChat = this.form === AnswerForm.Chat;
+    const content = isChat ? { delta: { content: text } } : { text };
+    return {
+      id: this.requestId,
+      object: isChat ? 'chat.completion.chunk' : 'text_completion',
+      model: this.call.service,
+      choices: [{ index: 0, ...content, finish_reason: finish }],
+    };
+  }
+
+  private formatWhole(outcome: CallerOutcome): object {
+    const isChat = this.form === AnswerForm.Chat;
+    const content = isChat
+      ? { message: { role: 'assistant', content: this.text } }
+      : { text: this.text };
+    return {
+      id: this.requestId,
+      object: isChat ? 'chat.completion' : 'text_completion',
+      model: this.call.service,
+      choices: [
+        { index: 0, ...content, finish_reason: outcome.finishReason ?? 'stop' },
+      ],
+      usage: formatUsage(outcome),
+    };
+  }
+}
+
+const formatUsage = (outcome: CallerOutcome): object => ({
+  prompt_tokens: outcome.promptTokens ?? 0,
+  completion_tokens: outcome.generatedTokens ?? 0,
+  total_tokens: (outcome.promptTokens ?? 0) + (outcome.generatedTokens ?? 0),
+});
--- /dev/null
+++ b/packages/router/src/adapters/pQueueSlots.ts
@@ -0,0 +1,94 @@
+/** Places of a backend server on `p-queue`, with the order of our own queue. */
+import PQueue, { type Queue, type QueueAddOptions } from 'p-queue';
+import type { WorkOrder } from '@lycheetally/decisions';
+import { SlotQueue, type QueuedWork } from '../ports/slotQueue.js';
+import type { Clock } from '../clock.js';
+
+type RunFunction = () => Promise<unknown>;
+
+interface SlotOptions extends QueueAddOptions {
+  readonly work: QueuedWork;
+}
+
+/** Lets `p-queue` take its next task in the order of a `WorkOrder`. */
+const createQueueClass = (
+  order: WorkOrder<QueuedWork>,
+  clock: Clock,
+): new () => Queue<RunFunction, SlotOptions> =>
+  class OrderedQueue implements Queue<RunFunction, SlotOptions> {
+    private readonly tasks = new Map<QueuedWork, RunFunction>();
+
+    get size(): number {
+      return order.size;
+    }
+
+    enqueue(run: RunFunction, options?: Partial<SlotOptions>): void {
+      if (!options?.work) {
+        return;
+      }
+      this.tasks.set(options.work, run);
+      order.add(options.work);
+    }
+
+    dequeue(): RunFunction | undefined {
+      const work = order.takeNext(clock.getNow());
+      if (!work) {
+        return undefined;
+      }
+      const run = this.tasks.get(work);
+      this.tasks.delete(work);
+      return run;
+    }
+
+    filter(): RunFunction[] {
+      return [...this.tasks.values()];
+    }
+
+    setPriority(): void {
+      // The order alone decides; p-queue's own priorities stay unused.
+    }
+  };
+
+export class PQueueSlots extends SlotQueue {
+  private readonly queue: PQueue<Queue<RunFunction, SlotOptions>, SlotOptions>;
+  private readonly held = new Map<QueuedWork, () => void>();
+
+  constructor(
+    slots: number,
+    private readonly order: WorkOrder<QueuedWork>,
+    clock: Clock,
+  ) {
+    super();
+    this.queue = new PQueue({
+      concurrency: slots,
+      queueClass: createQueueClass(order, clock),
+    });
+  }
+
+  override enqueue(work: QueuedWork): void {
+    const hold = (): Promise<void> =>
+      new Promise<void>(resolve => {
+        this.held.set(work, resolve);
+        work.grantSlot();
+      });
+    void this.queue.add(hold, { work });
+  }
+
+  override release(work: QueuedWork): void {
+    const giveBack = this.held.get(work);
+    if (!giveBack) {
+      this.order.remove(work);
+      return;
+    }
+    this.held.delete(work);
+    giveBack();
+  }
+
+  override get running(): number {
+    return this.held.size;
+  }
+
+  override get waiting(): number {
+    return this.order.size;
+  }
+}
--- /dev/null
+++ b/packages/router/src/adapters/plainServiceHttp.ts
@@ -0,0 +1,111 @@
+/** A plain service behind an agent, over HTTP. */
+import {
+  Agent,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+import { ErrorKind, TypedError, toMessage } from '@lycheetally/common';
+import type { Offer } from '@lycheetally/protocol';
+import {
+  BackendPort,
+  BackendRun,
+  type BackendListener,
+} from '../ports/backend.js';
+import { readBody } from './httpClient.js';
+
+/** The largest answer of a plain service, in bytes. */
+const maxPlainAnswerBytes = 8 * 1_024 * 1_024;
+
+class PlainRun extends BackendRun {
+  private isOver = false;
+
+  constructor(
+    private readonly outgoing: ClientRequest,
+    private readonly listener: BackendListener,
+  ) {
+    super();
+    outgoing.on('error', thrown => {
+      this.fail(toMessage(thrown));
+    });
+    outgoing.on('response', response => {
+      void this.readAnswer(response);
+    });
+  }
+
+  override pushActivations(): void {
+    throw new Error('A plain service takes no activations');
+  }
+
+  override pushToken(): void {
+    throw new Error('A plain service takes no tokens');
+  }
+
+  override end(): void {
+    this.isOver = true;
+  }
+
+  override cancel(): void {
+    this.isOver = true;
+    this.outgoing.destroy();
+  }
+
+  private async readAnswer(response: IncomingMessage): Promise<void> {
+    try {
+      const body = await readBody(response, maxPlainAnswerBytes);
+      if (this.isOver) {
+        return;
+      }
+      this.isOver = true;
+      this.listener.receiveAnswer({
+        status: response.statusCode ?? 0,
+        contentType: response.headers['content-type'] ?? '',
+        body,
+      });
+    } catch (thrown) {
+      this.fail(toMessage(thrown));
+    }
+  }
+
+  private fail(fault: string): void {
+    if (this.isOver) {
+      return;
+    }
+    this.isOver = true;
+    this.outgoing.destroy();
+    this.listener.handleFailure(
+      new TypedError(
+        ErrorKind.BackendFailed,
+        `the service failed (${fault})`,
+        'check with the service before sending the request again',
+      ),
+    );
+  }
+}
+
+export class HttpPlainService extends BackendPort {
+  private readonly agent = new Agent({ keepAlive: true });
+
+  constructor(private readonly baseUrl: string) {
+    super();
+  }
+
+  override startRun(offer: Offer, listener: BackendListener): BackendRun {
+    const work = offer.plain;
+    const outgoing = request(`${this.baseUrl}${work?.path ?? '/'}`, {
+      method: work?.method ?? 'GET',
+      agent: this.agent,
+      headers: {
+        'x-request-id': offer.requestId,
+        'x-attempt': String(offer.attempt),
+        'content-type': work?.contentType ?? 'application/octet-stream',
+      },
+    });
+    outgoing.end(work?.body);
+    return new PlainRun(outgoing, listener);
+  }
+
+  override dispose(): void {
+    this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/packages/router/src/agent/agentNode.ts
@@ -0,0 +1,396 @@
+/**
+ * The agent: the only way to its backend server.
+ *
+ * It queues work by rank, bounds what runs at once, runs each attempt at most
+ * once, and passes activations and tokens along a chain of stages.
+ */
+import type { ChartMachine } from '@lycheetally/charts';
+import {
+  ErrorKind,
+  LogPart,
+  TypedError,
+  type Address,
+  type Milliseconds,
+} from '@lycheetally/common';
+import {
+  MessageKind,
+  type AttemptRef,
+  type Backend,
+  type Failed,
+  type Hello,
+  type Offer,
+  type PeerMessage,
+  type Refused,
+} from '@lycheetally/protocol';
+import { maxEndedAttempts } from '../constants.js';
+import { IncomingChannel } from '../peers/incomingChannel.js';
+import type { OutgoingChannel } from '../peers/outgoingChannel.js';
+import type { PeerChannel } from '../peers/peerChannel.js';
+import type { BackendPort } from '../ports/backend.js';
+import type { SlotQueue } from '../ports/slotQueue.js';
+import {
+  RouterNode,
+  takeValue,
+  type NodeEvents,
+  type NodePorts,
+  type NodeSettings,
+} from '../routerNode.js';
+import {
+  receiveActivations,
+  receiveBackendEvent,
+  relayToken,
+} from './backendRelay.js';
+import { EndedAttempts } from './endedAttempts.js';
+import { bindWorkChart } from './workActions.js';
+import {
+  createWorkContext,
+  formatAttemptKey,
+  type BackendEvent,
+  type WorkContext,
+  type WorkEvent,
+  type WorkServices,
+} from './workContext.js';
+
+/** Events that an agent takes. */
+export interface AgentEvents extends NodeEvents {
+  backendReported: { work: WorkContext; event: BackendEvent };
+  slotGranted: { work: WorkContext };
+}
+
+/** Ports that an agent is given. */
+export interface AgentPorts extends NodePorts {
+  readonly backend: BackendPort;
+  readonly slots: SlotQueue;
+}
+
+export interface AgentSettings extends NodeSettings {
+  readonly backend: Backend;
+}
+
+export class AgentNode extends RouterNode<AgentEvents> {
+  private readonly machine: ChartMachine<WorkContext, WorkEvent>;
+  private readonly services: WorkServices;
+  private readonly works = new Map<string, WorkContext>();
+  private readonly ended = new EndedAttempts(maxEndedAttempts);
+  /** The latest channel of each node that gives this agent work. */
+  private readonly owners = new Map<string, PeerChannel>();
+  private readonly nextChannels = new Map<string, OutgoingChannel>();
+
+  constructor(
+    private readonly agentSettings: AgentSettings,
+    private readonly agentPorts: AgentPorts,
+  ) {
+    super(agentSettings, agentPorts, LogPart.Agent);
+    this.machine = takeValue(bindWorkChart());
+    this.services = this.createServices();
+    this.loop.setHandlers({
+      ...this.createNodeHandlers(),
+      backendReported: ({ work, event }, now) => {
+        receiveBackendEvent(work, event, now);
+      },
+      slotGranted: ({ work }, now) => {
+        work.instance?.send({ type: 'SLOT' }, now);
+      },
+    });
+  }
+
+  /** Opens the ports; returns their addresses. Throws `BadAddress`. */
+  async start(
+    peers: Address,
+    operators: Address,
+  ): Promise<{ peers: Address; operators: Address }> {
+    const boundPeers = takeValue(
+      await this.ports.network.listen(peers, stream =>
+        this.acceptStream(stream),
+      ),
+    );
+    const boundOperators = await this.listenForOperators(operators);
+    this.begin(this.clock.getNow());
+    return { peers: boundPeers, operators: boundOperators };
+  }
+
+  override describeSelf(): Hello {
+    return {
+      nodeId: this.settings.id,
+      incarnation: this.incarnation,
+      failureDomain: this.settings.failureDomain,
+      backend: this.agentSettings.backend,
+    };
+  }
+
+  override describeStatus(): object {
+    return {
+      process: this.settings.id,
+      role: 'agent',
+      incarnation: this.incarnation,
+      ready: this.isReady(),
+      leaving: this.isStopping,
+      backend: this.agentSettings.backend,
+      running: this.agentPorts.slots.running,
+      waiting: this.agentPorts.slots.waiting,
+      work: this.works.size,
+    };
+  }
+
+  override handlePeerOpen(channel: PeerChannel): void {
+    if (!channel.remote || channel.remote.backend?.serverId === this.serverId) {
+      return;
+    }
+    if (this.isIncoming(channel)) {
+      this.owners.set(channel.remote.nodeId, channel);
+      this.sendReport(channel);
+    }
+  }
+
+  override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
+    const ownerId = channel.remote?.nodeId;
+    if (ownerId !== undefined && this.owners.get(ownerId) === channel) {
+      this.owners.delete(ownerId);
+      this.endWorkOfOwner(ownerId, now);
+    }
+    this.failWorkOfNext(channel, now);
+  }
+
+  override handlePeerMessage(
+    channel: PeerChannel,
+    message: PeerMessage,
+    now: Milliseconds,
+  ): void {
+    switch (message.kind) {
+      case MessageKind.Offer:
+        this.receiveOffer(channel, message.value, now);
+        return;
+      case MessageKind.Cancel:
+        this.find(message.value)?.instance?.send({ type: 'CANCEL' }, now);
+        return;
+      case MessageKind.Revoke:
+        this.receiveRevoke(channel, message.value, now);
+        return;
+      default:
+        this.receiveFromStage(message, now);
+    }
+  }
+
+  protected override stopAdmission(): void {
+    for (const channel of this.owners.values()) {
+      this.sendReport(channel);
+    }
+  }
+
+  protected override countOpenWork(): number {
+    return this.works.size;
+  }
+
+  private get serverId(): string {
+    return this.agentSettings.backend.serverId;
+  }
+
+  private isIncoming(channel: PeerChannel): boolean {
+    return channel instanceof IncomingChannel;
+  }
+
+  private find(ref: AttemptRef): WorkContext | undefined {
+    return this.works.get(formatAttemptKey(ref));
+  }
+
+  private receiveOffer(
+    channel: PeerChannel,
+    offer: Offer,
+    now: Milliseconds,
+  ): void {
+    const key = formatAttemptKey(offer);
+    if (this.works.has(key)) {
+      return;
+    }
+    const refusal = this.checkOffer(key, offer);
+    if (refusal) {
+      this.ended.add(key);
+      const value = { ...toRef(offer), ...refusal };
+      channel.send({ kind: MessageKind.Refused, value });
+      return;
+    }
+    this.startWork(channel.remote?.nodeId ?? '', offer, now);
+  }
+
+  private checkOffer(
+    key: string,
+    offer: Offer,
+  ): Omit<Refused, keyof AttemptRef> | undefined {
+    const stage = offer.stages[offer.stageIndex];
+    if (this.isStopping) {
+      return createRefusal(ErrorKind.Leaving, 'the agent is stopping');
+    }
+    if (stage?.incarnation !== this.incarnation) {
+      return createRefusal(
+        ErrorKind.BadMessage,
+        'the offer is for an earlier start of the agent',
+      );
+    }
+    if (this.ended.has(key)) {
+      return createRefusal(
+        ErrorKind.BadMessage,
+        'the attempt was ended or revoked',
+      );
+    }
+    return undefined;
+  }
+
+  private startWork(ownerId: string, offer: Offer, now: Milliseconds): void {
+    const work = createWorkContext(this.services, offer, ownerId, now);
+    work.instance = this.machine.createInstance(work, this.loop);
+    this.works.set(formatAttemptKey(offer), work);
+    work.instance.start(now);
+  }
+
+  private receiveRevoke(
+    channel: PeerChannel,
+    ref: AttemptRef,
+    now: Milliseconds,
+  ): void {
+    const work = this.find(ref);
+    if (work) {
+      work.instance?.send({ type: 'REVOKE' }, now);
+      return;
+    }
+    const key = formatAttemptKey(ref);
+    if (this.ended.has(key)) {
+      return;
+    }
+    this.ended.add(key);
+    this.events.record('work-revoked', now, toRef(ref));
+    channel.send({ kind: MessageKind.Revoked, value: toRef(ref) });
+  }
+
+  private receiveFromStage(message: PeerMessage, now: Milliseconds): void {
+    switch (message.kind) {
+      case MessageKind.Activations: {
+        const work = this.find(message.value);
+        if (work?.instance?.matches('running')) {
+          receiveActivations(work, message.value, now);
+        }
+        return;
+      }
+      case MessageKind.Token: {
+        const work = this.find(message.value);
+        if (work?.instance?.matches('running')) {
+          relayToken(work, message.value, now);
+        }
+        return;
+      }
+      case MessageKind.Started:
+        this.find(message.value)?.instance?.send({ type: 'RESERVED' }, now);
+        return;
+      case MessageKind.Refused:
+        this.sendStageError('NEXT_REFUSED', message.value, '', now);
+        return;
+      case MessageKind.Failed: {
+        const { value } = message;
+        this.sendStageError('BACKEND_FAILED', value, value.serverId, now);
+        return;
+      }
+      default:
+    }
+  }
+
+  private sendStageError(
+    type: 'NEXT_REFUSED' | 'BACKEND_FAILED',
+    value: Refused | Failed,
+    serverId: string,
+    now: Milliseconds,
+  ): void {
+    const error = new TypedError(
+      ErrorKind.BackendFailed,
+      `a later stage did not go on (${value.reason})`,
+      'send the request again',
+    );
+    this.find(value)?.instance?.send({ type, error, serverId }, now);
+  }
+
+  private endWorkOfOwner(ownerId: string, now: Milliseconds): void {
+    for (const work of [...this.works.values()]) {
+      if (work.ownerId === ownerId) {
+        work.instance?.send({ type: 'OWNER_LOST' }, now);
+      }
+    }
+  }
+
+  private failWorkOfNext(channel: PeerChannel, now: Milliseconds): void {
+    const error = new TypedError(
+      ErrorKind.ConnectionLost,
+      'the connection to a later stage was lost',
+      'send the request again',
+    );
+    for (const work of [...this.works.values()]) {
+      if (work.next === channel) {
+        const serverId = channel.remote?.backend?.serverId ?? '';
+        work.instance?.send({ type: 'BACKEND_FAILED', error, serverId }, now);
+      }
+    }
+  }
+
+  private sendReport(channel: PeerChannel): void {
+    channel.send({
+      kind: MessageKind.Report,
+      value: {
+        leaving: this.isStopping,
+        running: this.agentPorts.slots.running,
+        waiting: this.agentPorts.slots.waiting,
+        queueDelayMs: 0,
+      },
+    });
+  }
+
+  private createServices(): WorkServices {
+    return {
+      serverId: this.serverId,
+      events: this.events,
+      log: this.log,
+      slots: this.agentPorts.slots,
+      backend: this.agentPorts.backend,
+      sendToOwner: (nodeId, message) => {
+        this.owners.get(nodeId)?.send(message);
+      },
+      getNextChannel: (address, now) => this.getNextChannel(address, now),
+      handleWorkEnded: (work, now) => {
+        this.handleWorkEnded(work, now);
+      },
+      postSlotGranted: work => {
+        this.loop.post('slotGranted', { work });
+      },
+      postBackendEvent: (work, event) => {
+        this.loop.post('backendReported', { work, event });
+      },
+    };
+  }
+
+  private getNextChannel(address: string, now: Milliseconds): PeerChannel {
+    const known = this.nextChannels.get(address);
+    if (known) {
+      return known;
+    }
+    const channel = this.createOutgoing(address, now);
+    this.nextChannels.set(address, channel);
+    return channel;
+  }
+
+  private handleWorkEnded(work: WorkContext, now: Milliseconds): void {
+    work.instance?.dispose();
+    const key = formatAttemptKey(work.offer);
+    this.works.delete(key);
+    this.ended.add(key);
+    this.loop.schedule(0, later => {
+      this.checkDrained(later);
+    });
+    this.events.record('work-ended', now, work.ref);
+  }
+}
+
+const toRef = (ref: AttemptRef): AttemptRef => ({
+  requestId: ref.requestId,
+  attempt: ref.attempt,
+});
+
+const createRefusal = (
+  kind: ErrorKind,
+  reason: string,
+): Omit<Refused, keyof AttemptRef> => ({ kind, reason, retryAfterMs: 0 });
--- /dev/null
+++ b/packages/router/src/agent/backendRelay.ts
@@ -0,0 +1,166 @@
+/**
+ * Passes activations and tokens between a backend run and its neighbours.
+ *
+ * Tokens do not walk the chart one at a time; each is checked for its position
+ * here. Activations go to the next stage, tokens go back towards the entry,
+ * and the first stage starts the next position with each token.
+ */
+import type { Milliseconds } from '@lycheetally/common';
+import { ErrorKind, TypedError } from '@lycheetally/common';
+import {
+  MessageKind,
+  type Activations,
+  type Token,
+} from '@lycheetally/protocol';
+import type { BackendListener } from '../ports/backend.js';
+import {
+  hasNextStage,
+  type BackendEvent,
+  type WorkContext,
+} from './workContext.js';
+
+/** Listens to a run and posts what it reports into the loop. */
+export const createBackendListener = (work: WorkContext): BackendListener => {
+  const post = (event: BackendEvent): void => {
+    work.services.postBackendEvent(work, event);
+  };
+  return {
+    receiveActivations: activations => {
+      post({ kind: 'activations', ...activations });
+    },
+    receiveToken: token => {
+      post({ kind: 'token', ...token });
+    },
+    receiveAnswer: answer => {
+      post({ kind: 'answer', answer });
+    },
+    handleFailure: error => {
+      post({ kind: 'failure', error });
+    },
+  };
+};
+
+/** Handles what a backend run reported. */
+export const receiveBackendEvent = (
+  work: WorkContext,
+  event: BackendEvent,
+  now: Milliseconds,
+): void => {
+  if (work.instance?.isFinal !== false) {
+    return;
+  }
+  switch (event.kind) {
+    case 'activations':
+      forwardActivations(work, event);
+      return;
+    case 'token':
+      relayToken(work, { ...work.ref, epoch: work.offer.epoch, ...event }, now);
+      return;
+    case 'answer':
+      work.answer = event.answer;
+      work.instance.send({ type: 'BACKEND_DONE' }, now);
+      return;
+    case 'failure':
+      sendFailure(work, event.error, now);
+  }
+};
+
+/** Handles activations from the earlier stage. */
+export const receiveActivations = (
+  work: WorkContext,
+  activations: Activations,
+  now: Milliseconds,
+): void => {
+  if (activations.epoch !== work.offer.epoch) {
+    return;
+  }
+  if (activations.position !== work.nextPosition) {
+    sendFailure(work, createOrderError(work, activations.position), now);
+    return;
+  }
+  work.nextPosition = activations.position + activations.count;
+  work.run?.pushActivations(activations);
+};
+
+/** Handles a token from the later stage, or from the own engine of the last. */
+export const relayToken = (
+  work: WorkContext,
+  token: Token,
+  now: Milliseconds,
+): void => {
+  if (token.epoch !== work.offer.epoch) {
+    return;
+  }
+  work.generatedTokens += 1;
+  work.services.sendToOwner(work.ownerId, {
+    kind: MessageKind.Token,
+    value: toToken(token),
+  });
+  if (token.isEnd) {
+    finishSequence(work, token, now);
+    return;
+  }
+  if (work.offer.stageIndex === 0) {
+    work.run?.pushToken(token);
+  }
+};
+
+const finishSequence = (
+  work: WorkContext,
+  token: Token,
+  now: Milliseconds,
+): void => {
+  const earlier = work.offer.model?.generated.length ?? 0;
+  const total = earlier + work.generatedTokens;
+  work.promptTokens = token.position + 1 - total;
+  work.finishReason =
+    total >= (work.offer.model?.maxTokens ?? 0) ? 'length' : 'stop';
+  work.instance?.send({ type: 'BACKEND_DONE' }, now);
+};
+
+const toToken = (token: Token): Token => ({
+  requestId: token.requestId,
+  attempt: token.attempt,
+  epoch: token.epoch,
+  position: token.position,
+  tokenId: token.tokenId,
+  text: token.text,
+  isEnd: token.isEnd,
+});
+
+const forwardActivations = (
+  work: WorkContext,
+  event: BackendEvent & { readonly kind: 'activations' },
+): void => {
+  if (!hasNextStage(work)) {
+    return;
+  }
+  work.next?.send({
+    kind: MessageKind.Activations,
+    value: {
+      ...work.ref,
+      epoch: work.offer.epoch,
+      position: event.position,
+      count: event.count,
+      payload: event.payload,
+    },
+  });
+};
+
+const sendFailure = (
+  work: WorkContext,
+  error: TypedError,
+  now: Milliseconds,
+): void => {
+  work.instance?.send(
+    { type: 'BACKEND_FAILED', error, serverId: work.services.serverId },
+    now,
+  );
+};
+
+const createOrderError = (work: WorkContext, position: number): TypedError =>
+  new TypedError(
+    ErrorKind.BadMessage,
+    `position ${String(position)} came where ${String(work.nextPosition)} was due`,
+    'send the request again',
+  );
--- /dev/null
+++ b/packages/router/src/clock.ts
@@ -0,0 +1,103 @@
+/** Time and timers, so that tests can run a loop by hand. */
+import type { Disposable, Milliseconds } from '@lycheetally/common';
+
+/** A source of time. */
+export abstract class Clock {
+  /** Returns the milliseconds since the Unix epoch. */
+  abstract getNow(): Milliseconds;
+  /** Runs the callback once after the delay. */
+  abstract schedule(delay: Milliseconds, callback: () => void): Disposable;
+  /** Runs the callback after the input that is ready now. */
+  abstract defer(callback: () => void): void;
+}
+
+/** The longest delay that Node's timers take, in milliseconds. */
+const maxTimerDelayMs = 2 ** 31 - 1;
+
+/** The machine's clock. */
+export class SystemClock extends Clock {
+  override getNow(): Milliseconds {
+    return Date.now();
+  }
+
+  override schedule(delay: Milliseconds, callback: () => void): Disposable {
+    const bounded = Math.min(Math.max(0, delay), maxTimerDelayMs);
+    const timer = setTimeout(callback, bounded);
+    return {
+      dispose: () => {
+        clearTimeout(timer);
+      },
+    };
+  }
+
+  override defer(callback: () => void): void {
+    setImmediate(callback);
+  }
+}
+
+interface ManualTimer {
+  readonly at: Milliseconds;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** A clock that moves only when a test says so. */
+export class ManualClock extends Clock {
+  private timers: ManualTimer[] = [];
+  private deferred: (() => void)[] = [];
+  private order = 0;
+
+  constructor(private now: Milliseconds = 0) {
+    super();
+  }
+
+  override getNow(): Milliseconds {
+    return this.now;
+  }
+
+  override schedule(delay: Milliseconds, callback: () => void): Disposable {
+    this.order += 1;
+    const timer = {
+      at: this.now + Math.max(0, delay),
+      order: this.order,
+      run: callback,
+    };
+    this.timers.push(timer);
+    return {
+      dispose: () => {
+        this.timers = this.timers.filter(each => each !== timer);
+      },
+    };
+  }
+
+  override defer(callback: () => void): void {
+    this.deferred.push(callback);
+  }
+
+  /** Runs everything that is due now. */
+  runReady(): void {
+    for (let next = this.deferred.shift(); next; next = this.deferred.shift()) {
+      next();
+    }
+  }
+
+  /** Moves the time on, running each timer at its own time. */
+  advance(duration: Milliseconds): void {
+    const end = this.now + duration;
+    this.runReady();
+    for (let timer = this.takeDue(end); timer; timer = this.takeDue(end)) {
+      this.now = Math.max(this.now, timer.at);
+      timer.run();
+      this.runReady();
+    }
+    this.now = end;
+  }
+
+  private takeDue(end: Milliseconds): ManualTimer | undefined {
+    const due = this.timers
+      .filter(timer => timer.at <= end)
+      .sort((a, b) => a.at - b.at || a.order - b.order)[0];
+    this.timers = this.timers.filter(timer => timer !== due);
+    return due;
+  }
+}
--- /dev/null
+++ b/packages/router/src/constants.ts
@@ -0,0 +1,55 @@
+/** Bounds and intervals of the router's processes. */
+
+/** Events taken from the queue before other input is let in. */
+export const maxEventsPerTurn = 256;
+
+/** Events that the time line of one process keeps. */
+export const eventRingCapacity = 20_000;
+
+/** Milliseconds between heartbeats on an idle connection. */
+export const heartbeatIntervalMs = 500;
+
+/** Milliseconds without an answer after which a connection counts as silent. */
+export const silenceBoundMs = 1_500;
+
+/** Milliseconds that opening a connection may take. */
+export const connectTimeoutMs = 2_000;
+
+/** Milliseconds before a lost connection is opened again. */
+export const reconnectDelayMs = 200;
+
+/** Milliseconds in which an agent must answer an offer. */
+export const offerTimeoutMs = 1_000;
+
+/** Milliseconds in which an agent must answer a revocation. */
+export const revokeTimeoutMs = 2_000;
+
+/** Milliseconds in which an agent must answer a cancellation. */
+export const cancelTimeoutMs = 2_000;
+
+/** Milliseconds after which a cancelled request ends whatever its attempt says. */
+export const cancelBoundMs = 3_000;
+
+/** Milliseconds in which the later stages must accept a chain. */
+export const reserveTimeoutMs = 800;
+
+/** Milliseconds between reads of the VM list. */
+export const vmListIntervalMs = 500;
+
+/** Milliseconds between reads of the configuration stream. */
+export const configReadIntervalMs = 250;
+
+/** Ended attempts that an agent remembers, so as not to run them again. */
+export const maxEndedAttempts = 20_000;
+
+/** Milliseconds that a request may take when its caller names no deadline. */
+export const defaultDeadlineMs = 60_000;
+
+/** The longest deadline that a caller may name, in milliseconds. */
+export const maxDeadlineMs = 24 * 60 * 60 * 1_000;
+
+/** The most tokens that a request may ask for. */
+export const maxTokensPerRequest = 32_768;
+
+/** Tokens generated when a caller names no number. */
+export const defaultMaxTokens = 64;
--- /dev/null
+++ b/packages/router/src/daemon.ts
@@ -0,0 +1,151 @@
+/**
+ * Runs a node as a process.
+ *
+ * A start that fails ends with one line on standard error and exit code 2;
+ * SIGTERM and SIGINT start a graceful stop; a ready process writes one line of
+ * JSON with its addresses on standard output.
+ */
+import {
+  ErrorKind,
+  ExitCode,
+  LoggerFactory,
+  millisecondsPerSecond,
+  readSettings,
+  toTypedError,
+  type Address,
+} from '@lycheetally/common';
+import {
+  BoundedRetry,
+  LeastOutstandingRouting,
+  OpenAdmission,
+  ServiceKind,
+  UrgencyOrder,
+} from '@lycheetally/decisions';
+import { ConnectPeerNetwork } from './adapters/connectPeers.js';
+import { HttpEngine } from './adapters/engineHttp.js';
+import { HttpPlainService } from './adapters/plainServiceHttp.js';
+import { HttpLog, HttpVmList } from './adapters/platformHttp.js';
+import { PQueueSlots } from './adapters/pQueueSlots.js';
+import { AgentNode } from './agent/agentNode.js';
+import { SystemClock } from './clock.js';
+import { EntryNode } from './entry/entryNode.js';
+import {
+  agentSettingsSchema,
+  entrySettingsSchema,
+  formatAddresses,
+  type AgentFileSettings,
+  type EntryFileSettings,
+} from './processSettings.js';
+import { takeValue, type RouterNode } from './routerNode.js';
+
+/** A node with its bound addresses. */
+interface StartedNode {
+  readonly node: Pick<RouterNode<never>, 'requestStop' | 'stopped' | 'dispose'>;
+  readonly addresses: Readonly<Record<string, Address>>;
+}
+
+/** Milliseconds in which answers may leave after the node has stopped. */
+const exitGraceMs = 200;
+
+/** Starts a node and serves until it has stopped. */
+const runDaemon = async (start: () => Promise<StartedNode>): Promise<void> => {
+  let started: StartedNode;
+  try {
+    started = await start();
+  } catch (thrown) {
+    reportStartFailure(thrown);
+    return;
+  }
+  const { node, addresses } = started;
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.on(signal, () => {
+      node.requestStop(signal);
+    });
+  }
+  node.stopped.subscribe(() => {
+    setTimeout(() => {
+      node.dispose();
+      process.exit(ExitCode.Ok);
+    }, exitGraceMs);
+  });
+  const line = { ready: true, addresses: formatAddresses(addresses) };
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+};
+
+const reportStartFailure = (thrown: unknown): void => {
+  const remedy = 'report this fault with its settings';
+  const error = toTypedError(thrown, ErrorKind.BadSetting, remedy);
+  process.stderr.write(`${error.kind}: ${error.message}\n`);
+  process.exit(ExitCode.Usage);
+};
+
+/** Runs an entry with the settings of a file. */
+export const runEntry = (settingsPath: string): Promise<void> =>
+  runDaemon(async () => {
+    const settings = takeValue(readSettings(settingsPath, entrySettingsSchema));
+    const node = createEntry(settings);
+    return { node, addresses: { ...(await node.start(settings.listen)) } };
+  });
+
+/** Runs an agent with the settings of a file. */
+export const runAgent = (settingsPath: string): Promise<void> =>
+  runDaemon(async () => {
+    const settings = takeValue(readSettings(settingsPath, agentSettingsSchema));
+    const node = createAgent(settings);
+    const { peers, operators } = settings.listen;
+    return { node, addresses: { ...(await node.start(peers, operators)) } };
+  });
+
+/** Creates an entry over the network. */
+export const createEntry = (settings: EntryFileSettings): EntryNode =>
+  new EntryNode(
+    {
+      id: settings.process.id,
+      failureDomain: settings.process.failureDomain,
+      drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      maxBodyBytes: settings.limits.maxBodyBytes,
+    },
+    {
+      clock: new SystemClock(),
+      network: new ConnectPeerNetwork(),
+      loggers: new LoggerFactory(settings.process.id),
+      log: new HttpLog(settings.platform.log),
+      vmList: new HttpVmList(settings.platform.vmList),
+      policies: {
+        admission: new OpenAdmission(),
+        routing: new LeastOutstandingRouting(),
+        retry: new BoundedRetry(),
+      },
+    },
+  );
+
+/** Creates an agent over the network. */
+export const createAgent = (settings: AgentFileSettings): AgentNode => {
+  const { backend } = settings;
+  const clock = new SystemClock();
+  return new AgentNode(
+    {
+      id: settings.process.id,
+      failureDomain: settings.process.failureDomain,
+      drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      backend: {
+        serverId: backend.server,
+        kind: backend.kind,
+        service: backend.service,
+        layerFrom: backend.layerFrom,
+        layerTo: backend.layerTo,
+        slots: backend.slots,
+      },
+    },
+    {
+      clock,
+      network: new ConnectPeerNetwork(),
+      loggers: new LoggerFactory(settings.process.id),
+      backend:
+        backend.kind === ServiceKind.Model
+          ? new HttpEngine(backend.url)
+          : new HttpPlainService(backend.url),
+      slots: new PQueueSlots(backend.slots, new UrgencyOrder(), clock),
+    },
+  );
+};
--- /dev/null
+++ b/packages/router/src/entry/attemptActions.ts
@@ -0,0 +1,171 @@
+/** The actions of the chart `attempt`, each under the name that the chart uses. */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartAction,
+} from '@lycheetally/charts';
+import { ErrorKind, TypedError, type Result } from '@lycheetally/common';
+import { MessageKind, type Offer } from '@lycheetally/protocol';
+import {
+  cancelTimeoutMs,
+  offerTimeoutMs,
+  revokeTimeoutMs,
+} from '../constants.js';
+import {
+  getFirstServerId,
+  type AttemptContext,
+  type AttemptEvent,
+} from './attemptContext.js';
+import type { RequestEvent } from './requestContext.js';
+
+type AttemptAction = ChartAction<AttemptContext, AttemptEvent>;
+
+export const sendOffer: AttemptAction = (attempt, _, now) => {
+  const { owner } = attempt;
+  owner.services.events.record('attempt-offered', now, {
+    ...attempt.ref,
+    detail: {
+      servers: attempt.route.map(server => server.serverId).join(','),
+    },
+  });
+  owner.services.sendToServer(getFirstServerId(attempt), {
+    kind: MessageKind.Offer,
+    value: createOffer(attempt, now),
+  });
+};
+
+const createOffer = (attempt: AttemptContext, now: number): Offer => {
+  const { request, delivered } = attempt.owner;
+  return {
+    ...attempt.ref,
+    epoch: attempt.epoch,
+    account: request.account,
+    rank: request.rank,
+    urgency: request.urgency,
+    service: request.service.name,
+    timeLeftMs: request.deadlineAt - now,
+    repeatable: request.isRepeatable,
+    stages: attempt.route.map(server => ({
+      serverId: server.serverId,
+      agentAddress: server.agentAddress,
+      incarnation: server.incarnation,
+      layerFrom: server.layerFrom,
+      layerTo: server.layerTo,
+    })),
+    stageIndex: 0,
+    model: request.model && { ...request.model, generated: delivered },
+    plain: request.plain,
+  };
+};
+
+export const sendRevoke: AttemptAction = attempt => {
+  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
+    kind: MessageKind.Revoke,
+    value: attempt.ref,
+  });
+};
+
+export const sendCancel: AttemptAction = attempt => {
+  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
+    kind: MessageKind.Cancel,
+    value: attempt.ref,
+  });
+};
+
+export const noteReason: AttemptAction = (attempt, event) => {
+  if (event && 'error' in event) {
+    attempt.error = event.error;
+    attempt.failedServerId = event.serverId === '' ? undefined : event.serverId;
+  }
+};
+
+export const noteEnd: AttemptAction = (attempt, event) => {
+  if (event?.type === 'FINISHED') {
+    attempt.end = event.end;
+  }
+};
+
+const isWhole = (attempt: AttemptContext): boolean =>
+  attempt.owner.request.model === undefined ||
+  attempt.end?.generatedTokens === attempt.tokens;
+
+export const reportComplete: AttemptAction = (attempt, _, now) => {
+  if (isWhole(attempt)) {
+    attempt.owner.end = attempt.end;
+    endAttempt(attempt, { type: 'ATTEMPT_COMPLETE' }, now);
+    return;
+  }
+  const error = new TypedError(
+    ErrorKind.BadMessage,
+    'the answer ended with tokens missing',
+    'send the request again',
+  );
+  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+};
+
+export const reportNotRun: AttemptAction = (attempt, _, now) => {
+  const error = attempt.error ?? createLostError('was withdrawn');
+  endAttempt(attempt, { type: 'ATTEMPT_NOT_RUN', error }, now);
+};
+
+export const reportFailed: AttemptAction = (attempt, _, now) => {
+  const error = attempt.error ?? createLostError('was stopped');
+  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+};
+
+export const reportUnknown: AttemptAction = (attempt, _, now) => {
+  const error = createLostError('may have run, its connection was lost');
+  endAttempt(attempt, { type: 'ATTEMPT_UNKNOWN', error }, now);
+};
+
+const createLostError = (what: string): TypedError =>
+  new TypedError(
+    ErrorKind.ConnectionLost,
+    `the work ${what}`,
+    'check its effect before sending the request again',
+  );
+
+const endAttempt = (
+  attempt: AttemptContext,
+  event: RequestEvent,
+  now: number,
+): void => {
+  const { owner } = attempt;
+  owner.services.events.record(formatEventKind(event), now, attempt.ref);
+  owner.services.countOutstanding(attempt.route, -1);
+  attempt.instance?.dispose();
+  if (event.type !== 'ATTEMPT_COMPLETE') {
+    owner.avoided.push(attempt.failedServerId ?? getFirstServerId(attempt));
+  }
+  owner.instance?.send(event, now);
+};
+
+const formatEventKind = (event: RequestEvent): string =>
+  event.type.toLowerCase().replaceAll('_', '-');
+
+/** Binds the chart `attempt`. Fails with `BadChart`. */
+export const bindAttemptChart = (): Result<
+  ChartMachine<AttemptContext, AttemptEvent>
+> =>
+  loadChart(ChartName.Attempt).andThen(chart =>
+    ChartMachine.bind<AttemptContext, AttemptEvent>(chart, {
+      actions: {
+        sendOffer,
+        sendRevoke,
+        sendCancel,
+        noteReason,
+        noteEnd,
+        reportComplete,
+        reportNotRun,
+        reportFailed,
+        reportUnknown,
+      },
+      guards: {},
+      delays: {
+        OFFER_TIMEOUT: () => offerTimeoutMs,
+        REVOKE_TIMEOUT: () => revokeTimeoutMs,
+        CANCEL_TIMEOUT: () => cancelTimeoutMs,
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/router/src/entry/attemptContext.ts
@@ -0,0 +1,38 @@
+/** One attempt of a request: its context and the events of its chart. */
+import type { ChartInstance } from '@lycheetally/charts';
+import type { Milliseconds, TypedError } from '@lycheetally/common';
+import type { Route } from '@lycheetally/decisions';
+import type { AttemptRef, Finished } from '@lycheetally/protocol';
+import type { RequestContext } from './requestContext.js';
+
+/** Events of the chart `attempt`. */
+export type AttemptEvent =
+  | { readonly type: 'ACCEPTED' | 'STARTED' | 'REVOKED' | 'CANCELLED' }
+  | { readonly type: 'CANCEL' | 'CONNECTION_LOST' }
+  | { readonly type: 'FINISHED'; readonly end: Finished }
+  | {
+      readonly type: 'REFUSED' | 'FAILED';
+      readonly error: TypedError;
+      /** The server that refused or failed. */
+      readonly serverId: string;
+    };
+
+export type AttemptInstance = ChartInstance<AttemptContext, AttemptEvent>;
+
+export interface AttemptContext {
+  readonly owner: RequestContext;
+  readonly ref: AttemptRef;
+  readonly epoch: number;
+  readonly route: Route;
+  readonly startedAt: Milliseconds;
+  instance: AttemptInstance | undefined;
+  error: TypedError | undefined;
+  failedServerId: string | undefined;
+  end: Finished | undefined;
+  /** Tokens of this attempt that the caller was sent. */
+  tokens: number;
+}
+
+/** Returns the server that the entry speaks to for the attempt. */
+export const getFirstServerId = (attempt: AttemptContext): string =>
+  attempt.route[0]?.serverId ?? '';
--- /dev/null
+++ b/packages/router/src/entry/entryNode.ts
@@ -0,0 +1,430 @@
+/**
+ * The entry: takes callers' requests, routes them, and answers each with one
+ * of the four outcomes.
+ */
+import type { ChartMachine } from '@lycheetally/charts';
+import {
+  ErrorKind,
+  LogPart,
+  TypedError,
+  type Address,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
+import {
+  Outcome,
+  type Route,
+  type RouterConfiguration,
+} from '@lycheetally/decisions';
+import {
+  MessageKind,
+  type AttemptRef,
+  type Failed,
+  type Hello,
+  type PeerMessage,
+  type Refused,
+} from '@lycheetally/protocol';
+import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
+import { vmListIntervalMs } from '../constants.js';
+import type { PeerChannel } from '../peers/peerChannel.js';
+import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
+import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
+import {
+  RouterNode,
+  takeValue,
+  type NodeEvents,
+  type NodePorts,
+  type NodeSettings,
+} from '../routerNode.js';
+import { acceptCall, findAccount } from './acceptCall.js';
+import { bindAttemptChart } from './attemptActions.js';
+import { getFirstServerId, type AttemptEvent } from './attemptContext.js';
+import {
+  ConfigFollower,
+  bindFollowerChart,
+  type FollowerEvent,
+} from './configFollower.js';
+import { MemberDirectory, type Member } from './memberDirectory.js';
+import { bindRequestChart } from './requestActions.js';
+import {
+  createRequestContext,
+  type CallerRequest,
+  type EntryPolicies,
+  type RequestContext,
+  type RequestEvent,
+  type RequestServices,
+} from './requestContext.js';
+import { deliverToken, type RelayCounts } from './tokenRelay.js';
+
+/** Events that an entry takes. */
+export interface EntryEvents extends NodeEvents {
+  callReceived: { call: CallerCall; exchange: CallerExchange };
+  callerGone: { exchange: CallerExchange };
+  followerEvent: { event: FollowerEvent };
+  vmListRead: { list: Result<readonly VmRecord[]> };
+}
+
+/** Ports that an entry is given. */
+export interface EntryPorts extends NodePorts {
+  readonly log: LogPort;
+  readonly vmList: VmListPort;
+  readonly policies: EntryPolicies;
+}
+
+export interface EntrySettings extends NodeSettings {
+  /** The largest body that a caller may send, in bytes. */
+  readonly maxBodyBytes: number;
+}
+
+/** Addresses that an entry listens on. */
+export interface EntryAddresses {
+  readonly callers: Address;
+  readonly operators: Address;
+}
+
+/** Hands calls from the front end into the loop. */
+class EntryCallersSink extends CallersSink {
+  constructor(private readonly node: EntryNode) {
+    super();
+  }
+
+  override receiveCall(call: CallerCall, exchange: CallerExchange): void {
+    this.node.loop.post('callReceived', { call, exchange });
+  }
+
+  override handleCallerGone(exchange: CallerExchange): void {
+    this.node.loop.post('callerGone', { exchange });
+  }
+
+  override listServices(bearerKey: string): readonly string[] {
+    return this.node.listServices(bearerKey);
+  }
+
+  override isOpen(): boolean {
+    return !this.node.isStopping;
+  }
+}
+
+export class EntryNode extends RouterNode<EntryEvents> {
+  readonly members: MemberDirectory;
+  private readonly machine: ChartMachine<RequestContext, RequestEvent>;
+  private readonly services: RequestServices;
+  private readonly follower: ConfigFollower;
+  private readonly requests = new Map<string, RequestContext>();
+  private readonly byExchange = new Map<CallerExchange, RequestContext>();
+  private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
+  private callers: CallersServer | undefined;
+  private requestCount = 0;
+
+  constructor(
+    private readonly entrySettings: EntrySettings,
+    private readonly entryPorts: EntryPorts,
+  ) {
+    super(entrySettings, entryPorts, LogPart.Entry);
+    this.members = new MemberDirectory((address, now) =>
+      this.createOutgoing(address, now),
+    );
+    this.machine = takeValue(bindRequestChart());
+    this.services = this.createServices();
+    this.follower = this.createFollower();
+    this.loop.setHandlers({
+      ...this.createNodeHandlers(),
+      callReceived: ({ call, exchange }, now) => {
+        this.receiveCall(call, exchange, now);
+      },
+      callerGone: ({ exchange }, now) => {
+        this.byExchange
+          .get(exchange)
+          ?.instance?.send({ type: 'CALLER_GONE' }, now);
+      },
+      followerEvent: ({ event }, now) => {
+        this.follower.receive(event, now);
+      },
+      vmListRead: ({ list }, now) => {
+        this.receiveVmList(list, now);
+      },
+    });
+  }
+
+  /** Opens the ports; returns their addresses. Throws `BadAddress`. */
+  async start(addresses: EntryAddresses): Promise<EntryAddresses> {
+    const sink = new EntryCallersSink(this);
+    const callers = new CallersServer(sink, this.entrySettings.maxBodyBytes);
+    this.callers = callers;
+    this.store.add(callers);
+    const bound = {
+      callers: takeValue(await callers.listen(addresses.callers)),
+      operators: await this.listenForOperators(addresses.operators),
+    };
+    const now = this.clock.getNow();
+    this.begin(now);
+    this.follower.start(now);
+    this.readVmList();
+    return bound;
+  }
+
+  override isReady(): boolean {
+    return super.isReady() && this.follower.inForce !== undefined;
+  }
+
+  override describeSelf(): Hello {
+    return {
+      nodeId: this.settings.id,
+      incarnation: this.incarnation,
+      failureDomain: this.settings.failureDomain,
+    };
+  }
+
+  override describeStatus(): object {
+    return {
+      process: this.settings.id,
+      role: 'entry',
+      incarnation: this.incarnation,
+      ready: this.isReady(),
+      leaving: this.isStopping,
+      configVersion: this.follower.inForce?.version ?? 0,
+      openRequests: this.requests.size,
+      tokens: this.relayCounts,
+      members: this.members.listMembers().map(describeMember),
+    };
+  }
+
+  /** Lists the services that a bearer key may use. */
+  listServices(bearerKey: string): readonly string[] {
+    const configuration = this.follower.inForce;
+    const account = configuration && findAccount(bearerKey, configuration);
+    return (configuration?.services ?? [])
+      .filter(service => service.accounts.includes(account?.name ?? ''))
+      .map(service => service.name);
+  }
+
+  override handlePeerOpen(channel: PeerChannel): void {
+    this.members.noteOpen(channel);
+  }
+
+  override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
+    const serverId =
+      this.members.findByChannel(channel)?.hello?.backend?.serverId;
+    for (const context of [...this.requests.values()]) {
+      const { attempt } = context;
+      if (attempt && getFirstServerId(attempt) === serverId) {
+        attempt.instance?.send({ type: 'CONNECTION_LOST' }, now);
+      }
+    }
+  }
+
+  override handlePeerMessage(
+    channel: PeerChannel,
+    message: PeerMessage,
+    now: Milliseconds,
+  ): void {
+    switch (message.kind) {
+      case MessageKind.Token: {
+        const context = this.requests.get(message.value.requestId);
+        deliverToken(context, message.value, this.relayCounts);
+        return;
+      }
+      case MessageKind.Report:
+        this.members.noteReport(channel, message.value);
+        return;
+      default:
+        this.receiveAttemptMessage(message, now);
+    }
+  }
+
+  protected override stopAdmission(): void {
+    this.callers?.close();
+  }
+
+  protected override countOpenWork(): number {
+    return this.requests.size;
+  }
+
+  private receiveCall(
+    call: CallerCall,
+    exchange: CallerExchange,
+    now: Milliseconds,
+  ): void {
+    this.requestCount += 1;
+    const requestId = `${this.incarnation}.${String(this.requestCount)}`;
+    exchange.noteAccepted(requestId);
+    const accepted = this.acceptCall(requestId, call, now);
+    if (accepted.err) {
+      this.events.record('request-refused', now, {
+        requestId,
+        detail: { kind: accepted.val.kind },
+      });
+      const error = accepted.val;
+      exchange.finish({ requestId, outcome: Outcome.NotRun, error });
+      return;
+    }
+    this.startRequest(accepted.val, exchange, now);
+  }
+
+  private acceptCall(
+    requestId: string,
+    call: CallerCall,
+    now: Milliseconds,
+  ): Result<CallerRequest> {
+    const configuration = this.follower.inForce ?? emptyConfiguration;
+    return acceptCall(requestId, call, configuration, now);
+  }
+
+  private startRequest(
+    request: CallerRequest,
+    exchange: CallerExchange,
+    now: Milliseconds,
+  ): void {
+    const context = createRequestContext(this.services, request, exchange);
+    this.events.record('request-accepted', now, {
+      requestId: request.requestId,
+      detail: {
+        account: request.account,
+        rank: request.rank,
+        service: request.service.name,
+        callerRequestId: request.callerRequestId ?? '',
+      },
+    });
+    context.instance = this.machine.createInstance(context, this.loop);
+    this.requests.set(request.requestId, context);
+    this.byExchange.set(exchange, context);
+    context.instance.start(now);
+  }
+
+  private receiveAttemptMessage(message: PeerMessage, now: Milliseconds): void {
+    const event = toAttemptEvent(message);
+    if (!event) {
+      return;
+    }
+    const { requestId, attempt: number } = message.value as AttemptRef;
+    const attempt = this.requests.get(requestId)?.attempt;
+    if (attempt?.ref.attempt === number) {
+      attempt.instance?.send(event, now);
+    }
+  }
+
+  private receiveVmList(
+    list: Result<readonly VmRecord[]>,
+    now: Milliseconds,
+  ): void {
+    if (list.ok) {
+      this.members.applyVmList(list.val, now);
+    }
+    this.loop.schedule(vmListIntervalMs, () => {
+      this.readVmList();
+    });
+  }
+
+  private readVmList(): void {
+    void this.entryPorts.vmList.readVms().then(list => {
+      this.loop.post('vmListRead', { list });
+    });
+  }
+
+  private createFollower(): ConfigFollower {
+    return new ConfigFollower(takeValue(bindFollowerChart()), {
+      timers: this.loop,
+      logPort: this.entryPorts.log,
+      events: this.events,
+      log: this.ports.loggers.createLogger(LogPart.Config),
+      postFollowerEvent: event => {
+        this.loop.post('followerEvent', { event });
+      },
+    });
+  }
+
+  private createServices(): RequestServices {
+    return {
+      entryId: this.settings.id,
+      timers: this.loop,
+      events: this.events,
+      log: this.log,
+      policies: this.entryPorts.policies,
+      attempts: takeValue(bindAttemptChart()),
+      getConfiguration: () => this.follower.inForce,
+      listServers: service => this.members.listServers(service),
+      sendToServer: (serverId, message) => this.sendToServer(serverId, message),
+      countOutstanding: (route, change) => {
+        this.countOutstanding(route, change);
+      },
+      handleRequestEnded: (context, now) => {
+        this.requests.delete(context.request.requestId);
+        this.byExchange.delete(context.exchange);
+        this.checkDrained(now);
+      },
+    };
+  }
+
+  private sendToServer(serverId: string, message: PeerMessage): boolean {
+    const channel = this.members.findByServer(serverId)?.channel;
+    if (!channel?.isOpen) {
+      return false;
+    }
+    channel.send(message);
+    return true;
+  }
+
+  private countOutstanding(route: Route, change: 1 | -1): void {
+    for (const server of route) {
+      const member = this.members.findByServer(server.serverId);
+      if (member) {
+        member.outstanding += change;
+      }
+    }
+  }
+}
+
+const emptyConfiguration: RouterConfiguration = {
+  version: 0,
+  ranks: [],
+  accounts: [],
+  services: [],
+};
+
+const describeMember = (member: Member): object => ({
+  server: member.hello?.backend?.serverId ?? '',
+  address: member.address,
+  service: member.hello?.backend?.service ?? '',
+  failureDomain: member.vm.failureDomain,
+  connected: member.channel.isOpen,
+  leaving: member.report?.leaving ?? false,
+  outstanding: member.outstanding,
+});
+
+const toAttemptEvent = (message: PeerMessage): AttemptEvent | undefined => {
+  switch (message.kind) {
+    case MessageKind.Accepted:
+      return { type: 'ACCEPTED' };
+    case MessageKind.Started:
+      return { type: 'STARTED' };
+    case MessageKind.Revoked:
+      return { type: 'REVOKED' };
+    case MessageKind.Cancelled:
+      return { type: 'CANCELLED' };
+    case MessageKind.Finished:
+      return { type: 'FINISHED', end: message.value };
+    case MessageKind.Refused:
+      return {
+        type: 'REFUSED',
+        error: toError(message.value),
+        serverId: '',
+      };
+    case MessageKind.Failed: {
+      const { serverId } = message.value;
+      return { type: 'FAILED', error: toError(message.value), serverId };
+    }
+    default:
+      return undefined;
+  }
+};
+
+const errorKinds: ReadonlySet<string> = new Set(Object.values(ErrorKind));
+
+const toError = (value: Refused | Failed): TypedError =>
+  new TypedError(
+    errorKinds.has(value.kind)
+      ? (value.kind as ErrorKind)
+      : ErrorKind.BackendFailed,
+    value.reason,
+    'send the request again when this is mended',
+  );
--- /dev/null
+++ b/packages/router/src/entry/requestActions.ts
@@ -0,0 +1,198 @@
+/** The actions of the chart `request`, each under the name that the chart uses. */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartAction,
+} from '@lycheetally/charts';
+import {
+  ErrorKind,
+  TypedError,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
+import { Outcome } from '@lycheetally/decisions';
+import { cancelBoundMs } from '../constants.js';
+import type { AttemptContext } from './attemptContext.js';
+import {
+  viewRequest,
+  type RequestContext,
+  type RequestEvent,
+} from './requestContext.js';
+
+type RequestAction = ChartAction<RequestContext, RequestEvent>;
+
+const createNotReadyError = (): TypedError =>
+  new TypedError(
+    ErrorKind.NoCapacity,
+    'this entry has no configuration yet',
+    'send the request again later',
+  );
+
+export const decideAdmission: RequestAction = (context, _, now) => {
+  const { services } = context;
+  const configuration = services.getConfiguration();
+  if (!configuration) {
+    const error = createNotReadyError();
+    context.instance?.send({ type: 'REFUSED', error }, now);
+    return;
+  }
+  const view = viewRequest(context);
+  const decided = services.policies.admission.decideAdmission(
+    view,
+    configuration,
+    now,
+  );
+  context.instance?.send(
+    decided.ok ? { type: 'ADMITTED' } : { type: 'REFUSED', error: decided.val },
+    now,
+  );
+};
+
+export const chooseRoute: RequestAction = (context, _, now) => {
+  const { services, request } = context;
+  const chosen = services.policies.routing.chooseRoute(
+    viewRequest(context),
+    request.service,
+    services.listServers(request.service.name),
+    now,
+  );
+  if (chosen.err) {
+    context.instance?.send({ type: 'UNROUTABLE', error: chosen.val }, now);
+    return;
+  }
+  context.route = chosen.val;
+  context.instance?.send({ type: 'ROUTED' }, now);
+};
+
+export const startAttempt: RequestAction = (context, _, now) => {
+  const { services, request } = context;
+  context.attempts += 1;
+  const attempt: AttemptContext = {
+    owner: context,
+    ref: { requestId: request.requestId, attempt: context.attempts },
+    epoch: context.attempts,
+    route: context.route ?? [],
+    startedAt: now,
+    instance: undefined,
+    error: undefined,
+    failedServerId: undefined,
+    end: undefined,
+    tokens: 0,
+  };
+  context.attempt = attempt;
+  services.countOutstanding(attempt.route, 1);
+  attempt.instance = services.attempts.createInstance(attempt, services.timers);
+  attempt.instance.start(now);
+};
+
+export const cancelAttempt: RequestAction = (context, _, now) => {
+  context.attempt?.instance?.send({ type: 'CANCEL' }, now);
+};
+
+export const noteCancelled: RequestAction = (context, _, now) => {
+  context.isCancelled = true;
+  context.error = new TypedError(
+    ErrorKind.DeadlineExceeded,
+    'the request was stopped at its deadline or because its caller left',
+    'send the request with a later deadline',
+  );
+  context.services.events.record('request-cancelled', now, {
+    requestId: context.request.requestId,
+  });
+};
+
+export const noteReason: RequestAction = (context, event) => {
+  if (event && 'error' in event) {
+    context.error = event.error;
+  }
+};
+
+const endRequest = (
+  context: RequestContext,
+  outcome: Outcome,
+  now: Milliseconds,
+): void => {
+  const { services, request, end, exchange } = context;
+  services.events.record('request-ended', now, {
+    requestId: request.requestId,
+    detail: {
+      outcome,
+      account: request.account,
+      rank: request.rank,
+      service: request.service.name,
+      attempts: context.attempts,
+      tokens: context.delivered.length,
+    },
+  });
+  exchange.finish({
+    requestId: request.requestId,
+    outcome,
+    error: outcome === Outcome.Complete ? undefined : context.error,
+    retryAfterMs: outcome === Outcome.NotRun ? retryAfterMs : undefined,
+    finishReason: end?.finishReason,
+    promptTokens: end?.promptTokens,
+    generatedTokens: context.delivered.length,
+    plain: end?.plain,
+  });
+  context.instance?.dispose();
+  services.handleRequestEnded(context, now);
+};
+
+/** Milliseconds after which a refused caller may try again. */
+const retryAfterMs = 1_000;
+
+export const answerComplete: RequestAction = (context, _, now) => {
+  endRequest(context, Outcome.Complete, now);
+};
+
+export const answerNotRun: RequestAction = (context, _, now) => {
+  // Tokens that an earlier attempt delivered show that the request has run.
+  const hasRun = context.delivered.length > 0;
+  endRequest(context, hasRun ? Outcome.Failed : Outcome.NotRun, now);
+};
+
+export const answerFailed: RequestAction = (context, _, now) => {
+  endRequest(context, Outcome.Failed, now);
+};
+
+export const answerUnknown: RequestAction = (context, _, now) => {
+  endRequest(context, Outcome.Unknown, now);
+};
+
+const mayRetry = (context: RequestContext, now: Milliseconds): boolean =>
+  context.services.policies.retry.mayRetry(viewRequest(context), now);
+
+/** Binds the chart `request`. Fails with `BadChart`. */
+export const bindRequestChart = (): Result<
+  ChartMachine<RequestContext, RequestEvent>
+> =>
+  loadChart(ChartName.Request).andThen(chart =>
+    ChartMachine.bind<RequestContext, RequestEvent>(chart, {
+      actions: {
+        decideAdmission,
+        chooseRoute,
+        startAttempt,
+        cancelAttempt,
+        noteCancelled,
+        noteReason,
+        answerComplete,
+        answerNotRun,
+        answerFailed,
+        answerUnknown,
+      },
+      guards: {
+        mayRetry: (context, _, now) => mayRetry(context, now),
+        mayWaitForRoute: (context, _, now) =>
+          context.attempts > 0 && mayRetry(context, now),
+        mayRepeat: (context, _, now) =>
+          context.services.policies.retry.mayRepeat(viewRequest(context), now),
+      },
+      delays: {
+        DEADLINE: (context, now) => context.request.deadlineAt - now,
+        RETRY_DELAY: context =>
+          context.services.policies.retry.computeDelay(viewRequest(context)),
+        CANCEL_BOUND: () => cancelBoundMs,
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/router/src/entry/requestContext.ts
@@ -0,0 +1,135 @@
+/** A caller's request at an entry: its context and the events of its chart. */
+import type {
+  ChartInstance,
+  ChartMachine,
+  ChartTimers,
+} from '@lycheetally/charts';
+import type { Milliseconds, PartLogger, TypedError } from '@lycheetally/common';
+import type {
+  AdmissionPolicy,
+  RequestView,
+  RetryPolicy,
+  Route,
+  RouterConfiguration,
+  RoutingPolicy,
+  ServerView,
+  ServiceRule,
+} from '@lycheetally/decisions';
+import type {
+  Finished,
+  ModelWork,
+  PeerMessage,
+  PlainWork,
+} from '@lycheetally/protocol';
+import type { EventLog } from '../eventLog.js';
+import type { CallerExchange } from '../ports/callerExchange.js';
+import type { AttemptContext, AttemptEvent } from './attemptContext.js';
+
+/** The rules that an entry decides by. */
+export interface EntryPolicies {
+  readonly admission: AdmissionPolicy;
+  readonly routing: RoutingPolicy;
+  readonly retry: RetryPolicy;
+}
+
+/** A request that was checked against the configuration. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly callerRequestId: string | undefined;
+  readonly account: string;
+  readonly rank: string;
+  readonly urgency: number;
+  readonly service: ServiceRule;
+  readonly receivedAt: Milliseconds;
+  readonly deadlineAt: Milliseconds;
+  /** Says whether a run may be followed by another. */
+  readonly isRepeatable: boolean;
+  readonly idempotencyKey: string | undefined;
+  readonly model: ModelWork | undefined;
+  readonly plain: PlainWork | undefined;
+}
+
+/** Events of the chart `request`. */
+export type RequestEvent =
+  | {
+      readonly type: 'ADMITTED' | 'ROUTED' | 'CALLER_GONE' | 'ATTEMPT_COMPLETE';
+    }
+  | {
+      readonly type:
+        | 'REFUSED'
+        | 'UNROUTABLE'
+        | 'ATTEMPT_NOT_RUN'
+        | 'ATTEMPT_FAILED'
+        | 'ATTEMPT_UNKNOWN';
+      readonly error: TypedError;
+    };
+
+export type RequestInstance = ChartInstance<RequestContext, RequestEvent>;
+
+/** What requests need of their entry. */
+export interface RequestServices {
+  readonly entryId: string;
+  readonly timers: ChartTimers;
+  readonly events: EventLog;
+  readonly log: PartLogger;
+  readonly policies: EntryPolicies;
+  readonly attempts: ChartMachine<AttemptContext, AttemptEvent>;
+  getConfiguration(): RouterConfiguration | undefined;
+  listServers(service: string): readonly ServerView[];
+  /** Sends to the agent of a server; returns false when its channel is not open. */
+  sendToServer(serverId: string, message: PeerMessage): boolean;
+  /** Counts work that this entry has at the servers of a route. */
+  countOutstanding(route: Route, change: 1 | -1): void;
+  handleRequestEnded(request: RequestContext, now: Milliseconds): void;
+}
+
+export interface RequestContext {
+  readonly services: RequestServices;
+  readonly request: CallerRequest;
+  readonly exchange: CallerExchange;
+  instance: RequestInstance | undefined;
+  route: Route | undefined;
+  attempt: AttemptContext | undefined;
+  attempts: number;
+  avoided: string[];
+  error: TypedError | undefined;
+  isCancelled: boolean;
+  /** Tokens that the caller was sent, in order. */
+  delivered: number[];
+  /** Position of the last delivered token; absent before the first one. */
+  lastPosition: number | undefined;
+  end: Finished | undefined;
+}
+
+/** Returns what decisions may know of a request. */
+export const viewRequest = (context: RequestContext): RequestView => ({
+  requestId: context.request.requestId,
+  account: context.request.account,
+  rank: context.request.rank,
+  service: context.request.service.name,
+  deadlineAt: context.request.deadlineAt,
+  isRepeatable: context.request.isRepeatable,
+  attempts: context.attempts,
+  avoided: context.avoided,
+});
+
+/** Creates the context of a request. */
+export const createRequestContext = (
+  services: RequestServices,
+  request: CallerRequest,
+  exchange: CallerExchange,
+): RequestContext => ({
+  services,
+  request,
+  exchange,
+  instance: undefined,
+  route: undefined,
+  attempt: undefined,
+  attempts: 0,
+  avoided: [],
+  error: undefined,
+  isCancelled: false,
+  delivered: [],
+  lastPosition: undefined,
+  end: undefined,
+});
--- /dev/null
+++ b/packages/router/src/entry/tokenRelay.ts
@@ -0,0 +1,45 @@
+/**
+ * Delivers tokens to callers.
+ *
+ * A token is bound to its request, attempt, epoch and position; one that is
+ * late, crossed or doubled is dropped and counted.
+ */
+import type { Token } from '@lycheetally/protocol';
+import type { RequestContext } from './requestContext.js';
+
+/** Counts of tokens since the start of the process. */
+export interface RelayCounts {
+  delivered: number;
+  dropped: number;
+}
+
+/** Delivers a token, or drops it. */
+export const deliverToken = (
+  context: RequestContext | undefined,
+  token: Token,
+  counts: RelayCounts,
+): void => {
+  if (!context || !isExpected(context, token)) {
+    counts.dropped += 1;
+    return;
+  }
+  counts.delivered += 1;
+  context.lastPosition = token.position;
+  context.delivered.push(token.tokenId);
+  if (context.attempt) {
+    context.attempt.tokens += 1;
+  }
+  context.exchange.sendToken(token);
+};
+
+const isExpected = (context: RequestContext, token: Token): boolean => {
+  const { attempt, lastPosition } = context;
+  if (
+    attempt?.ref.attempt !== token.attempt ||
+    attempt.epoch !== token.epoch ||
+    attempt.instance?.isFinal !== false
+  ) {
+    return false;
+  }
+  return lastPosition === undefined || token.position === lastPosition + 1;
+};
--- /dev/null
+++ b/packages/router/src/peers/outgoingChannel.ts
@@ -0,0 +1,129 @@
+/**
+ * A channel that this process opens and keeps open.
+ *
+ * Heartbeats find a connection that has fallen silent; the next one is opened
+ * beside it, over a connection of its own.
+ */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+} from '@lycheetally/charts';
+import type { Milliseconds, Result } from '@lycheetally/common';
+import { MessageKind } from '@lycheetally/protocol';
+import {
+  connectTimeoutMs,
+  heartbeatIntervalMs,
+  reconnectDelayMs,
+  silenceBoundMs,
+} from '../constants.js';
+import type { PeerStream } from '../ports/peerNetwork.js';
+import {
+  PeerChannel,
+  type ConnectionEvent,
+  type PeerServices,
+} from './peerChannel.js';
+
+export type OutgoingMachine = ChartMachine<OutgoingChannel, ConnectionEvent>;
+
+export class OutgoingChannel extends PeerChannel {
+  protected readonly chart: ChartInstance<never, ConnectionEvent>;
+  private pings = 0;
+
+  constructor(
+    machine: OutgoingMachine,
+    services: PeerServices,
+    /** Address of the peer, as `host:port`. */
+    readonly address: string,
+  ) {
+    super(services);
+    this.chart = machine.createInstance(this, services.timers) as ChartInstance<
+      never,
+      ConnectionEvent
+    >;
+  }
+
+  override get isOpen(): boolean {
+    return this.chart.matches('open');
+  }
+
+  start(now: Milliseconds): void {
+    this.chart.start(now);
+  }
+
+  openStream(now: Milliseconds): void {
+    const opened: { stream?: PeerStream } = {};
+    const listener = this.createListener(
+      () => opened.stream ?? this.failUnopened(),
+    );
+    opened.stream = this.services.network.openStream(this.address, listener);
+    this.stream = opened.stream;
+    this.send({ kind: MessageKind.Hello, value: this.services.describeSelf() });
+    this.flush(now);
+  }
+
+  sendPing(): void {
+    this.pings += 1;
+    this.send({ kind: MessageKind.Ping, value: { sequence: this.pings } });
+  }
+
+  reportOpen(now: Milliseconds): void {
+    this.services.events.record('peer-open', now, this.describeEvent());
+    this.services.handler.handleOpen(this, now);
+  }
+
+  reportLost(now: Milliseconds): void {
+    this.services.events.record('peer-lost', now, this.describeEvent());
+    this.services.handler.handleLost(this, now);
+  }
+
+  recordSilence(now: Milliseconds): void {
+    this.services.log.warn('A connection fell silent and is replaced', {
+      peer: this.address,
+    });
+    this.services.events.record('peer-silent', now, this.describeEvent());
+  }
+
+  private describeEvent(): { detail: { peer: string } } {
+    return { detail: { peer: this.remote?.nodeId ?? this.address } };
+  }
+
+  private failUnopened(): never {
+    throw new Error(`The stream to ${this.address} spoke before it was open`);
+  }
+}
+
+/** Binds the chart of outgoing channels. Fails with `BadChart`. */
+export const bindOutgoingChart = (): Result<OutgoingMachine> =>
+  loadChart(ChartName.PeerConnection).andThen(chart =>
+    ChartMachine.bind<OutgoingChannel, ConnectionEvent>(chart, {
+      actions: {
+        openStream: (channel, _, now) => {
+          channel.openStream(now);
+        },
+        closeStream: channel => {
+          channel.closeStream();
+        },
+        reportOpen: (channel, _, now) => {
+          channel.reportOpen(now);
+        },
+        reportLost: (channel, _, now) => {
+          channel.reportLost(now);
+        },
+        sendPing: channel => {
+          channel.sendPing();
+        },
+        recordSilence: (channel, _, now) => {
+          channel.recordSilence(now);
+        },
+      },
+      guards: {},
+      delays: {
+        HEARTBEAT_INTERVAL: () => heartbeatIntervalMs,
+        SILENCE_BOUND: () => silenceBoundMs,
+        CONNECT_TIMEOUT: () => connectTimeoutMs,
+        RECONNECT_DELAY: () => reconnectDelayMs,
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/router/src/peers/peerChannel.ts
@@ -0,0 +1,163 @@
+/**
+ * A channel to another process of the system.
+ *
+ * Messages that are sent in one turn of the loop leave together as one frame.
+ * Frames of a stream that was replaced are dropped.
+ */
+import type { ChartInstance, ChartTimers } from '@lycheetally/charts';
+import type { Milliseconds, PartLogger } from '@lycheetally/common';
+import {
+  MessageKind,
+  type Hello,
+  type MessageOf,
+  type PeerFrame,
+  type PeerMessage,
+} from '@lycheetally/protocol';
+import type { EventLog } from '../eventLog.js';
+import type {
+  PeerNetwork,
+  PeerStream,
+  PeerStreamListener,
+} from '../ports/peerNetwork.js';
+
+/** Events that streams post into the loop. */
+export interface PeerEvents {
+  peerFrame: { channel: PeerChannel; stream: PeerStream; frame: PeerFrame };
+  peerClosed: { channel: PeerChannel; stream: PeerStream; reason: string };
+}
+
+/** Posts the events of streams into the loop. */
+export interface PeerEventSink {
+  post<K extends keyof PeerEvents>(kind: K, payload: PeerEvents[K]): void;
+}
+
+/** What a node does with its channels. */
+export abstract class PeerHandler {
+  /** The peer's first message has arrived. */
+  abstract handleOpen(channel: PeerChannel, now: Milliseconds): void;
+  /** The channel's stream is lost; an outgoing channel opens another. */
+  abstract handleLost(channel: PeerChannel, now: Milliseconds): void;
+  abstract handleMessage(
+    channel: PeerChannel,
+    message: PeerMessage,
+    now: Milliseconds,
+  ): void;
+}
+
+/** What every channel of a process shares. */
+export interface PeerServices {
+  readonly sink: PeerEventSink;
+  readonly timers: ChartTimers;
+  readonly network: PeerNetwork;
+  readonly events: EventLog;
+  readonly log: PartLogger;
+  readonly handler: PeerHandler;
+  /** Channels with messages to send at the end of the turn. */
+  readonly unsent: Set<PeerChannel>;
+  /** Describes this process to the peer. */
+  describeSelf(): Hello;
+}
+
+/** Events of the connection charts. */
+export interface ConnectionEvent {
+  readonly type: 'OPENED' | 'CLOSED' | 'HEARD' | 'STOP';
+}
+
+export abstract class PeerChannel {
+  /** What the peer said of itself; absent until its first message. */
+  remote: Hello | undefined;
+  /** Number of frames received since the last check. */
+  heard = 0;
+
+  protected stream: PeerStream | undefined;
+  protected abstract readonly chart: ChartInstance<never, ConnectionEvent>;
+  private outbox: PeerMessage[] = [];
+
+  constructor(protected readonly services: PeerServices) {}
+
+  abstract get isOpen(): boolean;
+
+  /** Sends a message at the end of the turn; drops it when the channel is lost. */
+  send(message: PeerMessage): void {
+    this.outbox.push(message);
+    this.services.unsent.add(this);
+  }
+
+  /** Sends what has gathered. */
+  flush(now: Milliseconds): void {
+    const messages = this.outbox;
+    this.outbox = [];
+    if (messages.length === 0) {
+      return;
+    }
+    this.stream?.send({
+      stamp: this.services.events.takeStamp(now),
+      messages,
+    });
+  }
+
+  /** Handles a frame of one of this channel's streams. */
+  receiveFrame(stream: PeerStream, frame: PeerFrame, now: Milliseconds): void {
+    if (stream !== this.stream) {
+      return;
+    }
+    this.heard += 1;
+    this.services.events.observeStamp(frame.stamp);
+    for (const message of frame.messages) {
+      this.receiveMessage(message, now);
+    }
+  }
+
+  /** Handles the end of one of this channel's streams. */
+  receiveClose(stream: PeerStream, now: Milliseconds): void {
+    if (stream === this.stream) {
+      this.chart.send({ type: 'CLOSED' }, now);
+    }
+  }
+
+  /** Closes the channel for good. */
+  stop(now: Milliseconds): void {
+    this.chart.send({ type: 'STOP' }, now);
+  }
+
+  /** Closes the present stream. */
+  closeStream(): void {
+    const stream = this.stream;
+    this.stream = undefined;
+    this.outbox = [];
+    stream?.close();
+  }
+
+  protected createListener(getStream: () => PeerStream): PeerStreamListener {
+    const { sink } = this.services;
+    return {
+      receiveFrame: frame => {
+        sink.post('peerFrame', { channel: this, stream: getStream(), frame });
+      },
+      handleClose: reason => {
+        sink.post('peerClosed', { channel: this, stream: getStream(), reason });
+      },
+    };
+  }
+
+  private receiveMessage(message: PeerMessage, now: Milliseconds): void {
+    switch (message.kind) {
+      case MessageKind.Hello:
+        this.receiveHello(message, now);
+        return;
+      case MessageKind.Ping:
+        this.send({ kind: MessageKind.Pong, value: message.value });
+        return;
+      case MessageKind.Pong:
+        this.chart.send({ type: 'HEARD' }, now);
+        return;
+      default:
+        this.services.handler.handleMessage(this, message, now);
+    }
+  }
+
+  protected receiveHello(message: MessageOf<'hello'>, now: Milliseconds): void {
+    this.remote = message.value;
+    this.chart.send({ type: 'OPENED' }, now);
+  }
+}
--- /dev/null
+++ b/packages/router/src/processSettings.ts
@@ -0,0 +1,84 @@
+/** The settings files of entries and agents, and their schemas. */
+import {
+  addressSchema,
+  formatAddress,
+  type Address,
+} from '@lycheetally/common';
+import { ServiceKind } from '@lycheetally/decisions';
+import { z } from 'zod';
+
+const idSchema = z
+  .string()
+  .regex(
+    /^[A-Za-z0-9._-]{1,64}$/,
+    'use 1 to 64 letters, digits, ".", "_" or "-"',
+  );
+
+const createNumberSchema = (min: number, max: number): z.ZodType<number> =>
+  z.coerce
+    .number({ error: 'write a whole number' })
+    .int('write a whole number')
+    .min(min, `write at least ${String(min)}`)
+    .max(max, `write at most ${String(max)}`);
+
+const urlSchema = z
+  .string()
+  .regex(/^https?:\/\/[^\s/]+$/, 'write http://host:port without a path');
+
+const processSchema = z.strictObject({
+  id: idSchema,
+  failureDomain: idSchema,
+  drainSeconds: createNumberSchema(1, 3_600).default(30),
+});
+
+const platformSchema = z.strictObject({ log: urlSchema, vmList: urlSchema });
+
+/** Schema of an entry's settings file. */
+export const entrySettingsSchema = z.strictObject({
+  process: processSchema,
+  listen: z.strictObject({ callers: addressSchema, operators: addressSchema }),
+  platform: platformSchema,
+  limits: z
+    .strictObject({
+      maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024).default(
+        1_048_576,
+      ),
+    })
+    .prefault({}),
+});
+export type EntryFileSettings = z.output<typeof entrySettingsSchema>;
+
+/** Schema of an agent's settings file. */
+export const agentSettingsSchema = z.strictObject({
+  process: processSchema,
+  listen: z.strictObject({ peers: addressSchema, operators: addressSchema }),
+  platform: platformSchema.optional(),
+  backend: z
+    .strictObject({
+      server: idSchema,
+      url: urlSchema,
+      kind: z.enum(ServiceKind, { error: 'write "model" or "plain"' }),
+      service: idSchema,
+      layerFrom: createNumberSchema(0, 10_000).default(0),
+      layerTo: createNumberSchema(0, 10_000).default(0),
+      slots: createNumberSchema(1, 10_000).default(16),
+    })
+    .refine(
+      backend =>
+        backend.kind === ServiceKind.Plain ||
+        backend.layerFrom < backend.layerTo,
+      { path: ['layerTo'], error: 'write a number above layerFrom' },
+    ),
+});
+export type AgentFileSettings = z.output<typeof agentSettingsSchema>;
+
+/** Formats each address of a process for its ready line. */
+export const formatAddresses = (
+  addresses: Readonly<Record<string, Address>>,
+): Record<string, string> =>
+  Object.fromEntries(
+    Object.entries(addresses).map(([name, address]) => [
+      name,
+      formatAddress(address),
+    ]),
+  );
--- /dev/null
+++ b/packages/router/src/routerNode.ts
@@ -0,0 +1,340 @@
+/**
+ * What an entry and an agent have in common: one loop, one event log, the
+ * lifecycle chart, the channels to peers and the operators' port.
+ */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+} from '@lycheetally/charts';
+import {
+  DisposableStore,
+  Emitter,
+  LogPart,
+  LoggerFactory,
+  toMessage,
+  type Address,
+  type EventRecord,
+  type Milliseconds,
+  type PartLogger,
+  type Result,
+} from '@lycheetally/common';
+import type { Hello, PeerMessage } from '@lycheetally/protocol';
+import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
+import type { Clock } from './clock.js';
+import { EventLog } from './eventLog.js';
+import { Loop, type LoopHandlers } from './loop.js';
+import {
+  bindIncomingChart,
+  IncomingChannel,
+  type IncomingMachine,
+} from './peers/incomingChannel.js';
+import {
+  bindOutgoingChart,
+  OutgoingChannel,
+  type OutgoingMachine,
+} from './peers/outgoingChannel.js';
+import {
+  PeerHandler,
+  type PeerChannel,
+  type PeerEvents,
+  type PeerServices,
+} from './peers/peerChannel.js';
+import type {
+  PeerNetwork,
+  PeerStream,
+  PeerStreamListener,
+} from './ports/peerNetwork.js';
+
+/** Events that every node takes. */
+export interface NodeEvents extends PeerEvents {
+  peerAccepted: { channel: IncomingChannel };
+  stopRequested: { signal: string };
+}
+
+interface LifecycleEvent {
+  readonly type: 'READY' | 'STOP' | 'DRAINED';
+}
+
+/** Settings that every node has. */
+export interface NodeSettings {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly drainBoundMs: Milliseconds;
+}
+
+/** Ports that every node is given. */
+export interface NodePorts {
+  readonly clock: Clock;
+  readonly network: PeerNetwork;
+  readonly loggers: LoggerFactory;
+}
+
+/** Returns the value of a result, or throws its error to the start of the process. */
+export const takeValue = <T>(result: Result<T>): T => {
+  if (result.err) {
+    throw result.val;
+  }
+  return result.val;
+};
+
+/** Passes what channels report to their node. */
+class NodePeerHandler extends PeerHandler {
+  constructor(private readonly node: RouterNode<never>) {
+    super();
+  }
+
+  override handleOpen(channel: PeerChannel, now: Milliseconds): void {
+    this.node.handlePeerOpen(channel, now);
+  }
+
+  override handleLost(channel: PeerChannel, now: Milliseconds): void {
+    this.node.handlePeerLost(channel, now);
+  }
+
+  override handleMessage(
+    channel: PeerChannel,
+    message: PeerMessage,
+    now: Milliseconds,
+  ): void {
+    this.node.handlePeerMessage(channel, message, now);
+  }
+}
+
+export abstract class RouterNode<
+  Events extends NodeEvents,
+> extends OperatorsView {
+  readonly incarnation: string;
+  readonly events: EventLog;
+  readonly loop: Loop<Events>;
+  /** Emits once when the process may end. */
+  readonly stopped = new Emitter<true>();
+
+  protected readonly store = new DisposableStore();
+  protected readonly log: PartLogger;
+  protected readonly clock: Clock;
+  private readonly lifecycle: ChartInstance<RouterNode<Events>, LifecycleEvent>;
+  private readonly peerServices: PeerServices;
+  private readonly outgoingMachine: OutgoingMachine;
+  private readonly incomingMachine: IncomingMachine;
+  private readonly unsent = new Set<PeerChannel>();
+
+  /** Throws `BadChart` when a chart and its registry disagree. */
+  constructor(
+    protected readonly settings: NodeSettings,
+    protected readonly ports: NodePorts,
+    part: LogPart,
+  ) {
+    super();
+    this.clock = ports.clock;
+    this.incarnation = `${settings.id}.${ports.clock.getNow().toString(36)}`;
+    this.events = new EventLog(settings.id);
+    this.log = ports.loggers.createLogger(part);
+    this.loop = new Loop<Events>(ports.clock);
+    this.outgoingMachine = takeValue(bindOutgoingChart());
+    this.incomingMachine = takeValue(bindIncomingChart());
+    this.peerServices = this.createPeerServices();
+    this.lifecycle = takeValue(bindLifecycle<Events>()).createInstance(
+      this,
+      this.loop,
+    );
+    this.subscribeToLoop();
+  }
+
+  /** Describes this process to its peers. */
+  abstract describeSelf(): Hello;
+  abstract handlePeerOpen(channel: PeerChannel, now: Milliseconds): void;
+  abstract handlePeerLost(channel: PeerChannel, now: Milliseconds): void;
+  abstract handlePeerMessage(
+    channel: PeerChannel,
+    message: PeerMessage,
+    now: Milliseconds,
+  ): void;
+  /** Takes no new work from now on. */
+  protected abstract stopAdmission(now: Milliseconds): void;
+  /** Counts the pieces of work that a stop would cut. */
+  protected abstract countOpenWork(): number;
+
+  /** Enters the loop; the node is ready afterwards. */
+  protected begin(now: Milliseconds): void {
+    this.lifecycle.start(now);
+    this.lifecycle.send({ type: 'READY' }, now);
+  }
+
+  override isReady(): boolean {
+    return this.lifecycle.matches('ready');
+  }
+
+  get isStopping(): boolean {
+    return (
+      this.lifecycle.matches('draining') || this.lifecycle.matches('stopped')
+    );
+  }
+
+  override listEvents(): readonly EventRecord[] {
+    return this.events.list();
+  }
+
+  /** Starts a graceful stop. Called from outside the loop. */
+  requestStop(signal: string): void {
+    this.loop.post('stopRequested', { signal });
+  }
+
+  /** Ends the drain when no work is left. */
+  protected checkDrained(now: Milliseconds): void {
+    if (this.lifecycle.matches('draining') && this.countOpenWork() === 0) {
+      this.lifecycle.send({ type: 'DRAINED' }, now);
+    }
+  }
+
+  /** The handlers of the events that every node takes. */
+  protected createNodeHandlers(): LoopHandlers<NodeEvents> {
+    return {
+      peerAccepted: ({ channel }, now) => {
+        channel.start(now);
+      },
+      peerFrame: ({ channel, stream, frame }, now) => {
+        channel.receiveFrame(stream, frame, now);
+      },
+      peerClosed: ({ channel, stream }, now) => {
+        channel.receiveClose(stream, now);
+      },
+      stopRequested: ({ signal }, now) => {
+        this.log.info('Stopping after the open work', { signal });
+        this.lifecycle.send({ type: 'STOP' }, now);
+      },
+    };
+  }
+
+  /** Opens a channel to a peer and keeps it open. */
+  protected createOutgoing(
+    address: string,
+    now: Milliseconds,
+  ): OutgoingChannel {
+    const channel = new OutgoingChannel(
+      this.outgoingMachine,
+      this.peerServices,
+      address,
+    );
+    channel.start(now);
+    return channel;
+  }
+
+  /** Accepts a stream. Called from outside the loop. */
+  protected acceptStream(stream: PeerStream): PeerStreamListener {
+    const channel = new IncomingChannel(
+      this.incomingMachine,
+      this.peerServices,
+      stream,
+    );
+    this.loop.post('peerAccepted', { channel });
+    return channel.listener;
+  }
+
+  /** Opens the operators' port. Throws `BadAddress`. */
+  protected async listenForOperators(address: Address): Promise<Address> {
+    const server = new OperatorsServer(this);
+    this.store.add(server);
+    return takeValue(await server.listen(address));
+  }
+
+  dispose(): void {
+    this.store.dispose();
+    this.ports.network.dispose();
+  }
+
+  private createPeerServices(): PeerServices {
+    return {
+      sink: this.loop,
+      timers: this.loop,
+      network: this.ports.network,
+      events: this.events,
+      log: this.ports.loggers.createLogger(LogPart.Peers),
+      handler: new NodePeerHandler(this as unknown as RouterNode<never>),
+      unsent: this.unsent,
+      describeSelf: () => this.describeSelf(),
+    };
+  }
+
+  private subscribeToLoop(): void {
+    this.store.add(
+      this.loop.turnEnded.subscribe(now => {
+        for (const channel of this.unsent) {
+          channel.flush(now);
+        }
+        this.unsent.clear();
+      }),
+    );
+    this.store.add(
+      this.loop.faulted.subscribe(({ kind, thrown }) => {
+        const stack = thrown instanceof Error ? (thrown.stack ?? '') : '';
+        this.log.error('A handler failed', {
+          kind,
+          fault: toMessage(thrown),
+          stack,
+        });
+      }),
+    );
+  }
+
+  /** Actions of the lifecycle chart. */
+  readonly lifecycleActions = {
+    recordReady: (now: Milliseconds): void => {
+      this.log.info('Ready');
+      this.events.record('ready', now);
+    },
+    recordDraining: (now: Milliseconds): void => {
+      this.events.record('draining', now, {
+        detail: { open: this.countOpenWork() },
+      });
+    },
+    stopAdmission: (now: Milliseconds): void => {
+      this.stopAdmission(now);
+      this.loop.schedule(0, later => {
+        this.checkDrained(later);
+      });
+    },
+    reportCutWork: (now: Milliseconds): void => {
+      const open = this.countOpenWork();
+      this.log.error('The drain bound is reached and work is cut', { open });
+      this.events.record('drain-bound-reached', now, { detail: { open } });
+    },
+    finishProcess: (now: Milliseconds): void => {
+      this.log.info('Stopped');
+      this.events.record('stopped', now);
+      this.stopped.emit(true);
+    },
+  };
+
+  get drainBoundMs(): Milliseconds {
+    return this.settings.drainBoundMs;
+  }
+}
+
+const bindLifecycle = <Events extends NodeEvents>(): Result<
+  ChartMachine<RouterNode<Events>, LifecycleEvent>
+> =>
+  loadChart(ChartName.Lifecycle).andThen(chart =>
+    ChartMachine.bind<RouterNode<Events>, LifecycleEvent>(chart, {
+      actions: {
+        recordReady: (node, _, now) => {
+          node.lifecycleActions.recordReady(now);
+        },
+        recordDraining: (node, _, now) => {
+          node.lifecycleActions.recordDraining(now);
+        },
+        stopAdmission: (node, _, now) => {
+          node.lifecycleActions.stopAdmission(now);
+        },
+        reportCutWork: (node, _, now) => {
+          node.lifecycleActions.reportCutWork(now);
+        },
+        finishProcess: (node, _, now) => {
+          node.lifecycleActions.finishProcess(now);
+        },
+      },
+      guards: {},
+      delays: { DRAIN_BOUND: node => node.drainBoundMs },
+    }),
+  );
--- /dev/null
+++ b/packages/router/tests/badStart.test.ts
@@ -0,0 +1,85 @@
+/** A broken start ends with one typed line and exit code 2. */
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+const daemon = fileURLToPath(
+  new URL('../../../apps/entry/dist/main.js', import.meta.url),
+);
+
+const formatGoodSettings = (callers: string): string => `
+[process]
+id=entry-1
+failureDomain=zona-brescia
+[listen]
+callers=${callers}
+operators=127.0.0.1:0
+[platform]
+log=http://127.0.0.1:1
+vmList=http://127.0.0.1:1
+`;
+
+describe('a broken start', () => {
+  let folder = '';
+  const taken = createServer();
+
+  beforeAll(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'lycheetally-start-'));
+    await new Promise<void>(resolve => {
+      taken.listen(0, '127.0.0.1', resolve);
+    });
+  });
+  afterAll(() => {
+    taken.close();
+    rmSync(folder, { recursive: true });
+  });
+
+  const startWith = (
+    text: string | undefined,
+  ): { status: number | null; stderr: string } => {
+    const file = join(folder, 'entry.ini');
+    if (text !== undefined) {
+      writeFileSync(file, text);
+    }
+    const path = text === undefined ? join(folder, 'missing.ini') : file;
+    const run = spawnSync(process.execPath, [daemon, '--settings', path], {
+      encoding: 'utf8',
+    });
+    return { status: run.status, stderr: run.stderr };
+  };
+
+  it('names a missing file', () => {
+    const run = startWith(undefined);
+    expect(run.status).toBe(2);
+    expect(run.stderr).toMatch(/^bad-setting: .*missing\.ini.*--settings\n$/);
+  });
+
+  it('names every fault at once', () => {
+    const run = startWith(
+      '[process]\nid=a b\n[listen]\ncallers=nowhere\noperators=127.0.0.1:0\n',
+    );
+    expect(run.status).toBe(2);
+    for (const key of [
+      'process.id',
+      'process.failureDomain',
+      'listen.callers',
+      'platform',
+    ]) {
+      expect(run.stderr).toContain(`entry.ini: ${key}: `);
+    }
+    expect(run.stderr.trim().split('\n')).toHaveLength(1);
+  });
+
+  it('names a port that is in use', () => {
+    const { port } = taken.address() as AddressInfo;
+    const run = startWith(formatGoodSettings(`127.0.0.1:${String(port)}`));
+    expect(run.status).toBe(2);
+    expect(run.stderr).toMatch(
+      /^bad-address: cannot listen on .*choose a free port/,
+    );
+  });
+});
--- /dev/null
+++ b/packages/testkit/src/fleet/callerClient.ts
@@ -0,0 +1,179 @@
+/** A caller of an entry, as tests and benches use it. */
+import { request, Agent, type IncomingMessage } from 'node:http';
+import { computeAnswer, formatAnswer } from '../standIns/modelMath.js';
+import { fleetNames, getAccountKey } from './routerFleet.js';
+
+/** One call. */
+export interface CallerCallOptions {
+  readonly account?: string;
+  readonly rank?: string;
+  readonly deadlineMs?: number;
+  readonly idempotencyKey?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** What a caller saw of one call. */
+export interface CallerAnswer {
+  readonly status: number;
+  /** The outcome that the answer named; `undefined` when the connection broke. */
+  readonly outcome: string | undefined;
+  readonly text: string;
+  readonly body: unknown;
+  readonly isDone: boolean;
+  readonly firstTokenMs: number | undefined;
+  readonly totalMs: number;
+}
+
+interface SseState {
+  text: string;
+  error: unknown;
+  isDone: boolean;
+  firstTokenMs: number | undefined;
+}
+
+const agent = new Agent({ keepAlive: false });
+
+/** Streams a completion of the fleet's model. */
+export const streamCompletion = (
+  entryUrl: string,
+  prompt: string,
+  maxTokens: number,
+  options: CallerCallOptions = {},
+): Promise<CallerAnswer> =>
+  exchange(`${entryUrl}/v1/completions`, 'POST', options, {
+    model: fleetNames.model,
+    prompt,
+    max_tokens: maxTokens,
+    stream: true,
+  });
+
+/** Calls a plain service. */
+export const callService = (
+  entryUrl: string,
+  service: string,
+  path: string,
+  body: unknown,
+  options: CallerCallOptions = {},
+): Promise<CallerAnswer> =>
+  exchange(`${entryUrl}/v1/services/${service}${path}`, 'POST', options, body);
+
+/** Computes the text that a completion must have. */
+export const computeExpectedText = (
+  prompt: string,
+  maxTokens: number,
+  layers: number,
+): string => formatAnswer(computeAnswer(prompt, maxTokens, layers));
+
+const exchange = async (
+  url: string,
+  method: string,
+  options: CallerCallOptions,
+  body: unknown,
+): Promise<CallerAnswer> => {
+  const startedAt = Date.now();
+  const response = await sendRequest(url, method, options, body);
+  const state: SseState = {
+    text: '',
+    error: undefined,
+    isDone: false,
+    firstTokenMs: undefined,
+  };
+  const raw = await readAll(response, chunk => {
+    readEvents(chunk, state, startedAt);
+  });
+  const isStream = response.headers['content-type'] === 'text/event-stream';
+  return {
+    status: response.statusCode ?? 0,
+    outcome: readOutcome(response),
+    text: state.text,
+    body: isStream ? state.error : parse(raw),
+    isDone: state.isDone,
+    firstTokenMs: state.firstTokenMs,
+    totalMs: Date.now() - startedAt,
+  };
+};
+
+const sendRequest = (
+  url: string,
+  method: string,
+  options: CallerCallOptions,
+  body: unknown,
+): Promise<IncomingMessage> =>
+  new Promise((resolve, reject) => {
+    const outgoing = request(
+      url,
+      { method, agent, headers: formatHeaders(options) },
+      resolve,
+    );
+    outgoing.on('error', reject);
+    outgoing.end(JSON.stringify(body));
+  });
+
+const formatHeaders = (options: CallerCallOptions): Record<string, string> => ({
+  'content-type': 'application/json',
+  authorization: `Bearer ${getAccountKey(options.account ?? fleetNames.accounts[0])}`,
+  'x-lycheetally-rank': options.rank ?? fleetNames.ranks[0],
+  ...(options.deadlineMs === undefined
+    ? {}
+    : { 'x-lycheetally-deadline-ms': String(options.deadlineMs) }),
+  ...(options.idempotencyKey === undefined
+    ? {}
+    : { 'idempotency-key': options.idempotencyKey }),
+  ...options.headers,
+});
+
+const readAll = async (
+  response: IncomingMessage,
+  receiveChunk: (line: string) => void,
+): Promise<string> => {
+  let raw = '';
+  let rest = '';
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      raw += chunk.toString('utf8');
+      rest += chunk.toString('utf8');
+      const events = rest.split('\n\n');
+      rest = events.pop() ?? '';
+      events.forEach(receiveChunk);
+    }
+  } catch {
+    // The connection broke; the outcome stays undefined.
+  }
+  return raw;
+};
+
+const readEvents = (
+  event: string,
+  state: SseState,
+  startedAt: number,
+): void => {
+  const data = /^data: (.*)$/m.exec(event)?.[1];
+  if (data === undefined) {
+    return;
+  }
+  if (data === '[DONE]') {
+    state.isDone = true;
+    return;
+  }
+  const parsed = parse(data) as { choices?: { text?: string }[] };
+  if (event.startsWith('event: error')) {
+    state.error = parsed;
+    return;
+  }
+  state.firstTokenMs ??= Date.now() - startedAt;
+  state.text += parsed.choices?.[0]?.text ?? '';
+};
+
+const readOutcome = (response: IncomingMessage): string | undefined => {
+  const name = 'x-lycheetally-outcome';
+  const value = response.headers[name] ?? response.trailers[name];
+  return Array.isArray(value) ? value[0] : value;
+};
+
+const parse = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
--- /dev/null
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -0,0 +1,270 @@
+/** A small whole system as separate processes: platform, backend servers, agents, entries. */
+import { hashKey, callJson, type VmRecord } from '@lycheetally/router';
+import type { RouterConfiguration } from '@lycheetally/decisions';
+import { waitFor } from '../standIns/standInServer.js';
+import { DaemonPath, ProcessFleet, type FleetProcess } from './processFleet.js';
+
+/** The size of a fleet and the speed of its stand-ins. */
+export interface FleetOptions {
+  readonly entries: number;
+  /** Stages of each chain. */
+  readonly stages: number;
+  /** Backend servers for each stage. */
+  readonly replicas: number;
+  readonly plainServers: number;
+  /** Layers of the whole model. */
+  readonly layers: number;
+  /** Milliseconds of a decode step of one stage. */
+  readonly stepMs: number;
+  /** Milliseconds of a call to a plain service. */
+  readonly plainMs: number;
+  readonly slots: number;
+}
+
+export const defaultFleetOptions: FleetOptions = {
+  entries: 1,
+  stages: 3,
+  replicas: 1,
+  plainServers: 1,
+  layers: 12,
+  stepMs: 2,
+  plainMs: 5,
+  slots: 16,
+};
+
+/** The names that a fleet's configuration uses. */
+export const fleetNames = {
+  model: 'pickup-assistant',
+  booking: 'depot-booking',
+  stock: 'stock-lookup',
+  ranks: ['family', 'shift-summary', 'donor-report'],
+  accounts: ['depot-north', 'depot-harbour'],
+} as const;
+
+/** Returns the bearer key of an account of the fleet. */
+export const getAccountKey = (account: string): string => `key-of-${account}`;
+
+const anyAddress = '127.0.0.1:0';
+const failureDomains = ['bc-south-a', 'bc-south-b', 'bc-south-c'];
+const readyTimeoutMs = 15_000;
+const pollMs = 25;
+const callTimeoutMs = 2_000;
+
+/** Builds the configuration that a fleet serves. */
+export const buildFleetConfiguration = (
+  layers: number,
+): RouterConfiguration => ({
+  version: 1,
+  ranks: fleetNames.ranks.map((name, urgency) => ({
+    name,
+    urgency,
+    floor: 0.1,
+    targetMs: 1_200 * 10 ** urgency,
+  })),
+  accounts: fleetNames.accounts.map(name => ({
+    name,
+    keyHash: hashKey('salt', getAccountKey(name)),
+    weight: 1,
+  })),
+  services: [
+    createService(fleetNames.model, 'model', layers, true),
+    createService(fleetNames.booking, 'plain', 0, false),
+    createService(fleetNames.stock, 'plain', 0, true),
+  ],
+});
+
+const createService = (
+  name: string,
+  kind: 'model' | 'plain',
+  layers: number,
+  idempotent: boolean,
+): RouterConfiguration['services'][number] => ({
+  name,
+  kind,
+  layers,
+  idempotent,
+  accounts: fleetNames.accounts,
+});
+
+/** Polls until the check holds. Throws when it does not in time. */
+export const waitUntil = async (
+  what: string,
+  check: () => Promise<boolean> | boolean,
+  timeoutMs = readyTimeoutMs,
+): Promise<void> => {
+  const end = Date.now() + timeoutMs;
+  while (!(await check())) {
+    if (Date.now() > end) {
+      throw new Error(`Waited in vain until ${what}`);
+    }
+    await waitFor(pollMs);
+  }
+};
+
+export class RouterFleet {
+  readonly processes = new ProcessFleet();
+  logUrl = '';
+  vmListUrl = '';
+  /** Base URLs of the entries. */
+  entryUrls: string[] = [];
+  /** URLs of the stand-ins behind the agents, by server. */
+  readonly backendUrls = new Map<string, string>();
+
+  constructor(readonly options: FleetOptions = defaultFleetOptions) {}
+
+  /** Starts everything and waits until each entry can reach each server. */
+  async start(): Promise<void> {
+    await this.startPlatform();
+    await this.startModelServers();
+    await this.startPlainServers();
+    await this.publishConfiguration(
+      buildFleetConfiguration(this.options.layers),
+    );
+    for (let index = 0; index < this.options.entries; index += 1) {
+      await this.startEntry(`entry-${String(index)}`);
+    }
+  }
+
+  dispose(): Promise<void> {
+    return this.processes.dispose();
+  }
+
+  /** Appends a configuration to the log. */
+  async publishConfiguration(
+    configuration: RouterConfiguration,
+  ): Promise<void> {
+    const body = { values: [JSON.stringify(configuration)] };
+    await this.post(`${this.logUrl}/streams/config/records`, body);
+  }
+
+  /** Switches faults of the log service. */
+  async setLogFaults(
+    faults: Readonly<Record<string, boolean | number>>,
+  ): Promise<void> {
+    await this.post(`${this.logUrl}/control`, faults);
+  }
+
+  /** Changes the VM list. */
+  async updateVmList(update: {
+    readonly put?: readonly VmRecord[];
+    readonly remove?: readonly string[];
+    readonly lagMs?: number;
+  }): Promise<void> {
+    await this.post(`${this.vmListUrl}/vms`, update);
+  }
+
+  /** Starts an entry and waits until it is ready. */
+  async startEntry(name: string): Promise<FleetProcess> {
+    const started = await this.processes.startDaemon(name, DaemonPath.Entry, {
+      process: { id: name, failureDomain: 'bc-south-a', drainSeconds: 20 },
+      listen: { callers: anyAddress, operators: anyAddress },
+      platform: { log: this.logUrl, vmList: this.vmListUrl },
+    });
+    const operators = `http://${started.addresses.operators ?? ''}`;
+    await waitUntil(`${name} reaches every server`, () =>
+      this.isConnected(operators),
+    );
+    this.entryUrls.push(`http://${started.addresses.callers ?? ''}`);
+    return started;
+  }
+
+  /** Starts an agent before a backend server and puts it on the VM list. */
+  async startAgent(
+    server: string,
+    backend: Readonly<Record<string, string | number>>,
+    domainIndex: number,
+  ): Promise<FleetProcess> {
+    const failureDomain =
+      failureDomains[domainIndex % failureDomains.length] ?? '';
+    const name = `agent-${server}`;
+    const started = await this.processes.startDaemon(name, DaemonPath.Agent, {
+      process: { id: name, failureDomain, drainSeconds: 20 },
+      listen: { peers: anyAddress, operators: anyAddress },
+      backend: { server, slots: this.options.slots, ...backend },
+    });
+    const agentAddress = started.addresses.peers ?? '';
+    await this.updateVmList({
+      put: [{ vmId: server, agentAddress, failureDomain, state: 'live' }],
+    });
+    return started;
+  }
+
+  private async startPlatform(): Promise<void> {
+    this.logUrl = `http://${await this.processes.startStandIn('log', 'log')}`;
+    const vmList = await this.processes.startStandIn('vm-list', 'vm-list');
+    this.vmListUrl = `http://${vmList}`;
+  }
+
+  private async startModelServers(): Promise<void> {
+    const { stages, replicas } = this.options;
+    for (let stage = 0; stage < stages; stage += 1) {
+      for (let replica = 0; replica < replicas; replica += 1) {
+        await this.startModelServer(stage, replica);
+      }
+    }
+  }
+
+  private async startModelServer(
+    stage: number,
+    replica: number,
+  ): Promise<void> {
+    const { layers, stages, stepMs } = this.options;
+    const server = `stage${String(stage)}-${String(replica)}`;
+    const layerFrom = Math.floor((layers * stage) / stages);
+    const layerTo = Math.floor((layers * (stage + 1)) / stages);
+    const address = await this.processes.startStandIn(
+      `engine-${server}`,
+      'model-engine',
+      { layerFrom, layerTo, layers, stepMs },
+    );
+    const url = `http://${address}`;
+    this.backendUrls.set(server, url);
+    const service = fleetNames.model;
+    await this.startAgent(
+      server,
+      { url, kind: 'model', service, layerFrom, layerTo },
+      replica,
+    );
+  }
+
+  private async startPlainServers(): Promise<void> {
+    for (const service of [fleetNames.booking, fleetNames.stock]) {
+      for (let index = 0; index < this.options.plainServers; index += 1) {
+        const server = `${service}-${String(index)}`;
+        const address = await this.processes.startStandIn(
+          `service-${server}`,
+          'plain-service',
+          { workMs: this.options.plainMs },
+        );
+        const url = `http://${address}`;
+        this.backendUrls.set(server, url);
+        await this.startAgent(server, { url, kind: 'plain', service }, index);
+      }
+    }
+  }
+
+  private async isConnected(operatorsUrl: string): Promise<boolean> {
+    const status = await this.get(`${operatorsUrl}/v1/admin/status`);
+    const { ready, members } = status as {
+      ready: boolean;
+      members: { connected: boolean }[];
+    };
+    const connected = members.filter(member => member.connected).length;
+    return ready && connected >= this.backendUrls.size;
+  }
+
+  /** Reads JSON from a process of the fleet. */
+  async get(url: string): Promise<unknown> {
+    const answer = await callJson({
+      method: 'GET',
+      url,
+      timeoutMs: callTimeoutMs,
+    });
+    return answer.unwrap().body;
+  }
+
+  private async post(url: string, body: unknown): Promise<void> {
+    const timeoutMs = callTimeoutMs;
+    (await callJson({ method: 'POST', url, body, timeoutMs })).unwrap();
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,10 @@
+/** Stand-ins of the platform and the backend servers, and fleets of processes. */
+export * from './fleet/callerClient.js';
+export * from './fleet/processFleet.js';
+export * from './fleet/routerFleet.js';
+export * from './standIns/logService.js';
+export * from './standIns/modelEngine.js';
+export * from './standIns/modelMath.js';
+export * from './standIns/plainService.js';
+export * from './standIns/standInServer.js';
+export * from './standIns/vmList.js';
--- /dev/null
+++ b/packages/testkit/src/standIns/logService.ts
@@ -0,0 +1,134 @@
+/** Stand-in of the platform's log service: append-only streams with faults. */
+import type { ServerResponse } from 'node:http';
+import type { Address } from '@lycheetally/common';
+import { sendJson } from '@lycheetally/router';
+import { z } from 'zod';
+import { readJsonBody, StandInServer, waitFor } from './standInServer.js';
+
+const faultSchema = z.object({
+  /** Every call fails. */
+  outage: z.boolean().optional(),
+  /** Milliseconds before each call is handled. */
+  delayMs: z.number().min(0).optional(),
+  /** Number of appends that take effect and whose answers are lost. */
+  loseAnswers: z.int().min(0).optional(),
+});
+
+const appendSchema = z.object({ values: z.array(z.string()).min(1) });
+const trimSchema = z.object({ stream: z.string(), before: z.int().min(0) });
+
+interface Stream {
+  first: number;
+  readonly records: { offset: number; value: string }[];
+}
+
+const recordsPath = /^\/streams\/([^/]+)\/records$/;
+const maxRecordsPerRead = 1_000;
+
+export class LogServiceStandIn {
+  private readonly server = new StandInServer();
+  private readonly streams = new Map<string, Stream>();
+  private readonly faults = { outage: false, delayMs: 0, loseAnswers: 0 };
+  private appends = 0;
+
+  constructor() {
+    this.server.addRoute('POST', '/control', async (request, response) => {
+      Object.assign(
+        this.faults,
+        faultSchema.parse(await readJsonBody(request)),
+      );
+      sendJson(response, 200, this.faults);
+    });
+    this.server.addRoute('POST', '/trim', async (request, response) => {
+      const { stream, before } = trimSchema.parse(await readJsonBody(request));
+      this.trim(stream, before);
+      sendJson(response, 200, {});
+    });
+    this.server.addRoute('GET', '/counts', (_, response) => {
+      sendJson(response, 200, { appends: this.appends });
+    });
+    this.server.setFallback(async (request, response, url) => {
+      await waitFor(this.faults.delayMs);
+      if (this.faults.outage) {
+        response.destroy();
+        return;
+      }
+      const name = recordsPath.exec(url.pathname)?.[1];
+      if (name === undefined) {
+        sendJson(response, 404, { error: 'no such stream path' });
+        return;
+      }
+      const stream = this.getStream(decodeURIComponent(name));
+      if (request.method === 'POST') {
+        const { values } = appendSchema.parse(await readJsonBody(request));
+        this.answerAppend(stream, values, response);
+        return;
+      }
+      this.answerRead(stream, Number(url.searchParams.get('from')), response);
+    });
+  }
+
+  listen(address: Address): Promise<string> {
+    return this.server.listen(address);
+  }
+
+  dispose(): void {
+    this.server.dispose();
+  }
+
+  private getStream(name: string): Stream {
+    const known = this.streams.get(name);
+    if (known) {
+      return known;
+    }
+    const stream: Stream = { first: 0, records: [] };
+    this.streams.set(name, stream);
+    return stream;
+  }
+
+  private answerAppend(
+    stream: Stream,
+    values: readonly string[],
+    response: ServerResponse,
+  ): void {
+    const offset = getNext(stream);
+    values.forEach((value, index) => {
+      stream.records.push({ offset: offset + index, value });
+    });
+    this.appends += 1;
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    sendJson(response, 200, { offset });
+  }
+
+  private answerRead(
+    stream: Stream,
+    from: number,
+    response: ServerResponse,
+  ): void {
+    const start = Math.max(0, from - stream.first);
+    const records = stream.records.slice(start, start + maxRecordsPerRead);
+    const last = records.at(-1);
+    sendJson(response, 200, {
+      first: stream.first,
+      next: last ? last.offset + 1 : Math.max(from, getNext(stream)),
+      records,
+    });
+  }
+
+  private trim(name: string, before: number): void {
+    const stream = this.getStream(name);
+    const gone = Math.min(
+      Math.max(0, before - stream.first),
+      stream.records.length,
+    );
+    stream.records.splice(0, gone);
+    stream.first += gone;
+  }
+}
+
+const getNext = (stream: Stream): number =>
+  stream.first + stream.records.length;
--- /dev/null
+++ b/packages/testkit/src/standIns/modelMath.ts
@@ -0,0 +1,87 @@
+/**
+ * The arithmetic of the model stand-in.
+ *
+ * Each layer folds the state of a position with what the layer kept from the
+ * earlier positions, so a layer or position that is skipped, repeated or
+ * swapped changes every later token.
+ */
+import { hashText, mixBits } from '@lycheetally/common';
+
+const vocabularySize = 4_096;
+const layerPrime = 0x9e3779b1;
+
+/** What a layer keeps of the earlier positions of a sequence. */
+export type LayerCache = Map<number, number>;
+
+/** Splits a prompt into token numbers. */
+export const tokenizePrompt = (prompt: string): number[] => {
+  const words = prompt.split(/\s+/).filter(word => word !== '');
+  return (words.length === 0 ? [''] : words).map(
+    word => hashText(word) % vocabularySize,
+  );
+};
+
+/** Returns the state with which a token enters the first layer. */
+export const embedToken = (token: number, position: number): number =>
+  mixBits((token + 1) * 31 + position);
+
+/** Folds one layer into the state of a position. */
+export const foldLayer = (
+  state: number,
+  layer: number,
+  cache: LayerCache,
+): number => {
+  const kept = cache.get(layer) ?? 0;
+  const folded = mixBits(
+    (Math.imul(state, layerPrime) ^ Math.imul(layer + 1, 0x85ebca77) ^ kept) >>>
+      0,
+  );
+  cache.set(layer, mixBits((kept + folded) >>> 0));
+  return folded;
+};
+
+/** Folds a range of layers into the state of a position. */
+export const foldLayers = (
+  state: number,
+  from: number,
+  to: number,
+  cache: LayerCache,
+): number => {
+  let folded = state;
+  for (let layer = from; layer < to; layer += 1) {
+    folded = foldLayer(folded, layer, cache);
+  }
+  return folded;
+};
+
+/** Returns the token that the state after the last layer stands for. */
+export const pickToken = (state: number): number => state % vocabularySize;
+
+/** Returns the text of a token. */
+export const formatToken = (token: number): string => ` t${String(token)}`;
+
+/** Computes the whole answer, as one engine with every layer would. */
+export const computeAnswer = (
+  prompt: string,
+  maxTokens: number,
+  layers: number,
+): number[] => {
+  const cache: LayerCache = new Map();
+  const tokens = tokenizePrompt(prompt);
+  let state = 0;
+  tokens.forEach((token, position) => {
+    state = foldLayers(embedToken(token, position), 0, layers, cache);
+  });
+  const generated: number[] = [];
+  while (generated.length < maxTokens) {
+    const token = pickToken(state);
+    const position = tokens.length + generated.length;
+    generated.push(token);
+    state = foldLayers(embedToken(token, position), 0, layers, cache);
+  }
+  return generated;
+};
+
+/** Returns the text of a whole answer. */
+export const formatAnswer = (tokens: readonly number[]): string =>
+  tokens.map(formatToken).join('');
--- /dev/null
+++ b/packages/testkit/src/standIns/vmList.ts
@@ -0,0 +1,66 @@
+/** Stand-in of the platform's VM list; what it answers lags behind what it is told. */
+import type { Address } from '@lycheetally/common';
+import { sendJson, type VmRecord } from '@lycheetally/router';
+import { z } from 'zod';
+import { readJsonBody, StandInServer } from './standInServer.js';
+
+const vmSchema = z.object({
+  vmId: z.string(),
+  agentAddress: z.string(),
+  failureDomain: z.string(),
+  state: z.enum(['live', 'leaving']),
+});
+
+const updateSchema = z.object({
+  put: z.array(vmSchema).optional(),
+  remove: z.array(z.string()).optional(),
+  lagMs: z.number().min(0).optional(),
+});
+
+interface Snapshot {
+  readonly at: number;
+  readonly vms: readonly VmRecord[];
+}
+
+const maxSnapshots = 1_000;
+
+export class VmListStandIn {
+  private readonly server = new StandInServer();
+  private readonly vms = new Map<string, VmRecord>();
+  private snapshots: Snapshot[] = [];
+  private lagMs = 0;
+
+  constructor() {
+    this.server.addRoute('GET', '/vms', (_, response) => {
+      sendJson(response, 200, { vms: this.readLagging(Date.now()) });
+    });
+    this.server.addRoute('POST', '/vms', async (request, response) => {
+      const update = updateSchema.parse(await readJsonBody(request));
+      this.lagMs = update.lagMs ?? this.lagMs;
+      update.put?.forEach(vm => this.vms.set(vm.vmId, vm));
+      update.remove?.forEach(vmId => this.vms.delete(vmId));
+      this.keepSnapshot(Date.now());
+      sendJson(response, 200, {});
+    });
+  }
+
+  listen(address: Address): Promise<string> {
+    return this.server.listen(address);
+  }
+
+  dispose(): void {
+    this.server.dispose();
+  }
+
+  private keepSnapshot(now: number): void {
+    this.snapshots.push({ at: now, vms: [...this.vms.values()] });
+    this.snapshots = this.snapshots.slice(-maxSnapshots);
+  }
+
+  private readLagging(now: number): readonly VmRecord[] {
+    const shown = this.snapshots.findLast(
+      snapshot => snapshot.at <= now - this.lagMs,
+    );
+    return shown?.vms ?? [];
+  }
+}
