--- /dev/null
+++ b/bench/src/demo.ts
@@ -0,0 +1,135 @@
+/**
+ * The demo: a whole small system as separate processes, three ranks, two
+ * client accounts and a booking.
+ */
+import {
+  RouterFleet,
+  callService,
+  computeExpectedText,
+  defaultFleetOptions,
+  fleetNames,
+  streamCompletion,
+  type CallerAnswer,
+} from '@lycheetally/testkit';
+
+const demoTokens = 12;
+
+/** Writes one line for the reader of the demo. */
+export type DemoPrinter = (line: string) => void;
+
+const stopOrder = ['entry-0', 'agent-stage0-0', 'agent-stage1-0'];
+
+/** Runs the demo; returns whether every answer was right. */
+export const runDemo = async (print: DemoPrinter): Promise<boolean> => {
+  const fleet = new RouterFleet(defaultFleetOptions);
+  try {
+    print(
+      'Starting a log, a VM list, 3 model engines that hold 4 layers each,',
+    );
+    print('2 plain services, an agent beside each, and 1 entry...');
+    await fleet.start();
+    print(
+      `Ready: ${String(fleet.processes.listProcesses().length)} processes.`,
+    );
+    const results = [
+      ...(await showRanks(fleet, print)),
+      await showBooking(fleet, print),
+      await showRefusal(fleet, print),
+      await showKilledStage(fleet, print),
+      await showStop(fleet, print),
+    ];
+    const isRight = results.every(Boolean);
+    print(isRight ? 'Every answer was right.' : 'An answer was WRONG.');
+    return isRight;
+  } finally {
+    await fleet.dispose();
+  }
+};
+
+const getEntry = (fleet: RouterFleet): string => fleet.entryUrls[0] ?? '';
+
+const showRanks = (
+  fleet: RouterFleet,
+  print: DemoPrinter,
+): Promise<boolean[]> =>
+  Promise.all(
+    fleetNames.ranks.map(async (rank, index) => {
+      const account = fleetNames.accounts[index % fleetNames.accounts.length];
+      const prompt = `a question of rank ${rank}`;
+      const options = account === undefined ? { rank } : { rank, account };
+      const entry = getEntry(fleet);
+      const answer = await streamCompletion(entry, prompt, demoTokens, options);
+      const { layers } = fleet.options;
+      const expected = computeExpectedText(prompt, demoTokens, layers);
+      const isRight = answer.text === expected && answer.isDone;
+      print(
+        `${rank} (${account ?? ''}): ${String(demoTokens)} tokens through 3 stages in ${String(answer.totalMs)} ms, outcome ${String(answer.outcome)}, checksum ${isRight ? 'right' : 'WRONG'}`,
+      );
+      return isRight && answer.outcome === 'complete';
+    }),
+  );
+
+const showBooking = async (
+  fleet: RouterFleet,
+  print: DemoPrinter,
+): Promise<boolean> => {
+  const body = { bundle: 'newborn', family: 'f-17' };
+  const path = '/reservations';
+  const { booking } = fleetNames;
+  const answer = await callService(getEntry(fleet), booking, path, body, {
+    idempotencyKey: 'demo-booking-1',
+  });
+  const url = fleet.backendUrls.get(`${booking}-0`) ?? '';
+  const { runs } = (await fleet.get(`${url}/runs`)) as { runs: unknown[] };
+  print(
+    `booking: outcome ${String(answer.outcome)}, the service ran it ${String(runs.length)} time(s)`,
+  );
+  return answer.outcome === 'complete' && runs.length === 1;
+};
+
+const showRefusal = async (
+  fleet: RouterFleet,
+  print: DemoPrinter,
+): Promise<boolean> => {
+  const options = { rank: 'no-such-rank' };
+  const entry = getEntry(fleet);
+  const answer = await streamCompletion(entry, 'x', 1, options);
+  print(
+    `unknown rank: status ${String(answer.status)}, outcome ${String(answer.outcome)}`,
+  );
+  return answer.outcome === 'not-run' && answer.status === 400;
+};
+
+const killDelayMs = 60;
+const longTokens = 200;
+
+const showKilledStage = async (
+  fleet: RouterFleet,
+  print: DemoPrinter,
+): Promise<boolean> => {
+  const entry = getEntry(fleet);
+  const pending = streamCompletion(entry, 'a long answer', longTokens, {
+    deadlineMs: 2_000,
+  });
+  setTimeout(() => {
+    fleet.processes.sendSignal('agent-stage2-0', 'SIGKILL');
+  }, killDelayMs);
+  const answer: CallerAnswer = await pending;
+  print(
+    `stage 3 killed in the middle: outcome ${String(answer.outcome)}, told to the caller`,
+  );
+  return !answer.isDone && ['failed', 'unknown'].includes(answer.outcome ?? '');
+};
+
+const showStop = async (
+  fleet: RouterFleet,
+  print: DemoPrinter,
+): Promise<boolean> => {
+  const codes: (number | null)[] = [];
+  for (const name of stopOrder) {
+    fleet.processes.sendSignal(name, 'SIGTERM');
+    codes.push(await fleet.processes.getProcess(name).exited);
+  }
+  print(`graceful stop: exit codes ${codes.join(', ')}`);
+  return codes.every(code => code === 0);
+};
--- /dev/null
+++ b/bench/src/index.ts
@@ -0,0 +1,4 @@
+/** Benches and the demo. */
+export * from './demo.js';
+export * from './registry.js';
+export * from './types.js';
--- /dev/null
+++ b/bench/src/registry.ts
@@ -0,0 +1,10 @@
+/** All benches by name. */
+import { ChartBench } from './chartBench.js';
+import { RelayBench } from './relayBench.js';
+import type { Bench } from './types.js';
+
+export const benches: readonly Bench[] = [new ChartBench(), new RelayBench()];
+
+/** Finds a bench by name. */
+export const findBench = (name: string): Bench | undefined =>
+  benches.find(bench => bench.name === name);
