--- a/packages/charts/tests/xstateDifferential.test.ts
+++ b/packages/charts/tests/xstateDifferential.test.ts
@@ -124,18 +124,15 @@
 
 const walkXstate = (chart: object, sent: readonly string[]): Trace[] => {
   const holder = { count: 0 };
-  const machine = createMachine(
-    chart as never,
-    {
-      guards: {
-        isEven: () => holder.count % 2 === 0,
-        isOdd: () => holder.count % 2 === 1,
-      },
-      actions: Object.fromEntries(
-        actionNames.map(name => [name, () => undefined]),
-      ),
+  const machine = createMachine(chart as never, {
+    guards: {
+      isEven: () => holder.count % 2 === 0,
+      isOdd: () => holder.count % 2 === 1,
     },
-  );
+    actions: Object.fromEntries(
+      actionNames.map(name => [name, () => undefined]),
+    ),
+  });
   let [snapshot] = initialTransition(machine);
   return sent.map((type, index) => {
     holder.count = index;
