Start the processes of a fleet side by side

Cause: a fleet started its processes one after another. Ruled out: fewer processes, since each stands for one of the design. Change: model servers and plain services start together. Conclusion: tests that use fleets start sooner.

--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -115,8 +115,7 @@
   /** Starts everything and waits until each entry can reach each server. */
   async start(): Promise<void> {
     await this.startPlatform();
-    await this.startModelServers();
-    await this.startPlainServers();
+    await Promise.all([this.startModelServers(), this.startPlainServers()]);
     await this.publishConfiguration(
       buildFleetConfiguration(this.options.layers),
     );
@@ -197,11 +196,10 @@
 
   private async startModelServers(): Promise<void> {
     const { stages, replicas } = this.options;
-    for (let stage = 0; stage < stages; stage += 1) {
-      for (let replica = 0; replica < replicas; replica += 1) {
-        await this.startModelServer(stage, replica);
-      }
-    }
+    const servers = Array.from({ length: stages * replicas }, (_, index) =>
+      this.startModelServer(index % stages, Math.floor(index / stages)),
+    );
+    await Promise.all(servers);
   }
 
   private async startModelServer(
@@ -228,19 +226,28 @@
   }
 
   private async startPlainServers(): Promise<void> {
-    for (const service of [fleetNames.booking, fleetNames.stock]) {
-      for (let index = 0; index < this.options.plainServers; index += 1) {
-        const server = `${service}-${String(index)}`;
-        const address = await this.processes.startStandIn(
-          `service-${server}`,
-          'plain-service',
-          { workMs: this.options.plainMs },
-        );
-        const url = `http://${address}`;
-        this.backendUrls.set(server, url);
-        await this.startAgent(server, { url, kind: 'plain', service }, index);
-      }
-    }
+    const services = [fleetNames.booking, fleetNames.stock];
+    const servers = services.flatMap(service =>
+      Array.from({ length: this.options.plainServers }, (_, index) =>
+        this.startPlainServer(service, index),
+      ),
+    );
+    await Promise.all(servers);
+  }
+
+  private async startPlainServer(
+    service: string,
+    index: number,
+  ): Promise<void> {
+    const server = `${service}-${String(index)}`;
+    const address = await this.processes.startStandIn(
+      `service-${server}`,
+      'plain-service',
+      { workMs: this.options.plainMs },
+    );
+    const url = `http://${address}`;
+    this.backendUrls.set(server, url);
+    await this.startAgent(server, { url, kind: 'plain', service }, index);
   }
 
   private async isConnected(operatorsUrl: string): Promise<boolean> {
