Cut the relay's cost: share frames, no compression, encode once

A profile showed gzip of connect-es on every frame above 1 KiB, two copies of each token at the agent, and the whole event of a token encoded anew at the entry. Change: tokens for an entry wait up to 4 ms since the last frame (never between stages), compression is off, a token is built once, and only its text is encoded for each event. Conclusion: what is left is one write and one read a token for the engine and one write for the caller.

--- a/packages/router/src/adapters/connectPeers.ts
+++ b/packages/router/src/adapters/connectPeers.ts
@@ -86,6 +86,7 @@
       httpVersion: '2',
       sessionManager: sessions,
       readMaxBytes: maxFrameBytes,
+      acceptCompression: [],
     });
     const abort = new AbortController();
     const stream = new ConnectStream(() => {
@@ -109,7 +110,11 @@
       });
     };
     const server = createServer(
-      connectNodeAdapter({ routes, readMaxBytes: maxFrameBytes }),
+      connectNodeAdapter({
+        routes,
+        readMaxBytes: maxFrameBytes,
+        acceptCompression: [],
+      }),
     );
     server.on('session', session => {
       this.sessions.add(session);
--- a/packages/router/src/adapters/httpExchange.ts
+++ b/packages/router/src/adapters/httpExchange.ts
@@ -61,10 +61,17 @@
   sendJson(response, status, formatError(outcome));
 };
 
+/** What stands before and after the text of a token's event. */
+interface TokenFrame {
+  readonly before: string;
+  readonly after: string;
+}
+
 export class HttpExchange extends CallerExchange {
   isFinished = false;
   private requestId = '';
   private text = '';
+  private tokenFrame: TokenFrame | undefined;
 
   constructor(
     private readonly response: ServerResponse,
@@ -88,7 +95,7 @@
       return;
     }
     this.beginStream();
-    this.sendEvent(this.formatChunk(token.text, null));
+    this.response.write(this.formatTokenEvent(token.text));
   }
 
   override finish(outcome: CallerOutcome): void {
@@ -157,6 +164,20 @@
     this.response.write(`data: ${JSON.stringify(data)}\n\n`);
   }
 
+  // Only the text differs from token to token, so the rest is encoded once.
+  private formatTokenEvent(text: string): string {
+    this.tokenFrame ??= this.encodeTokenFrame();
+    const { before, after } = this.tokenFrame;
+    return `${before}${JSON.stringify(text)}${after}`;
+  }
+
+  private encodeTokenFrame(): TokenFrame {
+    const mark = '\u0000';
+    const event = `data: ${JSON.stringify(this.formatChunk(mark, null))}\n\n`;
+    const [before, after] = event.split(JSON.stringify(mark));
+    return { before: before ?? '', after: after ?? '' };
+  }
+
   private formatChunk(text: string, finish: string | null): object {
     const isChat = this.form === AnswerForm.Chat;
     const content = isChat ? { delta: { content: text } } : { text };
--- a/packages/router/src/agent/backendRelay.ts
+++ b/packages/router/src/agent/backendRelay.ts
@@ -54,7 +54,7 @@
       forwardActivations(work, event);
       return;
     case 'token':
-      relayToken(work, { ...work.ref, epoch: work.offer.epoch, ...event }, now);
+      relayToken(work, createToken(work, event), now);
       return;
     case 'answer':
       work.answer = event.answer;
@@ -94,7 +94,7 @@
   work.generatedTokens += 1;
   work.services.sendToOwner(work.ownerId, {
     kind: MessageKind.Token,
-    value: toToken(token),
+    value: token,
   });
   if (token.isEnd) {
     finishSequence(work, token, now);
@@ -118,14 +118,17 @@
   work.instance?.send({ type: 'BACKEND_DONE' }, now);
 };
 
-const toToken = (token: Token): Token => ({
-  requestId: token.requestId,
-  attempt: token.attempt,
-  epoch: token.epoch,
-  position: token.position,
-  tokenId: token.tokenId,
-  text: token.text,
-  isEnd: token.isEnd,
+const createToken = (
+  work: WorkContext,
+  event: BackendEvent & { readonly kind: 'token' },
+): Token => ({
+  requestId: work.ref.requestId,
+  attempt: work.ref.attempt,
+  epoch: work.offer.epoch,
+  position: event.position,
+  tokenId: event.tokenId,
+  text: event.text,
+  isEnd: event.isEnd,
 });
 
 const forwardActivations = (
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -6,6 +6,9 @@
 /** Events that the time line of one process keeps. */
 export const eventRingCapacity = 20_000;
 
+/** Milliseconds that tokens may wait to share a frame to an entry. */
+export const tokenFlushIntervalMs = 4;
+
 /** Milliseconds between heartbeats on an idle connection. */
 export const heartbeatIntervalMs = 500;
 
--- a/packages/router/src/peers/peerChannel.ts
+++ b/packages/router/src/peers/peerChannel.ts
@@ -13,6 +13,7 @@
   type PeerFrame,
   type PeerMessage,
 } from '@lycheetally/protocol';
+import { tokenFlushIntervalMs } from '../constants.js';
 import type { EventLog } from '../eventLog.js';
 import type {
   PeerNetwork,
@@ -72,6 +73,8 @@
   protected stream: PeerStream | undefined;
   protected abstract readonly chart: ChartInstance<never, ConnectionEvent>;
   private outbox: PeerMessage[] = [];
+  private lastFlushAt = 0;
+  private isFlushScheduled = false;
 
   constructor(protected readonly services: PeerServices) {}
 
@@ -83,13 +86,43 @@
     this.services.unsent.add(this);
   }
 
-  /** Sends what has gathered. */
+  /**
+   * Sends what has gathered. Tokens for an entry wait until the interval since
+   * the last frame is over, so that tokens of many requests share a frame;
+   * tokens between stages never wait, since the next position depends on them.
+   */
   flush(now: Milliseconds): void {
-    const messages = this.outbox;
-    this.outbox = [];
-    if (messages.length === 0) {
+    if (this.outbox.length === 0 || this.isFlushScheduled) {
+      return;
+    }
+    const wait = this.lastFlushAt + tokenFlushIntervalMs - now;
+    if (wait > 0 && this.mayWait()) {
+      this.scheduleFlush(wait);
       return;
     }
+    this.sendFrame(now);
+  }
+
+  private mayWait(): boolean {
+    return (
+      this.remote !== undefined &&
+      this.remote.backend === undefined &&
+      this.outbox.every(message => message.kind === MessageKind.Token)
+    );
+  }
+
+  private scheduleFlush(wait: Milliseconds): void {
+    this.isFlushScheduled = true;
+    this.services.timers.schedule(wait, now => {
+      this.isFlushScheduled = false;
+      this.sendFrame(now);
+    });
+  }
+
+  private sendFrame(now: Milliseconds): void {
+    const messages = this.outbox;
+    this.outbox = [];
+    this.lastFlushAt = now;
     this.stream?.send({
       stamp: this.services.events.takeStamp(now),
       messages,
