Say not-run only when no attempt has run

Cause: a request whose first attempt failed and that then found no route was answered as not-run. wholePath.test.ts showed it once on a busy machine: stage killed after the start, no token delivered, outcome not-run. Ruled out: the agent, which had reported the attempt as failed. Conclusion: a refusal is truthful over all attempts.

--- a/packages/decisions/src/outcome.ts
+++ b/packages/decisions/src/outcome.ts
@@ -12,3 +12,15 @@
   Unknown: 'unknown',
 } as const;
 export type Outcome = ValueOf<typeof Outcome>;
+
+/**
+ * Decides the outcome of a request from the outcomes of its attempts, none of
+ * which was complete: the request was not run only when no attempt was.
+ */
+export const decideOutcome = (attempts: readonly Outcome[]): Outcome => {
+  if (attempts.includes(Outcome.Unknown)) {
+    return Outcome.Unknown;
+  }
+  const hasRun = attempts.some(outcome => outcome !== Outcome.NotRun);
+  return hasRun ? Outcome.Failed : Outcome.NotRun;
+};
--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -6,6 +6,7 @@
   type ChartAction,
 } from '@lycheetally/charts';
 import { ErrorKind, TypedError, type Result } from '@lycheetally/common';
+import { Outcome } from '@lycheetally/decisions';
 import { MessageKind, type Offer } from '@lycheetally/protocol';
 import {
   cancelTimeoutMs,
@@ -93,7 +94,7 @@
 export const reportComplete: AttemptAction = (attempt, _, now) => {
   if (isWhole(attempt)) {
     attempt.owner.end = attempt.end;
-    endAttempt(attempt, { type: 'ATTEMPT_COMPLETE' }, now);
+    endAttempt(attempt, Outcome.Complete, { type: 'ATTEMPT_COMPLETE' }, now);
     return;
   }
   const error = new TypedError(
@@ -101,22 +102,22 @@
     'the answer ended with tokens missing',
     'send the request again',
   );
-  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+  endAttempt(attempt, Outcome.Failed, { type: 'ATTEMPT_FAILED', error }, now);
 };
 
 export const reportNotRun: AttemptAction = (attempt, _, now) => {
   const error = attempt.error ?? createLostError('was withdrawn');
-  endAttempt(attempt, { type: 'ATTEMPT_NOT_RUN', error }, now);
+  endAttempt(attempt, Outcome.NotRun, { type: 'ATTEMPT_NOT_RUN', error }, now);
 };
 
 export const reportFailed: AttemptAction = (attempt, _, now) => {
   const error = attempt.error ?? createLostError('was stopped');
-  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+  endAttempt(attempt, Outcome.Failed, { type: 'ATTEMPT_FAILED', error }, now);
 };
 
 export const reportUnknown: AttemptAction = (attempt, _, now) => {
   const error = createLostError('may have run, its connection was lost');
-  endAttempt(attempt, { type: 'ATTEMPT_UNKNOWN', error }, now);
+  endAttempt(attempt, Outcome.Unknown, { type: 'ATTEMPT_UNKNOWN', error }, now);
 };
 
 const createLostError = (what: string): TypedError =>
@@ -128,10 +129,12 @@
 
 const endAttempt = (
   attempt: AttemptContext,
+  outcome: Outcome,
   event: RequestEvent,
   now: number,
 ): void => {
   const { owner } = attempt;
+  owner.attemptOutcomes.push(outcome);
   owner.services.events.record(formatEventKind(event), now, attempt.ref);
   owner.services.countOutstanding(attempt.route, -1);
   attempt.instance?.dispose();
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
-import { Outcome } from '@lycheetally/decisions';
+import { Outcome, decideOutcome } from '@lycheetally/decisions';
 import { cancelBoundMs } from '../constants.js';
 import type { AttemptContext } from './attemptContext.js';
 import {
@@ -108,6 +108,18 @@
   }
 };
 
+export const decideEnd: RequestAction = (context, _, now) => {
+  const outcome = decideOutcome(context.attemptOutcomes);
+  context.instance?.send({ type: endEvents[outcome] }, now);
+};
+
+const endEvents = {
+  [Outcome.Complete]: 'RAN',
+  [Outcome.Failed]: 'RAN',
+  [Outcome.NotRun]: 'NEVER_RAN',
+  [Outcome.Unknown]: 'MAY_HAVE_RUN',
+} as const;
+
 const endRequest = (
   context: RequestContext,
   outcome: Outcome,
@@ -147,9 +159,7 @@
 };
 
 export const answerNotRun: RequestAction = (context, _, now) => {
-  // Tokens that an earlier attempt delivered show that the request has run.
-  const hasRun = context.delivered.length > 0;
-  endRequest(context, hasRun ? Outcome.Failed : Outcome.NotRun, now);
+  endRequest(context, Outcome.NotRun, now);
 };
 
 export const answerFailed: RequestAction = (context, _, now) => {
@@ -176,6 +186,7 @@
         cancelAttempt,
         noteCancelled,
         noteReason,
+        decideEnd,
         answerComplete,
         answerNotRun,
         answerFailed,
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds, PartLogger, TypedError } from '@lycheetally/common';
 import type {
   AdmissionPolicy,
+  Outcome,
   RequestView,
   RetryPolicy,
   Route,
@@ -51,6 +52,7 @@
 
 /** Events of the chart `request`. */
 export type RequestEvent =
+  | { readonly type: 'NEVER_RAN' | 'RAN' | 'MAY_HAVE_RUN' }
   | {
       readonly type: 'ADMITTED' | 'ROUTED' | 'CALLER_GONE' | 'ATTEMPT_COMPLETE';
     }
@@ -91,6 +93,8 @@
   route: Route | undefined;
   attempt: AttemptContext | undefined;
   attempts: number;
+  /** How each attempt that has ended did end. */
+  attemptOutcomes: Outcome[];
   avoided: string[];
   error: TypedError | undefined;
   isCancelled: boolean;
@@ -126,6 +130,7 @@
   route: undefined,
   attempt: undefined,
   attempts: 0,
+  attemptOutcomes: [],
   avoided: [],
   error: undefined,
   isCancelled: false,
