End what a stop's bound cuts with its true outcome

Cause: when the drain bound was reached, an entry ended with open requests and their callers saw a broken connection, a silent end. Ruled out: a longer bound, which only moves the case. Result: gracefulStop.test.ts, 5 tests, entry and agent: streams end whole, cut streams end in an explicit failed outcome, new work is refused as not-run while the open stream goes on. Conclusion: no stop ends in silence.

--- a/apps/standins/src/main.ts
+++ b/apps/standins/src/main.ts
@@ -39,4 +39,3 @@
 const address = await create().listen({ host, port: readNumber('port', 0) });
 const line = { ready: true, addresses: { http: address } };
 process.stdout.write(`${JSON.stringify(line)}\n`);
-process.on('SIGTERM', () => process.exit(ExitCode.Ok));
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -177,6 +177,12 @@
     }
   }
 
+  protected override cancelOpenWork(now: Milliseconds): void {
+    for (const work of [...this.works.values()]) {
+      work.instance?.send({ type: 'CANCEL' }, now);
+    }
+  }
+
   protected override countOpenWork(): number {
     return this.works.size;
   }
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -36,6 +36,9 @@
 /** Milliseconds in which the later stages must accept a chain. */
 export const reserveTimeoutMs = 800;
 
+/** Milliseconds in which work that a stop cuts must end. */
+export const cutBoundMs = 4_000;
+
 /** Milliseconds between reads of the VM list. */
 export const vmListIntervalMs = 500;
 
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -236,6 +236,12 @@
     this.callers?.close();
   }
 
+  protected override cancelOpenWork(now: Milliseconds): void {
+    for (const context of [...this.requests.values()]) {
+      context.instance?.send({ type: 'STOPPING' }, now);
+    }
+  }
+
   protected override countOpenWork(): number {
     return this.requests.size;
   }
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -94,8 +94,8 @@
   context.isCancelled = true;
   context.error = new TypedError(
     ErrorKind.DeadlineExceeded,
-    'the request was stopped at its deadline or because its caller left',
-    'send the request with a later deadline',
+    'the request was stopped: its deadline passed, its caller left or the entry stopped',
+    'send the request again, with a later deadline if it needs more time',
   );
   context.services.events.record('request-cancelled', now, {
     requestId: context.request.requestId,
@@ -170,6 +170,10 @@
   endRequest(context, Outcome.Unknown, now);
 };
 
+// A request that has not run is refused at once; another entry may reach a server.
+const hasRun = (context: RequestContext): boolean =>
+  decideOutcome(context.attemptOutcomes) !== Outcome.NotRun;
+
 const mayRetry = (context: RequestContext, now: Milliseconds): boolean =>
   context.services.policies.retry.mayRetry(viewRequest(context), now);
 
@@ -195,7 +199,7 @@
       guards: {
         mayRetry: (context, _, now) => mayRetry(context, now),
         mayWaitForRoute: (context, _, now) =>
-          context.attempts > 0 && mayRetry(context, now),
+          hasRun(context) && mayRetry(context, now),
         mayRepeat: (context, _, now) =>
           context.services.policies.retry.mayRepeat(viewRequest(context), now),
       },
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -52,9 +52,10 @@
 
 /** Events of the chart `request`. */
 export type RequestEvent =
+  | { readonly type: 'CALLER_GONE' | 'STOPPING' }
   | { readonly type: 'NEVER_RAN' | 'RAN' | 'MAY_HAVE_RUN' }
   | {
-      readonly type: 'ADMITTED' | 'ROUTED' | 'CALLER_GONE' | 'ATTEMPT_COMPLETE';
+      readonly type: 'ADMITTED' | 'ROUTED' | 'ATTEMPT_COMPLETE';
     }
   | {
       readonly type:
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -23,6 +23,7 @@
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
 import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
 import type { Clock } from './clock.js';
+import { cutBoundMs } from './constants.js';
 import { EventLog } from './eventLog.js';
 import { Loop, type LoopHandlers } from './loop.js';
 import {
@@ -153,6 +154,8 @@
   ): void;
   /** Takes no new work from now on. */
   protected abstract stopAdmission(now: Milliseconds): void;
+  /** Ends the open work with its true outcome. */
+  protected abstract cancelOpenWork(now: Milliseconds): void;
   /** Counts the pieces of work that a stop would cut. */
   protected abstract countOpenWork(): number;
 
@@ -168,7 +171,9 @@
 
   get isStopping(): boolean {
     return (
-      this.lifecycle.matches('draining') || this.lifecycle.matches('stopped')
+      this.lifecycle.matches('draining') ||
+      this.lifecycle.matches('cutting') ||
+      this.lifecycle.matches('stopped')
     );
   }
 
@@ -183,7 +188,7 @@
 
   /** Ends the drain when no work is left. */
   protected checkDrained(now: Milliseconds): void {
-    if (this.lifecycle.matches('draining') && this.countOpenWork() === 0) {
+    if (this.isStopping && this.countOpenWork() === 0) {
       this.lifecycle.send({ type: 'DRAINED' }, now);
     }
   }
@@ -300,6 +305,9 @@
       this.log.error('The drain bound is reached and work is cut', { open });
       this.events.record('drain-bound-reached', now, { detail: { open } });
     },
+    cancelOpenWork: (now: Milliseconds): void => {
+      this.cancelOpenWork(now);
+    },
     finishProcess: (now: Milliseconds): void => {
       this.log.info('Stopped');
       this.events.record('stopped', now);
@@ -330,11 +338,17 @@
         reportCutWork: (node, _, now) => {
           node.lifecycleActions.reportCutWork(now);
         },
+        cancelOpenWork: (node, _, now) => {
+          node.lifecycleActions.cancelOpenWork(now);
+        },
         finishProcess: (node, _, now) => {
           node.lifecycleActions.finishProcess(now);
         },
       },
       guards: {},
-      delays: { DRAIN_BOUND: node => node.drainBoundMs },
+      delays: {
+        DRAIN_BOUND: node => node.drainBoundMs,
+        CUT_BOUND: () => cutBoundMs,
+      },
     }),
   );
--- a/packages/router/tests/gracefulStop.test.ts
+++ b/packages/router/tests/gracefulStop.test.ts
@@ -1,66 +1,85 @@
-/** A planned stop cuts nothing in flight and takes nothing new. */
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+/** A planned stop cuts nothing in flight; what its bound cuts is told to the caller. */
+import { afterEach, describe, expect, it } from 'vitest';
 import {
   RouterFleet,
   computeExpectedText,
   defaultFleetOptions,
   streamCompletion,
   waitUntil,
+  type CallerAnswer,
 } from '@lycheetally/testkit';
 
-const tokens = 60;
+const tokens = 300;
+const endlessTokens = 20_000;
+/** A request without a route waits for one until its deadline. */
+const deadlineMs = 6_000;
 const options = {
   ...defaultFleetOptions,
   stages: 1,
   plainServers: 0,
   stepMs: 5,
 };
+const names = ['entry-0', 'agent-stage0-0'];
 
 describe('a graceful stop', () => {
   let fleet: RouterFleet;
 
-  beforeEach(async () => {
-    fleet = new RouterFleet(options);
-    await fleet.start();
-  });
   afterEach(() => fleet.dispose());
 
-  const startStream = async (): Promise<
-    ReturnType<typeof streamCompletion>
-  > => {
-    const pending = streamCompletion(fleet.entryUrls[0] ?? '', 'stop', tokens);
-    const operators =
-      fleet.processes.getProcess('entry-0').addresses.operators ?? '';
-    await waitUntil('the request is open', async () => {
-      const status = (await fleet.get(
-        `http://${operators}/v1/admin/status`,
-      )) as {
-        tokens: { delivered: number };
-      };
+  const startFleet = async (drainSeconds: number): Promise<void> => {
+    fleet = new RouterFleet({ ...options, drainSeconds });
+    await fleet.start();
+  };
+
+  /** Starts a stream and waits until its tokens flow. */
+  const startStream = async (
+    maxTokens: number,
+    deadlineMs = 60_000,
+  ): Promise<{ pending: Promise<CallerAnswer> }> => {
+    const entry = fleet.entryUrls[0] ?? '';
+    const pending = streamCompletion(entry, 'stop', maxTokens, {
+      deadlineMs,
+    });
+    await waitUntil('tokens flow', async () => {
+      const status = await fleet.readStatus('entry-0');
       return status.tokens.delivered > 0;
     });
-    return pending;
+    return { pending };
   };
 
-  it.each(['entry-0', 'agent-stage0-0'])(
-    'of %s ends the stream whole',
-    async name => {
-      const pending = startStream();
-      await waitUntil('the stream runs', async () => {
-        const process = fleet.processes.getProcess('agent-stage0-0');
-        const operators = process.addresses.operators ?? '';
-        const status = (await fleet.get(
-          `http://${operators}/v1/admin/status`,
-        )) as { work: number };
-        return status.work > 0;
-      });
-      fleet.processes.sendSignal(name, 'SIGTERM');
-      const answer = await pending;
-      expect(answer.outcome).toBe('complete');
-      expect(answer.text).toBe(
-        computeExpectedText('stop', tokens, options.layers),
-      );
-      expect(await fleet.processes.getProcess(name).exited).toBe(0);
-    },
-  );
+  it.each(names)('of %s ends the stream whole', async name => {
+    await startFleet(60);
+    const { pending } = await startStream(tokens);
+    fleet.processes.sendSignal(name, 'SIGTERM');
+    const answer = await pending;
+    expect(answer.outcome).toBe('complete');
+    expect(answer.text).toBe(
+      computeExpectedText('stop', tokens, options.layers),
+    );
+    expect(await fleet.processes.getProcess(name).exited).toBe(0);
+  });
+
+  it.each(names)('of %s tells the caller what its bound cuts', async name => {
+    await startFleet(1);
+    const { pending } = await startStream(endlessTokens, deadlineMs);
+    fleet.processes.sendSignal(name, 'SIGTERM');
+    const answer = await pending;
+    expect(answer.isDone).toBe(false);
+    expect(answer.outcome).toBe('failed');
+    const { exited, lines } = fleet.processes.getProcess(name);
+    expect(await exited).toBe(0);
+    expect(lines.join('\n')).toContain('The drain bound is reached');
+  });
+
+  it('refuses new requests while the open one goes on', async () => {
+    await startFleet(60);
+    const { pending } = await startStream(tokens);
+    fleet.processes.sendSignal('agent-stage0-0', 'SIGTERM');
+    await waitUntil('the agent is leaving', async () => {
+      return !(await fleet.readStatus('agent-stage0-0')).ready;
+    });
+    const late = await streamCompletion(fleet.entryUrls[0] ?? '', 'late', 1);
+    expect(late.outcome).toBe('not-run');
+    expect((await pending).outcome).toBe('complete');
+  });
 });
--- a/packages/router/tests/wholePath.test.ts
+++ b/packages/router/tests/wholePath.test.ts
@@ -106,15 +106,8 @@
   });
 
   it('tells the caller when a stage is killed in the middle', async () => {
-    const operators =
-      fleet.processes.getProcess('entry-0').addresses.operators ?? '';
-    const countDelivered = async (): Promise<number> => {
-      const url = `http://${operators}/v1/admin/status`;
-      const status = (await fleet.get(url)) as {
-        tokens: { delivered: number };
-      };
-      return status.tokens.delivered;
-    };
+    const countDelivered = async (): Promise<number> =>
+      (await fleet.readStatus('entry-0')).tokens.delivered;
     const before = await countDelivered();
     const pending = streamCompletion(getEntry(), 'long', 400, {
       deadlineMs: 3_000,
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -19,6 +19,8 @@
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
+  /** Seconds that a stopping process waits for its open work. */
+  readonly drainSeconds: number;
 }
 
 export const defaultFleetOptions: FleetOptions = {
@@ -30,6 +32,7 @@
   stepMs: 2,
   plainMs: 5,
   slots: 16,
+  drainSeconds: 20,
 };
 
 /** The names that a fleet's configuration uses. */
@@ -101,6 +104,17 @@
   }
 };
 
+/** What fleets read of the status of an entry or an agent. */
+export interface ProcessStatus {
+  readonly ready: boolean;
+  /** Open work of an agent. */
+  readonly work: number;
+  /** Open requests of an entry. */
+  readonly openRequests: number;
+  /** Tokens that an entry relayed. */
+  readonly tokens: { readonly delivered: number; readonly dropped: number };
+}
+
 export class RouterFleet {
   readonly processes = new ProcessFleet();
   logUrl = '';
@@ -154,8 +168,9 @@
 
   /** Starts an entry and waits until it is ready. */
   async startEntry(name: string): Promise<FleetProcess> {
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Entry, {
-      process: { id: name, failureDomain: 'bc-south-a', drainSeconds: 20 },
+      process: { id: name, failureDomain: 'bc-south-a', drainSeconds },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
     });
@@ -176,8 +191,9 @@
     const failureDomain =
       failureDomains[domainIndex % failureDomains.length] ?? '';
     const name = `agent-${server}`;
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Agent, {
-      process: { id: name, failureDomain, drainSeconds: 20 },
+      process: { id: name, failureDomain, drainSeconds },
       listen: { peers: anyAddress, operators: anyAddress },
       backend: { server, slots: this.options.slots, ...backend },
     });
@@ -260,6 +276,13 @@
     return ready && connected >= this.backendUrls.size;
   }
 
+  /** Reads the status that a process tells its operators. */
+  async readStatus(name: string): Promise<ProcessStatus> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as ProcessStatus;
+  }
+
   /** Reads JSON from a process of the fleet. */
   async get(url: string): Promise<unknown> {
     const answer = await callJson({
