Add the fault switch and the history checker

Cause: outcomes under failure need faults on demand and a judge that does not trust the system's own words.

The fault switch plans faults from a seed: a killed agent that comes back at the same address under another incarnation, a stopped process, and cut, closed, silent (one way or both) and slow links through a TCP relay that a fleet puts before each agent and backend server; log outages and lost log answers.

The checker reads what callers saw and what the stand-ins recorded of their own runs. A delivered token counts as computed rightly only when one epoch passed every earlier position through every layer once and in order; engines stamp each pass with the machine's monotonic clock for that.

--- /dev/null
+++ b/packages/testkit/src/faults/faultSwitch.ts
@@ -0,0 +1,134 @@
+/** Chooses faults from a seed and switches them on and off. */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RouterFleet } from '../fleet/routerFleet.js';
+import { waitFor } from '../standIns/standInServer.js';
+import {
+  ClosedLink,
+  CutLink,
+  FrozenProcess,
+  KilledAgent,
+  LogOutage,
+  LostLogAnswers,
+  SilentLink,
+  SlowLink,
+  type Fault,
+} from './fault.js';
+import { Direction } from './tcpRelay.js';
+
+/** Numbers from a seed. */
+export class SeededNumbers {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** Returns a whole number from 0 to below the bound. */
+  takeBelow(bound: number): number {
+    return uniformInt(this.generator, 0, bound - 1);
+  }
+
+  /** Returns one of the values. Throws when there are none. */
+  pickOne<T>(values: readonly T[]): T {
+    const value = values[this.takeBelow(values.length)];
+    if (value === undefined) {
+      throw new Error('There is nothing to pick from');
+    }
+    return value;
+  }
+}
+
+/** A fault with the milliseconds at which it begins and ends. */
+export interface PlannedFault {
+  readonly fault: Fault;
+  readonly beginMs: number;
+  readonly endMs: number;
+}
+
+const directionSets: readonly (readonly Direction[])[] = [
+  [Direction.Forward],
+  [Direction.Backward],
+  [Direction.Forward, Direction.Backward],
+];
+const linkDelaysMs = [20, 150, 600];
+const maxBeginMs = 150;
+const minDurationMs = 200;
+const maxDurationMs = 2_600;
+
+/** Makes one fault that a fleet can have. */
+type FaultMaker = (fleet: RouterFleet, numbers: SeededNumbers) => Fault;
+
+const pickServer: (fleet: RouterFleet, numbers: SeededNumbers) => string = (
+  fleet,
+  numbers,
+) => numbers.pickOne([...fleet.backendUrls.keys()]);
+
+const pickLink: typeof pickServer = (fleet, numbers) =>
+  numbers.pickOne(fleet.listRelays());
+
+const faultMakers: readonly FaultMaker[] = [
+  (fleet, numbers) => new KilledAgent(pickServer(fleet, numbers)),
+  (fleet, numbers) => new FrozenProcess(`agent-${pickServer(fleet, numbers)}`),
+  (fleet, numbers) => new FrozenProcess(pickBackend(fleet, numbers)),
+  (fleet, numbers) => new CutLink(pickLink(fleet, numbers)),
+  (fleet, numbers) => new ClosedLink(pickLink(fleet, numbers)),
+  (fleet, numbers) =>
+    new SilentLink(pickLink(fleet, numbers), numbers.pickOne(directionSets)),
+  (fleet, numbers) =>
+    new SlowLink(pickLink(fleet, numbers), numbers.pickOne(linkDelaysMs)),
+  () => new LogOutage(),
+  (_, numbers) => new LostLogAnswers(1 + numbers.takeBelow(3)),
+];
+
+const pickBackend: typeof pickServer = (fleet, numbers) =>
+  numbers.pickOne(
+    fleet.processes
+      .listProcesses()
+      .map(process => process.name)
+      .filter(name => /^(engine|service)-/.test(name)),
+  );
+
+/** Plans a number of faults, which may overlap. */
+export const makeFaultPlan = (
+  fleet: RouterFleet,
+  numbers: SeededNumbers,
+  count: number,
+): PlannedFault[] => {
+  const planned: PlannedFault[] = [];
+  while (planned.length < count) {
+    const fault = numbers.pickOne(faultMakers)(fleet, numbers);
+    const beginMs = numbers.takeBelow(maxBeginMs);
+    const span = maxDurationMs - minDurationMs;
+    const endMs = beginMs + minDurationMs + numbers.takeBelow(span);
+    if (planned.every(each => !isOnSameProcess(each.fault, fault))) {
+      planned.push({ fault, beginMs, endMs });
+    }
+  }
+  return planned;
+};
+
+// A process that was killed can't be frozen as well.
+const isOnSameProcess = (one: Fault, other: Fault): boolean => {
+  const isWhole = (fault: Fault): boolean =>
+    fault instanceof KilledAgent || fault instanceof FrozenProcess;
+  const getSubject = (fault: Fault): string => fault.name.split(' ')[1] ?? '';
+  return (
+    isWhole(one) && isWhole(other) && getSubject(one) === getSubject(other)
+  );
+};
+
+/** Begins and ends each fault at its time; every fault has ended afterwards. */
+export const runFaultPlan = async (
+  fleet: RouterFleet,
+  plan: readonly PlannedFault[],
+): Promise<void> => {
+  await Promise.all(
+    plan.map(async ({ fault, beginMs, endMs }) => {
+      await waitFor(beginMs);
+      await fault.begin(fleet);
+      await waitFor(endMs - beginMs);
+      await fault.end(fleet);
+    }),
+  );
+};
--- a/packages/testkit/src/fleet/callerClient.ts
+++ b/packages/testkit/src/fleet/callerClient.ts
@@ -15,6 +15,8 @@
 /** What a caller saw of one call. */
 export interface CallerAnswer {
   readonly status: number;
+  /** The system's name for the request; `undefined` when it gave none. */
+  readonly requestId: string | undefined;
   /** The outcome that the answer named; `undefined` when the connection broke. */
   readonly outcome: string | undefined;
   readonly text: string;
@@ -84,7 +86,8 @@
   const isStream = response.headers['content-type'] === 'text/event-stream';
   return {
     status: response.statusCode ?? 0,
-    outcome: readOutcome(response),
+    requestId: readHeader(response, 'x-lycheetally-request'),
+    outcome: readHeader(response, 'x-lycheetally-outcome'),
     text: state.text,
     body: isStream ? state.error : parse(raw),
     isDone: state.isDone,
@@ -164,8 +167,10 @@
   state.text += parsed.choices?.[0]?.text ?? '';
 };
 
-const readOutcome = (response: IncomingMessage): string | undefined => {
-  const name = 'x-lycheetally-outcome';
+const readHeader = (
+  response: IncomingMessage,
+  name: string,
+): string | undefined => {
   const value = response.headers[name] ?? response.trailers[name];
   return Array.isArray(value) ? value[0] : value;
 };
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -2,6 +2,8 @@
 import { hashKey, callJson, type VmRecord } from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
+import type { TcpRelay } from '../faults/tcpRelay.js';
+import { FleetRelays } from './fleetRelays.js';
 import { DaemonPath, ProcessFleet, type FleetProcess } from './processFleet.js';
 
 /** The size of a fleet and the speed of its stand-ins. */
@@ -19,6 +21,8 @@
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
+  /** Puts relays before agents and backend servers, for faults of links. */
+  readonly hasRelays?: boolean;
 }
 
 export const defaultFleetOptions: FleetOptions = {
@@ -109,8 +113,12 @@
   entryUrls: string[] = [];
   /** URLs of the stand-ins behind the agents, by server. */
   readonly backendUrls = new Map<string, string>();
+  private readonly relays: FleetRelays;
+  private readonly agentStarts = new Map<string, () => Promise<FleetProcess>>();
 
-  constructor(readonly options: FleetOptions = defaultFleetOptions) {}
+  constructor(readonly options: FleetOptions = defaultFleetOptions) {
+    this.relays = new FleetRelays(options.hasRelays ?? false);
+  }
 
   /** Starts everything and waits until each entry can reach each server. */
   async start(): Promise<void> {
@@ -124,8 +132,24 @@
     }
   }
 
-  dispose(): Promise<void> {
-    return this.processes.dispose();
+  async dispose(): Promise<void> {
+    await this.processes.dispose();
+    this.relays.dispose();
+  }
+
+  /** Returns the relay before an agent or a backend server. */
+  getRelay(name: string): TcpRelay {
+    return this.relays.getRelay(name);
+  }
+
+  /** Lists the processes that a relay stands before. */
+  listRelays(): string[] {
+    return this.relays.listNames();
+  }
+
+  /** Starts another agent in place of one that was killed. */
+  async restartAgent(server: string): Promise<void> {
+    await this.agentStarts.get(server)?.();
   }
 
   /** Appends a configuration to the log. */
@@ -168,7 +192,18 @@
   }
 
   /** Starts an agent before a backend server and puts it on the VM list. */
-  async startAgent(
+  startAgent(
+    server: string,
+    backend: Readonly<Record<string, string | number>>,
+    domainIndex: number,
+  ): Promise<FleetProcess> {
+    const start = (): Promise<FleetProcess> =>
+      this.startAgentProcess(server, backend, domainIndex);
+    this.agentStarts.set(server, start);
+    return start();
+  }
+
+  private async startAgentProcess(
     server: string,
     backend: Readonly<Record<string, string | number>>,
     domainIndex: number,
@@ -179,9 +214,16 @@
     const started = await this.processes.startDaemon(name, DaemonPath.Agent, {
       process: { id: name, failureDomain, drainSeconds: 20 },
       listen: { peers: anyAddress, operators: anyAddress },
-      backend: { server, slots: this.options.slots, ...backend },
+      backend: {
+        server,
+        slots: this.options.slots,
+        ...backend,
+      },
     });
-    const agentAddress = started.addresses.peers ?? '';
+    const agentAddress = await this.relays.relayTo(
+      name,
+      started.addresses.peers ?? '',
+    );
     await this.updateVmList({
       put: [{ vmId: server, agentAddress, failureDomain, state: 'live' }],
     });
@@ -215,8 +257,9 @@
       'model-engine',
       { layerFrom, layerTo, layers, stepMs },
     );
-    const url = `http://${address}`;
-    this.backendUrls.set(server, url);
+    this.backendUrls.set(server, `http://${address}`);
+    const relayed = await this.relays.relayTo(`engine-${server}`, address);
+    const url = `http://${relayed}`;
     const service = fleetNames.model;
     await this.startAgent(
       server,
@@ -245,8 +288,9 @@
       'plain-service',
       { workMs: this.options.plainMs },
     );
-    const url = `http://${address}`;
-    this.backendUrls.set(server, url);
+    this.backendUrls.set(server, `http://${address}`);
+    const relayed = await this.relays.relayTo(`service-${server}`, address);
+    const url = `http://${relayed}`;
     await this.startAgent(server, { url, kind: 'plain', service }, index);
   }
 
--- /dev/null
+++ b/packages/testkit/src/history/passCheck.ts
@@ -0,0 +1,95 @@
+/**
+ * Checks the passes of a request through the layers of the model.
+ *
+ * A delivered token at position p follows from the state of position p - 1.
+ * It counts as computed rightly when some epoch of its request passed each
+ * position from 0 to p - 1 through every layer exactly once, the layers of a
+ * position in order and the positions of a layer in order. Positions that an
+ * epoch computes again after a rebuild count under that epoch alone.
+ */
+import type { PassRecord } from '../standIns/modelEngine.js';
+
+/** Passes of one epoch by position. */
+type EpochPasses = ReadonlyMap<number, readonly PassRecord[]>;
+
+/** Groups passes by epoch and position. */
+export const indexPasses = (
+  passes: readonly PassRecord[],
+): ReadonlyMap<number, EpochPasses> => {
+  const epochs = new Map<number, Map<number, PassRecord[]>>();
+  for (const pass of passes) {
+    const positions = epochs.get(pass.epoch) ?? new Map<number, PassRecord[]>();
+    epochs.set(pass.epoch, positions);
+    const list = positions.get(pass.position) ?? [];
+    positions.set(pass.position, list);
+    list.push(pass);
+  }
+  return epochs;
+};
+
+/** Finds a layer that ran twice for a position under one epoch. */
+export const findRepeatedPass = (
+  passes: readonly PassRecord[],
+): PassRecord | undefined => {
+  const seen = new Set<string>();
+  for (const pass of passes) {
+    for (let layer = pass.layerFrom; layer < pass.layerTo; layer += 1) {
+      const key = [pass.epoch, pass.position, layer].join('/');
+      if (seen.has(key)) {
+        return pass;
+      }
+      seen.add(key);
+    }
+  }
+  return undefined;
+};
+
+/** Finds the first position, below the bound, that no one epoch covers. */
+export const findBrokenPosition = (
+  passes: readonly PassRecord[],
+  bound: number,
+  layers: number,
+): number | undefined => {
+  const reached = [...indexPasses(passes).values()].map(epoch =>
+    countCovered(epoch, layers),
+  );
+  const best = Math.max(0, ...reached);
+  return best >= bound ? undefined : best;
+};
+
+/** Counts the positions from 0 that an epoch passes rightly. */
+const countCovered = (epoch: EpochPasses, layers: number): number => {
+  let position = 0;
+  let earlier: readonly PassRecord[] = [];
+  for (;;) {
+    const list = sortByTime(epoch.get(position) ?? []);
+    if (!isWholePass(list, layers) || !isAfter(list, earlier)) {
+      return position;
+    }
+    earlier = list;
+    position += 1;
+  }
+};
+
+const sortByTime = (list: readonly PassRecord[]): readonly PassRecord[] =>
+  [...list].sort((a, b) => a.at - b.at || a.layerFrom - b.layerFrom);
+
+const isWholePass = (list: readonly PassRecord[], layers: number): boolean => {
+  let layer = 0;
+  for (const pass of list) {
+    if (pass.layerFrom !== layer) {
+      return false;
+    }
+    layer = pass.layerTo;
+  }
+  return layer === layers;
+};
+
+const isAfter = (
+  list: readonly PassRecord[],
+  earlier: readonly PassRecord[],
+): boolean =>
+  earlier.every(
+    (pass, index) =>
+      list[index]?.layerFrom === pass.layerFrom && list[index].at >= pass.at,
+  );
--- /dev/null
+++ b/packages/testkit/src/history/recordedLoad.ts
@@ -0,0 +1,140 @@
+/** Calls a fleet as several callers at once and records what they saw. */
+import { z } from 'zod';
+import {
+  callService,
+  streamCompletion,
+  type CallerAnswer,
+} from '../fleet/callerClient.js';
+import { fleetNames, type RouterFleet } from '../fleet/routerFleet.js';
+import type { SeededNumbers } from '../faults/faultSwitch.js';
+import type { PassRecord } from '../standIns/modelEngine.js';
+import type { PlainRunRecord } from '../standIns/plainService.js';
+import { waitFor } from '../standIns/standInServer.js';
+import type { CallRecord, History } from './history.js';
+
+/** What callers ask for in one run. */
+export interface LoadShape {
+  /** Prefix of the names of the calls; differs for each run on a fleet. */
+  readonly name: string;
+  readonly completions: number;
+  readonly maxTokens: number;
+  readonly plainCalls: number;
+  /** Milliseconds over which the calls begin. */
+  readonly spreadMs: number;
+  readonly deadlineMs: number;
+}
+
+/** Runs the calls; resolves when each has ended. */
+export const runRecordedLoad = async (
+  fleet: RouterFleet,
+  shape: LoadShape,
+  numbers: SeededNumbers,
+): Promise<CallRecord[]> => {
+  const completions = Array.from({ length: shape.completions }, (_, index) =>
+    runCompletion(fleet, shape, index, {
+      entry: numbers.pickOne(fleet.entryUrls),
+      startMs: numbers.takeBelow(shape.spreadMs),
+    }),
+  );
+  const plainCalls = Array.from({ length: shape.plainCalls }, (_, index) =>
+    runPlainCall(fleet, shape, index, {
+      entry: numbers.pickOne(fleet.entryUrls),
+      startMs: numbers.takeBelow(shape.spreadMs),
+    }),
+  );
+  return Promise.all([...completions, ...plainCalls]);
+};
+
+/** Where and when a call begins. */
+interface CallStart {
+  readonly entry: string;
+  readonly startMs: number;
+}
+
+const runCompletion = async (
+  fleet: RouterFleet,
+  shape: LoadShape,
+  index: number,
+  start: CallStart,
+): Promise<CallRecord> => {
+  await waitFor(start.startMs);
+  const callId = `${shape.name}-model-${String(index)}`;
+  const prompt = `answer ${callId} please`;
+  const { maxTokens, deadlineMs } = shape;
+  const options = pickCaller(index, deadlineMs);
+  const answer = await keepAnswer(
+    streamCompletion(start.entry, prompt, maxTokens, options),
+  );
+  return { kind: 'model', callId, prompt, maxTokens, answer };
+};
+
+const runPlainCall = async (
+  fleet: RouterFleet,
+  shape: LoadShape,
+  index: number,
+  start: CallStart,
+): Promise<CallRecord> => {
+  await waitFor(start.startMs);
+  const isRepeatable = index % 2 === 1;
+  const service = isRepeatable ? fleetNames.stock : fleetNames.booking;
+  const callId = `${shape.name}-${service}-${String(index)}`;
+  const answer = await keepAnswer(
+    callService(
+      start.entry,
+      service,
+      '/calls',
+      { callId },
+      pickCaller(index, shape.deadlineMs),
+    ),
+  );
+  return {
+    kind: 'plain',
+    callId,
+    service,
+    isRepeatable,
+    idempotencyKey: undefined,
+    answer,
+  };
+};
+
+const pickCaller = (
+  index: number,
+  deadlineMs: number,
+): { account: string; rank: string; deadlineMs: number } => ({
+  account: fleetNames.accounts[index % fleetNames.accounts.length] ?? '',
+  rank: fleetNames.ranks[index % fleetNames.ranks.length] ?? '',
+  deadlineMs,
+});
+
+const keepAnswer = async (
+  pending: Promise<CallerAnswer>,
+): Promise<CallerAnswer | undefined> => {
+  try {
+    return await pending;
+  } catch {
+    return undefined;
+  }
+};
+
+const runsSchema = z.object({
+  passes: z.array(z.custom<PassRecord>()).optional(),
+  runs: z.array(z.custom<PlainRunRecord>()).optional(),
+});
+
+/** Reads the stand-ins' own records and joins them with the callers'. */
+export const readHistory = async (
+  fleet: RouterFleet,
+  calls: readonly CallRecord[],
+): Promise<History> => {
+  const records = await Promise.all(
+    [...fleet.backendUrls.values()].map(async url =>
+      runsSchema.parse(await fleet.get(`${url}/runs`)),
+    ),
+  );
+  return {
+    layers: fleet.options.layers,
+    calls,
+    passes: records.flatMap(record => record.passes ?? []),
+    runs: records.flatMap(record => record.runs ?? []),
+  };
+};
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,7 @@
 /** Stand-ins of the platform and the backend servers, and fleets of processes. */
+export * from './faults/fault.js';
+export * from './faults/faultSwitch.js';
+export * from './faults/tcpRelay.js';
 export * from './fleet/callerClient.js';
 export * from './fleet/processFleet.js';
 export * from './fleet/routerFleet.js';
@@ -8,3 +11,7 @@
 export * from './standIns/plainService.js';
 export * from './standIns/standInServer.js';
 export * from './standIns/vmList.js';
+export * from './history/history.js';
+export * from './history/historyChecker.js';
+export * from './history/passCheck.js';
+export * from './history/recordedLoad.js';
--- a/packages/testkit/src/standIns/modelEngine.ts
+++ b/packages/testkit/src/standIns/modelEngine.ts
@@ -38,6 +38,8 @@
   readonly position: number;
   readonly layerFrom: number;
   readonly layerTo: number;
+  /** Microseconds of the machine's monotonic clock. */
+  readonly at: number;
 }
 
 const openSchema = z.object({
@@ -64,6 +66,9 @@
   generated: number;
 }
 
+const readMicroseconds = (): number =>
+  Number(process.hrtime.bigint() / nanosecondsPerMicrosecond);
+const nanosecondsPerMicrosecond = 1_000n;
 const maxPassRecords = 500_000;
 
 export class ModelEngineStandIn {
@@ -153,6 +158,7 @@
         position,
         layerFrom,
         layerTo,
+        at: readMicroseconds(),
       });
     }
     return foldLayers(state, layerFrom, layerTo, sequence.cache);
