Let running work survive its connection and tell outcomes by all attempts

Cause, read from the code and seen in a test: a request whose first attempt had run could end as not-run when a later attempt was refused; a revocation could reach a later start of an agent, whose promise says nothing of the earlier one; an attempt was given up as soon as its connection was lost; an attempt that had delivered its last token but not its end was repeated and would have made a token too many; a refusal by a later stage put the first stage on the list of servers to avoid; an engine that fell silent was found at the deadline only.

Change: the outcome folds how every attempt ended. Messages about an attempt go to the start of the agent that it was offered to. The attempt chart has a state for a lost connection; when it is back the entry asks for the tokens from its next place on, and the agent, whose chart keeps work of a lost entry for a while, sends them and the end again. A connection that was open is opened again after 20 ms; one try that fails ends the wait of repeatable work. Tokens carry their place in the answer, which every stage and the entry check. Refusals name their server. A chart watches engines for unanswered work.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -18,6 +18,7 @@
   Request: 'request',
   Attempt: 'attempt',
   AgentWork: 'agentWork',
+  BackendWatch: 'backendWatch',
   PeerConnection: 'peerConnection',
   AcceptedConnection: 'acceptedConnection',
   ConfigFollower: 'configFollower',
--- a/packages/decisions/src/outcome.ts
+++ b/packages/decisions/src/outcome.ts
@@ -12,3 +12,16 @@
   Unknown: 'unknown',
 } as const;
 export type Outcome = ValueOf<typeof Outcome>;
+
+/**
+ * Returns the outcome of a request that ends without an answer, from how its
+ * attempts ended. One that is known to have run outweighs one that may have,
+ * and only when none ran or may have run is the request not run.
+ */
+export const foldOutcomes = (ends: readonly Outcome[]): Outcome => {
+  const ran = [Outcome.Failed, Outcome.Complete] as readonly Outcome[];
+  if (ends.some(end => ran.includes(end))) {
+    return Outcome.Failed;
+  }
+  return ends.includes(Outcome.Unknown) ? Outcome.Unknown : Outcome.NotRun;
+};
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -23,6 +23,7 @@
   Finished: 'finished',
   Failed: 'failed',
   Report: 'report',
+  Resume: 'resume',
 } as const;
 export type MessageKind = ValueOf<typeof MessageKind>;
 
@@ -88,6 +89,7 @@
   readonly kind: string;
   readonly reason: string;
   readonly retryAfterMs: number;
+  readonly serverId: string;
 }
 
 export interface Activations extends AttemptRef {
@@ -103,6 +105,11 @@
   readonly tokenId: number;
   readonly text: string;
   readonly isEnd: boolean;
+  readonly index: number;
+}
+
+export interface Resume extends AttemptRef {
+  readonly fromIndex: number;
 }
 
 export interface PlainAnswer {
@@ -149,6 +156,7 @@
   finished: Finished;
   failed: Failed;
   report: Report;
+  resume: Resume;
 }
 
 /** A message of one kind. */
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -8,7 +8,6 @@
 import {
   ErrorKind,
   LogPart,
-  TypedError,
   type Address,
   type Milliseconds,
 } from '@lycheetally/common';
@@ -16,13 +15,13 @@
   MessageKind,
   type AttemptRef,
   type Backend,
-  type Failed,
   type Hello,
   type Offer,
   type PeerMessage,
   type Refused,
+  type Resume,
 } from '@lycheetally/protocol';
-import { maxEndedAttempts } from '../constants.js';
+import { maxEndedAttempts, maxKeptAnswers } from '../constants.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -35,12 +34,15 @@
   type NodePorts,
   type NodeSettings,
 } from '../routerNode.js';
+import { receiveBackendEvent } from './backendRelay.js';
 import {
-  receiveActivations,
-  receiveBackendEvent,
-  relayToken,
-} from './backendRelay.js';
-import { EndedAttempts } from './endedAttempts.js';
+  bindWatchChart,
+  startWatch,
+  type WatchMachine,
+} from './backendWatch.js';
+import { EndedAttempts, type EndedAttempt } from './endedAttempts.js';
+import { answerEnded, sendMissed } from './resumeWork.js';
+import { failWorkOfNext, receiveFromStage } from './stageMessages.js';
 import { bindWorkChart } from './workActions.js';
 import {
   createWorkContext,
@@ -65,13 +67,16 @@
 
 export interface AgentSettings extends NodeSettings {
   readonly backend: Backend;
+  /** Milliseconds without an answer after which an engine counts as silent. */
+  readonly silenceBoundMs: Milliseconds;
 }
 
 export class AgentNode extends RouterNode<AgentEvents> {
   private readonly machine: ChartMachine<WorkContext, WorkEvent>;
+  private readonly watchMachine: WatchMachine;
   private readonly services: WorkServices;
   private readonly works = new Map<string, WorkContext>();
-  private readonly ended = new EndedAttempts(maxEndedAttempts);
+  private readonly ended = new EndedAttempts(maxEndedAttempts, maxKeptAnswers);
   /** The latest channel of each node that gives this agent work. */
   private readonly owners = new Map<string, PeerChannel>();
   private readonly nextChannels = new Map<string, OutgoingChannel>();
@@ -82,6 +87,7 @@
   ) {
     super(agentSettings, agentPorts, LogPart.Agent);
     this.machine = takeValue(bindWorkChart());
+    this.watchMachine = takeValue(bindWatchChart());
     this.services = this.createServices();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
@@ -132,12 +138,14 @@
     };
   }
 
-  override handlePeerOpen(channel: PeerChannel): void {
+  override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
     if (!channel.remote || channel.remote.backend?.serverId === this.serverId) {
       return;
     }
     if (this.isIncoming(channel)) {
-      this.owners.set(channel.remote.nodeId, channel);
+      const { nodeId } = channel.remote;
+      this.owners.set(nodeId, channel);
+      this.endWorkOfOwner(nodeId, now);
       this.sendReport(channel);
     }
   }
@@ -148,7 +156,11 @@
       this.owners.delete(ownerId);
       this.endWorkOfOwner(ownerId, now);
     }
-    this.failWorkOfNext(channel, now);
+    failWorkOfNext(this.works.values(), channel, now);
+  }
+
+  override handlePeerUnreachable(): void {
+    // Work at a later stage ends with its reservation or its connection.
   }
 
   override handlePeerMessage(
@@ -166,8 +178,11 @@
       case MessageKind.Revoke:
         this.receiveRevoke(channel, message.value, now);
         return;
+      case MessageKind.Resume:
+        this.receiveResume(channel, message.value, now);
+        return;
       default:
-        this.receiveFromStage(message, now);
+        this.receiveFromStage(channel, message, now);
     }
   }
 
@@ -202,20 +217,22 @@
     if (this.works.has(key)) {
       return;
     }
-    const refusal = this.checkOffer(key, offer);
+    if (this.ended.has(key)) {
+      answerEnded(this.ended.get(key), channel, offer, this.serverId);
+      return;
+    }
+    const refusal = this.checkOffer(offer);
     if (refusal) {
-      this.ended.add(key);
-      const value = { ...toRef(offer), ...refusal };
-      channel.send({ kind: MessageKind.Refused, value });
+      const value = { ...toRef(offer), ...refusal, serverId: this.serverId };
+      const end: PeerMessage = { kind: MessageKind.Refused, value };
+      this.ended.add(key, { end, tokens: [] });
+      channel.send(end);
       return;
     }
     this.startWork(channel.remote?.nodeId ?? '', offer, now);
   }
 
-  private checkOffer(
-    key: string,
-    offer: Offer,
-  ): Omit<Refused, keyof AttemptRef> | undefined {
+  private checkOffer(offer: Offer): Refusal | undefined {
     const stage = offer.stages[offer.stageIndex];
     if (this.isStopping) {
       return createRefusal(ErrorKind.Leaving, 'the agent is stopping');
@@ -226,12 +243,6 @@
         'the offer is for an earlier start of the agent',
       );
     }
-    if (this.ended.has(key)) {
-      return createRefusal(
-        ErrorKind.BadMessage,
-        'the attempt was ended or revoked',
-      );
-    }
     return undefined;
   }
 
@@ -254,56 +265,41 @@
     }
     const key = formatAttemptKey(ref);
     if (this.ended.has(key)) {
+      answerEnded(this.ended.get(key), channel, ref, this.serverId);
       return;
     }
-    this.ended.add(key);
+    const revoked: PeerMessage = {
+      kind: MessageKind.Revoked,
+      value: toRef(ref),
+    };
+    this.ended.add(key, { end: revoked, tokens: [] });
     this.events.record('work-revoked', now, toRef(ref));
-    channel.send({ kind: MessageKind.Revoked, value: toRef(ref) });
+    channel.send(revoked);
   }
 
-  private receiveFromStage(message: PeerMessage, now: Milliseconds): void {
-    switch (message.kind) {
-      case MessageKind.Activations: {
-        const work = this.find(message.value);
-        if (work?.instance?.matches('running')) {
-          receiveActivations(work, message.value, now);
-        }
-        return;
-      }
-      case MessageKind.Token: {
-        const work = this.find(message.value);
-        if (work?.instance?.matches('running')) {
-          relayToken(work, message.value, now);
-        }
-        return;
-      }
-      case MessageKind.Started:
-        this.find(message.value)?.instance?.send({ type: 'RESERVED' }, now);
-        return;
-      case MessageKind.Refused:
-        this.sendStageError('NEXT_REFUSED', message.value, '', now);
-        return;
-      case MessageKind.Failed: {
-        const { value } = message;
-        this.sendStageError('BACKEND_FAILED', value, value.serverId, now);
-        return;
-      }
-      default:
+  private receiveResume(
+    channel: PeerChannel,
+    resume: Resume,
+    now: Milliseconds,
+  ): void {
+    const work = this.find(resume);
+    if (work) {
+      sendMissed(work, channel, resume.fromIndex, now);
+      return;
     }
+    const ended = this.ended.get(formatAttemptKey(resume));
+    answerEnded(ended, channel, resume, this.serverId, resume.fromIndex);
   }
 
-  private sendStageError(
-    type: 'NEXT_REFUSED' | 'BACKEND_FAILED',
-    value: Refused | Failed,
-    serverId: string,
+  private receiveFromStage(
+    channel: PeerChannel,
+    message: PeerMessage,
     now: Milliseconds,
   ): void {
-    const error = new TypedError(
-      ErrorKind.BackendFailed,
-      `a later stage did not go on (${value.reason})`,
-      'send the request again',
-    );
-    this.find(value)?.instance?.send({ type, error, serverId }, now);
+    const work = 'requestId' in message.value && this.find(message.value);
+    if (work) {
+      receiveFromStage(work, channel, message, now);
+    }
   }
 
   private endWorkOfOwner(ownerId: string, now: Milliseconds): void {
@@ -314,20 +310,6 @@
     }
   }
 
-  private failWorkOfNext(channel: PeerChannel, now: Milliseconds): void {
-    const error = new TypedError(
-      ErrorKind.ConnectionLost,
-      'the connection to a later stage was lost',
-      'send the request again',
-    );
-    for (const work of [...this.works.values()]) {
-      if (work.next === channel) {
-        const serverId = channel.remote?.backend?.serverId ?? '';
-        work.instance?.send({ type: 'BACKEND_FAILED', error, serverId }, now);
-      }
-    }
-  }
-
   private sendReport(channel: PeerChannel): void {
     channel.send({
       kind: MessageKind.Report,
@@ -351,9 +333,17 @@
         this.owners.get(nodeId)?.send(message);
       },
       getNextChannel: (address, now) => this.getNextChannel(address, now),
-      handleWorkEnded: (work, now) => {
-        this.handleWorkEnded(work, now);
+      handleWorkEnded: (work, ended, now) => {
+        this.handleWorkEnded(work, ended, now);
       },
+      startWatch: (work, now) =>
+        startWatch(
+          this.watchMachine,
+          this.loop,
+          work,
+          this.agentSettings.silenceBoundMs,
+          now,
+        ),
       postSlotGranted: work => {
         this.loop.post('slotGranted', { work });
       },
@@ -373,11 +363,15 @@
     return channel;
   }
 
-  private handleWorkEnded(work: WorkContext, now: Milliseconds): void {
+  private handleWorkEnded(
+    work: WorkContext,
+    ended: EndedAttempt,
+    now: Milliseconds,
+  ): void {
     work.instance?.dispose();
     const key = formatAttemptKey(work.offer);
     this.works.delete(key);
-    this.ended.add(key);
+    this.ended.add(key, ended);
     this.loop.schedule(0, later => {
       this.checkDrained(later);
     });
@@ -390,7 +384,11 @@
   attempt: ref.attempt,
 });
 
-const createRefusal = (
-  kind: ErrorKind,
-  reason: string,
-): Omit<Refused, keyof AttemptRef> => ({ kind, reason, retryAfterMs: 0 });
+/** Why an offer is refused. */
+type Refusal = Omit<Refused, keyof AttemptRef | 'serverId'>;
+
+const createRefusal = (kind: ErrorKind, reason: string): Refusal => ({
+  kind,
+  reason,
+  retryAfterMs: 0,
+});
--- a/packages/router/src/agent/backendRelay.ts
+++ b/packages/router/src/agent/backendRelay.ts
@@ -51,10 +51,12 @@
   }
   switch (event.kind) {
     case 'activations':
+      work.answeredSpans += 1;
       forwardActivations(work, event);
       return;
     case 'token':
-      relayToken(work, { ...work.ref, epoch: work.offer.epoch, ...event }, now);
+      work.answeredSpans += 1;
+      relayToken(work, createToken(work, event), now);
       return;
     case 'answer':
       work.answer = event.answer;
@@ -75,10 +77,15 @@
     return;
   }
   if (activations.position !== work.nextPosition) {
-    sendFailure(work, createOrderError(work, activations.position), now);
+    sendFailure(
+      work,
+      createOrderError('position', activations.position, work.nextPosition),
+      now,
+    );
     return;
   }
   work.nextPosition = activations.position + activations.count;
+  work.sentSpans += 1;
   work.run?.pushActivations(activations);
 };
 
@@ -88,19 +95,22 @@
   token: Token,
   now: Milliseconds,
 ): void => {
-  if (token.epoch !== work.offer.epoch) {
+  const due = countEarlier(work) + work.generatedTokens;
+  if (token.epoch !== work.offer.epoch || token.index < due) {
+    return;
+  }
+  if (token.index > due) {
+    sendFailure(work, createOrderError('token', token.index, due), now);
     return;
   }
   work.generatedTokens += 1;
-  work.services.sendToOwner(work.ownerId, {
-    kind: MessageKind.Token,
-    value: toToken(token),
-  });
+  sendTokenToOwner(work, token);
   if (token.isEnd) {
     finishSequence(work, token, now);
     return;
   }
   if (work.offer.stageIndex === 0) {
+    work.sentSpans += 1;
     work.run?.pushToken(token);
   }
 };
@@ -110,14 +120,43 @@
   token: Token,
   now: Milliseconds,
 ): void => {
-  const earlier = work.offer.model?.generated.length ?? 0;
-  const total = earlier + work.generatedTokens;
+  const total = countEarlier(work) + work.generatedTokens;
   work.promptTokens = token.position + 1 - total;
   work.finishReason =
     total >= (work.offer.model?.maxTokens ?? 0) ? 'length' : 'stop';
   work.instance?.send({ type: 'BACKEND_DONE' }, now);
 };
 
+/** Counts the tokens that earlier attempts delivered. */
+const countEarlier = (work: WorkContext): number =>
+  work.offer.model?.generated.length ?? 0;
+
+const createToken = (
+  work: WorkContext,
+  event: BackendEvent & { readonly kind: 'token' },
+): Token => ({
+  ...work.ref,
+  epoch: work.offer.epoch,
+  index: countEarlier(work) + work.generatedTokens,
+  position: event.position,
+  tokenId: event.tokenId,
+  text: event.text,
+  isEnd: event.isEnd,
+});
+
+/** Keeps the token as well when the owner is an entry, which may resume. */
+const sendTokenToOwner = (work: WorkContext, token: Token): void => {
+  const value = toToken(token);
+  if (work.offer.stageIndex === 0) {
+    work.sentTokens.push(value);
+  }
+  // An entry that was away asks for what it missed before it takes more.
+  if (!work.instance?.matches('running.orphaned')) {
+    const message = { kind: MessageKind.Token, value };
+    work.services.sendToOwner(work.ownerId, message);
+  }
+};
+
 const toToken = (token: Token): Token => ({
   requestId: token.requestId,
   attempt: token.attempt,
@@ -126,6 +165,7 @@
   tokenId: token.tokenId,
   text: token.text,
   isEnd: token.isEnd,
+  index: token.index,
 });
 
 const forwardActivations = (
@@ -158,9 +198,13 @@
   );
 };
 
-const createOrderError = (work: WorkContext, position: number): TypedError =>
+const createOrderError = (
+  what: string,
+  seen: number,
+  due: number,
+): TypedError =>
   new TypedError(
     ErrorKind.BadMessage,
-    `position ${String(position)} came where ${String(work.nextPosition)} was due`,
+    `${what} ${String(seen)} came where ${String(due)} was due`,
     'send the request again',
   );
--- /dev/null
+++ b/packages/router/src/agent/resumeWork.ts
@@ -0,0 +1,63 @@
+/**
+ * Sends again what an entry may have missed.
+ *
+ * An entry whose connection was lost asks for the tokens from a place in the
+ * answer on. Running work goes on under the new connection; ended work sends
+ * its end again for as long as it is kept.
+ */
+import { ErrorKind, type Milliseconds } from '@lycheetally/common';
+import {
+  MessageKind,
+  type AttemptRef,
+  type PeerMessage,
+  type Token,
+} from '@lycheetally/protocol';
+import type { PeerChannel } from '../peers/peerChannel.js';
+import type { EndedAttempt } from './endedAttempts.js';
+import type { WorkContext } from './workContext.js';
+
+/** Answers a resume of work that has not ended. */
+export const sendMissed = (
+  work: WorkContext,
+  channel: PeerChannel,
+  fromIndex: number,
+  now: Milliseconds,
+): void => {
+  work.instance?.send({ type: 'OWNER_BACK' }, now);
+  sendTokens(work.sentTokens, channel, fromIndex);
+};
+
+/** Answers for an attempt that has ended, or that this agent never heard of. */
+export const answerEnded = (
+  ended: EndedAttempt | undefined,
+  channel: PeerChannel,
+  ref: AttemptRef,
+  serverId: string,
+  fromIndex = 0,
+): void => {
+  sendTokens(ended?.tokens ?? [], channel, fromIndex);
+  channel.send(ended?.end ?? createForgotten(ref, serverId));
+};
+
+const sendTokens = (
+  tokens: readonly Token[],
+  channel: PeerChannel,
+  fromIndex: number,
+): void => {
+  for (const value of tokens) {
+    if (value.index >= fromIndex) {
+      channel.send({ kind: MessageKind.Token, value });
+    }
+  }
+};
+
+const createForgotten = (ref: AttemptRef, serverId: string): PeerMessage => ({
+  kind: MessageKind.Failed,
+  value: {
+    requestId: ref.requestId,
+    attempt: ref.attempt,
+    kind: ErrorKind.ConnectionLost,
+    reason: 'the attempt has ended and its answer is no longer kept',
+    serverId,
+  },
+});
--- a/packages/router/src/agent/workActions.ts
+++ b/packages/router/src/agent/workActions.ts
@@ -5,9 +5,14 @@
   loadChart,
   type ChartAction,
 } from '@lycheetally/charts';
-import type { Result } from '@lycheetally/common';
-import { MessageKind } from '@lycheetally/protocol';
-import { reserveTimeoutMs } from '../constants.js';
+import {
+  ErrorKind,
+  TypedError,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
+import { MessageKind, type PeerMessage } from '@lycheetally/protocol';
+import { ownerGraceMs, reserveTimeoutMs } from '../constants.js';
 import { createBackendListener } from './backendRelay.js';
 import {
   createNotStartedError,
@@ -72,11 +77,16 @@
   });
 };
 
-export const startBackend: WorkAction = work => {
+export const startBackend: WorkAction = (work, _, now) => {
   work.run = work.services.backend.startRun(
     work.offer,
     createBackendListener(work),
   );
+  if (work.offer.model) {
+    // The prompt is the first span of the first stage.
+    work.sentSpans += work.offer.stageIndex === 0 ? 1 : 0;
+    work.watch = work.services.startWatch(work, now);
+  }
 };
 
 export const noteReason: WorkAction = (work, event) => {
@@ -107,34 +117,54 @@
   }
 };
 
-export const sendFinished: WorkAction = (work, _, now) => {
-  work.run?.end();
-  work.services.events.record('work-finished', now, {
+/** Keeps how the work ended, for an owner that asks for it again. */
+const keepEnd = (
+  work: WorkContext,
+  kind: string,
+  end: PeerMessage,
+  now: Milliseconds,
+  detail: Readonly<Record<string, string | number>> = {},
+): void => {
+  const { services, ref, sentTokens } = work;
+  services.events.record(kind, now, { ...ref, detail });
+  work.watch?.dispose();
+  services.handleWorkEnded(work, { end, tokens: sentTokens }, now);
+};
+
+/** Tells the owner how the work ended. */
+const endWork: typeof keepEnd = (work, kind, end, now, detail) => {
+  work.services.sendToOwner(work.ownerId, end);
+  keepEnd(work, kind, end, now, detail);
+};
+
+const createFinished = (work: WorkContext): PeerMessage => ({
+  kind: MessageKind.Finished,
+  value: {
     ...work.ref,
-    detail: { tokens: work.generatedTokens },
-  });
+    finishReason: work.finishReason,
+    promptTokens: work.promptTokens,
+    generatedTokens: work.generatedTokens,
+    plain: work.answer,
+  },
+});
+
+export const sendFinished: WorkAction = (work, _, now) => {
   if (work.offer.stageIndex === 0) {
-    work.services.sendToOwner(work.ownerId, {
-      kind: MessageKind.Finished,
-      value: {
-        ...work.ref,
-        finishReason: work.finishReason,
-        promptTokens: work.promptTokens,
-        generatedTokens: work.generatedTokens,
-        plain: work.answer,
-      },
-    });
+    work.services.sendToOwner(work.ownerId, createFinished(work));
   }
-  work.services.handleWorkEnded(work, now);
+  keepFinished(work, undefined, now);
+};
+
+/** Keeps the end for an entry that is away; it asks for it when it is back. */
+export const keepFinished: WorkAction = (work, _, now) => {
+  work.run?.end();
+  const tokens = work.generatedTokens;
+  keepEnd(work, 'work-finished', createFinished(work), now, { tokens });
 };
 
 export const sendFailed: WorkAction = (work, _, now) => {
   const reason = work.error?.message ?? 'the work failed';
-  work.services.events.record('work-failed', now, {
-    ...work.ref,
-    detail: { reason },
-  });
-  work.services.sendToOwner(work.ownerId, {
+  const end: PeerMessage = {
     kind: MessageKind.Failed,
     value: {
       ...work.ref,
@@ -142,32 +172,39 @@
       reason,
       serverId: work.failedServerId,
     },
-  });
-  work.services.handleWorkEnded(work, now);
+  };
+  endWork(work, 'work-failed', end, now, { reason });
 };
 
 export const sendRefused: WorkAction = (work, _, now) => {
   const error = work.error ?? createNotStartedError();
-  work.services.events.record('work-not-run', now, work.ref);
-  work.services.sendToOwner(work.ownerId, {
+  const end: PeerMessage = {
     kind: MessageKind.Refused,
     value: {
       ...work.ref,
       kind: error.kind,
       reason: error.message,
       retryAfterMs: 0,
+      serverId: work.failedServerId,
     },
-  });
-  work.services.handleWorkEnded(work, now);
+  };
+  endWork(work, 'work-not-run', end, now);
 };
 
 export const sendCancelled: WorkAction = (work, _, now) => {
-  work.services.events.record('work-cancelled', now, work.ref);
-  work.services.sendToOwner(work.ownerId, {
-    kind: MessageKind.Cancelled,
-    value: work.ref,
-  });
-  work.services.handleWorkEnded(work, now);
+  const end: PeerMessage = { kind: MessageKind.Cancelled, value: work.ref };
+  endWork(work, 'work-cancelled', end, now);
+};
+
+/** Names the next stage as the one that did not answer. */
+export const noteNextSilent: WorkAction = work => {
+  const next = work.offer.stages[work.offer.stageIndex + 1];
+  work.failedServerId = next?.serverId ?? work.failedServerId;
+  work.error = new TypedError(
+    ErrorKind.NoCapacity,
+    'a later stage did not answer in time',
+    'send the request again',
+  );
 };
 
 /** Binds the chart `agentWork`. Fails with `BadChart`. */
@@ -181,10 +218,12 @@
         sendStarted,
         startBackend,
         noteReason,
+        noteNextSilent,
         stopBackend,
         cancelNext,
         releaseSlot,
         sendFinished,
+        keepFinished,
         sendFailed,
         sendRefused,
         sendCancelled,
@@ -193,9 +232,12 @@
         // A call that must not be repeated runs to its end once it has begun.
         mayOutliveOwner: work =>
           work.offer.plain !== undefined && !work.offer.repeatable,
+        // Only an entry asks for its work again; a later stage's owner doesn't.
+        mayAwaitOwner: work => work.offer.stageIndex === 0,
       },
       delays: {
         DEADLINE: work => work.offer.timeLeftMs,
+        OWNER_GRACE: () => ownerGraceMs,
         RESERVE_TIMEOUT: () => reserveTimeoutMs,
       },
     }),
--- a/packages/router/src/agent/workContext.ts
+++ b/packages/router/src/agent/workContext.ts
@@ -11,16 +11,19 @@
   Offer,
   PeerMessage,
   PlainAnswer,
+  Token,
 } from '@lycheetally/protocol';
 import type { EventLog } from '../eventLog.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { BackendPort, BackendRun } from '../ports/backend.js';
+import type { WatchInstance } from './backendWatch.js';
+import type { EndedAttempt } from './endedAttempts.js';
 import type { QueuedWork, SlotQueue } from '../ports/slotQueue.js';
 
 /** Events of the chart `agentWork`. */
 export type WorkEvent =
   | { readonly type: 'SLOT' | 'RESERVED' | 'BACKEND_DONE' }
-  | { readonly type: 'CANCEL' | 'REVOKE' | 'OWNER_LOST' }
+  | { readonly type: 'CANCEL' | 'REVOKE' | 'OWNER_LOST' | 'OWNER_BACK' }
   | {
       readonly type: 'NEXT_REFUSED' | 'BACKEND_FAILED';
       readonly error: TypedError;
@@ -42,7 +45,13 @@
   /** Returns the channel to a later stage's agent. */
   getNextChannel(address: string, now: Milliseconds): PeerChannel;
   /** Says that the work's chart has reached a final state. */
-  handleWorkEnded(work: WorkContext, now: Milliseconds): void;
+  handleWorkEnded(
+    work: WorkContext,
+    ended: EndedAttempt,
+    now: Milliseconds,
+  ): void;
+  /** Watches the engine of running work for silence. */
+  startWatch(work: WorkContext, now: Milliseconds): WatchInstance;
   /** Posts into the loop that the work has a place. */
   postSlotGranted(work: WorkContext): void;
   /** Posts an event of the backend server into the loop. */
@@ -77,11 +86,17 @@
   instance: WorkInstance | undefined;
   queued: QueuedWork | undefined;
   run: BackendRun | undefined;
+  watch: WatchInstance | undefined;
+  /** Spans of positions that the engine was given, and those it has answered. */
+  sentSpans: number;
+  answeredSpans: number;
   next: PeerChannel | undefined;
   error: TypedError | undefined;
   failedServerId: string;
   promptTokens: number;
   generatedTokens: number;
+  /** Tokens sent to an entry, which may ask for them again. */
+  sentTokens: Token[];
   /** Position that the next token must have; 0 before the first one. */
   nextPosition: number;
   finishReason: string;
@@ -107,11 +122,15 @@
   instance: undefined,
   queued: undefined,
   run: undefined,
+  watch: undefined,
+  sentSpans: 0,
+  answeredSpans: 0,
   next: undefined,
   error: undefined,
   failedServerId: services.serverId,
   promptTokens: 0,
   generatedTokens: 0,
+  sentTokens: [],
   nextPosition: 0,
   finishReason: 'stop',
   answer: undefined,
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -18,6 +18,24 @@
 /** Milliseconds before a lost connection is opened again. */
 export const reconnectDelayMs = 200;
 
+/** Milliseconds before a connection that was open is opened again. */
+export const reopenDelayMs = 20;
+
+/** Milliseconds that work which may be repeated waits for its connection. */
+export const partBoundMs = 400;
+
+/** Milliseconds that work which must not be repeated waits for its connection. */
+export const longPartBoundMs = 4_000;
+
+/** Milliseconds that an agent goes on for an entry whose connection is lost. */
+export const ownerGraceMs = 5_000;
+
+/** Ended attempts whose answers an agent keeps for an entry that missed them. */
+export const maxKeptAnswers = 256;
+
+/** The largest answer of a plain service that is kept, in bytes. */
+export const maxKeptAnswerBytes = 64 * 1_024;
+
 /** Milliseconds in which an agent must answer an offer. */
 export const offerTimeoutMs = 1_000;
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -128,6 +128,7 @@
       id: settings.process.id,
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -6,10 +6,17 @@
   type ChartAction,
 } from '@lycheetally/charts';
 import { ErrorKind, TypedError, type Result } from '@lycheetally/common';
-import { MessageKind, type Offer } from '@lycheetally/protocol';
+import { Outcome } from '@lycheetally/decisions';
+import {
+  MessageKind,
+  type Offer,
+  type PeerMessage,
+} from '@lycheetally/protocol';
 import {
   cancelTimeoutMs,
+  longPartBoundMs,
   offerTimeoutMs,
+  partBoundMs,
   revokeTimeoutMs,
 } from '../constants.js';
 import {
@@ -29,10 +36,12 @@
       servers: attempt.route.map(server => server.serverId).join(','),
     },
   });
-  owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Offer,
-    value: createOffer(attempt, now),
-  });
+  const offer = createOffer(attempt, now);
+  if (!sendToFirst(attempt, { kind: MessageKind.Offer, value: offer })) {
+    const error = createLostError('could not be handed over');
+    const serverId = getFirstServerId(attempt);
+    attempt.instance?.send({ type: 'REFUSED', error, serverId }, now);
+  }
 };
 
 const createOffer = (attempt: AttemptContext, now: number): Offer => {
@@ -59,17 +68,32 @@
   };
 };
 
+const sendToFirst = (
+  attempt: AttemptContext,
+  message: PeerMessage,
+): boolean => {
+  const first = attempt.route[0];
+  return (
+    first !== undefined && attempt.owner.services.sendToServer(first, message)
+  );
+};
+
 export const sendRevoke: AttemptAction = attempt => {
-  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Revoke,
-    value: attempt.ref,
-  });
+  sendToFirst(attempt, { kind: MessageKind.Revoke, value: attempt.ref });
 };
 
 export const sendCancel: AttemptAction = attempt => {
-  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Cancel,
-    value: attempt.ref,
+  sendToFirst(attempt, { kind: MessageKind.Cancel, value: attempt.ref });
+};
+
+/** Asks for the tokens and the end that a lost connection may have swallowed. */
+export const sendResume: AttemptAction = (attempt, _, now) => {
+  const { owner, ref } = attempt;
+  owner.services.events.record('attempt-resumed', now, ref);
+  const fromIndex = owner.delivered.length;
+  sendToFirst(attempt, {
+    kind: MessageKind.Resume,
+    value: { ...ref, fromIndex },
   });
 };
 
@@ -135,12 +159,20 @@
   owner.services.events.record(formatEventKind(event), now, attempt.ref);
   owner.services.countOutstanding(attempt.route, -1);
   attempt.instance?.dispose();
+  owner.ends.push(outcomeByEvent[event.type] ?? Outcome.Unknown);
   if (event.type !== 'ATTEMPT_COMPLETE') {
     owner.avoided.push(attempt.failedServerId ?? getFirstServerId(attempt));
   }
   owner.instance?.send(event, now);
 };
 
+const outcomeByEvent: Readonly<Record<string, Outcome | undefined>> = {
+  ATTEMPT_COMPLETE: Outcome.Complete,
+  ATTEMPT_NOT_RUN: Outcome.NotRun,
+  ATTEMPT_FAILED: Outcome.Failed,
+  ATTEMPT_UNKNOWN: Outcome.Unknown,
+};
+
 const formatEventKind = (event: RequestEvent): string =>
   event.type.toLowerCase().replaceAll('_', '-');
 
@@ -154,6 +186,7 @@
         sendOffer,
         sendRevoke,
         sendCancel,
+        sendResume,
         noteReason,
         noteEnd,
         reportComplete,
@@ -161,11 +194,13 @@
         reportFailed,
         reportUnknown,
       },
-      guards: {},
+      guards: { isRepeatable: attempt => attempt.owner.request.isRepeatable },
       delays: {
         OFFER_TIMEOUT: () => offerTimeoutMs,
         REVOKE_TIMEOUT: () => revokeTimeoutMs,
         CANCEL_TIMEOUT: () => cancelTimeoutMs,
+        PART_BOUND: attempt =>
+          attempt.owner.request.isRepeatable ? partBoundMs : longPartBoundMs,
       },
     }),
   );
--- a/packages/router/src/entry/attemptContext.ts
+++ b/packages/router/src/entry/attemptContext.ts
@@ -8,7 +8,14 @@
 /** Events of the chart `attempt`. */
 export type AttemptEvent =
   | { readonly type: 'ACCEPTED' | 'STARTED' | 'REVOKED' | 'CANCELLED' }
-  | { readonly type: 'CANCEL' | 'CONNECTION_LOST' }
+  | { readonly type: 'CANCEL' }
+  | {
+      readonly type:
+        | 'CONNECTION_LOST'
+        | 'CONNECTION_BACK'
+        | 'CONNECTION_GONE'
+        | 'UNREACHABLE';
+    }
   | { readonly type: 'FINISHED'; readonly end: Finished }
   | {
       readonly type: 'REFUSED' | 'FAILED';
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -4,9 +4,7 @@
  */
 import type { ChartMachine } from '@lycheetally/charts';
 import {
-  ErrorKind,
   LogPart,
-  TypedError,
   type Address,
   type Milliseconds,
   type Result,
@@ -15,14 +13,13 @@
   Outcome,
   type Route,
   type RouterConfiguration,
+  type ServerView,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
   type AttemptRef,
-  type Failed,
   type Hello,
   type PeerMessage,
-  type Refused,
 } from '@lycheetally/protocol';
 import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
 import { vmListIntervalMs } from '../constants.js';
@@ -38,7 +35,8 @@
 } from '../routerNode.js';
 import { acceptCall, findAccount } from './acceptCall.js';
 import { bindAttemptChart } from './attemptActions.js';
-import { getFirstServerId, type AttemptEvent } from './attemptContext.js';
+import { toAttemptEvent } from './attemptMessages.js';
+import { sendConnectionEvent } from './attemptConnections.js';
 import {
   ConfigFollower,
   bindFollowerChart,
@@ -198,19 +196,30 @@
       .map(service => service.name);
   }
 
-  override handlePeerOpen(channel: PeerChannel): void {
-    this.members.noteOpen(channel);
+  override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
+    const earlier = this.members.findByChannel(channel)?.hello;
+    const hello = this.members.noteOpen(channel)?.hello;
+    const requests = this.requests.values();
+    if (earlier && earlier.incarnation !== hello?.incarnation) {
+      sendConnectionEvent(requests, earlier, 'CONNECTION_GONE', now);
+      return;
+    }
+    sendConnectionEvent(requests, hello, 'CONNECTION_BACK', now);
   }
 
   override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
-    const serverId =
-      this.members.findByChannel(channel)?.hello?.backend?.serverId;
-    for (const context of [...this.requests.values()]) {
-      const { attempt } = context;
-      if (attempt && getFirstServerId(attempt) === serverId) {
-        attempt.instance?.send({ type: 'CONNECTION_LOST' }, now);
-      }
-    }
+    const hello = this.members.findByChannel(channel)?.hello;
+    const requests = this.requests.values();
+    sendConnectionEvent(requests, hello, 'CONNECTION_LOST', now);
+  }
+
+  override handlePeerUnreachable(
+    channel: PeerChannel,
+    now: Milliseconds,
+  ): void {
+    const hello = this.members.findByChannel(channel)?.hello;
+    const requests = this.requests.values();
+    sendConnectionEvent(requests, hello, 'UNREACHABLE', now);
   }
 
   override handlePeerMessage(
@@ -343,7 +352,7 @@
       attempts: takeValue(bindAttemptChart()),
       getConfiguration: () => this.follower.inForce,
       listServers: service => this.members.listServers(service),
-      sendToServer: (serverId, message) => this.sendToServer(serverId, message),
+      sendToServer: (server, message) => this.sendToServer(server, message),
       countOutstanding: (route, change) => {
         this.countOutstanding(route, change);
       },
@@ -355,12 +364,14 @@
     };
   }
 
-  private sendToServer(serverId: string, message: PeerMessage): boolean {
-    const channel = this.members.findByServer(serverId)?.channel;
-    if (!channel?.isOpen) {
+  /** Sends to one start of an agent; a later start must not hear of it. */
+  private sendToServer(server: ServerView, message: PeerMessage): boolean {
+    const member = this.members.findByServer(server.serverId);
+    const isSame = member?.hello?.incarnation === server.incarnation;
+    if (!member?.channel.isOpen || !isSame) {
       return false;
     }
-    channel.send(message);
+    member.channel.send(message);
     return true;
   }
 
@@ -390,41 +401,3 @@
   leaving: member.report?.leaving ?? false,
   outstanding: member.outstanding,
 });
-
-const toAttemptEvent = (message: PeerMessage): AttemptEvent | undefined => {
-  switch (message.kind) {
-    case MessageKind.Accepted:
-      return { type: 'ACCEPTED' };
-    case MessageKind.Started:
-      return { type: 'STARTED' };
-    case MessageKind.Revoked:
-      return { type: 'REVOKED' };
-    case MessageKind.Cancelled:
-      return { type: 'CANCELLED' };
-    case MessageKind.Finished:
-      return { type: 'FINISHED', end: message.value };
-    case MessageKind.Refused:
-      return {
-        type: 'REFUSED',
-        error: toError(message.value),
-        serverId: '',
-      };
-    case MessageKind.Failed: {
-      const { serverId } = message.value;
-      return { type: 'FAILED', error: toError(message.value), serverId };
-    }
-    default:
-      return undefined;
-  }
-};
-
-const errorKinds: ReadonlySet<string> = new Set(Object.values(ErrorKind));
-
-const toError = (value: Refused | Failed): TypedError =>
-  new TypedError(
-    errorKinds.has(value.kind)
-      ? (value.kind as ErrorKind)
-      : ErrorKind.BackendFailed,
-    value.reason,
-    'send the request again when this is mended',
-  );
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
-import { Outcome } from '@lycheetally/decisions';
+import { foldOutcomes, Outcome } from '@lycheetally/decisions';
 import { cancelBoundMs } from '../constants.js';
 import type { AttemptContext } from './attemptContext.js';
 import {
@@ -146,18 +146,41 @@
   endRequest(context, Outcome.Complete, now);
 };
 
-export const answerNotRun: RequestAction = (context, _, now) => {
-  // Tokens that an earlier attempt delivered show that the request has run.
+/** Ends a request by how all of its attempts ended, the open one included. */
+const endWithout = (
+  context: RequestContext,
+  last: Outcome,
+  now: Milliseconds,
+): void => {
   const hasRun = context.delivered.length > 0;
-  endRequest(context, hasRun ? Outcome.Failed : Outcome.NotRun, now);
+  const shown = hasRun ? [Outcome.Failed] : [];
+  endRequest(context, foldOutcomes([...context.ends, ...shown, last]), now);
+};
+
+export const answerNotRun: RequestAction = (context, _, now) => {
+  endWithout(context, Outcome.NotRun, now);
 };
 
 export const answerFailed: RequestAction = (context, _, now) => {
-  endRequest(context, Outcome.Failed, now);
+  endWithout(context, Outcome.Failed, now);
 };
 
 export const answerUnknown: RequestAction = (context, _, now) => {
-  endRequest(context, Outcome.Unknown, now);
+  endWithout(context, Outcome.Unknown, now);
+};
+
+/** Builds the end of an answer whose tokens came and whose end was lost. */
+export const noteMissedEnd: RequestAction = context => {
+  const { request, delivered, attempts } = context;
+  const generatedTokens = delivered.length;
+  const maxTokens = request.model?.maxTokens ?? 0;
+  context.end = {
+    requestId: request.requestId,
+    attempt: attempts,
+    finishReason: generatedTokens >= maxTokens ? 'length' : 'stop',
+    promptTokens: (context.lastPosition ?? 0) + 1 - generatedTokens,
+    generatedTokens,
+  };
 };
 
 const mayRetry = (context: RequestContext, now: Milliseconds): boolean =>
@@ -176,12 +199,14 @@
         cancelAttempt,
         noteCancelled,
         noteReason,
+        noteMissedEnd,
         answerComplete,
         answerNotRun,
         answerFailed,
         answerUnknown,
       },
       guards: {
+        hasWholeAnswer: context => context.hasLastToken,
         mayRetry: (context, _, now) => mayRetry(context, now),
         mayWaitForRoute: (context, _, now) =>
           context.attempts > 0 && mayRetry(context, now),
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds, PartLogger, TypedError } from '@lycheetally/common';
 import type {
   AdmissionPolicy,
+  Outcome,
   RequestView,
   RetryPolicy,
   Route,
@@ -76,8 +77,8 @@
   readonly attempts: ChartMachine<AttemptContext, AttemptEvent>;
   getConfiguration(): RouterConfiguration | undefined;
   listServers(service: string): readonly ServerView[];
-  /** Sends to the agent of a server; returns false when its channel is not open. */
-  sendToServer(serverId: string, message: PeerMessage): boolean;
+  /** Sends to the agent of a server; returns false when that start of it can't be reached. */
+  sendToServer(server: ServerView, message: PeerMessage): boolean;
   /** Counts work that this entry has at the servers of a route. */
   countOutstanding(route: Route, change: 1 | -1): void;
   handleRequestEnded(request: RequestContext, now: Milliseconds): void;
@@ -93,11 +94,15 @@
   attempts: number;
   avoided: string[];
   error: TypedError | undefined;
+  /** How each attempt ended. */
+  ends: Outcome[];
   isCancelled: boolean;
   /** Tokens that the caller was sent, in order. */
   delivered: number[];
   /** Position of the last delivered token; absent before the first one. */
   lastPosition: number | undefined;
+  /** Says whether the last delivered token ends the answer. */
+  hasLastToken: boolean;
   end: Finished | undefined;
 }
 
@@ -128,8 +133,10 @@
   attempts: 0,
   avoided: [],
   error: undefined,
+  ends: [],
   isCancelled: false,
   delivered: [],
   lastPosition: undefined,
+  hasLastToken: false,
   end: undefined,
 });
--- a/packages/router/src/entry/tokenRelay.ts
+++ b/packages/router/src/entry/tokenRelay.ts
@@ -25,6 +25,7 @@
   }
   counts.delivered += 1;
   context.lastPosition = token.position;
+  context.hasLastToken = token.isEnd;
   context.delivered.push(token.tokenId);
   if (context.attempt) {
     context.attempt.tokens += 1;
@@ -41,5 +42,8 @@
   ) {
     return false;
   }
+  if (token.index !== context.delivered.length) {
+    return false;
+  }
   return lastPosition === undefined || token.position === lastPosition + 1;
 };
--- a/packages/router/src/peers/outgoingChannel.ts
+++ b/packages/router/src/peers/outgoingChannel.ts
@@ -16,6 +16,7 @@
   connectTimeoutMs,
   heartbeatIntervalMs,
   reconnectDelayMs,
+  reopenDelayMs,
   silenceBoundMs,
 } from '../constants.js';
 import type { PeerStream } from '../ports/peerNetwork.js';
@@ -78,6 +79,10 @@
     this.services.handler.handleLost(this, now);
   }
 
+  reportUnreachable(now: Milliseconds): void {
+    this.services.handler.handleUnreachable(this, now);
+  }
+
   recordSilence(now: Milliseconds): void {
     this.services.log.warn('A connection fell silent and is replaced', {
       peer: this.address,
@@ -111,6 +116,9 @@
         reportLost: (channel, _, now) => {
           channel.reportLost(now);
         },
+        reportUnreachable: (channel, _, now) => {
+          channel.reportUnreachable(now);
+        },
         sendPing: channel => {
           channel.sendPing();
         },
@@ -123,6 +131,7 @@
         HEARTBEAT_INTERVAL: () => heartbeatIntervalMs,
         SILENCE_BOUND: () => silenceBoundMs,
         CONNECT_TIMEOUT: () => connectTimeoutMs,
+        REOPEN_DELAY: () => reopenDelayMs,
         RECONNECT_DELAY: () => reconnectDelayMs,
       },
     }),
--- a/packages/router/src/peers/peerChannel.ts
+++ b/packages/router/src/peers/peerChannel.ts
@@ -37,6 +37,8 @@
   abstract handleOpen(channel: PeerChannel, now: Milliseconds): void;
   /** The channel's stream is lost; an outgoing channel opens another. */
   abstract handleLost(channel: PeerChannel, now: Milliseconds): void;
+  /** A try to open the channel has failed. */
+  abstract handleUnreachable(channel: PeerChannel, now: Milliseconds): void;
   abstract handleMessage(
     channel: PeerChannel,
     message: PeerMessage,
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -62,6 +62,7 @@
       layerFrom: createNumberSchema(0, 10_000).default(0),
       layerTo: createNumberSchema(0, 10_000).default(0),
       slots: createNumberSchema(1, 10_000).default(16),
+      silenceSeconds: createNumberSchema(1, 3_600).default(10),
     })
     .refine(
       backend =>
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -93,6 +93,10 @@
     this.node.handlePeerLost(channel, now);
   }
 
+  override handleUnreachable(channel: PeerChannel, now: Milliseconds): void {
+    this.node.handlePeerUnreachable(channel, now);
+  }
+
   override handleMessage(
     channel: PeerChannel,
     message: PeerMessage,
@@ -146,6 +150,8 @@
   abstract describeSelf(): Hello;
   abstract handlePeerOpen(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerLost(channel: PeerChannel, now: Milliseconds): void;
+  /** A try to open a channel has failed; another follows. */
+  abstract handlePeerUnreachable(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerMessage(
     channel: PeerChannel,
     message: PeerMessage,
--- a/packages/router/tests/wholePath.test.ts
+++ b/packages/router/tests/wholePath.test.ts
@@ -106,19 +106,23 @@
   });
 
   it('tells the caller when a stage is killed in the middle', async () => {
-    const pending = streamCompletion(getEntry(), 'long', 400, {
-      deadlineMs: 3_000,
-    });
     const operators =
       fleet.processes.getProcess('entry-0').addresses.operators ?? '';
-    await waitUntil('tokens flow', async () => {
-      const status = (await fleet.get(
-        `http://${operators}/v1/admin/status`,
-      )) as {
-        openRequests: number;
+    const readDelivered = async (): Promise<number> => {
+      const url = `http://${operators}/v1/admin/status`;
+      const status = (await fleet.get(url)) as {
+        tokens: { delivered: number };
       };
-      return status.openRequests === 1;
+      return status.tokens.delivered;
+    };
+    const before = await readDelivered();
+    const pending = streamCompletion(getEntry(), 'long', 400, {
+      deadlineMs: 3_000,
     });
+    await waitUntil(
+      'tokens flow',
+      async () => (await readDelivered()) > before,
+    );
     fleet.processes.sendSignal('agent-stage2-0', 'SIGKILL');
     const answer = await pending;
     expect(answer.isDone).toBe(false);
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -23,6 +23,8 @@
   readonly slots: number;
   /** Puts relays before agents and backend servers, for faults of links. */
   readonly hasRelays?: boolean;
+  /** Seconds without an answer after which an agent gives its engine up. */
+  readonly silenceSeconds?: number;
 }
 
 export const defaultFleetOptions: FleetOptions = {
@@ -48,6 +50,7 @@
 /** Returns the bearer key of an account of the fleet. */
 export const getAccountKey = (account: string): string => `key-of-${account}`;
 
+const defaultSilenceSeconds = 10;
 const anyAddress = '127.0.0.1:0';
 const failureDomains = ['bc-south-a', 'bc-south-b', 'bc-south-c'];
 const readyTimeoutMs = 15_000;
@@ -217,6 +220,7 @@
       backend: {
         server,
         slots: this.options.slots,
+        silenceSeconds: this.options.silenceSeconds ?? defaultSilenceSeconds,
         ...backend,
       },
     });
