--- a/packages/decisions/src/outcome.ts
+++ b/packages/decisions/src/outcome.ts
@@ -14,14 +14,13 @@
 export type Outcome = ValueOf<typeof Outcome>;
 
 /**
- * Returns the outcome of a request that ends without an answer, from how its
- * attempts ended. One that is known to have run outweighs one that may have,
- * and only when none ran or may have run is the request not run.
+ * Decides the outcome of a request from the outcomes of its attempts, none of
+ * which was complete: the request was not run only when no attempt was.
  */
-export const foldOutcomes = (ends: readonly Outcome[]): Outcome => {
-  const ran = [Outcome.Failed, Outcome.Complete] as readonly Outcome[];
-  if (ends.some(end => ran.includes(end))) {
-    return Outcome.Failed;
+export const decideOutcome = (attempts: readonly Outcome[]): Outcome => {
+  if (attempts.includes(Outcome.Unknown)) {
+    return Outcome.Unknown;
   }
-  return ends.includes(Outcome.Unknown) ? Outcome.Unknown : Outcome.NotRun;
+  const hasRun = attempts.some(outcome => outcome !== Outcome.NotRun);
+  return hasRun ? Outcome.Failed : Outcome.NotRun;
 };
--- a/packages/router/src/agent/backendRelay.ts
+++ b/packages/router/src/agent/backendRelay.ts
@@ -135,7 +135,8 @@
   work: WorkContext,
   event: BackendEvent & { readonly kind: 'token' },
 ): Token => ({
-  ...work.ref,
+  requestId: work.ref.requestId,
+  attempt: work.ref.attempt,
   epoch: work.offer.epoch,
   index: countEarlier(work) + work.generatedTokens,
   position: event.position,
@@ -146,28 +147,16 @@
 
 /** Keeps the token as well when the owner is an entry, which may resume. */
 const sendTokenToOwner = (work: WorkContext, token: Token): void => {
-  const value = toToken(token);
   if (work.offer.stageIndex === 0) {
-    work.sentTokens.push(value);
+    work.sentTokens.push(token);
   }
   // An entry that was away asks for what it missed before it takes more.
   if (!work.instance?.matches('running.orphaned')) {
-    const message = { kind: MessageKind.Token, value };
+    const message = { kind: MessageKind.Token, value: token };
     work.services.sendToOwner(work.ownerId, message);
   }
 };
 
-const toToken = (token: Token): Token => ({
-  requestId: token.requestId,
-  attempt: token.attempt,
-  epoch: token.epoch,
-  position: token.position,
-  tokenId: token.tokenId,
-  text: token.text,
-  isEnd: token.isEnd,
-  index: token.index,
-});
-
 const forwardActivations = (
   work: WorkContext,
   event: BackendEvent & { readonly kind: 'activations' },
--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -117,7 +117,7 @@
 export const reportComplete: AttemptAction = (attempt, _, now) => {
   if (isWhole(attempt)) {
     attempt.owner.end = attempt.end;
-    endAttempt(attempt, { type: 'ATTEMPT_COMPLETE' }, now);
+    endAttempt(attempt, Outcome.Complete, { type: 'ATTEMPT_COMPLETE' }, now);
     return;
   }
   const error = new TypedError(
@@ -125,22 +125,22 @@
     'the answer ended with tokens missing',
     'send the request again',
   );
-  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+  endAttempt(attempt, Outcome.Failed, { type: 'ATTEMPT_FAILED', error }, now);
 };
 
 export const reportNotRun: AttemptAction = (attempt, _, now) => {
   const error = attempt.error ?? createLostError('was withdrawn');
-  endAttempt(attempt, { type: 'ATTEMPT_NOT_RUN', error }, now);
+  endAttempt(attempt, Outcome.NotRun, { type: 'ATTEMPT_NOT_RUN', error }, now);
 };
 
 export const reportFailed: AttemptAction = (attempt, _, now) => {
   const error = attempt.error ?? createLostError('was stopped');
-  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+  endAttempt(attempt, Outcome.Failed, { type: 'ATTEMPT_FAILED', error }, now);
 };
 
 export const reportUnknown: AttemptAction = (attempt, _, now) => {
   const error = createLostError('may have run, its connection was lost');
-  endAttempt(attempt, { type: 'ATTEMPT_UNKNOWN', error }, now);
+  endAttempt(attempt, Outcome.Unknown, { type: 'ATTEMPT_UNKNOWN', error }, now);
 };
 
 const createLostError = (what: string): TypedError =>
@@ -152,27 +152,21 @@
 
 const endAttempt = (
   attempt: AttemptContext,
+  outcome: Outcome,
   event: RequestEvent,
   now: number,
 ): void => {
   const { owner } = attempt;
+  owner.attemptOutcomes.push(outcome);
   owner.services.events.record(formatEventKind(event), now, attempt.ref);
   owner.services.countOutstanding(attempt.route, -1);
   attempt.instance?.dispose();
-  owner.ends.push(outcomeByEvent[event.type] ?? Outcome.Unknown);
   if (event.type !== 'ATTEMPT_COMPLETE') {
     owner.avoided.push(attempt.failedServerId ?? getFirstServerId(attempt));
   }
   owner.instance?.send(event, now);
 };
 
-const outcomeByEvent: Readonly<Record<string, Outcome | undefined>> = {
-  ATTEMPT_COMPLETE: Outcome.Complete,
-  ATTEMPT_NOT_RUN: Outcome.NotRun,
-  ATTEMPT_FAILED: Outcome.Failed,
-  ATTEMPT_UNKNOWN: Outcome.Unknown,
-};
-
 const formatEventKind = (event: RequestEvent): string =>
   event.type.toLowerCase().replaceAll('_', '-');
 
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
-import { foldOutcomes, Outcome } from '@lycheetally/decisions';
+import { Outcome, decideOutcome } from '@lycheetally/decisions';
 import { cancelBoundMs } from '../constants.js';
 import type { AttemptContext } from './attemptContext.js';
 import {
@@ -108,6 +108,18 @@
   }
 };
 
+export const decideEnd: RequestAction = (context, _, now) => {
+  const outcome = decideOutcome(context.attemptOutcomes);
+  context.instance?.send({ type: endEvents[outcome] }, now);
+};
+
+const endEvents = {
+  [Outcome.Complete]: 'RAN',
+  [Outcome.Failed]: 'RAN',
+  [Outcome.NotRun]: 'NEVER_RAN',
+  [Outcome.Unknown]: 'MAY_HAVE_RUN',
+} as const;
+
 const endRequest = (
   context: RequestContext,
   outcome: Outcome,
@@ -146,27 +158,16 @@
   endRequest(context, Outcome.Complete, now);
 };
 
-/** Ends a request by how all of its attempts ended, the open one included. */
-const endWithout = (
-  context: RequestContext,
-  last: Outcome,
-  now: Milliseconds,
-): void => {
-  const hasRun = context.delivered.length > 0;
-  const shown = hasRun ? [Outcome.Failed] : [];
-  endRequest(context, foldOutcomes([...context.ends, ...shown, last]), now);
-};
-
 export const answerNotRun: RequestAction = (context, _, now) => {
-  endWithout(context, Outcome.NotRun, now);
+  endRequest(context, Outcome.NotRun, now);
 };
 
 export const answerFailed: RequestAction = (context, _, now) => {
-  endWithout(context, Outcome.Failed, now);
+  endRequest(context, Outcome.Failed, now);
 };
 
 export const answerUnknown: RequestAction = (context, _, now) => {
-  endWithout(context, Outcome.Unknown, now);
+  endRequest(context, Outcome.Unknown, now);
 };
 
 /** Builds the end of an answer whose tokens came and whose end was lost. */
@@ -200,6 +201,7 @@
         noteCancelled,
         noteReason,
         noteMissedEnd,
+        decideEnd,
         answerComplete,
         answerNotRun,
         answerFailed,
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -52,6 +52,7 @@
 
 /** Events of the chart `request`. */
 export type RequestEvent =
+  | { readonly type: 'NEVER_RAN' | 'RAN' | 'MAY_HAVE_RUN' }
   | {
       readonly type: 'ADMITTED' | 'ROUTED' | 'CALLER_GONE' | 'ATTEMPT_COMPLETE';
     }
@@ -92,10 +93,10 @@
   route: Route | undefined;
   attempt: AttemptContext | undefined;
   attempts: number;
+  /** How each attempt that has ended did end. */
+  attemptOutcomes: Outcome[];
   avoided: string[];
   error: TypedError | undefined;
-  /** How each attempt ended. */
-  ends: Outcome[];
   isCancelled: boolean;
   /** Tokens that the caller was sent, in order. */
   delivered: number[];
@@ -131,9 +132,9 @@
   route: undefined,
   attempt: undefined,
   attempts: 0,
+  attemptOutcomes: [],
   avoided: [],
   error: undefined,
-  ends: [],
   isCancelled: false,
   delivered: [],
   lastPosition: undefined,
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -298,6 +298,19 @@
     await this.startAgent(server, { url, kind: 'plain', service }, index);
   }
 
+  /** Says whether every entry reaches every server. */
+  async isWhole(): Promise<boolean> {
+    const entries = this.processes
+      .listProcesses()
+      .filter(process => process.name.startsWith('entry-'));
+    const connected = await Promise.all(
+      entries.map(entry =>
+        this.isConnected(`http://${entry.addresses.operators ?? ''}`),
+      ),
+    );
+    return connected.every(Boolean);
+  }
+
   private async isConnected(operatorsUrl: string): Promise<boolean> {
     const status = await this.get(`${operatorsUrl}/v1/admin/status`);
     const { ready, members } = status as {
