--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -7,10 +7,16 @@
 } from '@lycheetally/charts';
 import { ErrorKind, TypedError, type Result } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
-import { MessageKind, type Offer } from '@lycheetally/protocol';
+import {
+  MessageKind,
+  type Offer,
+  type PeerMessage,
+} from '@lycheetally/protocol';
 import {
   cancelTimeoutMs,
+  longPartBoundMs,
   offerTimeoutMs,
+  partBoundMs,
   revokeTimeoutMs,
 } from '../constants.js';
 import {
@@ -30,10 +36,12 @@
       servers: attempt.route.map(server => server.serverId).join(','),
     },
   });
-  owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Offer,
-    value: createOffer(attempt, now),
-  });
+  const offer = createOffer(attempt, now);
+  if (!sendToFirst(attempt, { kind: MessageKind.Offer, value: offer })) {
+    const error = createLostError('could not be handed over');
+    const serverId = getFirstServerId(attempt);
+    attempt.instance?.send({ type: 'REFUSED', error, serverId }, now);
+  }
 };
 
 const createOffer = (attempt: AttemptContext, now: number): Offer => {
@@ -60,17 +68,32 @@
   };
 };
 
+const sendToFirst = (
+  attempt: AttemptContext,
+  message: PeerMessage,
+): boolean => {
+  const first = attempt.route[0];
+  return (
+    first !== undefined && attempt.owner.services.sendToServer(first, message)
+  );
+};
+
 export const sendRevoke: AttemptAction = attempt => {
-  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Revoke,
-    value: attempt.ref,
-  });
+  sendToFirst(attempt, { kind: MessageKind.Revoke, value: attempt.ref });
 };
 
 export const sendCancel: AttemptAction = attempt => {
-  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Cancel,
-    value: attempt.ref,
+  sendToFirst(attempt, { kind: MessageKind.Cancel, value: attempt.ref });
+};
+
+/** Asks for the tokens and the end that a lost connection may have swallowed. */
+export const sendResume: AttemptAction = (attempt, _, now) => {
+  const { owner, ref } = attempt;
+  owner.services.events.record('attempt-resumed', now, ref);
+  const fromIndex = owner.delivered.length;
+  sendToFirst(attempt, {
+    kind: MessageKind.Resume,
+    value: { ...ref, fromIndex },
   });
 };
 
@@ -157,6 +180,7 @@
         sendOffer,
         sendRevoke,
         sendCancel,
+        sendResume,
         noteReason,
         noteEnd,
         reportComplete,
@@ -164,11 +188,13 @@
         reportFailed,
         reportUnknown,
       },
-      guards: {},
+      guards: { isRepeatable: attempt => attempt.owner.request.isRepeatable },
       delays: {
         OFFER_TIMEOUT: () => offerTimeoutMs,
         REVOKE_TIMEOUT: () => revokeTimeoutMs,
         CANCEL_TIMEOUT: () => cancelTimeoutMs,
+        PART_BOUND: attempt =>
+          attempt.owner.request.isRepeatable ? partBoundMs : longPartBoundMs,
       },
     }),
   );
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -173,6 +173,19 @@
 // A request that has not run is refused at once; another entry may reach a server.
 const hasRun = (context: RequestContext): boolean =>
   decideOutcome(context.attemptOutcomes) !== Outcome.NotRun;
+/** Builds the end of an answer whose tokens came and whose end was lost. */
+export const noteMissedEnd: RequestAction = context => {
+  const { request, delivered, attempts } = context;
+  const generatedTokens = delivered.length;
+  const maxTokens = request.model?.maxTokens ?? 0;
+  context.end = {
+    requestId: request.requestId,
+    attempt: attempts,
+    finishReason: generatedTokens >= maxTokens ? 'length' : 'stop',
+    promptTokens: (context.lastPosition ?? 0) + 1 - generatedTokens,
+    generatedTokens,
+  };
+};
 
 const mayRetry = (context: RequestContext, now: Milliseconds): boolean =>
   context.services.policies.retry.mayRetry(viewRequest(context), now);
@@ -190,6 +203,7 @@
         cancelAttempt,
         noteCancelled,
         noteReason,
+        noteMissedEnd,
         decideEnd,
         answerComplete,
         answerNotRun,
@@ -197,6 +211,7 @@
         answerUnknown,
       },
       guards: {
+        hasWholeAnswer: context => context.hasLastToken,
         mayRetry: (context, _, now) => mayRetry(context, now),
         mayWaitForRoute: (context, _, now) =>
           hasRun(context) && mayRetry(context, now),
