Accept configuration changes by a condition, alike on every node

Cause: a record of the config stream was a whole configuration that any version number above the current one put into force, so two operators could overwrite each other, and an entry that started while the log was down had nothing to serve.

Change: a record is a change with edits that names the version it builds on; the pure rule in decisions/config accepts it in offset order only on top of the current version. Agents hold the configuration and hand it to entries; a step carries edits only. A publication appends under one id and is settled by reading back.

Ruled out: sequence numbers chosen by the operator (the present scheme) and a lease for operators (one more thing that lapses).

The property tests hold over 300 streams each; with the condition removed (LastWriterAcceptance) one base version gets two winners.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -21,6 +21,8 @@
   PeerConnection: 'peerConnection',
   AcceptedConnection: 'acceptedConnection',
   ConfigFollower: 'configFollower',
+  ConfigHolder: 'configHolder',
+  Publication: 'publication',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -37,6 +37,10 @@
   PlatformUnavailable: 'platform-unavailable',
   /** A message or configuration breaks the protocol. */
   BadMessage: 'bad-message',
+  /** A newer version of the configuration is in force. */
+  ConfigConflict: 'config-conflict',
+  /** It is not known whether a change took effect. */
+  ConfigUnsettled: 'config-unsettled',
   /** The command line was used wrongly. */
   Usage: 'usage',
 } as const;
--- /dev/null
+++ b/packages/decisions/src/config/acceptance.ts
@@ -0,0 +1,147 @@
+/**
+ * Decides which records of the `config` stream take effect.
+ *
+ * A change is accepted, in offset order, only when the version that it builds
+ * on is the current one. A record that breaks a rule is skipped alike by every
+ * reader, because the decision rests on the prefix of the stream alone.
+ */
+import type { ValueOf } from '@lycheetally/common';
+import type { RouterConfiguration } from '../types.js';
+import { checkConfiguration } from './checks.js';
+import { applyEdits, emptyConfiguration } from './edits.js';
+import {
+  ConfigRecordKind,
+  type ConfigChange,
+  type ConfigState,
+  type PlacedRecord,
+} from './records.js';
+
+export const ConfigVerdict = {
+  /** The change is in force. */
+  Accepted: 'accepted',
+  /** The same change was accepted before; a repeated append. */
+  Repeated: 'repeated',
+  /** The version that the change builds on is not the current one. */
+  Conflict: 'conflict',
+  /** The record belongs to another history. */
+  OtherLineage: 'other-lineage',
+  /** The record cannot be read, or its result breaks a rule. */
+  Invalid: 'invalid',
+  /** A snapshot, which changes nothing for a reader in order. */
+  Snapshot: 'snapshot',
+} as const;
+export type ConfigVerdict = ValueOf<typeof ConfigVerdict>;
+
+/** What became of a record. */
+export interface ConfigDecision {
+  readonly offset: number;
+  readonly verdict: ConfigVerdict;
+  readonly reason: string;
+  readonly change: ConfigChange | undefined;
+  /** The state after the record; `undefined` before the first change. */
+  readonly state: ConfigState | undefined;
+}
+
+/** A rule for the records of the stream. */
+export abstract class ConfigAcceptance {
+  /** Decides on the record that follows the state. */
+  decideRecord(
+    state: ConfigState | undefined,
+    placed: PlacedRecord,
+  ): ConfigDecision {
+    const { record } = placed;
+    if (record?.kind === ConfigRecordKind.Change) {
+      return this.decideChange(state, record, placed);
+    }
+    const verdict = record ? ConfigVerdict.Snapshot : ConfigVerdict.Invalid;
+    const reason = record ? '' : 'the record cannot be read';
+    return { ...keepState(state, placed), verdict, reason, change: undefined };
+  }
+
+  private decideChange(
+    state: ConfigState | undefined,
+    change: ConfigChange,
+    placed: PlacedRecord,
+  ): ConfigDecision {
+    const refusal = this.refuseChange(state, change);
+    if (refusal) {
+      return { ...keepState(state, placed), ...refusal, change };
+    }
+    const before = state?.configuration ?? emptyConfiguration;
+    const configuration = applyEdits(before, change.edits);
+    const faults = describeFaults(configuration);
+    if (faults !== '') {
+      const verdict = ConfigVerdict.Invalid;
+      return { ...keepState(state, placed), verdict, reason: faults, change };
+    }
+    return {
+      offset: placed.offset,
+      verdict: ConfigVerdict.Accepted,
+      reason: '',
+      change,
+      state: {
+        lineage: change.lineage,
+        through: placed.offset,
+        throughHash: placed.hash,
+        changeId: change.id,
+        author: change.author,
+        configuration,
+      },
+    };
+  }
+
+  protected abstract refuseChange(
+    state: ConfigState | undefined,
+    change: ConfigChange,
+  ): { verdict: ConfigVerdict; reason: string } | undefined;
+}
+
+/** Accepts a change only on top of the version that it names. */
+export class ConditionalAcceptance extends ConfigAcceptance {
+  protected override refuseChange(
+    state: ConfigState | undefined,
+    change: ConfigChange,
+  ): { verdict: ConfigVerdict; reason: string } | undefined {
+    const current = state?.configuration.version ?? 0;
+    if (state?.changeId === change.id) {
+      return { verdict: ConfigVerdict.Repeated, reason: 'appended twice' };
+    }
+    if (state && state.lineage !== change.lineage) {
+      const reason = `lineage ${change.lineage} is not ${state.lineage}`;
+      return { verdict: ConfigVerdict.OtherLineage, reason };
+    }
+    if (change.base !== current) {
+      const by = state ? ` by ${state.author}` : '';
+      return {
+        verdict: ConfigVerdict.Conflict,
+        reason: `it builds on version ${String(change.base)}, but version ${String(current)}${by} is current`,
+      };
+    }
+    return undefined;
+  }
+}
+
+/** Accepts every change, as a stream without conditions would; a baseline. */
+export class LastWriterAcceptance extends ConfigAcceptance {
+  protected override refuseChange(): undefined {
+    return undefined;
+  }
+}
+
+// Both the offset and the hash go on, so that the next read can begin with this record.
+const keepState = (
+  state: ConfigState | undefined,
+  placed: PlacedRecord,
+): Pick<ConfigDecision, 'offset' | 'state'> => ({
+  offset: placed.offset,
+  state: state && {
+    ...state,
+    through: placed.offset,
+    throughHash: placed.hash,
+  },
+});
+
+const describeFaults = (configuration: RouterConfiguration): string =>
+  checkConfiguration(configuration)
+    .map(({ section, key, fault }) => `[${section}] ${key}: ${fault}`)
+    .join(', ');
--- /dev/null
+++ b/packages/decisions/src/config/feed.ts
@@ -0,0 +1,58 @@
+/** Decides what two nodes hand to each other of the configuration. */
+import { applyEdits } from './edits.js';
+import type { ConfigEdits, ConfigState } from './records.js';
+
+/** Names a state without its contents. */
+export interface ConfigPosition {
+  /** Empty when the node holds no configuration. */
+  readonly lineage: string;
+  readonly through: number;
+  readonly version: number;
+}
+
+/** The step from one version in force to a later one. */
+export interface ConfigStep extends ConfigPosition {
+  readonly baseVersion: number;
+  readonly throughHash: number | undefined;
+  readonly changeId: string;
+  readonly author: string;
+  readonly edits: ConfigEdits;
+}
+
+/** Returns the position of a state. */
+export const toPosition = (state: ConfigState | undefined): ConfigPosition => ({
+  lineage: state?.lineage ?? '',
+  through: state?.through ?? 0,
+  version: state?.configuration.version ?? 0,
+});
+
+/** Says whether a peer's position is ahead of one's own. */
+export const isAhead = (own: ConfigPosition, remote: ConfigPosition): boolean =>
+  remote.version > own.version &&
+  (own.version === 0 || own.lineage === remote.lineage);
+
+/** Applies a step; `undefined` when it does not fit on the state. */
+export const applyStep = (
+  own: ConfigState | undefined,
+  step: ConfigStep,
+): ConfigState | undefined => {
+  const position = toPosition(own);
+  if (!isAhead(position, step) || step.baseVersion !== position.version) {
+    return undefined;
+  }
+  const before = own?.configuration;
+  if (!before) {
+    return undefined;
+  }
+  return {
+    lineage: step.lineage,
+    through: step.through,
+    throughHash: step.throughHash,
+    changeId: step.changeId,
+    author: step.author,
+    configuration: {
+      ...applyEdits(before, step.edits),
+      version: step.version,
+    },
+  };
+};
--- /dev/null
+++ b/packages/decisions/src/config/records.ts
@@ -0,0 +1,87 @@
+/**
+ * Records of the log's `config` stream, and the state that they add up to.
+ *
+ * The state is a function of the stream's prefix alone, so every node that has
+ * read the same prefix holds the same version.
+ */
+import type { Milliseconds, ValueOf } from '@lycheetally/common';
+import type {
+  AccountRule,
+  RankRule,
+  RouterConfiguration,
+  ServiceRule,
+} from '../types.js';
+
+export const ConfigRecordKind = {
+  Change: 'change',
+  Snapshot: 'snapshot',
+} as const;
+export type ConfigRecordKind = ValueOf<typeof ConfigRecordKind>;
+
+/** Items of one section that a change puts or removes, by name. */
+export interface SectionEdits<T> {
+  readonly put: readonly T[];
+  readonly remove: readonly string[];
+}
+
+/** The difference between two configurations. */
+export interface ConfigEdits {
+  readonly ranks: SectionEdits<RankRule>;
+  readonly accounts: SectionEdits<AccountRule>;
+  readonly services: SectionEdits<ServiceRule>;
+}
+
+/** A change that is accepted only on top of the version that it names. */
+export interface ConfigChange {
+  readonly kind: typeof ConfigRecordKind.Change;
+  /** Unique for each publication; a repeated append carries the same one. */
+  readonly id: string;
+  /** Names the history; the first change of a stream chooses it. */
+  readonly lineage: string;
+  /** The version that the change builds on; 0 for the first change. */
+  readonly base: number;
+  readonly author: string;
+  /** The publisher's time, in milliseconds; for readers only. */
+  readonly publishedAt: Milliseconds;
+  readonly edits: ConfigEdits;
+}
+
+/** Configuration and position in the stream. */
+export interface ConfigState {
+  readonly lineage: string;
+  /** Offset of the last record that the state takes into account. */
+  readonly through: number;
+  /** Hash of the record at `through`; `undefined` when it was not seen. */
+  readonly throughHash?: number | undefined;
+  /** The change that made the version in force. */
+  readonly changeId: string;
+  readonly author: string;
+  readonly configuration: RouterConfiguration;
+}
+
+/** A certificate of the state at an offset, for readers behind the trim. */
+export interface ConfigSnapshot {
+  readonly kind: typeof ConfigRecordKind.Snapshot;
+  readonly state: ConfigState;
+}
+
+export type ConfigRecord = ConfigChange | ConfigSnapshot;
+
+/** A record at its offset; `undefined` when it cannot be read. */
+export interface PlacedRecord {
+  readonly offset: number;
+  /** Hash of the record's bytes. */
+  readonly hash: number;
+  readonly record: ConfigRecord | undefined;
+}
+
+/** A span of the stream, as the log gave it. */
+export interface PlacedSpan {
+  /** Offset that the reader asked from. */
+  readonly from: number;
+  /** Offset of the oldest record that is kept. */
+  readonly first: number;
+  /** Offset that follows the last record of the span. */
+  readonly next: number;
+  readonly records: readonly PlacedRecord[];
+}
--- /dev/null
+++ b/packages/decisions/src/config/replay.ts
@@ -0,0 +1,131 @@
+/**
+ * Replays spans of the `config` stream over a state.
+ *
+ * A reader asks for records from the last one that it has applied, that one
+ * included. A log that has lost its tail or was replaced then shows itself,
+ * because the record differs. The overlap is the supplied paper's inclusive
+ * replay.
+ */
+import type { ValueOf } from '@lycheetally/common';
+import {
+  ConfigVerdict,
+  type ConfigAcceptance,
+  type ConfigDecision,
+} from './acceptance.js';
+import {
+  ConfigRecordKind,
+  type ConfigState,
+  type PlacedSpan,
+} from './records.js';
+
+/** How a reader stands to the log. */
+export const ConfigStanding = {
+  /** Every record up to the end of the span is taken into account. */
+  Current: 'current',
+  /** Records were trimmed before they were read, and no snapshot bridges the gap. */
+  Behind: 'behind',
+  /** The log holds another history than the reader. */
+  Diverged: 'diverged',
+} as const;
+export type ConfigStanding = ValueOf<typeof ConfigStanding>;
+
+/** The outcome of a replay. */
+export interface ConfigReplay {
+  readonly standing: ConfigStanding;
+  readonly state: ConfigState | undefined;
+  readonly decisions: readonly ConfigDecision[];
+  /** Offset from which to read next. */
+  readonly cursor: number;
+}
+
+/** Replays a span over a state. */
+export const applySpan = (
+  acceptance: ConfigAcceptance,
+  own: ConfigState | undefined,
+  span: PlacedSpan,
+): ConfigReplay => {
+  if (own && hasDiverged(own, span)) {
+    const standing = ConfigStanding.Diverged;
+    return { standing, state: own, decisions: [], cursor: own.through };
+  }
+  const from = own ? own.through + 1 : 0;
+  if (span.first <= from) {
+    return applyRecords(acceptance, own, from, span);
+  }
+  const bridge = findSnapshot(own, span);
+  if (bridge) {
+    const standing = ConfigStanding.Current;
+    return { standing, state: bridge, decisions: [], cursor: bridge.through };
+  }
+  const standing = ConfigStanding.Behind;
+  return { standing, state: own, decisions: [], cursor: span.next };
+};
+
+const applyRecords = (
+  acceptance: ConfigAcceptance,
+  base: ConfigState | undefined,
+  from: number,
+  span: PlacedSpan,
+): ConfigReplay => {
+  let state = base;
+  const decisions: ConfigDecision[] = [];
+  for (const placed of span.records) {
+    if (placed.offset >= from) {
+      const decision = acceptance.decideRecord(state, placed);
+      state = decision.state;
+      decisions.push(decision);
+    }
+  }
+  const standing = ConfigStanding.Current;
+  const cursor = state ? state.through : span.next;
+  return { standing, state, decisions, cursor };
+};
+
+const hasDiverged = (own: ConfigState, span: PlacedSpan): boolean => {
+  if (span.from >= own.through && span.next <= own.through) {
+    return true;
+  }
+  const same = span.records.find(({ offset }) => offset === own.through);
+  return (
+    same !== undefined &&
+    own.throughHash !== undefined &&
+    same.hash !== own.throughHash
+  );
+};
+
+// A snapshot bridges the gap only when every record after it is still kept.
+const findSnapshot = (
+  own: ConfigState | undefined,
+  span: PlacedSpan,
+): ConfigState | undefined =>
+  span.records
+    .flatMap(({ record }) =>
+      record?.kind === ConfigRecordKind.Snapshot ? [record.state] : [],
+    )
+    .find(
+      state =>
+        state.through + 1 >= span.first &&
+        state.through < span.next &&
+        isNewer(own, state),
+    );
+
+/** Says whether a state that another node holds may take the place of one's own. */
+export const isNewer = (
+  own: ConfigState | undefined,
+  other: ConfigState,
+): boolean =>
+  own === undefined ||
+  (own.lineage === other.lineage &&
+    other.through > own.through &&
+    other.configuration.version >= own.configuration.version);
+
+/** Finds what became of a change; `undefined` when it was not seen. */
+export const findDecision = (
+  decisions: readonly ConfigDecision[],
+  changeId: string,
+): ConfigDecision | undefined => {
+  const own = decisions.filter(({ change }) => change?.id === changeId);
+  return (
+    own.find(({ verdict }) => verdict === ConfigVerdict.Accepted) ?? own[0]
+  );
+};
--- /dev/null
+++ b/packages/decisions/tests/configAcceptance.test.ts
@@ -0,0 +1,298 @@
+/** Every reader of the configuration stream comes to the same state. */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { hashText } from '@lycheetally/common';
+import {
+  ConditionalAcceptance,
+  ConfigRecordKind,
+  ConfigStanding,
+  ConfigVerdict,
+  LastWriterAcceptance,
+  applySpan,
+  applyStep,
+  computeEdits,
+  toPosition,
+  type ConfigAcceptance,
+  type ConfigDecision,
+  type ConfigRecord,
+  type ConfigState,
+  type PlacedRecord,
+  type PlacedSpan,
+  type RouterConfiguration,
+} from '../src/index.js';
+
+const runOptions = { seed: 61, numRuns: 300 };
+const acceptance = new ConditionalAcceptance();
+
+const buildConfiguration = (targetMs: number): RouterConfiguration => ({
+  version: 1,
+  ranks: [{ name: 'family', urgency: 0, floor: 0.5, targetMs }],
+  accounts: [],
+  services: [],
+});
+
+const emptySection = { put: [], remove: [] };
+
+const createChange = (
+  id: string,
+  base: number,
+  lineage = 'a',
+): ConfigRecord => ({
+  kind: ConfigRecordKind.Change,
+  id,
+  lineage,
+  base,
+  author: `author of ${id}`,
+  publishedAt: 0,
+  edits: {
+    ranks: { put: buildConfiguration(base + 1).ranks, remove: [] },
+    accounts: emptySection,
+    services: emptySection,
+  },
+});
+
+const toPlaced = (
+  record: ConfigRecord | undefined,
+  offset: number,
+): PlacedRecord => ({
+  offset,
+  hash: hashText(JSON.stringify(record) + String(offset)),
+  record,
+});
+
+/** One record that an operator, a fault or a node may append. */
+const recordArbitrary = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('next'),
+      back: fc.nat({ max: 1 }),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('broken'), back: fc.constant(0) }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('other-lineage'),
+      back: fc.constant(0),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('repeat'), back: fc.constant(0) }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('snapshot'),
+      back: fc.nat({ max: 3 }),
+    }),
+  },
+);
+
+/** Builds a stream and the state after each of its records. */
+const buildStream = (
+  plan: readonly { kind: string; back: number }[],
+): { records: PlacedRecord[]; states: (ConfigState | undefined)[] } => {
+  const records: PlacedRecord[] = [];
+  const states: (ConfigState | undefined)[] = [];
+  plan.forEach(({ kind, back }, offset) => {
+    const state = states.at(-1);
+    const version = state?.configuration.version ?? 0;
+    const base = Math.max(0, version - back);
+    const certified = states[offset - 1 - back];
+    const byKind: Record<string, () => ConfigRecord | undefined> = {
+      next: () => createChange(`change-${String(offset)}`, base),
+      broken: () => undefined,
+      'other-lineage': () => createChange('foreign', version, 'b'),
+      repeat: () =>
+        records.findLast(({ record }) => record?.kind === 'change')?.record,
+      snapshot: () =>
+        certified && { kind: ConfigRecordKind.Snapshot, state: certified },
+    };
+    const placed = toPlaced(byKind[kind]?.(), offset);
+    records.push(placed);
+    states.push(acceptance.decideRecord(state, placed).state);
+  });
+  return { records, states };
+};
+
+const readSpan = (
+  records: readonly PlacedRecord[],
+  from: number,
+  first: number,
+  limit: number,
+): PlacedSpan => {
+  const start = Math.max(from, first);
+  const read = records.slice(start, start + limit);
+  const next = (read.at(-1)?.offset ?? Math.max(from, records.length) - 1) + 1;
+  return { from, first, next, records: read };
+};
+
+describe('the configuration stream', () => {
+  it('gives each base version one winner, in offset order', () => {
+    fc.assert(
+      fc.property(fc.array(recordArbitrary, { maxLength: 30 }), plan => {
+        const { records } = buildStream(plan);
+        const winners = countWinners(acceptance, records);
+        expect(winners.every(count => count === 1)).toBe(true);
+      }),
+      runOptions,
+    );
+  });
+
+  it('without the condition lets a racing change win twice', () => {
+    const records = [
+      toPlaced(createChange('one', 0), 0),
+      toPlaced(createChange('two', 0), 1),
+    ];
+    expect(countWinners(acceptance, records)).toEqual([1]);
+    expect(countWinners(new LastWriterAcceptance(), records)).toEqual([2]);
+  });
+
+  it('reads alike in pages of any size, and never goes back', () => {
+    fc.assert(
+      fc.property(
+        fc.array(recordArbitrary, { maxLength: 30 }),
+        fc.array(fc.integer({ min: 2, max: 7 }), { minLength: 1 }),
+        (plan, pages) => {
+          const { records, states } = buildStream(plan);
+          let state: ConfigState | undefined;
+          let cursor = 0;
+          for (let turn = 0; turn < 60; turn += 1) {
+            const limit = pages[turn % pages.length] ?? 2;
+            const before = state?.configuration.version ?? 0;
+            const replay = applySpan(
+              acceptance,
+              state,
+              readSpan(records, cursor, 0, limit),
+            );
+            ({ state, cursor } = replay);
+            expect(replay.standing).toBe(ConfigStanding.Current);
+            expect(state?.configuration.version ?? 0).toBeGreaterThanOrEqual(
+              before,
+            );
+          }
+          expect(state?.configuration).toEqual(states.at(-1)?.configuration);
+        },
+      ),
+      runOptions,
+    );
+  });
+
+  it('recovers behind the trim to the same state, or says that it is behind', () => {
+    const seen = { current: 0, behind: 0 };
+    fc.assert(
+      fc.property(
+        fc.array(recordArbitrary, { minLength: 4, maxLength: 30 }),
+        fc.nat(),
+        fc.nat(),
+        (plan, heldSeed, trimSeed) => {
+          const { records, states } = buildStream(plan);
+          const held = states[heldSeed % (records.length + 1)];
+          const first = trimSeed % (records.length + 1);
+          let state = held;
+          let cursor = held?.through ?? 0;
+          let standing: ConfigStanding = ConfigStanding.Current;
+          for (let turn = 0; turn < 40; turn += 1) {
+            const span = readSpan(records, cursor, first, 3);
+            ({ state, cursor, standing } = applySpan(acceptance, state, span));
+          }
+          if (standing === ConfigStanding.Current) {
+            expect(state?.configuration).toEqual(states.at(-1)?.configuration);
+            seen.current += 1;
+          } else {
+            expect(standing).toBe(ConfigStanding.Behind);
+            expect(state).toEqual(held);
+            seen.behind += 1;
+          }
+        },
+      ),
+      runOptions,
+    );
+    expect(Math.min(seen.current, seen.behind)).toBeGreaterThan(10);
+  });
+
+  it('notices a log that lost its tail or holds other records', () => {
+    const { records, states } = buildStream(
+      Array.from({ length: 5 }, () => ({ kind: 'next', back: 0 })),
+    );
+    const own = states[4];
+    const shorter = readSpan(records.slice(0, 3), 4, 0, 10);
+    expect(applySpan(acceptance, own, shorter).standing).toBe('diverged');
+    const replaced = [...records.slice(0, 4), toPlaced(createChange('x', 4), 4)];
+    const span = readSpan(replaced, 4, 0, 10);
+    const replay = applySpan(acceptance, own, span);
+    expect(replay.standing).toBe('diverged');
+    expect(replay.state).toBe(own);
+  });
+
+  it('skips a change whose result breaks a rule', () => {
+    const broken = createChange('broken', 0);
+    const record = {
+      ...broken,
+      edits: {
+        ranks: { put: [], remove: [] },
+        accounts: emptySection,
+        services: emptySection,
+      },
+    } as ConfigRecord;
+    const decision = acceptance.decideRecord(undefined, toPlaced(record, 0));
+    expect(decision.verdict).toBe(ConfigVerdict.Invalid);
+    expect(decision.reason).toContain('there is no rank');
+  });
+
+  it('carries a reader from one version to another by a step', () => {
+    fc.assert(
+      fc.property(
+        fc.array(recordArbitrary, { minLength: 2, maxLength: 20 }),
+        fc.nat(),
+        fc.nat(),
+        (plan, fromSeed, toSeed) => {
+          const states = buildStream(plan).states.filter(
+            each => each !== undefined,
+          );
+          const from = states[fromSeed % Math.max(1, states.length)];
+          const to = states[toSeed % Math.max(1, states.length)];
+          if (!from || !to) {
+            return;
+          }
+          const step = {
+            ...toPosition(to),
+            baseVersion: from.configuration.version,
+            throughHash: to.throughHash,
+            changeId: to.changeId,
+            author: to.author,
+            edits: computeEdits(from.configuration, to.configuration),
+          };
+          const next = applyStep(from, step);
+          const isForward =
+            to.configuration.version > from.configuration.version;
+          expect(next).toEqual(isForward ? to : undefined);
+        },
+      ),
+      runOptions,
+    );
+  });
+});
+
+/** Counts the accepted changes for each base version. */
+const countWinners = (
+  rule: ConfigAcceptance,
+  records: readonly PlacedRecord[],
+): number[] => {
+  const winners = new Map<number, number>();
+  let state: ConfigState | undefined;
+  for (const placed of records) {
+    const decision: ConfigDecision = rule.decideRecord(state, placed);
+    state = decision.state;
+    if (decision.verdict === ConfigVerdict.Accepted && decision.change) {
+      const { base } = decision.change;
+      winners.set(base, (winners.get(base) ?? 0) + 1);
+    }
+  }
+  return [...winners.values()];
+};
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -23,6 +23,10 @@
   Finished: 'finished',
   Failed: 'failed',
   Report: 'report',
+  ConfigNotice: 'configNotice',
+  ConfigRequest: 'configRequest',
+  ConfigHandover: 'configHandover',
+  ConfigStep: 'configStep',
 } as const;
 export type MessageKind = ValueOf<typeof MessageKind>;
 
@@ -131,6 +135,24 @@
   readonly queueDelayMs: number;
 }
 
+export interface ConfigPosition {
+  readonly lineage: string;
+  readonly through: number;
+  readonly version: number;
+}
+
+export interface ConfigHandover {
+  readonly state: string;
+}
+
+export interface ConfigStep extends ConfigPosition {
+  readonly baseVersion: number;
+  readonly throughHash: number;
+  readonly changeId: string;
+  readonly author: string;
+  readonly edits: string;
+}
+
 /** The value that each kind of message carries. */
 export interface MessageValues {
   hello: Hello;
@@ -149,6 +171,10 @@
   finished: Finished;
   failed: Failed;
   report: Report;
+  configNotice: ConfigPosition;
+  configRequest: ConfigPosition;
+  configHandover: ConfigHandover;
+  configStep: ConfigStep;
 }
 
 /** A message of one kind. */
--- a/packages/router/src/adapters/httpExchange.ts
+++ b/packages/router/src/adapters/httpExchange.ts
@@ -28,6 +28,8 @@
   [ErrorKind.ConnectionLost]: 502,
   [ErrorKind.PlatformUnavailable]: 503,
   [ErrorKind.BadMessage]: 502,
+  [ErrorKind.ConfigConflict]: 409,
+  [ErrorKind.ConfigUnsettled]: 503,
   [ErrorKind.Usage]: 400,
 };
 
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -12,6 +12,7 @@
   type Address,
   type Milliseconds,
 } from '@lycheetally/common';
+import { toPosition } from '@lycheetally/decisions';
 import {
   MessageKind,
   type AttemptRef,
@@ -22,6 +23,8 @@
   type PeerMessage,
   type Refused,
 } from '@lycheetally/protocol';
+import { ConfigFeed } from '../config/configFeed.js';
+import { ConfigHolder, bindHolderChart } from '../config/configHolder.js';
 import { maxEndedAttempts } from '../constants.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
@@ -74,6 +77,8 @@
   private readonly ended = new EndedAttempts(maxEndedAttempts);
   /** The latest channel of each node that gives this agent work. */
   private readonly owners = new Map<string, PeerChannel>();
+  private readonly holder: ConfigHolder;
+  private readonly feed: ConfigFeed;
   private readonly nextChannels = new Map<string, OutgoingChannel>();
 
   constructor(
@@ -83,6 +88,14 @@
     super(agentSettings, agentPorts, LogPart.Agent);
     this.machine = takeValue(bindWorkChart());
     this.services = this.createServices();
+    const holderMachine = takeValue(bindHolderChart());
+    this.holder = new ConfigHolder(holderMachine, this.loop, this.events);
+    this.feed = new ConfigFeed({
+      getState: () => this.holder.state,
+      takeState: (state, now) => {
+        this.holder.receive({ type: 'HANDED_OVER', state }, now);
+      },
+    });
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       backendReported: ({ work, event }, now) => {
@@ -105,6 +118,7 @@
       ),
     );
     const boundOperators = await this.listenForOperators(operators);
+    this.holder.start(this.clock.getNow());
     this.begin(this.clock.getNow());
     return { peers: boundPeers, operators: boundOperators };
   }
@@ -125,6 +139,8 @@
       incarnation: this.incarnation,
       ready: this.isReady(),
       leaving: this.isStopping,
+      configVersion: this.holder.state?.configuration.version ?? 0,
+      config: toPosition(this.holder.state),
       backend: this.agentSettings.backend,
       running: this.agentPorts.slots.running,
       waiting: this.agentPorts.slots.waiting,
@@ -139,6 +155,7 @@
     if (this.isIncoming(channel)) {
       this.owners.set(channel.remote.nodeId, channel);
       this.sendReport(channel);
+      this.feed.handleOpen(channel);
     }
   }
 
@@ -167,7 +184,9 @@
         this.receiveRevoke(channel, message.value, now);
         return;
       default:
-        this.receiveFromStage(message, now);
+        if (!this.feed.receive(channel, message, now)) {
+          this.receiveFromStage(message, now);
+        }
     }
   }
 
--- /dev/null
+++ b/packages/router/src/config/configFeed.ts
@@ -0,0 +1,132 @@
+/**
+ * Hands the configuration between nodes.
+ *
+ * When a channel opens, each side names what it holds and the one behind asks
+ * for the rest. Afterwards entries send each step to their agents. An entry
+ * that starts while the log is down thus gets the last accepted configuration
+ * from any agent.
+ */
+import type { Milliseconds } from '@lycheetally/common';
+import {
+  applyStep,
+  computeEdits,
+  emptyConfiguration,
+  isAhead,
+  toPosition,
+  type ConfigState,
+} from '@lycheetally/decisions';
+import { MessageKind, type PeerMessage } from '@lycheetally/protocol';
+import type { PeerChannel } from '../peers/peerChannel.js';
+import type { AppliedSpan } from './configFollower.js';
+import { decodeEdits, decodeState, encodeState } from './recordCodec.js';
+
+/** What a feed needs of its node. */
+export interface ConfigFeedOwner {
+  getState(): ConfigState | undefined;
+  /** Takes over a peer's state if it is newer. */
+  takeState(state: ConfigState, now: Milliseconds): void;
+}
+
+export class ConfigFeed {
+  constructor(private readonly owner: ConfigFeedOwner) {}
+
+  /** Names to a peer what this node holds. */
+  handleOpen(channel: PeerChannel): void {
+    const value = toPosition(this.owner.getState());
+    if (value.version > 0) {
+      channel.send({ kind: MessageKind.ConfigNotice, value });
+    }
+  }
+
+  /** Handles a message of the feed; returns false when it is another one. */
+  receive(
+    channel: PeerChannel,
+    message: PeerMessage,
+    now: Milliseconds,
+  ): boolean {
+    switch (message.kind) {
+      case MessageKind.ConfigNotice:
+        this.compareWith(channel, message.value);
+        return true;
+      case MessageKind.ConfigRequest:
+        this.answerRequest(channel);
+        return true;
+      case MessageKind.ConfigHandover:
+        this.receiveState(decodeState(message.value.state), now);
+        return true;
+      case MessageKind.ConfigStep:
+        this.receiveStep(channel, message, now);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  /** Sends the step from one state to the next to the channels. */
+  publishStep(span: AppliedSpan, channels: Iterable<PeerChannel>): void {
+    const message = createStep(span);
+    for (const channel of channels) {
+      channel.send(message);
+    }
+  }
+
+  private compareWith(
+    channel: PeerChannel,
+    remote: { lineage: string; through: number; version: number },
+  ): void {
+    const own = toPosition(this.owner.getState());
+    if (isAhead(own, remote)) {
+      channel.send({ kind: MessageKind.ConfigRequest, value: own });
+    } else if (isAhead(remote, own)) {
+      channel.send({ kind: MessageKind.ConfigNotice, value: own });
+    }
+  }
+
+  private answerRequest(channel: PeerChannel): void {
+    const state = this.owner.getState();
+    if (state) {
+      const value = { state: encodeState(state) };
+      channel.send({ kind: MessageKind.ConfigHandover, value });
+    }
+  }
+
+  private receiveStep(
+    channel: PeerChannel,
+    message: Extract<PeerMessage, { kind: 'configStep' }>,
+    now: Milliseconds,
+  ): void {
+    const { value } = message;
+    const edits = decodeEdits(value.edits);
+    const own = this.owner.getState();
+    const next = edits && applyStep(own, { ...value, edits });
+    if (next) {
+      this.owner.takeState(next, now);
+      return;
+    }
+    this.compareWith(channel, value);
+  }
+
+  private receiveState(
+    state: ConfigState | undefined,
+    now: Milliseconds,
+  ): void {
+    if (state) {
+      this.owner.takeState(state, now);
+    }
+  }
+}
+
+const createStep = ({ before, after }: AppliedSpan): PeerMessage => {
+  const from = before?.configuration ?? emptyConfiguration;
+  return {
+    kind: MessageKind.ConfigStep,
+    value: {
+      ...toPosition(after),
+      baseVersion: from.version,
+      throughHash: after.throughHash ?? 0,
+      changeId: after.changeId,
+      author: after.author,
+      edits: JSON.stringify(computeEdits(from, after.configuration)),
+    },
+  };
+};
--- /dev/null
+++ b/packages/router/src/config/configHolder.ts
@@ -0,0 +1,69 @@
+/** The configuration that an agent holds, so as to hand it to entries. */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+  type ChartTimers,
+} from '@lycheetally/charts';
+import type { Milliseconds, Result } from '@lycheetally/common';
+import { isNewer, type ConfigState } from '@lycheetally/decisions';
+import type { EventLog } from '../eventLog.js';
+
+export interface HolderEvent {
+  readonly type: 'HANDED_OVER';
+  readonly state: ConfigState;
+}
+
+export class ConfigHolder {
+  state: ConfigState | undefined;
+  private readonly chart: ChartInstance<ConfigHolder, HolderEvent>;
+
+  constructor(
+    machine: ChartMachine<ConfigHolder, HolderEvent>,
+    timers: ChartTimers,
+    private readonly events: EventLog,
+  ) {
+    this.chart = machine.createInstance(this, timers);
+  }
+
+  start(now: Milliseconds): void {
+    this.chart.start(now);
+  }
+
+  receive(event: HolderEvent, now: Milliseconds): void {
+    this.chart.send(event, now);
+  }
+
+  takeState(event: HolderEvent, now: Milliseconds): void {
+    const { configuration, lineage, through } = event.state;
+    const { version } = configuration;
+    if (version !== this.state?.configuration.version) {
+      this.events.record('config-in-force', now, {
+        detail: { version, lineage, through },
+      });
+    }
+    this.state = event.state;
+  }
+}
+
+/** Binds the chart `configHolder`. Fails with `BadChart`. */
+export const bindHolderChart = (): Result<
+  ChartMachine<ConfigHolder, HolderEvent>
+> =>
+  loadChart(ChartName.ConfigHolder).andThen(chart =>
+    ChartMachine.bind<ConfigHolder, HolderEvent>(chart, {
+      actions: {
+        takeState: (holder, event, now) => {
+          if (event) {
+            holder.takeState(event, now);
+          }
+        },
+      },
+      guards: {
+        isNewerState: (holder, event) =>
+          event !== undefined && isNewer(holder.state, event.state),
+      },
+      delays: {},
+    }),
+  );
--- /dev/null
+++ b/packages/router/src/config/configPublisher.ts
@@ -0,0 +1,119 @@
+/** Runs publications on a loop of their own, for operators' commands. */
+import { randomUUID } from 'node:crypto';
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  type Result,
+} from '@lycheetally/common';
+import {
+  ConditionalAcceptance,
+  ConfigVerdict,
+  type RouterConfiguration,
+} from '@lycheetally/decisions';
+import type { Clock } from '../clock.js';
+import { Loop } from '../loop.js';
+import type { LogPort } from '../ports/platform.js';
+import {
+  Publication,
+  bindPublicationChart,
+  type PublicationEvent,
+  type PublicationRequest,
+  type Published,
+} from './publication.js';
+import { readStream, type StreamReplay } from './replayStream.js';
+
+interface PublisherEvents {
+  publicationEvent: { publication: Publication; event: PublicationEvent };
+  publicationStarted: { publication: Publication };
+}
+
+export class ConfigPublisher {
+  private readonly loop: Loop<PublisherEvents>;
+  private readonly acceptance = new ConditionalAcceptance();
+
+  constructor(
+    private readonly logPort: LogPort,
+    clock: Clock,
+    private readonly author: string,
+  ) {
+    this.loop = new Loop<PublisherEvents>(clock);
+    this.loop.setHandlers({
+      publicationEvent: ({ publication, event }, now) => {
+        publication.receive(event, now);
+      },
+      publicationStarted: ({ publication }, now) => {
+        publication.start(now);
+      },
+    });
+  }
+
+  /** Reads the stream to its end. Fails as `readStream` does. */
+  read(): Promise<Result<StreamReplay>> {
+    return readStream(this.logPort, this.acceptance, undefined);
+  }
+
+  /**
+   * Publishes a configuration on top of a version, or of the current one.
+   * Fails with `ConfigConflict`, `ConfigUnsettled`, `BadSetting` or
+   * `PlatformUnavailable`.
+   */
+  publish(
+    wanted: RouterConfiguration,
+    base?: number,
+  ): Promise<Result<Published>> {
+    return this.run({ base, buildWanted: () => Ok(wanted) });
+  }
+
+  /** Publishes the contents of an earlier version as a new one. Fails as `publish` does. */
+  publishEarlier(version: number): Promise<Result<Published>> {
+    return this.run({ buildWanted: replay => findVersion(replay, version) });
+  }
+
+  private async run(
+    request: Pick<PublicationRequest, 'base' | 'buildWanted'>,
+  ): Promise<Result<Published>> {
+    const machine = bindPublicationChart();
+    if (machine.err) {
+      return Err(machine.val);
+    }
+    return new Promise(resolve => {
+      const publication: Publication = new Publication(
+        machine.val,
+        {
+          timers: this.loop,
+          logPort: this.logPort,
+          acceptance: this.acceptance,
+          postPublicationEvent: event => {
+            this.loop.post('publicationEvent', { publication, event });
+          },
+          handlePublished: resolve,
+        },
+        { id: randomUUID(), author: this.author, ...request },
+      );
+      this.loop.post('publicationStarted', { publication });
+    });
+  }
+}
+
+const findVersion = (
+  replay: StreamReplay,
+  version: number,
+): Result<RouterConfiguration> => {
+  const found = replay.decisions.find(
+    ({ verdict, state }) =>
+      verdict === ConfigVerdict.Accepted &&
+      state?.configuration.version === version,
+  );
+  if (found?.state) {
+    return Ok(found.state.configuration);
+  }
+  return Err(
+    new TypedError(
+      ErrorKind.Usage,
+      `version ${String(version)} is not in the log`,
+      'name one that "config history" lists',
+    ),
+  );
+};
--- /dev/null
+++ b/packages/router/src/config/configuration.ts
@@ -0,0 +1,75 @@
+/** Schemas of the published configuration and of its items. */
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  type Result,
+} from '@lycheetally/common';
+import {
+  ServiceKind,
+  checkConfiguration,
+  type RouterConfiguration,
+} from '@lycheetally/decisions';
+import { z } from 'zod';
+import { parseJson } from '../adapters/httpClient.js';
+
+export const nameSchema = z
+  .string()
+  .regex(
+    /^[A-Za-z0-9._-]{1,64}$/,
+    'use 1 to 64 letters, digits, ".", "_" or "-"',
+  );
+
+export const rankSchema = z.strictObject({
+  name: nameSchema,
+  urgency: z.int().min(0),
+  floor: z.number().min(0).max(1),
+  targetMs: z.number().positive(),
+});
+
+export const accountSchema = z.strictObject({
+  name: nameSchema,
+  keyHash: z.string().min(1),
+  weight: z.number().positive(),
+});
+
+export const serviceSchema = z.strictObject({
+  name: nameSchema,
+  kind: z.enum(ServiceKind),
+  layers: z.int().min(0),
+  idempotent: z.boolean(),
+  accounts: z.array(nameSchema),
+});
+
+export const configurationSchema = z.strictObject({
+  version: z.int().min(1),
+  ranks: z.array(rankSchema),
+  accounts: z.array(accountSchema),
+  services: z.array(serviceSchema),
+});
+
+/** Parses a whole configuration. Fails with `BadMessage`. */
+export const parseConfiguration = (
+  text: string,
+): Result<RouterConfiguration> => {
+  const parsed = configurationSchema.safeParse(parseJson(text));
+  const faults = parsed.success
+    ? checkConfiguration(parsed.data).map(
+        each => `${each.section}.${each.key}: ${each.fault}`,
+      )
+    : parsed.error.issues.map(
+        issue =>
+          `${issue.path.map(String).join('.') || 'record'}: ${issue.message}`,
+      );
+  if (parsed.success && faults.length === 0) {
+    return Ok(parsed.data);
+  }
+  return Err(
+    new TypedError(
+      ErrorKind.BadMessage,
+      `the configuration is not valid (${faults.join(', ')})`,
+      'publish a corrected one',
+    ),
+  );
+};
--- /dev/null
+++ b/packages/router/src/config/replayStream.ts
@@ -0,0 +1,64 @@
+/** Reads the configuration stream to its end, for operators' commands. */
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  type Result,
+} from '@lycheetally/common';
+import {
+  ConfigStanding,
+  applySpan,
+  type ConfigAcceptance,
+  type ConfigDecision,
+  type ConfigState,
+} from '@lycheetally/decisions';
+import type { LogPort } from '../ports/platform.js';
+import { configStream, decodeSpan } from './recordCodec.js';
+
+/** The stream's state at its end and the decisions on the way. */
+export interface StreamReplay {
+  readonly state: ConfigState | undefined;
+  readonly decisions: readonly ConfigDecision[];
+}
+
+/**
+ * Replays the stream from a state to its end. Fails with
+ * `PlatformUnavailable`, or with `ConfigUnsettled` when the stream cannot be
+ * joined to the state.
+ */
+export const readStream = async (
+  log: LogPort,
+  acceptance: ConfigAcceptance,
+  from: ConfigState | undefined,
+): Promise<Result<StreamReplay>> => {
+  let state = from;
+  let cursor = from?.through ?? 0;
+  let standing: ConfigStanding = ConfigStanding.Current;
+  const decisions: ConfigDecision[] = [];
+  for (;;) {
+    const span = await log.read(configStream, cursor);
+    if (span.err) {
+      return Err(span.val);
+    }
+    const replay = applySpan(acceptance, state, decodeSpan(cursor, span.val));
+    const isEnd = replay.cursor === cursor && replay.state === state;
+    decisions.push(...replay.decisions);
+    ({ state, cursor, standing } = replay);
+    if (isEnd || standing === ConfigStanding.Diverged) {
+      break;
+    }
+  }
+  return standing === ConfigStanding.Current
+    ? Ok({ state, decisions })
+    : Err(createUnjoined(standing));
+};
+
+const createUnjoined = (standing: ConfigStanding): TypedError =>
+  new TypedError(
+    ErrorKind.ConfigUnsettled,
+    standing === ConfigStanding.Behind
+      ? 'the log has trimmed the start of the configuration stream and holds no snapshot'
+      : 'the log holds another history than it did before',
+    'start an entry that holds the configuration, so that it appends a snapshot',
+  );
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -12,9 +12,12 @@
   type Result,
 } from '@lycheetally/common';
 import {
+  ConditionalAcceptance,
   Outcome,
+  SpreadSnapshots,
+  emptyConfiguration,
+  toPosition,
   type Route,
-  type RouterConfiguration,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
@@ -25,7 +28,17 @@
   type Refused,
 } from '@lycheetally/protocol';
 import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
-import { vmListIntervalMs } from '../constants.js';
+import { ConfigFeed } from '../config/configFeed.js';
+import {
+  ConfigFollower,
+  bindFollowerChart,
+  type FollowerEvent,
+} from '../config/configFollower.js';
+import {
+  maxRecordsBetweenSnapshots,
+  snapshotIntervalMs,
+  vmListIntervalMs,
+} from '../constants.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
@@ -39,11 +52,6 @@
 import { acceptCall, findAccount } from './acceptCall.js';
 import { bindAttemptChart } from './attemptActions.js';
 import { getFirstServerId, type AttemptEvent } from './attemptContext.js';
-import {
-  ConfigFollower,
-  bindFollowerChart,
-  type FollowerEvent,
-} from './configFollower.js';
 import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
@@ -110,6 +118,7 @@
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
+  private readonly feed: ConfigFeed;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
@@ -127,6 +136,7 @@
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
+    this.feed = this.createFeed();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       callReceived: ({ call, exchange }, now) => {
@@ -183,6 +193,10 @@
       ready: this.isReady(),
       leaving: this.isStopping,
       configVersion: this.follower.inForce?.version ?? 0,
+      config: {
+        ...toPosition(this.follower.state),
+        standing: this.follower.standing,
+      },
       openRequests: this.requests.size,
       tokens: this.relayCounts,
       members: this.members.listMembers().map(describeMember),
@@ -200,6 +214,7 @@
 
   override handlePeerOpen(channel: PeerChannel): void {
     this.members.noteOpen(channel);
+    this.feed.handleOpen(channel);
   }
 
   override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
@@ -228,7 +243,9 @@
         this.members.noteReport(channel, message.value);
         return;
       default:
-        this.receiveAttemptMessage(message, now);
+        if (!this.feed.receive(channel, message, now)) {
+          this.receiveAttemptMessage(message, now);
+        }
     }
   }
 
@@ -323,8 +340,14 @@
 
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
+      nodeId: this.settings.id,
       timers: this.loop,
       logPort: this.entryPorts.log,
+      acceptance: new ConditionalAcceptance(),
+      snapshots: new SpreadSnapshots(
+        snapshotIntervalMs,
+        maxRecordsBetweenSnapshots,
+      ),
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
       postFollowerEvent: event => {
@@ -333,6 +356,21 @@
     });
   }
 
+  private createFeed(): ConfigFeed {
+    const feed = new ConfigFeed({
+      getState: () => this.follower.state,
+      takeState: (state, now) => {
+        this.follower.receive({ type: 'HANDED_OVER', state }, now);
+      },
+    });
+    this.store.add(
+      this.follower.advanced.subscribe(span => {
+        feed.publishStep(span, this.members.listOpenChannels());
+      }),
+    );
+    return feed;
+  }
+
   private createServices(): RequestServices {
     return {
       entryId: this.settings.id,
@@ -374,13 +412,6 @@
   }
 }
 
-const emptyConfiguration: RouterConfiguration = {
-  version: 0,
-  ranks: [],
-  accounts: [],
-  services: [],
-};
-
 const describeMember = (member: Member): object => ({
   server: member.hello?.backend?.serverId ?? '',
   address: member.address,
--- a/packages/router/src/entry/memberDirectory.ts
+++ b/packages/router/src/entry/memberDirectory.ts
@@ -67,6 +67,12 @@
     );
   }
 
+  listOpenChannels(): readonly OutgoingChannel[] {
+    return this.listMembers()
+      .map(member => member.channel)
+      .filter(channel => channel.isOpen);
+  }
+
   listMembers(): readonly Member[] {
     return [...this.byAddress.values()];
   }
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -1,5 +1,12 @@
 /** A small whole system as separate processes: platform, backend servers, agents, entries. */
-import { hashKey, callJson, type VmRecord } from '@lycheetally/router';
+import {
+  ConfigPublisher,
+  HttpLog,
+  SystemClock,
+  callJson,
+  hashKey,
+  type VmRecord,
+} from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
 import { DaemonPath, ProcessFleet, type FleetProcess } from './processFleet.js';
@@ -128,12 +135,16 @@
     return this.processes.dispose();
   }
 
-  /** Appends a configuration to the log. */
+  /** Publishes a configuration on top of the current one. */
   async publishConfiguration(
     configuration: RouterConfiguration,
   ): Promise<void> {
-    const body = { values: [JSON.stringify(configuration)] };
-    await this.post(`${this.logUrl}/streams/config/records`, body);
+    const publisher = new ConfigPublisher(
+      new HttpLog(this.logUrl),
+      new SystemClock(),
+      'fleet',
+    );
+    (await publisher.publish(configuration)).unwrap();
   }
 
   /** Switches faults of the log service. */
