Prove the configuration under races, lost answers, outage and trimming

Change: tests over a log in memory that fails, answers late or loses answers (150 seeded plans), over the follower's chart, and over a fleet: 50 operators at once while 20 answers are lost, an entry started in an outage, an entry that joins behind the trim, hostile records.

--- a/packages/decisions/src/config/acceptance.ts
+++ b/packages/decisions/src/config/acceptance.ts
@@ -106,10 +106,6 @@
     if (state?.changeId === change.id) {
       return { verdict: ConfigVerdict.Repeated, reason: 'appended twice' };
     }
-    if (state && state.lineage !== change.lineage) {
-      const reason = `lineage ${change.lineage} is not ${state.lineage}`;
-      return { verdict: ConfigVerdict.OtherLineage, reason };
-    }
     if (change.base !== current) {
       const by = state ? ` by ${state.author}` : '';
       return {
@@ -117,6 +113,10 @@
         reason: `it builds on version ${String(change.base)}, but version ${String(current)}${by} is current`,
       };
     }
+    if (state && state.lineage !== change.lineage) {
+      const reason = `lineage ${change.lineage} is not ${state.lineage}`;
+      return { verdict: ConfigVerdict.OtherLineage, reason };
+    }
     return undefined;
   }
 }
--- a/packages/decisions/tests/configAcceptance.test.ts
+++ b/packages/decisions/tests/configAcceptance.test.ts
@@ -223,7 +223,10 @@
     const own = states[4];
     const shorter = readSpan(records.slice(0, 3), 4, 0, 10);
     expect(applySpan(acceptance, own, shorter).standing).toBe('diverged');
-    const replaced = [...records.slice(0, 4), toPlaced(createChange('x', 4), 4)];
+    const replaced = [
+      ...records.slice(0, 4),
+      toPlaced(createChange('x', 4), 4),
+    ];
     const span = readSpan(replaced, 4, 0, 10);
     const replay = applySpan(acceptance, own, span);
     expect(replay.standing).toBe('diverged');
--- a/packages/router/src/config/configFollower.ts
+++ b/packages/router/src/config/configFollower.ts
@@ -244,8 +244,10 @@
       recordsSince: this.recordsSinceSnapshot,
       lastAt: this.snapshotAt,
     };
+    // A read without new records has reached the end of the stream.
     if (
       !replay.state ||
+      replay.decisions.length > 0 ||
       replay.standing !== ConfigStanding.Current ||
       !this.services.snapshots.wantsSnapshot(view, now)
     ) {
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -39,12 +39,6 @@
 /** Milliseconds between reads of the configuration stream. */
 export const configReadIntervalMs = 250;
 
-/** Milliseconds after which a snapshot of the configuration is appended. */
-export const snapshotIntervalMs = 10 * 60 * 1_000;
-
-/** Records of the configuration stream after which a snapshot is appended. */
-export const maxRecordsBetweenSnapshots = 200;
-
 /** Ended attempts that an agent remembers, so as not to run them again. */
 export const maxEndedAttempts = 20_000;
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -19,6 +19,7 @@
   LeastOutstandingRouting,
   OpenAdmission,
   ServiceKind,
+  SpreadSnapshots,
   UrgencyOrder,
 } from '@lycheetally/decisions';
 import { ConnectPeerNetwork } from './adapters/connectPeers.js';
@@ -111,6 +112,10 @@
       loggers: new LoggerFactory(settings.process.id),
       log: new HttpLog(settings.platform.log),
       vmList: new HttpVmList(settings.platform.vmList),
+      snapshots: new SpreadSnapshots(
+        settings.config.snapshotSeconds * millisecondsPerSecond,
+        settings.config.snapshotRecords,
+      ),
       policies: {
         admission: new OpenAdmission(),
         routing: new LeastOutstandingRouting(),
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -14,10 +14,10 @@
 import {
   ConditionalAcceptance,
   Outcome,
-  SpreadSnapshots,
   emptyConfiguration,
   toPosition,
   type Route,
+  type SnapshotPolicy,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
@@ -34,11 +34,7 @@
   bindFollowerChart,
   type FollowerEvent,
 } from '../config/configFollower.js';
-import {
-  maxRecordsBetweenSnapshots,
-  snapshotIntervalMs,
-  vmListIntervalMs,
-} from '../constants.js';
+import { vmListIntervalMs } from '../constants.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
@@ -77,6 +73,8 @@
   readonly log: LogPort;
   readonly vmList: VmListPort;
   readonly policies: EntryPolicies;
+  /** Says when the configuration's stream gets a snapshot. */
+  readonly snapshots: SnapshotPolicy;
 }
 
 export interface EntrySettings extends NodeSettings {
@@ -344,10 +342,7 @@
       timers: this.loop,
       logPort: this.entryPorts.log,
       acceptance: new ConditionalAcceptance(),
-      snapshots: new SpreadSnapshots(
-        snapshotIntervalMs,
-        maxRecordsBetweenSnapshots,
-      ),
+      snapshots: this.entryPorts.snapshots,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
       postFollowerEvent: event => {
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -38,6 +38,14 @@
   process: processSchema,
   listen: z.strictObject({ callers: addressSchema, operators: addressSchema }),
   platform: platformSchema,
+  config: z
+    .strictObject({
+      /** Seconds after which a snapshot is appended; well under the log's retention. */
+      snapshotSeconds: createNumberSchema(1, 86_400).default(600),
+      /** Records after which a snapshot is appended. */
+      snapshotRecords: createNumberSchema(1, 100_000).default(200),
+    })
+    .prefault({}),
   limits: z
     .strictObject({
       maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024).default(
--- /dev/null
+++ b/packages/router/tests/fakeLog.ts
@@ -0,0 +1,92 @@
+/** A log in memory that fails as a seeded plan says. */
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  type Result,
+} from '@lycheetally/common';
+import { LogPort, type LogRecord, type LogSpan } from '../src/index.js';
+
+/** What becomes of one call. */
+export const LogFault = {
+  None: 'none',
+  /** The call has no effect and fails. */
+  Down: 'down',
+  /** The append takes effect and its answer is lost. */
+  AnswerLost: 'answer-lost',
+  /** The append fails and takes effect after some later calls. */
+  Late: 'late',
+} as const;
+export type LogFault = (typeof LogFault)[keyof typeof LogFault];
+
+const lateCalls = 6;
+const pageSize = 4;
+
+export class FakeLog extends LogPort {
+  readonly records: LogRecord[] = [];
+  first = 0;
+  private calls = 0;
+  private late: { dueAt: number; value: string }[] = [];
+
+  constructor(public nextFault: () => LogFault = () => LogFault.None) {
+    super();
+  }
+
+  override read(_: string, from: number): Promise<Result<LogSpan>> {
+    this.applyLate();
+    if (this.nextFault() === LogFault.Down) {
+      return Promise.resolve(createOutage());
+    }
+    const start = Math.max(from, this.first);
+    const kept = this.records.filter(({ offset }) => offset >= start);
+    const records = kept.slice(0, pageSize);
+    const last = records.at(-1);
+    const next = last ? last.offset + 1 : Math.max(from, this.records.length);
+    return Promise.resolve(Ok({ first: this.first, next, records }));
+  }
+
+  override append(
+    _: string,
+    values: readonly string[],
+  ): Promise<Result<number>> {
+    this.applyLate();
+    const fault = this.nextFault();
+    if (fault === LogFault.Late) {
+      const dueAt = this.calls + lateCalls;
+      this.late.push(...values.map(value => ({ dueAt, value })));
+    }
+    if (fault === LogFault.Late || fault === LogFault.Down) {
+      return Promise.resolve(createOutage());
+    }
+    const offset = this.records.length;
+    values.forEach(value => {
+      this.push(value);
+    });
+    return Promise.resolve(
+      fault === LogFault.AnswerLost ? createOutage() : Ok(offset),
+    );
+  }
+
+  /** Lets every late append take effect. */
+  flush(): void {
+    this.calls += lateCalls;
+    this.applyLate();
+  }
+
+  private applyLate(): void {
+    this.calls += 1;
+    const due = this.late.filter(({ dueAt }) => dueAt <= this.calls);
+    this.late = this.late.filter(({ dueAt }) => dueAt > this.calls);
+    due.forEach(({ value }) => {
+      this.push(value);
+    });
+  }
+
+  private push(value: string): void {
+    this.records.push({ offset: this.records.length, value });
+  }
+}
+
+const createOutage = (): Result<never> =>
+  Err(new TypedError(ErrorKind.PlatformUnavailable, 'the log is down', 'wait'));
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -9,7 +9,12 @@
 } from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
-import { DaemonPath, ProcessFleet, type FleetProcess } from './processFleet.js';
+import {
+  DaemonPath,
+  ProcessFleet,
+  type FleetProcess,
+  type SettingsSections,
+} from './processFleet.js';
 
 /** The size of a fleet and the speed of its stand-ins. */
 export interface FleetOptions {
@@ -154,6 +159,18 @@
     await this.post(`${this.logUrl}/control`, faults);
   }
 
+  /** Drops the records of a stream before an offset, as retention does. */
+  async trimStream(stream: string, before: number): Promise<void> {
+    await this.post(`${this.logUrl}/trim`, { stream, before });
+  }
+
+  /** Reads the status of an entry or agent. */
+  async getStatus(name: string): Promise<Record<string, unknown>> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as Record<string, unknown>;
+  }
+
   /** Changes the VM list. */
   async updateVmList(update: {
     readonly put?: readonly VmRecord[];
@@ -164,11 +181,15 @@
   }
 
   /** Starts an entry and waits until it is ready. */
-  async startEntry(name: string): Promise<FleetProcess> {
+  async startEntry(
+    name: string,
+    sections: SettingsSections = {},
+  ): Promise<FleetProcess> {
     const started = await this.processes.startDaemon(name, DaemonPath.Entry, {
       process: { id: name, failureDomain: 'bc-south-a', drainSeconds: 20 },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
+      ...sections,
     });
     const operators = `http://${started.addresses.operators ?? ''}`;
     await waitUntil(`${name} reaches every server`, () =>
