Ask, check, compare, publish and roll back configurations

Cause: an operator had no way to write a configuration but by hand as JSON.

Change: `questionnaire` turns answers (asked on the terminal, or a file) into an INI file and a separate file of bearer keys; only salted hashes are published. `config check` names file, section, key, fault and remedy of every fault at once; `diff`, `publish`, `history` and `rollback` work on the log; a rollback is a new version. Failure domains, the number of workers and whether backend servers check fencing numbers are part of the configuration.

Ruled out: publishing the INI text itself, since a diff of text says nothing about what a node must change.

The questions on the terminal were not run.

--- /dev/null
+++ b/apps/lycheetally/src/commands/configActions.ts
@@ -0,0 +1,189 @@
+/** The actions of `lycheetally config`. */
+import { readFileSync } from 'node:fs';
+import { userInfo } from 'node:os';
+import { ErrorKind, ExitCode, TypedError } from '@lycheetally/common';
+import {
+  ConfigVerdict,
+  emptyConfiguration,
+  type ConfigDecision,
+  type RouterConfiguration,
+} from '@lycheetally/decisions';
+import {
+  ConfigPublisher,
+  HttpLog,
+  SystemClock,
+  formatFault,
+  parseConfigFile,
+  takeValue,
+  type Published,
+} from '@lycheetally/router';
+import { describeConfiguration } from '../questionnaire/answers.js';
+import { formatDifference } from './configDifference.js';
+
+export interface ConfigFlags {
+  readonly log?: string;
+  readonly base?: number;
+  readonly author?: string;
+}
+
+export abstract class ConfigAction {
+  abstract readonly name: string;
+  /** An example, without the name of the program and the command. */
+  abstract readonly usage: string;
+
+  /** Returns the exit code. Throws a `TypedError` on a fault. */
+  abstract run(argument: string, flags: ConfigFlags): Promise<number>;
+
+  protected print(line: string): void {
+    process.stdout.write(`${line}\n`);
+  }
+
+  /** Reads a configuration file; throws with every fault, one a line. */
+  protected readFile(path: string): RouterConfiguration {
+    const parsed = parseConfigFile(readText(path, this.usage));
+    if (parsed.err) {
+      const faults = parsed.val.map(fault => formatFault(path, fault));
+      throw new TypedError(
+        ErrorKind.BadSetting,
+        `${String(faults.length)} faults\n${faults.join('\n')}\n`,
+        'correct them and run the command again',
+      );
+    }
+    return parsed.val;
+  }
+
+  protected createPublisher(flags: ConfigFlags): ConfigPublisher {
+    if (flags.log === undefined || !/^https?:\/\/[^/]+$/.test(flags.log)) {
+      throw new TypedError(
+        ErrorKind.Usage,
+        'the address of the log is missing or not http://host:port',
+        `run for example: lycheetally config ${this.usage}`,
+      );
+    }
+    const author = flags.author ?? userInfo().username;
+    return new ConfigPublisher(
+      new HttpLog(flags.log),
+      new SystemClock(),
+      author,
+    );
+  }
+
+  protected printPublished({ state, isNew }: Published): void {
+    const { version } = state.configuration;
+    this.print(
+      isNew
+        ? `Version ${String(version)} is accepted.`
+        : `Nothing to change: version ${String(version)} says the same.`,
+    );
+  }
+}
+
+export class CheckAction extends ConfigAction {
+  readonly name = 'check';
+  readonly usage = 'check config.ini';
+
+  override run(path: string): Promise<number> {
+    const configuration = this.readFile(path);
+    this.print(`${path} is right: ${describeConfiguration(configuration)}.`);
+    return Promise.resolve(ExitCode.Ok);
+  }
+}
+
+export class DiffAction extends ConfigAction {
+  readonly name = 'diff';
+  readonly usage = 'diff config.ini --log http://10.0.1.1:7000';
+
+  override async run(path: string, flags: ConfigFlags): Promise<number> {
+    const wanted = this.readFile(path);
+    const { state } = takeValue(await this.createPublisher(flags).read());
+    const current = state?.configuration ?? emptyConfiguration;
+    const lines = formatDifference(current, wanted);
+    lines.forEach(line => {
+      this.print(line);
+    });
+    this.print(
+      `${String(lines.length)} differences from version ${String(current.version)}.`,
+    );
+    return ExitCode.Ok;
+  }
+}
+
+export class PublishAction extends ConfigAction {
+  readonly name = 'publish';
+  readonly usage = 'publish config.ini --log http://10.0.1.1:7000';
+
+  override async run(path: string, flags: ConfigFlags): Promise<number> {
+    const wanted = this.readFile(path);
+    const { base } = flags;
+    if (base !== undefined && !Number.isInteger(base)) {
+      throw new TypedError(
+        ErrorKind.Usage,
+        `"${String(base)}" is not a version`,
+        'name one that "config history" lists with --base',
+      );
+    }
+    const publisher = this.createPublisher(flags);
+    this.printPublished(takeValue(await publisher.publish(wanted, base)));
+    return ExitCode.Ok;
+  }
+}
+
+export class HistoryAction extends ConfigAction {
+  readonly name = 'history';
+  readonly usage = 'history --log http://10.0.1.1:7000';
+
+  override async run(_: string, flags: ConfigFlags): Promise<number> {
+    const publisher = this.createPublisher(flags);
+    const { decisions, state } = takeValue(await publisher.read());
+    decisions
+      .filter(({ verdict }) => verdict !== ConfigVerdict.Snapshot)
+      .forEach(decision => {
+        this.print(formatDecision(decision));
+      });
+    const version = state?.configuration.version ?? 0;
+    this.print(`Version ${String(version)} is in force.`);
+    return ExitCode.Ok;
+  }
+}
+
+export class RollbackAction extends ConfigAction {
+  readonly name = 'rollback';
+  readonly usage = 'rollback 3 --log http://10.0.1.1:7000';
+
+  override async run(version: string, flags: ConfigFlags): Promise<number> {
+    if (!/^\d+$/.test(version)) {
+      throw new TypedError(
+        ErrorKind.Usage,
+        `"${version}" is not a version`,
+        `run for example: lycheetally config ${this.usage}`,
+      );
+    }
+    const publisher = this.createPublisher(flags);
+    const published = await publisher.publishEarlier(Number(version));
+    this.printPublished(takeValue(published));
+    return ExitCode.Ok;
+  }
+}
+
+const formatDecision = (decision: ConfigDecision): string => {
+  const { offset, verdict, reason, change, state } = decision;
+  const version = state?.configuration.version ?? 0;
+  const at = change ? new Date(change.publishedAt).toISOString() : '-';
+  const what =
+    verdict === ConfigVerdict.Accepted
+      ? `version ${String(version)}`
+      : `${verdict} (${reason})`;
+  return `${String(offset)}  ${at}  ${change?.author ?? '-'}  ${what}`;
+};
+
+const readText = (path: string, usage: string): string => {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch {
+    throw new TypedError(
+      ErrorKind.BadSetting,
+      `configuration file "${path}" cannot be read`,
+      `name an existing file, for example: lycheetally config ${usage}`,
+    );
+  }
+};
--- /dev/null
+++ b/apps/lycheetally/src/commands/questionnaireCommand.ts
@@ -0,0 +1,104 @@
+/** `lycheetally questionnaire`: writes a configuration file from answers. */
+import { randomBytes } from 'node:crypto';
+import { readFileSync, writeFileSync } from 'node:fs';
+import type { CAC } from 'cac';
+import {
+  ErrorKind,
+  ExitCode,
+  TypedError,
+  formatIni,
+} from '@lycheetally/common';
+import { takeValue } from '@lycheetally/router';
+import {
+  KeyMaker,
+  buildFiles,
+  parseAnswers,
+  type Answers,
+} from '../questionnaire/answers.js';
+import { requestAnswers } from '../questionnaire/askAnswers.js';
+import { Command } from './command.js';
+
+interface QuestionnaireFlags {
+  readonly answers?: string;
+  readonly out: string;
+  readonly keys: string;
+  readonly force?: boolean;
+}
+
+const keyBytes = 24;
+const saltBytes = 12;
+
+/** Makes keys from the system's random source. */
+class RandomKeyMaker extends KeyMaker {
+  override makeKey(): string {
+    return randomBytes(keyBytes).toString('base64url');
+  }
+
+  override makeSalt(): string {
+    return randomBytes(saltBytes).toString('hex');
+  }
+}
+
+export class QuestionnaireCommand extends Command {
+  override register(cli: CAC): void {
+    cli
+      .command('questionnaire', 'Write a configuration file from answers')
+      .option('--answers <file>', 'Read the answers from a file')
+      .option('--out <file>', 'Configuration file', { default: 'config.ini' })
+      .option('--keys <file>', 'File for the keys of the client accounts', {
+        default: 'keys.ini',
+      })
+      .option('--force', 'Overwrite the files')
+      .example(
+        'lycheetally questionnaire --answers examples/cedarline/answers.ini',
+      )
+      .action((flags: QuestionnaireFlags) =>
+        this.finish(() => runQuestionnaire(flags)),
+      );
+  }
+}
+
+const runQuestionnaire = async (flags: QuestionnaireFlags): Promise<number> => {
+  const { answers: path } = flags;
+  const answers =
+    path === undefined ? await requestAnswers() : readAnswers(path);
+  const maker = new RandomKeyMaker();
+  const files = takeValue(buildFiles(path ?? 'answers', answers, maker));
+  writeNew(flags.out, files.configuration, flags.force === true);
+  writeNew(flags.keys, formatIni({ keys: files.keys }), flags.force === true);
+  process.stdout.write(
+    `Wrote ${flags.out}; keep it in version control.\n` +
+      `Wrote ${flags.keys}; give each key to its client account and keep the file secret.\n`,
+  );
+  return ExitCode.Ok;
+};
+
+const readAnswers = (path: string): Answers => {
+  try {
+    return takeValue(parseAnswers(path, readFileSync(path, 'utf8')));
+  } catch (thrown) {
+    if (thrown instanceof TypedError) {
+      throw thrown;
+    }
+    throw new TypedError(
+      ErrorKind.BadSetting,
+      `answers file ${path} cannot be read`,
+      'name an existing file with --answers',
+    );
+  }
+};
+
+const ownerOnly = 0o600;
+
+const writeNew = (path: string, text: string, isForced: boolean): void => {
+  try {
+    const flag = isForced ? 'w' : 'wx';
+    writeFileSync(path, text, { flag, mode: ownerOnly });
+  } catch {
+    throw new TypedError(
+      ErrorKind.BadSetting,
+      `file ${path} exists already or cannot be written`,
+      'name another file, or pass --force to overwrite it',
+    );
+  }
+};
--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -4,12 +4,16 @@
 import { ExitCode, toMessage } from '@lycheetally/common';
 import { BenchCommand } from './commands/benchCommand.js';
 import type { Command } from './commands/command.js';
+import { ConfigCommand } from './commands/configCommand.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
 
 const commands: readonly Command[] = [
   new EntryCommand(),
   new AgentCommand(),
+  new QuestionnaireCommand(),
+  new ConfigCommand(),
   new DemoCommand(),
   new BenchCommand(),
 ];
--- /dev/null
+++ b/apps/lycheetally/src/questionnaire/answers.ts
@@ -0,0 +1,136 @@
+/** What the questionnaire asks for, and the configuration that follows from it. */
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  parseIni,
+  type Result,
+} from '@lycheetally/common';
+import type { RouterConfiguration } from '@lycheetally/decisions';
+import {
+  formatConfigFile,
+  formatFault,
+  hashKey,
+  parseConfigFile,
+} from '@lycheetally/router';
+import { z } from 'zod';
+
+const namesSchema = z
+  .union([z.string(), z.array(z.string())])
+  .transform(value =>
+    (typeof value === 'string' ? value.split(',') : value)
+      .map(name => name.trim())
+      .filter(name => name !== ''),
+  );
+
+const answersSchema = z.strictObject({
+  organisation: z.strictObject({
+    name: z.string().min(1),
+    region: z.string().min(1),
+    failureDomains: namesSchema,
+  }),
+  accounts: z.strictObject({ names: namesSchema }),
+  rank: z.record(z.string(), z.looseObject({})),
+  service: z.record(z.string(), z.looseObject({})),
+});
+
+/** The answers of one organisation. */
+export type Answers = z.output<typeof answersSchema>;
+
+/** Makes keys and salts. */
+export abstract class KeyMaker {
+  abstract makeKey(account: string): string;
+  abstract makeSalt(account: string): string;
+}
+
+/** A configuration file and the bearer keys, which are kept elsewhere. */
+export interface GeneratedFiles {
+  readonly configuration: string;
+  /** INI with the key of each client account; never published. */
+  readonly keys: Readonly<Record<string, string>>;
+}
+
+/** Parses an answers file. Fails with `BadSetting`. */
+export const parseAnswers = (path: string, text: string): Result<Answers> => {
+  const parsed = answersSchema.safeParse(parseIni(text));
+  if (parsed.success) {
+    return Ok(parsed.data);
+  }
+  const faults = parsed.error.issues.map(
+    issue => `${path}: ${issue.path.map(String).join('.')}: ${issue.message}`,
+  );
+  return Err(
+    new TypedError(
+      ErrorKind.BadSetting,
+      faults.join(' | '),
+      'correct the answers; examples/ holds two whole sets',
+    ),
+  );
+};
+
+/** Builds the files of the answers. Fails with `BadSetting`. */
+export const buildFiles = (
+  path: string,
+  answers: Answers,
+  maker: KeyMaker,
+): Result<GeneratedFiles> => {
+  const keys = Object.fromEntries(
+    answers.accounts.names.map(name => [name, maker.makeKey(name)]),
+  );
+  const account = Object.entries(keys).map(([name, key]) => [
+    name,
+    { keyHash: hashKey(maker.makeSalt(name), key), weight: 1 },
+  ]);
+  const { region, failureDomains } = answers.organisation;
+  const sections = {
+    rank: answers.rank,
+    failureDomain: Object.fromEntries(
+      failureDomains.map(name => [name, { region }]),
+    ),
+    service: answers.service,
+    account: Object.fromEntries(account) as Record<string, object>,
+  };
+  return toConfigurationText(path, answers.organisation.name, sections).map(
+    configuration => ({ configuration, keys }),
+  );
+};
+
+const toConfigurationText = (
+  path: string,
+  organisation: string,
+  sections: Readonly<Record<string, unknown>>,
+): Result<string> => {
+  const checked = parseConfigSections(sections);
+  if (checked.err) {
+    const faults = checked.val.map(fault => formatFault(path, fault));
+    const remedy = 'correct the answers and run the questionnaire again';
+    return Err(new TypedError(ErrorKind.BadSetting, faults.join('\n'), remedy));
+  }
+  const head = `; Configuration of ${organisation}, from its questionnaire.\n\n`;
+  return Ok(`${head}${formatConfigFile(checked.val)}`);
+};
+
+const parseConfigSections = (
+  sections: Readonly<Record<string, unknown>>,
+): ReturnType<typeof parseConfigFile> =>
+  parseConfigFile(formatSections(sections));
+
+/** Formats sections of sections; the values are written as they are. */
+const formatSections = (sections: Readonly<Record<string, unknown>>): string =>
+  Object.entries(sections)
+    .flatMap(([kind, named]) =>
+      Object.entries(named as Record<string, object>).map(
+        ([name, section]) =>
+          `[${kind}.${name}]\n${Object.entries(section)
+            .map(([key, value]) => `${key}=${String(value)}`)
+            .join('\n')}\n`,
+      ),
+    )
+    .join('\n');
+
+/** Says in one line what a configuration holds. */
+export const describeConfiguration = (
+  configuration: RouterConfiguration,
+): string =>
+  `${String(configuration.ranks.length)} ranks, ${String(configuration.services.length)} services, ${String(configuration.accounts.length)} client accounts, ${String(configuration.failureDomains?.length ?? 0)} failure domains`;
--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -37,7 +37,7 @@
   text: string,
   schema: T,
 ): Result<z.output<T>> => {
-  const parsed = schema.safeParse(toPlainObject(ini.parse(text)));
+  const parsed = schema.safeParse(parseIni(text));
   if (parsed.success) {
     return Ok(parsed.data);
   }
@@ -51,6 +51,15 @@
   );
 };
 
+/** Parses INI into plain objects; sections with dots are nested. */
+export const parseIni = (text: string): unknown =>
+  toPlainObject(ini.parse(text));
+
+/** Formats nested sections as INI. */
+export const formatIni = (
+  sections: Readonly<Record<string, unknown>>,
+): string => ini.stringify(sections);
+
 const formatIssue = (path: string, issue: z.core.$ZodIssue): string => {
   const key = issue.path.map(String).join('.');
   return `${path}: ${key === '' ? '(file)' : key}: ${issue.message}`;
--- a/packages/decisions/src/config/checks.ts
+++ b/packages/decisions/src/config/checks.ts
@@ -21,6 +21,7 @@
   ...checkNames('rank', configuration.ranks),
   ...checkNames('account', configuration.accounts),
   ...checkNames('service', configuration.services),
+  ...checkNames('failureDomain', configuration.failureDomains ?? []),
   ...checkRanks(configuration),
   ...checkServices(configuration),
   ...checkSize(configuration),
--- a/packages/decisions/src/config/edits.ts
+++ b/packages/decisions/src/config/edits.ts
@@ -6,6 +6,8 @@
   readonly name: string;
 }
 
+const noEdits = { put: [], remove: [] };
+
 /** The configuration before the first change. */
 export const emptyConfiguration: RouterConfiguration = {
   version: 0,
@@ -22,6 +24,10 @@
   ranks: computeSectionEdits(from.ranks, to.ranks),
   accounts: computeSectionEdits(from.accounts, to.accounts),
   services: computeSectionEdits(from.services, to.services),
+  failureDomains: computeSectionEdits(
+    from.failureDomains ?? [],
+    to.failureDomains ?? [],
+  ),
 });
 
 /** Applies edits; the result has the version after that of `from`. */
@@ -33,11 +39,15 @@
   ranks: applySectionEdits(from.ranks, edits.ranks),
   accounts: applySectionEdits(from.accounts, edits.accounts),
   services: applySectionEdits(from.services, edits.services),
+  failureDomains: applySectionEdits(
+    from.failureDomains ?? [],
+    edits.failureDomains ?? noEdits,
+  ),
 });
 
 /** Counts the items that the edits touch. */
 export const countEdits = (edits: ConfigEdits): number =>
-  [edits.ranks, edits.accounts, edits.services].reduce(
+  Object.values(edits as unknown as Record<string, SectionEdits<Named>>).reduce(
     (sum, section) => sum + section.put.length + section.remove.length,
     0,
   );
--- a/packages/decisions/src/config/records.ts
+++ b/packages/decisions/src/config/records.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds, ValueOf } from '@lycheetally/common';
 import type {
   AccountRule,
+  FailureDomainRule,
   RankRule,
   RouterConfiguration,
   ServiceRule,
@@ -29,6 +30,7 @@
   readonly ranks: SectionEdits<RankRule>;
   readonly accounts: SectionEdits<AccountRule>;
   readonly services: SectionEdits<ServiceRule>;
+  readonly failureDomains?: SectionEdits<FailureDomainRule> | undefined;
 }
 
 /** A change that is accepted only on top of the version that it names. */
--- a/packages/decisions/src/types.ts
+++ b/packages/decisions/src/types.ts
@@ -32,6 +32,16 @@
   /** Says whether a call may be run again after it may have run. */
   readonly idempotent: boolean;
   readonly accounts: readonly string[];
+  /** Says whether its backend servers refuse orders with old fencing numbers. */
+  readonly checksFencing?: boolean | undefined;
+  /** Number of backend servers that the service is meant to have. */
+  readonly workers?: number | undefined;
+}
+
+/** A failure domain that the system runs in. */
+export interface FailureDomainRule {
+  readonly name: string;
+  readonly region: string;
 }
 
 /** A configuration in force. */
@@ -40,6 +50,7 @@
   readonly ranks: readonly RankRule[];
   readonly accounts: readonly AccountRule[];
   readonly services: readonly ServiceRule[];
+  readonly failureDomains?: readonly FailureDomainRule[] | undefined;
 }
 
 /** A backend server as an entry knows it. */
--- /dev/null
+++ b/packages/router/src/config/configFile.ts
@@ -0,0 +1,191 @@
+/**
+ * The configuration as an INI file that people keep in version control.
+ *
+ * A check lists every fault at once, each with its section, its key and the
+ * remedy. The file holds no version: the log gives it one.
+ */
+import { Err, Ok, formatIni, parseIni, type Result } from '@lycheetally/common';
+import {
+  ServiceKind,
+  checkConfiguration,
+  type ConfigFault,
+  type RouterConfiguration,
+} from '@lycheetally/decisions';
+import { z } from 'zod';
+
+/** Accounts written as `*` stand for every client account. */
+const everyAccount = '*';
+
+const namePattern = /^[A-Za-z0-9_-]{1,64}$/;
+
+// Messages hold the fault and the remedy, parted by a semicolon.
+const createNumber = (min: number, max: number): z.ZodType<number> =>
+  z.coerce
+    .number({ error: 'is not a number; write digits' })
+    .min(min, `is too small; write at least ${String(min)}`)
+    .max(max, `is too large; write at most ${String(max)}`);
+
+const createWhole = (min: number, max: number): z.ZodType<number> =>
+  createNumber(min, max).refine(Number.isInteger, {
+    error: 'is not a whole number; write one without a point',
+  });
+
+const yesNo = z.boolean({ error: 'is neither; write true or false' });
+
+const listSchema = z
+  .union([z.array(z.string()), z.string()], {
+    error: 'is missing; write names with commas, or * for all',
+  })
+  .transform(value =>
+    (typeof value === 'string' ? value.split(',') : value)
+      .map(name => name.trim())
+      .filter(name => name !== ''),
+  );
+
+const rankSection = z.strictObject({
+  urgency: createWhole(0, 1_000),
+  floor: createNumber(0, 1),
+  targetMs: createNumber(1, 7 * 24 * 60 * 60 * 1_000),
+});
+
+const accountSection = z.strictObject({
+  keyHash: z
+    .string({ error: 'is missing; run "lycheetally questionnaire" to make it' })
+    .regex(
+      /^[^:]+:[0-9a-f]{64}$/,
+      'is not a salted hash; run "lycheetally questionnaire" to make it',
+    ),
+  weight: createNumber(0.001, 1_000_000).default(1),
+});
+
+const serviceSection = z.strictObject({
+  kind: z.enum(ServiceKind, { error: 'is unknown; write model or plain' }),
+  layers: createWhole(0, 100_000).default(0),
+  idempotent: yesNo,
+  accounts: listSchema,
+  checksFencing: yesNo.default(false),
+  workers: createWhole(0, 1_000_000).default(0),
+});
+
+const domainSection = z.strictObject({
+  region: z
+    .string({ error: 'is missing; name the region' })
+    .regex(namePattern, 'is no name; use letters, digits, "_" or "-"'),
+});
+
+const createSections = <T extends z.ZodType>(
+  section: T,
+): z.ZodType<Record<string, z.output<T>>> =>
+  z.record(
+    z.string().regex(namePattern, {
+      error: 'is no name; use 1 to 64 letters, digits, "_" or "-"',
+    }),
+    section,
+  );
+
+const fileSchema = z.strictObject({
+  rank: createSections(rankSection).default({}),
+  account: createSections(accountSection).default({}),
+  service: createSections(serviceSection).default({}),
+  failureDomain: createSections(domainSection).default({}),
+});
+
+type FileSections = z.output<typeof fileSchema>;
+
+/** Parses a configuration file; fails with every fault that it has. */
+export const parseConfigFile = (
+  text: string,
+): Result<RouterConfiguration, readonly ConfigFault[]> => {
+  const repeated = findRepeatedSections(text);
+  const parsed = fileSchema.safeParse(parseIni(text));
+  if (!parsed.success) {
+    const faults = parsed.error.issues.flatMap(toFaults);
+    return Err([...repeated, ...faults]);
+  }
+  const configuration = toConfiguration(parsed.data);
+  const faults = [...repeated, ...checkConfiguration(configuration)];
+  return faults.length > 0 ? Err(faults) : Ok(configuration);
+};
+
+/** Formats a configuration as a file. */
+export const formatConfigFile = (configuration: RouterConfiguration): string =>
+  formatIni({
+    rank: toSections(configuration.ranks),
+    failureDomain: toSections(configuration.failureDomains ?? []),
+    service: toSections(
+      configuration.services.map(service => ({
+        ...service,
+        accounts: service.accounts.join(','),
+      })),
+    ),
+    account: toSections(configuration.accounts),
+  });
+
+/** Formats a fault as one line with file, section, key, fault and remedy. */
+export const formatFault = (file: string, fault: ConfigFault): string =>
+  `${file}: [${fault.section}] ${fault.key}: ${fault.fault}; ${fault.remedy}`;
+
+const toConfiguration = (file: FileSections): RouterConfiguration => {
+  const accounts = listNamed(file.account);
+  const names = accounts.map(account => account.name);
+  return {
+    version: 1,
+    ranks: listNamed(file.rank),
+    accounts,
+    services: listNamed(file.service).map(service => ({
+      ...service,
+      accounts: service.accounts.includes(everyAccount)
+        ? names
+        : service.accounts,
+    })),
+    failureDomains: listNamed(file.failureDomain),
+  };
+};
+
+const listNamed = <T extends object>(
+  sections: Readonly<Record<string, T>>,
+): (T & { readonly name: string })[] =>
+  Object.entries(sections).map(([name, section]) => ({ name, ...section }));
+
+const toSections = (
+  items: readonly { readonly name: string }[],
+): Record<string, object> =>
+  Object.fromEntries(items.map(({ name, ...section }) => [name, section]));
+
+const toFaults = (issue: z.core.$ZodIssue): ConfigFault[] => {
+  const path = issue.path.map(String);
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({
+      section: path.join('.') || '(file)',
+      key,
+      fault: 'is not known',
+      remedy: 'remove it or correct its spelling',
+    }));
+  }
+  const nested = issue.code === 'invalid_key' ? issue.issues[0] : undefined;
+  const [fault, remedy] = (nested ?? issue).message.split('; ');
+  return [
+    {
+      section: path.slice(0, 2).join('.') || '(file)',
+      key: path.slice(2).join('.') || '(section)',
+      fault: fault ?? '',
+      remedy: remedy ?? 'look at a file that "lycheetally questionnaire" wrote',
+    },
+  ];
+};
+
+// The parser would merge them without a word.
+const findRepeatedSections = (text: string): ConfigFault[] => {
+  const headers = text
+    .split('\n')
+    .flatMap(line => /^\s*\[([^\]]+)\]/.exec(line)?.[1] ?? []);
+  const repeated = headers.filter(
+    (name, index) => headers.indexOf(name) !== index,
+  );
+  return [...new Set(repeated)].map(section => ({
+    section,
+    key: '(section)',
+    fault: 'the section stands twice',
+    remedy: 'make one section of the two',
+  }));
+};
--- a/packages/router/src/config/configuration.ts
+++ b/packages/router/src/config/configuration.ts
@@ -40,6 +40,13 @@
   layers: z.int().min(0),
   idempotent: z.boolean(),
   accounts: z.array(nameSchema),
+  checksFencing: z.boolean().optional(),
+  workers: z.int().min(0).optional(),
+});
+
+export const failureDomainSchema = z.strictObject({
+  name: nameSchema,
+  region: nameSchema,
 });
 
 export const configurationSchema = z.strictObject({
@@ -47,6 +54,7 @@
   ranks: z.array(rankSchema),
   accounts: z.array(accountSchema),
   services: z.array(serviceSchema),
+  failureDomains: z.array(failureDomainSchema).optional(),
 });
 
 /** Parses a whole configuration. Fails with `BadMessage`. */
--- a/packages/router/src/config/recordCodec.ts
+++ b/packages/router/src/config/recordCodec.ts
@@ -17,6 +17,7 @@
 import {
   accountSchema,
   configurationSchema,
+  failureDomainSchema,
   nameSchema,
   rankSchema,
   serviceSchema,
@@ -41,6 +42,7 @@
   ranks: createEditsSchema(rankSchema),
   accounts: createEditsSchema(accountSchema),
   services: createEditsSchema(serviceSchema),
+  failureDomains: createEditsSchema(failureDomainSchema).optional(),
 });
 
 const changeSchema = z.strictObject({
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -15,6 +15,7 @@
 export * from './daemon.js';
 export * from './entry/acceptCall.js';
 export * from './config/configFollower.js';
+export * from './config/configFile.js';
 export * from './config/configPublisher.js';
 export * from './config/publication.js';
 export * from './config/recordCodec.js';
