--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -31,6 +31,8 @@
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
+  /** Seconds that a stopping process waits for its open work. */
+  readonly drainSeconds: number;
 }
 
 export const defaultFleetOptions: FleetOptions = {
@@ -42,6 +44,7 @@
   stepMs: 2,
   plainMs: 5,
   slots: 16,
+  drainSeconds: 20,
 };
 
 /** The names that a fleet's configuration uses. */
@@ -113,6 +116,17 @@
   }
 };
 
+/** What fleets read of the status of an entry or an agent. */
+export interface ProcessStatus {
+  readonly ready: boolean;
+  /** Open work of an agent. */
+  readonly work: number;
+  /** Open requests of an entry. */
+  readonly openRequests: number;
+  /** Tokens that an entry relayed. */
+  readonly tokens: { readonly delivered: number; readonly dropped: number };
+}
+
 export class RouterFleet {
   readonly processes = new ProcessFleet();
   logUrl = '';
@@ -185,8 +199,9 @@
     name: string,
     sections: SettingsSections = {},
   ): Promise<FleetProcess> {
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Entry, {
-      process: { id: name, failureDomain: 'bc-south-a', drainSeconds: 20 },
+      process: { id: name, failureDomain: 'bc-south-a', drainSeconds },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
       ...sections,
@@ -208,8 +223,9 @@
     const failureDomain =
       failureDomains[domainIndex % failureDomains.length] ?? '';
     const name = `agent-${server}`;
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Agent, {
-      process: { id: name, failureDomain, drainSeconds: 20 },
+      process: { id: name, failureDomain, drainSeconds },
       listen: { peers: anyAddress, operators: anyAddress },
       backend: { server, slots: this.options.slots, ...backend },
     });
@@ -292,6 +308,13 @@
     return ready && connected >= this.backendUrls.size;
   }
 
+  /** Reads the status that a process tells its operators. */
+  async readStatus(name: string): Promise<ProcessStatus> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as ProcessStatus;
+  }
+
   /** Reads JSON from a process of the fleet. */
   async get(url: string): Promise<unknown> {
     const answer = await callJson({
