--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -11,6 +11,7 @@
   type Address,
   type Milliseconds,
 } from '@lycheetally/common';
+import { toPosition } from '@lycheetally/decisions';
 import {
   MessageKind,
   type AttemptRef,
@@ -22,6 +23,8 @@
   type Resume,
 } from '@lycheetally/protocol';
 import { maxEndedAttempts, maxKeptAnswers } from '../constants.js';
+import { ConfigFeed } from '../config/configFeed.js';
+import { ConfigHolder, bindHolderChart } from '../config/configHolder.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -79,6 +82,8 @@
   private readonly ended = new EndedAttempts(maxEndedAttempts, maxKeptAnswers);
   /** The latest channel of each node that gives this agent work. */
   private readonly owners = new Map<string, PeerChannel>();
+  private readonly holder: ConfigHolder;
+  private readonly feed: ConfigFeed;
   private readonly nextChannels = new Map<string, OutgoingChannel>();
 
   constructor(
@@ -89,6 +94,14 @@
     this.machine = takeValue(bindWorkChart());
     this.watchMachine = takeValue(bindWatchChart());
     this.services = this.createServices();
+    const holderMachine = takeValue(bindHolderChart());
+    this.holder = new ConfigHolder(holderMachine, this.loop, this.events);
+    this.feed = new ConfigFeed({
+      getState: () => this.holder.state,
+      takeState: (state, now) => {
+        this.holder.receive({ type: 'HANDED_OVER', state }, now);
+      },
+    });
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       backendReported: ({ work, event }, now) => {
@@ -111,6 +124,7 @@
       ),
     );
     const boundOperators = await this.listenForOperators(operators);
+    this.holder.start(this.clock.getNow());
     this.begin(this.clock.getNow());
     return { peers: boundPeers, operators: boundOperators };
   }
@@ -131,6 +145,8 @@
       incarnation: this.incarnation,
       ready: this.isReady(),
       leaving: this.isStopping,
+      configVersion: this.holder.state?.configuration.version ?? 0,
+      config: toPosition(this.holder.state),
       backend: this.agentSettings.backend,
       running: this.agentPorts.slots.running,
       waiting: this.agentPorts.slots.waiting,
@@ -147,6 +163,7 @@
       this.owners.set(nodeId, channel);
       this.endWorkOfOwner(nodeId, now);
       this.sendReport(channel);
+      this.feed.handleOpen(channel);
     }
   }
 
@@ -182,7 +199,9 @@
         this.receiveResume(channel, message.value, now);
         return;
       default:
-        this.receiveFromStage(channel, message, now);
+        if (!this.feed.receive(channel, message, now)) {
+          this.receiveFromStage(channel, message, now);
+        }
     }
   }
 
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -10,10 +10,13 @@
   type Result,
 } from '@lycheetally/common';
 import {
+  ConditionalAcceptance,
   Outcome,
+  emptyConfiguration,
+  toPosition,
   type Route,
-  type RouterConfiguration,
   type ServerView,
+  type SnapshotPolicy,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
@@ -22,6 +25,12 @@
   type PeerMessage,
 } from '@lycheetally/protocol';
 import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
+import { ConfigFeed } from '../config/configFeed.js';
+import {
+  ConfigFollower,
+  bindFollowerChart,
+  type FollowerEvent,
+} from '../config/configFollower.js';
 import { vmListIntervalMs } from '../constants.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
@@ -37,11 +46,6 @@
 import { bindAttemptChart } from './attemptActions.js';
 import { toAttemptEvent } from './attemptMessages.js';
 import { sendConnectionEvent } from './attemptConnections.js';
-import {
-  ConfigFollower,
-  bindFollowerChart,
-  type FollowerEvent,
-} from './configFollower.js';
 import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
@@ -67,6 +71,8 @@
   readonly log: LogPort;
   readonly vmList: VmListPort;
   readonly policies: EntryPolicies;
+  /** Says when the configuration's stream gets a snapshot. */
+  readonly snapshots: SnapshotPolicy;
 }
 
 export interface EntrySettings extends NodeSettings {
@@ -108,6 +114,7 @@
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
+  private readonly feed: ConfigFeed;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
@@ -125,6 +132,7 @@
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
+    this.feed = this.createFeed();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       callReceived: ({ call, exchange }, now) => {
@@ -181,6 +189,10 @@
       ready: this.isReady(),
       leaving: this.isStopping,
       configVersion: this.follower.inForce?.version ?? 0,
+      config: {
+        ...toPosition(this.follower.state),
+        standing: this.follower.standing,
+      },
       openRequests: this.requests.size,
       tokens: this.relayCounts,
       members: this.members.listMembers().map(describeMember),
@@ -197,6 +209,7 @@
   }
 
   override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
+    this.feed.handleOpen(channel);
     const earlier = this.members.findByChannel(channel)?.hello;
     const hello = this.members.noteOpen(channel)?.hello;
     const requests = this.requests.values();
@@ -237,7 +250,9 @@
         this.members.noteReport(channel, message.value);
         return;
       default:
-        this.receiveAttemptMessage(message, now);
+        if (!this.feed.receive(channel, message, now)) {
+          this.receiveAttemptMessage(message, now);
+        }
     }
   }
 
@@ -338,8 +353,11 @@
 
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
+      nodeId: this.settings.id,
       timers: this.loop,
       logPort: this.entryPorts.log,
+      acceptance: new ConditionalAcceptance(),
+      snapshots: this.entryPorts.snapshots,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
       postFollowerEvent: event => {
@@ -348,6 +366,21 @@
     });
   }
 
+  private createFeed(): ConfigFeed {
+    const feed = new ConfigFeed({
+      getState: () => this.follower.state,
+      takeState: (state, now) => {
+        this.follower.receive({ type: 'HANDED_OVER', state }, now);
+      },
+    });
+    this.store.add(
+      this.follower.advanced.subscribe(span => {
+        feed.publishStep(span, this.members.listOpenChannels());
+      }),
+    );
+    return feed;
+  }
+
   private createServices(): RequestServices {
     return {
       entryId: this.settings.id,
@@ -391,13 +424,6 @@
   }
 }
 
-const emptyConfiguration: RouterConfiguration = {
-  version: 0,
-  ranks: [],
-  accounts: [],
-  services: [],
-};
-
 const describeMember = (member: Member): object => ({
   server: member.hello?.backend?.serverId ?? '',
   address: member.address,
