Keep an outcome ledger and filter the events of a process

Cause: an operator could read the events of one process only whole, and no record of how each request ended could be asked for. Ruled out: a ledger on disk (VMs have none) and one stream of the log a request (the log takes hundreds of appends a second, callers send more). Change: an entry keeps one outcome record a request, bounded by number and time, counts what it no longer keeps, serves it under /v1/admin/ledger and writes it as a structured line. Calls refused at the door are recorded as well. /v1/admin/events takes request, since and kind. Routing decisions are events. A queue wait is part of work-started.

--- a/packages/common/src/eventRing.ts
+++ b/packages/common/src/eventRing.ts
@@ -20,6 +20,10 @@
   constructor(private readonly capacity: number) {}
 
   add(record: EventRecord): void {
+    if (this.capacity === 0) {
+      this.overwritten += 1;
+      return;
+    }
     if (this.records.length < this.capacity) {
       this.records.push(record);
       return;
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -13,6 +13,7 @@
   Members: 'members',
   Claims: 'claims',
   Orders: 'orders',
+  Ledger: 'ledger',
   Command: 'command',
   StandIn: 'stand-in',
 } as const;
--- a/packages/router/src/adapters/callerFormats.ts
+++ b/packages/router/src/adapters/callerFormats.ts
@@ -174,16 +174,29 @@
       ),
     );
   }
-  const authorization = readHeader(http.headers, 'authorization') ?? '';
   return Ok({
     callerRequestId: readHeader(http.headers, 'x-request-id'),
-    bearerKey: /^Bearer (.+)$/i.exec(authorization)?.[1] ?? '',
+    bearerKey: readBearerKey(http.headers),
     rank: readHeader(http.headers, 'x-lycheetally-rank'),
     deadlineMs,
     idempotencyKey: readHeader(http.headers, 'idempotency-key'),
   });
 };
 
+/** Reads what may be known of a call that cannot be read whole. */
+export const readRefusedCall = (
+  headers: IncomingHttpHeaders,
+): Pick<CallerCall, 'bearerKey' | 'callerRequestId' | 'service'> => ({
+  bearerKey: readBearerKey(headers),
+  callerRequestId: isCleanHeader(headers, 'x-request-id')
+    ? readHeader(headers, 'x-request-id')
+    : undefined,
+  service: '',
+});
+
+const readBearerKey = (headers: IncomingHttpHeaders): string =>
+  /^Bearer (.+)$/i.exec(readHeader(headers, 'authorization') ?? '')?.[1] ?? '';
+
 const isDeadline = (value: number): boolean =>
   Number.isInteger(value) && value >= 1 && value <= maxDeadlineMs;
 
--- a/packages/router/src/adapters/callersHttp.ts
+++ b/packages/router/src/adapters/callersHttp.ts
@@ -16,15 +16,23 @@
 } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
-import { readCall } from './callerFormats.js';
+import { readCall, readRefusedCall } from './callerFormats.js';
 import { HttpExchange, sendRefusal } from './httpExchange.js';
 import { readBody } from './httpClient.js';
 import { startListening } from './listen.js';
 import { sendJson } from './operatorsHttp.js';
 
+/** What is known of a call that the front end refused. */
+export type RefusedCall = Pick<
+  CallerCall,
+  'bearerKey' | 'callerRequestId' | 'service'
+>;
+
 /** What the callers' port hands on. Called from outside the loop. */
 export abstract class CallersSink {
   abstract receiveCall(call: CallerCall, exchange: CallerExchange): void;
+  /** Takes note of a call that the front end refused. */
+  abstract receiveRefusedCall(call: RefusedCall, error: TypedError): void;
   abstract handleCallerGone(exchange: CallerExchange): void;
   /** Lists the services that a bearer key may use. */
   abstract listServices(bearerKey: string): readonly string[];
@@ -77,21 +85,27 @@
     } catch (thrown) {
       const remedy = 'send a well-formed HTTP request';
       const error = toTypedError(thrown, ErrorKind.BadRequest, remedy);
-      sendRefusal(response, { requestId: '', outcome: Outcome.NotRun, error });
+      this.refuse(request, response, error);
     }
   }
 
+  private refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: TypedError,
+    retryAfterMs?: number,
+  ): void {
+    const outcome = Outcome.NotRun;
+    sendRefusal(response, { requestId: '', outcome, error, retryAfterMs });
+    this.sink.receiveRefusedCall(readRefusedCall(request.headers), error);
+  }
+
   private async serveCall(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     if (!this.sink.isOpen()) {
-      sendRefusal(response, {
-        requestId: '',
-        outcome: Outcome.NotRun,
-        retryAfterMs: 1_000,
-        error: createLeavingError(),
-      });
+      this.refuse(request, response, createLeavingError(), leavingRetryMs);
       return;
     }
     const body = await readBody(request, this.maxBodyBytes);
@@ -102,8 +116,7 @@
       body,
     });
     if (formed.err) {
-      const error = formed.val;
-      sendRefusal(response, { requestId: '', outcome: Outcome.NotRun, error });
+      this.refuse(request, response, formed.val);
       return;
     }
     const { call, form, isStream } = formed.val;
@@ -128,6 +141,9 @@
   }
 }
 
+/** Milliseconds after which a caller of a stopping entry may try again. */
+const leavingRetryMs = 1_000;
+
 const createLeavingError = (): TypedError =>
   new TypedError(
     ErrorKind.Leaving,
--- a/packages/router/src/adapters/operatorsHttp.ts
+++ b/packages/router/src/adapters/operatorsHttp.ts
@@ -2,12 +2,21 @@
 import { createServer, type ServerResponse, type Server } from 'node:http';
 import {
   Err,
+  ErrorKind,
   Ok,
+  toTypedError,
   type Address,
   type EventRecord,
   type Result,
 } from '@lycheetally/common';
 import { Registry, collectDefaultMetrics } from 'prom-client';
+import { parseLedgerQuery, type LedgerQuery } from '../ledger/outcomeLedger.js';
+import type { LedgerPage } from '../ledger/outcomeRecord.js';
+import {
+  parseEventQuery,
+  type EventPage,
+  type EventQuery,
+} from '../timeline/eventPage.js';
 import { startListening } from './listen.js';
 
 /** What the operators' port reads from its process. */
@@ -15,6 +24,12 @@
   abstract isReady(): boolean;
   abstract describeStatus(): object;
   abstract listEvents(): readonly EventRecord[];
+  /** Describes the events of this process that match. */
+  abstract describeEvents(query: EventQuery): EventPage;
+  /** Reads the outcome records of this process; `undefined` when it keeps none. */
+  readLedger(_query: LedgerQuery): LedgerPage | undefined {
+    return undefined;
+  }
 }
 
 export class OperatorsServer {
@@ -30,8 +45,7 @@
   /** Starts listening. Fails with `BadAddress`. */
   async listen(address: Address): Promise<Result<Address>> {
     const server = createServer((request, response) => {
-      const path = new URL(request.url ?? '/', 'http://operators').pathname;
-      void this.answer(path, response);
+      void this.serve(request.url ?? '/', response);
     });
     const bound = await startListening(server, address);
     if (bound.err) {
@@ -46,8 +60,19 @@
     this.server?.closeAllConnections();
   }
 
-  private async answer(path: string, response: ServerResponse): Promise<void> {
-    switch (path) {
+  private async serve(target: string, response: ServerResponse): Promise<void> {
+    try {
+      await this.answer(new URL(target, 'http://operators'), response);
+    } catch (thrown) {
+      const remedy = 'correct the address and send it again';
+      const error = toTypedError(thrown, ErrorKind.BadRequest, remedy);
+      sendJson(response, 400, { error: error.message });
+    }
+  }
+
+  private async answer(url: URL, response: ServerResponse): Promise<void> {
+    const { pathname, searchParams } = url;
+    switch (pathname) {
       case '/healthz':
         sendJson(response, 200, { healthy: true });
         return;
@@ -62,11 +87,29 @@
         sendJson(response, 200, this.view.describeStatus());
         return;
       case '/v1/admin/events':
-        sendJson(response, 200, { events: this.view.listEvents() });
+        sendJson(
+          response,
+          200,
+          this.view.describeEvents(parseEventQuery(searchParams)),
+        );
+        return;
+      case '/v1/admin/ledger':
+        this.answerLedger(parseLedgerQuery(searchParams), response);
         return;
       default:
-        sendJson(response, 404, { error: `no such path: ${path}` });
+        sendJson(response, 404, { error: `no such path: ${pathname}` });
+    }
+  }
+
+  private answerLedger(query: LedgerQuery, response: ServerResponse): void {
+    const page = this.view.readLedger(query);
+    if (!page) {
+      sendJson(response, 404, {
+        error: 'this process keeps no ledger; ask an entry',
+      });
+      return;
     }
+    sendJson(response, 200, page);
   }
 
   private answerReadiness(response: ServerResponse): void {
--- a/packages/router/src/agent/workActions.ts
+++ b/packages/router/src/agent/workActions.ts
@@ -65,7 +65,14 @@
 };
 
 export const sendStarted: WorkAction = (work, _, now) => {
-  work.services.events.record('work-started', now, work.ref);
+  work.services.events.record('work-started', now, {
+    ...work.ref,
+    detail: {
+      rank: work.offer.rank,
+      stage: work.offer.stageIndex,
+      waitedMs: now - (work.queued?.enqueuedAt ?? now),
+    },
+  });
   work.services.sendToOwner(work.ownerId, {
     kind: MessageKind.Started,
     value: work.ref,
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -53,3 +53,12 @@
 
 /** Tokens generated when a caller names no number. */
 export const defaultMaxTokens = 64;
+
+/** Milliseconds of a minute. */
+export const msPerMinute = 60_000;
+
+/** Outcome records that an entry keeps. */
+export const defaultLedgerRecords = 50_000;
+
+/** Minutes for which an entry keeps an outcome record. */
+export const defaultLedgerMinutes = 60;
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -104,6 +104,7 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
+      operations: settings.operations,
     },
     {
       clock: new SystemClock(),
@@ -128,6 +129,7 @@
       id: settings.process.id,
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      operations: settings.operations,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -24,8 +24,21 @@
   type PeerMessage,
   type Refused,
 } from '@lycheetally/protocol';
-import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
-import { vmListIntervalMs } from '../constants.js';
+import {
+  CallersServer,
+  CallersSink,
+  type RefusedCall,
+} from '../adapters/callersHttp.js';
+import {
+  defaultLedgerMinutes,
+  defaultLedgerRecords,
+  msPerMinute,
+  vmListIntervalMs,
+} from '../constants.js';
+import { LedgerLines } from '../ledger/ledgerLines.js';
+import { OutcomeLedger, type LedgerQuery } from '../ledger/outcomeLedger.js';
+import type { LedgerPage } from '../ledger/outcomeRecord.js';
+import { createRefusalRecord } from '../ledger/recordOutcome.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
@@ -59,6 +72,7 @@
 /** Events that an entry takes. */
 export interface EntryEvents extends NodeEvents {
   callReceived: { call: CallerCall; exchange: CallerExchange };
+  callRefused: { call: RefusedCall; error: TypedError };
   callerGone: { exchange: CallerExchange };
   followerEvent: { event: FollowerEvent };
   vmListRead: { list: Result<readonly VmRecord[]> };
@@ -92,6 +106,10 @@
     this.node.loop.post('callReceived', { call, exchange });
   }
 
+  override receiveRefusedCall(call: RefusedCall, error: TypedError): void {
+    this.node.loop.post('callRefused', { call, error });
+  }
+
   override handleCallerGone(exchange: CallerExchange): void {
     this.node.loop.post('callerGone', { exchange });
   }
@@ -112,6 +130,7 @@
   private readonly follower: ConfigFollower;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
+  private readonly ledger: OutcomeLedger;
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
   private callers: CallersServer | undefined;
   private requestCount = 0;
@@ -124,6 +143,7 @@
     this.members = new MemberDirectory((address, now) =>
       this.createOutgoing(address, now),
     );
+    this.ledger = this.createLedger();
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
@@ -132,6 +152,9 @@
       callReceived: ({ call, exchange }, now) => {
         this.receiveCall(call, exchange, now);
       },
+      callRefused: ({ call, error }, now) => {
+        this.refuseCall(this.createRequestId(), call, error, now);
+      },
       callerGone: ({ exchange }, now) => {
         this.byExchange
           .get(exchange)
@@ -221,7 +244,7 @@
     switch (message.kind) {
       case MessageKind.Token: {
         const context = this.requests.get(message.value.requestId);
-        deliverToken(context, message.value, this.relayCounts);
+        deliverToken(context, message.value, this.relayCounts, now);
         return;
       }
       case MessageKind.Report:
@@ -245,22 +268,46 @@
     exchange: CallerExchange,
     now: Milliseconds,
   ): void {
-    this.requestCount += 1;
-    const requestId = `${this.incarnation}.${String(this.requestCount)}`;
+    const requestId = this.createRequestId();
     exchange.noteAccepted(requestId);
     const accepted = this.acceptCall(requestId, call, now);
     if (accepted.err) {
-      this.events.record('request-refused', now, {
-        requestId,
-        detail: { kind: accepted.val.kind },
-      });
       const error = accepted.val;
+      this.refuseCall(requestId, call, error, now);
       exchange.finish({ requestId, outcome: Outcome.NotRun, error });
       return;
     }
     this.startRequest(accepted.val, exchange, now);
   }
 
+  private createRequestId(): string {
+    this.requestCount += 1;
+    return `${this.incarnation}.${String(this.requestCount)}`;
+  }
+
+  /** Records a call that never became a request. */
+  private refuseCall(
+    requestId: string,
+    call: RefusedCall,
+    error: TypedError,
+    now: Milliseconds,
+  ): void {
+    const callerRequestId = call.callerRequestId ?? '';
+    this.events.record('request-refused', now, {
+      requestId,
+      detail: { kind: error.kind, callerRequestId },
+    });
+    const account = this.findAccountName(call.bearerKey);
+    this.ledger.append(
+      createRefusalRecord(requestId, call, account, error, now),
+    );
+  }
+
+  private findAccountName(bearerKey: string): string {
+    const configuration = this.follower.inForce;
+    return (configuration && findAccount(bearerKey, configuration)?.name) ?? '';
+  }
+
   private acceptCall(
     requestId: string,
     call: CallerCall,
@@ -321,6 +368,28 @@
     });
   }
 
+  override readLedger(query: LedgerQuery): LedgerPage {
+    return this.ledger.readPage(query, this.clock.getNow());
+  }
+
+  private createLedger(): OutcomeLedger {
+    const { operations } = this.settings;
+    const ledger = new OutcomeLedger(this.settings.id, {
+      maxRecords: operations?.ledgerRecords ?? defaultLedgerRecords,
+      retentionMs:
+        (operations?.ledgerMinutes ?? defaultLedgerMinutes) * msPerMinute,
+    });
+    if (operations?.ledgerLines !== 'off') {
+      this.store.add(
+        new LedgerLines(
+          ledger,
+          this.ports.loggers.createLogger(LogPart.Ledger),
+        ),
+      );
+    }
+    return ledger;
+  }
+
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
       timers: this.loop,
@@ -347,6 +416,9 @@
       countOutstanding: (route, change) => {
         this.countOutstanding(route, change);
       },
+      recordOutcome: record => {
+        this.ledger.append(record);
+      },
       handleRequestEnded: (context, now) => {
         this.requests.delete(context.request.requestId);
         this.byExchange.delete(context.exchange);
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -13,6 +13,8 @@
 } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
 import { cancelBoundMs } from '../constants.js';
+import { createOutcomeRecord } from '../ledger/recordOutcome.js';
+import { describeRouting } from '../timeline/describeRouting.js';
 import type { AttemptContext } from './attemptContext.js';
 import {
   viewRequest,
@@ -51,12 +53,17 @@
 
 export const chooseRoute: RequestAction = (context, _, now) => {
   const { services, request } = context;
+  const servers = services.listServers(request.service.name);
   const chosen = services.policies.routing.chooseRoute(
     viewRequest(context),
     request.service,
-    services.listServers(request.service.name),
+    servers,
     now,
   );
+  services.events.record('route-decided', now, {
+    requestId: request.requestId,
+    detail: describeRouting(servers, context.avoided, chosen),
+  });
   if (chosen.err) {
     context.instance?.send({ type: 'UNROUTABLE', error: chosen.val }, now);
     return;
@@ -125,6 +132,7 @@
       tokens: context.delivered.length,
     },
   });
+  services.recordOutcome(createOutcomeRecord(context, outcome, now));
   exchange.finish({
     requestId: request.requestId,
     outcome,
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -22,6 +22,7 @@
   PlainWork,
 } from '@lycheetally/protocol';
 import type { EventLog } from '../eventLog.js';
+import type { NewOutcomeRecord } from '../ledger/outcomeRecord.js';
 import type { CallerExchange } from '../ports/callerExchange.js';
 import type { AttemptContext, AttemptEvent } from './attemptContext.js';
 
@@ -80,6 +81,8 @@
   sendToServer(serverId: string, message: PeerMessage): boolean;
   /** Counts work that this entry has at the servers of a route. */
   countOutstanding(route: Route, change: 1 | -1): void;
+  /** Adds the record of a request that ended to the ledger. */
+  recordOutcome(record: NewOutcomeRecord): void;
   handleRequestEnded(request: RequestContext, now: Milliseconds): void;
 }
 
@@ -96,6 +99,8 @@
   isCancelled: boolean;
   /** Tokens that the caller was sent, in order. */
   delivered: number[];
+  /** When the first token was sent to the caller. */
+  firstTokenAt: Milliseconds | undefined;
   /** Position of the last delivered token; absent before the first one. */
   lastPosition: number | undefined;
   end: Finished | undefined;
@@ -130,6 +135,7 @@
   error: undefined,
   isCancelled: false,
   delivered: [],
+  firstTokenAt: undefined,
   lastPosition: undefined,
   end: undefined,
 });
--- a/packages/router/src/entry/tokenRelay.ts
+++ b/packages/router/src/entry/tokenRelay.ts
@@ -4,6 +4,7 @@
  * A token is bound to its request, attempt, epoch and position; one that is
  * late, crossed or doubled is dropped and counted.
  */
+import type { Milliseconds } from '@lycheetally/common';
 import type { Token } from '@lycheetally/protocol';
 import type { RequestContext } from './requestContext.js';
 
@@ -18,12 +19,14 @@
   context: RequestContext | undefined,
   token: Token,
   counts: RelayCounts,
+  now: Milliseconds,
 ): void => {
   if (!context || !isExpected(context, token)) {
     counts.dropped += 1;
     return;
   }
   counts.delivered += 1;
+  context.firstTokenAt ??= now;
   context.lastPosition = token.position;
   context.delivered.push(token.tokenId);
   if (context.attempt) {
--- a/packages/router/src/eventLog.ts
+++ b/packages/router/src/eventLog.ts
@@ -1,5 +1,6 @@
 /** Stamps and keeps the events of one process for the time line. */
 import {
+  Emitter,
   EventRing,
   HybridClock,
   type EventRecord,
@@ -16,19 +17,29 @@
 }
 
 export class EventLog {
-  private readonly ring = new EventRing(eventRingCapacity);
+  /** Emits each event as it is recorded. */
+  readonly recorded = new Emitter<EventRecord>();
+  private readonly ring: EventRing;
   private readonly clock = new HybridClock();
 
-  constructor(private readonly processId: string) {}
+  /** A capacity of 0 keeps no events. */
+  constructor(
+    private readonly processId: string,
+    capacity = eventRingCapacity,
+  ) {
+    this.ring = new EventRing(capacity);
+  }
 
   /** Records an event of this process. */
   record(kind: string, now: Milliseconds, subject: EventSubject = {}): void {
-    this.ring.add({
+    const event: EventRecord = {
       stamp: this.clock.takeStamp(now),
       process: this.processId,
       kind,
       ...subject,
-    });
+    };
+    this.ring.add(event);
+    this.recorded.emit(event);
   }
 
   /** Returns a stamp for an outgoing frame. */
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -6,6 +6,11 @@
 } from '@lycheetally/common';
 import { ServiceKind } from '@lycheetally/decisions';
 import { z } from 'zod';
+import {
+  defaultLedgerMinutes,
+  defaultLedgerRecords,
+  eventRingCapacity,
+} from './constants.js';
 
 const idSchema = z
   .string()
@@ -31,6 +36,29 @@
   drainSeconds: createNumberSchema(1, 3_600).default(30),
 });
 
+const operationsSchema = z
+  .strictObject({
+    timelineEvents: createNumberSchema(0, 1_000_000)
+      .default(eventRingCapacity)
+      .describe('Events that the time line of this process keeps; 0 for none'),
+    ledgerRecords: createNumberSchema(0, 1_000_000)
+      .default(defaultLedgerRecords)
+      .describe('Outcome records that this process keeps; 0 for none'),
+    ledgerMinutes: createNumberSchema(1, 10_080)
+      .default(defaultLedgerMinutes)
+      .describe('Minutes for which an outcome record is kept'),
+    ledgerLines: z
+      .enum(['on', 'off'], { error: 'write "on" or "off"' })
+      .default('on')
+      .describe('Whether each outcome record is written to the log as a line'),
+    metrics: z
+      .enum(['on', 'off'], { error: 'write "on" or "off"' })
+      .default('on')
+      .describe('Whether this process counts for its metrics page'),
+  })
+  .prefault({});
+export type OperationsSettings = z.output<typeof operationsSchema>;
+
 const platformSchema = z.strictObject({ log: urlSchema, vmList: urlSchema });
 
 /** Schema of an entry's settings file. */
@@ -38,6 +66,7 @@
   process: processSchema,
   listen: z.strictObject({ callers: addressSchema, operators: addressSchema }),
   platform: platformSchema,
+  operations: operationsSchema,
   limits: z
     .strictObject({
       maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024).default(
@@ -53,6 +82,7 @@
   process: processSchema,
   listen: z.strictObject({ peers: addressSchema, operators: addressSchema }),
   platform: platformSchema.optional(),
+  operations: operationsSchema,
   backend: z
     .strictObject({
       server: idSchema,
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -25,6 +25,7 @@
 import type { Clock } from './clock.js';
 import { EventLog } from './eventLog.js';
 import { Loop, type LoopHandlers } from './loop.js';
+import type { OperationsSettings } from './processSettings.js';
 import {
   bindIncomingChart,
   IncomingChannel,
@@ -47,6 +48,12 @@
   PeerStreamListener,
 } from './ports/peerNetwork.js';
 
+import {
+  filterEvents,
+  type EventPage,
+  type EventQuery,
+} from './timeline/eventPage.js';
+
 /** Events that every node takes. */
 export interface NodeEvents extends PeerEvents {
   peerAccepted: { channel: IncomingChannel };
@@ -62,6 +69,8 @@
   readonly id: string;
   readonly failureDomain: string;
   readonly drainBoundMs: Milliseconds;
+  /** What the process keeps for its operators; the defaults when absent. */
+  readonly operations?: OperationsSettings | undefined;
 }
 
 /** Ports that every node is given. */
@@ -129,7 +138,10 @@
     super();
     this.clock = ports.clock;
     this.incarnation = `${settings.id}.${ports.clock.getNow().toString(36)}`;
-    this.events = new EventLog(settings.id);
+    this.events = new EventLog(
+      settings.id,
+      settings.operations?.timelineEvents,
+    );
     this.log = ports.loggers.createLogger(part);
     this.loop = new Loop<Events>(ports.clock);
     this.outgoingMachine = takeValue(bindOutgoingChart());
@@ -176,6 +188,16 @@
     return this.events.list();
   }
 
+  override describeEvents(query: EventQuery): EventPage {
+    return {
+      process: this.settings.id,
+      incarnation: this.incarnation,
+      now: this.clock.getNow(),
+      overwritten: this.events.overwritten,
+      events: filterEvents(this.events.list(), query),
+    };
+  }
+
   /** Starts a graceful stop. Called from outside the loop. */
   requestStop(signal: string): void {
     this.loop.post('stopRequested', { signal });
--- /dev/null
+++ b/packages/router/src/timeline/eventPage.ts
@@ -0,0 +1,73 @@
+/** The page of events that each process serves for the time line. */
+import { toWallTime, type EventRecord } from '@lycheetally/common';
+import { z } from 'zod';
+import { parseNumber } from '../ledger/outcomeLedger.js';
+
+/** Which events a reader wants; absent parts match everything. */
+export interface EventQuery {
+  /** The router's name of the request, or the caller's own. */
+  readonly request?: string | undefined;
+  /** Events at or after this hybrid wall time, in milliseconds. */
+  readonly since?: number | undefined;
+  readonly kind?: string | undefined;
+}
+
+const eventSchema = z.object({
+  stamp: z.number(),
+  process: z.string(),
+  kind: z.string(),
+  requestId: z.string().optional(),
+  attempt: z.number().optional(),
+  detail: z
+    .record(z.string(), z.union([z.string(), z.number(), z.boolean()]))
+    .optional(),
+});
+
+/** Schema of a page of events as the operators' port serves it. */
+export const eventPageSchema = z.object({
+  process: z.string(),
+  incarnation: z.string(),
+  /** The process's own clock when it answered, in milliseconds. */
+  now: z.number(),
+  /** Events that the ring no longer keeps. */
+  overwritten: z.int(),
+  events: z.array(eventSchema),
+});
+
+/** The events of one process. */
+export type EventPage = z.output<typeof eventPageSchema>;
+
+/** Reads a query from the parameters of a URL. Throws `BadRequest`. */
+export const parseEventQuery = (parameters: URLSearchParams): EventQuery => ({
+  request: parameters.get('request') ?? undefined,
+  since: parseNumber(parameters, 'since'),
+  kind: parameters.get('kind') ?? undefined,
+});
+
+/** Filters events by a query. */
+export const filterEvents = (
+  events: readonly EventRecord[],
+  query: EventQuery,
+): EventRecord[] => {
+  const ids = listRequestIds(events, query.request);
+  return events.filter(
+    event =>
+      (ids === undefined || ids.has(event.requestId ?? '')) &&
+      (query.since === undefined || toWallTime(event.stamp) >= query.since) &&
+      (query.kind === undefined || event.kind === query.kind),
+  );
+};
+
+/** Lists the router's names of a request; `undefined` when none is asked for. */
+export const listRequestIds = (
+  events: readonly EventRecord[],
+  request: string | undefined,
+): ReadonlySet<string> | undefined => {
+  if (request === undefined) {
+    return undefined;
+  }
+  const named = events
+    .filter(event => event.detail?.callerRequestId === request)
+    .map(event => event.requestId ?? '');
+  return new Set([request, ...named]);
+};
