Merge the events of all processes into one time line

Cause: what a request met on its way stands in the rings of several processes, whose clocks differ. Ruled out: an order by the plain clocks; a test shows that it puts an effect before its cause when one clock is 900 ms behind. Change: timeline, explain and status read the operators' ports. The order is that of the hybrid stamps, which travel with every frame. Formats: text, JSON, trace events and one page without scripts. A process that does not answer is a lane and a line of its own, and the exit code is 1. Text from outside has its control characters replaced, and the page escapes the rest. Conclusion: a killed stage is shown as silent, and explain names the route and the end by the caller's own id.

--- a/apps/lycheetally/src/commands/command.ts
+++ b/apps/lycheetally/src/commands/command.ts
@@ -19,8 +19,19 @@
       const remedy = 'run the command again with --help';
       const error = toTypedError(thrown, ErrorKind.Usage, remedy);
       process.stderr.write(`${error.kind}: ${error.message}\n`);
-      process.exitCode =
-        thrown instanceof TypedError ? ExitCode.Usage : ExitCode.Failure;
+      process.exitCode = isUsageFault(thrown)
+        ? ExitCode.Usage
+        : ExitCode.Failure;
     }
   }
 }
+
+/** Kinds of errors that the user of the command line can mend by a flag or a file. */
+const usageKinds: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.Usage,
+  ErrorKind.BadSetting,
+  ErrorKind.BadAddress,
+]);
+
+const isUsageFault = (thrown: unknown): boolean =>
+  thrown instanceof TypedError && usageKinds.has(thrown.kind);
--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -6,10 +6,16 @@
 import type { Command } from './commands/command.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { ExplainCommand } from './commands/explainCommand.js';
+import { StatusCommand } from './commands/statusCommand.js';
+import { TimelineCommand } from './commands/timelineCommand.js';
 
 const commands: readonly Command[] = [
   new EntryCommand(),
   new AgentCommand(),
+  new StatusCommand(),
+  new TimelineCommand(),
+  new ExplainCommand(),
   new DemoCommand(),
   new BenchCommand(),
 ];
--- /dev/null
+++ b/apps/lycheetally/src/reading/nodes.ts
@@ -0,0 +1,59 @@
+/** The operators' addresses that a reading command is given. */
+import { ErrorKind, TypedError } from '@lycheetally/common';
+
+/** Environment variable that names the nodes when `--nodes` does not. */
+const nodesVariable = 'LYCHEETALLY_NODES';
+
+const addressPattern = /^([^\s:/]+|\[[^\]\s]+\]):\d{1,5}$/;
+
+/** Parses `host:port,host:port`. Throws `Usage`. */
+export const parseNodes = (flag: string | undefined): string[] => {
+  const text = flag ?? process.env[nodesVariable] ?? '';
+  const nodes = text.split(',').filter(node => node !== '');
+  if (nodes.length === 0) {
+    throw new TypedError(
+      ErrorKind.Usage,
+      'no node is named',
+      `give --nodes host:port,host:port or set ${nodesVariable}`,
+    );
+  }
+  const bad = nodes.find(node => !addressPattern.test(node));
+  if (bad !== undefined) {
+    throw new TypedError(
+      ErrorKind.Usage,
+      `node "${bad}" is not an address`,
+      "write the host and port of a process's operators' port",
+    );
+  }
+  return [...new Set(nodes)];
+};
+
+/** Parses a time: a date of ISO 8601, or a span before now such as `90s`, `5m` or `2h`. Throws `Usage`. */
+export const parseSince = (
+  text: string | undefined,
+  now: number,
+): number | undefined => {
+  if (text === undefined) {
+    return undefined;
+  }
+  const span = /^(\d{1,9})(ms|s|m|h)$/.exec(text);
+  if (span) {
+    return now - Number(span[1]) * (unitMs[span[2] ?? ''] ?? 1);
+  }
+  const at = Date.parse(text);
+  if (Number.isNaN(at)) {
+    throw new TypedError(
+      ErrorKind.Usage,
+      `time "${text}" cannot be read`,
+      'write 90s, 5m, 2h or a date such as 2026-01-31T10:00:00Z',
+    );
+  }
+  return at;
+};
+
+const unitMs: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1_000,
+  m: 60_000,
+  h: 3_600_000,
+};
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -130,6 +130,8 @@
       service: request.service.name,
       attempts: context.attempts,
       tokens: context.delivered.length,
+      reason:
+        outcome === Outcome.Complete ? '' : (context.error?.message ?? ''),
     },
   });
   services.recordOutcome(createOutcomeRecord(context, outcome, now));
--- /dev/null
+++ b/packages/router/src/timeline/collectTimeline.ts
@@ -0,0 +1,134 @@
+/** Asks processes for their events over their operators' ports. */
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  type Result,
+} from '@lycheetally/common';
+import type { z } from 'zod';
+import { callJson } from '../adapters/httpClient.js';
+import {
+  eventPageSchema,
+  listRequestIds,
+  type EventQuery,
+} from './eventPage.js';
+import {
+  mergeTimeline,
+  type ProcessAnswer,
+  type Timeline,
+} from './mergeTimeline.js';
+
+/** Milliseconds in which a process must answer its operators. */
+const operatorsTimeoutMs = 5_000;
+
+/** Reads a page of a process. Fails with `PlatformUnavailable` or `BadMessage`. */
+export const readOperatorsPage = async <T extends z.ZodType>(
+  address: string,
+  path: string,
+  schema: T,
+): Promise<Result<z.output<T>>> => {
+  const url = `http://${address}${path}`;
+  const timeoutMs = operatorsTimeoutMs;
+  const answer = await callJson({ method: 'GET', url, timeoutMs });
+  if (answer.err) {
+    return Err(answer.val);
+  }
+  const parsed = schema.safeParse(answer.val.body);
+  if (answer.val.status === 200 && parsed.success) {
+    return Ok(parsed.data);
+  }
+  return Err(
+    new TypedError(
+      ErrorKind.BadMessage,
+      `${url} answered with status ${String(answer.val.status)} and not with the page that was asked for`,
+      "check that the address is a process's operators' port",
+    ),
+  );
+};
+
+/**
+ * Collects the events of all processes.
+ *
+ * A request may be named by its caller's own id; the entries, which know it,
+ * are then asked for the router's names first.
+ */
+export const collectTimeline = async (
+  addresses: readonly string[],
+  query: EventQuery,
+): Promise<Timeline> => {
+  if (query.request === undefined) {
+    return mergeTimeline(await readAll(addresses, query));
+  }
+  const named = mergeTimeline(
+    await readAll(addresses, { request: query.request }),
+  );
+  const ids = [...(listRequestIds(named.events, query.request) ?? [])];
+  const parts = await Promise.all(
+    ids.map(request => readAll(addresses, { ...query, request })),
+  );
+  return joinParts(parts);
+};
+
+const readAll = (
+  addresses: readonly string[],
+  query: EventQuery,
+): Promise<ProcessAnswer[]> =>
+  Promise.all(addresses.map(address => readEvents(address, query)));
+
+const readEvents = async (
+  address: string,
+  query: EventQuery,
+): Promise<ProcessAnswer> => {
+  const path = `/v1/admin/events${formatQuery(query)}`;
+  const sentAt = Date.now();
+  const read = await readOperatorsPage(address, path, eventPageSchema);
+  if (read.err) {
+    return { address, fault: read.val.message };
+  }
+  const middle = (sentAt + Date.now()) / 2;
+  return {
+    address,
+    page: read.val,
+    clockOffsetMs: Math.round(read.val.now - middle),
+  };
+};
+
+/** Formats the defined parts of a query for a URL. */
+export const formatQuery = (query: object): string => {
+  const parameters = new URLSearchParams();
+  for (const [name, value] of Object.entries(query)) {
+    if (value !== undefined) {
+      parameters.set(name, String(value));
+    }
+  }
+  return parameters.size === 0 ? '' : `?${parameters.toString()}`;
+};
+
+// Each part holds the events of one name, so no event stands twice.
+const joinParts = (parts: readonly ProcessAnswer[][]): Timeline => {
+  const [first = [], ...others] = parts;
+  const joined = first.map((answer, index) =>
+    others.reduce<ProcessAnswer>(
+      (whole, part) => joinAnswers(whole, part[index]),
+      answer,
+    ),
+  );
+  return mergeTimeline(joined);
+};
+
+const joinAnswers = (
+  whole: ProcessAnswer,
+  part: ProcessAnswer | undefined,
+): ProcessAnswer => {
+  if (!part || !('page' in whole)) {
+    return whole;
+  }
+  if (!('page' in part)) {
+    return part;
+  }
+  const known = new Set(whole.page.events.map(event => event.stamp));
+  const added = part.page.events.filter(event => !known.has(event.stamp));
+  const events = [...whole.page.events, ...added];
+  return { ...whole, page: { ...whole.page, events } };
+};
--- /dev/null
+++ b/packages/router/src/timeline/explainRequest.ts
@@ -0,0 +1,150 @@
+/** Explains in a few lines why a request went where it did and ended as it did. */
+import { toWallTime, type EventRecord } from '@lycheetally/common';
+import { formatDetail, formatProcess } from './describeEvent.js';
+import { listRequestIds } from './eventPage.js';
+import { listSilent, type Timeline } from './mergeTimeline.js';
+import { toPrintable } from './printable.js';
+
+/** Kinds that the lines of an explanation speak of. */
+const toldKinds: ReadonlySet<string> = new Set([
+  'request-accepted',
+  'request-refused',
+  'request-ended',
+  'route-decided',
+  'attempt-offered',
+  'attempt-complete',
+  'attempt-not-run',
+  'attempt-failed',
+  'attempt-unknown',
+  'work-accepted',
+  'work-started',
+  'work-finished',
+  'work-failed',
+  'work-not-run',
+  'work-cancelled',
+  'work-revoked',
+  'work-ended',
+]);
+
+/** Explains a request by the router's name or the caller's own. */
+export const explainRequest = (
+  timeline: Timeline,
+  request: string,
+): string[] => {
+  const ids = listRequestIds(timeline.events, request) ?? new Set<string>();
+  const lines = [...ids].flatMap(id =>
+    explainOne(
+      id,
+      timeline.events.filter(event => event.requestId === id),
+    ),
+  );
+  const silent = listSilent(timeline).map(
+    process => `Missing part: ${formatProcess(process).slice(2)}`,
+  );
+  const found =
+    lines.length > 0
+      ? lines
+      : [
+          `No process that answered knows request ${toPrintable(request)}; it may be older than their events.`,
+        ];
+  return [...found, ...silent];
+};
+
+const explainOne = (id: string, events: readonly EventRecord[]): string[] => {
+  const [first] = events;
+  if (!first) {
+    return [];
+  }
+  return [
+    ...explainArrival(id, events),
+    ...events.flatMap(event => explainStep(event, first)),
+    ...explainOthers(events),
+  ];
+};
+
+const findKind = (
+  events: readonly EventRecord[],
+  kind: string,
+): EventRecord | undefined => events.find(event => event.kind === kind);
+
+const formatField = (event: EventRecord, name: string): string =>
+  toPrintable(event.detail?.[name] ?? '');
+
+const explainArrival = (
+  id: string,
+  events: readonly EventRecord[],
+): string[] => {
+  const accepted = findKind(events, 'request-accepted');
+  const refused = findKind(events, 'request-refused');
+  if (refused) {
+    return [
+      `Request ${toPrintable(id)} was refused by ${toPrintable(refused.process)} as not run: ${formatField(refused, 'kind')}.`,
+    ];
+  }
+  if (!accepted) {
+    return [`Request ${toPrintable(id)}; its entry's events are missing.`];
+  }
+  const own = formatField(accepted, 'callerRequestId');
+  return [
+    `Request ${toPrintable(id)}${own === '' ? '' : ` (caller's id ${own})`} came to ${toPrintable(accepted.process)}: account ${formatField(accepted, 'account')}, rank ${formatField(accepted, 'rank')}, service ${formatField(accepted, 'service')}.`,
+  ];
+};
+
+const explainStep = (event: EventRecord, first: EventRecord): string[] => {
+  const after = toWallTime(event.stamp) - toWallTime(first.stamp);
+  const text = formatStep(event);
+  return text === undefined ? [] : [`  +${String(after)} ms ${text}`];
+};
+
+const formatStep = (event: EventRecord): string | undefined => {
+  const process = toPrintable(event.process);
+  const attempt = `Attempt ${String(event.attempt ?? 0)}`;
+  switch (event.kind) {
+    case 'route-decided':
+      return formatRouting(event);
+    case 'attempt-offered':
+      return `${attempt} was offered to ${formatField(event, 'servers').replaceAll(',', ' > ')}.`;
+    case 'work-started':
+      return `${attempt} started at ${process} (stage ${formatField(event, 'stage')}) after ${formatField(event, 'waitedMs')} ms in its queue.`;
+    case 'work-failed':
+      return `${attempt} failed at ${process}: ${formatField(event, 'reason')}.`;
+    case 'work-not-run':
+    case 'work-revoked':
+      return `${attempt} was not run at ${process} and will not be.`;
+    case 'work-cancelled':
+      return `${attempt} was cancelled at ${process}.`;
+    case 'attempt-complete':
+    case 'attempt-not-run':
+    case 'attempt-failed':
+    case 'attempt-unknown':
+      return `${attempt} ended: ${event.kind.slice('attempt-'.length)}.`;
+    case 'request-ended':
+      return `Ended ${formatField(event, 'outcome')} with ${formatField(event, 'tokens')} tokens after ${formatField(event, 'attempts')} attempt(s)${formatReason(event)}.`;
+    default:
+      return undefined;
+  }
+};
+
+const formatRouting = (event: EventRecord): string => {
+  const route = formatField(event, 'route');
+  const decided =
+    route === ''
+      ? `No route: ${formatField(event, 'refusal')}`
+      : `Routed to ${route}`;
+  const avoided = formatField(event, 'avoided');
+  return `${decided}; ${formatField(event, 'candidateCount')} candidates: ${formatField(event, 'candidates')}${avoided === '' ? '' : `; avoided ${avoided}`}.`;
+};
+
+const formatReason = (event: EventRecord): string => {
+  const reason = formatField(event, 'reason');
+  return reason === '' ? '' : `: ${reason}`;
+};
+
+/** Lists the events that no line above speaks of, such as claims. */
+const explainOthers = (events: readonly EventRecord[]): string[] => {
+  const others = events.filter(event => !toldKinds.has(event.kind));
+  return others.map(
+    event =>
+      `  Also ${toPrintable(event.kind)} at ${toPrintable(event.process)}${formatDetail(event)}.`,
+  );
+};
--- /dev/null
+++ b/packages/router/src/timeline/mergeTimeline.ts
@@ -0,0 +1,79 @@
+/**
+ * Merges the events of all processes into one causal order.
+ *
+ * Hybrid stamps travel with every frame, so an event that another one caused
+ * has the higher stamp, however far the clocks of the two processes differ.
+ */
+import type { EventRecord, Milliseconds } from '@lycheetally/common';
+import type { EventPage } from './eventPage.js';
+
+/** What one process answered, or why it did not. */
+export type ProcessAnswer =
+  | {
+      readonly address: string;
+      readonly page: EventPage;
+      /** The process's clock minus the reader's, in milliseconds. */
+      readonly clockOffsetMs: Milliseconds;
+    }
+  | { readonly address: string; readonly fault: string };
+
+/** One process of a time line. */
+export interface TimelineProcess {
+  /** The process's name, or its address when it did not answer. */
+  readonly name: string;
+  readonly address: string;
+  /** Why the process did not answer; absent when it did. */
+  readonly fault?: string;
+  readonly clockOffsetMs?: Milliseconds;
+  /** Events that the process no longer keeps. */
+  readonly overwritten: number;
+}
+
+/** The events of all processes, each before those that it caused. */
+export interface Timeline {
+  readonly processes: readonly TimelineProcess[];
+  readonly events: readonly EventRecord[];
+}
+
+/** Merges what the processes answered. */
+export const mergeTimeline = (answers: readonly ProcessAnswer[]): Timeline => ({
+  processes: answers.map(describeProcess),
+  events: answers
+    .flatMap(answer => ('page' in answer ? toEvents(answer.page) : []))
+    .sort(compareEvents),
+});
+
+const toEvents = (page: EventPage): EventRecord[] =>
+  page.events.map(({ detail, ...event }) => ({
+    ...event,
+    ...(detail ? { detail } : {}),
+  }));
+
+const compareEvents = (a: EventRecord, b: EventRecord): number =>
+  a.stamp - b.stamp || compareText(a.process, b.process);
+
+const compareText = (a: string, b: string): number => {
+  if (a === b) {
+    return 0;
+  }
+  return a < b ? -1 : 1;
+};
+
+const describeProcess = (answer: ProcessAnswer): TimelineProcess =>
+  'page' in answer
+    ? {
+        name: answer.page.process,
+        address: answer.address,
+        clockOffsetMs: answer.clockOffsetMs,
+        overwritten: answer.page.overwritten,
+      }
+    : {
+        name: answer.address,
+        address: answer.address,
+        fault: answer.fault,
+        overwritten: 0,
+      };
+
+/** Lists the processes that did not answer. */
+export const listSilent = (timeline: Timeline): TimelineProcess[] =>
+  timeline.processes.filter(process => process.fault !== undefined);
