Add the load and experiment tool

Cause: service by rank, floods and faults could be seen only through tests, and nothing compared the ledger with what callers saw. Ruled out: a closed loop of workers, which sends less as answers slow down; xoroshiro for the plan, whose first numbers after a small seed lie close to 0 and 1: seed 1 planned no request in half a second at 20 a second. A test of eight seeds holds the change to a Mersenne twister. Change: load plans all arrivals by Poisson thinning, sends each on plan, counts latency from the plan into an HDR histogram, injects faults into the stand-ins, and compares each request with the ledger: account, outcome and tokens. Reports as JSON, Markdown and SVG. Two experiments follow the users. Conclusion: callers and ledger agree to the last request, also when the only stage and the only booking agent are killed (test).

--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -7,6 +7,7 @@
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
 import { ExplainCommand } from './commands/explainCommand.js';
+import { LoadCommand } from './commands/loadCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
 import { TimelineCommand } from './commands/timelineCommand.js';
 
@@ -17,6 +18,7 @@
   new TimelineCommand(),
   new ExplainCommand(),
   new DemoCommand(),
+  new LoadCommand(),
   new BenchCommand(),
 ];
 
--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -1,4 +1,5 @@
 /** Benches and the demo. */
 export * from './demo.js';
+export * from './load/index.js';
 export * from './registry.js';
 export * from './types.js';
--- /dev/null
+++ b/bench/src/load/arrivals.ts
@@ -0,0 +1,110 @@
+/**
+ * Plans the arrivals of an experiment before it starts.
+ *
+ * The load is open: a request leaves at its planned time whether or not
+ * earlier ones were answered. Arrivals are Poisson, thinned to the profile's
+ * rate, and the same seed gives the same plan.
+ */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { mersenne } from 'pure-rand/generator/mersenne';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import {
+  LoadProfile,
+  type Experiment,
+  type Phase,
+  type Traffic,
+} from './experiment.js';
+
+/** One planned request. */
+export interface Arrival {
+  /** Number of the request in the plan, from 0. */
+  readonly number: number;
+  /** Milliseconds after the start of the experiment. */
+  readonly atMs: number;
+  readonly phase: string;
+  readonly traffic: string;
+  readonly account: string;
+}
+
+const millisecondsPerSecond = 1_000;
+
+/** Seconds of one on-and-off cycle of a burst. */
+const burstCycleSeconds = 1;
+
+/** Plans every arrival, in the order of their times. */
+export const planArrivals = (experiment: Experiment): Arrival[] => {
+  // Small seeds leave xoroshiro's first numbers close to 0 and 1.
+  const random = mersenne(experiment.experiment.seed);
+  const arrivals: Omit<Arrival, 'number'>[] = [];
+  let startsAt = 0;
+  for (const [name, phase] of Object.entries(experiment.phase)) {
+    for (const [traffic, rule] of Object.entries(experiment.traffic)) {
+      const isRaised = phase.traffic === undefined || phase.traffic === traffic;
+      const times = planTimes(rule, phase, isRaised, random);
+      for (const seconds of times) {
+        const atMs = (startsAt + seconds) * millisecondsPerSecond;
+        const account = pickAccount(rule, random);
+        arrivals.push({ atMs, phase: name, traffic, account });
+      }
+    }
+    startsAt += phase.seconds;
+  }
+  return arrivals
+    .sort((a, b) => a.atMs - b.atMs)
+    .map((arrival, number) => ({ number, ...arrival }));
+};
+
+/** Lewis and Shedler's thinning: draws at the highest rate and keeps a share. */
+const planTimes = (
+  rule: Traffic,
+  phase: Phase,
+  isRaised: boolean,
+  random: RandomGenerator,
+): number[] => {
+  const times: number[] = [];
+  const profile = isRaised ? phase.profile : LoadProfile.Poisson;
+  const factor = profile === LoadProfile.Poisson ? 1 : phase.factor;
+  const highest = rule.rate * factor;
+  let time = 0;
+  for (;;) {
+    time += -Math.log(1 - uniformFloat64(random)) / highest;
+    if (time >= phase.seconds) {
+      return times;
+    }
+    const wanted = computeRaise(profile, factor, time, phase.seconds);
+    if (uniformFloat64(random) * factor < wanted) {
+      times.push(time);
+    }
+  }
+};
+
+/** Returns the rate at a time of a phase, over the plain rate. */
+export const computeRaise = (
+  profile: LoadProfile,
+  factor: number,
+  time: number,
+  length: number,
+): number => {
+  switch (profile) {
+    case LoadProfile.Poisson:
+      return 1;
+    case LoadProfile.Flood:
+      return factor;
+    case LoadProfile.Burst:
+      return time % burstCycleSeconds < burstCycleSeconds / 2 ? factor : 1;
+    case LoadProfile.Storm:
+      return 1 + (factor - 1) * (1 - Math.abs((2 * time) / length - 1));
+  }
+};
+
+const pickAccount = (rule: Traffic, random: RandomGenerator): string => {
+  const total = rule.accounts.reduce((sum, each) => sum + each.share, 0);
+  let left = uniformFloat64(random) * total;
+  for (const { account, share } of rule.accounts) {
+    left -= share;
+    if (left < 0) {
+      return account;
+    }
+  }
+  return rule.accounts.at(-1)?.account ?? '';
+};
--- /dev/null
+++ b/bench/src/load/experiment.ts
@@ -0,0 +1,185 @@
+/**
+ * The file that describes an experiment: traffic, phases and faults.
+ *
+ * It is INI like every settings file. Sections `traffic.NAME`, `phase.NAME`
+ * and `fault.NAME` may stand as often as needed; phases run in their order.
+ */
+import {
+  ErrorKind,
+  TypedError,
+  readSettings,
+  type Result,
+  type ValueOf,
+} from '@lycheetally/common';
+import { fleetNames } from '@lycheetally/testkit';
+import { z } from 'zod';
+
+/** How the rate of a traffic runs over a phase. */
+export const LoadProfile = {
+  /** The plain rate. */
+  Poisson: 'poisson',
+  /** The raised rate in every second half of a second. */
+  Burst: 'burst',
+  /** Rises to the raised rate by the middle of the phase and falls again. */
+  Storm: 'storm',
+  /** The raised rate from the first moment to the last. */
+  Flood: 'flood',
+} as const;
+export type LoadProfile = ValueOf<typeof LoadProfile>;
+
+/** What a fault does to a process of the stand-in fleet. */
+export const FaultAction = {
+  Kill: 'kill',
+  Stop: 'stop',
+  Freeze: 'freeze',
+  Thaw: 'thaw',
+} as const;
+export type FaultAction = ValueOf<typeof FaultAction>;
+
+const createNumber = (min: number, max: number): z.ZodType<number> =>
+  z.coerce
+    .number({ error: 'write a number' })
+    .min(min, `write at least ${String(min)}`)
+    .max(max, `write at most ${String(max)}`);
+
+const nameSchema = z.string().min(1, 'write a name');
+
+const trafficSchema = z.strictObject({
+  service: nameSchema,
+  kind: z.enum(['model', 'plain'], { error: 'write "model" or "plain"' }),
+  rank: nameSchema,
+  /** Account names with their share of the requests, as `name:3,other:1`. */
+  accounts: z
+    .string()
+    .regex(
+      /^[^\s:,]+:\d+(,[^\s:,]+:\d+)*$/,
+      'write name:share,name:share with whole shares',
+    )
+    .transform(text => text.split(',').map(toShare)),
+  /** Requests a second. */
+  rate: createNumber(0.01, 10_000),
+  /** Tokens that each request asks for. */
+  tokens: createNumber(1, 32_768).default(8),
+  /** Path behind a plain service. */
+  path: z.string().startsWith('/', 'begin the path with "/"').default('/'),
+  deadlineMs: createNumber(1, 86_400_000).default(10_000),
+  /** Whether each call carries an idempotency key of its own. */
+  keyed: z.enum(['yes', 'no'], { error: 'write "yes" or "no"' }).default('no'),
+});
+
+const toShare = (part: string): { account: string; share: number } => {
+  const [account = '', share = '1'] = part.split(':');
+  return { account, share: Number(share) };
+};
+
+const phaseSchema = z.strictObject({
+  seconds: createNumber(0.1, 86_400),
+  profile: z
+    .enum(LoadProfile, {
+      error: `write one of ${Object.values(LoadProfile).join(', ')}`,
+    })
+    .default(LoadProfile.Poisson),
+  /** The traffic that the profile raises; the others keep their rate. */
+  traffic: z.string().optional(),
+  /** The raised rate over the plain one. */
+  factor: createNumber(1, 1_000).default(5),
+});
+
+const faultSchema = z.strictObject({
+  atSeconds: createNumber(0, 86_400),
+  action: z.enum(FaultAction, {
+    error: `write one of ${Object.values(FaultAction).join(', ')}`,
+  }),
+  process: nameSchema,
+});
+
+const listSchema = z
+  .string()
+  .transform(text => text.split(',').filter(item => item !== ''));
+
+const experimentSchema = z.strictObject({
+  experiment: z.strictObject({
+    name: z
+      .string()
+      .regex(/^[A-Za-z0-9._-]{1,64}$/, 'use letters, digits, ".", "_" or "-"'),
+    seed: createNumber(0, 2 ** 31 - 1).default(1),
+    /** Base URLs of entries; without them a fleet of stand-ins is started. */
+    entries: listSchema.default([]),
+    /** Operators' ports of these entries, for the ledger. */
+    operators: listSchema.default([]),
+  }),
+  /** Bearer keys by account; needed with `entries`. */
+  keys: z.record(z.string(), z.string()).default({}),
+  fleet: z
+    .strictObject({
+      /** Names that the stand-in fleet serves; ranks by falling urgency. */
+      model: nameSchema.default(fleetNames.model),
+      booking: nameSchema.default(fleetNames.booking),
+      stock: nameSchema.default(fleetNames.stock),
+      ranks: listSchema.default([...fleetNames.ranks]),
+      entries: createNumber(1, 20).default(1),
+      stages: createNumber(1, 8).default(3),
+      replicas: createNumber(1, 20).default(2),
+      plainServers: createNumber(0, 20).default(1),
+      stepMs: createNumber(0, 10_000).default(2),
+      plainMs: createNumber(0, 10_000).default(5),
+      slots: createNumber(1, 1_000).default(16),
+    })
+    .prefault({}),
+  traffic: z.record(z.string(), trafficSchema),
+  phase: z.record(z.string(), phaseSchema),
+  fault: z.record(z.string(), faultSchema).default({}),
+});
+
+/** A checked experiment. */
+export type Experiment = z.output<typeof experimentSchema>;
+export type Traffic = z.output<typeof trafficSchema>;
+export type Phase = z.output<typeof phaseSchema>;
+
+/** Reads an experiment. Fails with `BadSetting`. */
+export const readExperiment = (path: string): Result<Experiment> =>
+  readSettings(path, experimentSchema);
+
+/** Checks what the schema alone cannot. Throws `BadSetting`. */
+export const checkExperiment = (experiment: Experiment): void => {
+  const faults = listFaults(experiment);
+  if (faults.length > 0) {
+    throw new TypedError(
+      ErrorKind.BadSetting,
+      faults.join(' | '),
+      'correct the experiment and start it again',
+    );
+  }
+};
+
+const listFaults = (experiment: Experiment): string[] => {
+  const { entries, operators } = experiment.experiment;
+  const strays = Object.entries(experiment.phase).flatMap(([name, phase]) =>
+    phase.traffic === undefined || phase.traffic in experiment.traffic
+      ? []
+      : [`phase.${name}.traffic: "${phase.traffic}" is no traffic`],
+  );
+  const keyless = listAccounts(experiment).flatMap(account =>
+    entries.length === 0 || account in experiment.keys
+      ? []
+      : [`keys.${account}: write the bearer key of the account`],
+  );
+  const uneven =
+    operators.length > 0 && operators.length !== entries.length
+      ? ['experiment.operators: name one for each of the entries']
+      : [];
+  const faulted =
+    entries.length > 0 && Object.keys(experiment.fault).length > 0
+      ? ['fault: faults need the stand-ins; leave experiment.entries out']
+      : [];
+  return [...strays, ...keyless, ...uneven, ...faulted];
+};
+
+/** Lists the accounts that an experiment speaks for. */
+export const listAccounts = (experiment: Experiment): string[] => [
+  ...new Set(
+    Object.values(experiment.traffic).flatMap(traffic =>
+      traffic.accounts.map(share => share.account),
+    ),
+  ),
+];
--- a/packages/router/src/timeline/explainRequest.ts
+++ b/packages/router/src/timeline/explainRequest.ts
@@ -105,7 +105,7 @@
     case 'attempt-offered':
       return `${attempt} was offered to ${formatField(event, 'servers').replaceAll(',', ' > ')}.`;
     case 'work-started':
-      return `${attempt} started at ${process} (stage ${formatField(event, 'stage')}) after ${formatField(event, 'waitedMs')} ms in its queue.`;
+      return `${attempt} started at ${process} (stage ${formatField(event, 'stage')}) ${formatField(event, 'waitedMs')} ms after it was queued.`;
     case 'work-failed':
       return `${attempt} failed at ${process}: ${formatField(event, 'reason')}.`;
     case 'work-not-run':
--- a/packages/router/src/timeline/timelinePage.ts
+++ b/packages/router/src/timeline/timelinePage.ts
@@ -7,7 +7,11 @@
  */
 import { toWallTime, type EventRecord } from '@lycheetally/common';
 import { formatDetail, formatProcess } from './describeEvent.js';
-import { listSilent, type Timeline } from './mergeTimeline.js';
+import {
+  listSilent,
+  type Timeline,
+  type TimelineProcess,
+} from './mergeTimeline.js';
 import { escapeHtml } from './printable.js';
 
 const laneWidth = 230;
@@ -31,7 +35,8 @@
 `;
 
 /** Renders a time line as a page. */
-export const renderTimelinePage = (timeline: Timeline): string => {
+export const renderTimelinePage = (merged: Timeline): string => {
+  const timeline = { ...merged, processes: sortLanes(merged) };
   const events = timeline.events.slice(-maxDrawnEvents);
   const left = timeline.events.length - events.length;
   const silent = listSilent(timeline);
@@ -49,6 +54,16 @@
 `;
 };
 
+/** Sorts the processes by their first event; those without one come last. */
+const sortLanes = ({ processes, events }: Timeline): TimelineProcess[] => {
+  const order = [...new Set(events.map(event => event.process))];
+  const getPlace = (process: TimelineProcess): number => {
+    const place = order.indexOf(process.name);
+    return place < 0 ? order.length : place;
+  };
+  return [...processes].sort((a, b) => getPlace(a) - getPlace(b));
+};
+
 const renderLanes = (
   timeline: Timeline,
   events: readonly EventRecord[],
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -2,7 +2,12 @@
 import { hashKey, callJson, type VmRecord } from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
-import { DaemonPath, ProcessFleet, type FleetProcess } from './processFleet.js';
+import {
+  DaemonPath,
+  ProcessFleet,
+  type FleetProcess,
+  type SettingsSections,
+} from './processFleet.js';
 
 /** The size of a fleet and the speed of its stand-ins. */
 export interface FleetOptions {
@@ -19,6 +24,19 @@
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
+  /** Names of the configuration; the usual ones when absent. */
+  readonly names?: FleetNames;
+  /** Section `operations` of every daemon's settings. */
+  readonly operations?: Readonly<Record<string, string | number>>;
+}
+
+/** The names that a fleet's configuration uses; ranks by falling urgency. */
+export interface FleetNames {
+  readonly model: string;
+  readonly booking: string;
+  readonly stock: string;
+  readonly ranks: readonly string[];
+  readonly accounts: readonly string[];
 }
 
 export const defaultFleetOptions: FleetOptions = {
@@ -32,14 +50,14 @@
   slots: 16,
 };
 
-/** The names that a fleet's configuration uses. */
+/** The usual names. */
 export const fleetNames = {
   model: 'pickup-assistant',
   booking: 'depot-booking',
   stock: 'stock-lookup',
   ranks: ['family', 'shift-summary', 'donor-report'],
   accounts: ['depot-north', 'depot-harbour'],
-} as const;
+} as const satisfies FleetNames;
 
 /** Returns the bearer key of an account of the fleet. */
 export const getAccountKey = (account: string): string => `key-of-${account}`;
@@ -53,27 +71,29 @@
 /** Builds the configuration that a fleet serves. */
 export const buildFleetConfiguration = (
   layers: number,
+  names: FleetNames = fleetNames,
 ): RouterConfiguration => ({
   version: 1,
-  ranks: fleetNames.ranks.map((name, urgency) => ({
+  ranks: names.ranks.map((name, urgency) => ({
     name,
     urgency,
     floor: 0.1,
     targetMs: 1_200 * 10 ** urgency,
   })),
-  accounts: fleetNames.accounts.map(name => ({
+  accounts: names.accounts.map(name => ({
     name,
     keyHash: hashKey('salt', getAccountKey(name)),
     weight: 1,
   })),
   services: [
-    createService(fleetNames.model, 'model', layers, true),
-    createService(fleetNames.booking, 'plain', 0, false),
-    createService(fleetNames.stock, 'plain', 0, true),
+    createService(names, names.model, 'model', layers, true),
+    createService(names, names.booking, 'plain', 0, false),
+    createService(names, names.stock, 'plain', 0, true),
   ],
 });
 
 const createService = (
+  names: FleetNames,
   name: string,
   kind: 'model' | 'plain',
   layers: number,
@@ -83,7 +103,7 @@
   kind,
   layers,
   idempotent,
-  accounts: fleetNames.accounts,
+  accounts: names.accounts,
 });
 
 /** Polls until the check holds. Throws when it does not in time. */
@@ -112,12 +132,21 @@
 
   constructor(readonly options: FleetOptions = defaultFleetOptions) {}
 
+  private get names(): FleetNames {
+    return this.options.names ?? fleetNames;
+  }
+
+  private get operations(): Pick<SettingsSections, 'operations'> | object {
+    const { operations } = this.options;
+    return operations ? { operations } : {};
+  }
+
   /** Starts everything and waits until each entry can reach each server. */
   async start(): Promise<void> {
     await this.startPlatform();
     await Promise.all([this.startModelServers(), this.startPlainServers()]);
     await this.publishConfiguration(
-      buildFleetConfiguration(this.options.layers),
+      buildFleetConfiguration(this.options.layers, this.names),
     );
     for (let index = 0; index < this.options.entries; index += 1) {
       await this.startEntry(`entry-${String(index)}`);
@@ -158,6 +187,7 @@
       process: { id: name, failureDomain: 'bc-south-a', drainSeconds: 20 },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
+      ...this.operations,
     });
     const operators = `http://${started.addresses.operators ?? ''}`;
     await waitUntil(`${name} reaches every server`, () =>
@@ -180,6 +210,7 @@
       process: { id: name, failureDomain, drainSeconds: 20 },
       listen: { peers: anyAddress, operators: anyAddress },
       backend: { server, slots: this.options.slots, ...backend },
+      ...this.operations,
     });
     const agentAddress = started.addresses.peers ?? '';
     await this.updateVmList({
@@ -217,7 +248,7 @@
     );
     const url = `http://${address}`;
     this.backendUrls.set(server, url);
-    const service = fleetNames.model;
+    const service = this.names.model;
     await this.startAgent(
       server,
       { url, kind: 'model', service, layerFrom, layerTo },
@@ -226,7 +257,7 @@
   }
 
   private async startPlainServers(): Promise<void> {
-    const services = [fleetNames.booking, fleetNames.stock];
+    const services = [this.names.booking, this.names.stock];
     const servers = services.flatMap(service =>
       Array.from({ length: this.options.plainServers }, (_, index) =>
         this.startPlainServer(service, index),
