Count requests, waits, configuration and log on the metrics page

Cause: the operators' port served only the default metrics of the runtime. Ruled out: labels for accounts or requests, whose number has no bound; the ledger answers such questions. Change: rate, errors and duration by rank and service from the ledger, queue delay by rank and events by kind from the time line, configuration version and age, log calls and silence, members and dropped tokens. Every label is a plain name and has a bound; the rest is counted as other. A dashboard, alert rules and a page for each alert. Conclusion: the metrics are safe to scrape; a test holds alerts and dashboard to metrics that exist.

--- a/apps/lycheetally/tests/readingCommands.test.ts
+++ b/apps/lycheetally/tests/readingCommands.test.ts
@@ -1,7 +1,10 @@
 /** The reading commands over a fleet in which a stage is killed. */
 import { spawn } from 'node:child_process';
+import { readFileSync } from 'node:fs';
+import { get, type IncomingMessage } from 'node:http';
 import { fileURLToPath } from 'node:url';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { readBody } from '@lycheetally/router';
 import {
   RouterFleet,
   defaultFleetOptions,
@@ -11,6 +14,16 @@
 
 const main = fileURLToPath(new URL('../dist/main.js', import.meta.url));
 
+const readRootFile = (path: string): string =>
+  readFileSync(new URL(`../../../${path}`, import.meta.url), 'utf8');
+
+const readText = async (url: string): Promise<string> => {
+  const response = await new Promise<IncomingMessage>((resolve, reject) => {
+    get(url, resolve).on('error', reject);
+  });
+  return (await readBody(response, 1_000_000)).toString('utf8');
+};
+
 interface CommandRun {
   readonly status: number | null;
   readonly stdout: string;
@@ -85,6 +98,42 @@
     expect(run.stdout).toContain('Missing part');
   });
 
+  it('the alerts and the dashboard speak of metrics that exist', async () => {
+    const pages = await Promise.all(
+      ['entry-0', 'agent-stage0-0'].map(name => {
+        const { operators } = fleet.processes.getProcess(name).addresses;
+        return readText(`http://${operators ?? ''}/metrics`);
+      }),
+    );
+    const known = new Set(
+      pages.flatMap(page =>
+        [...page.matchAll(/^(?:# TYPE )?([a-z_0-9]+)/gm)].map(
+          match => match[1],
+        ),
+      ),
+    );
+    const used = ['ops/alerts.yaml', 'ops/dashboard.json'].flatMap(file => [
+      ...readRootFile(file).matchAll(
+        /\b(?:lycheetally|nodejs|process)_[a-z_0-9]+/g,
+      ),
+    ]);
+    expect(used.length).toBeGreaterThan(20);
+    const missing = used
+      .map(match => match[0].replace(/_bucket$/, ''))
+      .filter(name => !known.has(name));
+    expect(missing).toEqual([]);
+  });
+
+  it('each alert has a page', () => {
+    const alerts = [
+      ...readRootFile('ops/alerts.yaml').matchAll(/runbook: (\S+)/g),
+    ];
+    expect(alerts.length).toBeGreaterThan(5);
+    for (const [, page] of alerts) {
+      expect(readRootFile(page ?? '')).toContain('## What to do');
+    }
+  });
+
   it('status shows what each process says', async () => {
     const run = await runCommand('status', '--nodes', nodes, '--json');
     const { nodes: shown } = JSON.parse(run.stdout) as {
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -23,6 +23,7 @@
   type Refused,
 } from '@lycheetally/protocol';
 import { maxEndedAttempts } from '../constants.js';
+import { addGauge } from '../metrics/nodeMetrics.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -83,6 +84,7 @@
     super(agentSettings, agentPorts, LogPart.Agent);
     this.machine = takeValue(bindWorkChart());
     this.services = this.createServices();
+    this.addGauges();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       backendReported: ({ work, event }, now) => {
@@ -181,6 +183,25 @@
     return this.works.size;
   }
 
+  private addGauges(): void {
+    if (!this.isCounting) {
+      return;
+    }
+    const { slots } = this.agentPorts;
+    addGauge(
+      this.registry,
+      'work_running',
+      'Work that holds a place',
+      () => slots.running,
+    );
+    addGauge(
+      this.registry,
+      'work_waiting',
+      'Work that waits for a place',
+      () => slots.waiting,
+    );
+  }
+
   private get serverId(): string {
     return this.agentSettings.backend.serverId;
   }
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -29,16 +29,11 @@
   CallersSink,
   type RefusedCall,
 } from '../adapters/callersHttp.js';
-import {
-  defaultLedgerMinutes,
-  defaultLedgerRecords,
-  msPerMinute,
-  vmListIntervalMs,
-} from '../constants.js';
-import { LedgerLines } from '../ledger/ledgerLines.js';
-import { OutcomeLedger, type LedgerQuery } from '../ledger/outcomeLedger.js';
+import { vmListIntervalMs } from '../constants.js';
+import type { LedgerQuery } from '../ledger/outcomeLedger.js';
 import type { LedgerPage } from '../ledger/outcomeRecord.js';
 import { createRefusalRecord } from '../ledger/recordOutcome.js';
+import type { EntryGauges } from '../metrics/entryMetrics.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
@@ -57,6 +52,7 @@
   bindFollowerChart,
   type FollowerEvent,
 } from './configFollower.js';
+import { EntryOperations } from './entryOperations.js';
 import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
@@ -130,7 +126,7 @@
   private readonly follower: ConfigFollower;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
-  private readonly ledger: OutcomeLedger;
+  private readonly operations: EntryOperations;
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
   private callers: CallersServer | undefined;
   private requestCount = 0;
@@ -143,7 +139,8 @@
     this.members = new MemberDirectory((address, now) =>
       this.createOutgoing(address, now),
     );
-    this.ledger = this.createLedger();
+    this.operations = this.createOperations();
+    this.store.add(this.operations.store);
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
@@ -298,7 +295,7 @@
       detail: { kind: error.kind, callerRequestId },
     });
     const account = this.findAccountName(call.bearerKey);
-    this.ledger.append(
+    this.operations.ledger.append(
       createRefusalRecord(requestId, call, account, error, now),
     );
   }
@@ -369,31 +366,40 @@
   }
 
   override readLedger(query: LedgerQuery): LedgerPage {
-    return this.ledger.readPage(query, this.clock.getNow());
+    return this.operations.ledger.readPage(query, this.clock.getNow());
+  }
+
+  private createOperations(): EntryOperations {
+    const { registry, events } = this;
+    const { loggers } = this.ports;
+    const { log } = this.entryPorts;
+    return new EntryOperations({
+      settings: this.settings,
+      registry,
+      events,
+      loggers,
+      log,
+      gauges: this.createGauges(),
+    });
   }
 
-  private createLedger(): OutcomeLedger {
-    const { operations } = this.settings;
-    const ledger = new OutcomeLedger(this.settings.id, {
-      maxRecords: operations?.ledgerRecords ?? defaultLedgerRecords,
-      retentionMs:
-        (operations?.ledgerMinutes ?? defaultLedgerMinutes) * msPerMinute,
-    });
-    if (operations?.ledgerLines !== 'off') {
-      this.store.add(
-        new LedgerLines(
-          ledger,
-          this.ports.loggers.createLogger(LogPart.Ledger),
-        ),
-      );
-    }
-    return ledger;
+  private createGauges(): EntryGauges {
+    return {
+      getNow: () => this.clock.getNow(),
+      countOpenRequests: () => this.requests.size,
+      countConnectedMembers: () =>
+        this.members.listMembers().filter(member => member.channel.isOpen)
+          .length,
+      countMembers: () => this.members.listMembers().length,
+      countDroppedTokens: () => this.relayCounts.dropped,
+      countDeliveredTokens: () => this.relayCounts.delivered,
+    };
   }
 
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
       timers: this.loop,
-      logPort: this.entryPorts.log,
+      logPort: this.operations.logPort,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
       postFollowerEvent: event => {
@@ -417,7 +423,7 @@
         this.countOutstanding(route, change);
       },
       recordOutcome: record => {
-        this.ledger.append(record);
+        this.operations.ledger.append(record);
       },
       handleRequestEnded: (context, now) => {
         this.requests.delete(context.request.requestId);
--- /dev/null
+++ b/packages/router/src/entry/entryOperations.ts
@@ -0,0 +1,66 @@
+/** What an entry keeps for its operators: the outcome ledger, its lines and the metrics. */
+import {
+  DisposableStore,
+  LogPart,
+  type LoggerFactory,
+} from '@lycheetally/common';
+import type { Registry } from 'prom-client';
+import {
+  defaultLedgerMinutes,
+  defaultLedgerRecords,
+  msPerMinute,
+} from '../constants.js';
+import type { EventLog } from '../eventLog.js';
+import { LedgerLines } from '../ledger/ledgerLines.js';
+import { OutcomeLedger } from '../ledger/outcomeLedger.js';
+import { EntryMetrics, type EntryGauges } from '../metrics/entryMetrics.js';
+import { MeasuredLog } from '../metrics/measuredLog.js';
+import type { LogPort } from '../ports/platform.js';
+import type { NodeSettings } from '../routerNode.js';
+
+/** What the operations of an entry are built from. */
+export interface EntryOperationsParts {
+  readonly settings: NodeSettings;
+  readonly registry: Registry;
+  readonly events: EventLog;
+  readonly loggers: LoggerFactory;
+  readonly log: LogPort;
+  readonly gauges: EntryGauges;
+}
+
+export class EntryOperations {
+  readonly store = new DisposableStore();
+  readonly ledger: OutcomeLedger;
+  /** The platform's log, counted when the process counts for its metrics. */
+  readonly logPort: LogPort;
+
+  constructor(private readonly parts: EntryOperationsParts) {
+    this.ledger = this.createLedger();
+    this.logPort = this.createLogPort();
+  }
+
+  private createLedger(): OutcomeLedger {
+    const { settings, loggers } = this.parts;
+    const { operations } = settings;
+    const minutes = operations?.ledgerMinutes ?? defaultLedgerMinutes;
+    const ledger = new OutcomeLedger(settings.id, {
+      maxRecords: operations?.ledgerRecords ?? defaultLedgerRecords,
+      retentionMs: minutes * msPerMinute,
+    });
+    if (operations?.ledgerLines !== 'off') {
+      const log = loggers.createLogger(LogPart.Ledger);
+      this.store.add(new LedgerLines(ledger, log));
+    }
+    return ledger;
+  }
+
+  private createLogPort(): LogPort {
+    const { settings, registry, events, log, gauges } = this.parts;
+    if (settings.operations?.metrics === 'off') {
+      return log;
+    }
+    const metrics = new EntryMetrics(registry, this.ledger, events, gauges);
+    this.store.add(metrics.store);
+    return new MeasuredLog(log, registry, gauges.getNow);
+  }
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -21,6 +21,7 @@
 export * from './ledger/outcomeLedger.js';
 export * from './ledger/outcomeRecord.js';
 export * from './loop.js';
+export * from './metrics/labelBound.js';
 export * from './ports/backend.js';
 export * from './ports/callerExchange.js';
 export * from './ports/peerNetwork.js';
--- /dev/null
+++ b/packages/router/src/metrics/nodeMetrics.ts
@@ -0,0 +1,87 @@
+/** Counts that every node keeps for its metrics page, from the events it records. */
+import { DisposableStore, type EventRecord } from '@lycheetally/common';
+import {
+  Counter,
+  Gauge,
+  Histogram,
+  type CollectFunction,
+  type Registry,
+} from 'prom-client';
+import type { EventLog } from '../eventLog.js';
+import { LabelBound } from './labelBound.js';
+
+/** Prefix of every metric of this project. */
+export const metricPrefix = 'lycheetally_';
+
+/** Values of the label `rank`, and of `kind`. */
+export const maxRankLabels = 16;
+const maxKindLabels = 128;
+
+const millisecondsPerSecond = 1_000;
+
+/** Upper bounds of waits and answers, in seconds. */
+export const secondsBuckets = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.2, 2.5, 5, 10, 30, 60,
+];
+
+/** Adds a gauge that is read when the page is asked for. */
+export const addGauge = (
+  registry: Registry,
+  name: string,
+  help: string,
+  read: () => number,
+): void => {
+  const collect: CollectFunction<Gauge> = function () {
+    this.set(read());
+  };
+  const options = { name: `${metricPrefix}${name}`, help, collect };
+  registry.registerMetric(new Gauge({ ...options, registers: [] }));
+};
+
+export class NodeMetrics {
+  readonly store = new DisposableStore();
+  private readonly kinds = new LabelBound(maxKindLabels);
+  private readonly ranks = new LabelBound(maxRankLabels);
+  private readonly events: Counter<'kind'>;
+  private readonly waits: Histogram<'rank'>;
+
+  constructor(registry: Registry, events: EventLog, isReady: () => boolean) {
+    this.events = new Counter({
+      name: `${metricPrefix}events_total`,
+      help: 'Events of the time line by kind',
+      labelNames: ['kind'],
+      registers: [registry],
+    });
+    this.waits = new Histogram({
+      name: `${metricPrefix}queue_delay_seconds`,
+      help: 'Time from the offer of a first stage to its start, by rank',
+      labelNames: ['rank'],
+      buckets: secondsBuckets,
+      registers: [registry],
+    });
+    addGauge(registry, 'ready', 'Whether the process takes work', () =>
+      isReady() ? 1 : 0,
+    );
+    addGauge(
+      registry,
+      'timeline_overwritten',
+      'Events that the time line no longer keeps',
+      () => events.overwritten,
+    );
+    this.store.add(
+      events.recorded.subscribe(event => {
+        this.recordEvent(event);
+      }),
+    );
+  }
+
+  private recordEvent(event: EventRecord): void {
+    this.events.inc({ kind: this.kinds.toLabel(event.kind) });
+    const { detail } = event;
+    if (event.kind === 'work-started' && detail?.stage === 0) {
+      const rank = this.ranks.toLabel(String(detail.rank));
+      const waitedMs = Number(detail.waitedMs);
+      this.waits.observe({ rank }, waitedMs / millisecondsPerSecond);
+    }
+  }
+}
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -21,10 +21,12 @@
   type Result,
 } from '@lycheetally/common';
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
+import { Registry } from 'prom-client';
 import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
 import type { Clock } from './clock.js';
 import { EventLog } from './eventLog.js';
 import { Loop, type LoopHandlers } from './loop.js';
+import { NodeMetrics } from './metrics/nodeMetrics.js';
 import type { OperationsSettings } from './processSettings.js';
 import {
   bindIncomingChart,
@@ -120,6 +122,7 @@
   /** Emits once when the process may end. */
   readonly stopped = new Emitter<true>();
 
+  protected readonly registry = new Registry();
   protected readonly store = new DisposableStore();
   protected readonly log: PartLogger;
   protected readonly clock: Clock;
@@ -152,6 +155,16 @@
       this.loop,
     );
     this.subscribeToLoop();
+    if (this.isCounting) {
+      const isReady = (): boolean => this.isReady();
+      const metrics = new NodeMetrics(this.registry, this.events, isReady);
+      this.store.add(metrics.store);
+    }
+  }
+
+  /** Says whether the process counts for its metrics page. */
+  protected get isCounting(): boolean {
+    return this.settings.operations?.metrics !== 'off';
   }
 
   /** Describes this process to its peers. */
@@ -256,7 +269,7 @@
 
   /** Opens the operators' port. Throws `BadAddress`. */
   protected async listenForOperators(address: Address): Promise<Address> {
-    const server = new OperatorsServer(this);
+    const server = new OperatorsServer(this, this.registry);
     this.store.add(server);
     return takeValue(await server.listen(address));
   }
