--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -25,6 +25,7 @@
 import { maxEndedAttempts, maxKeptAnswers } from '../constants.js';
 import { ConfigFeed } from '../config/configFeed.js';
 import { ConfigHolder, bindHolderChart } from '../config/configHolder.js';
+import { addGauge } from '../metrics/nodeMetrics.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -102,6 +103,7 @@
         this.holder.receive({ type: 'HANDED_OVER', state }, now);
       },
     });
+    this.addGauges();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       backendReported: ({ work, event }, now) => {
@@ -221,6 +223,25 @@
     return this.works.size;
   }
 
+  private addGauges(): void {
+    if (!this.isCounting) {
+      return;
+    }
+    const { slots } = this.agentPorts;
+    addGauge(
+      this.registry,
+      'work_running',
+      'Work that holds a place',
+      () => slots.running,
+    );
+    addGauge(
+      this.registry,
+      'work_waiting',
+      'Work that waits for a place',
+      () => slots.waiting,
+    );
+  }
+
   private get serverId(): string {
     return this.agentSettings.backend.serverId;
   }
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -105,6 +105,7 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
+      operations: settings.operations,
     },
     {
       clock: new SystemClock(),
@@ -134,6 +135,7 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
+      operations: settings.operations,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -5,6 +5,7 @@
 import type { ChartMachine } from '@lycheetally/charts';
 import {
   LogPart,
+  type TypedError,
   type Address,
   type Milliseconds,
   type Result,
@@ -24,14 +25,22 @@
   type Hello,
   type PeerMessage,
 } from '@lycheetally/protocol';
-import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
 import { ConfigFeed } from '../config/configFeed.js';
 import {
   ConfigFollower,
   bindFollowerChart,
   type FollowerEvent,
 } from '../config/configFollower.js';
+import {
+  CallersServer,
+  CallersSink,
+  type RefusedCall,
+} from '../adapters/callersHttp.js';
 import { vmListIntervalMs } from '../constants.js';
+import type { LedgerQuery } from '../ledger/outcomeLedger.js';
+import type { LedgerPage } from '../ledger/outcomeRecord.js';
+import { createRefusalRecord } from '../ledger/recordOutcome.js';
+import type { EntryGauges } from '../metrics/entryMetrics.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
@@ -46,6 +55,7 @@
 import { bindAttemptChart } from './attemptActions.js';
 import { toAttemptEvent } from './attemptMessages.js';
 import { sendConnectionEvent } from './attemptConnections.js';
+import { EntryOperations } from './entryOperations.js';
 import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
@@ -61,6 +71,7 @@
 /** Events that an entry takes. */
 export interface EntryEvents extends NodeEvents {
   callReceived: { call: CallerCall; exchange: CallerExchange };
+  callRefused: { call: RefusedCall; error: TypedError };
   callerGone: { exchange: CallerExchange };
   followerEvent: { event: FollowerEvent };
   vmListRead: { list: Result<readonly VmRecord[]> };
@@ -96,6 +107,10 @@
     this.node.loop.post('callReceived', { call, exchange });
   }
 
+  override receiveRefusedCall(call: RefusedCall, error: TypedError): void {
+    this.node.loop.post('callRefused', { call, error });
+  }
+
   override handleCallerGone(exchange: CallerExchange): void {
     this.node.loop.post('callerGone', { exchange });
   }
@@ -117,6 +132,7 @@
   private readonly feed: ConfigFeed;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
+  private readonly operations: EntryOperations;
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
   private callers: CallersServer | undefined;
   private requestCount = 0;
@@ -129,6 +145,8 @@
     this.members = new MemberDirectory((address, now) =>
       this.createOutgoing(address, now),
     );
+    this.operations = this.createOperations();
+    this.store.add(this.operations.store);
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
@@ -138,6 +156,9 @@
       callReceived: ({ call, exchange }, now) => {
         this.receiveCall(call, exchange, now);
       },
+      callRefused: ({ call, error }, now) => {
+        this.refuseCall(this.createRequestId(), call, error, now);
+      },
       callerGone: ({ exchange }, now) => {
         this.byExchange
           .get(exchange)
@@ -243,7 +264,7 @@
     switch (message.kind) {
       case MessageKind.Token: {
         const context = this.requests.get(message.value.requestId);
-        deliverToken(context, message.value, this.relayCounts);
+        deliverToken(context, message.value, this.relayCounts, now);
         return;
       }
       case MessageKind.Report:
@@ -275,22 +296,46 @@
     exchange: CallerExchange,
     now: Milliseconds,
   ): void {
-    this.requestCount += 1;
-    const requestId = `${this.incarnation}.${String(this.requestCount)}`;
+    const requestId = this.createRequestId();
     exchange.noteAccepted(requestId);
     const accepted = this.acceptCall(requestId, call, now);
     if (accepted.err) {
-      this.events.record('request-refused', now, {
-        requestId,
-        detail: { kind: accepted.val.kind },
-      });
       const error = accepted.val;
+      this.refuseCall(requestId, call, error, now);
       exchange.finish({ requestId, outcome: Outcome.NotRun, error });
       return;
     }
     this.startRequest(accepted.val, exchange, now);
   }
 
+  private createRequestId(): string {
+    this.requestCount += 1;
+    return `${this.incarnation}.${String(this.requestCount)}`;
+  }
+
+  /** Records a call that never became a request. */
+  private refuseCall(
+    requestId: string,
+    call: RefusedCall,
+    error: TypedError,
+    now: Milliseconds,
+  ): void {
+    const callerRequestId = call.callerRequestId ?? '';
+    this.events.record('request-refused', now, {
+      requestId,
+      detail: { kind: error.kind, callerRequestId },
+    });
+    const account = this.findAccountName(call.bearerKey);
+    this.operations.ledger.append(
+      createRefusalRecord(requestId, call, account, error, now),
+    );
+  }
+
+  private findAccountName(bearerKey: string): string {
+    const configuration = this.follower.inForce;
+    return (configuration && findAccount(bearerKey, configuration)?.name) ?? '';
+  }
+
   private acceptCall(
     requestId: string,
     call: CallerCall,
@@ -351,13 +396,44 @@
     });
   }
 
+  override readLedger(query: LedgerQuery): LedgerPage {
+    return this.operations.ledger.readPage(query, this.clock.getNow());
+  }
+
+  private createOperations(): EntryOperations {
+    const { registry, events } = this;
+    const { loggers } = this.ports;
+    const { log } = this.entryPorts;
+    return new EntryOperations({
+      settings: this.settings,
+      registry,
+      events,
+      loggers,
+      log,
+      gauges: this.createGauges(),
+    });
+  }
+
+  private createGauges(): EntryGauges {
+    return {
+      getNow: () => this.clock.getNow(),
+      countOpenRequests: () => this.requests.size,
+      countConnectedMembers: () =>
+        this.members.listMembers().filter(member => member.channel.isOpen)
+          .length,
+      countMembers: () => this.members.listMembers().length,
+      countDroppedTokens: () => this.relayCounts.dropped,
+      countDeliveredTokens: () => this.relayCounts.delivered,
+    };
+  }
+
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
       nodeId: this.settings.id,
       timers: this.loop,
-      logPort: this.entryPorts.log,
       acceptance: new ConditionalAcceptance(),
       snapshots: this.entryPorts.snapshots,
+      logPort: this.operations.logPort,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
       postFollowerEvent: event => {
@@ -395,6 +471,9 @@
       countOutstanding: (route, change) => {
         this.countOutstanding(route, change);
       },
+      recordOutcome: record => {
+        this.operations.ledger.append(record);
+      },
       handleRequestEnded: (context, now) => {
         this.requests.delete(context.request.requestId);
         this.byExchange.delete(context.exchange);
