Add a bed in virtual time for the policy, with the benches bound and ranks

Ruled out: a simulator of the cluster; the bed holds small fakes of engines, agents and links, and runs the decision classes themselves.

--- /dev/null
+++ b/bench/src/policy/fakeWorker.ts
@@ -0,0 +1,133 @@
+/**
+ * A worker in virtual time: an engine, and the agent before it.
+ *
+ * The agent holds the queue in the order of the rules under test and grants
+ * slots to sequences that begin at its layer 0.
+ */
+import type { Milliseconds, Result } from '@lycheetally/common';
+import {
+  QueueDelayModel,
+  StepModel,
+  type LoadReport,
+  type QueueBound,
+  type RankRule,
+  type WaitingWork,
+  type WorkOrder,
+} from '@lycheetally/decisions';
+import { FakeEngine, type EngineStep } from './fakeEngine.js';
+import type { WorkerPlan } from './fakeFleet.js';
+import type { PolicySet } from './policySet.js';
+import type { VirtualTime } from './virtualTime.js';
+
+/** Work at a fake agent. */
+export interface AgentWork extends WaitingWork {
+  grantSlot(now: Milliseconds): void;
+}
+
+/** Sequences in flight for each place in a batch; a chain has several stages. */
+const slotsPerBatchPlace = 4;
+
+export class FakeWorker {
+  readonly engine: FakeEngine;
+  readonly slots: number;
+  running = 0;
+  /** A false report that replaces the true one. */
+  lie: LoadReport | undefined;
+  private readonly order: WorkOrder<AgentWork>;
+  private readonly bound: QueueBound;
+  private readonly queue: QueueDelayModel;
+  private readonly steps = new StepModel();
+  private lastStepMs: Milliseconds = 0;
+
+  constructor(
+    readonly plan: WorkerPlan,
+    time: VirtualTime,
+    rules: PolicySet,
+    ranks: readonly RankRule[],
+  ) {
+    const layers = plan.layerTo - plan.layerFrom;
+    this.engine = new FakeEngine(time, plan.kind, layers, step => {
+      this.observeStep(step);
+    });
+    this.slots = plan.kind.maxBatch * slotsPerBatchPlace;
+    this.order = rules.createOrder<AgentWork>(ranks);
+    this.bound = rules.createBound(ranks);
+    this.queue = new QueueDelayModel(ranks.map(rank => rank.floor));
+  }
+
+  get waiting(): number {
+    return this.order.size;
+  }
+
+  enqueue(work: AgentWork, now: Milliseconds): Result<true> {
+    const decided = this.bound.decideEnqueue(work, this.queue, now);
+    if (decided.ok) {
+      this.order.add(work);
+      this.queue.noteEnqueued(work);
+      this.grantSlots(now);
+    }
+    return decided;
+  }
+
+  /** Takes waiting work out; returns whether it waited. */
+  withdraw(work: AgentWork): boolean {
+    const waited = this.order.remove(work);
+    if (waited) {
+      this.queue.noteRemoved(work);
+    }
+    return waited;
+  }
+
+  /** Gives a slot back, with the true cost of the work. */
+  release(work: AgentWork, cost: number, now: Milliseconds): void {
+    this.running -= 1;
+    this.order.settle(work, cost);
+    this.grantSlots(now);
+  }
+
+  /** Loses its queue and its running work. */
+  fail(): void {
+    this.engine.fail();
+    for (const work of [...this.order.list()]) {
+      this.withdraw(work);
+    }
+    this.running = 0;
+  }
+
+  buildReport(now: Milliseconds): LoadReport {
+    return (
+      this.lie ?? {
+        running: this.running,
+        slots: this.slots,
+        capacity: this.steps.estimateCapacity(this.plan.kind.maxBatch),
+        passMs: this.lastStepMs,
+        depth: this.engine.depth,
+        ranks: this.queue.listLoads(now),
+      }
+    );
+  }
+
+  private grantSlots(now: Milliseconds): void {
+    while (this.running < this.slots && !this.engine.isDown) {
+      const work = this.order.takeNext(now);
+      if (!work) {
+        return;
+      }
+      this.running += 1;
+      this.queue.noteStarted(work, now);
+      work.grantSlot(now);
+    }
+  }
+
+  private observeStep(step: EngineStep): void {
+    this.lastStepMs = step.durationMs;
+    this.steps.observe(
+      {
+        decodes: step.batch - step.prompts,
+        promptTokens: step.promptTokens,
+        durationMs: step.durationMs,
+      },
+      step.prompts,
+    );
+  }
+}
--- /dev/null
+++ b/bench/src/policy/policySet.ts
@@ -0,0 +1,60 @@
+/** The rules that one run of the bed is made with. */
+import {
+  BoundedRetry,
+  FifoOrder,
+  LeastOutstandingRouting,
+  NoObserver,
+  OpenAdmission,
+  OpenQueueBound,
+  RoundRobinRouting,
+  UrgencyOrder,
+  type AdmissionPolicy,
+  type LoadObserver,
+  type QueueBound,
+  type RankRule,
+  type RetryPolicy,
+  type RoutingPolicy,
+  type WaitingWork,
+  type WorkOrder,
+} from '@lycheetally/decisions';
+
+/** Rules of one entry; they share what its observer learns. */
+export interface EntryRules {
+  readonly admission: AdmissionPolicy;
+  readonly routing: RoutingPolicy;
+  readonly retry: RetryPolicy;
+  readonly observer: LoadObserver;
+}
+
+export interface PolicySet {
+  readonly name: string;
+  createEntryRules(seed: number): EntryRules;
+  createOrder<T extends WaitingWork>(ranks: readonly RankRule[]): WorkOrder<T>;
+  createBound(ranks: readonly RankRule[]): QueueBound;
+}
+
+/** First come first served behind round robin. */
+export const fifoRoundRobin: PolicySet = {
+  name: 'fifo-round-robin',
+  createEntryRules: () => ({
+    admission: new OpenAdmission(),
+    routing: new RoundRobinRouting(),
+    retry: new BoundedRetry(),
+    observer: new NoObserver(),
+  }),
+  createOrder: <T extends WaitingWork>() => new FifoOrder<T>(),
+  createBound: () => new OpenQueueBound(),
+};
+
+/** Urgency alone behind least outstanding work. */
+export const leastOutstanding: PolicySet = {
+  name: 'least-outstanding',
+  createEntryRules: () => ({
+    admission: new OpenAdmission(),
+    routing: new LeastOutstandingRouting(),
+    retry: new BoundedRetry(),
+    observer: new NoObserver(),
+  }),
+  createOrder: <T extends WaitingWork>() => new UrgencyOrder<T>(),
+  createBound: () => new OpenQueueBound(),
+};
--- /dev/null
+++ b/bench/src/policy/tally.ts
@@ -0,0 +1,103 @@
+/** What happened to each request of a run, and the figures made from it. */
+import type { Milliseconds } from '@lycheetally/common';
+import type { OfferedRequest } from './workload.js';
+
+export class RequestRecord {
+  readonly deadlineAt: Milliseconds;
+  readonly avoided: string[] = [];
+  attempts = 0;
+  repeats = 0;
+  generated = 0;
+  refusedAt: Milliseconds | undefined;
+  firstTokenAt: Milliseconds | undefined;
+  finishedAt: Milliseconds | undefined;
+
+  constructor(
+    readonly request: OfferedRequest,
+    readonly offeredAt: Milliseconds,
+  ) {
+    this.deadlineAt = request.deadlineAt;
+  }
+
+  /** Milliseconds from the offer to the first token; infinite without one. */
+  get firstTokenMs(): Milliseconds {
+    return (this.firstTokenAt ?? Infinity) - this.offeredAt;
+  }
+
+  /** Milliseconds from the offer to the whole answer; infinite without one. */
+  get answerMs(): Milliseconds {
+    return (this.finishedAt ?? Infinity) - this.offeredAt;
+  }
+}
+
+const bucketMs = 500;
+const millisecondsPerSecond = 1_000;
+
+/** A choice of records. */
+export type RecordFilter = (record: RequestRecord) => boolean;
+
+export class Tally {
+  retries = 0;
+  private readonly records: RequestRecord[] = [];
+  private readonly tokens: Map<string, number[]> = new Map<string, number[]>();
+
+  add(record: RequestRecord): void {
+    this.records.push(record);
+  }
+
+  noteToken(record: RequestRecord, now: Milliseconds): void {
+    record.generated += 1;
+    record.firstTokenAt ??= now;
+    const { rank } = record.request;
+    const buckets = this.tokens.get(rank) ?? [];
+    const bucket = Math.floor(now / bucketMs);
+    buckets[bucket] = (buckets[bucket] ?? 0) + 1;
+    this.tokens.set(rank, buckets);
+  }
+
+  list(filter: RecordFilter): readonly RequestRecord[] {
+    return this.records.filter(filter);
+  }
+
+  /** Returns generated tokens a second between two times, of one rank or of all. */
+  computeTokenRate(
+    from: Milliseconds,
+    until: Milliseconds,
+    rank?: string,
+  ): number {
+    let sum = 0;
+    for (const [name, buckets] of this.tokens) {
+      if (rank !== undefined && rank !== name) {
+        continue;
+      }
+      for (let at = from; at < until; at += bucketMs) {
+        sum += buckets[Math.floor(at / bucketMs)] ?? 0;
+      }
+    }
+    return (sum / (until - from)) * millisecondsPerSecond;
+  }
+}
+
+/** Returns a quantile from 0 to 1 of the values; 0 when there are none. */
+export const computeQuantile = (
+  values: readonly number[],
+  quantile: number,
+): number => {
+  const sorted = [...values].sort((a, b) => a - b);
+  const index = Math.ceil(sorted.length * quantile) - 1;
+  return sorted[Math.max(0, index)] ?? 0;
+};
+
+/** Returns the share of the records that satisfy the check; 1 when there are none. */
+export const computeShare = (
+  records: readonly RequestRecord[],
+  check: RecordFilter,
+): number =>
+  records.length === 0 ? 1 : records.filter(check).length / records.length;
+
+/** Returns Jain's fairness index of the values, from 1/n to 1. */
+export const computeJainIndex = (values: readonly number[]): number => {
+  const sum = values.reduce((total, value) => total + value, 0);
+  const squares = values.reduce((total, value) => total + value * value, 0);
+  return squares === 0 ? 1 : (sum * sum) / (values.length * squares);
+};
--- /dev/null
+++ b/bench/src/policy/workload.ts
@@ -0,0 +1,105 @@
+/** Streams of requests with seeded arrivals and lengths. */
+import type { Milliseconds } from '@lycheetally/common';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { VirtualTime } from './virtualTime.js';
+
+/** A steady stream of one account's requests of one rank. */
+export interface RequestStream {
+  readonly account: string;
+  readonly rank: string;
+  readonly perSecond: number;
+  readonly from: Milliseconds;
+  readonly until: Milliseconds;
+  /** Milliseconds from a request to its deadline. */
+  readonly deadlineMs: Milliseconds;
+}
+
+/** A request as its caller sends it. */
+export interface OfferedRequest {
+  readonly requestId: string;
+  readonly account: string;
+  readonly rank: string;
+  readonly promptTokens: number;
+  /** Tokens that the answer will have. */
+  readonly outputTokens: number;
+  /** The most tokens that the caller allows. */
+  readonly maxTokens: number;
+  readonly offeredAt: Milliseconds;
+  readonly deadlineAt: Milliseconds;
+}
+
+/** Prompt and answer lengths, in tokens. */
+export const lengths = {
+  minPrompt: 40,
+  maxPrompt: 200,
+  minOutput: 16,
+  maxOutput: 64,
+  allowed: 64,
+} as const;
+
+export const meanPromptTokens = (lengths.minPrompt + lengths.maxPrompt) / 2;
+export const meanOutputTokens = (lengths.minOutput + lengths.maxOutput) / 2;
+
+const millisecondsPerSecond = 1_000;
+
+/** A seeded source of random numbers. */
+export class SeededRandom {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** Returns a number from 0 to 1. */
+  fetch(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  fetchBetween(min: number, max: number): number {
+    return Math.floor(min + this.fetch() * (max - min + 1));
+  }
+
+  /** Returns an exponential gap with the mean. */
+  fetchGap(mean: number): number {
+    return -Math.log(1 - this.fetch()) * mean;
+  }
+}
+
+/** Schedules the requests of a stream. */
+export const startStream = (
+  stream: RequestStream,
+  seed: number,
+  time: VirtualTime,
+  receive: (request: OfferedRequest, now: Milliseconds) => void,
+): void => {
+  const random = new SeededRandom(seed);
+  const meanGap = millisecondsPerSecond / stream.perSecond;
+  let count = 0;
+  const offer = (now: Milliseconds): void => {
+    if (now >= stream.until) {
+      return;
+    }
+    count += 1;
+    const requestId = `${stream.account}/${stream.rank}/${String(count)}`;
+    receive(createRequest(requestId, stream, random, now), now);
+    time.schedule(random.fetchGap(meanGap), offer);
+  };
+  time.schedule(stream.from + random.fetchGap(meanGap), offer);
+};
+
+const createRequest = (
+  requestId: string,
+  stream: RequestStream,
+  random: SeededRandom,
+  now: Milliseconds,
+): OfferedRequest => ({
+  requestId,
+  account: stream.account,
+  rank: stream.rank,
+  promptTokens: random.fetchBetween(lengths.minPrompt, lengths.maxPrompt),
+  outputTokens: random.fetchBetween(lengths.minOutput, lengths.maxOutput),
+  maxTokens: lengths.allowed,
+  offeredAt: now,
+  deadlineAt: now + stream.deadlineMs,
+});
--- /dev/null
+++ b/packages/decisions/src/order/queueDelay.ts
@@ -0,0 +1,93 @@
+/**
+ * Estimates how long new work of each rank waits at an agent.
+ *
+ * Work of a rank waits for the cost ahead of it, at the rate that the more
+ * urgent ranks leave it, and never longer than at the rate of its floor.
+ */
+import type { Milliseconds } from '@lycheetally/common';
+import { DecayingSum } from '../load/decayingSum.js';
+import type { RankLoad } from '../load/loadReport.js';
+import type { WaitingWork } from '../workOrder.js';
+
+const rateHalfLifeMs = 3_000;
+const smallestShare = 0.01;
+
+class RankQueue {
+  waiting = 0;
+  waitingCost = 0;
+  readonly started = new DecayingSum(rateHalfLifeMs);
+
+  constructor(readonly floor: number) {}
+}
+
+export class QueueDelayModel {
+  private readonly ranks: RankQueue[];
+
+  /** Takes the floors by urgency, each from 0 to 1. */
+  constructor(floors: readonly number[]) {
+    this.ranks = floors.map(floor => new RankQueue(floor));
+  }
+
+  noteEnqueued(work: WaitingWork): void {
+    const rank = this.getRank(work.urgency);
+    rank.waiting += 1;
+    rank.waitingCost += work.cost;
+  }
+
+  noteStarted(work: WaitingWork, now: Milliseconds): void {
+    this.noteRemoved(work);
+    this.getRank(work.urgency).started.add(work.cost, now);
+  }
+
+  noteRemoved(work: WaitingWork): void {
+    const rank = this.getRank(work.urgency);
+    rank.waiting -= 1;
+    rank.waitingCost -= work.cost;
+  }
+
+  countWaiting(urgency: number): number {
+    return this.getRank(urgency).waiting;
+  }
+
+  /** Returns the milliseconds that new work of the rank is expected to wait. */
+  estimateWait(urgency: number, now: Milliseconds): Milliseconds {
+    const rank = this.getRank(urgency);
+    const ahead = this.ranks
+      .slice(0, urgency + 1)
+      .reduce((sum, each) => sum + each.waitingCost, 0);
+    if (ahead <= 0) {
+      return 0;
+    }
+    const rates = this.ranks.map(each => each.started.computeRate(now));
+    const total = rates.reduce((sum, rate) => sum + rate, 0);
+    if (total === 0) {
+      return 0;
+    }
+    const urgent = rates.slice(0, urgency).reduce((sum, rate) => sum + rate, 0);
+    const share = Math.max(smallestShare, rank.floor, 1 - urgent / total);
+    const inOrder =
+      ahead / (total * Math.max(smallestShare, 1 - urgent / total));
+    const byFloor =
+      rank.floor > 0 ? rank.waitingCost / (total * rank.floor) : Infinity;
+    return Math.min(
+      inOrder,
+      Math.max(byFloor, rank.waitingCost / (total * share)),
+    );
+  }
+
+  listLoads(now: Milliseconds): readonly RankLoad[] {
+    return this.ranks.map((rank, urgency) => ({
+      urgency,
+      waiting: rank.waiting,
+      waitingCost: rank.waitingCost,
+      waitMs: this.estimateWait(urgency, now),
+    }));
+  }
+
+  private getRank(urgency: number): RankQueue {
+    for (let next = this.ranks.length; next <= urgency; next += 1) {
+      this.ranks.push(new RankQueue(0));
+    }
+    return this.ranks[urgency] ?? new RankQueue(0);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/routing/steadyShares.ts
@@ -0,0 +1,125 @@
+/**
+ * Steady shares of traffic: the largest flow of tokens through a mixed fleet.
+ *
+ * Servers that hold the same layers in the same failure domain on the same
+ * kind of accelerator form a group. A linear program finds the flow from group
+ * to group that serves the most, under the capacity of each group and of the
+ * links between failure domains. Its size follows from the groups, not from
+ * the servers.
+ */
+import { solve, type Constraint } from 'yalps';
+
+/** Servers that are alike for the flow. */
+export interface StageGroup {
+  readonly key: string;
+  readonly layerFrom: number;
+  readonly layerTo: number;
+  readonly failureDomain: string;
+  /** Generated tokens a second that the whole group can serve. */
+  readonly capacity: number;
+}
+
+/** Capacity of the links from one failure domain to another, in tokens a second. */
+export type LinkCapacity = (from: string, to: string) => number;
+
+export interface SteadyFlow {
+  /** Tokens a second through the whole fleet. */
+  readonly total: number;
+  /** Tokens a second into each group that holds the first layer. */
+  readonly first: ReadonlyMap<string, number>;
+  /** Tokens a second from a group to each group after it. */
+  readonly next: ReadonlyMap<string, ReadonlyMap<string, number>>;
+}
+
+type Coefficients = Record<string, number>;
+
+const objective = 'served';
+
+/** Computes the flow that serves the most tokens a second. */
+export const computeSteadyFlow = (
+  groups: readonly StageGroup[],
+  layers: number,
+  linkCapacity: LinkCapacity,
+): SteadyFlow => {
+  const constraints = new Map<string, Constraint>();
+  const variables = new Map<string, Coefficients>();
+  for (const group of groups) {
+    constraints.set(`capacity ${group.key}`, { max: group.capacity });
+    constraints.set(`balance ${group.key}`, { equal: 0 });
+    addEndVariables(variables, group, layers);
+  }
+  for (const [from, to] of listPairs(groups)) {
+    const link = formatLink(from, to);
+    const capacity = linkCapacity(from.failureDomain, to.failureDomain);
+    constraints.set(link, { max: capacity });
+    variables.set(formatEdge(from, to), {
+      [link]: 1,
+      [`balance ${from.key}`]: -1,
+      [`balance ${to.key}`]: 1,
+      [`capacity ${to.key}`]: 1,
+    });
+  }
+  const solution = solve({
+    direction: 'maximize',
+    objective,
+    constraints,
+    variables,
+  });
+  const flows = new Map<string, number>(solution.variables);
+  return collectFlow(groups, flows);
+};
+
+const addEndVariables = (
+  variables: Map<string, Coefficients>,
+  group: StageGroup,
+  layers: number,
+): void => {
+  if (group.layerFrom === 0) {
+    variables.set(`in ${group.key}`, {
+      [objective]: 1,
+      [`balance ${group.key}`]: 1,
+      [`capacity ${group.key}`]: 1,
+    });
+  }
+  if (group.layerTo === layers) {
+    variables.set(`out ${group.key}`, { [`balance ${group.key}`]: -1 });
+  }
+};
+
+const listPairs = (
+  groups: readonly StageGroup[],
+): (readonly [StageGroup, StageGroup])[] =>
+  groups.flatMap(from =>
+    groups
+      .filter(to => to.layerFrom === from.layerTo)
+      .map(to => [from, to] as const),
+  );
+
+const formatEdge = (from: StageGroup, to: StageGroup): string =>
+  `edge ${from.key} > ${to.key}`;
+
+const formatLink = (from: StageGroup, to: StageGroup): string =>
+  `link ${from.failureDomain} > ${to.failureDomain}`;
+
+const collectFlow = (
+  groups: readonly StageGroup[],
+  flows: ReadonlyMap<string, number>,
+): SteadyFlow => {
+  const first = new Map<string, number>();
+  const next = new Map<string, Map<string, number>>();
+  for (const group of groups) {
+    const incoming = flows.get(`in ${group.key}`) ?? 0;
+    if (incoming > 0) {
+      first.set(group.key, incoming);
+    }
+  }
+  for (const [from, to] of listPairs(groups)) {
+    const flow = flows.get(formatEdge(from, to)) ?? 0;
+    if (flow > 0) {
+      const targets = next.get(from.key) ?? new Map<string, number>();
+      next.set(from.key, targets.set(to.key, flow));
+    }
+  }
+  const total = [...first.values()].reduce((sum, flow) => sum + flow, 0);
+  return { total, first, next };
+};
--- a/packages/decisions/src/types.ts
+++ b/packages/decisions/src/types.ts
@@ -59,6 +59,8 @@
   readonly isLeaving: boolean;
   /** Pieces of work that this entry has there. */
   readonly outstanding: number;
+  /** Kind of accelerator; servers of one kind and range are siblings. */
+  readonly accelerator?: string | undefined;
 }
 
 /** What a decision knows of a request. */
@@ -73,4 +75,14 @@
   readonly attempts: number;
   /** Servers that refused or failed this request. */
   readonly avoided: readonly string[];
+  /** Urgency of the rank; 0 is the most urgent. */
+  readonly urgency?: number | undefined;
+  /** Estimated cost in token units. */
+  readonly cost?: number | undefined;
+  /** Estimated prompt tokens of a model's request. */
+  readonly promptTokens?: number | undefined;
+  /** The most tokens that may be generated. */
+  readonly maxTokens?: number | undefined;
+  /** Hash of the beginning of the prompt, for prefix affinity. */
+  readonly prefixHash?: number | undefined;
 }
