Order work by rank with floors and by the cost of accounts

Ruled out: shares by turns (weighted round robin), which slow the top rank when nobody is below its floor. Change: a waiting rank below its floor of the recently served cost goes first, then work with little slack in a bounded share, then urgency; inside a rank the account with the least weighted cost; the bench fairness.

--- /dev/null
+++ b/bench/src/policy/fairnessBench.ts
@@ -0,0 +1,115 @@
+/**
+ * Small accounts beside two accounts that ask for ten times as much.
+ *
+ * The figure is the small accounts' 95th percentile to the whole answer over
+ * the same figure when they are alone.
+ */
+import { Bed } from './bed.js';
+import { computeFleetBound } from './benchBound.js';
+import { benchRanks, rankNames } from './benchRanks.js';
+import { buildMixedFleet } from './fakeFleet.js';
+import type { PolicySet } from './policySet.js';
+import { SeededBench, type SeedFigures } from './seededBench.js';
+import { computeJainIndex, computeQuantile, type Tally } from './tally.js';
+import { meanOutputTokens } from './workload.js';
+
+const smallAccounts = Array.from(
+  { length: 8 },
+  (_, index) => `small-${String(index + 1)}`,
+);
+const largeAccounts = ['large-1', 'large-2'];
+const largeFactor = 10;
+/** Load of all small accounts together, as a share of the bound. */
+const smallLoad = 0.4;
+const warmUpMs = 15_000;
+const untilMs = 60_000;
+const lastOfferMs = 45_000;
+
+const runAccounts = (
+  rules: PolicySet,
+  seed: number,
+  withLarge: boolean,
+): Tally => {
+  const fleet = buildMixedFleet();
+  const bound = computeFleetBound(fleet);
+  const perAccount = (bound * smallLoad) / smallAccounts.length;
+  const streams = [
+    ...smallAccounts.map(account => ({ account, factor: 1 })),
+    ...(withLarge ? largeAccounts : []).map(account => ({
+      account,
+      factor: largeFactor,
+    })),
+  ].map(({ account, factor }) => ({
+    account,
+    rank: rankNames.middle,
+    perSecond: (perAccount * factor) / meanOutputTokens,
+    from: 0,
+    until: untilMs,
+    deadlineMs: 30_000,
+  }));
+  const ranks = benchRanks;
+  return new Bed({ seed, rules, fleet, ranks, streams, untilMs }).run();
+};
+
+const measureSmall = (
+  tally: Tally,
+): { answerP95: number; firstTokenP95: number; perAccount: number[] } => {
+  const records = tally.list(
+    ({ request, offeredAt }) =>
+      request.account.startsWith('small') &&
+      offeredAt >= warmUpMs &&
+      offeredAt < lastOfferMs,
+  );
+  const perAccount = smallAccounts.map(account =>
+    records
+      .filter(record => record.request.account === account)
+      .reduce((sum, record) => sum + record.generated, 0),
+  );
+  return {
+    answerP95: computeQuantile(
+      records.map(record => record.answerMs),
+      0.95,
+    ),
+    firstTokenP95: computeQuantile(
+      records.map(record => record.firstTokenMs),
+      0.95,
+    ),
+    perAccount,
+  };
+};
+
+const computeServedShare = (tally: Tally, account: string): number => {
+  const records = tally.list(
+    ({ request, offeredAt }) =>
+      request.account === account &&
+      offeredAt >= warmUpMs &&
+      offeredAt < lastOfferMs,
+  );
+  return records.reduce((sum, record) => sum + record.generated, 0);
+};
+
+export class FairnessBench extends SeededBench {
+  override readonly name = 'fairness';
+  override readonly summary =
+    "small accounts' p95 beside two accounts at 10x, over their p95 alone";
+  override readonly unit = 'times the p95 alone';
+
+  protected override measureRules(rules: PolicySet, seed: number): SeedFigures {
+    const alone = measureSmall(runAccounts(rules, seed, false));
+    const tally = runAccounts(rules, seed, true);
+    const beside = measureSmall(tally);
+    const large = largeAccounts.map(each => computeServedShare(tally, each));
+    return {
+      figure: beside.answerP95 / alone.answerP95,
+      detail: {
+        firstTokenRatio: beside.firstTokenP95 / alone.firstTokenP95,
+        alone,
+        beside,
+        // Each account's tokens over its fair share: its demand, or an equal part.
+        jainSmall: computeJainIndex(beside.perAccount),
+        jainLarge: computeJainIndex(large),
+        largeTokens: large,
+      },
+    };
+  }
+}
--- a/bench/src/policy/fakeWorker.ts
+++ b/bench/src/policy/fakeWorker.ts
@@ -79,9 +79,14 @@
   }
 
   /** Gives a slot back, with the true cost of the work. */
-  release(work: AgentWork, cost: number, now: Milliseconds): void {
+  release(
+    work: AgentWork,
+    cost: number,
+    runMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
     this.running -= 1;
-    this.order.settle(work, cost);
+    this.order.settle(work, cost, runMs);
     this.grantSlots(now);
   }
 
--- a/bench/src/policy/ourRules.ts
+++ b/bench/src/policy/ourRules.ts
@@ -5,7 +5,8 @@
   NoObserver,
   OpenAdmission,
   OpenQueueBound,
-  UrgencyOrder,
+  RankedOrder,
+  type RankRule,
   type WaitingWork,
 } from '@lycheetally/decisions';
 import type { PolicySet } from './policySet.js';
@@ -18,6 +19,7 @@
     retry: new BoundedRetry(),
     observer: new NoObserver(),
   }),
-  createOrder: <T extends WaitingWork>() => new UrgencyOrder<T>(),
+  createOrder: <T extends WaitingWork>(ranks: readonly RankRule[]) =>
+    new RankedOrder<T>({ listRanks: () => ranks, weightOf: () => 1 }),
   createBound: () => new OpenQueueBound(),
 };
--- a/bench/src/policy/tally.ts
+++ b/bench/src/policy/tally.ts
@@ -19,14 +19,14 @@
     this.deadlineAt = request.deadlineAt;
   }
 
-  /** Milliseconds from the offer to the first token; infinite without one. */
+  /** Milliseconds from the offer to the first token, or to the deadline without one. */
   get firstTokenMs(): Milliseconds {
-    return (this.firstTokenAt ?? Infinity) - this.offeredAt;
+    return (this.firstTokenAt ?? this.deadlineAt) - this.offeredAt;
   }
 
-  /** Milliseconds from the offer to the whole answer; infinite without one. */
+  /** Milliseconds from the offer to the whole answer, or to the deadline without one. */
   get answerMs(): Milliseconds {
-    return (this.finishedAt ?? Infinity) - this.offeredAt;
+    return (this.finishedAt ?? this.deadlineAt) - this.offeredAt;
   }
 }
 
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,6 +1,7 @@
 /** All benches by name. */
 import { ChartBench } from './chartBench.js';
 import { BoundBench } from './policy/boundBench.js';
+import { FairnessBench } from './policy/fairnessBench.js';
 import { RanksBench } from './policy/ranksBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
@@ -10,6 +11,7 @@
   new RelayBench(),
   new BoundBench(),
   new RanksBench(),
+  new FairnessBench(),
 ];
 
 /** Finds a bench by name. */
--- /dev/null
+++ b/packages/decisions/src/order/accountQueue.ts
@@ -0,0 +1,152 @@
+/**
+ * The waiting work of one rank, fair between accounts by weighted token cost.
+ *
+ * Each account has a counter that grows with the cost of its started work over
+ * its weight; the account with the lowest counter goes next. An account that
+ * was idle starts at the counter of the account served last, so that idle time
+ * earns nothing. Inside an account the earliest deadline goes first.
+ */
+import type { WaitingWork } from '../workOrder.js';
+
+interface AccountState<T> {
+  counter: number;
+  /** Sorted by deadline. */
+  readonly waiting: T[];
+}
+
+/** Returns the weight of an account; larger weights get more. */
+export type AccountWeight = (account: string) => number;
+
+/** Idle accounts kept before those that hold no debt are forgotten. */
+const maxIdleAccounts = 1_024;
+
+export class AccountQueue<T extends WaitingWork> {
+  private readonly accounts = new Map<string, AccountState<T>>();
+  private readonly backlogged = new Set<AccountState<T>>();
+  private lastCounter = 0;
+  private count = 0;
+
+  constructor(private readonly weightOf: AccountWeight) {}
+
+  get size(): number {
+    return this.count;
+  }
+
+  add(work: T): void {
+    const state = this.openAccount(work.account);
+    if (state.waiting.length === 0) {
+      state.counter = Math.max(state.counter, this.lastCounter);
+      this.backlogged.add(state);
+    }
+    state.waiting.splice(findPlace(state.waiting, work), 0, work);
+    this.count += 1;
+  }
+
+  /** Takes the next work of the account that has had least. */
+  takeNext(): T | undefined {
+    let best: AccountState<T> | undefined;
+    for (const state of this.backlogged) {
+      if (!best || state.counter < best.counter) {
+        best = state;
+      }
+    }
+    return best && this.takeFrom(best);
+  }
+
+  /** Returns the waiting work with the earliest deadline. */
+  findEarliest(): T | undefined {
+    let earliest: T | undefined;
+    for (const { waiting } of this.backlogged) {
+      const head = waiting[0];
+      if (head && (!earliest || head.deadlineAt < earliest.deadlineAt)) {
+        earliest = head;
+      }
+    }
+    return earliest;
+  }
+
+  /** Takes work out of turn; its account pays for it as usual. */
+  takeWork(work: T): T | undefined {
+    const state = this.accounts.get(work.account);
+    return state?.waiting[0] === work ? this.takeFrom(state) : undefined;
+  }
+
+  remove(work: T): boolean {
+    const state = this.accounts.get(work.account);
+    const index = state?.waiting.indexOf(work) ?? -1;
+    if (!state || index < 0) {
+      return false;
+    }
+    state.waiting.splice(index, 1);
+    this.noteTaken(state);
+    return true;
+  }
+
+  /** Adds the difference between the true and the estimated cost. */
+  settle(work: T, cost: number): void {
+    const state = this.accounts.get(work.account);
+    if (state) {
+      state.counter += (cost - work.cost) / this.weightOf(work.account);
+    }
+  }
+
+  list(): readonly T[] {
+    return [...this.backlogged].flatMap(state => state.waiting);
+  }
+
+  private takeFrom(state: AccountState<T>): T | undefined {
+    const work = state.waiting.shift();
+    if (work) {
+      this.lastCounter = Math.max(this.lastCounter, state.counter);
+      state.counter += work.cost / this.weightOf(work.account);
+      this.noteTaken(state);
+    }
+    return work;
+  }
+
+  private noteTaken(state: AccountState<T>): void {
+    this.count -= 1;
+    if (state.waiting.length === 0) {
+      this.backlogged.delete(state);
+    }
+  }
+
+  private openAccount(account: string): AccountState<T> {
+    const known = this.accounts.get(account);
+    if (known) {
+      return known;
+    }
+    if (this.accounts.size > maxIdleAccounts + this.backlogged.size) {
+      this.dropIdleAccounts();
+    }
+    const state: AccountState<T> = { counter: this.lastCounter, waiting: [] };
+    this.accounts.set(account, state);
+    return state;
+  }
+
+  private dropIdleAccounts(): void {
+    for (const [account, state] of this.accounts) {
+      if (state.waiting.length === 0 && state.counter <= this.lastCounter) {
+        this.accounts.delete(account);
+      }
+    }
+  }
+}
+
+// Index after all work whose deadline is not later.
+const findPlace = <T extends WaitingWork>(
+  waiting: readonly T[],
+  work: T,
+): number => {
+  let low = 0;
+  let high = waiting.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((waiting[middle]?.deadlineAt ?? 0) <= work.deadlineAt) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+};
--- a/packages/decisions/src/workOrder.ts
+++ b/packages/decisions/src/workOrder.ts
@@ -20,8 +20,8 @@
   abstract takeNext(now: Milliseconds): T | undefined;
   /** Removes work that is no longer wanted; returns whether it waited. */
   abstract remove(work: T): boolean;
-  /** Corrects the account of ended work by its true cost. */
-  settle(_work: T, _cost: number): void {
+  /** Corrects the account of ended work by its true cost and the time of its run. */
+  settle(_work: T, _cost: number, _runMs?: Milliseconds): void {
     return;
   }
 
