Route by steady shares and predicted completion

Change: the shares of a max-flow over groups of siblings and links, a fixed number of chains drawn from them, and of these the earliest predicted completion.

--- a/bench/src/policy/fakeFleet.ts
+++ b/bench/src/policy/fakeFleet.ts
@@ -1,6 +1,10 @@
 /** The mixed fleet of the policy benches: kinds of accelerators, layer ranges and links. */
 import type { Milliseconds } from '@lycheetally/common';
-import { ServiceKind, type ServiceRule } from '@lycheetally/decisions';
+import {
+  ServiceKind,
+  type LinkRule,
+  type ServiceRule,
+} from '@lycheetally/decisions';
 import type { AcceleratorKind } from './fakeEngine.js';
 import { meanOutputTokens, meanPromptTokens } from './workload.js';
 
@@ -74,15 +78,22 @@
   );
 
 const localLink: LinkPlan = { delayMs: 0.2, tokenMs: 0.01 };
-const links: Readonly<Record<string, LinkPlan>> = {
-  'domain-a domain-b': { delayMs: 1, tokenMs: 0.05 },
-  'domain-a domain-c': { delayMs: 4, tokenMs: 0.3 },
-  'domain-b domain-c': { delayMs: 20, tokenMs: 1 },
-};
+/** The links between failure domains, a hundredfold apart. */
+export const benchLinks: readonly LinkRule[] = [
+  { from: 'domain-a', to: 'domain-b', delayMs: 1, tokenMs: 0.05 },
+  { from: 'domain-a', to: 'domain-c', delayMs: 4, tokenMs: 0.3 },
+  { from: 'domain-b', to: 'domain-c', delayMs: 20, tokenMs: 1 },
+];
+const links = new Map<string, LinkPlan>(
+  benchLinks.flatMap(link => [
+    [`${link.from} ${link.to}`, link],
+    [`${link.to} ${link.from}`, link],
+  ]),
+);
 
 /** Returns the link between two failure domains. */
 export const getLink = (from: string, to: string): LinkPlan =>
-  links[[from, to].sort().join(' ')] ?? localLink;
+  links.get(`${from} ${to}`) ?? localLink;
 
 /**
  * Returns the generated tokens a second that a worker can serve with full
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** Pure decisions: no clock, no network, no charts; the time is an argument. */
 export * from './admission.js';
 export * from './load/decayingSum.js';
+export * from './load/loadBook.js';
 export * from './load/loadObserver.js';
 export * from './load/loadReport.js';
 export * from './load/stepModel.js';
@@ -12,6 +13,10 @@
 export * from './outcome.js';
 export * from './retry.js';
 export * from './routing.js';
+export * from './routing/fleetIndex.js';
+export * from './routing/flowPlan.js';
+export * from './routing/linkTable.js';
+export * from './routing/predictiveRouting.js';
 export * from './routing/steadyShares.js';
 export * from './types.js';
 export * from './workOrder.js';
--- /dev/null
+++ b/packages/decisions/src/load/loadBook.ts
@@ -0,0 +1,187 @@
+/**
+ * What an entry has learned of each backend server's load.
+ *
+ * Reports of agents are hints with an age. They are joined with this entry's
+ * own evidence: the cost it has offered since the last report and the waits it
+ * has seen. A report may raise an estimate above the evidence but never lower
+ * it below, and a capacity counts only up to a multiple of its siblings', so
+ * that a false report cannot draw all traffic.
+ */
+import { millisecondsPerSecond, type Milliseconds } from '@lycheetally/common';
+import type { ServerView } from '../types.js';
+import {
+  LoadObserver,
+  type AttemptEnd,
+  type AttemptFacts,
+} from './loadObserver.js';
+import type { LoadReport } from './loadReport.js';
+
+/** Milliseconds after which a report counts for nothing. */
+export const reportExpiryMs = 5_000;
+
+const evidenceHalfLifeMs = 2_000;
+const waitFade = 0.3;
+/** Assumed until a server's agent has reported. */
+const defaultPassMs = 50;
+/** A pass, and half of one while the step before it ends. */
+const passWithWait = 1.5;
+/** Waits within this of the report's are not held against it, in milliseconds. */
+const waitToleranceMs = 200;
+
+interface SeenWait {
+  waitMs: Milliseconds;
+  at: Milliseconds;
+}
+
+/** One server's entry in the book. */
+export class ServerLoad {
+  report: LoadReport | undefined;
+  reportAt: Milliseconds = 0;
+  /** Attempts of this entry that wait for their first slot. */
+  private pending = 0;
+  private startedSince = 0;
+  private offeredSince = 0;
+  private readonly seenWaits: SeenWait[] = [];
+
+  noteReport(report: LoadReport, now: Milliseconds): void {
+    this.report = report;
+    this.reportAt = now;
+    this.offeredSince = 0;
+    this.startedSince = 0;
+  }
+
+  /** Takes the cost that the attempt adds to the queue there; 0 at later stages. */
+  noteOffered(cost: number): void {
+    this.pending += 1;
+    this.offeredSince += cost;
+  }
+
+  noteStarted(): void {
+    this.pending -= 1;
+    this.startedSince += 1;
+  }
+
+  noteNotStarted(): void {
+    this.pending -= 1;
+  }
+
+  noteWait(urgency: number, waitMs: Milliseconds, now: Milliseconds): void {
+    const seen = this.seenWaits[urgency];
+    if (seen && now - seen.at < reportExpiryMs) {
+      seen.waitMs += (waitMs - seen.waitMs) * waitFade;
+      seen.at = now;
+      return;
+    }
+    this.seenWaits[urgency] = { waitMs, at: now };
+  }
+
+  /** Estimates the wait of new work for a slot, in milliseconds. */
+  estimateWait(urgency: number, now: Milliseconds): Milliseconds {
+    const report = this.getFreshReport(now);
+    const reported = report?.ranks[urgency]?.waitMs ?? 0;
+    const capacity = report?.capacity ?? 0;
+    const hasFreeSlot = report !== undefined && report.running < report.slots;
+    const sinceMs =
+      capacity > 0 && !hasFreeSlot
+        ? (this.offeredSince / capacity) * millisecondsPerSecond
+        : 0;
+    return Math.max(reported + sinceMs, this.estimateSeenWait(urgency, now));
+  }
+
+  /** Estimates one decode pass, half a pass of waiting included, in milliseconds. */
+  estimatePass(now: Milliseconds): Milliseconds {
+    const passMs = this.getFreshReport(now)?.passMs ?? 0;
+    return (passMs > 0 ? passMs : defaultPassMs) * passWithWait;
+  }
+
+  /**
+   * Estimates the milliseconds between two tokens of a sequence at the server's
+   * full rate, when one more sequence passes through it.
+   */
+  estimateTokenGap(now: Milliseconds): Milliseconds {
+    const report = this.getFreshReport(now);
+    const sequences = 1 + (report?.sequences ?? 0) + this.startedSince;
+    const capacity = report?.capacity ?? 0;
+    const all = sequences + Math.max(0, this.pending);
+    return capacity > 0 ? (all / capacity) * millisecondsPerSecond : 0;
+  }
+
+  get isIdle(): boolean {
+    return this.pending <= 0;
+  }
+
+  getFreshReport(now: Milliseconds): LoadReport | undefined {
+    return now - this.reportAt < reportExpiryMs ? this.report : undefined;
+  }
+
+  // An old wait says less; it fades with its age.
+  private estimateSeenWait(urgency: number, now: Milliseconds): Milliseconds {
+    const seen = this.seenWaits[urgency];
+    if (!seen) {
+      return 0;
+    }
+    const fade = 2 ** (-(now - seen.at) / evidenceHalfLifeMs);
+    return Math.max(0, seen.waitMs - waitToleranceMs) * fade;
+  }
+}
+
+export class LoadBook extends LoadObserver {
+  private readonly servers = new Map<string, ServerLoad>();
+
+  get(serverId: string): ServerLoad {
+    const known = this.servers.get(serverId);
+    if (known) {
+      return known;
+    }
+    const load = new ServerLoad();
+    this.servers.set(serverId, load);
+    return load;
+  }
+
+  /** Forgets servers that are gone. */
+  keepOnly(servers: readonly ServerView[]): void {
+    const ids = new Set(servers.map(server => server.serverId));
+    for (const [serverId, load] of this.servers) {
+      if (!ids.has(serverId) && load.isIdle) {
+        this.servers.delete(serverId);
+      }
+    }
+  }
+
+  override noteReport(
+    serverId: string,
+    report: LoadReport,
+    now: Milliseconds,
+  ): void {
+    this.get(serverId).noteReport(report, now);
+  }
+
+  override noteOffered(attempt: AttemptFacts): void {
+    attempt.route.forEach((server, index) => {
+      this.get(server.serverId).noteOffered(index === 0 ? attempt.cost : 0);
+    });
+  }
+
+  override noteStarted(
+    attempt: AttemptFacts,
+    waitedMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    for (const server of attempt.route) {
+      this.get(server.serverId).noteStarted();
+    }
+    const first = attempt.route[0];
+    if (first) {
+      this.get(first.serverId).noteWait(attempt.urgency, waitedMs, now);
+    }
+  }
+
+  override noteEnded(attempt: AttemptFacts, end: AttemptEnd): void {
+    if (end.runMs !== undefined) {
+      return;
+    }
+    for (const server of attempt.route) {
+      this.get(server.serverId).noteNotStarted();
+    }
+  }
+}
--- a/packages/decisions/src/load/loadReport.ts
+++ b/packages/decisions/src/load/loadReport.ts
@@ -13,13 +13,14 @@
 }
 
 export interface LoadReport {
+  /** Slots in use by work that begins here. */
   readonly running: number;
   readonly slots: number;
+  /** Sequences that pass through this server, whatever their first stage. */
+  readonly sequences: number;
   /** Generated tokens a second that the server reaches with full batches. */
   readonly capacity: number;
-  /** Milliseconds of one decode pass at the present load. */
+  /** Recent mean of the milliseconds of one decode pass. */
   readonly passMs: number;
-  /** Passes that wait in the engine. */
-  readonly depth: number;
   readonly ranks: readonly RankLoad[];
 }
--- /dev/null
+++ b/packages/decisions/src/routing/fleetIndex.ts
@@ -0,0 +1,61 @@
+/**
+ * Servers of a service in groups of siblings: the same layers on the same kind
+ * of accelerator in the same failure domain.
+ *
+ * An index is made once for a list of servers; choosing from it takes the same
+ * time whatever the size of the fleet.
+ */
+import type { ServerView } from '../types.js';
+
+export interface ServerGroup {
+  readonly key: string;
+  /** Same layers and accelerator, in any failure domain. */
+  readonly siblingKey: string;
+  readonly layerFrom: number;
+  readonly layerTo: number;
+  readonly failureDomain: string;
+  readonly servers: readonly ServerView[];
+}
+
+export interface FleetIndex {
+  readonly groups: readonly ServerGroup[];
+  readonly byKey: ReadonlyMap<string, ServerGroup>;
+}
+
+/** Indexes the servers of a service. */
+export const indexServers = (
+  servers: readonly ServerView[],
+  service: string,
+): FleetIndex => {
+  const members = new Map<string, ServerView[]>();
+  for (const server of servers) {
+    if (server.service !== service) {
+      continue;
+    }
+    const key = `${formatSiblingKey(server)} ${server.failureDomain}`;
+    const known = members.get(key);
+    if (known) {
+      known.push(server);
+    } else {
+      members.set(key, [server]);
+    }
+  }
+  const groups = [...members].flatMap(([key, list]) => createGroup(key, list));
+  return { groups, byKey: new Map(groups.map(group => [group.key, group])) };
+};
+
+const formatSiblingKey = (server: ServerView): string =>
+  `${server.accelerator ?? ''} ${String(server.layerFrom)}-${String(server.layerTo)}`;
+
+const createGroup = (
+  key: string,
+  servers: readonly ServerView[],
+): ServerGroup[] => {
+  const [first] = servers;
+  if (!first) {
+    return [];
+  }
+  const { layerFrom, layerTo, failureDomain } = first;
+  const siblingKey = formatSiblingKey(first);
+  return [{ key, siblingKey, layerFrom, layerTo, failureDomain, servers }];
+};
--- /dev/null
+++ b/packages/decisions/src/routing/flowPlan.ts
@@ -0,0 +1,163 @@
+/**
+ * The steady shares in force for one service: the max-flow over its groups,
+ * computed again when the fleet or the learned capacities have changed.
+ */
+import type { Milliseconds } from '@lycheetally/common';
+import type { LoadBook } from '../load/loadBook.js';
+import type { ServerView } from '../types.js';
+import type { FleetIndex, ServerGroup } from './fleetIndex.js';
+import type { LinkTable } from './linkTable.js';
+import { computeSteadyFlow, type SteadyFlow } from './steadyShares.js';
+
+/** A group with its part of a flow. */
+export interface GroupShare {
+  readonly group: ServerGroup;
+  readonly share: number;
+}
+
+/** Choices for the next stage: shares add up to `total`. */
+export interface StageChoices {
+  readonly total: number;
+  readonly shares: readonly GroupShare[];
+}
+
+export interface FlowPlan {
+  readonly first: StageChoices;
+  readonly next: ReadonlyMap<string, StageChoices>;
+  /** Tokens a second that the fleet can serve, as far as it has been learned. */
+  readonly capacity: number;
+}
+
+/** A reported capacity counts up to this multiple of the siblings' median. */
+const maxSiblingFactor = 1.5;
+/** Share of a group's capacity that the plan uses anyway, to keep learning of it. */
+const probeShare = 0.05;
+const defaultCapacity = 100;
+/** Activations for each generated token, prompts included. */
+const activationsPerToken = 4;
+
+/** Share of a link that the plan fills; a full link delays every sequence on it. */
+const linkShare = 0.75;
+
+const computeLinkRate = (links: LinkTable, from: string, to: string): number =>
+  (links.computeCapacity(from, to) * linkShare) / activationsPerToken;
+
+const isUsable = (server: ServerView): boolean =>
+  server.isConnected && !server.isLeaving;
+
+/** Computes the plan of a service. */
+export const computeFlowPlan = (
+  index: FleetIndex,
+  layers: number,
+  book: LoadBook,
+  links: LinkTable,
+  now: Milliseconds,
+): FlowPlan => {
+  const medians = computeSiblingMedians(index, book, now);
+  const stages = index.groups
+    .map(group => ({
+      key: group.key,
+      layerFrom: group.layerFrom,
+      layerTo: group.layerTo,
+      failureDomain: group.failureDomain,
+      capacity: computeGroupCapacity(group, medians, book, now),
+    }))
+    .filter(stage => stage.capacity > 0);
+  const flow = computeSteadyFlow(stages, layers, (from, to) =>
+    computeLinkRate(links, from, to),
+  );
+  return buildPlan(
+    index,
+    flow,
+    links,
+    new Map(stages.map(stage => [stage.key, stage.capacity])),
+  );
+};
+
+const computeSiblingMedians = (
+  index: FleetIndex,
+  book: LoadBook,
+  now: Milliseconds,
+): ReadonlyMap<string, number> => {
+  const reported = new Map<string, number[]>();
+  for (const group of index.groups) {
+    const list = reported.get(group.siblingKey) ?? [];
+    for (const server of group.servers) {
+      const capacity = book.get(server.serverId).getFreshReport(now)?.capacity;
+      if (capacity !== undefined && capacity > 0) {
+        list.push(capacity);
+      }
+    }
+    reported.set(group.siblingKey, list);
+  }
+  const all = [...reported.values()].flat();
+  const fallback = computeMedian(all) ?? defaultCapacity;
+  return new Map(
+    [...reported].map(([key, list]) => [key, computeMedian(list) ?? fallback]),
+  );
+};
+
+const computeMedian = (values: readonly number[]): number | undefined => {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[(sorted.length - 1) >> 1];
+};
+
+const computeGroupCapacity = (
+  group: ServerGroup,
+  medians: ReadonlyMap<string, number>,
+  book: LoadBook,
+  now: Milliseconds,
+): number => {
+  const median = medians.get(group.siblingKey) ?? defaultCapacity;
+  return group.servers.filter(isUsable).reduce((sum, server) => {
+    const reported =
+      book.get(server.serverId).getFreshReport(now)?.capacity ?? 0;
+    const capacity = reported > 0 ? reported : median;
+    return sum + Math.min(capacity, median * maxSiblingFactor);
+  }, 0);
+};
+
+const buildPlan = (
+  index: FleetIndex,
+  flow: SteadyFlow,
+  links: LinkTable,
+  capacities: ReadonlyMap<string, number>,
+): FlowPlan => {
+  const next = new Map<string, StageChoices>();
+  for (const group of index.groups) {
+    const after = index.groups.filter(
+      each => each.layerFrom === group.layerTo && capacities.has(each.key),
+    );
+    const probes = new Map(
+      after.map(each => [
+        each.key,
+        Math.min(
+          capacities.get(each.key) ?? 0,
+          computeLinkRate(links, group.failureDomain, each.failureDomain),
+        ),
+      ]),
+    );
+    next.set(group.key, buildChoices(after, flow.next.get(group.key), probes));
+  }
+  const first = index.groups.filter(
+    group => group.layerFrom === 0 && capacities.has(group.key),
+  );
+  return {
+    first: buildChoices(first, flow.first, capacities),
+    next,
+    capacity: flow.total,
+  };
+};
+
+const buildChoices = (
+  groups: readonly ServerGroup[],
+  flows: ReadonlyMap<string, number> | undefined,
+  capacities: ReadonlyMap<string, number>,
+): StageChoices => {
+  const shares = groups.map(group => {
+    const probe = (capacities.get(group.key) ?? 0) * probeShare;
+    return { group, share: Math.max(probe, flows?.get(group.key) ?? 0) };
+  });
+  const total = shares.reduce((sum, each) => sum + each.share, 0);
+  return { total, shares };
+};
--- /dev/null
+++ b/packages/decisions/src/routing/linkTable.ts
@@ -0,0 +1,47 @@
+/** Delays and speeds of the links between failure domains. */
+import { millisecondsPerSecond, type Milliseconds } from '@lycheetally/common';
+
+/** A link between two failure domains, alike in both directions. */
+export interface LinkRule {
+  readonly from: string;
+  readonly to: string;
+  readonly delayMs: Milliseconds;
+  /** Milliseconds that the activations of one token occupy the link; 0 is no bound. */
+  readonly tokenMs: Milliseconds;
+}
+
+const localLink = { delayMs: 0.2, tokenMs: 0 };
+const unknownLink = { delayMs: 1, tokenMs: 0 };
+
+export class LinkTable {
+  private readonly links = new Map<string, LinkRule>();
+
+  constructor(rules: readonly LinkRule[] = []) {
+    for (const rule of rules) {
+      this.links.set(formatPair(rule.from, rule.to), rule);
+    }
+  }
+
+  /** Returns the milliseconds until the activations of so many tokens have crossed. */
+  estimateDelay(from: string, to: string, tokens: number): Milliseconds {
+    const link = this.find(from, to);
+    return link.delayMs + link.tokenMs * tokens;
+  }
+
+  /** Returns the token activations a second that the link carries. */
+  computeCapacity(from: string, to: string): number {
+    const { tokenMs } = this.find(from, to);
+    return tokenMs > 0 ? millisecondsPerSecond / tokenMs : Infinity;
+  }
+
+  private find(
+    from: string,
+    to: string,
+  ): Pick<LinkRule, 'delayMs' | 'tokenMs'> {
+    const known = this.links.get(formatPair(from, to));
+    return known ?? (from === to ? localLink : unknownLink);
+  }
+}
+
+const formatPair = (from: string, to: string): string =>
+  from < to ? `${from} ${to}` : `${to} ${from}`;
