Refuse early by forecast, limit accounts and budget retries

Cause: queues at the agents grew without bound in a flood, routes grew old in them, and every late request still took a slot. Change: the gate refuses a request whose best route misses its rank's target or its deadline, with the time after which a repeat would fit; agents bound their queues by expected wait; accounts have rate and burst limits by rank; retries are one in ten; the benches recover and decide.

--- a/bench/src/policy/bed.ts
+++ b/bench/src/policy/bed.ts
@@ -19,11 +19,7 @@
 import type { EntryRules, PolicySet } from './policySet.js';
 import { Sequence, type SequenceServices } from './sequence.js';
 import { VirtualTime } from './virtualTime.js';
-import {
-  startStream,
-  type OfferedRequest,
-  type RequestStream,
-} from './workload.js';
+import { startStream, type RequestStream } from './workload.js';
 import { RequestRecord, Tally } from './tally.js';
 
 /** What a run of the bed is made of. */
@@ -179,6 +175,7 @@
       this.refuse(record, decided.val, now);
       return;
     }
+    entry.rules.retry.noteRequest(view);
     this.startAttempt(entry, record, now);
   }
 
@@ -245,6 +242,7 @@
       return;
     }
     this.tally.retries += 1;
+    retry.noteRetry(view);
     this.time.schedule(retry.computeDelay(view), later => {
       this.startAttempt(entry, record, later);
     });
@@ -277,6 +275,7 @@
   private viewRequest(record: RequestRecord): RequestView {
     const { request } = record;
     const cost = computeTokenCost(request.promptTokens, request.maxTokens);
+    const rank = this.options.ranks.find(each => each.name === request.rank);
     return {
       requestId: request.requestId,
       account: request.account,
@@ -286,18 +285,14 @@
       isRepeatable: true,
       attempts: record.attempts,
       avoided: record.avoided,
-      urgency: this.findUrgency(request),
+      urgency: rank?.urgency,
+      targetMs: rank?.targetMs,
       cost: cost.unwrap(),
       promptTokens: request.promptTokens,
       maxTokens: request.maxTokens,
     };
   }
 
-  private findUrgency(request: OfferedRequest): number {
-    const rank = this.options.ranks.find(each => each.name === request.rank);
-    return rank?.urgency ?? 0;
-  }
-
   private sendReports(now: Milliseconds): void {
     for (const [serverId, worker] of this.workers) {
       if (worker.engine.isDown) {
--- a/bench/src/policy/fakeWorker.ts
+++ b/bench/src/policy/fakeWorker.ts
@@ -32,8 +32,6 @@
   readonly engine: FakeEngine;
   readonly slots: number;
   running = 0;
-  /** Sequences that pass through the engine. */
-  sequences = 0;
   /** A false report that replaces the true one. */
   lie: LoadReport | undefined;
   private readonly order: WorkOrder<AgentWork>;
@@ -100,7 +98,11 @@
       this.withdraw(work);
     }
     this.running = 0;
-    this.sequences = 0;
+  }
+
+  /** Counts a sequence that passes through the engine. */
+  countSequence(urgency: number, change: 1 | -1): void {
+    this.queue.countSequence(urgency, change);
   }
 
   buildReport(now: Milliseconds): LoadReport {
@@ -110,7 +112,6 @@
         slots: this.slots,
         capacity: this.steps.estimateCapacity(this.plan.kind.maxBatch),
         passMs: this.passMs,
-        sequences: this.sequences,
         ranks: this.queue.listLoads(now),
       }
     );
--- a/bench/src/policy/ourRules.ts
+++ b/bench/src/policy/ourRules.ts
@@ -1,12 +1,13 @@
 /** The rules that the processes run with. */
 import {
-  BoundedRetry,
+  BudgetedRetry,
+  DelayQueueBound,
+  LimitedAdmission,
   LinkTable,
   LoadBook,
   PredictiveRouting,
-  OpenAdmission,
-  OpenQueueBound,
   RankedOrder,
+  TargetGate,
   type RankRule,
   type WaitingWork,
 } from '@lycheetally/decisions';
@@ -18,19 +19,24 @@
   createEntryRules: seed => {
     const book = new LoadBook();
     return {
-      admission: new OpenAdmission(),
+      admission: new LimitedAdmission(),
       routing: new PredictiveRouting({
         book,
         links: new LinkTable(benchLinks),
+        gate: new TargetGate(),
         seed,
         candidates: 6,
         planIntervalMs: 2_000,
       }),
-      retry: new BoundedRetry(),
+      retry: new BudgetedRetry(),
       observer: book,
     };
   },
   createOrder: <T extends WaitingWork>(ranks: readonly RankRule[]) =>
     new RankedOrder<T>({ listRanks: () => ranks, weightOf: () => 1 }),
-  createBound: () => new OpenQueueBound(),
+  createBound: ranks =>
+    new DelayQueueBound({
+      maxWaitMs: ranks.map(rank => rank.targetMs),
+      maxWaiting: 2_000,
+    }),
 };
--- a/bench/src/policy/sequence.ts
+++ b/bench/src/policy/sequence.ts
@@ -55,7 +55,12 @@
     this.cost = view.cost ?? 1;
     this.deadlineAt = view.deadlineAt;
     this.promptTokens = record.request.promptTokens + record.generated;
-    this.facts = { route, urgency: this.urgency, cost: this.cost };
+    this.facts = {
+      route,
+      urgency: this.urgency,
+      account: this.account,
+      cost: this.cost,
+    };
   }
 
   uses(serverId: string): boolean {
@@ -172,8 +177,7 @@
 
   private countSequence(change: 1 | -1): void {
     this.route.forEach((_, stage) => {
-      const worker = this.getWorker(stage);
-      worker.sequences += worker.engine.isDown ? 0 : change;
+      this.getWorker(stage).countSequence(this.urgency, change);
     });
   }
 
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,8 +1,10 @@
 /** All benches by name. */
 import { ChartBench } from './chartBench.js';
 import { BoundBench } from './policy/boundBench.js';
+import { DecideBench } from './policy/decideBench.js';
 import { FairnessBench } from './policy/fairnessBench.js';
 import { RanksBench } from './policy/ranksBench.js';
+import { RecoverBench } from './policy/recoverBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
 
@@ -12,6 +14,8 @@
   new BoundBench(),
   new RanksBench(),
   new FairnessBench(),
+  new RecoverBench(),
+  new DecideBench(),
 ];
 
 /** Finds a bench by name. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,10 @@
 /** Pure decisions: no clock, no network, no charts; the time is an argument. */
 export * from './admission.js';
+export * from './admit/accountLimits.js';
+export * from './admit/limitedAdmission.js';
+export * from './admit/loadGate.js';
+export * from './admit/retryBudget.js';
+export * from './load/accountBacklog.js';
 export * from './load/decayingSum.js';
 export * from './load/loadBook.js';
 export * from './load/loadObserver.js';
@@ -13,6 +18,7 @@
 export * from './outcome.js';
 export * from './retry.js';
 export * from './routing.js';
+export * from './routing/completionForecast.js';
 export * from './routing/fleetIndex.js';
 export * from './routing/flowPlan.js';
 export * from './routing/linkTable.js';
--- a/packages/decisions/src/load/loadBook.ts
+++ b/packages/decisions/src/load/loadBook.ts
@@ -9,6 +9,7 @@
  */
 import { millisecondsPerSecond, type Milliseconds } from '@lycheetally/common';
 import type { ServerView } from '../types.js';
+import { AccountBacklog } from './accountBacklog.js';
 import {
   LoadObserver,
   type AttemptEnd,
@@ -33,36 +34,58 @@
   at: Milliseconds;
 }
 
+/** Numbers by urgency. */
+class RankCounts {
+  private readonly counts: number[] = [];
+
+  add(urgency: number, amount: number): void {
+    this.counts[urgency] = (this.counts[urgency] ?? 0) + amount;
+  }
+
+  clear(): void {
+    this.counts.length = 0;
+  }
+
+  /** Adds up the ranks that are as urgent or more. */
+  computeUpTo(urgency: number): number {
+    let sum = 0;
+    this.counts.forEach((count, each) => {
+      sum += each <= urgency ? count : 0;
+    });
+    return sum;
+  }
+}
+
 /** One server's entry in the book. */
 export class ServerLoad {
   report: LoadReport | undefined;
   reportAt: Milliseconds = 0;
-  /** Attempts of this entry that wait for their first slot. */
-  private pending = 0;
-  private startedSince = 0;
-  private offeredSince = 0;
+  /** Attempts of this entry that wait for their first slot, by urgency. */
+  private readonly pending = new RankCounts();
+  private readonly startedSince = new RankCounts();
+  private readonly offeredSince = new RankCounts();
   private readonly seenWaits: SeenWait[] = [];
 
   noteReport(report: LoadReport, now: Milliseconds): void {
     this.report = report;
     this.reportAt = now;
-    this.offeredSince = 0;
-    this.startedSince = 0;
+    this.offeredSince.clear();
+    this.startedSince.clear();
   }
 
   /** Takes the cost that the attempt adds to the queue there; 0 at later stages. */
-  noteOffered(cost: number): void {
-    this.pending += 1;
-    this.offeredSince += cost;
+  noteOffered(urgency: number, cost: number): void {
+    this.pending.add(urgency, 1);
+    this.offeredSince.add(urgency, cost);
   }
 
-  noteStarted(): void {
-    this.pending -= 1;
-    this.startedSince += 1;
+  noteStarted(urgency: number): void {
+    this.pending.add(urgency, -1);
+    this.startedSince.add(urgency, 1);
   }
 
-  noteNotStarted(): void {
-    this.pending -= 1;
+  noteNotStarted(urgency: number): void {
+    this.pending.add(urgency, -1);
   }
 
   noteWait(urgency: number, waitMs: Milliseconds, now: Milliseconds): void {
@@ -81,9 +104,10 @@
     const reported = report?.ranks[urgency]?.waitMs ?? 0;
     const capacity = report?.capacity ?? 0;
     const hasFreeSlot = report !== undefined && report.running < report.slots;
+    const since = this.offeredSince.computeUpTo(urgency);
     const sinceMs =
       capacity > 0 && !hasFreeSlot
-        ? (this.offeredSince / capacity) * millisecondsPerSecond
+        ? (since / capacity) * millisecondsPerSecond
         : 0;
     return Math.max(reported + sinceMs, this.estimateSeenWait(urgency, now));
   }
@@ -96,18 +120,25 @@
 
   /**
    * Estimates the milliseconds between two tokens of a sequence at the server's
-   * full rate, when one more sequence passes through it.
+   * full rate, when one more sequence of the rank passes through it. Engines
+   * compute the more urgent first.
    */
-  estimateTokenGap(now: Milliseconds): Milliseconds {
+  estimateTokenGap(urgency: number, now: Milliseconds): Milliseconds {
     const report = this.getFreshReport(now);
-    const sequences = 1 + (report?.sequences ?? 0) + this.startedSince;
     const capacity = report?.capacity ?? 0;
-    const all = sequences + Math.max(0, this.pending);
-    return capacity > 0 ? (all / capacity) * millisecondsPerSecond : 0;
+    if (!report || capacity <= 0) {
+      return 0;
+    }
+    let sequences = 1 + this.startedSince.computeUpTo(urgency);
+    for (const rank of report.ranks) {
+      sequences += rank.urgency <= urgency ? rank.sequences : 0;
+    }
+    sequences += Math.max(0, this.pending.computeUpTo(urgency));
+    return (sequences / capacity) * millisecondsPerSecond;
   }
 
   get isIdle(): boolean {
-    return this.pending <= 0;
+    return this.pending.computeUpTo(Infinity) <= 0;
   }
 
   getFreshReport(now: Milliseconds): LoadReport | undefined {
@@ -127,6 +158,8 @@
 
 export class LoadBook extends LoadObserver {
   private readonly servers = new Map<string, ServerLoad>();
+  /** Work of this entry that waits for a slot, by service and rank. */
+  private readonly backlogs = new Map<string, AccountBacklog>();
 
   get(serverId: string): ServerLoad {
     const known = this.servers.get(serverId);
@@ -156,10 +189,18 @@
     this.get(serverId).noteReport(report, now);
   }
 
+  /** Returns the wait of an account as a multiple of its whole rank's. */
+  computeWaitFactor(service: string, urgency: number, account: string): number {
+    const backlog = this.backlogs.get(formatQueue(service, urgency));
+    return backlog?.computeWaitFactor(account) ?? 0;
+  }
+
   override noteOffered(attempt: AttemptFacts): void {
+    const { account, cost, urgency, accountWeight } = attempt;
     attempt.route.forEach((server, index) => {
-      this.get(server.serverId).noteOffered(index === 0 ? attempt.cost : 0);
+      this.get(server.serverId).noteOffered(urgency, index === 0 ? cost : 0);
     });
+    this.getBacklog(attempt).add(account, cost, accountWeight);
   }
 
   override noteStarted(
@@ -167,12 +208,14 @@
     waitedMs: Milliseconds,
     now: Milliseconds,
   ): void {
+    const { urgency } = attempt;
     for (const server of attempt.route) {
-      this.get(server.serverId).noteStarted();
+      this.get(server.serverId).noteStarted(urgency);
     }
+    this.getBacklog(attempt).remove(attempt.account, attempt.cost);
     const first = attempt.route[0];
     if (first) {
-      this.get(first.serverId).noteWait(attempt.urgency, waitedMs, now);
+      this.get(first.serverId).noteWait(urgency, waitedMs, now);
     }
   }
 
@@ -181,7 +224,23 @@
       return;
     }
     for (const server of attempt.route) {
-      this.get(server.serverId).noteNotStarted();
+      this.get(server.serverId).noteNotStarted(attempt.urgency);
+    }
+    this.getBacklog(attempt).remove(attempt.account, attempt.cost);
+  }
+
+  private getBacklog(attempt: AttemptFacts): AccountBacklog {
+    const service = attempt.route[0]?.service ?? '';
+    const key = formatQueue(service, attempt.urgency);
+    const known = this.backlogs.get(key);
+    if (known) {
+      return known;
     }
+    const backlog = new AccountBacklog();
+    this.backlogs.set(key, backlog);
+    return backlog;
   }
 }
+
+const formatQueue = (service: string, urgency: number): string =>
+  `${service} ${String(urgency)}`;
--- a/packages/decisions/src/load/loadObserver.ts
+++ b/packages/decisions/src/load/loadObserver.ts
@@ -7,6 +7,9 @@
 export interface AttemptFacts {
   readonly route: Route;
   readonly urgency: number;
+  readonly account: string;
+  /** Weight of the account; 1 when absent. */
+  readonly accountWeight?: number | undefined;
   /** Estimated cost in token units. */
   readonly cost: number;
 }
--- a/packages/decisions/src/load/loadReport.ts
+++ b/packages/decisions/src/load/loadReport.ts
@@ -8,6 +8,8 @@
   readonly waiting: number;
   /** Cost of the waiting work, in token units. */
   readonly waitingCost: number;
+  /** Sequences of the rank that pass through the server, whatever their first stage. */
+  readonly sequences: number;
   /** Milliseconds that new work of the rank is expected to wait. */
   readonly waitMs: number;
 }
@@ -16,8 +18,6 @@
   /** Slots in use by work that begins here. */
   readonly running: number;
   readonly slots: number;
-  /** Sequences that pass through this server, whatever their first stage. */
-  readonly sequences: number;
   /** Generated tokens a second that the server reaches with full batches. */
   readonly capacity: number;
   /** Recent mean of the milliseconds of one decode pass. */
--- a/packages/decisions/src/order/queueBound.ts
+++ b/packages/decisions/src/order/queueBound.ts
@@ -62,7 +62,7 @@
     now: Milliseconds,
   ): Result<true> {
     const { maxWaitMs, maxWaiting } = this.settings;
-    const waitMs = queue.estimateWait(work.urgency, now);
+    const waitMs = queue.estimateAccountWait(work, now);
     const boundMs = maxWaitMs[work.urgency] ?? maxWaitMs.at(-1) ?? 0;
     const leftMs = Math.min(boundMs, work.deadlineAt - now);
     const isFull = queue.countWaiting(work.urgency) >= maxWaiting;
--- a/packages/decisions/src/order/queueDelay.ts
+++ b/packages/decisions/src/order/queueDelay.ts
@@ -5,8 +5,10 @@
  * urgent ranks leave it, and never longer than at the rate of its floor.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import { AccountBacklog } from '../load/accountBacklog.js';
 import { DecayingSum } from '../load/decayingSum.js';
 import type { RankLoad } from '../load/loadReport.js';
+import type { AccountWeight } from './accountQueue.js';
 import type { WaitingWork } from '../workOrder.js';
 
 const rateHalfLifeMs = 3_000;
@@ -15,6 +17,9 @@
 class RankQueue {
   waiting = 0;
   waitingCost = 0;
+  /** Sequences that pass through the server. */
+  sequences = 0;
+  readonly backlog = new AccountBacklog();
   readonly started = new DecayingSum(rateHalfLifeMs);
 
   constructor(readonly floor: number) {}
@@ -24,7 +29,10 @@
   private readonly ranks: RankQueue[];
 
   /** Takes the floors by urgency, each from 0 to 1. */
-  constructor(floors: readonly number[]) {
+  constructor(
+    floors: readonly number[],
+    private readonly weightOf: AccountWeight = () => 1,
+  ) {
     this.ranks = floors.map(floor => new RankQueue(floor));
   }
 
@@ -32,6 +40,7 @@
     const rank = this.getRank(work.urgency);
     rank.waiting += 1;
     rank.waitingCost += work.cost;
+    rank.backlog.add(work.account, work.cost, this.weightOf(work.account));
   }
 
   noteStarted(work: WaitingWork, now: Milliseconds): void {
@@ -43,12 +52,25 @@
     const rank = this.getRank(work.urgency);
     rank.waiting -= 1;
     rank.waitingCost -= work.cost;
+    rank.backlog.remove(work.account, work.cost);
   }
 
   countWaiting(urgency: number): number {
     return this.getRank(urgency).waiting;
   }
 
+  /** Counts a sequence that has begun or ended, whatever its first stage. */
+  countSequence(urgency: number, change: 1 | -1): void {
+    this.getRank(urgency).sequences += change;
+  }
+
+  /** Returns the milliseconds that new work of an account is expected to wait. */
+  estimateAccountWait(work: WaitingWork, now: Milliseconds): Milliseconds {
+    const { backlog } = this.getRank(work.urgency);
+    const factor = backlog.computeWaitFactor(work.account);
+    return this.estimateWait(work.urgency, now) * factor;
+  }
+
   /** Returns the milliseconds that new work of the rank is expected to wait. */
   estimateWait(urgency: number, now: Milliseconds): Milliseconds {
     const rank = this.getRank(urgency);
@@ -80,6 +102,7 @@
       urgency,
       waiting: rank.waiting,
       waitingCost: rank.waitingCost,
+      sequences: rank.sequences,
       waitMs: this.estimateWait(urgency, now),
     }));
   }
--- a/packages/decisions/src/retry.ts
+++ b/packages/decisions/src/retry.ts
@@ -12,6 +12,16 @@
     return request.isRepeatable && this.mayRetry(request, now);
   }
 
+  /** Notes a request that was admitted. */
+  noteRequest(_request: RequestView): void {
+    return;
+  }
+
+  /** Notes an attempt after the first. */
+  noteRetry(_request: RequestView): void {
+    return;
+  }
+
   /** Returns the milliseconds to wait before the next attempt. */
   abstract computeDelay(request: RequestView): Milliseconds;
 }
--- a/packages/decisions/src/routing/predictiveRouting.ts
+++ b/packages/decisions/src/routing/predictiveRouting.ts
@@ -7,12 +7,8 @@
  * now. The number of candidates is fixed, so a decision costs the same for a
  * fleet of any size.
  */
-import {
-  Ok,
-  mixBits,
-  type Milliseconds,
-  type Result,
-} from '@lycheetally/common';
+import { mixBits, type Milliseconds, type Result } from '@lycheetally/common';
+import type { LoadGate, RouteForecast } from '../admit/loadGate.js';
 import type { LoadBook } from '../load/loadBook.js';
 import {
   LeastOutstandingRouting,
@@ -20,6 +16,7 @@
   type Route,
 } from '../routing.js';
 import type { RequestView, ServerView, ServiceRule } from '../types.js';
+import { estimateRoute } from './completionForecast.js';
 import {
   indexServers,
   type FleetIndex,
@@ -36,6 +33,7 @@
 export interface PredictiveRoutingSettings {
   readonly book: LoadBook;
   readonly links: LinkTable;
+  readonly gate: LoadGate;
   readonly seed: number;
   /** Chains compared for each decision. */
   readonly candidates: number;
@@ -50,11 +48,8 @@
 }
 
 const maxDraws = 4;
-const defaultTokens = 64;
 const maxStages = 64;
 const hashRange = 2 ** 32;
-/** Prompt tokens that one decode pass's time computes. */
-const promptTokensPerPass = 200;
 
 export class PredictiveRouting extends RoutingPolicy {
   private readonly services = new WeakMap<
@@ -76,55 +71,22 @@
     now: Milliseconds,
   ): Result<Route> {
     const { plan } = this.getService(service, servers, now);
+    const { book, links, candidates, gate } = this.settings;
     let best: Route | undefined;
-    let bestMs = Infinity;
-    for (let count = 0; count < this.settings.candidates; count += 1) {
+    let forecast: RouteForecast | undefined;
+    for (let count = 0; count < candidates; count += 1) {
       const route = this.pickRoute(plan, service, request, now);
-      const endsMs = route
-        ? this.estimateCompletion(route, request, now)
-        : Infinity;
-      if (endsMs < bestMs) {
-        bestMs = endsMs;
+      const next = route && estimateRoute(route, request, book, links, now);
+      if (next && next.completionMs < (forecast?.completionMs ?? Infinity)) {
         best = route;
+        forecast = next;
       }
     }
-    return best
-      ? Ok(best)
-      : this.fallback.chooseRoute(request, service, servers, now);
-  }
-
-  /** Estimates the milliseconds until the whole answer of a route. */
-  estimateCompletion(
-    route: Route,
-    request: RequestView,
-    now: Milliseconds,
-  ): Milliseconds {
-    const { book, links } = this.settings;
-    const [first] = route;
-    if (!first) {
-      return Infinity;
-    }
-    const waitMs = book
-      .get(first.serverId)
-      .estimateWait(request.urgency ?? 0, now);
-    const promptTokens = request.promptTokens ?? 1;
-    const prompts = 1 + promptTokens / promptTokensPerPass;
-    let passMs = 0;
-    let slowestMs = 0;
-    let promptMs = 0;
-    let before = route.at(-1) ?? first;
-    for (const server of route) {
-      const load = book.get(server.serverId);
-      const stageMs = load.estimatePass(now);
-      const [from, to] = [before.failureDomain, server.failureDomain];
-      slowestMs = Math.max(slowestMs, load.estimateTokenGap(now));
-      passMs += stageMs + links.estimateDelay(from, to, 1);
-      promptMs += stageMs * prompts;
-      promptMs += links.estimateDelay(from, to, promptTokens);
-      before = server;
+    if (!best || !forecast) {
+      return this.fallback.chooseRoute(request, service, servers, now);
     }
-    const tokens = request.maxTokens ?? defaultTokens;
-    return waitMs + promptMs + Math.max(passMs, slowestMs) * (tokens - 1);
+    const chosen = best;
+    return gate.decideEntry(request, forecast, now).map(() => chosen);
   }
 
   protected override pickServer(
@@ -184,7 +146,7 @@
       const load = book.get(server.serverId);
       const waitMs =
         server.layerFrom === 0 ? load.estimateWait(urgency, now) : 0;
-      return waitMs + load.estimateTokenGap(now);
+      return waitMs + load.estimateTokenGap(urgency, now);
     };
     return estimate(one) <= estimate(other) ? one : other;
   }
--- a/packages/decisions/src/types.ts
+++ b/packages/decisions/src/types.ts
@@ -1,5 +1,6 @@
 /** The plain values that decisions are made from. */
 import type { Milliseconds, ValueOf } from '@lycheetally/common';
+import type { AccountLimit } from './admit/accountLimits.js';
 
 export const ServiceKind = { Model: 'model', Plain: 'plain' } as const;
 export type ServiceKind = ValueOf<typeof ServiceKind>;
@@ -21,6 +22,8 @@
   /** Salt and SHA-256 of the bearer key, as `salt:hex`. */
   readonly keyHash: string;
   readonly weight: number;
+  /** Limits by rank; a rank without one is not limited. */
+  readonly limits?: readonly AccountLimit[] | undefined;
 }
 
 /** A service that callers reach. */
@@ -77,6 +80,10 @@
   readonly avoided: readonly string[];
   /** Urgency of the rank; 0 is the most urgent. */
   readonly urgency?: number | undefined;
+  /** Weight of the account; 1 when absent. */
+  readonly accountWeight?: number | undefined;
+  /** Target of the rank for the first token or the answer, in milliseconds. */
+  readonly targetMs?: number | undefined;
   /** Estimated cost in token units. */
   readonly cost?: number | undefined;
   /** Estimated prompt tokens of a model's request. */
