--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,6 +1,11 @@
 /** All benches by name. */
 import { ChartBench } from './chartBench.js';
 import { FaultsBench } from './faultsBench.js';
+import { BoundBench } from './policy/boundBench.js';
+import { DecideBench } from './policy/decideBench.js';
+import { FairnessBench } from './policy/fairnessBench.js';
+import { RanksBench } from './policy/ranksBench.js';
+import { RecoverBench } from './policy/recoverBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
 
@@ -8,6 +13,11 @@
   new ChartBench(),
   new RelayBench(),
   new FaultsBench(),
+  new BoundBench(),
+  new RanksBench(),
+  new FairnessBench(),
+  new RecoverBench(),
+  new DecideBench(),
 ];
 
 /** Finds a bench by name. */
