Prove that streams outlive their stages, and measure the recovery

Cause: the rebuild of a chain under a higher epoch, and the resume over another connection, had no proof over processes and no figure. The bench chain-recovery times the gap that a kill of each stage's agent leaves, beside asking again. The engine stand-in takes time for each position of a span, so that recomputing has its cost.

--- a/apps/standins/src/main.ts
+++ b/apps/standins/src/main.ts
@@ -26,6 +26,7 @@
       layerTo: readNumber('layerTo', 1),
       layers: readNumber('layers', 1),
       stepMs: readNumber('stepMs', 0),
+      positionUs: readNumber('positionUs', 0),
     }),
 };
 
--- /dev/null
+++ b/bench/src/chainRecoveryBench.ts
@@ -0,0 +1,169 @@
+/**
+ * Time from the death of a stage's agent to the next token of a stream.
+ *
+ * The baseline is a caller without the system's help: it learns of the death
+ * when the agent is killed, asks again from the first token, and waits until
+ * the answer has come as far as before.
+ */
+import {
+  RouterFleet,
+  SeededNumbers,
+  defaultFleetOptions,
+  streamCompletion,
+  waitUntil,
+  type CallerAnswer,
+} from '@lycheetally/testkit';
+import { Bench, type BenchOptions } from './types.js';
+
+const trials = 12;
+const promptWords = 200;
+const maxTokens = 120;
+const killAtToken = 60;
+const millisecondsPerSecond = 1_000;
+const stageCount = 3;
+
+/** Seconds of one trial. */
+interface Recovery {
+  readonly stage: number;
+  readonly nextToken: number;
+  readonly restart: number;
+}
+
+interface Watched {
+  readonly answer: Promise<CallerAnswer>;
+  /** Resolves with the time of the token. */
+  waitForToken(index: number): Promise<number>;
+}
+
+const makePrompt = (trial: number): string =>
+  Array.from(
+    { length: promptWords },
+    (_, word) => `w${String(trial)}x${String(word)}`,
+  ).join(' ');
+
+const streamWatched = (entry: string, prompt: string): Watched => {
+  const times: number[] = [];
+  const handleToken = (): void => {
+    times.push(performance.now());
+  };
+  const answer = streamCompletion(entry, prompt, maxTokens, { handleToken });
+  const waitForToken = async (index: number): Promise<number> => {
+    await waitUntil(`token ${String(index)} has come`, () =>
+      Boolean(times[index]),
+    );
+    return times[index] ?? 0;
+  };
+  return { answer, waitForToken };
+};
+
+/** Finds the agents that carry the only stream, by stage. */
+const listCarriers = async (fleet: RouterFleet): Promise<string[]> => {
+  const newest = await Promise.all(
+    [...fleet.backendUrls].map(async ([name, url]) => {
+      const record = (await fleet.get(`${url}/runs`)) as {
+        passes: { at: number }[];
+      };
+      return { name, at: record.passes.at(-1)?.at ?? 0 };
+    }),
+  );
+  newest.sort((a, b) => b.at - a.at);
+  return Array.from({ length: stageCount }, (_, stage) => {
+    const prefix = `stage${String(stage)}-`;
+    return newest.find(({ name }) => name.startsWith(prefix))?.name ?? '';
+  });
+};
+
+const runTrial = async (
+  fleet: RouterFleet,
+  trial: number,
+  numbers: SeededNumbers,
+): Promise<Recovery> => {
+  const entry = fleet.entryUrls[0] ?? '';
+  const prompt = makePrompt(trial);
+  const stage = trial % stageCount;
+  const stream = streamWatched(entry, prompt);
+  await stream.waitForToken(killAtToken + numbers.takeBelow(10));
+  const carriers = await listCarriers(fleet);
+  const server = carriers[stage] ?? '';
+  const killedAt = performance.now();
+  fleet.processes.sendSignal(`agent-${server}`, 'SIGKILL');
+  const again = streamWatched(entry, prompt);
+  const answer = await stream.answer;
+  if (answer.outcome !== 'complete') {
+    throw new Error(`A stream ended as ${JSON.stringify(answer)}`);
+  }
+  const { index, at } = await findGap(stream, killedAt);
+  const restarted = await again.waitForToken(index);
+  await again.answer;
+  await fleet.restartAgent(server);
+  await waitUntil('the fleet is whole', () => fleet.isWhole());
+  return {
+    stage,
+    nextToken: (at - killedAt) / millisecondsPerSecond,
+    restart: (restarted - killedAt) / millisecondsPerSecond,
+  };
+};
+
+/** Finds the first token after the longest wait that follows the kill. */
+const findGap = async (
+  stream: Watched,
+  killedAt: number,
+): Promise<{ index: number; at: number }> => {
+  let best = { index: killAtToken, at: killedAt };
+  let longest = 0;
+  let earlier = killedAt;
+  for (let index = 0; index < maxTokens; index += 1) {
+    const at = await stream.waitForToken(index);
+    if (at <= killedAt) {
+      continue;
+    }
+    if (at - earlier > longest) {
+      longest = at - earlier;
+      best = { index, at };
+    }
+    earlier = at;
+  }
+  return best;
+};
+
+const computeMedian = (values: readonly number[]): number =>
+  [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+
+export class ChainRecoveryBench extends Bench {
+  override readonly name = 'chain-recovery';
+  override readonly summary =
+    "seconds from a stage's kill to the next token, beside a start from the first token";
+  override readonly unit = 's';
+
+  protected override async measure({ seed, report }: BenchOptions): Promise<{
+    baseline: number;
+    ours: number;
+    detail: Record<string, unknown>;
+  }> {
+    const fleet = new RouterFleet({
+      ...defaultFleetOptions,
+      stages: stageCount,
+      replicas: 2,
+      plainServers: 0,
+      stepMs: 5,
+      positionUs: 200,
+      hasRelays: true,
+    });
+    const numbers = new SeededNumbers(seed);
+    const recoveries: Recovery[] = [];
+    try {
+      await fleet.start();
+      for (let trial = 0; trial < trials; trial += 1) {
+        recoveries.push(await runTrial(fleet, trial, numbers));
+        report(JSON.stringify(recoveries.at(-1)));
+      }
+    } finally {
+      await fleet.dispose();
+    }
+    const ours = computeMedian(recoveries.map(each => each.nextToken));
+    const baseline = computeMedian(recoveries.map(each => each.restart));
+    const worst = Math.max(...recoveries.map(each => each.nextToken));
+    const detail = { trials, promptWords, killAtToken, worst, recoveries };
+    return { baseline, ours, detail };
+  }
+}
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,6 @@
 /** All benches by name. */
 import { ChartBench } from './chartBench.js';
+import { ChainRecoveryBench } from './chainRecoveryBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
@@ -7,6 +8,7 @@
 export const benches: readonly Bench[] = [
   new ChartBench(),
   new RelayBench(),
+  new ChainRecoveryBench(),
   new FaultsBench(),
 ];
 
--- a/packages/testkit/src/fleet/callerClient.ts
+++ b/packages/testkit/src/fleet/callerClient.ts
@@ -10,6 +10,10 @@
   readonly deadlineMs?: number;
   readonly idempotencyKey?: string;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Called with the text so far after each token. */
+  readonly handleToken?: (text: string) => void;
+  /** Ends the caller's connection when it is aborted. */
+  readonly signal?: AbortSignal;
 }
 
 /** What a caller saw of one call. */
@@ -81,7 +85,7 @@
     firstTokenMs: undefined,
   };
   const raw = await readAll(response, chunk => {
-    readEvents(chunk, state, startedAt);
+    readEvents(chunk, state, startedAt, options.handleToken);
   });
   const isStream = response.headers['content-type'] === 'text/event-stream';
   return {
@@ -105,7 +109,12 @@
   new Promise((resolve, reject) => {
     const outgoing = request(
       url,
-      { method, agent, headers: formatHeaders(options) },
+      {
+        method,
+        agent,
+        headers: formatHeaders(options),
+        ...(options.signal ? { signal: options.signal } : {}),
+      },
       resolve,
     );
     outgoing.on('error', reject);
@@ -149,6 +158,7 @@
   event: string,
   state: SseState,
   startedAt: number,
+  handleToken: CallerCallOptions['handleToken'],
 ): void => {
   const data = /^data: (.*)$/m.exec(event)?.[1];
   if (data === undefined) {
@@ -164,7 +174,11 @@
     return;
   }
   state.firstTokenMs ??= Date.now() - startedAt;
-  state.text += parsed.choices?.[0]?.text ?? '';
+  const text = parsed.choices?.[0]?.text ?? '';
+  state.text += text;
+  if (text !== '') {
+    handleToken?.(state.text);
+  }
 };
 
 const readHeader = (
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -18,6 +18,8 @@
   readonly layers: number;
   /** Milliseconds of a decode step of one stage. */
   readonly stepMs: number;
+  /** Microseconds of each further position of a span at one stage. */
+  readonly positionUs?: number;
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
@@ -252,14 +254,14 @@
     stage: number,
     replica: number,
   ): Promise<void> {
-    const { layers, stages, stepMs } = this.options;
+    const { layers, stages, stepMs, positionUs = 0 } = this.options;
     const server = `stage${String(stage)}-${String(replica)}`;
     const layerFrom = Math.floor((layers * stage) / stages);
     const layerTo = Math.floor((layers * (stage + 1)) / stages);
     const address = await this.processes.startStandIn(
       `engine-${server}`,
       'model-engine',
-      { layerFrom, layerTo, layers, stepMs },
+      { layerFrom, layerTo, layers, stepMs, positionUs },
     );
     this.backendUrls.set(server, `http://${address}`);
     const relayed = await this.relays.relayTo(`engine-${server}`, address);
--- a/packages/testkit/src/standIns/modelEngine.ts
+++ b/packages/testkit/src/standIns/modelEngine.ts
@@ -28,6 +28,8 @@
   readonly layers: number;
   /** Milliseconds that a decode step of this stage takes. */
   readonly stepMs: number;
+  /** Microseconds that each position of a span takes beyond the first. */
+  readonly positionUs: number;
 }
 
 /** One pass of one position through an engine's layers. */
@@ -69,6 +71,7 @@
 const readMicroseconds = (): number =>
   Number(process.hrtime.bigint() / nanosecondsPerMicrosecond);
 const nanosecondsPerMicrosecond = 1_000n;
+const microsecondsPerMillisecond = 1_000;
 const maxPassRecords = 500_000;
 
 export class ModelEngineStandIn {
@@ -127,9 +130,7 @@
   ): Promise<void> {
     const input = inputSchema.parse(parseJson(line));
     const { position, states } = readStates(input);
-    if (this.options.stepMs > 0) {
-      await waitFor(this.options.stepMs);
-    }
+    await this.waitForCompute(states.length);
     const folded = states.map((state, index) =>
       this.computePass(sequence, position + index, state),
     );
@@ -143,6 +144,14 @@
     response.write(`${JSON.stringify(output)}\n`);
   }
 
+  private async waitForCompute(positions: number): Promise<void> {
+    const { stepMs, positionUs } = this.options;
+    const extraMs = ((positions - 1) * positionUs) / microsecondsPerMillisecond;
+    if (stepMs + extraMs > 0) {
+      await waitFor(stepMs + extraMs);
+    }
+  }
+
   private computePass(
     sequence: Sequence,
     position: number,
