--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -24,6 +24,10 @@
   Failed: 'failed',
   Report: 'report',
   Resume: 'resume',
+  ConfigNotice: 'configNotice',
+  ConfigRequest: 'configRequest',
+  ConfigHandover: 'configHandover',
+  ConfigStep: 'configStep',
 } as const;
 export type MessageKind = ValueOf<typeof MessageKind>;
 
@@ -138,6 +142,24 @@
   readonly queueDelayMs: number;
 }
 
+export interface ConfigPosition {
+  readonly lineage: string;
+  readonly through: number;
+  readonly version: number;
+}
+
+export interface ConfigHandover {
+  readonly state: string;
+}
+
+export interface ConfigStep extends ConfigPosition {
+  readonly baseVersion: number;
+  readonly throughHash: number;
+  readonly changeId: string;
+  readonly author: string;
+  readonly edits: string;
+}
+
 /** The value that each kind of message carries. */
 export interface MessageValues {
   hello: Hello;
@@ -157,6 +179,10 @@
   failed: Failed;
   report: Report;
   resume: Resume;
+  configNotice: ConfigPosition;
+  configRequest: ConfigPosition;
+  configHandover: ConfigHandover;
+  configStep: ConfigStep;
 }
 
 /** A message of one kind. */
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -1,10 +1,22 @@
 /** A small whole system as separate processes: platform, backend servers, agents, entries. */
-import { hashKey, callJson, type VmRecord } from '@lycheetally/router';
+import {
+  ConfigPublisher,
+  HttpLog,
+  SystemClock,
+  callJson,
+  hashKey,
+  type VmRecord,
+} from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
 import type { TcpRelay } from '../faults/tcpRelay.js';
 import { FleetRelays } from './fleetRelays.js';
-import { DaemonPath, ProcessFleet, type FleetProcess } from './processFleet.js';
+import {
+  DaemonPath,
+  ProcessFleet,
+  type FleetProcess,
+  type SettingsSections,
+} from './processFleet.js';
 
 /** The size of a fleet and the speed of its stand-ins. */
 export interface FleetOptions {
@@ -23,6 +35,8 @@
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
+  /** Seconds that a stopping process waits for its open work. */
+  readonly drainSeconds: number;
   /** Puts relays before agents and backend servers, for faults of links. */
   readonly hasRelays?: boolean;
   /** Seconds without an answer after which an agent gives its engine up. */
@@ -38,6 +52,7 @@
   stepMs: 2,
   plainMs: 5,
   slots: 16,
+  drainSeconds: 20,
 };
 
 /** The names that a fleet's configuration uses. */
@@ -110,6 +125,17 @@
   }
 };
 
+/** What fleets read of the status of an entry or an agent. */
+export interface ProcessStatus {
+  readonly ready: boolean;
+  /** Open work of an agent. */
+  readonly work: number;
+  /** Open requests of an entry. */
+  readonly openRequests: number;
+  /** Tokens that an entry relayed. */
+  readonly tokens: { readonly delivered: number; readonly dropped: number };
+}
+
 export class RouterFleet {
   readonly processes = new ProcessFleet();
   logUrl = '';
@@ -157,12 +183,16 @@
     await this.agentStarts.get(server)?.();
   }
 
-  /** Appends a configuration to the log. */
+  /** Publishes a configuration on top of the current one. */
   async publishConfiguration(
     configuration: RouterConfiguration,
   ): Promise<void> {
-    const body = { values: [JSON.stringify(configuration)] };
-    await this.post(`${this.logUrl}/streams/config/records`, body);
+    const publisher = new ConfigPublisher(
+      new HttpLog(this.logUrl),
+      new SystemClock(),
+      'fleet',
+    );
+    (await publisher.publish(configuration)).unwrap();
   }
 
   /** Switches faults of the log service. */
@@ -172,6 +202,18 @@
     await this.post(`${this.logUrl}/control`, faults);
   }
 
+  /** Drops the records of a stream before an offset, as retention does. */
+  async trimStream(stream: string, before: number): Promise<void> {
+    await this.post(`${this.logUrl}/trim`, { stream, before });
+  }
+
+  /** Reads the status of an entry or agent. */
+  async getStatus(name: string): Promise<Record<string, unknown>> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as Record<string, unknown>;
+  }
+
   /** Changes the VM list. */
   async updateVmList(update: {
     readonly put?: readonly VmRecord[];
@@ -182,11 +224,16 @@
   }
 
   /** Starts an entry and waits until it is ready. */
-  async startEntry(name: string): Promise<FleetProcess> {
+  async startEntry(
+    name: string,
+    sections: SettingsSections = {},
+  ): Promise<FleetProcess> {
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Entry, {
-      process: { id: name, failureDomain: 'bc-south-a', drainSeconds: 20 },
+      process: { id: name, failureDomain: 'bc-south-a', drainSeconds },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
+      ...sections,
     });
     const operators = `http://${started.addresses.operators ?? ''}`;
     await waitUntil(`${name} reaches every server`, () =>
@@ -216,8 +263,9 @@
     const failureDomain =
       failureDomains[domainIndex % failureDomains.length] ?? '';
     const name = `agent-${server}`;
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Agent, {
-      process: { id: name, failureDomain, drainSeconds: 20 },
+      process: { id: name, failureDomain, drainSeconds },
       listen: { peers: anyAddress, operators: anyAddress },
       backend: {
         server,
@@ -323,6 +371,13 @@
     return ready && connected >= this.backendUrls.size;
   }
 
+  /** Reads the status that a process tells its operators. */
+  async readStatus(name: string): Promise<ProcessStatus> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as ProcessStatus;
+  }
+
   /** Reads JSON from a process of the fleet. */
   async get(url: string): Promise<unknown> {
     const answer = await callJson({
