Run the loops of a whole system under random orders of events

Cause: faults over processes meet few of the orders in which messages, ends of connections, timers and restarts can come. Change: an entry, five agents and their backend servers run in memory on one manual clock with fake ports. fast-check chooses what happens next: a frame is delivered, a step computed, time passes, a call comes or its caller leaves, a link is cut or falls silent one way, an agent starts anew. The history checker judges what callers and backend servers saw. Charts are compiled once for each file, since a thousand systems read them.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -29,14 +29,23 @@
 
 const chartFolder = fileURLToPath(new URL('../charts/', import.meta.url));
 
-/** Loads and compiles a chart. Fails with `BadChart`. */
+/** Charts that were compiled, by file. */
+const compiled = new Map<string, Result<Chart>>();
+
+/** Loads and compiles a chart once. Fails with `BadChart`. */
 export const loadChart = (
   name: ChartName,
   folder = chartFolder,
 ): Result<Chart> => {
   const file = `${folder}${name}.json`;
+  const known = compiled.get(file);
+  if (known) {
+    return known;
+  }
   try {
-    return compileChart(file, readFileSync(file, 'utf8'));
+    const chart = compileChart(file, readFileSync(file, 'utf8'));
+    compiled.set(file, chart);
+    return chart;
   } catch (thrown) {
     return Err(
       new TypedError(
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -118,17 +118,26 @@
     peers: Address,
     operators: Address,
   ): Promise<{ peers: Address; operators: Address }> {
-    const boundPeers = takeValue(
-      await this.ports.network.listen(peers, stream =>
-        this.acceptStream(stream),
-      ),
-    );
+    const boundPeers = await this.listenForPeers(peers);
     const boundOperators = await this.listenForOperators(operators);
-    this.holder.start(this.clock.getNow());
-    this.begin(this.clock.getNow());
+    this.startServing(this.clock.getNow());
     return { peers: boundPeers, operators: boundOperators };
   }
 
+  /** Opens the port for entries and earlier stages. Throws `BadAddress`. */
+  async listenForPeers(address: Address): Promise<Address> {
+    const { network } = this.ports;
+    return takeValue(
+      await network.listen(address, stream => this.acceptStream(stream)),
+    );
+  }
+
+  /** Enters the loop. */
+  startServing(now: Milliseconds): void {
+    this.holder.start(now);
+    this.begin(now);
+  }
+
   override describeSelf(): Hello {
     return {
       nodeId: this.settings.id,
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -162,11 +162,15 @@
       callers: takeValue(await callers.listen(addresses.callers)),
       operators: await this.listenForOperators(addresses.operators),
     };
-    const now = this.clock.getNow();
+    this.startServing(this.clock.getNow());
+    return bound;
+  }
+
+  /** Enters the loop; a front end of another kind posts its calls there. */
+  startServing(now: Milliseconds): void {
     this.begin(now);
     this.follower.start(now);
     this.readVmList();
-    return bound;
   }
 
   override isReady(): boolean {
--- /dev/null
+++ b/packages/router/tests/fakeSystem.ts
@@ -0,0 +1,349 @@
+/** An entry, agents and backend servers on one manual clock, in memory. */
+import { LoggerFactory, Ok, type Result } from '@lycheetally/common';
+import {
+  BoundedRetry,
+  LeastOutstandingRouting,
+  NoSnapshots,
+  OpenAdmission,
+  ServiceKind,
+} from '@lycheetally/decisions';
+import type { Token } from '@lycheetally/protocol';
+import {
+  buildFleetConfiguration,
+  fleetNames,
+  getAccountKey,
+  type CallRecord,
+  type CallerAnswer,
+  type History,
+} from '@lycheetally/testkit';
+import {
+  AgentNode,
+  CallerExchange,
+  ConfigPublisher,
+  EntryNode,
+  ManualClock,
+  SystemClock,
+  VmListPort,
+  VmState,
+  type CallerOutcome,
+  type LogRecord,
+  type VmRecord,
+} from '../src/index.js';
+import {
+  FakeEngine,
+  FakePlainService,
+  FakeSlots,
+  type BackendRecords,
+} from './fakeBackends.js';
+import { FakeLog } from './fakeLog.js';
+import { FakeNetwork, FakeWire } from './fakeWire.js';
+
+const layers = 4;
+const layersPerStage = 2;
+const replicas = 2;
+const maxTokens = 4;
+const deadlineMs = 6_000;
+const slots = 2;
+const startTime = 1_000_000;
+const bootRounds = 20;
+const loggers = new LoggerFactory('fake', 'error');
+
+class FakeVmList extends VmListPort {
+  readonly vms: VmRecord[] = [];
+
+  override readVms(): Promise<Result<readonly VmRecord[]>> {
+    return Promise.resolve(Ok(this.vms));
+  }
+}
+
+class FakeExchange extends CallerExchange {
+  requestId = '';
+  text = '';
+  readonly ends: CallerOutcome[] = [];
+
+  override noteAccepted(requestId: string): void {
+    this.requestId = requestId;
+  }
+
+  override sendToken(token: Token): void {
+    this.text += token.text;
+  }
+
+  override finish(outcome: CallerOutcome): void {
+    this.ends.push(outcome);
+  }
+}
+
+interface FakeCall {
+  readonly record: CallRecord;
+  readonly exchange: FakeExchange;
+}
+
+interface FakeAgent {
+  readonly name: string;
+  readonly node: AgentNode;
+  readonly network: FakeNetwork;
+}
+
+let publishedRecords: readonly LogRecord[] | undefined;
+
+/** Publishes the configuration once for all systems. */
+const publishOnce = async (): Promise<readonly LogRecord[]> => {
+  if (!publishedRecords) {
+    const log = new FakeLog();
+    const publisher = new ConfigPublisher(log, new SystemClock(), 'test');
+    const configuration = buildFleetConfiguration(layers);
+    (await publisher.publish(configuration)).unwrap();
+    publishedRecords = log.records;
+  }
+  return publishedRecords;
+};
+
+export class FakeSystem {
+  readonly wire = new FakeWire();
+  readonly clock = new ManualClock(startTime);
+  readonly records: BackendRecords = { passes: [], runs: [], steps: [] };
+  /** What handlers threw. */
+  readonly faults: unknown[] = [];
+  readonly calls: FakeCall[] = [];
+  private readonly vmList = new FakeVmList();
+  private readonly agents = new Map<string, FakeAgent>();
+  private entry: EntryNode | undefined;
+
+  async start(): Promise<void> {
+    for (let index = 0; index < replicas * 2; index += 1) {
+      await this.startAgent(`stage${String(index)}`, index);
+    }
+    await this.startAgent(fleetNames.booking, replicas * 2);
+    const log = new FakeLog();
+    log.records.push(...(await publishOnce()));
+    this.entry = new EntryNode(
+      { ...this.buildSettings('entry'), maxBodyBytes: 1_024 },
+      {
+        clock: this.clock,
+        network: new FakeNetwork(this.wire, 'entry'),
+        loggers,
+        log,
+        vmList: this.vmList,
+        policies: {
+          admission: new OpenAdmission(),
+          routing: new LeastOutstandingRouting(),
+          retry: new BoundedRetry(),
+        },
+        snapshots: new NoSnapshots(),
+      },
+    );
+    this.collectFaults(this.entry);
+    this.entry.startServing(this.clock.getNow());
+    for (let round = 0; round < bootRounds; round += 1) {
+      await Promise.resolve();
+      this.runAll();
+    }
+  }
+
+  /** Sends a completion or, for odd numbers, a booking. */
+  addCall(number: number): void {
+    const callId = `call-${String(this.calls.length)}`;
+    const exchange = new FakeExchange();
+    const isModel = number % 3 !== 0;
+    const common = { callId, answer: undefined };
+    const prompt = `a b ${callId}`;
+    const record: CallRecord = isModel
+      ? { ...common, kind: 'model', prompt, maxTokens }
+      : {
+          ...common,
+          kind: 'plain',
+          service: fleetNames.booking,
+          isRepeatable: false,
+          idempotencyKey: undefined,
+        };
+    this.calls.push({ record, exchange });
+    const body = Buffer.from(JSON.stringify({ callId }));
+    const plain = { method: 'POST', path: '/', contentType: '', body };
+    this.entry?.loop.post('callReceived', {
+      call: {
+        callerRequestId: undefined,
+        bearerKey: getAccountKey(fleetNames.accounts[0]),
+        rank: undefined,
+        deadlineMs,
+        idempotencyKey: undefined,
+        service: isModel ? fleetNames.model : fleetNames.booking,
+        model: isModel ? { prompt, maxTokens, generated: [] } : undefined,
+        plain: isModel ? undefined : plain,
+      },
+      exchange,
+    });
+    this.clock.runReady();
+  }
+
+  /** Ends the connection of a caller. */
+  endCaller(number: number): void {
+    const call = pickAt(this.calls, number);
+    if (call?.exchange.ends.length === 0) {
+      const { exchange } = call;
+      this.entry?.loop.post('callerGone', { exchange });
+      this.clock.runReady();
+    }
+  }
+
+  /** Delivers one frame or close; the frames of one end keep their order. */
+  deliver(number: number): void {
+    pickAt(this.wire.listReady(), number)?.takeNext();
+    this.clock.runReady();
+  }
+
+  /** Lets one backend server compute one step. */
+  compute(number: number): void {
+    const { steps } = this.records;
+    const step = steps[number % Math.max(1, steps.length)];
+    if (step) {
+      steps.splice(steps.indexOf(step), 1);
+      step();
+      this.clock.runReady();
+    }
+  }
+
+  cut(number: number): void {
+    const link = pickAt(this.wire.listLinks(), number);
+    if (link) {
+      this.wire.cutLink(link);
+    }
+  }
+
+  silence(number: number): void {
+    const link = pickAt(this.wire.listLinks(), number >> 1);
+    const end = link?.ends[number % 2];
+    if (end) {
+      end.isSilent = true;
+    }
+  }
+
+  /** Kills an agent and starts another at its address. */
+  async restart(number: number): Promise<void> {
+    const agent = pickAt([...this.agents.values()], number);
+    if (!agent) {
+      return;
+    }
+    agent.network.dispose();
+    this.wire.dropNode(agent.name);
+    const index = [...this.agents.keys()].indexOf(agent.name);
+    this.clock.advance(1);
+    await this.startAgent(agent.name, index);
+  }
+
+  /** Delivers and computes everything, without the passing of time. */
+  runAll(): void {
+    this.clock.runReady();
+    const hasWork = (): boolean =>
+      this.wire.listReady().length + this.records.steps.length > 0;
+    for (let left = maxSteps; left > 0 && hasWork(); left -= 1) {
+      this.deliver(0);
+      this.compute(0);
+    }
+  }
+
+  /** Lets time pass until every caller has its answer. */
+  settle(): void {
+    for (let round = 0; round < settleRounds && !this.isSettled; round += 1) {
+      this.runAll();
+      this.clock.advance(settleStepMs);
+    }
+  }
+
+  get isSettled(): boolean {
+    return this.calls.every(({ exchange }) => exchange.ends.length > 0);
+  }
+
+  /** Counts exchanges that were ended more than once. */
+  countDoubledEnds(): number {
+    return this.calls.filter(({ exchange }) => exchange.ends.length > 1).length;
+  }
+
+  readHistory(): History {
+    const { passes, runs } = this.records;
+    const calls = this.calls.map(({ record, exchange }) => ({
+      ...record,
+      answer: toAnswer(exchange),
+    }));
+    return { layers, calls, passes, runs };
+  }
+
+  private async startAgent(name: string, index: number): Promise<void> {
+    const network = new FakeNetwork(this.wire, name);
+    const isPlain = name === fleetNames.booking;
+    const layerFrom = isPlain ? 0 : (index % 2) * layersPerStage;
+    const records: BackendRecords = this.records;
+    const node = new AgentNode(
+      {
+        ...this.buildSettings(`agent-${name}`),
+        silenceBoundMs: 2_000,
+        backend: {
+          serverId: name,
+          kind: isPlain ? ServiceKind.Plain : ServiceKind.Model,
+          service: isPlain ? fleetNames.booking : fleetNames.model,
+          layerFrom,
+          layerTo: isPlain ? 0 : layerFrom + layersPerStage,
+          slots,
+        },
+      },
+      {
+        clock: this.clock,
+        network,
+        loggers,
+        backend: isPlain
+          ? new FakePlainService(records)
+          : new FakeEngine(records, layers),
+        slots: new FakeSlots(slots),
+      },
+    );
+    this.collectFaults(node);
+    const address = { host: '127.0.0.1', port: firstPort + index };
+    await node.listenForPeers(address);
+    node.startServing(this.clock.getNow());
+    if (!this.agents.has(name)) {
+      const agentAddress = `127.0.0.1:${String(address.port)}`;
+      const failureDomain = 'bc-south-a';
+      const state = VmState.Live;
+      this.vmList.vms.push({ vmId: name, agentAddress, failureDomain, state });
+    }
+    this.agents.set(name, { name, node, network });
+  }
+
+  private buildSettings(id: string): {
+    id: string;
+    failureDomain: string;
+    drainBoundMs: number;
+  } {
+    return { id, failureDomain: 'bc-south-a', drainBoundMs: 1_000 };
+  }
+
+  private collectFaults(node: EntryNode | AgentNode): void {
+    node.loop.faulted.subscribe(({ thrown }) => this.faults.push(thrown));
+  }
+}
+
+const firstPort = 1;
+const maxSteps = 5_000;
+const settleRounds = 200;
+const settleStepMs = 100;
+
+const pickAt = <T>(list: readonly T[], number: number): T | undefined =>
+  list[number % Math.max(1, list.length)];
+
+const toAnswer = (exchange: FakeExchange): CallerAnswer | undefined => {
+  const [end] = exchange.ends;
+  if (!end) {
+    return undefined;
+  }
+  const body = end.plain ? Buffer.from(end.plain.body).toString() : undefined;
+  return {
+    status: 200,
+    requestId: exchange.requestId,
+    outcome: end.outcome,
+    text: exchange.text,
+    body: body === undefined ? end.error : JSON.parse(body),
+    isDone: end.outcome === 'complete',
+    firstTokenMs: undefined,
+    totalMs: 0,
+  };
+};
