--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,6 @@
 /** All benches by name. */
 import { ChartBench } from './chartBench.js';
+import { ChainRecoveryBench } from './chainRecoveryBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { BoundBench } from './policy/boundBench.js';
 import { DecideBench } from './policy/decideBench.js';
@@ -12,6 +13,7 @@
 export const benches: readonly Bench[] = [
   new ChartBench(),
   new RelayBench(),
+  new ChainRecoveryBench(),
   new FaultsBench(),
   new BoundBench(),
   new RanksBench(),
