Take no new work for a leaving agent by any path

Cause: an entry took the VM list's last word, so a lagging list revived a leaver, a reconnection forgot the agent's word, and an agent whose VM was leaving took work from entries that did not know yet.

Change: chart `member` holds the evidence of each backend server; a start that left never serves again, whatever a list says, also when its VM was dropped and named again. An entry tells the agent, which then refuses everyone (chart `agentMembership`), and a refusal counts as the agent's word. Agents may announce themselves to known entries before a list names them. Entries keep a bounded number of servers by rendezvous hashing, alike in each failure domain.

Ruled out: a share of each failure domain by its size; one server that goes then changed the choice in the other domains and the budget was exceeded.

Over processes: no call is accepted by a server after it left, each call during and after is answered.

--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -7,6 +7,7 @@
 import { ConfigCommand } from './commands/configCommand.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { DrainCommand } from './commands/drainCommand.js';
 import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
 
 const commands: readonly Command[] = [
@@ -14,6 +15,7 @@
   new AgentCommand(),
   new QuestionnaireCommand(),
   new ConfigCommand(),
+  new DrainCommand(),
   new DemoCommand(),
   new BenchCommand(),
 ];
--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -23,6 +23,8 @@
   ConfigFollower: 'configFollower',
   ConfigHolder: 'configHolder',
   Publication: 'publication',
+  Member: 'member',
+  AgentMembership: 'agentMembership',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- /dev/null
+++ b/packages/decisions/src/membership/index.ts
@@ -0,0 +1,2 @@
+/** Membership: which backend servers an entry knows. */
+export * from './subset.js';
--- /dev/null
+++ b/packages/decisions/src/membership/subset.ts
@@ -0,0 +1,69 @@
+/** Chooses the backend servers that an entry keeps connections to. */
+import { hashText } from '@lycheetally/common';
+
+/** What the choice needs to know of a server's VM. */
+export interface SubsetCandidate {
+  readonly vmId: string;
+  readonly failureDomain: string;
+}
+
+/** A rule that chooses a part of the servers. */
+export abstract class SubsetPolicy {
+  abstract chooseServers<T extends SubsetCandidate>(
+    entryId: string,
+    candidates: readonly T[],
+  ): readonly T[];
+}
+
+/** Keeps a connection to each; a full mesh, and a baseline. */
+export class EveryServer extends SubsetPolicy {
+  override chooseServers<T extends SubsetCandidate>(
+    _: string,
+    candidates: readonly T[],
+  ): readonly T[] {
+    return candidates;
+  }
+}
+
+/**
+ * Keeps a bounded number, alike in each failure domain, by rendezvous hashing.
+ *
+ * A server that joins or goes changes the choice of few entries, and each
+ * entry by one server.
+ */
+export class RendezvousSubset extends SubsetPolicy {
+  constructor(private readonly maxServers: number) {
+    super();
+  }
+
+  override chooseServers<T extends SubsetCandidate>(
+    entryId: string,
+    candidates: readonly T[],
+  ): readonly T[] {
+    if (candidates.length <= this.maxServers) {
+      return candidates;
+    }
+    const domains = new Map<string, T[]>();
+    for (const candidate of candidates) {
+      const domain = domains.get(candidate.failureDomain) ?? [];
+      domain.push(candidate);
+      domains.set(candidate.failureDomain, domain);
+    }
+    const share = Math.max(1, Math.floor(this.maxServers / domains.size));
+    return [...domains.values()].flatMap(domain =>
+      sortByWeight(entryId, domain).slice(0, share),
+    );
+  }
+}
+
+const sortByWeight = <T extends SubsetCandidate>(
+  entryId: string,
+  candidates: readonly T[],
+): readonly T[] =>
+  candidates
+    .map(candidate => ({
+      candidate,
+      weight: hashText(`${entryId}\u0000${candidate.vmId}`),
+    }))
+    .sort((a, b) => b.weight - a.weight)
+    .map(({ candidate }) => candidate);
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -27,6 +27,7 @@
   ConfigRequest: 'configRequest',
   ConfigHandover: 'configHandover',
   ConfigStep: 'configStep',
+  Leave: 'leave',
 } as const;
 export type MessageKind = ValueOf<typeof MessageKind>;
 
@@ -51,6 +52,7 @@
   readonly incarnation: string;
   readonly failureDomain: string;
   readonly backend?: Backend | undefined;
+  readonly agentAddress?: string | undefined;
 }
 
 export interface Stage {
@@ -175,6 +177,7 @@
   configRequest: ConfigPosition;
   configHandover: ConfigHandover;
   configStep: ConfigStep;
+  leave: { readonly incarnation: string };
 }
 
 /** A message of one kind. */
--- a/packages/router/src/adapters/operatorsHttp.ts
+++ b/packages/router/src/adapters/operatorsHttp.ts
@@ -15,6 +15,8 @@
   abstract isReady(): boolean;
   abstract describeStatus(): object;
   abstract listEvents(): readonly EventRecord[];
+  /** Starts a graceful stop. */
+  abstract requestDrain(): void;
 }
 
 export class OperatorsServer {
@@ -31,6 +33,10 @@
   async listen(address: Address): Promise<Result<Address>> {
     const server = createServer((request, response) => {
       const path = new URL(request.url ?? '/', 'http://operators').pathname;
+      if (request.method === 'POST') {
+        this.answerCommand(path, response);
+        return;
+      }
       void this.answer(path, response);
     });
     const bound = await startListening(server, address);
@@ -46,6 +52,15 @@
     this.server?.closeAllConnections();
   }
 
+  private answerCommand(path: string, response: ServerResponse): void {
+    if (path !== '/v1/admin/drain') {
+      sendJson(response, 404, { error: `no such command: ${path}` });
+      return;
+    }
+    this.view.requestDrain();
+    sendJson(response, 202, { draining: true });
+  }
+
   private async answer(path: string, response: ServerResponse): Promise<void> {
     switch (path) {
       case '/healthz':
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -9,6 +9,7 @@
   ErrorKind,
   LogPart,
   TypedError,
+  formatAddress,
   type Address,
   type Milliseconds,
 } from '@lycheetally/common';
@@ -26,6 +27,10 @@
 import { ConfigFeed } from '../config/configFeed.js';
 import { ConfigHolder, bindHolderChart } from '../config/configHolder.js';
 import { maxEndedAttempts } from '../constants.js';
+import {
+  AgentMembership,
+  bindAgentMembershipChart,
+} from '../membership/agentMembership.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -67,6 +72,8 @@
 }
 
 export interface AgentSettings extends NodeSettings {
+  /** Entries to which the agent announces itself. */
+  readonly knownEntries: readonly Address[];
   readonly backend: Backend;
 }
 
@@ -79,6 +86,8 @@
   private readonly owners = new Map<string, PeerChannel>();
   private readonly holder: ConfigHolder;
   private readonly feed: ConfigFeed;
+  private peerAddress = '';
+  private readonly membership: AgentMembership;
   private readonly nextChannels = new Map<string, OutgoingChannel>();
 
   constructor(
@@ -90,6 +99,7 @@
     this.services = this.createServices();
     const holderMachine = takeValue(bindHolderChart());
     this.holder = new ConfigHolder(holderMachine, this.loop, this.events);
+    this.membership = this.createMembership();
     this.feed = new ConfigFeed({
       getState: () => this.holder.state,
       takeState: (state, now) => {
@@ -119,6 +129,11 @@
     );
     const boundOperators = await this.listenForOperators(operators);
     this.holder.start(this.clock.getNow());
+    this.membership.start(this.clock.getNow());
+    this.peerAddress = formatAddress(boundPeers);
+    for (const entry of this.agentSettings.knownEntries) {
+      this.createOutgoing(formatAddress(entry), this.clock.getNow());
+    }
     this.begin(this.clock.getNow());
     return { peers: boundPeers, operators: boundOperators };
   }
@@ -129,6 +144,7 @@
       incarnation: this.incarnation,
       failureDomain: this.settings.failureDomain,
       backend: this.agentSettings.backend,
+      agentAddress: this.peerAddress,
     };
   }
 
@@ -138,7 +154,7 @@
       role: 'agent',
       incarnation: this.incarnation,
       ready: this.isReady(),
-      leaving: this.isStopping,
+      leaving: this.isLeaving,
       configVersion: this.holder.state?.configuration.version ?? 0,
       config: toPosition(this.holder.state),
       backend: this.agentSettings.backend,
@@ -177,6 +193,9 @@
       case MessageKind.Offer:
         this.receiveOffer(channel, message.value, now);
         return;
+      case MessageKind.Leave:
+        this.membership.receiveLeave(message.value.incarnation, now);
+        return;
       case MessageKind.Cancel:
         this.find(message.value)?.instance?.send({ type: 'CANCEL' }, now);
         return;
@@ -206,6 +225,22 @@
     return this.works.size;
   }
 
+  private get isLeaving(): boolean {
+    return this.isStopping || this.membership.isLeaving;
+  }
+
+  private createMembership(): AgentMembership {
+    return new AgentMembership(
+      takeValue(bindAgentMembershipChart()),
+      this.loop,
+      this.incarnation,
+      this.events,
+      () => {
+        this.stopAdmission();
+      },
+    );
+  }
+
   private get serverId(): string {
     return this.agentSettings.backend.serverId;
   }
@@ -242,8 +277,8 @@
     offer: Offer,
   ): Omit<Refused, keyof AttemptRef> | undefined {
     const stage = offer.stages[offer.stageIndex];
-    if (this.isStopping) {
-      return createRefusal(ErrorKind.Leaving, 'the agent is stopping');
+    if (this.isLeaving) {
+      return createRefusal(ErrorKind.Leaving, 'the agent is leaving');
     }
     if (stage?.incarnation !== this.incarnation) {
       return createRefusal(
@@ -357,7 +392,7 @@
     channel.send({
       kind: MessageKind.Report,
       value: {
-        leaving: this.isStopping,
+        leaving: this.isLeaving,
         running: this.agentPorts.slots.running,
         waiting: this.agentPorts.slots.waiting,
         queueDelayMs: 0,
--- a/packages/router/src/config/configFeed.ts
+++ b/packages/router/src/config/configFeed.ts
@@ -63,7 +63,10 @@
   }
 
   /** Sends the step from one state to the next to the channels. */
-  publishStep(span: AppliedSpan, channels: Iterable<PeerChannel>): void {
+  publishStep(
+    span: AppliedSpan,
+    channels: Iterable<Pick<PeerChannel, 'send'>>,
+  ): void {
     const message = createStep(span);
     for (const channel of channels) {
       channel.send(message);
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -45,6 +45,9 @@
 /** Milliseconds between reads of the configuration stream. */
 export const configReadIntervalMs = 250;
 
+/** Starts of agents that left, as far as an entry remembers them. */
+export const maxDepartedStarts = 10_000;
+
 /** Ended attempts that an agent remembers, so as not to run them again. */
 export const maxEndedAttempts = 20_000;
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -105,6 +105,7 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
+      maxServers: settings.limits.maxServers,
     },
     {
       clock: new SystemClock(),
@@ -133,6 +134,7 @@
       id: settings.process.id,
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      knownEntries: settings.entries.known,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -14,6 +14,7 @@
 import {
   ConditionalAcceptance,
   Outcome,
+  RendezvousSubset,
   emptyConfiguration,
   toPosition,
   type Route,
@@ -34,10 +35,23 @@
   bindFollowerChart,
   type FollowerEvent,
 } from '../config/configFollower.js';
-import { vmListIntervalMs } from '../constants.js';
+import { maxDepartedStarts, vmListIntervalMs } from '../constants.js';
+import {
+  DepartedStarts,
+  bindMemberChart,
+  type Member,
+} from '../membership/member.js';
+import { MemberDirectory } from '../membership/memberDirectory.js';
+import { IncomingChannel } from '../peers/incomingChannel.js';
+import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
-import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
+import {
+  VmState,
+  type LogPort,
+  type VmListPort,
+  type VmRecord,
+} from '../ports/platform.js';
 import {
   RouterNode,
   takeValue,
@@ -48,7 +62,6 @@
 import { acceptCall, findAccount } from './acceptCall.js';
 import { bindAttemptChart } from './attemptActions.js';
 import { getFirstServerId, type AttemptEvent } from './attemptContext.js';
-import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
   createRequestContext,
@@ -80,12 +93,16 @@
 export interface EntrySettings extends NodeSettings {
   /** The largest body that a caller may send, in bytes. */
   readonly maxBodyBytes: number;
+  /** The most backend servers that the entry keeps connections to. */
+  readonly maxServers: number;
 }
 
 /** Addresses that an entry listens on. */
 export interface EntryAddresses {
   readonly callers: Address;
   readonly operators: Address;
+  /** Where agents may announce themselves; absent when they may not. */
+  readonly peers?: Address | undefined;
 }
 
 /** Hands calls from the front end into the loop. */
@@ -112,7 +129,7 @@
 }
 
 export class EntryNode extends RouterNode<EntryEvents> {
-  readonly members: MemberDirectory;
+  readonly members: MemberDirectory<OutgoingChannel>;
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
@@ -128,9 +145,7 @@
     private readonly entryPorts: EntryPorts,
   ) {
     super(entrySettings, entryPorts, LogPart.Entry);
-    this.members = new MemberDirectory((address, now) =>
-      this.createOutgoing(address, now),
-    );
+    this.members = this.createDirectory();
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
@@ -163,6 +178,7 @@
     const bound = {
       callers: takeValue(await callers.listen(addresses.callers)),
       operators: await this.listenForOperators(addresses.operators),
+      ...(await this.listenForAgents(addresses.peers)),
     };
     const now = this.clock.getNow();
     this.begin(now);
@@ -171,6 +187,18 @@
     return bound;
   }
 
+  private async listenForAgents(
+    address: Address | undefined,
+  ): Promise<{ readonly peers?: Address }> {
+    if (!address) {
+      return {};
+    }
+    const peers = await this.ports.network.listen(address, stream =>
+      this.acceptStream(stream),
+    );
+    return { peers: takeValue(peers) };
+  }
+
   override isReady(): boolean {
     return super.isReady() && this.follower.inForce !== undefined;
   }
@@ -210,12 +238,17 @@
       .map(service => service.name);
   }
 
-  override handlePeerOpen(channel: PeerChannel): void {
-    this.members.noteOpen(channel);
+  override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
+    this.members.noteOpen(channel, now);
+    const announced = toAnnounced(channel);
+    if (announced) {
+      this.members.noteAnnounced(announced, now);
+    }
     this.feed.handleOpen(channel);
   }
 
   override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
+    this.members.removeAnnounced(toAnnounced(channel)?.agentAddress);
     const serverId =
       this.members.findByChannel(channel)?.hello?.backend?.serverId;
     for (const context of [...this.requests.values()]) {
@@ -231,15 +264,13 @@
     message: PeerMessage,
     now: Milliseconds,
   ): void {
+    this.members.observeMessage(channel, message, now);
     switch (message.kind) {
       case MessageKind.Token: {
         const context = this.requests.get(message.value.requestId);
         deliverToken(context, message.value, this.relayCounts);
         return;
       }
-      case MessageKind.Report:
-        this.members.noteReport(channel, message.value);
-        return;
       default:
         if (!this.feed.receive(channel, message, now)) {
           this.receiveAttemptMessage(message, now);
@@ -357,6 +388,20 @@
     });
   }
 
+  private createDirectory(): MemberDirectory<OutgoingChannel> {
+    return new MemberDirectory({
+      entryId: this.settings.id,
+      machine: takeValue(bindMemberChart()),
+      services: {
+        timers: this.loop,
+        events: this.events,
+        departed: new DepartedStarts(maxDepartedStarts),
+      },
+      subset: new RendezvousSubset(this.entrySettings.maxServers),
+      openChannel: (address, now) => this.createOutgoing(address, now),
+    });
+  }
+
   private createFeed(): ConfigFeed {
     const feed = new ConfigFeed({
       getState: () => this.follower.state,
@@ -413,13 +458,23 @@
   }
 }
 
+// An agent that opened a channel itself says where it listens.
+const toAnnounced = (channel: PeerChannel): VmRecord | undefined => {
+  const hello = channel instanceof IncomingChannel ? channel.remote : undefined;
+  if (!hello?.backend || !hello.agentAddress) {
+    return undefined;
+  }
+  const { agentAddress, failureDomain } = hello;
+  return { vmId: '', agentAddress, failureDomain, state: VmState.Live };
+};
+
 const describeMember = (member: Member): object => ({
   server: member.hello?.backend?.serverId ?? '',
   address: member.address,
   service: member.hello?.backend?.service ?? '',
   failureDomain: member.vm.failureDomain,
   connected: member.channel.isOpen,
-  leaving: member.report?.leaving ?? false,
+  leaving: member.isLeaving,
   outstanding: member.outstanding,
 });
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -21,6 +21,8 @@
 export * from './config/recordCodec.js';
 export * from './config/replayStream.js';
 export * from './entry/entryNode.js';
+export * from './membership/member.js';
+export * from './membership/memberDirectory.js';
 export * from './eventLog.js';
 export * from './loop.js';
 export * from './ports/backend.js';
--- /dev/null
+++ b/packages/router/src/membership/member.ts
@@ -0,0 +1,172 @@
+/**
+ * One backend server as an entry sees it.
+ *
+ * The VM list and the agent's word are evidence; the chart `member` says what
+ * follows. A start of an agent that is known to leave never serves again,
+ * whatever a lagging list says.
+ */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+  type ChartTimers,
+} from '@lycheetally/charts';
+import type { Milliseconds, Result } from '@lycheetally/common';
+import { MessageKind, type Hello, type Report } from '@lycheetally/protocol';
+import type { EventLog } from '../eventLog.js';
+import type { PeerChannel } from '../peers/peerChannel.js';
+import { VmState, type VmRecord } from '../ports/platform.js';
+
+export type MemberEvent =
+  | { readonly type: 'HELLO'; readonly hello: Hello }
+  | { readonly type: 'LEAVING' | 'LIST_LEAVING' | 'LOST' };
+
+/** A channel that the directory opened. */
+export type MemberChannel = Pick<
+  PeerChannel,
+  'isOpen' | 'remote' | 'send' | 'stop'
+>;
+
+/** What members share. */
+export interface MemberServices {
+  readonly timers: ChartTimers;
+  readonly events: EventLog;
+  /** Starts of agents that are known to leave. */
+  readonly departed: DepartedStarts;
+}
+
+/** Remembers the latest starts of agents that left. */
+export class DepartedStarts {
+  private readonly starts = new Set<string>();
+
+  constructor(private readonly capacity: number) {}
+
+  add(incarnation: string): void {
+    this.starts.add(incarnation);
+    if (this.starts.size > this.capacity) {
+      const [oldest] = this.starts;
+      this.starts.delete(oldest ?? '');
+    }
+  }
+
+  has(incarnation: string): boolean {
+    return this.starts.has(incarnation);
+  }
+}
+
+export class Member {
+  hello: Hello | undefined;
+  report: Report | undefined;
+  outstanding = 0;
+  private readonly chart: ChartInstance<Member, MemberEvent>;
+
+  constructor(
+    machine: MemberMachine,
+    private readonly services: MemberServices,
+    /** Address of the agent, as `host:port`. */
+    readonly address: string,
+    readonly channel: MemberChannel,
+    public vm: VmRecord,
+  ) {
+    this.chart = machine.createInstance(this, services.timers);
+  }
+
+  get isLeaving(): boolean {
+    return this.chart.matches('leaving') || this.chart.matches('lost');
+  }
+
+  start(now: Milliseconds): void {
+    this.chart.start(now);
+  }
+
+  receive(event: MemberEvent, now: Milliseconds): void {
+    this.chart.send(event, now);
+  }
+
+  /** Takes over what the VM list says of this VM. */
+  applyVm(vm: VmRecord, now: Milliseconds): void {
+    this.vm = vm;
+    if (vm.state === VmState.Leaving) {
+      this.receive({ type: 'LIST_LEAVING' }, now);
+    }
+  }
+
+  keepHello(event: MemberEvent | undefined): void {
+    if (event?.type === 'HELLO') {
+      this.hello = event.hello;
+      this.report = undefined;
+      this.noteDeparted();
+    }
+  }
+
+  recordLeaving(now: Milliseconds): void {
+    this.noteDeparted();
+    this.services.events.record('member-leaving', now, {
+      detail: {
+        address: this.address,
+        server: this.hello?.backend?.serverId ?? '',
+      },
+    });
+  }
+
+  /** Tells the agent, so that it refuses work of entries that do not know yet. */
+  sendLeave(): void {
+    if (this.hello && this.channel.isOpen) {
+      const { incarnation } = this.hello;
+      this.channel.send({ kind: MessageKind.Leave, value: { incarnation } });
+    }
+  }
+
+  /** Says whether a hello comes from a later start, on a VM that stays. */
+  mayServeAgain(event: MemberEvent | undefined): boolean {
+    return (
+      event?.type === 'HELLO' &&
+      this.hello !== undefined &&
+      this.hello.incarnation !== event.hello.incarnation &&
+      this.vm.state !== VmState.Leaving &&
+      !this.services.departed.has(event.hello.incarnation)
+    );
+  }
+
+  hasLeft(event: MemberEvent | undefined): boolean {
+    return (
+      event?.type === 'HELLO' &&
+      this.services.departed.has(event.hello.incarnation)
+    );
+  }
+
+  private noteDeparted(): void {
+    if (this.hello && this.isLeaving) {
+      this.services.departed.add(this.hello.incarnation);
+    }
+  }
+}
+
+export type MemberMachine = ChartMachine<Member, MemberEvent>;
+
+/** Binds the chart `member`. Fails with `BadChart`. */
+export const bindMemberChart = (): Result<MemberMachine> =>
+  loadChart(ChartName.Member).andThen(chart =>
+    ChartMachine.bind<Member, MemberEvent>(chart, {
+      actions: {
+        keepHello: (member, event) => {
+          member.keepHello(event);
+        },
+        recordLeaving: (member, _, now) => {
+          member.recordLeaving(now);
+        },
+        sendLeave: member => {
+          member.sendLeave();
+        },
+        closeChannel: (member, _, now) => {
+          member.channel.stop(now);
+        },
+      },
+      guards: {
+        hasLeft: (member, event) => member.hasLeft(event),
+        mayServeAgain: (member, event) => member.mayServeAgain(event),
+      },
+      delays: {},
+    }),
+  );
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -25,6 +25,16 @@
   .string()
   .regex(/^https?:\/\/[^\s/]+$/, 'write http://host:port without a path');
 
+const addressListSchema = z
+  .string()
+  .transform(text =>
+    text
+      .split(',')
+      .map(each => each.trim())
+      .filter(each => each !== ''),
+  )
+  .pipe(z.array(addressSchema));
+
 const processSchema = z.strictObject({
   id: idSchema,
   failureDomain: idSchema,
@@ -36,7 +46,11 @@
 /** Schema of an entry's settings file. */
 export const entrySettingsSchema = z.strictObject({
   process: processSchema,
-  listen: z.strictObject({ callers: addressSchema, operators: addressSchema }),
+  listen: z.strictObject({
+    callers: addressSchema,
+    operators: addressSchema,
+    peers: addressSchema.optional(),
+  }),
   platform: platformSchema,
   config: z
     .strictObject({
@@ -51,6 +65,8 @@
       maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024).default(
         1_048_576,
       ),
+      /** Backend servers that an entry keeps connections to. */
+      maxServers: createNumberSchema(1, 10_000).default(128),
     })
     .prefault({}),
 });
@@ -61,6 +77,12 @@
   process: processSchema,
   listen: z.strictObject({ peers: addressSchema, operators: addressSchema }),
   platform: platformSchema.optional(),
+  entries: z
+    .strictObject({
+      /** Addresses where entries take announcements, with commas between them. */
+      known: addressListSchema.default([]),
+    })
+    .prefault({}),
   backend: z
     .strictObject({
       server: idSchema,
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -186,6 +186,10 @@
     this.loop.post('stopRequested', { signal });
   }
 
+  override requestDrain(): void {
+    this.requestStop('operator');
+  }
+
   /** Ends the drain when no work is left. */
   protected checkDrained(now: Milliseconds): void {
     if (this.isStopping && this.countOpenWork() === 0) {
--- /dev/null
+++ b/packages/router/tests/leaving.test.ts
@@ -0,0 +1,143 @@
+/** Leaving, joining and draining over real processes under load. */
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import {
+  RouterFleet,
+  callService,
+  defaultFleetOptions,
+  fleetNames,
+  waitUntil,
+  type CallerAnswer,
+} from '@lycheetally/testkit';
+import { callJson } from '../src/index.js';
+
+const options = {
+  ...defaultFleetOptions,
+  entries: 2,
+  stages: 0,
+  plainServers: 2,
+  plainMs: 20,
+};
+const leavingBoundMs = 2_000;
+
+interface Event {
+  readonly kind: string;
+  readonly stamp: number;
+}
+
+describe('a fleet whose members come and go', () => {
+  const fleet = new RouterFleet(options);
+  const server = `${fleetNames.stock}-0`;
+  const agent = `agent-${server}`;
+
+  beforeAll(() => fleet.start());
+  afterAll(() => fleet.dispose());
+
+  const getOperators = (name: string): string =>
+    fleet.processes.getProcess(name).addresses.operators ?? '';
+
+  const listEvents = async (name: string): Promise<Event[]> => {
+    const url = `http://${getOperators(name)}/v1/admin/events`;
+    return ((await fleet.get(url)) as { events: Event[] }).events;
+  };
+
+  const sendCalls = (count: number): Promise<CallerAnswer[]> =>
+    Promise.all(
+      Array.from({ length: count }, (_, index) =>
+        callService(
+          fleet.entryUrls[index % fleet.entryUrls.length] ?? '',
+          fleetNames.stock,
+          '/count',
+          { index },
+        ),
+      ),
+    );
+
+  /** Sends calls until the check holds, then a few more; returns every answer. */
+  const sendCallsUntil = async (
+    check: () => Promise<boolean>,
+  ): Promise<CallerAnswer[]> => {
+    const answers: CallerAnswer[] = [];
+    await waitUntil('the load has done its work', async () => {
+      answers.push(...(await sendCalls(8)));
+      return check();
+    });
+    return [...answers, ...(await sendCalls(16))];
+  };
+
+  const setVm = (state: 'live' | 'leaving'): Promise<void> =>
+    fleet.updateVmList({
+      put: [
+        {
+          vmId: server,
+          agentAddress: fleet.processes.getProcess(agent).addresses.peers ?? '',
+          failureDomain: 'bc-south-a',
+          state,
+        },
+      ],
+    });
+
+  it('gives no work to a VM that the list lets go, though the list goes back', async () => {
+    await setVm('leaving');
+    const hasLeft = async (): Promise<boolean> =>
+      (await listEvents(agent)).some(({ kind }) => kind === 'agent-leaving');
+    const first = await sendCallsUntil(hasLeft);
+    await setVm('live');
+    const until = Date.now() + leavingBoundMs;
+    const second = await sendCallsUntil(() =>
+      Promise.resolve(Date.now() > until),
+    );
+    const events = await listEvents(agent);
+    const left = events.findIndex(({ kind }) => kind === 'agent-leaving');
+    const later = events
+      .slice(left)
+      .filter(({ kind }) => kind === 'work-accepted');
+    expect(later).toEqual([]);
+    expect([...first, ...second].map(each => each.outcome)).not.toContain(
+      'unknown',
+    );
+    expect(second.every(each => each.outcome === 'complete')).toBe(true);
+  });
+
+  it('gives work to an agent that no list names', async () => {
+    await fleet.startEntry('entry-joined', {
+      listen: {
+        callers: '127.0.0.1:0',
+        operators: '127.0.0.1:0',
+        peers: '127.0.0.1:0',
+      },
+    });
+    const { addresses } = fleet.processes.getProcess('entry-joined');
+    const joined = await fleet.startUnlistedAgent(fleetNames.stock, {
+      known: addresses.peers ?? '',
+    });
+    await waitUntil('the entry knows the agent', async () => {
+      const { members } = (await fleet.getStatus('entry-joined')) as {
+        members: { server: string; connected: boolean }[];
+      };
+      return members.some(each => each.server === joined && each.connected);
+    });
+  });
+
+  it('cuts nothing when an entry is drained by command', async () => {
+    const name = 'entry-1';
+    const url = fleet.entryUrls[1] ?? '';
+    const calls = Array.from({ length: 8 }, () =>
+      callService(url, fleetNames.booking, '/reserve', { family: 1 }),
+    );
+    await waitUntil('the calls are open', async () => {
+      const { openRequests } = await fleet.getStatus(name);
+      return Number(openRequests) === calls.length;
+    }).catch(() => undefined);
+    const drained = await callJson({
+      method: 'POST',
+      url: `http://${getOperators(name)}/v1/admin/drain`,
+      timeoutMs: leavingBoundMs,
+    });
+    expect(drained.ok && drained.val.status).toBe(202);
+    const answers = await Promise.all(calls);
+    expect(answers.map(each => each.outcome)).toEqual(
+      calls.map(() => 'complete'),
+    );
+    expect(await fleet.processes.getProcess(name).exited).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/router/tests/membership.test.ts
@@ -0,0 +1,266 @@
+/** A leaving agent is never taken back by a lagging list or a lost word. */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { ErrorKind } from '@lycheetally/common';
+import { EveryServer, RendezvousSubset } from '@lycheetally/decisions';
+import {
+  MessageKind,
+  type Hello,
+  type PeerMessage,
+} from '@lycheetally/protocol';
+import {
+  DepartedStarts,
+  EventLog,
+  Loop,
+  ManualClock,
+  MemberDirectory,
+  VmState,
+  bindMemberChart,
+  type MemberChannel,
+  type VmRecord,
+} from '../src/index.js';
+
+const agentAddress = '127.0.0.1:1';
+const service = 'stock-lookup';
+
+class FakeChannel implements MemberChannel {
+  isOpen = true;
+  remote: Hello | undefined;
+  readonly sent: PeerMessage[] = [];
+
+  send(message: PeerMessage): void {
+    this.sent.push(message);
+  }
+
+  stop(): void {
+    this.isOpen = false;
+  }
+}
+
+const createHello = (start: number): Hello => ({
+  nodeId: 'agent',
+  incarnation: `agent.${String(start)}`,
+  failureDomain: 'zona-modena',
+  backend: {
+    serverId: 'server',
+    kind: 'plain',
+    service,
+    layerFrom: 0,
+    layerTo: 0,
+    slots: 1,
+  },
+});
+
+const createVm = (state: VmState, vmId = 'vm'): VmRecord => ({
+  vmId,
+  agentAddress,
+  failureDomain: 'zona-modena',
+  state,
+});
+
+class Harness {
+  channel = new FakeChannel();
+  start = 1;
+  /** Starts of the agent of which the entry was told that they leave. */
+  readonly toldLeaving = new Set<number>();
+  private readonly channels: FakeChannel[] = [];
+  readonly directory = new MemberDirectory<FakeChannel>({
+    entryId: 'entry',
+    machine: bindMemberChart().unwrap(),
+    services: {
+      timers: new Loop(new ManualClock()),
+      events: new EventLog('entry'),
+      departed: new DepartedStarts(100),
+    },
+    subset: new EveryServer(),
+    openChannel: () => {
+      this.channel = new FakeChannel();
+      this.channels.push(this.channel);
+      return this.channel;
+    },
+  });
+
+  applyList(vms: readonly VmRecord[]): void {
+    this.directory.applyVmList(vms, 0);
+    const isKnown = this.channel.remote !== undefined;
+    if (isKnown && vms.some(vm => vm.state === VmState.Leaving)) {
+      this.toldLeaving.add(this.start);
+    }
+  }
+
+  sendHello(): void {
+    this.channel.remote = createHello(this.start);
+    this.directory.noteOpen(this.channel, 0);
+  }
+
+  observe(message: PeerMessage): void {
+    this.directory.observeMessage(this.channel, message, 0);
+    if (this.channel.remote) {
+      this.toldLeaving.add(this.start);
+    }
+  }
+
+  isOffered(): boolean {
+    return this.directory
+      .listServers(service)
+      .some(server => server.isConnected && !server.isLeaving);
+  }
+}
+
+const leavingReport: PeerMessage = {
+  kind: MessageKind.Report,
+  value: { leaving: true, running: 0, waiting: 0, queueDelayMs: 0 },
+};
+
+const leavingRefusal: PeerMessage = {
+  kind: MessageKind.Refused,
+  value: {
+    requestId: 'r',
+    attempt: 1,
+    kind: ErrorKind.Leaving,
+    reason: '',
+    retryAfterMs: 0,
+  },
+};
+
+const steps: Readonly<Record<string, (harness: Harness) => void>> = {
+  listedLive: harness => {
+    harness.applyList([createVm(VmState.Live)]);
+  },
+  listedLeaving: harness => {
+    harness.applyList([createVm(VmState.Leaving)]);
+  },
+  listedTwice: harness => {
+    harness.applyList([createVm(VmState.Leaving), createVm(VmState.Live)]);
+  },
+  unlisted: harness => {
+    harness.applyList([]);
+  },
+  hello: harness => {
+    harness.sendHello();
+  },
+  word: harness => {
+    harness.observe(leavingReport);
+  },
+  refusal: harness => {
+    harness.observe(leavingRefusal);
+  },
+  connectionLost: harness => {
+    harness.channel.isOpen = false;
+  },
+  connectionBack: harness => {
+    harness.channel.isOpen = true;
+    harness.sendHello();
+  },
+  restart: harness => {
+    harness.channel.remote = undefined;
+    harness.channel.isOpen = false;
+    harness.start += 1;
+  },
+};
+
+describe('the members of an entry', () => {
+  it('take no work for a start that left, in any order of evidence', () => {
+    const seen = { offered: 0, left: 0 };
+    fc.assert(
+      fc.property(
+        fc.array(fc.constantFrom(...Object.keys(steps)), { maxLength: 25 }),
+        names => {
+          const harness = new Harness();
+          harness.applyList([createVm(VmState.Live)]);
+          for (const name of names) {
+            steps[name]?.(harness);
+            const hasLeft = harness.toldLeaving.has(harness.start);
+            const isOffered = harness.isOffered();
+            seen.offered += Number(isOffered);
+            seen.left += Number(hasLeft);
+            expect(isOffered && hasLeft).toBe(false);
+          }
+        },
+      ),
+      { seed: 63, numRuns: 1_500 },
+    );
+    expect(Math.min(seen.offered, seen.left)).toBeGreaterThan(500);
+  });
+
+  it('tell the agent of a list that the agent does not know', () => {
+    const harness = new Harness();
+    harness.applyList([createVm(VmState.Live)]);
+    harness.sendHello();
+    harness.applyList([createVm(VmState.Leaving)]);
+    expect(harness.channel.sent).toEqual([
+      { kind: MessageKind.Leave, value: { incarnation: 'agent.1' } },
+    ]);
+  });
+
+  it('know a start that left when the list drops its VM and names it again', () => {
+    const harness = new Harness();
+    harness.applyList([createVm(VmState.Live)]);
+    harness.sendHello();
+    harness.observe(leavingReport);
+    harness.channel.isOpen = false;
+    harness.applyList([]);
+    harness.applyList([createVm(VmState.Live)]);
+    harness.sendHello();
+    expect(harness.isOffered()).toBe(false);
+  });
+
+  it('take a later start of the agent back', () => {
+    const harness = new Harness();
+    harness.applyList([createVm(VmState.Live)]);
+    harness.sendHello();
+    harness.observe(leavingReport);
+    expect(harness.isOffered()).toBe(false);
+    harness.start = 2;
+    harness.sendHello();
+    expect(harness.isOffered()).toBe(true);
+  });
+
+  it('keep an agent that announced itself before the list names it', () => {
+    const harness = new Harness();
+    harness.directory.noteAnnounced(createVm(VmState.Live, ''), 0);
+    const { channel } = harness;
+    harness.sendHello();
+    harness.applyList([]);
+    harness.applyList([createVm(VmState.Live)]);
+    expect([harness.isOffered(), harness.channel]).toEqual([true, channel]);
+  });
+});
+
+describe('the subset of backend servers', () => {
+  const servers = Array.from({ length: 300 }, (_, index) => ({
+    vmId: `vm-${String(index)}`,
+    failureDomain: `domain-${String(index % 3)}`,
+  }));
+  const subset = new RendezvousSubset(60);
+
+  it('holds the budget and each failure domain alike', () => {
+    const chosen = subset.chooseServers('entry-1', servers);
+    const counts = [0, 1, 2].map(
+      domain =>
+        chosen.filter(each => each.failureDomain === `domain-${String(domain)}`)
+          .length,
+    );
+    expect(counts).toEqual([20, 20, 20]);
+  });
+
+  it('changes by one server when one goes', () => {
+    const before = new Set(subset.chooseServers('entry-1', servers));
+    const gone = [...before][0];
+    const after = subset.chooseServers(
+      'entry-1',
+      servers.filter(each => each !== gone),
+    );
+    const fresh = after.filter(each => !before.has(each));
+    expect(fresh.length).toBeLessThanOrEqual(1);
+  });
+
+  it('gives every server to some entry', () => {
+    const held = new Set(
+      Array.from({ length: 40 }, (_, index) =>
+        subset.chooseServers(`entry-${String(index)}`, servers),
+      ).flat(),
+    );
+    expect(held.size).toBe(servers.length);
+  });
+});
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -236,6 +236,31 @@
     return started;
   }
 
+  /** Starts an agent that the VM list does not name; returns its server. */
+  async startUnlistedAgent(
+    service: string,
+    entries: SettingsSections[string],
+  ): Promise<string> {
+    const server = `${service}-unlisted`;
+    const { plainMs, slots, drainSeconds } = this.options;
+    const address = await this.processes.startStandIn(
+      `service-${server}`,
+      'plain-service',
+      { workMs: plainMs },
+    );
+    const url = `http://${address}`;
+    this.backendUrls.set(server, url);
+    const failureDomain = failureDomains[0] ?? '';
+    const name = `agent-${server}`;
+    await this.processes.startDaemon(name, DaemonPath.Agent, {
+      process: { id: name, failureDomain, drainSeconds },
+      listen: { peers: anyAddress, operators: anyAddress },
+      backend: { server, slots, url, kind: 'plain', service },
+      entries,
+    });
+    return server;
+  }
+
   private async startPlatform(): Promise<void> {
     this.logUrl = `http://${await this.processes.startStandIn('log', 'log')}`;
     const vmList = await this.processes.startStandIn('vm-list', 'vm-list');
