--- a/packages/decisions/src/config/edits.ts
+++ b/packages/decisions/src/config/edits.ts
@@ -34,16 +34,20 @@
 export const applyEdits = (
   from: RouterConfiguration,
   edits: ConfigEdits,
-): RouterConfiguration => ({
-  version: from.version + 1,
-  ranks: applySectionEdits(from.ranks, edits.ranks),
-  accounts: applySectionEdits(from.accounts, edits.accounts),
-  services: applySectionEdits(from.services, edits.services),
-  failureDomains: applySectionEdits(
+): RouterConfiguration => {
+  const failureDomains = applySectionEdits(
     from.failureDomains ?? [],
     edits.failureDomains ?? noEdits,
-  ),
-});
+  );
+  return {
+    version: from.version + 1,
+    ranks: applySectionEdits(from.ranks, edits.ranks),
+    accounts: applySectionEdits(from.accounts, edits.accounts),
+    services: applySectionEdits(from.services, edits.services),
+    // An empty section and an absent one mean the same and are written alike.
+    ...(failureDomains.length === 0 ? {} : { failureDomains }),
+  };
+};
 
 /** Counts the items that the edits touch. */
 export const countEdits = (edits: ConfigEdits): number =>
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -23,6 +23,7 @@
   Finished: 'finished',
   Failed: 'failed',
   Report: 'report',
+  Resume: 'resume',
   ConfigNotice: 'configNotice',
   ConfigRequest: 'configRequest',
   ConfigHandover: 'configHandover',
@@ -94,6 +95,7 @@
   readonly kind: string;
   readonly reason: string;
   readonly retryAfterMs: number;
+  readonly serverId: string;
 }
 
 export interface Activations extends AttemptRef {
@@ -109,6 +111,11 @@
   readonly tokenId: number;
   readonly text: string;
   readonly isEnd: boolean;
+  readonly index: number;
+}
+
+export interface Resume extends AttemptRef {
+  readonly fromIndex: number;
 }
 
 export interface PlainAnswer {
@@ -173,6 +180,7 @@
   finished: Finished;
   failed: Failed;
   report: Report;
+  resume: Resume;
   configNotice: ConfigPosition;
   configRequest: ConfigPosition;
   configHandover: ConfigHandover;
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -135,6 +135,7 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       knownEntries: settings.entries.known,
+      silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -79,8 +79,8 @@
   readonly attempts: ChartMachine<AttemptContext, AttemptEvent>;
   getConfiguration(): RouterConfiguration | undefined;
   listServers(service: string): readonly ServerView[];
-  /** Sends to the agent of a server; returns false when its channel is not open. */
-  sendToServer(serverId: string, message: PeerMessage): boolean;
+  /** Sends to the agent of a server; returns false when that start of it can't be reached. */
+  sendToServer(server: ServerView, message: PeerMessage): boolean;
   /** Counts work that this entry has at the servers of a route. */
   countOutstanding(route: Route, change: 1 | -1): void;
   handleRequestEnded(request: RequestContext, now: Milliseconds): void;
@@ -103,6 +103,8 @@
   delivered: number[];
   /** Position of the last delivered token; absent before the first one. */
   lastPosition: number | undefined;
+  /** Says whether the last delivered token ends the answer. */
+  hasLastToken: boolean;
   end: Finished | undefined;
 }
 
@@ -137,5 +139,6 @@
   isCancelled: false,
   delivered: [],
   lastPosition: undefined,
+  hasLastToken: false,
   end: undefined,
 });
--- a/packages/router/src/membership/memberDirectory.ts
+++ b/packages/router/src/membership/memberDirectory.ts
@@ -5,6 +5,7 @@
   MessageKind,
   type Backend,
   type PeerMessage,
+  type Refused,
 } from '@lycheetally/protocol';
 import { VmState, type VmRecord } from '../ports/platform.js';
 import {
@@ -87,11 +88,19 @@
         member.receive({ type: 'LEAVING' }, now);
       }
     }
-    if (
-      message.kind === MessageKind.Refused &&
-      message.value.kind === ErrorKind.Leaving
-    ) {
-      member.receive({ type: 'LEAVING' }, now);
+    if (message.kind === MessageKind.Refused) {
+      this.observeRefusal(member, message.value, now);
+    }
+  }
+
+  private observeRefusal(
+    member: Member,
+    refused: Refused,
+    now: Milliseconds,
+  ): void {
+    if (refused.kind === ErrorKind.Leaving) {
+      const refuser = this.byServer.get(refused.serverId) ?? member;
+      refuser.receive({ type: 'LEAVING' }, now);
     }
   }
 
--- a/packages/router/tests/membership.test.ts
+++ b/packages/router/tests/membership.test.ts
@@ -120,6 +120,7 @@
     kind: ErrorKind.Leaving,
     reason: '',
     retryAfterMs: 0,
+    serverId: 'server',
   },
 };
 
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -9,6 +9,8 @@
 } from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
+import type { TcpRelay } from '../faults/tcpRelay.js';
+import { FleetRelays } from './fleetRelays.js';
 import {
   DaemonPath,
   ProcessFleet,
@@ -33,6 +35,10 @@
   readonly slots: number;
   /** Seconds that a stopping process waits for its open work. */
   readonly drainSeconds: number;
+  /** Puts relays before agents and backend servers, for faults of links. */
+  readonly hasRelays?: boolean;
+  /** Seconds without an answer after which an agent gives its engine up. */
+  readonly silenceSeconds?: number;
 }
 
 export const defaultFleetOptions: FleetOptions = {
@@ -59,6 +65,7 @@
 /** Returns the bearer key of an account of the fleet. */
 export const getAccountKey = (account: string): string => `key-of-${account}`;
 
+const defaultSilenceSeconds = 10;
 const anyAddress = '127.0.0.1:0';
 const failureDomains = ['bc-south-a', 'bc-south-b', 'bc-south-c'];
 const readyTimeoutMs = 15_000;
@@ -135,8 +142,12 @@
   entryUrls: string[] = [];
   /** URLs of the stand-ins behind the agents, by server. */
   readonly backendUrls = new Map<string, string>();
+  private readonly relays: FleetRelays;
+  private readonly agentStarts = new Map<string, () => Promise<FleetProcess>>();
 
-  constructor(readonly options: FleetOptions = defaultFleetOptions) {}
+  constructor(readonly options: FleetOptions = defaultFleetOptions) {
+    this.relays = new FleetRelays(options.hasRelays ?? false);
+  }
 
   /** Starts everything and waits until each entry can reach each server. */
   async start(): Promise<void> {
@@ -150,8 +161,24 @@
     }
   }
 
-  dispose(): Promise<void> {
-    return this.processes.dispose();
+  async dispose(): Promise<void> {
+    await this.processes.dispose();
+    this.relays.dispose();
+  }
+
+  /** Returns the relay before an agent or a backend server. */
+  getRelay(name: string): TcpRelay {
+    return this.relays.getRelay(name);
+  }
+
+  /** Lists the processes that a relay stands before. */
+  listRelays(): string[] {
+    return this.relays.listNames();
+  }
+
+  /** Starts another agent in place of one that was killed. */
+  async restartAgent(server: string): Promise<void> {
+    await this.agentStarts.get(server)?.();
   }
 
   /** Publishes a configuration on top of the current one. */
@@ -215,7 +242,18 @@
   }
 
   /** Starts an agent before a backend server and puts it on the VM list. */
-  async startAgent(
+  startAgent(
+    server: string,
+    backend: Readonly<Record<string, string | number>>,
+    domainIndex: number,
+  ): Promise<FleetProcess> {
+    const start = (): Promise<FleetProcess> =>
+      this.startAgentProcess(server, backend, domainIndex);
+    this.agentStarts.set(server, start);
+    return start();
+  }
+
+  private async startAgentProcess(
     server: string,
     backend: Readonly<Record<string, string | number>>,
     domainIndex: number,
@@ -227,9 +265,17 @@
     const started = await this.processes.startDaemon(name, DaemonPath.Agent, {
       process: { id: name, failureDomain, drainSeconds },
       listen: { peers: anyAddress, operators: anyAddress },
-      backend: { server, slots: this.options.slots, ...backend },
+      backend: {
+        server,
+        slots: this.options.slots,
+        silenceSeconds: this.options.silenceSeconds ?? defaultSilenceSeconds,
+        ...backend,
+      },
     });
-    const agentAddress = started.addresses.peers ?? '';
+    const agentAddress = await this.relays.relayTo(
+      name,
+      started.addresses.peers ?? '',
+    );
     await this.updateVmList({
       put: [{ vmId: server, agentAddress, failureDomain, state: 'live' }],
     });
@@ -288,8 +334,9 @@
       'model-engine',
       { layerFrom, layerTo, layers, stepMs },
     );
-    const url = `http://${address}`;
-    this.backendUrls.set(server, url);
+    this.backendUrls.set(server, `http://${address}`);
+    const relayed = await this.relays.relayTo(`engine-${server}`, address);
+    const url = `http://${relayed}`;
     const service = fleetNames.model;
     await this.startAgent(
       server,
@@ -318,11 +365,25 @@
       'plain-service',
       { workMs: this.options.plainMs },
     );
-    const url = `http://${address}`;
-    this.backendUrls.set(server, url);
+    this.backendUrls.set(server, `http://${address}`);
+    const relayed = await this.relays.relayTo(`service-${server}`, address);
+    const url = `http://${relayed}`;
     await this.startAgent(server, { url, kind: 'plain', service }, index);
   }
 
+  /** Says whether every entry reaches every server. */
+  async isWhole(): Promise<boolean> {
+    const entries = this.processes
+      .listProcesses()
+      .filter(process => process.name.startsWith('entry-'));
+    const connected = await Promise.all(
+      entries.map(entry =>
+        this.isConnected(`http://${entry.addresses.operators ?? ''}`),
+      ),
+    );
+    return connected.every(Boolean);
+  }
+
   private async isConnected(operatorsUrl: string): Promise<boolean> {
     const status = await this.get(`${operatorsUrl}/v1/admin/status`);
     const { ready, members } = status as {
