--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -16,6 +16,7 @@
 export * from './order/queueBound.js';
 export * from './order/queueDelay.js';
 export * from './order/rankedOrder.js';
+export * from './membership/index.js';
 export * from './outcome.js';
 export * from './retry.js';
 export * from './routing.js';
--- a/packages/router/src/adapters/operatorsHttp.ts
+++ b/packages/router/src/adapters/operatorsHttp.ts
@@ -1,5 +1,10 @@
 /** The operators' port: health, readiness, metrics, status and events. */
-import { createServer, type ServerResponse, type Server } from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {
   Err,
   ErrorKind,
@@ -30,6 +35,8 @@
   readLedger(_query: LedgerQuery): LedgerPage | undefined {
     return undefined;
   }
+  /** Starts a graceful stop. */
+  abstract requestDrain(): void;
 }
 
 export class OperatorsServer {
@@ -45,7 +52,7 @@
   /** Starts listening. Fails with `BadAddress`. */
   async listen(address: Address): Promise<Result<Address>> {
     const server = createServer((request, response) => {
-      void this.serve(request.url ?? '/', response);
+      void this.serve(request, response);
     });
     const bound = await startListening(server, address);
     if (bound.err) {
@@ -60,9 +67,26 @@
     this.server?.closeAllConnections();
   }
 
-  private async serve(target: string, response: ServerResponse): Promise<void> {
+  private answerCommand(path: string, response: ServerResponse): void {
+    if (path !== '/v1/admin/drain') {
+      sendJson(response, 404, { error: `no such command: ${path}` });
+      return;
+    }
+    this.view.requestDrain();
+    sendJson(response, 202, { draining: true });
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     try {
-      await this.answer(new URL(target, 'http://operators'), response);
+      const url = new URL(request.url ?? '/', 'http://operators');
+      if (request.method === 'POST') {
+        this.answerCommand(url.pathname, response);
+        return;
+      }
+      await this.answer(url, response);
     } catch (thrown) {
       const remedy = 'correct the address and send it again';
       const error = toTypedError(thrown, ErrorKind.BadRequest, remedy);
