--- a/eslint.config.js
+++ b/eslint.config.js
@@ -41,6 +41,7 @@
       'eslint.config.js',
       'vitest.config.ts',
       'scripts/**/*.mjs',
+      'spec/**/*.mjs',
     ],
   },
   eslint.configs.recommended,
