--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,9 +1,14 @@
 /** All benches by name. */
 import { ChartBench } from './chartBench.js';
+import { FaultsBench } from './faultsBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
 
-export const benches: readonly Bench[] = [new ChartBench(), new RelayBench()];
+export const benches: readonly Bench[] = [
+  new ChartBench(),
+  new RelayBench(),
+  new FaultsBench(),
+];
 
 /** Finds a bench by name. */
 export const findBench = (name: string): Bench | undefined =>
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -6,6 +6,9 @@
 /** Events that the time line of one process keeps. */
 export const eventRingCapacity = 20_000;
 
+/** Milliseconds that tokens may wait to share a frame to an entry. */
+export const tokenFlushIntervalMs = 4;
+
 /** Milliseconds between heartbeats on an idle connection. */
 export const heartbeatIntervalMs = 500;
 
@@ -18,6 +21,24 @@
 /** Milliseconds before a lost connection is opened again. */
 export const reconnectDelayMs = 200;
 
+/** Milliseconds before a connection that was open is opened again. */
+export const reopenDelayMs = 20;
+
+/** Milliseconds that work which may be repeated waits for its connection. */
+export const partBoundMs = 400;
+
+/** Milliseconds that work which must not be repeated waits for its connection. */
+export const longPartBoundMs = 4_000;
+
+/** Milliseconds that an agent goes on for an entry whose connection is lost. */
+export const ownerGraceMs = 5_000;
+
+/** Ended attempts whose answers an agent keeps for an entry that missed them. */
+export const maxKeptAnswers = 256;
+
+/** The largest answer of a plain service that is kept, in bytes. */
+export const maxKeptAnswerBytes = 64 * 1_024;
+
 /** Milliseconds in which an agent must answer an offer. */
 export const offerTimeoutMs = 1_000;
 
@@ -33,6 +54,9 @@
 /** Milliseconds in which the later stages must accept a chain. */
 export const reserveTimeoutMs = 800;
 
+/** Milliseconds in which work that a stop cuts must end. */
+export const cutBoundMs = 4_000;
+
 /** Milliseconds between reads of the VM list. */
 export const vmListIntervalMs = 500;
 
--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -6,10 +6,17 @@
   type ChartAction,
 } from '@lycheetally/charts';
 import { ErrorKind, TypedError, type Result } from '@lycheetally/common';
-import { MessageKind, type Offer } from '@lycheetally/protocol';
+import { Outcome } from '@lycheetally/decisions';
+import {
+  MessageKind,
+  type Offer,
+  type PeerMessage,
+} from '@lycheetally/protocol';
 import {
   cancelTimeoutMs,
+  longPartBoundMs,
   offerTimeoutMs,
+  partBoundMs,
   revokeTimeoutMs,
 } from '../constants.js';
 import {
@@ -29,10 +36,12 @@
       servers: attempt.route.map(server => server.serverId).join(','),
     },
   });
-  owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Offer,
-    value: createOffer(attempt, now),
-  });
+  const offer = createOffer(attempt, now);
+  if (!sendToFirst(attempt, { kind: MessageKind.Offer, value: offer })) {
+    const error = createLostError('could not be handed over');
+    const serverId = getFirstServerId(attempt);
+    attempt.instance?.send({ type: 'REFUSED', error, serverId }, now);
+  }
 };
 
 const createOffer = (attempt: AttemptContext, now: number): Offer => {
@@ -59,17 +68,32 @@
   };
 };
 
+const sendToFirst = (
+  attempt: AttemptContext,
+  message: PeerMessage,
+): boolean => {
+  const first = attempt.route[0];
+  return (
+    first !== undefined && attempt.owner.services.sendToServer(first, message)
+  );
+};
+
 export const sendRevoke: AttemptAction = attempt => {
-  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Revoke,
-    value: attempt.ref,
-  });
+  sendToFirst(attempt, { kind: MessageKind.Revoke, value: attempt.ref });
 };
 
 export const sendCancel: AttemptAction = attempt => {
-  attempt.owner.services.sendToServer(getFirstServerId(attempt), {
-    kind: MessageKind.Cancel,
-    value: attempt.ref,
+  sendToFirst(attempt, { kind: MessageKind.Cancel, value: attempt.ref });
+};
+
+/** Asks for the tokens and the end that a lost connection may have swallowed. */
+export const sendResume: AttemptAction = (attempt, _, now) => {
+  const { owner, ref } = attempt;
+  owner.services.events.record('attempt-resumed', now, ref);
+  const fromIndex = owner.delivered.length;
+  sendToFirst(attempt, {
+    kind: MessageKind.Resume,
+    value: { ...ref, fromIndex },
   });
 };
 
@@ -93,7 +117,7 @@
 export const reportComplete: AttemptAction = (attempt, _, now) => {
   if (isWhole(attempt)) {
     attempt.owner.end = attempt.end;
-    endAttempt(attempt, { type: 'ATTEMPT_COMPLETE' }, now);
+    endAttempt(attempt, Outcome.Complete, { type: 'ATTEMPT_COMPLETE' }, now);
     return;
   }
   const error = new TypedError(
@@ -101,22 +125,22 @@
     'the answer ended with tokens missing',
     'send the request again',
   );
-  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+  endAttempt(attempt, Outcome.Failed, { type: 'ATTEMPT_FAILED', error }, now);
 };
 
 export const reportNotRun: AttemptAction = (attempt, _, now) => {
   const error = attempt.error ?? createLostError('was withdrawn');
-  endAttempt(attempt, { type: 'ATTEMPT_NOT_RUN', error }, now);
+  endAttempt(attempt, Outcome.NotRun, { type: 'ATTEMPT_NOT_RUN', error }, now);
 };
 
 export const reportFailed: AttemptAction = (attempt, _, now) => {
   const error = attempt.error ?? createLostError('was stopped');
-  endAttempt(attempt, { type: 'ATTEMPT_FAILED', error }, now);
+  endAttempt(attempt, Outcome.Failed, { type: 'ATTEMPT_FAILED', error }, now);
 };
 
 export const reportUnknown: AttemptAction = (attempt, _, now) => {
   const error = createLostError('may have run, its connection was lost');
-  endAttempt(attempt, { type: 'ATTEMPT_UNKNOWN', error }, now);
+  endAttempt(attempt, Outcome.Unknown, { type: 'ATTEMPT_UNKNOWN', error }, now);
 };
 
 const createLostError = (what: string): TypedError =>
@@ -128,10 +152,12 @@
 
 const endAttempt = (
   attempt: AttemptContext,
+  outcome: Outcome,
   event: RequestEvent,
   now: number,
 ): void => {
   const { owner } = attempt;
+  owner.attemptOutcomes.push(outcome);
   owner.services.events.record(formatEventKind(event), now, attempt.ref);
   owner.services.countOutstanding(attempt.route, -1);
   attempt.instance?.dispose();
@@ -154,6 +180,7 @@
         sendOffer,
         sendRevoke,
         sendCancel,
+        sendResume,
         noteReason,
         noteEnd,
         reportComplete,
@@ -161,11 +188,13 @@
         reportFailed,
         reportUnknown,
       },
-      guards: {},
+      guards: { isRepeatable: attempt => attempt.owner.request.isRepeatable },
       delays: {
         OFFER_TIMEOUT: () => offerTimeoutMs,
         REVOKE_TIMEOUT: () => revokeTimeoutMs,
         CANCEL_TIMEOUT: () => cancelTimeoutMs,
+        PART_BOUND: attempt =>
+          attempt.owner.request.isRepeatable ? partBoundMs : longPartBoundMs,
       },
     }),
   );
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
-import { Outcome } from '@lycheetally/decisions';
+import { Outcome, decideOutcome } from '@lycheetally/decisions';
 import { cancelBoundMs } from '../constants.js';
 import type { AttemptContext } from './attemptContext.js';
 import {
@@ -94,8 +94,8 @@
   context.isCancelled = true;
   context.error = new TypedError(
     ErrorKind.DeadlineExceeded,
-    'the request was stopped at its deadline or because its caller left',
-    'send the request with a later deadline',
+    'the request was stopped: its deadline passed, its caller left or the entry stopped',
+    'send the request again, with a later deadline if it needs more time',
   );
   context.services.events.record('request-cancelled', now, {
     requestId: context.request.requestId,
@@ -108,6 +108,18 @@
   }
 };
 
+export const decideEnd: RequestAction = (context, _, now) => {
+  const outcome = decideOutcome(context.attemptOutcomes);
+  context.instance?.send({ type: endEvents[outcome] }, now);
+};
+
+const endEvents = {
+  [Outcome.Complete]: 'RAN',
+  [Outcome.Failed]: 'RAN',
+  [Outcome.NotRun]: 'NEVER_RAN',
+  [Outcome.Unknown]: 'MAY_HAVE_RUN',
+} as const;
+
 const endRequest = (
   context: RequestContext,
   outcome: Outcome,
@@ -147,9 +159,7 @@
 };
 
 export const answerNotRun: RequestAction = (context, _, now) => {
-  // Tokens that an earlier attempt delivered show that the request has run.
-  const hasRun = context.delivered.length > 0;
-  endRequest(context, hasRun ? Outcome.Failed : Outcome.NotRun, now);
+  endRequest(context, Outcome.NotRun, now);
 };
 
 export const answerFailed: RequestAction = (context, _, now) => {
@@ -160,6 +170,23 @@
   endRequest(context, Outcome.Unknown, now);
 };
 
+// A request that has not run is refused at once; another entry may reach a server.
+const hasRun = (context: RequestContext): boolean =>
+  decideOutcome(context.attemptOutcomes) !== Outcome.NotRun;
+/** Builds the end of an answer whose tokens came and whose end was lost. */
+export const noteMissedEnd: RequestAction = context => {
+  const { request, delivered, attempts } = context;
+  const generatedTokens = delivered.length;
+  const maxTokens = request.model?.maxTokens ?? 0;
+  context.end = {
+    requestId: request.requestId,
+    attempt: attempts,
+    finishReason: generatedTokens >= maxTokens ? 'length' : 'stop',
+    promptTokens: (context.lastPosition ?? 0) + 1 - generatedTokens,
+    generatedTokens,
+  };
+};
+
 const mayRetry = (context: RequestContext, now: Milliseconds): boolean =>
   context.services.policies.retry.mayRetry(viewRequest(context), now);
 
@@ -176,15 +203,18 @@
         cancelAttempt,
         noteCancelled,
         noteReason,
+        noteMissedEnd,
+        decideEnd,
         answerComplete,
         answerNotRun,
         answerFailed,
         answerUnknown,
       },
       guards: {
+        hasWholeAnswer: context => context.hasLastToken,
         mayRetry: (context, _, now) => mayRetry(context, now),
         mayWaitForRoute: (context, _, now) =>
-          context.attempts > 0 && mayRetry(context, now),
+          hasRun(context) && mayRetry(context, now),
         mayRepeat: (context, _, now) =>
           context.services.policies.retry.mayRepeat(viewRequest(context), now),
       },
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -23,6 +23,7 @@
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
 import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
 import type { Clock } from './clock.js';
+import { cutBoundMs } from './constants.js';
 import { EventLog } from './eventLog.js';
 import { Loop, type LoopHandlers } from './loop.js';
 import {
@@ -93,6 +94,10 @@
     this.node.handlePeerLost(channel, now);
   }
 
+  override handleUnreachable(channel: PeerChannel, now: Milliseconds): void {
+    this.node.handlePeerUnreachable(channel, now);
+  }
+
   override handleMessage(
     channel: PeerChannel,
     message: PeerMessage,
@@ -146,6 +151,8 @@
   abstract describeSelf(): Hello;
   abstract handlePeerOpen(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerLost(channel: PeerChannel, now: Milliseconds): void;
+  /** A try to open a channel has failed; another follows. */
+  abstract handlePeerUnreachable(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerMessage(
     channel: PeerChannel,
     message: PeerMessage,
@@ -153,6 +160,8 @@
   ): void;
   /** Takes no new work from now on. */
   protected abstract stopAdmission(now: Milliseconds): void;
+  /** Ends the open work with its true outcome. */
+  protected abstract cancelOpenWork(now: Milliseconds): void;
   /** Counts the pieces of work that a stop would cut. */
   protected abstract countOpenWork(): number;
 
@@ -168,7 +177,9 @@
 
   get isStopping(): boolean {
     return (
-      this.lifecycle.matches('draining') || this.lifecycle.matches('stopped')
+      this.lifecycle.matches('draining') ||
+      this.lifecycle.matches('cutting') ||
+      this.lifecycle.matches('stopped')
     );
   }
 
@@ -183,7 +194,7 @@
 
   /** Ends the drain when no work is left. */
   protected checkDrained(now: Milliseconds): void {
-    if (this.lifecycle.matches('draining') && this.countOpenWork() === 0) {
+    if (this.isStopping && this.countOpenWork() === 0) {
       this.lifecycle.send({ type: 'DRAINED' }, now);
     }
   }
@@ -300,6 +311,9 @@
       this.log.error('The drain bound is reached and work is cut', { open });
       this.events.record('drain-bound-reached', now, { detail: { open } });
     },
+    cancelOpenWork: (now: Milliseconds): void => {
+      this.cancelOpenWork(now);
+    },
     finishProcess: (now: Milliseconds): void => {
       this.log.info('Stopped');
       this.events.record('stopped', now);
@@ -330,11 +344,17 @@
         reportCutWork: (node, _, now) => {
           node.lifecycleActions.reportCutWork(now);
         },
+        cancelOpenWork: (node, _, now) => {
+          node.lifecycleActions.cancelOpenWork(now);
+        },
         finishProcess: (node, _, now) => {
           node.lifecycleActions.finishProcess(now);
         },
       },
       guards: {},
-      delays: { DRAIN_BOUND: node => node.drainBoundMs },
+      delays: {
+        DRAIN_BOUND: node => node.drainBoundMs,
+        CUT_BOUND: () => cutBoundMs,
+      },
     }),
   );
