Win a claim in the log before a keyed request runs

Cause: a repeat with the same Idempotency-Key ran again at each entry. Ruled out: a leader that hands out keys (no VM is set aside); assuming a win from an append's answer (another claim may stand before it); a second append when an answer is lost (the first may be in the log). Change: pure rules in decisions/claims, the charts claim, claimReader and claimWriter, their host in router/claims. The first record of a key in offset order wins and names its one backend server and that agent's start. Records share appends; lost answers are settled by reading back; a repeat gets the kept end, or asks the agent that the claim names; a takeover needs that agent's promise. Keys are refused with another body, outside the window, and while the log is down. A caller that leaves no longer stops a keyed run that has started, since the repeat is to get its answer.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -22,6 +22,9 @@
   PeerConnection: 'peerConnection',
   AcceptedConnection: 'acceptedConnection',
   ConfigFollower: 'configFollower',
+  Claim: 'claim',
+  ClaimReader: 'claimReader',
+  ClaimWriter: 'claimWriter',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -23,6 +23,10 @@
   UnknownService: 'unknown-service',
   /** The rank does not exist in the configuration. */
   UnknownRank: 'unknown-rank',
+  /** The idempotency key was used with another body or is outside the window. */
+  KeyRefused: 'key-refused',
+  /** The request has run, and its answer is not kept. */
+  AnswerNotKept: 'answer-not-kept',
   /** No backend server can take the request now. */
   NoCapacity: 'no-capacity',
   /** The deadline has passed or cannot be met. */
--- /dev/null
+++ b/packages/decisions/src/claims/claimRules.ts
@@ -0,0 +1,124 @@
+/**
+ * The rules of claims.
+ *
+ * Every entry folds the same records in offset order and so agrees on who
+ * holds a key: the first claim holds it, a takeover replaces the claim that it
+ * names while that one has not run, and the first end of the holder stands.
+ */
+import type { Milliseconds, ValueOf } from '@lycheetally/common';
+import { Outcome } from '../outcome.js';
+import {
+  ClaimRecordKind,
+  type AnyClaimRecord,
+  type ClaimEndRecord,
+  type KeyState,
+  type TakeoverRecord,
+} from './claimRecords.js';
+
+/** Milliseconds by which the clocks of two entries may differ. */
+export const maxClockSkewMs = 60_000;
+
+/** Says whether the claim that holds a key is older than the window. */
+export const isExpired = (
+  state: KeyState,
+  now: Milliseconds,
+  windowMs: Milliseconds,
+): boolean => now - state.claim.at > windowMs;
+
+/** Returns what is known of the record's key after the record. */
+export const foldRecord = (
+  state: KeyState | undefined,
+  record: AnyClaimRecord,
+  windowMs: Milliseconds,
+): KeyState | undefined => {
+  switch (record.kind) {
+    case ClaimRecordKind.Claim:
+      return state && !isExpired(state, record.at, windowMs)
+        ? state
+        : { claim: record, end: undefined };
+    case ClaimRecordKind.Takeover:
+      return state && mayReplace(state, record)
+        ? { claim: record, end: undefined }
+        : state;
+    case ClaimRecordKind.End:
+      return state?.claim.claimId === record.claimId && !state.end
+        ? { claim: state.claim, end: record }
+        : state;
+  }
+};
+
+const mayReplace = (state: KeyState, takeover: TakeoverRecord): boolean =>
+  state.claim.claimId === takeover.earlier &&
+  state.claim.bodyHash === takeover.bodyHash &&
+  hasNotRun(state.end);
+
+const hasNotRun = (end: ClaimEndRecord | undefined): boolean =>
+  end === undefined || end.outcome === Outcome.NotRun;
+
+/** What an entry does next about a key. */
+export const ClaimStep = {
+  /** Append a claim. */
+  Claim: 'claim',
+  /** Append a takeover of the claim that holds the key. */
+  TakeOver: 'take-over',
+  /** Wait for the end of the claim that holds the key. */
+  Follow: 'follow',
+  /** Answer with the end that is kept. */
+  Replay: 'replay',
+  /** Refuse: the key was used with another body. */
+  Conflict: 'conflict',
+} as const;
+export type ClaimStep = ValueOf<typeof ClaimStep>;
+
+/** What an entry asks for, and what it was promised. */
+export interface ClaimAsk {
+  readonly bodyHash: string;
+  /** The claim whose agent promised never to run it. */
+  readonly promisedClaimId: string | undefined;
+}
+
+/** Decides what an entry does about a key. */
+export const decideClaimStep = (
+  state: KeyState | undefined,
+  ask: ClaimAsk,
+  now: Milliseconds,
+  windowMs: Milliseconds,
+): ClaimStep => {
+  if (!state || isExpired(state, now, windowMs)) {
+    return ClaimStep.Claim;
+  }
+  if (state.claim.bodyHash !== ask.bodyHash) {
+    return ClaimStep.Conflict;
+  }
+  if (state.end && state.end.outcome !== Outcome.NotRun) {
+    return ClaimStep.Replay;
+  }
+  const isFree = state.end ?? state.claim.claimId === ask.promisedClaimId;
+  return isFree ? ClaimStep.TakeOver : ClaimStep.Follow;
+};
+
+const uuidV7 = /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-/i;
+
+/** Returns when a key was made; only a UUID of version 7 says so. Source: RFC 9562. */
+export const readKeyTime = (key: string): Milliseconds | undefined => {
+  const match = uuidV7.exec(key);
+  return match
+    ? Number.parseInt(`${match[1] ?? ''}${match[2] ?? ''}`, 16)
+    : undefined;
+};
+
+/**
+ * Says whether a key that names its time is outside the window. A key from the
+ * future is outside as well: it would outlive its records.
+ */
+export const isKeyOutsideWindow = (
+  key: string,
+  now: Milliseconds,
+  windowMs: Milliseconds,
+): boolean => {
+  const madeAt = readKeyTime(key);
+  return (
+    madeAt !== undefined &&
+    (now - madeAt > windowMs - maxClockSkewMs || madeAt - now > maxClockSkewMs)
+  );
+};
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,8 @@
 /** Pure decisions: no clock, no network, no charts; the time is an argument. */
 export * from './admission.js';
+export * from './claims/claimRecords.js';
+export * from './claims/claimRules.js';
+export * from './claims/gatherPolicy.js';
 export * from './outcome.js';
 export * from './retry.js';
 export * from './routing.js';
--- a/packages/router/src/adapters/httpExchange.ts
+++ b/packages/router/src/adapters/httpExchange.ts
@@ -21,6 +21,8 @@
   [ErrorKind.UnknownAccount]: 401,
   [ErrorKind.UnknownService]: 404,
   [ErrorKind.UnknownRank]: 400,
+  [ErrorKind.KeyRefused]: 409,
+  [ErrorKind.AnswerNotKept]: 409,
   [ErrorKind.NoCapacity]: 503,
   [ErrorKind.DeadlineExceeded]: 504,
   [ErrorKind.Leaving]: 503,
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -267,6 +267,10 @@
     const work = this.find(ref);
     if (work) {
       work.instance?.send({ type: 'REVOKE' }, now);
+      // Another entry than the owner may ask, for a repeat of the request.
+      if (work.instance?.matches('running')) {
+        channel.send({ kind: MessageKind.Started, value: toRef(ref) });
+      }
       return;
     }
     const key = formatAttemptKey(ref);
--- /dev/null
+++ b/packages/router/src/claims/claimContext.ts
@@ -0,0 +1,164 @@
+/** One request's claim: its context and the events of its chart. */
+import { createHash } from 'node:crypto';
+import type { ChartInstance, ChartTimers } from '@lycheetally/charts';
+import type { Milliseconds, Result, TypedError } from '@lycheetally/common';
+import type {
+  AnyClaimRecord,
+  ClaimEndRecord,
+  ClaimRecord,
+  KeyState,
+  Route,
+  TakeoverRecord,
+} from '@lycheetally/decisions';
+import type { AttemptRef, ModelWork, PlainWork } from '@lycheetally/protocol';
+import type { EventLog } from '../eventLog.js';
+import type { ClaimBook } from './claimBook.js';
+import { KeyWatcher } from './claimIndex.js';
+import type { ClaimStream } from './claimStream.js';
+
+/** Events of the chart `claim`. */
+export type ClaimEvent =
+  | {
+      readonly type:
+        | 'FREE'
+        | 'HELD'
+        | 'ENDED'
+        | 'ROUTED'
+        | 'WON'
+        | 'LOST'
+        | 'CHANGED'
+        | 'PROMISED'
+        | 'RUNNING'
+        | 'AGENT_GONE'
+        | 'WITHDRAW';
+    }
+  | { readonly type: 'REFUSED' | 'MISSING'; readonly error: TypedError }
+  | { readonly type: 'RAN'; readonly end: ClaimEndRecord };
+
+/** What became of asking an agent about an attempt. */
+export const AskResult = {
+  Sent: 'sent',
+  /** The agent cannot be reached now. */
+  Unreachable: 'unreachable',
+  /** That start of the agent is over. */
+  Gone: 'gone',
+} as const;
+export type AskResult = (typeof AskResult)[keyof typeof AskResult];
+
+/** What a claim needs of its entry. */
+export interface ClaimServices {
+  readonly timers: ChartTimers;
+  readonly events: EventLog;
+  readonly book: ClaimBook;
+  /** Asks an agent never to run the attempt of a claim, or to say that it ran. */
+  requestPromise(
+    asked: ClaimRecord | TakeoverRecord,
+    asker: ClaimAttemptContext,
+  ): AskResult;
+}
+
+/** Who asks for the claim. */
+export abstract class ClaimOwner {
+  /** Chooses the servers of the attempt. Fails with `NoCapacity`. */
+  abstract chooseRoute(now: Milliseconds): Result<Route>;
+  /** The attempt may be handed to the first server of the route. */
+  abstract handleWon(route: Route, now: Milliseconds): void;
+  /** An earlier attempt of the key has ended. */
+  abstract handleEnded(end: ClaimEndRecord, now: Milliseconds): void;
+  abstract handleNotRun(error: TypedError, now: Milliseconds): void;
+  abstract handleUnknown(error: TypedError, now: Milliseconds): void;
+}
+
+/** What is claimed. */
+export interface ClaimSubject {
+  /** The key as the caller sent it. */
+  readonly idempotencyKey: string;
+  /** Hash of account, service and idempotency key. */
+  readonly key: string;
+  readonly bodyHash: string;
+  readonly ref: AttemptRef;
+}
+
+export class ClaimAttemptContext extends KeyWatcher {
+  instance: ChartInstance<ClaimAttemptContext, ClaimEvent> | undefined;
+  readonly stream: ClaimStream;
+  /** The claim or takeover that this request appended last. */
+  own: ClaimRecord | TakeoverRecord | undefined;
+  route: Route | undefined;
+  /** The claim whose agent promised never to run it. */
+  promisedClaimId: string | undefined;
+  error: TypedError | undefined;
+  /** The claim that the agent is asked about. */
+  asked: ClaimRecord | TakeoverRecord | undefined;
+  end: ClaimEndRecord | undefined;
+  isSeen = false;
+
+  constructor(
+    readonly services: ClaimServices,
+    readonly owner: ClaimOwner,
+    readonly subject: ClaimSubject,
+  ) {
+    super();
+    this.stream = services.book.getStream(subject.key);
+  }
+
+  get state(): KeyState | undefined {
+    return this.stream.getState(this.subject.key);
+  }
+
+  start(now: Milliseconds): void {
+    this.stream.addWatcher(this.subject.key, this);
+    this.instance = this.services.book.machine.createInstance(
+      this,
+      this.services.timers,
+    );
+    this.instance.start(now);
+  }
+
+  send(event: ClaimEvent, now: Milliseconds): void {
+    this.instance?.send(event, now);
+    if (this.instance?.isFinal) {
+      this.stream.removeWatcher(this.subject.key, this);
+    }
+  }
+
+  override handleRecord(
+    record: AnyClaimRecord,
+    state: KeyState | undefined,
+    now: Milliseconds,
+  ): void {
+    if (record.kind !== 'end' && record.claimId === this.own?.claimId) {
+      this.isSeen = true;
+      const isHolder = state?.claim.claimId === record.claimId;
+      this.send({ type: isHolder ? 'WON' : 'LOST' }, now);
+      return;
+    }
+    this.send({ type: 'CHANGED' }, now);
+  }
+}
+
+/** Hashes what identifies a key. */
+export const hashClaimKey = (
+  account: string,
+  service: string,
+  idempotencyKey: string,
+): string => hashParts([account, service, idempotencyKey]);
+
+/** Hashes what a request asks for. */
+export const hashClaimBody = (
+  model: ModelWork | undefined,
+  plain: PlainWork | undefined,
+): string =>
+  plain
+    ? hashParts([plain.method, plain.path, plain.contentType, plain.body])
+    : hashParts([model?.prompt ?? '', String(model?.maxTokens ?? 0)]);
+
+const hashBytes = 18;
+
+const hashParts = (parts: readonly (string | Uint8Array)[]): string => {
+  const hash = createHash('sha256');
+  for (const part of parts) {
+    hash.update(`${String(part.length)}:`).update(part);
+  }
+  return hash.digest().subarray(0, hashBytes).toString('base64url');
+};
--- /dev/null
+++ b/packages/router/src/claims/claimEnds.ts
@@ -0,0 +1,114 @@
+/** Turns how an attempt ended into a record, and a record into an answer. */
+import {
+  ErrorKind,
+  TypedError,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
+import { Err, Ok } from '@lycheetally/common';
+import {
+  ClaimRecordKind,
+  Outcome,
+  type ClaimEndRecord,
+  type ClaimRecord,
+  type KeptAnswer,
+  type TakeoverRecord,
+} from '@lycheetally/decisions';
+import {
+  MessageKind,
+  type PeerMessage,
+  type PlainAnswer,
+} from '@lycheetally/protocol';
+import { maxClaimAnswerBytes } from '../constants.js';
+import type { ClaimEvent } from './claimContext.js';
+
+/** Creates the record of an end. */
+export const createEnd = (
+  claim: ClaimRecord | TakeoverRecord,
+  outcome: ClaimEndRecord['outcome'],
+  detail: { readonly reason: string; readonly plain?: PlainAnswer | undefined },
+  now: Milliseconds,
+): ClaimEndRecord => ({
+  kind: ClaimRecordKind.End,
+  key: claim.key,
+  claimId: claim.claimId,
+  outcome,
+  reason: detail.reason,
+  answer: toKeptAnswer(detail.plain),
+  at: now,
+});
+
+const toKeptAnswer = (
+  plain: PlainAnswer | undefined,
+): KeptAnswer | undefined =>
+  plain && plain.body.length <= maxClaimAnswerBytes
+    ? {
+        status: plain.status,
+        contentType: plain.contentType,
+        body: Buffer.from(plain.body).toString('base64'),
+      }
+    : undefined;
+
+/** Returns the answer that a record keeps. Fails with the error that a repeat is told. */
+export const readKeptAnswer = (end: ClaimEndRecord): Result<PlainAnswer> => {
+  if (end.outcome !== Outcome.Complete) {
+    return Err(
+      new TypedError(
+        ErrorKind.BackendFailed,
+        `the first request with this key failed (${end.reason})`,
+        'check its effect, then send the request with a new key',
+      ),
+    );
+  }
+  if (!end.answer) {
+    return Err(
+      new TypedError(
+        ErrorKind.AnswerNotKept,
+        'the first request with this key ran and its answer is not kept',
+        'use its effect; a new key runs it again',
+      ),
+    );
+  }
+  const { status, contentType, body } = end.answer;
+  return Ok({ status, contentType, body: Buffer.from(body, 'base64') });
+};
+
+/** Returns what an agent's answer says of the claim that it was asked about. */
+export const toAskedEvent = (
+  claim: ClaimRecord | TakeoverRecord,
+  message: PeerMessage,
+  now: Milliseconds,
+): ClaimEvent | undefined => {
+  switch (message.kind) {
+    case MessageKind.Accepted:
+    case MessageKind.Started:
+      return { type: 'RUNNING' };
+    case MessageKind.Revoked:
+    case MessageKind.Refused:
+      return { type: 'PROMISED' };
+    case MessageKind.Finished: {
+      const { plain } = message.value;
+      const detail = { reason: '', plain };
+      return {
+        type: 'RAN',
+        end: createEnd(claim, Outcome.Complete, detail, now),
+      };
+    }
+    case MessageKind.Failed: {
+      const { reason } = message.value;
+      return {
+        type: 'RAN',
+        end: createEnd(claim, Outcome.Failed, { reason }, now),
+      };
+    }
+    case MessageKind.Cancelled: {
+      const detail = { reason: 'it was stopped after it had started' };
+      return {
+        type: 'RAN',
+        end: createEnd(claim, Outcome.Failed, detail, now),
+      };
+    }
+    default:
+      return undefined;
+  }
+};
--- /dev/null
+++ b/packages/router/src/claims/claimIndex.ts
@@ -0,0 +1,71 @@
+/** What the records of one claims stream say of each key, in the window. */
+import type { Milliseconds } from '@lycheetally/common';
+import {
+  foldRecord,
+  isExpired,
+  maxClockSkewMs,
+  type AnyClaimRecord,
+  type KeyState,
+} from '@lycheetally/decisions';
+
+/** Is told of each record of a key. */
+export abstract class KeyWatcher {
+  abstract handleRecord(
+    record: AnyClaimRecord,
+    state: KeyState | undefined,
+    now: Milliseconds,
+  ): void;
+}
+
+export class ClaimIndex {
+  private readonly states = new Map<string, KeyState>();
+  private readonly watchers = new Map<string, Set<KeyWatcher>>();
+
+  constructor(private readonly windowMs: Milliseconds) {}
+
+  /** Number of keys held. */
+  get size(): number {
+    return this.states.size;
+  }
+
+  getState(key: string): KeyState | undefined {
+    return this.states.get(key);
+  }
+
+  addWatcher(key: string, watcher: KeyWatcher): void {
+    const known = this.watchers.get(key) ?? new Set();
+    this.watchers.set(key, known.add(watcher));
+  }
+
+  removeWatcher(key: string, watcher: KeyWatcher): void {
+    const known = this.watchers.get(key);
+    known?.delete(watcher);
+    if (known?.size === 0) {
+      this.watchers.delete(key);
+    }
+  }
+
+  /** Applies the next record of the stream. */
+  applyRecord(record: AnyClaimRecord, now: Milliseconds): void {
+    const before = this.states.get(record.key);
+    const state = foldRecord(before, record, this.windowMs);
+    if (state && state !== before) {
+      // Re-inserted, so that the map stays in the order of the claims' ages.
+      this.states.delete(record.key);
+      this.states.set(record.key, state);
+    }
+    for (const watcher of [...(this.watchers.get(record.key) ?? [])]) {
+      watcher.handleRecord(record, state, now);
+    }
+    this.dropExpired(now);
+  }
+
+  private dropExpired(now: Milliseconds): void {
+    for (const [key, state] of this.states) {
+      if (!isExpired(state, now - maxClockSkewMs, this.windowMs)) {
+        return;
+      }
+      this.states.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/claims/claimReader.ts
@@ -0,0 +1,190 @@
+/** Reads one claims stream into its index; the cursor only goes forward. */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+  type ChartTimers,
+} from '@lycheetally/charts';
+import type {
+  Milliseconds,
+  PartLogger,
+  Result,
+  TypedError,
+} from '@lycheetally/common';
+import { claimReadIntervalMs, claimRetryIntervalMs } from '../constants.js';
+import type { LogPort, LogSpan } from '../ports/platform.js';
+import { parseRecord } from './claimCodec.js';
+import type { ClaimIndex } from './claimIndex.js';
+
+type ReaderEvent =
+  | { readonly type: 'RECORDS'; readonly span: LogSpan }
+  | { readonly type: 'READ_FAILED'; readonly error: TypedError }
+  | { readonly type: 'READ_NOW' | 'READ_BACK' | 'STOP' };
+
+export type ReaderMachine = ChartMachine<ClaimReader, ReaderEvent>;
+
+/** Is told what the reader has found out. */
+export abstract class ReaderListener {
+  /** The whole window has been read. */
+  abstract handleCurrent(now: Milliseconds): void;
+  /** A read that was asked for has reached the end of the stream. */
+  abstract handleReadBack(now: Milliseconds): void;
+  abstract handleDown(now: Milliseconds): void;
+}
+
+export interface ReaderServices {
+  readonly timers: ChartTimers;
+  readonly logPort: LogPort;
+  readonly log: PartLogger;
+  /** Posts what a read brought into the loop. */
+  postClaimRead(reader: ClaimReader, read: Result<LogSpan>): void;
+}
+
+export class ClaimReader {
+  private cursor = 0;
+  private wantedOffset = 0;
+  private isReadBackWanted = false;
+  private readonly chart: ChartInstance<ClaimReader, ReaderEvent>;
+
+  constructor(
+    machine: ReaderMachine,
+    private readonly services: ReaderServices,
+    private readonly stream: string,
+    private readonly index: ClaimIndex,
+    private readonly listener: ReaderListener,
+  ) {
+    this.chart = machine.createInstance(this, services.timers);
+  }
+
+  /** Says whether the whole window has been read and the log answers. */
+  get isCurrent(): boolean {
+    return this.chart.matches('current');
+  }
+
+  get isDown(): boolean {
+    return this.chart.matches('down');
+  }
+
+  start(now: Milliseconds): void {
+    this.chart.start(now);
+  }
+
+  stop(now: Milliseconds): void {
+    this.chart.send({ type: 'STOP' }, now);
+  }
+
+  /** Reads at least up to the offset, at once. */
+  requestRead(beforeOffset: number, now: Milliseconds): void {
+    this.wantedOffset = Math.max(this.wantedOffset, beforeOffset);
+    this.chart.send({ type: 'READ_NOW' }, now);
+  }
+
+  /** Reads to the end of the stream as it is from now on. */
+  requestReadBack(now: Milliseconds): void {
+    this.chart.send({ type: 'READ_BACK' }, now);
+  }
+
+  receiveRead(read: Result<LogSpan>, now: Milliseconds): void {
+    const event: ReaderEvent = read.ok
+      ? { type: 'RECORDS', span: read.val }
+      : { type: 'READ_FAILED', error: read.val };
+    this.chart.send(event, now);
+  }
+
+  /** Actions and guards of the chart. */
+  readonly chartActions = {
+    readRecords: (): void => {
+      void this.services.logPort.read(this.stream, this.cursor).then(read => {
+        this.services.postClaimRead(this, read);
+      });
+    },
+    applyRecords: (event: ReaderEvent | undefined, now: Milliseconds): void => {
+      if (event?.type !== 'RECORDS') {
+        return;
+      }
+      for (const { offset, value } of event.span.records) {
+        this.applyValue(offset, value, now);
+      }
+      this.cursor = Math.max(this.cursor, event.span.next);
+    },
+    noteReadBack: (): void => {
+      this.isReadBackWanted = true;
+    },
+    clearReadBack: (): void => {
+      this.isReadBackWanted = false;
+    },
+    reportCurrent: (now: Milliseconds): void => {
+      this.listener.handleCurrent(now);
+    },
+    reportReadBack: (now: Milliseconds): void => {
+      this.listener.handleReadBack(now);
+    },
+    reportDown: (now: Milliseconds): void => {
+      this.isReadBackWanted = false;
+      this.services.log.warn('A claims stream cannot be read', {
+        stream: this.stream,
+      });
+      this.listener.handleDown(now);
+    },
+    hasRecords: (event: ReaderEvent | undefined): boolean =>
+      event?.type === 'RECORDS' && event.span.records.length > 0,
+    wantsMore: (event: ReaderEvent | undefined): boolean =>
+      event?.type === 'RECORDS' && event.span.next < this.wantedOffset,
+    wantsReadBack: (): boolean => this.isReadBackWanted,
+  };
+
+  private applyValue(offset: number, value: string, now: Milliseconds): void {
+    if (offset < this.cursor) {
+      return;
+    }
+    const parsed = parseRecord(value);
+    if (parsed.err) {
+      this.services.log.warn('A claims record is left out', {
+        stream: this.stream,
+        offset,
+      });
+      return;
+    }
+    this.index.applyRecord(parsed.val, now);
+  }
+}
+
+/** Binds the chart `claimReader`. Fails with `BadChart`. */
+export const bindReaderChart = (): Result<ReaderMachine> =>
+  loadChart(ChartName.ClaimReader).andThen(chart =>
+    ChartMachine.bind<ClaimReader, ReaderEvent>(chart, {
+      actions: {
+        readRecords: reader => {
+          reader.chartActions.readRecords();
+        },
+        applyRecords: (reader, event, now) => {
+          reader.chartActions.applyRecords(event, now);
+        },
+        noteReadBack: reader => {
+          reader.chartActions.noteReadBack();
+        },
+        clearReadBack: reader => {
+          reader.chartActions.clearReadBack();
+        },
+        reportCurrent: (reader, _, now) => {
+          reader.chartActions.reportCurrent(now);
+        },
+        reportReadBack: (reader, _, now) => {
+          reader.chartActions.reportReadBack(now);
+        },
+        reportDown: (reader, _, now) => {
+          reader.chartActions.reportDown(now);
+        },
+      },
+      guards: {
+        hasRecords: (reader, event) => reader.chartActions.hasRecords(event),
+        wantsMore: (reader, event) => reader.chartActions.wantsMore(event),
+        wantsReadBack: reader => reader.chartActions.wantsReadBack(),
+      },
+      delays: {
+        READ_INTERVAL: () => claimReadIntervalMs,
+        RETRY_INTERVAL: () => claimRetryIntervalMs,
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/router/src/claims/claimWriter.ts
@@ -0,0 +1,178 @@
+/**
+ * Appends the records of one claims stream.
+ *
+ * A lost answer is settled by reading back: what is not found then is refused
+ * when it is a claim, and appended again when it is the end of one.
+ */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+  type ChartTimers,
+} from '@lycheetally/charts';
+import type { Milliseconds, Result } from '@lycheetally/common';
+import type { AnyClaimRecord, GatherPolicy } from '@lycheetally/decisions';
+import { maxWaitingClaimRecords } from '../constants.js';
+import type { LogPort } from '../ports/platform.js';
+import { encodeRecord } from './claimCodec.js';
+
+interface WriterEvent {
+  readonly type:
+    'ENQUEUED' | 'APPENDED' | 'APPEND_FAILED' | 'SETTLED' | 'LOG_DOWN';
+}
+
+export type WriterMachine = ChartMachine<ClaimWriter, WriterEvent>;
+
+/** A record on its way into the log. */
+export interface WaitingRecord {
+  readonly record: AnyClaimRecord;
+  /** Says whether the record was read from the log. */
+  isSeen(): boolean;
+  /** Called when the record was not found; `false` keeps it waiting. */
+  handleMissing(now: Milliseconds): boolean;
+}
+
+export interface WriterServices {
+  readonly timers: ChartTimers;
+  readonly logPort: LogPort;
+  readonly gathering: GatherPolicy;
+  /** Posts what became of an append into the loop. */
+  postClaimAppended(writer: ClaimWriter, appended: Result<number>): void;
+  /** Reads the stream at least up to the offset. */
+  requestRead(beforeOffset: number, now: Milliseconds): void;
+  /** Reads the stream to its end; `false` when the log does not answer. */
+  requestReadBack(now: Milliseconds): boolean;
+}
+
+export class ClaimWriter {
+  /** Appends sent since the start. */
+  appends = 0;
+  private waiting: WaitingRecord[] = [];
+  private batch: WaitingRecord[] = [];
+  private lastAppendAt: Milliseconds = 0;
+  private appendedBefore = 0;
+  private readonly chart: ChartInstance<ClaimWriter, WriterEvent>;
+
+  constructor(
+    machine: WriterMachine,
+    private readonly services: WriterServices,
+    private readonly stream: string,
+    now: Milliseconds,
+  ) {
+    this.chart = machine.createInstance(this, services.timers);
+    this.chart.start(now);
+  }
+
+  /** Enqueues a record; the oldest ends are dropped when too many wait. */
+  enqueue(waiting: WaitingRecord, now: Milliseconds): void {
+    this.waiting.push(waiting);
+    if (this.waiting.length > maxWaitingClaimRecords) {
+      this.waiting.shift()?.handleMissing(now);
+    }
+    this.chart.send({ type: 'ENQUEUED' }, now);
+  }
+
+  receiveAppended(appended: Result<number>, now: Milliseconds): void {
+    if (appended.ok) {
+      this.appendedBefore = appended.val + this.batch.length;
+      this.chart.send({ type: 'APPENDED' }, now);
+      return;
+    }
+    this.chart.send({ type: 'APPEND_FAILED' }, now);
+  }
+
+  /** The stream was read to its end. */
+  handleReadBack(now: Milliseconds): void {
+    this.chart.send({ type: 'SETTLED' }, now);
+    if (this.waiting.length > 0) {
+      this.chart.send({ type: 'ENQUEUED' }, now);
+    }
+  }
+
+  handleDown(now: Milliseconds): void {
+    this.chart.send({ type: 'LOG_DOWN' }, now);
+  }
+
+  /** Actions, guards and delays of the chart. */
+  readonly chartActions = {
+    sendBatch: (now: Milliseconds): void => {
+      const view = this.viewGathering();
+      const count = this.services.gathering.countBatch(view);
+      this.batch = this.waiting.splice(0, count);
+      this.lastAppendAt = now;
+      this.appends += 1;
+      const values = this.batch.map(({ record }) => encodeRecord(record));
+      void this.services.logPort.append(this.stream, values).then(appended => {
+        this.services.postClaimAppended(this, appended);
+      });
+    },
+    readBatch: (now: Milliseconds): void => {
+      this.batch = [];
+      this.services.requestRead(this.appendedBefore, now);
+    },
+    readBack: (now: Milliseconds): void => {
+      if (!this.services.requestReadBack(now)) {
+        this.chart.send({ type: 'LOG_DOWN' }, now);
+      }
+    },
+    settleBatch: (now: Milliseconds): void => {
+      const batch = this.batch;
+      this.batch = [];
+      this.keepUnanswered(batch, now);
+    },
+    refuseWaiting: (now: Milliseconds): void => {
+      const waiting = this.waiting;
+      this.waiting = [];
+      this.keepUnanswered(waiting, now);
+    },
+    hasWaiting: (): boolean => this.waiting.length > 0,
+    computeWait: (now: Milliseconds): Milliseconds =>
+      this.services.gathering.computeWait(this.viewGathering(), now),
+  };
+
+  private keepUnanswered(
+    records: readonly WaitingRecord[],
+    now: Milliseconds,
+  ): void {
+    const kept = records.filter(
+      record => !record.isSeen() && !record.handleMissing(now),
+    );
+    this.waiting = [...kept, ...this.waiting];
+  }
+
+  private viewGathering(): {
+    waiting: number;
+    lastAppendAt: Milliseconds;
+  } {
+    return { waiting: this.waiting.length, lastAppendAt: this.lastAppendAt };
+  }
+}
+
+/** Binds the chart `claimWriter`. Fails with `BadChart`. */
+export const bindWriterChart = (): Result<WriterMachine> =>
+  loadChart(ChartName.ClaimWriter).andThen(chart =>
+    ChartMachine.bind<ClaimWriter, WriterEvent>(chart, {
+      actions: {
+        sendBatch: (writer, _, now) => {
+          writer.chartActions.sendBatch(now);
+        },
+        readBatch: (writer, _, now) => {
+          writer.chartActions.readBatch(now);
+        },
+        readBack: (writer, _, now) => {
+          writer.chartActions.readBack(now);
+        },
+        settleBatch: (writer, _, now) => {
+          writer.chartActions.settleBatch(now);
+        },
+        refuseWaiting: (writer, _, now) => {
+          writer.chartActions.refuseWaiting(now);
+        },
+      },
+      guards: { hasWaiting: writer => writer.chartActions.hasWaiting() },
+      delays: {
+        GATHER_WAIT: (writer, now) => writer.chartActions.computeWait(now),
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/router/src/claims/entryClaims.ts
@@ -0,0 +1,136 @@
+/** The claims of an entry's requests, and its questions to agents about others. */
+import type { Milliseconds } from '@lycheetally/common';
+import {
+  Outcome,
+  type ClaimRecord,
+  type TakeoverRecord,
+} from '@lycheetally/decisions';
+import {
+  MessageKind,
+  type AttemptRef,
+  type PeerMessage,
+} from '@lycheetally/protocol';
+import type { AttemptContext } from '../entry/attemptContext.js';
+import type { RequestContext } from '../entry/requestContext.js';
+import type { EventLog } from '../eventLog.js';
+import { ClaimBook, type ClaimSettings } from './claimBook.js';
+import {
+  AskResult,
+  ClaimAttemptContext,
+  hashClaimBody,
+  hashClaimKey,
+  type ClaimServices,
+} from './claimContext.js';
+import { createEnd, toAskedEvent } from './claimEnds.js';
+import type { StreamServices } from './claimStream.js';
+import { RequestClaimOwner } from './requestClaim.js';
+
+/** What the claims need of their entry. */
+export interface EntryClaimServices extends StreamServices {
+  readonly events: EventLog;
+  /** Sends to one start of an agent. */
+  sendToAgent(
+    serverId: string,
+    incarnation: string,
+    message: PeerMessage,
+  ): AskResult;
+}
+
+export class EntryClaims {
+  readonly book: ClaimBook;
+  private readonly services: ClaimServices;
+  private readonly asking = new Map<string, Set<ClaimAttemptContext>>();
+
+  constructor(
+    settings: ClaimSettings,
+    private readonly entryServices: EntryClaimServices,
+    now: Milliseconds,
+  ) {
+    this.book = new ClaimBook(settings, entryServices, now);
+    this.services = {
+      timers: entryServices.timers,
+      events: entryServices.events,
+      book: this.book,
+      requestPromise: (claim, asker) => this.requestPromise(claim, asker),
+    };
+  }
+
+  /** Starts the claim of a request's next attempt. */
+  startClaim(context: RequestContext, now: Milliseconds): void {
+    const { request, claim: earlier } = context;
+    const idempotencyKey = request.idempotencyKey ?? '';
+    const claim = new ClaimAttemptContext(
+      this.services,
+      new RequestClaimOwner(context),
+      {
+        idempotencyKey,
+        key: hashClaimKey(
+          request.account,
+          request.service.name,
+          idempotencyKey,
+        ),
+        bodyHash: hashClaimBody(request.model, request.plain),
+        ref: { requestId: request.requestId, attempt: context.attempts + 1 },
+      },
+    );
+    // A claimed attempt is followed by another only when it was not run.
+    claim.promisedClaimId = earlier?.own?.claimId;
+    context.claim = claim;
+    claim.start(now);
+  }
+
+  /** Records how a claimed attempt ended; a doubtful end stays open. */
+  recordAttemptEnd(
+    attempt: AttemptContext,
+    outcome: Outcome,
+    now: Milliseconds,
+  ): void {
+    const claim = attempt.owner.claim;
+    if (!claim?.own || outcome === Outcome.Unknown) {
+      return;
+    }
+    const detail = {
+      reason: attempt.error?.message ?? '',
+      plain: outcome === Outcome.Complete ? attempt.end?.plain : undefined,
+    };
+    claim.stream.appendEnd(createEnd(claim.own, outcome, detail, now), now);
+  }
+
+  /** Hands an agent's answer to the claims that asked about its attempt. */
+  receiveAnswer(message: PeerMessage, now: Milliseconds): void {
+    if (!('requestId' in message.value)) {
+      return;
+    }
+    const key = formatRef(message.value);
+    const claims = this.asking.get(key);
+    for (const claim of [...(claims ?? [])]) {
+      const event = claim.asked && toAskedEvent(claim.asked, message, now);
+      if (event) {
+        claim.send(event, now);
+      }
+      if (claim.instance?.isFinal !== false) {
+        claims?.delete(claim);
+      }
+    }
+    if (claims?.size === 0) {
+      this.asking.delete(key);
+    }
+  }
+
+  private requestPromise(
+    asked: ClaimRecord | TakeoverRecord,
+    asker: ClaimAttemptContext,
+  ): AskResult {
+    const { requestId, attempt, serverId, incarnation } = asked;
+    const ref = { requestId, attempt };
+    const known = this.asking.get(formatRef(ref)) ?? new Set();
+    this.asking.set(formatRef(ref), known.add(asker));
+    return this.entryServices.sendToAgent(serverId, incarnation, {
+      kind: MessageKind.Revoke,
+      value: ref,
+    });
+  }
+}
+
+const formatRef = (ref: AttemptRef): string =>
+  `${ref.requestId}/${String(ref.attempt)}`;
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -77,3 +77,27 @@
 
 /** Tokens generated when a caller names no number. */
 export const defaultMaxTokens = 64;
+
+/** Milliseconds between reads of a claims stream when nothing asks for one. */
+export const claimReadIntervalMs = 200;
+
+/** Milliseconds before a claims stream that could not be read is tried again. */
+export const claimRetryIntervalMs = 500;
+
+/** Milliseconds for which a repeat waits for the attempt that holds its key. */
+export const claimPatienceMs = 1_000;
+
+/** Milliseconds between questions to the agent that a claim names. */
+export const claimAskIntervalMs = 250;
+
+/** Milliseconds in which that agent must answer. */
+export const claimAskBoundMs = 3_000;
+
+/** Records that wait for one claims stream at most. */
+export const maxWaitingClaimRecords = 20_000;
+
+/** The most records in one append. */
+export const maxClaimBatch = 500;
+
+/** The largest answer that a claims stream keeps for repeats, in bytes. */
+export const maxClaimAnswerBytes = 65_536;
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -16,20 +16,25 @@
 } from '@lycheetally/common';
 import {
   BoundedRetry,
+  GroupCommit,
   LeastOutstandingRouting,
   OpenAdmission,
   ServiceKind,
+  SingleCommit,
   UrgencyOrder,
+  type GatherPolicy,
 } from '@lycheetally/decisions';
 import { ConnectPeerNetwork } from './adapters/connectPeers.js';
 import { HttpEngine } from './adapters/engineHttp.js';
 import { HttpPlainService } from './adapters/plainServiceHttp.js';
 import { HttpLog, HttpVmList } from './adapters/platformHttp.js';
 import { PQueueSlots } from './adapters/pQueueSlots.js';
+import { maxClaimBatch } from './constants.js';
 import { AgentNode } from './agent/agentNode.js';
 import { SystemClock } from './clock.js';
 import { EntryNode } from './entry/entryNode.js';
 import {
+  ClaimBatching,
   agentSettingsSchema,
   entrySettingsSchema,
   formatAddresses,
@@ -96,6 +101,11 @@
     return { node, addresses: { ...(await node.start(peers, operators)) } };
   });
 
+const createGathering = ({ claims }: EntryFileSettings): GatherPolicy =>
+  claims.batching === ClaimBatching.Group
+    ? new GroupCommit(maxClaimBatch, claims.appendGapMs)
+    : new SingleCommit();
+
 /** Creates an entry over the network. */
 export const createEntry = (settings: EntryFileSettings): EntryNode =>
   new EntryNode(
@@ -104,6 +114,10 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
+      claims: {
+        streams: settings.claims.streams,
+        windowMs: settings.claims.windowSeconds * millisecondsPerSecond,
+      },
     },
     {
       clock: new SystemClock(),
@@ -116,6 +130,7 @@
         routing: new LeastOutstandingRouting(),
         retry: new BoundedRetry(),
       },
+      gathering: createGathering(settings),
     },
   );
 
--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -158,6 +158,7 @@
 ): void => {
   const { owner } = attempt;
   owner.attemptOutcomes.push(outcome);
+  owner.services.claims.recordAttemptEnd(attempt, outcome, now);
   owner.services.events.record(formatEventKind(event), now, attempt.ref);
   owner.services.countOutstanding(attempt.route, -1);
   attempt.instance?.dispose();
--- a/packages/router/src/entry/attemptContext.ts
+++ b/packages/router/src/entry/attemptContext.ts
@@ -8,7 +8,7 @@
 /** Events of the chart `attempt`. */
 export type AttemptEvent =
   | { readonly type: 'ACCEPTED' | 'STARTED' | 'REVOKED' | 'CANCELLED' }
-  | { readonly type: 'CANCEL' }
+  | { readonly type: 'CANCEL' | 'WITHDRAW' }
   | {
       readonly type:
         | 'CONNECTION_LOST'
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -11,6 +11,7 @@
 } from '@lycheetally/common';
 import {
   Outcome,
+  type GatherPolicy,
   type Route,
   type RouterConfiguration,
   type ServerView,
@@ -22,6 +23,13 @@
   type PeerMessage,
 } from '@lycheetally/protocol';
 import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
+import {
+  defaultClaimSettings,
+  type ClaimLogEvents,
+  type ClaimSettings,
+} from '../claims/claimBook.js';
+import { AskResult } from '../claims/claimContext.js';
+import { EntryClaims } from '../claims/entryClaims.js';
 import { vmListIntervalMs } from '../constants.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
@@ -55,7 +63,7 @@
 import { deliverToken, type RelayCounts } from './tokenRelay.js';
 
 /** Events that an entry takes. */
-export interface EntryEvents extends NodeEvents {
+export interface EntryEvents extends NodeEvents, ClaimLogEvents {
   callReceived: { call: CallerCall; exchange: CallerExchange };
   callerGone: { exchange: CallerExchange };
   followerEvent: { event: FollowerEvent };
@@ -67,11 +75,13 @@
   readonly log: LogPort;
   readonly vmList: VmListPort;
   readonly policies: EntryPolicies;
+  readonly gathering: GatherPolicy;
 }
 
 export interface EntrySettings extends NodeSettings {
   /** The largest body that a caller may send, in bytes. */
   readonly maxBodyBytes: number;
+  readonly claims?: ClaimSettings;
 }
 
 /** Addresses that an entry listens on. */
@@ -108,6 +118,7 @@
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
+  private readonly claims: EntryClaims;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
@@ -123,6 +134,7 @@
       this.createOutgoing(address, now),
     );
     this.machine = takeValue(bindRequestChart());
+    this.claims = this.createClaims();
     this.services = this.createServices();
     this.follower = this.createFollower();
     this.loop.setHandlers({
@@ -138,6 +150,12 @@
       followerEvent: ({ event }, now) => {
         this.follower.receive(event, now);
       },
+      claimRead: ({ reader, read }, now) => {
+        reader.receiveRead(read, now);
+      },
+      claimAppended: ({ writer, appended }, now) => {
+        writer.receiveAppended(appended, now);
+      },
       vmListRead: ({ list }, now) => {
         this.receiveVmList(list, now);
       },
@@ -157,6 +175,7 @@
     const now = this.clock.getNow();
     this.begin(now);
     this.follower.start(now);
+    this.claims.book.start(now);
     this.readVmList();
     return bound;
   }
@@ -183,6 +202,7 @@
       configVersion: this.follower.inForce?.version ?? 0,
       openRequests: this.requests.size,
       tokens: this.relayCounts,
+      claims: this.claims.book.describe(),
       members: this.members.listMembers().map(describeMember),
     };
   }
@@ -307,6 +327,7 @@
   }
 
   private receiveAttemptMessage(message: PeerMessage, now: Milliseconds): void {
+    this.claims.receiveAnswer(message, now);
     const event = toAttemptEvent(message);
     if (!event) {
       return;
@@ -348,6 +369,51 @@
     });
   }
 
+  private createClaims(): EntryClaims {
+    const services = {
+      timers: this.loop,
+      logPort: this.entryPorts.log,
+      events: this.events,
+      log: this.ports.loggers.createLogger(LogPart.Claims),
+      gathering: this.entryPorts.gathering,
+      postClaimRead: (
+        reader: ClaimLogEvents['claimRead']['reader'],
+        read: ClaimLogEvents['claimRead']['read'],
+      ) => {
+        this.loop.post('claimRead', { reader, read });
+      },
+      postClaimAppended: (
+        writer: ClaimLogEvents['claimAppended']['writer'],
+        appended: Result<number>,
+      ) => {
+        this.loop.post('claimAppended', { writer, appended });
+      },
+      sendToAgent: (
+        serverId: string,
+        incarnation: string,
+        message: PeerMessage,
+      ) => this.sendToAgent(serverId, incarnation, message),
+    };
+    const settings = this.entrySettings.claims ?? defaultClaimSettings;
+    return new EntryClaims(settings, services, this.clock.getNow());
+  }
+
+  private sendToAgent(
+    serverId: string,
+    incarnation: string,
+    message: PeerMessage,
+  ): AskResult {
+    const member = this.members.findByServer(serverId);
+    if (!member?.channel.isOpen) {
+      return AskResult.Unreachable;
+    }
+    if (member.hello?.incarnation !== incarnation) {
+      return AskResult.Gone;
+    }
+    member.channel.send(message);
+    return AskResult.Sent;
+  }
+
   private createServices(): RequestServices {
     return {
       entryId: this.settings.id,
@@ -356,6 +422,7 @@
       log: this.log,
       policies: this.entryPorts.policies,
       attempts: takeValue(bindAttemptChart()),
+      claims: this.claims,
       getConfiguration: () => this.follower.inForce,
       listServers: service => this.members.listServers(service),
       sendToServer: (server, message) => this.sendToServer(server, message),
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -65,6 +65,14 @@
   context.instance?.send({ type: 'ROUTED' }, now);
 };
 
+export const startClaim: RequestAction = (context, _, now) => {
+  context.services.claims.startClaim(context, now);
+};
+
+export const withdrawClaim: RequestAction = (context, _, now) => {
+  context.claim?.send({ type: 'WITHDRAW' }, now);
+};
+
 export const startAttempt: RequestAction = (context, _, now) => {
   const { services, request } = context;
   context.attempts += 1;
@@ -90,6 +98,11 @@
   context.attempt?.instance?.send({ type: 'CANCEL' }, now);
 };
 
+/** Asks for a promise not to run; work that has started goes on. */
+export const withdrawAttempt: RequestAction = (context, _, now) => {
+  context.attempt?.instance?.send({ type: 'WITHDRAW' }, now);
+};
+
 export const noteCancelled: RequestAction = (context, _, now) => {
   context.isCancelled = true;
   context.error = new TypedError(
@@ -199,8 +212,11 @@
       actions: {
         decideAdmission,
         chooseRoute,
+        startClaim,
+        withdrawClaim,
         startAttempt,
         cancelAttempt,
+        withdrawAttempt,
         noteCancelled,
         noteReason,
         noteMissedEnd,
@@ -211,6 +227,7 @@
         answerUnknown,
       },
       guards: {
+        needsClaim: context => context.request.idempotencyKey !== undefined,
         hasWholeAnswer: context => context.hasLastToken,
         mayRetry: (context, _, now) => mayRetry(context, now),
         mayWaitForRoute: (context, _, now) =>
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -22,6 +22,8 @@
   PeerMessage,
   PlainWork,
 } from '@lycheetally/protocol';
+import type { ClaimAttemptContext } from '../claims/claimContext.js';
+import type { EntryClaims } from '../claims/entryClaims.js';
 import type { EventLog } from '../eventLog.js';
 import type { CallerExchange } from '../ports/callerExchange.js';
 import type { AttemptContext, AttemptEvent } from './attemptContext.js';
@@ -57,10 +59,14 @@
   | {
       readonly type: 'ADMITTED' | 'ROUTED' | 'ATTEMPT_COMPLETE';
     }
+  | { readonly type: 'CLAIM_WON' | 'CLAIM_COMPLETE' }
   | {
       readonly type:
         | 'REFUSED'
         | 'UNROUTABLE'
+        | 'CLAIM_FAILED'
+        | 'CLAIM_NOT_RUN'
+        | 'CLAIM_UNKNOWN'
         | 'ATTEMPT_NOT_RUN'
         | 'ATTEMPT_FAILED'
         | 'ATTEMPT_UNKNOWN';
@@ -77,6 +83,7 @@
   readonly log: PartLogger;
   readonly policies: EntryPolicies;
   readonly attempts: ChartMachine<AttemptContext, AttemptEvent>;
+  readonly claims: EntryClaims;
   getConfiguration(): RouterConfiguration | undefined;
   listServers(service: string): readonly ServerView[];
   /** Sends to the agent of a server; returns false when that start of it can't be reached. */
@@ -93,6 +100,8 @@
   instance: RequestInstance | undefined;
   route: Route | undefined;
   attempt: AttemptContext | undefined;
+  /** The claim of the latest attempt; only with an idempotency key. */
+  claim: ClaimAttemptContext | undefined;
   attempts: number;
   /** How each attempt that has ended did end. */
   attemptOutcomes: Outcome[];
@@ -132,6 +141,7 @@
   instance: undefined,
   route: undefined,
   attempt: undefined,
+  claim: undefined,
   attempts: 0,
   attemptOutcomes: [],
   avoided: [],
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -33,11 +33,35 @@
 
 const platformSchema = z.strictObject({ log: urlSchema, vmList: urlSchema });
 
+/** How the records of claims share appends. */
+export const ClaimBatching = {
+  /** Many records to an append. */
+  Group: 'group',
+  /** One record to an append, for comparison. */
+  Single: 'single',
+} as const;
+export type ClaimBatching = (typeof ClaimBatching)[keyof typeof ClaimBatching];
+
+const claimsSchema = z
+  .strictObject({
+    /** Streams that keys are spread over; the same at every entry. */
+    streams: createNumberSchema(1, 64).default(2),
+    /** Time for which a key is remembered. */
+    windowSeconds: createNumberSchema(120, 7 * 24 * 3_600).default(3_600),
+    /** The least time between appends of one stream. */
+    appendGapMs: createNumberSchema(0, 10_000).default(10),
+    batching: z
+      .enum(ClaimBatching, { error: 'write "group" or "single"' })
+      .default(ClaimBatching.Group),
+  })
+  .prefault({});
+
 /** Schema of an entry's settings file. */
 export const entrySettingsSchema = z.strictObject({
   process: processSchema,
   listen: z.strictObject({ callers: addressSchema, operators: addressSchema }),
   platform: platformSchema,
+  claims: claimsSchema,
   limits: z
     .strictObject({
       maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024).default(
