--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -25,6 +25,8 @@
   Claim: 'claim',
   ClaimReader: 'claimReader',
   ClaimWriter: 'claimWriter',
+  ConfigHolder: 'configHolder',
+  Publication: 'publication',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
 export * from './claims/claimRecords.js';
 export * from './claims/claimRules.js';
 export * from './claims/gatherPolicy.js';
+export * from './config/index.js';
 export * from './outcome.js';
 export * from './retry.js';
 export * from './routing.js';
--- a/packages/router/src/claims/claimCodec.ts
+++ b/packages/router/src/claims/claimCodec.ts
@@ -49,11 +49,11 @@
   }),
 ]);
 
-export const encodeRecord = (record: AnyClaimRecord): string =>
+export const encodeClaimRecord = (record: AnyClaimRecord): string =>
   JSON.stringify(record);
 
 /** Parses a record. Fails with `BadMessage`. */
-export const parseRecord = (text: string): Result<AnyClaimRecord> => {
+export const parseClaimRecord = (text: string): Result<AnyClaimRecord> => {
   const parsed = recordSchema.safeParse(parseJson(text));
   if (parsed.success) {
     return Ok(parsed.data);
--- a/packages/router/src/claims/claimReader.ts
+++ b/packages/router/src/claims/claimReader.ts
@@ -14,7 +14,7 @@
 } from '@lycheetally/common';
 import { claimReadIntervalMs, claimRetryIntervalMs } from '../constants.js';
 import type { LogPort, LogSpan } from '../ports/platform.js';
-import { parseRecord } from './claimCodec.js';
+import { parseClaimRecord } from './claimCodec.js';
 import type { ClaimIndex } from './claimIndex.js';
 
 type ReaderEvent =
@@ -138,7 +138,7 @@
     if (offset < this.cursor) {
       return;
     }
-    const parsed = parseRecord(value);
+    const parsed = parseClaimRecord(value);
     if (parsed.err) {
       this.services.log.warn('A claims record is left out', {
         stream: this.stream,
--- a/packages/router/src/claims/claimWriter.ts
+++ b/packages/router/src/claims/claimWriter.ts
@@ -15,7 +15,7 @@
 import type { AnyClaimRecord, GatherPolicy } from '@lycheetally/decisions';
 import { maxWaitingClaimRecords } from '../constants.js';
 import type { LogPort } from '../ports/platform.js';
-import { encodeRecord } from './claimCodec.js';
+import { encodeClaimRecord } from './claimCodec.js';
 
 interface WriterEvent {
   readonly type:
@@ -102,7 +102,7 @@
       this.batch = this.waiting.splice(0, count);
       this.lastAppendAt = now;
       this.appends += 1;
-      const values = this.batch.map(({ record }) => encodeRecord(record));
+      const values = this.batch.map(({ record }) => encodeClaimRecord(record));
       void this.services.logPort.append(this.stream, values).then(appended => {
         this.services.postClaimAppended(this, appended);
       });
--- /dev/null
+++ b/packages/router/src/claims/connectClaims.ts
@@ -0,0 +1,86 @@
+/** Connects an entry's claims to its loop, its log and its agents. */
+import type { ChartTimers } from '@lycheetally/charts';
+import type { Milliseconds, PartLogger } from '@lycheetally/common';
+import type { GatherPolicy } from '@lycheetally/decisions';
+import type { PeerMessage } from '@lycheetally/protocol';
+import type { MemberDirectory } from '../entry/memberDirectory.js';
+import type { EventLog } from '../eventLog.js';
+import type { LoopHandlers } from '../loop.js';
+import type { LogPort } from '../ports/platform.js';
+import {
+  defaultClaimSettings,
+  type ClaimLogEvents,
+  type ClaimSettings,
+} from './claimBook.js';
+import { AskResult } from './claimContext.js';
+import { EntryClaims } from './entryClaims.js';
+
+/** What claims use of an entry. */
+export interface ClaimEnvironment {
+  readonly loop: ChartTimers & {
+    post<K extends keyof ClaimLogEvents>(
+      kind: K,
+      payload: ClaimLogEvents[K],
+    ): void;
+  };
+  readonly logPort: LogPort;
+  readonly gathering: GatherPolicy;
+  readonly events: EventLog;
+  readonly log: PartLogger;
+  readonly members: MemberDirectory;
+}
+
+/** Creates the claims of an entry. Throws `BadChart`. */
+export const createEntryClaims = (
+  environment: ClaimEnvironment,
+  settings: ClaimSettings | undefined,
+  now: Milliseconds,
+): EntryClaims => {
+  const { loop, logPort, gathering, events, log, members } = environment;
+  return new EntryClaims(
+    settings ?? defaultClaimSettings,
+    {
+      timers: loop,
+      logPort,
+      gathering,
+      events,
+      log,
+      postClaimRead: (reader, read) => {
+        loop.post('claimRead', { reader, read });
+      },
+      postClaimAppended: (writer, appended) => {
+        loop.post('claimAppended', { writer, appended });
+      },
+      sendToAgent: (serverId, incarnation, message) =>
+        sendToAgent(members, serverId, incarnation, message),
+    },
+    now,
+  );
+};
+
+/** Creates the handlers of the claims' events. */
+export const createClaimHandlers = (): LoopHandlers<ClaimLogEvents> => ({
+  claimRead: ({ reader, read }, now) => {
+    reader.receiveRead(read, now);
+  },
+  claimAppended: ({ writer, appended }, now) => {
+    writer.receiveAppended(appended, now);
+  },
+});
+
+const sendToAgent = (
+  members: MemberDirectory,
+  serverId: string,
+  incarnation: string,
+  message: PeerMessage,
+): AskResult => {
+  const member = members.findByServer(serverId);
+  if (!member?.channel.isOpen) {
+    return AskResult.Unreachable;
+  }
+  if (member.hello?.incarnation !== incarnation) {
+    return AskResult.Gone;
+  }
+  member.channel.send(message);
+  return AskResult.Sent;
+};
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -21,6 +21,7 @@
   OpenAdmission,
   ServiceKind,
   SingleCommit,
+  SpreadSnapshots,
   UrgencyOrder,
   type GatherPolicy,
 } from '@lycheetally/decisions';
@@ -125,6 +126,10 @@
       loggers: new LoggerFactory(settings.process.id),
       log: new HttpLog(settings.platform.log),
       vmList: new HttpVmList(settings.platform.vmList),
+      snapshots: new SpreadSnapshots(
+        settings.config.snapshotSeconds * millisecondsPerSecond,
+        settings.config.snapshotRecords,
+      ),
       policies: {
         admission: new OpenAdmission(),
         routing: new LeastOutstandingRouting(),
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -10,11 +10,14 @@
   type Result,
 } from '@lycheetally/common';
 import {
+  ConditionalAcceptance,
   Outcome,
   type GatherPolicy,
+  emptyConfiguration,
+  toPosition,
   type Route,
-  type RouterConfiguration,
   type ServerView,
+  type SnapshotPolicy,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
@@ -23,13 +26,18 @@
   type PeerMessage,
 } from '@lycheetally/protocol';
 import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
+import type { ClaimLogEvents, ClaimSettings } from '../claims/claimBook.js';
 import {
-  defaultClaimSettings,
-  type ClaimLogEvents,
-  type ClaimSettings,
-} from '../claims/claimBook.js';
-import { AskResult } from '../claims/claimContext.js';
-import { EntryClaims } from '../claims/entryClaims.js';
+  createClaimHandlers,
+  createEntryClaims,
+} from '../claims/connectClaims.js';
+import type { EntryClaims } from '../claims/entryClaims.js';
+import { ConfigFeed } from '../config/configFeed.js';
+import {
+  ConfigFollower,
+  bindFollowerChart,
+  type FollowerEvent,
+} from '../config/configFollower.js';
 import { vmListIntervalMs } from '../constants.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
@@ -45,11 +53,6 @@
 import { bindAttemptChart } from './attemptActions.js';
 import { toAttemptEvent } from './attemptMessages.js';
 import { sendConnectionEvent } from './attemptConnections.js';
-import {
-  ConfigFollower,
-  bindFollowerChart,
-  type FollowerEvent,
-} from './configFollower.js';
 import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
@@ -76,6 +79,8 @@
   readonly vmList: VmListPort;
   readonly policies: EntryPolicies;
   readonly gathering: GatherPolicy;
+  /** Says when the configuration's stream gets a snapshot. */
+  readonly snapshots: SnapshotPolicy;
 }
 
 export interface EntrySettings extends NodeSettings {
@@ -119,6 +124,7 @@
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
   private readonly claims: EntryClaims;
+  private readonly feed: ConfigFeed;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
@@ -137,6 +143,7 @@
     this.claims = this.createClaims();
     this.services = this.createServices();
     this.follower = this.createFollower();
+    this.feed = this.createFeed();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       callReceived: ({ call, exchange }, now) => {
@@ -150,12 +157,7 @@
       followerEvent: ({ event }, now) => {
         this.follower.receive(event, now);
       },
-      claimRead: ({ reader, read }, now) => {
-        reader.receiveRead(read, now);
-      },
-      claimAppended: ({ writer, appended }, now) => {
-        writer.receiveAppended(appended, now);
-      },
+      ...createClaimHandlers(),
       vmListRead: ({ list }, now) => {
         this.receiveVmList(list, now);
       },
@@ -200,6 +202,10 @@
       ready: this.isReady(),
       leaving: this.isStopping,
       configVersion: this.follower.inForce?.version ?? 0,
+      config: {
+        ...toPosition(this.follower.state),
+        standing: this.follower.standing,
+      },
       openRequests: this.requests.size,
       tokens: this.relayCounts,
       claims: this.claims.book.describe(),
@@ -217,6 +223,7 @@
   }
 
   override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
+    this.feed.handleOpen(channel);
     const earlier = this.members.findByChannel(channel)?.hello;
     const hello = this.members.noteOpen(channel)?.hello;
     const requests = this.requests.values();
@@ -257,7 +264,9 @@
         this.members.noteReport(channel, message.value);
         return;
       default:
-        this.receiveAttemptMessage(message, now);
+        if (!this.feed.receive(channel, message, now)) {
+          this.receiveAttemptMessage(message, now);
+        }
     }
   }
 
@@ -359,8 +368,11 @@
 
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
+      nodeId: this.settings.id,
       timers: this.loop,
       logPort: this.entryPorts.log,
+      acceptance: new ConditionalAcceptance(),
+      snapshots: this.entryPorts.snapshots,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
       postFollowerEvent: event => {
@@ -370,48 +382,31 @@
   }
 
   private createClaims(): EntryClaims {
-    const services = {
-      timers: this.loop,
+    const environment = {
+      loop: this.loop,
       logPort: this.entryPorts.log,
+      gathering: this.entryPorts.gathering,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Claims),
-      gathering: this.entryPorts.gathering,
-      postClaimRead: (
-        reader: ClaimLogEvents['claimRead']['reader'],
-        read: ClaimLogEvents['claimRead']['read'],
-      ) => {
-        this.loop.post('claimRead', { reader, read });
-      },
-      postClaimAppended: (
-        writer: ClaimLogEvents['claimAppended']['writer'],
-        appended: Result<number>,
-      ) => {
-        this.loop.post('claimAppended', { writer, appended });
-      },
-      sendToAgent: (
-        serverId: string,
-        incarnation: string,
-        message: PeerMessage,
-      ) => this.sendToAgent(serverId, incarnation, message),
+      members: this.members,
     };
-    const settings = this.entrySettings.claims ?? defaultClaimSettings;
-    return new EntryClaims(settings, services, this.clock.getNow());
+    const now = this.clock.getNow();
+    return createEntryClaims(environment, this.entrySettings.claims, now);
   }
 
-  private sendToAgent(
-    serverId: string,
-    incarnation: string,
-    message: PeerMessage,
-  ): AskResult {
-    const member = this.members.findByServer(serverId);
-    if (!member?.channel.isOpen) {
-      return AskResult.Unreachable;
-    }
-    if (member.hello?.incarnation !== incarnation) {
-      return AskResult.Gone;
-    }
-    member.channel.send(message);
-    return AskResult.Sent;
+  private createFeed(): ConfigFeed {
+    const feed = new ConfigFeed({
+      getState: () => this.follower.state,
+      takeState: (state, now) => {
+        this.follower.receive({ type: 'HANDED_OVER', state }, now);
+      },
+    });
+    this.store.add(
+      this.follower.advanced.subscribe(span => {
+        feed.publishStep(span, this.members.listOpenChannels());
+      }),
+    );
+    return feed;
   }
 
   private createServices(): RequestServices {
@@ -458,13 +453,6 @@
   }
 }
 
-const emptyConfiguration: RouterConfiguration = {
-  version: 0,
-  ranks: [],
-  accounts: [],
-  services: [],
-};
-
 const describeMember = (member: Member): object => ({
   server: member.hello?.backend?.serverId ?? '',
   address: member.address,
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -1,10 +1,22 @@
 /** A small whole system as separate processes: platform, backend servers, agents, entries. */
-import { hashKey, callJson, type VmRecord } from '@lycheetally/router';
+import {
+  ConfigPublisher,
+  HttpLog,
+  SystemClock,
+  callJson,
+  hashKey,
+  type VmRecord,
+} from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
 import type { TcpRelay } from '../faults/tcpRelay.js';
 import { FleetRelays } from './fleetRelays.js';
-import { DaemonPath, ProcessFleet, type FleetProcess } from './processFleet.js';
+import {
+  DaemonPath,
+  ProcessFleet,
+  type FleetProcess,
+  type SettingsSections,
+} from './processFleet.js';
 
 /** The size of a fleet and the speed of its stand-ins. */
 export interface FleetOptions {
@@ -169,12 +181,16 @@
     await this.agentStarts.get(server)?.();
   }
 
-  /** Appends a configuration to the log. */
+  /** Publishes a configuration on top of the current one. */
   async publishConfiguration(
     configuration: RouterConfiguration,
   ): Promise<void> {
-    const body = { values: [JSON.stringify(configuration)] };
-    await this.post(`${this.logUrl}/streams/config/records`, body);
+    const publisher = new ConfigPublisher(
+      new HttpLog(this.logUrl),
+      new SystemClock(),
+      'fleet',
+    );
+    (await publisher.publish(configuration)).unwrap();
   }
 
   /** Switches faults of the log service. */
@@ -184,6 +200,18 @@
     await this.post(`${this.logUrl}/control`, faults);
   }
 
+  /** Drops the records of a stream before an offset, as retention does. */
+  async trimStream(stream: string, before: number): Promise<void> {
+    await this.post(`${this.logUrl}/trim`, { stream, before });
+  }
+
+  /** Reads the status of an entry or agent. */
+  async getStatus(name: string): Promise<Record<string, unknown>> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as Record<string, unknown>;
+  }
+
   /** Changes the VM list. */
   async updateVmList(update: {
     readonly put?: readonly VmRecord[];
@@ -194,12 +222,16 @@
   }
 
   /** Starts an entry and waits until it is ready. */
-  async startEntry(name: string): Promise<FleetProcess> {
+  async startEntry(
+    name: string,
+    sections: SettingsSections = {},
+  ): Promise<FleetProcess> {
     const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Entry, {
       process: { id: name, failureDomain: 'bc-south-a', drainSeconds },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
+      ...sections,
     });
     const operators = `http://${started.addresses.operators ?? ''}`;
     await waitUntil(`${name} reaches every server`, () =>
