--- /dev/null
+++ b/bench/src/policy/ourRules.ts
@@ -0,0 +1,42 @@
+/** The rules that the processes run with. */
+import {
+  BudgetedRetry,
+  DelayQueueBound,
+  LimitedAdmission,
+  LinkTable,
+  LoadBook,
+  PredictiveRouting,
+  RankedOrder,
+  TargetGate,
+  type RankRule,
+  type WaitingWork,
+} from '@lycheetally/decisions';
+import { benchLinks } from './fakeFleet.js';
+import type { PolicySet } from './policySet.js';
+
+export const ourRules: PolicySet = {
+  name: 'ours',
+  createEntryRules: seed => {
+    const book = new LoadBook();
+    return {
+      admission: new LimitedAdmission(),
+      routing: new PredictiveRouting({
+        book,
+        links: new LinkTable(benchLinks),
+        gate: new TargetGate(),
+        seed,
+        candidates: 6,
+        planIntervalMs: 2_000,
+      }),
+      retry: new BudgetedRetry(),
+      observer: book,
+    };
+  },
+  createOrder: <T extends WaitingWork>(ranks: readonly RankRule[]) =>
+    new RankedOrder<T>({ listRanks: () => ranks, weightOf: () => 1 }),
+  createBound: ranks =>
+    new DelayQueueBound({
+      maxWaitMs: ranks.map(rank => rank.targetMs),
+      maxWaiting: 2_000,
+    }),
+};
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,8 +10,8 @@
   ...new Set(
     verbsPage
       .split('\n')
-      .filter(line => line.startsWith('| `'))
-      .flatMap(line => line.split('|')[1].match(/[a-z]+/g)),
+      .filter(line => line.startsWith('- `'))
+      .flatMap(line => line.split(':')[0].match(/[a-z]+/g)),
   ),
 ];
 const verbPattern = `^(${verbs.join('|')})([A-Z].*)?$`;
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -25,6 +25,7 @@
 import { maxEndedAttempts, maxKeptAnswers } from '../constants.js';
 import { ConfigFeed } from '../config/configFeed.js';
 import { ConfigHolder, bindHolderChart } from '../config/configHolder.js';
+import { addGauge } from '../metrics/nodeMetrics.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -102,6 +103,7 @@
         this.holder.receive({ type: 'HANDED_OVER', state }, now);
       },
     });
+    this.addGauges();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       backendReported: ({ work, event }, now) => {
@@ -118,17 +120,26 @@
     peers: Address,
     operators: Address,
   ): Promise<{ peers: Address; operators: Address }> {
-    const boundPeers = takeValue(
-      await this.ports.network.listen(peers, stream =>
-        this.acceptStream(stream),
-      ),
-    );
+    const boundPeers = await this.listenForPeers(peers);
     const boundOperators = await this.listenForOperators(operators);
-    this.holder.start(this.clock.getNow());
-    this.begin(this.clock.getNow());
+    this.startServing(this.clock.getNow());
     return { peers: boundPeers, operators: boundOperators };
   }
 
+  /** Opens the port for entries and earlier stages. Throws `BadAddress`. */
+  async listenForPeers(address: Address): Promise<Address> {
+    const { network } = this.ports;
+    return takeValue(
+      await network.listen(address, stream => this.acceptStream(stream)),
+    );
+  }
+
+  /** Enters the loop. */
+  startServing(now: Milliseconds): void {
+    this.holder.start(now);
+    this.begin(now);
+  }
+
   override describeSelf(): Hello {
     return {
       nodeId: this.settings.id,
@@ -221,6 +232,25 @@
     return this.works.size;
   }
 
+  private addGauges(): void {
+    if (!this.isCounting) {
+      return;
+    }
+    const { slots } = this.agentPorts;
+    addGauge(
+      this.registry,
+      'work_running',
+      'Work that holds a place',
+      () => slots.running,
+    );
+    addGauge(
+      this.registry,
+      'work_waiting',
+      'Work that waits for a place',
+      () => slots.waiting,
+    );
+  }
+
   private get serverId(): string {
     return this.agentSettings.backend.serverId;
   }
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -101,3 +101,11 @@
 
 /** The largest answer that a claims stream keeps for repeats, in bytes. */
 export const maxClaimAnswerBytes = 65_536;
+/** Milliseconds of a minute. */
+export const msPerMinute = 60_000;
+
+/** Outcome records that an entry keeps. */
+export const defaultLedgerRecords = 50_000;
+
+/** Minutes for which an entry keeps an outcome record. */
+export const defaultLedgerMinutes = 60;
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -119,6 +119,7 @@
         streams: settings.claims.streams,
         windowMs: settings.claims.windowSeconds * millisecondsPerSecond,
       },
+      operations: settings.operations,
     },
     {
       clock: new SystemClock(),
@@ -149,6 +150,7 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
+      operations: settings.operations,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -25,6 +25,7 @@
 import type { ClaimAttemptContext } from '../claims/claimContext.js';
 import type { EntryClaims } from '../claims/entryClaims.js';
 import type { EventLog } from '../eventLog.js';
+import type { NewOutcomeRecord } from '../ledger/outcomeRecord.js';
 import type { CallerExchange } from '../ports/callerExchange.js';
 import type { AttemptContext, AttemptEvent } from './attemptContext.js';
 
@@ -90,6 +91,8 @@
   sendToServer(server: ServerView, message: PeerMessage): boolean;
   /** Counts work that this entry has at the servers of a route. */
   countOutstanding(route: Route, change: 1 | -1): void;
+  /** Adds the record of a request that ended to the ledger. */
+  recordOutcome(record: NewOutcomeRecord): void;
   handleRequestEnded(request: RequestContext, now: Milliseconds): void;
 }
 
@@ -110,6 +113,8 @@
   isCancelled: boolean;
   /** Tokens that the caller was sent, in order. */
   delivered: number[];
+  /** When the first token was sent to the caller. */
+  firstTokenAt: Milliseconds | undefined;
   /** Position of the last delivered token; absent before the first one. */
   lastPosition: number | undefined;
   /** Says whether the last delivered token ends the answer. */
@@ -148,6 +153,7 @@
   error: undefined,
   isCancelled: false,
   delivered: [],
+  firstTokenAt: undefined,
   lastPosition: undefined,
   hasLastToken: false,
   end: undefined,
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -30,6 +30,8 @@
   readonly layers: number;
   /** Milliseconds of a decode step of one stage. */
   readonly stepMs: number;
+  /** Microseconds of each further position of a span at one stage. */
+  readonly positionUs?: number;
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
@@ -39,6 +41,19 @@
   readonly hasRelays?: boolean;
   /** Seconds without an answer after which an agent gives its engine up. */
   readonly silenceSeconds?: number;
+  /** Names of the configuration; the usual ones when absent. */
+  readonly names?: FleetNames;
+  /** Section `operations` of every daemon's settings. */
+  readonly operations?: Readonly<Record<string, string | number>>;
+}
+
+/** The names that a fleet's configuration uses; ranks by falling urgency. */
+export interface FleetNames {
+  readonly model: string;
+  readonly booking: string;
+  readonly stock: string;
+  readonly ranks: readonly string[];
+  readonly accounts: readonly string[];
 }
 
 export const defaultFleetOptions: FleetOptions = {
@@ -53,14 +68,14 @@
   drainSeconds: 20,
 };
 
-/** The names that a fleet's configuration uses. */
+/** The usual names. */
 export const fleetNames = {
   model: 'pickup-assistant',
   booking: 'depot-booking',
   stock: 'stock-lookup',
   ranks: ['family', 'shift-summary', 'donor-report'],
   accounts: ['depot-north', 'depot-harbour'],
-} as const;
+} as const satisfies FleetNames;
 
 /** Returns the bearer key of an account of the fleet. */
 export const getAccountKey = (account: string): string => `key-of-${account}`;
@@ -75,27 +90,29 @@
 /** Builds the configuration that a fleet serves. */
 export const buildFleetConfiguration = (
   layers: number,
+  names: FleetNames = fleetNames,
 ): RouterConfiguration => ({
   version: 1,
-  ranks: fleetNames.ranks.map((name, urgency) => ({
+  ranks: names.ranks.map((name, urgency) => ({
     name,
     urgency,
     floor: 0.1,
     targetMs: 1_200 * 10 ** urgency,
   })),
-  accounts: fleetNames.accounts.map(name => ({
+  accounts: names.accounts.map(name => ({
     name,
     keyHash: hashKey('salt', getAccountKey(name)),
     weight: 1,
   })),
   services: [
-    createService(fleetNames.model, 'model', layers, true),
-    createService(fleetNames.booking, 'plain', 0, false),
-    createService(fleetNames.stock, 'plain', 0, true),
+    createService(names, names.model, 'model', layers, true),
+    createService(names, names.booking, 'plain', 0, false),
+    createService(names, names.stock, 'plain', 0, true),
   ],
 });
 
 const createService = (
+  names: FleetNames,
   name: string,
   kind: 'model' | 'plain',
   layers: number,
@@ -105,7 +122,7 @@
   kind,
   layers,
   idempotent,
-  accounts: fleetNames.accounts,
+  accounts: names.accounts,
 });
 
 /** Polls until the check holds. Throws when it does not in time. */
@@ -149,12 +166,21 @@
     this.relays = new FleetRelays(options.hasRelays ?? false);
   }
 
+  private get names(): FleetNames {
+    return this.options.names ?? fleetNames;
+  }
+
+  private get operations(): Pick<SettingsSections, 'operations'> | object {
+    const { operations } = this.options;
+    return operations ? { operations } : {};
+  }
+
   /** Starts everything and waits until each entry can reach each server. */
   async start(): Promise<void> {
     await this.startPlatform();
     await Promise.all([this.startModelServers(), this.startPlainServers()]);
     await this.publishConfiguration(
-      buildFleetConfiguration(this.options.layers),
+      buildFleetConfiguration(this.options.layers, this.names),
     );
     for (let index = 0; index < this.options.entries; index += 1) {
       await this.startEntry(`entry-${String(index)}`);
@@ -232,6 +258,7 @@
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
       ...sections,
+      ...this.operations,
     });
     const operators = `http://${started.addresses.operators ?? ''}`;
     await waitUntil(`${name} reaches every server`, () =>
@@ -271,6 +298,7 @@
         silenceSeconds: this.options.silenceSeconds ?? defaultSilenceSeconds,
         ...backend,
       },
+      ...this.operations,
     });
     const agentAddress = await this.relays.relayTo(
       name,
@@ -300,19 +328,19 @@
     stage: number,
     replica: number,
   ): Promise<void> {
-    const { layers, stages, stepMs } = this.options;
+    const { layers, stages, stepMs, positionUs = 0 } = this.options;
     const server = `stage${String(stage)}-${String(replica)}`;
     const layerFrom = Math.floor((layers * stage) / stages);
     const layerTo = Math.floor((layers * (stage + 1)) / stages);
     const address = await this.processes.startStandIn(
       `engine-${server}`,
       'model-engine',
-      { layerFrom, layerTo, layers, stepMs },
+      { layerFrom, layerTo, layers, stepMs, positionUs },
     );
     this.backendUrls.set(server, `http://${address}`);
     const relayed = await this.relays.relayTo(`engine-${server}`, address);
     const url = `http://${relayed}`;
-    const service = fleetNames.model;
+    const service = this.names.model;
     await this.startAgent(
       server,
       { url, kind: 'model', service, layerFrom, layerTo },
@@ -321,7 +349,7 @@
   }
 
   private async startPlainServers(): Promise<void> {
-    const services = [fleetNames.booking, fleetNames.stock];
+    const services = [this.names.booking, this.names.stock];
     const servers = services.flatMap(service =>
       Array.from({ length: this.options.plainServers }, (_, index) =>
         this.startPlainServer(service, index),
