--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,6 +1,7 @@
 /** All benches by name. */
 import { ChartBench } from './chartBench.js';
 import { ChainRecoveryBench } from './chainRecoveryBench.js';
+import { ClaimsBench } from './claimsBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { BoundBench } from './policy/boundBench.js';
 import { DecideBench } from './policy/decideBench.js';
@@ -14,6 +15,7 @@
   new ChartBench(),
   new RelayBench(),
   new ChainRecoveryBench(),
+  new ClaimsBench(),
   new FaultsBench(),
   new BoundBench(),
   new RanksBench(),
--- a/packages/router/src/claims/claimEnds.ts
+++ b/packages/router/src/claims/claimEnds.ts
@@ -95,7 +95,11 @@
       };
     }
     case MessageKind.Failed: {
-      const { reason } = message.value;
+      const { reason, kind } = message.value;
+      if (kind === ErrorKind.ConnectionLost) {
+        // The agent no longer knows how the attempt ended.
+        return { type: 'AGENT_GONE' };
+      }
       return {
         type: 'RAN',
         end: createEnd(claim, Outcome.Failed, { reason }, now),
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -64,7 +64,7 @@
 export const configReadIntervalMs = 250;
 
 /** Ended attempts that an agent remembers, so as not to run them again. */
-export const maxEndedAttempts = 20_000;
+export const maxEndedAttempts = 60_000;
 
 /** Milliseconds that a request may take when its caller names no deadline. */
 export const defaultDeadlineMs = 60_000;
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -35,6 +35,8 @@
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
+  /** More sections of the entries' settings files. */
+  readonly entrySections?: SettingsSections;
   /** Seconds that a stopping process waits for its open work. */
   readonly drainSeconds: number;
   /** Puts relays before agents and backend servers, for faults of links. */
@@ -257,6 +259,7 @@
       process: { id: name, failureDomain: 'bc-south-a', drainSeconds },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
+      ...this.options.entrySections,
       ...sections,
       ...this.operations,
     });
--- a/packages/testkit/src/standIns/logService.ts
+++ b/packages/testkit/src/standIns/logService.ts
@@ -12,6 +12,8 @@
   delayMs: z.number().min(0).optional(),
   /** Number of appends that take effect and whose answers are lost. */
   loseAnswers: z.int().min(0).optional(),
+  /** Appends taken in a second; 0 for no limit. */
+  appendsPerSecond: z.number().min(0).optional(),
 });
 
 const appendSchema = z.object({ values: z.array(z.string()).min(1) });
@@ -28,8 +30,14 @@
 export class LogServiceStandIn {
   private readonly server = new StandInServer();
   private readonly streams = new Map<string, Stream>();
-  private readonly faults = { outage: false, delayMs: 0, loseAnswers: 0 };
+  private readonly faults = {
+    outage: false,
+    delayMs: 0,
+    loseAnswers: 0,
+    appendsPerSecond: 0,
+  };
   private appends = 0;
+  private nextAppendAt = 0;
 
   constructor() {
     this.server.addRoute('POST', '/control', async (request, response) => {
@@ -61,6 +69,7 @@
       const stream = this.getStream(decodeURIComponent(name));
       if (request.method === 'POST') {
         const { values } = appendSchema.parse(await readJsonBody(request));
+        await this.waitForTurn();
         this.answerAppend(stream, values, response);
         return;
       }
@@ -76,6 +85,18 @@
     this.server.dispose();
   }
 
+  /** Spaces appends evenly at the set rate. */
+  private async waitForTurn(): Promise<void> {
+    const { appendsPerSecond } = this.faults;
+    if (appendsPerSecond === 0) {
+      return;
+    }
+    const now = performance.now();
+    const turn = Math.max(now, this.nextAppendAt);
+    this.nextAppendAt = turn + 1_000 / appendsPerSecond;
+    await waitFor(turn - now);
+  }
+
   private getStream(name: string): Stream {
     const known = this.streams.get(name);
     if (known) {
