--- a/packages/router/tests/fakeSystem.ts
+++ b/packages/router/tests/fakeSystem.ts
@@ -2,6 +2,7 @@
 import { LoggerFactory, Ok, type Result } from '@lycheetally/common';
 import {
   BoundedRetry,
+  GroupCommit,
   LeastOutstandingRouting,
   NoSnapshots,
   OpenAdmission,
@@ -130,6 +131,7 @@
           routing: new LeastOutstandingRouting(),
           retry: new BoundedRetry(),
         },
+        gathering: new GroupCommit(100, 10),
         snapshots: new NoSnapshots(),
       },
     );
