Test the relay's checks and the whole answer whose end is lost

Change: each check of the relay has a test of its own, and so has the answer whose last token came and whose end did not.

--- a/packages/router/tests/fakeWire.ts
+++ b/packages/router/tests/fakeWire.ts
@@ -5,7 +5,7 @@
   type Address,
   type Result,
 } from '@lycheetally/common';
-import type { PeerFrame } from '@lycheetally/protocol';
+import type { MessageKind, PeerFrame } from '@lycheetally/protocol';
 import {
   PeerNetwork,
   PeerStream,
@@ -22,6 +22,8 @@
 /** One end of a link. */
 class WireEnd extends PeerStream {
   readonly inbox: Delivery[] = [];
+  /** Kinds of messages that vanish on their way here. */
+  lostKinds: ReadonlySet<MessageKind> = new Set();
   listener: PeerStreamListener | undefined;
   peer: WireEnd | undefined;
   /** Says whether what is sent from here vanishes. */
@@ -48,7 +50,10 @@
   takeNext(): void {
     const next = this.inbox.shift();
     if (next?.kind === 'frame') {
-      this.listener?.receiveFrame(next.frame);
+      const messages = next.frame.messages.filter(
+        message => !this.lostKinds.has(message.kind),
+      );
+      this.listener?.receiveFrame({ ...next.frame, messages });
     } else if (next) {
       this.isClosed = true;
       this.listener?.handleClose('the link ended');
@@ -99,6 +104,13 @@
     return near;
   }
 
+  /** Lets messages of some kinds vanish on every link that is open. */
+  dropKinds(...kinds: readonly MessageKind[]): void {
+    for (const end of this.links.flatMap(link => [...link.ends])) {
+      end.lostKinds = new Set(kinds);
+    }
+  }
+
   /** Lists the ends that have something to take. */
   listReady(): WireEnd[] {
     return this.links
--- a/packages/router/tests/interleavings.test.ts
+++ b/packages/router/tests/interleavings.test.ts
@@ -1,12 +1,17 @@
 /** The loops of a whole system under random orders of what may happen. */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { MessageKind } from '@lycheetally/protocol';
 import { checkHistory } from '@lycheetally/testkit';
 import { FakeSystem } from './fakeSystem.js';
 
 const seed = 20_250;
 const cases = 1_000;
 const maxSteps = 120;
+/** Agents of the fake system that stand before engines. */
+const agents = 4;
+const deliveryRounds = 10;
+const deliveryRoundMs = 10;
 
 const number = fc.nat({ max: 1_000 });
 
@@ -80,6 +85,29 @@
     expect(checkHistory(history)).toEqual([]);
   });
 
+  it('does not run an answer again that came whole without its end', async () => {
+    const system = new FakeSystem();
+    await system.start();
+    system.wire.dropKinds(MessageKind.Finished);
+    system.addCall(1);
+    // Tokens wait a little for company on their way to an entry.
+    for (let round = 0; round < deliveryRounds; round += 1) {
+      system.runAll();
+      system.clock.advance(deliveryRoundMs);
+    }
+    expect(system.isSettled).toBe(false);
+    for (let agent = 0; agent < agents; agent += 1) {
+      await system.restart(agent);
+    }
+    system.settle();
+    const history = system.readHistory();
+    expect(history.calls[0]?.answer?.outcome).toBe('complete');
+    expect(checkHistory(history)).toEqual([]);
+    expect(new Set(history.passes.map(pass => pass.epoch))).toEqual(
+      new Set([1]),
+    );
+  });
+
   it('keeps its promises in any order of events', async () => {
     const steps = fc.array(step, { maxLength: maxSteps, size: 'max' });
     await fc.assert(
--- /dev/null
+++ b/packages/router/tests/tokenRelay.test.ts
@@ -0,0 +1,85 @@
+/** Late, crossed and doubled tokens are dropped and counted. */
+import { describe, expect, it } from 'vitest';
+import type { Token } from '@lycheetally/protocol';
+import { deliverToken } from '../src/entry/tokenRelay.js';
+import type { RequestContext } from '../src/entry/requestContext.js';
+
+const now = 1_000;
+
+const due: Token = {
+  requestId: 'request',
+  attempt: 2,
+  epoch: 2,
+  position: 7,
+  tokenId: 40,
+  text: ' t40',
+  isEnd: false,
+  index: 3,
+};
+
+/** A request whose second attempt runs and whose caller has three tokens. */
+const createContext = (isFinal: boolean, sent: Token[]): RequestContext =>
+  ({
+    attempt: {
+      ref: { requestId: 'request', attempt: 2 },
+      epoch: 2,
+      instance: { isFinal },
+      tokens: 0,
+    },
+    delivered: [10, 20, 30],
+    lastPosition: 6,
+    hasLastToken: false,
+    exchange: {
+      sendToken: (token: Token) => {
+        sent.push(token);
+      },
+    },
+  }) as unknown as RequestContext;
+
+const deliverTo = (
+  tokens: readonly Token[],
+  isFinal = false,
+): { sent: Token[]; delivered: number; dropped: number } => {
+  const sent: Token[] = [];
+  const counts = { delivered: 0, dropped: 0 };
+  const context = createContext(isFinal, sent);
+  tokens.forEach(token => {
+    deliverToken(context, token, counts, now);
+  });
+  return { sent, ...counts };
+};
+
+describe('deliverToken', () => {
+  it('delivers the token that is due', () => {
+    const next = { ...due, index: 4, position: 8 };
+    const result = deliverTo([due, next]);
+    expect(result).toEqual({ sent: [due, next], delivered: 2, dropped: 0 });
+  });
+
+  it('drops a doubled token', () => {
+    const result = deliverTo([due, due]);
+    expect(result).toEqual({ sent: [due], delivered: 1, dropped: 1 });
+  });
+
+  it.each<[string, Partial<Token>]>([
+    ['of an earlier attempt', { attempt: 1 }],
+    ['of another epoch', { epoch: 1 }],
+    ['of an earlier place', { index: 2, position: 6 }],
+    ['that skips a place', { index: 4, position: 8 }],
+    ['whose place and position differ', { position: 8 }],
+    ['whose position and place differ', { index: 4 }],
+  ])('drops a token %s', (_, change) => {
+    const result = deliverTo([{ ...due, ...change }]);
+    expect(result).toEqual({ sent: [], delivered: 0, dropped: 1 });
+  });
+
+  it('drops a token of an attempt that has ended', () => {
+    expect(deliverTo([due], true).dropped).toBe(1);
+  });
+
+  it('drops a token of an unknown request', () => {
+    const counts = { delivered: 0, dropped: 0 };
+    deliverToken(undefined, due, counts, now);
+    expect(counts.dropped).toBe(1);
+  });
+});
