--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -106,6 +106,7 @@
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
       operations: settings.operations,
+      maxServers: settings.limits.maxServers,
     },
     {
       clock: new SystemClock(),
@@ -134,6 +135,7 @@
       id: settings.process.id,
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      knownEntries: settings.entries.known,
       silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
       operations: settings.operations,
       backend: {
--- a/packages/router/tests/fakeSystem.ts
+++ b/packages/router/tests/fakeSystem.ts
@@ -118,7 +118,7 @@
     const log = new FakeLog();
     log.records.push(...(await publishOnce()));
     this.entry = new EntryNode(
-      { ...this.buildSettings('entry'), maxBodyBytes: 1_024 },
+      { ...this.buildSettings('entry'), maxBodyBytes: 1_024, maxServers: 100 },
       {
         clock: this.clock,
         network: new FakeNetwork(this.wire, 'entry'),
@@ -277,6 +277,7 @@
       {
         ...this.buildSettings(`agent-${name}`),
         silenceBoundMs: 2_000,
+        knownEntries: [],
         backend: {
           serverId: name,
           kind: isPlain ? ServiceKind.Plain : ServiceKind.Model,
