Check, override and document settings; draw the charts

Cause: a settings file could be tried only by starting a daemon, and no page told what may stand in it. Ruled out: pages kept by hand; drawings with nested states, whose arrows between levels not every viewer draws, so inherited transitions are drawn at each leaf instead. Log lines escape DEL and the C1 controls, which JSON leaves as they are and a fuzzed test found. Conclusion: a wrong setting costs one line and exit code 2 before any start.

--- a/apps/agent/src/main.ts
+++ b/apps/agent/src/main.ts
@@ -1,5 +1,5 @@
 /** The daemon of an agent. */
-import { readSettingsPath } from '@lycheetally/common';
+import { parseDaemonFlags } from '@lycheetally/common';
 import { runAgent } from '@lycheetally/router';
 
-await runAgent(readSettingsPath(process.argv));
+await runAgent(parseDaemonFlags(process.argv));
--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -1,5 +1,5 @@
 /** The daemon of an entry. */
+import { parseDaemonFlags } from '@lycheetally/common';
 import { runEntry } from '@lycheetally/router';
-import { readSettingsPath } from '@lycheetally/common';
 
-await runEntry(readSettingsPath(process.argv));
+await runEntry(parseDaemonFlags(process.argv));
--- a/apps/lycheetally/src/commands/daemonCommands.ts
+++ b/apps/lycheetally/src/commands/daemonCommands.ts
@@ -1,26 +1,59 @@
 /** `lycheetally entry` and `lycheetally agent`: run the daemons. */
 import type { CAC } from 'cac';
+import type { DaemonFlags } from '@lycheetally/common';
 import { runAgent, runEntry } from '@lycheetally/router';
 import { Command } from './command.js';
 
-interface DaemonFlags {
+interface DaemonCommandFlags {
   readonly settings?: string;
+  readonly set?: string | readonly string[];
+  readonly check?: boolean;
 }
 
-export class EntryCommand extends Command {
+/** A command that runs a daemon from its settings. */
+abstract class DaemonCommand extends Command {
+  protected abstract readonly name: string;
+  protected abstract readonly summary: string;
+
+  protected abstract run(flags: DaemonFlags): Promise<void>;
+
   override register(cli: CAC): void {
     cli
-      .command('entry', 'Run an entry')
+      .command(this.name, this.summary)
       .option('--settings <file>', 'Settings file')
-      .action((flags: DaemonFlags) => runEntry(flags.settings ?? ''));
+      .option(
+        '--set <section.key=value>',
+        'Override a setting; may be repeated',
+      )
+      .option('--check', 'Only check the settings')
+      .example(`lycheetally ${this.name} --settings ${this.name}.ini --check`)
+      .example(
+        `LYCHEETALLY_PROCESS_ID=${this.name}-2 lycheetally ${this.name} --settings ${this.name}.ini --set process.drainSeconds=60`,
+      )
+      .action((flags: DaemonCommandFlags) => this.run(toDaemonFlags(flags)));
   }
 }
 
-export class AgentCommand extends Command {
-  override register(cli: CAC): void {
-    cli
-      .command('agent', 'Run an agent beside a backend server')
-      .option('--settings <file>', 'Settings file')
-      .action((flags: DaemonFlags) => runAgent(flags.settings ?? ''));
+const toDaemonFlags = (flags: DaemonCommandFlags): DaemonFlags => ({
+  settings: flags.settings ?? '',
+  set: typeof flags.set === 'string' ? [flags.set] : (flags.set ?? []),
+  isCheck: flags.check === true,
+});
+
+export class EntryCommand extends DaemonCommand {
+  protected override readonly name = 'entry';
+  protected override readonly summary = 'Run an entry';
+
+  protected override run(flags: DaemonFlags): Promise<void> {
+    return runEntry(flags);
+  }
+}
+
+export class AgentCommand extends DaemonCommand {
+  protected override readonly name = 'agent';
+  protected override readonly summary = 'Run an agent beside a backend server';
+
+  protected override run(flags: DaemonFlags): Promise<void> {
+    return runAgent(flags);
   }
 }
--- /dev/null
+++ b/apps/lycheetally/src/commands/settingsCommand.ts
@@ -0,0 +1,79 @@
+/** `lycheetally settings`: every setting of the daemons, from their schemas. */
+import type { CAC } from 'cac';
+import { ExitCode, listSettings, type SettingEntry } from '@lycheetally/common';
+import { agentSettingsSchema, entrySettingsSchema } from '@lycheetally/router';
+import { Command } from './command.js';
+
+const schemas = {
+  entry: entrySettingsSchema,
+  agent: agentSettingsSchema,
+} as const;
+
+interface SettingsFlags {
+  readonly json?: boolean;
+}
+
+export class SettingsCommand extends Command {
+  override register(cli: CAC): void {
+    cli
+      .command('settings', 'Print the page of every setting')
+      .option('--json', 'Print one line of JSON')
+      .example('lycheetally settings > docs/SETTINGS.md')
+      .action((flags: SettingsFlags) =>
+        this.finish(() => {
+          process.stdout.write(
+            flags.json === true
+              ? `${JSON.stringify(listAll())}\n`
+              : formatSettingsPage(),
+          );
+          return Promise.resolve(ExitCode.Ok);
+        }),
+      );
+  }
+}
+
+const listAll = (): Record<string, SettingEntry[]> =>
+  Object.fromEntries(
+    Object.entries(schemas).map(([role, schema]) => [
+      role,
+      listSettings(schema),
+    ]),
+  );
+
+/** Formats the page docs/SETTINGS.md. */
+export const formatSettingsPage = (): string => {
+  const roles = Object.entries(listAll()).flatMap(([role, settings]) => [
+    `## ${role}`,
+    '',
+    ...formatSections(settings),
+  ]);
+  const lines = [
+    '# Settings',
+    '',
+    'Written by `lycheetally settings` from the schemas of the daemons; a test',
+    'holds this page to them. A settings file is INI. A variable of the',
+    'environment overrides the file, and `--set section.key=value` overrides',
+    'both. `--check` checks the settings and ends: exit code 0, or 2 with every',
+    'fault on one line.',
+    '',
+    ...roles,
+  ];
+  return `${lines.join('\n').trimEnd()}\n`;
+};
+
+const formatSections = (settings: readonly SettingEntry[]): string[] =>
+  [...new Set(settings.map(setting => setting.section))].flatMap(section => [
+    `### [${section}]`,
+    '',
+    ...settings
+      .filter(setting => setting.section === section)
+      .map(formatSetting),
+    '',
+  ]);
+
+const formatSetting = (setting: SettingEntry): string => {
+  const need = setting.isRequired
+    ? 'required'
+    : `default ${setting.fallback === '' ? 'none' : `\`${setting.fallback}\``}`;
+  return `- \`${setting.key}\` (${setting.values}, ${need}): ${setting.description}. Variable \`${setting.variable}\`.`;
+};
--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -3,17 +3,21 @@
 import cac from 'cac';
 import { ExitCode, toMessage } from '@lycheetally/common';
 import { BenchCommand } from './commands/benchCommand.js';
+import { ChartsCommand } from './commands/chartsCommand.js';
 import type { Command } from './commands/command.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
 import { ExplainCommand } from './commands/explainCommand.js';
 import { LoadCommand } from './commands/loadCommand.js';
+import { SettingsCommand } from './commands/settingsCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
 import { TimelineCommand } from './commands/timelineCommand.js';
 
 const commands: readonly Command[] = [
   new EntryCommand(),
   new AgentCommand(),
+  new SettingsCommand(),
+  new ChartsCommand(),
   new StatusCommand(),
   new TimelineCommand(),
   new ExplainCommand(),
--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -4,12 +4,14 @@
 import {
   Err,
   ErrorKind,
+  Ok,
   TypedError,
   toMessage,
   type Result,
   type ValueOf,
 } from '@lycheetally/common';
 import type { Chart } from './chart.js';
+import { chartSchema, type ChartDefinition } from './chartDefinition.js';
 import { compileChart } from './compileChart.js';
 
 /** The charts that ship with this package, by file name. */
@@ -44,3 +46,22 @@
     );
   }
 };
+
+/** Reads a chart file without compiling it. Fails with `BadChart`. */
+export const readChartDefinition = (
+  name: ChartName,
+  folder = chartFolder,
+): Result<ChartDefinition> => {
+  const file = `${folder}${name}.json`;
+  try {
+    return Ok(chartSchema.parse(JSON.parse(readFileSync(file, 'utf8'))));
+  } catch (thrown) {
+    return Err(
+      new TypedError(
+        ErrorKind.BadChart,
+        `${file}: cannot be read (${toMessage(thrown)})`,
+        'install the package again',
+      ),
+    );
+  }
+};
--- /dev/null
+++ b/packages/charts/src/drawChart.ts
@@ -0,0 +1,120 @@
+/**
+ * Draws a chart file as a Mermaid state diagram.
+ *
+ * Each leaf state is a box; it also shows the transitions that it inherits
+ * from the states around it, so the diagram needs no nesting.
+ */
+import type {
+  ChartDefinition,
+  StateDefinition,
+  TransitionDefinition,
+} from './chartDefinition.js';
+
+/** A leaf state with the states around it, innermost first. */
+interface DrawnLeaf {
+  readonly path: string;
+  readonly chain: readonly StateDefinition[];
+  /** Paths of the parents of the states of the chain. */
+  readonly parents: readonly string[];
+}
+
+/** Draws a chart; the text goes into a `mermaid` block of Markdown. */
+export const drawChart = (chart: ChartDefinition): string => {
+  const leaves = listLeaves(chart);
+  const lines = [
+    `[*] --> ${formatId(findLeaf(leaves, `${chart.id}.${chart.initial}`))}`,
+    ...leaves.map(leaf => drawBox(leaf)),
+    ...leaves.flatMap(leaf => drawArrows(leaf, leaves)),
+  ];
+  return ['stateDiagram-v2', ...lines.map(line => `  ${line}`)].join('\n');
+};
+
+const listLeaves = (chart: ChartDefinition): DrawnLeaf[] => {
+  const root: StateDefinition = { on: chart.on, after: chart.after };
+  return Object.entries(chart.states).flatMap(([name, state]) =>
+    walkState(chart.id, name, state, { chain: [root], parents: [chart.id] }),
+  );
+};
+
+const walkState = (
+  parent: string,
+  name: string,
+  state: StateDefinition,
+  around: Pick<DrawnLeaf, 'chain' | 'parents'>,
+): DrawnLeaf[] => {
+  const path = `${parent}.${name}`;
+  const chain = [state, ...around.chain];
+  const parents = [parent, ...around.parents];
+  if (!state.states) {
+    return [{ path, chain, parents }];
+  }
+  // The initial leaf comes first, so that a path prefix finds it.
+  const inner = Object.entries(state.states).sort(
+    ([a], [b]) => Number(b === state.initial) - Number(a === state.initial),
+  );
+  return inner.flatMap(([innerName, innerState]) =>
+    walkState(path, innerName, innerState, { chain, parents }),
+  );
+};
+
+const findLeaf = (leaves: readonly DrawnLeaf[], path: string): string =>
+  leaves.find(leaf => leaf.path === path || leaf.path.startsWith(`${path}.`))
+    ?.path ?? path;
+
+const drawBox = (leaf: DrawnLeaf): string => {
+  const [state] = leaf.chain;
+  const entry = [...leaf.chain].reverse().flatMap(each => each.entry ?? []);
+  const exit = leaf.chain.flatMap(each => each.exit ?? []);
+  const name = leaf.path.slice(leaf.path.indexOf('.') + 1);
+  const title = [
+    name,
+    ...(entry.length === 0 ? [] : [`entry ${entry.join(', ')}`]),
+    ...(exit.length === 0 ? [] : [`exit ${exit.join(', ')}`]),
+  ].join(' / ');
+  const box = `state "${title}" as ${formatId(leaf.path)}`;
+  return state?.type === 'final'
+    ? `${box}\n  ${formatId(leaf.path)} --> [*]`
+    : box;
+};
+
+const drawArrows = (leaf: DrawnLeaf, leaves: readonly DrawnLeaf[]): string[] =>
+  leaf.chain.flatMap((state, depth) => {
+    const parent = leaf.parents[depth] ?? '';
+    const named = [
+      ...Object.entries(state.on ?? {}),
+      ...Object.entries(state.after ?? {}).map(
+        ([delay, transitions]) => [`after ${delay}`, transitions] as const,
+      ),
+    ];
+    return named.flatMap(([event, transitions]) =>
+      transitions.map(transition => {
+        const target = findTarget(leaf, parent, transition, leaves);
+        return `${formatId(leaf.path)} --> ${formatId(target)}: ${formatLabel(event, transition)}`;
+      }),
+    );
+  });
+
+/** A target is a sibling's name, or a whole path after "#". */
+const findTarget = (
+  leaf: DrawnLeaf,
+  parent: string,
+  { target }: TransitionDefinition,
+  leaves: readonly DrawnLeaf[],
+): string => {
+  if (target === undefined) {
+    return leaf.path;
+  }
+  const path = target.startsWith('#') ? target.slice(1) : `${parent}.${target}`;
+  return findLeaf(leaves, path);
+};
+
+const formatLabel = (
+  event: string,
+  transition: TransitionDefinition,
+): string => {
+  const guard = transition.guard === undefined ? '' : ` [${transition.guard}]`;
+  const actions = transition.actions?.join(', ');
+  return `${event}${guard}${actions === undefined ? '' : ` / ${actions}`}`;
+};
+
+const formatId = (path: string): string => path.replaceAll('.', '_');
--- a/packages/charts/src/index.ts
+++ b/packages/charts/src/index.ts
@@ -4,3 +4,4 @@
 export * from './chartFiles.js';
 export * from './chartMachine.js';
 export * from './compileChart.js';
+export * from './drawChart.js';
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,6 +8,8 @@
 export * from './hybridClock.js';
 export * from './logger.js';
 export * from './result.js';
+export * from './settingOverrides.js';
 export * from './settings.js';
+export * from './settingsList.js';
 export * from './typeChecks.js';
 export * from './types.js';
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -52,7 +52,7 @@
       defaultMeta: { process: processId },
       format: winston.format.combine(
         winston.format.timestamp(),
-        winston.format.printf(formatLine),
+        winston.format.printf(formatLogLine),
       ),
     });
     this.logger.add(
@@ -68,13 +68,21 @@
   }
 }
 
-const formatLine = (info: winston.Logform.TransformableInfo): string => {
+/** Formats one line of the log as JSON, whatever the values hold. */
+export const formatLogLine = (
+  info: winston.Logform.TransformableInfo,
+): string => {
   const { timestamp, level, message, part, process, ...fields } = info;
-  return JSON.stringify({
+  const line = JSON.stringify({
     at: timestamp,
     level,
     process,
     message: `[${String(part)}] ${String(message)}`,
     ...fields,
   });
+  return line.replace(/[\p{Cc}\u2028\u2029]/gu, escapeCharacter);
 };
+
+// JSON leaves DEL and the C1 controls, which steer some terminals, as they are.
+const escapeCharacter = (character: string): string =>
+  `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`;
--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -9,12 +9,14 @@
 import { z } from 'zod';
 import { ErrorKind, TypedError } from './errors.js';
 import { Err, Ok, type Result } from './result.js';
+import { applyOverrides, type SettingOverride } from './settingOverrides.js';
 import { toMessage } from './typeChecks.js';
 
 /** Reads and checks a settings file. Fails with `BadSetting`. */
 export const readSettings = <T extends z.ZodType>(
   path: string,
   schema: T,
+  overrides: readonly SettingOverride[] = [],
 ): Result<z.output<T>> => {
   let text: string;
   try {
@@ -28,7 +30,7 @@
       ),
     );
   }
-  return parseSettings(path, text, schema);
+  return parseSettings(path, text, schema, overrides);
 };
 
 /** Checks the text of a settings file. Fails with `BadSetting`. */
@@ -36,12 +38,16 @@
   path: string,
   text: string,
   schema: T,
+  overrides: readonly SettingOverride[] = [],
 ): Result<z.output<T>> => {
-  const parsed = schema.safeParse(toPlainObject(ini.parse(text)));
+  const settings = applyOverrides(toPlainObject(ini.parse(text)), overrides);
+  const parsed = schema.safeParse(settings);
   if (parsed.success) {
     return Ok(parsed.data);
   }
-  const faults = parsed.error.issues.map(issue => formatIssue(path, issue));
+  const faults = parsed.error.issues.map(issue =>
+    formatIssue(findOrigin(issue, overrides) ?? path, issue),
+  );
   return Err(
     new TypedError(
       ErrorKind.BadSetting,
@@ -51,6 +57,16 @@
   );
 };
 
+const findOrigin = (
+  issue: z.core.$ZodIssue,
+  overrides: readonly SettingOverride[],
+): string | undefined => {
+  const [section, key] = issue.path;
+  return overrides.findLast(
+    override => override.section === section && override.key === key,
+  )?.origin;
+};
+
 const formatIssue = (path: string, issue: z.core.$ZodIssue): string => {
   const key = issue.path.map(String).join('.');
   return `${path}: ${key === '' ? '(file)' : key}: ${issue.message}`;
@@ -96,9 +112,3 @@
   address.host.includes(':')
     ? `[${address.host}]:${String(address.port)}`
     : `${address.host}:${String(address.port)}`;
-
-/** Returns the path after `--settings`; empty when there is none. */
-export const readSettingsPath = (argv: readonly string[]): string => {
-  const index = argv.indexOf('--settings');
-  return index < 0 ? '' : (argv[index + 1] ?? '');
-};
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -9,10 +9,12 @@
   ErrorKind,
   ExitCode,
   LoggerFactory,
+  collectOverrides,
   millisecondsPerSecond,
   readSettings,
   toTypedError,
   type Address,
+  type DaemonFlags,
 } from '@lycheetally/common';
 import {
   BoundedRetry,
@@ -21,6 +23,7 @@
   ServiceKind,
   UrgencyOrder,
 } from '@lycheetally/decisions';
+import type { z } from 'zod';
 import { ConnectPeerNetwork } from './adapters/connectPeers.js';
 import { HttpEngine } from './adapters/engineHttp.js';
 import { HttpPlainService } from './adapters/plainServiceHttp.js';
@@ -79,22 +82,51 @@
   process.exit(ExitCode.Usage);
 };
 
-/** Runs an entry with the settings of a file. */
-export const runEntry = (settingsPath: string): Promise<void> =>
-  runDaemon(async () => {
-    const settings = takeValue(readSettings(settingsPath, entrySettingsSchema));
+/** Reads and checks a daemon's settings. Throws `BadSetting`. */
+const readDaemonSettings = <T extends z.ZodType>(
+  flags: DaemonFlags,
+  schema: T,
+): z.output<T> => {
+  const overrides = collectOverrides(schema, process.env, flags.set);
+  return takeValue(readSettings(flags.settings, schema, overrides));
+};
+
+/** Checks the settings and says so; throws like a start. */
+const checkDaemon = (flags: DaemonFlags, schema: z.ZodType): void => {
+  try {
+    readDaemonSettings(flags, schema);
+    process.stdout.write(`${flags.settings} is sound\n`);
+  } catch (thrown) {
+    reportStartFailure(thrown);
+  }
+};
+
+/** Runs an entry with the settings of a file, or only checks them. */
+export const runEntry = async (flags: DaemonFlags): Promise<void> => {
+  if (flags.isCheck) {
+    checkDaemon(flags, entrySettingsSchema);
+    return;
+  }
+  await runDaemon(async () => {
+    const settings = readDaemonSettings(flags, entrySettingsSchema);
     const node = createEntry(settings);
     return { node, addresses: { ...(await node.start(settings.listen)) } };
   });
+};
 
-/** Runs an agent with the settings of a file. */
-export const runAgent = (settingsPath: string): Promise<void> =>
-  runDaemon(async () => {
-    const settings = takeValue(readSettings(settingsPath, agentSettingsSchema));
+/** Runs an agent with the settings of a file, or only checks them. */
+export const runAgent = async (flags: DaemonFlags): Promise<void> => {
+  if (flags.isCheck) {
+    checkDaemon(flags, agentSettingsSchema);
+    return;
+  }
+  await runDaemon(async () => {
+    const settings = readDaemonSettings(flags, agentSettingsSchema);
     const node = createAgent(settings);
     const { peers, operators } = settings.listen;
     return { node, addresses: { ...(await node.start(peers, operators)) } };
   });
+};
 
 /** Creates an entry over the network. */
 export const createEntry = (settings: EntryFileSettings): EntryNode =>
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -26,52 +26,78 @@
     .min(min, `write at least ${String(min)}`)
     .max(max, `write at most ${String(max)}`);
 
+const createSwitchSchema = (
+  description: string,
+): z.ZodDefault<z.ZodEnum<{ on: 'on'; off: 'off' }>> =>
+  z
+    .enum(['on', 'off'], { error: 'write "on" or "off"' })
+    .default('on')
+    .describe(description);
+
 const urlSchema = z
   .string()
   .regex(/^https?:\/\/[^\s/]+$/, 'write http://host:port without a path');
 
 const processSchema = z.strictObject({
-  id: idSchema,
-  failureDomain: idSchema,
-  drainSeconds: createNumberSchema(1, 3_600).default(30),
+  id: idSchema.describe('Name of this process; unique in the deployment'),
+  failureDomain: idSchema.describe('Failure domain that the VM stands in'),
+  drainSeconds: createNumberSchema(1, 3_600)
+    .default(30)
+    .describe('Seconds that open work may take after a stop is asked for'),
 });
 
-const operationsSchema = z
+const nodeOperations = {
+  timelineEvents: createNumberSchema(0, 1_000_000)
+    .default(eventRingCapacity)
+    .describe('Events that the time line of this process keeps; 0 for none'),
+  metrics: createSwitchSchema('Whether this process counts for its metrics'),
+};
+
+const entryOperationsSchema = z
   .strictObject({
-    timelineEvents: createNumberSchema(0, 1_000_000)
-      .default(eventRingCapacity)
-      .describe('Events that the time line of this process keeps; 0 for none'),
+    ...nodeOperations,
     ledgerRecords: createNumberSchema(0, 1_000_000)
       .default(defaultLedgerRecords)
       .describe('Outcome records that this process keeps; 0 for none'),
     ledgerMinutes: createNumberSchema(1, 10_080)
       .default(defaultLedgerMinutes)
       .describe('Minutes for which an outcome record is kept'),
-    ledgerLines: z
-      .enum(['on', 'off'], { error: 'write "on" or "off"' })
-      .default('on')
-      .describe('Whether each outcome record is written to the log as a line'),
-    metrics: z
-      .enum(['on', 'off'], { error: 'write "on" or "off"' })
-      .default('on')
-      .describe('Whether this process counts for its metrics page'),
+    ledgerLines: createSwitchSchema(
+      'Whether each outcome record is written to the log as a line',
+    ),
   })
   .prefault({});
-export type OperationsSettings = z.output<typeof operationsSchema>;
 
-const platformSchema = z.strictObject({ log: urlSchema, vmList: urlSchema });
+const agentOperationsSchema = z.strictObject(nodeOperations).prefault({});
+
+/** What a process keeps for its operators; an agent keeps no ledger. */
+export type OperationsSettings = Partial<
+  z.output<typeof entryOperationsSchema>
+>;
+
+const platformSchema = z.strictObject({
+  log: urlSchema.describe("Base URL of the platform's log service"),
+  vmList: urlSchema.describe("Base URL of the platform's VM list"),
+});
+
+const operatorsSchema = addressSchema.describe(
+  'Address for operators, as host:port; keep it off the public network',
+);
 
 /** Schema of an entry's settings file. */
 export const entrySettingsSchema = z.strictObject({
   process: processSchema,
-  listen: z.strictObject({ callers: addressSchema, operators: addressSchema }),
+  listen: z.strictObject({
+    callers: addressSchema.describe('Address for callers, as host:port'),
+    operators: operatorsSchema,
+  }),
   platform: platformSchema,
-  operations: operationsSchema,
+  operations: entryOperationsSchema,
   limits: z
     .strictObject({
-      maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024).default(
-        1_048_576,
-      ),
+      maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024)
+        .default(1_048_576)
+        .describe('Largest body that a caller may send, in bytes'),
     })
     .prefault({}),
 });
@@ -80,18 +106,31 @@
 /** Schema of an agent's settings file. */
 export const agentSettingsSchema = z.strictObject({
   process: processSchema,
-  listen: z.strictObject({ peers: addressSchema, operators: addressSchema }),
+  listen: z.strictObject({
+    peers: addressSchema.describe(
+      'Address for entries and other agents, as host:port',
+    ),
+    operators: operatorsSchema,
+  }),
   platform: platformSchema.optional(),
-  operations: operationsSchema,
+  operations: agentOperationsSchema,
   backend: z
     .strictObject({
-      server: idSchema,
-      url: urlSchema,
-      kind: z.enum(ServiceKind, { error: 'write "model" or "plain"' }),
-      service: idSchema,
-      layerFrom: createNumberSchema(0, 10_000).default(0),
-      layerTo: createNumberSchema(0, 10_000).default(0),
-      slots: createNumberSchema(1, 10_000).default(16),
+      server: idSchema.describe('Name of the backend server'),
+      url: urlSchema.describe('Base URL of the backend server'),
+      kind: z
+        .enum(ServiceKind, { error: 'write "model" or "plain"' })
+        .describe('Model engine or plain service'),
+      service: idSchema.describe('Service that the backend server belongs to'),
+      layerFrom: createNumberSchema(0, 10_000)
+        .default(0)
+        .describe('First layer that a model engine holds, counted from 0'),
+      layerTo: createNumberSchema(0, 10_000)
+        .default(0)
+        .describe('One past the last layer that a model engine holds'),
+      slots: createNumberSchema(1, 10_000)
+        .default(16)
+        .describe('Pieces of work that run at once'),
     })
     .refine(
       backend =>
