--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -5,8 +5,10 @@
 import { BenchCommand } from './commands/benchCommand.js';
 import { ChartsCommand } from './commands/chartsCommand.js';
 import type { Command } from './commands/command.js';
+import { ConfigCommand } from './commands/configCommand.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
 import { ExplainCommand } from './commands/explainCommand.js';
 import { LoadCommand } from './commands/loadCommand.js';
 import { SettingsCommand } from './commands/settingsCommand.js';
@@ -18,6 +20,8 @@
   new AgentCommand(),
   new SettingsCommand(),
   new ChartsCommand(),
+  new QuestionnaireCommand(),
+  new ConfigCommand(),
   new StatusCommand(),
   new TimelineCommand(),
   new ExplainCommand(),
--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -1,5 +1,6 @@
 /** Benches and the demo. */
 export * from './demo.js';
+export * from './faultsBench.js';
 export * from './load/index.js';
 export * from './registry.js';
 export * from './types.js';
--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -20,9 +20,12 @@
   Request: 'request',
   Attempt: 'attempt',
   AgentWork: 'agentWork',
+  BackendWatch: 'backendWatch',
   PeerConnection: 'peerConnection',
   AcceptedConnection: 'acceptedConnection',
   ConfigFollower: 'configFollower',
+  ConfigHolder: 'configHolder',
+  Publication: 'publication',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -40,7 +40,7 @@
   schema: T,
   overrides: readonly SettingOverride[] = [],
 ): Result<z.output<T>> => {
-  const settings = applyOverrides(toPlainObject(ini.parse(text)), overrides);
+  const settings = applyOverrides(parseIni(text), overrides);
   const parsed = schema.safeParse(settings);
   if (parsed.success) {
     return Ok(parsed.data);
@@ -67,6 +67,15 @@
   )?.origin;
 };
 
+/** Parses INI into plain objects; sections with dots are nested. */
+export const parseIni = (text: string): unknown =>
+  toPlainObject(ini.parse(text));
+
+/** Formats nested sections as INI. */
+export const formatIni = (
+  sections: Readonly<Record<string, unknown>>,
+): string => ini.stringify(sections);
+
 const formatIssue = (path: string, issue: z.core.$ZodIssue): string => {
   const key = issue.path.map(String).join('.');
   return `${path}: ${key === '' ? '(file)' : key}: ${issue.message}`;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -23,6 +23,11 @@
   Finished: 'finished',
   Failed: 'failed',
   Report: 'report',
+  Resume: 'resume',
+  ConfigNotice: 'configNotice',
+  ConfigRequest: 'configRequest',
+  ConfigHandover: 'configHandover',
+  ConfigStep: 'configStep',
 } as const;
 export type MessageKind = ValueOf<typeof MessageKind>;
 
@@ -88,6 +93,7 @@
   readonly kind: string;
   readonly reason: string;
   readonly retryAfterMs: number;
+  readonly serverId: string;
 }
 
 export interface Activations extends AttemptRef {
@@ -103,6 +109,11 @@
   readonly tokenId: number;
   readonly text: string;
   readonly isEnd: boolean;
+  readonly index: number;
+}
+
+export interface Resume extends AttemptRef {
+  readonly fromIndex: number;
 }
 
 export interface PlainAnswer {
@@ -131,6 +142,24 @@
   readonly queueDelayMs: number;
 }
 
+export interface ConfigPosition {
+  readonly lineage: string;
+  readonly through: number;
+  readonly version: number;
+}
+
+export interface ConfigHandover {
+  readonly state: string;
+}
+
+export interface ConfigStep extends ConfigPosition {
+  readonly baseVersion: number;
+  readonly throughHash: number;
+  readonly changeId: string;
+  readonly author: string;
+  readonly edits: string;
+}
+
 /** The value that each kind of message carries. */
 export interface MessageValues {
   hello: Hello;
@@ -149,6 +178,11 @@
   finished: Finished;
   failed: Failed;
   report: Report;
+  resume: Resume;
+  configNotice: ConfigPosition;
+  configRequest: ConfigPosition;
+  configHandover: ConfigHandover;
+  configStep: ConfigStep;
 }
 
 /** A message of one kind. */
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -21,6 +21,7 @@
   LeastOutstandingRouting,
   OpenAdmission,
   ServiceKind,
+  SpreadSnapshots,
   UrgencyOrder,
 } from '@lycheetally/decisions';
 import type { z } from 'zod';
@@ -144,6 +145,10 @@
       loggers: new LoggerFactory(settings.process.id),
       log: new HttpLog(settings.platform.log),
       vmList: new HttpVmList(settings.platform.vmList),
+      snapshots: new SpreadSnapshots(
+        settings.config.snapshotSeconds * millisecondsPerSecond,
+        settings.config.snapshotRecords,
+      ),
       policies: {
         admission: new OpenAdmission(),
         routing: new LeastOutstandingRouting(),
@@ -161,6 +166,7 @@
       id: settings.process.id,
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
       operations: settings.operations,
       backend: {
         serverId: backend.server,
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -4,26 +4,33 @@
  */
 import type { ChartMachine } from '@lycheetally/charts';
 import {
-  ErrorKind,
   LogPart,
-  TypedError,
+  type TypedError,
   type Address,
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
 import {
+  ConditionalAcceptance,
   Outcome,
+  emptyConfiguration,
+  toPosition,
   type Route,
-  type RouterConfiguration,
+  type ServerView,
+  type SnapshotPolicy,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
   type AttemptRef,
-  type Failed,
   type Hello,
   type PeerMessage,
-  type Refused,
 } from '@lycheetally/protocol';
+import { ConfigFeed } from '../config/configFeed.js';
+import {
+  ConfigFollower,
+  bindFollowerChart,
+  type FollowerEvent,
+} from '../config/configFollower.js';
 import {
   CallersServer,
   CallersSink,
@@ -46,12 +53,8 @@
 } from '../routerNode.js';
 import { acceptCall, findAccount } from './acceptCall.js';
 import { bindAttemptChart } from './attemptActions.js';
-import { getFirstServerId, type AttemptEvent } from './attemptContext.js';
-import {
-  ConfigFollower,
-  bindFollowerChart,
-  type FollowerEvent,
-} from './configFollower.js';
+import { toAttemptEvent } from './attemptMessages.js';
+import { sendConnectionEvent } from './attemptConnections.js';
 import { EntryOperations } from './entryOperations.js';
 import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
@@ -79,6 +82,8 @@
   readonly log: LogPort;
   readonly vmList: VmListPort;
   readonly policies: EntryPolicies;
+  /** Says when the configuration's stream gets a snapshot. */
+  readonly snapshots: SnapshotPolicy;
 }
 
 export interface EntrySettings extends NodeSettings {
@@ -124,6 +129,7 @@
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
+  private readonly feed: ConfigFeed;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
   private readonly operations: EntryOperations;
@@ -144,6 +150,7 @@
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
+    this.feed = this.createFeed();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       callReceived: ({ call, exchange }, now) => {
@@ -203,6 +210,10 @@
       ready: this.isReady(),
       leaving: this.isStopping,
       configVersion: this.follower.inForce?.version ?? 0,
+      config: {
+        ...toPosition(this.follower.state),
+        standing: this.follower.standing,
+      },
       openRequests: this.requests.size,
       tokens: this.relayCounts,
       members: this.members.listMembers().map(describeMember),
@@ -218,19 +229,31 @@
       .map(service => service.name);
   }
 
-  override handlePeerOpen(channel: PeerChannel): void {
-    this.members.noteOpen(channel);
+  override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
+    this.feed.handleOpen(channel);
+    const earlier = this.members.findByChannel(channel)?.hello;
+    const hello = this.members.noteOpen(channel)?.hello;
+    const requests = this.requests.values();
+    if (earlier && earlier.incarnation !== hello?.incarnation) {
+      sendConnectionEvent(requests, earlier, 'CONNECTION_GONE', now);
+      return;
+    }
+    sendConnectionEvent(requests, hello, 'CONNECTION_BACK', now);
   }
 
   override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
-    const serverId =
-      this.members.findByChannel(channel)?.hello?.backend?.serverId;
-    for (const context of [...this.requests.values()]) {
-      const { attempt } = context;
-      if (attempt && getFirstServerId(attempt) === serverId) {
-        attempt.instance?.send({ type: 'CONNECTION_LOST' }, now);
-      }
-    }
+    const hello = this.members.findByChannel(channel)?.hello;
+    const requests = this.requests.values();
+    sendConnectionEvent(requests, hello, 'CONNECTION_LOST', now);
+  }
+
+  override handlePeerUnreachable(
+    channel: PeerChannel,
+    now: Milliseconds,
+  ): void {
+    const hello = this.members.findByChannel(channel)?.hello;
+    const requests = this.requests.values();
+    sendConnectionEvent(requests, hello, 'UNREACHABLE', now);
   }
 
   override handlePeerMessage(
@@ -248,7 +271,9 @@
         this.members.noteReport(channel, message.value);
         return;
       default:
-        this.receiveAttemptMessage(message, now);
+        if (!this.feed.receive(channel, message, now)) {
+          this.receiveAttemptMessage(message, now);
+        }
     }
   }
 
@@ -256,6 +281,12 @@
     this.callers?.close();
   }
 
+  protected override cancelOpenWork(now: Milliseconds): void {
+    for (const context of [...this.requests.values()]) {
+      context.instance?.send({ type: 'STOPPING' }, now);
+    }
+  }
+
   protected override countOpenWork(): number {
     return this.requests.size;
   }
@@ -398,7 +429,10 @@
 
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
+      nodeId: this.settings.id,
       timers: this.loop,
+      acceptance: new ConditionalAcceptance(),
+      snapshots: this.entryPorts.snapshots,
       logPort: this.operations.logPort,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
@@ -408,6 +442,21 @@
     });
   }
 
+  private createFeed(): ConfigFeed {
+    const feed = new ConfigFeed({
+      getState: () => this.follower.state,
+      takeState: (state, now) => {
+        this.follower.receive({ type: 'HANDED_OVER', state }, now);
+      },
+    });
+    this.store.add(
+      this.follower.advanced.subscribe(span => {
+        feed.publishStep(span, this.members.listOpenChannels());
+      }),
+    );
+    return feed;
+  }
+
   private createServices(): RequestServices {
     return {
       entryId: this.settings.id,
@@ -418,7 +467,7 @@
       attempts: takeValue(bindAttemptChart()),
       getConfiguration: () => this.follower.inForce,
       listServers: service => this.members.listServers(service),
-      sendToServer: (serverId, message) => this.sendToServer(serverId, message),
+      sendToServer: (server, message) => this.sendToServer(server, message),
       countOutstanding: (route, change) => {
         this.countOutstanding(route, change);
       },
@@ -433,12 +482,14 @@
     };
   }
 
-  private sendToServer(serverId: string, message: PeerMessage): boolean {
-    const channel = this.members.findByServer(serverId)?.channel;
-    if (!channel?.isOpen) {
+  /** Sends to one start of an agent; a later start must not hear of it. */
+  private sendToServer(server: ServerView, message: PeerMessage): boolean {
+    const member = this.members.findByServer(server.serverId);
+    const isSame = member?.hello?.incarnation === server.incarnation;
+    if (!member?.channel.isOpen || !isSame) {
       return false;
     }
-    channel.send(message);
+    member.channel.send(message);
     return true;
   }
 
@@ -452,13 +503,6 @@
   }
 }
 
-const emptyConfiguration: RouterConfiguration = {
-  version: 0,
-  ranks: [],
-  accounts: [],
-  services: [],
-};
-
 const describeMember = (member: Member): object => ({
   server: member.hello?.backend?.serverId ?? '',
   address: member.address,
@@ -468,41 +512,3 @@
   leaving: member.report?.leaving ?? false,
   outstanding: member.outstanding,
 });
-
-const toAttemptEvent = (message: PeerMessage): AttemptEvent | undefined => {
-  switch (message.kind) {
-    case MessageKind.Accepted:
-      return { type: 'ACCEPTED' };
-    case MessageKind.Started:
-      return { type: 'STARTED' };
-    case MessageKind.Revoked:
-      return { type: 'REVOKED' };
-    case MessageKind.Cancelled:
-      return { type: 'CANCELLED' };
-    case MessageKind.Finished:
-      return { type: 'FINISHED', end: message.value };
-    case MessageKind.Refused:
-      return {
-        type: 'REFUSED',
-        error: toError(message.value),
-        serverId: '',
-      };
-    case MessageKind.Failed: {
-      const { serverId } = message.value;
-      return { type: 'FAILED', error: toError(message.value), serverId };
-    }
-    default:
-      return undefined;
-  }
-};
-
-const errorKinds: ReadonlySet<string> = new Set(Object.values(ErrorKind));
-
-const toError = (value: Refused | Failed): TypedError =>
-  new TypedError(
-    errorKinds.has(value.kind)
-      ? (value.kind as ErrorKind)
-      : ErrorKind.BackendFailed,
-    value.reason,
-    'send the request again when this is mended',
-  );
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -101,8 +101,8 @@
   context.isCancelled = true;
   context.error = new TypedError(
     ErrorKind.DeadlineExceeded,
-    'the request was stopped at its deadline or because its caller left',
-    'send the request with a later deadline',
+    'the request was stopped: its deadline passed, its caller left or the entry stopped',
+    'send the request again, with a later deadline if it needs more time',
   );
   context.services.events.record('request-cancelled', now, {
     requestId: context.request.requestId,
@@ -180,6 +180,23 @@
   endRequest(context, Outcome.Unknown, now);
 };
 
+// A request that has not run is refused at once; another entry may reach a server.
+const hasRun = (context: RequestContext): boolean =>
+  decideOutcome(context.attemptOutcomes) !== Outcome.NotRun;
+/** Builds the end of an answer whose tokens came and whose end was lost. */
+export const noteMissedEnd: RequestAction = context => {
+  const { request, delivered, attempts } = context;
+  const generatedTokens = delivered.length;
+  const maxTokens = request.model?.maxTokens ?? 0;
+  context.end = {
+    requestId: request.requestId,
+    attempt: attempts,
+    finishReason: generatedTokens >= maxTokens ? 'length' : 'stop',
+    promptTokens: (context.lastPosition ?? 0) + 1 - generatedTokens,
+    generatedTokens,
+  };
+};
+
 const mayRetry = (context: RequestContext, now: Milliseconds): boolean =>
   context.services.policies.retry.mayRetry(viewRequest(context), now);
 
@@ -196,6 +213,7 @@
         cancelAttempt,
         noteCancelled,
         noteReason,
+        noteMissedEnd,
         decideEnd,
         answerComplete,
         answerNotRun,
@@ -203,9 +221,10 @@
         answerUnknown,
       },
       guards: {
+        hasWholeAnswer: context => context.hasLastToken,
         mayRetry: (context, _, now) => mayRetry(context, now),
         mayWaitForRoute: (context, _, now) =>
-          context.attempts > 0 && mayRetry(context, now),
+          hasRun(context) && mayRetry(context, now),
         mayRepeat: (context, _, now) =>
           context.services.policies.retry.mayRepeat(viewRequest(context), now),
       },
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -53,9 +53,10 @@
 
 /** Events of the chart `request`. */
 export type RequestEvent =
+  | { readonly type: 'CALLER_GONE' | 'STOPPING' }
   | { readonly type: 'NEVER_RAN' | 'RAN' | 'MAY_HAVE_RUN' }
   | {
-      readonly type: 'ADMITTED' | 'ROUTED' | 'CALLER_GONE' | 'ATTEMPT_COMPLETE';
+      readonly type: 'ADMITTED' | 'ROUTED' | 'ATTEMPT_COMPLETE';
     }
   | {
       readonly type:
@@ -79,8 +80,8 @@
   readonly attempts: ChartMachine<AttemptContext, AttemptEvent>;
   getConfiguration(): RouterConfiguration | undefined;
   listServers(service: string): readonly ServerView[];
-  /** Sends to the agent of a server; returns false when its channel is not open. */
-  sendToServer(serverId: string, message: PeerMessage): boolean;
+  /** Sends to the agent of a server; returns false when that start of it can't be reached. */
+  sendToServer(server: ServerView, message: PeerMessage): boolean;
   /** Counts work that this entry has at the servers of a route. */
   countOutstanding(route: Route, change: 1 | -1): void;
   /** Adds the record of a request that ended to the ledger. */
@@ -107,6 +108,8 @@
   firstTokenAt: Milliseconds | undefined;
   /** Position of the last delivered token; absent before the first one. */
   lastPosition: number | undefined;
+  /** Says whether the last delivered token ends the answer. */
+  hasLastToken: boolean;
   end: Finished | undefined;
 }
 
@@ -142,5 +145,6 @@
   delivered: [],
   firstTokenAt: undefined,
   lastPosition: undefined,
+  hasLastToken: false,
   end: undefined,
 });
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -92,6 +92,18 @@
     operators: operatorsSchema,
   }),
   platform: platformSchema,
+  config: z
+    .strictObject({
+      snapshotSeconds: createNumberSchema(1, 86_400)
+        .default(600)
+        .describe(
+          "Seconds after which a snapshot is appended; well under the log's retention",
+        ),
+      snapshotRecords: createNumberSchema(1, 100_000)
+        .default(200)
+        .describe('Records after which a snapshot is appended'),
+    })
+    .prefault({}),
   operations: entryOperationsSchema,
   limits: z
     .strictObject({
@@ -131,6 +143,9 @@
       slots: createNumberSchema(1, 10_000)
         .default(16)
         .describe('Pieces of work that run at once'),
+      silenceSeconds: createNumberSchema(1, 3_600)
+        .default(10)
+        .describe('Seconds of silence after which a run counts as failed'),
     })
     .refine(
       backend =>
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -24,6 +24,7 @@
 import { Registry } from 'prom-client';
 import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
 import type { Clock } from './clock.js';
+import { cutBoundMs } from './constants.js';
 import { EventLog } from './eventLog.js';
 import { Loop, type LoopHandlers } from './loop.js';
 import { NodeMetrics } from './metrics/nodeMetrics.js';
@@ -104,6 +105,10 @@
     this.node.handlePeerLost(channel, now);
   }
 
+  override handleUnreachable(channel: PeerChannel, now: Milliseconds): void {
+    this.node.handlePeerUnreachable(channel, now);
+  }
+
   override handleMessage(
     channel: PeerChannel,
     message: PeerMessage,
@@ -171,6 +176,8 @@
   abstract describeSelf(): Hello;
   abstract handlePeerOpen(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerLost(channel: PeerChannel, now: Milliseconds): void;
+  /** A try to open a channel has failed; another follows. */
+  abstract handlePeerUnreachable(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerMessage(
     channel: PeerChannel,
     message: PeerMessage,
@@ -178,6 +185,8 @@
   ): void;
   /** Takes no new work from now on. */
   protected abstract stopAdmission(now: Milliseconds): void;
+  /** Ends the open work with its true outcome. */
+  protected abstract cancelOpenWork(now: Milliseconds): void;
   /** Counts the pieces of work that a stop would cut. */
   protected abstract countOpenWork(): number;
 
@@ -193,7 +202,9 @@
 
   get isStopping(): boolean {
     return (
-      this.lifecycle.matches('draining') || this.lifecycle.matches('stopped')
+      this.lifecycle.matches('draining') ||
+      this.lifecycle.matches('cutting') ||
+      this.lifecycle.matches('stopped')
     );
   }
 
@@ -218,7 +229,7 @@
 
   /** Ends the drain when no work is left. */
   protected checkDrained(now: Milliseconds): void {
-    if (this.lifecycle.matches('draining') && this.countOpenWork() === 0) {
+    if (this.isStopping && this.countOpenWork() === 0) {
       this.lifecycle.send({ type: 'DRAINED' }, now);
     }
   }
@@ -335,6 +346,9 @@
       this.log.error('The drain bound is reached and work is cut', { open });
       this.events.record('drain-bound-reached', now, { detail: { open } });
     },
+    cancelOpenWork: (now: Milliseconds): void => {
+      this.cancelOpenWork(now);
+    },
     finishProcess: (now: Milliseconds): void => {
       this.log.info('Stopped');
       this.events.record('stopped', now);
@@ -365,11 +379,17 @@
         reportCutWork: (node, _, now) => {
           node.lifecycleActions.reportCutWork(now);
         },
+        cancelOpenWork: (node, _, now) => {
+          node.lifecycleActions.cancelOpenWork(now);
+        },
         finishProcess: (node, _, now) => {
           node.lifecycleActions.finishProcess(now);
         },
       },
       guards: {},
-      delays: { DRAIN_BOUND: node => node.drainBoundMs },
+      delays: {
+        DRAIN_BOUND: node => node.drainBoundMs,
+        CUT_BOUND: () => cutBoundMs,
+      },
     }),
   );
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -1,7 +1,16 @@
 /** A small whole system as separate processes: platform, backend servers, agents, entries. */
-import { hashKey, callJson, type VmRecord } from '@lycheetally/router';
+import {
+  ConfigPublisher,
+  HttpLog,
+  SystemClock,
+  callJson,
+  hashKey,
+  type VmRecord,
+} from '@lycheetally/router';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
+import type { TcpRelay } from '../faults/tcpRelay.js';
+import { FleetRelays } from './fleetRelays.js';
 import {
   DaemonPath,
   ProcessFleet,
@@ -24,6 +33,12 @@
   /** Milliseconds of a call to a plain service. */
   readonly plainMs: number;
   readonly slots: number;
+  /** Seconds that a stopping process waits for its open work. */
+  readonly drainSeconds: number;
+  /** Puts relays before agents and backend servers, for faults of links. */
+  readonly hasRelays?: boolean;
+  /** Seconds without an answer after which an agent gives its engine up. */
+  readonly silenceSeconds?: number;
   /** Names of the configuration; the usual ones when absent. */
   readonly names?: FleetNames;
   /** Section `operations` of every daemon's settings. */
@@ -48,6 +63,7 @@
   stepMs: 2,
   plainMs: 5,
   slots: 16,
+  drainSeconds: 20,
 };
 
 /** The usual names. */
@@ -62,6 +78,7 @@
 /** Returns the bearer key of an account of the fleet. */
 export const getAccountKey = (account: string): string => `key-of-${account}`;
 
+const defaultSilenceSeconds = 10;
 const anyAddress = '127.0.0.1:0';
 const failureDomains = ['bc-south-a', 'bc-south-b', 'bc-south-c'];
 const readyTimeoutMs = 15_000;
@@ -121,6 +138,17 @@
   }
 };
 
+/** What fleets read of the status of an entry or an agent. */
+export interface ProcessStatus {
+  readonly ready: boolean;
+  /** Open work of an agent. */
+  readonly work: number;
+  /** Open requests of an entry. */
+  readonly openRequests: number;
+  /** Tokens that an entry relayed. */
+  readonly tokens: { readonly delivered: number; readonly dropped: number };
+}
+
 export class RouterFleet {
   readonly processes = new ProcessFleet();
   logUrl = '';
@@ -129,8 +157,12 @@
   entryUrls: string[] = [];
   /** URLs of the stand-ins behind the agents, by server. */
   readonly backendUrls = new Map<string, string>();
+  private readonly relays: FleetRelays;
+  private readonly agentStarts = new Map<string, () => Promise<FleetProcess>>();
 
-  constructor(readonly options: FleetOptions = defaultFleetOptions) {}
+  constructor(readonly options: FleetOptions = defaultFleetOptions) {
+    this.relays = new FleetRelays(options.hasRelays ?? false);
+  }
 
   private get names(): FleetNames {
     return this.options.names ?? fleetNames;
@@ -153,16 +185,36 @@
     }
   }
 
-  dispose(): Promise<void> {
-    return this.processes.dispose();
+  async dispose(): Promise<void> {
+    await this.processes.dispose();
+    this.relays.dispose();
+  }
+
+  /** Returns the relay before an agent or a backend server. */
+  getRelay(name: string): TcpRelay {
+    return this.relays.getRelay(name);
+  }
+
+  /** Lists the processes that a relay stands before. */
+  listRelays(): string[] {
+    return this.relays.listNames();
   }
 
-  /** Appends a configuration to the log. */
+  /** Starts another agent in place of one that was killed. */
+  async restartAgent(server: string): Promise<void> {
+    await this.agentStarts.get(server)?.();
+  }
+
+  /** Publishes a configuration on top of the current one. */
   async publishConfiguration(
     configuration: RouterConfiguration,
   ): Promise<void> {
-    const body = { values: [JSON.stringify(configuration)] };
-    await this.post(`${this.logUrl}/streams/config/records`, body);
+    const publisher = new ConfigPublisher(
+      new HttpLog(this.logUrl),
+      new SystemClock(),
+      'fleet',
+    );
+    (await publisher.publish(configuration)).unwrap();
   }
 
   /** Switches faults of the log service. */
@@ -172,6 +224,18 @@
     await this.post(`${this.logUrl}/control`, faults);
   }
 
+  /** Drops the records of a stream before an offset, as retention does. */
+  async trimStream(stream: string, before: number): Promise<void> {
+    await this.post(`${this.logUrl}/trim`, { stream, before });
+  }
+
+  /** Reads the status of an entry or agent. */
+  async getStatus(name: string): Promise<Record<string, unknown>> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as Record<string, unknown>;
+  }
+
   /** Changes the VM list. */
   async updateVmList(update: {
     readonly put?: readonly VmRecord[];
@@ -182,11 +246,16 @@
   }
 
   /** Starts an entry and waits until it is ready. */
-  async startEntry(name: string): Promise<FleetProcess> {
+  async startEntry(
+    name: string,
+    sections: SettingsSections = {},
+  ): Promise<FleetProcess> {
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Entry, {
-      process: { id: name, failureDomain: 'bc-south-a', drainSeconds: 20 },
+      process: { id: name, failureDomain: 'bc-south-a', drainSeconds },
       listen: { callers: anyAddress, operators: anyAddress },
       platform: { log: this.logUrl, vmList: this.vmListUrl },
+      ...sections,
       ...this.operations,
     });
     const operators = `http://${started.addresses.operators ?? ''}`;
@@ -198,7 +267,18 @@
   }
 
   /** Starts an agent before a backend server and puts it on the VM list. */
-  async startAgent(
+  startAgent(
+    server: string,
+    backend: Readonly<Record<string, string | number>>,
+    domainIndex: number,
+  ): Promise<FleetProcess> {
+    const start = (): Promise<FleetProcess> =>
+      this.startAgentProcess(server, backend, domainIndex);
+    this.agentStarts.set(server, start);
+    return start();
+  }
+
+  private async startAgentProcess(
     server: string,
     backend: Readonly<Record<string, string | number>>,
     domainIndex: number,
@@ -206,13 +286,22 @@
     const failureDomain =
       failureDomains[domainIndex % failureDomains.length] ?? '';
     const name = `agent-${server}`;
+    const { drainSeconds } = this.options;
     const started = await this.processes.startDaemon(name, DaemonPath.Agent, {
-      process: { id: name, failureDomain, drainSeconds: 20 },
+      process: { id: name, failureDomain, drainSeconds },
       listen: { peers: anyAddress, operators: anyAddress },
-      backend: { server, slots: this.options.slots, ...backend },
+      backend: {
+        server,
+        slots: this.options.slots,
+        silenceSeconds: this.options.silenceSeconds ?? defaultSilenceSeconds,
+        ...backend,
+      },
       ...this.operations,
     });
-    const agentAddress = started.addresses.peers ?? '';
+    const agentAddress = await this.relays.relayTo(
+      name,
+      started.addresses.peers ?? '',
+    );
     await this.updateVmList({
       put: [{ vmId: server, agentAddress, failureDomain, state: 'live' }],
     });
@@ -246,8 +335,9 @@
       'model-engine',
       { layerFrom, layerTo, layers, stepMs },
     );
-    const url = `http://${address}`;
-    this.backendUrls.set(server, url);
+    this.backendUrls.set(server, `http://${address}`);
+    const relayed = await this.relays.relayTo(`engine-${server}`, address);
+    const url = `http://${relayed}`;
     const service = this.names.model;
     await this.startAgent(
       server,
@@ -276,11 +366,25 @@
       'plain-service',
       { workMs: this.options.plainMs },
     );
-    const url = `http://${address}`;
-    this.backendUrls.set(server, url);
+    this.backendUrls.set(server, `http://${address}`);
+    const relayed = await this.relays.relayTo(`service-${server}`, address);
+    const url = `http://${relayed}`;
     await this.startAgent(server, { url, kind: 'plain', service }, index);
   }
 
+  /** Says whether every entry reaches every server. */
+  async isWhole(): Promise<boolean> {
+    const entries = this.processes
+      .listProcesses()
+      .filter(process => process.name.startsWith('entry-'));
+    const connected = await Promise.all(
+      entries.map(entry =>
+        this.isConnected(`http://${entry.addresses.operators ?? ''}`),
+      ),
+    );
+    return connected.every(Boolean);
+  }
+
   private async isConnected(operatorsUrl: string): Promise<boolean> {
     const status = await this.get(`${operatorsUrl}/v1/admin/status`);
     const { ready, members } = status as {
@@ -291,6 +395,13 @@
     return ready && connected >= this.backendUrls.size;
   }
 
+  /** Reads the status that a process tells its operators. */
+  async readStatus(name: string): Promise<ProcessStatus> {
+    const { addresses } = this.processes.getProcess(name);
+    const url = `http://${addresses.operators ?? ''}/v1/admin/status`;
+    return (await this.get(url)) as ProcessStatus;
+  }
+
   /** Reads JSON from a process of the fleet. */
   async get(url: string): Promise<unknown> {
     const answer = await callJson({
