Measure slopes, memory and the cost of the operators' tools

Change: bench capacity runs two fleets in turns, the tools on and off, at three sizes, fits processor time over tokens, reads memory, measures the heap of kept records and extrapolates to full size.

--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,4 +1,5 @@
 /** All benches by name. */
+import { CapacityBench } from './capacityBench.js';
 import { ChartBench } from './chartBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { RelayBench } from './relayBench.js';
@@ -7,6 +8,7 @@
 export const benches: readonly Bench[] = [
   new ChartBench(),
   new RelayBench(),
+  new CapacityBench(),
   new FaultsBench(),
 ];
 
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -41,7 +41,7 @@
   readonly silenceSeconds?: number;
   /** Names of the configuration; the usual ones when absent. */
   readonly names?: FleetNames;
-  /** Section `operations` of every daemon's settings. */
+  /** Section `operations` of the settings; agents leave the ledger's out. */
   readonly operations?: Readonly<Record<string, string | number>>;
 }
 
@@ -168,11 +168,23 @@
     return this.options.names ?? fleetNames;
   }
 
-  private get operations(): Pick<SettingsSections, 'operations'> | object {
+  private get operations(): SettingsSections {
     const { operations } = this.options;
     return operations ? { operations } : {};
   }
 
+  /** An agent keeps no ledger, so it has no settings for one. */
+  private get agentOperations(): SettingsSections {
+    const { operations } = this.options;
+    if (!operations) {
+      return {};
+    }
+    const kept = Object.entries(operations).filter(
+      ([key]) => !key.startsWith('ledger'),
+    );
+    return { operations: Object.fromEntries(kept) };
+  }
+
   /** Starts everything and waits until each entry can reach each server. */
   async start(): Promise<void> {
     await this.startPlatform();
@@ -296,7 +308,7 @@
         silenceSeconds: this.options.silenceSeconds ?? defaultSilenceSeconds,
         ...backend,
       },
-      ...this.operations,
+      ...this.agentOperations,
     });
     const agentAddress = await this.relays.relayTo(
       name,
