--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,7 +1,13 @@
 /** All benches by name. */
 import { CapacityBench } from './capacityBench.js';
 import { ChartBench } from './chartBench.js';
+import { ChainRecoveryBench } from './chainRecoveryBench.js';
 import { FaultsBench } from './faultsBench.js';
+import { BoundBench } from './policy/boundBench.js';
+import { DecideBench } from './policy/decideBench.js';
+import { FairnessBench } from './policy/fairnessBench.js';
+import { RanksBench } from './policy/ranksBench.js';
+import { RecoverBench } from './policy/recoverBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
 
@@ -9,7 +15,13 @@
   new ChartBench(),
   new RelayBench(),
   new CapacityBench(),
+  new ChainRecoveryBench(),
   new FaultsBench(),
+  new BoundBench(),
+  new RanksBench(),
+  new FairnessBench(),
+  new RecoverBench(),
+  new DecideBench(),
 ];
 
 /** Finds a bench by name. */
--- /dev/null
+++ b/packages/decisions/src/routing/predictiveRouting.ts
@@ -0,0 +1,195 @@
+/**
+ * Chooses the chain with the earliest predicted completion among a few drawn
+ * from the steady shares.
+ *
+ * The shares keep every stage and link of a mixed fleet at its part of the
+ * largest flow; the comparison of a few candidates follows what the load is
+ * now. The number of candidates is fixed, so a decision costs the same for a
+ * fleet of any size.
+ */
+import { mixBits, type Milliseconds, type Result } from '@lycheetally/common';
+import type { LoadGate, RouteForecast } from '../admit/loadGate.js';
+import type { LoadBook } from '../load/loadBook.js';
+import {
+  LeastOutstandingRouting,
+  RoutingPolicy,
+  type Route,
+} from '../routing.js';
+import type { RequestView, ServerView, ServiceRule } from '../types.js';
+import { estimateRoute } from './completionForecast.js';
+import {
+  indexServers,
+  type FleetIndex,
+  type ServerGroup,
+} from './fleetIndex.js';
+import {
+  computeFlowPlan,
+  type FlowPlan,
+  type StageChoices,
+} from './flowPlan.js';
+import type { LinkTable } from './linkTable.js';
+
+/** What the routing learns from and may be told. */
+export interface PredictiveRoutingSettings {
+  readonly book: LoadBook;
+  readonly links: LinkTable;
+  readonly gate: LoadGate;
+  readonly seed: number;
+  /** Chains compared for each decision. */
+  readonly candidates: number;
+  /** Milliseconds between computations of the steady shares. */
+  readonly planIntervalMs: Milliseconds;
+}
+
+interface IndexedService {
+  readonly index: FleetIndex;
+  plan: FlowPlan;
+  plannedAt: Milliseconds;
+}
+
+const maxDraws = 4;
+const maxStages = 64;
+const hashRange = 2 ** 32;
+
+export class PredictiveRouting extends RoutingPolicy {
+  private readonly services = new WeakMap<
+    readonly ServerView[],
+    IndexedService
+  >();
+  private readonly fallback = new LeastOutstandingRouting();
+  private draws: number;
+
+  constructor(private readonly settings: PredictiveRoutingSettings) {
+    super();
+    this.draws = mixBits(settings.seed);
+  }
+
+  override chooseRoute(
+    request: RequestView,
+    service: ServiceRule,
+    servers: readonly ServerView[],
+    now: Milliseconds,
+  ): Result<Route> {
+    const { plan } = this.getService(service, servers, now);
+    const { book, links, candidates, gate } = this.settings;
+    let best: Route | undefined;
+    let forecast: RouteForecast | undefined;
+    for (let count = 0; count < candidates; count += 1) {
+      const route = this.pickRoute(plan, service, request, now);
+      const next = route && estimateRoute(route, request, book, links, now);
+      if (next && next.completionMs < (forecast?.completionMs ?? Infinity)) {
+        best = route;
+        forecast = next;
+      }
+    }
+    if (!best || !forecast) {
+      return this.fallback.chooseRoute(request, service, servers, now);
+    }
+    const chosen = best;
+    return gate.decideEntry(request, forecast, now).map(() => chosen);
+  }
+
+  protected override pickServer(
+    candidates: readonly ServerView[],
+  ): ServerView | undefined {
+    return candidates[0];
+  }
+
+  private pickRoute(
+    plan: FlowPlan,
+    service: ServiceRule,
+    request: RequestView,
+    now: Milliseconds,
+  ): Route | undefined {
+    const route: ServerView[] = [];
+    let choices: StageChoices | undefined = plan.first;
+    while (choices && route.length < maxStages) {
+      const group = this.pickGroup(choices);
+      const server = group && this.pickMember(group, request, now);
+      if (!group || !server) {
+        return undefined;
+      }
+      route.push(server);
+      if (group.layerTo >= service.layers) {
+        return route;
+      }
+      choices = plan.next.get(group.key);
+    }
+    return undefined;
+  }
+
+  private pickGroup(choices: StageChoices): ServerGroup | undefined {
+    let left = this.pickFraction() * choices.total;
+    for (const { group, share } of choices.shares) {
+      left -= share;
+      if (left < 0) {
+        return group;
+      }
+    }
+    return choices.shares.at(-1)?.group;
+  }
+
+  // Of two servers drawn from the group, the one with less before it.
+  private pickMember(
+    group: ServerGroup,
+    request: RequestView,
+    now: Milliseconds,
+  ): ServerView | undefined {
+    const one = this.pickUsable(group, request);
+    const other = this.pickUsable(group, request);
+    if (!one || !other) {
+      return one ?? other;
+    }
+    const { book } = this.settings;
+    const urgency = request.urgency ?? 0;
+    const estimate = (server: ServerView): Milliseconds => {
+      const load = book.get(server.serverId);
+      const waitMs =
+        server.layerFrom === 0 ? load.estimateWait(urgency, now) : 0;
+      return waitMs + load.estimateTokenGap(urgency, now);
+    };
+    return estimate(one) <= estimate(other) ? one : other;
+  }
+
+  private pickUsable(
+    group: ServerGroup,
+    request: RequestView,
+  ): ServerView | undefined {
+    for (let count = 0; count < maxDraws; count += 1) {
+      const place = Math.floor(this.pickFraction() * group.servers.length);
+      const server = group.servers[place];
+      if (
+        server?.isConnected === true &&
+        !server.isLeaving &&
+        !request.avoided.includes(server.serverId)
+      ) {
+        return server;
+      }
+    }
+    return undefined;
+  }
+
+  private pickFraction(): number {
+    this.draws = (this.draws + goldenStep) >>> 0;
+    return mixBits(this.draws) / hashRange;
+  }
+
+  private getService(
+    service: ServiceRule,
+    servers: readonly ServerView[],
+    now: Milliseconds,
+  ): IndexedService {
+    const known = this.services.get(servers);
+    if (known && now - known.plannedAt < this.settings.planIntervalMs) {
+      return known;
+    }
+    const index = known?.index ?? indexServers(servers, service.name);
+    const { book, links } = this.settings;
+    const plan = computeFlowPlan(index, service.layers, book, links, now);
+    const planned = { index, plan, plannedAt: now };
+    this.services.set(servers, planned);
+    return planned;
+  }
+}
+
+const goldenStep = 0x9e3779b9;
