--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -3,6 +3,7 @@
 import cac from 'cac';
 import { ExitCode, toMessage } from '@lycheetally/common';
 import { BenchCommand } from './commands/benchCommand.js';
+import { ChartsCommand } from './commands/chartsCommand.js';
 import type { Command } from './commands/command.js';
 import { ConfigCommand } from './commands/configCommand.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
@@ -11,12 +12,15 @@
 import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
 import { ExplainCommand } from './commands/explainCommand.js';
 import { LoadCommand } from './commands/loadCommand.js';
+import { SettingsCommand } from './commands/settingsCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
 import { TimelineCommand } from './commands/timelineCommand.js';
 
 const commands: readonly Command[] = [
   new EntryCommand(),
   new AgentCommand(),
+  new SettingsCommand(),
+  new ChartsCommand(),
   new QuestionnaireCommand(),
   new ConfigCommand(),
   new StatusCommand(),
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,4 +1,5 @@
 /** All benches by name. */
+import { CapacityBench } from './capacityBench.js';
 import { ChartBench } from './chartBench.js';
 import { ChainRecoveryBench } from './chainRecoveryBench.js';
 import { ClaimsBench } from './claimsBench.js';
@@ -14,6 +15,7 @@
 export const benches: readonly Bench[] = [
   new ChartBench(),
   new RelayBench(),
+  new CapacityBench(),
   new ChainRecoveryBench(),
   new ClaimsBench(),
   new FaultsBench(),
