--- /dev/null
+++ b/bench/src/config/controlCostBench.ts
@@ -0,0 +1,122 @@
+/**
+ * What control costs a node: bytes a second over the wire, processor time and
+ * memory of an idle fleet at 10, 20 and 40 agents, with its slope.
+ */
+import { readFileSync } from 'node:fs';
+import { readCpuMicroseconds } from '../relayBench.js';
+import { RouterFleet, defaultFleetOptions } from '@lycheetally/testkit';
+import { Bench, type BenchOptions } from '../types.js';
+
+const sizes = [10, 20, 40];
+const measureMs = 20_000;
+const settleMs = 3_000;
+const microsecondsPerMillisecond = 1_000;
+const millisecondsPerSecond = 1_000;
+const bytesPerMebibyte = 1_048_576;
+const bytesPerKibibyte = 1_024;
+
+/** What one node used. */
+interface NodeCost {
+  readonly bytesPerSecond: number;
+  readonly cpuShare: number;
+  readonly memoryMebibytes: number;
+}
+
+interface SizeCost {
+  readonly agents: number;
+  readonly entry: NodeCost;
+  readonly agent: NodeCost;
+}
+
+export class ControlCostBench extends Bench {
+  override readonly name = 'control-cost';
+  override readonly summary = 'control bytes a second per entry, by its agents';
+  override readonly unit = 'B/s';
+
+  protected override async measure({
+    report,
+  }: BenchOptions): ReturnType<Bench['measure']> {
+    const costs: SizeCost[] = [];
+    for (const agents of sizes) {
+      costs.push(await measureSize(agents));
+      report(JSON.stringify(costs.at(-1)));
+    }
+    const [least, most] = [costs[0], costs.at(-1)];
+    if (!least || !most) {
+      throw new Error('No size was measured');
+    }
+    const perAgent =
+      (most.entry.bytesPerSecond - least.entry.bytesPerSecond) /
+      (most.agents - least.agents);
+    const fixed = most.entry.bytesPerSecond - perAgent * most.agents;
+    return {
+      baseline: null,
+      ours: most.entry.bytesPerSecond,
+      detail: {
+        costs,
+        entryBytesPerSecondForEachAgent: perAgent,
+        entryBytesPerSecondFixed: fixed,
+        agentsUnderTwoKibibytes: (2 * bytesPerKibibyte - fixed) / perAgent,
+      },
+    };
+  }
+}
+
+const measureSize = async (agents: number): Promise<SizeCost> => {
+  const fleet = new RouterFleet({
+    ...defaultFleetOptions,
+    stages: 1,
+    replicas: agents,
+    plainServers: 0,
+  });
+  try {
+    await fleet.start();
+    await waitMilliseconds(settleMs);
+    const [entry, agent] = await Promise.all(
+      ['entry-0', 'agent-stage0-0'].map(name => measureNode(fleet, name)),
+    );
+    if (!entry || !agent) {
+      throw new Error('A node was not measured');
+    }
+    return { agents, entry, agent };
+  } finally {
+    await fleet.dispose();
+  }
+};
+
+const measureNode = async (
+  fleet: RouterFleet,
+  name: string,
+): Promise<NodeCost> => {
+  const pid = fleet.processes.getProcess(name).child.pid ?? 0;
+  const before = { cpu: readCpuMicroseconds(pid), bytes: readBytes(pid) };
+  const startedAt = Date.now();
+  await waitMilliseconds(measureMs);
+  const elapsedMs = Date.now() - startedAt;
+  const cpu = readCpuMicroseconds(pid) - before.cpu;
+  const bytes = readBytes(pid) - before.bytes;
+  return {
+    bytesPerSecond: (bytes * millisecondsPerSecond) / elapsedMs,
+    cpuShare: cpu / (elapsedMs * microsecondsPerMillisecond),
+    memoryMebibytes: readMemory(pid) / bytesPerMebibyte,
+  };
+};
+
+/** Reads the bytes that a process has read and written; an idle one has only its sockets. */
+const readBytes = (pid: number): number => {
+  const io = readFileSync(`/proc/${String(pid)}/io`, 'utf8');
+  return readField(io, /^rchar: (\d+)$/m) + readField(io, /^wchar: (\d+)$/m);
+};
+
+const readMemory = (pid: number): number => {
+  const status = readFileSync(`/proc/${String(pid)}/status`, 'utf8');
+  return readField(status, /^VmRSS:\s+(\d+) kB$/m) * bytesPerKibibyte;
+};
+
+const readField = (text: string, pattern: RegExp): number =>
+  Number(pattern.exec(text)?.[1] ?? 0);
+
+const waitMilliseconds = (duration: number): Promise<void> =>
+  new Promise(resolve => {
+    setTimeout(resolve, duration);
+  });
--- /dev/null
+++ b/bench/src/config/propagationBench.ts
@@ -0,0 +1,167 @@
+/**
+ * Time from an operator's publication until the version is in force on every
+ * node: 3 entries and 43 agents, with and without a log outage at the moment.
+ */
+import { ConfigPublisher, HttpLog, SystemClock } from '@lycheetally/router';
+import {
+  RouterFleet,
+  buildFleetConfiguration,
+  defaultFleetOptions,
+  waitUntil,
+} from '@lycheetally/testkit';
+import { Bench, type BenchOptions } from '../types.js';
+
+const rounds = 20;
+const outageRounds = 3;
+const outageMs = 5_000;
+const millisecondsPerSecond = 1_000;
+const waitMs = 60_000;
+
+/** The size of today's fleet: 40 model workers and 3 of the booking application. */
+export const todaysFleet = {
+  ...defaultFleetOptions,
+  entries: 3,
+  stages: 1,
+  replicas: 40,
+  plainServers: 0,
+};
+
+const extraAgents = 3;
+
+interface InForceEvent {
+  readonly kind: string;
+  readonly stamp: number;
+  readonly detail?: { readonly version?: number };
+}
+
+const stampsPerMillisecond = 4_096;
+
+export class PropagationBench extends Bench {
+  override readonly name = 'config-propagation';
+  override readonly summary =
+    'seconds from publication to in force on the last node (p99)';
+  override readonly unit = 's';
+
+  protected override async measure({
+    report,
+  }: BenchOptions): ReturnType<Bench['measure']> {
+    const fleet = new RouterFleet(todaysFleet);
+    try {
+      await fleet.start();
+      for (let index = 0; index < extraAgents; index += 1) {
+        await startBookingAgent(fleet, index);
+      }
+      const nodes = listNodes(fleet);
+      report(`${String(nodes.length)} nodes are up`);
+      const usual = await measureRounds(fleet, nodes, rounds, 0);
+      const outage = await measureRounds(fleet, nodes, outageRounds, outageMs);
+      return {
+        baseline: null,
+        ours: pickQuantile(usual, 0.99),
+        detail: {
+          nodes: nodes.length,
+          rounds,
+          p50Seconds: pickQuantile(usual, 0.5),
+          outageSeconds: outageMs / millisecondsPerSecond,
+          outageRounds,
+          p99SecondsAfterOutageBegan: pickQuantile(outage, 0.99),
+        },
+      };
+    } finally {
+      await fleet.dispose();
+    }
+  }
+}
+
+const startBookingAgent = async (
+  fleet: RouterFleet,
+  index: number,
+): Promise<void> => {
+  const server = `booking-${String(index)}`;
+  const address = await fleet.processes.startStandIn(
+    `service-${server}`,
+    'plain-service',
+  );
+  const url = `http://${address}`;
+  const backend = { url, kind: 'plain', service: 'depot-booking' };
+  await fleet.startAgent(server, backend, index);
+};
+
+const listNodes = (fleet: RouterFleet): readonly string[] =>
+  fleet.processes
+    .listProcesses()
+    .map(process => process.name)
+    .filter(name => /^(entry|agent)-/.test(name));
+
+/** Returns the seconds until the last node, for each round. */
+const measureRounds = async (
+  fleet: RouterFleet,
+  nodes: readonly string[],
+  count: number,
+  outage: number,
+): Promise<number[]> => {
+  const seconds: number[] = [];
+  for (let round = 0; round < count; round += 1) {
+    seconds.push(await measureRound(fleet, nodes, outage));
+  }
+  return seconds;
+};
+
+const measureRound = async (
+  fleet: RouterFleet,
+  nodes: readonly string[],
+  outage: number,
+): Promise<number> => {
+  const publisher = new ConfigPublisher(
+    new HttpLog(fleet.logUrl),
+    new SystemClock(),
+    'bench',
+  );
+  const base = buildFleetConfiguration(fleet.options.layers);
+  const startedAt = Date.now();
+  const ranks = base.ranks.map(rank => ({ ...rank, targetMs: startedAt }));
+  const published = await publisher.publish({ ...base, ranks });
+  const { version } = published.unwrap().state.configuration;
+  if (outage > 0) {
+    await fleet.setLogFaults({ outage: true });
+    await new Promise(resolve => setTimeout(resolve, outage));
+    await fleet.setLogFaults({ outage: false });
+  }
+  const times = new Map<string, number>();
+  await waitUntil(
+    `version ${String(version)} is in force on every node`,
+    async () => {
+      for (const name of nodes.filter(each => !times.has(each))) {
+        const at = await findInForce(fleet, name, version);
+        if (at !== undefined) {
+          times.set(name, at);
+        }
+      }
+      return times.size === nodes.length;
+    },
+    waitMs,
+  );
+  return (Math.max(...times.values()) - startedAt) / millisecondsPerSecond;
+};
+
+/** Returns the time at which a node put a version into force. */
+const findInForce = async (
+  fleet: RouterFleet,
+  name: string,
+  version: number,
+): Promise<number | undefined> => {
+  const { addresses } = fleet.processes.getProcess(name);
+  const url = `http://${addresses.operators ?? ''}/v1/admin/events`;
+  const { events } = (await fleet.get(url)) as { events: InForceEvent[] };
+  const found = events.findLast(
+    ({ kind, detail }) =>
+      kind === 'config-in-force' && detail?.version === version,
+  );
+  return found && found.stamp / stampsPerMillisecond;
+};
+
+const pickQuantile = (values: readonly number[], quantile: number): number => {
+  const sorted = [...values].sort((a, b) => a - b);
+  const index = Math.ceil(sorted.length * quantile) - 1;
+  return sorted[Math.max(0, index)] ?? 0;
+};
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,4 +1,6 @@
 /** All benches by name. */
+import { ControlCostBench } from './config/controlCostBench.js';
+import { PropagationBench } from './config/propagationBench.js';
 import { ChartBench } from './chartBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { RelayBench } from './relayBench.js';
@@ -7,6 +9,8 @@
 export const benches: readonly Bench[] = [
   new ChartBench(),
   new RelayBench(),
+  new PropagationBench(),
+  new ControlCostBench(),
   new FaultsBench(),
 ];
 
--- a/packages/decisions/src/config/replay.ts
+++ b/packages/decisions/src/config/replay.ts
@@ -1,10 +1,11 @@
 /**
  * Replays spans of the `config` stream over a state.
  *
- * A reader asks for records from the last one that it has applied, that one
- * included. A log that has lost its tail or was replaced then shows itself,
- * because the record differs. The overlap is the supplied paper's inclusive
- * replay.
+ * A reader that joins, or joins again after a fault, asks for records from the
+ * last one that it has applied, that one included. A log that has lost its tail
+ * or was replaced then shows itself, because the record differs. The overlap is
+ * the supplied paper's inclusive replay; a reader that keeps up reads on from
+ * the next record, since the overlap costs a record each time.
  */
 import type { ValueOf } from '@lycheetally/common';
 import {
@@ -77,7 +78,7 @@
     }
   }
   const standing = ConfigStanding.Current;
-  const cursor = state ? state.through : span.next;
+  const cursor = state ? state.through + 1 : span.next;
   return { standing, state, decisions, cursor };
 };
 
--- a/packages/router/src/config/configFollower.ts
+++ b/packages/router/src/config/configFollower.ts
@@ -1,8 +1,9 @@
 /**
  * Follows the configuration stream of the log.
  *
- * The version in force only goes forward. Each read begins with the last
- * record that was applied, so that a log with another history is noticed.
+ * The version in force only goes forward. After a fault, and from time to time,
+ * a read begins with the last record that was applied, so that a log with
+ * another history is noticed.
  */
 import {
   ChartMachine,
@@ -32,7 +33,7 @@
   type RouterConfiguration,
   type SnapshotPolicy,
 } from '@lycheetally/decisions';
-import { configReadIntervalMs } from '../constants.js';
+import { configCheckIntervalMs, configReadIntervalMs } from '../constants.js';
 import type { EventLog } from '../eventLog.js';
 import type { LogPort } from '../ports/platform.js';
 import { configStream, decodeSpan, encodeRecord } from './recordCodec.js';
@@ -128,6 +129,11 @@
     return this.replayed.replay;
   }
 
+  /** Says whether the read began before the cursor was moved. */
+  isOutdated(event: FollowerEvent | undefined): boolean {
+    return event?.type === 'RECORDS' && event.span.from !== this.cursor;
+  }
+
   /** Says whether records beyond the replayed ones may be waiting. */
   hasMore(event: FollowerEvent | undefined): boolean {
     const replay = this.getReplay(event);
@@ -152,6 +158,11 @@
     this.appendSnapshot(replay, now);
   }
 
+  /** Lets the next read begin with the last record that was applied. */
+  resetCursor(): void {
+    this.cursor = this.state?.through ?? this.cursor;
+  }
+
   /** Takes over a state that a peer handed on. */
   takeState(event: FollowerEvent | undefined, now: Milliseconds): void {
     if (event?.type !== 'HANDED_OVER') {
@@ -280,6 +291,9 @@
         takeState: (follower, event, now) => {
           follower.takeState(event, now);
         },
+        resetCursor: follower => {
+          follower.resetCursor();
+        },
         recordStanding: (follower, _, now) => {
           follower.recordStanding(now);
         },
@@ -294,6 +308,7 @@
         },
       },
       guards: {
+        isOutdated: (follower, event) => follower.isOutdated(event),
         hasDiverged: (follower, event) =>
           follower.getReplay(event)?.standing === ConfigStanding.Diverged,
         isBehind: (follower, event) =>
@@ -302,6 +317,9 @@
         isNewerState: (follower, event) =>
           event?.type === 'HANDED_OVER' && isNewer(follower.state, event.state),
       },
-      delays: { READ_INTERVAL: () => configReadIntervalMs },
+      delays: {
+        READ_INTERVAL: () => configReadIntervalMs,
+        CHECK_INTERVAL: () => configCheckIntervalMs,
+      },
     }),
   );
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -61,7 +61,10 @@
 export const vmListIntervalMs = 500;
 
 /** Milliseconds between reads of the configuration stream. */
-export const configReadIntervalMs = 250;
+export const configReadIntervalMs = 1_000;
+
+/** Milliseconds between reads that check the last applied record again. */
+export const configCheckIntervalMs = 10 * 60 * 1_000;
 
 /** Starts of agents that left, as far as an entry remembers them. */
 export const maxDepartedStarts = 10_000;
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -55,7 +55,7 @@
   config: z
     .strictObject({
       /** Seconds after which a snapshot is appended; well under the log's retention. */
-      snapshotSeconds: createNumberSchema(1, 86_400).default(600),
+      snapshotSeconds: createNumberSchema(1, 86_400).default(3_600),
       /** Records after which a snapshot is appended. */
       snapshotRecords: createNumberSchema(1, 100_000).default(200),
     })
