--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -9,6 +9,10 @@
 import { DemoCommand } from './commands/demoCommand.js';
 import { DrainCommand } from './commands/drainCommand.js';
 import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
+import { ExplainCommand } from './commands/explainCommand.js';
+import { LoadCommand } from './commands/loadCommand.js';
+import { StatusCommand } from './commands/statusCommand.js';
+import { TimelineCommand } from './commands/timelineCommand.js';
 
 const commands: readonly Command[] = [
   new EntryCommand(),
@@ -16,7 +20,11 @@
   new QuestionnaireCommand(),
   new ConfigCommand(),
   new DrainCommand(),
+  new StatusCommand(),
+  new TimelineCommand(),
+  new ExplainCommand(),
   new DemoCommand(),
+  new LoadCommand(),
   new BenchCommand(),
 ];
 
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -2,7 +2,13 @@
 import { ControlCostBench } from './config/controlCostBench.js';
 import { PropagationBench } from './config/propagationBench.js';
 import { ChartBench } from './chartBench.js';
+import { ChainRecoveryBench } from './chainRecoveryBench.js';
 import { FaultsBench } from './faultsBench.js';
+import { BoundBench } from './policy/boundBench.js';
+import { DecideBench } from './policy/decideBench.js';
+import { FairnessBench } from './policy/fairnessBench.js';
+import { RanksBench } from './policy/ranksBench.js';
+import { RecoverBench } from './policy/recoverBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
 
@@ -11,7 +17,13 @@
   new RelayBench(),
   new PropagationBench(),
   new ControlCostBench(),
+  new ChainRecoveryBench(),
   new FaultsBench(),
+  new BoundBench(),
+  new RanksBench(),
+  new FairnessBench(),
+  new RecoverBench(),
+  new DecideBench(),
 ];
 
 /** Finds a bench by name. */
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -30,6 +30,7 @@
   AgentMembership,
   bindAgentMembershipChart,
 } from '../membership/agentMembership.js';
+import { addGauge } from '../metrics/nodeMetrics.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -112,6 +113,7 @@
         this.holder.receive({ type: 'HANDED_OVER', state }, now);
       },
     });
+    this.addGauges();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       backendReported: ({ work, event }, now) => {
@@ -128,20 +130,30 @@
     peers: Address,
     operators: Address,
   ): Promise<{ peers: Address; operators: Address }> {
-    const boundPeers = takeValue(
-      await this.ports.network.listen(peers, stream =>
-        this.acceptStream(stream),
-      ),
-    );
+    const boundPeers = await this.listenForPeers(peers);
     const boundOperators = await this.listenForOperators(operators);
-    this.holder.start(this.clock.getNow());
-    this.membership.start(this.clock.getNow());
-    this.peerAddress = formatAddress(boundPeers);
+    this.startServing(this.clock.getNow());
+    return { peers: boundPeers, operators: boundOperators };
+  }
+
+  /** Opens the port for entries and earlier stages. Throws `BadAddress`. */
+  async listenForPeers(address: Address): Promise<Address> {
+    const { network } = this.ports;
+    const bound = takeValue(
+      await network.listen(address, stream => this.acceptStream(stream)),
+    );
+    this.peerAddress = formatAddress(bound);
+    return bound;
+  }
+
+  /** Enters the loop. */
+  startServing(now: Milliseconds): void {
+    this.holder.start(now);
+    this.membership.start(now);
     for (const entry of this.agentSettings.knownEntries) {
-      this.createOutgoing(formatAddress(entry), this.clock.getNow());
+      this.createOutgoing(formatAddress(entry), now);
     }
-    this.begin(this.clock.getNow());
-    return { peers: boundPeers, operators: boundOperators };
+    this.begin(now);
   }
 
   override describeSelf(): Hello {
@@ -256,6 +268,25 @@
     );
   }
 
+  private addGauges(): void {
+    if (!this.isCounting) {
+      return;
+    }
+    const { slots } = this.agentPorts;
+    addGauge(
+      this.registry,
+      'work_running',
+      'Work that holds a place',
+      () => slots.running,
+    );
+    addGauge(
+      this.registry,
+      'work_waiting',
+      'Work that waits for a place',
+      () => slots.waiting,
+    );
+  }
+
   private get serverId(): string {
     return this.agentSettings.backend.serverId;
   }
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -106,6 +106,7 @@
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
       maxServers: settings.limits.maxServers,
+      operations: settings.operations,
     },
     {
       clock: new SystemClock(),
@@ -136,6 +137,7 @@
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       knownEntries: settings.entries.known,
       silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
+      operations: settings.operations,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -13,6 +13,8 @@
 } from '@lycheetally/common';
 import { Outcome, decideOutcome } from '@lycheetally/decisions';
 import { cancelBoundMs } from '../constants.js';
+import { createOutcomeRecord } from '../ledger/recordOutcome.js';
+import { describeRouting } from '../timeline/describeRouting.js';
 import type { AttemptContext } from './attemptContext.js';
 import {
   viewRequest,
@@ -51,12 +53,17 @@
 
 export const chooseRoute: RequestAction = (context, _, now) => {
   const { services, request } = context;
+  const servers = services.listServers(request.service.name);
   const chosen = services.policies.routing.chooseRoute(
     viewRequest(context),
     request.service,
-    services.listServers(request.service.name),
+    servers,
     now,
   );
+  services.events.record('route-decided', now, {
+    requestId: request.requestId,
+    detail: describeRouting(servers, context.avoided, chosen),
+  });
   if (chosen.err) {
     context.instance?.send({ type: 'UNROUTABLE', error: chosen.val }, now);
     return;
@@ -135,8 +142,11 @@
       service: request.service.name,
       attempts: context.attempts,
       tokens: context.delivered.length,
+      reason:
+        outcome === Outcome.Complete ? '' : (context.error?.message ?? ''),
     },
   });
+  services.recordOutcome(createOutcomeRecord(context, outcome, now));
   exchange.finish({
     requestId: request.requestId,
     outcome,
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -21,11 +21,14 @@
   type Result,
 } from '@lycheetally/common';
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
+import { Registry } from 'prom-client';
 import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
 import type { Clock } from './clock.js';
 import { cutBoundMs } from './constants.js';
 import { EventLog } from './eventLog.js';
 import { Loop, type LoopHandlers } from './loop.js';
+import { NodeMetrics } from './metrics/nodeMetrics.js';
+import type { OperationsSettings } from './processSettings.js';
 import {
   bindIncomingChart,
   IncomingChannel,
@@ -48,6 +51,12 @@
   PeerStreamListener,
 } from './ports/peerNetwork.js';
 
+import {
+  filterEvents,
+  type EventPage,
+  type EventQuery,
+} from './timeline/eventPage.js';
+
 /** Events that every node takes. */
 export interface NodeEvents extends PeerEvents {
   peerAccepted: { channel: IncomingChannel };
@@ -63,6 +72,8 @@
   readonly id: string;
   readonly failureDomain: string;
   readonly drainBoundMs: Milliseconds;
+  /** What the process keeps for its operators; the defaults when absent. */
+  readonly operations?: OperationsSettings | undefined;
 }
 
 /** Ports that every node is given. */
@@ -116,6 +127,7 @@
   /** Emits once when the process may end. */
   readonly stopped = new Emitter<true>();
 
+  protected readonly registry = new Registry();
   protected readonly store = new DisposableStore();
   protected readonly log: PartLogger;
   protected readonly clock: Clock;
@@ -134,7 +146,10 @@
     super();
     this.clock = ports.clock;
     this.incarnation = `${settings.id}.${ports.clock.getNow().toString(36)}`;
-    this.events = new EventLog(settings.id);
+    this.events = new EventLog(
+      settings.id,
+      settings.operations?.timelineEvents,
+    );
     this.log = ports.loggers.createLogger(part);
     this.loop = new Loop<Events>(ports.clock);
     this.outgoingMachine = takeValue(bindOutgoingChart());
@@ -145,6 +160,16 @@
       this.loop,
     );
     this.subscribeToLoop();
+    if (this.isCounting) {
+      const isReady = (): boolean => this.isReady();
+      const metrics = new NodeMetrics(this.registry, this.events, isReady);
+      this.store.add(metrics.store);
+    }
+  }
+
+  /** Says whether the process counts for its metrics page. */
+  protected get isCounting(): boolean {
+    return this.settings.operations?.metrics !== 'off';
   }
 
   /** Describes this process to its peers. */
@@ -187,6 +212,16 @@
     return this.events.list();
   }
 
+  override describeEvents(query: EventQuery): EventPage {
+    return {
+      process: this.settings.id,
+      incarnation: this.incarnation,
+      now: this.clock.getNow(),
+      overwritten: this.events.overwritten,
+      events: filterEvents(this.events.list(), query),
+    };
+  }
+
   /** Starts a graceful stop. Called from outside the loop. */
   requestStop(signal: string): void {
     this.loop.post('stopRequested', { signal });
@@ -249,7 +284,7 @@
 
   /** Opens the operators' port. Throws `BadAddress`. */
   protected async listenForOperators(address: Address): Promise<Address> {
-    const server = new OperatorsServer(this);
+    const server = new OperatorsServer(this, this.registry);
     this.store.add(server);
     return takeValue(await server.listen(address));
   }
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -6,7 +6,9 @@
  * follow in order, join late and join behind the trim. A change is accepted
  * only on top of the version that it names.
  *
- * Mutations: NO_CONDITION, NO_READ_BACK, REBUILT_RETRY, SNAPSHOT_ANYWHERE.
+ * spin -a config.pml && gcc -O2 -DSAFETY -DMEMLIM=2048 -o pan pan.c && ./pan -m100000
+ *
+ * Mutations (-D to spin): NO_CONDITION, NO_READ_BACK, REBUILT_RETRY, SNAPSHOT_ANYWHERE.
  */
 #define OPERATORS 2
 #define MAX_RECORDS 4
