--- a/packages/router/src/adapters/operatorsHttp.ts
+++ b/packages/router/src/adapters/operatorsHttp.ts
@@ -1,5 +1,10 @@
 /** The operators' port: health, readiness, metrics, status and events. */
-import { createServer, type ServerResponse, type Server } from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {
   Err,
   ErrorKind,
@@ -24,14 +29,14 @@
   abstract isReady(): boolean;
   abstract describeStatus(): object;
   abstract listEvents(): readonly EventRecord[];
-  /** Starts a graceful stop. */
-  abstract requestDrain(): void;
   /** Describes the events of this process that match. */
   abstract describeEvents(query: EventQuery): EventPage;
   /** Reads the outcome records of this process; `undefined` when it keeps none. */
   readLedger(_query: LedgerQuery): LedgerPage | undefined {
     return undefined;
   }
+  /** Starts a graceful stop. */
+  abstract requestDrain(): void;
 }
 
 export class OperatorsServer {
@@ -47,12 +52,7 @@
   /** Starts listening. Fails with `BadAddress`. */
   async listen(address: Address): Promise<Result<Address>> {
     const server = createServer((request, response) => {
-      const target = request.url ?? '/';
-      if (request.method === 'POST') {
-        this.answerCommand(target, response);
-        return;
-      }
-      void this.serve(target, response);
+      void this.serve(request, response);
     });
     const bound = await startListening(server, address);
     if (bound.err) {
@@ -76,9 +76,17 @@
     sendJson(response, 202, { draining: true });
   }
 
-  private async serve(target: string, response: ServerResponse): Promise<void> {
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     try {
-      await this.answer(new URL(target, 'http://operators'), response);
+      const url = new URL(request.url ?? '/', 'http://operators');
+      if (request.method === 'POST') {
+        this.answerCommand(url.pathname, response);
+        return;
+      }
+      await this.answer(url, response);
     } catch (thrown) {
       const remedy = 'correct the address and send it again';
       const error = toTypedError(thrown, ErrorKind.BadRequest, remedy);
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -26,11 +26,11 @@
 import { maxEndedAttempts, maxKeptAnswers } from '../constants.js';
 import { ConfigFeed } from '../config/configFeed.js';
 import { ConfigHolder, bindHolderChart } from '../config/configHolder.js';
+import { addGauge } from '../metrics/nodeMetrics.js';
 import {
   AgentMembership,
   bindAgentMembershipChart,
 } from '../membership/agentMembership.js';
-import { addGauge } from '../metrics/nodeMetrics.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -132,6 +132,7 @@
   ): Promise<{ peers: Address; operators: Address }> {
     const boundPeers = await this.listenForPeers(peers);
     const boundOperators = await this.listenForOperators(operators);
+    this.peerAddress = formatAddress(boundPeers);
     this.startServing(this.clock.getNow());
     return { peers: boundPeers, operators: boundOperators };
   }
@@ -139,11 +140,9 @@
   /** Opens the port for entries and earlier stages. Throws `BadAddress`. */
   async listenForPeers(address: Address): Promise<Address> {
     const { network } = this.ports;
-    const bound = takeValue(
+    return takeValue(
       await network.listen(address, stream => this.acceptStream(stream)),
     );
-    this.peerAddress = formatAddress(bound);
-    return bound;
   }
 
   /** Enters the loop. */
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -105,8 +105,8 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
-      maxServers: settings.limits.maxServers,
       operations: settings.operations,
+      maxServers: settings.limits.maxServers,
     },
     {
       clock: new SystemClock(),
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -32,15 +32,6 @@
   bindFollowerChart,
   type FollowerEvent,
 } from '../config/configFollower.js';
-import { maxDepartedStarts, vmListIntervalMs } from '../constants.js';
-import {
-  DepartedStarts,
-  bindMemberChart,
-  type Member,
-} from '../membership/member.js';
-import { MemberDirectory } from '../membership/memberDirectory.js';
-import { IncomingChannel } from '../peers/incomingChannel.js';
-import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import {
   CallersServer,
   CallersSink,
@@ -50,6 +41,15 @@
 import type { LedgerPage } from '../ledger/outcomeRecord.js';
 import { createRefusalRecord } from '../ledger/recordOutcome.js';
 import type { EntryGauges } from '../metrics/entryMetrics.js';
+import { maxDepartedStarts, vmListIntervalMs } from '../constants.js';
+import {
+  DepartedStarts,
+  bindMemberChart,
+  type Member,
+} from '../membership/member.js';
+import { MemberDirectory } from '../membership/memberDirectory.js';
+import { IncomingChannel } from '../peers/incomingChannel.js';
+import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import {
@@ -159,9 +159,9 @@
     private readonly entryPorts: EntryPorts,
   ) {
     super(entrySettings, entryPorts, LogPart.Entry);
-    this.members = this.createDirectory();
     this.operations = this.createOperations();
     this.store.add(this.operations.store);
+    this.members = this.createDirectory();
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -106,13 +106,13 @@
   process: processSchema,
   listen: z.strictObject({ peers: addressSchema, operators: addressSchema }),
   platform: platformSchema.optional(),
+  operations: operationsSchema,
   entries: z
     .strictObject({
       /** Addresses where entries take announcements, with commas between them. */
       known: addressListSchema.default([]),
     })
     .prefault({}),
-  operations: operationsSchema,
   backend: z
     .strictObject({
       server: idSchema,
