--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -3,6 +3,7 @@
 import { PropagationBench } from './config/propagationBench.js';
 import { ChartBench } from './chartBench.js';
 import { ChainRecoveryBench } from './chainRecoveryBench.js';
+import { ClaimsBench } from './claimsBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { BoundBench } from './policy/boundBench.js';
 import { DecideBench } from './policy/decideBench.js';
@@ -18,6 +19,7 @@
   new PropagationBench(),
   new ControlCostBench(),
   new ChainRecoveryBench(),
+  new ClaimsBench(),
   new FaultsBench(),
   new BoundBench(),
   new RanksBench(),
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -16,21 +16,26 @@
 } from '@lycheetally/common';
 import {
   BoundedRetry,
+  GroupCommit,
   LeastOutstandingRouting,
   OpenAdmission,
   ServiceKind,
+  SingleCommit,
   SpreadSnapshots,
   UrgencyOrder,
+  type GatherPolicy,
 } from '@lycheetally/decisions';
 import { ConnectPeerNetwork } from './adapters/connectPeers.js';
 import { HttpEngine } from './adapters/engineHttp.js';
 import { HttpPlainService } from './adapters/plainServiceHttp.js';
 import { HttpLog, HttpVmList } from './adapters/platformHttp.js';
 import { PQueueSlots } from './adapters/pQueueSlots.js';
+import { maxClaimBatch } from './constants.js';
 import { AgentNode } from './agent/agentNode.js';
 import { SystemClock } from './clock.js';
 import { EntryNode } from './entry/entryNode.js';
 import {
+  ClaimBatching,
   agentSettingsSchema,
   entrySettingsSchema,
   formatAddresses,
@@ -97,6 +102,11 @@
     return { node, addresses: { ...(await node.start(peers, operators)) } };
   });
 
+const createGathering = ({ claims }: EntryFileSettings): GatherPolicy =>
+  claims.batching === ClaimBatching.Group
+    ? new GroupCommit(maxClaimBatch, claims.appendGapMs)
+    : new SingleCommit();
+
 /** Creates an entry over the network. */
 export const createEntry = (settings: EntryFileSettings): EntryNode =>
   new EntryNode(
@@ -105,6 +115,10 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
+      claims: {
+        streams: settings.claims.streams,
+        windowMs: settings.claims.windowSeconds * millisecondsPerSecond,
+      },
       operations: settings.operations,
       maxServers: settings.limits.maxServers,
     },
@@ -123,6 +137,7 @@
         routing: new LeastOutstandingRouting(),
         retry: new BoundedRetry(),
       },
+      gathering: createGathering(settings),
     },
   );
 
