--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,7 @@
 /** All benches by name. */
 import { CapacityBench } from './capacityBench.js';
+import { ControlCostBench } from './config/controlCostBench.js';
+import { PropagationBench } from './config/propagationBench.js';
 import { ChartBench } from './chartBench.js';
 import { ChainRecoveryBench } from './chainRecoveryBench.js';
 import { ClaimsBench } from './claimsBench.js';
@@ -16,6 +18,8 @@
   new ChartBench(),
   new RelayBench(),
   new CapacityBench(),
+  new PropagationBench(),
+  new ControlCostBench(),
   new ChainRecoveryBench(),
   new ClaimsBench(),
   new FaultsBench(),
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -136,7 +136,7 @@
   config: z
     .strictObject({
       snapshotSeconds: createNumberSchema(1, 86_400)
-        .default(600)
+        .default(3_600)
         .describe(
           "Seconds after which a snapshot is appended; well under the log's retention",
         ),
