--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -27,6 +27,8 @@
   ClaimWriter: 'claimWriter',
   ConfigHolder: 'configHolder',
   Publication: 'publication',
+  Member: 'member',
+  AgentMembership: 'agentMembership',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -120,6 +120,7 @@
         windowMs: settings.claims.windowSeconds * millisecondsPerSecond,
       },
       operations: settings.operations,
+      maxServers: settings.limits.maxServers,
     },
     {
       clock: new SystemClock(),
@@ -149,6 +150,7 @@
       id: settings.process.id,
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      knownEntries: settings.entries.known,
       silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
       operations: settings.operations,
       backend: {
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -14,6 +14,7 @@
   ConditionalAcceptance,
   Outcome,
   type GatherPolicy,
+  RendezvousSubset,
   emptyConfiguration,
   toPosition,
   type Route,
@@ -43,14 +44,27 @@
   CallersSink,
   type RefusedCall,
 } from '../adapters/callersHttp.js';
-import { vmListIntervalMs } from '../constants.js';
 import type { LedgerQuery } from '../ledger/outcomeLedger.js';
 import type { LedgerPage } from '../ledger/outcomeRecord.js';
 import { createRefusalRecord } from '../ledger/recordOutcome.js';
 import type { EntryGauges } from '../metrics/entryMetrics.js';
+import { maxDepartedStarts, vmListIntervalMs } from '../constants.js';
+import {
+  DepartedStarts,
+  bindMemberChart,
+  type Member,
+} from '../membership/member.js';
+import { MemberDirectory } from '../membership/memberDirectory.js';
+import { IncomingChannel } from '../peers/incomingChannel.js';
+import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
-import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
+import {
+  VmState,
+  type LogPort,
+  type VmListPort,
+  type VmRecord,
+} from '../ports/platform.js';
 import {
   RouterNode,
   takeValue,
@@ -63,7 +77,6 @@
 import { toAttemptEvent } from './attemptMessages.js';
 import { sendConnectionEvent } from './attemptConnections.js';
 import { EntryOperations } from './entryOperations.js';
-import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
   createRequestContext,
@@ -98,12 +111,16 @@
   /** The largest body that a caller may send, in bytes. */
   readonly maxBodyBytes: number;
   readonly claims?: ClaimSettings;
+  /** The most backend servers that the entry keeps connections to. */
+  readonly maxServers: number;
 }
 
 /** Addresses that an entry listens on. */
 export interface EntryAddresses {
   readonly callers: Address;
   readonly operators: Address;
+  /** Where agents may announce themselves; absent when they may not. */
+  readonly peers?: Address | undefined;
 }
 
 /** Hands calls from the front end into the loop. */
@@ -134,7 +151,7 @@
 }
 
 export class EntryNode extends RouterNode<EntryEvents> {
-  readonly members: MemberDirectory;
+  readonly members: MemberDirectory<OutgoingChannel>;
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
@@ -152,11 +169,9 @@
     private readonly entryPorts: EntryPorts,
   ) {
     super(entrySettings, entryPorts, LogPart.Entry);
-    this.members = new MemberDirectory((address, now) =>
-      this.createOutgoing(address, now),
-    );
     this.operations = this.createOperations();
     this.store.add(this.operations.store);
+    this.members = this.createDirectory();
     this.machine = takeValue(bindRequestChart());
     this.claims = this.createClaims();
     this.services = this.createServices();
@@ -194,6 +209,7 @@
     const bound = {
       callers: takeValue(await callers.listen(addresses.callers)),
       operators: await this.listenForOperators(addresses.operators),
+      ...(await this.listenForAgents(addresses.peers)),
     };
     this.startServing(this.clock.getNow());
     return bound;
@@ -207,6 +223,18 @@
     this.readVmList();
   }
 
+  private async listenForAgents(
+    address: Address | undefined,
+  ): Promise<{ readonly peers?: Address }> {
+    if (!address) {
+      return {};
+    }
+    const peers = await this.ports.network.listen(address, stream =>
+      this.acceptStream(stream),
+    );
+    return { peers: takeValue(peers) };
+  }
+
   override isReady(): boolean {
     return super.isReady() && this.follower.inForce !== undefined;
   }
@@ -248,9 +276,13 @@
   }
 
   override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
+    const announced = toAnnounced(channel);
+    if (announced) {
+      this.members.noteAnnounced(announced, now);
+    }
     this.feed.handleOpen(channel);
     const earlier = this.members.findByChannel(channel)?.hello;
-    const hello = this.members.noteOpen(channel)?.hello;
+    const hello = this.members.noteOpen(channel, now)?.hello;
     const requests = this.requests.values();
     if (earlier && earlier.incarnation !== hello?.incarnation) {
       sendConnectionEvent(requests, earlier, 'CONNECTION_GONE', now);
@@ -260,6 +292,7 @@
   }
 
   override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
+    this.members.removeAnnounced(toAnnounced(channel)?.agentAddress);
     const hello = this.members.findByChannel(channel)?.hello;
     const requests = this.requests.values();
     sendConnectionEvent(requests, hello, 'CONNECTION_LOST', now);
@@ -279,15 +312,13 @@
     message: PeerMessage,
     now: Milliseconds,
   ): void {
+    this.members.observeMessage(channel, message, now);
     switch (message.kind) {
       case MessageKind.Token: {
         const context = this.requests.get(message.value.requestId);
         deliverToken(context, message.value, this.relayCounts, now);
         return;
       }
-      case MessageKind.Report:
-        this.members.noteReport(channel, message.value);
-        return;
       default:
         if (!this.feed.receive(channel, message, now)) {
           this.receiveAttemptMessage(message, now);
@@ -474,6 +505,20 @@
     return createEntryClaims(environment, this.entrySettings.claims, now);
   }
 
+  private createDirectory(): MemberDirectory<OutgoingChannel> {
+    return new MemberDirectory({
+      entryId: this.settings.id,
+      machine: takeValue(bindMemberChart()),
+      services: {
+        timers: this.loop,
+        events: this.events,
+        departed: new DepartedStarts(maxDepartedStarts),
+      },
+      subset: new RendezvousSubset(this.entrySettings.maxServers),
+      openChannel: (address, now) => this.createOutgoing(address, now),
+    });
+  }
+
   private createFeed(): ConfigFeed {
     const feed = new ConfigFeed({
       getState: () => this.follower.state,
@@ -536,12 +581,22 @@
   }
 }
 
+// An agent that opened a channel itself says where it listens.
+const toAnnounced = (channel: PeerChannel): VmRecord | undefined => {
+  const hello = channel instanceof IncomingChannel ? channel.remote : undefined;
+  if (!hello?.backend || !hello.agentAddress) {
+    return undefined;
+  }
+  const { agentAddress, failureDomain } = hello;
+  return { vmId: '', agentAddress, failureDomain, state: VmState.Live };
+};
+
 const describeMember = (member: Member): object => ({
   server: member.hello?.backend?.serverId ?? '',
   address: member.address,
   service: member.hello?.backend?.service ?? '',
   failureDomain: member.vm.failureDomain,
   connected: member.channel.isOpen,
-  leaving: member.report?.leaving ?? false,
+  leaving: member.isLeaving,
   outstanding: member.outstanding,
 });
