--- a/packages/router/src/claims/connectClaims.ts
+++ b/packages/router/src/claims/connectClaims.ts
@@ -2,8 +2,7 @@
 import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds, PartLogger } from '@lycheetally/common';
 import type { GatherPolicy } from '@lycheetally/decisions';
-import type { PeerMessage } from '@lycheetally/protocol';
-import type { MemberDirectory } from '../membership/memberDirectory.js';
+import type { Hello, PeerMessage } from '@lycheetally/protocol';
 import type { EventLog } from '../eventLog.js';
 import type { LoopHandlers } from '../loop.js';
 import type { LogPort } from '../ports/platform.js';
@@ -15,6 +14,19 @@
 import { AskResult } from './claimContext.js';
 import { EntryClaims } from './entryClaims.js';
 
+/** What claims use of the members of an entry. */
+export interface ClaimMembers {
+  findByServer(serverId: string):
+    | {
+        readonly channel: {
+          readonly isOpen: boolean;
+          send(message: PeerMessage): void;
+        };
+        readonly hello: Hello | undefined;
+      }
+    | undefined;
+}
+
 /** What claims use of an entry. */
 export interface ClaimEnvironment {
   readonly loop: ChartTimers & {
@@ -27,7 +39,7 @@
   readonly gathering: GatherPolicy;
   readonly events: EventLog;
   readonly log: PartLogger;
-  readonly members: MemberDirectory;
+  readonly members: ClaimMembers;
 }
 
 /** Creates the claims of an entry. Throws `BadChart`. */
@@ -69,7 +81,7 @@
 });
 
 const sendToAgent = (
-  members: MemberDirectory,
+  members: ClaimMembers,
   serverId: string,
   incarnation: string,
   message: PeerMessage,
