Keep slots and engine priority for urgent work and for light accounts

Cause: at a full agent the top rank waited 1.0 s (p95) for a slot to end, small accounts 1.6 s (median); routes to the fast servers drew every small account. Change: 8 in 100 slots are kept for the top rank and 8 for accounts that hold less than an equal part; such accounts go first in the engine inside their rank; an idle account starts at the lowest waiting counter, since corrections move counters back behind the last one served; waits seen are kept apart for accounts below and above their part; 8 slots a batch place, for all rules.

--- a/bench/src/policy/fakeEngine.ts
+++ b/bench/src/policy/fakeEngine.ts
@@ -23,7 +23,8 @@
 
 /** One pass of a sequence through the layers of an engine. */
 export interface EnginePass {
-  readonly urgency: number;
+  /** 0 goes first. */
+  readonly priority: number;
   /** Prompt tokens of the first pass; 0 for a decode pass. */
   readonly promptTokens: number;
   isCancelled(): boolean;
@@ -115,7 +116,7 @@
 
   private takeBatch(): EnginePass[] {
     const live = this.waiting.filter(pass => !pass.isCancelled());
-    live.sort((a, b) => a.urgency - b.urgency);
+    live.sort((a, b) => a.priority - b.priority);
     const batch: EnginePass[] = [];
     const left: EnginePass[] = [];
     let prompt = 0;
--- a/bench/src/policy/fakeWorker.ts
+++ b/bench/src/policy/fakeWorker.ts
@@ -21,11 +21,12 @@
 
 /** Work at a fake agent. */
 export interface AgentWork extends WaitingWork {
-  grantSlot(now: Milliseconds): void;
+  /** Takes the priority in the engine; 0 goes first. */
+  grantSlot(priority: number, now: Milliseconds): void;
 }
 
 /** Sequences in flight for each place in a batch; a chain has several stages. */
-const slotsPerBatchPlace = 6;
+const slotsPerBatchPlace = 8;
 const stepFade = 0.05;
 
 export class FakeWorker {
@@ -51,7 +52,7 @@
       this.observeStep(step);
     });
     this.slots = plan.kind.maxBatch * slotsPerBatchPlace;
-    this.order = rules.createOrder<AgentWork>(ranks);
+    this.order = rules.createOrder<AgentWork>(ranks, this.slots);
     this.bound = rules.createBound(ranks);
     this.queue = new QueueDelayModel(ranks.map(rank => rank.floor));
   }
@@ -125,7 +126,7 @@
       }
       this.running += 1;
       this.queue.noteStarted(work, now);
-      work.grantSlot(now);
+      work.grantSlot(this.order.computePriority(work), now);
     }
   }
 
--- a/bench/src/policy/ourRules.ts
+++ b/bench/src/policy/ourRules.ts
@@ -32,8 +32,10 @@
       observer: book,
     };
   },
-  createOrder: <T extends WaitingWork>(ranks: readonly RankRule[]) =>
-    new RankedOrder<T>({ listRanks: () => ranks, weightOf: () => 1 }),
+  createOrder: <T extends WaitingWork>(
+    ranks: readonly RankRule[],
+    slots: number,
+  ) => new RankedOrder<T>({ listRanks: () => ranks, weightOf: () => 1, slots }),
   createBound: ranks =>
     new DelayQueueBound({
       maxWaitMs: ranks.map(rank => rank.targetMs),
--- a/bench/src/policy/policySet.ts
+++ b/bench/src/policy/policySet.ts
@@ -29,7 +29,10 @@
 export interface PolicySet {
   readonly name: string;
   createEntryRules(seed: number): EntryRules;
-  createOrder<T extends WaitingWork>(ranks: readonly RankRule[]): WorkOrder<T>;
+  createOrder<T extends WaitingWork>(
+    ranks: readonly RankRule[],
+    slots: number,
+  ): WorkOrder<T>;
   createBound(ranks: readonly RankRule[]): QueueBound;
 }
 
--- a/bench/src/policy/sequence.ts
+++ b/bench/src/policy/sequence.ts
@@ -36,6 +36,7 @@
   readonly facts: AttemptFacts;
   enqueuedAt: Milliseconds = 0;
   promptTokens: number;
+  priority = 0;
   error: TypedError | undefined;
   failedServerId: string | undefined;
   private startedAt: Milliseconds | undefined;
@@ -86,8 +87,9 @@
     });
   }
 
-  grantSlot(now: Milliseconds): void {
+  grantSlot(priority: number, now: Milliseconds): void {
     this.startedAt = now;
+    this.priority = priority;
     this.countSequence(1);
     this.services.handleStarted(this, now - this.enqueuedAt, now);
     this.getWorker(0).engine.addPass(this);
--- a/packages/decisions/src/load/loadBook.ts
+++ b/packages/decisions/src/load/loadBook.ts
@@ -34,6 +34,10 @@
   at: Milliseconds;
 }
 
+// Accounts below and above their part of a rank's backlog wait differently.
+const findWaitPlace = (urgency: number, factor: number): number =>
+  urgency * 2 + (factor < 1 ? 0 : 1);
+
 /** Numbers by urgency. */
 class RankCounts {
   private readonly counts: number[] = [];
@@ -88,18 +92,32 @@
     this.pending.add(urgency, -1);
   }
 
-  noteWait(urgency: number, waitMs: Milliseconds, now: Milliseconds): void {
-    const seen = this.seenWaits[urgency];
+  /** Notes the wait of work that has started, of an account with this factor. */
+  noteWait(
+    urgency: number,
+    factor: number,
+    waitMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    const place = findWaitPlace(urgency, factor);
+    const seen = this.seenWaits[place];
     if (seen && now - seen.at < reportExpiryMs) {
       seen.waitMs += (waitMs - seen.waitMs) * waitFade;
       seen.at = now;
       return;
     }
-    this.seenWaits[urgency] = { waitMs, at: now };
+    this.seenWaits[place] = { waitMs, at: now };
   }
 
-  /** Estimates the wait of new work for a slot, in milliseconds. */
-  estimateWait(urgency: number, now: Milliseconds): Milliseconds {
+  /**
+   * Estimates the wait of new work for a slot, in milliseconds, for an account
+   * whose wait is the factor times its rank's.
+   */
+  estimateWait(
+    urgency: number,
+    factor: number,
+    now: Milliseconds,
+  ): Milliseconds {
     const report = this.getFreshReport(now);
     const reported = report?.ranks[urgency]?.waitMs ?? 0;
     const capacity = report?.capacity ?? 0;
@@ -109,7 +127,8 @@
       capacity > 0 && !hasFreeSlot
         ? (since / capacity) * millisecondsPerSecond
         : 0;
-    return Math.max(reported + sinceMs, this.estimateSeenWait(urgency, now));
+    const seenMs = this.estimateSeenWait(findWaitPlace(urgency, factor), now);
+    return Math.max((reported + sinceMs) * factor, seenMs);
   }
 
   /** Estimates one decode pass, half a pass of waiting included, in milliseconds. */
@@ -146,8 +165,8 @@
   }
 
   // An old wait says less; it fades with its age.
-  private estimateSeenWait(urgency: number, now: Milliseconds): Milliseconds {
-    const seen = this.seenWaits[urgency];
+  private estimateSeenWait(place: number, now: Milliseconds): Milliseconds {
+    const seen = this.seenWaits[place];
     if (!seen) {
       return 0;
     }
@@ -212,10 +231,12 @@
     for (const server of attempt.route) {
       this.get(server.serverId).noteStarted(urgency);
     }
-    this.getBacklog(attempt).remove(attempt.account, attempt.cost);
+    const backlog = this.getBacklog(attempt);
+    const factor = backlog.computeWaitFactor(attempt.account);
+    backlog.remove(attempt.account, attempt.cost);
     const first = attempt.route[0];
     if (first) {
-      this.get(first.serverId).noteWait(urgency, waitedMs, now);
+      this.get(first.serverId).noteWait(urgency, factor, waitedMs, now);
     }
   }
 
--- a/packages/decisions/src/order/accountQueue.ts
+++ b/packages/decisions/src/order/accountQueue.ts
@@ -3,13 +3,15 @@
  *
  * Each account has a counter that grows with the cost of its started work over
  * its weight; the account with the lowest counter goes next. An account that
- * was idle starts at the counter of the account served last, so that idle time
- * earns nothing. Inside an account the earliest deadline goes first.
+ * was idle starts at the lowest counter that waits, so that idle time earns
+ * nothing. Inside an account the earliest deadline goes first.
  */
 import type { WaitingWork } from '../workOrder.js';
 
 interface AccountState<T> {
   counter: number;
+  /** Pieces of work that hold a slot. */
+  running: number;
   /** Sorted by deadline. */
   readonly waiting: T[];
 }
@@ -23,6 +25,8 @@
 export class AccountQueue<T extends WaitingWork> {
   private readonly accounts = new Map<string, AccountState<T>>();
   private readonly backlogged = new Set<AccountState<T>>();
+  /** Accounts that wait or hold a slot. */
+  private readonly active = new Set<AccountState<T>>();
   private lastCounter = 0;
   private count = 0;
 
@@ -35,22 +39,29 @@
   add(work: T): void {
     const state = this.openAccount(work.account);
     if (state.waiting.length === 0) {
-      state.counter = Math.max(state.counter, this.lastCounter);
+      state.counter = Math.max(state.counter, this.computeStart());
       this.backlogged.add(state);
+      this.active.add(state);
     }
     state.waiting.splice(findPlace(state.waiting, work), 0, work);
     this.count += 1;
   }
 
-  /** Takes the next work of the account that has had least. */
-  takeNext(): T | undefined {
+  /**
+   * Finds the next work of the account that has had least. Without
+   * `allowsHeavy`, accounts that hold an equal part of the slots or
+   * more are passed over.
+   */
+  findNext(allowsHeavy = true, slots = Infinity): T | undefined {
+    const lightBelow = this.computeLightBound(slots);
     let best: AccountState<T> | undefined;
     for (const state of this.backlogged) {
-      if (!best || state.counter < best.counter) {
+      const isChosen = allowsHeavy || state.running < lightBelow;
+      if (isChosen && (!best || state.counter <= best.counter)) {
         best = state;
       }
     }
-    return best && this.takeFrom(best);
+    return best?.waiting[0];
   }
 
   /** Returns the waiting work with the earliest deadline. */
@@ -65,10 +76,23 @@
     return earliest;
   }
 
-  /** Takes work out of turn; its account pays for it as usual. */
-  takeWork(work: T): T | undefined {
+  /** Says whether the account holds less than an equal part of the slots. */
+  isLight(account: string, slots: number): boolean {
+    const running = this.accounts.get(account)?.running ?? 0;
+    return running < this.computeLightBound(slots);
+  }
+
+  /** Takes work that was found; its account pays for it. */
+  takeWork(work: T): void {
     const state = this.accounts.get(work.account);
-    return state?.waiting[0] === work ? this.takeFrom(state) : undefined;
+    if (state?.waiting[0] !== work) {
+      return;
+    }
+    state.waiting.shift();
+    state.running += 1;
+    this.lastCounter = state.counter;
+    state.counter += work.cost / this.weightOf(work.account);
+    this.noteTaken(state);
   }
 
   remove(work: T): boolean {
@@ -82,10 +106,15 @@
     return true;
   }
 
-  /** Adds the difference between the true and the estimated cost. */
+  /**
+   * Takes ended work's slot back, and adds the difference between the true and the estimated
+   * cost to its account.
+   */
   settle(work: T, cost: number): void {
     const state = this.accounts.get(work.account);
     if (state) {
+      state.running -= 1;
+      this.updateActive(state);
       state.counter += (cost - work.cost) / this.weightOf(work.account);
     }
   }
@@ -94,14 +123,18 @@
     return [...this.backlogged].flatMap(state => state.waiting);
   }
 
-  private takeFrom(state: AccountState<T>): T | undefined {
-    const work = state.waiting.shift();
-    if (work) {
-      this.lastCounter = Math.max(this.lastCounter, state.counter);
-      state.counter += work.cost / this.weightOf(work.account);
-      this.noteTaken(state);
+  private computeLightBound(slots: number): number {
+    return slots / Math.max(1, this.active.size);
+  }
+
+  // The lowest counter that waits: corrections of ended work may have moved it
+  // back since the last work was taken.
+  private computeStart(): number {
+    let lowest = Infinity;
+    for (const { counter } of this.backlogged) {
+      lowest = Math.min(lowest, counter);
     }
-    return work;
+    return lowest === Infinity ? this.lastCounter : lowest;
   }
 
   private noteTaken(state: AccountState<T>): void {
@@ -109,6 +142,15 @@
     if (state.waiting.length === 0) {
       this.backlogged.delete(state);
     }
+    this.updateActive(state);
+  }
+
+  private updateActive(state: AccountState<T>): void {
+    if (state.running > 0 || state.waiting.length > 0) {
+      this.active.add(state);
+    } else {
+      this.active.delete(state);
+    }
   }
 
   private openAccount(account: string): AccountState<T> {
@@ -119,14 +161,18 @@
     if (this.accounts.size > maxIdleAccounts + this.backlogged.size) {
       this.dropIdleAccounts();
     }
-    const state: AccountState<T> = { counter: this.lastCounter, waiting: [] };
+    const state: AccountState<T> = {
+      counter: this.lastCounter,
+      running: 0,
+      waiting: [],
+    };
     this.accounts.set(account, state);
     return state;
   }
 
   private dropIdleAccounts(): void {
     for (const [account, state] of this.accounts) {
-      if (state.waiting.length === 0 && state.counter <= this.lastCounter) {
+      if (!this.active.has(state) && state.counter <= this.lastCounter) {
         this.accounts.delete(account);
       }
     }
--- a/packages/decisions/src/order/rankedOrder.ts
+++ b/packages/decisions/src/order/rankedOrder.ts
@@ -5,6 +5,9 @@
  * the one furthest below its floor before the others. Work whose deadline
  * leaves it little slack goes next, within a bounded share. After these the
  * most urgent rank is served. Inside a rank accounts are served fairly.
+ *
+ * A few slots are kept for the most urgent rank, and a few for accounts that
+ * hold few, so that these need not wait until a long run ends.
  */
 import type { Milliseconds } from '@lycheetally/common';
 import { DecayingSum } from '../load/decayingSum.js';
@@ -23,6 +26,8 @@
   /** Ranks in force; asked at each decision, as the configuration may change. */
   readonly listRanks: () => readonly OrderedRank[];
   readonly weightOf: AccountWeight;
+  /** Slots of the backend server. */
+  readonly slots: number;
 }
 
 interface RankState<T extends WaitingWork> {
@@ -30,11 +35,21 @@
   readonly served: DecayingSum;
 }
 
+interface FoundWork<T> {
+  readonly work: T;
+  readonly isEarly: boolean;
+}
+
+/** Share of the slots that only the most urgent rank may use. */
+const urgentReserve = 0.08;
+/** Share of the slots that only accounts with few running may use. */
+const accountReserve = 0.08;
+const prioritiesPerRank = 2;
 const servedHalfLifeMs = 5_000;
 /** Share of the served cost that may start early for want of slack. */
 const maxSlackShare = 0.3;
 /** Slack below which work is started early, as a multiple of its expected run. */
-const slackRuns = 2;
+const slackRuns = 0.5;
 const leastSlackMs = 1_000;
 const runFade = 0.05;
 
@@ -43,6 +58,7 @@
 > extends WorkOrder<T> {
   private readonly ranks: RankState<T>[] = [];
   private readonly early = new DecayingSum(servedHalfLifeMs);
+  private running = 0;
   /** Learned milliseconds of a run for each token unit. */
   private unitMs = 0;
 
@@ -66,22 +82,35 @@
     return this.ranks.flatMap(rank => rank.queue.list());
   }
 
+  override hasNext(now: Milliseconds): boolean {
+    return this.findNext(now) !== undefined;
+  }
+
   override takeNext(now: Milliseconds): T | undefined {
-    const total = this.ranks.reduce(
-      (sum, rank) => sum + rank.served.get(now),
-      0,
-    );
-    const work =
-      this.findStarved(total, now)?.queue.takeNext() ??
-      this.takeEarly(total, now) ??
-      this.ranks.find(rank => rank.queue.size > 0)?.queue.takeNext();
-    if (work) {
-      this.getRank(work.urgency).served.add(work.cost, now);
+    const found = this.findNext(now);
+    if (!found) {
+      return undefined;
+    }
+    const { work, isEarly } = found;
+    const rank = this.getRank(work.urgency);
+    rank.queue.takeWork(work);
+    rank.served.add(work.cost, now);
+    this.running += 1;
+    if (isEarly) {
+      this.early.add(work.cost, now);
     }
     return work;
   }
 
+  /** Inside a rank, accounts that hold few slots go first in the engine too. */
+  override computePriority(work: T): number {
+    const { queue } = this.getRank(work.urgency);
+    const isLight = queue.isLight(work.account, this.settings.slots);
+    return work.urgency * prioritiesPerRank + (isLight ? 0 : 1);
+  }
+
   override settle(work: T, cost: number, runMs?: Milliseconds): void {
+    this.running -= 1;
     this.getRank(work.urgency).queue.settle(work, cost);
     if (runMs !== undefined && cost > 0) {
       const sample = runMs / cost;
@@ -109,15 +138,53 @@
     return starved;
   }
 
-  private takeEarly(total: number, now: Milliseconds): T | undefined {
+  private findNext(now: Milliseconds): FoundWork<T> | undefined {
+    const total = this.ranks.reduce(
+      (sum, rank) => sum + rank.served.get(now),
+      0,
+    );
+    const starved = this.findStarved(total, now)?.queue.findNext();
+    if (starved) {
+      return { work: starved, isEarly: false };
+    }
+    const early = this.findEarly(total, now);
+    if (early) {
+      return { work: early, isEarly: true };
+    }
+    const work = this.findUrgent();
+    return work && { work, isEarly: false };
+  }
+
+  private findUrgent(): T | undefined {
+    const { slots } = this.settings;
+    for (const [urgency, rank] of this.ranks.entries()) {
+      const free = this.countFree(urgency);
+      if (free > 0 && rank.queue.size > 0) {
+        const allowsHeavy = free > slots * accountReserve;
+        const work = rank.queue.findNext(allowsHeavy, slots);
+        if (work) {
+          return work;
+        }
+      }
+    }
+    return undefined;
+  }
+
+  /** Counts the free slots that the rank may use. */
+  private countFree(urgency: number): number {
+    const { slots } = this.settings;
+    const reserved = urgency > 0 ? slots * urgentReserve : 0;
+    return slots - reserved - this.running;
+  }
+
+  private findEarly(total: number, now: Milliseconds): T | undefined {
     if (this.early.get(now) > total * maxSlackShare) {
       return undefined;
     }
-    for (const rank of this.ranks.slice(1)) {
-      const work = rank.queue.findEarliest();
-      if (work && this.isTight(work, now)) {
-        this.early.add(work.cost, now);
-        return rank.queue.takeWork(work);
+    for (const [urgency, rank] of this.ranks.entries()) {
+      const work = urgency > 0 ? rank.queue.findEarliest() : undefined;
+      if (work && this.countFree(urgency) > 0 && this.isTight(work, now)) {
+        return work;
       }
     }
     return undefined;
--- a/packages/decisions/src/routing/completionForecast.ts
+++ b/packages/decisions/src/routing/completionForecast.ts
@@ -25,7 +25,7 @@
     urgency,
     request.account,
   );
-  const waitMs = book.get(firstId).estimateWait(urgency, now) * factor;
+  const waitMs = book.get(firstId).estimateWait(urgency, factor, now);
   const promptTokens = request.promptTokens ?? 1;
   const promptPasses = 1 + promptTokens / promptTokensPerPass;
   let loopMs = 0;
--- a/packages/decisions/src/routing/predictiveRouting.ts
+++ b/packages/decisions/src/routing/predictiveRouting.ts
@@ -142,10 +142,12 @@
     }
     const { book } = this.settings;
     const urgency = request.urgency ?? 0;
+    const { service, account } = request;
+    const factor = book.computeWaitFactor(service, urgency, account);
     const estimate = (server: ServerView): Milliseconds => {
       const load = book.get(server.serverId);
       const waitMs =
-        server.layerFrom === 0 ? load.estimateWait(urgency, now) : 0;
+        server.layerFrom === 0 ? load.estimateWait(urgency, factor, now) : 0;
       return waitMs + load.estimateTokenGap(urgency, now);
     };
     return estimate(one) <= estimate(other) ? one : other;
--- a/packages/decisions/src/workOrder.ts
+++ b/packages/decisions/src/workOrder.ts
@@ -16,8 +16,18 @@
 /** A queue of waiting work with an order of its own. */
 export abstract class WorkOrder<T extends WaitingWork = WaitingWork> {
   abstract add(work: T): void;
+  /** Says whether work may start now. */
+  hasNext(_now: Milliseconds): boolean {
+    return this.size > 0;
+  }
+
   /** Removes and returns the work to start next. */
   abstract takeNext(now: Milliseconds): T | undefined;
+  /** Returns the priority that started work has in the engine; 0 goes first. */
+  computePriority(work: T): number {
+    return work.urgency;
+  }
+
   /** Removes work that is no longer wanted; returns whether it waited. */
   abstract remove(work: T): boolean;
   /** Corrects the account of ended work by its true cost and the time of its run. */
