--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -4,13 +4,25 @@
 import { ExitCode, toMessage } from '@lycheetally/common';
 import { BenchCommand } from './commands/benchCommand.js';
 import type { Command } from './commands/command.js';
+import { ConfigCommand } from './commands/configCommand.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
+import { ExplainCommand } from './commands/explainCommand.js';
+import { LoadCommand } from './commands/loadCommand.js';
+import { StatusCommand } from './commands/statusCommand.js';
+import { TimelineCommand } from './commands/timelineCommand.js';
 
 const commands: readonly Command[] = [
   new EntryCommand(),
   new AgentCommand(),
+  new QuestionnaireCommand(),
+  new ConfigCommand(),
+  new StatusCommand(),
+  new TimelineCommand(),
+  new ExplainCommand(),
   new DemoCommand(),
+  new LoadCommand(),
   new BenchCommand(),
 ];
 
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -5,6 +5,7 @@
 import { FairnessBench } from './policy/fairnessBench.js';
 import { RanksBench } from './policy/ranksBench.js';
 import { RecoverBench } from './policy/recoverBench.js';
+import { FaultsBench } from './faultsBench.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
 
@@ -16,6 +17,7 @@
   new FairnessBench(),
   new RecoverBench(),
   new DecideBench(),
+  new FaultsBench(),
 ];
 
 /** Finds a bench by name. */
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -19,6 +19,7 @@
   LeastOutstandingRouting,
   OpenAdmission,
   ServiceKind,
+  SpreadSnapshots,
   UrgencyOrder,
 } from '@lycheetally/decisions';
 import { ConnectPeerNetwork } from './adapters/connectPeers.js';
@@ -104,6 +105,7 @@
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
       maxBodyBytes: settings.limits.maxBodyBytes,
+      operations: settings.operations,
     },
     {
       clock: new SystemClock(),
@@ -111,6 +113,10 @@
       loggers: new LoggerFactory(settings.process.id),
       log: new HttpLog(settings.platform.log),
       vmList: new HttpVmList(settings.platform.vmList),
+      snapshots: new SpreadSnapshots(
+        settings.config.snapshotSeconds * millisecondsPerSecond,
+        settings.config.snapshotRecords,
+      ),
       policies: {
         admission: new OpenAdmission(),
         routing: new LeastOutstandingRouting(),
@@ -128,6 +134,8 @@
       id: settings.process.id,
       failureDomain: settings.process.failureDomain,
       drainBoundMs: settings.process.drainSeconds * millisecondsPerSecond,
+      silenceBoundMs: backend.silenceSeconds * millisecondsPerSecond,
+      operations: settings.operations,
       backend: {
         serverId: backend.server,
         kind: backend.kind,
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -4,28 +4,43 @@
  */
 import type { ChartMachine } from '@lycheetally/charts';
 import {
-  ErrorKind,
   LogPart,
-  TypedError,
+  type TypedError,
   type Address,
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
 import {
+  ConditionalAcceptance,
   Outcome,
+  emptyConfiguration,
+  toPosition,
   type Route,
-  type RouterConfiguration,
+  type ServerView,
+  type SnapshotPolicy,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
   type AttemptRef,
-  type Failed,
   type Hello,
   type PeerMessage,
-  type Refused,
 } from '@lycheetally/protocol';
-import { CallersServer, CallersSink } from '../adapters/callersHttp.js';
+import { ConfigFeed } from '../config/configFeed.js';
+import {
+  ConfigFollower,
+  bindFollowerChart,
+  type FollowerEvent,
+} from '../config/configFollower.js';
+import {
+  CallersServer,
+  CallersSink,
+  type RefusedCall,
+} from '../adapters/callersHttp.js';
 import { vmListIntervalMs } from '../constants.js';
+import type { LedgerQuery } from '../ledger/outcomeLedger.js';
+import type { LedgerPage } from '../ledger/outcomeRecord.js';
+import { createRefusalRecord } from '../ledger/recordOutcome.js';
+import type { EntryGauges } from '../metrics/entryMetrics.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import type { LogPort, VmListPort, VmRecord } from '../ports/platform.js';
@@ -38,12 +53,9 @@
 } from '../routerNode.js';
 import { acceptCall, findAccount } from './acceptCall.js';
 import { bindAttemptChart } from './attemptActions.js';
-import { getFirstServerId, type AttemptEvent } from './attemptContext.js';
-import {
-  ConfigFollower,
-  bindFollowerChart,
-  type FollowerEvent,
-} from './configFollower.js';
+import { toAttemptEvent } from './attemptMessages.js';
+import { sendConnectionEvent } from './attemptConnections.js';
+import { EntryOperations } from './entryOperations.js';
 import { MemberDirectory, type Member } from './memberDirectory.js';
 import { bindRequestChart } from './requestActions.js';
 import {
@@ -59,6 +71,7 @@
 /** Events that an entry takes. */
 export interface EntryEvents extends NodeEvents {
   callReceived: { call: CallerCall; exchange: CallerExchange };
+  callRefused: { call: RefusedCall; error: TypedError };
   callerGone: { exchange: CallerExchange };
   followerEvent: { event: FollowerEvent };
   vmListRead: { list: Result<readonly VmRecord[]> };
@@ -69,6 +82,8 @@
   readonly log: LogPort;
   readonly vmList: VmListPort;
   readonly policies: EntryPolicies;
+  /** Says when the configuration's stream gets a snapshot. */
+  readonly snapshots: SnapshotPolicy;
 }
 
 export interface EntrySettings extends NodeSettings {
@@ -92,6 +107,10 @@
     this.node.loop.post('callReceived', { call, exchange });
   }
 
+  override receiveRefusedCall(call: RefusedCall, error: TypedError): void {
+    this.node.loop.post('callRefused', { call, error });
+  }
+
   override handleCallerGone(exchange: CallerExchange): void {
     this.node.loop.post('callerGone', { exchange });
   }
@@ -110,8 +129,10 @@
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
+  private readonly feed: ConfigFeed;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
+  private readonly operations: EntryOperations;
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
   private callers: CallersServer | undefined;
   private requestCount = 0;
@@ -124,14 +145,20 @@
     this.members = new MemberDirectory((address, now) =>
       this.createOutgoing(address, now),
     );
+    this.operations = this.createOperations();
+    this.store.add(this.operations.store);
     this.machine = takeValue(bindRequestChart());
     this.services = this.createServices();
     this.follower = this.createFollower();
+    this.feed = this.createFeed();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       callReceived: ({ call, exchange }, now) => {
         this.receiveCall(call, exchange, now);
       },
+      callRefused: ({ call, error }, now) => {
+        this.refuseCall(this.createRequestId(), call, error, now);
+      },
       callerGone: ({ exchange }, now) => {
         this.byExchange
           .get(exchange)
@@ -183,6 +210,10 @@
       ready: this.isReady(),
       leaving: this.isStopping,
       configVersion: this.follower.inForce?.version ?? 0,
+      config: {
+        ...toPosition(this.follower.state),
+        standing: this.follower.standing,
+      },
       openRequests: this.requests.size,
       tokens: this.relayCounts,
       members: this.members.listMembers().map(describeMember),
@@ -198,19 +229,31 @@
       .map(service => service.name);
   }
 
-  override handlePeerOpen(channel: PeerChannel): void {
-    this.members.noteOpen(channel);
+  override handlePeerOpen(channel: PeerChannel, now: Milliseconds): void {
+    this.feed.handleOpen(channel);
+    const earlier = this.members.findByChannel(channel)?.hello;
+    const hello = this.members.noteOpen(channel)?.hello;
+    const requests = this.requests.values();
+    if (earlier && earlier.incarnation !== hello?.incarnation) {
+      sendConnectionEvent(requests, earlier, 'CONNECTION_GONE', now);
+      return;
+    }
+    sendConnectionEvent(requests, hello, 'CONNECTION_BACK', now);
   }
 
   override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
-    const serverId =
-      this.members.findByChannel(channel)?.hello?.backend?.serverId;
-    for (const context of [...this.requests.values()]) {
-      const { attempt } = context;
-      if (attempt && getFirstServerId(attempt) === serverId) {
-        attempt.instance?.send({ type: 'CONNECTION_LOST' }, now);
-      }
-    }
+    const hello = this.members.findByChannel(channel)?.hello;
+    const requests = this.requests.values();
+    sendConnectionEvent(requests, hello, 'CONNECTION_LOST', now);
+  }
+
+  override handlePeerUnreachable(
+    channel: PeerChannel,
+    now: Milliseconds,
+  ): void {
+    const hello = this.members.findByChannel(channel)?.hello;
+    const requests = this.requests.values();
+    sendConnectionEvent(requests, hello, 'UNREACHABLE', now);
   }
 
   override handlePeerMessage(
@@ -221,14 +264,16 @@
     switch (message.kind) {
       case MessageKind.Token: {
         const context = this.requests.get(message.value.requestId);
-        deliverToken(context, message.value, this.relayCounts);
+        deliverToken(context, message.value, this.relayCounts, now);
         return;
       }
       case MessageKind.Report:
         this.members.noteReport(channel, message.value);
         return;
       default:
-        this.receiveAttemptMessage(message, now);
+        if (!this.feed.receive(channel, message, now)) {
+          this.receiveAttemptMessage(message, now);
+        }
     }
   }
 
@@ -236,6 +281,12 @@
     this.callers?.close();
   }
 
+  protected override cancelOpenWork(now: Milliseconds): void {
+    for (const context of [...this.requests.values()]) {
+      context.instance?.send({ type: 'STOPPING' }, now);
+    }
+  }
+
   protected override countOpenWork(): number {
     return this.requests.size;
   }
@@ -245,22 +296,46 @@
     exchange: CallerExchange,
     now: Milliseconds,
   ): void {
-    this.requestCount += 1;
-    const requestId = `${this.incarnation}.${String(this.requestCount)}`;
+    const requestId = this.createRequestId();
     exchange.noteAccepted(requestId);
     const accepted = this.acceptCall(requestId, call, now);
     if (accepted.err) {
-      this.events.record('request-refused', now, {
-        requestId,
-        detail: { kind: accepted.val.kind },
-      });
       const error = accepted.val;
+      this.refuseCall(requestId, call, error, now);
       exchange.finish({ requestId, outcome: Outcome.NotRun, error });
       return;
     }
     this.startRequest(accepted.val, exchange, now);
   }
 
+  private createRequestId(): string {
+    this.requestCount += 1;
+    return `${this.incarnation}.${String(this.requestCount)}`;
+  }
+
+  /** Records a call that never became a request. */
+  private refuseCall(
+    requestId: string,
+    call: RefusedCall,
+    error: TypedError,
+    now: Milliseconds,
+  ): void {
+    const callerRequestId = call.callerRequestId ?? '';
+    this.events.record('request-refused', now, {
+      requestId,
+      detail: { kind: error.kind, callerRequestId },
+    });
+    const account = this.findAccountName(call.bearerKey);
+    this.operations.ledger.append(
+      createRefusalRecord(requestId, call, account, error, now),
+    );
+  }
+
+  private findAccountName(bearerKey: string): string {
+    const configuration = this.follower.inForce;
+    return (configuration && findAccount(bearerKey, configuration)?.name) ?? '';
+  }
+
   private acceptCall(
     requestId: string,
     call: CallerCall,
@@ -321,10 +396,44 @@
     });
   }
 
+  override readLedger(query: LedgerQuery): LedgerPage {
+    return this.operations.ledger.readPage(query, this.clock.getNow());
+  }
+
+  private createOperations(): EntryOperations {
+    const { registry, events } = this;
+    const { loggers } = this.ports;
+    const { log } = this.entryPorts;
+    return new EntryOperations({
+      settings: this.settings,
+      registry,
+      events,
+      loggers,
+      log,
+      gauges: this.createGauges(),
+    });
+  }
+
+  private createGauges(): EntryGauges {
+    return {
+      getNow: () => this.clock.getNow(),
+      countOpenRequests: () => this.requests.size,
+      countConnectedMembers: () =>
+        this.members.listMembers().filter(member => member.channel.isOpen)
+          .length,
+      countMembers: () => this.members.listMembers().length,
+      countDroppedTokens: () => this.relayCounts.dropped,
+      countDeliveredTokens: () => this.relayCounts.delivered,
+    };
+  }
+
   private createFollower(): ConfigFollower {
     return new ConfigFollower(takeValue(bindFollowerChart()), {
+      nodeId: this.settings.id,
       timers: this.loop,
-      logPort: this.entryPorts.log,
+      acceptance: new ConditionalAcceptance(),
+      snapshots: this.entryPorts.snapshots,
+      logPort: this.operations.logPort,
       events: this.events,
       log: this.ports.loggers.createLogger(LogPart.Config),
       postFollowerEvent: event => {
@@ -333,6 +442,21 @@
     });
   }
 
+  private createFeed(): ConfigFeed {
+    const feed = new ConfigFeed({
+      getState: () => this.follower.state,
+      takeState: (state, now) => {
+        this.follower.receive({ type: 'HANDED_OVER', state }, now);
+      },
+    });
+    this.store.add(
+      this.follower.advanced.subscribe(span => {
+        feed.publishStep(span, this.members.listOpenChannels());
+      }),
+    );
+    return feed;
+  }
+
   private createServices(): RequestServices {
     return {
       entryId: this.settings.id,
@@ -343,10 +467,13 @@
       attempts: takeValue(bindAttemptChart()),
       getConfiguration: () => this.follower.inForce,
       listServers: service => this.members.listServers(service),
-      sendToServer: (serverId, message) => this.sendToServer(serverId, message),
+      sendToServer: (server, message) => this.sendToServer(server, message),
       countOutstanding: (route, change) => {
         this.countOutstanding(route, change);
       },
+      recordOutcome: record => {
+        this.operations.ledger.append(record);
+      },
       handleRequestEnded: (context, now) => {
         this.requests.delete(context.request.requestId);
         this.byExchange.delete(context.exchange);
@@ -355,12 +482,14 @@
     };
   }
 
-  private sendToServer(serverId: string, message: PeerMessage): boolean {
-    const channel = this.members.findByServer(serverId)?.channel;
-    if (!channel?.isOpen) {
+  /** Sends to one start of an agent; a later start must not hear of it. */
+  private sendToServer(server: ServerView, message: PeerMessage): boolean {
+    const member = this.members.findByServer(server.serverId);
+    const isSame = member?.hello?.incarnation === server.incarnation;
+    if (!member?.channel.isOpen || !isSame) {
       return false;
     }
-    channel.send(message);
+    member.channel.send(message);
     return true;
   }
 
@@ -374,13 +503,6 @@
   }
 }
 
-const emptyConfiguration: RouterConfiguration = {
-  version: 0,
-  ranks: [],
-  accounts: [],
-  services: [],
-};
-
 const describeMember = (member: Member): object => ({
   server: member.hello?.backend?.serverId ?? '',
   address: member.address,
@@ -390,41 +512,3 @@
   leaving: member.report?.leaving ?? false,
   outstanding: member.outstanding,
 });
-
-const toAttemptEvent = (message: PeerMessage): AttemptEvent | undefined => {
-  switch (message.kind) {
-    case MessageKind.Accepted:
-      return { type: 'ACCEPTED' };
-    case MessageKind.Started:
-      return { type: 'STARTED' };
-    case MessageKind.Revoked:
-      return { type: 'REVOKED' };
-    case MessageKind.Cancelled:
-      return { type: 'CANCELLED' };
-    case MessageKind.Finished:
-      return { type: 'FINISHED', end: message.value };
-    case MessageKind.Refused:
-      return {
-        type: 'REFUSED',
-        error: toError(message.value),
-        serverId: '',
-      };
-    case MessageKind.Failed: {
-      const { serverId } = message.value;
-      return { type: 'FAILED', error: toError(message.value), serverId };
-    }
-    default:
-      return undefined;
-  }
-};
-
-const errorKinds: ReadonlySet<string> = new Set(Object.values(ErrorKind));
-
-const toError = (value: Refused | Failed): TypedError =>
-  new TypedError(
-    errorKinds.has(value.kind)
-      ? (value.kind as ErrorKind)
-      : ErrorKind.BackendFailed,
-    value.reason,
-    'send the request again when this is mended',
-  );
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds, PartLogger, TypedError } from '@lycheetally/common';
 import type {
   AdmissionPolicy,
+  Outcome,
   RequestView,
   RetryPolicy,
   Route,
@@ -22,6 +23,7 @@
   PlainWork,
 } from '@lycheetally/protocol';
 import type { EventLog } from '../eventLog.js';
+import type { NewOutcomeRecord } from '../ledger/outcomeRecord.js';
 import type { CallerExchange } from '../ports/callerExchange.js';
 import type { AttemptContext, AttemptEvent } from './attemptContext.js';
 
@@ -51,8 +53,10 @@
 
 /** Events of the chart `request`. */
 export type RequestEvent =
+  | { readonly type: 'CALLER_GONE' | 'STOPPING' }
+  | { readonly type: 'NEVER_RAN' | 'RAN' | 'MAY_HAVE_RUN' }
   | {
-      readonly type: 'ADMITTED' | 'ROUTED' | 'CALLER_GONE' | 'ATTEMPT_COMPLETE';
+      readonly type: 'ADMITTED' | 'ROUTED' | 'ATTEMPT_COMPLETE';
     }
   | {
       readonly type:
@@ -76,10 +80,12 @@
   readonly attempts: ChartMachine<AttemptContext, AttemptEvent>;
   getConfiguration(): RouterConfiguration | undefined;
   listServers(service: string): readonly ServerView[];
-  /** Sends to the agent of a server; returns false when its channel is not open. */
-  sendToServer(serverId: string, message: PeerMessage): boolean;
+  /** Sends to the agent of a server; returns false when that start of it can't be reached. */
+  sendToServer(server: ServerView, message: PeerMessage): boolean;
   /** Counts work that this entry has at the servers of a route. */
   countOutstanding(route: Route, change: 1 | -1): void;
+  /** Adds the record of a request that ended to the ledger. */
+  recordOutcome(record: NewOutcomeRecord): void;
   handleRequestEnded(request: RequestContext, now: Milliseconds): void;
 }
 
@@ -91,13 +97,19 @@
   route: Route | undefined;
   attempt: AttemptContext | undefined;
   attempts: number;
+  /** How each attempt that has ended did end. */
+  attemptOutcomes: Outcome[];
   avoided: string[];
   error: TypedError | undefined;
   isCancelled: boolean;
   /** Tokens that the caller was sent, in order. */
   delivered: number[];
+  /** When the first token was sent to the caller. */
+  firstTokenAt: Milliseconds | undefined;
   /** Position of the last delivered token; absent before the first one. */
   lastPosition: number | undefined;
+  /** Says whether the last delivered token ends the answer. */
+  hasLastToken: boolean;
   end: Finished | undefined;
 }
 
@@ -126,10 +138,13 @@
   route: undefined,
   attempt: undefined,
   attempts: 0,
+  attemptOutcomes: [],
   avoided: [],
   error: undefined,
   isCancelled: false,
   delivered: [],
+  firstTokenAt: undefined,
   lastPosition: undefined,
+  hasLastToken: false,
   end: undefined,
 });
--- a/packages/router/src/entry/tokenRelay.ts
+++ b/packages/router/src/entry/tokenRelay.ts
@@ -4,6 +4,7 @@
  * A token is bound to its request, attempt, epoch and position; one that is
  * late, crossed or doubled is dropped and counted.
  */
+import type { Milliseconds } from '@lycheetally/common';
 import type { Token } from '@lycheetally/protocol';
 import type { RequestContext } from './requestContext.js';
 
@@ -18,13 +19,16 @@
   context: RequestContext | undefined,
   token: Token,
   counts: RelayCounts,
+  now: Milliseconds,
 ): void => {
   if (!context || !isExpected(context, token)) {
     counts.dropped += 1;
     return;
   }
   counts.delivered += 1;
+  context.firstTokenAt ??= now;
   context.lastPosition = token.position;
+  context.hasLastToken = token.isEnd;
   context.delivered.push(token.tokenId);
   if (context.attempt) {
     context.attempt.tokens += 1;
@@ -41,5 +45,8 @@
   ) {
     return false;
   }
+  if (token.index !== context.delivered.length) {
+    return false;
+  }
   return lastPosition === undefined || token.position === lastPosition + 1;
 };
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -21,10 +21,14 @@
   type Result,
 } from '@lycheetally/common';
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
+import { Registry } from 'prom-client';
 import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
 import type { Clock } from './clock.js';
+import { cutBoundMs } from './constants.js';
 import { EventLog } from './eventLog.js';
 import { Loop, type LoopHandlers } from './loop.js';
+import { NodeMetrics } from './metrics/nodeMetrics.js';
+import type { OperationsSettings } from './processSettings.js';
 import {
   bindIncomingChart,
   IncomingChannel,
@@ -47,6 +51,12 @@
   PeerStreamListener,
 } from './ports/peerNetwork.js';
 
+import {
+  filterEvents,
+  type EventPage,
+  type EventQuery,
+} from './timeline/eventPage.js';
+
 /** Events that every node takes. */
 export interface NodeEvents extends PeerEvents {
   peerAccepted: { channel: IncomingChannel };
@@ -62,6 +72,8 @@
   readonly id: string;
   readonly failureDomain: string;
   readonly drainBoundMs: Milliseconds;
+  /** What the process keeps for its operators; the defaults when absent. */
+  readonly operations?: OperationsSettings | undefined;
 }
 
 /** Ports that every node is given. */
@@ -93,6 +105,10 @@
     this.node.handlePeerLost(channel, now);
   }
 
+  override handleUnreachable(channel: PeerChannel, now: Milliseconds): void {
+    this.node.handlePeerUnreachable(channel, now);
+  }
+
   override handleMessage(
     channel: PeerChannel,
     message: PeerMessage,
@@ -111,6 +127,7 @@
   /** Emits once when the process may end. */
   readonly stopped = new Emitter<true>();
 
+  protected readonly registry = new Registry();
   protected readonly store = new DisposableStore();
   protected readonly log: PartLogger;
   protected readonly clock: Clock;
@@ -129,7 +146,10 @@
     super();
     this.clock = ports.clock;
     this.incarnation = `${settings.id}.${ports.clock.getNow().toString(36)}`;
-    this.events = new EventLog(settings.id);
+    this.events = new EventLog(
+      settings.id,
+      settings.operations?.timelineEvents,
+    );
     this.log = ports.loggers.createLogger(part);
     this.loop = new Loop<Events>(ports.clock);
     this.outgoingMachine = takeValue(bindOutgoingChart());
@@ -140,12 +160,24 @@
       this.loop,
     );
     this.subscribeToLoop();
+    if (this.isCounting) {
+      const isReady = (): boolean => this.isReady();
+      const metrics = new NodeMetrics(this.registry, this.events, isReady);
+      this.store.add(metrics.store);
+    }
+  }
+
+  /** Says whether the process counts for its metrics page. */
+  protected get isCounting(): boolean {
+    return this.settings.operations?.metrics !== 'off';
   }
 
   /** Describes this process to its peers. */
   abstract describeSelf(): Hello;
   abstract handlePeerOpen(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerLost(channel: PeerChannel, now: Milliseconds): void;
+  /** A try to open a channel has failed; another follows. */
+  abstract handlePeerUnreachable(channel: PeerChannel, now: Milliseconds): void;
   abstract handlePeerMessage(
     channel: PeerChannel,
     message: PeerMessage,
@@ -153,6 +185,8 @@
   ): void;
   /** Takes no new work from now on. */
   protected abstract stopAdmission(now: Milliseconds): void;
+  /** Ends the open work with its true outcome. */
+  protected abstract cancelOpenWork(now: Milliseconds): void;
   /** Counts the pieces of work that a stop would cut. */
   protected abstract countOpenWork(): number;
 
@@ -168,7 +202,9 @@
 
   get isStopping(): boolean {
     return (
-      this.lifecycle.matches('draining') || this.lifecycle.matches('stopped')
+      this.lifecycle.matches('draining') ||
+      this.lifecycle.matches('cutting') ||
+      this.lifecycle.matches('stopped')
     );
   }
 
@@ -176,6 +212,16 @@
     return this.events.list();
   }
 
+  override describeEvents(query: EventQuery): EventPage {
+    return {
+      process: this.settings.id,
+      incarnation: this.incarnation,
+      now: this.clock.getNow(),
+      overwritten: this.events.overwritten,
+      events: filterEvents(this.events.list(), query),
+    };
+  }
+
   /** Starts a graceful stop. Called from outside the loop. */
   requestStop(signal: string): void {
     this.loop.post('stopRequested', { signal });
@@ -183,7 +229,7 @@
 
   /** Ends the drain when no work is left. */
   protected checkDrained(now: Milliseconds): void {
-    if (this.lifecycle.matches('draining') && this.countOpenWork() === 0) {
+    if (this.isStopping && this.countOpenWork() === 0) {
       this.lifecycle.send({ type: 'DRAINED' }, now);
     }
   }
@@ -234,7 +280,7 @@
 
   /** Opens the operators' port. Throws `BadAddress`. */
   protected async listenForOperators(address: Address): Promise<Address> {
-    const server = new OperatorsServer(this);
+    const server = new OperatorsServer(this, this.registry);
     this.store.add(server);
     return takeValue(await server.listen(address));
   }
@@ -300,6 +346,9 @@
       this.log.error('The drain bound is reached and work is cut', { open });
       this.events.record('drain-bound-reached', now, { detail: { open } });
     },
+    cancelOpenWork: (now: Milliseconds): void => {
+      this.cancelOpenWork(now);
+    },
     finishProcess: (now: Milliseconds): void => {
       this.log.info('Stopped');
       this.events.record('stopped', now);
@@ -330,11 +379,17 @@
         reportCutWork: (node, _, now) => {
           node.lifecycleActions.reportCutWork(now);
         },
+        cancelOpenWork: (node, _, now) => {
+          node.lifecycleActions.cancelOpenWork(now);
+        },
         finishProcess: (node, _, now) => {
           node.lifecycleActions.finishProcess(now);
         },
       },
       guards: {},
-      delays: { DRAIN_BOUND: node => node.drainBoundMs },
+      delays: {
+        DRAIN_BOUND: node => node.drainBoundMs,
+        CUT_BOUND: () => cutBoundMs,
+      },
     }),
   );
--- a/packages/router/tests/wholePath.test.ts
+++ b/packages/router/tests/wholePath.test.ts
@@ -106,18 +106,14 @@
   });
 
   it('tells the caller when a stage is killed in the middle', async () => {
+    const countDelivered = async (): Promise<number> =>
+      (await fleet.readStatus('entry-0')).tokens.delivered;
+    const before = await countDelivered();
     const pending = streamCompletion(getEntry(), 'long', 400, {
       deadlineMs: 3_000,
     });
-    const operators =
-      fleet.processes.getProcess('entry-0').addresses.operators ?? '';
-    await waitUntil('tokens flow', async () => {
-      const status = (await fleet.get(
-        `http://${operators}/v1/admin/status`,
-      )) as {
-        openRequests: number;
-      };
-      return status.openRequests === 1;
+    await waitUntil('tokens of this request flow', async () => {
+      return (await countDelivered()) > before;
     });
     fleet.processes.sendSignal('agent-stage2-0', 'SIGKILL');
     const answer = await pending;
