Order an agent's work by rank and account, limit accounts, budget retries

Cause: the processes still ran with urgency alone, no limits and four attempts for every request. Ruled out: reading the configuration at agents; floors, weights and costs come with each offer, and the latest offer of a rank is the one in force. Change: the agent's p-queue takes its order from RankedOrder, slots go back with the true cost and time of the run, the engine priority of the first stage goes along the chain; entries admit by the limits of accounts, retry within the budget, and answer refusals with the time that the rule names; tests of the decisions, each promise shown beside the plain rule that breaks it. Found by a test: waits seen were filed under an account's part of the backlog with its own cost, decisions looked without it, so a lying report drew 386 of 400 requests; both look without it now, and the test (under 200) is green.

--- a/packages/decisions/src/load/loadBook.ts
+++ b/packages/decisions/src/load/loadBook.ts
@@ -232,8 +232,9 @@
       this.get(server.serverId).noteStarted(urgency);
     }
     const backlog = this.getBacklog(attempt);
-    const factor = backlog.computeWaitFactor(attempt.account);
+    // Without its own cost, as the decision saw it.
     backlog.remove(attempt.account, attempt.cost);
+    const factor = backlog.computeWaitFactor(attempt.account);
     const first = attempt.route[0];
     if (first) {
       this.get(first.serverId).noteWait(urgency, factor, waitedMs, now);
--- a/packages/decisions/src/routing/steadyShares.ts
+++ b/packages/decisions/src/routing/steadyShares.ts
@@ -90,7 +90,7 @@
   groups: readonly StageGroup[],
 ): (readonly [StageGroup, StageGroup])[] =>
   groups.flatMap(from =>
-    groups
+    (from.layerFrom < from.layerTo ? groups : [])
       .filter(to => to.layerFrom === from.layerTo)
       .map(to => [from, to] as const),
   );
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -85,6 +85,10 @@
   readonly repeatable: boolean;
   readonly stages: readonly Stage[];
   readonly stageIndex: number;
+  readonly rankFloor?: number | undefined;
+  readonly accountWeight?: number | undefined;
+  readonly cost?: number | undefined;
+  readonly enginePriority?: number | undefined;
   readonly model?: ModelWork | undefined;
   readonly plain?: PlainWork | undefined;
 }
--- a/packages/router/src/adapters/engineHttp.ts
+++ b/packages/router/src/adapters/engineHttp.ts
@@ -159,7 +159,7 @@
       requestId: offer.requestId,
       attempt: offer.attempt,
       epoch: offer.epoch,
-      priority: offer.urgency,
+      priority: offer.enginePriority ?? offer.urgency,
       maxTokens: offer.model?.maxTokens ?? 0,
       generated: offer.model?.generated.length ?? 0,
     });
--- a/packages/router/src/adapters/pQueueSlots.ts
+++ b/packages/router/src/adapters/pQueueSlots.ts
@@ -1,5 +1,6 @@
 /** Places of a backend server on `p-queue`, with the order of our own queue. */
 import PQueue, { type Queue, type QueueAddOptions } from 'p-queue';
+import type { Milliseconds } from '@lycheetally/common';
 import type { WorkOrder } from '@lycheetally/decisions';
 import { SlotQueue, type QueuedWork } from '../ports/slotQueue.js';
 import type { Clock } from '../clock.js';
@@ -19,7 +20,7 @@
     private readonly tasks = new Map<QueuedWork, RunFunction>();
 
     get size(): number {
-      return order.size;
+      return order.hasNext(clock.getNow()) ? order.size : 0;
     }
 
     enqueue(run: RunFunction, options?: Partial<SlotOptions>): void {
@@ -49,14 +50,19 @@
     }
   };
 
+interface HeldSlot {
+  readonly giveBack: () => void;
+  readonly grantedAt: Milliseconds;
+}
+
 export class PQueueSlots extends SlotQueue {
   private readonly queue: PQueue<Queue<RunFunction, SlotOptions>, SlotOptions>;
-  private readonly held = new Map<QueuedWork, () => void>();
+  private readonly held = new Map<QueuedWork, HeldSlot>();
 
   constructor(
     slots: number,
     private readonly order: WorkOrder<QueuedWork>,
-    clock: Clock,
+    private readonly clock: Clock,
   ) {
     super();
     this.queue = new PQueue({
@@ -68,20 +74,22 @@
   override enqueue(work: QueuedWork): void {
     const hold = (): Promise<void> =>
       new Promise<void>(resolve => {
-        this.held.set(work, resolve);
-        work.grantSlot();
+        const grantedAt = this.clock.getNow();
+        this.held.set(work, { giveBack: resolve, grantedAt });
+        work.grantSlot(this.order.computePriority(work));
       });
     void this.queue.add(hold, { work });
   }
 
-  override release(work: QueuedWork): void {
-    const giveBack = this.held.get(work);
-    if (!giveBack) {
+  override release(work: QueuedWork, cost: number): void {
+    const slot = this.held.get(work);
+    if (!slot) {
       this.order.remove(work);
       return;
     }
     this.held.delete(work);
-    giveBack();
+    this.order.settle(work, cost, this.clock.getNow() - slot.grantedAt);
+    slot.giveBack();
   }
 
   override get running(): number {
--- a/packages/router/src/agent/workActions.ts
+++ b/packages/router/src/agent/workActions.ts
@@ -11,6 +11,7 @@
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
+import { computeTokenCost } from '@lycheetally/decisions';
 import { MessageKind, type PeerMessage } from '@lycheetally/protocol';
 import { ownerGraceMs, reserveTimeoutMs } from '../constants.js';
 import { createBackendListener } from './backendRelay.js';
@@ -42,10 +43,13 @@
     rank: offer.rank,
     urgency: offer.urgency,
     account: offer.account,
-    cost: offer.model?.maxTokens ?? 1,
+    cost: offer.cost ?? offer.model?.maxTokens ?? 1,
+    rankFloor: offer.rankFloor ?? 0,
+    accountWeight: offer.accountWeight ?? 1,
     enqueuedAt: now,
     deadlineAt: work.deadlineAt,
-    grantSlot: () => {
+    grantSlot: priority => {
+      work.enginePriority = priority;
       work.services.postSlotGranted(work);
     },
   };
@@ -64,6 +68,7 @@
     value: {
       ...work.offer,
       stageIndex: work.offer.stageIndex + 1,
+      enginePriority: work.enginePriority,
       timeLeftMs: work.deadlineAt - now,
     },
   });
@@ -86,7 +91,7 @@
 
 export const startBackend: WorkAction = (work, _, now) => {
   work.run = work.services.backend.startRun(
-    work.offer,
+    { ...work.offer, enginePriority: work.enginePriority },
     createBackendListener(work),
   );
   if (work.offer.model) {
@@ -118,9 +123,19 @@
   }
 };
 
+/** The cost of what the work has used, in token units. */
+const computeTrueCost = (work: WorkContext): number => {
+  const estimated = work.queued?.cost ?? 1;
+  if (!work.offer.model) {
+    return estimated;
+  }
+  const { promptTokens, generatedTokens } = work;
+  return computeTokenCost(promptTokens, generatedTokens).unwrapOr(estimated);
+};
+
 export const releaseSlot: WorkAction = work => {
   if (work.queued) {
-    work.services.slots.release(work.queued);
+    work.services.slots.release(work.queued, computeTrueCost(work));
   }
 };
 
--- a/packages/router/src/agent/workContext.ts
+++ b/packages/router/src/agent/workContext.ts
@@ -85,6 +85,8 @@
   readonly ref: AttemptRef;
   instance: WorkInstance | undefined;
   queued: QueuedWork | undefined;
+  /** Priority in the engines of the chain; 0 goes first. */
+  enginePriority: number;
   run: BackendRun | undefined;
   watch: WatchInstance | undefined;
   /** Spans of positions that the engine was given, and those it has answered. */
@@ -121,6 +123,7 @@
   ref: { requestId: offer.requestId, attempt: offer.attempt },
   instance: undefined,
   queued: undefined,
+  enginePriority: offer.enginePriority ?? offer.urgency,
   run: undefined,
   watch: undefined,
   sentSpans: 0,
--- a/packages/router/src/config/configuration.ts
+++ b/packages/router/src/config/configuration.ts
@@ -32,6 +32,15 @@
   name: nameSchema,
   keyHash: z.string().min(1),
   weight: z.number().positive(),
+  limits: z
+    .array(
+      z.strictObject({
+        rank: nameSchema,
+        costPerSecond: z.number().positive(),
+        burstCost: z.number().positive(),
+      }),
+    )
+    .optional(),
 });
 
 export const serviceSchema = z.strictObject({
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -15,19 +15,18 @@
   type Address,
 } from '@lycheetally/common';
 import {
-  BoundedRetry,
+  BudgetedRetry,
   LeastOutstandingRouting,
-  OpenAdmission,
+  LimitedAdmission,
   ServiceKind,
   SpreadSnapshots,
-  UrgencyOrder,
 } from '@lycheetally/decisions';
 import { ConnectPeerNetwork } from './adapters/connectPeers.js';
 import { HttpEngine } from './adapters/engineHttp.js';
 import { HttpPlainService } from './adapters/plainServiceHttp.js';
 import { HttpLog, HttpVmList } from './adapters/platformHttp.js';
-import { PQueueSlots } from './adapters/pQueueSlots.js';
 import { AgentNode } from './agent/agentNode.js';
+import { createSlots } from './agent/createSlots.js';
 import { SystemClock } from './clock.js';
 import { EntryNode } from './entry/entryNode.js';
 import {
@@ -118,9 +117,9 @@
         settings.config.snapshotRecords,
       ),
       policies: {
-        admission: new OpenAdmission(),
+        admission: new LimitedAdmission(),
         routing: new LeastOutstandingRouting(),
-        retry: new BoundedRetry(),
+        retry: new BudgetedRetry(),
       },
     },
   );
@@ -153,7 +152,7 @@
         backend.kind === ServiceKind.Model
           ? new HttpEngine(backend.url)
           : new HttpPlainService(backend.url),
-      slots: new PQueueSlots(backend.slots, new UrgencyOrder(), clock),
+      slots: createSlots(backend.slots, clock),
     },
   );
 };
--- a/packages/router/src/entry/acceptCall.ts
+++ b/packages/router/src/entry/acceptCall.ts
@@ -10,10 +10,12 @@
 } from '@lycheetally/common';
 import {
   ServiceKind,
+  computeTokenCost,
   type AccountRule,
   type RouterConfiguration,
   type ServiceRule,
 } from '@lycheetally/decisions';
+import type { ModelWork } from '@lycheetally/protocol';
 import { defaultDeadlineMs } from '../constants.js';
 import type { CallerCall } from '../ports/callerExchange.js';
 import type { CallerRequest } from './requestContext.js';
@@ -73,12 +75,22 @@
       ),
     );
   }
+  const promptTokens = estimatePromptTokens(call.model);
+  const cost = estimateCost(call.model, promptTokens);
+  if (cost.err) {
+    return cost;
+  }
   return Ok({
     requestId,
     callerRequestId: call.callerRequestId,
     account: account.name,
     rank: rank.name,
     urgency: rank.urgency,
+    rankFloor: rank.floor,
+    targetMs: rank.targetMs,
+    accountWeight: account.weight,
+    cost: cost.val,
+    promptTokens,
     service,
     receivedAt: now,
     deadlineAt: now + (call.deadlineMs ?? defaultDeadlineMs),
@@ -89,6 +101,20 @@
   });
 };
 
+/** Characters of a prompt for each of its tokens, about. */
+const charactersPerToken = 4;
+/** Cost of a plain call in token units. */
+const plainCallCost = 1;
+
+const estimatePromptTokens = (model: ModelWork | undefined): number =>
+  Math.ceil((model?.prompt.length ?? 0) / charactersPerToken);
+
+const estimateCost = (
+  model: ModelWork | undefined,
+  promptTokens: number,
+): Result<number> =>
+  model ? computeTokenCost(promptTokens, model.maxTokens) : Ok(plainCallCost);
+
 const findService = (
   call: CallerCall,
   configuration: RouterConfiguration,
--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -63,6 +63,9 @@
       layerTo: server.layerTo,
     })),
     stageIndex: 0,
+    rankFloor: request.rankFloor,
+    accountWeight: request.accountWeight,
+    cost: request.cost,
     model: request.model && { ...request.model, generated: delivered },
     plain: request.plain,
   };
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
-import { Outcome, decideOutcome } from '@lycheetally/decisions';
+import { BusyError, Outcome, decideOutcome } from '@lycheetally/decisions';
 import { cancelBoundMs } from '../constants.js';
 import { createOutcomeRecord } from '../ledger/recordOutcome.js';
 import { describeRouting } from '../timeline/describeRouting.js';
@@ -45,6 +45,9 @@
     configuration,
     now,
   );
+  if (decided.ok) {
+    services.policies.retry.noteRequest(view);
+  }
   context.instance?.send(
     decided.ok ? { type: 'ADMITTED' } : { type: 'REFUSED', error: decided.val },
     now,
@@ -74,6 +77,9 @@
 
 export const startAttempt: RequestAction = (context, _, now) => {
   const { services, request } = context;
+  if (context.attempts > 0) {
+    services.policies.retry.noteRetry(viewRequest(context));
+  }
   context.attempts += 1;
   const attempt: AttemptContext = {
     owner: context,
@@ -151,7 +157,8 @@
     requestId: request.requestId,
     outcome,
     error: outcome === Outcome.Complete ? undefined : context.error,
-    retryAfterMs: outcome === Outcome.NotRun ? retryAfterMs : undefined,
+    retryAfterMs:
+      outcome === Outcome.NotRun ? findRetryAfter(context.error) : undefined,
     finishReason: end?.finishReason,
     promptTokens: end?.promptTokens,
     generatedTokens: context.delivered.length,
@@ -161,8 +168,11 @@
   services.handleRequestEnded(context, now);
 };
 
-/** Milliseconds after which a refused caller may try again. */
-const retryAfterMs = 1_000;
+/** Milliseconds after which a refused caller may try again when no rule says. */
+const defaultRetryAfterMs = 1_000;
+
+const findRetryAfter = (error: TypedError | undefined): Milliseconds =>
+  error instanceof BusyError ? error.retryAfterMs : defaultRetryAfterMs;
 
 export const answerComplete: RequestAction = (context, _, now) => {
   endRequest(context, Outcome.Complete, now);
--- a/packages/router/src/entry/requestContext.ts
+++ b/packages/router/src/entry/requestContext.ts
@@ -41,6 +41,15 @@
   readonly account: string;
   readonly rank: string;
   readonly urgency: number;
+  /** Share that the rank keeps while it waits, from 0 to 1. */
+  readonly rankFloor: number;
+  /** Target of the rank for the first token or the answer, in milliseconds. */
+  readonly targetMs: Milliseconds;
+  readonly accountWeight: number;
+  /** Estimated cost in token units. */
+  readonly cost: number;
+  /** Estimated tokens of the prompt; 0 for a plain call. */
+  readonly promptTokens: number;
   readonly service: ServiceRule;
   readonly receivedAt: Milliseconds;
   readonly deadlineAt: Milliseconds;
@@ -123,6 +132,12 @@
   isRepeatable: context.request.isRepeatable,
   attempts: context.attempts,
   avoided: context.avoided,
+  urgency: context.request.urgency,
+  targetMs: context.request.targetMs,
+  accountWeight: context.request.accountWeight,
+  cost: context.request.cost,
+  promptTokens: context.request.promptTokens,
+  maxTokens: context.request.model?.maxTokens,
 });
 
 /** Creates the context of a request. */
