--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,6 @@
 /** Pure decisions: no clock, no network, no charts; the time is an argument. */
 export * from './admission.js';
+export * from './config/index.js';
 export * from './admit/accountLimits.js';
 export * from './admit/limitedAdmission.js';
 export * from './admit/loadGate.js';
@@ -15,7 +16,6 @@
 export * from './order/queueBound.js';
 export * from './order/queueDelay.js';
 export * from './order/rankedOrder.js';
-export * from './config/index.js';
 export * from './outcome.js';
 export * from './retry.js';
 export * from './routing.js';
