--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -7,6 +7,7 @@
 import { ConfigCommand } from './commands/configCommand.js';
 import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { DrainCommand } from './commands/drainCommand.js';
 import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
 import { ExplainCommand } from './commands/explainCommand.js';
 import { LoadCommand } from './commands/loadCommand.js';
@@ -21,6 +22,7 @@
   new StatusCommand(),
   new TimelineCommand(),
   new ExplainCommand(),
+  new DrainCommand(),
   new DemoCommand(),
   new LoadCommand(),
   new BenchCommand(),
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -8,6 +8,7 @@
 import {
   ErrorKind,
   LogPart,
+  formatAddress,
   type Address,
   type Milliseconds,
 } from '@lycheetally/common';
@@ -26,6 +27,10 @@
 import { ConfigFeed } from '../config/configFeed.js';
 import { ConfigHolder, bindHolderChart } from '../config/configHolder.js';
 import { addGauge } from '../metrics/nodeMetrics.js';
+import {
+  AgentMembership,
+  bindAgentMembershipChart,
+} from '../membership/agentMembership.js';
 import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
@@ -70,6 +75,8 @@
 }
 
 export interface AgentSettings extends NodeSettings {
+  /** Entries to which the agent announces itself. */
+  readonly knownEntries: readonly Address[];
   readonly backend: Backend;
   /** Milliseconds without an answer after which an engine counts as silent. */
   readonly silenceBoundMs: Milliseconds;
@@ -85,6 +92,8 @@
   private readonly owners = new Map<string, PeerChannel>();
   private readonly holder: ConfigHolder;
   private readonly feed: ConfigFeed;
+  private peerAddress = '';
+  private readonly membership: AgentMembership;
   private readonly nextChannels = new Map<string, OutgoingChannel>();
 
   constructor(
@@ -97,6 +106,7 @@
     this.services = this.createServices();
     const holderMachine = takeValue(bindHolderChart());
     this.holder = new ConfigHolder(holderMachine, this.loop, this.events);
+    this.membership = this.createMembership();
     this.feed = new ConfigFeed({
       getState: () => this.holder.state,
       takeState: (state, now) => {
@@ -122,6 +132,7 @@
   ): Promise<{ peers: Address; operators: Address }> {
     const boundPeers = await this.listenForPeers(peers);
     const boundOperators = await this.listenForOperators(operators);
+    this.peerAddress = formatAddress(boundPeers);
     this.startServing(this.clock.getNow());
     return { peers: boundPeers, operators: boundOperators };
   }
@@ -137,6 +148,10 @@
   /** Enters the loop. */
   startServing(now: Milliseconds): void {
     this.holder.start(now);
+    this.membership.start(now);
+    for (const entry of this.agentSettings.knownEntries) {
+      this.createOutgoing(formatAddress(entry), now);
+    }
     this.begin(now);
   }
 
@@ -146,6 +161,7 @@
       incarnation: this.incarnation,
       failureDomain: this.settings.failureDomain,
       backend: this.agentSettings.backend,
+      agentAddress: this.peerAddress,
     };
   }
 
@@ -155,7 +171,7 @@
       role: 'agent',
       incarnation: this.incarnation,
       ready: this.isReady(),
-      leaving: this.isStopping,
+      leaving: this.isLeaving,
       configVersion: this.holder.state?.configuration.version ?? 0,
       config: toPosition(this.holder.state),
       backend: this.agentSettings.backend,
@@ -200,6 +216,9 @@
       case MessageKind.Offer:
         this.receiveOffer(channel, message.value, now);
         return;
+      case MessageKind.Leave:
+        this.membership.receiveLeave(message.value.incarnation, now);
+        return;
       case MessageKind.Cancel:
         this.find(message.value)?.instance?.send({ type: 'CANCEL' }, now);
         return;
@@ -232,6 +251,22 @@
     return this.works.size;
   }
 
+  private get isLeaving(): boolean {
+    return this.isStopping || this.membership.isLeaving;
+  }
+
+  private createMembership(): AgentMembership {
+    return new AgentMembership(
+      takeValue(bindAgentMembershipChart()),
+      this.loop,
+      this.incarnation,
+      this.events,
+      () => {
+        this.stopAdmission();
+      },
+    );
+  }
+
   private addGauges(): void {
     if (!this.isCounting) {
       return;
@@ -289,8 +324,8 @@
 
   private checkOffer(offer: Offer): Refusal | undefined {
     const stage = offer.stages[offer.stageIndex];
-    if (this.isStopping) {
-      return createRefusal(ErrorKind.Leaving, 'the agent is stopping');
+    if (this.isLeaving) {
+      return createRefusal(ErrorKind.Leaving, 'the agent is leaving');
     }
     if (stage?.incarnation !== this.incarnation) {
       return createRefusal(
@@ -369,7 +404,7 @@
     channel.send({
       kind: MessageKind.Report,
       value: {
-        leaving: this.isStopping,
+        leaving: this.isLeaving,
         running: this.agentPorts.slots.running,
         waiting: this.agentPorts.slots.waiting,
         queueDelayMs: 0,
