--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -17,14 +17,13 @@
   type DaemonFlags,
 } from '@lycheetally/common';
 import {
-  BoundedRetry,
+  BudgetedRetry,
   GroupCommit,
   LeastOutstandingRouting,
-  OpenAdmission,
+  LimitedAdmission,
   ServiceKind,
   SingleCommit,
   SpreadSnapshots,
-  UrgencyOrder,
   type GatherPolicy,
 } from '@lycheetally/decisions';
 import type { z } from 'zod';
@@ -32,9 +31,9 @@
 import { HttpEngine } from './adapters/engineHttp.js';
 import { HttpPlainService } from './adapters/plainServiceHttp.js';
 import { HttpLog, HttpVmList } from './adapters/platformHttp.js';
-import { PQueueSlots } from './adapters/pQueueSlots.js';
 import { maxClaimBatch } from './constants.js';
 import { AgentNode } from './agent/agentNode.js';
+import { createSlots } from './agent/createSlots.js';
 import { SystemClock } from './clock.js';
 import { EntryNode } from './entry/entryNode.js';
 import {
@@ -165,9 +164,9 @@
         settings.config.snapshotRecords,
       ),
       policies: {
-        admission: new OpenAdmission(),
+        admission: new LimitedAdmission(),
         routing: new LeastOutstandingRouting(),
-        retry: new BoundedRetry(),
+        retry: new BudgetedRetry(),
       },
       gathering: createGathering(settings),
     },
@@ -202,7 +201,7 @@
         backend.kind === ServiceKind.Model
           ? new HttpEngine(backend.url)
           : new HttpPlainService(backend.url),
-      slots: new PQueueSlots(backend.slots, new UrgencyOrder(), clock),
+      slots: createSlots(backend.slots, clock),
     },
   );
 };
--- a/packages/router/tests/fakeBackends.ts
+++ b/packages/router/tests/fakeBackends.ts
@@ -219,7 +219,7 @@
         return;
       }
       this.held.add(work);
-      work.grantSlot();
+      work.grantSlot(work.urgency);
     }
   }
 }
