--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -38,6 +38,16 @@
   .string()
   .regex(/^https?:\/\/[^\s/]+$/, 'write http://host:port without a path');
 
+const addressListSchema = z
+  .string()
+  .transform(text =>
+    text
+      .split(',')
+      .map(each => each.trim())
+      .filter(each => each !== ''),
+  )
+  .pipe(z.array(addressSchema));
+
 const processSchema = z.strictObject({
   id: idSchema.describe('Name of this process; unique in the deployment'),
   failureDomain: idSchema.describe('Failure domain that the VM stands in'),
@@ -90,6 +100,9 @@
   listen: z.strictObject({
     callers: addressSchema.describe('Address for callers, as host:port'),
     operators: operatorsSchema,
+    peers: addressSchema
+      .optional()
+      .describe('Address where agents announce themselves, as host:port'),
   }),
   platform: platformSchema,
   config: z
@@ -110,6 +123,9 @@
       maxBodyBytes: createNumberSchema(1_024, 64 * 1_024 * 1_024)
         .default(1_048_576)
         .describe('Largest body that a caller may send, in bytes'),
+      maxServers: createNumberSchema(1, 10_000)
+        .default(128)
+        .describe('Backend servers that an entry keeps connections to'),
     })
     .prefault({}),
 });
@@ -126,6 +142,15 @@
   }),
   platform: platformSchema.optional(),
   operations: agentOperationsSchema,
+  entries: z
+    .strictObject({
+      known: addressListSchema
+        .default([])
+        .describe(
+          'Addresses where entries take announcements, with commas between them',
+        ),
+    })
+    .prefault({}),
   backend: z
     .strictObject({
       server: idSchema.describe('Name of the backend server'),
