--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -2,6 +2,7 @@
 import { CapacityBench } from './capacityBench.js';
 import { ChartBench } from './chartBench.js';
 import { ChainRecoveryBench } from './chainRecoveryBench.js';
+import { ClaimsBench } from './claimsBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { BoundBench } from './policy/boundBench.js';
 import { DecideBench } from './policy/decideBench.js';
@@ -16,6 +17,7 @@
   new RelayBench(),
   new CapacityBench(),
   new ChainRecoveryBench(),
+  new ClaimsBench(),
   new FaultsBench(),
   new BoundBench(),
   new RanksBench(),
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -14,6 +14,7 @@
   ConditionalAcceptance,
   Outcome,
   RendezvousSubset,
+  type GatherPolicy,
   emptyConfiguration,
   toPosition,
   type Route,
@@ -26,6 +27,12 @@
   type Hello,
   type PeerMessage,
 } from '@lycheetally/protocol';
+import type { ClaimLogEvents, ClaimSettings } from '../claims/claimBook.js';
+import {
+  createClaimHandlers,
+  createEntryClaims,
+} from '../claims/connectClaims.js';
+import type { EntryClaims } from '../claims/entryClaims.js';
 import { ConfigFeed } from '../config/configFeed.js';
 import {
   ConfigFollower,
@@ -82,7 +89,7 @@
 import { deliverToken, type RelayCounts } from './tokenRelay.js';
 
 /** Events that an entry takes. */
-export interface EntryEvents extends NodeEvents {
+export interface EntryEvents extends NodeEvents, ClaimLogEvents {
   callReceived: { call: CallerCall; exchange: CallerExchange };
   callRefused: { call: RefusedCall; error: TypedError };
   callerGone: { exchange: CallerExchange };
@@ -95,6 +102,7 @@
   readonly log: LogPort;
   readonly vmList: VmListPort;
   readonly policies: EntryPolicies;
+  readonly gathering: GatherPolicy;
   /** Says when the configuration's stream gets a snapshot. */
   readonly snapshots: SnapshotPolicy;
 }
@@ -104,6 +112,7 @@
   readonly maxBodyBytes: number;
   /** The most backend servers that the entry keeps connections to. */
   readonly maxServers: number;
+  readonly claims?: ClaimSettings;
 }
 
 /** Addresses that an entry listens on. */
@@ -146,6 +155,7 @@
   private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
+  private readonly claims: EntryClaims;
   private readonly feed: ConfigFeed;
   private readonly requests = new Map<string, RequestContext>();
   private readonly byExchange = new Map<CallerExchange, RequestContext>();
@@ -163,6 +173,7 @@
     this.store.add(this.operations.store);
     this.members = this.createDirectory();
     this.machine = takeValue(bindRequestChart());
+    this.claims = this.createClaims();
     this.services = this.createServices();
     this.follower = this.createFollower();
     this.feed = this.createFeed();
@@ -182,6 +193,7 @@
       followerEvent: ({ event }, now) => {
         this.follower.receive(event, now);
       },
+      ...createClaimHandlers(),
       vmListRead: ({ list }, now) => {
         this.receiveVmList(list, now);
       },
@@ -207,6 +219,7 @@
   startServing(now: Milliseconds): void {
     this.begin(now);
     this.follower.start(now);
+    this.claims.book.start(now);
     this.readVmList();
   }
 
@@ -248,6 +261,7 @@
       },
       openRequests: this.requests.size,
       tokens: this.relayCounts,
+      claims: this.claims.book.describe(),
       members: this.members.listMembers().map(describeMember),
     };
   }
@@ -402,6 +416,7 @@
   }
 
   private receiveAttemptMessage(message: PeerMessage, now: Milliseconds): void {
+    this.claims.receiveAnswer(message, now);
     const event = toAttemptEvent(message);
     if (!event) {
       return;
@@ -491,6 +506,19 @@
     });
   }
 
+  private createClaims(): EntryClaims {
+    const environment = {
+      loop: this.loop,
+      logPort: this.entryPorts.log,
+      gathering: this.entryPorts.gathering,
+      events: this.events,
+      log: this.ports.loggers.createLogger(LogPart.Claims),
+      members: this.members,
+    };
+    const now = this.clock.getNow();
+    return createEntryClaims(environment, this.entrySettings.claims, now);
+  }
+
   private createFeed(): ConfigFeed {
     const feed = new ConfigFeed({
       getState: () => this.follower.state,
@@ -514,6 +542,7 @@
       log: this.log,
       policies: this.entryPorts.policies,
       attempts: takeValue(bindAttemptChart()),
+      claims: this.claims,
       getConfiguration: () => this.follower.inForce,
       listServers: service => this.members.listServers(service),
       sendToServer: (server, message) => this.sendToServer(server, message),
--- a/packages/router/src/processSettings.ts
+++ b/packages/router/src/processSettings.ts
@@ -94,6 +94,33 @@
   'Address for operators, as host:port; keep it off the public network',
 );
 
+/** How the records of claims share appends. */
+export const ClaimBatching = {
+  /** Many records to an append. */
+  Group: 'group',
+  /** One record to an append, for comparison. */
+  Single: 'single',
+} as const;
+export type ClaimBatching = (typeof ClaimBatching)[keyof typeof ClaimBatching];
+
+const claimsSchema = z
+  .strictObject({
+    streams: createNumberSchema(1, 64)
+      .default(2)
+      .describe('Streams that keys are spread over; the same at every entry'),
+    windowSeconds: createNumberSchema(120, 7 * 24 * 3_600)
+      .default(3_600)
+      .describe('Seconds for which a key is remembered'),
+    appendGapMs: createNumberSchema(0, 10_000)
+      .default(10)
+      .describe('The least milliseconds between appends of one stream'),
+    batching: z
+      .enum(ClaimBatching, { error: 'write "group" or "single"' })
+      .default(ClaimBatching.Group)
+      .describe('Many records to an append, or one for comparison'),
+  })
+  .prefault({});
+
 /** Schema of an entry's settings file. */
 export const entrySettingsSchema = z.strictObject({
   process: processSchema,
@@ -105,6 +132,7 @@
       .describe('Address where agents announce themselves, as host:port'),
   }),
   platform: platformSchema,
+  claims: claimsSchema,
   config: z
     .strictObject({
       snapshotSeconds: createNumberSchema(1, 86_400)
