Split the entry into its node, its book of requests and its types

Cause: entryNode.ts had grown to 602 lines with every hook of the entry. Ruled out: a base class for hooks, which would hide who calls what. Change: the open requests are a RequestBook of their own; types, the sink of the front end, announced agents and the status of members have modules. Conclusion: the next hook has a place to stand.

--- /dev/null
+++ b/packages/router/src/entry/entryCallersSink.ts
@@ -0,0 +1,42 @@
+/** Hands calls from the front end into the loop of an entry. */
+import type { TypedError } from '@lycheetally/common';
+import { CallersSink, type RefusedCall } from '../adapters/callersHttp.js';
+import type { Loop } from '../loop.js';
+import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
+import type { EntryEvents } from './entryTypes.js';
+
+/** What the front end reads of its entry. */
+export interface CallersView {
+  readonly isStopping: boolean;
+  /** Lists the services that a bearer key may use. */
+  listServices(bearerKey: string): readonly string[];
+}
+
+export class EntryCallersSink extends CallersSink {
+  constructor(
+    private readonly loop: Loop<EntryEvents>,
+    private readonly view: CallersView,
+  ) {
+    super();
+  }
+
+  override receiveCall(call: CallerCall, exchange: CallerExchange): void {
+    this.loop.post('callReceived', { call, exchange });
+  }
+
+  override receiveRefusedCall(call: RefusedCall, error: TypedError): void {
+    this.loop.post('callRefused', { call, error });
+  }
+
+  override handleCallerGone(exchange: CallerExchange): void {
+    this.loop.post('callerGone', { exchange });
+  }
+
+  override listServices(bearerKey: string): readonly string[] {
+    return this.view.listServices(bearerKey);
+  }
+
+  override isOpen(): boolean {
+    return !this.view.isStopping;
+  }
+}
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -2,167 +2,69 @@
  * The entry: takes callers' requests, routes them, and answers each with one
  * of the four outcomes.
  */
-import type { ChartMachine } from '@lycheetally/charts';
 import {
   LogPart,
-  type TypedError,
   type Address,
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
 import {
   ConditionalAcceptance,
-  Outcome,
   RendezvousSubset,
-  type GatherPolicy,
-  emptyConfiguration,
   toPosition,
   type Route,
   type ServerView,
-  type SnapshotPolicy,
 } from '@lycheetally/decisions';
 import {
   MessageKind,
-  type AttemptRef,
   type Hello,
   type PeerMessage,
 } from '@lycheetally/protocol';
-import type { ClaimLogEvents, ClaimSettings } from '../claims/claimBook.js';
 import {
   createClaimHandlers,
   createEntryClaims,
 } from '../claims/connectClaims.js';
 import type { EntryClaims } from '../claims/entryClaims.js';
 import { ConfigFeed } from '../config/configFeed.js';
-import {
-  ConfigFollower,
-  bindFollowerChart,
-  type FollowerEvent,
-} from '../config/configFollower.js';
-import {
-  CallersServer,
-  CallersSink,
-  type RefusedCall,
-} from '../adapters/callersHttp.js';
+import { ConfigFollower, bindFollowerChart } from '../config/configFollower.js';
+import { CallersServer } from '../adapters/callersHttp.js';
 import type { LedgerQuery } from '../ledger/outcomeLedger.js';
 import type { LedgerPage } from '../ledger/outcomeRecord.js';
-import { createRefusalRecord } from '../ledger/recordOutcome.js';
 import type { EntryGauges } from '../metrics/entryMetrics.js';
 import { maxDepartedStarts, vmListIntervalMs } from '../constants.js';
-import {
-  DepartedStarts,
-  bindMemberChart,
-  type Member,
-} from '../membership/member.js';
+import { DepartedStarts, bindMemberChart } from '../membership/member.js';
 import { MemberDirectory } from '../membership/memberDirectory.js';
-import { IncomingChannel } from '../peers/incomingChannel.js';
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
-import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
-import {
-  VmState,
-  type LogPort,
-  type VmListPort,
-  type VmRecord,
-} from '../ports/platform.js';
-import {
-  RouterNode,
-  takeValue,
-  type NodeEvents,
-  type NodePorts,
-  type NodeSettings,
-} from '../routerNode.js';
-import { acceptCall, findAccount } from './acceptCall.js';
+import type { VmRecord } from '../ports/platform.js';
+import { RouterNode, takeValue } from '../routerNode.js';
+import { findAccount } from './acceptCall.js';
+import { toAnnounced } from './announcedAgent.js';
 import { bindAttemptChart } from './attemptActions.js';
-import { toAttemptEvent } from './attemptMessages.js';
-import { sendConnectionEvent } from './attemptConnections.js';
+import { EntryCallersSink } from './entryCallersSink.js';
 import { EntryOperations } from './entryOperations.js';
+import type {
+  EntryAddresses,
+  EntryEvents,
+  EntryPorts,
+  EntrySettings,
+} from './entryTypes.js';
+import { describeMember } from './memberStatus.js';
 import { bindRequestChart } from './requestActions.js';
-import {
-  createRequestContext,
-  type CallerRequest,
-  type EntryPolicies,
-  type RequestContext,
-  type RequestEvent,
-  type RequestServices,
-} from './requestContext.js';
+import { RequestBook } from './requestBook.js';
+import type { RequestServices } from './requestContext.js';
 import { deliverToken, type RelayCounts } from './tokenRelay.js';
 
-/** Events that an entry takes. */
-export interface EntryEvents extends NodeEvents, ClaimLogEvents {
-  callReceived: { call: CallerCall; exchange: CallerExchange };
-  callRefused: { call: RefusedCall; error: TypedError };
-  callerGone: { exchange: CallerExchange };
-  followerEvent: { event: FollowerEvent };
-  vmListRead: { list: Result<readonly VmRecord[]> };
-}
-
-/** Ports that an entry is given. */
-export interface EntryPorts extends NodePorts {
-  readonly log: LogPort;
-  readonly vmList: VmListPort;
-  readonly policies: EntryPolicies;
-  readonly gathering: GatherPolicy;
-  /** Says when the configuration's stream gets a snapshot. */
-  readonly snapshots: SnapshotPolicy;
-}
-
-export interface EntrySettings extends NodeSettings {
-  /** The largest body that a caller may send, in bytes. */
-  readonly maxBodyBytes: number;
-  /** The most backend servers that the entry keeps connections to. */
-  readonly maxServers: number;
-  readonly claims?: ClaimSettings;
-}
-
-/** Addresses that an entry listens on. */
-export interface EntryAddresses {
-  readonly callers: Address;
-  readonly operators: Address;
-  /** Where agents may announce themselves; absent when they may not. */
-  readonly peers?: Address | undefined;
-}
-
-/** Hands calls from the front end into the loop. */
-class EntryCallersSink extends CallersSink {
-  constructor(private readonly node: EntryNode) {
-    super();
-  }
-
-  override receiveCall(call: CallerCall, exchange: CallerExchange): void {
-    this.node.loop.post('callReceived', { call, exchange });
-  }
-
-  override receiveRefusedCall(call: RefusedCall, error: TypedError): void {
-    this.node.loop.post('callRefused', { call, error });
-  }
-
-  override handleCallerGone(exchange: CallerExchange): void {
-    this.node.loop.post('callerGone', { exchange });
-  }
-
-  override listServices(bearerKey: string): readonly string[] {
-    return this.node.listServices(bearerKey);
-  }
-
-  override isOpen(): boolean {
-    return !this.node.isStopping;
-  }
-}
-
 export class EntryNode extends RouterNode<EntryEvents> {
   readonly members: MemberDirectory<OutgoingChannel>;
-  private readonly machine: ChartMachine<RequestContext, RequestEvent>;
   private readonly services: RequestServices;
   private readonly follower: ConfigFollower;
   private readonly claims: EntryClaims;
   private readonly feed: ConfigFeed;
-  private readonly requests = new Map<string, RequestContext>();
-  private readonly byExchange = new Map<CallerExchange, RequestContext>();
+  private readonly requests: RequestBook;
   private readonly operations: EntryOperations;
   private readonly relayCounts: RelayCounts = { delivered: 0, dropped: 0 };
   private callers: CallersServer | undefined;
-  private requestCount = 0;
 
   constructor(
     private readonly entrySettings: EntrySettings,
@@ -172,23 +74,21 @@
     this.operations = this.createOperations();
     this.store.add(this.operations.store);
     this.members = this.createDirectory();
-    this.machine = takeValue(bindRequestChart());
     this.claims = this.createClaims();
     this.services = this.createServices();
     this.follower = this.createFollower();
     this.feed = this.createFeed();
+    this.requests = this.createRequestBook();
     this.loop.setHandlers({
       ...this.createNodeHandlers(),
       callReceived: ({ call, exchange }, now) => {
-        this.receiveCall(call, exchange, now);
+        this.requests.receiveCall(call, exchange, now);
       },
       callRefused: ({ call, error }, now) => {
-        this.refuseCall(this.createRequestId(), call, error, now);
+        this.requests.receiveRefusedCall(call, error, now);
       },
       callerGone: ({ exchange }, now) => {
-        this.byExchange
-          .get(exchange)
-          ?.instance?.send({ type: 'CALLER_GONE' }, now);
+        this.requests.handleCallerGone(exchange, now);
       },
       followerEvent: ({ event }, now) => {
         this.follower.receive(event, now);
@@ -202,7 +102,7 @@
 
   /** Opens the ports; returns their addresses. Throws `BadAddress`. */
   async start(addresses: EntryAddresses): Promise<EntryAddresses> {
-    const sink = new EntryCallersSink(this);
+    const sink = new EntryCallersSink(this.loop, this);
     const callers = new CallersServer(sink, this.entrySettings.maxBodyBytes);
     this.callers = callers;
     this.store.add(callers);
@@ -283,19 +183,17 @@
     this.feed.handleOpen(channel);
     const earlier = this.members.findByChannel(channel)?.hello;
     const hello = this.members.noteOpen(channel, now)?.hello;
-    const requests = this.requests.values();
     if (earlier && earlier.incarnation !== hello?.incarnation) {
-      sendConnectionEvent(requests, earlier, 'CONNECTION_GONE', now);
+      this.requests.receiveConnectionChange(earlier, 'CONNECTION_GONE', now);
       return;
     }
-    sendConnectionEvent(requests, hello, 'CONNECTION_BACK', now);
+    this.requests.receiveConnectionChange(hello, 'CONNECTION_BACK', now);
   }
 
   override handlePeerLost(channel: PeerChannel, now: Milliseconds): void {
     this.members.removeAnnounced(toAnnounced(channel)?.agentAddress);
     const hello = this.members.findByChannel(channel)?.hello;
-    const requests = this.requests.values();
-    sendConnectionEvent(requests, hello, 'CONNECTION_LOST', now);
+    this.requests.receiveConnectionChange(hello, 'CONNECTION_LOST', now);
   }
 
   override handlePeerUnreachable(
@@ -303,8 +201,7 @@
     now: Milliseconds,
   ): void {
     const hello = this.members.findByChannel(channel)?.hello;
-    const requests = this.requests.values();
-    sendConnectionEvent(requests, hello, 'UNREACHABLE', now);
+    this.requests.receiveConnectionChange(hello, 'UNREACHABLE', now);
   }
 
   override handlePeerMessage(
@@ -315,13 +212,14 @@
     this.members.observeMessage(channel, message, now);
     switch (message.kind) {
       case MessageKind.Token: {
-        const context = this.requests.get(message.value.requestId);
+        const context = this.requests.find(message.value.requestId);
         deliverToken(context, message.value, this.relayCounts, now);
         return;
       }
       default:
         if (!this.feed.receive(channel, message, now)) {
-          this.receiveAttemptMessage(message, now);
+          this.claims.receiveAnswer(message, now);
+          this.requests.receiveAnswer(message, now);
         }
     }
   }
@@ -331,103 +229,13 @@
   }
 
   protected override cancelOpenWork(now: Milliseconds): void {
-    for (const context of [...this.requests.values()]) {
-      context.instance?.send({ type: 'STOPPING' }, now);
-    }
+    this.requests.cancelAll(now);
   }
 
   protected override countOpenWork(): number {
     return this.requests.size;
   }
 
-  private receiveCall(
-    call: CallerCall,
-    exchange: CallerExchange,
-    now: Milliseconds,
-  ): void {
-    const requestId = this.createRequestId();
-    exchange.noteAccepted(requestId);
-    const accepted = this.acceptCall(requestId, call, now);
-    if (accepted.err) {
-      const error = accepted.val;
-      this.refuseCall(requestId, call, error, now);
-      exchange.finish({ requestId, outcome: Outcome.NotRun, error });
-      return;
-    }
-    this.startRequest(accepted.val, exchange, now);
-  }
-
-  private createRequestId(): string {
-    this.requestCount += 1;
-    return `${this.incarnation}.${String(this.requestCount)}`;
-  }
-
-  /** Records a call that never became a request. */
-  private refuseCall(
-    requestId: string,
-    call: RefusedCall,
-    error: TypedError,
-    now: Milliseconds,
-  ): void {
-    const callerRequestId = call.callerRequestId ?? '';
-    this.events.record('request-refused', now, {
-      requestId,
-      detail: { kind: error.kind, callerRequestId },
-    });
-    const account = this.findAccountName(call.bearerKey);
-    this.operations.ledger.append(
-      createRefusalRecord(requestId, call, account, error, now),
-    );
-  }
-
-  private findAccountName(bearerKey: string): string {
-    const configuration = this.follower.inForce;
-    return (configuration && findAccount(bearerKey, configuration)?.name) ?? '';
-  }
-
-  private acceptCall(
-    requestId: string,
-    call: CallerCall,
-    now: Milliseconds,
-  ): Result<CallerRequest> {
-    const configuration = this.follower.inForce ?? emptyConfiguration;
-    return acceptCall(requestId, call, configuration, now);
-  }
-
-  private startRequest(
-    request: CallerRequest,
-    exchange: CallerExchange,
-    now: Milliseconds,
-  ): void {
-    const context = createRequestContext(this.services, request, exchange);
-    this.events.record('request-accepted', now, {
-      requestId: request.requestId,
-      detail: {
-        account: request.account,
-        rank: request.rank,
-        service: request.service.name,
-        callerRequestId: request.callerRequestId ?? '',
-      },
-    });
-    context.instance = this.machine.createInstance(context, this.loop);
-    this.requests.set(request.requestId, context);
-    this.byExchange.set(exchange, context);
-    context.instance.start(now);
-  }
-
-  private receiveAttemptMessage(message: PeerMessage, now: Milliseconds): void {
-    this.claims.receiveAnswer(message, now);
-    const event = toAttemptEvent(message);
-    if (!event) {
-      return;
-    }
-    const { requestId, attempt: number } = message.value as AttemptRef;
-    const attempt = this.requests.get(requestId)?.attempt;
-    if (attempt?.ref.attempt === number) {
-      attempt.instance?.send(event, now);
-    }
-  }
-
   private receiveVmList(
     list: Result<readonly VmRecord[]>,
     now: Milliseconds,
@@ -534,6 +342,18 @@
     return feed;
   }
 
+  private createRequestBook(): RequestBook {
+    return new RequestBook({
+      incarnation: this.incarnation,
+      machine: takeValue(bindRequestChart()),
+      timers: this.loop,
+      events: this.events,
+      ledger: this.operations.ledger,
+      getConfiguration: () => this.follower.inForce,
+      getRequestServices: () => this.services,
+    });
+  }
+
   private createServices(): RequestServices {
     return {
       entryId: this.settings.id,
@@ -553,8 +373,7 @@
         this.operations.ledger.append(record);
       },
       handleRequestEnded: (context, now) => {
-        this.requests.delete(context.request.requestId);
-        this.byExchange.delete(context.exchange);
+        this.requests.remove(context);
         this.checkDrained(now);
       },
     };
@@ -580,23 +399,3 @@
     }
   }
 }
-
-// An agent that opened a channel itself says where it listens.
-const toAnnounced = (channel: PeerChannel): VmRecord | undefined => {
-  const hello = channel instanceof IncomingChannel ? channel.remote : undefined;
-  if (!hello?.backend || !hello.agentAddress) {
-    return undefined;
-  }
-  const { agentAddress, failureDomain } = hello;
-  return { vmId: '', agentAddress, failureDomain, state: VmState.Live };
-};
-
-const describeMember = (member: Member): object => ({
-  server: member.hello?.backend?.serverId ?? '',
-  address: member.address,
-  service: member.hello?.backend?.service ?? '',
-  failureDomain: member.vm.failureDomain,
-  connected: member.channel.isOpen,
-  leaving: member.isLeaving,
-  outstanding: member.outstanding,
-});
--- /dev/null
+++ b/packages/router/src/entry/requestBook.ts
@@ -0,0 +1,174 @@
+/** The open requests of an entry, from the call to the outcome. */
+import type { ChartMachine, ChartTimers } from '@lycheetally/charts';
+import type { Milliseconds, TypedError } from '@lycheetally/common';
+import {
+  Outcome,
+  emptyConfiguration,
+  type RouterConfiguration,
+} from '@lycheetally/decisions';
+import type { AttemptRef, Hello, PeerMessage } from '@lycheetally/protocol';
+import type { RefusedCall } from '../adapters/callersHttp.js';
+import type { EventLog } from '../eventLog.js';
+import type { OutcomeLedger } from '../ledger/outcomeLedger.js';
+import { createRefusalRecord } from '../ledger/recordOutcome.js';
+import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
+import { acceptCall, findAccount } from './acceptCall.js';
+import {
+  sendConnectionEvent,
+  type ConnectionEventType,
+} from './attemptConnections.js';
+import { toAttemptEvent } from './attemptMessages.js';
+import {
+  createRequestContext,
+  type CallerRequest,
+  type RequestContext,
+  type RequestEvent,
+  type RequestServices,
+} from './requestContext.js';
+
+/** What the book uses of its entry. */
+export interface RequestBookServices {
+  /** Begins every request id of this start of the process. */
+  readonly incarnation: string;
+  readonly machine: ChartMachine<RequestContext, RequestEvent>;
+  readonly timers: ChartTimers;
+  readonly events: EventLog;
+  readonly ledger: Pick<OutcomeLedger, 'append'>;
+  getConfiguration(): RouterConfiguration | undefined;
+  /** Returns what each request is given. */
+  getRequestServices(): RequestServices;
+}
+
+export class RequestBook {
+  private readonly byId = new Map<string, RequestContext>();
+  private readonly byExchange = new Map<CallerExchange, RequestContext>();
+  private requestCount = 0;
+
+  constructor(private readonly services: RequestBookServices) {}
+
+  get size(): number {
+    return this.byId.size;
+  }
+
+  find(requestId: string): RequestContext | undefined {
+    return this.byId.get(requestId);
+  }
+
+  /** Takes a call on, or refuses it as not run. */
+  receiveCall(
+    call: CallerCall,
+    exchange: CallerExchange,
+    now: Milliseconds,
+  ): void {
+    const requestId = this.createRequestId();
+    exchange.noteAccepted(requestId);
+    const configuration =
+      this.services.getConfiguration() ?? emptyConfiguration;
+    const accepted = acceptCall(requestId, call, configuration, now);
+    if (accepted.err) {
+      const error = accepted.val;
+      this.recordRefusal(requestId, call, error, now);
+      exchange.finish({ requestId, outcome: Outcome.NotRun, error });
+      return;
+    }
+    this.startRequest(accepted.val, exchange, now);
+  }
+
+  /** Records a call that the front end refused. */
+  receiveRefusedCall(
+    call: RefusedCall,
+    error: TypedError,
+    now: Milliseconds,
+  ): void {
+    this.recordRefusal(this.createRequestId(), call, error, now);
+  }
+
+  handleCallerGone(exchange: CallerExchange, now: Milliseconds): void {
+    this.byExchange.get(exchange)?.instance?.send({ type: 'CALLER_GONE' }, now);
+  }
+
+  /** Sends an agent's answer to the attempt that it belongs to. */
+  receiveAnswer(message: PeerMessage, now: Milliseconds): void {
+    const event = toAttemptEvent(message);
+    if (!event) {
+      return;
+    }
+    const { requestId, attempt: number } = message.value as AttemptRef;
+    const attempt = this.byId.get(requestId)?.attempt;
+    if (attempt?.ref.attempt === number) {
+      attempt.instance?.send(event, now);
+    }
+  }
+
+  /** Tells the attempts at an agent what became of its connection. */
+  receiveConnectionChange(
+    hello: Hello | undefined,
+    change: ConnectionEventType,
+    now: Milliseconds,
+  ): void {
+    sendConnectionEvent(this.byId.values(), hello, change, now);
+  }
+
+  /** Ends every open request with its true outcome. */
+  cancelAll(now: Milliseconds): void {
+    for (const context of [...this.byId.values()]) {
+      context.instance?.send({ type: 'STOPPING' }, now);
+    }
+  }
+
+  /** Forgets a request that has its outcome. */
+  remove(context: RequestContext): void {
+    this.byId.delete(context.request.requestId);
+    this.byExchange.delete(context.exchange);
+  }
+
+  private createRequestId(): string {
+    this.requestCount += 1;
+    return `${this.services.incarnation}.${String(this.requestCount)}`;
+  }
+
+  private startRequest(
+    request: CallerRequest,
+    exchange: CallerExchange,
+    now: Milliseconds,
+  ): void {
+    const { events, machine, timers } = this.services;
+    const services = this.services.getRequestServices();
+    const context = createRequestContext(services, request, exchange);
+    events.record('request-accepted', now, {
+      requestId: request.requestId,
+      detail: {
+        account: request.account,
+        rank: request.rank,
+        service: request.service.name,
+        callerRequestId: request.callerRequestId ?? '',
+      },
+    });
+    context.instance = machine.createInstance(context, timers);
+    this.byId.set(request.requestId, context);
+    this.byExchange.set(exchange, context);
+    context.instance.start(now);
+  }
+
+  /** Records a call that never became a request. */
+  private recordRefusal(
+    requestId: string,
+    call: RefusedCall,
+    error: TypedError,
+    now: Milliseconds,
+  ): void {
+    const { events, ledger } = this.services;
+    const callerRequestId = call.callerRequestId ?? '';
+    events.record('request-refused', now, {
+      requestId,
+      detail: { kind: error.kind, callerRequestId },
+    });
+    const account = this.findAccountName(call.bearerKey);
+    ledger.append(createRefusalRecord(requestId, call, account, error, now));
+  }
+
+  private findAccountName(bearerKey: string): string {
+    const configuration = this.services.getConfiguration();
+    return (configuration && findAccount(bearerKey, configuration)?.name) ?? '';
+  }
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -25,6 +25,7 @@
 export * from './config/recordCodec.js';
 export * from './config/replayStream.js';
 export * from './entry/entryNode.js';
+export * from './entry/entryTypes.js';
 export * from './membership/member.js';
 export * from './membership/memberDirectory.js';
 export * from './eventLog.js';
