--- a/packages/router/src/adapters/httpClient.ts
+++ b/packages/router/src/adapters/httpClient.ts
@@ -25,6 +25,8 @@
 export interface JsonAnswer {
   readonly status: number;
   readonly body: unknown;
+  /** The version of the answer, as its `ETag` names it. */
+  readonly etag: string | undefined;
 }
 
 /** Reads a body to its end. Rejects when it is larger than the limit. */
@@ -80,7 +82,11 @@
     outgoing.end(text);
   });
   const body = await readBody(message, maxAnswerBytes);
-  return { status: message.statusCode ?? 0, body: parseJson(body.toString()) };
+  return {
+    status: message.statusCode ?? 0,
+    body: parseJson(body.toString()),
+    etag: message.headers.etag,
+  };
 };
 
 /** Parses JSON; returns `undefined` when the text is not JSON. */
--- a/packages/router/src/adapters/platformHttp.ts
+++ b/packages/router/src/adapters/platformHttp.ts
@@ -14,7 +14,7 @@
   type LogSpan,
   type VmRecord,
 } from '../ports/platform.js';
-import { callJson, type JsonCall } from './httpClient.js';
+import { callJson, type JsonAnswer, type JsonCall } from './httpClient.js';
 
 /** Milliseconds in which the platform must answer. */
 const platformTimeoutMs = 2_000;
@@ -44,20 +44,25 @@
   schema: T,
 ): Promise<Result<z.output<T>>> => {
   const answer = await callJson({ ...call, timeoutMs: platformTimeoutMs });
-  if (answer.err) {
-    return Err(answer.val);
-  }
-  const parsed = schema.safeParse(answer.val.body);
-  if (answer.val.status !== 200 || !parsed.success) {
-    return Err(
-      new TypedError(
-        ErrorKind.PlatformUnavailable,
-        `${call.url} answered with status ${String(answer.val.status)}`,
-        'wait until the platform has recovered',
-      ),
-    );
+  return answer.andThen(val => checkAnswer(call.url, val, schema));
+};
+
+const checkAnswer = <T extends z.ZodType>(
+  url: string,
+  answer: JsonAnswer,
+  schema: T,
+): Result<z.output<T>> => {
+  const parsed = schema.safeParse(answer.body);
+  if (answer.status === 200 && parsed.success) {
+    return Ok(parsed.data);
   }
-  return Ok(parsed.data);
+  return Err(
+    new TypedError(
+      ErrorKind.PlatformUnavailable,
+      `${url} answered with status ${String(answer.status)}`,
+      'wait until the platform has recovered',
+    ),
+  );
 };
 
 export class HttpLog extends LogPort {
@@ -86,14 +91,39 @@
   }
 }
 
+/** A VM list and the version that the platform gave it. */
+interface KnownVms {
+  readonly etag: string;
+  readonly vms: readonly VmRecord[];
+}
+
+const notModified = 304;
+
+/** Reads the VM list; a list that has not changed is not sent again. */
 export class HttpVmList extends VmListPort {
+  private known: KnownVms | undefined;
+
   constructor(private readonly baseUrl: string) {
     super();
   }
 
   override async readVms(): Promise<Result<readonly VmRecord[]>> {
-    const url = `${this.baseUrl}/vms`;
-    const answer = await callPlatform({ method: 'GET', url }, vmListSchema);
-    return answer.map(list => list.vms);
+    const answer = await callJson({
+      method: 'GET',
+      url: `${this.baseUrl}/vms`,
+      timeoutMs: platformTimeoutMs,
+      headers: this.known ? { 'if-none-match': this.known.etag } : {},
+    });
+    if (answer.ok && answer.val.status === notModified && this.known) {
+      return Ok(this.known.vms);
+    }
+    const list = answer.andThen(val =>
+      checkAnswer(this.baseUrl, val, vmListSchema),
+    );
+    return list.map(({ vms }) => {
+      const etag = answer.ok ? answer.val.etag : undefined;
+      this.known = etag === undefined ? undefined : { etag, vms };
+      return vms;
+    });
   }
 }
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -12,6 +12,9 @@
 /** Milliseconds between heartbeats on an idle connection. */
 export const heartbeatIntervalMs = 500;
 
+/** Milliseconds between heartbeats on a connection that carries nothing else. */
+export const quietHeartbeatIntervalMs = 2_000;
+
 /** Milliseconds without an answer after which a connection counts as silent. */
 export const silenceBoundMs = 1_500;
 
@@ -58,7 +61,7 @@
 export const cutBoundMs = 4_000;
 
 /** Milliseconds between reads of the VM list. */
-export const vmListIntervalMs = 500;
+export const vmListIntervalMs = 1_000;
 
 /** Milliseconds between reads of the configuration stream. */
 export const configReadIntervalMs = 1_000;
@@ -85,7 +88,7 @@
 export const defaultMaxTokens = 64;
 
 /** Milliseconds between reads of a claims stream when nothing asks for one. */
-export const claimReadIntervalMs = 200;
+export const claimReadIntervalMs = 4_000;
 
 /** Milliseconds before a claims stream that could not be read is tried again. */
 export const claimRetryIntervalMs = 500;
--- a/packages/router/src/peers/incomingChannel.ts
+++ b/packages/router/src/peers/incomingChannel.ts
@@ -7,7 +7,7 @@
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { MessageKind, type MessageOf } from '@lycheetally/protocol';
-import { heartbeatIntervalMs, silenceBoundMs } from '../constants.js';
+import { quietHeartbeatIntervalMs, silenceBoundMs } from '../constants.js';
 import type { PeerStream, PeerStreamListener } from '../ports/peerNetwork.js';
 import {
   PeerChannel,
@@ -85,6 +85,8 @@
         },
       },
       guards: { wasHeard: channel => channel.heard > 0 },
-      delays: { SILENCE_BOUND: () => heartbeatIntervalMs + silenceBoundMs },
+      delays: {
+        SILENCE_BOUND: () => quietHeartbeatIntervalMs + silenceBoundMs,
+      },
     }),
   );
--- a/packages/router/src/peers/outgoingChannel.ts
+++ b/packages/router/src/peers/outgoingChannel.ts
@@ -15,6 +15,7 @@
 import {
   connectTimeoutMs,
   heartbeatIntervalMs,
+  quietHeartbeatIntervalMs,
   reconnectDelayMs,
   reopenDelayMs,
   silenceBoundMs,
@@ -122,13 +123,17 @@
         sendPing: channel => {
           channel.sendPing();
         },
+        clearTraffic: channel => {
+          channel.traffic = 0;
+        },
         recordSilence: (channel, _, now) => {
           channel.recordSilence(now);
         },
       },
-      guards: {},
+      guards: { hadTraffic: channel => channel.traffic > 0 },
       delays: {
         HEARTBEAT_INTERVAL: () => heartbeatIntervalMs,
+        QUIET_HEARTBEAT_INTERVAL: () => quietHeartbeatIntervalMs,
         SILENCE_BOUND: () => silenceBoundMs,
         CONNECT_TIMEOUT: () => connectTimeoutMs,
         REOPEN_DELAY: () => reopenDelayMs,
--- a/packages/router/src/peers/peerChannel.ts
+++ b/packages/router/src/peers/peerChannel.ts
@@ -63,7 +63,7 @@
 
 /** Events of the connection charts. */
 export interface ConnectionEvent {
-  readonly type: 'OPENED' | 'CLOSED' | 'HEARD' | 'STOP';
+  readonly type: 'OPENED' | 'CLOSED' | 'HEARD' | 'TRAFFIC' | 'STOP';
 }
 
 export abstract class PeerChannel {
@@ -71,6 +71,8 @@
   remote: Hello | undefined;
   /** Number of frames received since the last check. */
   heard = 0;
+  /** Number of messages other than heartbeats since the last check. */
+  traffic = 0;
 
   protected stream: PeerStream | undefined;
   protected abstract readonly chart: ChartInstance<never, ConnectionEvent>;
@@ -85,6 +87,7 @@
   /** Sends a message at the end of the turn; drops it when the channel is lost. */
   send(message: PeerMessage): void {
     this.outbox.push(message);
+    this.countTraffic(message.kind);
     this.services.unsent.add(this);
   }
 
@@ -97,6 +100,9 @@
     if (this.outbox.length === 0 || this.isFlushScheduled) {
       return;
     }
+    if (this.traffic > 0) {
+      this.chart.send({ type: 'TRAFFIC' }, now);
+    }
     const wait = this.lastFlushAt + tokenFlushIntervalMs - now;
     if (wait > 0 && this.mayWait()) {
       this.scheduleFlush(wait);
@@ -105,6 +111,12 @@
     this.sendFrame(now);
   }
 
+  private countTraffic(kind: MessageKind): void {
+    if (kind !== MessageKind.Ping && kind !== MessageKind.Pong) {
+      this.traffic += 1;
+    }
+  }
+
   private mayWait(): boolean {
     return (
       this.remote !== undefined &&
@@ -139,6 +151,7 @@
     this.heard += 1;
     this.services.events.observeStamp(frame.stamp);
     for (const message of frame.messages) {
+      this.countTraffic(message.kind);
       this.receiveMessage(message, now);
     }
   }
--- a/packages/testkit/src/standIns/vmList.ts
+++ b/packages/testkit/src/standIns/vmList.ts
@@ -1,5 +1,5 @@
 /** Stand-in of the platform's VM list; what it answers lags behind what it is told. */
-import type { Address } from '@lycheetally/common';
+import { hashText, type Address } from '@lycheetally/common';
 import { sendJson, type VmRecord } from '@lycheetally/router';
 import { z } from 'zod';
 import { readJsonBody, StandInServer } from './standInServer.js';
@@ -31,8 +31,16 @@
   private lagMs = 0;
 
   constructor() {
-    this.server.addRoute('GET', '/vms', (_, response) => {
-      sendJson(response, 200, { vms: this.readLagging(Date.now()) });
+    this.server.addRoute('GET', '/vms', (request, response) => {
+      const vms = this.readLagging(Date.now());
+      const etag = `"${String(hashText(JSON.stringify(vms)))}"`;
+      response.setHeader('etag', etag);
+      if (request.headers['if-none-match'] === etag) {
+        response.statusCode = 304;
+        response.end();
+        return;
+      }
+      sendJson(response, 200, { vms });
     });
     this.server.addRoute('POST', '/vms', async (request, response) => {
       const update = updateSchema.parse(await readJsonBody(request));
