Let stand-ins end their open calls on SIGTERM

Cause: every process is to stop gracefully; the stand-ins ended at once and cut what was open. Ruled out: leaving it, since a drill would blame the router for the cut. Change: on SIGTERM a stand-in takes no more calls, waits for the open ones with a bound of 10 s and a line when it is reached.

--- a/apps/standins/src/main.ts
+++ b/apps/standins/src/main.ts
@@ -9,6 +9,7 @@
 
 interface StandIn {
   listen(address: Address): Promise<string>;
+  close(): Promise<void>;
 }
 
 const readNumber = (name: string, fallback: number): number => {
@@ -37,6 +38,18 @@
   process.exit(ExitCode.Usage);
 }
 const host = '127.0.0.1';
-const address = await create().listen({ host, port: readNumber('port', 0) });
+const standIn = create();
+const address = await standIn.listen({ host, port: readNumber('port', 0) });
 const line = { ready: true, addresses: { http: address } };
 process.stdout.write(`${JSON.stringify(line)}\n`);
+
+/** Milliseconds in which open calls may end after SIGTERM. */
+const drainBoundMs = 10_000;
+
+process.on('SIGTERM', () => {
+  void standIn.close().then(() => process.exit(ExitCode.Ok));
+  setTimeout(() => {
+    process.stderr.write('[stand-in] The drain bound is reached\n');
+    process.exit(ExitCode.Ok);
+  }, drainBoundMs);
+});
--- a/packages/testkit/src/standIns/plainService.ts
+++ b/packages/testkit/src/standIns/plainService.ts
@@ -43,6 +43,11 @@
     return this.server.listen(address);
   }
 
+  /** Takes no more calls and waits for the open ones. */
+  close(): Promise<void> {
+    return this.server.close();
+  }
+
   dispose(): void {
     this.server.dispose();
   }
--- a/packages/testkit/src/standIns/standInServer.ts
+++ b/packages/testkit/src/standIns/standInServer.ts
@@ -52,6 +52,15 @@
     return formatAddress(bound.val);
   }
 
+  /** Takes no more calls and waits for the open ones. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+  }
+
   dispose(): void {
     this.server.close();
     this.server.closeAllConnections();
