--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -31,6 +31,12 @@
   Publication: 'publication',
   Member: 'member',
   AgentMembership: 'agentMembership',
+  GatewayCall: 'gatewayCall',
+  GatewayAttempt: 'gatewayAttempt',
+  TableFollower: 'tableFollower',
+  ServerHealth: 'serverHealth',
+  DutyHolder: 'dutyHolder',
+  LayerOrder: 'layerOrder',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 /** Foundations that every package shares. */
+export * from './boundedOutput.js';
 export * from './constants.js';
 export * from './disposableStore.js';
 export * from './emitter.js';
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,4 +1,5 @@
 /** Logs: short sentences, each with the fixed prefix of its part. */
+import type { Writable } from 'node:stream';
 import winston from 'winston';
 import type { ValueOf } from './types.js';
 
@@ -15,6 +16,11 @@
   Orders: 'orders',
   Ledger: 'ledger',
   Command: 'command',
+  Calls: 'calls',
+  Store: 'store',
+  Servers: 'servers',
+  Layers: 'layers',
+  Process: 'process',
   StandIn: 'stand-in',
 } as const;
 export type LogPart = ValueOf<typeof LogPart>;
@@ -42,11 +48,11 @@
   }
 }
 
-/** Creates the loggers of a process; lines go to standard error as JSON. */
+/** Creates the loggers of a process; lines go to standard error, or to the output given, as JSON. */
 export class LoggerFactory {
   private readonly logger: winston.Logger;
 
-  constructor(processId: string, level = 'info') {
+  constructor(processId: string, level = 'info', output?: Writable) {
     this.logger = winston.createLogger({
       level,
       defaultMeta: { process: processId },
@@ -55,12 +61,7 @@
         winston.format.printf(formatLogLine),
       ),
     });
-    this.logger.add(
-      // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- winston's Console is a TransportStream at run time
-      new winston.transports.Console({
-        stderrLevels: ['info', 'warn', 'error'],
-      }),
-    );
+    this.logger.add(createTransport(output));
   }
 
   createLogger(part: LogPart): PartLogger {
@@ -68,6 +69,15 @@
   }
 }
 
+const createTransport = (output: Writable | undefined): winston.transport => {
+  const { Console, Stream } = winston.transports;
+  const transport: unknown = output
+    ? new Stream({ stream: output })
+    : new Console({ stderrLevels: ['info', 'warn', 'error'] });
+  // winston's transports are TransportStreams at run time; its types say less.
+  return transport as winston.transport;
+};
+
 /** Formats one line of the log as JSON, whatever the values hold. */
 export const formatLogLine = (
   info: winston.Logform.TransformableInfo,
--- /dev/null
+++ b/packages/decisions/src/gateway/index.ts
@@ -0,0 +1,4 @@
+/** Decisions of a gateway: routes, keys and their freshness. */
+export * from './freshness.js';
+export * from './routeTable.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/decisions/src/gateway/types.ts
@@ -0,0 +1,59 @@
+/** The configuration and the backend servers of a gateway, as decisions see them. */
+import type { Milliseconds } from '@lycheetally/common';
+import type { LayerRange, LayeredModel } from '../placement/types.js';
+import type { RouteTable } from './routeTable.js';
+
+/** A service of backend servers. */
+export interface BackendService {
+  readonly name: string;
+  /** Path of its health check. */
+  readonly healthPath: string;
+  /** Connections that one server accepts from all callers together. */
+  readonly maxConnections: number;
+  /** Set when its servers hold layers of one model. */
+  readonly model: LayeredModel | undefined;
+}
+
+/** The client account that a key belongs to. */
+export interface KeyHolder {
+  readonly account: string;
+  /** Takes the place of the route's urgency when set; 0 is the most urgent. */
+  readonly urgency: number | undefined;
+}
+
+/** What callers may send. */
+export interface CallLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: Milliseconds;
+  readonly idleTimeoutMs: Milliseconds;
+}
+
+/** A configuration in force. */
+export interface GatewayConfiguration {
+  readonly version: number;
+  readonly routes: RouteTable;
+  readonly services: ReadonlyMap<string, BackendService>;
+  /** Holders by key; absent where calls carry no keys. */
+  readonly keys: ReadonlyMap<string, KeyHolder> | undefined;
+  readonly limits: CallLimits;
+}
+
+/** A backend server as it announces itself. */
+export interface BackendRecord {
+  readonly serverId: string;
+  readonly service: string;
+  /** Address as `host:port`. */
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly slots: number;
+  readonly isLeaving: boolean;
+  /** Start of its process; a larger one is a later incarnation. */
+  readonly incarnation: number;
+  /** Number of the announcement; grows within an incarnation. */
+  readonly sequence: number;
+  /** Kind of accelerator; empty for plain services. */
+  readonly kind: string;
+  /** Layers that it holds. */
+  readonly range: LayerRange | undefined;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,3 +31,5 @@
 export * from './routing/steadyShares.js';
 export * from './types.js';
 export * from './workOrder.js';
+export * from './gateway/index.js';
+export * from './placement/index.js';
--- /dev/null
+++ b/packages/gateway/src/admitCall.ts
@@ -0,0 +1,137 @@
+/** Decides whether a call may go on, from the configuration and its age. */
+import { ErrorKind } from '@lycheetally/common';
+import {
+  isFreshEnough,
+  pickService,
+  type GatewayConfiguration,
+  type KeyHolder,
+  type RouteRule,
+} from '@lycheetally/decisions';
+import {
+  defaultCallTokens,
+  notReadyRetryAfterMs,
+  retryAfterMs,
+} from './constants.js';
+import { EventStream } from './eventStream.js';
+import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
+
+type Admission = { admitted: AdmittedCall } | { fault: CallFault };
+
+export const admitCall = (call: GatewayCall): Admission => {
+  const { services, received } = call;
+  const { fields, path } = received;
+  const configuration = services.getConfiguration();
+  if (!configuration) {
+    return { fault: noConfiguration };
+  }
+  if (fields.requestId === undefined) {
+    return { fault: noRequestId };
+  }
+  const isFresh = isFreshEnough(
+    services.getProvenAt(),
+    services.getMoment(),
+    services.revokeBoundMs,
+  );
+  const route = configuration.routes.findRoute(toHostName(fields.host), path);
+  if (!route) {
+    return { fault: isFresh ? noRoute : staleConfiguration };
+  }
+  const needsKey = configuration.keys !== undefined && !route.isPublic;
+  if (needsKey && !isFresh) {
+    return { fault: staleConfiguration };
+  }
+  const holder = findHolder(configuration, fields.key);
+  if (needsKey && !holder) {
+    return { fault: unknownKey };
+  }
+  return finishAdmission(call, configuration, route, holder);
+};
+
+const finishAdmission = (
+  call: GatewayCall,
+  configuration: GatewayConfiguration,
+  route: RouteRule,
+  holder: KeyHolder | undefined,
+): Admission => {
+  const { fields, receivedAt } = call.received;
+  const name = pickService(route, call.requestId);
+  const service = configuration.services.get(name ?? '');
+  if (!service) {
+    return { fault: noService };
+  }
+  const isRepeatable = route.isStream ? route.isResumable : route.isRepeatable;
+  const remainingMs = fields.remainingMs ?? route.timeoutMs;
+  if (route.isStream) {
+    call.events = new EventStream();
+  }
+  return {
+    admitted: {
+      route,
+      service,
+      holder,
+      urgency: holder?.urgency ?? route.urgency,
+      isRepeatable,
+      callerDeadlineAt: receivedAt + remainingMs,
+      deadlineAt: receivedAt + Math.min(remainingMs, route.timeoutMs),
+      tokens: estimateTokens(fields.promptTokens, fields.maxOutputTokens),
+      configVersion: configuration.version,
+    },
+  };
+};
+
+const estimateTokens = (
+  promptTokens: number | undefined,
+  maxOutputTokens: number | undefined,
+): number =>
+  promptTokens === undefined
+    ? defaultCallTokens
+    : promptTokens + (maxOutputTokens ?? 0);
+
+const findHolder = (
+  configuration: GatewayConfiguration,
+  key: string | undefined,
+): KeyHolder | undefined =>
+  key === undefined ? undefined : configuration.keys?.get(key);
+
+const toHostName = (host: string | undefined): string =>
+  (host ?? '').toLowerCase().replace(/:\d*$/, '');
+
+const noConfiguration: CallFault = {
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message: 'this gateway has no configuration yet',
+  retryAfterMs: notReadyRetryAfterMs,
+};
+
+const staleConfiguration: CallFault = {
+  status: 503,
+  kind: ErrorKind.PlatformUnavailable,
+  message:
+    'the store has not confirmed the configuration for too long; another gateway may reach it',
+  retryAfterMs,
+};
+
+const noRequestId: CallFault = {
+  status: 400,
+  kind: ErrorKind.BadRequest,
+  message: 'the call has no request id; send one',
+};
+
+const noRoute: CallFault = {
+  status: 404,
+  kind: ErrorKind.UnknownService,
+  message: 'no route matches this host and path; check both',
+};
+
+const unknownKey: CallFault = {
+  status: 401,
+  kind: ErrorKind.UnknownAccount,
+  message: 'the key belongs to no client account; use a current key',
+};
+
+const noService: CallFault = {
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message: 'the service of this route is not configured yet',
+  retryAfterMs,
+};
--- /dev/null
+++ b/packages/gateway/src/callActions.ts
@@ -0,0 +1,237 @@
+/** The actions of the chart `gatewayCall`, each under the name that the chart uses. */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartAction,
+} from '@lycheetally/charts';
+import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
+import { Outcome } from '@lycheetally/decisions';
+import { admitCall } from './admitCall.js';
+import { chooseServers } from './chooseServers.js';
+import {
+  maxResumeWaitMs,
+  maxWaitShare,
+  retryAfterMs,
+  routeWaitMs,
+} from './constants.js';
+import { GatewayAttempt } from './gatewayAttempt.js';
+import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
+
+export type CallMachine = ChartMachine<GatewayCall, CallEvent>;
+type CallAction = ChartAction<GatewayCall, CallEvent>;
+
+const decideAdmission: CallAction = (call, _, now) => {
+  const decided = admitCall(call);
+  if ('fault' in decided) {
+    call.instance?.send({ type: 'REFUSED', reason: decided.fault }, now);
+    return;
+  }
+  call.admitted = decided.admitted;
+  call.services.retry.noteRequest(call.view());
+  call.instance?.send({ type: 'ADMITTED' }, now);
+};
+
+const chooseChain: CallAction = (call, _, now) => {
+  const { admitted } = call;
+  const chosen = admitted && chooseServers(call, admitted);
+  if (!admitted || !chosen) {
+    const reason = {
+      status: 503,
+      kind: ErrorKind.NoCapacity,
+      message: 'no backend server can take the call now',
+      retryAfterMs,
+    };
+    call.instance?.send({ type: 'UNROUTABLE', reason }, now);
+    return;
+  }
+  call.attempt = new GatewayAttempt(call, admitted, chosen, now);
+  call.instance?.send({ type: 'ROUTED' }, now);
+};
+
+const startAttempt: CallAction = (call, _, now) => {
+  if (call.attempts > 0) {
+    call.services.retry.noteRetry(call.view());
+  }
+  call.attempts += 1;
+  call.attempt?.instance.start(now);
+};
+
+const noteReason: CallAction = (call, event) => {
+  call.fault = event?.reason ?? call.fault;
+};
+
+const cancelAttempt = (call: GatewayCall, now: Milliseconds): void => {
+  const { attempt } = call;
+  if (attempt && !attempt.instance.isFinal && attempt.instance.state !== '') {
+    attempt.instance.send({ type: 'CANCEL' }, now);
+    call.runs += 1;
+  }
+};
+
+const decideEnd: CallAction = (call, _, now) => {
+  cancelAttempt(call, now);
+  const told = call.runs > 0 ? 'MAY_HAVE_RUN' : 'NEVER_RAN';
+  call.instance?.send({ type: call.hasBegun ? 'BEGUN' : told }, now);
+};
+
+const finishComplete: CallAction = (call, _, now) => {
+  const { attempt, caller } = call;
+  if (call.hasBegun) {
+    caller.end();
+  } else if (attempt?.head) {
+    const { status, statusText, fields } = attempt.head;
+    caller.answer(status, statusText, fields.forwarded, attempt.body);
+  }
+  endCall(call, Outcome.Complete, attempt?.head?.status ?? 0, now);
+};
+
+/** The server's own error goes to the caller as it came. */
+const forwardError: CallAction = (call, event) => {
+  call.fault = event?.reason ?? call.fault;
+};
+
+const answerOwn = (
+  call: GatewayCall,
+  outcome: string,
+  fault: CallFault,
+  now: Milliseconds,
+): void => {
+  call.caller.answerOwn({ ...fault, outcome });
+  endCall(call, outcome, fault.status, now);
+};
+
+const answerRefused: CallAction = (call, _, now) => {
+  const fault = call.fault ?? unknownFault;
+  const isOwn = fault.status >= 400 && fault.status < 500;
+  const refusal = isOwn
+    ? fault
+    : {
+        ...fault,
+        status: 503,
+        retryAfterMs: fault.retryAfterMs ?? retryAfterMs,
+      };
+  answerOwn(call, Outcome.NotRun, refusal, now);
+};
+
+const answerFailed: CallAction = (call, _, now) => {
+  const fault = { ...(call.fault ?? unknownFault), status: 502 };
+  answerOwn(call, Outcome.Unknown, { ...fault, retryAfterMs: undefined }, now);
+};
+
+const answerLate: CallAction = (call, _, now) => {
+  cancelAttempt(call, now);
+  answerOwn(call, Outcome.Unknown, lateFault, now);
+};
+
+const cutAnswer: CallAction = (call, _, now) => {
+  call.caller.cut();
+  endCall(call, Outcome.Failed, 0, now);
+};
+
+const dropCall: CallAction = (call, _, now) => {
+  cancelAttempt(call, now);
+  endCall(call, outcomeLeft, 0, now);
+};
+
+/** The caller left before its answer. */
+const outcomeLeft = 'left';
+
+const unknownFault: CallFault = {
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message: 'the call could not be sent',
+};
+
+const lateFault: CallFault = {
+  status: 504,
+  kind: ErrorKind.DeadlineExceeded,
+  message: 'the time limit of the call has passed',
+};
+
+const endCall = (
+  call: GatewayCall,
+  outcome: string,
+  status: number,
+  now: Milliseconds,
+): void => {
+  const { services, received, admitted, attempt, firstByteAt } = call;
+  const { receivedAt } = received;
+  services.metrics.countCall(
+    admitted?.service.name ?? '',
+    outcome,
+    status,
+    now - receivedAt,
+    firstByteAt === undefined ? undefined : firstByteAt - receivedAt,
+  );
+  services.log.info('A call ended.', {
+    request: call.requestId,
+    outcome,
+    status,
+    route: admitted?.route.name ?? '',
+    service: admitted?.service.name ?? '',
+    account: admitted?.holder?.account ?? '',
+    urgency: admitted?.urgency ?? 0,
+    configuration: admitted?.configVersion ?? 0,
+    attempts: call.attempts,
+    runs: call.runs,
+    server: attempt?.chosen.first.record.serverId ?? '',
+    stages: attempt?.chosen.chain.length ?? 0,
+    firstByteMs:
+      firstByteAt === undefined ? -1 : Math.round(firstByteAt - receivedAt),
+    longestPauseMs: Math.round(call.longestPauseMs),
+    durationMs: Math.round(now - receivedAt),
+    lastEvent: call.events?.lastEventId ?? '',
+    reason: outcome === Outcome.Complete ? '' : (call.fault?.message ?? ''),
+  });
+  call.instance?.dispose();
+  services.handleCallEnded(call);
+};
+
+const mayRetry = (call: GatewayCall, now: Milliseconds): boolean =>
+  call.services.retry.mayRetry(call.view(), now);
+
+const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
+  call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
+  call.services.retry.mayRepeat(call.view(), now);
+
+/** A call waits for a server only while a refusal would still come early. */
+const mayWait = (call: GatewayCall, now: Milliseconds): boolean => {
+  const { admitted, received } = call;
+  if (call.hasBegun) {
+    return now - call.lastHeardAt < maxResumeWaitMs;
+  }
+  const bound = (admitted?.route.targetMs ?? 0) * maxWaitShare;
+  return now + routeWaitMs - received.receivedAt <= bound;
+};
+
+/** Binds the chart `gatewayCall`. Fails with `BadChart`. */
+export const bindCallChart = (): Result<CallMachine> =>
+  loadChart(ChartName.GatewayCall).andThen(chart =>
+    ChartMachine.bind<GatewayCall, CallEvent>(chart, {
+      actions: {
+        decideAdmission,
+        chooseChain,
+        startAttempt,
+        noteReason,
+        forwardError,
+        decideEnd,
+        finishComplete,
+        answerRefused,
+        answerFailed,
+        answerLate,
+        cutAnswer,
+        dropCall,
+      },
+      guards: {
+        mayRetry: (call, _, now) => mayRetry(call, now),
+        mayRepeat: (call, _, now) => mayRepeat(call, now),
+        mayWait: (call, _, now) => mayWait(call, now),
+        hasBegun: call => call.hasBegun,
+      },
+      delays: {
+        TIME_LIMIT: (call, now) => (call.admitted?.deadlineAt ?? now) - now,
+        ROUTE_WAIT: () => routeWaitMs,
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/gateway/src/chooseServers.ts
@@ -0,0 +1,63 @@
+/** Chooses the servers of one attempt: a chain for a model, one server otherwise. */
+import type { ChainStage } from '@lycheetally/decisions';
+import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
+import type { Server } from './server.js';
+import { viewStage } from './serverBook.js';
+
+/** Where an attempt goes. */
+export interface ChosenServers {
+  readonly first: Server;
+  /** Stages in order; empty for a plain service. */
+  readonly chain: readonly ChainStage[];
+}
+
+/** Work that a server of another failure domain must be short of to be preferred. */
+const farCalls = 2;
+
+export const chooseServers = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+): ChosenServers | undefined =>
+  admitted.service.model
+    ? chooseChain(call, admitted)
+    : chooseOne(call, admitted);
+
+const chooseChain = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+): ChosenServers | undefined => {
+  const { service, tokens } = admitted;
+  const { book, chain: policy, homeDomain } = call.services;
+  if (!service.model) {
+    return undefined;
+  }
+  const usable = book.listUsable(service.name);
+  const loads = new Map(usable.map(each => [each.record.serverId, each.load]));
+  const chain = policy.chooseChain({
+    model: service.model,
+    servers: usable.map(viewStage),
+    homeDomain,
+    tokens,
+    excluded: call.avoided,
+    getLoad: id => loads.get(id) ?? idleLoad,
+  });
+  const first = book.find(chain?.[0]?.server.serverId ?? '');
+  return chain && first ? { first, chain } : undefined;
+};
+
+const idleLoad = { layerTokens: 0, firstRequests: 0, slowness: 1 };
+
+const chooseOne = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+): ChosenServers | undefined => {
+  const { book, homeDomain } = call.services;
+  const computeRank = (server: Server): number =>
+    server.calls + (server.record.failureDomain === homeDomain ? 0 : farCalls);
+  const candidates = book
+    .listUsable(admitted.service.name)
+    .filter(server => !call.avoided.has(server.record.serverId))
+    .sort((a, b) => computeRank(a) - computeRank(b));
+  const [first] = candidates;
+  return first && { first, chain: [] };
+};
--- /dev/null
+++ b/packages/gateway/src/constants.ts
@@ -0,0 +1,100 @@
+/** Bounds and intervals of a gateway, in milliseconds unless named otherwise. */
+
+/** A connection to a backend server is opened within this; three round trips between regions. */
+export const connectBoundMs = 300;
+
+/** Silence of a repeatable call after which its chain is asked about; half of a caller's shortest patience. */
+export const silenceBoundMs = 900;
+
+/** An answer to a question about a stalled chain is awaited this long. */
+export const reportBoundMs = 300;
+
+/** A call without a usable server looks again after this. */
+export const routeWaitMs = 40;
+
+/** Share of its target for which a call may wait for a server; waiting longer delays the refusal. */
+export const maxWaitShare = 0.12;
+
+/** A broken stream waits this long for a server; its caller gives up a gap of two seconds. */
+export const maxResumeWaitMs = 1_500;
+
+/** A refused caller is asked to come back after this; about the time of a new placement. */
+export const retryAfterMs = 1_000;
+
+/** A caller refused for want of a configuration comes back after this; a read of the store. */
+export const notReadyRetryAfterMs = 300;
+
+/** A stopping gateway sends callers elsewhere at once. */
+export const leavingRetryAfterMs = 50;
+
+/** Share of a call's answers that the retry budget leaves for repeats, against the platform's ratio. */
+export const retryRatioShare = 0.7;
+
+/** Gateways that share the platform's retry slack; more than are placed on one deployment. */
+export const retrySlackSharers = 32;
+
+/** A waiting read of the configuration; a quarter of the time that a change has to be in force. */
+export const configWaitMs = 800;
+
+/** Pause between reads of the list of servers; several fit into the time to stop sending to one that leaves. */
+export const serverReadPauseMs = 600;
+
+/** A read of the store that has not been answered by then counts as lost. */
+export const storeAnswerBoundMs = 700;
+
+/** Pause before a lost table is read again. */
+export const storeRetryPauseMs = 250;
+
+/** Servers that vanish this soon after the store was away are kept until it has passed. */
+export const lapsedEntryGraceMs = 2_500;
+
+/** First suspension of a server; doubles with each in a row. */
+export const firstSuspensionMs = 1_000;
+
+/** Longest suspension of a server. */
+export const maxSuspensionMs = 4_000;
+
+/** Errors in a row after which a server is suspended. */
+export const maxErrorsInRow = 3;
+
+/** Pause between joins of the duty's group. */
+export const dutyRenewPauseMs = 1_000;
+
+/** Lease of the duty that the group is asked for; three renewals. */
+export const dutyLeaseMs = 3_000;
+
+/** Pause between two looks at the placement of layers. */
+export const planPauseMs = 400;
+
+/** The first placement waits until no server has joined for this long. */
+export const settlePauseMs = 1_200;
+
+/** The first placement waits no longer than this after the process began. */
+export const settleBoundMs = 6_500;
+
+/** An accepted order is taken for lost when its layers have not shown by then. */
+export const loadBoundMs = 8_000;
+
+/** A refused or doubtful order is planned anew after this. */
+export const orderPauseMs = 700;
+
+/** An order's answer is awaited this long. */
+export const orderAnswerBoundMs = 800;
+
+/** A stopping gateway asks its callers to leave after this; the balancer has seen it by then. */
+export const leaveConnectionsAfterMs = 2_500;
+
+/** Part of the platform's grace that is kept for the exit itself. */
+export const exitReserveMs = 600;
+
+/** The largest answer of a plain service that is held before it is passed on, in bytes. */
+export const maxHeldAnswerBytes = 16 * 1_024 * 1_024;
+
+/** Longest idle time of a connection to a backend server. */
+export const backendIdleMs = 4_000;
+
+/** A call that must not repeat only re-uses connections that were busy this recently. */
+export const sureConnectionMs = 1_000;
+
+/** Tokens that a call is taken for when it does not say. */
+export const defaultCallTokens = 1_000;
--- /dev/null
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -0,0 +1,425 @@
+/** One sending of a call to a server; host of the chart `gatewayAttempt`. */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+} from '@lycheetally/charts';
+import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
+import {
+  BackendListener,
+  type BackendExchange,
+  type BackendHead,
+} from './backendPort.js';
+import type { ChosenServers } from './chooseServers.js';
+import {
+  connectBoundMs,
+  maxHeldAnswerBytes,
+  reportBoundMs,
+  silenceBoundMs,
+} from './constants.js';
+import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
+
+export interface AttemptEvent {
+  readonly type:
+    | 'CONNECTED'
+    | 'NOT_RUN'
+    | 'COMPLETE'
+    | 'ERROR'
+    | 'BROKEN'
+    | 'REPORT_FINE'
+    | 'REPORT_STALLED'
+    | 'CANCEL';
+  readonly fault?: CallFault | undefined;
+}
+
+export type AttemptMachine = ChartMachine<GatewayAttempt, AttemptEvent>;
+
+/** How the answer of an attempt reaches the caller. */
+const AnswerWay = {
+  /** Held until it is whole. */
+  Held: 'held',
+  /** Passed on event by event. */
+  Events: 'events',
+} as const;
+
+export class GatewayAttempt extends BackendListener {
+  head: BackendHead | undefined;
+  readonly instance: ChartInstance<GatewayAttempt, AttemptEvent>;
+  private exchange: BackendExchange | undefined;
+  private readonly held: Buffer[] = [];
+  private heldBytes = 0;
+  private way: string = AnswerWay.Held;
+  private heardAt: Milliseconds;
+  private fault: CallFault | undefined;
+  private readonly layerTokens: ReadonlyMap<string, number>;
+
+  constructor(
+    readonly call: GatewayCall,
+    readonly admitted: AdmittedCall,
+    readonly chosen: ChosenServers,
+    private readonly startedAt: Milliseconds,
+  ) {
+    super();
+    const { services } = call;
+    this.heardAt = startedAt;
+    this.layerTokens = new Map(
+      chosen.chain.map(({ server, range }) => [
+        server.serverId,
+        admitted.tokens * (range.to - range.from),
+      ]),
+    );
+    this.instance = services.attempts.createInstance(this, services.timers);
+  }
+
+  /** The whole body of an answer that was held. */
+  get body(): Buffer {
+    return Buffer.concat(this.held);
+  }
+
+  /** Counts the attempt's work at its servers, or takes it off again. */
+  countLoad(sign: 1 | -1): void {
+    const { book } = this.call.services;
+    this.chosen.first.calls += sign;
+    for (const [serverId, layerTokens] of this.layerTokens) {
+      const server = book.find(serverId);
+      if (server) {
+        server.layerTokens = Math.max(
+          0,
+          server.layerTokens + sign * layerTokens,
+        );
+      }
+    }
+  }
+
+  private get silenceMs(): Milliseconds {
+    return this.chosen.chain.length > 0
+      ? silenceBoundMs
+      : this.admitted.route.targetMs;
+  }
+
+  /** Lets the server's bytes flow again after the caller took its own. */
+  resume(): void {
+    this.exchange?.resume();
+  }
+
+  override handleConnected(): void {
+    this.send({ type: 'CONNECTED' });
+  }
+
+  override handleHead(head: BackendHead): void {
+    this.head = head;
+    this.noteHeard();
+    const { fields, status } = head;
+    if (fields.requestId !== this.call.requestId) {
+      this.failExchange('the answer names another call');
+    } else if (isSuccess(status) && !fields.isWhole) {
+      this.failExchange('the answer is not signed by its server');
+    } else if (isSuccess(status) && this.admitted.route.isStream) {
+      this.beginStream(head);
+    }
+  }
+
+  override handleBody(chunk: Buffer): void {
+    this.noteHeard();
+    if (this.way === AnswerWay.Events) {
+      this.forwardEvents(chunk);
+      return;
+    }
+    this.heldBytes += chunk.length;
+    if (this.heldBytes > maxHeldAnswerBytes) {
+      this.failExchange('the answer is larger than the gateway holds');
+      return;
+    }
+    this.held.push(chunk);
+  }
+
+  override handleEnd(): void {
+    const { head } = this;
+    if (!head) {
+      this.failExchange('the answer has no head');
+    } else if (head.fields.isNotRun) {
+      this.send({ type: 'NOT_RUN', fault: describeRefusal(head) });
+    } else if (!isSuccess(head.status)) {
+      this.send({ type: 'ERROR', fault: describeError(head) });
+    } else if (
+      this.way === AnswerWay.Events &&
+      this.call.events?.isAtBoundary === false
+    ) {
+      this.failExchange('the stream ended inside an event');
+    } else {
+      this.send({ type: 'COMPLETE' });
+    }
+  }
+
+  override handleFailure(reason: string): void {
+    this.send({ type: 'BROKEN', fault: describeBreak(reason) });
+  }
+
+  /** Actions, guards and delays of the chart. */
+  readonly chartActions = {
+    openExchange: (now: Milliseconds): void => {
+      const { call, admitted, chosen } = this;
+      const { record } = chosen.first;
+      const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
+      this.countLoad(1);
+      call.events?.restart();
+      const headers = call.services.format.writeSend(
+        call.received.fields,
+        call.received.method,
+        {
+          serverId: record.serverId,
+          remainingMs,
+          account: admitted.holder?.account,
+          urgency: admitted.urgency,
+          chain: chosen.chain,
+          lastEventId: call.events?.lastEventId,
+          bodyBytes: call.received.body.length,
+        },
+      );
+      this.exchange = call.services.backend.open(
+        {
+          address: record.address,
+          method: call.received.method,
+          target: call.received.target,
+          headers,
+          body: call.received.body,
+          needsSureConnection: !admitted.isRepeatable,
+          maxConnections: admitted.service.maxConnections,
+        },
+        this,
+      );
+    },
+    closeExchange: (): void => {
+      this.exchange?.close();
+    },
+    releaseLoad: (): void => {
+      this.countLoad(-1);
+    },
+    noteUnreachable: (now: Milliseconds): void => {
+      const { first } = this.chosen;
+      this.fault = describeBreak('the server cannot be reached');
+      this.reportServer(first.record.address, 'no connection', now);
+    },
+    noteFault: (event: AttemptEvent | undefined, now: Milliseconds): void => {
+      this.fault = event?.fault ?? this.fault;
+      this.reportFault(event?.type ?? 'BROKEN', now);
+    },
+    noteStalled: (event: AttemptEvent | undefined): void => {
+      this.fault = event?.fault;
+    },
+    requestReport: (): void => {
+      this.requestReport();
+    },
+    allowSilence: (now: Milliseconds): void => {
+      this.heardAt = now;
+    },
+    reportComplete: (now: Milliseconds): void => {
+      this.chosen.first.noteSuccess(now);
+      this.call.instance?.send({ type: 'ATTEMPT_COMPLETE' }, now);
+    },
+    reportNotRun: (now: Milliseconds): void => {
+      this.report('ATTEMPT_NOT_RUN', now);
+    },
+    reportError: (now: Milliseconds): void => {
+      this.call.runs += 1;
+      this.report('ATTEMPT_ERROR', now);
+    },
+    reportBroken: (now: Milliseconds): void => {
+      this.call.runs += 1;
+      this.report('ATTEMPT_BROKEN', now);
+    },
+    isSilent: (now: Milliseconds): boolean =>
+      this.admitted.isRepeatable && now - this.heardAt >= this.silenceMs,
+    computeSilence: (now: Milliseconds): Milliseconds =>
+      Math.max(1, this.heardAt + this.silenceMs - now),
+  };
+
+  private report(
+    type: 'ATTEMPT_NOT_RUN' | 'ATTEMPT_ERROR' | 'ATTEMPT_BROKEN',
+    now: Milliseconds,
+  ): void {
+    const { call, chosen, fault } = this;
+    call.avoided.add(chosen.first.record.serverId);
+    call.services.metrics.countAttempt(type);
+    call.services.log.info('An attempt did not complete its call.', {
+      request: call.requestId,
+      attempt: call.attempts,
+      server: chosen.first.record.serverId,
+      incarnation: chosen.first.record.incarnation,
+      stages: chosen.chain.length,
+      outcome: type,
+      status: this.head?.status ?? 0,
+      reason: fault?.message ?? '',
+      afterMs: Math.round(now - this.startedAt),
+      lastEvent: call.events?.lastEventId ?? '',
+    });
+    call.instance?.send({ type, reason: fault }, now);
+  }
+
+  private send(event: AttemptEvent): void {
+    this.call.services.postCompletion(now => {
+      this.instance.send(event, now);
+    });
+  }
+
+  private failExchange(reason: string): void {
+    this.exchange?.close();
+    this.handleFailure(reason);
+  }
+
+  private noteHeard(): void {
+    this.heardAt = this.call.services.getMoment().steady;
+    this.call.lastHeardAt = this.heardAt;
+  }
+
+  private beginStream(head: BackendHead): void {
+    const { call } = this;
+    this.way = AnswerWay.Events;
+    if (!call.hasBegun) {
+      call.hasBegun = true;
+      call.firstByteAt = this.heardAt;
+      call.caller.setDrainListener(() => {
+        call.attempt?.resume();
+      });
+      call.caller.begin(head.status, head.statusText, head.fields.forwarded);
+    }
+  }
+
+  private forwardEvents(chunk: Buffer): void {
+    const { call } = this;
+    const fresh = call.events?.accept(chunk);
+    if (!fresh || fresh.length === 0) {
+      return;
+    }
+    call.notePassed(this.heardAt);
+    if (!call.caller.write(fresh)) {
+      this.exchange?.pause();
+    }
+  }
+
+  private reportFault(type: AttemptEvent['type'], now: Milliseconds): void {
+    const { head, chosen, call } = this;
+    const message = this.fault?.message ?? '';
+    if (head?.fields.refusedBy !== undefined) {
+      this.reportServer(head.fields.refusedBy, message, now);
+    } else if (head?.fields.isOtherServer) {
+      this.reportServer(chosen.first.record.address, message, now);
+    } else if (type === 'ERROR') {
+      chosen.first.noteError(message, now);
+    } else if (type === 'BROKEN' && !call.services.isLeaving()) {
+      chosen.first.noteError(message, now);
+    }
+  }
+
+  /** Notes the server at the address as unreachable for this and later calls. */
+  private reportServer(
+    address: string,
+    reason: string,
+    now: Milliseconds,
+  ): void {
+    const server = this.call.services.book.findByAddress(address);
+    if (server) {
+      this.call.avoided.add(server.record.serverId);
+      server.noteUnreachable(reason, now);
+    }
+  }
+
+  /** A chain names the server that stalls it; a plain server that is silent is left. */
+  private requestReport(): void {
+    const { services, requestId } = this.call;
+    if (this.chosen.chain.length === 0) {
+      this.failExchange('the server was silent for too long');
+      return;
+    }
+    const { address } = this.chosen.first.record;
+    services.metrics.countProbe();
+    void services.control.readReport(address, reportBoundMs).then(result => {
+      services.postCompletion(now => {
+        const culprit = result.err
+          ? address
+          : result.val.stalled.find(each => each.requestId === requestId)
+              ?.address;
+        if (culprit === undefined) {
+          this.instance.send({ type: 'REPORT_FINE' }, now);
+          return;
+        }
+        this.reportServer(culprit, 'a chain stalled there', now);
+        const fault = describeBreak(`the chain stalled at ${culprit}`);
+        this.instance.send({ type: 'REPORT_STALLED', fault }, now);
+      });
+    });
+  }
+}
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
+const describeBreak = (reason: string): CallFault => ({
+  status: 502,
+  kind: ErrorKind.BackendFailed,
+  message: reason,
+});
+
+const describeRefusal = (head: BackendHead): CallFault => ({
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message: `the server refused with status ${String(head.status)}`,
+});
+
+const describeError = (head: BackendHead): CallFault => ({
+  status: head.status,
+  kind: ErrorKind.BackendFailed,
+  message: `the server answered with status ${String(head.status)}`,
+});
+
+/** Binds the chart `gatewayAttempt`. Fails with `BadChart`. */
+export const bindAttemptChart = (): Result<AttemptMachine> =>
+  loadChart(ChartName.GatewayAttempt).andThen(chart =>
+    ChartMachine.bind<GatewayAttempt, AttemptEvent>(chart, {
+      actions: {
+        openExchange: (attempt, _, now) => {
+          attempt.chartActions.openExchange(now);
+        },
+        closeExchange: attempt => {
+          attempt.chartActions.closeExchange();
+        },
+        releaseLoad: attempt => {
+          attempt.chartActions.releaseLoad();
+        },
+        noteUnreachable: (attempt, _, now) => {
+          attempt.chartActions.noteUnreachable(now);
+        },
+        noteFault: (attempt, event, now) => {
+          attempt.chartActions.noteFault(event, now);
+        },
+        noteStalled: (attempt, event) => {
+          attempt.chartActions.noteStalled(event);
+        },
+        requestReport: attempt => {
+          attempt.chartActions.requestReport();
+        },
+        allowSilence: (attempt, _, now) => {
+          attempt.chartActions.allowSilence(now);
+        },
+        reportComplete: (attempt, _, now) => {
+          attempt.chartActions.reportComplete(now);
+        },
+        reportNotRun: (attempt, _, now) => {
+          attempt.chartActions.reportNotRun(now);
+        },
+        reportError: (attempt, _, now) => {
+          attempt.chartActions.reportError(now);
+        },
+        reportBroken: (attempt, _, now) => {
+          attempt.chartActions.reportBroken(now);
+        },
+      },
+      guards: {
+        isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
+      },
+      delays: {
+        CONNECT_BOUND: () => connectBoundMs,
+        SILENCE: (attempt, now) => attempt.chartActions.computeSilence(now),
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -0,0 +1,89 @@
+/** Counters and latency histograms of a gateway. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { millisecondsPerSecond, type Milliseconds } from '@lycheetally/common';
+
+const prefix = 'lycheetally_gateway_';
+
+/** Upper bounds of answer times, in seconds: around the targets of calls and streams. */
+const secondsBuckets = [
+  0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 20,
+];
+
+export class GatewayMetrics {
+  readonly registry = new Registry();
+  private readonly calls = new Counter({
+    name: `${prefix}calls_total`,
+    help: 'Calls by service, outcome and status of the answer',
+    labelNames: ['service', 'outcome', 'status'],
+    registers: [this.registry],
+  });
+  private readonly attempts = new Counter({
+    name: `${prefix}attempts_failed_total`,
+    help: 'Attempts that did not complete their call, by outcome',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+  private readonly probes = new Counter({
+    name: `${prefix}stall_reports_total`,
+    help: 'Questions to servers about a stalled chain',
+    registers: [this.registry],
+  });
+  private readonly refused = new Counter({
+    name: `${prefix}malformed_total`,
+    help: 'Requests refused before they were read as calls, by status',
+    labelNames: ['status'],
+    registers: [this.registry],
+  });
+  private readonly duration = new Histogram({
+    name: `${prefix}call_seconds`,
+    help: 'Time from the whole call to its end',
+    labelNames: ['service'],
+    buckets: secondsBuckets,
+    registers: [this.registry],
+  });
+  private readonly firstByte = new Histogram({
+    name: `${prefix}first_byte_seconds`,
+    help: 'Time from the whole call to the first byte of a stream',
+    labelNames: ['service'],
+    buckets: secondsBuckets,
+    registers: [this.registry],
+  });
+
+  /** Adds a gauge that is read when the page is asked for. */
+  addGauge(name: string, help: string, read: () => number): void {
+    const gauge = new Gauge({
+      name: `${prefix}${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => {
+        gauge.set(read());
+      },
+    });
+  }
+
+  countCall(
+    service: string,
+    outcome: string,
+    status: number,
+    durationMs: Milliseconds,
+    firstByteMs: Milliseconds | undefined,
+  ): void {
+    this.calls.inc({ service, outcome, status: String(status) });
+    this.duration.observe({ service }, durationMs / millisecondsPerSecond);
+    if (firstByteMs !== undefined) {
+      this.firstByte.observe({ service }, firstByteMs / millisecondsPerSecond);
+    }
+  }
+
+  countAttempt(outcome: string): void {
+    this.attempts.inc({ outcome });
+  }
+
+  countProbe(): void {
+    this.probes.inc();
+  }
+
+  countRefused(status: number): void {
+    this.refused.inc({ status: String(status) });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gatewayNode.ts
@@ -0,0 +1,495 @@
+/**
+ * A gateway: callers' HTTP on one side, backend servers on the other, and the
+ * platform's store for the configuration, the list of servers and the duty of
+ * placing layers. One loop on one thread; host of the chart `lifecycle`.
+ */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+} from '@lycheetally/charts';
+import {
+  LogPart,
+  millisecondsPerSecond,
+  type LoggerFactory,
+  type Milliseconds,
+  type PartLogger,
+  type Result,
+} from '@lycheetally/common';
+import {
+  BudgetedRetry,
+  CheapestChain,
+  CopyPerDomain,
+  isFreshEnough,
+  type BackendRecord,
+  type GatewayConfiguration,
+  type Moment,
+} from '@lycheetally/decisions';
+import { Loop, SteadyClock } from '@lycheetally/node';
+import { bindCallChart, type CallMachine } from './callActions.js';
+import type { CallFormat } from './callFormat.js';
+import type { ReceivedCall } from './callerPort.js';
+import {
+  configWaitMs,
+  exitReserveMs,
+  leaveConnectionsAfterMs,
+  retryRatioShare,
+  retrySlackSharers,
+  serverReadPauseMs,
+} from './constants.js';
+import { bindAttemptChart } from './gatewayAttempt.js';
+import { GatewayCall, type CallServices } from './gatewayCall.js';
+import { GatewayMetrics } from './gatewayMetrics.js';
+import type { GatewaySettings } from './gatewaySettings.js';
+import { HttpBackend } from './httpBackend.js';
+import { HttpFront, type HttpCaller } from './httpFront.js';
+import { bindDutyChart, bindOrderChart, LayerPlacer } from './layerPlacer.js';
+import type {
+  DutyPort,
+  ServerControlPort,
+  TablePort,
+  TableRecord,
+} from './ports.js';
+import { bindHealthChart } from './server.js';
+import { ServerBook } from './serverBook.js';
+import { StatusPages } from './statusPages.js';
+import { bindFollowerChart, TableFollower } from './tableFollower.js';
+
+/** What a platform's adapter gives a gateway. */
+export interface GatewayPorts {
+  readonly format: CallFormat;
+  readonly configurations: TablePort<GatewayConfiguration>;
+  readonly servers: TablePort<BackendRecord>;
+  readonly duty: DutyPort;
+  readonly control: ServerControlPort;
+}
+
+interface GatewayEvents {
+  readonly completion: (now: Milliseconds) => void;
+}
+
+interface LifecycleEvent {
+  readonly type: 'READY' | 'STOP' | 'DRAINED';
+}
+
+export class GatewayNode {
+  readonly metrics = new GatewayMetrics();
+  readonly front: HttpFront;
+  readonly pages: StatusPages;
+  private readonly clock = new SteadyClock();
+  private readonly loop = new Loop<GatewayEvents>(this.clock);
+  private readonly log: PartLogger;
+  private readonly backend: HttpBackend;
+  private readonly book: ServerBook;
+  private readonly placer: LayerPlacer;
+  private readonly configFollower: TableFollower<GatewayConfiguration>;
+  private readonly serverFollower: TableFollower<BackendRecord>;
+  private readonly callMachine: CallMachine;
+  private readonly callServices: CallServices;
+  private readonly calls = new Map<HttpCaller, GatewayCall>();
+  private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
+  private configuration: GatewayConfiguration | undefined;
+  private hasLeft = false;
+
+  constructor(
+    private settings: GatewaySettings,
+    private readonly ports: GatewayPorts,
+    private readonly loggers: LoggerFactory,
+    private readonly handleStopped: () => void,
+  ) {
+    const startedAt = this.clock.getNow();
+    this.log = loggers.createLogger(LogPart.Process);
+    this.backend = new HttpBackend(ports.format);
+    this.callMachine = takeValue(bindCallChart());
+    this.book = new ServerBook(
+      takeValue(bindHealthChart()),
+      this.loop,
+      loggers.createLogger(LogPart.Servers),
+      () => this.serverFollower,
+    );
+    [this.configFollower, this.serverFollower] = this.createFollowers();
+    this.placer = this.createPlacer(startedAt);
+    this.callServices = this.createCallServices();
+    this.front = new HttpFront(ports.format, {
+      receiveCall: (received, caller) => {
+        this.post(now => {
+          this.receiveCall(received, caller, now);
+        });
+      },
+      receiveLeft: caller => {
+        this.post(now => {
+          this.receiveLeft(caller, now);
+        });
+      },
+      noteRefused: (status, reason) => {
+        this.metrics.countRefused(status);
+        this.log.warn('A malformed request was refused.', { status, reason });
+      },
+      getNow: () => this.clock.getNow(),
+    });
+    this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
+    this.lifecycle = takeValue(bindLifecycle()).createInstance(this, this.loop);
+    this.loop.setHandlers({
+      completion: (run, now) => {
+        run(now);
+      },
+    });
+    this.loop.faulted.subscribe(({ kind, thrown }) => {
+      this.log.error('A handler of the loop failed.', {
+        kind,
+        error: thrown instanceof Error ? (thrown.stack ?? '') : String(thrown),
+      });
+    });
+    this.addGauges();
+  }
+
+  /** Whether new callers should come here. */
+  get isReady(): boolean {
+    return this.lifecycle.matches('ready') && this.isFresh;
+  }
+
+  /** Listens and follows the store. Fails with `BadAddress`. */
+  async start(): Promise<Result<unknown>> {
+    const { callers, readiness, metrics } = this.settings.listen;
+    const listening = [
+      await this.front.listen(callers),
+      await this.pages.listen(readiness),
+      ...(metrics ? [await this.pages.listen(metrics)] : []),
+    ];
+    const failed = listening.find(result => result.err);
+    if (failed) {
+      return failed;
+    }
+    this.post(now => {
+      this.lifecycle.start(now);
+      this.configFollower.start(now);
+      this.serverFollower.start(now);
+      this.placer.start(now);
+    });
+    this.log.info('The gateway started.', {
+      domain: this.settings.process.failureDomain,
+      callers: `${callers.host}:${String(callers.port)}`,
+    });
+    return listening[0] ?? failed ?? this.front.listen(callers);
+  }
+
+  /** Takes settings that changed while the process runs. */
+  reload(settings: GatewaySettings): void {
+    this.settings = settings;
+    this.log.info('The settings were read again.', {
+      drainSeconds: settings.process.drainSeconds,
+    });
+  }
+
+  /** Stops after the open calls, within the time the platform gives. */
+  stop(): void {
+    this.post(now => {
+      this.lifecycle.send({ type: 'STOP' }, now);
+    });
+  }
+
+  dispose(): void {
+    this.front.dispose();
+    this.pages.dispose();
+    this.backend.dispose();
+    this.configFollower.dispose();
+    this.serverFollower.dispose();
+    this.placer.dispose();
+  }
+
+  /** Actions and delays of the lifecycle chart. */
+  readonly lifecycleActions = {
+    recordReady: (): void => {
+      this.log.info('The gateway serves.', {
+        configuration: this.configuration?.version ?? 0,
+      });
+    },
+    recordDraining: (): void => {
+      this.log.info('The gateway is stopping.', { openCalls: this.calls.size });
+    },
+    stopAdmission: (now: Milliseconds): void => {
+      this.placer.resign(now);
+      this.loop.schedule(leaveConnectionsAfterMs, leftAt => {
+        this.hasLeft = true;
+        this.front.leave();
+        this.noteIdle(leftAt);
+      });
+    },
+    reportCutWork: (): void => {
+      this.log.warn('The time to stop is over; open calls are ended.', {
+        openCalls: this.calls.size,
+      });
+    },
+    cancelOpenWork: (now: Milliseconds): void => {
+      for (const call of [...this.calls.values()]) {
+        call.instance?.send({ type: 'STOPPING' }, now);
+      }
+    },
+    finishProcess: (): void => {
+      this.log.info('The gateway stopped.');
+      this.dispose();
+      this.handleStopped();
+    },
+    computeDrainBound: (): Milliseconds =>
+      this.settings.process.drainSeconds * millisecondsPerSecond -
+      exitReserveMs,
+  };
+
+  private get isFresh(): boolean {
+    return isFreshEnough(
+      this.configFollower.provenAt,
+      this.getMoment(),
+      this.settings.rules.revokeMs,
+    );
+  }
+
+  private post(run: (now: Milliseconds) => void): void {
+    this.loop.post('completion', run);
+  }
+
+  private getMoment(): Moment {
+    return { steady: this.clock.getNow(), timeOfDay: Date.now() };
+  }
+
+  private createFollowers(): [
+    TableFollower<GatewayConfiguration>,
+    TableFollower<BackendRecord>,
+  ] {
+    const machine = takeValue(bindFollowerChart());
+    const services = {
+      timers: this.loop,
+      log: this.loggers.createLogger(LogPart.Store),
+      postCompletion: (run: (now: Milliseconds) => void) => {
+        this.post(run);
+      },
+      getMoment: () => this.getMoment(),
+    };
+    const configurations = new TableFollower(machine, services, {
+      name: 'configuration',
+      table: this.ports.configurations,
+      waitMs: configWaitMs,
+      pauseMs: 0,
+      apply: (records, _, now) => {
+        this.applyConfigurations(records, now);
+      },
+    });
+    const servers = new TableFollower(machine, services, {
+      name: 'servers',
+      table: this.ports.servers,
+      waitMs: 0,
+      pauseMs: serverReadPauseMs,
+      apply: (records, isWhole, now) => {
+        this.book.apply(records, isWhole, now);
+      },
+    });
+    return [configurations, servers];
+  }
+
+  private createPlacer(startedAt: Milliseconds): LayerPlacer {
+    return new LayerPlacer(
+      takeValue(bindDutyChart()),
+      takeValue(bindOrderChart()),
+      {
+        timers: this.loop,
+        log: this.loggers.createLogger(LogPart.Layers),
+        duty: this.ports.duty,
+        control: this.ports.control,
+        placement: new CopyPerDomain(),
+        book: this.book,
+        startedAt,
+        postCompletion: run => {
+          this.post(run);
+        },
+        listServices: () => this.configuration?.services.values() ?? [],
+      },
+    );
+  }
+
+  private createCallServices(): CallServices {
+    const { rules, process } = this.settings;
+    return {
+      timers: this.loop,
+      log: this.loggers.createLogger(LogPart.Calls),
+      metrics: this.metrics,
+      format: this.ports.format,
+      backend: this.backend,
+      control: this.ports.control,
+      chain: new CheapestChain(),
+      retry: new BudgetedRetry({
+        share: rules.retryRatio * retryRatioShare,
+        maxSaved: rules.retrySlack / retrySlackSharers,
+      }),
+      book: this.book,
+      attempts: takeValue(bindAttemptChart()),
+      homeDomain: process.failureDomain,
+      revokeBoundMs: rules.revokeMs,
+      getConfiguration: () => this.configuration,
+      getProvenAt: () => this.configFollower.provenAt,
+      getMoment: () => this.getMoment(),
+      isLeaving: () => this.lifecycle.matches('cutting'),
+      postCompletion: run => {
+        this.post(run);
+      },
+      handleCallEnded: call => {
+        this.handleCallEnded(call);
+      },
+    };
+  }
+
+  private receiveCall(
+    received: ReceivedCall,
+    caller: HttpCaller,
+    now: Milliseconds,
+  ): void {
+    const call = new GatewayCall(this.callServices, received, caller);
+    this.calls.set(caller, call);
+    call.instance = this.callMachine.createInstance(call, this.loop);
+    call.instance.start(now);
+  }
+
+  private receiveLeft(caller: HttpCaller, now: Milliseconds): void {
+    this.calls.get(caller)?.instance?.send({ type: 'CALLER_GONE' }, now);
+  }
+
+  private handleCallEnded(call: GatewayCall): void {
+    for (const [caller, open] of this.calls) {
+      if (open === call) {
+        this.calls.delete(caller);
+        break;
+      }
+    }
+    if (this.hasLeft) {
+      this.post(now => {
+        this.noteIdle(now);
+      });
+    }
+  }
+
+  private noteIdle(now: Milliseconds): void {
+    if (this.hasLeft && this.front.openCalls === 0) {
+      this.lifecycle.send({ type: 'DRAINED' }, now);
+    }
+  }
+
+  private applyConfigurations(
+    records: readonly TableRecord<GatewayConfiguration>[],
+    now: Milliseconds,
+  ): void {
+    for (const { key, value, fault } of records) {
+      if (fault !== undefined) {
+        this.log.warn('A configuration cannot be read.', { key, fault });
+      } else if (value) {
+        this.applyConfiguration(value, now);
+      }
+    }
+  }
+
+  private applyConfiguration(
+    configuration: GatewayConfiguration,
+    now: Milliseconds,
+  ): void {
+    const before = this.configuration?.version ?? -1;
+    if (configuration.version <= before) {
+      return;
+    }
+    this.configuration = configuration;
+    this.front.applyLimits(configuration.limits);
+    this.log.info('A configuration is in force.', {
+      configuration: configuration.version,
+      before,
+      services: configuration.services.size,
+      keys: configuration.keys?.size ?? 0,
+    });
+    this.lifecycle.send({ type: 'READY' }, now);
+  }
+
+  private addGauges(): void {
+    const { metrics, backend } = this;
+    metrics.addGauge(
+      'open_calls',
+      'Calls without a final answer',
+      () => this.calls.size,
+    );
+    metrics.addGauge(
+      'configuration_version',
+      'Version of the configuration in force',
+      () => this.configuration?.version ?? 0,
+    );
+    metrics.addGauge('is_duty_holder', 'Whether it places layers', () =>
+      Number(this.placer.isHolder),
+    );
+    metrics.addGauge(
+      'orders',
+      'Orders to servers since the start',
+      () => this.placer.orders,
+    );
+    metrics.addGauge(
+      'connections_opened',
+      'Connections opened to servers since the start',
+      () => backend.counts.opened,
+    );
+    metrics.addGauge(
+      'connections_reused',
+      'Calls sent over a connection that was open',
+      () => backend.counts.reused,
+    );
+    metrics.addGauge(
+      'connections_surplus',
+      'Connections closed for bytes that nobody asked for',
+      () => backend.counts.surplus,
+    );
+    metrics.addGauge(
+      'store_reads',
+      'Reads of the store since the start',
+      () => this.configFollower.reads + this.serverFollower.reads,
+    );
+    metrics.addGauge(
+      'unreadable_records',
+      'Records of servers that could not be read',
+      () => this.book.unreadableCount,
+    );
+  }
+}
+
+/** A chart that does not bind is a fault of the build; the process cannot start. */
+const takeValue = <T>(result: Result<T>): T => {
+  if (result.err) {
+    throw result.val;
+  }
+  return result.val;
+};
+
+const bindLifecycle = (): Result<ChartMachine<GatewayNode, LifecycleEvent>> =>
+  loadChart(ChartName.Lifecycle).andThen(chart =>
+    ChartMachine.bind<GatewayNode, LifecycleEvent>(chart, {
+      actions: {
+        recordReady: node => {
+          node.lifecycleActions.recordReady();
+        },
+        recordDraining: node => {
+          node.lifecycleActions.recordDraining();
+        },
+        stopAdmission: (node, _, now) => {
+          node.lifecycleActions.stopAdmission(now);
+        },
+        reportCutWork: node => {
+          node.lifecycleActions.reportCutWork();
+        },
+        cancelOpenWork: (node, _, now) => {
+          node.lifecycleActions.cancelOpenWork(now);
+        },
+        finishProcess: node => {
+          node.lifecycleActions.finishProcess();
+        },
+      },
+      guards: {},
+      delays: {
+        DRAIN_BOUND: node => node.lifecycleActions.computeDrainBound(),
+        CUT_BOUND: () => cutBoundMs,
+      },
+    }),
+  );
+
+/** Milliseconds in which callers hear of the end of their cut calls. */
+const cutBoundMs = 200;
--- /dev/null
+++ b/packages/gateway/src/httpFront.ts
@@ -0,0 +1,287 @@
+/**
+ * Callers over HTTP/1.1, byte for byte.
+ *
+ * A call enters the loop when its whole body was received, so that a slow
+ * sender holds no server and a repeat has all it needs.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type { Duplex } from 'node:stream';
+import {
+  ErrorKind,
+  millisecondsPerSecond,
+  type Address,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
+import { Outcome, type CallLimits } from '@lycheetally/decisions';
+import { startListening } from '@lycheetally/node';
+import type { CallFormat, RawHeaders } from './callFormat.js';
+import {
+  CallerExchange,
+  type OwnAnswer,
+  type ReceivedCall,
+} from './callerPort.js';
+
+/** Hears of calls. */
+export interface CallSink {
+  receiveCall(call: ReceivedCall, exchange: HttpCaller): void;
+  receiveLeft(exchange: HttpCaller): void;
+  noteRefused(status: number, reason: string): void;
+  getNow(): Milliseconds;
+}
+
+/** Limits until a configuration says others. */
+const firstLimits: CallLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** The largest header block that the parser takes, in bytes. */
+const parserHeaderBytes = 65_536;
+
+/** How often the parser looks for callers that send too slowly. */
+const slowCheckMs = 500;
+
+export class HttpFront {
+  private limits = firstLimits;
+  private isLeaving = false;
+  private readonly server: Server;
+  private readonly open = new Set<HttpCaller>();
+
+  constructor(
+    private readonly format: CallFormat,
+    private readonly sink: CallSink,
+  ) {
+    this.server = createServer(
+      {
+        maxHeaderSize: parserHeaderBytes,
+        connectionsCheckingInterval: slowCheckMs,
+        noDelay: true,
+        keepAlive: true,
+        keepAliveInitialDelay: millisecondsPerSecond,
+      },
+      (incoming, response) => {
+        this.receive(incoming, response);
+      },
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.refuseBroken(error, socket);
+    });
+    this.applyLimits(firstLimits);
+  }
+
+  /** Calls that have no final answer yet. */
+  get openCalls(): number {
+    return this.open.size;
+  }
+
+  listen(address: Address): Promise<Result<Address>> {
+    return startListening(this.server, address);
+  }
+
+  applyLimits(limits: CallLimits): void {
+    this.limits = limits;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.requestTimeout = 0;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  /** Asks callers to leave with their next answer, and closes idle connections. */
+  leave(): void {
+    this.isLeaving = true;
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Closes everything. */
+  dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private receive(incoming: IncomingMessage, response: ServerResponse): void {
+    const caller = new HttpCaller(response, () => this.isLeaving);
+    this.open.add(caller);
+    response.once('close', () => {
+      this.open.delete(caller);
+      if (!response.writableFinished) {
+        this.sink.receiveLeft(caller);
+      }
+    });
+    if (countHeaderBytes(incoming) > this.limits.maxHeaderBytes) {
+      this.refuse(caller, 431, 'the headers are larger than the limit');
+      return;
+    }
+    if (!matchesOriginForm(incoming)) {
+      this.refuse(caller, 400, 'the request line or its host is malformed');
+      return;
+    }
+    this.readBody(incoming, caller);
+  }
+
+  private readBody(incoming: IncomingMessage, caller: HttpCaller): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > this.limits.maxBodyBytes) {
+        incoming.removeAllListeners('data');
+        incoming.resume();
+        this.refuse(caller, 413, 'the body is larger than the limit');
+        return;
+      }
+      chunks.push(chunk);
+    });
+    incoming.on('end', () => {
+      if (size > this.limits.maxBodyBytes) {
+        return;
+      }
+      const target = incoming.url ?? '/';
+      this.sink.receiveCall(
+        {
+          method: incoming.method ?? 'GET',
+          target,
+          path: target.split('?', 1)[0] ?? '/',
+          fields: this.format.readCall(incoming.rawHeaders),
+          body: Buffer.concat(chunks),
+          receivedAt: this.sink.getNow(),
+        },
+        caller,
+      );
+    });
+    // The response's own 'close' tells of a caller that left.
+    incoming.on('error', () => undefined);
+  }
+
+  private refuse(caller: HttpCaller, status: number, message: string): void {
+    this.sink.noteRefused(status, message);
+    caller.answerAndClose({
+      status,
+      kind: status === 400 ? ErrorKind.BadRequest : ErrorKind.TooLarge,
+      message,
+      outcome: Outcome.NotRun,
+    });
+  }
+
+  private refuseBroken(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const status = brokenStatus[error.code ?? ''] ?? '400 Bad Request';
+    this.sink.noteRefused(Number(status.slice(0, 3)), error.code ?? '');
+    socket.end(
+      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+    );
+  }
+}
+
+const brokenStatus: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** Bytes of the name-value separator and the line end. */
+const headerLineOverhead = 4;
+
+const countHeaderBytes = (incoming: IncomingMessage): number => {
+  let bytes = (incoming.url ?? '').length;
+  for (const [index, text] of incoming.rawHeaders.entries()) {
+    bytes += text.length + (index % 2 === 0 ? headerLineOverhead : 0);
+  }
+  return bytes;
+};
+
+/** Says whether the target is a path and exactly one host is named. */
+const matchesOriginForm = (incoming: IncomingMessage): boolean => {
+  const hosts = incoming.rawHeaders.filter(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === 'host',
+  );
+  return hosts.length === 1 && (incoming.url ?? '').startsWith('/');
+};
+
+export class HttpCaller extends CallerExchange {
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly isLeaving: () => boolean,
+  ) {
+    super();
+    response.sendDate = false;
+  }
+
+  override begin(status: number, text: string, headers: RawHeaders): void {
+    this.response.writeHead(status, text, this.addClose([...headers]));
+    this.response.flushHeaders();
+  }
+
+  override write(chunk: Buffer): boolean {
+    return this.response.write(chunk);
+  }
+
+  override end(): void {
+    this.response.end();
+  }
+
+  override answer(
+    status: number,
+    text: string,
+    headers: RawHeaders,
+    body: Buffer,
+  ): void {
+    const length = ['Content-Length', String(body.length)];
+    const all = this.addClose([...headers, ...length]);
+    this.response.writeHead(status, text, all);
+    this.response.end(body);
+  }
+
+  override answerOwn(answer: OwnAnswer): void {
+    if (this.response.headersSent) {
+      this.cut();
+      return;
+    }
+    this.writeOwn(answer, this.addClose([]));
+  }
+
+  /** Answers a call that cannot be read on, and closes its connection. */
+  answerAndClose(answer: OwnAnswer): void {
+    this.writeOwn(answer, ['Connection', 'close']);
+  }
+
+  override cut(): void {
+    this.response.destroy();
+  }
+
+  override setDrainListener(listener: () => void): void {
+    this.response.on('drain', listener);
+  }
+
+  private writeOwn(answer: OwnAnswer, headers: string[]): void {
+    const { kind, message, outcome, retryAfterMs } = answer;
+    const body = Buffer.from(JSON.stringify({ error: { kind, message } }));
+    headers.push(
+      'Content-Type',
+      'application/json',
+      'Content-Length',
+      String(body.length),
+      'X-Lycheetally-Outcome',
+      outcome,
+    );
+    if (retryAfterMs !== undefined) {
+      const seconds = (retryAfterMs / millisecondsPerSecond).toFixed(2);
+      headers.push('Retry-After', seconds);
+    }
+    this.response.writeHead(answer.status, headers);
+    this.response.end(body);
+  }
+
+  private addClose(headers: string[]): string[] {
+    return this.isLeaving() ? [...headers, 'Connection', 'close'] : headers;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/layerPlacer.ts
@@ -0,0 +1,324 @@
+/**
+ * Places layers on backend servers while this gateway holds the duty; host of
+ * the charts `dutyHolder` and `layerOrder`.
+ */
+import {
+  ChartMachine,
+  ChartName,
+  loadChart,
+  type ChartInstance,
+  type ChartTimers,
+} from '@lycheetally/charts';
+import type { Milliseconds, PartLogger, Result } from '@lycheetally/common';
+import type {
+  BackendService,
+  LayerRange,
+  PlacementPolicy,
+} from '@lycheetally/decisions';
+import {
+  dutyLeaseMs,
+  dutyRenewPauseMs,
+  loadBoundMs,
+  orderPauseMs,
+  planPauseMs,
+  settleBoundMs,
+  settlePauseMs,
+} from './constants.js';
+import type { DutyGrant, DutyPort, ServerControlPort } from './ports.js';
+import type { Server } from './server.js';
+import { viewStage, type ServerBook } from './serverBook.js';
+
+export interface DutyEvent {
+  readonly type: 'GRANTED' | 'DENIED' | 'RESIGN';
+}
+
+export interface OrderEvent {
+  readonly type: 'ACCEPTED' | 'REFUSED' | 'UNANSWERED' | 'SEEN';
+}
+
+export type DutyMachine = ChartMachine<LayerPlacer, DutyEvent>;
+export type OrderMachine = ChartMachine<LayerOrder, OrderEvent>;
+
+export interface PlacerServices {
+  readonly timers: ChartTimers;
+  readonly log: PartLogger;
+  readonly duty: DutyPort;
+  readonly control: ServerControlPort;
+  readonly placement: PlacementPolicy;
+  readonly book: ServerBook;
+  readonly startedAt: Milliseconds;
+  postCompletion(run: (now: Milliseconds) => void): void;
+  listServices(): Iterable<BackendService>;
+}
+
+/** One order to one incarnation of a server. */
+export class LayerOrder {
+  private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
+
+  constructor(
+    machine: OrderMachine,
+    private readonly services: PlacerServices,
+    readonly server: Server,
+    readonly range: LayerRange,
+    private readonly fencingToken: number,
+    private readonly handleSettled: () => void,
+  ) {
+    this.chart = machine.createInstance(this, services.timers);
+  }
+
+  start(now: Milliseconds): void {
+    this.chart.start(now);
+  }
+
+  noteSeen(now: Milliseconds): void {
+    this.chart.send({ type: 'SEEN' }, now);
+  }
+
+  readonly chartActions = {
+    sendOrder: (): void => {
+      const { services, server, range, fencingToken } = this;
+      const { serverId, address } = server.record;
+      const order = { serverId, address, range, fencingToken };
+      void services.control
+        .placeLayers({ ...order, expectedOrders: ordersOfEmptyServer })
+        .then(result => {
+          services.postCompletion(now => {
+            this.receive(result, now);
+          });
+        });
+    },
+    noteSettled: (): void => {
+      this.chart.dispose();
+      this.handleSettled();
+    },
+  };
+
+  private receive(result: Result<boolean>, now: Milliseconds): void {
+    const { from, to } = this.range;
+    const answer = result.err ? 'UNANSWERED' : orderAnswers[String(result.val)];
+    this.services.log.info('A server was told to hold layers.', {
+      server: this.server.record.serverId,
+      layers: `${String(from)}-${String(to)}`,
+      fencingToken: this.fencingToken,
+      answer: answer ?? '',
+      reason: result.err ? result.val.message : '',
+    });
+    if (answer) {
+      this.chart.send({ type: answer }, now);
+    }
+  }
+}
+
+/** Only servers that hold nothing are told to load; they have begun no order. */
+const ordersOfEmptyServer = 0;
+
+const orderAnswers: Readonly<Record<string, OrderEvent['type']>> = {
+  true: 'ACCEPTED',
+  false: 'REFUSED',
+};
+
+export class LayerPlacer {
+  /** Orders sent since the start. */
+  orders = 0;
+  private fencingToken = 0;
+  private leaseUntil: Milliseconds = -Infinity;
+  private renewedAt: Milliseconds = -Infinity;
+  private readonly underWay = new Map<string, LayerOrder>();
+  private readonly chart: ChartInstance<LayerPlacer, DutyEvent>;
+
+  constructor(
+    machine: DutyMachine,
+    private readonly orderMachine: OrderMachine,
+    private readonly services: PlacerServices,
+  ) {
+    this.chart = machine.createInstance(this, services.timers);
+  }
+
+  get isHolder(): boolean {
+    return this.chart.matches('holding');
+  }
+
+  start(now: Milliseconds): void {
+    this.chart.start(now);
+  }
+
+  resign(now: Milliseconds): void {
+    this.chart.send({ type: 'RESIGN' }, now);
+  }
+
+  dispose(): void {
+    this.chart.dispose();
+  }
+
+  readonly chartActions = {
+    requestDuty: (now: Milliseconds): void => {
+      this.renewedAt = now;
+      void this.services.duty.join(dutyLeaseMs).then(result => {
+        this.services.postCompletion(receivedAt => {
+          this.receiveGrant(result, now, receivedAt);
+        });
+      });
+    },
+    renewDuty: (now: Milliseconds): void => {
+      if (now - this.renewedAt >= dutyRenewPauseMs) {
+        this.chartActions.requestDuty(now);
+      }
+    },
+    noteHolding: (): void => {
+      this.services.log.info('This gateway places layers now.', {
+        fencingToken: this.fencingToken,
+      });
+    },
+    noteReleased: (): void => {
+      this.services.log.info('This gateway no longer places layers.', {
+        fencingToken: this.fencingToken,
+      });
+    },
+    placeLayers: (now: Milliseconds): void => {
+      this.settleSeen(now);
+      if (!this.isFleetComplete(now)) {
+        return;
+      }
+      for (const service of this.services.listServices()) {
+        this.placeService(service, now);
+      }
+    },
+    leaveGroup: (): void => {
+      void this.services.duty.leave();
+    },
+    hasLease: (now: Milliseconds): boolean => now < this.leaseUntil,
+  };
+
+  private receiveGrant(
+    result: Result<DutyGrant>,
+    sentAt: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    if (result.err) {
+      this.services.log.warn('The duty of placing layers was not renewed.', {
+        reason: result.val.message,
+        leaseMs: Math.round(this.leaseUntil - now),
+      });
+      return;
+    }
+    this.fencingToken = result.val.fencingToken;
+    if (result.val.isHolder) {
+      this.leaseUntil = sentAt + dutyLeaseMs;
+    }
+    this.chart.send({ type: result.val.isHolder ? 'GRANTED' : 'DENIED' }, now);
+  }
+
+  /** At the start servers join one by one; a plan made too early splits the model badly. */
+  private isFleetComplete(now: Milliseconds): boolean {
+    const { startedAt, book } = this.services;
+    return (
+      now - startedAt >= settleBoundMs || now - book.lastJoinAt >= settlePauseMs
+    );
+  }
+
+  private settleSeen(now: Milliseconds): void {
+    for (const order of [...this.underWay.values()]) {
+      const { range } = order.server.record;
+      const isSeen =
+        range?.from === order.range.from && range.to === order.range.to;
+      if (isSeen || !this.services.book.find(order.server.record.serverId)) {
+        order.noteSeen(now);
+      }
+    }
+  }
+
+  private placeService(service: BackendService, now: Milliseconds): void {
+    if (!service.model) {
+      return;
+    }
+    const servers = this.services.book
+      .listAll(service.name)
+      .filter(server => !server.record.isLeaving);
+    const stages = servers.map(server => ({
+      ...viewStage(server),
+      range:
+        server.record.range ?? this.underWay.get(server.record.serverId)?.range,
+    }));
+    const plan = this.services.placement.planPlacement(service.model, stages);
+    for (const server of servers) {
+      const range = plan.get(server.record.serverId);
+      if (range) {
+        this.sendOrder(server, range, now);
+      }
+    }
+  }
+
+  private sendOrder(
+    server: Server,
+    range: LayerRange,
+    now: Milliseconds,
+  ): void {
+    const { serverId } = server.record;
+    const order = new LayerOrder(
+      this.orderMachine,
+      this.services,
+      server,
+      range,
+      this.fencingToken,
+      () => this.underWay.delete(serverId),
+    );
+    this.underWay.set(serverId, order);
+    this.orders += 1;
+    order.start(now);
+  }
+}
+
+/** Binds the chart `dutyHolder`. Fails with `BadChart`. */
+export const bindDutyChart = (): Result<DutyMachine> =>
+  loadChart(ChartName.DutyHolder).andThen(chart =>
+    ChartMachine.bind<LayerPlacer, DutyEvent>(chart, {
+      actions: {
+        requestDuty: (placer, _, now) => {
+          placer.chartActions.requestDuty(now);
+        },
+        renewDuty: (placer, _, now) => {
+          placer.chartActions.renewDuty(now);
+        },
+        noteHolding: placer => {
+          placer.chartActions.noteHolding();
+        },
+        noteReleased: placer => {
+          placer.chartActions.noteReleased();
+        },
+        placeLayers: (placer, _, now) => {
+          placer.chartActions.placeLayers(now);
+        },
+        leaveGroup: placer => {
+          placer.chartActions.leaveGroup();
+        },
+      },
+      guards: {
+        hasLease: (placer, _, now) => placer.chartActions.hasLease(now),
+      },
+      delays: {
+        RENEW_PAUSE: () => dutyRenewPauseMs,
+        PLAN_PAUSE: () => planPauseMs,
+      },
+    }),
+  );
+
+/** Binds the chart `layerOrder`. Fails with `BadChart`. */
+export const bindOrderChart = (): Result<OrderMachine> =>
+  loadChart(ChartName.LayerOrder).andThen(chart =>
+    ChartMachine.bind<LayerOrder, OrderEvent>(chart, {
+      actions: {
+        sendOrder: order => {
+          order.chartActions.sendOrder();
+        },
+        noteSettled: order => {
+          order.chartActions.noteSettled();
+        },
+      },
+      guards: {},
+      delays: {
+        LOAD_BOUND: () => loadBoundMs,
+        REFUSED_PAUSE: () => orderPauseMs,
+        DOUBT_PAUSE: () => orderPauseMs,
+      },
+    }),
+  );
--- /dev/null
+++ b/packages/gateway/src/serverBook.ts
@@ -0,0 +1,202 @@
+/** The backend servers that a gateway knows, from the list in the platform's store. */
+import type { ChartTimers } from '@lycheetally/charts';
+import type { Milliseconds, PartLogger } from '@lycheetally/common';
+import type { BackendRecord, StageServer } from '@lycheetally/decisions';
+import { lapsedEntryGraceMs } from './constants.js';
+import type { TableRecord } from './ports.js';
+import { Server, type HealthMachine } from './server.js';
+
+/** When the store was last away, as the follower of the list saw it. */
+export interface StoreAbsence {
+  readonly lostSince: Milliseconds | undefined;
+  readonly backAt: Milliseconds;
+}
+
+export class ServerBook {
+  /** When a server last joined. */
+  lastJoinAt: Milliseconds = -Infinity;
+  private readonly servers = new Map<string, Server>();
+  private readonly lapsed = new Map<string, Milliseconds>();
+  private unreadable = 0;
+
+  constructor(
+    private readonly machine: HealthMachine,
+    private readonly timers: ChartTimers,
+    private readonly log: PartLogger,
+    private readonly viewAbsence: () => StoreAbsence,
+  ) {}
+
+  /** Records that could not be read since the start. */
+  get unreadableCount(): number {
+    return this.unreadable;
+  }
+
+  find(serverId: string): Server | undefined {
+    return this.servers.get(serverId);
+  }
+
+  findByAddress(address: string): Server | undefined {
+    return [...this.servers.values()].find(
+      server => server.record.address === address,
+    );
+  }
+
+  /** Servers of the service that may get work. */
+  listUsable(service: string): Server[] {
+    return this.listAll(service).filter(
+      server => !server.record.isLeaving && server.isTrusted,
+    );
+  }
+
+  listAll(service: string): Server[] {
+    return [...this.servers.values()].filter(
+      server => server.record.service === service,
+    );
+  }
+
+  apply(
+    records: readonly TableRecord<BackendRecord>[],
+    isWhole: boolean,
+    now: Milliseconds,
+  ): void {
+    for (const record of records) {
+      this.applyOne(record, now);
+    }
+    if (isWhole) {
+      this.removeMissing(records, now);
+    }
+    this.removeLapsed(now);
+  }
+
+  private applyOne(
+    { key, value, fault }: TableRecord<BackendRecord>,
+    now: Milliseconds,
+  ): void {
+    if (fault !== undefined) {
+      this.unreadable += 1;
+      if (this.unreadable === 1 || this.unreadable % reportEvery === 0) {
+        this.log.warn('A record of a server cannot be read.', {
+          key,
+          fault,
+          count: this.unreadable,
+        });
+      }
+      return;
+    }
+    if (!value) {
+      this.removeOne(key, now);
+      return;
+    }
+    this.lapsed.delete(key);
+    const known = this.servers.get(key);
+    if (known) {
+      this.update(known, value, now);
+      return;
+    }
+    this.lastJoinAt = now;
+    this.servers.set(
+      key,
+      new Server(this.machine, this.timers, value, this.log, now),
+    );
+    this.log.info('A server joined.', describe(value));
+  }
+
+  private update(
+    server: Server,
+    record: BackendRecord,
+    now: Milliseconds,
+  ): void {
+    const before = server.record;
+    const isOlder =
+      record.incarnation < before.incarnation ||
+      (record.incarnation === before.incarnation &&
+        record.sequence < before.sequence);
+    if (isOlder) {
+      return;
+    }
+    server.record = record;
+    if (record.incarnation > before.incarnation) {
+      server.noteReborn(now);
+      this.lastJoinAt = now;
+      this.log.info('A server was started again.', describe(record));
+    } else if (record.isLeaving !== before.isLeaving) {
+      this.log.info('A server is leaving.', describe(record));
+    } else if (describeRange(record) !== describeRange(before)) {
+      this.log.info('A server changed its layers.', describe(record));
+    }
+  }
+
+  /** The list may lose live servers while the store is away; they get time to come back. */
+  private removeOne(key: string, now: Milliseconds): void {
+    const server = this.servers.get(key);
+    if (!server) {
+      return;
+    }
+    const { lostSince, backAt } = this.viewAbsence();
+    const keptUntil = backAt + lapsedEntryGraceMs;
+    if (lostSince === undefined && now >= keptUntil) {
+      this.drop(key, server);
+      return;
+    }
+    if (!this.lapsed.has(key)) {
+      this.lapsed.set(key, keptUntil);
+    }
+  }
+
+  private removeMissing(
+    records: readonly TableRecord<BackendRecord>[],
+    now: Milliseconds,
+  ): void {
+    const named = new Set(records.map(({ key }) => key));
+    for (const key of [...this.servers.keys()]) {
+      if (!named.has(key)) {
+        this.removeOne(key, now);
+      }
+    }
+  }
+
+  private removeLapsed(now: Milliseconds): void {
+    for (const [key, until] of this.lapsed) {
+      const server = this.servers.get(key);
+      if (now >= until && server) {
+        this.lapsed.delete(key);
+        this.drop(key, server);
+      }
+    }
+  }
+
+  private drop(key: string, server: Server): void {
+    server.dispose();
+    this.servers.delete(key);
+    this.log.info('A server left the list.', describe(server.record));
+  }
+}
+
+/** Unreadable records are reported one in so many. */
+const reportEvery = 50;
+
+const describe = (
+  record: BackendRecord,
+): Record<string, string | number | boolean> => ({
+  server: record.serverId,
+  service: record.service,
+  address: record.address,
+  domain: record.failureDomain,
+  kind: record.kind,
+  incarnation: record.incarnation,
+  leaving: record.isLeaving,
+  layers: describeRange(record),
+});
+
+const describeRange = ({ range }: BackendRecord): string =>
+  range ? `${String(range.from)}-${String(range.to)}` : '';
+
+/** The server as the placing of layers sees it. */
+export const viewStage = ({ record }: Server): StageServer => ({
+  serverId: record.serverId,
+  address: record.address,
+  failureDomain: record.failureDomain,
+  kind: record.kind,
+  range: record.range,
+  slots: record.slots,
+});
--- /dev/null
+++ b/packages/gateway/src/statusPages.ts
@@ -0,0 +1,49 @@
+/** Readiness for the balancer and metrics for operators. */
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { Registry } from 'prom-client';
+import { toMessage, type Address, type Result } from '@lycheetally/common';
+import { startListening } from '@lycheetally/node';
+
+/** Path of the metrics; any other path asks for readiness. */
+const metricsPath = '/metrics';
+
+export class StatusPages {
+  private readonly servers: Server[] = [];
+
+  constructor(
+    private readonly registry: Registry,
+    private readonly isReady: () => boolean,
+  ) {}
+
+  /** Serves the pages on one more address. Fails with `BadAddress`. */
+  listen(address: Address): Promise<Result<Address>> {
+    const server = createServer((incoming, response) => {
+      if (incoming.url === metricsPath) {
+        void this.answerMetrics(response);
+        return;
+      }
+      response.writeHead(this.isReady() ? 200 : 503);
+      response.end();
+    });
+    this.servers.push(server);
+    return startListening(server, address);
+  }
+
+  dispose(): void {
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private async answerMetrics(response: ServerResponse): Promise<void> {
+    try {
+      const page = await this.registry.metrics();
+      response.writeHead(200, { 'Content-Type': this.registry.contentType });
+      response.end(page);
+    } catch (thrown) {
+      response.writeHead(500);
+      response.end(toMessage(thrown));
+    }
+  }
+}
--- a/packages/router/src/clock.ts
+++ b/packages/node/src/clock.ts
@@ -41,6 +41,13 @@
   readonly run: () => void;
 }
 
+/** The machine's clock, without the jumps of the time of day. */
+export class SteadyClock extends SystemClock {
+  override getNow(): Milliseconds {
+    return performance.timeOrigin + performance.now();
+  }
+}
+
 /** A clock that moves only when a test says so. */
 export class ManualClock extends Clock {
   private timers: ManualTimer[] = [];
--- a/packages/router/src/adapters/callerFormats.ts
+++ b/packages/router/src/adapters/callerFormats.ts
@@ -14,7 +14,7 @@
   maxTokensPerRequest,
 } from '../constants.js';
 import type { CallerCall } from '../ports/callerExchange.js';
-import { parseJson } from './httpClient.js';
+import { parseJson } from '@lycheetally/node';
 
 /** The form in which a caller wants the answer. */
 export const AnswerForm = {
--- a/packages/router/src/adapters/callersHttp.ts
+++ b/packages/router/src/adapters/callersHttp.ts
@@ -18,8 +18,8 @@
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import { readCall, readRefusedCall } from './callerFormats.js';
 import { HttpExchange, sendRefusal } from './httpExchange.js';
-import { readBody } from './httpClient.js';
-import { startListening } from './listen.js';
+import { readBody } from '@lycheetally/node';
+import { startListening } from '@lycheetally/node';
 import { sendJson } from './operatorsHttp.js';
 
 /** What is known of a call that the front end refused. */
--- a/packages/router/src/adapters/connectPeers.ts
+++ b/packages/router/src/adapters/connectPeers.ts
@@ -30,7 +30,7 @@
   type PeerStreamListener,
 } from '../ports/peerNetwork.js';
 import { AsyncQueue } from './asyncQueue.js';
-import { startListening } from './listen.js';
+import { startListening } from '@lycheetally/node';
 
 /** The largest frame that is taken from a peer, in bytes. */
 const maxFrameBytes = 16 * 1_024 * 1_024;
--- a/packages/router/src/adapters/engineHttp.ts
+++ b/packages/router/src/adapters/engineHttp.ts
@@ -17,7 +17,7 @@
   type StageActivations,
   type StageToken,
 } from '../ports/backend.js';
-import { parseJson } from './httpClient.js';
+import { parseJson } from '@lycheetally/node';
 
 const engineLineSchema = z.union([
   z.object({
--- a/packages/router/src/adapters/operatorsHttp.ts
+++ b/packages/router/src/adapters/operatorsHttp.ts
@@ -22,7 +22,7 @@
   type EventPage,
   type EventQuery,
 } from '../timeline/eventPage.js';
-import { startListening } from './listen.js';
+import { startListening } from '@lycheetally/node';
 
 /** What the operators' port reads from its process. */
 export abstract class OperatorsView {
--- a/packages/router/src/adapters/pQueueSlots.ts
+++ b/packages/router/src/adapters/pQueueSlots.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from '@lycheetally/common';
 import type { WorkOrder } from '@lycheetally/decisions';
 import { SlotQueue, type QueuedWork } from '../ports/slotQueue.js';
-import type { Clock } from '../clock.js';
+import type { Clock } from '@lycheetally/node';
 
 type RunFunction = () => Promise<unknown>;
 
--- a/packages/router/src/adapters/plainServiceHttp.ts
+++ b/packages/router/src/adapters/plainServiceHttp.ts
@@ -12,7 +12,7 @@
   BackendRun,
   type BackendListener,
 } from '../ports/backend.js';
-import { readBody } from './httpClient.js';
+import { readBody } from '@lycheetally/node';
 
 /** The largest answer of a plain service, in bytes. */
 const maxPlainAnswerBytes = 8 * 1_024 * 1_024;
--- a/packages/router/src/adapters/platformHttp.ts
+++ b/packages/router/src/adapters/platformHttp.ts
@@ -14,7 +14,7 @@
   type LogSpan,
   type VmRecord,
 } from '../ports/platform.js';
-import { callJson, type JsonAnswer, type JsonCall } from './httpClient.js';
+import { callJson, type JsonAnswer, type JsonCall } from '@lycheetally/node';
 
 /** Milliseconds in which the platform must answer. */
 const platformTimeoutMs = 2_000;
--- a/packages/router/src/agent/createSlots.ts
+++ b/packages/router/src/agent/createSlots.ts
@@ -6,7 +6,7 @@
  */
 import { RankedOrder, type OrderedRank } from '@lycheetally/decisions';
 import { PQueueSlots } from '../adapters/pQueueSlots.js';
-import type { Clock } from '../clock.js';
+import type { Clock } from '@lycheetally/node';
 import type { QueuedWork, SlotQueue } from '../ports/slotQueue.js';
 
 /** An order that learns its ranks and weights from the work that it is given. */
--- a/packages/router/src/claims/claimCodec.ts
+++ b/packages/router/src/claims/claimCodec.ts
@@ -12,7 +12,7 @@
   type AnyClaimRecord,
 } from '@lycheetally/decisions';
 import { z } from 'zod';
-import { parseJson } from '../adapters/httpClient.js';
+import { parseJson } from '@lycheetally/node';
 
 const claimShape = {
   key: z.string().min(1),
--- a/packages/router/src/claims/connectClaims.ts
+++ b/packages/router/src/claims/connectClaims.ts
@@ -4,7 +4,7 @@
 import type { GatherPolicy } from '@lycheetally/decisions';
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
 import type { EventLog } from '../eventLog.js';
-import type { LoopHandlers } from '../loop.js';
+import type { LoopHandlers } from '@lycheetally/node';
 import type { LogPort } from '../ports/platform.js';
 import {
   defaultClaimSettings,
--- a/packages/router/src/config/configPublisher.ts
+++ b/packages/router/src/config/configPublisher.ts
@@ -12,8 +12,8 @@
   ConfigVerdict,
   type RouterConfiguration,
 } from '@lycheetally/decisions';
-import type { Clock } from '../clock.js';
-import { Loop } from '../loop.js';
+import type { Clock } from '@lycheetally/node';
+import { Loop } from '@lycheetally/node';
 import type { LogPort } from '../ports/platform.js';
 import {
   Publication,
--- a/packages/router/src/config/configuration.ts
+++ b/packages/router/src/config/configuration.ts
@@ -12,7 +12,7 @@
   type RouterConfiguration,
 } from '@lycheetally/decisions';
 import { z } from 'zod';
-import { parseJson } from '../adapters/httpClient.js';
+import { parseJson } from '@lycheetally/node';
 
 export const nameSchema = z
   .string()
--- a/packages/router/src/config/recordCodec.ts
+++ b/packages/router/src/config/recordCodec.ts
@@ -12,7 +12,7 @@
   type RouterConfiguration,
 } from '@lycheetally/decisions';
 import { z } from 'zod';
-import { parseJson } from '../adapters/httpClient.js';
+import { parseJson } from '@lycheetally/node';
 import type { LogSpan } from '../ports/platform.js';
 import {
   accountSchema,
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -1,8 +1,5 @@
 /** Bounds and intervals of the router's processes. */
 
-/** Events taken from the queue before other input is let in. */
-export const maxEventsPerTurn = 256;
-
 /** Events that the time line of one process keeps. */
 export const eventRingCapacity = 20_000;
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -34,7 +34,7 @@
 import { maxClaimBatch } from './constants.js';
 import { AgentNode } from './agent/agentNode.js';
 import { createSlots } from './agent/createSlots.js';
-import { SystemClock } from './clock.js';
+import { SystemClock } from '@lycheetally/node';
 import { EntryNode } from './entry/entryNode.js';
 import {
   ClaimBatching,
--- a/packages/router/src/entry/entryCallersSink.ts
+++ b/packages/router/src/entry/entryCallersSink.ts
@@ -1,7 +1,7 @@
 /** Hands calls from the front end into the loop of an entry. */
 import type { TypedError } from '@lycheetally/common';
 import { CallersSink, type RefusedCall } from '../adapters/callersHttp.js';
-import type { Loop } from '../loop.js';
+import type { Loop } from '@lycheetally/node';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
 import type { EntryEvents } from './entryTypes.js';
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,8 +2,7 @@
 export * from './adapters/asyncQueue.js';
 export * from './adapters/connectPeers.js';
 export * from './adapters/engineHttp.js';
-export * from './adapters/httpClient.js';
-export * from './adapters/listen.js';
+
 export * from './adapters/operatorsHttp.js';
 export * from './adapters/platformHttp.js';
 export * from './adapters/pQueueSlots.js';
@@ -13,7 +12,7 @@
 export * from './claims/claimCodec.js';
 export * from './claims/claimContext.js';
 export * from './claims/claimStream.js';
-export * from './clock.js';
+export * from '@lycheetally/node';
 export * from './config/configuration.js';
 export * from './constants.js';
 export * from './daemon.js';
@@ -32,7 +31,6 @@
 export * from './ledger/ledgerLines.js';
 export * from './ledger/outcomeLedger.js';
 export * from './ledger/outcomeRecord.js';
-export * from './loop.js';
 export * from './metrics/labelBound.js';
 export * from './ports/backend.js';
 export * from './ports/callerExchange.js';
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -23,10 +23,10 @@
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
 import { Registry } from 'prom-client';
 import { OperatorsServer, OperatorsView } from './adapters/operatorsHttp.js';
-import type { Clock } from './clock.js';
+import type { Clock } from '@lycheetally/node';
 import { cutBoundMs } from './constants.js';
 import { EventLog } from './eventLog.js';
-import { Loop, type LoopHandlers } from './loop.js';
+import { Loop, type LoopHandlers } from '@lycheetally/node';
 import { NodeMetrics } from './metrics/nodeMetrics.js';
 import type { OperationsSettings } from './processSettings.js';
 import {
--- a/packages/router/src/timeline/collectTimeline.ts
+++ b/packages/router/src/timeline/collectTimeline.ts
@@ -7,7 +7,7 @@
   type Result,
 } from '@lycheetally/common';
 import type { z } from 'zod';
-import { callJson } from '../adapters/httpClient.js';
+import { callJson } from '@lycheetally/node';
 import {
   eventPageSchema,
   listRequestIds,
