Share the retry budget, mend chains and move servers to thin layers

Cause: each gateway kept a 32nd of the retry slack, so a crash of a joined server left its streams cut; refusals counted as deaths; holes in the model stayed after losses. Change: a sliding budget by the part of the group that a gateway is, chains asked after 300 ms of silence, heartbeats as proof of life, two holders of the first layers in a domain, repair moves.

--- a/bench/src/policy/bed.ts
+++ b/bench/src/policy/bed.ts
@@ -175,7 +175,7 @@
       this.refuse(record, decided.val, now);
       return;
     }
-    entry.rules.retry.noteRequest(view);
+    entry.rules.retry.noteRequest(view, now);
     this.startAttempt(entry, record, now);
   }
 
@@ -242,7 +242,7 @@
       return;
     }
     this.tally.retries += 1;
-    retry.noteRetry(view);
+    retry.noteRetry(view, now);
     this.time.schedule(retry.computeDelay(view), later => {
       this.startAttempt(entry, record, later);
     });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -8,6 +8,7 @@
 export * from './admit/limitedAdmission.js';
 export * from './admit/loadGate.js';
 export * from './admit/retryBudget.js';
+export * from './admit/slidingRetryBudget.js';
 export * from './load/accountBacklog.js';
 export * from './load/decayingSum.js';
 export * from './load/loadBook.js';
--- /dev/null
+++ b/packages/decisions/src/placement/coverage.ts
@@ -0,0 +1,39 @@
+/** Counts how many servers hold each layer. */
+import type { LayerRange } from './types.js';
+
+/** Adds a holder of the range, or takes one off. */
+export const addCoverage = (
+  coverage: number[],
+  range: LayerRange,
+  sign: 1 | -1,
+): void => {
+  for (let layer = range.from; layer < range.to; layer += 1) {
+    coverage[layer] = (coverage[layer] ?? 0) + sign;
+  }
+};
+
+/** Finds the range of this size whose layers are held by the fewest servers. */
+export const findThinnest = (
+  coverage: readonly number[],
+  size: number,
+): LayerRange => {
+  let best = { from: 0, to: size };
+  let bestKey = [Infinity, Infinity];
+  for (let from = 0; from + size <= coverage.length; from += 1) {
+    const held = coverage.slice(from, from + size);
+    const key = [
+      Math.min(...held),
+      held.reduce((sum, count) => sum + count, 0),
+    ];
+    if (isLess(key, bestKey)) {
+      best = { from, to: from + size };
+      bestKey = key;
+    }
+  }
+  return best;
+};
+
+const isLess = (a: readonly number[], b: readonly number[]): boolean => {
+  const index = a.findIndex((value, at) => value !== b[at]);
+  return index >= 0 && (a[index] ?? 0) < (b[index] ?? 0);
+};
--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -1,9 +1,10 @@
 /**
  * Decides which backend server holds which layers.
  *
- * A server that holds layers keeps them; a plan only fills empty servers, so
- * that nothing is loaded twice for the sake of a nicer layout.
+ * A server that holds layers keeps them; it moves only where layers have too few holders, so that little is loaded twice.
  */
+import { addCoverage, findThinnest } from './coverage.js';
+import { planRepair } from './repairPlan.js';
 import {
   findKind,
   type LayerRange,
@@ -11,7 +12,7 @@
   type StageServer,
 } from './types.js';
 
-/** Layers for servers that hold none, by server id. */
+/** New layers by server id: for servers that hold none, and for those that move. */
 export type PlacementPlan = ReadonlyMap<string, LayerRange>;
 
 /** A rule that places the layers of a model. */
@@ -25,6 +26,9 @@
 /** The largest share of a group's memory that weights may take. */
 const maxWeightShare = 0.62;
 
+/** Servers of a group that hold the first layers, since a chain's first server has few places. */
+const firstHolders = 2;
+
 /** The largest share of one server's memory that weights may take. */
 const maxServerShare = 0.9;
 
@@ -42,6 +46,13 @@
     for (const group of listGroups(model, servers)) {
       planGroup(model, group, plan);
     }
+    const holders = servers.flatMap(server => {
+      const range = server.range ?? plan.get(server.serverId);
+      return range ? [{ server, range }] : [];
+    });
+    if (holders.length > 0) {
+      planRepair(model.layers, holders, plan);
+    }
     return plan;
   }
 }
@@ -79,14 +90,9 @@
 ): void => {
   const sizes = computeSizes(model, group);
   const coverage = new Array<number>(model.layers).fill(0);
-  const addCoverage = (range: LayerRange): void => {
-    for (let layer = range.from; layer < range.to; layer += 1) {
-      coverage[layer] = (coverage[layer] ?? 0) + 1;
-    }
-  };
   for (const server of group) {
     if (server.range) {
-      addCoverage(server.range);
+      addCoverage(coverage, server.range, 1);
     }
   }
   for (const server of sortBySize(model, group)) {
@@ -94,20 +100,23 @@
     if (server.range ?? size === 0) {
       continue;
     }
-    const range = findThinnest(coverage, size);
+    const isFirst = (coverage[0] ?? 0) < firstHolders;
+    const range = isFirst
+      ? { from: 0, to: size }
+      : findThinnest(coverage, size);
     plan.set(server.serverId, range);
-    addCoverage(range);
+    addCoverage(coverage, range, 1);
   }
 };
 
-/** Large servers come first, so that the first stage has the most room. */
+/** Small servers come first: the first layers are on several, and the loss of one is soon made good. */
 const sortBySize = (
   model: LayeredModel,
   group: readonly StageServer[],
 ): StageServer[] =>
   [...group].sort(
     (a, b) =>
-      getMemory(model, b) - getMemory(model, a) ||
+      getMemory(model, a) - getMemory(model, b) ||
       (a.serverId < b.serverId ? -1 : 1),
   );
 
@@ -133,20 +142,23 @@
     const size = Math.max(1, Math.round(wanted));
     sizes.set(server.serverId, Math.min(most(server), size));
   }
-  addLayers(model, group, sizes, most);
+  const smallest = Math.min(...sizes.values());
+  const wanted = model.layers + smallest * (firstHolders - 1);
+  addLayers(model, group, wanted, sizes, most);
   return sizes;
 };
 
 const addLayers = (
   model: LayeredModel,
   group: readonly StageServer[],
+  wanted: number,
   sizes: Map<string, number>,
   most: (server: StageServer) => number,
 ): void => {
   const getSize = (server: StageServer): number =>
     sizes.get(server.serverId) ?? 0;
   const sum = (): number => [...sizes.values()].reduce((a, b) => a + b, 0);
-  while (sum() < model.layers) {
+  while (sum() < wanted) {
     const roomiest = group
       .filter(server => getSize(server) < most(server))
       .sort(
@@ -159,29 +171,3 @@
     sizes.set(roomiest.serverId, getSize(roomiest) + 1);
   }
 };
-
-/** Finds the range of this size whose layers are held by the fewest servers. */
-const findThinnest = (
-  coverage: readonly number[],
-  size: number,
-): LayerRange => {
-  let best = { from: 0, to: size };
-  let bestKey = [Infinity, Infinity];
-  for (let from = 0; from + size <= coverage.length; from += 1) {
-    const held = coverage.slice(from, from + size);
-    const key = [
-      Math.min(...held),
-      held.reduce((sum, count) => sum + count, 0),
-    ];
-    if (isLess(key, bestKey)) {
-      best = { from, to: from + size };
-      bestKey = key;
-    }
-  }
-  return best;
-};
-
-const isLess = (a: readonly number[], b: readonly number[]): boolean => {
-  const index = a.findIndex((value, at) => value !== b[at]);
-  return index >= 0 && (a[index] ?? 0) < (b[index] ?? 0);
-};
--- /dev/null
+++ b/packages/decisions/src/placement/repairPlan.ts
@@ -0,0 +1,64 @@
+/**
+ * Moves servers from layers that many hold to layers that few hold.
+ *
+ * A server moves only when its own layers stay better covered than the ones it
+ * goes to, so that two repairs never undo each other.
+ */
+import { addCoverage, findThinnest } from './coverage.js';
+import type { LayerRange, StageServer } from './types.js';
+
+/** Moves of one plan; the next plan sees what became of them. */
+const maxMoves = 6;
+
+/** Holders that a layer must have more than the thinnest one for its server to move. */
+const spareHolders = 2;
+
+/** A server and the layers that it holds or was given. */
+export interface Holder {
+  readonly server: StageServer;
+  readonly range: LayerRange;
+}
+
+/** Adds moves to the plan; `holders` are all servers with their layers. */
+export const planRepair = (
+  layers: number,
+  holders: readonly Holder[],
+  plan: Map<string, LayerRange>,
+): void => {
+  const coverage = new Array<number>(layers).fill(0);
+  for (const { range } of holders) {
+    addCoverage(coverage, range, 1);
+  }
+  const settled = new Set(plan.keys());
+  for (let moves = 0; moves < maxMoves; moves += 1) {
+    const mover = findMover(coverage, holders, settled);
+    if (!mover) {
+      return;
+    }
+    addCoverage(coverage, mover.range, -1);
+    const to = findThinnest(coverage, mover.range.to - mover.range.from);
+    addCoverage(coverage, to, 1);
+    plan.set(mover.server.serverId, to);
+    settled.add(mover.server.serverId);
+  }
+};
+
+/** Finds the server whose layers have the most holders beside it. */
+const findMover = (
+  coverage: readonly number[],
+  holders: readonly Holder[],
+  settled: ReadonlySet<string>,
+): Holder | undefined => {
+  const thinnest = Math.min(...coverage);
+  const computeSpare = ({ range }: Holder): number =>
+    Math.min(...coverage.slice(range.from, range.to)) - thinnest;
+  return holders
+    .filter(holder => !settled.has(holder.server.serverId))
+    .filter(holder => computeSpare(holder) >= spareHolders)
+    .sort(
+      (a, b) =>
+        computeSpare(b) - computeSpare(a) ||
+        a.range.to - a.range.from - (b.range.to - b.range.from) ||
+        (a.server.serverId < b.server.serverId ? -1 : 1),
+    )[0];
+};
--- a/packages/decisions/src/retry.ts
+++ b/packages/decisions/src/retry.ts
@@ -13,12 +13,12 @@
   }
 
   /** Notes a request that was admitted. */
-  noteRequest(_request: RequestView): void {
+  noteRequest(_request: RequestView, _now: Milliseconds): void {
     return;
   }
 
   /** Notes an attempt after the first. */
-  noteRetry(_request: RequestView): void {
+  noteRetry(_request: RequestView, _now: Milliseconds): void {
     return;
   }
 
--- a/packages/decisions/tests/admission.test.ts
+++ b/packages/decisions/tests/admission.test.ts
@@ -125,9 +125,9 @@
     let retries = 0;
     for (let index = 0; index < 1_000; index += 1) {
       const request = createRequest();
-      retry.noteRequest(request);
+      retry.noteRequest(request, 0);
       if (retry.mayRetry(request, 0)) {
-        retry.noteRetry(request);
+        retry.noteRetry(request, 0);
         retries += 1;
       }
     }
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -28,13 +28,13 @@
     return;
   }
   call.admitted = decided.admitted;
-  call.services.retry.noteRequest(call.view());
+  call.services.retry.noteRequest(call.view(), now);
   call.instance?.send({ type: 'ADMITTED' }, now);
 };
 
 const chooseChain: CallAction = (call, _, now) => {
   const { admitted } = call;
-  const chosen = admitted && chooseServers(call, admitted);
+  const chosen = admitted && chooseServers(call, admitted, now);
   if (!admitted || !chosen) {
     const reason = {
       status: 503,
@@ -51,7 +51,7 @@
 
 const startAttempt: CallAction = (call, _, now) => {
   if (call.attempts > 0) {
-    call.services.retry.noteRetry(call.view());
+    call.services.retry.noteRetry(call.view(), now);
   }
   call.attempts += 1;
   call.attempt?.instance.start(now);
--- a/packages/gateway/src/callFormat.ts
+++ b/packages/gateway/src/callFormat.ts
@@ -44,6 +44,8 @@
   readonly refusedBy: string | undefined;
   /** The body is the server's own: signed and not encoded on the way. */
   readonly isWhole: boolean;
+  /** Calls that the server runs and holds waiting, where it says so. */
+  readonly serverLoad: number | undefined;
   /** Headers that go on to the caller. */
   readonly forwarded: RawHeaders;
 }
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -1,4 +1,5 @@
 /** Chooses the servers of one attempt: a chain for a model, one server otherwise. */
+import type { Milliseconds } from '@lycheetally/common';
 import type { ChainStage } from '@lycheetally/decisions';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
 import type { Server } from './server.js';
@@ -17,24 +18,37 @@
 export const chooseServers = (
   call: GatewayCall,
   admitted: AdmittedCall,
+  now: Milliseconds,
 ): ChosenServers | undefined =>
   admitted.service.model
-    ? chooseChain(call, admitted)
+    ? chooseChain(call, admitted, now)
     : chooseOne(call, admitted);
 
+/** Servers that refused a moment ago are used only when there is no other way. */
 const chooseChain = (
   call: GatewayCall,
   admitted: AdmittedCall,
+  now: Milliseconds,
 ): ChosenServers | undefined => {
-  const { service, tokens } = admitted;
+  const all = call.services.book.listUsable(admitted.service.name);
+  const idle = all.filter(server => !server.isCrowded(now));
+  return findChain(call, admitted, idle) ?? findChain(call, admitted, all);
+};
+
+const findChain = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  usable: readonly Server[],
+): ChosenServers | undefined => {
+  const { tokens } = admitted;
+  const { model } = admitted.service;
   const { book, chain: policy, homeDomain } = call.services;
-  if (!service.model) {
+  if (!model) {
     return undefined;
   }
-  const usable = book.listUsable(service.name);
   const loads = new Map(usable.map(each => [each.record.serverId, each.load]));
   const chain = policy.chooseChain({
-    model: service.model,
+    model,
     servers: usable.map(viewStage),
     homeDomain,
     tokens,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -3,8 +3,14 @@
 /** A connection to a backend server is opened within this; three round trips between regions. */
 export const connectBoundMs = 300;
 
-/** Silence of a repeatable call after which its chain is asked about; half of a caller's shortest patience. */
-export const silenceBoundMs = 900;
+/** Silence before the first event after which a chain is asked about; longer than its target. */
+export const firstSilenceMs = 700;
+
+/** Silence inside a stream after which its chain is asked about; a few events' time, and doubled each time. */
+export const streamSilenceMs = 300;
+
+/** The longest of the doubled silences; half of a caller's shortest patience. */
+export const maxSilenceMs = 1_000;
 
 /** An answer to a question about a stalled chain is awaited this long. */
 export const reportBoundMs = 300;
@@ -27,12 +33,6 @@
 /** A stopping gateway sends callers elsewhere at once. */
 export const leavingRetryAfterMs = 50;
 
-/** Share of a call's answers that the retry budget leaves for repeats, against the platform's ratio. */
-export const retryRatioShare = 0.7;
-
-/** Gateways that share the platform's retry slack; more than are placed on one deployment. */
-export const retrySlackSharers = 32;
-
 /** A waiting read of the configuration; a quarter of the time that a change has to be in force. */
 export const configWaitMs = 800;
 
@@ -48,6 +48,15 @@
 /** Servers that vanish this soon after the store was away are kept until it has passed. */
 export const lapsedEntryGraceMs = 2_500;
 
+/** A server that refused is passed over for this long; a few calls end there meanwhile. */
+export const crowdedMs = 250;
+
+/** A heartbeat read this long after a server fell silent was sent after it; one read of the list and its way. */
+export const heartbeatProofMs = 900;
+
+/** A silent server is tried again after this when no heartbeat can be read. */
+export const silenceOfServerBoundMs = 6_000;
+
 /** First suspension of a server; doubles with each in a row. */
 export const firstSuspensionMs = 1_000;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -12,11 +12,14 @@
   type BackendHead,
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
+import type { Server } from './server.js';
 import {
   connectBoundMs,
   maxHeldAnswerBytes,
   reportBoundMs,
-  silenceBoundMs,
+  firstSilenceMs,
+  maxSilenceMs,
+  streamSilenceMs,
 } from './constants.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
@@ -29,6 +32,7 @@
     | 'BROKEN'
     | 'REPORT_FINE'
     | 'REPORT_STALLED'
+    | 'SERVER_LOST'
     | 'CANCEL';
   readonly fault?: CallFault | undefined;
 }
@@ -52,6 +56,8 @@
   private way: string = AnswerWay.Held;
   private heardAt: Milliseconds;
   private fault: CallFault | undefined;
+  /** Times that the chain was asked about and had not stalled. */
+  private silences = 0;
   private readonly layerTokens: ReadonlyMap<string, number>;
 
   constructor(
@@ -93,9 +99,12 @@
   }
 
   private get silenceMs(): Milliseconds {
-    return this.chosen.chain.length > 0
-      ? silenceBoundMs
-      : this.admitted.route.targetMs;
+    if (this.chosen.chain.length === 0) {
+      return this.admitted.route.targetMs;
+    }
+    const first =
+      this.way === AnswerWay.Events ? streamSilenceMs : firstSilenceMs;
+    return Math.min(Math.max(first, maxSilenceMs), first * 2 ** this.silences);
   }
 
   /** Lets the server's bytes flow again after the caller took its own. */
@@ -110,6 +119,9 @@
   override handleHead(head: BackendHead): void {
     this.head = head;
     this.noteHeard();
+    if (head.fields.serverLoad !== undefined) {
+      this.chosen.first.noteLoad(head.fields.serverLoad, this.heardAt);
+    }
     const { fields, status } = head;
     if (fields.requestId !== this.call.requestId) {
       this.failExchange('the answer names another call');
@@ -212,6 +224,7 @@
       this.requestReport();
     },
     allowSilence: (now: Milliseconds): void => {
+      this.silences += 1;
       this.heardAt = now;
     },
     reportComplete: (now: Milliseconds): void => {
@@ -240,7 +253,9 @@
     now: Milliseconds,
   ): void {
     const { call, chosen, fault } = this;
-    call.avoided.add(chosen.first.record.serverId);
+    if (this.head?.fields.refusedBy === undefined) {
+      call.avoided.add(chosen.first.record.serverId);
+    }
     call.services.metrics.countAttempt(type);
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
@@ -250,6 +265,7 @@
       stages: chosen.chain.length,
       outcome: type,
       status: this.head?.status ?? 0,
+      refusedBy: this.head?.fields.refusedBy ?? '',
       reason: fault?.message ?? '',
       afterMs: Math.round(now - this.startedAt),
       lastEvent: call.events?.lastEventId ?? '',
@@ -302,7 +318,7 @@
     const { head, chosen, call } = this;
     const message = this.fault?.message ?? '';
     if (head?.fields.refusedBy !== undefined) {
-      this.reportServer(head.fields.refusedBy, message, now);
+      this.noteCrowded(head.fields.refusedBy, now);
     } else if (head?.fields.isOtherServer) {
       this.reportServer(chosen.first.record.address, message, now);
     } else if (type === 'ERROR') {
@@ -312,6 +328,24 @@
     }
   }
 
+  /** A server that refuses is full or giving up layers; what runs there goes on. */
+  private noteCrowded(address: string, now: Milliseconds): void {
+    const server = this.call.services.book.findByAddress(address);
+    if (server) {
+      this.call.avoided.add(server.record.serverId);
+      server.noteCrowded(now);
+    }
+  }
+
+  /** Says whether the attempt passes the server. */
+  usesServer(server: Server): boolean {
+    const { serverId } = server.record;
+    return (
+      this.chosen.first === server ||
+      this.chosen.chain.some(stage => stage.server.serverId === serverId)
+    );
+  }
+
   /** Notes the server at the address as unreachable for this and later calls. */
   private reportServer(
     address: string,
@@ -322,6 +356,7 @@
     if (server) {
       this.call.avoided.add(server.record.serverId);
       server.noteUnreachable(reason, now);
+      this.call.services.handleServerLost(server, now);
     }
   }
 
@@ -354,7 +389,7 @@
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
-const describeBreak = (reason: string): CallFault => ({
+export const describeBreak = (reason: string): CallFault => ({
   status: 502,
   kind: ErrorKind.BackendFailed,
   message: reason,
@@ -416,6 +451,7 @@
       },
       guards: {
         isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
+        isRepeatable: attempt => attempt.admitted.isRepeatable,
       },
       delays: {
         CONNECT_BOUND: () => connectBoundMs,
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -18,6 +18,7 @@
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { ServerControlPort } from './ports.js';
+import type { Server } from './server.js';
 import type { ServerBook } from './serverBook.js';
 
 export interface CallEvent {
@@ -68,6 +69,8 @@
   getMoment(): Moment;
   isLeaving(): boolean;
   postCompletion(run: (now: Milliseconds) => void): void;
+  /** Ends attempts that pass a server which is gone. */
+  handleServerLost(server: Server, now: Milliseconds): void;
   handleCallEnded(call: GatewayCall): void;
 }
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -18,9 +18,9 @@
   type Result,
 } from '@lycheetally/common';
 import {
-  BudgetedRetry,
   CheapestChain,
   CopyPerDomain,
+  SlidingRetryBudget,
   isFreshEnough,
   type BackendRecord,
   type GatewayConfiguration,
@@ -34,11 +34,9 @@
   configWaitMs,
   exitReserveMs,
   leaveConnectionsAfterMs,
-  retryRatioShare,
-  retrySlackSharers,
   serverReadPauseMs,
 } from './constants.js';
-import { bindAttemptChart } from './gatewayAttempt.js';
+import { bindAttemptChart, describeBreak } from './gatewayAttempt.js';
 import { GatewayCall, type CallServices } from './gatewayCall.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewaySettings } from './gatewaySettings.js';
@@ -51,7 +49,7 @@
   TablePort,
   TableRecord,
 } from './ports.js';
-import { bindHealthChart } from './server.js';
+import { bindHealthChart, type Server } from './server.js';
 import { ServerBook } from './serverBook.js';
 import { StatusPages } from './statusPages.js';
 import { bindFollowerChart, TableFollower } from './tableFollower.js';
@@ -81,6 +79,7 @@
   private readonly loop = new Loop<GatewayEvents>(this.clock);
   private readonly log: PartLogger;
   private readonly backend: HttpBackend;
+  private readonly retryBudget: SlidingRetryBudget;
   private readonly book: ServerBook;
   private readonly placer: LayerPlacer;
   private readonly configFollower: TableFollower<GatewayConfiguration>;
@@ -102,11 +101,19 @@
     this.log = loggers.createLogger(LogPart.Process);
     this.backend = new HttpBackend(ports.format);
     this.callMachine = takeValue(bindCallChart());
+    this.retryBudget = new SlidingRetryBudget({
+      ratio: settings.rules.retryRatio,
+      slack: settings.rules.retrySlack,
+      windowMs: settings.rules.retryWindowSeconds * millisecondsPerSecond,
+    });
     this.book = new ServerBook(
       takeValue(bindHealthChart()),
       this.loop,
       loggers.createLogger(LogPart.Servers),
       () => this.serverFollower,
+      (server, now) => {
+        this.handleServerLost(server, now);
+      },
     );
     [this.configFollower, this.serverFollower] = this.createFollowers();
     this.placer = this.createPlacer(startedAt);
@@ -298,6 +305,9 @@
         placement: new CopyPerDomain(),
         book: this.book,
         startedAt,
+        setShare: share => {
+          this.retryBudget.setShare(share);
+        },
         postCompletion: run => {
           this.post(run);
         },
@@ -316,10 +326,7 @@
       backend: this.backend,
       control: this.ports.control,
       chain: new CheapestChain(),
-      retry: new BudgetedRetry({
-        share: rules.retryRatio * retryRatioShare,
-        maxSaved: rules.retrySlack / retrySlackSharers,
-      }),
+      retry: this.retryBudget,
       book: this.book,
       attempts: takeValue(bindAttemptChart()),
       homeDomain: process.failureDomain,
@@ -331,6 +338,9 @@
       postCompletion: run => {
         this.post(run);
       },
+      handleServerLost: (server, now) => {
+        this.handleServerLost(server, now);
+      },
       handleCallEnded: call => {
         this.handleCallEnded(call);
       },
@@ -352,6 +362,22 @@
     this.calls.get(caller)?.instance?.send({ type: 'CALLER_GONE' }, now);
   }
 
+  /** Only chains stall as a whole; a plain server's own connection tells. */
+  private handleServerLost(server: Server, now: Milliseconds): void {
+    const { serverId } = server.record;
+    const fault = describeBreak(`server ${serverId} of the chain is gone`);
+    for (const call of [...this.calls.values()]) {
+      const { attempt } = call;
+      if (
+        attempt &&
+        attempt.chosen.chain.length > 0 &&
+        attempt.usesServer(server)
+      ) {
+        attempt.instance.send({ type: 'SERVER_LOST', fault }, now);
+      }
+    }
+  }
+
   private handleCallEnded(call: GatewayCall): void {
     for (const [caller, open] of this.calls) {
       if (open === call) {
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -23,6 +23,8 @@
     retryRatio: z.coerce.number().min(0).max(1),
     /** Repeats allowed beside the ratio in its window, over all gateways. */
     retrySlack: z.coerce.number().min(0),
+    /** Seconds of the window that the repeats are counted in. */
+    retryWindowSeconds: positive,
   }),
 });
 
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -21,6 +21,7 @@
   loadBoundMs,
   orderPauseMs,
   planPauseMs,
+  reportBoundMs,
   settleBoundMs,
   settlePauseMs,
 } from './constants.js';
@@ -47,6 +48,8 @@
   readonly placement: PlacementPolicy;
   readonly book: ServerBook;
   readonly startedAt: Milliseconds;
+  /** Takes the part of the group that this gateway is. */
+  setShare(share: number): void;
   postCompletion(run: (now: Milliseconds) => void): void;
   listServices(): Iterable<BackendService>;
 }
@@ -76,16 +79,11 @@
 
   readonly chartActions = {
     sendOrder: (): void => {
-      const { services, server, range, fencingToken } = this;
-      const { serverId, address } = server.record;
-      const order = { serverId, address, range, fencingToken };
-      void services.control
-        .placeLayers({ ...order, expectedOrders: ordersOfEmptyServer })
-        .then(result => {
-          services.postCompletion(now => {
-            this.receive(result, now);
-          });
+      void this.exchangeOrder().then(result => {
+        this.services.postCompletion(now => {
+          this.receive(result, now);
         });
+      });
     },
     noteSettled: (): void => {
       this.chart.dispose();
@@ -93,6 +91,23 @@
     },
   };
 
+  private async exchangeOrder(): Promise<Result<boolean>> {
+    const { services, server, range, fencingToken } = this;
+    const { serverId, address } = server.record;
+    const order = { serverId, address, range, fencingToken };
+    if (!server.record.range) {
+      const expectedOrders = ordersOfEmptyServer;
+      return services.control.placeLayers({ ...order, expectedOrders });
+    }
+    const report = await services.control.readReport(address, reportBoundMs);
+    return report.err
+      ? report
+      : services.control.placeLayers({
+          ...order,
+          expectedOrders: report.val.orders,
+        });
+  }
+
   private receive(result: Result<boolean>, now: Milliseconds): void {
     const { from, to } = this.range;
     const answer = result.err ? 'UNANSWERED' : orderAnswers[String(result.val)];
@@ -109,7 +124,7 @@
   }
 }
 
-/** Only servers that hold nothing are told to load; they have begun no order. */
+/** A server that holds nothing has begun no order since its start. */
 const ordersOfEmptyServer = 0;
 
 const orderAnswers: Readonly<Record<string, OrderEvent['type']>> = {
@@ -201,6 +216,7 @@
       });
       return;
     }
+    this.services.setShare(result.val.share);
     this.fencingToken = result.val.fencingToken;
     if (result.val.isHolder) {
       this.leaseUntil = sentAt + dutyLeaseMs;
@@ -233,16 +249,16 @@
     }
     const servers = this.services.book
       .listAll(service.name)
-      .filter(server => !server.record.isLeaving);
+      .filter(server => !server.record.isLeaving && server.isTrusted);
     const stages = servers.map(server => ({
       ...viewStage(server),
       range:
-        server.record.range ?? this.underWay.get(server.record.serverId)?.range,
+        this.underWay.get(server.record.serverId)?.range ?? server.record.range,
     }));
     const plan = this.services.placement.planPlacement(service.model, stages);
     for (const server of servers) {
       const range = plan.get(server.record.serverId);
-      if (range) {
+      if (range && !this.underWay.has(server.record.serverId)) {
         this.sendOrder(server, range, now);
       }
     }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -32,6 +32,8 @@
 /** What the group says of the duty. */
 export interface DutyGrant {
   readonly isHolder: boolean;
+  /** Part of the group that this member is, from 0 to 1. */
+  readonly share: number;
   /** Fencing token of the grant; a later one is larger. */
   readonly fencingToken: number;
 }
@@ -54,6 +56,8 @@
 
 /** What a server says of its work. */
 export interface ServerReport {
+  /** Orders that the server has begun since its start. */
+  readonly orders: number;
   /** Requests whose chain has stalled, with the address of the server at fault. */
   readonly stalled: readonly StalledRequest[];
 }
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -9,13 +9,22 @@
 import type { Milliseconds, PartLogger, Result } from '@lycheetally/common';
 import type { BackendRecord, StageLoad } from '@lycheetally/decisions';
 import {
+  crowdedMs,
   firstSuspensionMs,
+  heartbeatProofMs,
   maxErrorsInRow,
   maxSuspensionMs,
+  silenceOfServerBoundMs,
 } from './constants.js';
 
 export interface HealthEvent {
-  readonly type: 'SUCCEEDED' | 'ERRED' | 'UNREACHABLE' | 'REBORN';
+  readonly type: 'SUCCEEDED' | 'ERRED' | 'UNREACHABLE' | 'HEARTBEAT' | 'REBORN';
+}
+
+/** Calls that a server said it has, and when. */
+interface ReportedLoad {
+  readonly load: number;
+  readonly at: Milliseconds;
 }
 
 export type HealthMachine = ChartMachine<Server, HealthEvent>;
@@ -25,6 +34,9 @@
   calls = 0;
   /** Tokens times layers of the calls under way. */
   layerTokens = 0;
+  private reported: ReportedLoad | undefined;
+  private refusedAt: Milliseconds = -Infinity;
+  private silentSince: Milliseconds = 0;
   private errorsInRow = 0;
   private suspensions = 0;
   private lastReason = '';
@@ -43,12 +55,22 @@
 
   /** Whether work may be sent there, as far as its calls have shown. */
   get isTrusted(): boolean {
-    return !this.chart.matches('suspended');
+    return !this.chart.matches('suspended') && !this.chart.matches('silent');
   }
 
   get load(): StageLoad {
     const { layerTokens, calls } = this;
-    return { layerTokens, firstRequests: calls, slowness: 1 };
+    const firstRequests = Math.max(calls, this.reported?.load ?? 0);
+    return { layerTokens, firstRequests, slowness: 1 };
+  }
+
+  /** Whether it refused a moment ago. */
+  isCrowded(now: Milliseconds): boolean {
+    return now - this.refusedAt < crowdedMs;
+  }
+
+  noteCrowded(now: Milliseconds): void {
+    this.refusedAt = now;
   }
 
   noteSuccess(now: Milliseconds): void {
@@ -67,6 +89,17 @@
     this.chart.send({ type: 'UNREACHABLE' }, now);
   }
 
+  /** A new announcement of the server was read. */
+  noteHeartbeat(now: Milliseconds): void {
+    this.reported = undefined;
+    this.chart.send({ type: 'HEARTBEAT' }, now);
+  }
+
+  /** Notes what the server said of its load in an answer. */
+  noteLoad(load: number, now: Milliseconds): void {
+    this.reported = { load, at: now };
+  }
+
   noteReborn(now: Milliseconds): void {
     this.chart.send({ type: 'REBORN' }, now);
   }
@@ -86,6 +119,16 @@
     resetSuspensions: (): void => {
       this.suspensions = 0;
     },
+    noteSilent: (now: Milliseconds): void => {
+      this.silentSince = now;
+      this.log.warn('A server gets no work until its next heartbeat.', {
+        server: this.record.serverId,
+        reason: this.lastReason,
+        sequence: this.record.sequence,
+      });
+    },
+    isNewHeartbeat: (now: Milliseconds): boolean =>
+      now - this.silentSince >= heartbeatProofMs,
     noteSuspended: (): void => {
       this.suspensions += 1;
       this.log.warn('A server gets no work for a while.', {
@@ -122,6 +165,9 @@
         resetSuspensions: server => {
           server.chartActions.resetSuspensions();
         },
+        noteSilent: (server, _, now) => {
+          server.chartActions.noteSilent(now);
+        },
         noteSuspended: server => {
           server.chartActions.noteSuspended();
         },
@@ -129,7 +175,14 @@
           server.chartActions.noteTrial();
         },
       },
-      guards: { hasErredOften: server => server.chartActions.hasErredOften() },
-      delays: { SUSPENSION: server => server.computeSuspension() },
+      guards: {
+        hasErredOften: server => server.chartActions.hasErredOften(),
+        isNewHeartbeat: (server, _, now) =>
+          server.chartActions.isNewHeartbeat(now),
+      },
+      delays: {
+        SUSPENSION: server => server.computeSuspension(),
+        SILENCE_BOUND: () => silenceOfServerBoundMs,
+      },
     }),
   );
--- a/packages/gateway/src/serverBook.ts
+++ b/packages/gateway/src/serverBook.ts
@@ -24,6 +24,8 @@
     private readonly timers: ChartTimers,
     private readonly log: PartLogger,
     private readonly viewAbsence: () => StoreAbsence,
+    /** Hears that calls under way at a server will not be answered. */
+    private readonly handleLost: (server: Server, now: Milliseconds) => void,
   ) {}
 
   /** Records that could not be read since the start. */
@@ -115,7 +117,11 @@
       return;
     }
     server.record = record;
+    if (record.sequence > before.sequence) {
+      server.noteHeartbeat(now);
+    }
     if (record.incarnation > before.incarnation) {
+      this.handleLost(server, now);
       server.noteReborn(now);
       this.lastJoinAt = now;
       this.log.info('A server was started again.', describe(record));
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -46,7 +46,7 @@
     now,
   );
   if (decided.ok) {
-    services.policies.retry.noteRequest(view);
+    services.policies.retry.noteRequest(view, now);
   }
   context.instance?.send(
     decided.ok ? { type: 'ADMITTED' } : { type: 'REFUSED', error: decided.val },
@@ -86,7 +86,7 @@
 export const startAttempt: RequestAction = (context, _, now) => {
   const { services, request } = context;
   if (context.attempts > 0) {
-    services.policies.retry.noteRetry(viewRequest(context));
+    services.policies.retry.noteRetry(viewRequest(context), now);
   }
   context.attempts += 1;
   const attempt: AttemptContext = {
