Move servers only to layers with one holder or none

Cause: a move drains its server for seconds, and orders to servers that seemed empty were refused for ever since their count of orders was not 0. Change: moves need a layer with at most one holder; each order reads the server's own count first.

--- a/packages/decisions/src/placement/repairPlan.ts
+++ b/packages/decisions/src/placement/repairPlan.ts
@@ -10,6 +10,9 @@
 /** Moves of one plan; the next plan sees what became of them. */
 const maxMoves = 6;
 
+/** Layers with more holders than this are left as they are; a move drains its server for seconds. */
+const enoughHolders = 1;
+
 /** Holders that a layer must have more than the thinnest one for its server to move. */
 const spareHolders = 2;
 
@@ -50,6 +53,9 @@
   settled: ReadonlySet<string>,
 ): Holder | undefined => {
   const thinnest = Math.min(...coverage);
+  if (thinnest > enoughHolders) {
+    return undefined;
+  }
   const computeSpare = ({ range }: Holder): number =>
     Math.min(...coverage.slice(range.from, range.to)) - thinnest;
   return holders
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -179,6 +179,7 @@
     stages: attempt?.chosen.chain.length ?? 0,
     firstByteMs:
       firstByteAt === undefined ? -1 : Math.round(firstByteAt - receivedAt),
+    serverLoad: attempt?.head?.fields.serverLoad ?? -1,
     longestPauseMs: Math.round(call.longestPauseMs),
     durationMs: Math.round(now - receivedAt),
     lastEvent: call.events?.lastEventId ?? '',
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -95,10 +95,6 @@
     const { services, server, range, fencingToken } = this;
     const { serverId, address } = server.record;
     const order = { serverId, address, range, fencingToken };
-    if (!server.record.range) {
-      const expectedOrders = ordersOfEmptyServer;
-      return services.control.placeLayers({ ...order, expectedOrders });
-    }
     const report = await services.control.readReport(address, reportBoundMs);
     return report.err
       ? report
@@ -124,9 +120,6 @@
   }
 }
 
-/** A server that holds nothing has begun no order since its start. */
-const ordersOfEmptyServer = 0;
-
 const orderAnswers: Readonly<Record<string, OrderEvent['type']>> = {
   true: 'ACCEPTED',
   false: 'REFUSED',
