Cover every layer in each domain, stay in the domain, close kept connections on stop

Change: the plan counts distinct layers; a far hop costs 6 ms a token; a connection ends with its last answer, and calls are refused 3.5 s after SIGTERM; fewer reads of the store.

--- a/packages/decisions/src/placement/chainChoice.ts
+++ b/packages/decisions/src/placement/chainChoice.ts
@@ -48,7 +48,7 @@
 const hopMs = 0.15;
 
 /** Milliseconds of a hop to another failure domain: its delay and its price. */
-const farHopMs = 3;
+const farHopMs = 6;
 
 /** Share of a server's room that one entry fills before it counts as full. */
 const fullShare = 0.9;
--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -142,23 +142,28 @@
     const size = Math.max(1, Math.round(wanted));
     sizes.set(server.serverId, Math.min(most(server), size));
   }
-  const smallest = Math.min(...sizes.values());
-  const wanted = model.layers + smallest * (firstHolders - 1);
-  addLayers(model, group, wanted, sizes, most);
+  addLayers(model, group, sizes, most);
   return sizes;
 };
 
 const addLayers = (
   model: LayeredModel,
   group: readonly StageServer[],
-  wanted: number,
   sizes: Map<string, number>,
   most: (server: StageServer) => number,
 ): void => {
   const getSize = (server: StageServer): number =>
     sizes.get(server.serverId) ?? 0;
-  const sum = (): number => [...sizes.values()].reduce((a, b) => a + b, 0);
-  while (sum() < wanted) {
+  const firsts = sortBySize(model, group).slice(0, firstHolders);
+  // The first servers hold the same layers, so only the largest of them counts.
+  const countDistinct = (): number => {
+    const firstSizes = firsts.map(getSize);
+    const all = [...sizes.values()].reduce((a, b) => a + b, 0);
+    const same =
+      firstSizes.reduce((a, b) => a + b, 0) - Math.max(...firstSizes);
+    return all - same;
+  };
+  while (countDistinct() < model.layers) {
     const roomiest = group
       .filter(server => getSize(server) < most(server))
       .sort(
--- /dev/null
+++ b/packages/decisions/tests/gatewayRules.test.ts
@@ -0,0 +1,75 @@
+/** Routes, the split of their calls, and the age of what is known of keys. */
+import { describe, expect, it } from 'vitest';
+import {
+  RouteTable,
+  computeAge,
+  isFreshEnough,
+  pickService,
+  type RouteRule,
+} from '../src/index.js';
+
+const createRoute = (pathPrefix: string, weights = [1]): RouteRule => ({
+  name: pathPrefix,
+  host: 'one.example',
+  pathPrefix,
+  isRepeatable: false,
+  isStream: false,
+  isResumable: false,
+  isPublic: false,
+  timeoutMs: 1_000,
+  targetMs: 100,
+  urgency: 0,
+  maxAttempts: 1,
+  shares: weights.map((weight, index) => ({
+    service: `s${String(index)}`,
+    weight,
+  })),
+});
+
+describe('RouteTable', () => {
+  const table = new RouteTable([createRoute('/a/'), createRoute('/a/b/')]);
+
+  it('finds the longest prefix', () => {
+    expect(table.findRoute('one.example', '/a/b/c')?.name).toBe('/a/b/');
+    expect(table.findRoute('one.example', '/a/bc')?.name).toBe('/a/');
+  });
+
+  it('finds nothing for another host or a path outside', () => {
+    expect(table.findRoute('two.example', '/a/')).toBeUndefined();
+    expect(table.findRoute('one.example', '/a')).toBeUndefined();
+  });
+});
+
+describe('pickService', () => {
+  it('splits calls by weight and gives a request the same service again', () => {
+    const route = createRoute('/a/', [9, 1, 0]);
+    const ids = Array.from({ length: 2_000 }, (_, at) => `r${String(at)}`);
+    const picked = ids.map(id => pickService(route, id));
+    const share = picked.filter(name => name === 's1').length / ids.length;
+    expect(share).toBeGreaterThan(0.07);
+    expect(share).toBeLessThan(0.13);
+    expect(picked).not.toContain('s2');
+    expect(ids.map(id => pickService(route, id))).toEqual(picked);
+  });
+});
+
+describe('isFreshEnough', () => {
+  const provenAt = { steady: 1_000, timeOfDay: 5_000 };
+
+  it('counts a suspension, which the steady clock leaves out', () => {
+    const now = { steady: 1_010, timeOfDay: 15_000 };
+    expect(computeAge(provenAt, now)).toBe(10_000);
+    expect(isFreshEnough(provenAt, now, 5_000)).toBe(false);
+  });
+
+  it('counts steady time when the time of day jumps back', () => {
+    const now = { steady: 9_000, timeOfDay: 1_000 };
+    expect(isFreshEnough(provenAt, now, 5_000)).toBe(false);
+  });
+
+  it('keeps a part of the bound for the way of a request', () => {
+    const now = { steady: 5_900, timeOfDay: 9_900 };
+    expect(isFreshEnough(provenAt, now, 5_000)).toBe(false);
+    expect(isFreshEnough(undefined, now, 5_000)).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/placement.test.ts
@@ -0,0 +1,181 @@
+/** Where layers lie, and the chains over them. */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import {
+  CheapestChain,
+  CopyPerDomain,
+  computeLayerTokens,
+  findKind,
+  type ChainStage,
+  type LayeredModel,
+  type StageServer,
+} from '../src/index.js';
+
+const model: LayeredModel = {
+  layers: 80,
+  layerMegabytes: 1_750,
+  cacheBytesPerToken: 845_373,
+  stepMs: 1.02,
+  stepMsPerRequest: 0.0066,
+  stepMsPerContextK: 0.0088,
+  readTokensPerMs: 164,
+  kinds: [
+    { name: 'large', memoryMegabytes: 72_000, stepFactor: 2.4, readFactor: 3 },
+    { name: 'small', memoryMegabytes: 14_400, stepFactor: 5.3, readFactor: 8 },
+    { name: 'slow', memoryMegabytes: 21_600, stepFactor: 16, readFactor: 8 },
+  ],
+};
+
+const createServers = (
+  domain: string,
+  counts: Readonly<Record<string, number>>,
+): StageServer[] =>
+  Object.entries(counts).flatMap(([kind, count]) =>
+    Array.from({ length: count }, (_, index) => ({
+      serverId: `${domain}-${kind}-${String(index)}`,
+      address: `${domain}-${kind}-${String(index)}:1`,
+      failureDomain: domain,
+      kind,
+      range: undefined,
+      slots: 134,
+    })),
+  );
+
+const fleet = [
+  ...createServers('a', { large: 1, small: 6, slow: 6 }),
+  ...createServers('b', { large: 1, small: 10, slow: 4 }),
+  ...createServers('c', { large: 2, small: 4, slow: 4 }),
+];
+
+const place = (servers: readonly StageServer[]): StageServer[] => {
+  const plan = new CopyPerDomain().planPlacement(model, servers);
+  return servers.map(server => ({
+    ...server,
+    range: plan.get(server.serverId) ?? server.range,
+  }));
+};
+
+const choose = (
+  servers: readonly StageServer[],
+  excluded: readonly string[] = [],
+): readonly ChainStage[] | undefined =>
+  new CheapestChain().chooseChain({
+    model,
+    servers,
+    homeDomain: 'a',
+    tokens: 1_000,
+    excluded: new Set(excluded),
+    getLoad: () => ({ layerTokens: 0, firstRequests: 0, slowness: 1 }),
+  });
+
+const expectWhole = (chain: readonly ChainStage[] | undefined): void => {
+  let position = 0;
+  for (const { server, range } of chain ?? []) {
+    expect(range.from).toBe(position);
+    expect(range.from).toBeGreaterThanOrEqual(server.range?.from ?? Infinity);
+    expect(range.to).toBeLessThanOrEqual(server.range?.to ?? -1);
+    position = range.to;
+  }
+  expect(position).toBe(model.layers);
+  const ids = chain?.map(stage => stage.server.serverId) ?? [];
+  expect(new Set(ids).size).toBe(ids.length);
+};
+
+describe('CopyPerDomain', () => {
+  it('places a whole copy in each failure domain, the first layers twice', () => {
+    const placed = place(fleet);
+    for (const domain of ['a', 'b', 'c']) {
+      const own = placed.filter(server => server.failureDomain === domain);
+      expectWhole(choose(own));
+      const first = own.filter(server => server.range?.from === 0);
+      expect(first.length).toBeGreaterThanOrEqual(2);
+    }
+  });
+
+  it('leaves room for requests on each server', () => {
+    for (const server of place(fleet)) {
+      const kind = findKind(model, server.kind);
+      if (!kind || !server.range) {
+        throw new Error(`${server.serverId} holds nothing`);
+      }
+      const layers = server.range.to - server.range.from;
+      const tokens = computeLayerTokens(model, kind, server.range) / layers;
+      expect(tokens).toBeGreaterThan(50_000);
+    }
+  });
+
+  it('keeps the layers of servers that hold some', () => {
+    const placed = place(fleet);
+    const again = new CopyPerDomain().planPlacement(model, placed);
+    expect(again.size).toBe(0);
+  });
+
+  it('never gives a server more than its memory holds', () => {
+    const counts = fc.record({
+      large: fc.nat(3),
+      small: fc.nat(12),
+      slow: fc.nat(8),
+    });
+    fc.assert(
+      fc.property(counts, counts, (a, b) => {
+        const servers = [...createServers('a', a), ...createServers('b', b)];
+        for (const { range, kind } of place(servers)) {
+          const memory = findKind(model, kind)?.memoryMegabytes ?? 0;
+          const layers = range ? range.to - range.from : 0;
+          expect(layers * model.layerMegabytes).toBeLessThanOrEqual(memory);
+          expect(range?.from ?? 0).toBeGreaterThanOrEqual(0);
+          expect(range?.to ?? 0).toBeLessThanOrEqual(model.layers);
+        }
+      }),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+
+  it('moves spare holders to layers that have one holder left', () => {
+    const placed = place(fleet);
+    const lost = placed.filter(
+      ({ range, failureDomain }) =>
+        failureDomain !== 'c' && range && range.from < 44 && range.to > 40,
+    );
+    const left = placed.filter(server => !lost.includes(server));
+    const moves = new CopyPerDomain().planPlacement(model, left);
+    expect(moves.size).toBeGreaterThan(0);
+    const repaired = place(left);
+    for (let layer = 0; layer < model.layers; layer += 1) {
+      const holders = repaired.filter(
+        ({ range }) => range && range.from <= layer && layer < range.to,
+      );
+      expect(holders.length).toBeGreaterThanOrEqual(1);
+    }
+  });
+});
+
+describe('CheapestChain', () => {
+  it('stays in the failure domain of the entry', () => {
+    const chain = choose(place(fleet));
+    expectWhole(chain);
+    const domains = new Set(chain?.map(stage => stage.server.failureDomain));
+    expect([...domains]).toEqual(['a']);
+  });
+
+  it('replaces any lost server by holders of other copies', () => {
+    const placed = place(fleet);
+    for (const { serverId } of placed) {
+      expectWhole(choose(placed, [serverId]));
+    }
+  });
+
+  it('runs each layer once and in order, whatever is lost, or finds no chain', () => {
+    const placed = place(fleet);
+    const ids = placed.map(({ serverId }) => serverId);
+    fc.assert(
+      fc.property(fc.subarray(ids), lost => {
+        const chain = choose(placed, lost);
+        if (chain) {
+          expectWhole(chain);
+        }
+      }),
+      { seed: 2, numRuns: 300 },
+    );
+  });
+});
--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -9,6 +9,7 @@
 } from '@lycheetally/decisions';
 import {
   defaultCallTokens,
+  leavingRetryAfterMs,
   notReadyRetryAfterMs,
   retryAfterMs,
 } from './constants.js';
@@ -21,6 +22,9 @@
   const { services, received } = call;
   const { fields, path } = received;
   const configuration = services.getConfiguration();
+  if (services.isLeaving(received.receivedAt)) {
+    return { fault: leaving };
+  }
   if (!configuration) {
     return { fault: noConfiguration };
   }
@@ -111,6 +115,13 @@
   retryAfterMs,
 };
 
+const leaving: CallFault = {
+  status: 503,
+  kind: ErrorKind.Leaving,
+  message: 'this gateway is stopping; another one takes the call',
+  retryAfterMs: leavingRetryAfterMs,
+};
+
 const noRequestId: CallFault = {
   status: 400,
   kind: ErrorKind.BadRequest,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -33,11 +33,11 @@
 /** A stopping gateway sends callers elsewhere at once. */
 export const leavingRetryAfterMs = 50;
 
-/** A waiting read of the configuration; a quarter of the time that a change has to be in force. */
-export const configWaitMs = 800;
+/** A waiting read of the configuration; a third of the time after which a revoked key must fail. */
+export const configWaitMs = 1_500;
 
 /** Pause between reads of the list of servers; several fit into the time to stop sending to one that leaves. */
-export const serverReadPauseMs = 600;
+export const serverReadPauseMs = 800;
 
 /** A read of the store that has not been answered by then counts as lost. */
 export const storeAnswerBoundMs = 700;
@@ -52,7 +52,7 @@
 export const crowdedMs = 250;
 
 /** A heartbeat read this long after a server fell silent was sent after it; one read of the list and its way. */
-export const heartbeatProofMs = 900;
+export const heartbeatProofMs = 1_000;
 
 /** A silent server is tried again after this when no heartbeat can be read. */
 export const silenceOfServerBoundMs = 6_000;
@@ -93,6 +93,9 @@
 /** A stopping gateway asks its callers to leave after this; the balancer has seen it by then. */
 export const leaveConnectionsAfterMs = 2_500;
 
+/** A stopping gateway refuses calls from then on; a stream begun later could not end in time. */
+export const refuseCallsAfterMs = 3_500;
+
 /** Part of the platform's grace that is kept for the exit itself. */
 export const exitReserveMs = 600;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -100,7 +100,9 @@
 
   private get silenceMs(): Milliseconds {
     if (this.chosen.chain.length === 0) {
-      return this.admitted.route.targetMs;
+      return this.way === AnswerWay.Events
+        ? maxSilenceMs
+        : this.admitted.route.targetMs;
     }
     const first =
       this.way === AnswerWay.Events ? streamSilenceMs : firstSilenceMs;
@@ -323,7 +325,7 @@
       this.reportServer(chosen.first.record.address, message, now);
     } else if (type === 'ERROR') {
       chosen.first.noteError(message, now);
-    } else if (type === 'BROKEN' && !call.services.isLeaving()) {
+    } else if (type === 'BROKEN' && !call.services.isCutting()) {
       chosen.first.noteError(message, now);
     }
   }
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -67,7 +67,10 @@
   /** When the store last proved that the configuration is the newest. */
   getProvenAt(): Moment | undefined;
   getMoment(): Moment;
-  isLeaving(): boolean;
+  /** Says whether the process takes no more calls. */
+  isLeaving(now: Milliseconds): boolean;
+  /** Says whether open calls are being ended. */
+  isCutting(): boolean;
   postCompletion(run: (now: Milliseconds) => void): void;
   /** Ends attempts that pass a server which is gone. */
   handleServerLost(server: Server, now: Milliseconds): void;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -34,6 +34,7 @@
   configWaitMs,
   exitReserveMs,
   leaveConnectionsAfterMs,
+  refuseCallsAfterMs,
   serverReadPauseMs,
 } from './constants.js';
 import { bindAttemptChart, describeBreak } from './gatewayAttempt.js';
@@ -90,6 +91,7 @@
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
   private configuration: GatewayConfiguration | undefined;
   private hasLeft = false;
+  private stoppedAt: Milliseconds = Infinity;
 
   constructor(
     private settings: GatewaySettings,
@@ -216,6 +218,7 @@
       this.log.info('The gateway is stopping.', { openCalls: this.calls.size });
     },
     stopAdmission: (now: Milliseconds): void => {
+      this.stoppedAt = now;
       this.placer.resign(now);
       this.loop.schedule(leaveConnectionsAfterMs, leftAt => {
         this.hasLeft = true;
@@ -334,7 +337,8 @@
       getConfiguration: () => this.configuration,
       getProvenAt: () => this.configFollower.provenAt,
       getMoment: () => this.getMoment(),
-      isLeaving: () => this.lifecycle.matches('cutting'),
+      isLeaving: now => now - this.stoppedAt >= refuseCallsAfterMs,
+      isCutting: () => this.lifecycle.matches('cutting'),
       postCompletion: run => {
         this.post(run);
       },
--- a/packages/gateway/src/httpFront.ts
+++ b/packages/gateway/src/httpFront.ts
@@ -226,7 +226,9 @@
   }
 
   override end(): void {
-    this.response.end();
+    this.response.end(() => {
+      this.closeWhenLeaving();
+    });
   }
 
   override answer(
@@ -281,6 +283,13 @@
     this.response.end(body);
   }
 
+  /** An answer that began before the process was leaving could not say so. */
+  private closeWhenLeaving(): void {
+    if (this.isLeaving()) {
+      this.response.socket?.end();
+    }
+  }
+
   private addClose(headers: string[]): string[] {
     return this.isLeaving() ? [...headers, 'Connection', 'close'] : headers;
   }
--- /dev/null
+++ b/packages/gateway/tests/eventStream.test.ts
@@ -0,0 +1,58 @@
+/** Events reach a caller whole and once, over all servers of a stream. */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { EventStream } from '../src/index.js';
+
+const formatEvent = (id: number): string =>
+  `id: ${String(id)}\ndata: text ${String(id)}\n\n`;
+
+const formatEvents = (from: number, to: number): string =>
+  Array.from({ length: to - from }, (_, at) => formatEvent(from + at)).join('');
+
+/** Cuts the text at the given places and feeds the parts. */
+const feed = (
+  stream: EventStream,
+  text: string,
+  cuts: readonly number[],
+): string => {
+  const places = [...cuts.map(cut => cut % text.length), text.length];
+  let at = 0;
+  let out = '';
+  for (const place of places.sort((a, b) => a - b)) {
+    out += stream.accept(Buffer.from(text.slice(at, place))).toString();
+    at = place;
+  }
+  return out;
+};
+
+describe('EventStream', () => {
+  it('passes whole events however the bytes are cut', () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat()), cuts => {
+        const text = formatEvents(1, 9);
+        expect(feed(new EventStream(), text, cuts)).toBe(text);
+      }),
+      { seed: 4, numRuns: 200 },
+    );
+  });
+
+  it('drops the torn half of an event when another server goes on', () => {
+    const stream = new EventStream();
+    const torn = formatEvents(1, 4) + formatEvent(4).slice(0, 9);
+    const first = stream.accept(Buffer.from(torn)).toString();
+    expect(stream.isAtBoundary).toBe(false);
+    stream.restart();
+    const second = stream.accept(Buffer.from(formatEvents(4, 7))).toString();
+    expect(first + second).toBe(formatEvents(1, 7));
+    expect(stream.isAtBoundary).toBe(true);
+  });
+
+  it('drops events that the caller has already', () => {
+    const stream = new EventStream();
+    stream.accept(Buffer.from(formatEvents(1, 5)));
+    stream.restart();
+    const second = stream.accept(Buffer.from(formatEvents(3, 7))).toString();
+    expect(second).toBe(formatEvents(5, 7));
+    expect(stream.lastEventId).toBe('6');
+  });
+});
--- /dev/null
+++ b/packages/testkit/src/platform/platformStore.ts
@@ -0,0 +1,190 @@
+/** A stand-in of the users' platform store: two tables and a group. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import { formatAddress } from '@lycheetally/common';
+import { startListening } from '@lycheetally/node';
+
+/** How the store answers. */
+export const StoreMood = {
+  Up: 'up',
+  /** Refuses with 503. */
+  Busy: 'busy',
+  /** Takes calls and never answers. */
+  Silent: 'silent',
+} as const;
+export type StoreMood = (typeof StoreMood)[keyof typeof StoreMood];
+
+interface StoredRecord {
+  readonly key: string;
+  readonly value: Buffer;
+}
+
+interface Table {
+  records: StoredRecord[];
+  /** Offset of the oldest record kept. */
+  first: number;
+}
+
+const lengthBytes = 4;
+const offsetBytes = 8;
+const maxPageEntries = 3;
+
+export class PlatformStore {
+  mood: StoreMood = StoreMood.Up;
+  /** Calls received since the start, by path. */
+  readonly calls = new Map<string, number>();
+  private readonly tables = new Map<string, Table>();
+  private readonly waiting = new Set<() => void>();
+  private generation = 0;
+  private readonly server: Server = createServer((request, response) => {
+    this.serve(request, response);
+  });
+
+  async listen(): Promise<string> {
+    const bound = await startListening(this.server, {
+      host: '127.0.0.1',
+      port: 0,
+    });
+    return formatAddress(bound.unwrap());
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Appends the newest value of a key; without one the key is removed. */
+  put(table: string, key: string, value?: unknown): void {
+    const bytes = value === undefined ? '' : JSON.stringify(value);
+    this.putBytes(table, key, Buffer.from(bytes));
+  }
+
+  putBytes(table: string, key: string, value: Buffer): void {
+    this.getTable(table).records.push({ key, value });
+    for (const wake of [...this.waiting]) {
+      wake();
+    }
+  }
+
+  /** Drops the history of a table; the newest of each key stays. */
+  dropHistory(table: string): void {
+    const kept = this.getTable(table);
+    kept.first = kept.records.length;
+  }
+
+  private getTable(name: string): Table {
+    const table = this.tables.get(name) ?? { records: [], first: 0 };
+    this.tables.set(name, table);
+    return table;
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? '/', 'http://store');
+    const count = this.calls.get(url.pathname) ?? 0;
+    this.calls.set(url.pathname, count + 1);
+    request.resume();
+    if (this.mood === StoreMood.Silent) {
+      return;
+    }
+    if (this.mood === StoreMood.Busy) {
+      response.writeHead(503).end();
+      return;
+    }
+    const table = url.searchParams.get('topic') ?? '';
+    if (url.pathname === '/log-newest') {
+      this.answerNewest(table, url.searchParams.get('after') ?? '', response);
+    } else if (url.pathname === '/log-read') {
+      this.answerRead(table, url.searchParams, response);
+    } else {
+      this.answerJoin(response);
+    }
+  }
+
+  private answerNewest(
+    name: string,
+    after: string,
+    response: ServerResponse,
+  ): void {
+    const { records } = this.getTable(name);
+    const newest = new Map(records.map(({ key, value }) => [key, value]));
+    const keys = [...newest]
+      .filter(([key, value]) => value.length > 0 && key > after)
+      .map(([key]) => key)
+      .sort();
+    const entries = keys.slice(0, maxPageEntries).map(key => ({
+      key,
+      value: newest.get(key)?.toString('base64'),
+      offset: records.findLastIndex(record => record.key === key),
+    }));
+    answerJson(response, {
+      entries,
+      has_more: keys.length > maxPageEntries,
+      end_offset: records.length,
+    });
+  }
+
+  private answerRead(
+    name: string,
+    query: URLSearchParams,
+    response: ServerResponse,
+  ): void {
+    const table = this.getTable(name);
+    const from = Number(query.get('from'));
+    if (from < table.first) {
+      answerJson(response, { first_offset: table.first }, 410);
+      return;
+    }
+    const answer = (): void => {
+      clearTimeout(timer);
+      this.waiting.delete(answer);
+      response.writeHead(200).end(encodeSpan(table, from));
+    };
+    const waitMs = Number(query.get('wait_ms') ?? 0);
+    const timer = setTimeout(answer, waitMs);
+    if (table.records.length > from || waitMs === 0) {
+      answer();
+    } else {
+      this.waiting.add(answer);
+    }
+  }
+
+  private answerJoin(response: ServerResponse): void {
+    this.generation += 1;
+    answerJson(response, {
+      generation: this.generation,
+      ttl_ms: 3_000,
+      parts: [['duty-0', 0, 0]],
+    });
+  }
+}
+
+const answerJson = (
+  response: ServerResponse,
+  body: unknown,
+  status = 200,
+): void => {
+  response.writeHead(status, { 'Content-Type': 'application/json' });
+  response.end(JSON.stringify(body));
+};
+
+const encodeSpan = (table: Table, from: number): Buffer => {
+  const head = Buffer.alloc(2 * offsetBytes);
+  head.writeBigUInt64BE(BigInt(table.records.length), 0);
+  head.writeBigUInt64BE(BigInt(table.first), offsetBytes);
+  const parts = table.records.slice(from).map(({ key, value }) => {
+    const keyBytes = Buffer.from(key);
+    const record = Buffer.concat([
+      Buffer.from([keyBytes.length]),
+      keyBytes,
+      value,
+    ]);
+    const length = Buffer.alloc(lengthBytes);
+    length.writeUInt32BE(record.length);
+    return Buffer.concat([length, record]);
+  });
+  return Buffer.concat([head, ...parts]);
+};
--- /dev/null
+++ b/packages/testkit/src/platform/platformWorker.ts
@@ -0,0 +1,166 @@
+/** A stand-in of one of the users' backend servers, whose answers a test scripts byte by byte. */
+import { createServer, type Server, type Socket } from 'node:net';
+import { formatAddress } from '@lycheetally/common';
+import { startListening } from '@lycheetally/node';
+
+/** A request as the worker received it. */
+export interface SeenRequest {
+  readonly method: string;
+  readonly target: string;
+  /** Values by lower-case name. */
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: string;
+  /** The connection, for scripts that misbehave. */
+  readonly socket: Socket;
+}
+
+/** Answers one request. */
+export type WorkerScript = (request: SeenRequest) => void;
+
+const headEnd = '\r\n\r\n';
+
+export class PlatformWorker {
+  readonly seen: SeenRequest[] = [];
+  /** Connections that were opened. */
+  connections = 0;
+  /** Requests whose connection closed before their answer ended. */
+  abandoned = 0;
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server = createServer(socket => {
+    this.connections += 1;
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      this.abandoned += 1;
+    });
+    this.readRequests(socket);
+  });
+
+  constructor(
+    readonly serverId: string,
+    /** Answers requests that are neither reports nor orders. */
+    public script: WorkerScript,
+  ) {}
+
+  async listen(): Promise<string> {
+    const bound = await startListening(this.server, {
+      host: '127.0.0.1',
+      port: 0,
+    });
+    return formatAddress(bound.unwrap());
+  }
+
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) {
+      socket.destroy();
+    }
+  }
+
+  private readRequests(socket: Socket): void {
+    let text = '';
+    socket.on('data', chunk => {
+      text += chunk.toString('latin1');
+      for (
+        let request = parseRequest(text, socket);
+        request;
+        request = parseRequest(text, socket)
+      ) {
+        text = text.slice(request.length);
+        this.answer(request.seen);
+      }
+    });
+  }
+
+  private answer(request: SeenRequest): void {
+    if (request.target === '/report') {
+      answerJson(request, { seq: 0, stalled: [] });
+    } else if (request.target === '/order') {
+      answerJson(request, {}, 202);
+    } else {
+      this.seen.push(request);
+      this.script(request);
+    }
+  }
+}
+
+const parseRequest = (
+  text: string,
+  socket: Socket,
+): { seen: SeenRequest; length: number } | undefined => {
+  const end = text.indexOf(headEnd);
+  if (end < 0) {
+    return undefined;
+  }
+  const [line = '', ...lines] = text.slice(0, end).split('\r\n');
+  const [method = '', target = ''] = line.split(' ');
+  const headers = new Map(
+    lines.map((each): [string, string] => {
+      const at = each.indexOf(':');
+      return [each.slice(0, at).toLowerCase(), each.slice(at + 1).trim()];
+    }),
+  );
+  const bodyBytes = Number(headers.get('content-length') ?? 0);
+  const length = end + headEnd.length + bodyBytes;
+  if (text.length < length) {
+    return undefined;
+  }
+  const body = text.slice(end + headEnd.length, length);
+  return { seen: { method, target, headers, body, socket }, length };
+};
+
+/** Writes a head with the call's id and a digest. */
+export const formatHead = (
+  request: SeenRequest,
+  status: string,
+  headers: readonly string[] = [],
+): string =>
+  [
+    `HTTP/1.1 ${status}`,
+    `X-Request-Id: ${request.headers.get('x-request-id') ?? ''}`,
+    'X-Response-Signature: digest',
+    ...headers,
+    '',
+    '',
+  ].join('\r\n');
+
+/** Answers with a whole body. */
+export const answerBody = (
+  request: SeenRequest,
+  body: string,
+  status = '200 OK',
+  headers: readonly string[] = [],
+): void => {
+  const length = `Content-Length: ${String(body.length)}`;
+  const head = formatHead(request, status, [length, ...headers]);
+  request.socket.write(head + body);
+};
+
+const answerJson = (
+  request: SeenRequest,
+  json: unknown,
+  status = 200,
+): void => {
+  const headers = ['Content-Type: application/json'];
+  answerBody(request, JSON.stringify(json), `${String(status)} OK`, headers);
+};
+
+/** Begins a stream of events. */
+export const beginEvents = (request: SeenRequest): void => {
+  const headers = [
+    'Content-Type: text/event-stream',
+    'Transfer-Encoding: chunked',
+  ];
+  request.socket.write(formatHead(request, '200 OK', headers));
+};
+
+/** Writes bytes as one chunk of a stream. */
+export const writeChunk = (request: SeenRequest, text: string): void => {
+  request.socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+};
+
+/** Ends a stream so that it is complete. */
+export const endEvents = (request: SeenRequest): void => {
+  request.socket.write('0\r\n\r\n');
+};
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,10 @@
         find: /^@lycheetally\/bench$/,
         replacement: `${folder}bench/src/index.ts`,
       },
+      {
+        find: /^@lycheetally\/platform$/,
+        replacement: `${folder}platform/src/index.ts`,
+      },
       {
         find: /^@lycheetally\/(.*)$/,
         replacement: `${folder}packages/$1/src/index.ts`,
@@ -20,6 +24,7 @@
     include: [
       '{packages,apps}/*/tests/**/*.test.ts',
       'bench/tests/**/*.test.ts',
+      'platform/tests/**/*.test.ts',
     ],
     testTimeout: 60_000,
     hookTimeout: 60_000,
