Close gaps inside a domain, keep chains off the pipes, never pass a server twice

Change: spare holders and neighbours of a domain take its gaps; a far hop costs 12 ms, entering at a far first server 4 ms; a chain uses a server once.

--- a/packages/decisions/src/placement/chainChoice.ts
+++ b/packages/decisions/src/placement/chainChoice.ts
@@ -47,8 +47,14 @@
 /** Milliseconds of a hop inside a failure domain: its delay and the hand-over. */
 const hopMs = 0.15;
 
-/** Milliseconds of a hop to another failure domain: its delay and its price. */
-const farHopMs = 6;
+/**
+ * Milliseconds of a hop to another failure domain. Activations share one pipe
+ * between two domains, which a few chains that cross it often fill.
+ */
+const farHopMs = 12;
+
+/** Milliseconds of the way to a first server in another failure domain; only text goes there. */
+const farEntryMs = 4;
 
 /** Share of a server's room that one entry fills before it counts as full. */
 const fullShare = 0.9;
@@ -117,7 +123,11 @@
 ): void => {
   const { position } = from;
   const here = holders.filter(
-    ({ range }) => range && range.from <= position && position < range.to,
+    server =>
+      server.range &&
+      server.range.from <= position &&
+      position < server.range.to &&
+      !hasPassed(from, server),
   );
   for (const server of here) {
     for (const to of listEnds(holders, server, position)) {
@@ -138,6 +148,16 @@
   }
 };
 
+/** Says whether the chain uses the server already; engines refuse one that comes twice. */
+const hasPassed = (reached: Reached, server: StageServer): boolean => {
+  for (let at: Reached | undefined = reached; at; at = at.previous) {
+    if (at.stage?.server === server) {
+      return true;
+    }
+  }
+  return false;
+};
+
 /** A stage ends where the server's layers do, or where a holder of later ones begins. */
 const listEnds = (
   holders: readonly StageServer[],
@@ -167,7 +187,8 @@
   }
   const load = request.getLoad(server.serverId);
   const previousDomain = from.stage?.server.failureDomain ?? homeDomain;
-  const hop = previousDomain === server.failureDomain ? hopMs : farHopMs;
+  const farMs = from.stage ? farHopMs : farEntryMs;
+  const hop = previousDomain === server.failureDomain ? hopMs : farMs;
   const layers = range.to - range.from;
   const room = computeLayerTokens(model, kind, server.range) * fullShare;
   const taken = load.layerTokens + request.tokens * layers;
--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -4,7 +4,8 @@
  * A server that holds layers keeps them; it moves only where layers have too few holders, so that little is loaded twice.
  */
 import { addCoverage, findThinnest } from './coverage.js';
-import { planRepair } from './repairPlan.js';
+import { closeGaps } from './closeGaps.js';
+import { planRepair, type Holder } from './repairPlan.js';
 import {
   findKind,
   type LayerRange,
@@ -46,10 +47,7 @@
     for (const group of listGroups(model, servers)) {
       planGroup(model, group, plan);
     }
-    const holders = servers.flatMap(server => {
-      const range = server.range ?? plan.get(server.serverId);
-      return range ? [{ server, range }] : [];
-    });
+    const holders = listHolders(servers, plan);
     if (holders.length > 0) {
       planRepair(model.layers, holders, plan);
     }
@@ -57,6 +55,16 @@
   }
 }
 
+/** Servers with the layers that they are to have. */
+const listHolders = (
+  servers: readonly StageServer[],
+  plan: PlacementPlan,
+): Holder[] =>
+  servers.flatMap(server => {
+    const range = plan.get(server.serverId) ?? server.range;
+    return range ? [{ server, range }] : [];
+  });
+
 const getMemory = (model: LayeredModel, server: StageServer): number =>
   findKind(model, server.kind)?.memoryMegabytes ?? 0;
 
@@ -95,18 +103,25 @@
       addCoverage(coverage, server.range, 1);
     }
   }
-  for (const server of sortBySize(model, group)) {
-    const size = sizes.get(server.serverId) ?? 0;
-    if (server.range ?? size === 0) {
-      continue;
-    }
-    const isFirst = (coverage[0] ?? 0) < firstHolders;
+  const getSize = (server: StageServer): number =>
+    sizes.get(server.serverId) ?? 0;
+  const empty = sortBySize(model, group).filter(
+    server => !server.range && getSize(server) > 0,
+  );
+  let left = empty.reduce((sum, server) => sum + getSize(server), 0);
+  for (const server of empty) {
+    const size = getSize(server);
+    left -= size;
+    const held = coverage[0] ?? 0;
+    const isSpare = left >= coverage.filter(count => count === 0).length;
+    const isFirst = held === 0 || (held < firstHolders && isSpare);
     const range = isFirst
       ? { from: 0, to: size }
       : findThinnest(coverage, size);
     plan.set(server.serverId, range);
     addCoverage(coverage, range, 1);
   }
+  closeGaps(model, listHolders(group, plan), coverage, plan);
 };
 
 /** Small servers come first: the first layers are on several, and the loss of one is soon made good. */
