Keep the shared budget over restarts, and never vouch for an unframed body

Change: a larger share counts one window later; an answer without a length is passed on without one.

--- a/packages/decisions/src/admit/slidingRetryBudget.ts
+++ b/packages/decisions/src/admit/slidingRetryBudget.ts
@@ -21,22 +21,36 @@
 /** Part of the budget that is used; the rest covers gateways that join or leave. */
 const usedPart = 0.85;
 
+/** A share, and when it was replaced by another. */
+interface HeldShare {
+  readonly share: number;
+  readonly until: Milliseconds | undefined;
+}
+
 interface ServiceWindow {
   readonly calls: Milliseconds[];
   readonly repeats: Milliseconds[];
 }
 
 export class SlidingRetryBudget extends BoundedRetry {
-  private share = 0;
+  /** Shares held, newest last; the smallest of the window counts. */
+  private shares: readonly HeldShare[] = [{ share: 0, until: undefined }];
   private readonly windows = new Map<string, ServiceWindow>();
 
   constructor(private readonly settings: SlidingBudgetSettings) {
     super();
   }
 
-  /** Sets this gateway's share of the slack, from 0 to 1. */
-  setShare(share: number): void {
-    this.share = share;
+  /**
+   * Sets this gateway's share of the slack, from 0 to 1. A larger share counts
+   * a window later: until then it may have been used by the gateway that had it.
+   */
+  setShare(share: number, now: Milliseconds): void {
+    const held = this.shares.map(each => ({
+      ...each,
+      until: each.until ?? now,
+    }));
+    this.shares = [...held, { share, until: undefined }];
   }
 
   override mayRetry(request: RequestView, now: Milliseconds): boolean {
@@ -57,10 +71,16 @@
   countLeft(service: string, now: Milliseconds): number {
     const { ratio, slack } = this.settings;
     const { calls, repeats } = this.getWindow(service, now);
-    const allowed = ratio * calls.length + slack * this.share;
+    const allowed = ratio * calls.length + slack * this.findShare(now);
     return allowed * usedPart - repeats.length;
   }
 
+  private findShare(now: Milliseconds): number {
+    const from = now - this.settings.windowMs;
+    this.shares = this.shares.filter(({ until }) => (until ?? now) >= from);
+    return Math.min(...this.shares.map(({ share }) => share));
+  }
+
   private getWindow(service: string, now: Milliseconds): ServiceWindow {
     let window = this.windows.get(service);
     if (!window) {
--- a/packages/decisions/tests/slidingRetryBudget.test.ts
+++ b/packages/decisions/tests/slidingRetryBudget.test.ts
@@ -26,7 +26,7 @@
       fc.property(arrivals, calls => {
         const gateways = [0, 1, 2].map(() => new SlidingRetryBudget(settings));
         gateways.forEach(gateway => {
-          gateway.setShare(1 / 3);
+          gateway.setShare(1 / 3, -settings.windowMs - 1);
         });
         const sent: { at: number; isRepeat: boolean }[] = [];
         let now = 0;
@@ -50,6 +50,22 @@
     );
   });
 
+  it('gives a share that another gateway had only after its window', () => {
+    const budget = new SlidingRetryBudget({ ...settings, ratio: 0 });
+    budget.setShare(0.25, -settings.windowMs - 1);
+    budget.setShare(0.5, 0);
+    expect(budget.countLeft('s', 100)).toBeCloseTo(40 * 0.25 * 0.85);
+    budget.setShare(0.1, 200);
+    expect(budget.countLeft('s', 300)).toBeCloseTo(40 * 0.1 * 0.85);
+    const later = 300 + settings.windowMs;
+    expect(budget.countLeft('s', later)).toBeCloseTo(40 * 0.1 * 0.85);
+    budget.setShare(0.3, later);
+    expect(budget.countLeft('s', later + 100)).toBeCloseTo(40 * 0.1 * 0.85);
+    expect(budget.countLeft('s', later + settings.windowMs + 1)).toBeCloseTo(
+      40 * 0.3 * 0.85,
+    );
+  });
+
   it('allows no repeat beside the ratio before the share is known', () => {
     const budget = new SlidingRetryBudget(settings);
     expect(budget.mayRetry(request, 0)).toBe(false);
@@ -57,7 +73,7 @@
 
   it('counts each service by itself', () => {
     const budget = new SlidingRetryBudget({ ...settings, ratio: 0, slack: 2 });
-    budget.setShare(1);
+    budget.setShare(1, -settings.windowMs - 1);
     budget.noteRetry(request, 0);
     expect(budget.mayRetry(request, 0)).toBe(false);
     expect(budget.mayRetry({ ...request, service: 'other' }, 0)).toBe(true);
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -81,7 +81,13 @@
     caller.end();
   } else if (attempt?.head) {
     const { status, statusText, fields } = attempt.head;
-    caller.answer(status, statusText, fields.forwarded, attempt.body);
+    caller.answer({
+      status,
+      text: statusText,
+      headers: fields.forwarded,
+      body: attempt.body,
+      isFramed: fields.isFramed,
+    });
   }
   endCall(call, Outcome.Complete, attempt?.head?.status ?? 0, now);
 };
--- a/packages/gateway/src/callFormat.ts
+++ b/packages/gateway/src/callFormat.ts
@@ -46,6 +46,8 @@
   readonly isWhole: boolean;
   /** Calls that the server runs and holds waiting, where it says so. */
   readonly serverLoad: number | undefined;
+  /** The answer says where its body ends; without that only its connection does. */
+  readonly isFramed: boolean;
   /** Headers that go on to the caller. */
   readonly forwarded: RawHeaders;
 }
--- a/packages/gateway/src/callerPort.ts
+++ b/packages/gateway/src/callerPort.ts
@@ -22,6 +22,15 @@
   readonly retryAfterMs?: Milliseconds | undefined;
 }
 
+/** An answer of a backend server that was held until its end. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly text: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly isFramed: boolean;
+}
+
 /** The way back to one caller. */
 export abstract class CallerExchange {
   /** Begins an answer whose body follows. */
@@ -29,13 +38,8 @@
   /** Sends a part of the body; `false` asks to wait for `onDrained`. */
   abstract write(chunk: Buffer): boolean;
   abstract end(): void;
-  /** Sends a whole answer. */
-  abstract answer(
-    status: number,
-    text: string,
-    headers: RawHeaders,
-    body: Buffer,
-  ): void;
+  /** Sends a whole answer; one that is not framed ends with its connection. */
+  abstract answer(answer: WholeAnswer): void;
   abstract answerOwn(answer: OwnAnswer): void;
   /** Breaks the connection, so that what was sent does not look whole. */
   abstract cut(): void;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -308,8 +308,8 @@
         placement: new CopyPerDomain(),
         book: this.book,
         startedAt,
-        setShare: share => {
-          this.retryBudget.setShare(share);
+        setShare: (share, now) => {
+          this.retryBudget.setShare(share, now);
         },
         postCompletion: run => {
           this.post(run);
--- a/packages/gateway/src/httpFront.ts
+++ b/packages/gateway/src/httpFront.ts
@@ -25,6 +25,7 @@
   CallerExchange,
   type OwnAnswer,
   type ReceivedCall,
+  type WholeAnswer,
 } from './callerPort.js';
 
 /** Hears of calls. */
@@ -231,16 +232,19 @@
     });
   }
 
-  override answer(
-    status: number,
-    text: string,
-    headers: RawHeaders,
-    body: Buffer,
-  ): void {
-    const length = ['Content-Length', String(body.length)];
-    const all = this.addClose([...headers, ...length]);
-    this.response.writeHead(status, text, all);
-    this.response.end(body);
+  override answer(answer: WholeAnswer): void {
+    const { response } = this;
+    const { status, text, headers, body, isFramed } = answer;
+    if (isFramed) {
+      const length = ['Content-Length', String(body.length)];
+      const all = this.addClose([...headers, ...length]);
+      response.writeHead(status, text, all);
+    } else {
+      // A length would vouch for a body that nothing but its end has bounded.
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(status, text, [...headers, 'Connection', 'close']);
+    }
+    response.end(body);
   }
 
   override answerOwn(answer: OwnAnswer): void {
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -49,7 +49,7 @@
   readonly book: ServerBook;
   readonly startedAt: Milliseconds;
   /** Takes the part of the group that this gateway is. */
-  setShare(share: number): void;
+  setShare(share: number, now: Milliseconds): void;
   postCompletion(run: (now: Milliseconds) => void): void;
   listServices(): Iterable<BackendService>;
 }
@@ -209,7 +209,7 @@
       });
       return;
     }
-    this.services.setShare(result.val.share);
+    this.services.setShare(result.val.share, now);
     this.fencingToken = result.val.fencingToken;
     if (result.val.isHolder) {
       this.leaseUntil = sentAt + dutyLeaseMs;
