--- /dev/null
+++ b/apps/gateway/src/index.ts
@@ -0,0 +1,2 @@
+/** The daemon of a gateway, for the command line. */
+export * from './runGateway.js';
--- /dev/null
+++ b/apps/gateway/src/runGateway.ts
@@ -0,0 +1,88 @@
+/** Runs a gateway on the users' platform as a process. */
+import { watchFile } from 'node:fs';
+import {
+  BoundedOutput,
+  ExitCode,
+  LoggerFactory,
+  collectOverrides,
+  readSettings,
+  type DaemonFlags,
+  type Result,
+} from '@lycheetally/common';
+import { GatewayNode } from '@lycheetally/gateway';
+import {
+  createPlatformPorts,
+  platformSettingsSchema,
+  type PlatformSettings,
+} from '@lycheetally/platform';
+
+/** The platform puts the path of the settings here; `--settings` goes before it. */
+const settingsVariable = 'LYCHEETALLY_SETTINGS';
+
+/** Milliseconds between looks at the settings file, which may change without a signal. */
+const settingsLookMs = 2_000;
+
+const standardOutput = 1;
+
+/** Starts a gateway and serves until it is stopped, or only checks its settings. */
+export const runGateway = async (flags: DaemonFlags): Promise<void> => {
+  const path = flags.settings || (process.env[settingsVariable] ?? '');
+  const readOwnSettings = (): Result<PlatformSettings> => {
+    const { env } = process;
+    const overrides = collectOverrides(platformSettingsSchema, env, flags.set);
+    return readSettings(path, platformSettingsSchema, overrides);
+  };
+  const settings = readOwnSettings();
+  if (settings.err) {
+    failStart(settings.val.message, ExitCode.Usage);
+  }
+  if (flags.isCheck) {
+    process.stdout.write(`${path} is sound\n`);
+    return;
+  }
+  const gateway = createGateway(settings.unwrap());
+  listenToSignals(gateway, path, readOwnSettings);
+  const started = await gateway.start();
+  if (started.err) {
+    failStart(started.val.message, ExitCode.Failure);
+  }
+};
+
+const failStart = (message: string, code: number): never => {
+  process.stderr.write(`${message}\n`);
+  process.exit(code);
+};
+
+const createGateway = (settings: PlatformSettings): GatewayNode => {
+  const output = new BoundedOutput(standardOutput);
+  const loggers = new LoggerFactory(settings.process.id, 'info', output);
+  const ports = createPlatformPorts(settings);
+  return new GatewayNode(settings, ports, loggers, () => {
+    output.end(() => {
+      process.exit(ExitCode.Ok);
+    });
+  });
+};
+
+const listenToSignals = (
+  gateway: GatewayNode,
+  path: string,
+  readOwnSettings: () => Result<PlatformSettings>,
+): void => {
+  const reload = (): void => {
+    const changed = readOwnSettings();
+    if (changed.ok) {
+      gateway.reload(changed.val);
+    } else {
+      process.stderr.write(`${changed.val.message}\n`);
+    }
+  };
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.on(signal, () => {
+      gateway.stop();
+    });
+  }
+  process.on('SIGHUP', reload);
+  const options = { interval: settingsLookMs, persistent: false };
+  watchFile(path, options, reload);
+};
--- a/apps/lycheetally/src/commands/daemonCommands.ts
+++ b/apps/lycheetally/src/commands/daemonCommands.ts
@@ -1,6 +1,7 @@
 /** `lycheetally entry` and `lycheetally agent`: run the daemons. */
 import type { CAC } from 'cac';
 import type { DaemonFlags } from '@lycheetally/common';
+import { runGateway } from '@lycheetally/gateway-daemon';
 import { runAgent, runEntry } from '@lycheetally/router';
 import { Command } from './command.js';
 
@@ -57,3 +58,13 @@
     return runAgent(flags);
   }
 }
+
+export class GatewayCommand extends DaemonCommand {
+  protected override readonly name = 'gateway';
+  protected override readonly summary =
+    'Run a gateway in front of engines that pass activations themselves';
+
+  protected override run(flags: DaemonFlags): Promise<void> {
+    return runGateway(flags);
+  }
+}
--- a/apps/lycheetally/src/commands/settingsCommand.ts
+++ b/apps/lycheetally/src/commands/settingsCommand.ts
@@ -1,12 +1,14 @@
 /** `lycheetally settings`: every setting of the daemons, from their schemas. */
 import type { CAC } from 'cac';
 import { ExitCode, listSettings, type SettingEntry } from '@lycheetally/common';
+import { platformSettingsSchema } from '@lycheetally/platform';
 import { agentSettingsSchema, entrySettingsSchema } from '@lycheetally/router';
 import { Command } from './command.js';
 
 const schemas = {
   entry: entrySettingsSchema,
   agent: agentSettingsSchema,
+  gateway: platformSettingsSchema,
 } as const;
 
 interface SettingsFlags {
--- a/apps/lycheetally/src/main.ts
+++ b/apps/lycheetally/src/main.ts
@@ -6,7 +6,11 @@
 import { ChartsCommand } from './commands/chartsCommand.js';
 import type { Command } from './commands/command.js';
 import { ConfigCommand } from './commands/configCommand.js';
-import { AgentCommand, EntryCommand } from './commands/daemonCommands.js';
+import {
+  AgentCommand,
+  GatewayCommand,
+  EntryCommand,
+} from './commands/daemonCommands.js';
 import { DemoCommand } from './commands/demoCommand.js';
 import { DrainCommand } from './commands/drainCommand.js';
 import { QuestionnaireCommand } from './commands/questionnaireCommand.js';
@@ -19,6 +23,7 @@
 const commands: readonly Command[] = [
   new EntryCommand(),
   new AgentCommand(),
+  new GatewayCommand(),
   new SettingsCommand(),
   new ChartsCommand(),
   new QuestionnaireCommand(),
--- a/apps/lycheetally/tests/pages.test.ts
+++ b/apps/lycheetally/tests/pages.test.ts
@@ -3,6 +3,7 @@
 import { format } from 'prettier';
 import { describe, expect, it } from 'vitest';
 import { listSettings } from '@lycheetally/common';
+import { platformSettingsSchema } from '@lycheetally/platform';
 import { agentSettingsSchema, entrySettingsSchema } from '@lycheetally/router';
 import { formatChartsPage } from '../src/commands/chartsCommand.js';
 import { formatSettingsPage } from '../src/commands/settingsCommand.js';
@@ -27,6 +28,7 @@
   it.each([
     ['entry', entrySettingsSchema],
     ['agent', agentSettingsSchema],
+    ['gateway', platformSettingsSchema],
   ])('every setting of an %s is described', (_, schema) => {
     const settings = listSettings(schema);
     expect(settings.length).toBeGreaterThan(8);
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,6 +30,7 @@
 
 const network = ['node:http', 'node:http2', 'node:net', 'node:child_process'];
 const protobuf = ['@bufbuild/*'];
+const processes = ['node:child_process', 'node:worker_threads', 'node:cluster'];
 const product = ['@lycheetally/testkit', '@lycheetally/bench'];
 
 export default tseslint.config(
@@ -130,13 +131,45 @@
     ),
   },
   {
-    files: ['packages/router/src/**', 'apps/entry/**', 'apps/agent/**'],
+    files: ['packages/node/src/**'],
     rules: restrictImports(
+      '@lycheetally/decisions',
+      '@lycheetally/gateway',
+      '@lycheetally/platform',
+      '@lycheetally/router',
       ...product,
       ...protobuf,
-      'node:child_process',
-      'node:worker_threads',
-      'node:cluster',
     ),
   },
+  {
+    files: ['packages/gateway/src/**'],
+    rules: restrictImports(
+      '@lycheetally/platform',
+      '@lycheetally/protocol',
+      '@lycheetally/router',
+      ...product,
+      ...protobuf,
+      ...processes,
+    ),
+  },
+  {
+    files: ['platform/src/**'],
+    rules: restrictImports(
+      '@lycheetally/charts',
+      '@lycheetally/node',
+      '@lycheetally/router',
+      ...product,
+      ...protobuf,
+      ...processes,
+    ),
+  },
+  {
+    files: [
+      'packages/router/src/**',
+      'apps/entry/**',
+      'apps/agent/**',
+      'apps/gateway/**',
+    ],
+    rules: restrictImports(...product, ...protobuf, ...processes),
+  },
 );
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -6,25 +6,45 @@
 
 export const gatewaySettingsSchema = z.object({
   process: z.object({
-    id: z.string().min(1),
-    failureDomain: z.string().min(1),
-    /** Seconds between the signal to stop and the end of the process. */
-    drainSeconds: positive,
+    id: z
+      .string()
+      .min(1)
+      .describe('Name of this process; unique in the deployment'),
+    failureDomain: z
+      .string()
+      .min(1)
+      .describe('Failure domain that the VM stands in'),
+    drainSeconds: positive.describe(
+      'Seconds between the signal to stop and the end that the platform forces',
+    ),
   }),
   listen: z.object({
-    callers: addressSchema,
-    readiness: addressSchema,
-    metrics: addressSchema.optional(),
+    callers: addressSchema.describe('Address for callers'),
+    readiness: addressSchema.describe(
+      "Address for the balancer's questions: 200 when ready, else 503",
+    ),
+    metrics: addressSchema
+      .optional()
+      .describe('Address of the metrics page, at `/metrics`'),
   }),
   rules: z.object({
-    /** Milliseconds after which a revoked key must fail everywhere. */
-    revokeMs: positive,
-    /** Repeats allowed for each call, over all gateways. */
-    retryRatio: z.coerce.number().min(0).max(1),
-    /** Repeats allowed beside the ratio in its window, over all gateways. */
-    retrySlack: z.coerce.number().min(0),
-    /** Seconds of the window that the repeats are counted in. */
-    retryWindowSeconds: positive,
+    revokeMs: positive.describe(
+      'Milliseconds after which a revoked key must fail everywhere',
+    ),
+    retryRatio: z.coerce
+      .number()
+      .min(0)
+      .max(1)
+      .describe('Repeats allowed for each call, over all gateways'),
+    retrySlack: z.coerce
+      .number()
+      .min(0)
+      .describe(
+        'Repeats allowed beside the ratio in a window, over all gateways',
+      ),
+    retryWindowSeconds: positive.describe(
+      'Seconds of the window that repeats are counted in',
+    ),
   }),
 });
 
--- a/packages/gateway/tests/eventStream.test.ts
+++ b/packages/gateway/tests/eventStream.test.ts
@@ -10,7 +10,7 @@
   Array.from({ length: to - from }, (_, at) => formatEvent(from + at)).join('');
 
 /** Cuts the text at the given places and feeds the parts. */
-const feed = (
+const sendParts = (
   stream: EventStream,
   text: string,
   cuts: readonly number[],
@@ -30,7 +30,7 @@
     fc.assert(
       fc.property(fc.array(fc.nat()), cuts => {
         const text = formatEvents(1, 9);
-        expect(feed(new EventStream(), text, cuts)).toBe(text);
+        expect(sendParts(new EventStream(), text, cuts)).toBe(text);
       }),
       { seed: 4, numRuns: 200 },
     );
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,10 @@
         find: /^@lycheetally\/bench$/,
         replacement: `${folder}bench/src/index.ts`,
       },
+      {
+        find: /^@lycheetally\/gateway-daemon$/,
+        replacement: `${folder}apps/gateway/src/index.ts`,
+      },
       {
         find: /^@lycheetally\/platform$/,
         replacement: `${folder}platform/src/index.ts`,
