--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -12,6 +12,7 @@
   leavingRetryAfterMs,
   notReadyRetryAfterMs,
   retryAfterMs,
+  staleRetryAfterMs,
 } from './constants.js';
 import { EventStream } from './eventStream.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
@@ -112,7 +113,7 @@
   kind: ErrorKind.PlatformUnavailable,
   message:
     'the store has not confirmed the configuration for too long; another gateway may reach it',
-  retryAfterMs,
+  retryAfterMs: staleRetryAfterMs,
 };
 
 const leaving: CallFault = {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -30,6 +30,9 @@
 /** A caller refused for want of a configuration comes back after this; a read of the store. */
 export const notReadyRetryAfterMs = 300;
 
+/** A gateway cut off from the store sends callers to another one; time for a new connection. */
+export const staleRetryAfterMs = 100;
+
 /** A stopping gateway sends callers elsewhere at once. */
 export const leavingRetryAfterMs = 50;
 
