Split the gateway's larger modules and drop fields that nothing reads

Change: attemptChart, attemptFaults, layerOrder and gatewayGauges stand alone; no behaviour changes.

--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -6,10 +6,6 @@
 /** A service of backend servers. */
 export interface BackendService {
   readonly name: string;
-  /** Path of its health check. */
-  readonly healthPath: string;
-  /** Connections that one server accepts from all callers together. */
-  readonly maxConnections: number;
   /** Set when its servers hold layers of one model. */
   readonly model: LayeredModel | undefined;
 }
--- a/packages/decisions/src/placement/types.ts
+++ b/packages/decisions/src/placement/types.ts
@@ -13,8 +13,6 @@
   readonly memoryMegabytes: number;
   /** Time of a token step against the model's base time; larger is slower. */
   readonly stepFactor: number;
-  /** Time of reading a prompt against the model's base time. */
-  readonly readFactor: number;
 }
 
 /** A model whose layers are spread over several backend servers. */
@@ -29,8 +27,6 @@
   readonly stepMsPerRequest: Milliseconds;
   /** Milliseconds that 1,000 tokens of context add to a step. */
   readonly stepMsPerContextK: Milliseconds;
-  /** Prompt tokens read in a millisecond at factor 1. */
-  readonly readTokensPerMs: number;
   readonly kinds: readonly AcceleratorKind[];
 }
 
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -18,11 +18,10 @@
   stepMs: 1.02,
   stepMsPerRequest: 0.0066,
   stepMsPerContextK: 0.0088,
-  readTokensPerMs: 164,
   kinds: [
-    { name: 'large', memoryMegabytes: 72_000, stepFactor: 2.4, readFactor: 3 },
-    { name: 'small', memoryMegabytes: 14_400, stepFactor: 5.3, readFactor: 8 },
-    { name: 'slow', memoryMegabytes: 21_600, stepFactor: 16, readFactor: 8 },
+    { name: 'large', memoryMegabytes: 72_000, stepFactor: 2.4 },
+    { name: 'small', memoryMegabytes: 14_400, stepFactor: 5.3 },
+    { name: 'slow', memoryMegabytes: 21_600, stepFactor: 16 },
   ],
 };
 
--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -76,7 +76,6 @@
       holder,
       urgency: holder?.urgency ?? route.urgency,
       isRepeatable,
-      callerDeadlineAt: receivedAt + remainingMs,
       deadlineAt: receivedAt + Math.min(remainingMs, route.timeoutMs),
       tokens: estimateTokens(fields.promptTokens, fields.maxOutputTokens),
       configVersion: configuration.version,
--- a/packages/gateway/src/backendPort.ts
+++ b/packages/gateway/src/backendPort.ts
@@ -10,7 +10,6 @@
   readonly body: Buffer;
   /** Uses only connections that are sure to be open. */
   readonly needsSureConnection: boolean;
-  readonly maxConnections: number;
 }
 
 /** The head of a backend server's answer. */
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -1,11 +1,12 @@
 /** One sending of a call to a server; host of the chart `gatewayAttempt`. */
+import type { ChartInstance, ChartMachine } from '@lycheetally/charts';
+import type { Milliseconds } from '@lycheetally/common';
 import {
-  ChartMachine,
-  ChartName,
-  loadChart,
-  type ChartInstance,
-} from '@lycheetally/charts';
-import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
+  describeBreak,
+  describeError,
+  describeRefusal,
+  isSuccess,
+} from './attemptFaults.js';
 import {
   BackendListener,
   type BackendExchange,
@@ -14,7 +15,6 @@
 import type { ChosenServers } from './chooseServers.js';
 import type { Server } from './server.js';
 import {
-  connectBoundMs,
   maxHeldAnswerBytes,
   reportBoundMs,
   firstSilenceMs,
@@ -122,7 +122,7 @@
     this.head = head;
     this.noteHeard();
     if (head.fields.serverLoad !== undefined) {
-      this.chosen.first.noteLoad(head.fields.serverLoad, this.heardAt);
+      this.chosen.first.noteLoad(head.fields.serverLoad);
     }
     const { fields, status } = head;
     if (fields.requestId !== this.call.requestId) {
@@ -199,7 +199,6 @@
           headers,
           body: call.received.body,
           needsSureConnection: !admitted.isRepeatable,
-          maxConnections: admitted.service.maxConnections,
         },
         this,
       );
@@ -388,76 +387,3 @@
     });
   }
 }
-
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
-
-export const describeBreak = (reason: string): CallFault => ({
-  status: 502,
-  kind: ErrorKind.BackendFailed,
-  message: reason,
-});
-
-const describeRefusal = (head: BackendHead): CallFault => ({
-  status: 503,
-  kind: ErrorKind.NoCapacity,
-  message: `the server refused with status ${String(head.status)}`,
-});
-
-const describeError = (head: BackendHead): CallFault => ({
-  status: head.status,
-  kind: ErrorKind.BackendFailed,
-  message: `the server answered with status ${String(head.status)}`,
-});
-
-/** Binds the chart `gatewayAttempt`. Fails with `BadChart`. */
-export const bindAttemptChart = (): Result<AttemptMachine> =>
-  loadChart(ChartName.GatewayAttempt).andThen(chart =>
-    ChartMachine.bind<GatewayAttempt, AttemptEvent>(chart, {
-      actions: {
-        openExchange: (attempt, _, now) => {
-          attempt.chartActions.openExchange(now);
-        },
-        closeExchange: attempt => {
-          attempt.chartActions.closeExchange();
-        },
-        releaseLoad: attempt => {
-          attempt.chartActions.releaseLoad();
-        },
-        noteUnreachable: (attempt, _, now) => {
-          attempt.chartActions.noteUnreachable(now);
-        },
-        noteFault: (attempt, event, now) => {
-          attempt.chartActions.noteFault(event, now);
-        },
-        noteStalled: (attempt, event) => {
-          attempt.chartActions.noteStalled(event);
-        },
-        requestReport: attempt => {
-          attempt.chartActions.requestReport();
-        },
-        allowSilence: (attempt, _, now) => {
-          attempt.chartActions.allowSilence(now);
-        },
-        reportComplete: (attempt, _, now) => {
-          attempt.chartActions.reportComplete(now);
-        },
-        reportNotRun: (attempt, _, now) => {
-          attempt.chartActions.reportNotRun(now);
-        },
-        reportError: (attempt, _, now) => {
-          attempt.chartActions.reportError(now);
-        },
-        reportBroken: (attempt, _, now) => {
-          attempt.chartActions.reportBroken(now);
-        },
-      },
-      guards: {
-        isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
-        isRepeatable: attempt => attempt.admitted.isRepeatable,
-      },
-      delays: {
-        CONNECT_BOUND: () => connectBoundMs,
-        SILENCE: (attempt, now) => attempt.chartActions.computeSilence(now),
-      },
-    }),
-  );
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -84,8 +84,6 @@
   readonly holder: KeyHolder | undefined;
   readonly urgency: number;
   readonly isRepeatable: boolean;
-  /** The caller's own deadline. */
-  readonly callerDeadlineAt: Milliseconds;
   /** The earlier of the caller's deadline and the route's time limit. */
   readonly deadlineAt: Milliseconds;
   readonly tokens: number;
--- /dev/null
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -0,0 +1,63 @@
+/** Gauges of a gateway, read when the metrics page is asked for. */
+import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { ConnectionCounts } from './httpBackend.js';
+import type { LayerPlacer } from './layerPlacer.js';
+
+/** Where the gauges read. */
+export interface GaugeSources {
+  readonly connections: ConnectionCounts;
+  readonly placer: LayerPlacer;
+  countCalls(): number;
+  countReads(): number;
+  countUnreadable(): number;
+  getVersion(): number;
+}
+
+export const addGauges = (
+  metrics: GatewayMetrics,
+  sources: GaugeSources,
+): void => {
+  const { connections, placer } = sources;
+  const gauges: readonly [string, string, () => number][] = [
+    ['open_calls', 'Calls without a final answer', () => sources.countCalls()],
+    [
+      'configuration_version',
+      'Version of the configuration in force',
+      () => sources.getVersion(),
+    ],
+    [
+      'is_duty_holder',
+      'Whether it places layers',
+      () => Number(placer.isHolder),
+    ],
+    ['orders', 'Orders to servers since the start', () => placer.orders],
+    [
+      'connections_opened',
+      'Connections opened to servers since the start',
+      () => connections.opened,
+    ],
+    [
+      'connections_reused',
+      'Calls sent over a connection that was open',
+      () => connections.reused,
+    ],
+    [
+      'connections_surplus',
+      'Connections closed for bytes that nobody asked for',
+      () => connections.surplus,
+    ],
+    [
+      'store_reads',
+      'Reads of the store since the start',
+      () => sources.countReads(),
+    ],
+    [
+      'unreadable_records',
+      'Records of servers that could not be read',
+      () => sources.countUnreadable(),
+    ],
+  ];
+  for (const [name, help, read] of gauges) {
+    metrics.addGauge(name, help, read);
+  }
+};
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -37,13 +37,16 @@
   refuseCallsAfterMs,
   serverReadPauseMs,
 } from './constants.js';
-import { bindAttemptChart, describeBreak } from './gatewayAttempt.js';
+import { bindAttemptChart } from './attemptChart.js';
+import { describeBreak } from './attemptFaults.js';
 import { GatewayCall, type CallServices } from './gatewayCall.js';
+import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewaySettings } from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
 import { HttpFront, type HttpCaller } from './httpFront.js';
-import { bindDutyChart, bindOrderChart, LayerPlacer } from './layerPlacer.js';
+import { bindOrderChart } from './layerOrder.js';
+import { bindDutyChart, LayerPlacer } from './layerPlacer.js';
 import type {
   DutyPort,
   ServerControlPort,
@@ -150,7 +153,14 @@
         error: thrown instanceof Error ? (thrown.stack ?? '') : String(thrown),
       });
     });
-    this.addGauges();
+    addGauges(this.metrics, {
+      connections: this.backend.counts,
+      countCalls: () => this.calls.size,
+      countReads: () => this.configFollower.reads + this.serverFollower.reads,
+      countUnreadable: () => this.book.unreadableCount,
+      getVersion: () => this.configuration?.version ?? 0,
+      placer: this.placer,
+    });
   }
 
   /** Whether new callers should come here. */
@@ -433,53 +443,6 @@
     });
     this.lifecycle.send({ type: 'READY' }, now);
   }
-
-  private addGauges(): void {
-    const { metrics, backend } = this;
-    metrics.addGauge(
-      'open_calls',
-      'Calls without a final answer',
-      () => this.calls.size,
-    );
-    metrics.addGauge(
-      'configuration_version',
-      'Version of the configuration in force',
-      () => this.configuration?.version ?? 0,
-    );
-    metrics.addGauge('is_duty_holder', 'Whether it places layers', () =>
-      Number(this.placer.isHolder),
-    );
-    metrics.addGauge(
-      'orders',
-      'Orders to servers since the start',
-      () => this.placer.orders,
-    );
-    metrics.addGauge(
-      'connections_opened',
-      'Connections opened to servers since the start',
-      () => backend.counts.opened,
-    );
-    metrics.addGauge(
-      'connections_reused',
-      'Calls sent over a connection that was open',
-      () => backend.counts.reused,
-    );
-    metrics.addGauge(
-      'connections_surplus',
-      'Connections closed for bytes that nobody asked for',
-      () => backend.counts.surplus,
-    );
-    metrics.addGauge(
-      'store_reads',
-      'Reads of the store since the start',
-      () => this.configFollower.reads + this.serverFollower.reads,
-    );
-    metrics.addGauge(
-      'unreadable_records',
-      'Records of servers that could not be read',
-      () => this.book.unreadableCount,
-    );
-  }
 }
 
 /** A chart that does not bind is a fault of the build; the process cannot start. */
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -1,15 +1,14 @@
 /**
  * Places layers on backend servers while this gateway holds the duty; host of
- * the charts `dutyHolder` and `layerOrder`.
+ * the chart `dutyHolder`.
  */
 import {
   ChartMachine,
   ChartName,
   loadChart,
   type ChartInstance,
-  type ChartTimers,
 } from '@lycheetally/charts';
-import type { Milliseconds, PartLogger, Result } from '@lycheetally/common';
+import type { Milliseconds, Result } from '@lycheetally/common';
 import type {
   BackendService,
   LayerRange,
@@ -18,14 +17,16 @@
 import {
   dutyLeaseMs,
   dutyRenewPauseMs,
-  loadBoundMs,
-  orderPauseMs,
   planPauseMs,
-  reportBoundMs,
   settleBoundMs,
   settlePauseMs,
 } from './constants.js';
-import type { DutyGrant, DutyPort, ServerControlPort } from './ports.js';
+import {
+  LayerOrder,
+  type OrderMachine,
+  type OrderServices,
+} from './layerOrder.js';
+import type { DutyGrant, DutyPort } from './ports.js';
 import type { Server } from './server.js';
 import { viewStage, type ServerBook } from './serverBook.js';
 
@@ -33,98 +34,18 @@
   readonly type: 'GRANTED' | 'DENIED' | 'RESIGN';
 }
 
-export interface OrderEvent {
-  readonly type: 'ACCEPTED' | 'REFUSED' | 'UNANSWERED' | 'SEEN';
-}
-
 export type DutyMachine = ChartMachine<LayerPlacer, DutyEvent>;
-export type OrderMachine = ChartMachine<LayerOrder, OrderEvent>;
 
-export interface PlacerServices {
-  readonly timers: ChartTimers;
-  readonly log: PartLogger;
+export interface PlacerServices extends OrderServices {
   readonly duty: DutyPort;
-  readonly control: ServerControlPort;
   readonly placement: PlacementPolicy;
   readonly book: ServerBook;
   readonly startedAt: Milliseconds;
   /** Takes the part of the group that this gateway is. */
   setShare(share: number, now: Milliseconds): void;
-  postCompletion(run: (now: Milliseconds) => void): void;
   listServices(): Iterable<BackendService>;
 }
 
-/** One order to one incarnation of a server. */
-export class LayerOrder {
-  private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
-
-  constructor(
-    machine: OrderMachine,
-    private readonly services: PlacerServices,
-    readonly server: Server,
-    readonly range: LayerRange,
-    private readonly fencingToken: number,
-    private readonly handleSettled: () => void,
-  ) {
-    this.chart = machine.createInstance(this, services.timers);
-  }
-
-  start(now: Milliseconds): void {
-    this.chart.start(now);
-  }
-
-  noteSeen(now: Milliseconds): void {
-    this.chart.send({ type: 'SEEN' }, now);
-  }
-
-  readonly chartActions = {
-    sendOrder: (): void => {
-      void this.exchangeOrder().then(result => {
-        this.services.postCompletion(now => {
-          this.receive(result, now);
-        });
-      });
-    },
-    noteSettled: (): void => {
-      this.chart.dispose();
-      this.handleSettled();
-    },
-  };
-
-  private async exchangeOrder(): Promise<Result<boolean>> {
-    const { services, server, range, fencingToken } = this;
-    const { serverId, address } = server.record;
-    const order = { serverId, address, range, fencingToken };
-    const report = await services.control.readReport(address, reportBoundMs);
-    return report.err
-      ? report
-      : services.control.placeLayers({
-          ...order,
-          expectedOrders: report.val.orders,
-        });
-  }
-
-  private receive(result: Result<boolean>, now: Milliseconds): void {
-    const { from, to } = this.range;
-    const answer = result.err ? 'UNANSWERED' : orderAnswers[String(result.val)];
-    this.services.log.info('A server was told to hold layers.', {
-      server: this.server.record.serverId,
-      layers: `${String(from)}-${String(to)}`,
-      fencingToken: this.fencingToken,
-      answer: answer ?? '',
-      reason: result.err ? result.val.message : '',
-    });
-    if (answer) {
-      this.chart.send({ type: answer }, now);
-    }
-  }
-}
-
-const orderAnswers: Readonly<Record<string, OrderEvent['type']>> = {
-  true: 'ACCEPTED',
-  false: 'REFUSED',
-};
-
 export class LayerPlacer {
   /** Orders sent since the start. */
   orders = 0;
@@ -310,24 +231,3 @@
       },
     }),
   );
-
-/** Binds the chart `layerOrder`. Fails with `BadChart`. */
-export const bindOrderChart = (): Result<OrderMachine> =>
-  loadChart(ChartName.LayerOrder).andThen(chart =>
-    ChartMachine.bind<LayerOrder, OrderEvent>(chart, {
-      actions: {
-        sendOrder: order => {
-          order.chartActions.sendOrder();
-        },
-        noteSettled: order => {
-          order.chartActions.noteSettled();
-        },
-      },
-      guards: {},
-      delays: {
-        LOAD_BOUND: () => loadBoundMs,
-        REFUSED_PAUSE: () => orderPauseMs,
-        DOUBT_PAUSE: () => orderPauseMs,
-      },
-    }),
-  );
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -21,12 +21,6 @@
   readonly type: 'SUCCEEDED' | 'ERRED' | 'UNREACHABLE' | 'HEARTBEAT' | 'REBORN';
 }
 
-/** Calls that a server said it has, and when. */
-interface ReportedLoad {
-  readonly load: number;
-  readonly at: Milliseconds;
-}
-
 export type HealthMachine = ChartMachine<Server, HealthEvent>;
 
 export class Server {
@@ -34,7 +28,8 @@
   calls = 0;
   /** Tokens times layers of the calls under way. */
   layerTokens = 0;
-  private reported: ReportedLoad | undefined;
+  /** Calls that it said it has, since its last announcement. */
+  private reportedCalls = 0;
   private refusedAt: Milliseconds = -Infinity;
   private silentSince: Milliseconds = 0;
   private errorsInRow = 0;
@@ -60,7 +55,7 @@
 
   get load(): StageLoad {
     const { layerTokens, calls } = this;
-    const firstRequests = Math.max(calls, this.reported?.load ?? 0);
+    const firstRequests = Math.max(calls, this.reportedCalls);
     return { layerTokens, firstRequests, slowness: 1 };
   }
 
@@ -91,13 +86,13 @@
 
   /** A new announcement of the server was read. */
   noteHeartbeat(now: Milliseconds): void {
-    this.reported = undefined;
+    this.reportedCalls = 0;
     this.chart.send({ type: 'HEARTBEAT' }, now);
   }
 
   /** Notes what the server said of its load in an answer. */
-  noteLoad(load: number, now: Milliseconds): void {
-    this.reported = { load, at: now };
+  noteLoad(calls: number): void {
+    this.reportedCalls = calls;
   }
 
   noteReborn(now: Milliseconds): void {
