--- a/packages/testkit/src/platform/platformWorker.ts
+++ b/packages/testkit/src/platform/platformWorker.ts
@@ -110,7 +110,7 @@
   return { seen: { method, target, headers, body, socket }, length };
 };
 
-/** Writes a head with the call's id and a digest. */
+/** Writes a head with the call's id and a signature. */
 export const formatHead = (
   request: SeenRequest,
   status: string,
@@ -119,7 +119,7 @@
   [
     `HTTP/1.1 ${status}`,
     `X-Request-Id: ${request.headers.get('x-request-id') ?? ''}`,
-    'X-Response-Signature: digest',
+    'X-Response-Signature: signature',
     ...headers,
     '',
     '',
