Shorten the start of a gateway

Change: the front has a function of its own; start returns the callers' address or the first failure.

--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -12,6 +12,7 @@
 import {
   LogPart,
   millisecondsPerSecond,
+  type Address,
   type LoggerFactory,
   type Milliseconds,
   type PartLogger,
@@ -123,23 +124,7 @@
     [this.configFollower, this.serverFollower] = this.createFollowers();
     this.placer = this.createPlacer(startedAt);
     this.callServices = this.createCallServices();
-    this.front = new HttpFront(ports.format, {
-      receiveCall: (received, caller) => {
-        this.post(now => {
-          this.receiveCall(received, caller, now);
-        });
-      },
-      receiveLeft: caller => {
-        this.post(now => {
-          this.receiveLeft(caller, now);
-        });
-      },
-      noteRefused: (status, reason) => {
-        this.metrics.countRefused(status);
-        this.log.warn('A malformed request was refused.', { status, reason });
-      },
-      getNow: () => this.clock.getNow(),
-    });
+    this.front = this.createFront();
     this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
     this.lifecycle = takeValue(bindLifecycle()).createInstance(this, this.loop);
     this.loop.setHandlers({
@@ -168,17 +153,18 @@
     return this.lifecycle.matches('ready') && this.isFresh;
   }
 
-  /** Listens and follows the store. Fails with `BadAddress`. */
-  async start(): Promise<Result<unknown>> {
+  /** Listens and follows the store; returns the callers' address. Fails with `BadAddress`. */
+  async start(): Promise<Result<Address>> {
     const { callers, readiness, metrics } = this.settings.listen;
-    const listening = [
-      await this.front.listen(callers),
-      await this.pages.listen(readiness),
-      ...(metrics ? [await this.pages.listen(metrics)] : []),
-    ];
-    const failed = listening.find(result => result.err);
-    if (failed) {
-      return failed;
+    const listening = await this.front.listen(callers);
+    if (listening.err) {
+      return listening;
+    }
+    for (const address of metrics ? [readiness, metrics] : [readiness]) {
+      const page = await this.pages.listen(address);
+      if (page.err) {
+        return page;
+      }
     }
     this.post(now => {
       this.lifecycle.start(now);
@@ -190,7 +176,7 @@
       domain: this.settings.process.failureDomain,
       callers: `${callers.host}:${String(callers.port)}`,
     });
-    return listening[0] ?? failed ?? this.front.listen(callers);
+    return listening;
   }
 
   /** Takes settings that changed while the process runs. */
@@ -272,6 +258,26 @@
     return { steady: this.clock.getNow(), timeOfDay: Date.now() };
   }
 
+  private createFront(): HttpFront {
+    return new HttpFront(this.ports.format, {
+      receiveCall: (received, caller) => {
+        this.post(now => {
+          this.receiveCall(received, caller, now);
+        });
+      },
+      receiveLeft: caller => {
+        this.post(now => {
+          this.receiveLeft(caller, now);
+        });
+      },
+      noteRefused: (status, reason) => {
+        this.metrics.countRefused(status);
+        this.log.warn('A malformed request was refused.', { status, reason });
+      },
+      getNow: () => this.clock.getNow(),
+    });
+  }
+
   private createFollowers(): [
     TableFollower<GatewayConfiguration>,
     TableFollower<BackendRecord>,
