Keep one copy of takeValue, and drop work and names in the wrong place

Cause: a read of the whole change found takeValue written twice, a scan of all open calls at each call's end, a second search for a chain over the same servers, a bound that was never the smaller one, and the platform's variable for the settings outside platform/. Ruled out: a shared body reader for the store's client; platform/ may not import the node package that holds the other one. Change: takeValue stands in common; a call is removed by its caller; the second search runs only when it has more servers; the variable's name is in platform/.

--- a/apps/gateway/src/runGateway.ts
+++ b/apps/gateway/src/runGateway.ts
@@ -13,12 +13,10 @@
 import {
   createPlatformPorts,
   platformSettingsSchema,
+  settingsVariable,
   type PlatformSettings,
 } from '@lycheetally/platform';
 
-/** The platform puts the path of the settings here; `--settings` goes before it. */
-const settingsVariable = 'LYCHEETALLY_SETTINGS';
-
 /** Milliseconds between looks at the settings file, which may change without a signal. */
 const settingsLookMs = 2_000;
 
@@ -26,6 +24,7 @@
 
 /** Starts a gateway and serves until it is stopped, or only checks its settings. */
 export const runGateway = async (flags: DaemonFlags): Promise<void> => {
+  // The command line goes before the platform's variable.
   const path = flags.settings || (process.env[settingsVariable] ?? '');
   const readOwnSettings = (): Result<PlatformSettings> => {
     const { env } = process;
--- a/apps/lycheetally/src/commands/configActions.ts
+++ b/apps/lycheetally/src/commands/configActions.ts
@@ -1,7 +1,12 @@
 /** The actions of `lycheetally config`. */
 import { readFileSync } from 'node:fs';
 import { userInfo } from 'node:os';
-import { ErrorKind, ExitCode, TypedError } from '@lycheetally/common';
+import {
+  ErrorKind,
+  ExitCode,
+  TypedError,
+  takeValue,
+} from '@lycheetally/common';
 import {
   ConfigVerdict,
   emptyConfiguration,
@@ -14,7 +19,6 @@
   SystemClock,
   formatFault,
   parseConfigFile,
-  takeValue,
   type Published,
 } from '@lycheetally/router';
 import { describeConfiguration } from '../questionnaire/answers.js';
--- a/apps/lycheetally/src/commands/questionnaireCommand.ts
+++ b/apps/lycheetally/src/commands/questionnaireCommand.ts
@@ -7,8 +7,8 @@
   ExitCode,
   TypedError,
   formatIni,
+  takeValue,
 } from '@lycheetally/common';
-import { takeValue } from '@lycheetally/router';
 import {
   KeyMaker,
   buildFiles,
--- a/packages/common/src/result.ts
+++ b/packages/common/src/result.ts
@@ -10,3 +10,11 @@
 
 /** A value, or a typed error that says why there is none. */
 export type Result<T, E = TypedError> = TsResult<T, E>;
+
+/** Returns the value of a result, or throws its error to the start of the process. */
+export const takeValue = <T>(result: Result<T>): T => {
+  if (result.err) {
+    throw result.val;
+  }
+  return result.val;
+};
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -32,7 +32,11 @@
 ): ChosenServers | undefined => {
   const all = call.services.book.listUsable(admitted.service.name);
   const idle = all.filter(server => !server.isCrowded(now));
-  return findChain(call, admitted, idle) ?? findChain(call, admitted, all);
+  const chosen = findChain(call, admitted, idle);
+  return (
+    chosen ??
+    (idle.length < all.length ? findChain(call, admitted, all) : undefined)
+  );
 };
 
 const findChain = (
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -106,7 +106,7 @@
     }
     const first =
       this.way === AnswerWay.Events ? streamSilenceMs : firstSilenceMs;
-    return Math.min(Math.max(first, maxSilenceMs), first * 2 ** this.silences);
+    return Math.min(maxSilenceMs, first * 2 ** this.silences);
   }
 
   /** Lets the server's bytes flow again after the caller took its own. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -12,6 +12,7 @@
 import {
   LogPart,
   millisecondsPerSecond,
+  takeValue,
   type Address,
   type LoggerFactory,
   type Milliseconds,
@@ -30,7 +31,7 @@
 import { Loop, SteadyClock } from '@lycheetally/node';
 import { bindCallChart, type CallMachine } from './callActions.js';
 import type { CallFormat } from './callFormat.js';
-import type { ReceivedCall } from './callerPort.js';
+import type { CallerExchange, ReceivedCall } from './callerPort.js';
 import {
   configWaitMs,
   exitReserveMs,
@@ -91,7 +92,7 @@
   private readonly serverFollower: TableFollower<BackendRecord>;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
-  private readonly calls = new Map<HttpCaller, GatewayCall>();
+  private readonly calls = new Map<CallerExchange, GatewayCall>();
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
   private configuration: GatewayConfiguration | undefined;
   private hasLeft = false;
@@ -399,12 +400,7 @@
   }
 
   private handleCallEnded(call: GatewayCall): void {
-    for (const [caller, open] of this.calls) {
-      if (open === call) {
-        this.calls.delete(caller);
-        break;
-      }
-    }
+    this.calls.delete(call.caller);
     if (this.hasLeft) {
       this.post(now => {
         this.noteIdle(now);
@@ -451,14 +447,6 @@
   }
 }
 
-/** A chart that does not bind is a fault of the build; the process cannot start. */
-const takeValue = <T>(result: Result<T>): T => {
-  if (result.err) {
-    throw result.val;
-  }
-  return result.val;
-};
-
 const bindLifecycle = (): Result<ChartMachine<GatewayNode, LifecycleEvent>> =>
   loadChart(ChartName.Lifecycle).andThen(chart =>
     ChartMachine.bind<GatewayNode, LifecycleEvent>(chart, {
--- a/packages/router/src/agent/agentNode.ts
+++ b/packages/router/src/agent/agentNode.ts
@@ -11,6 +11,7 @@
   formatAddress,
   type Address,
   type Milliseconds,
+  takeValue,
 } from '@lycheetally/common';
 import { toPosition } from '@lycheetally/decisions';
 import {
@@ -38,7 +39,6 @@
 import type { SlotQueue } from '../ports/slotQueue.js';
 import {
   RouterNode,
-  takeValue,
   type NodeEvents,
   type NodePorts,
   type NodeSettings,
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -15,6 +15,7 @@
   toTypedError,
   type Address,
   type DaemonFlags,
+  takeValue,
 } from '@lycheetally/common';
 import {
   BudgetedRetry,
@@ -44,7 +45,7 @@
   type AgentFileSettings,
   type EntryFileSettings,
 } from './processSettings.js';
-import { takeValue, type RouterNode } from './routerNode.js';
+import { type RouterNode } from './routerNode.js';
 
 /** A node with its bound addresses. */
 interface StartedNode {
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -7,6 +7,7 @@
   type Address,
   type Milliseconds,
   type Result,
+  takeValue,
 } from '@lycheetally/common';
 import {
   ConditionalAcceptance,
@@ -37,7 +38,7 @@
 import type { OutgoingChannel } from '../peers/outgoingChannel.js';
 import type { PeerChannel } from '../peers/peerChannel.js';
 import type { VmRecord } from '../ports/platform.js';
-import { RouterNode, takeValue } from '../routerNode.js';
+import { RouterNode } from '../routerNode.js';
 import { findAccount } from './acceptCall.js';
 import { toAnnounced } from './announcedAgent.js';
 import { bindAttemptChart } from './attemptActions.js';
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -19,6 +19,7 @@
   type Milliseconds,
   type PartLogger,
   type Result,
+  takeValue,
 } from '@lycheetally/common';
 import type { Hello, PeerMessage } from '@lycheetally/protocol';
 import { Registry } from 'prom-client';
@@ -83,14 +84,6 @@
   readonly loggers: LoggerFactory;
 }
 
-/** Returns the value of a result, or throws its error to the start of the process. */
-export const takeValue = <T>(result: Result<T>): T => {
-  if (result.err) {
-    throw result.val;
-  }
-  return result.val;
-};
-
 /** Passes what channels report to their node. */
 class NodePeerHandler extends PeerHandler {
   constructor(private readonly node: RouterNode<never>) {
