Ask suspected servers whether they live, and resume within the budget

Cause: a server that crashes inside a chain was known as gone only to gateways whose own stream had stalled there; the gateway that places layers learnt it from the list after three missing heartbeats (order 4.0 s after the crash).

Change: a server that a refusal names, whose heartbeat is overdue at the placing gateway, or that stands beside one that was lost is asked for its report, twice before it counts as gone, once a second at most (chart serverCheck). The placing gateway reads the list every 0.4 s. A gateway takes the load of a server for as many times its own as gateways share a failure domain.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -37,6 +37,7 @@
   ServerHealth: 'serverHealth',
   DutyHolder: 'dutyHolder',
   LayerOrder: 'layerOrder',
+  ServerCheck: 'serverCheck',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -50,13 +50,15 @@
 };
 
 const startAttempt: CallAction = (call, _, now) => {
-  if (call.attempts > 0) {
-    call.services.retry.noteRetry(call.view(), now);
-  }
   call.attempts += 1;
   call.attempt?.instance.start(now);
 };
 
+/** Counts the repeat when it is decided, so that calls that wait together do not all use the same one. */
+const noteRetry: CallAction = (call, _, now) => {
+  call.services.retry.noteRetry(call.view(), now);
+};
+
 const noteReason: CallAction = (call, event) => {
   call.fault = event?.reason ?? call.fault;
 };
@@ -221,6 +223,7 @@
         chooseChain,
         startAttempt,
         noteReason,
+        noteRetry,
         forwardError,
         decideEnd,
         finishComplete,
@@ -233,6 +236,7 @@
       guards: {
         mayRetry: (call, _, now) => mayRetry(call, now),
         mayRepeat: (call, _, now) => mayRepeat(call, now),
+        mayResume: (call, _, now) => call.hasBegun && mayRepeat(call, now),
         mayWait: (call, _, now) => mayWait(call, now),
         hasBegun: call => call.hasBegun,
       },
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -50,7 +50,10 @@
   if (!model) {
     return undefined;
   }
-  const loads = new Map(usable.map(each => [each.record.serverId, each.load]));
+  const gateways = book.gatewaysPerDomain;
+  const loads = new Map(
+    usable.map(each => [each.record.serverId, each.estimateLoad(gateways)]),
+  );
   const chain = policy.chooseChain({
     model,
     servers: usable.map(viewStage),
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -42,6 +42,9 @@
 /** Pause between reads of the list of servers; several fit into the time to stop sending to one that leaves. */
 export const serverReadPauseMs = 800;
 
+/** The same pause at the gateway that places layers: a lost server is missed sooner. */
+export const placerReadPauseMs = 400;
+
 /** A read of the store that has not been answered by then counts as lost. */
 export const storeAnswerBoundMs = 700;
 
@@ -60,6 +63,12 @@
 /** A silent server is tried again after this when no heartbeat can be read. */
 export const silenceOfServerBoundMs = 6_000;
 
+/** Pause between two questions to a suspected server; many calls meet the same refusal. */
+export const checkPauseMs = 1_000;
+
+/** Share of the heartbeat's interval by which a heartbeat may be late before its server is asked. */
+export const heartbeatLateShare = 0.25;
+
 /** First suspension of a server; doubles with each in a row. */
 export const firstSuspensionMs = 1_000;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -329,12 +329,15 @@
     }
   }
 
-  /** A server that refuses is full or giving up layers; what runs there goes on. */
+  /** A server that is named is full, giving up layers, or gone; only the last ends what runs there. */
   private noteCrowded(address: string, now: Milliseconds): void {
     const server = this.call.services.book.findByAddress(address);
     if (server) {
       this.call.avoided.add(server.record.serverId);
       server.noteCrowded(now);
+      if (server !== this.chosen.first) {
+        this.call.services.checkServer(server, 'a refusal named it', now);
+      }
     }
   }
 
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -67,6 +67,8 @@
   /** When the store last proved that the configuration is the newest. */
   getProvenAt(): Moment | undefined;
   getMoment(): Moment;
+  /** Asks a server that a refusal names whether it lives. */
+  checkServer(server: Server, suspicion: string, now: Milliseconds): void;
   /** Says whether the process takes no more calls. */
   isLeaving(now: Milliseconds): boolean;
   /** Says whether open calls are being ended. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -37,6 +37,7 @@
   exitReserveMs,
   leaveConnectionsAfterMs,
   refuseCallsAfterMs,
+  placerReadPauseMs,
   serverReadPauseMs,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
@@ -56,6 +57,7 @@
   TableRecord,
 } from './ports.js';
 import { bindHealthChart, type Server } from './server.js';
+import { bindCheckChart, ServerChecks } from './serverCheck.js';
 import { ServerBook } from './serverBook.js';
 import { StatusPages } from './statusPages.js';
 import { bindFollowerChart, TableFollower } from './tableFollower.js';
@@ -87,6 +89,7 @@
   private readonly backend: HttpBackend;
   private readonly retryBudget: SlidingRetryBudget;
   private readonly book: ServerBook;
+  private readonly checks: ServerChecks;
   private readonly placer: LayerPlacer;
   private readonly configFollower: TableFollower<GatewayConfiguration>;
   private readonly serverFollower: TableFollower<BackendRecord>;
@@ -123,6 +126,7 @@
       },
     );
     [this.configFollower, this.serverFollower] = this.createFollowers();
+    this.checks = this.createChecks();
     this.placer = this.createPlacer(startedAt);
     this.callServices = this.createCallServices();
     this.front = this.createFront();
@@ -296,7 +300,7 @@
       name: 'configuration',
       table: this.ports.configurations,
       waitMs: configWaitMs,
-      pauseMs: 0,
+      getPause: () => 0,
       apply: (records, _, now) => {
         this.applyConfigurations(records, now);
       },
@@ -305,7 +309,8 @@
       name: 'servers',
       table: this.ports.servers,
       waitMs: 0,
-      pauseMs: serverReadPauseMs,
+      getPause: () =>
+        this.placer.isHolder ? placerReadPauseMs : serverReadPauseMs,
       apply: (records, isWhole, now) => {
         this.book.apply(records, isWhole, now);
       },
@@ -313,6 +318,23 @@
     return [configurations, servers];
   }
 
+  private createChecks(): ServerChecks {
+    return new ServerChecks(takeValue(bindCheckChart()), {
+      timers: this.loop,
+      control: this.ports.control,
+      postCompletion: run => {
+        this.post(run);
+      },
+      countProbe: () => {
+        this.metrics.countProbe();
+      },
+      handleGone: (server, reason, now) => {
+        server.noteUnreachable(reason, now);
+        this.handleServerLost(server, now);
+      },
+    });
+  }
+
   private createPlacer(startedAt: Milliseconds): LayerPlacer {
     return new LayerPlacer(
       takeValue(bindDutyChart()),
@@ -325,8 +347,13 @@
         placement: new CopyPerDomain(),
         book: this.book,
         startedAt,
+        heartbeatMs: this.settings.rules.heartbeatMs,
+        checkServer: (server, suspicion, now) => {
+          this.checks.request(server, suspicion, now);
+        },
         setShare: (share, now) => {
           this.retryBudget.setShare(share, now);
+          this.book.gatewayShare = share;
         },
         postCompletion: run => {
           this.post(run);
@@ -354,6 +381,9 @@
       getConfiguration: () => this.configuration,
       getProvenAt: () => this.configFollower.provenAt,
       getMoment: () => this.getMoment(),
+      checkServer: (server, suspicion, now) => {
+        this.checks.request(server, suspicion, now);
+      },
       isLeaving: now => now - this.stoppedAt >= refuseCallsAfterMs,
       isCutting: () => this.lifecycle.matches('cutting'),
       postCompletion: run => {
@@ -397,6 +427,16 @@
         attempt.instance.send({ type: 'SERVER_LOST', fault }, now);
       }
     }
+    this.checkOthers(server, now);
+  }
+
+  /** Servers are often lost together; each that is not known yet costs a repeat a call. */
+  private checkOthers(lost: Server, now: Milliseconds): void {
+    for (const server of this.book.listUsable(lost.record.service)) {
+      if (server.record.range) {
+        this.checks.request(server, 'another server was lost', now);
+      }
+    }
   }
 
   private handleCallEnded(call: GatewayCall): void {
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -28,6 +28,9 @@
       .describe('Address of the metrics page, at `/metrics`'),
   }),
   rules: z.object({
+    heartbeatMs: positive.describe(
+      'Milliseconds between two heartbeats of a backend server',
+    ),
     revokeMs: positive.describe(
       'Milliseconds after which a revoked key must fail everywhere',
     ),
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -17,6 +17,8 @@
 import {
   dutyLeaseMs,
   dutyRenewPauseMs,
+  heartbeatLateShare,
+  placerReadPauseMs,
   planPauseMs,
   settleBoundMs,
   settlePauseMs,
@@ -41,6 +43,10 @@
   readonly placement: PlacementPolicy;
   readonly book: ServerBook;
   readonly startedAt: Milliseconds;
+  /** Interval of the heartbeats of a server. */
+  readonly heartbeatMs: Milliseconds;
+  /** Asks a server whether it lives. */
+  checkServer(server: Server, suspicion: string, now: Milliseconds): void;
   /** Takes the part of the group that this gateway is. */
   setShare(share: number, now: Milliseconds): void;
   listServices(): Iterable<BackendService>;
@@ -161,6 +167,7 @@
     if (!service.model) {
       return;
     }
+    this.checkOverdue(service, now);
     const servers = this.services.book
       .listAll(service.name)
       .filter(server => !server.record.isLeaving && server.isTrusted);
@@ -178,6 +185,20 @@
     }
   }
 
+  /** The store drops a silent server after three heartbeats; a question tells it sooner. */
+  private checkOverdue(service: BackendService, now: Milliseconds): void {
+    const { book, heartbeatMs } = this.services;
+    if (!book.isCurrent) {
+      return;
+    }
+    const boundMs = heartbeatMs * (1 + heartbeatLateShare) + placerReadPauseMs;
+    for (const server of book.listAll(service.name)) {
+      if (now - server.heardAt > boundMs) {
+        this.services.checkServer(server, 'its heartbeat is overdue', now);
+      }
+    }
+  }
+
   private sendOrder(
     server: Server,
     range: LayerRange,
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -28,6 +28,8 @@
   calls = 0;
   /** Tokens times layers of the calls under way. */
   layerTokens = 0;
+  /** When it last showed that it lives: by a heartbeat or an answer to a question. */
+  heardAt: Milliseconds;
   /** Calls that it said it has, since its last announcement. */
   private reportedCalls = 0;
   private refusedAt: Milliseconds = -Infinity;
@@ -44,6 +46,7 @@
     private readonly log: PartLogger,
     now: Milliseconds,
   ) {
+    this.heardAt = now;
     this.chart = machine.createInstance(this, timers);
     this.chart.start(now);
   }
@@ -53,10 +56,14 @@
     return !this.chart.matches('suspended') && !this.chart.matches('silent');
   }
 
-  get load(): StageLoad {
-    const { layerTokens, calls } = this;
-    const firstRequests = Math.max(calls, this.reportedCalls);
-    return { layerTokens, firstRequests, slowness: 1 };
+  /** The work of all gateways there, when so many of them send as much as this one. */
+  estimateLoad(gateways: number): StageLoad {
+    const { layerTokens, calls, reportedCalls } = this;
+    return {
+      layerTokens: layerTokens * gateways,
+      firstRequests: Math.max(calls * gateways, reportedCalls),
+      slowness: 1,
+    };
   }
 
   /** Whether it refused a moment ago. */
@@ -87,6 +94,7 @@
   /** A new announcement of the server was read. */
   noteHeartbeat(now: Milliseconds): void {
     this.reportedCalls = 0;
+    this.heardAt = now;
     this.chart.send({ type: 'HEARTBEAT' }, now);
   }
 
--- a/packages/gateway/src/serverBook.ts
+++ b/packages/gateway/src/serverBook.ts
@@ -13,6 +13,8 @@
 }
 
 export class ServerBook {
+  /** Part of all gateways that this one is, from 0 to 1; 0 while it is not known. */
+  gatewayShare = 0;
   /** When a server last joined. */
   lastJoinAt: Milliseconds = -Infinity;
   private readonly servers = new Map<string, Server>();
@@ -33,6 +35,21 @@
     return this.unreadable;
   }
 
+  /** Whether the store answers, so that a missing heartbeat says something of its server. */
+  get isCurrent(): boolean {
+    return this.viewAbsence().lostSince === undefined;
+  }
+
+  /** Gateways that use the servers of a failure domain; each sees only its own calls there. */
+  get gatewaysPerDomain(): number {
+    const domains = new Set(
+      [...this.servers.values()].map(({ record }) => record.failureDomain),
+    );
+    return this.gatewayShare > 0
+      ? Math.max(1, 1 / this.gatewayShare / domains.size)
+      : 1;
+  }
+
   find(serverId: string): Server | undefined {
     return this.servers.get(serverId);
   }
--- /dev/null
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -0,0 +1,155 @@
+/** Questions to backend servers that are suspected to be gone. */
+import { Writable } from 'node:stream';
+import { afterEach, describe, expect, it } from 'vitest';
+import {
+  Err,
+  ErrorKind,
+  LogPart,
+  LoggerFactory,
+  Ok,
+  TypedError,
+  takeValue,
+  type Result,
+} from '@lycheetally/common';
+import { Loop, SteadyClock } from '@lycheetally/node';
+import { ServerControlPort, type ServerReport } from '../src/ports.js';
+import { Server, bindHealthChart } from '../src/server.js';
+import { ServerChecks, bindCheckChart } from '../src/serverCheck.js';
+
+const unanswered = new TypedError(
+  ErrorKind.BackendFailed,
+  'no answer',
+  'start it',
+);
+
+/** Answers the questions of a test one after the other; the rest fail. */
+class ScriptedControl extends ServerControlPort {
+  questions = 0;
+
+  constructor(private readonly isAnswered: readonly boolean[]) {
+    super();
+  }
+
+  override placeLayers(): Promise<Result<boolean>> {
+    return Promise.resolve(Err(unanswered));
+  }
+
+  override readReport(): Promise<Result<ServerReport>> {
+    const isAnswered = this.isAnswered[this.questions] ?? false;
+    this.questions += 1;
+    return Promise.resolve(
+      isAnswered ? Ok({ orders: 0, stalled: [] }) : Err(unanswered),
+    );
+  }
+}
+
+class CheckWorld {
+  readonly control: ScriptedControl;
+  readonly gone: string[] = [];
+  readonly server: Server;
+  private readonly clock = new SteadyClock();
+  private readonly loop = new Loop<{
+    completion: (now: number) => void;
+  }>(this.clock);
+  private readonly checks: ServerChecks;
+
+  constructor(isAnswered: readonly boolean[]) {
+    this.loop.setHandlers({
+      completion: (run, now) => {
+        run(now);
+      },
+    });
+    const output = new Writable({
+      write: (_line, _encoding, done) => {
+        done();
+      },
+    });
+    const loggers = new LoggerFactory('gateway-1', 'info', output);
+    this.control = new ScriptedControl(isAnswered);
+    this.server = new Server(
+      takeValue(bindHealthChart()),
+      this.loop,
+      {
+        serverId: 'i-1',
+        service: 'model',
+        address: '127.0.0.1:1',
+        failureDomain: 'a',
+        slots: 10,
+        isLeaving: false,
+        incarnation: 1,
+        sequence: 1,
+        kind: 'large',
+        range: { from: 0, to: 8 },
+      },
+      loggers.createLogger(LogPart.Servers),
+      this.clock.getNow(),
+    );
+    this.checks = new ServerChecks(takeValue(bindCheckChart()), {
+      timers: this.loop,
+      control: this.control,
+      postCompletion: run => {
+        this.loop.post('completion', run);
+      },
+      countProbe: () => undefined,
+      handleGone: (server, reason, now) => {
+        this.gone.push(reason);
+        server.noteUnreachable(reason, now);
+      },
+    });
+  }
+
+  request(suspicion: string): void {
+    this.checks.request(this.server, suspicion, this.clock.getNow());
+  }
+
+  /** Lets the answers that are due arrive. */
+  async settle(): Promise<void> {
+    for (let turn = 0; turn < 10; turn += 1) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  }
+
+  dispose(): void {
+    this.server.dispose();
+  }
+}
+
+let world: CheckWorld;
+
+afterEach(() => {
+  world.dispose();
+});
+
+describe('a suspected server', () => {
+  it('that answers keeps its work, and is not asked again at once', async () => {
+    world = new CheckWorld([true]);
+    world.request('a refusal named it');
+    world.request('a refusal named it');
+    await world.settle();
+    world.request('a refusal named it');
+    await world.settle();
+    expect(world.control.questions).toBe(1);
+    expect(world.gone).toEqual([]);
+    expect(world.server.isTrusted).toBe(true);
+  });
+
+  it('that answers the second question keeps its work', async () => {
+    world = new CheckWorld([false, true]);
+    world.request('its heartbeat is overdue');
+    await world.settle();
+    expect(world.control.questions).toBe(2);
+    expect(world.gone).toEqual([]);
+  });
+
+  it('that answers neither gets no more work', async () => {
+    world = new CheckWorld([]);
+    world.request('its heartbeat is overdue');
+    await world.settle();
+    expect(world.control.questions).toBe(2);
+    expect(world.gone).toEqual(['its heartbeat is overdue']);
+    expect(world.server.isTrusted).toBe(false);
+    world.request('a refusal named it');
+    await world.settle();
+    expect(world.control.questions).toBe(2);
+  });
+});
