Read the list of servers equally often everywhere

Cause: the placing gateway read the list every 0.4 s to miss a heartbeat sooner.

Change: one pause for all, as before.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -42,9 +42,6 @@
 /** Pause between reads of the list of servers; several fit into the time to stop sending to one that leaves. */
 export const serverReadPauseMs = 800;
 
-/** The same pause at the gateway that places layers: a lost server is missed sooner. */
-export const placerReadPauseMs = 400;
-
 /** A read of the store that has not been answered by then counts as lost. */
 export const storeAnswerBoundMs = 700;
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -37,7 +37,6 @@
   exitReserveMs,
   leaveConnectionsAfterMs,
   refuseCallsAfterMs,
-  placerReadPauseMs,
   serverReadPauseMs,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
@@ -300,7 +299,7 @@
       name: 'configuration',
       table: this.ports.configurations,
       waitMs: configWaitMs,
-      getPause: () => 0,
+      pauseMs: 0,
       apply: (records, _, now) => {
         this.applyConfigurations(records, now);
       },
@@ -309,8 +308,7 @@
       name: 'servers',
       table: this.ports.servers,
       waitMs: 0,
-      getPause: () =>
-        this.placer.isHolder ? placerReadPauseMs : serverReadPauseMs,
+      pauseMs: serverReadPauseMs,
       apply: (records, isWhole, now) => {
         this.book.apply(records, isWhole, now);
       },
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -18,7 +18,7 @@
   dutyLeaseMs,
   dutyRenewPauseMs,
   heartbeatLateShare,
-  placerReadPauseMs,
+  serverReadPauseMs,
   planPauseMs,
   settleBoundMs,
   settlePauseMs,
@@ -191,7 +191,7 @@
     if (!book.isCurrent) {
       return;
     }
-    const boundMs = heartbeatMs * (1 + heartbeatLateShare) + placerReadPauseMs;
+    const boundMs = heartbeatMs * (1 + heartbeatLateShare) + serverReadPauseMs;
     for (const server of book.listAll(service.name)) {
       if (now - server.heardAt > boundMs) {
         this.services.checkServer(server, 'its heartbeat is overdue', now);
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -38,7 +38,7 @@
   /** A read waits that long at the store for a change. */
   readonly waitMs: Milliseconds;
   /** Pause between two reads. */
-  readonly getPause: () => Milliseconds;
+  readonly pauseMs: Milliseconds;
   /** Takes records; `isWhole` when they are all that the table holds. */
   readonly apply: (
     records: readonly TableRecord<T>[],
@@ -93,7 +93,7 @@
   }
 
   override get pauseMs(): Milliseconds {
-    return this.options.getPause();
+    return this.options.pauseMs;
   }
 
   dispose(): void {
