Wait for a configuration for a share of the time to revoke a key

A read that waits 1.5 s proves the configuration as of its sending, so what is known is up to 3 s old, while three quarters of 2 s may be used.

Ruled out: processes that died or hung: the logs show both following the store.

Change: a read waits three tenths of the bound, 1.5 s at most; 5 s give the same 1.5 s as before.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -36,8 +36,11 @@
 /** A stopping gateway sends callers elsewhere at once. */
 export const leavingRetryAfterMs = 50;
 
-/** A waiting read of the configuration; a third of the time after which a revoked key must fail. */
-export const configWaitMs = 1_500;
+/** The longest waiting read of the configuration; a connection that fell silent is noticed after it. */
+export const maxConfigWaitMs = 1_500;
+
+/** The same as a share of the time after which a revoked key must fail: two reads fit into the age that may be used. */
+export const configWaitShare = 0.3;
 
 /** Pause between reads of the list of servers; several fit into the time to stop sending to one that leaves. */
 export const serverReadPauseMs = 800;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -33,9 +33,10 @@
 import type { CallFormat } from './callFormat.js';
 import type { CallerExchange, ReceivedCall } from './callerPort.js';
 import {
-  configWaitMs,
+  configWaitShare,
   exitReserveMs,
   leaveConnectionsAfterMs,
+  maxConfigWaitMs,
   refuseCallsAfterMs,
   serverReadPauseMs,
 } from './constants.js';
@@ -298,7 +299,10 @@
     const configurations = new TableFollower(machine, services, {
       name: 'configuration',
       table: this.ports.configurations,
-      waitMs: configWaitMs,
+      waitMs: Math.min(
+        maxConfigWaitMs,
+        Math.round(this.settings.rules.revokeMs * configWaitShare),
+      ),
       pauseMs: 0,
       apply: (records, _, now) => {
         this.applyConfigurations(records, now);
