Say which gateway of a soak failed, and with which log

Cause: a run of fifty seeds ended at the first gateway that was not ready and told no seed. Change: such a gateway, and one that ends by itself, is a broken promise of its seed, with the last lines of its log.

--- a/bench/src/soak/gatewayProcess.ts
+++ b/bench/src/soak/gatewayProcess.ts
@@ -17,6 +17,8 @@
 
 export class GatewayProcess {
   readonly lines: string[] = [];
+  /** Times that the program ended by itself with an error. */
+  failures = 0;
   private child: ChildProcess | undefined;
   private exited: Promise<unknown> = Promise.resolve();
   private restarting: Promise<void> | undefined;
@@ -39,7 +41,12 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
-    this.exited = new Promise(resolve => child.once('exit', resolve));
+    this.exited = new Promise(resolve => {
+      child.once('exit', code => {
+        this.failures += (code ?? 0) === 0 ? 0 : 1;
+        resolve(code);
+      });
+    });
     for (const stream of [child.stdout, child.stderr]) {
       stream.on('data', (chunk: Buffer) => {
         this.lines.push(...chunk.toString().trimEnd().split('\n'));
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -1,6 +1,7 @@
 /** One soak: calls under seeded troubles, then a calm end, then the check. */
 import { SeededNumbers } from '@lycheetally/testkit';
 import { checkSoak } from './checkSoak.js';
+import type { GatewayProcess } from './gatewayProcess.js';
 import { runCallers } from './soakCallers.js';
 import { runSoakFaults } from './soakFaults.js';
 import { SoakWorld } from './soakWorld.js';
@@ -42,7 +43,13 @@
       runSoakFaults(world, new SeededNumbers(seed), durationMs),
     ]);
     world.endTroubles();
-    await world.waitUntilReady();
+    const late = await world.listUnready();
+    const failed = world.gateways.filter(
+      gateway => gateway.failures > 0 || late.includes(gateway),
+    );
+    if (failed.length > 0) {
+      return describeFailed(seed, calls, faults, failed);
+    }
     const after = await runCallers({
       ...load,
       seed: -seed,
@@ -55,6 +62,28 @@
   }
 };
 
+/** Last lines of the log of a gateway that failed. */
+const lastLines = 40;
+
+const describeFailed = (
+  seed: number,
+  calls: readonly SoakCall[],
+  faults: readonly string[],
+  failed: readonly GatewayProcess[],
+): SoakResult => ({
+  seed,
+  calls: calls.length,
+  statuses: {},
+  faults,
+  broken: failed.map(({ name }) => ({
+    promise: `${name} goes on and is ready after the troubles`,
+    requestId: '',
+  })),
+  lines: failed.flatMap(({ lines }) =>
+    lines.filter(line => !line.includes('[calls]')).slice(-lastLines),
+  ),
+});
+
 const describeSoak = (
   world: SoakWorld,
   seed: number,
--- a/bench/src/soak/soakWorld.ts
+++ b/bench/src/soak/soakWorld.ts
@@ -88,6 +88,19 @@
     await Promise.all(this.gateways.map(each => each.waitUntilReady()));
   }
 
+  /** Waits for the gateways; returns those that are not ready in time. */
+  async listUnready(): Promise<GatewayProcess[]> {
+    const late = await Promise.all(
+      this.gateways.map(gateway =>
+        gateway.waitUntilReady().then(
+          () => [],
+          () => [gateway],
+        ),
+      ),
+    );
+    return late.flat();
+  }
+
   async dispose(): Promise<void> {
     await Promise.all(this.gateways.map(each => each.dispose()));
     for (const link of [...this.storeLinks, ...this.serverLinks]) {
