Keep bytes in order in the relay, and give gateways ports of their own

Ruled out: the gateway's stream code (one attempt, all events passed in the order received).

Change: the relay keeps a queue in each direction; ports lie below that range.

--- a/bench/src/soak/soakWorld.ts
+++ b/bench/src/soak/soakWorld.ts
@@ -189,15 +189,33 @@
   [SoakKind.Stream]: 'streaming',
 };
 
-/** Finds a port that nothing listens on; the system gives each out once in a while only. */
-const findFreePort = (): Promise<number> =>
+/** Ports that the system gives to no outgoing connection, so that a gateway finds its own again. */
+const firstPort = 12_000;
+const portCount = 18_000;
+const portsPerProcess = 40;
+
+let nextPort = firstPort + ((process.pid * portsPerProcess) % portCount);
+
+/** Finds a port that nothing listens on. */
+const findFreePort = async (): Promise<number> => {
+  for (;;) {
+    const port = nextPort;
+    nextPort = firstPort + ((port + 1 - firstPort) % portCount);
+    if (await isFree(port)) {
+      return port;
+    }
+  }
+};
+
+const isFree = (port: number): Promise<boolean> =>
   new Promise(resolve => {
     const probe = createServer();
-    probe.listen(0, '127.0.0.1', () => {
-      const bound = probe.address();
-      const port = typeof bound === 'object' ? (bound?.port ?? 0) : 0;
+    probe.on('error', () => {
+      resolve(false);
+    });
+    probe.listen(port, '127.0.0.1', () => {
       probe.close(() => {
-        resolve(port);
+        resolve(true);
       });
     });
   });
--- a/packages/testkit/src/faults/tcpRelay.ts
+++ b/packages/testkit/src/faults/tcpRelay.ts
@@ -6,6 +6,7 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { ValueOf } from '@lycheetally/common';
+import { waitFor } from '../standIns/standInServer.js';
 
 /** The way that bytes take through a relay. */
 export const Direction = {
@@ -109,15 +110,19 @@
     const isForward = direction === Direction.Forward;
     const from = isForward ? pair.client : pair.server;
     const to = isForward ? pair.server : pair.client;
-    let dueAt = 0;
+    let before: Promise<void> | undefined;
+    // A delay that ends must not let later bytes overtake earlier ones.
     const runInOrder = (run: () => void): void => {
-      const now = Date.now();
-      dueAt = Math.max(dueAt, now + this.delayMs);
-      if (dueAt <= now) {
+      const { delayMs } = this;
+      if (before === undefined && delayMs === 0) {
         run();
         return;
       }
-      setTimeout(run, dueAt - now);
+      const held = Promise.all([before, waitFor(delayMs)]).then(() => {
+        before = before === held ? undefined : before;
+        run();
+      });
+      before = held;
     };
     from.on('data', chunk => {
       runInOrder(() => {
