Plan around servers that refused an order

Change: a server that carries out an order, or refused one less than 2.5 s ago, is planned with as it is; a gap goes to another. Test: for each loss, the plan leaves the server alone that it would have chosen.

--- a/packages/decisions/src/placement/closeGaps.ts
+++ b/packages/decisions/src/placement/closeGaps.ts
@@ -6,7 +6,7 @@
  * holders beside the gap take more layers, which drains nothing.
  */
 import { addCoverage } from './coverage.js';
-import type { Holder } from './repairPlan.js';
+import { mayMove, type Holder } from './holders.js';
 import { findKind, type LayerRange, type LayeredModel } from './types.js';
 
 /** The share of a server's memory that its layers may grow to. */
@@ -57,7 +57,7 @@
 ): Change[] | undefined => {
   const needed = gap.to - gap.from;
   const spare = holders
-    .filter(({ server }) => !plan.has(server.serverId))
+    .filter(({ server }) => mayMove(server, plan))
     .filter(({ range }) => range.to - range.from >= needed)
     .filter(({ range }) =>
       coverage.slice(range.from, range.to).every(count => count > 1),
@@ -78,7 +78,7 @@
   gap: LayerRange,
   plan: ReadonlyMap<string, LayerRange>,
 ): Change[] => {
-  const free = holders.filter(({ server }) => !plan.has(server.serverId));
+  const free = holders.filter(({ server }) => mayMove(server, plan));
   const computeGrowth = ({ server, range }: Holder): number => {
     const memory = findKind(model, server.kind)?.memoryMegabytes ?? 0;
     const most = Math.floor((memory * maxGrownShare) / model.layerMegabytes);
--- a/packages/decisions/src/placement/layerRooms.ts
+++ b/packages/decisions/src/placement/layerRooms.ts
@@ -1,5 +1,5 @@
 /** The room for requests that each layer has, over all of its holders. */
-import type { Holder } from './repairPlan.js';
+import type { Holder } from './holders.js';
 import {
   computeLayerTokens,
   findKind,
--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -7,7 +7,8 @@
 import { closeGaps } from './closeGaps.js';
 import { LayerRooms } from './layerRooms.js';
 import { chooseReleasing, releaseLayers } from './releaseLayers.js';
-import { planRepair, type Holder } from './repairPlan.js';
+import { mayMove, type Holder } from './holders.js';
+import { planRepair } from './repairPlan.js';
 import {
   findKind,
   type LayerRange,
@@ -128,7 +129,7 @@
   const holders = listHolders(group, plan);
   const rooms = new LayerRooms(model, holders);
   const empty = sortBySize(model, group).filter(
-    server => !server.range && getSize(server) > 0,
+    server => !server.range && mayMove(server, plan) && getSize(server) > 0,
   );
   let left = empty.reduce((sum, server) => sum + getSize(server), 0);
   for (const server of empty) {
--- a/packages/decisions/src/placement/releaseLayers.ts
+++ b/packages/decisions/src/placement/releaseLayers.ts
@@ -5,7 +5,7 @@
  * layers bind the whole copy.
  */
 import { LayerRooms, computeRoom } from './layerRooms.js';
-import type { Holder } from './repairPlan.js';
+import { mayMove, type Holder } from './holders.js';
 import type { LayerRange, LayeredModel, StageServer } from './types.js';
 
 /** Adds to the plan the server that gains the most from giving up layers. */
@@ -17,7 +17,7 @@
 ): void => {
   const rooms = new LayerRooms(model, holders);
   const [tightest] = holders
-    .filter(({ server }) => !plan.has(server.serverId))
+    .filter(({ server }) => mayMove(server, plan))
     .filter(({ server, range }) => range.to - range.from > getSize(server))
     .sort((a, b) => computeRoom(model, a) - computeRoom(model, b));
   const kept =
--- a/packages/decisions/src/placement/repairPlan.ts
+++ b/packages/decisions/src/placement/repairPlan.ts
@@ -5,7 +5,8 @@
  * goes to, so that two repairs never undo each other.
  */
 import { addCoverage, findThinnest } from './coverage.js';
-import type { LayerRange, StageServer } from './types.js';
+import { mayMove, type Holder } from './holders.js';
+import type { LayerRange } from './types.js';
 
 /** Moves of one plan; the next plan sees what became of them. */
 const maxMoves = 6;
@@ -16,12 +17,6 @@
 /** Holders that a layer must have more than the thinnest one for its server to move. */
 const spareHolders = 2;
 
-/** A server and the layers that it holds or was given. */
-export interface Holder {
-  readonly server: StageServer;
-  readonly range: LayerRange;
-}
-
 /** Adds moves to the plan; `holders` are all servers with their layers. */
 export const planRepair = (
   layers: number,
@@ -32,9 +27,8 @@
   for (const { range } of holders) {
     addCoverage(coverage, range, 1);
   }
-  const settled = new Set(plan.keys());
   for (let moves = 0; moves < maxMoves; moves += 1) {
-    const mover = findMover(coverage, holders, settled);
+    const mover = findMover(coverage, holders, plan);
     if (!mover) {
       return;
     }
@@ -42,7 +36,6 @@
     const to = findThinnest(coverage, mover.range.to - mover.range.from);
     addCoverage(coverage, to, 1);
     plan.set(mover.server.serverId, to);
-    settled.add(mover.server.serverId);
   }
 };
 
@@ -50,7 +43,7 @@
 const findMover = (
   coverage: readonly number[],
   holders: readonly Holder[],
-  settled: ReadonlySet<string>,
+  plan: ReadonlyMap<string, LayerRange>,
 ): Holder | undefined => {
   const thinnest = Math.min(...coverage);
   if (thinnest > enoughHolders) {
@@ -59,7 +52,7 @@
   const computeSpare = ({ range }: Holder): number =>
     Math.min(...coverage.slice(range.from, range.to)) - thinnest;
   return holders
-    .filter(holder => !settled.has(holder.server.serverId))
+    .filter(({ server }) => mayMove(server, plan))
     .filter(holder => computeSpare(holder) >= spareHolders)
     .sort(
       (a, b) =>
--- a/packages/decisions/src/placement/types.ts
+++ b/packages/decisions/src/placement/types.ts
@@ -42,6 +42,8 @@
   readonly range: LayerRange | undefined;
   /** Requests that it takes as the first of a chain. */
   readonly slots: number;
+  /** It carries out an order, or refused one a moment ago; it is planned with as it is. */
+  readonly isBusy?: boolean;
 }
 
 /** What this entry has under way at a backend server. */
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -177,6 +177,22 @@
   });
 });
 
+describe('a server that is busy with an order', () => {
+  it('is left as it is, and a gap goes to others', () => {
+    const placed = place(fleet);
+    for (const lost of placed.filter(server => server.failureDomain === 'a')) {
+      const left = placed.filter(server => server !== lost);
+      const [chosen] = new CopyPerDomain().planPlacement(model, left).keys();
+      const busy = left.map(server => ({
+        ...server,
+        isBusy: server.serverId === chosen,
+      }));
+      const plan = new CopyPerDomain().planPlacement(model, busy);
+      expect(plan.has(chosen ?? '')).toBe(false);
+    }
+  });
+});
+
 describe('a server that comes back empty', () => {
   it('takes the layers with the least room, and those that grew give them up', () => {
     const placed = place(fleet);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -66,6 +66,9 @@
 /** Pause between two questions to a suspected server; many calls meet the same refusal. */
 export const checkPauseMs = 1_000;
 
+/** Silence after which a call is given up whose chain passes a server that answers no question; two usual pauses. */
+export const goneSilenceMs = 250;
+
 /** Share of the heartbeat's interval by which a heartbeat may be late before its server is asked. */
 export const heartbeatLateShare = 0.25;
 
@@ -99,6 +102,9 @@
 /** A refused or doubtful order is planned anew after this. */
 export const orderPauseMs = 700;
 
+/** A server that refused an order is still giving up layers; others are planned with for this long. */
+export const refusedServerPauseMs = 2_500;
+
 /** An order's answer is awaited this long. */
 export const orderAnswerBoundMs = 800;
 
--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -28,6 +28,7 @@
 
 /** One order to one incarnation of a server. */
 export class LayerOrder {
+  private isRefused = false;
   private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
 
   constructor(
@@ -36,7 +37,10 @@
     readonly server: Server,
     readonly range: LayerRange,
     private readonly fencingToken: number,
-    private readonly handleSettled: () => void,
+    private readonly handleSettled: (
+      isRefused: boolean,
+      now: Milliseconds,
+    ) => void,
   ) {
     this.chart = machine.createInstance(this, services.timers);
   }
@@ -57,9 +61,9 @@
         });
       });
     },
-    noteSettled: (): void => {
+    noteSettled: (now: Milliseconds): void => {
       this.chart.dispose();
-      this.handleSettled();
+      this.handleSettled(this.isRefused, now);
     },
   };
 
@@ -86,6 +90,7 @@
       answer: answer ?? '',
       reason: result.err ? result.val.message : '',
     });
+    this.isRefused = answer === 'REFUSED';
     if (answer) {
       this.chart.send({ type: answer }, now);
     }
@@ -105,8 +110,8 @@
         sendOrder: order => {
           order.chartActions.sendOrder();
         },
-        noteSettled: order => {
-          order.chartActions.noteSettled();
+        noteSettled: (order, _, now) => {
+          order.chartActions.noteSettled(now);
         },
       },
       guards: {},
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -13,6 +13,7 @@
   BackendService,
   LayerRange,
   PlacementPolicy,
+  StageServer,
 } from '@lycheetally/decisions';
 import {
   dutyLeaseMs,
@@ -20,6 +21,7 @@
   heartbeatLateShare,
   serverReadPauseMs,
   planPauseMs,
+  refusedServerPauseMs,
   settleBoundMs,
   settlePauseMs,
 } from './constants.js';
@@ -59,6 +61,8 @@
   private leaseUntil: Milliseconds = -Infinity;
   private renewedAt: Milliseconds = -Infinity;
   private readonly underWay = new Map<string, LayerOrder>();
+  /** Servers that refused an order, and until when they are left as they are. */
+  private readonly refusedUntil = new Map<string, Milliseconds>();
   private readonly chart: ChartInstance<LayerPlacer, DutyEvent>;
 
   constructor(
@@ -171,20 +175,27 @@
     const servers = this.services.book
       .listAll(service.name)
       .filter(server => !server.record.isLeaving && server.isTrusted);
-    const stages = servers.map(server => ({
-      ...viewStage(server),
-      range:
-        this.underWay.get(server.record.serverId)?.range ?? server.record.range,
-    }));
+    const stages = servers.map(server => this.viewServer(server, now));
     const plan = this.services.placement.planPlacement(service.model, stages);
     for (const server of servers) {
       const range = plan.get(server.record.serverId);
-      if (range && !this.underWay.has(server.record.serverId)) {
+      if (range) {
         this.sendOrder(server, range, now);
       }
     }
   }
 
+  private viewServer(server: Server, now: Milliseconds): StageServer {
+    const { serverId, range } = server.record;
+    const order = this.underWay.get(serverId);
+    const refusedUntil = this.refusedUntil.get(serverId) ?? -Infinity;
+    return {
+      ...viewStage(server),
+      range: order?.range ?? range,
+      isBusy: order !== undefined || now < refusedUntil,
+    };
+  }
+
   /** The store drops a silent server after three heartbeats; a question tells it sooner. */
   private checkOverdue(service: BackendService, now: Milliseconds): void {
     const { book, heartbeatMs } = this.services;
@@ -211,7 +222,14 @@
       server,
       range,
       this.fencingToken,
-      () => this.underWay.delete(serverId),
+      (isRefused, settledAt) => {
+        this.underWay.delete(serverId);
+        if (isRefused) {
+          this.refusedUntil.set(serverId, settledAt + refusedServerPauseMs);
+        } else {
+          this.refusedUntil.delete(serverId);
+        }
+      },
     );
     this.underWay.set(serverId, order);
     this.orders += 1;
