Give up only silent calls at a server that answers no question

A server whose entry was gone, but which still served its streams, answered no question; the gateway took it for lost, cut the streams that passed it, and some found no repeat left in the budget.

Ruled out: the change of the configuration at the same moment (only the one gateway whose question was due cut its streams).

Change: calls that pass such a server are given up only when nothing was heard of them for 250 ms, looked at once and again 250 ms later; the server gets no new work as before. Test: a stream through a server that answers no question comes whole; it is cut on the code before.

--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -341,6 +341,11 @@
     }
   }
 
+  /** Says whether nothing was heard of the attempt for so long. */
+  isSilentFor(boundMs: Milliseconds, now: Milliseconds): boolean {
+    return now - this.heardAt >= boundMs;
+  }
+
   /** Says whether the attempt passes the server. */
   usesServer(server: Server): boolean {
     const { serverId } = server.record;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -35,6 +35,7 @@
 import {
   configWaitShare,
   exitReserveMs,
+  goneSilenceMs,
   leaveConnectionsAfterMs,
   maxConfigWaitMs,
   refuseCallsAfterMs,
@@ -332,7 +333,7 @@
       },
       handleGone: (server, reason, now) => {
         server.noteUnreachable(reason, now);
-        this.handleServerLost(server, now);
+        this.handleServerGone(server, now);
       },
     });
   }
@@ -415,8 +416,26 @@
     this.calls.get(caller)?.instance?.send({ type: 'CALLER_GONE' }, now);
   }
 
-  /** Only chains stall as a whole; a plain server's own connection tells. */
+  /** A server that leaves may answer no question and yet finish its streams. */
+  private handleServerGone(server: Server, now: Milliseconds): void {
+    this.endCallsAt(server, goneSilenceMs, now);
+    this.loop.schedule(goneSilenceMs, later => {
+      this.endCallsAt(server, goneSilenceMs, later);
+    });
+    this.checkOthers(server, now);
+  }
+
   private handleServerLost(server: Server, now: Milliseconds): void {
+    this.endCallsAt(server, 0, now);
+    this.checkOthers(server, now);
+  }
+
+  /** Only chains stall as a whole; a plain server's own connection tells. */
+  private endCallsAt(
+    server: Server,
+    silenceMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
     const { serverId } = server.record;
     const fault = describeBreak(`server ${serverId} of the chain is gone`);
     for (const call of [...this.calls.values()]) {
@@ -424,12 +443,12 @@
       if (
         attempt &&
         attempt.chosen.chain.length > 0 &&
-        attempt.usesServer(server)
+        attempt.usesServer(server) &&
+        attempt.isSilentFor(silenceMs, now)
       ) {
         attempt.instance.send({ type: 'SERVER_LOST', fault }, now);
       }
     }
-    this.checkOthers(server, now);
   }
 
   /** Servers are often lost together; each that is not known yet costs a repeat a call. */
