--- a/bench/src/soak/gatewayProcess.ts
+++ b/bench/src/soak/gatewayProcess.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { formatIni } from '@lycheetally/common';
-import { waitUntil } from '@lycheetally/testkit';
+import { waitFor, waitUntil } from '@lycheetally/testkit';
 
 const program = fileURLToPath(
   new URL('../../../apps/gateway/dist/main.js', import.meta.url),
@@ -21,7 +21,6 @@
   failures = 0;
   private child: ChildProcess | undefined;
   private exited: Promise<unknown> = Promise.resolve();
-  private restarting: Promise<void> | undefined;
   private readonly path: string;
 
   constructor(
@@ -59,13 +58,15 @@
     this.child?.kill(signal);
   }
 
-  /** Starts the program again once the one before has ended; troubles that overlap start it once. */
-  async restart(): Promise<void> {
-    this.restarting ??= this.exited.then(() => {
-      this.restarting = undefined;
+  /** Ends the program by a signal and starts it again; troubles that overlap start it once. */
+  async restart(signal: NodeJS.Signals, pauseMs = 0): Promise<void> {
+    const { child, exited } = this;
+    this.sendSignal(signal);
+    await exited;
+    await waitFor(pauseMs);
+    if (this.child === child) {
       this.start();
-    });
-    await this.restarting;
+    }
   }
 
   async waitUntilReady(): Promise<void> {
--- a/bench/src/soak/soakFaults.ts
+++ b/bench/src/soak/soakFaults.ts
@@ -29,9 +29,7 @@
     forMs: number,
   ): Promise<void> {
     const gateway = numbers.pickOne(world.gateways);
-    gateway.sendSignal('SIGKILL');
-    await waitFor(forMs / 4);
-    await gateway.restart();
+    await gateway.restart('SIGKILL', forMs / 4);
   }
 }
 
@@ -40,8 +38,7 @@
 
   override async run(world: SoakWorld, numbers: SeededNumbers): Promise<void> {
     const gateway = numbers.pickOne(world.gateways);
-    gateway.sendSignal('SIGTERM');
-    await gateway.restart();
+    await gateway.restart('SIGTERM');
   }
 }
 
