Read the store without waiting after an outage

The first read after an outage asked the store to wait for a change, and proves what is known only when it is answered.

Ruled out: a store that was still away: the list of servers was read in the same moment.

Change: a follower that lost its table reads it without waiting first. Test: the first read after an outage carries no wait; it did before.

--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -106,7 +106,12 @@
     },
     requestChanges: () => {
       const { table, waitMs } = this.options;
-      this.request(table.readChanges(this.next, waitMs), 'CHANGED');
+      const isLost = this.lostSince !== undefined;
+      // A read that does not wait proves at once what is known.
+      this.request(
+        table.readChanges(this.next, isLost ? 0 : waitMs),
+        'CHANGED',
+      );
     },
     applyNewest: now => {
       this.applySpan(true, now);
--- a/packages/testkit/src/platform/platformStore.ts
+++ b/packages/testkit/src/platform/platformStore.ts
@@ -37,6 +37,8 @@
   mood: StoreMood = StoreMood.Up;
   /** Calls received since the start, by path. */
   readonly calls = new Map<string, number>();
+  /** Milliseconds that each read of changes asked to wait, by table. */
+  readonly waits = new Map<string, number[]>();
   private readonly tables = new Map<string, Table>();
   private readonly waiting = new Set<() => void>();
   private generation = 0;
@@ -144,6 +146,7 @@
       response.writeHead(200).end(encodeSpan(table, from));
     };
     const waitMs = Number(query.get('wait_ms') ?? 0);
+    this.waits.set(name, [...(this.waits.get(name) ?? []), waitMs]);
     const timer = setTimeout(answer, waitMs);
     if (table.records.length > from || waitMs === 0) {
       answer();
