Take SIGHUP before the modules of a gateway load

Change: the daemon's first statement ignores SIGHUP; the settings are read after it. What is left is the start of Node itself.

--- a/apps/gateway/src/main.ts
+++ b/apps/gateway/src/main.ts
@@ -1,5 +1,9 @@
 /** The daemon of a gateway. */
-import { parseDaemonFlags } from '@lycheetally/common';
-import { runGateway } from './runGateway.js';
 
+// A signal that comes before the modules are loaded would end the process; the
+// settings that it tells of are read later anyhow.
+process.on('SIGHUP', () => undefined);
+
+const { parseDaemonFlags } = await import('@lycheetally/common');
+const { runGateway } = await import('./runGateway.js');
 await runGateway(parseDaemonFlags(process.argv));
