Bind charts with one call

Cause: 23 modules loaded a chart and bound it with the same two nested calls. Change: `bindChart(name, bindings)` does both; nothing else changes. Ruled out: binding hosts by the names of their methods, which would lose the types of the bindings.

--- a/packages/charts/src/index.ts
+++ b/packages/charts/src/index.ts
@@ -1,4 +1,5 @@
 /** State charts: their file format, their compiler and their interpreter. */
+export * from './bindChart.js';
 export * from './chart.js';
 export * from './chartDefinition.js';
 export * from './chartFiles.js';
--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -1,5 +1,5 @@
 /** Binds the chart `gatewayAttempt` to its host. */
-import { ChartMachine, ChartName, loadChart } from '@lycheetally/charts';
+import { ChartName, bindChart } from '@lycheetally/charts';
 import type { Result } from '@lycheetally/common';
 import { connectBoundMs } from './constants.js';
 import type {
@@ -10,53 +10,51 @@
 
 /** Binds the chart `gatewayAttempt`. Fails with `BadChart`. */
 export const bindAttemptChart = (): Result<AttemptMachine> =>
-  loadChart(ChartName.GatewayAttempt).andThen(chart =>
-    ChartMachine.bind<GatewayAttempt, AttemptEvent>(chart, {
-      actions: {
-        openExchange: (attempt, _, now) => {
-          attempt.chartActions.openExchange(now);
-        },
-        closeExchange: attempt => {
-          attempt.chartActions.closeExchange();
-        },
-        releaseLoad: attempt => {
-          attempt.chartActions.releaseLoad();
-        },
-        noteUnreachable: (attempt, _, now) => {
-          attempt.chartActions.noteUnreachable(now);
-        },
-        noteFault: (attempt, event, now) => {
-          attempt.chartActions.noteFault(event, now);
-        },
-        noteStalled: (attempt, event) => {
-          attempt.chartActions.noteStalled(event);
-        },
-        requestReport: attempt => {
-          attempt.chartActions.requestReport();
-        },
-        allowSilence: (attempt, _, now) => {
-          attempt.chartActions.allowSilence(now);
-        },
-        reportComplete: (attempt, _, now) => {
-          attempt.chartActions.reportComplete(now);
-        },
-        reportNotRun: (attempt, _, now) => {
-          attempt.chartActions.reportNotRun(now);
-        },
-        reportError: (attempt, _, now) => {
-          attempt.chartActions.reportError(now);
-        },
-        reportBroken: (attempt, _, now) => {
-          attempt.chartActions.reportBroken(now);
-        },
-      },
-      guards: {
-        isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
-        isRepeatable: attempt => attempt.admitted.isRepeatable,
-      },
-      delays: {
-        CONNECT_BOUND: () => connectBoundMs,
-        SILENCE: (attempt, now) => attempt.chartActions.computeSilence(now),
-      },
-    }),
-  );
+  bindChart<GatewayAttempt, AttemptEvent>(ChartName.GatewayAttempt, {
+    actions: {
+      openExchange: (attempt, _, now) => {
+        attempt.chartActions.openExchange(now);
+      },
+      closeExchange: attempt => {
+        attempt.chartActions.closeExchange();
+      },
+      releaseLoad: attempt => {
+        attempt.chartActions.releaseLoad();
+      },
+      noteUnreachable: (attempt, _, now) => {
+        attempt.chartActions.noteUnreachable(now);
+      },
+      noteFault: (attempt, event, now) => {
+        attempt.chartActions.noteFault(event, now);
+      },
+      noteStalled: (attempt, event) => {
+        attempt.chartActions.noteStalled(event);
+      },
+      requestReport: attempt => {
+        attempt.chartActions.requestReport();
+      },
+      allowSilence: (attempt, _, now) => {
+        attempt.chartActions.allowSilence(now);
+      },
+      reportComplete: (attempt, _, now) => {
+        attempt.chartActions.reportComplete(now);
+      },
+      reportNotRun: (attempt, _, now) => {
+        attempt.chartActions.reportNotRun(now);
+      },
+      reportError: (attempt, _, now) => {
+        attempt.chartActions.reportError(now);
+      },
+      reportBroken: (attempt, _, now) => {
+        attempt.chartActions.reportBroken(now);
+      },
+    },
+    guards: {
+      isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
+      isRepeatable: attempt => attempt.admitted.isRepeatable,
+    },
+    delays: {
+      CONNECT_BOUND: () => connectBoundMs,
+      SILENCE: (attempt, now) => attempt.chartActions.computeSilence(now),
+    },
+  });
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -1,9 +1,9 @@
 /** The actions of the chart `gatewayCall`, each under the name that the chart uses. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartAction,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
@@ -216,33 +216,31 @@
 
 /** Binds the chart `gatewayCall`. Fails with `BadChart`. */
 export const bindCallChart = (): Result<CallMachine> =>
-  loadChart(ChartName.GatewayCall).andThen(chart =>
-    ChartMachine.bind<GatewayCall, CallEvent>(chart, {
-      actions: {
-        decideAdmission,
-        chooseChain,
-        startAttempt,
-        noteReason,
-        noteRetry,
-        forwardError,
-        decideEnd,
-        finishComplete,
-        answerRefused,
-        answerFailed,
-        answerLate,
-        cutAnswer,
-        dropCall,
-      },
-      guards: {
-        mayRetry: (call, _, now) => mayRetry(call, now),
-        mayRepeat: (call, _, now) => mayRepeat(call, now),
-        mayResume: (call, _, now) => call.hasBegun && mayRepeat(call, now),
-        mayWait: (call, _, now) => mayWait(call, now),
-        hasBegun: call => call.hasBegun,
-      },
-      delays: {
-        TIME_LIMIT: (call, now) => (call.admitted?.deadlineAt ?? now) - now,
-        ROUTE_WAIT: () => routeWaitMs,
-      },
-    }),
-  );
+  bindChart<GatewayCall, CallEvent>(ChartName.GatewayCall, {
+    actions: {
+      decideAdmission,
+      chooseChain,
+      startAttempt,
+      noteReason,
+      noteRetry,
+      forwardError,
+      decideEnd,
+      finishComplete,
+      answerRefused,
+      answerFailed,
+      answerLate,
+      cutAnswer,
+      dropCall,
+    },
+    guards: {
+      mayRetry: (call, _, now) => mayRetry(call, now),
+      mayRepeat: (call, _, now) => mayRepeat(call, now),
+      mayResume: (call, _, now) => call.hasBegun && mayRepeat(call, now),
+      mayWait: (call, _, now) => mayWait(call, now),
+      hasBegun: call => call.hasBegun,
+    },
+    delays: {
+      TIME_LIMIT: (call, now) => (call.admitted?.deadlineAt ?? now) - now,
+      ROUTE_WAIT: () => routeWaitMs,
+    },
+  });
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -4,10 +4,10 @@
  * placing layers. One loop on one thread; host of the chart `lifecycle`.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import {
   LogPart,
@@ -509,35 +509,33 @@
 }
 
 const bindLifecycle = (): Result<ChartMachine<GatewayNode, LifecycleEvent>> =>
-  loadChart(ChartName.Lifecycle).andThen(chart =>
-    ChartMachine.bind<GatewayNode, LifecycleEvent>(chart, {
-      actions: {
-        recordReady: node => {
-          node.lifecycleActions.recordReady();
-        },
-        recordDraining: node => {
-          node.lifecycleActions.recordDraining();
-        },
-        stopAdmission: (node, _, now) => {
-          node.lifecycleActions.stopAdmission(now);
-        },
-        reportCutWork: node => {
-          node.lifecycleActions.reportCutWork();
-        },
-        cancelOpenWork: (node, _, now) => {
-          node.lifecycleActions.cancelOpenWork(now);
-        },
-        finishProcess: node => {
-          node.lifecycleActions.finishProcess();
-        },
+  bindChart<GatewayNode, LifecycleEvent>(ChartName.Lifecycle, {
+    actions: {
+      recordReady: node => {
+        node.lifecycleActions.recordReady();
       },
-      guards: {},
-      delays: {
-        DRAIN_BOUND: node => node.lifecycleActions.computeDrainBound(),
-        CUT_BOUND: () => cutBoundMs,
+      recordDraining: node => {
+        node.lifecycleActions.recordDraining();
       },
-    }),
-  );
+      stopAdmission: (node, _, now) => {
+        node.lifecycleActions.stopAdmission(now);
+      },
+      reportCutWork: node => {
+        node.lifecycleActions.reportCutWork();
+      },
+      cancelOpenWork: (node, _, now) => {
+        node.lifecycleActions.cancelOpenWork(now);
+      },
+      finishProcess: node => {
+        node.lifecycleActions.finishProcess();
+      },
+    },
+    guards: {},
+    delays: {
+      DRAIN_BOUND: node => node.lifecycleActions.computeDrainBound(),
+      CUT_BOUND: () => cutBoundMs,
+    },
+  });
 
 /** Milliseconds in which callers hear of the end of their cut calls. */
 const cutBoundMs = 200;
--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -1,9 +1,9 @@
 /** An order to a server to hold layers; host of the chart `layerOrder`. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Milliseconds, PartLogger, Result } from '@lycheetally/common';
@@ -104,21 +104,19 @@
 
 /** Binds the chart `layerOrder`. Fails with `BadChart`. */
 export const bindOrderChart = (): Result<OrderMachine> =>
-  loadChart(ChartName.LayerOrder).andThen(chart =>
-    ChartMachine.bind<LayerOrder, OrderEvent>(chart, {
-      actions: {
-        sendOrder: order => {
-          order.chartActions.sendOrder();
-        },
-        noteSettled: (order, _, now) => {
-          order.chartActions.noteSettled(now);
-        },
+  bindChart<LayerOrder, OrderEvent>(ChartName.LayerOrder, {
+    actions: {
+      sendOrder: order => {
+        order.chartActions.sendOrder();
       },
-      guards: {},
-      delays: {
-        LOAD_BOUND: () => loadBoundMs,
-        REFUSED_PAUSE: () => orderPauseMs,
-        DOUBT_PAUSE: () => orderPauseMs,
+      noteSettled: (order, _, now) => {
+        order.chartActions.noteSettled(now);
       },
-    }),
-  );
+    },
+    guards: {},
+    delays: {
+      LOAD_BOUND: () => loadBoundMs,
+      REFUSED_PAUSE: () => orderPauseMs,
+      DOUBT_PAUSE: () => orderPauseMs,
+    },
+  });
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -3,10 +3,10 @@
  * the chart `dutyHolder`.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
 import type {
@@ -239,34 +239,32 @@
 
 /** Binds the chart `dutyHolder`. Fails with `BadChart`. */
 export const bindDutyChart = (): Result<DutyMachine> =>
-  loadChart(ChartName.DutyHolder).andThen(chart =>
-    ChartMachine.bind<LayerPlacer, DutyEvent>(chart, {
-      actions: {
-        requestDuty: (placer, _, now) => {
-          placer.chartActions.requestDuty(now);
-        },
-        renewDuty: (placer, _, now) => {
-          placer.chartActions.renewDuty(now);
-        },
-        noteHolding: placer => {
-          placer.chartActions.noteHolding();
-        },
-        noteReleased: placer => {
-          placer.chartActions.noteReleased();
-        },
-        placeLayers: (placer, _, now) => {
-          placer.chartActions.placeLayers(now);
-        },
-        leaveGroup: placer => {
-          placer.chartActions.leaveGroup();
-        },
+  bindChart<LayerPlacer, DutyEvent>(ChartName.DutyHolder, {
+    actions: {
+      requestDuty: (placer, _, now) => {
+        placer.chartActions.requestDuty(now);
       },
-      guards: {
-        hasLease: (placer, _, now) => placer.chartActions.hasLease(now),
+      renewDuty: (placer, _, now) => {
+        placer.chartActions.renewDuty(now);
       },
-      delays: {
-        RENEW_PAUSE: () => dutyRenewPauseMs,
-        PLAN_PAUSE: () => planPauseMs,
+      noteHolding: placer => {
+        placer.chartActions.noteHolding();
       },
-    }),
-  );
+      noteReleased: placer => {
+        placer.chartActions.noteReleased();
+      },
+      placeLayers: (placer, _, now) => {
+        placer.chartActions.placeLayers(now);
+      },
+      leaveGroup: placer => {
+        placer.chartActions.leaveGroup();
+      },
+    },
+    guards: {
+      hasLease: (placer, _, now) => placer.chartActions.hasLease(now),
+    },
+    delays: {
+      RENEW_PAUSE: () => dutyRenewPauseMs,
+      PLAN_PAUSE: () => planPauseMs,
+    },
+  });
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -1,9 +1,9 @@
 /** One backend server as a gateway knows it; host of the chart `serverHealth`. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Milliseconds, PartLogger, Result } from '@lycheetally/common';
@@ -156,36 +156,34 @@
 
 /** Binds the chart `serverHealth`. Fails with `BadChart`. */
 export const bindHealthChart = (): Result<HealthMachine> =>
-  loadChart(ChartName.ServerHealth).andThen(chart =>
-    ChartMachine.bind<Server, HealthEvent>(chart, {
-      actions: {
-        resetErrors: server => {
-          server.chartActions.resetErrors();
-        },
-        countError: server => {
-          server.chartActions.countError();
-        },
-        resetSuspensions: server => {
-          server.chartActions.resetSuspensions();
-        },
-        noteSilent: (server, _, now) => {
-          server.chartActions.noteSilent(now);
-        },
-        noteSuspended: server => {
-          server.chartActions.noteSuspended();
-        },
-        noteTrial: server => {
-          server.chartActions.noteTrial();
-        },
+  bindChart<Server, HealthEvent>(ChartName.ServerHealth, {
+    actions: {
+      resetErrors: server => {
+        server.chartActions.resetErrors();
       },
-      guards: {
-        hasErredOften: server => server.chartActions.hasErredOften(),
-        isNewHeartbeat: (server, _, now) =>
-          server.chartActions.isNewHeartbeat(now),
+      countError: server => {
+        server.chartActions.countError();
       },
-      delays: {
-        SUSPENSION: server => server.computeSuspension(),
-        SILENCE_BOUND: () => silenceOfServerBoundMs,
+      resetSuspensions: server => {
+        server.chartActions.resetSuspensions();
       },
-    }),
-  );
+      noteSilent: (server, _, now) => {
+        server.chartActions.noteSilent(now);
+      },
+      noteSuspended: server => {
+        server.chartActions.noteSuspended();
+      },
+      noteTrial: server => {
+        server.chartActions.noteTrial();
+      },
+    },
+    guards: {
+      hasErredOften: server => server.chartActions.hasErredOften(),
+      isNewHeartbeat: (server, _, now) =>
+        server.chartActions.isNewHeartbeat(now),
+    },
+    delays: {
+      SUSPENSION: server => server.computeSuspension(),
+      SILENCE_BOUND: () => silenceOfServerBoundMs,
+    },
+  });
--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/serverCheck.ts
@@ -1,9 +1,9 @@
 /** Asks backend servers that are suspected whether they live; host of the chart `serverCheck`. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
@@ -96,20 +96,18 @@
 
 /** Binds the chart `serverCheck`. Fails with `BadChart`. */
 export const bindCheckChart = (): Result<CheckMachine> =>
-  loadChart(ChartName.ServerCheck).andThen(chart =>
-    ChartMachine.bind<ServerCheck, CheckEvent>(chart, {
-      actions: {
-        requestReport: check => {
-          check.chartActions.requestReport();
-        },
-        noteAlive: (check, _, now) => {
-          check.chartActions.noteAlive(now);
-        },
-        noteGone: (check, _, now) => {
-          check.chartActions.noteGone(now);
-        },
+  bindChart<ServerCheck, CheckEvent>(ChartName.ServerCheck, {
+    actions: {
+      requestReport: check => {
+        check.chartActions.requestReport();
       },
-      guards: {},
-      delays: { CHECK_PAUSE: () => checkPauseMs },
-    }),
-  );
+      noteAlive: (check, _, now) => {
+        check.chartActions.noteAlive(now);
+      },
+      noteGone: (check, _, now) => {
+        check.chartActions.noteGone(now);
+      },
+    },
+    guards: {},
+    delays: { CHECK_PAUSE: () => checkPauseMs },
+  });
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -1,9 +1,9 @@
 /** Follows one table of the platform's store; host of the chart `tableFollower`. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type {
@@ -190,29 +190,27 @@
 
 /** Binds the chart `tableFollower`. Fails with `BadChart`. */
 export const bindFollowerChart = (): Result<FollowerMachine> =>
-  loadChart(ChartName.TableFollower).andThen(chart =>
-    ChartMachine.bind<AnyFollower, FollowerEvent>(chart, {
-      actions: {
-        requestNewest: follower => {
-          follower.actions.requestNewest();
-        },
-        requestChanges: follower => {
-          follower.actions.requestChanges();
-        },
-        applyNewest: (follower, _, now) => {
-          follower.actions.applyNewest(now);
-        },
-        applyChanges: (follower, _, now) => {
-          follower.actions.applyChanges(now);
-        },
-        noteLost: (follower, _, now) => {
-          follower.actions.noteLost(now);
-        },
+  bindChart<AnyFollower, FollowerEvent>(ChartName.TableFollower, {
+    actions: {
+      requestNewest: follower => {
+        follower.actions.requestNewest();
       },
-      guards: { hasLoaded: follower => follower.hasLoaded },
-      delays: {
-        READ_PAUSE: follower => follower.pauseMs,
-        RETRY_PAUSE: () => storeRetryPauseMs,
+      requestChanges: follower => {
+        follower.actions.requestChanges();
       },
-    }),
-  );
+      applyNewest: (follower, _, now) => {
+        follower.actions.applyNewest(now);
+      },
+      applyChanges: (follower, _, now) => {
+        follower.actions.applyChanges(now);
+      },
+      noteLost: (follower, _, now) => {
+        follower.actions.noteLost(now);
+      },
+    },
+    guards: { hasLoaded: follower => follower.hasLoaded },
+    delays: {
+      READ_PAUSE: follower => follower.pauseMs,
+      RETRY_PAUSE: () => storeRetryPauseMs,
+    },
+  });
--- a/packages/router/src/agent/backendWatch.ts
+++ b/packages/router/src/agent/backendWatch.ts
@@ -5,10 +5,10 @@
  * plain services are not watched: how long they may take is theirs to say.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import {
@@ -59,24 +59,22 @@
 
 /** Binds the chart `backendWatch`. Fails with `BadChart`. */
 export const bindWatchChart = (): Result<WatchMachine> =>
-  loadChart(ChartName.BackendWatch).andThen(chart =>
-    ChartMachine.bind<WatchContext, WatchEvent>(chart, {
-      actions: {
-        noteAnswers: context => {
-          context.seenAnswers = context.work.answeredSpans;
-          context.wasWaiting = countWaiting(context.work);
-        },
-        reportSilence: ({ work, boundMs }, _, now) => {
-          const error = new TypedError(
-            ErrorKind.BackendFailed,
-            `the engine left work unanswered for ${String(boundMs)} ms`,
-            'check the engine and the link to it',
-          );
-          const { serverId } = work.services;
-          work.instance?.send({ type: 'BACKEND_FAILED', error, serverId }, now);
-        },
+  bindChart<WatchContext, WatchEvent>(ChartName.BackendWatch, {
+    actions: {
+      noteAnswers: context => {
+        context.seenAnswers = context.work.answeredSpans;
+        context.wasWaiting = countWaiting(context.work);
       },
-      guards: { isSilent },
-      delays: { SILENCE_BOUND: context => context.boundMs },
-    }),
-  );
+      reportSilence: ({ work, boundMs }, _, now) => {
+        const error = new TypedError(
+          ErrorKind.BackendFailed,
+          `the engine left work unanswered for ${String(boundMs)} ms`,
+          'check the engine and the link to it',
+        );
+        const { serverId } = work.services;
+        work.instance?.send({ type: 'BACKEND_FAILED', error, serverId }, now);
+      },
+    },
+    guards: { isSilent },
+    delays: { SILENCE_BOUND: context => context.boundMs },
+  });
--- a/packages/router/src/agent/workActions.ts
+++ b/packages/router/src/agent/workActions.ts
@@ -1,9 +1,9 @@
 /** The actions of the chart `agentWork`, each under the name that the chart uses. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartAction,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import {
   ErrorKind,
@@ -231,36 +231,34 @@
 
 /** Binds the chart `agentWork`. Fails with `BadChart`. */
 export const bindWorkChart = (): Result<ChartMachine<WorkContext, WorkEvent>> =>
-  loadChart(ChartName.AgentWork).andThen(chart =>
-    ChartMachine.bind<WorkContext, WorkEvent>(chart, {
-      actions: {
-        sendAccepted,
-        enqueueWork,
-        reserveNext,
-        sendStarted,
-        startBackend,
-        noteReason,
-        noteNextSilent,
-        stopBackend,
-        cancelNext,
-        releaseSlot,
-        sendFinished,
-        keepFinished,
-        sendFailed,
-        sendRefused,
-        sendCancelled,
-      },
-      guards: {
-        // A call that must not be repeated runs to its end once it has begun.
-        mayOutliveOwner: work =>
-          work.offer.plain !== undefined && !work.offer.repeatable,
-        // Only an entry asks for its work again; a later stage's owner doesn't.
-        mayAwaitOwner: work => work.offer.stageIndex === 0,
-      },
-      delays: {
-        DEADLINE: work => work.offer.timeLeftMs,
-        OWNER_GRACE: () => ownerGraceMs,
-        RESERVE_TIMEOUT: () => reserveTimeoutMs,
-      },
-    }),
-  );
+  bindChart<WorkContext, WorkEvent>(ChartName.AgentWork, {
+    actions: {
+      sendAccepted,
+      enqueueWork,
+      reserveNext,
+      sendStarted,
+      startBackend,
+      noteReason,
+      noteNextSilent,
+      stopBackend,
+      cancelNext,
+      releaseSlot,
+      sendFinished,
+      keepFinished,
+      sendFailed,
+      sendRefused,
+      sendCancelled,
+    },
+    guards: {
+      // A call that must not be repeated runs to its end once it has begun.
+      mayOutliveOwner: work =>
+        work.offer.plain !== undefined && !work.offer.repeatable,
+      // Only an entry asks for its work again; a later stage's owner doesn't.
+      mayAwaitOwner: work => work.offer.stageIndex === 0,
+    },
+    delays: {
+      DEADLINE: work => work.offer.timeLeftMs,
+      OWNER_GRACE: () => ownerGraceMs,
+      RESERVE_TIMEOUT: () => reserveTimeoutMs,
+    },
+  });
--- a/packages/router/src/claims/claimActions.ts
+++ b/packages/router/src/claims/claimActions.ts
@@ -1,9 +1,9 @@
 /** The actions of the chart `claim`, each under the name that the chart uses. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartAction,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import { ErrorKind, TypedError, type Result } from '@lycheetally/common';
 import {
@@ -219,27 +219,25 @@
 export const bindClaimChart = (): Result<
   ChartMachine<ClaimAttemptContext, ClaimEvent>
 > =>
-  loadChart(ChartName.Claim).andThen(chart =>
-    ChartMachine.bind<ClaimAttemptContext, ClaimEvent>(chart, {
-      actions: {
-        findClaim,
-        chooseServer,
-        enqueueClaim,
-        requestPromise,
-        noteReason,
-        notePromise,
-        recordEnd,
-        recordNotRun,
-        reportWon,
-        reportEnded,
-        reportNotRun,
-        reportUnknown,
-      },
-      guards: {},
-      delays: {
-        PATIENCE: () => claimPatienceMs,
-        ASK_INTERVAL: () => claimAskIntervalMs,
-        ASK_BOUND: () => claimAskBoundMs,
-      },
-    }),
-  );
+  bindChart<ClaimAttemptContext, ClaimEvent>(ChartName.Claim, {
+    actions: {
+      findClaim,
+      chooseServer,
+      enqueueClaim,
+      requestPromise,
+      noteReason,
+      notePromise,
+      recordEnd,
+      recordNotRun,
+      reportWon,
+      reportEnded,
+      reportNotRun,
+      reportUnknown,
+    },
+    guards: {},
+    delays: {
+      PATIENCE: () => claimPatienceMs,
+      ASK_INTERVAL: () => claimAskIntervalMs,
+      ASK_BOUND: () => claimAskBoundMs,
+    },
+  });
--- a/packages/router/src/claims/claimReader.ts
+++ b/packages/router/src/claims/claimReader.ts
@@ -1,9 +1,9 @@
 /** Reads one claims stream into its index; the cursor only goes forward. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type {
@@ -152,39 +152,37 @@
 
 /** Binds the chart `claimReader`. Fails with `BadChart`. */
 export const bindReaderChart = (): Result<ReaderMachine> =>
-  loadChart(ChartName.ClaimReader).andThen(chart =>
-    ChartMachine.bind<ClaimReader, ReaderEvent>(chart, {
-      actions: {
-        readRecords: reader => {
-          reader.chartActions.readRecords();
-        },
-        applyRecords: (reader, event, now) => {
-          reader.chartActions.applyRecords(event, now);
-        },
-        noteReadBack: reader => {
-          reader.chartActions.noteReadBack();
-        },
-        clearReadBack: reader => {
-          reader.chartActions.clearReadBack();
-        },
-        reportCurrent: (reader, _, now) => {
-          reader.chartActions.reportCurrent(now);
-        },
-        reportReadBack: (reader, _, now) => {
-          reader.chartActions.reportReadBack(now);
-        },
-        reportDown: (reader, _, now) => {
-          reader.chartActions.reportDown(now);
-        },
+  bindChart<ClaimReader, ReaderEvent>(ChartName.ClaimReader, {
+    actions: {
+      readRecords: reader => {
+        reader.chartActions.readRecords();
       },
-      guards: {
-        hasRecords: (reader, event) => reader.chartActions.hasRecords(event),
-        wantsMore: (reader, event) => reader.chartActions.wantsMore(event),
-        wantsReadBack: reader => reader.chartActions.wantsReadBack(),
+      applyRecords: (reader, event, now) => {
+        reader.chartActions.applyRecords(event, now);
       },
-      delays: {
-        READ_INTERVAL: () => claimReadIntervalMs,
-        RETRY_INTERVAL: () => claimRetryIntervalMs,
+      noteReadBack: reader => {
+        reader.chartActions.noteReadBack();
       },
-    }),
-  );
+      clearReadBack: reader => {
+        reader.chartActions.clearReadBack();
+      },
+      reportCurrent: (reader, _, now) => {
+        reader.chartActions.reportCurrent(now);
+      },
+      reportReadBack: (reader, _, now) => {
+        reader.chartActions.reportReadBack(now);
+      },
+      reportDown: (reader, _, now) => {
+        reader.chartActions.reportDown(now);
+      },
+    },
+    guards: {
+      hasRecords: (reader, event) => reader.chartActions.hasRecords(event),
+      wantsMore: (reader, event) => reader.chartActions.wantsMore(event),
+      wantsReadBack: reader => reader.chartActions.wantsReadBack(),
+    },
+    delays: {
+      READ_INTERVAL: () => claimReadIntervalMs,
+      RETRY_INTERVAL: () => claimRetryIntervalMs,
+    },
+  });
--- a/packages/router/src/claims/claimWriter.ts
+++ b/packages/router/src/claims/claimWriter.ts
@@ -5,10 +5,10 @@
  * when it is a claim, and appended again when it is the end of one.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
@@ -151,28 +151,26 @@
 
 /** Binds the chart `claimWriter`. Fails with `BadChart`. */
 export const bindWriterChart = (): Result<WriterMachine> =>
-  loadChart(ChartName.ClaimWriter).andThen(chart =>
-    ChartMachine.bind<ClaimWriter, WriterEvent>(chart, {
-      actions: {
-        sendBatch: (writer, _, now) => {
-          writer.chartActions.sendBatch(now);
-        },
-        readBatch: (writer, _, now) => {
-          writer.chartActions.readBatch(now);
-        },
-        readBack: (writer, _, now) => {
-          writer.chartActions.readBack(now);
-        },
-        settleBatch: (writer, _, now) => {
-          writer.chartActions.settleBatch(now);
-        },
-        refuseWaiting: (writer, _, now) => {
-          writer.chartActions.refuseWaiting(now);
-        },
+  bindChart<ClaimWriter, WriterEvent>(ChartName.ClaimWriter, {
+    actions: {
+      sendBatch: (writer, _, now) => {
+        writer.chartActions.sendBatch(now);
       },
-      guards: { hasWaiting: writer => writer.chartActions.hasWaiting() },
-      delays: {
-        GATHER_WAIT: (writer, now) => writer.chartActions.computeWait(now),
+      readBatch: (writer, _, now) => {
+        writer.chartActions.readBatch(now);
       },
-    }),
-  );
+      readBack: (writer, _, now) => {
+        writer.chartActions.readBack(now);
+      },
+      settleBatch: (writer, _, now) => {
+        writer.chartActions.settleBatch(now);
+      },
+      refuseWaiting: (writer, _, now) => {
+        writer.chartActions.refuseWaiting(now);
+      },
+    },
+    guards: { hasWaiting: writer => writer.chartActions.hasWaiting() },
+    delays: {
+      GATHER_WAIT: (writer, now) => writer.chartActions.computeWait(now),
+    },
+  });
--- a/packages/router/src/config/configFollower.ts
+++ b/packages/router/src/config/configFollower.ts
@@ -6,10 +6,10 @@
  * another history is noticed.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import {
@@ -279,47 +279,45 @@
 export const bindFollowerChart = (): Result<
   ChartMachine<ConfigFollower, FollowerEvent>
 > =>
-  loadChart(ChartName.ConfigFollower).andThen(chart =>
-    ChartMachine.bind<ConfigFollower, FollowerEvent>(chart, {
-      actions: {
-        readRecords: follower => {
-          follower.readRecords();
-        },
-        applyRecords: (follower, event, now) => {
-          follower.applyRecords(event, now);
-        },
-        takeState: (follower, event, now) => {
-          follower.takeState(event, now);
-        },
-        resetCursor: follower => {
-          follower.resetCursor();
-        },
-        recordStanding: (follower, _, now) => {
-          follower.recordStanding(now);
-        },
-        reportFailure: (follower, event) => {
-          follower.reportFailure(event);
-        },
-        reportBehind: follower => {
-          follower.reportBehind();
-        },
-        reportDivergence: follower => {
-          follower.reportDivergence();
-        },
+  bindChart<ConfigFollower, FollowerEvent>(ChartName.ConfigFollower, {
+    actions: {
+      readRecords: follower => {
+        follower.readRecords();
       },
-      guards: {
-        isOutdated: (follower, event) => follower.isOutdated(event),
-        hasDiverged: (follower, event) =>
-          follower.getReplay(event)?.standing === ConfigStanding.Diverged,
-        isBehind: (follower, event) =>
-          follower.getReplay(event)?.standing === ConfigStanding.Behind,
-        hasMore: (follower, event) => follower.hasMore(event),
-        isNewerState: (follower, event) =>
-          event?.type === 'HANDED_OVER' && isNewer(follower.state, event.state),
+      applyRecords: (follower, event, now) => {
+        follower.applyRecords(event, now);
       },
-      delays: {
-        READ_INTERVAL: () => configReadIntervalMs,
-        CHECK_INTERVAL: () => configCheckIntervalMs,
+      takeState: (follower, event, now) => {
+        follower.takeState(event, now);
       },
-    }),
-  );
+      resetCursor: follower => {
+        follower.resetCursor();
+      },
+      recordStanding: (follower, _, now) => {
+        follower.recordStanding(now);
+      },
+      reportFailure: (follower, event) => {
+        follower.reportFailure(event);
+      },
+      reportBehind: follower => {
+        follower.reportBehind();
+      },
+      reportDivergence: follower => {
+        follower.reportDivergence();
+      },
+    },
+    guards: {
+      isOutdated: (follower, event) => follower.isOutdated(event),
+      hasDiverged: (follower, event) =>
+        follower.getReplay(event)?.standing === ConfigStanding.Diverged,
+      isBehind: (follower, event) =>
+        follower.getReplay(event)?.standing === ConfigStanding.Behind,
+      hasMore: (follower, event) => follower.hasMore(event),
+      isNewerState: (follower, event) =>
+        event?.type === 'HANDED_OVER' && isNewer(follower.state, event.state),
+    },
+    delays: {
+      READ_INTERVAL: () => configReadIntervalMs,
+      CHECK_INTERVAL: () => configCheckIntervalMs,
+    },
+  });
--- a/packages/router/src/config/configHolder.ts
+++ b/packages/router/src/config/configHolder.ts
@@ -1,9 +1,9 @@
 /** The configuration that an agent holds, so as to hand it to entries. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
@@ -51,19 +51,17 @@
 export const bindHolderChart = (): Result<
   ChartMachine<ConfigHolder, HolderEvent>
 > =>
-  loadChart(ChartName.ConfigHolder).andThen(chart =>
-    ChartMachine.bind<ConfigHolder, HolderEvent>(chart, {
-      actions: {
-        takeState: (holder, event, now) => {
-          if (event) {
-            holder.takeState(event, now);
-          }
-        },
+  bindChart<ConfigHolder, HolderEvent>(ChartName.ConfigHolder, {
+    actions: {
+      takeState: (holder, event, now) => {
+        if (event) {
+          holder.takeState(event, now);
+        }
       },
-      guards: {
-        isNewerState: (holder, event) =>
-          event !== undefined && isNewer(holder.state, event.state),
-      },
-      delays: {},
-    }),
-  );
+    },
+    guards: {
+      isNewerState: (holder, event) =>
+        event !== undefined && isNewer(holder.state, event.state),
+    },
+    delays: {},
+  });
--- a/packages/router/src/config/publication.ts
+++ b/packages/router/src/config/publication.ts
@@ -6,10 +6,10 @@
  * on, it takes effect at most once.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import {
@@ -250,47 +250,45 @@
 export const bindPublicationChart = (): Result<
   ChartMachine<Publication, PublicationEvent>
 > =>
-  loadChart(ChartName.Publication).andThen(chart =>
-    ChartMachine.bind<Publication, PublicationEvent>(chart, {
-      actions: {
-        readStream: publication => {
-          publication.readStream();
-        },
-        keepReplay: (publication, event) => {
-          publication.keepReplay(event);
-        },
-        keepError: (publication, event) => {
-          publication.keepError(event);
-        },
-        buildChange: (publication, _, now) => {
-          publication.buildChange(now);
-        },
-        appendChange: publication => {
-          publication.appendChange();
-        },
-        finishAccepted: publication => {
-          publication.finishAccepted();
-        },
-        finishUnchanged: publication => {
-          publication.finishUnchanged();
-        },
-        finishConflicted: publication => {
-          publication.finishConflicted();
-        },
-        finishUnsettled: publication => {
-          publication.finishUnsettled();
-        },
-        finishFailed: publication => {
-          publication.finishFailed();
-        },
+  bindChart<Publication, PublicationEvent>(ChartName.Publication, {
+    actions: {
+      readStream: publication => {
+        publication.readStream();
       },
-      guards: {
-        isAccepted: (publication, event) =>
-          publication.findOwn(event)?.verdict === ConfigVerdict.Accepted,
-        isRefused: (publication, event) =>
-          publication.findOwn(event) !== undefined,
-        mayAppendAgain: publication => publication.mayAppendAgain(),
+      keepReplay: (publication, event) => {
+        publication.keepReplay(event);
       },
-      delays: { RETRY_DELAY: () => appendRetryDelayMs },
-    }),
-  );
+      keepError: (publication, event) => {
+        publication.keepError(event);
+      },
+      buildChange: (publication, _, now) => {
+        publication.buildChange(now);
+      },
+      appendChange: publication => {
+        publication.appendChange();
+      },
+      finishAccepted: publication => {
+        publication.finishAccepted();
+      },
+      finishUnchanged: publication => {
+        publication.finishUnchanged();
+      },
+      finishConflicted: publication => {
+        publication.finishConflicted();
+      },
+      finishUnsettled: publication => {
+        publication.finishUnsettled();
+      },
+      finishFailed: publication => {
+        publication.finishFailed();
+      },
+    },
+    guards: {
+      isAccepted: (publication, event) =>
+        publication.findOwn(event)?.verdict === ConfigVerdict.Accepted,
+      isRefused: (publication, event) =>
+        publication.findOwn(event) !== undefined,
+      mayAppendAgain: publication => publication.mayAppendAgain(),
+    },
+    delays: { RETRY_DELAY: () => appendRetryDelayMs },
+  });
--- a/packages/router/src/entry/attemptActions.ts
+++ b/packages/router/src/entry/attemptActions.ts
@@ -1,9 +1,9 @@
 /** The actions of the chart `attempt`, each under the name that the chart uses. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartAction,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import { ErrorKind, TypedError, type Result } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
@@ -178,27 +178,25 @@
 export const bindAttemptChart = (): Result<
   ChartMachine<AttemptContext, AttemptEvent>
 > =>
-  loadChart(ChartName.Attempt).andThen(chart =>
-    ChartMachine.bind<AttemptContext, AttemptEvent>(chart, {
-      actions: {
-        sendOffer,
-        sendRevoke,
-        sendCancel,
-        sendResume,
-        noteReason,
-        noteEnd,
-        reportComplete,
-        reportNotRun,
-        reportFailed,
-        reportUnknown,
-      },
-      guards: { isRepeatable: attempt => attempt.owner.request.isRepeatable },
-      delays: {
-        OFFER_TIMEOUT: () => offerTimeoutMs,
-        REVOKE_TIMEOUT: () => revokeTimeoutMs,
-        CANCEL_TIMEOUT: () => cancelTimeoutMs,
-        PART_BOUND: attempt =>
-          attempt.owner.request.isRepeatable ? partBoundMs : longPartBoundMs,
-      },
-    }),
-  );
+  bindChart<AttemptContext, AttemptEvent>(ChartName.Attempt, {
+    actions: {
+      sendOffer,
+      sendRevoke,
+      sendCancel,
+      sendResume,
+      noteReason,
+      noteEnd,
+      reportComplete,
+      reportNotRun,
+      reportFailed,
+      reportUnknown,
+    },
+    guards: { isRepeatable: attempt => attempt.owner.request.isRepeatable },
+    delays: {
+      OFFER_TIMEOUT: () => offerTimeoutMs,
+      REVOKE_TIMEOUT: () => revokeTimeoutMs,
+      CANCEL_TIMEOUT: () => cancelTimeoutMs,
+      PART_BOUND: attempt =>
+        attempt.owner.request.isRepeatable ? partBoundMs : longPartBoundMs,
+    },
+  });
--- a/packages/router/src/entry/requestActions.ts
+++ b/packages/router/src/entry/requestActions.ts
@@ -1,9 +1,9 @@
 /** The actions of the chart `request`, each under the name that the chart uses. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartAction,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import {
   ErrorKind,
@@ -227,39 +227,37 @@
 export const bindRequestChart = (): Result<
   ChartMachine<RequestContext, RequestEvent>
 > =>
-  loadChart(ChartName.Request).andThen(chart =>
-    ChartMachine.bind<RequestContext, RequestEvent>(chart, {
-      actions: {
-        decideAdmission,
-        chooseRoute,
-        startClaim,
-        withdrawClaim,
-        startAttempt,
-        cancelAttempt,
-        withdrawAttempt,
-        noteCancelled,
-        noteReason,
-        noteMissedEnd,
-        decideEnd,
-        answerComplete,
-        answerNotRun,
-        answerFailed,
-        answerUnknown,
-      },
-      guards: {
-        needsClaim: context => context.request.idempotencyKey !== undefined,
-        hasWholeAnswer: context => context.hasLastToken,
-        mayRetry: (context, _, now) => mayRetry(context, now),
-        mayWaitForRoute: (context, _, now) =>
-          hasRun(context) && mayRetry(context, now),
-        mayRepeat: (context, _, now) =>
-          context.services.policies.retry.mayRepeat(viewRequest(context), now),
-      },
-      delays: {
-        DEADLINE: (context, now) => context.request.deadlineAt - now,
-        RETRY_DELAY: context =>
-          context.services.policies.retry.computeDelay(viewRequest(context)),
-        CANCEL_BOUND: () => cancelBoundMs,
-      },
-    }),
-  );
+  bindChart<RequestContext, RequestEvent>(ChartName.Request, {
+    actions: {
+      decideAdmission,
+      chooseRoute,
+      startClaim,
+      withdrawClaim,
+      startAttempt,
+      cancelAttempt,
+      withdrawAttempt,
+      noteCancelled,
+      noteReason,
+      noteMissedEnd,
+      decideEnd,
+      answerComplete,
+      answerNotRun,
+      answerFailed,
+      answerUnknown,
+    },
+    guards: {
+      needsClaim: context => context.request.idempotencyKey !== undefined,
+      hasWholeAnswer: context => context.hasLastToken,
+      mayRetry: (context, _, now) => mayRetry(context, now),
+      mayWaitForRoute: (context, _, now) =>
+        hasRun(context) && mayRetry(context, now),
+      mayRepeat: (context, _, now) =>
+        context.services.policies.retry.mayRepeat(viewRequest(context), now),
+    },
+    delays: {
+      DEADLINE: (context, now) => context.request.deadlineAt - now,
+      RETRY_DELAY: context =>
+        context.services.policies.retry.computeDelay(viewRequest(context)),
+      CANCEL_BOUND: () => cancelBoundMs,
+    },
+  });
--- a/packages/router/src/membership/agentMembership.ts
+++ b/packages/router/src/membership/agentMembership.ts
@@ -1,9 +1,9 @@
 /** Whether an agent offers its backend server for new work. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
@@ -54,17 +54,15 @@
 
 /** Binds the chart `agentMembership`. Fails with `BadChart`. */
 export const bindAgentMembershipChart = (): Result<AgentMembershipMachine> =>
-  loadChart(ChartName.AgentMembership).andThen(chart =>
-    ChartMachine.bind<AgentMembership, MembershipEvent>(chart, {
-      actions: {
-        recordLeaving: (membership, _, now) => {
-          membership.recordLeaving(now);
-        },
-        reportLeaving: membership => {
-          membership.reportLeaving();
-        },
+  bindChart<AgentMembership, MembershipEvent>(ChartName.AgentMembership, {
+    actions: {
+      recordLeaving: (membership, _, now) => {
+        membership.recordLeaving(now);
       },
-      guards: {},
-      delays: {},
-    }),
-  );
+      reportLeaving: membership => {
+        membership.reportLeaving();
+      },
+    },
+    guards: {},
+    delays: {},
+  });
--- a/packages/router/src/membership/member.ts
+++ b/packages/router/src/membership/member.ts
@@ -6,10 +6,10 @@
  * whatever a lagging list says.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
@@ -147,26 +147,24 @@
 
 /** Binds the chart `member`. Fails with `BadChart`. */
 export const bindMemberChart = (): Result<MemberMachine> =>
-  loadChart(ChartName.Member).andThen(chart =>
-    ChartMachine.bind<Member, MemberEvent>(chart, {
-      actions: {
-        keepHello: (member, event) => {
-          member.keepHello(event);
-        },
-        recordLeaving: (member, _, now) => {
-          member.recordLeaving(now);
-        },
-        sendLeave: member => {
-          member.sendLeave();
-        },
-        closeChannel: (member, _, now) => {
-          member.channel.stop(now);
-        },
+  bindChart<Member, MemberEvent>(ChartName.Member, {
+    actions: {
+      keepHello: (member, event) => {
+        member.keepHello(event);
       },
-      guards: {
-        hasLeft: (member, event) => member.hasLeft(event),
-        mayServeAgain: (member, event) => member.mayServeAgain(event),
+      recordLeaving: (member, _, now) => {
+        member.recordLeaving(now);
       },
-      delays: {},
-    }),
-  );
+      sendLeave: member => {
+        member.sendLeave();
+      },
+      closeChannel: (member, _, now) => {
+        member.channel.stop(now);
+      },
+    },
+    guards: {
+      hasLeft: (member, event) => member.hasLeft(event),
+      mayServeAgain: (member, event) => member.mayServeAgain(event),
+    },
+    delays: {},
+  });
--- a/packages/router/src/peers/incomingChannel.ts
+++ b/packages/router/src/peers/incomingChannel.ts
@@ -1,9 +1,9 @@
 /** A channel that a peer opened; it ends when the peer falls silent. */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { MessageKind, type MessageOf } from '@lycheetally/protocol';
@@ -68,25 +68,23 @@
 
 /** Binds the chart of incoming channels. Fails with `BadChart`. */
 export const bindIncomingChart = (): Result<IncomingMachine> =>
-  loadChart(ChartName.AcceptedConnection).andThen(chart =>
-    ChartMachine.bind<IncomingChannel, ConnectionEvent>(chart, {
-      actions: {
-        closeStream: channel => {
-          channel.closeStream();
-        },
-        reportLost: (channel, _, now) => {
-          channel.reportLost(now);
-        },
-        recordSilence: (channel, _, now) => {
-          channel.recordSilence(now);
-        },
-        clearHeard: channel => {
-          channel.heard = 0;
-        },
+  bindChart<IncomingChannel, ConnectionEvent>(ChartName.AcceptedConnection, {
+    actions: {
+      closeStream: channel => {
+        channel.closeStream();
       },
-      guards: { wasHeard: channel => channel.heard > 0 },
-      delays: {
-        SILENCE_BOUND: () => quietHeartbeatIntervalMs + silenceBoundMs,
+      reportLost: (channel, _, now) => {
+        channel.reportLost(now);
       },
-    }),
-  );
+      recordSilence: (channel, _, now) => {
+        channel.recordSilence(now);
+      },
+      clearHeard: channel => {
+        channel.heard = 0;
+      },
+    },
+    guards: { wasHeard: channel => channel.heard > 0 },
+    delays: {
+      SILENCE_BOUND: () => quietHeartbeatIntervalMs + silenceBoundMs,
+    },
+  });
--- a/packages/router/src/peers/outgoingChannel.ts
+++ b/packages/router/src/peers/outgoingChannel.ts
@@ -5,10 +5,10 @@
  * beside it, over a connection of its own.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { MessageKind } from '@lycheetally/protocol';
@@ -102,42 +102,40 @@
 
 /** Binds the chart of outgoing channels. Fails with `BadChart`. */
 export const bindOutgoingChart = (): Result<OutgoingMachine> =>
-  loadChart(ChartName.PeerConnection).andThen(chart =>
-    ChartMachine.bind<OutgoingChannel, ConnectionEvent>(chart, {
-      actions: {
-        openStream: (channel, _, now) => {
-          channel.openStream(now);
-        },
-        closeStream: channel => {
-          channel.closeStream();
-        },
-        reportOpen: (channel, _, now) => {
-          channel.reportOpen(now);
-        },
-        reportLost: (channel, _, now) => {
-          channel.reportLost(now);
-        },
-        reportUnreachable: (channel, _, now) => {
-          channel.reportUnreachable(now);
-        },
-        sendPing: channel => {
-          channel.sendPing();
-        },
-        clearTraffic: channel => {
-          channel.traffic = 0;
-        },
-        recordSilence: (channel, _, now) => {
-          channel.recordSilence(now);
-        },
+  bindChart<OutgoingChannel, ConnectionEvent>(ChartName.PeerConnection, {
+    actions: {
+      openStream: (channel, _, now) => {
+        channel.openStream(now);
       },
-      guards: { hadTraffic: channel => channel.traffic > 0 },
-      delays: {
-        HEARTBEAT_INTERVAL: () => heartbeatIntervalMs,
-        QUIET_HEARTBEAT_INTERVAL: () => quietHeartbeatIntervalMs,
-        SILENCE_BOUND: () => silenceBoundMs,
-        CONNECT_TIMEOUT: () => connectTimeoutMs,
-        REOPEN_DELAY: () => reopenDelayMs,
-        RECONNECT_DELAY: () => reconnectDelayMs,
+      closeStream: channel => {
+        channel.closeStream();
       },
-    }),
-  );
+      reportOpen: (channel, _, now) => {
+        channel.reportOpen(now);
+      },
+      reportLost: (channel, _, now) => {
+        channel.reportLost(now);
+      },
+      reportUnreachable: (channel, _, now) => {
+        channel.reportUnreachable(now);
+      },
+      sendPing: channel => {
+        channel.sendPing();
+      },
+      clearTraffic: channel => {
+        channel.traffic = 0;
+      },
+      recordSilence: (channel, _, now) => {
+        channel.recordSilence(now);
+      },
+    },
+    guards: { hadTraffic: channel => channel.traffic > 0 },
+    delays: {
+      HEARTBEAT_INTERVAL: () => heartbeatIntervalMs,
+      QUIET_HEARTBEAT_INTERVAL: () => quietHeartbeatIntervalMs,
+      SILENCE_BOUND: () => silenceBoundMs,
+      CONNECT_TIMEOUT: () => connectTimeoutMs,
+      REOPEN_DELAY: () => reopenDelayMs,
+      RECONNECT_DELAY: () => reconnectDelayMs,
+    },
+  });
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -3,10 +3,10 @@
  * lifecycle chart, the channels to peers and the operators' port.
  */
 import {
-  ChartMachine,
   ChartName,
-  loadChart,
+  bindChart,
   type ChartInstance,
+  type ChartMachine,
 } from '@lycheetally/charts';
 import {
   DisposableStore,
@@ -361,32 +361,30 @@
 const bindLifecycle = <Events extends NodeEvents>(): Result<
   ChartMachine<RouterNode<Events>, LifecycleEvent>
 > =>
-  loadChart(ChartName.Lifecycle).andThen(chart =>
-    ChartMachine.bind<RouterNode<Events>, LifecycleEvent>(chart, {
-      actions: {
-        recordReady: (node, _, now) => {
-          node.lifecycleActions.recordReady(now);
-        },
-        recordDraining: (node, _, now) => {
-          node.lifecycleActions.recordDraining(now);
-        },
-        stopAdmission: (node, _, now) => {
-          node.lifecycleActions.stopAdmission(now);
-        },
-        reportCutWork: (node, _, now) => {
-          node.lifecycleActions.reportCutWork(now);
-        },
-        cancelOpenWork: (node, _, now) => {
-          node.lifecycleActions.cancelOpenWork(now);
-        },
-        finishProcess: (node, _, now) => {
-          node.lifecycleActions.finishProcess(now);
-        },
+  bindChart<RouterNode<Events>, LifecycleEvent>(ChartName.Lifecycle, {
+    actions: {
+      recordReady: (node, _, now) => {
+        node.lifecycleActions.recordReady(now);
       },
-      guards: {},
-      delays: {
-        DRAIN_BOUND: node => node.drainBoundMs,
-        CUT_BOUND: () => cutBoundMs,
+      recordDraining: (node, _, now) => {
+        node.lifecycleActions.recordDraining(now);
       },
-    }),
-  );
+      stopAdmission: (node, _, now) => {
+        node.lifecycleActions.stopAdmission(now);
+      },
+      reportCutWork: (node, _, now) => {
+        node.lifecycleActions.reportCutWork(now);
+      },
+      cancelOpenWork: (node, _, now) => {
+        node.lifecycleActions.cancelOpenWork(now);
+      },
+      finishProcess: (node, _, now) => {
+        node.lifecycleActions.finishProcess(now);
+      },
+    },
+    guards: {},
+    delays: {
+      DRAIN_BOUND: node => node.drainBoundMs,
+      CUT_BOUND: () => cutBoundMs,
+    },
+  });
