Keep the pause after a refused order in its chart

Cause: that a server refused an order stood in a flag of the order, a map of the placer and an argument between them, beside a chart that already knew the refusal. Change: the chart `layerOrder` has the state `avoided` for the pause, and the placer asks the order; the times stay 0.7 s and 2.5 s.

With it, the failure domains of the list are counted when the list changes and no longer for each call, and the help of the counter of questions names both kinds. Ruled out: one pause of 2.5 s, which is simpler but plans the gap 0.7 s sooner.

--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -25,7 +25,7 @@
   });
   private readonly probes = new Counter({
     name: `${prefix}stall_reports_total`,
-    help: 'Questions to servers about a stalled chain',
+    help: 'Questions to servers about a stalled chain or whether they live',
     registers: [this.registry],
   });
   private readonly refused = new Counter({
--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -8,7 +8,12 @@
 } from '@lycheetally/charts';
 import type { Milliseconds, PartLogger, Result } from '@lycheetally/common';
 import type { LayerRange } from '@lycheetally/decisions';
-import { loadBoundMs, orderPauseMs, reportBoundMs } from './constants.js';
+import {
+  loadBoundMs,
+  orderPauseMs,
+  refusedServerPauseMs,
+  reportBoundMs,
+} from './constants.js';
 import type { ServerControlPort } from './ports.js';
 import type { Server } from './server.js';
 
@@ -28,7 +33,6 @@
 
 /** One order to one incarnation of a server. */
 export class LayerOrder {
-  private isRefused = false;
   private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
 
   constructor(
@@ -37,14 +41,16 @@
     readonly server: Server,
     readonly range: LayerRange,
     private readonly fencingToken: number,
-    private readonly handleSettled: (
-      isRefused: boolean,
-      now: Milliseconds,
-    ) => void,
+    private readonly handleSettled: () => void,
   ) {
     this.chart = machine.createInstance(this, services.timers);
   }
 
+  /** Whether the server refused, so that it will not hold the layers. */
+  get isAvoided(): boolean {
+    return this.chart.matches('avoided');
+  }
+
   start(now: Milliseconds): void {
     this.chart.start(now);
   }
@@ -61,9 +67,9 @@
         });
       });
     },
-    noteSettled: (now: Milliseconds): void => {
+    noteSettled: (): void => {
       this.chart.dispose();
-      this.handleSettled(this.isRefused, now);
+      this.handleSettled();
     },
   };
 
@@ -90,7 +96,6 @@
       answer: answer ?? '',
       reason: result.err ? result.val.message : '',
     });
-    this.isRefused = answer === 'REFUSED';
     if (answer) {
       this.chart.send({ type: answer }, now);
     }
@@ -109,14 +114,15 @@
       sendOrder: order => {
         order.chartActions.sendOrder();
       },
-      noteSettled: (order, _, now) => {
-        order.chartActions.noteSettled(now);
+      noteSettled: order => {
+        order.chartActions.noteSettled();
       },
     },
     guards: {},
     delays: {
       LOAD_BOUND: () => loadBoundMs,
       REFUSED_PAUSE: () => orderPauseMs,
+      AVOIDED_PAUSE: () => refusedServerPauseMs,
       DOUBT_PAUSE: () => orderPauseMs,
     },
   });
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -19,9 +19,8 @@
   dutyLeaseMs,
   dutyRenewPauseMs,
   heartbeatLateShare,
-  serverReadPauseMs,
   planPauseMs,
-  refusedServerPauseMs,
+  serverReadPauseMs,
   settleBoundMs,
   settlePauseMs,
 } from './constants.js';
@@ -61,8 +60,6 @@
   private leaseUntil: Milliseconds = -Infinity;
   private renewedAt: Milliseconds = -Infinity;
   private readonly underWay = new Map<string, LayerOrder>();
-  /** Servers that refused an order, and until when they are left as they are. */
-  private readonly refusedUntil = new Map<string, Milliseconds>();
   private readonly chart: ChartInstance<LayerPlacer, DutyEvent>;
 
   constructor(
@@ -175,7 +172,7 @@
     const servers = this.services.book
       .listAll(service.name)
       .filter(server => !server.record.isLeaving && server.isTrusted);
-    const stages = servers.map(server => this.viewServer(server, now));
+    const stages = servers.map(server => this.viewServer(server));
     const plan = this.services.placement.planPlacement(service.model, stages);
     for (const server of servers) {
       const range = plan.get(server.record.serverId);
@@ -185,14 +182,12 @@
     }
   }
 
-  private viewServer(server: Server, now: Milliseconds): StageServer {
-    const { serverId, range } = server.record;
-    const order = this.underWay.get(serverId);
-    const refusedUntil = this.refusedUntil.get(serverId) ?? -Infinity;
+  private viewServer(server: Server): StageServer {
+    const order = this.underWay.get(server.record.serverId);
     return {
       ...viewStage(server),
-      range: order?.range ?? range,
-      isBusy: order !== undefined || now < refusedUntil,
+      range: order && !order.isAvoided ? order.range : server.record.range,
+      isBusy: order !== undefined,
     };
   }
 
@@ -222,14 +217,7 @@
       server,
       range,
       this.fencingToken,
-      (isRefused, settledAt) => {
-        this.underWay.delete(serverId);
-        if (isRefused) {
-          this.refusedUntil.set(serverId, settledAt + refusedServerPauseMs);
-        } else {
-          this.refusedUntil.delete(serverId);
-        }
-      },
+      () => this.underWay.delete(serverId),
     );
     this.underWay.set(serverId, order);
     this.orders += 1;
--- a/packages/gateway/src/serverBook.ts
+++ b/packages/gateway/src/serverBook.ts
@@ -18,6 +18,7 @@
   /** When a server last joined. */
   lastJoinAt: Milliseconds = -Infinity;
   private readonly servers = new Map<string, Server>();
+  private domainCount = 0;
   private readonly lapsed = new Map<string, Milliseconds>();
   private unreadable = 0;
 
@@ -42,11 +43,8 @@
 
   /** Gateways that use the servers of a failure domain; each sees only its own calls there. */
   get gatewaysPerDomain(): number {
-    const domains = new Set(
-      [...this.servers.values()].map(({ record }) => record.failureDomain),
-    );
     return this.gatewayShare > 0
-      ? Math.max(1, 1 / this.gatewayShare / domains.size)
+      ? Math.max(1, 1 / this.gatewayShare / this.domainCount)
       : 1;
   }
 
@@ -85,6 +83,14 @@
       this.removeMissing(records, now);
     }
     this.removeLapsed(now);
+    this.countDomains();
+  }
+
+  private countDomains(): void {
+    const domains = new Set(
+      [...this.servers.values()].map(({ record }) => record.failureDomain),
+    );
+    this.domainCount = domains.size;
   }
 
   private applyOne(
