--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -336,7 +336,11 @@
       this.call.avoided.add(server.record.serverId);
       server.noteCrowded(now);
       if (server !== this.chosen.first) {
-        this.call.services.checkServer(server, 'a refusal named it', now);
+        this.call.services.losses.checkServer(
+          server,
+          'a refusal named it',
+          now,
+        );
       }
     }
   }
@@ -365,7 +369,7 @@
     if (server) {
       this.call.avoided.add(server.record.serverId);
       server.noteUnreachable(reason, now);
-      this.call.services.handleServerLost(server, now);
+      this.call.services.losses.handleLost(server, now);
     }
   }
 
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -18,8 +18,8 @@
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { ServerControlPort } from './ports.js';
-import type { Server } from './server.js';
 import type { ServerBook } from './serverBook.js';
+import type { ServerLosses } from './serverLosses.js';
 
 export interface CallEvent {
   readonly type:
@@ -59,6 +59,7 @@
   readonly chain: ChainPolicy;
   readonly retry: RetryPolicy;
   readonly book: ServerBook;
+  readonly losses: ServerLosses;
   readonly attempts: AttemptMachine;
   readonly homeDomain: string;
   /** A key may be used until its revocation is this old. */
@@ -67,15 +68,11 @@
   /** When the store last proved that the configuration is the newest. */
   getProvenAt(): Moment | undefined;
   getMoment(): Moment;
-  /** Asks a server that a refusal names whether it lives. */
-  checkServer(server: Server, suspicion: string, now: Milliseconds): void;
   /** Says whether the process takes no more calls. */
   isLeaving(now: Milliseconds): boolean;
   /** Says whether open calls are being ended. */
   isCutting(): boolean;
   postCompletion(run: (now: Milliseconds) => void): void;
-  /** Ends attempts that pass a server which is gone. */
-  handleServerLost(server: Server, now: Milliseconds): void;
   handleCallEnded(call: GatewayCall): void;
 }
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -35,14 +35,12 @@
 import {
   configWaitShare,
   exitReserveMs,
-  goneSilenceMs,
   leaveConnectionsAfterMs,
   maxConfigWaitMs,
   refuseCallsAfterMs,
   serverReadPauseMs,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
-import { describeBreak } from './attemptFaults.js';
 import { GatewayCall, type CallServices } from './gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
@@ -57,9 +55,10 @@
   TablePort,
   TableRecord,
 } from './ports.js';
-import { bindHealthChart, type Server } from './server.js';
-import { bindCheckChart, ServerChecks } from './serverCheck.js';
+import { bindHealthChart } from './server.js';
 import { ServerBook } from './serverBook.js';
+import { bindCheckChart } from './serverCheck.js';
+import { ServerLosses } from './serverLosses.js';
 import { StatusPages } from './statusPages.js';
 import { bindFollowerChart, TableFollower } from './tableFollower.js';
 
@@ -90,7 +89,7 @@
   private readonly backend: HttpBackend;
   private readonly retryBudget: SlidingRetryBudget;
   private readonly book: ServerBook;
-  private readonly checks: ServerChecks;
+  private readonly losses: ServerLosses;
   private readonly placer: LayerPlacer;
   private readonly configFollower: TableFollower<GatewayConfiguration>;
   private readonly serverFollower: TableFollower<BackendRecord>;
@@ -123,11 +122,11 @@
       loggers.createLogger(LogPart.Servers),
       () => this.serverFollower,
       (server, now) => {
-        this.handleServerLost(server, now);
+        this.losses.handleLost(server, now);
       },
     );
     [this.configFollower, this.serverFollower] = this.createFollowers();
-    this.checks = this.createChecks();
+    this.losses = this.createLosses();
     this.placer = this.createPlacer(startedAt);
     this.callServices = this.createCallServices();
     this.front = this.createFront();
@@ -321,20 +320,16 @@
     return [configurations, servers];
   }
 
-  private createChecks(): ServerChecks {
-    return new ServerChecks(takeValue(bindCheckChart()), {
+  private createLosses(): ServerLosses {
+    return new ServerLosses(takeValue(bindCheckChart()), {
       timers: this.loop,
       control: this.ports.control,
+      metrics: this.metrics,
+      book: this.book,
       postCompletion: run => {
         this.post(run);
       },
-      countProbe: () => {
-        this.metrics.countProbe();
-      },
-      handleGone: (server, reason, now) => {
-        server.noteUnreachable(reason, now);
-        this.handleServerGone(server, now);
-      },
+      listCalls: () => this.calls.values(),
     });
   }
 
@@ -351,9 +346,7 @@
         book: this.book,
         startedAt,
         heartbeatMs: this.settings.rules.heartbeatMs,
-        checkServer: (server, suspicion, now) => {
-          this.checks.request(server, suspicion, now);
-        },
+        losses: this.losses,
         setShare: (share, now) => {
           this.retryBudget.setShare(share, now);
           this.book.gatewayShare = share;
@@ -384,17 +377,12 @@
       getConfiguration: () => this.configuration,
       getProvenAt: () => this.configFollower.provenAt,
       getMoment: () => this.getMoment(),
-      checkServer: (server, suspicion, now) => {
-        this.checks.request(server, suspicion, now);
-      },
+      losses: this.losses,
       isLeaving: now => now - this.stoppedAt >= refuseCallsAfterMs,
       isCutting: () => this.lifecycle.matches('cutting'),
       postCompletion: run => {
         this.post(run);
       },
-      handleServerLost: (server, now) => {
-        this.handleServerLost(server, now);
-      },
       handleCallEnded: call => {
         this.handleCallEnded(call);
       },
@@ -416,50 +404,6 @@
     this.calls.get(caller)?.instance?.send({ type: 'CALLER_GONE' }, now);
   }
 
-  /** A server that leaves may answer no question and yet finish its streams. */
-  private handleServerGone(server: Server, now: Milliseconds): void {
-    this.endCallsAt(server, goneSilenceMs, now);
-    this.loop.schedule(goneSilenceMs, later => {
-      this.endCallsAt(server, goneSilenceMs, later);
-    });
-    this.checkOthers(server, now);
-  }
-
-  private handleServerLost(server: Server, now: Milliseconds): void {
-    this.endCallsAt(server, 0, now);
-    this.checkOthers(server, now);
-  }
-
-  /** Only chains stall as a whole; a plain server's own connection tells. */
-  private endCallsAt(
-    server: Server,
-    silenceMs: Milliseconds,
-    now: Milliseconds,
-  ): void {
-    const { serverId } = server.record;
-    const fault = describeBreak(`server ${serverId} of the chain is gone`);
-    for (const call of [...this.calls.values()]) {
-      const { attempt } = call;
-      if (
-        attempt &&
-        attempt.chosen.chain.length > 0 &&
-        attempt.usesServer(server) &&
-        attempt.isSilentFor(silenceMs, now)
-      ) {
-        attempt.instance.send({ type: 'SERVER_LOST', fault }, now);
-      }
-    }
-  }
-
-  /** Servers are often lost together; each that is not known yet costs a repeat a call. */
-  private checkOthers(lost: Server, now: Milliseconds): void {
-    for (const server of this.book.listUsable(lost.record.service)) {
-      if (server.record.range) {
-        this.checks.request(server, 'another server was lost', now);
-      }
-    }
-  }
-
   private handleCallEnded(call: GatewayCall): void {
     this.calls.delete(call.caller);
     if (this.hasLeft) {
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -32,6 +32,7 @@
 import type { DutyGrant, DutyPort } from './ports.js';
 import type { Server } from './server.js';
 import { viewStage, type ServerBook } from './serverBook.js';
+import type { ServerLosses } from './serverLosses.js';
 
 export interface DutyEvent {
   readonly type: 'GRANTED' | 'DENIED' | 'RESIGN';
@@ -46,8 +47,7 @@
   readonly startedAt: Milliseconds;
   /** Interval of the heartbeats of a server. */
   readonly heartbeatMs: Milliseconds;
-  /** Asks a server whether it lives. */
-  checkServer(server: Server, suspicion: string, now: Milliseconds): void;
+  readonly losses: ServerLosses;
   /** Takes the part of the group that this gateway is. */
   setShare(share: number, now: Milliseconds): void;
   listServices(): Iterable<BackendService>;
@@ -193,14 +193,14 @@
 
   /** The store drops a silent server after three heartbeats; a question tells it sooner. */
   private checkOverdue(service: BackendService, now: Milliseconds): void {
-    const { book, heartbeatMs } = this.services;
+    const { book, heartbeatMs, losses } = this.services;
     if (!book.isCurrent) {
       return;
     }
     const boundMs = heartbeatMs * (1 + heartbeatLateShare) + serverReadPauseMs;
     for (const server of book.listAll(service.name)) {
       if (now - server.heardAt > boundMs) {
-        this.services.checkServer(server, 'its heartbeat is overdue', now);
+        losses.checkServer(server, 'its heartbeat is overdue', now);
       }
     }
   }
