Use one copy of the counting of names and of the stand-ins' records

Cause: the soak counted statuses by hand beside two copies of `countBy`, and wrote configurations and entries of servers that the platform's tests write too. Change: one `countBy` for the benches; `platformRecords` in the testkit formats both records. The tests keep their assertions.

--- a/bench/src/faultsBench.ts
+++ b/bench/src/faultsBench.ts
@@ -20,6 +20,7 @@
   type FleetOptions,
   type Violation,
 } from '@lycheetally/testkit';
+import { countBy } from './load/reconcile.js';
 import { Bench, type BenchOptions } from './types.js';
 
 /** What fault runs added up to. */
@@ -135,14 +136,6 @@
   await waitFor(settleMs);
 };
 
-const countBy = (names: readonly string[]): Record<string, number> => {
-  const counts: Record<string, number> = {};
-  for (const name of names) {
-    counts[name] = (counts[name] ?? 0) + 1;
-  }
-  return counts;
-};
-
 const benchRuns = 200;
 
 export class FaultsBench extends Bench {
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -1,5 +1,6 @@
 /** One soak: calls under seeded troubles, then a calm end, then the check. */
 import { SeededNumbers, waitFor } from '@lycheetally/testkit';
+import { countBy } from '../load/reconcile.js';
 import { checkSoak } from './checkSoak.js';
 import type { GatewayProcess } from './gatewayProcess.js';
 import { runCallers } from './soakCallers.js';
@@ -106,10 +107,7 @@
   const lines = world.gateways
     .flatMap(gateway => gateway.lines)
     .filter(line => [...ids].some(id => id !== '' && line.includes(`"${id}"`)));
-  const statuses: Record<string, number> = {};
-  for (const { status } of history.calls) {
-    statuses[status] = (statuses[status] ?? 0) + 1;
-  }
+  const statuses = countBy(history.calls.map(({ status }) => String(status)));
   const { length } = history.calls;
   return { seed, calls: length, statuses, faults, broken, lines };
 };
--- a/bench/src/soak/soakWorld.ts
+++ b/bench/src/soak/soakWorld.ts
@@ -3,11 +3,16 @@
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { PlatformStore, StoreMood, TcpRelay } from '@lycheetally/testkit';
+import {
+  PlatformStore,
+  StoreMood,
+  TcpRelay,
+  formatConfigurationRecord,
+  formatServerRecord,
+} from '@lycheetally/testkit';
 import { GatewayProcess } from './gatewayProcess.js';
 import { soakHost } from './soakCallers.js';
 import { SoakServer } from './soakServers.js';
-import { SoakKind } from './types.js';
 
 const gatewayCount = 2;
 const serverCount = 3;
@@ -56,10 +61,15 @@
   /** Puts a new version in force; its ack is the call's end. */
   publishConfiguration(): void {
     this.version += 1;
-    const tenants = [...this.accounts]
+    const accounts = [...this.accounts]
       .filter(([key]) => !this.revokedAt.has(key))
-      .map(([key, name]) => ({ name, api_keys: [key] }));
-    const configuration = formatConfiguration(this.version, tenants);
+      .map(([key, name]) => ({ name, keys: [key] }));
+    const configuration = formatConfigurationRecord({
+      version: this.version,
+      host: soakHost,
+      timeoutMs: 3_000,
+      accounts,
+    });
     this.store.put(tableOfOperators, 'config', configuration);
   }
 
@@ -118,17 +128,8 @@
     const link = new TcpRelay(await server.worker.listen());
     this.servers.push(server);
     this.serverLinks.push(link);
-    this.store.put(tableOfServers, serverId, {
-      backend: 'desk',
-      address: await link.listen(),
-      zone: 'zone-a',
-      version: 'v1',
-      slots: 50,
-      state: 'ready',
-      born: 1_000,
-      seq: 1,
-      cold_left_ms: 0,
-    });
+    const record = formatServerRecord(await link.listen(), { slots: 50 });
+    this.store.put(tableOfServers, serverId, record);
   }
 
   private async addGateway(name: string, store: string): Promise<void> {
@@ -155,40 +156,6 @@
   }
 }
 
-const formatConfiguration = (
-  version: number,
-  tenants: readonly unknown[],
-): Record<string, unknown> => ({
-  version,
-  routes: Object.values(SoakKind).map(kind => ({
-    name: kind,
-    hostname: soakHost,
-    path_prefix: `/${kind}/`,
-    backend: 'desk',
-    kind: routeKinds[kind],
-    resumable: kind === SoakKind.Stream,
-    timeout_ms: 3_000,
-    latency_goal_ms: 400,
-    priority: 0,
-    attempts: 2,
-    public: false,
-  })),
-  services: [{ name: 'desk', health_check: '/health', max_conns: 500 }],
-  limits: {
-    max_header_bytes: 4_096,
-    max_body_bytes: 10_000,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
-  tenants,
-});
-
-const routeKinds: Readonly<Record<SoakKind, string>> = {
-  [SoakKind.Booking]: 'non_idempotent',
-  [SoakKind.Lookup]: 'idempotent',
-  [SoakKind.Stream]: 'streaming',
-};
-
 /** Ports that the system gives to no outgoing connection, so that a gateway finds its own again. */
 const firstPort = 12_000;
 const portCount = 18_000;
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -5,6 +5,7 @@
 export * from './fleet/callerClient.js';
 export * from './fleet/processFleet.js';
 export * from './fleet/routerFleet.js';
+export * from './platform/platformRecords.js';
 export * from './platform/platformStore.js';
 export * from './platform/platformWorker.js';
 export * from './standIns/logService.js';
