Bound what a response may hold, and count events as progress

Cause: a server in trouble may send bytes without end. EventStream kept bytes without a blank line for ever and copied them at each chunk, buffered answers had no common bound (16 MiB each), and reports and pages of the store none at all. Any byte counted as activity, so a stream that dripped a byte of an event passed every stall check until its deadline.

Ruled out: ending a stream that is only slow. A stream whose events are whole but far apart is still judged by its server's report; only an event that was begun and does not end within 800 ms fails the attempt (a test plays both).

A server that exceeds the limit is suspended at once, its call continues elsewhere. Progress of a stream is an event, neither a part of one nor a comment.

--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -1,4 +1,5 @@
 /** Decisions of a gateway: routes, keys and their freshness. */
 export * from './freshness.js';
+export * from './responseMemory.js';
 export * from './routeTable.js';
 export * from './types.js';
--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -9,6 +9,7 @@
 } from '@lycheetally/decisions';
 import {
   defaultCallTokens,
+  maxEventBytes,
   stoppingRetryAfterMs,
   notReadyRetryAfterMs,
   retryAfterMs,
@@ -67,7 +68,7 @@
   const isRepeatable = route.isStream ? route.isResumable : route.isRepeatable;
   const remainingMs = fields.remainingMs ?? route.timeoutMs;
   if (route.isStream) {
-    call.events = new EventStream();
+    call.events = new EventStream(maxEventBytes);
   }
   return {
     admitted: {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -120,9 +120,21 @@
 /** Largest response that is buffered before it is forwarded, in bytes. */
 export const maxBufferedResponseBytes = 16 * 1_024 * 1_024;
 
+/** Memory for the buffered parts of all responses of a process, in bytes; beside the heap limit it fits into the smallest VM. */
+export const maxResponseMemoryBytes = 64 * 1_024 * 1_024;
+
+/** Largest partial event of a stream that is buffered, in bytes; an event holds a few tokens. */
+export const maxEventBytes = 256 * 1_024;
+
+/** Time within which an event that a server began must end; a lost packet is sent again sooner, and callers give up after two seconds. */
+export const maxPartialEventMs = 800;
+
 /** Longest idle time of a connection to a backend server. */
 export const backendIdleMs = 4_000;
 
+/** Longest idle time of a connection for a server's reports; the server may close it earlier. */
+export const controlIdleMs = 30_000;
+
 /** Longest idle time of a connection that a non-repeatable call re-uses; the server may have closed an older one. */
 export const recentConnectionMs = 1_000;
 
--- a/packages/gateway/src/eventStream.ts
+++ b/packages/gateway/src/eventStream.ts
@@ -3,54 +3,130 @@
  *
  * Only complete events are forwarded to a caller. If a server fails in the middle
  * of an event, the events of the next server are not appended to the rest of it.
+ * An event that does not end within the limit is refused, since a server may
+ * send bytes without end.
  */
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
 
 const blankLine = Buffer.from('\n\n');
 const idField = Buffer.from('id:');
 const lineEnd = 0x0a;
+const commentStart = 0x3a;
+const noBytes = Buffer.alloc(0);
+
+/** Capacity of the buffer for a partial event when it is first used, in bytes; it doubles as needed. */
+const initialCapacity = 1_024;
+
+/** What received bytes completed. */
+export interface EventBatch {
+  /** Complete events that the caller does not have yet, and comments. */
+  readonly bytes: Buffer;
+  /** Number of the events among them, without comments. */
+  readonly newEvents: number;
+}
 
 export class EventStream {
   /** Id of the last complete event; absent before the first. */
   lastEventId: string | undefined;
-  private partialEvent: Buffer = Buffer.alloc(0);
+  /** When the first byte of the buffered partial event was received. */
+  partialSince: Milliseconds | undefined;
+  private partialEvent = noBytes;
+  private partialBytes = 0;
+
+  /** @param maxEventBytes Largest partial event that is buffered, in bytes. */
+  constructor(private readonly maxEventBytes: number) {}
 
   /** Whether no partial event is buffered. */
   get isAtBoundary(): boolean {
-    return this.partialEvent.length === 0;
+    return this.partialBytes === 0;
+  }
+
+  /** Memory that the partial event takes, in bytes. */
+  get bufferedBytes(): number {
+    return this.partialEvent.length;
   }
 
   /** Drops a partial event before another server continues the stream. */
   restart(): void {
-    this.partialEvent = Buffer.alloc(0);
+    this.partialEvent = noBytes;
+    this.partialBytes = 0;
+    this.partialSince = undefined;
   }
 
-  /** Adds received bytes and returns the completed events that the caller does not have yet. */
-  accept(chunk: Buffer): Buffer {
-    const bytes =
-      this.partialEvent.length === 0
-        ? chunk
-        : Buffer.concat([this.partialEvent, chunk]);
-    const newEvents: Buffer[] = [];
+  /**
+   * Adds received bytes and returns the completed events that the caller does not
+   * have yet. Fails with `TooLarge` if an event does not end within the limit.
+   */
+  accept(chunk: Buffer, now: Milliseconds): Result<EventBatch> {
+    const complete: Buffer[] = [];
+    let newEvents = 0;
     let from = 0;
     for (
-      let end = bytes.indexOf(blankLine, from);
+      let end = this.findFirstEnd(chunk);
       end >= 0;
-      end = bytes.indexOf(blankLine, from)
+      end = findEventEnd(chunk, from)
     ) {
-      const event = bytes.subarray(from, end + blankLine.length);
-      from = end + blankLine.length;
-      if (this.acceptEvent(event)) {
-        newEvents.push(event);
+      const event = this.takeEvent(chunk.subarray(from, end));
+      from = end;
+      const { id, isComment } = readEvent(event);
+      if (this.isNew(id)) {
+        complete.push(event);
+        newEvents += isComment ? 0 : 1;
       }
     }
-    this.partialEvent = bytes.subarray(from);
-    const [only] = newEvents;
-    return newEvents.length === 1 && only ? only : Buffer.concat(newEvents);
+    this.keepPartialEvent(chunk.subarray(from), now);
+    return this.partialBytes > this.maxEventBytes
+      ? Err(createOversizeError(this.maxEventBytes))
+      : Ok({ bytes: joinBuffers(complete), newEvents });
+  }
+
+  /** Finds the end of the event that the buffered bytes begin. */
+  private findFirstEnd(chunk: Buffer): number {
+    const endsWithLine =
+      this.partialBytes > 0 &&
+      this.partialEvent[this.partialBytes - 1] === lineEnd;
+    return endsWithLine && chunk[0] === lineEnd ? 1 : findEventEnd(chunk, 0);
+  }
+
+  /** Returns the event that ends with these bytes. */
+  private takeEvent(bytes: Buffer): Buffer {
+    if (this.partialBytes === 0) {
+      return bytes;
+    }
+    const event = Buffer.concat([
+      this.partialEvent.subarray(0, this.partialBytes),
+      bytes,
+    ]);
+    this.restart();
+    return event;
+  }
+
+  /** Copies the bytes, so that a few of them do not keep the memory of a whole chunk in use. */
+  private keepPartialEvent(bytes: Buffer, now: Milliseconds): void {
+    if (bytes.length === 0) {
+      return;
+    }
+    this.partialSince ??= now;
+    const needed = this.partialBytes + bytes.length;
+    if (needed > this.partialEvent.length) {
+      const capacity = Math.max(initialCapacity, 2 * this.partialBytes, needed);
+      const larger = Buffer.allocUnsafeSlow(capacity);
+      this.partialEvent.copy(larger, 0, 0, this.partialBytes);
+      this.partialEvent = larger;
+    }
+    bytes.copy(this.partialEvent, this.partialBytes);
+    this.partialBytes = needed;
   }
 
   /** Records an event's id; returns `false` if the caller has the event already. */
-  private acceptEvent(event: Buffer): boolean {
-    const id = readEventId(event);
+  private isNew(id: string | undefined): boolean {
     if (id === undefined) {
       return true;
     }
@@ -65,15 +141,41 @@
   }
 }
 
-const readEventId = (event: Buffer): string | undefined => {
-  let at = 0;
-  while (at < event.length) {
+/** Returns the position after the next blank line, or -1. */
+const findEventEnd = (chunk: Buffer, from: number): number => {
+  const found = chunk.indexOf(blankLine, from);
+  return found < 0 ? -1 : found + blankLine.length;
+};
+
+interface EventFields {
+  readonly id: string | undefined;
+  /** Whether the event has no field, as those have that keep a connection open. */
+  readonly isComment: boolean;
+}
+
+const readEvent = (event: Buffer): EventFields => {
+  let isComment = true;
+  for (let at = 0; at < event.length;) {
     const found = event.indexOf(lineEnd, at);
     const end = found < 0 ? event.length : found;
     if (event.subarray(at, at + idField.length).equals(idField)) {
-      return event.toString('latin1', at + idField.length, end).trim();
+      const id = event.toString('latin1', at + idField.length, end).trim();
+      return { id, isComment: false };
     }
+    isComment &&= end === at || event[at] === commentStart;
     at = end + 1;
   }
-  return undefined;
+  return { id: undefined, isComment };
 };
+
+const joinBuffers = (buffers: readonly Buffer[]): Buffer => {
+  const [first] = buffers;
+  return buffers.length === 1 && first ? first : Buffer.concat(buffers);
+};
+
+const createOversizeError = (maxEventBytes: number): TypedError =>
+  new TypedError(
+    ErrorKind.TooLarge,
+    `an event of the stream does not end within ${String(maxEventBytes)} bytes`,
+    'check what the server sends',
+  );
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -13,9 +13,11 @@
   type BackendHead,
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
+import { ConnectionUse } from './ports.js';
 import type { Server } from './server.js';
 import {
   maxBufferedResponseBytes,
+  maxPartialEventMs,
   reportTimeoutMs,
   firstStallCheckMs,
   maxStallCheckMs,
@@ -30,6 +32,7 @@
     | 'COMPLETE'
     | 'ERROR'
     | 'BROKEN'
+    | 'OVERFLOWED'
     | 'REPORT_NOT_STALLED'
     | 'REPORT_STALLED'
     | 'SERVER_LOST'
@@ -140,17 +143,18 @@
   }
 
   override handleBody(chunk: Buffer): void {
-    this.noteActivity();
     if (this.mode === ResponseMode.Streamed) {
       this.forwardEvents(chunk);
       return;
     }
+    this.noteActivity();
     this.bufferedBytes += chunk.length;
     if (this.bufferedBytes > maxBufferedResponseBytes) {
-      this.failExchange('the answer is larger than the gateway buffers');
+      this.failOverflow('the answer is larger than the gateway buffers');
       return;
     }
     this.bufferedChunks.push(chunk);
+    this.reserveMemory(this.bufferedBytes);
   }
 
   override handleEnd(): void {
@@ -213,6 +217,7 @@
     },
     releaseLoad: (): void => {
       this.updateLoad(-1);
+      this.call.services.responseMemory.release(this);
     },
     noteUnreachable: (now: Milliseconds): void => {
       const { first } = this.chosen;
@@ -291,6 +296,24 @@
     this.handleFailure(reason);
   }
 
+  /** Ends an exchange whose server sends more than any sound answer has. */
+  private failOverflow(reason: string): void {
+    this.exchange?.close();
+    this.bufferedChunks.length = 0;
+    this.send({ type: 'OVERFLOWED', fault: createBackendFault(reason) });
+  }
+
+  /** Records the memory that this attempt takes; the largest attempts fail when all of them take too much. */
+  private reserveMemory(bytes: number): void {
+    const evicted = this.call.services.responseMemory.reserve(this, bytes);
+    for (const attempt of evicted) {
+      attempt.bufferedChunks.length = 0;
+      attempt.failExchange(
+        'the responses that this gateway buffers take too much memory together',
+      );
+    }
+  }
+
   private noteActivity(): void {
     this.lastActivityAt = this.call.services.getMoment().monotonic;
     this.call.lastActivityAt = this.lastActivityAt;
@@ -315,12 +338,23 @@
 
   private forwardEvents(chunk: Buffer): void {
     const { call } = this;
-    const newEvents = call.events?.accept(chunk);
-    if (!newEvents || newEvents.length === 0) {
+    const { events } = call;
+    const now = call.services.getMoment().monotonic;
+    const accepted = events?.accept(chunk, now);
+    if (!events || !accepted) {
       return;
     }
-    call.noteEventsSent(this.lastActivityAt);
-    if (!call.caller.write(newEvents)) {
+    if (accepted.err) {
+      this.failOverflow(accepted.val.message);
+      return;
+    }
+    this.reserveMemory(events.bufferedBytes);
+    const { bytes, newEvents } = accepted.val;
+    if (newEvents > 0) {
+      this.noteActivity();
+      call.noteEventsSent(now);
+    }
+    if (bytes.length > 0 && !call.caller.write(bytes)) {
       this.exchange?.pause();
     }
   }
@@ -332,6 +366,8 @@
       this.noteRefusal(head.fields.refusedBy, now);
     } else if (head?.fields.isMisdirected) {
       this.reportUnreachable(chosen.first.record.address, message, now);
+    } else if (type === 'OVERFLOWED') {
+      chosen.first.noteOverflow(message, now);
     } else if (type === 'ERROR') {
       chosen.first.noteError(message, now);
     } else if (type === 'BROKEN' && !call.services.isCancellingCalls()) {
@@ -358,7 +394,13 @@
     }
   }
 
-  /** Whether nothing was received for the attempt in the given time. */
+  /** Whether the server sends an event in pieces that are too far apart to be sound. */
+  private hasOverdueEvent(now: Milliseconds): boolean {
+    const since = this.call.events?.partialSince;
+    return since !== undefined && now - since >= maxPartialEventMs;
+  }
+
+  /** Whether the attempt made no progress in the given time: no event of a stream, no byte of another answer. */
   isSilentFor(silenceMs: Milliseconds, now: Milliseconds): boolean {
     return now - this.lastActivityAt >= silenceMs;
   }
@@ -393,9 +435,19 @@
       this.failExchange('the server was silent for too long');
       return;
     }
+    if (this.hasOverdueEvent(services.getMoment().monotonic)) {
+      this.failExchange('the server began an event and did not end it');
+      return;
+    }
     const { address } = this.chosen.first.record;
     services.metrics.countProbe();
-    void services.control.readReport(address, reportTimeoutMs).then(result => {
+    // A silent connection must not look like a stalled server.
+    const report = services.control.readReport(
+      address,
+      reportTimeoutMs,
+      ConnectionUse.New,
+    );
+    void report.then(result => {
       services.postCompletion(now => {
         const stalledAddress = result.err
           ? address
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -8,6 +8,7 @@
   KeyHolder,
   Moment,
   RequestView,
+  ResponseMemory,
   RetryPolicy,
   RouteRule,
 } from '@lycheetally/decisions';
@@ -61,6 +62,7 @@
   readonly serverRegistry: ServerRegistry;
   readonly lossHandler: ServerLossHandler;
   readonly attemptMachine: AttemptMachine;
+  readonly responseMemory: ResponseMemory<GatewayAttempt>;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
   readonly revokeTimeoutMs: Milliseconds;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -22,6 +22,7 @@
 } from '@lycheetally/common';
 import {
   CheapestChain,
+  LargestFirstMemory,
   ReplicaPerDomain,
   SlidingRetryBudget,
   isFreshEnough,
@@ -38,6 +39,7 @@
   exitReserveMs,
   closeConnectionsAfterMs,
   maxConfigPollMs,
+  maxResponseMemoryBytes,
   refuseCallsAfterMs,
   serverReadIntervalMs,
 } from './constants.js';
@@ -376,6 +378,7 @@
       retryPolicy: this.retryBudget,
       serverRegistry: this.serverRegistry,
       attemptMachine: getOrThrow(bindAttemptChart()),
+      responseMemory: new LargestFirstMemory(maxResponseMemoryBytes),
       homeDomain: process.failureDomain,
       revokeTimeoutMs: rules.revokeMs,
       getConfiguration: () => this.configuration,
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -23,7 +23,12 @@
 
 export interface HealthEvent {
   readonly type:
-    'SUCCEEDED' | 'FAILED' | 'UNREACHABLE' | 'HEARTBEAT' | 'RESTARTED';
+    | 'SUCCEEDED'
+    | 'FAILED'
+    | 'OVERFLOWED'
+    | 'UNREACHABLE'
+    | 'HEARTBEAT'
+    | 'RESTARTED';
 }
 
 export type HealthMachine = ChartMachine<Server, HealthEvent>;
@@ -93,6 +98,12 @@
     this.chart.send({ type: 'FAILED' }, now);
   }
 
+  /** Handles an answer that exceeds every limit; another one would cost as much memory, so the server is suspended at once. */
+  noteOverflow(reason: string, now: Milliseconds): void {
+    this.lastReason = reason;
+    this.chart.send({ type: 'OVERFLOWED' }, now);
+  }
+
   noteUnreachable(reason: string, now: Milliseconds): void {
     this.lastReason = reason;
     this.chart.send({ type: 'UNREACHABLE' }, now);
