Read servers' reports over kept connections

Cause: ServerControl opened a connection for every report.

Ruled out: reusing a connection where its silence would be taken for the server's (stall checks of a chain, orders): those keep a new one, and so does the second probe of a suspected server.

Change: SafeReuseAgent has a file of its own and serves reports too.

--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,7 +1,7 @@
 /** Gauges of a gateway, read when the metrics page is requested. */
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import type { ConnectionCounts } from './httpBackend.js';
 import type { LayerPlacer } from './layerPlacer.js';
+import type { ConnectionCounts } from './safeReuseAgent.js';
 
 /** Sources of the gauges' values. */
 export interface GaugeSources {
--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -5,14 +5,12 @@
  * response belongs to a call only if it carries the call's request id.
  */
 import {
-  Agent,
   request as openRequest,
-  type AgentOptions,
+  type Agent,
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
 import {
   BackendExchange,
   BackendPort,
@@ -21,58 +19,14 @@
 } from './backendPort.js';
 import type { CallFormat } from './callFormat.js';
 import { backendIdleMs, recentConnectionMs } from './constants.js';
+import { SafeReuseAgent, type ConnectionCounts } from './safeReuseAgent.js';
 
-/** Connections opened, re-used, and closed because of unsolicited bytes (surplus). */
-export interface ConnectionCounts {
-  opened: number;
-  reused: number;
-  surplus: number;
-}
-
+/** Idle connections that are kept to one server. */
 const maxIdleConnections = 64;
 
 /** Idle time before TCP keep-alive probes, which detect dead connections, in milliseconds. */
 const keepAliveProbeMs = 1_000;
 
-/** Keeps idle connections and closes those that deliver unsolicited bytes. */
-class SafeReuseAgent extends Agent {
-  private readonly closeOnData = new WeakMap<Duplex, () => void>();
-
-  constructor(
-    options: AgentOptions,
-    private readonly counts: ConnectionCounts,
-  ) {
-    super(options);
-  }
-
-  override keepSocketAlive(socket: Duplex): boolean {
-    if (socket.readableLength > 0) {
-      this.counts.surplus += 1;
-      return false;
-    }
-    // Node returns whether the socket is kept, but its types declare no result.
-    const keep: (socket: Duplex) => unknown = super.keepSocketAlive.bind(this);
-    const isKept = keep(socket);
-    const closeOnData = (): void => {
-      this.counts.surplus += 1;
-      socket.destroy();
-    };
-    socket.once('data', closeOnData);
-    this.closeOnData.set(socket, closeOnData);
-    return isKept !== false;
-  }
-
-  override reuseSocket(socket: Duplex, outgoing: ClientRequest): void {
-    const closeOnData = this.closeOnData.get(socket);
-    if (closeOnData) {
-      socket.off('data', closeOnData);
-      this.closeOnData.delete(socket);
-    }
-    this.counts.reused += 1;
-    super.reuseSocket(socket, outgoing);
-  }
-}
-
 export class HttpBackend extends BackendPort {
   readonly counts: ConnectionCounts = { opened: 0, reused: 0, surplus: 0 };
   private readonly defaultAgent = this.createAgent(backendIdleMs);
@@ -98,13 +52,7 @@
   }
 
   private createAgent(idleTimeoutMs: number): SafeReuseAgent {
-    const options = {
-      keepAlive: true,
-      maxFreeSockets: maxIdleConnections,
-      scheduling: 'lifo',
-      timeout: idleTimeoutMs,
-    } as const;
-    return new SafeReuseAgent(options, this.counts);
+    return new SafeReuseAgent(maxIdleConnections, idleTimeoutMs, this.counts);
   }
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,3 +7,4 @@
 export * from './gatewayNode.js';
 export * from './gatewaySettings.js';
 export * from './ports.js';
+export * from './safeReuseAgent.js';
--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -18,7 +18,7 @@
   refusedServerCooldownMs,
   reportTimeoutMs,
 } from './constants.js';
-import type { ServerControlPort } from './ports.js';
+import { ConnectionUse, type ServerControlPort } from './ports.js';
 import type { Server } from './server.js';
 
 export interface OrderEvent {
@@ -81,7 +81,11 @@
     const { services, server, range, fencingToken } = this;
     const { serverId, address } = server.record;
     const order = { serverId, address, range, fencingToken };
-    const report = await services.control.readReport(address, reportTimeoutMs);
+    const report = await services.control.readReport(
+      address,
+      reportTimeoutMs,
+      ConnectionUse.New,
+    );
     return report.err
       ? report
       : services.control.placeLayers({
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,5 +1,5 @@
 /** Interfaces that a gateway needs from the platform. An adapter implements them with the platform's names and formats. */
-import type { Milliseconds, Result } from '@lycheetally/common';
+import type { Milliseconds, Result, ValueOf } from '@lycheetally/common';
 import type { LayerRange } from '@lycheetally/decisions';
 
 /** A key of a table and its value; without a value the key was removed or the value cannot be read. */
@@ -67,12 +67,22 @@
   readonly address: string;
 }
 
+/** Which connection a request to a server uses. */
+export const ConnectionUse = {
+  /** An idle one if there is one; a failure may be that of the connection. */
+  Kept: 'kept',
+  New: 'new',
+} as const;
+export type ConnectionUse = ValueOf<typeof ConnectionUse>;
+
 /** Sends orders to backend servers and reads their reports. */
 export abstract class ServerControlPort {
   /** Sends an order; returns `true` if the server has begun it or has the layers already. Fails without a response. */
   abstract placeLayers(order: PlacementOrder): Promise<Result<boolean>>;
+  /** Fails if the server sends no whole report in time. */
   abstract readReport(
     address: string,
     timeoutMs: Milliseconds,
+    connection: ConnectionUse,
   ): Promise<Result<ServerReport>>;
 }
--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/serverCheck.ts
@@ -8,7 +8,7 @@
 } from '@lycheetally/charts';
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { checkIntervalMs, reportTimeoutMs } from './constants.js';
-import type { ServerControlPort } from './ports.js';
+import { ConnectionUse, type ServerControlPort } from './ports.js';
 import type { Server } from './server.js';
 
 export interface CheckEvent {
@@ -52,16 +52,10 @@
 
   readonly chartActions = {
     requestReport: (): void => {
-      const { services, server } = this;
-      services.countProbe();
-      void services.control
-        .readReport(server.record.address, reportTimeoutMs)
-        .then(report => {
-          services.postCompletion(now => {
-            const type = report.err ? 'UNANSWERED' : 'ANSWERED';
-            this.chart.send({ type }, now);
-          });
-        });
+      this.requestReport(ConnectionUse.Kept);
+    },
+    requestReportAgain: (): void => {
+      this.requestReport(ConnectionUse.New);
     },
     noteAlive: (now: Milliseconds): void => {
       this.server.lastAliveAt = now;
@@ -70,6 +64,19 @@
       this.services.handleUnresponsive(this.server, this.suspicion, now);
     },
   };
+
+  private requestReport(connection: ConnectionUse): void {
+    const { services, server } = this;
+    services.countProbe();
+    void services.control
+      .readReport(server.record.address, reportTimeoutMs, connection)
+      .then(report => {
+        services.postCompletion(now => {
+          const type = report.err ? 'UNANSWERED' : 'ANSWERED';
+          this.chart.send({ type }, now);
+        });
+      });
+  }
 }
 
 /** The checks of all servers that were ever suspected to have failed. */
@@ -101,6 +108,9 @@
       requestReport: check => {
         check.chartActions.requestReport();
       },
+      requestReportAgain: check => {
+        check.chartActions.requestReportAgain();
+      },
       noteAlive: (check, _, now) => {
         check.chartActions.noteAlive(now);
       },
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -12,7 +12,11 @@
   type Result,
 } from '@lycheetally/common';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
-import { ServerControlPort, type ServerReport } from '../src/ports.js';
+import {
+  ConnectionUse,
+  ServerControlPort,
+  type ServerReport,
+} from '../src/ports.js';
 import { Server, bindHealthChart } from '../src/server.js';
 import { ServerChecks, bindCheckChart } from '../src/serverCheck.js';
 
@@ -24,7 +28,7 @@
 
 /** Answers the probes of a test in order; further ones fail. */
 class ScriptedControl extends ServerControlPort {
-  probes = 0;
+  readonly connections: ConnectionUse[] = [];
 
   constructor(private readonly isAnswered: readonly boolean[]) {
     super();
@@ -34,9 +38,17 @@
     return Promise.resolve(Err(unanswered));
   }
 
-  override readReport(): Promise<Result<ServerReport>> {
+  get probes(): number {
+    return this.connections.length;
+  }
+
+  override readReport(
+    _address: string,
+    _timeoutMs: number,
+    connection: ConnectionUse,
+  ): Promise<Result<ServerReport>> {
     const isAnswered = this.isAnswered[this.probes] ?? false;
-    this.probes += 1;
+    this.connections.push(connection);
     return Promise.resolve(
       isAnswered ? Ok({ orders: 0, stalled: [] }) : Err(unanswered),
     );
@@ -137,7 +149,10 @@
     fixture = new CheckFixture([false, true]);
     fixture.request('its heartbeat is overdue');
     await fixture.settle();
-    expect(fixture.control.probes).toBe(2);
+    expect(fixture.control.connections).toEqual([
+      ConnectionUse.Kept,
+      ConnectionUse.New,
+    ]);
     expect(fixture.unresponsive).toEqual([]);
   });
 
