Move running streams to another chain when they lose a server

Ruled out: the first server of a chain, which holds the connection, is not replaced. Its own loss is resumed elsewhere as before. When another server was at fault, the first one is no longer avoided by the retry.

Change: replaceStages finds servers for the lost layers; the attempt orders the first server to use the new chain, three times at most, and falls back to a new attempt. Lines of attempts give what is left of the retry budget.

--- a/packages/decisions/src/admit/slidingRetryBudget.ts
+++ b/packages/decisions/src/admit/slidingRetryBudget.ts
@@ -72,8 +72,7 @@
     this.getWindow(request.service, now).retries.push(now);
   }
 
-  /** Returns the number of retries that may still be sent to the service now. */
-  countRemaining(service: string, now: Milliseconds): number {
+  override countRemaining(service: string, now: Milliseconds): number {
     const { ratio, slack } = this.settings;
     const { calls, retries } = this.getWindow(service, now);
     const allowed =
--- a/packages/decisions/src/placement/chainChoice.ts
+++ b/packages/decisions/src/placement/chainChoice.ts
@@ -24,7 +24,9 @@
 export interface ChainRequest {
   readonly model: LayeredModel;
   readonly servers: readonly StageServer[];
-  /** Failure domain of the gateway that sends the request. */
+  /** Layers to run; all layers of the model by default. */
+  readonly layers?: LayerRange;
+  /** Failure domain of the gateway that sends the request, or of the stage before these layers. */
   readonly homeDomain: string;
   /** KV cache tokens that the request may use. */
   readonly tokens: number;
@@ -82,10 +84,11 @@
     const holders = request.servers.filter(
       server => server.range && !request.excluded.has(server.serverId),
     );
+    const layers = getLayers(request);
     const frontier = new Map<string, PartialChain>();
     const start: PartialChain = {
       cost: 0,
-      nextLayer: 0,
+      nextLayer: layers.from,
       stage: undefined,
       previous: undefined,
       stages: 0,
@@ -97,7 +100,7 @@
       partial;
       partial = takeShortest(frontier)
     ) {
-      if (partial.nextLayer >= request.model.layers) {
+      if (partial.nextLayer >= layers.to) {
         best = !best || partial.cost < best.cost ? partial : best;
         continue;
       }
@@ -109,6 +112,9 @@
   }
 }
 
+const getLayers = ({ layers, model }: ChainRequest): LayerRange =>
+  layers ?? { from: 0, to: model.layers };
+
 /** Removes and returns the partial chain that has run the fewest layers. */
 const takeShortest = (
   frontier: Map<string, PartialChain>,
@@ -132,6 +138,7 @@
   frontier: Map<string, PartialChain>,
 ): void => {
   const { nextLayer } = partial;
+  const lastLayer = getLayers(request).to;
   const candidates = holders.filter(
     server =>
       server.range &&
@@ -140,7 +147,7 @@
       !hasServer(partial, server),
   );
   for (const server of candidates) {
-    for (const end of listStageEnds(holders, server, nextLayer)) {
+    for (const end of listStageEnds(holders, server, partial, lastLayer)) {
       const range = { from: nextLayer, to: end };
       const cost =
         partial.cost + computeStageCost(request, partial, server, range);
@@ -176,9 +183,10 @@
 const listStageEnds = (
   holders: readonly StageServer[],
   server: StageServer,
-  start: number,
+  { nextLayer: start }: PartialChain,
+  lastLayer: number,
 ): number[] => {
-  const ownEnd = server.range?.to ?? start;
+  const ownEnd = Math.min(server.range?.to ?? start, lastLayer);
   const ends = new Set([ownEnd]);
   for (const { range } of holders) {
     if (
@@ -206,7 +214,8 @@
   }
   const load = request.getLoad(server.serverId);
   const previousDomain = previous.stage?.server.failureDomain ?? homeDomain;
-  const crossDomainMs = previous.stage ? crossDomainHopMs : crossDomainEntryMs;
+  const isFirst = previous.nextLayer === 0;
+  const crossDomainMs = isFirst ? crossDomainEntryMs : crossDomainHopMs;
   const hopMs =
     previousDomain === server.failureDomain ? localHopMs : crossDomainMs;
   const layers = range.to - range.from;
@@ -221,8 +230,7 @@
   const stageMs =
     (layers / model.layers) * kind.stepFactor * load.stepTimeRatio * stepMs;
   const isFull =
-    used > capacity ||
-    (!previous.stage && load.firstStageRequests >= server.slots);
+    used > capacity || (isFirst && load.firstStageRequests >= server.slots);
   return stageMs + hopMs + (isFull ? fullServerMs : 0);
 };
 
--- a/packages/decisions/src/retry.ts
+++ b/packages/decisions/src/retry.ts
@@ -12,6 +12,11 @@
     return request.isRepeatable && this.mayRetry(request, now);
   }
 
+  /** Returns the number of retries that may still be sent to the service. */
+  countRemaining(_service: string, _now: Milliseconds): number {
+    return Infinity;
+  }
+
   /** Records an admitted request. */
   noteRequest(_request: RequestView, _now: Milliseconds): void {
     return;
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -6,6 +6,8 @@
   ReplicaPerDomain,
   computeCacheCapacity,
   findAcceleratorKind,
+  replaceStages,
+  type ChainRequest,
   type ChainStage,
   type LayeredModel,
   type StageServer,
@@ -83,22 +85,27 @@
   return Math.min(...capacities);
 };
 
+const buildRequest = (
+  servers: readonly StageServer[],
+  excluded: readonly string[] = [],
+): ChainRequest => ({
+  model,
+  servers,
+  homeDomain: 'a',
+  tokens: 1_000,
+  excluded: new Set(excluded),
+  getLoad: () => ({
+    layerTokens: 0,
+    firstStageRequests: 0,
+    stepTimeRatio: 1,
+  }),
+});
+
 const chooseChain = (
   servers: readonly StageServer[],
   excluded: readonly string[] = [],
 ): readonly ChainStage[] | undefined =>
-  new CheapestChain().chooseChain({
-    model,
-    servers,
-    homeDomain: 'a',
-    tokens: 1_000,
-    excluded: new Set(excluded),
-    getLoad: () => ({
-      layerTokens: 0,
-      firstStageRequests: 0,
-      stepTimeRatio: 1,
-    }),
-  });
+  new CheapestChain().chooseChain(buildRequest(servers, excluded));
 
 const expectCompleteChain = (
   chain: readonly ChainStage[] | undefined,
@@ -262,3 +269,52 @@
     );
   });
 });
+
+describe('replaceStages', () => {
+  const placed = applyPlan(fleet);
+  const chain = chooseChain(placed) ?? [];
+  const [first] = chain;
+  const ids = chain.slice(1).map(({ server }) => server.serverId);
+
+  const replace = (
+    lost: readonly string[],
+    servers: readonly StageServer[] = placed,
+  ): readonly ChainStage[] | undefined =>
+    replaceStages(new CheapestChain(), {
+      ...buildRequest(servers),
+      chain,
+      lost: new Set(lost),
+    });
+
+  it('replaces each lost server of a running chain and keeps the others', () => {
+    for (const serverId of ids) {
+      const repaired = replace([serverId]);
+      expectCompleteChain(repaired);
+      expect(repaired?.[0]).toEqual(first);
+      const kept = chain.filter(({ server }) => server.serverId !== serverId);
+      expect(repaired).toEqual(expect.arrayContaining(kept));
+      expect(repaired).not.toEqual(expect.arrayContaining([...chain]));
+    }
+  });
+
+  it('uses no lost server and none twice, whichever are lost', () => {
+    fc.assert(
+      fc.property(fc.subarray(ids), lost => {
+        const repaired = replace(lost);
+        if (!repaired) {
+          return;
+        }
+        expectCompleteChain(repaired);
+        const used = repaired.map(({ server }) => server.serverId);
+        expect(used.filter(id => lost.includes(id))).toEqual([]);
+      }),
+      { seed: 5, numRuns: 200 },
+    );
+  });
+
+  it('returns nothing when no other server holds the lost layers', () => {
+    const [serverId = ''] = ids;
+    const own = chain.map(({ server }) => server);
+    expect(replace([serverId], own)).toBeUndefined();
+  });
+});
--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -33,6 +33,15 @@
       requestReport: attempt => {
         attempt.chartActions.requestReport();
       },
+      noteLost: (attempt, event) => {
+        attempt.repair.noteLost(event);
+      },
+      requestRepair: (attempt, _, now) => {
+        attempt.repair.request(now);
+      },
+      noteRepaired: (attempt, _, now) => {
+        attempt.chartActions.noteRepaired(now);
+      },
       restartStallCheck: (attempt, _, now) => {
         attempt.chartActions.restartStallCheck(now);
       },
@@ -52,6 +61,7 @@
     guards: {
       isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
       isRepeatable: attempt => attempt.admitted.isRepeatable,
+      mayRepair: (attempt, event) => attempt.repair.mayRepair(event),
     },
     delays: {
       CONNECT_TIMEOUT: () => connectTimeoutMs,
--- /dev/null
+++ b/packages/gateway/src/attemptRepair.ts
@@ -0,0 +1,109 @@
+/** Moves a running attempt to a chain without the servers that it lost. */
+import type { Milliseconds, Result } from '@lycheetally/common';
+import { replaceStages, type ChainStage } from '@lycheetally/decisions';
+import { describeChainServers } from './chooseServers.js';
+import { maxChainRepairs } from './constants.js';
+import type { AttemptEvent, GatewayAttempt } from './gatewayAttempt.js';
+import type { ChainUpdateAnswer } from './ports.js';
+
+export class AttemptRepair {
+  /** Ids of the servers that the attempt lost. */
+  readonly lostServers = new Set<string>();
+  private repairs = 0;
+
+  constructor(private readonly attempt: GatewayAttempt) {}
+
+  /** Whether the event names a server that others can replace; the first server of a chain holds the connection. */
+  mayRepair(event: AttemptEvent | undefined): boolean {
+    const { first, chain } = this.attempt.chosen;
+    return (
+      this.repairs < maxChainRepairs &&
+      event?.lost !== undefined &&
+      event.lost !== first.record.serverId &&
+      chain.some(({ server }) => server.serverId === event.lost)
+    );
+  }
+
+  noteLost(event: AttemptEvent | undefined): void {
+    if (event?.lost !== undefined) {
+      this.lostServers.add(event.lost);
+    }
+  }
+
+  /** Sends the new chain to the first server; the attempt receives `REPAIRED` or `REPAIR_FAILED`. */
+  request(now: Milliseconds): void {
+    this.repairs += 1;
+    const chain = this.chooseChain(now);
+    if (!chain) {
+      this.finish('no servers hold the lost layers', 'REPAIR_FAILED');
+      return;
+    }
+    const { attempt, repairs } = this;
+    attempt.useChain(chain);
+    const { services, requestId } = attempt.call;
+    const { address } = attempt.chosen.first.record;
+    void services.control
+      .updateChain({ address, requestId, chain })
+      .then(result => {
+        if (repairs === this.repairs) {
+          this.receive(result);
+        }
+      });
+  }
+
+  private chooseChain(now: Milliseconds): readonly ChainStage[] | undefined {
+    const { call, admitted, chosen } = this.attempt;
+    const { model, name } = admitted.service;
+    if (!model) {
+      return undefined;
+    }
+    const { serverRegistry, chainPolicy, homeDomain } = call.services;
+    const usable = serverRegistry
+      .listUsable(name)
+      .filter(server => !server.hasRefusedRecently(now));
+    return replaceStages(chainPolicy, {
+      ...describeChainServers(usable, serverRegistry.gatewaysPerDomain),
+      model,
+      homeDomain,
+      tokens: admitted.tokens,
+      excluded: call.avoided,
+      chain: chosen.chain,
+      lost: this.lostServers,
+    });
+  }
+
+  private receive(result: Result<ChainUpdateAnswer>): void {
+    if (result.err) {
+      this.finish(result.val.message, 'REPAIR_FAILED');
+      return;
+    }
+    const { isAccepted, refusedBy } = result.val;
+    if (isAccepted) {
+      this.finish('', 'REPAIRED');
+      return;
+    }
+    const { serverRegistry } = this.attempt.call.services;
+    const refusing = serverRegistry.findByAddress(refusedBy ?? '');
+    const reason = `the first server refused the chain ${refusedBy ?? ''}`;
+    this.finish(reason, 'REPAIR_FAILED', refusing?.record.serverId);
+  }
+
+  private finish(
+    reason: string,
+    type: 'REPAIRED' | 'REPAIR_FAILED',
+    refusedBy?: string,
+  ): void {
+    const { call, chosen } = this.attempt;
+    const { services, requestId } = call;
+    services.metrics.countRepair(type);
+    services.log.info('A running call was moved to another chain.', {
+      request: requestId,
+      lost: [...this.lostServers].join(','),
+      outcome: type,
+      reason,
+      stages: chosen.chain.length,
+      lastEvent: call.events?.lastEventId ?? '',
+    });
+    this.attempt.send({ type, lost: refusedBy });
+  }
+}
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -1,6 +1,6 @@
 /** Chooses the servers of one attempt: a chain for a model service, one server for a plain service. */
 import type { Milliseconds } from '@lycheetally/common';
-import type { ChainStage } from '@lycheetally/decisions';
+import type { ChainRequest, ChainStage } from '@lycheetally/decisions';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
 import type { Server } from './server.js';
 import { toStageServer } from './serverRegistry.js';
@@ -50,22 +50,31 @@
   if (!model) {
     return undefined;
   }
-  const gateways = serverRegistry.gatewaysPerDomain;
-  const loads = new Map(
-    usable.map(each => [each.record.serverId, each.estimateLoad(gateways)]),
-  );
   const chain = chainPolicy.chooseChain({
+    ...describeChainServers(usable, serverRegistry.gatewaysPerDomain),
     model,
-    servers: usable.map(toStageServer),
     homeDomain,
     tokens,
     excluded: call.avoided,
-    getLoad: id => loads.get(id) ?? idleLoad,
   });
   const first = serverRegistry.find(chain?.[0]?.server.serverId ?? '');
   return chain && first ? { first, chain } : undefined;
 };
 
+/** Describes servers and their load as the choice of a chain takes them. */
+export const describeChainServers = (
+  usable: readonly Server[],
+  gateways: number,
+): Pick<ChainRequest, 'servers' | 'getLoad'> => {
+  const loads = new Map(
+    usable.map(each => [each.record.serverId, each.estimateLoad(gateways)]),
+  );
+  return {
+    servers: usable.map(toStageServer),
+    getLoad: id => loads.get(id) ?? idleLoad,
+  };
+};
+
 const idleLoad = { layerTokens: 0, firstStageRequests: 0, stepTimeRatio: 1 };
 
 const chooseOne = (
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -108,6 +108,12 @@
 /** Timeout of sending an order to a server. */
 export const orderTimeoutMs = 800;
 
+/** Timeout of moving a running request to another chain; a caller notices a longer pause. */
+export const chainUpdateTimeoutMs = 300;
+
+/** How often one attempt may be moved to another chain; a chain that loses more servers is not worth repairing. */
+export const maxChainRepairs = 3;
+
 /** Delay until a stopping gateway closes its callers' connections; the load balancer has noticed the shutdown by then. */
 export const closeConnectionsAfterMs = 2_500;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -23,6 +23,7 @@
   maxStallCheckMs,
   streamStallCheckMs,
 } from './constants.js';
+import { AttemptRepair } from './attemptRepair.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 export interface AttemptEvent {
@@ -35,9 +36,13 @@
     | 'OVERFLOWED'
     | 'REPORT_NOT_STALLED'
     | 'REPORT_STALLED'
+    | 'REPAIRED'
+    | 'REPAIR_FAILED'
     | 'SERVER_LOST'
     | 'CANCEL';
   readonly fault?: CallFault | undefined;
+  /** Id of a server of the chain that is lost or cannot run its part. */
+  readonly lost?: string | undefined;
 }
 
 export type AttemptMachine = ChartMachine<GatewayAttempt, AttemptEvent>;
@@ -61,29 +66,40 @@
   private fault: CallFault | undefined;
   /** Number of checks that found the chain not stalled. */
   private stallChecks = 0;
-  private readonly layerTokens: ReadonlyMap<string, number>;
+  private layerTokens: ReadonlyMap<string, number>;
+  private servers: ChosenServers;
+  readonly repair = new AttemptRepair(this);
 
   constructor(
     readonly call: GatewayCall,
     readonly admitted: AdmittedCall,
-    readonly chosen: ChosenServers,
+    chosen: ChosenServers,
     private readonly startedAt: Milliseconds,
   ) {
     super();
     const { services } = call;
     this.lastActivityAt = startedAt;
-    this.layerTokens = new Map(
-      chosen.chain.map(({ server, range }) => [
-        server.serverId,
-        admitted.tokens * (range.to - range.from),
-      ]),
-    );
+    this.servers = chosen;
+    this.layerTokens = computeLayerTokens(chosen, admitted.tokens);
     this.instance = services.attemptMachine.createInstance(
       this,
       services.timers,
     );
   }
 
+  /** The servers that run the attempt now. */
+  get chosen(): ChosenServers {
+    return this.servers;
+  }
+
+  /** Counts the attempt's load at the servers of a new chain, whose first server is the same. */
+  useChain(chain: ChosenServers['chain']): void {
+    this.updateLoad(-1);
+    this.servers = { ...this.servers, chain };
+    this.layerTokens = computeLayerTokens(this.servers, this.admitted.tokens);
+    this.updateLoad(1);
+  }
+
   /** Body of a buffered response. */
   get body(): Buffer {
     return Buffer.concat(this.bufferedChunks);
@@ -253,8 +269,12 @@
       this.call.runs += 1;
       this.report('ATTEMPT_BROKEN', now);
     },
+    noteRepaired: (now: Milliseconds): void => {
+      this.stallChecks = 0;
+      this.lastActivityAt = now;
+    },
     isSilent: (now: Milliseconds): boolean =>
-      this.admitted.isRepeatable &&
+      (this.admitted.isRepeatable || this.chosen.chain.length > 0) &&
       now - this.lastActivityAt >= this.stallCheckMs,
     computeStallCheckDelay: (now: Milliseconds): Milliseconds =>
       Math.max(1, this.lastActivityAt + this.stallCheckMs - now),
@@ -265,9 +285,7 @@
     now: Milliseconds,
   ): void {
     const { call, chosen, fault } = this;
-    if (this.head?.fields.refusedBy === undefined) {
-      call.avoided.add(chosen.first.record.serverId);
-    }
+    this.listFaultyServers().forEach(serverId => call.avoided.add(serverId));
     call.services.metrics.countAttempt(type);
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
@@ -281,11 +299,29 @@
       reason: fault?.message ?? '',
       afterMs: Math.round(now - this.startedAt),
       lastEvent: call.events?.lastEventId ?? '',
+      retriesLeft: this.countRetries(now),
     });
     call.instance?.send({ type, fault }, now);
   }
 
-  private send(event: AttemptEvent): void {
+  /** Returns the ids of the servers at fault: those that the chain lost, or the first server unless it refused for another one. */
+  private listFaultyServers(): readonly string[] {
+    if (this.repair.lostServers.size > 0) {
+      return [...this.repair.lostServers];
+    }
+    return this.head?.fields.refusedBy === undefined
+      ? [this.chosen.first.record.serverId]
+      : [];
+  }
+
+  private countRetries(now: Milliseconds): number {
+    const { name } = this.admitted.service;
+    const left = this.call.services.retryPolicy.countRemaining(name, now);
+    return Math.floor(left);
+  }
+
+  /** Sends an event to the chart through the event loop. */
+  send(event: AttemptEvent): void {
     this.call.services.postCompletion(now => {
       this.instance.send(event, now);
     });
@@ -414,6 +450,12 @@
     );
   }
 
+  /** Returns the id of the chain's server at the address. */
+  private findStageServer(address: string): string | undefined {
+    return this.chosen.chain.find(({ server }) => server.address === address)
+      ?.server.serverId;
+  }
+
   /** Marks the server at the address as unreachable for this and later calls. */
   private reportUnreachable(
     address: string,
@@ -435,7 +477,10 @@
       this.failExchange('the server was silent for too long');
       return;
     }
-    if (this.hasOverdueEvent(services.getMoment().monotonic)) {
+    if (
+      this.admitted.isRepeatable &&
+      this.hasOverdueEvent(services.getMoment().monotonic)
+    ) {
       this.failExchange('the server began an event and did not end it');
       return;
     }
@@ -461,8 +506,21 @@
         const fault = createBackendFault(
           `the chain stalled at ${stalledAddress}`,
         );
-        this.instance.send({ type: 'REPORT_STALLED', fault }, now);
+        const lost = this.findStageServer(stalledAddress);
+        this.instance.send({ type: 'REPORT_STALLED', fault, lost }, now);
       });
     });
   }
 }
+
+/** Returns the KV cache that each server of the chain needs for the call, in layer-tokens. */
+const computeLayerTokens = (
+  { chain }: ChosenServers,
+  tokens: number,
+): ReadonlyMap<string, number> =>
+  new Map(
+    chain.map(({ server, range }) => [
+      server.serverId,
+      tokens * (range.to - range.from),
+    ]),
+  );
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -28,6 +28,12 @@
     help: 'Questions to servers about a stalled chain or whether they live',
     registers: [this.registry],
   });
+  private readonly repairs = new Counter({
+    name: `${prefix}chain_repairs_total`,
+    help: 'Running calls that were to move to another chain, by outcome',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
   private readonly refused = new Counter({
     name: `${prefix}malformed_total`,
     help: 'Requests refused before they were read as calls, by status',
@@ -83,6 +89,10 @@
     this.probes.inc();
   }
 
+  countRepair(outcome: string): void {
+    this.repairs.inc({ outcome });
+  }
+
   countRefused(status: number): void {
     this.refused.inc({ status: String(status) });
   }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,6 +1,6 @@
 /** Interfaces that a gateway needs from the platform. An adapter implements them with the platform's names and formats. */
 import type { Milliseconds, Result, ValueOf } from '@lycheetally/common';
-import type { LayerRange } from '@lycheetally/decisions';
+import type { ChainStage, LayerRange } from '@lycheetally/decisions';
 
 /** A key of a table and its value; without a value the key was removed or the value cannot be read. */
 export interface TableRecord<T> {
@@ -54,6 +54,21 @@
   readonly fencingToken: number;
 }
 
+/** A new chain for a request that its first server is running. */
+export interface ChainUpdate {
+  /** Address of the first server, which stays the first. */
+  readonly address: string;
+  readonly requestId: string;
+  readonly chain: readonly ChainStage[];
+}
+
+/** A first server's answer to a new chain. */
+export interface ChainUpdateAnswer {
+  readonly isAccepted: boolean;
+  /** Address of the server that cannot run its part, if the answer names one. */
+  readonly refusedBy?: string | undefined;
+}
+
 /** A server's report on its work. */
 export interface ServerReport {
   /** Orders that the server has begun since its start. */
@@ -79,6 +94,8 @@
 export abstract class ServerControlPort {
   /** Sends an order; returns `true` if the server has begun it or has the layers already. Fails without a response. */
   abstract placeLayers(order: PlacementOrder): Promise<Result<boolean>>;
+  /** Moves a running request to another chain. Fails without a response; the request may move all the same. */
+  abstract updateChain(update: ChainUpdate): Promise<Result<ChainUpdateAnswer>>;
   /** Fails if the server sends no whole report in time. */
   abstract readReport(
     address: string,
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -78,7 +78,8 @@
         attempt.usesServer(server) &&
         attempt.isSilentFor(silenceMs, now)
       ) {
-        attempt.instance.send({ type: 'SERVER_LOST', fault }, now);
+        const event = { type: 'SERVER_LOST', fault, lost: serverId } as const;
+        attempt.instance.send(event, now);
       }
     }
   }
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -15,6 +15,7 @@
 import {
   ConnectionUse,
   ServerControlPort,
+  type ChainUpdateAnswer,
   type ServerReport,
 } from '../src/ports.js';
 import { Server, bindHealthChart } from '../src/server.js';
@@ -38,6 +39,10 @@
     return Promise.resolve(Err(unanswered));
   }
 
+  override updateChain(): Promise<Result<ChainUpdateAnswer>> {
+    return Promise.resolve(Err(unanswered));
+  }
+
   get probes(): number {
     return this.connections.length;
   }
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -24,6 +24,12 @@
 
 export class BackendServerStandIn {
   readonly receivedRequests: ReceivedRequest[] = [];
+  /** Requests whose chain has stalled, as its report lists them. */
+  stalledRequests: readonly { id: string; address: string }[] = [];
+  /** Orders received, in order. */
+  readonly receivedOrders: unknown[] = [];
+  /** Status and body of the answer to an order; called after the order was recorded. */
+  answerOrder: (order: unknown) => readonly [number, unknown] = () => [202, {}];
   /** Number of connections accepted. */
   acceptedConnections = 0;
   /** Number of connections that have closed. */
@@ -78,9 +84,12 @@
 
   private serve(request: ReceivedRequest): void {
     if (request.target === '/report') {
-      sendJson(request, { seq: 0, stalled: [] });
+      sendJson(request, { seq: 0, stalled: this.stalledRequests });
     } else if (request.target === '/order') {
-      sendJson(request, {}, 202);
+      const order: unknown = JSON.parse(request.body);
+      this.receivedOrders.push(order);
+      const [status, body] = this.answerOrder(order);
+      sendJson(request, body, status);
     } else {
       this.receivedRequests.push(request);
       this.handleRequest(request);
