Mend five of the seven tests that failed once beside load

Cause, forced one by one: - configFleet, 50 of 50 refused: a publication whose append was stored gave up when the log answered none of its next five calls (2.5 s where they fail at once), and reported an unknown outcome though its change was in force. A log in memory that answers no read for 15 s after the append shows it. - The three configFleet tests after it met the faults that the first had left on ("the log hung up", "reset the connection", the older version). - gracefulStop: waitUntil passed the failure of one late status page on, instead of asking again within its own 15 s.

Ruled out: load alone.

Not confirmed, so the two of chainRecovery stay in KNOWN-RED.txt: engines that stall for 1.5 s (all of them, or those of the route, at a silence limit of 1 s) cause no second epoch. The 60 s timeout there is now told apart: a stream that ends before its fault is reported with its outcome.

Change: after an append the log is read for 30 s, without a further append, to find out its effect; the faults of the log end with their test; a check that fails does not hold yet, and its fault stands in the timeout's message.

--- a/packages/router/src/config/publication.ts
+++ b/packages/router/src/config/publication.ts
@@ -43,6 +43,9 @@
 
 const maxAppendAttempts = 5;
 
+/** Milliseconds after an append during which the log is read to find out its effect; an outage of the log usually ends sooner. */
+const settleTimeoutMs = 30_000;
+
 export type PublicationEvent =
   | { readonly type: 'STREAM_READ'; readonly replay: StreamReplay }
   | {
@@ -87,6 +90,7 @@
   private error: TypedError | undefined;
   private replay: StreamReplay = { state: undefined, decisions: [] };
   private appendAttempts = 0;
+  private appendedAt: Milliseconds = 0;
   private readonly chart: ChartInstance<Publication, PublicationEvent>;
 
   constructor(
@@ -159,11 +163,12 @@
     this.chart.send({ type: 'CHANGE_BUILT' }, now);
   }
 
-  appendChange(): void {
+  appendChange(now: Milliseconds): void {
     if (!this.change) {
       return;
     }
     this.appendAttempts += 1;
+    this.appendedAt = now;
     const { services } = this;
     const record = encodeRecord(this.change);
     void services.logPort.append(configStream, [record]).then(appended => {
@@ -179,6 +184,10 @@
     return this.appendAttempts < maxAppendAttempts;
   }
 
+  mayReadAgain(now: Milliseconds): boolean {
+    return now - this.appendedAt < settleTimeoutMs;
+  }
+
   /** Finds the decision on this change; `undefined` when the stream lacks it. */
   findOwnDecision(
     event: PublicationEvent | undefined,
@@ -275,8 +284,8 @@
       buildChange: (publication, _, now) => {
         publication.buildChange(now);
       },
-      appendChange: publication => {
-        publication.appendChange();
+      appendChange: (publication, _, now) => {
+        publication.appendChange(now);
       },
       finishAccepted: publication => {
         publication.finishAccepted();
@@ -300,6 +309,7 @@
       isRejected: (publication, event) =>
         publication.findOwnDecision(event) !== undefined,
       mayAppendAgain: publication => publication.mayAppendAgain(),
+      mayReadAgain: (publication, _, now) => publication.mayReadAgain(now),
     },
     delays: { RETRY_DELAY: () => appendRetryDelayMs },
   });
--- a/packages/router/tests/chainRecovery.test.ts
+++ b/packages/router/tests/chainRecovery.test.ts
@@ -81,7 +81,7 @@
     calls += 1;
     const prompt = `stream ${String(calls)}`;
     let answer: Promise<CallerAnswer> | undefined;
-    const streaming = new Promise<void>(resolve => {
+    const streaming = new Promise<void>((resolve, reject) => {
       const handleToken = (text: string): void => {
         if (text.split(' ').length > faultAtToken) {
           resolve();
@@ -92,7 +92,11 @@
         handleToken,
         ...options,
       });
+      answer.then(({ outcome }) => {
+        reject(new Error(`the stream ended before the fault: ${outcome}`));
+      }, reject);
     });
+    streaming.catch(() => undefined);
     if (!answer) {
       throw new Error('The stream did not start');
     }
@@ -165,6 +169,11 @@
     expect(epochs.size).toBe(1);
   });
 
+  it('that ends before a fault is reported at once', async () => {
+    const { streaming } = startStream(faultAtToken / 2);
+    await expect(streaming).rejects.toThrow(/before the fault: complete/);
+  });
+
   it('is cancelled at every stage when its caller disconnects', async () => {
     const leaving = new AbortController();
     const { answer, streaming } = startStream(shortAnswer, {
--- a/packages/router/tests/configFleet.test.ts
+++ b/packages/router/tests/configFleet.test.ts
@@ -2,7 +2,7 @@
  * Publishes configurations to a fleet of real processes while operators race,
  * responses of the log are lost, the log is down, or its start is trimmed.
  */
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
 import { ErrorKind } from '@lycheetally/common';
 import {
   RouterFleet,
@@ -33,6 +33,7 @@
 
   beforeAll(() => fleet.start());
   afterAll(() => fleet.dispose());
+  afterEach(() => fleet.setLogFaults({ outage: false, loseAnswers: 0 }));
 
   const createPublisher = (author: string): ConfigPublisher =>
     new ConfigPublisher(new HttpLog(fleet.logUrl), new SystemClock(), author);
--- a/packages/router/tests/publication.test.ts
+++ b/packages/router/tests/publication.test.ts
@@ -144,6 +144,28 @@
     ).toBeGreaterThan(5);
   });
 
+  it('report a change as accepted when the log answers no read for seconds after its append', async () => {
+    let calls = 0;
+    const failingCalls = 30;
+    const log = new FakeLog(() => {
+      calls += 1;
+      const [appendCall, firstFailing] = [2, 3];
+      if (calls === appendCall) {
+        return LogFault.AnswerLost;
+      }
+      return calls >= firstFailing && calls < firstFailing + failingCalls
+        ? LogFault.Down
+        : LogFault.None;
+    });
+    const clock = new ManualClock();
+    const publisher = new ConfigPublisher(log, clock, 'operator');
+    const [result] = await runAll(clock, [
+      publisher.publish(buildConfiguration(1)),
+    ]);
+    expect(result?.unwrap().state.configuration.version).toBe(1);
+    expect(log.records).toHaveLength(1);
+  });
+
   it('publish the contents of an earlier version as a new one', async () => {
     const log = new FakeLog();
     const clock = new ManualClock();
--- a/packages/testkit/src/fleet/routerFleet.ts
+++ b/packages/testkit/src/fleet/routerFleet.ts
@@ -10,6 +10,7 @@
   hashKey,
   type VmRecord,
 } from '@lycheetally/router';
+import { toMessage } from '@lycheetally/common';
 import type { RouterConfiguration } from '@lycheetally/decisions';
 import { waitFor } from '../standIns/standInServer.js';
 import type { TcpRelay } from '../faults/tcpRelay.js';
@@ -143,16 +144,27 @@
   accounts: names.accounts,
 });
 
-/** Polls until the check returns true. Throws if it does not before the timeout. */
+/**
+ * Polls until the check returns true. Throws if it does not before the timeout. A
+ * check that fails, such as a status page that is late, does not hold yet.
+ */
 export const waitUntil = async (
   what: string,
   check: () => Promise<boolean> | boolean,
   timeoutMs = readyTimeoutMs,
 ): Promise<void> => {
   const end = Date.now() + timeoutMs;
-  while (!(await check())) {
+  for (;;) {
+    let fault = '';
+    try {
+      if (await check()) {
+        return;
+      }
+    } catch (thrown) {
+      fault = `: ${toMessage(thrown)}`;
+    }
     if (Date.now() > end) {
-      throw new Error(`Timed out waiting until ${what}`);
+      throw new Error(`Timed out waiting until ${what}${fault}`);
     }
     await waitFor(pollMs);
   }
