Place as many replicas in a failure domain as its memory takes

Change: weights may take 0.62 of a domain's memory, as before, and as many replicas as that share allows share the servers; the layer counts add up to whole replicas. A chain is repaired within its failure domain only.

The sites whose domains have memory for one replica are placed as before.

--- a/packages/decisions/src/placement/chainRepair.ts
+++ b/packages/decisions/src/placement/chainRepair.ts
@@ -3,7 +3,9 @@
  *
  * Load pattern: a server is lost while many streams run through it. The other
  * servers of each chain keep their KV cache, so that only the replaced stages
- * read the tokens again, and the stream goes on without a new attempt.
+ * read the tokens again, and the stream goes on without a new attempt. A server of
+ * another failure domain is no replacement: the activations of all tokens would
+ * have to cross the link between the domains, which takes seconds for many streams.
  */
 import type { ChainPolicy, ChainRequest, ChainStage } from './chainChoice.js';
 import type { LayerRange } from './types.js';
@@ -23,7 +25,7 @@
   const { chain, lost } = request;
   const used = new Set(chain.map(({ server }) => server.serverId));
   const repaired: ChainStage[] = [];
-  for (const part of groupStages(chain, lost)) {
+  for (const part of listParts(chain, lost)) {
     const previous = repaired.at(-1);
     if (!part.isLost) {
       repaired.push(...part.stages);
@@ -47,7 +49,7 @@
   readonly stages: readonly ChainStage[];
 }
 
-const groupStages = (
+const listParts = (
   chain: readonly ChainStage[],
   lost: ReadonlySet<string>,
 ): ChainPart[] => {
@@ -78,6 +80,9 @@
 ): readonly ChainStage[] | undefined =>
   policy.chooseChain({
     ...request,
+    servers: request.servers.filter(
+      ({ failureDomain }) => failureDomain === previous.server.failureDomain,
+    ),
     homeDomain: previous.server.failureDomain,
     layers,
     excluded: new Set([...request.excluded, ...request.lost, ...used]),
--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -186,9 +186,11 @@
   group: readonly StageServer[],
   firstLayerHolders: number,
 ): Map<string, number> => {
+  const replicas = countReplicas(model, group);
   const share = Math.min(
     maxServerShare,
-    (model.layers * model.layerMegabytes) / computeMemory(model, group),
+    (replicas * model.layers * model.layerMegabytes) /
+      computeMemory(model, group),
   );
   const getMaxLayers = (server: StageServer): number =>
     Math.min(
@@ -203,29 +205,52 @@
     const layers = Math.max(1, Math.round(wanted));
     layerCounts.set(server.serverId, Math.min(getMaxLayers(server), layers));
   }
-  addLayers(model, group, layerCounts, getMaxLayers, firstLayerHolders);
+  const wantedLayers = replicas * model.layers;
+  const first = { holders: firstLayerHolders, replicas };
+  addLayers(model, group, layerCounts, getMaxLayers, wantedLayers, first);
   return layerCounts;
 };
 
+/**
+ * Counts the replicas that a group has memory for. With a single one, the loss of
+ * any server of a large group would break all streams that run there.
+ */
+const countReplicas = (
+  model: LayeredModel,
+  group: readonly StageServer[],
+): number => {
+  const weights = model.layers * model.layerMegabytes;
+  const memory = computeMemory(model, group) * maxWeightShare;
+  return Math.max(1, Math.floor(memory / weights));
+};
+
+/** Servers that hold the first layers; one in each replica counts, and the others are in addition. */
+interface FirstLayers {
+  readonly holders: number;
+  readonly replicas: number;
+}
+
 const addLayers = (
   model: LayeredModel,
   group: readonly StageServer[],
   layerCounts: Map<string, number>,
   getMaxLayers: (server: StageServer) => number,
-  firstLayerHolders: number,
+  wantedLayers: number,
+  first: FirstLayers,
 ): void => {
   const getLayerCount = (server: StageServer): number =>
     layerCounts.get(server.serverId) ?? 0;
-  const firstServers = sortByMemory(model, group).slice(0, firstLayerHolders);
-  // These servers all hold the first layers, so only the largest range counts.
+  const firstServers = sortByMemory(model, group).slice(0, first.holders);
+  // These servers all hold the first layers, so only the largest ranges count.
   const countDistinct = (): number => {
-    const firstCounts = firstServers.map(getLayerCount);
+    const duplicates = firstServers
+      .map(getLayerCount)
+      .sort((a, b) => b - a)
+      .slice(first.replicas);
     const all = [...layerCounts.values()].reduce((a, b) => a + b, 0);
-    const duplicates =
-      firstCounts.reduce((a, b) => a + b, 0) - Math.max(...firstCounts);
-    return all - duplicates;
+    return all - duplicates.reduce((a, b) => a + b, 0);
   };
-  while (countDistinct() < model.layers) {
+  while (countDistinct() < wantedLayers) {
     const leastFilled = group
       .filter(server => getLayerCount(server) < getMaxLayers(server))
       .sort(
