Pass news of the store on between gateways

Cause: every gateway reads the configuration and the list of servers by itself, 2 calls a second each.

Ruled out (docs/PLATFORM.md has the table): one reader for all domains, whose ages add up twice; gossip of versions, which proves nothing about a revoked key.

Change: gateways write their addresses into a table of the store; the first of a failure domain in rendezvous order reads the store, and the others ask it. A request is held until the next read and answered with the age of that read and the time for which it was held; the asking gateway counts from when it sent the request. A relay that is silent, refuses or is behind is left at once for a direct read and not asked for 5 s; a gateway that is asked reads the store itself.

Tests: the choice of a relay, the age of what is passed on under suspension of the relay (property tests), four gateways that read the store once, the loss of the relay, a store that falls silent.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -38,6 +38,9 @@
   DutyHolder: 'dutyHolder',
   LayerOrder: 'layerOrder',
   ServerCheck: 'serverCheck',
+  NewsRelay: 'newsRelay',
+  RelayTrust: 'relayTrust',
+  PeerRecord: 'peerRecord',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/decisions/src/membership/index.ts
+++ b/packages/decisions/src/membership/index.ts
@@ -1,2 +1,3 @@
 /** Membership: which backend servers an entry knows. */
 export * from './subset.js';
+export * from './relayChoice.js';
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -146,3 +146,30 @@
 
 /** Tokens assumed for a call that does not state its prompt's length. */
 export const defaultCallTokens = 1_000;
+
+/** Longest time that a gateway holds another one's request for news; above the interval between two reads of the store. */
+export const maxNewsHoldMs = 1_200;
+
+/** Timeout of asking another gateway for news; a direct read after it still confirms the keys in time. */
+export const newsTimeoutMs = 1_500;
+
+/** Age of a confirmation up to which it is passed on; the asking gateway can then still read the store in time. */
+export const maxNewsAgeMs = 2_000;
+
+/** Longest long poll of the configuration at a gateway that reads for others. */
+export const maxRelayPollMs = 900;
+
+/** How long a gateway that failed to pass news on is not asked. */
+export const relaySuspicionMs = 5_000;
+
+/** Time without a request after which a gateway no longer reads for others. */
+export const relayTimeoutMs = 5_000;
+
+/** Interval between reads of the list of gateways, which changes when VMs are replaced. */
+export const peerReadIntervalMs = 5_000;
+
+/** Age up to which the list of gateways is passed on; several intervals. */
+export const maxPeersAgeMs = 15_000;
+
+/** Delay before this gateway's record is written again after a failure. */
+export const peerWriteRetryMs = 1_000;
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -93,7 +93,7 @@
   }
 
   /** Counts the attempt's load at the servers of a new chain, whose first server is the same. */
-  useChain(chain: ChosenServers['chain']): void {
+  replaceChain(chain: ChosenServers['chain']): void {
     this.updateLoad(-1);
     this.servers = { ...this.servers, chain };
     this.layerTokens = computeLayerTokens(this.servers, this.admitted.tokens);
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,6 +1,7 @@
 /** Gauges of a gateway, read when the metrics page is requested. */
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { LayerPlacer } from './layerPlacer.js';
+import type { GatewayNews } from './news/gatewayNews.js';
 import type { ConnectionCounts } from './safeReuseAgent.js';
 
 /** Sources of the gauges' values. */
@@ -8,7 +9,7 @@
   readonly connections: ConnectionCounts;
   readonly placer: LayerPlacer;
   countCalls(): number;
-  countReads(): number;
+  readonly news: GatewayNews;
   countUnreadable(): number;
   getVersion(): number;
 }
@@ -47,9 +48,14 @@
       () => connections.surplus,
     ],
     [
-      'store_reads',
-      'Reads of the store since the start',
-      () => sources.countReads(),
+      'is_relay',
+      'Whether it reads the store for other gateways',
+      () => Number(sources.news.isRelaying),
+    ],
+    [
+      'known_gateways',
+      'Gateways that it knows, itself included',
+      () => sources.news.peerCount,
     ],
     [
       'unreadable_records',
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -34,6 +34,16 @@
     labelNames: ['outcome'],
     registers: [this.registry],
   });
+  private readonly storeReads = new Gauge({
+    name: `${prefix}store_reads`,
+    help: 'Reads of the store since the start',
+    registers: [this.registry],
+  });
+  private readonly relayedReads = new Gauge({
+    name: `${prefix}relayed_reads`,
+    help: 'Reads of the store that another gateway answered since the start',
+    registers: [this.registry],
+  });
   private readonly refused = new Counter({
     name: `${prefix}malformed_total`,
     help: 'Requests refused before they were read as calls, by status',
@@ -93,6 +103,11 @@
     this.repairs.inc({ outcome });
   }
 
+  /** Counts a read of a table of the store. */
+  countNews(isRelayed: boolean): void {
+    (isRelayed ? this.relayedReads : this.storeReads).inc();
+  }
+
   countRefused(status: number): void {
     this.refused.inc({ status: String(status) });
   }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -26,7 +26,6 @@
   ReplicaPerDomain,
   SlidingRetryBudget,
   isFreshEnough,
-  type BackendRecord,
   type GatewayConfiguration,
   type Moment,
 } from '@lycheetally/decisions';
@@ -35,13 +34,10 @@
 import type { CallFormat } from './callFormat.js';
 import type { CallerExchange, ReceivedCall } from './callerPort.js';
 import {
-  configPollShare,
   exitReserveMs,
   closeConnectionsAfterMs,
-  maxConfigPollMs,
   maxResponseMemoryBytes,
   refuseCallsAfterMs,
-  serverReadIntervalMs,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
 import { GatewayCall, type CallServices } from './gatewayCall.js';
@@ -55,7 +51,6 @@
 import type {
   LeaderElectionPort,
   ServerControlPort,
-  TablePort,
   TableRecord,
 } from './ports.js';
 import { bindHealthChart } from './server.js';
@@ -63,13 +58,11 @@
 import { bindCheckChart } from './serverCheck.js';
 import { ServerLossHandler } from './serverLossHandler.js';
 import { StatusPages } from './statusPages.js';
-import { bindFollowerChart, TableFollower } from './tableFollower.js';
+import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
-export interface GatewayPorts {
+export interface GatewayPorts extends NewsSources {
   readonly format: CallFormat;
-  readonly configurations: TablePort<GatewayConfiguration>;
-  readonly servers: TablePort<BackendRecord>;
   readonly leaderElection: LeaderElectionPort;
   readonly control: ServerControlPort;
 }
@@ -94,8 +87,7 @@
   private readonly serverRegistry: ServerRegistry;
   private readonly lossHandler: ServerLossHandler;
   private readonly placer: LayerPlacer;
-  private readonly configFollower: TableFollower<GatewayConfiguration>;
-  private readonly serverFollower: TableFollower<BackendRecord>;
+  private readonly news: GatewayNews;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
   private readonly calls = new Map<CallerExchange, GatewayCall>();
@@ -123,12 +115,12 @@
       getOrThrow(bindHealthChart()),
       this.loop,
       loggers.createLogger(LogComponent.Servers),
-      () => this.serverFollower,
+      () => this.news.servers,
       (server, now) => {
         this.lossHandler.handleLost(server, now);
       },
     );
-    [this.configFollower, this.serverFollower] = this.createFollowers();
+    this.news = this.createNews();
     this.lossHandler = this.createLossHandler();
     this.placer = this.createPlacer(startedAt);
     this.callServices = this.createCallServices();
@@ -152,10 +144,10 @@
     addGauges(this.metrics, {
       connections: this.backend.counts,
       countCalls: () => this.calls.size,
-      countReads: () => this.configFollower.reads + this.serverFollower.reads,
       countUnreadable: () => this.serverRegistry.unreadableCount,
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
+      news: this.news,
     });
   }
 
@@ -177,10 +169,13 @@
         return page;
       }
     }
+    const news = await this.news.listen();
+    if (news?.err) {
+      return news;
+    }
     this.post(now => {
       this.lifecycle.start(now);
-      this.configFollower.start(now);
-      this.serverFollower.start(now);
+      this.news.start(now);
       this.placer.start(now);
     });
     this.log.info('The gateway started.', {
@@ -209,8 +204,7 @@
     this.frontend.dispose();
     this.pages.dispose();
     this.backend.dispose();
-    this.configFollower.dispose();
-    this.serverFollower.dispose();
+    this.news.dispose();
     this.placer.dispose();
   }
 
@@ -255,7 +249,7 @@
 
   private get isFresh(): boolean {
     return isFreshEnough(
-      this.configFollower.confirmedAt,
+      this.news.configurations.confirmedAt,
       this.getMoment(),
       this.settings.rules.revokeMs,
     );
@@ -289,41 +283,24 @@
     });
   }
 
-  private createFollowers(): [
-    TableFollower<GatewayConfiguration>,
-    TableFollower<BackendRecord>,
-  ] {
-    const machine = getOrThrow(bindFollowerChart());
-    const services = {
+  private createNews(): GatewayNews {
+    return new GatewayNews(this.settings, this.ports, {
       timers: this.loop,
-      log: this.loggers.createLogger(LogComponent.Store),
-      postCompletion: (run: (now: Milliseconds) => void) => {
+      loggers: this.loggers,
+      postCompletion: run => {
         this.post(run);
       },
       getMoment: () => this.getMoment(),
-    };
-    const configurations = new TableFollower(machine, services, {
-      name: 'configuration',
-      table: this.ports.configurations,
-      waitMs: Math.min(
-        maxConfigPollMs,
-        Math.round(this.settings.rules.revokeMs * configPollShare),
-      ),
-      readIntervalMs: 0,
-      apply: (records, _, now) => {
+      countNews: isRelayed => {
+        this.metrics.countNews(isRelayed);
+      },
+      applyConfigurations: (records, _, now) => {
         this.applyConfigurations(records, now);
       },
-    });
-    const servers = new TableFollower(machine, services, {
-      name: 'servers',
-      table: this.ports.servers,
-      waitMs: 0,
-      readIntervalMs: serverReadIntervalMs,
-      apply: (records, isComplete, now) => {
+      applyServers: (records, isComplete, now) => {
         this.serverRegistry.apply(records, isComplete, now);
       },
     });
-    return [configurations, servers];
   }
 
   private createLossHandler(): ServerLossHandler {
@@ -382,7 +359,7 @@
       homeDomain: process.failureDomain,
       revokeTimeoutMs: rules.revokeMs,
       getConfiguration: () => this.configuration,
-      getConfirmedAt: () => this.configFollower.confirmedAt,
+      getConfirmedAt: () => this.news.configurations.confirmedAt,
       getMoment: () => this.getMoment(),
       lossHandler: this.lossHandler,
       isStopping: now => now - this.stopRequestedAt >= refuseCallsAfterMs,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -20,6 +20,11 @@
     readiness: addressSchema.describe(
       "Address of the load balancer's health check: 200 when ready, else 503",
     ),
+    gateways: addressSchema
+      .optional()
+      .describe(
+        'Address at which other gateways ask for news of the store; without it each reads the store itself',
+      ),
     metrics: addressSchema
       .optional()
       .describe('Address of the metrics page, at `/metrics`'),
--- /dev/null
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -0,0 +1,305 @@
+/**
+ * What a gateway follows: the configuration, the list of backend servers and the
+ * list of gateways. Few gateways read the store; the others ask them.
+ */
+import type { ChartTimers } from '@lycheetally/charts';
+import {
+  LogComponent,
+  getOrThrow,
+  type Address,
+  type LoggerFactory,
+  type Milliseconds,
+  type Result,
+} from '@lycheetally/common';
+import {
+  RendezvousRelay,
+  type BackendRecord,
+  type GatewayConfiguration,
+  type Moment,
+} from '@lycheetally/decisions';
+import {
+  configPollShare,
+  maxConfigPollMs,
+  maxNewsAgeMs,
+  maxPeersAgeMs,
+  peerReadIntervalMs,
+  serverReadIntervalMs,
+} from '../constants.js';
+import type { GatewaySettings } from '../gatewaySettings.js';
+import type {
+  TablePort,
+  TableRecord,
+  TableWriterPort,
+  ValueDecoder,
+} from '../ports.js';
+import {
+  bindFollowerChart,
+  TableFollower,
+  type FollowerMachine,
+  type FollowerOptions,
+} from '../tableFollower.js';
+import { NewsClient } from './newsClient.js';
+import { NewsServer } from './newsServer.js';
+import { NewsTable } from './newsTable.js';
+import {
+  PeerDirectory,
+  bindTrustChart,
+  type PeerRecord,
+} from './peerDirectory.js';
+import {
+  PeerAnnouncement,
+  bindAnnouncementChart,
+  decodePeer,
+} from './peerRecord.js';
+import { RelayDuty, bindRelayChart } from './relayDuty.js';
+import { RelayedTable } from './relayedTable.js';
+
+/** A table of the store and how its values are read. */
+export interface TableSource<T> {
+  readonly table: TablePort;
+  readonly decode: ValueDecoder<T>;
+}
+
+/** The tables that a gateway follows. */
+export interface NewsSources {
+  readonly configurations: TableSource<GatewayConfiguration>;
+  readonly servers: TableSource<BackendRecord>;
+  readonly gateways: {
+    readonly table: TablePort;
+    readonly writer: TableWriterPort;
+  };
+}
+
+/** Applies records that were read; `isComplete` when they are the whole table. */
+type RecordHandler<T> = (
+  records: readonly TableRecord<T>[],
+  isComplete: boolean,
+  now: Milliseconds,
+) => void;
+
+export interface NewsServices {
+  readonly timers: ChartTimers;
+  readonly loggers: LoggerFactory;
+  postCompletion(run: (now: Milliseconds) => void): void;
+  getMoment(): Moment;
+  countNews(isRelayed: boolean): void;
+  readonly applyConfigurations: RecordHandler<GatewayConfiguration>;
+  readonly applyServers: RecordHandler<BackendRecord>;
+}
+
+/** Names of the tables in requests between gateways. */
+const NewsName = {
+  Configuration: 'configuration',
+  Servers: 'servers',
+  Gateways: 'gateways',
+} as const;
+
+export class GatewayNews {
+  readonly configurations: TableFollower<GatewayConfiguration>;
+  readonly servers: TableFollower<BackendRecord>;
+  private readonly peers: TableFollower<PeerRecord>;
+  private readonly tables = new Map<string, NewsTable>();
+  private readonly machine: FollowerMachine = getOrThrow(bindFollowerChart());
+  private readonly client = new NewsClient();
+  private readonly duty: RelayDuty;
+  private readonly directory: PeerDirectory;
+  private readonly server: NewsServer;
+  private announcement: PeerAnnouncement | undefined;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly sources: NewsSources,
+    private readonly services: NewsServices,
+  ) {
+    const log = services.loggers.createLogger(LogComponent.Store);
+    const { timers } = services;
+    const { id, failureDomain } = settings.process;
+    this.duty = new RelayDuty(getOrThrow(bindRelayChart()), timers, log);
+    this.directory = new PeerDirectory(
+      getOrThrow(bindTrustChart()),
+      timers,
+      log,
+      { ownId: id, failureDomain, policy: new RendezvousRelay() },
+    );
+    this.server = this.createServer();
+    this.configurations = this.createConfigFollower();
+    this.servers = this.createServerFollower();
+    this.peers = this.createPeerFollower();
+  }
+
+  /** Other gateways that this one knows. */
+  get peerCount(): number {
+    return this.directory.size;
+  }
+
+  get isRelaying(): boolean {
+    return this.duty.isRelaying;
+  }
+
+  /** Starts to answer other gateways, if the settings have an address for it. Fails with `BadAddress`. */
+  async listen(): Promise<Result<Address> | undefined> {
+    const { gateways } = this.settings.listen;
+    if (!gateways) {
+      return undefined;
+    }
+    const listening = await this.server.listen(gateways);
+    if (listening.ok) {
+      this.announcement = this.createAnnouncement(listening.val);
+    }
+    return listening;
+  }
+
+  start(now: Milliseconds): void {
+    this.duty.start(now);
+    this.configurations.start(now);
+    this.servers.start(now);
+    this.announcement?.start(now);
+  }
+
+  dispose(): void {
+    this.server.dispose();
+    this.client.dispose();
+    this.duty.dispose();
+    this.announcement?.dispose();
+    this.configurations.dispose();
+    this.servers.dispose();
+    this.peers.dispose();
+  }
+
+  private createServer(): NewsServer {
+    return new NewsServer((table, request, reply) => {
+      this.services.postCompletion(now => {
+        const news = this.tables.get(table);
+        if (!news) {
+          reply(undefined);
+          return;
+        }
+        this.duty.noteAsked(now);
+        news.receive(request, reply);
+      });
+    });
+  }
+
+  private createAnnouncement(address: Address): PeerAnnouncement {
+    const { services, settings, sources } = this;
+    const { id, failureDomain } = settings.process;
+    return new PeerAnnouncement(
+      getOrThrow(bindAnnouncementChart()),
+      {
+        timers: services.timers,
+        log: services.loggers.createLogger(LogComponent.Store),
+        writer: sources.gateways.writer,
+        postCompletion: run => {
+          services.postCompletion(run);
+        },
+        handleWritten: now => {
+          this.peers.start(now);
+        },
+      },
+      id,
+      { address, failureDomain },
+    );
+  }
+
+  private createConfigFollower(): TableFollower<GatewayConfiguration> {
+    const { revokeMs } = this.settings.rules;
+    const pollMs = Math.min(
+      maxConfigPollMs,
+      Math.round(revokeMs * configPollShare),
+    );
+    return this.createFollower(
+      NewsName.Configuration,
+      this.sources.configurations,
+      { waitMs: pollMs, readIntervalMs: 0 },
+      this.services.applyConfigurations,
+    );
+  }
+
+  private createServerFollower(): TableFollower<BackendRecord> {
+    return this.createFollower(
+      NewsName.Servers,
+      this.sources.servers,
+      { waitMs: 0, readIntervalMs: serverReadIntervalMs },
+      this.services.applyServers,
+    );
+  }
+
+  private createPeerFollower(): TableFollower<PeerRecord> {
+    return this.createFollower(
+      NewsName.Gateways,
+      { table: this.sources.gateways.table, decode: decodePeer },
+      { waitMs: 0, readIntervalMs: peerReadIntervalMs },
+      records => {
+        for (const { key, value, fault } of records) {
+          if (fault === undefined) {
+            this.directory.set(key, value);
+          }
+        }
+      },
+    );
+  }
+
+  private createFollower<T>(
+    name: string,
+    source: TableSource<T>,
+    times: Pick<FollowerOptions<T>, 'waitMs' | 'readIntervalMs'>,
+    apply: RecordHandler<T>,
+  ): TableFollower<T> {
+    const { services } = this;
+    const isHeld = name !== NewsName.Gateways;
+    const news = new NewsTable(
+      services,
+      isHeld ? maxNewsAgeMs : maxPeersAgeMs,
+      isHeld,
+    );
+    this.tables.set(name, news);
+    return new TableFollower<T>(
+      this.machine,
+      {
+        timers: services.timers,
+        log: services.loggers.createLogger(LogComponent.Store),
+        postCompletion: run => {
+          services.postCompletion(run);
+        },
+        getMoment: () => services.getMoment(),
+      },
+      {
+        name,
+        table: this.createTable(name, source.table, isHeld),
+        decode: source.decode,
+        ...times,
+        apply,
+        noteRead: (batch, isComplete, confirmedAt) => {
+          news.accept(batch, isComplete, confirmedAt);
+        },
+        noteFailure: () => {
+          news.noteOutage();
+        },
+      },
+    );
+  }
+
+  private createTable(
+    name: string,
+    store: TablePort,
+    isHeld: boolean,
+  ): RelayedTable {
+    const { client, directory, duty, services } = this;
+    return new RelayedTable(
+      {
+        client,
+        directory,
+        duty,
+        postCompletion: run => {
+          services.postCompletion(run);
+        },
+        countRead: isRelayed => {
+          services.countNews(isRelayed);
+        },
+      },
+      name,
+      store,
+      isHeld,
+    );
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/news/peerDirectory.ts
@@ -0,0 +1,152 @@
+/** The other gateways that this one knows from their records in the store, and which of them answer. */
+import {
+  ChartName,
+  bindChart,
+  type ChartInstance,
+  type ChartMachine,
+  type ChartTimers,
+} from '@lycheetally/charts';
+import type {
+  Address,
+  ComponentLogger,
+  Milliseconds,
+  Result,
+} from '@lycheetally/common';
+import type { RelayPolicy } from '@lycheetally/decisions';
+import { relaySuspicionMs } from '../constants.js';
+
+/** A gateway as it announces itself. */
+export interface PeerRecord {
+  readonly address: Address;
+  readonly failureDomain: string;
+}
+
+/** A gateway to ask for news. */
+export interface Relay {
+  readonly id: string;
+  readonly address: Address;
+}
+
+interface TrustEvent {
+  readonly type: 'FAILED';
+}
+
+export type TrustMachine = ChartMachine<PeerTrust, TrustEvent>;
+
+/** Whether another gateway is asked; context of the chart `relayTrust`. */
+export class PeerTrust {
+  private readonly chart: ChartInstance<PeerTrust, TrustEvent>;
+  private reason = '';
+
+  constructor(
+    machine: TrustMachine,
+    timers: ChartTimers,
+    private readonly id: string,
+    private readonly log: ComponentLogger,
+    now: Milliseconds,
+  ) {
+    this.chart = machine.createInstance(this, timers);
+    this.chart.start(now);
+  }
+
+  get isSuspected(): boolean {
+    return this.chart.matches('suspected');
+  }
+
+  noteFailure(reason: string, now: Milliseconds): void {
+    this.reason = reason;
+    this.chart.send({ type: 'FAILED' }, now);
+  }
+
+  noteSuspected(): void {
+    const { id: gateway, reason } = this;
+    this.log.info('A gateway is not asked for news for a while.', {
+      gateway,
+      reason,
+      forMs: relaySuspicionMs,
+    });
+  }
+
+  dispose(): void {
+    this.chart.dispose();
+  }
+}
+
+/** The own gateway, and how relays are chosen. */
+export interface DirectoryOptions {
+  readonly ownId: string;
+  readonly failureDomain: string;
+  readonly policy: RelayPolicy;
+}
+
+export class PeerDirectory {
+  private readonly peers = new Map<string, PeerRecord>();
+  private readonly trust = new Map<string, PeerTrust>();
+
+  constructor(
+    private readonly machine: TrustMachine,
+    private readonly timers: ChartTimers,
+    private readonly log: ComponentLogger,
+    private readonly options: DirectoryOptions,
+  ) {}
+
+  get size(): number {
+    return this.peers.size;
+  }
+
+  find(id: string): PeerRecord | undefined {
+    return this.peers.get(id);
+  }
+
+  /** Adds or replaces a gateway's record, or removes it. */
+  set(id: string, record: PeerRecord | undefined): void {
+    if (record) {
+      this.peers.set(id, record);
+      return;
+    }
+    this.peers.delete(id);
+    this.trust.get(id)?.dispose();
+    this.trust.delete(id);
+  }
+
+  /** Returns the gateway to ask for news, or `undefined` to read the store. */
+  chooseRelay(): Relay | undefined {
+    const { ownId, failureDomain, policy } = this.options;
+    const gateways = [...this.peers]
+      .filter(([, record]) => record.failureDomain === failureDomain)
+      .map(([id]) => id);
+    const suspected = new Set(
+      gateways.filter(id => this.trust.get(id)?.isSuspected === true),
+    );
+    const id = policy.chooseRelay({
+      ownId,
+      failureDomain,
+      gateways,
+      suspected,
+    });
+    const record = id === undefined ? undefined : this.peers.get(id);
+    return id !== undefined && record
+      ? { id, address: record.address }
+      : undefined;
+  }
+
+  noteFailure(id: string, reason: string, now: Milliseconds): void {
+    const known = this.trust.get(id);
+    const trust =
+      known ?? new PeerTrust(this.machine, this.timers, id, this.log, now);
+    this.trust.set(id, trust);
+    trust.noteFailure(reason, now);
+  }
+}
+
+/** Binds the chart `relayTrust`. Fails with `BadChart`. */
+export const bindTrustChart = (): Result<TrustMachine> =>
+  bindChart<PeerTrust, TrustEvent>(ChartName.RelayTrust, {
+    actions: {
+      noteSuspected: trust => {
+        trust.noteSuspected();
+      },
+    },
+    guards: {},
+    delays: { SUSPICION: () => relaySuspicionMs },
+  });
--- /dev/null
+++ b/packages/gateway/src/news/tableHistory.ts
@@ -0,0 +1,80 @@
+/**
+ * A copy of a table of the store: the newest value of each key and the latest
+ * changes, so that other gateways can follow the table here.
+ */
+import type { RawRecord, TableBatch } from '../ports.js';
+
+/** Changes that are kept; a gateway that is further behind reads all newest values. */
+const maxChanges = 2_000;
+
+/** Size of the kept changes, in characters. */
+const maxChangeSize = 2 * 1_024 * 1_024;
+
+export class TableHistory {
+  /** Offset after the newest record. */
+  next = 0;
+  private readonly newest = new Map<string, string>();
+  private changes: RawRecord[] = [];
+  private changeSize = 0;
+
+  /** Replaces the copy by the newest values. */
+  applyNewest(batch: TableBatch): void {
+    this.newest.clear();
+    this.changes = [];
+    this.changeSize = 0;
+    this.next = batch.next;
+    batch.records.forEach(record => {
+      this.setNewest(record);
+    });
+  }
+
+  /** Adds the records that follow the copy. */
+  applyChanges(batch: TableBatch): void {
+    for (const record of batch.records) {
+      this.setNewest(record);
+      this.changes.push(record);
+      this.changeSize += measureRecord(record);
+    }
+    this.next = batch.next;
+    this.dropOldest();
+  }
+
+  /** Returns the records from an offset on, or `undefined` if they are not kept. */
+  readChanges(from: number): readonly RawRecord[] | undefined {
+    const first = this.next - this.changes.length;
+    return from < first || from > this.next
+      ? undefined
+      : this.changes.slice(from - first);
+  }
+
+  readNewest(): readonly RawRecord[] {
+    return [...this.newest].map(([key, value]) => ({ key, value }));
+  }
+
+  private setNewest({ key, value }: RawRecord): void {
+    if (value === undefined) {
+      this.newest.delete(key);
+    } else {
+      this.newest.set(key, value);
+    }
+  }
+
+  private dropOldest(): void {
+    let dropped = 0;
+    while (
+      this.changes.length - dropped > maxChanges ||
+      this.changeSize > maxChangeSize
+    ) {
+      const oldest = this.changes[dropped];
+      if (!oldest) {
+        break;
+      }
+      this.changeSize -= measureRecord(oldest);
+      dropped += 1;
+    }
+    this.changes.splice(0, dropped);
+  }
+}
+
+const measureRecord = ({ key, value }: RawRecord): number =>
+  key.length + (value?.length ?? 0);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -2,7 +2,13 @@
 import type { Milliseconds, Result, ValueOf } from '@lycheetally/common';
 import type { ChainStage, LayerRange } from '@lycheetally/decisions';
 
-/** A key of a table and its value; without a value the key was removed or the value cannot be read. */
+/** A key of a table and the text of its value; without a value the key was removed. */
+export interface RawRecord {
+  readonly key: string;
+  readonly value: string | undefined;
+}
+
+/** A decoded record; without a value the key was removed or the value cannot be read. */
 export interface TableRecord<T> {
   readonly key: string;
   readonly value: T | undefined;
@@ -10,23 +16,35 @@
   readonly fault?: string | undefined;
 }
 
+/** Decodes a value. A thrown error is reported as the record's fault; `undefined` means that the key is not used. */
+export type ValueDecoder<T> = (key: string, text: string) => T | undefined;
+
 /** Records of a table, and the offset at which the next read begins. */
-export interface TableBatch<T> {
-  readonly records: readonly TableRecord<T>[];
+export interface TableBatch {
+  readonly records: readonly RawRecord[];
   readonly next: number;
   /** Whether the store no longer keeps the records after the offset. */
   readonly isTrimmed: boolean;
+  /** Milliseconds from sending the read to the moment as of which the records are the newest; negative if another gateway read them before. */
+  readonly confirmedAfterMs: Milliseconds;
+  /** Whether the answer was held until there was something new, so that the next read may follow at once. */
+  readonly isHeld: boolean;
 }
 
 /** One table of the platform's store. Every call fails with `PlatformUnavailable`. */
-export abstract class TablePort<T> {
+export abstract class TablePort {
   /** Reads the newest value of each key. */
-  abstract readNewest(): Promise<Result<TableBatch<T>>>;
+  abstract readNewest(): Promise<Result<TableBatch>>;
   /** Reads changes from an offset on; waits up to `waitMs` for the first. */
   abstract readChanges(
     from: number,
     waitMs: Milliseconds,
-  ): Promise<Result<TableBatch<T>>>;
+  ): Promise<Result<TableBatch>>;
+}
+
+/** A table of the store that gateways write. Fails with `PlatformUnavailable`; the value may be written all the same. */
+export abstract class TableWriterPort {
+  abstract writeValue(key: string, text: string): Promise<Result<void>>;
 }
 
 /** Result of joining the group that elects the leader. */
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -6,15 +6,22 @@
   type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
-import type {
-  Milliseconds,
-  ComponentLogger,
-  Result,
-  TypedError,
+import {
+  toMessage,
+  type Milliseconds,
+  type ComponentLogger,
+  type Result,
+  type TypedError,
 } from '@lycheetally/common';
 import type { Moment } from '@lycheetally/decisions';
 import { storeRetryDelayMs } from './constants.js';
-import type { TablePort, TableRecord, TableBatch } from './ports.js';
+import type {
+  RawRecord,
+  TablePort,
+  TableRecord,
+  TableBatch,
+  ValueDecoder,
+} from './ports.js';
 
 export interface FollowerEvent {
   readonly type: 'LOADED' | 'CHANGED' | 'TRIMMED' | 'FAILED';
@@ -34,7 +41,8 @@
 /** The table that is followed, and how it is read. */
 export interface FollowerOptions<T> {
   readonly name: string;
-  readonly table: TablePort<T>;
+  readonly table: TablePort;
+  readonly decode: ValueDecoder<T>;
   /** How long the store may wait for a change before it answers a read (long poll). */
   readonly waitMs: Milliseconds;
   /** Interval between two reads. */
@@ -45,6 +53,14 @@
     isComplete: boolean,
     now: Milliseconds,
   ) => void;
+  /** Passes on what was read before it is applied. */
+  readonly noteRead?: (
+    batch: TableBatch,
+    isComplete: boolean,
+    confirmedAt: Moment,
+  ) => void;
+  /** Called when a read failed. */
+  readonly noteFailure?: () => void;
 }
 
 export abstract class AnyFollower {
@@ -68,10 +84,9 @@
   outageSince: Milliseconds | undefined;
   /** End of the latest outage of the store. */
   outageEndedAt: Milliseconds = -Infinity;
-  /** Reads sent since the start. */
-  reads = 0;
   private nextOffset = 0;
-  private batch: TableBatch<T> | undefined;
+  private batch: TableBatch | undefined;
+  private wasHeld = false;
   private error: TypedError | undefined;
   private readonly chart: ChartInstance<AnyFollower, FollowerEvent>;
 
@@ -93,7 +108,7 @@
   }
 
   override get readIntervalMs(): Milliseconds {
-    return this.options.readIntervalMs;
+    return this.wasHeld ? 0 : this.options.readIntervalMs;
   }
 
   dispose(): void {
@@ -120,6 +135,7 @@
       this.applyBatch(false, now);
     },
     noteOutage: now => {
+      this.options.noteFailure?.();
       if (this.outageSince !== undefined) {
         return;
       }
@@ -133,11 +149,10 @@
   };
 
   private request(
-    response: Promise<Result<TableBatch<T>>>,
+    response: Promise<Result<TableBatch>>,
     type: 'LOADED' | 'CHANGED',
   ): void {
     const sentAt = this.services.getMoment();
-    this.reads += 1;
     void response.then(result => {
       this.services.postCompletion(now => {
         this.receive(result, type, sentAt, now);
@@ -146,7 +161,7 @@
   }
 
   private receive(
-    result: Result<TableBatch<T>>,
+    result: Result<TableBatch>,
     type: 'LOADED' | 'CHANGED',
     sentAt: Moment,
     now: Milliseconds,
@@ -162,8 +177,11 @@
       return;
     }
     this.batch = result.val;
+    this.wasHeld = result.val.isHeld;
+    const confirmedAt = addTime(sentAt, result.val.confirmedAfterMs);
+    this.options.noteRead?.(result.val, type === 'LOADED', confirmedAt);
     this.chart.send({ type }, now);
-    this.confirmedAt = sentAt;
+    this.confirmedAt = confirmedAt;
   }
 
   private noteRecovery(now: Milliseconds): void {
@@ -183,11 +201,35 @@
     this.batch = undefined;
     if (batch) {
       this.nextOffset = batch.next;
-      this.options.apply(batch.records, isComplete, now);
+      const { decode, apply } = this.options;
+      const records = batch.records.map(each => decodeRecord(each, decode));
+      apply(records, isComplete, now);
     }
   }
 }
 
+const addTime = (moment: Moment, delayMs: Milliseconds): Moment => ({
+  monotonic: moment.monotonic + delayMs,
+  wallClock: moment.wallClock + delayMs,
+});
+
+const decodeRecord = <T>(
+  { key, value }: RawRecord,
+  decode: ValueDecoder<T>,
+): TableRecord<T> => {
+  if (value === undefined) {
+    return { key, value };
+  }
+  try {
+    const decoded = decode(key, value);
+    return decoded === undefined
+      ? { key, value: undefined, fault: 'the key is not used' }
+      : { key, value: decoded };
+  } catch (thrown) {
+    return { key, value: undefined, fault: toMessage(thrown) };
+  }
+};
+
 /** Binds the chart `tableFollower`. Fails with `BadChart`. */
 export const bindFollowerChart = (): Result<FollowerMachine> =>
   bindChart<AnyFollower, FollowerEvent>(ChartName.TableFollower, {
--- a/packages/router/tests/chainRecovery.test.ts
+++ b/packages/router/tests/chainRecovery.test.ts
@@ -93,7 +93,9 @@
         ...options,
       });
       answer.then(({ outcome }) => {
-        reject(new Error(`the stream ended before the fault: ${outcome}`));
+        reject(
+          new Error(`the stream ended before the fault: ${outcome ?? ''}`),
+        );
       }, reject);
     });
     streaming.catch(() => undefined);
--- a/packages/testkit/src/platform/platformStore.ts
+++ b/packages/testkit/src/platform/platformStore.ts
@@ -97,6 +97,14 @@
     const url = new URL(request.url ?? '/', 'http://store');
     const count = this.requestCounts.get(url.pathname) ?? 0;
     this.requestCounts.set(url.pathname, count + 1);
+    if (url.pathname === '/log-append') {
+      this.receiveAppend(
+        url.searchParams.get('topic') ?? '',
+        request,
+        response,
+      );
+      return;
+    }
     request.resume();
     if (this.mode === StoreMode.Silent) {
       return;
@@ -167,6 +175,27 @@
     }
   }
 
+  private receiveAppend(
+    name: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      if (this.mode === StoreMode.Up) {
+        const record = Buffer.concat(chunks).subarray(lengthBytes);
+        const keyEnd = 1 + (record[0] ?? 0);
+        const key = record.toString('utf8', 1, keyEnd);
+        this.putBytes(name, key, record.subarray(keyEnd));
+        const end = this.getTable(name).records.length;
+        answerJson(response, { offset: end - 1, end_offset: end });
+      } else if (this.mode === StoreMode.Busy) {
+        response.writeHead(503).end();
+      }
+    });
+  }
+
   private answerJoin(response: ServerResponse): void {
     this.generation += 1;
     answerJson(response, {
