Do not report a request as not run when it was sent after a slow connect

The timer of the connect timeout had expired and was queued; the connection was then established and the request sent; the loop handled the timer first and took the attempt for one that had not run. A second server could have run the booking as well.

Ruled out: an error before the connection, which is queued after CONNECTED if there was one; a cancelled attempt, which counts as one that may have run.

Change: whether the request may have been sent is known when the connection is, not when the loop handles the event; the timeout then only opens the attempt.

--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -59,6 +59,7 @@
       },
     },
     guards: {
+      isConnected: attempt => attempt.chartActions.isConnected(),
       isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
       isRepeatable: attempt => attempt.admitted.isRepeatable,
       mayRepair: (attempt, event) => attempt.repair.mayRepair(event),
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -64,6 +64,8 @@
   private mode: string = ResponseMode.Buffered;
   private lastActivityAt: Milliseconds;
   private fault: CallFault | undefined;
+  /** Whether the request may have been sent; known before the loop handles `CONNECTED`. */
+  private hasConnection = false;
   /** Number of checks that found the chain not stalled. */
   private stallChecks = 0;
   private layerTokens: ReadonlyMap<string, number>;
@@ -139,6 +141,7 @@
   }
 
   override handleConnected(): void {
+    this.hasConnection = true;
     this.send({ type: 'CONNECTED' });
   }
 
@@ -273,6 +276,7 @@
       this.stallChecks = 0;
       this.lastActivityAt = now;
     },
+    isConnected: (): boolean => this.hasConnection,
     isSilent: (now: Milliseconds): boolean =>
       (this.admitted.isRepeatable || this.chosen.chain.length > 0) &&
       now - this.lastActivityAt >= this.stallCheckMs,
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -30,6 +30,8 @@
   readonly receivedOrders: unknown[] = [];
   /** Status and body of the answer to an order; called after the order was recorded. */
   answerOrder: (order: unknown) => readonly [number, unknown] = () => [202, {}];
+  /** Address that it listens on. */
+  address = '';
   /** Number of connections accepted. */
   acceptedConnections = 0;
   /** Number of connections that have closed. */
@@ -57,7 +59,8 @@
       host: '127.0.0.1',
       port: 0,
     });
-    return formatAddress(bound.unwrap());
+    this.address = formatAddress(bound.unwrap());
+    return this.address;
   }
 
   close(): void {
