--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attemptRepair.ts
@@ -39,7 +39,7 @@
       return;
     }
     const { attempt, repairs } = this;
-    attempt.replaceChain(chain);
+    attempt.servers.replaceChain(chain);
     const { services, requestId } = attempt.call;
     const { address } = attempt.chosen.first.record;
     void services.control
--- /dev/null
+++ b/packages/gateway/src/attemptServers.ts
@@ -0,0 +1,70 @@
+/** The servers that run an attempt, and the load that the attempt adds to them. */
+import type { AdmittedCall } from './gatewayCall.js';
+import type { ChosenServers } from './chooseServers.js';
+import type { Server } from './server.js';
+import type { ServerRegistry } from './serverRegistry.js';
+
+export class AttemptServers {
+  private layerTokens: ReadonlyMap<string, number>;
+
+  constructor(
+    private readonly registry: ServerRegistry,
+    private readonly admitted: AdmittedCall,
+    private servers: ChosenServers,
+  ) {
+    this.layerTokens = computeLayerTokens(servers, admitted.tokens);
+  }
+
+  get chosen(): ChosenServers {
+    return this.servers;
+  }
+
+  /** Counts the load at the servers of a new chain, whose first server is the same. */
+  replaceChain(chain: ChosenServers['chain']): void {
+    this.updateLoad(-1);
+    this.servers = { ...this.servers, chain };
+    this.layerTokens = computeLayerTokens(this.servers, this.admitted.tokens);
+    this.updateLoad(1);
+  }
+
+  /** Adds the attempt's load to its servers, or subtracts it. */
+  updateLoad(sign: 1 | -1): void {
+    this.servers.first.calls += sign;
+    for (const [serverId, layerTokens] of this.layerTokens) {
+      const server = this.registry.find(serverId);
+      if (server) {
+        server.layerTokens = Math.max(
+          0,
+          server.layerTokens + sign * layerTokens,
+        );
+      }
+    }
+  }
+
+  /** Whether the server is part of the attempt. */
+  has(server: Server): boolean {
+    const { serverId } = server.record;
+    return (
+      this.servers.first === server ||
+      this.servers.chain.some(stage => stage.server.serverId === serverId)
+    );
+  }
+
+  /** Returns the id of the chain's server at the address. */
+  findStage(address: string): string | undefined {
+    return this.servers.chain.find(({ server }) => server.address === address)
+      ?.server.serverId;
+  }
+}
+
+/** Returns the KV cache that each server of the chain needs for the call, in layer-tokens. */
+const computeLayerTokens = (
+  { chain }: ChosenServers,
+  tokens: number,
+): ReadonlyMap<string, number> =>
+  new Map(
+    chain.map(({ server, range }) => [
+      server.serverId,
+      tokens * (range.to - range.from),
+    ]),
+  );
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -13,17 +13,16 @@
   type BackendHead,
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
-import { ConnectionUse } from './ports.js';
-import type { Server } from './server.js';
+import { checkStall } from './stallCheck.js';
 import {
   maxBufferedResponseBytes,
-  maxPartialEventMs,
-  reportTimeoutMs,
   firstStallCheckMs,
   maxStallCheckMs,
   streamStallCheckMs,
 } from './constants.js';
+import { AttemptBlame } from './attemptBlame.js';
 import { AttemptRepair } from './attemptRepair.js';
+import { AttemptServers } from './attemptServers.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 export interface AttemptEvent {
@@ -68,9 +67,9 @@
   private hasConnection = false;
   /** Number of checks that found the chain not stalled. */
   private stallChecks = 0;
-  private layerTokens: ReadonlyMap<string, number>;
-  private servers: ChosenServers;
+  readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
+  readonly blame = new AttemptBlame(this);
 
   constructor(
     readonly call: GatewayCall,
@@ -81,8 +80,11 @@
     super();
     const { services } = call;
     this.lastActivityAt = startedAt;
-    this.servers = chosen;
-    this.layerTokens = computeLayerTokens(chosen, admitted.tokens);
+    this.servers = new AttemptServers(
+      services.serverRegistry,
+      admitted,
+      chosen,
+    );
     this.instance = services.attemptMachine.createInstance(
       this,
       services.timers,
@@ -91,15 +93,7 @@
 
   /** The servers that run the attempt now. */
   get chosen(): ChosenServers {
-    return this.servers;
-  }
-
-  /** Counts the attempt's load at the servers of a new chain, whose first server is the same. */
-  replaceChain(chain: ChosenServers['chain']): void {
-    this.updateLoad(-1);
-    this.servers = { ...this.servers, chain };
-    this.layerTokens = computeLayerTokens(this.servers, this.admitted.tokens);
-    this.updateLoad(1);
+    return this.servers.chosen;
   }
 
   /** Body of a buffered response. */
@@ -107,21 +101,6 @@
     return Buffer.concat(this.bufferedChunks);
   }
 
-  /** Adds the attempt's load to its servers, or subtracts it. */
-  updateLoad(sign: 1 | -1): void {
-    const { serverRegistry } = this.call.services;
-    this.chosen.first.calls += sign;
-    for (const [serverId, layerTokens] of this.layerTokens) {
-      const server = serverRegistry.find(serverId);
-      if (server) {
-        server.layerTokens = Math.max(
-          0,
-          server.layerTokens + sign * layerTokens,
-        );
-      }
-    }
-  }
-
   private get stallCheckMs(): Milliseconds {
     if (this.chosen.chain.length === 0) {
       return this.mode === ResponseMode.Streamed
@@ -204,7 +183,7 @@
       const { call, admitted, chosen } = this;
       const { record } = chosen.first;
       const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
-      this.updateLoad(1);
+      this.servers.updateLoad(1);
       call.events?.restart();
       const headers = call.services.format.writeRequest(
         call.received.fields,
@@ -235,23 +214,24 @@
       this.exchange?.close();
     },
     releaseLoad: (): void => {
-      this.updateLoad(-1);
+      this.servers.updateLoad(-1);
       this.call.services.responseMemory.release(this);
     },
     noteUnreachable: (now: Milliseconds): void => {
       const { first } = this.chosen;
       this.fault = createBackendFault('the server cannot be reached');
-      this.reportUnreachable(first.record.address, 'no connection', now);
+      this.blame.reportUnreachable(first.record.address, 'no connection', now);
     },
     handleFault: (event: AttemptEvent | undefined, now: Milliseconds): void => {
       this.fault = event?.fault ?? this.fault;
-      this.reportFault(event?.type ?? 'BROKEN', now);
+      const message = this.fault?.message ?? '';
+      this.blame.reportFault(event?.type ?? 'BROKEN', message, now);
     },
     setError: (event: AttemptEvent | undefined): void => {
       this.fault = event?.fault;
     },
     requestReport: (): void => {
-      this.requestReport();
+      checkStall(this);
     },
     restartStallCheck: (now: Milliseconds): void => {
       this.stallChecks += 1;
@@ -289,7 +269,7 @@
     now: Milliseconds,
   ): void {
     const { call, chosen, fault } = this;
-    this.listFaultyServers().forEach(serverId => call.avoided.add(serverId));
+    this.blame.keepFromFaultyServers();
     call.services.metrics.countAttempt(type);
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
@@ -308,16 +288,6 @@
     call.instance?.send({ type, fault }, now);
   }
 
-  /** Returns the ids of the servers at fault: those that the chain lost, or the first server unless it refused for another one. */
-  private listFaultyServers(): readonly string[] {
-    if (this.repair.lostServers.size > 0) {
-      return [...this.repair.lostServers];
-    }
-    return this.head?.fields.refusedBy === undefined
-      ? [this.chosen.first.record.serverId]
-      : [];
-  }
-
   private countRetries(now: Milliseconds): number {
     const { name } = this.admitted.service;
     const left = this.call.services.retryPolicy.countRemaining(name, now);
@@ -331,7 +301,8 @@
     });
   }
 
-  private failExchange(reason: string): void {
+  /** Ends an exchange that cannot complete the call. */
+  failExchange(reason: string): void {
     this.exchange?.close();
     this.handleFailure(reason);
   }
@@ -399,132 +370,8 @@
     }
   }
 
-  private reportFault(type: AttemptEvent['type'], now: Milliseconds): void {
-    const { head, chosen, call } = this;
-    const message = this.fault?.message ?? '';
-    if (head?.fields.refusedBy !== undefined) {
-      this.noteRefusal(head.fields.refusedBy, now);
-    } else if (head?.fields.isMisdirected) {
-      this.reportUnreachable(chosen.first.record.address, message, now);
-    } else if (type === 'OVERFLOWED') {
-      chosen.first.noteOverflow(message, now);
-    } else if (type === 'ERROR') {
-      chosen.first.noteError(message, now);
-    } else if (type === 'BROKEN' && !call.services.isCancellingCalls()) {
-      chosen.first.noteError(message, now);
-    }
-  }
-
-  /**
-   * Handles a refusal that names a server. The server is full, unloading layers
-   * or gone; only in the last case do its running calls fail, so it is probed.
-   */
-  private noteRefusal(address: string, now: Milliseconds): void {
-    const server = this.call.services.serverRegistry.findByAddress(address);
-    if (server) {
-      this.call.avoided.add(server.record.serverId);
-      server.noteRefusal(now);
-      if (server !== this.chosen.first) {
-        this.call.services.lossHandler.checkServer(
-          server,
-          'a refusal named it',
-          now,
-        );
-      }
-    }
-  }
-
-  /** Whether the server sends an event in pieces that are too far apart to be sound. */
-  private hasOverdueEvent(now: Milliseconds): boolean {
-    const since = this.call.events?.partialSince;
-    return since !== undefined && now - since >= maxPartialEventMs;
-  }
-
   /** Whether the attempt made no progress in the given time: no event of a stream, no byte of another answer. */
   isSilentFor(silenceMs: Milliseconds, now: Milliseconds): boolean {
     return now - this.lastActivityAt >= silenceMs;
   }
-
-  /** Whether the server is part of the attempt. */
-  usesServer(server: Server): boolean {
-    const { serverId } = server.record;
-    return (
-      this.chosen.first === server ||
-      this.chosen.chain.some(stage => stage.server.serverId === serverId)
-    );
-  }
-
-  /** Returns the id of the chain's server at the address. */
-  private findStageServer(address: string): string | undefined {
-    return this.chosen.chain.find(({ server }) => server.address === address)
-      ?.server.serverId;
-  }
-
-  /** Marks the server at the address as unreachable for this and later calls. */
-  private reportUnreachable(
-    address: string,
-    reason: string,
-    now: Milliseconds,
-  ): void {
-    const server = this.call.services.serverRegistry.findByAddress(address);
-    if (server) {
-      this.call.avoided.add(server.record.serverId);
-      server.noteUnreachable(reason, now);
-      this.call.services.lossHandler.handleLost(server, now);
-    }
-  }
-
-  /** Asks the first server of a chain which server stalls it; an attempt at a plain server fails at once. */
-  private requestReport(): void {
-    const { services, requestId } = this.call;
-    if (this.chosen.chain.length === 0) {
-      this.failExchange('the server was silent for too long');
-      return;
-    }
-    if (
-      this.admitted.isRepeatable &&
-      this.hasOverdueEvent(services.getMoment().monotonic)
-    ) {
-      this.failExchange('the server began an event and did not end it');
-      return;
-    }
-    const { address } = this.chosen.first.record;
-    services.metrics.countProbe();
-    // A silent connection must not look like a stalled server.
-    const report = services.control.readReport(
-      address,
-      reportTimeoutMs,
-      ConnectionUse.New,
-    );
-    void report.then(result => {
-      services.postCompletion(now => {
-        const stalledAddress = result.err
-          ? address
-          : result.val.stalled.find(each => each.requestId === requestId)
-              ?.address;
-        if (stalledAddress === undefined) {
-          this.instance.send({ type: 'REPORT_NOT_STALLED' }, now);
-          return;
-        }
-        this.reportUnreachable(stalledAddress, 'a chain stalled there', now);
-        const fault = createBackendFault(
-          `the chain stalled at ${stalledAddress}`,
-        );
-        const lost = this.findStageServer(stalledAddress);
-        this.instance.send({ type: 'REPORT_STALLED', fault, lost }, now);
-      });
-    });
-  }
 }
-
-/** Returns the KV cache that each server of the chain needs for the call, in layer-tokens. */
-const computeLayerTokens = (
-  { chain }: ChosenServers,
-  tokens: number,
-): ReadonlyMap<string, number> =>
-  new Map(
-    chain.map(({ server, range }) => [
-      server.serverId,
-      tokens * (range.to - range.from),
-    ]),
-  );
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -75,7 +75,7 @@
       if (
         attempt &&
         attempt.chosen.chain.length > 0 &&
-        attempt.usesServer(server) &&
+        attempt.servers.has(server) &&
         attempt.isSilentFor(silenceMs, now)
       ) {
         const event = { type: 'SERVER_LOST', fault, lost: serverId } as const;
