--- a/packages/decisions/src/membership/relayChoice.ts
+++ b/packages/decisions/src/membership/relayChoice.ts
@@ -23,13 +23,6 @@
   abstract chooseRelay(view: RelayView): string | undefined;
 }
 
-/** Reads the store always; a baseline for comparison. */
-export class NoRelay extends RelayPolicy {
-  override chooseRelay(): string | undefined {
-    return undefined;
-  }
-}
-
 /** Candidates for a relay; with more, news would be late while many of them have failed. */
 const maxCandidates = 3;
 
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -127,7 +127,7 @@
     this.peers = this.createPeerFollower();
   }
 
-  /** Other gateways that this one knows. */
+  /** Gateways that this one knows, itself included. */
   get peerCount(): number {
     return this.directory.size;
   }
