Name the reason of a call that a planned stop cuts

Callers saw a stream break off at the drain timeout of its gateway, and the line `A call ended.` gave no reason. It also did not tell calls received after the stop signal from earlier ones, nor new connections from kept ones, so two hypotheses of the incident could not be told apart.

The drain timeout passes its fault to the calls that it cancels. The metric calls_cut_by_stop_total counts the calls that were sent to a server and cut.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -180,6 +180,9 @@
     now - receivedAt,
     firstByteAt === undefined ? undefined : firstByteAt - receivedAt,
   );
+  if (isCutByStop(call, outcome)) {
+    services.metrics.countCutByStop();
+  }
   services.log.info('A call ended.', {
     request: call.requestId,
     outcome,
@@ -198,6 +201,8 @@
     serverLoad: attempt?.head?.fields.serverLoad ?? -1,
     longestPauseMs: Math.round(call.longestPauseMs),
     durationMs: Math.round(now - receivedAt),
+    afterStopMs: Math.round(services.drainPeriod.measureSinceStop(receivedAt)),
+    wasConnectionKept: received.isOnKeptConnection,
     lastEvent: call.events?.lastEventId ?? '',
     reason: outcome === Outcome.Complete ? '' : (call.fault?.message ?? ''),
   });
@@ -205,6 +210,11 @@
   services.handleCallEnded(call);
 };
 
+/** Whether the process stopped before the call had a full answer, though it may have run. */
+const isCutByStop = ({ fault }: GatewayCall, outcome: string): boolean =>
+  fault?.kind === ErrorKind.ShuttingDown &&
+  (outcome === Outcome.Failed || outcome === Outcome.Unknown);
+
 const mayRetry = (call: GatewayCall, now: Milliseconds): boolean =>
   call.services.retryPolicy.mayRetry(call.toRequestView(), now);
 
--- a/packages/gateway/src/callerPort.ts
+++ b/packages/gateway/src/callerPort.ts
@@ -11,6 +11,8 @@
   readonly fields: CallFields;
   readonly body: Buffer;
   readonly receivedAt: Milliseconds;
+  /** Whether an earlier call came on the same connection. */
+  readonly isOnKeptConnection: boolean;
 }
 
 /** An error response that the gateway itself produces. */
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -16,6 +16,7 @@
 import type { BackendPort } from './backendPort.js';
 import type { CallFormat } from './callFormat.js';
 import type { CallerExchange, ReceivedCall } from './callerPort.js';
+import type { DrainPeriod } from './drainPeriod.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { ServerControlPort } from './ports.js';
@@ -63,6 +64,7 @@
   readonly lossHandler: ServerLossHandler;
   readonly attemptMachine: AttemptMachine;
   readonly responseMemory: ResponseMemory<GatewayAttempt>;
+  readonly drainPeriod: DrainPeriod;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
   readonly revokeTimeoutMs: Milliseconds;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -50,6 +50,11 @@
     labelNames: ['status'],
     registers: [this.registry],
   });
+  private readonly cutByStop = new Counter({
+    name: `${prefix}calls_cut_by_stop_total`,
+    help: 'Calls that were sent to a server and cut by the drain timeout',
+    registers: [this.registry],
+  });
   private readonly duration = new Histogram({
     name: `${prefix}call_seconds`,
     help: 'Time from the whole call to its end',
@@ -108,6 +113,10 @@
     (isRelayed ? this.relayedReads : this.storeReads).inc();
   }
 
+  countCutByStop(): void {
+    this.cutByStop.inc();
+  }
+
   countRefused(status: number): void {
     this.refused.inc({ status: String(status) });
   }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -11,6 +11,7 @@
   type ChartMachine,
 } from '@lycheetally/charts';
 import {
+  ErrorKind,
   LogComponent,
   millisecondsPerSecond,
   getOrThrow,
@@ -40,7 +41,12 @@
   refuseCallsAfterMs,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
-import { GatewayCall, type CallServices } from './gatewayCall.js';
+import { DrainPeriod } from './drainPeriod.js';
+import {
+  GatewayCall,
+  type CallFault,
+  type CallServices,
+} from './gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewaySettings } from './gatewaySettings.js';
@@ -90,11 +96,11 @@
   private readonly news: GatewayNews;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
+  private readonly drainPeriod = new DrainPeriod();
   private readonly calls = new Map<CallerExchange, GatewayCall>();
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
   private configuration: GatewayConfiguration | undefined;
   private isDrainingConnections = false;
-  private stopRequestedAt: Milliseconds = Infinity;
 
   constructor(
     private settings: GatewaySettings,
@@ -219,7 +225,7 @@
       this.log.info('The gateway is stopping.', { openCalls: this.calls.size });
     },
     stopAdmission: (now: Milliseconds): void => {
-      this.stopRequestedAt = now;
+      this.drainPeriod.begin(now, this.lifecycleActions.computeDrainTimeout());
       this.placer.resign(now);
       this.loop.schedule(closeConnectionsAfterMs, closedAt => {
         this.isDrainingConnections = true;
@@ -234,7 +240,7 @@
     },
     cancelOpenWork: (now: Milliseconds): void => {
       for (const call of [...this.calls.values()]) {
-        call.instance?.send({ type: 'STOPPING' }, now);
+        call.instance?.send({ type: 'STOPPING', fault: drainTimeout }, now);
       }
     },
     finishProcess: (): void => {
@@ -362,7 +368,9 @@
       getConfirmedAt: () => this.news.configurations.confirmedAt,
       getMoment: () => this.getMoment(),
       lossHandler: this.lossHandler,
-      isStopping: now => now - this.stopRequestedAt >= refuseCallsAfterMs,
+      drainPeriod: this.drainPeriod,
+      isStopping: now =>
+        this.drainPeriod.measureSinceStop(now) >= refuseCallsAfterMs,
       isCancellingCalls: () => this.lifecycle.matches('forcedStop'),
       postCompletion: run => {
         this.post(run);
@@ -467,5 +475,12 @@
     },
   });
 
+const drainTimeout: CallFault = {
+  status: 503,
+  kind: ErrorKind.ShuttingDown,
+  message:
+    'the drain timeout has passed; another gateway takes the call if it is repeated',
+};
+
 /** Milliseconds for sending the final responses of cancelled calls. */
 const cancelTimeoutMs = 200;
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -10,6 +10,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
   ErrorKind,
@@ -54,6 +55,7 @@
   private limits = initialLimits;
   private isDraining = false;
   private readonly server: Server;
+  private readonly usedConnections = new WeakSet<Socket>();
   private readonly openCallers = new Set<HttpCaller>();
 
   constructor(
@@ -128,6 +130,8 @@
   }
 
   private readBody(incoming: IncomingMessage, caller: HttpCaller): void {
+    const isOnKeptConnection = this.usedConnections.has(incoming.socket);
+    this.usedConnections.add(incoming.socket);
     const chunks: Buffer[] = [];
     let size = 0;
     incoming.on('data', (chunk: Buffer) => {
@@ -153,6 +157,7 @@
           fields: this.format.readCall(incoming.rawHeaders),
           body: Buffer.concat(chunks),
           receivedAt: this.handler.getNow(),
+          isOnKeptConnection,
         },
         caller,
       );
