Close kept connections of a stopping gateway after their last answer

Callers on kept connections sent calls to a gateway long after its stop signal and lost them at the drain timeout.

- `closeWhenDraining` read `response.socket` in the callback of `end`, where Node has detached it, so a connection whose stream was open when the drain began stayed open and took further calls at any later time.
- `Connection: close` was sent only from 2.5 s after the signal on, and on every response.
On a connection with several open calls the first answer then closed it under the later ones, which had been passed on to a server.

A connection now knows its open responses (`callerConnection.ts`). From the stop signal on, the last open response of a connection announces the close, or the connection is closed after it when its head was sent before. A call that comes on a closing connection is neither run nor answered; it is logged and counted (calls_dropped_total). Idle connections and the listener still close after 2.5 s.

--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -50,6 +50,11 @@
     labelNames: ['status'],
     registers: [this.registry],
   });
+  private readonly dropped = new Counter({
+    name: `${prefix}calls_dropped_total`,
+    help: 'Calls that came on a closing connection and were not passed on',
+    registers: [this.registry],
+  });
   private readonly cutByStop = new Counter({
     name: `${prefix}calls_cut_by_stop_total`,
     help: 'Calls that were sent to a server and cut by the drain timeout',
@@ -113,6 +118,10 @@
     (isRelayed ? this.relayedReads : this.storeReads).inc();
   }
 
+  countDropped(): void {
+    this.dropped.inc();
+  }
+
   countCutByStop(): void {
     this.cutByStop.inc();
   }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -51,7 +51,8 @@
 import { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewaySettings } from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
-import { HttpFrontend, type HttpCaller } from './httpFrontend.js';
+import type { HttpCaller } from './httpCaller.js';
+import { HttpFrontend } from './httpFrontend.js';
 import { bindOrderChart } from './layerOrder.js';
 import { bindLeaderChart, LayerPlacer } from './layerPlacer.js';
 import type {
@@ -226,10 +227,11 @@
     },
     stopAdmission: (now: Milliseconds): void => {
       this.drainPeriod.begin(now, this.lifecycleActions.computeDrainTimeout());
+      this.frontend.beginDrain();
       this.placer.resign(now);
       this.loop.schedule(closeConnectionsAfterMs, closedAt => {
         this.isDrainingConnections = true;
-        this.frontend.drain();
+        this.frontend.closeIdle();
         this.checkDrained(closedAt);
       });
     },
@@ -285,6 +287,12 @@
         this.metrics.countRefused(status);
         this.log.warn('A malformed request was refused.', { status, reason });
       },
+      noteDropped: ({ requestId = '' }) => {
+        this.metrics.countDropped();
+        this.log.info('A call came on a closing connection and was dropped.', {
+          request: requestId,
+        });
+      },
       getNow: () => this.clock.getNow(),
     });
   }
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -21,19 +21,18 @@
 } from '@lycheetally/common';
 import { Outcome, type CallLimits } from '@lycheetally/decisions';
 import { startListening } from '@lycheetally/node';
-import type { CallFormat, RawHeaders } from './callFormat.js';
-import {
-  CallerExchange,
-  type ErrorResponse,
-  type ReceivedCall,
-  type BufferedResponse,
-} from './callerPort.js';
+import type { CallFields, CallFormat } from './callFormat.js';
+import { CallerConnection } from './callerConnection.js';
+import type { ReceivedCall } from './callerPort.js';
+import { HttpCaller } from './httpCaller.js';
 
 /** Receives the calls that the HTTP server accepts. */
 export interface CallHandler {
   receiveCall(call: ReceivedCall, exchange: HttpCaller): void;
   receiveDisconnect(exchange: HttpCaller): void;
   noteRefused(status: number, reason: string): void;
+  /** Notes a call that came on a closing connection and is not passed on. */
+  noteDropped(call: CallFields): void;
   getNow(): Milliseconds;
 }
 
@@ -55,7 +54,7 @@
   private limits = initialLimits;
   private isDraining = false;
   private readonly server: Server;
-  private readonly usedConnections = new WeakSet<Socket>();
+  private readonly connections = new WeakMap<Socket, CallerConnection>();
   private readonly openCallers = new Set<HttpCaller>();
 
   constructor(
@@ -96,9 +95,13 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Closes idle connections, and the others after their next response. */
-  drain(): void {
+  /** From now on each connection is closed after its last open response. */
+  beginDrain(): void {
     this.isDraining = true;
+  }
+
+  /** Stops listening and closes idle connections. */
+  closeIdle(): void {
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -110,10 +113,20 @@
   }
 
   private receive(incoming: IncomingMessage, response: ServerResponse): void {
-    const caller = new HttpCaller(response, () => this.isDraining);
+    const connection = this.getConnection(incoming.socket);
+    if (connection.isClosing) {
+      // It is neither run nor answered: the caller sees the close instead.
+      incoming.resume();
+      this.handler.noteDropped(this.format.readCall(incoming.rawHeaders));
+      return;
+    }
+    const isOnKeptConnection = connection.hasServedCalls;
+    const caller = new HttpCaller(response, connection);
+    connection.add(caller);
     this.openCallers.add(caller);
     response.once('close', () => {
       this.openCallers.delete(caller);
+      connection.finish(caller);
       if (!response.writableFinished) {
         this.handler.receiveDisconnect(caller);
       }
@@ -126,12 +139,24 @@
       this.refuse(caller, 400, 'the request line or its host is malformed');
       return;
     }
-    this.readBody(incoming, caller);
+    this.readBody(incoming, caller, isOnKeptConnection);
   }
 
-  private readBody(incoming: IncomingMessage, caller: HttpCaller): void {
-    const isOnKeptConnection = this.usedConnections.has(incoming.socket);
-    this.usedConnections.add(incoming.socket);
+  private getConnection(socket: Socket): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known) {
+      return known;
+    }
+    const connection = new CallerConnection(socket, () => this.isDraining);
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
+  private readBody(
+    incoming: IncomingMessage,
+    caller: HttpCaller,
+    isOnKeptConnection: boolean,
+  ): void {
     const chunks: Buffer[] = [];
     let size = 0;
     incoming.on('data', (chunk: Buffer) => {
@@ -212,99 +237,3 @@
   );
   return hosts.length === 1 && (incoming.url ?? '').startsWith('/');
 };
-
-export class HttpCaller extends CallerExchange {
-  constructor(
-    private readonly response: ServerResponse,
-    private readonly isDraining: () => boolean,
-  ) {
-    super();
-    response.sendDate = false;
-  }
-
-  override startResponse(
-    status: number,
-    text: string,
-    headers: RawHeaders,
-  ): void {
-    this.response.writeHead(status, text, this.addCloseHeader([...headers]));
-    this.response.flushHeaders();
-  }
-
-  override write(chunk: Buffer): boolean {
-    return this.response.write(chunk);
-  }
-
-  override end(): void {
-    this.response.end(() => {
-      this.closeWhenDraining();
-    });
-  }
-
-  override sendResponse(buffered: BufferedResponse): void {
-    const { response } = this;
-    const { status, text, headers, body, isFramed } = buffered;
-    if (isFramed) {
-      const length = ['Content-Length', String(body.length)];
-      const all = this.addCloseHeader([...headers, ...length]);
-      response.writeHead(status, text, all);
-    } else {
-      // The end of the connection alone delimited the body, which may be truncated;
-      // a length would mark it as complete.
-      response.useChunkedEncodingByDefault = false;
-      response.writeHead(status, text, [...headers, 'Connection', 'close']);
-    }
-    response.end(body);
-  }
-
-  override sendError(error: ErrorResponse): void {
-    if (this.response.headersSent) {
-      this.closeConnection();
-      return;
-    }
-    this.writeError(error, this.addCloseHeader([]));
-  }
-
-  /** Answers a request that cannot be read to its end, and closes its connection. */
-  sendErrorAndClose(error: ErrorResponse): void {
-    this.writeError(error, ['Connection', 'close']);
-  }
-
-  override closeConnection(): void {
-    this.response.destroy();
-  }
-
-  override setDrainListener(listener: () => void): void {
-    this.response.on('drain', listener);
-  }
-
-  private writeError(error: ErrorResponse, headers: string[]): void {
-    const { kind, message, outcome, retryAfterMs } = error;
-    const body = Buffer.from(JSON.stringify({ error: { kind, message } }));
-    headers.push(
-      'Content-Type',
-      'application/json',
-      'Content-Length',
-      String(body.length),
-      'X-Lycheetally-Outcome',
-      outcome,
-    );
-    if (retryAfterMs !== undefined) {
-      const seconds = (retryAfterMs / millisecondsPerSecond).toFixed(2);
-      headers.push('Retry-After', seconds);
-    }
-    this.response.writeHead(error.status, headers);
-    this.response.end(body);
-  }
-
-  /** Closes the connection of a response whose headers were sent before the shutdown, without `Connection: close`. */
-  private closeWhenDraining(): void {
-    if (this.isDraining()) {
-      this.response.socket?.end();
-    }
-  }
-
-  private addCloseHeader(headers: string[]): string[] {
-    return this.isDraining() ? [...headers, 'Connection', 'close'] : headers;
-  }
-}
