Let a forecast decide which calls a stopping gateway still takes

Callers lost streams that a gateway had taken up to 3.5 s after its stop signal and cut at its drain timeout. The constant `refuseCallsAfterMs` decided who may start, whatever the grace period and the length of the streams were.

After the stop signal a call is taken only if it is expected to end 150 ms before the drain timeout; otherwise it is refused at once with 503, `Retry-After` and `Connection: close`, not run. `DurationForecast` has a baseline, by which a call takes until its deadline, and `SlowestRecentForecast`: the slowest first byte plus the slowest pace for each token that the stream may have, or the slowest whole duration, of the last minute and per route, with a margin, never beyond the deadline. Each maximum keeps seven slots at most, for 512 routes. Calls that completed feed it; the ages of the calls that are open at the stop may raise it. A call is judged when its body is complete, and a retry by the time that is left then; a stream that has begun is resumed as before.

`A call ended.` has `forecastMs` and `drainLeftMs` of that decision (-1 without one) and `maxOutputTokens`.

--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -1,5 +1,5 @@
 /** Admits or refuses a call, based on the configuration and on when the store last confirmed it. */
-import { ErrorKind } from '@lycheetally/common';
+import { ErrorKind, type Milliseconds } from '@lycheetally/common';
 import {
   isFreshEnough,
   pickService,
@@ -10,23 +10,20 @@
 import {
   defaultCallTokens,
   maxEventBytes,
-  stoppingRetryAfterMs,
   notReadyRetryAfterMs,
   retryAfterMs,
   staleRetryAfterMs,
 } from './constants.js';
+import { mayEndBeforeStop, stoppingFault } from './drainAdmission.js';
 import { EventStream } from './eventStream.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 type Admission = { admitted: AdmittedCall } | { fault: CallFault };
 
-export const admitCall = (call: GatewayCall): Admission => {
+export const admitCall = (call: GatewayCall, now: Milliseconds): Admission => {
   const { services, received } = call;
   const { fields, path } = received;
   const configuration = services.getConfiguration();
-  if (services.isStopping(received.receivedAt)) {
-    return { fault: stopping };
-  }
   if (!configuration) {
     return { fault: noConfiguration };
   }
@@ -50,7 +47,10 @@
   if (needsKey && !holder) {
     return { fault: unknownKey };
   }
-  return finishAdmission(call, configuration, route, holder);
+  const admission = finishAdmission(call, configuration, route, holder);
+  return 'fault' in admission || mayEndBeforeStop(call, admission.admitted, now)
+    ? admission
+    : { fault: stoppingFault };
 };
 
 const finishAdmission = (
@@ -116,13 +116,6 @@
   retryAfterMs: staleRetryAfterMs,
 };
 
-const stopping: CallFault = {
-  status: 503,
-  kind: ErrorKind.ShuttingDown,
-  message: 'this gateway is stopping; another one takes the call',
-  retryAfterMs: stoppingRetryAfterMs,
-};
-
 const noRequestId: CallFault = {
   status: 400,
   kind: ErrorKind.BadRequest,
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -8,6 +8,7 @@
 import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
 import { admitCall } from './admitCall.js';
+import { isSuccess } from './attemptFaults.js';
 import { chooseServers } from './chooseServers.js';
 import {
   maxResumeWaitMs,
@@ -15,6 +16,7 @@
   retryAfterMs,
   routeRetryDelayMs,
 } from './constants.js';
+import { mayEndBeforeStop, noteDuration } from './drainAdmission.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
 
@@ -22,7 +24,7 @@
 type CallAction = ChartAction<GatewayCall, CallEvent>;
 
 const decideAdmission: CallAction = (call, _, now) => {
-  const admission = admitCall(call);
+  const admission = admitCall(call, now);
   if ('fault' in admission) {
     call.instance?.send({ type: 'REFUSED', fault: admission.fault }, now);
     return;
@@ -94,7 +96,11 @@
       isFramed: fields.isFramed,
     });
   }
-  endCall(call, Outcome.Complete, attempt?.head?.status ?? 0, now);
+  const status = attempt?.head?.status ?? 0;
+  if (isSuccess(status)) {
+    noteDuration(call, now);
+  }
+  endCall(call, Outcome.Complete, status, now);
 };
 
 /** Keeps the reason for the log; the caller gets the server's error response unchanged. */
@@ -202,6 +208,9 @@
     longestPauseMs: Math.round(call.longestPauseMs),
     durationMs: Math.round(now - receivedAt),
     afterStopMs: Math.round(services.drainPeriod.measureSinceStop(receivedAt)),
+    maxOutputTokens: received.fields.maxOutputTokens ?? -1,
+    forecastMs: Math.round(call.drainForecast?.forecastMs ?? -1),
+    drainLeftMs: Math.round(call.drainForecast?.timeLeftMs ?? -1),
     wasConnectionKept: received.isOnKeptConnection,
     lastEvent: call.events?.lastEventId ?? '',
     reason: outcome === Outcome.Complete ? '' : (call.fault?.message ?? ''),
@@ -215,11 +224,19 @@
   fault?.kind === ErrorKind.ShuttingDown &&
   (outcome === Outcome.Failed || outcome === Outcome.Unknown);
 
+/** Whether a stopping gateway starts another attempt; a stream that has begun goes on as long as it can. */
+const mayStartAttempt = (call: GatewayCall, now: Milliseconds): boolean =>
+  call.hasStartedResponse ||
+  call.admitted === undefined ||
+  mayEndBeforeStop(call, call.admitted, now);
+
 const mayRetry = (call: GatewayCall, now: Milliseconds): boolean =>
+  mayStartAttempt(call, now) &&
   call.services.retryPolicy.mayRetry(call.toRequestView(), now);
 
 const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
   call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
+  mayStartAttempt(call, now) &&
   call.services.retryPolicy.mayRepeat(call.toRequestView(), now);
 
 /**
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -117,8 +117,17 @@
 /** Delay until a stopping gateway closes its callers' connections; the load balancer has noticed the shutdown by then. */
 export const closeConnectionsAfterMs = 2_500;
 
-/** Delay until a stopping gateway refuses calls; a stream that started later could not end in time. */
-export const refuseCallsAfterMs = 3_500;
+/** Time before the drain timeout by which a call that a stopping gateway takes must end. */
+export const drainEndReserveMs = 150;
+
+/** How a stopping gateway forecasts the durations of calls. */
+export const forecastSettings = {
+  windowMs: 60_000,
+  maxRoutes: 512,
+  minSamples: 8,
+  factor: 1.1,
+  extraMs: 150,
+} as const;
 
 /** Part of the platform's grace period that is reserved for the exit of the process. */
 export const exitReserveMs = 600;
--- /dev/null
+++ b/packages/gateway/src/drainAdmission.ts
@@ -0,0 +1,85 @@
+/** Decides whether a stopping gateway still takes a call: only one that ends before the drain timeout. */
+import { ErrorKind, type Milliseconds } from '@lycheetally/common';
+import type { CallTiming, ForecastCall } from '@lycheetally/decisions';
+import { drainEndReserveMs, stoppingRetryAfterMs } from './constants.js';
+import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
+
+/** What was expected of a call when a stopping gateway decided on it. */
+export interface DrainForecast {
+  readonly forecastMs: Milliseconds;
+  /** Time until the drain timeout. */
+  readonly timeLeftMs: Milliseconds;
+}
+
+export const stoppingFault: CallFault = {
+  status: 503,
+  kind: ErrorKind.ShuttingDown,
+  message:
+    'this gateway is stopping, and the call may not end before; another one takes the call',
+  retryAfterMs: stoppingRetryAfterMs,
+};
+
+/** Whether an attempt that starts now is expected to end before the gateway stops. */
+export const mayEndBeforeStop = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  now: Milliseconds,
+): boolean => {
+  const { drainPeriod, durationForecast } = call.services;
+  if (!drainPeriod.hasBegun) {
+    return true;
+  }
+  const forecastCall = toForecastCall(call, admitted);
+  call.drainForecast = {
+    forecastMs: durationForecast.estimateDuration(forecastCall, now),
+    timeLeftMs: drainPeriod.timeoutAt - now,
+  };
+  const endsAt = drainPeriod.timeoutAt - drainEndReserveMs;
+  return durationForecast.mayEndBy(forecastCall, endsAt, now);
+};
+
+/** Notes how long a call took that was answered in full. */
+export const noteDuration = (call: GatewayCall, now: Milliseconds): void => {
+  const { admitted, services } = call;
+  if (admitted) {
+    services.durationForecast.noteComplete(
+      toForecastCall(call, admitted),
+      measureTiming(call, now),
+      now,
+    );
+  }
+};
+
+/** Notes the ages of the calls that are open when the gateway is stopped. */
+export const noteOpenCalls = (
+  calls: Iterable<GatewayCall>,
+  now: Milliseconds,
+): void => {
+  for (const call of calls) {
+    if (call.admitted) {
+      call.services.durationForecast.noteOpen(
+        toForecastCall(call, call.admitted),
+        measureTiming(call, now),
+        now,
+      );
+    }
+  }
+};
+
+const toForecastCall = (
+  { received }: GatewayCall,
+  { route, service, deadlineAt }: AdmittedCall,
+): ForecastCall => ({
+  route: `${route.name} ${service.name}`,
+  outputTokens: route.isStream ? received.fields.maxOutputTokens : undefined,
+  deadlineAt,
+});
+
+const measureTiming = (
+  { received, firstByteAt }: GatewayCall,
+  now: Milliseconds,
+): CallTiming => ({
+  durationMs: now - received.receivedAt,
+  firstByteMs:
+    firstByteAt === undefined ? undefined : firstByteAt - received.receivedAt,
+});
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -4,6 +4,7 @@
 import type {
   BackendService,
   ChainPolicy,
+  DurationForecast,
   GatewayConfiguration,
   KeyHolder,
   Moment,
@@ -16,6 +17,7 @@
 import type { BackendPort } from './backendPort.js';
 import type { CallFormat } from './callFormat.js';
 import type { CallerExchange, ReceivedCall } from './callerPort.js';
+import type { DrainForecast } from './drainAdmission.js';
 import type { DrainPeriod } from './drainPeriod.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -65,6 +67,7 @@
   readonly attemptMachine: AttemptMachine;
   readonly responseMemory: ResponseMemory<GatewayAttempt>;
   readonly drainPeriod: DrainPeriod;
+  readonly durationForecast: DurationForecast;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
   readonly revokeTimeoutMs: Milliseconds;
@@ -72,8 +75,6 @@
   /** When the store last confirmed that the configuration is the newest. */
   getConfirmedAt(): Moment | undefined;
   getMoment(): Moment;
-  /** Whether the process is stopping and refuses new calls. */
-  isStopping(now: Milliseconds): boolean;
   /** Whether the drain timeout has passed and open calls are being cancelled. */
   isCancellingCalls(): boolean;
   postCompletion(run: (now: Milliseconds) => void): void;
@@ -110,6 +111,8 @@
   /** Longest pause between two events that were sent to the caller. */
   longestPauseMs: Milliseconds = 0;
   fault: CallFault | undefined;
+  /** Set when a stopping gateway decided whether to take the call or to retry it. */
+  drainForecast: DrainForecast | undefined;
   /** Events of a streamed response, over all attempts. */
   events: EventStream | undefined;
   /** Servers that refused or failed this call. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -26,6 +26,7 @@
   LargestFirstMemory,
   ReplicaPerDomain,
   SlidingRetryBudget,
+  SlowestRecentForecast,
   isFreshEnough,
   type GatewayConfiguration,
   type Moment,
@@ -36,11 +37,12 @@
 import type { CallerExchange, ReceivedCall } from './callerPort.js';
 import {
   exitReserveMs,
+  forecastSettings,
   closeConnectionsAfterMs,
   maxResponseMemoryBytes,
-  refuseCallsAfterMs,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
+import { noteOpenCalls } from './drainAdmission.js';
 import { DrainPeriod } from './drainPeriod.js';
 import {
   GatewayCall,
@@ -227,6 +229,7 @@
     },
     stopAdmission: (now: Milliseconds): void => {
       this.drainPeriod.begin(now, this.lifecycleActions.computeDrainTimeout());
+      noteOpenCalls(this.calls.values(), now);
       this.frontend.beginDrain();
       this.placer.resign(now);
       this.loop.schedule(closeConnectionsAfterMs, closedAt => {
@@ -377,8 +380,7 @@
       getMoment: () => this.getMoment(),
       lossHandler: this.lossHandler,
       drainPeriod: this.drainPeriod,
-      isStopping: now =>
-        this.drainPeriod.measureSinceStop(now) >= refuseCallsAfterMs,
+      durationForecast: new SlowestRecentForecast(forecastSettings),
       isCancellingCalls: () => this.lifecycle.matches('forcedStop'),
       postCompletion: run => {
         this.post(run);
