Take calls that probably end while the load balancer may still choose a stopping gateway

Callers that were refused right after a stop signal came back to the same gateway, used up their only retry and were not served: the load balancer notices the missing readiness after two probes, and a failure domain may have one gateway.

Until the connections are closed (2.5 s) a call is now taken if at least half of the recent calls of its route, scaled to its tokens, would end in time, and a refused one is told to return when the load balancer has noticed. After that only calls that end even at the slowest recent pace are taken, as before.

--- a/packages/decisions/src/gateway/durationForecast.ts
+++ b/packages/decisions/src/gateway/durationForecast.ts
@@ -6,6 +6,7 @@
  * before; a refused call goes to another gateway.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import { RecentDurations } from './recentDurations.js';
 import { RecentMaximum } from './recentMaximum.js';
 
 /** A call as the forecast sees it. */
@@ -44,7 +45,14 @@
     now: Milliseconds,
   ): Milliseconds;
 
-  /** Whether a call that starts now is expected to end by that time. */
+  /** Estimates the share of such calls that end by that time, from 0 to 1. */
+  abstract estimateShareBy(
+    call: ForecastCall,
+    endsAt: Milliseconds,
+    now: Milliseconds,
+  ): number;
+
+  /** Whether a call that starts now ends by that time even if it is as slow as any recent one. */
   mayEndBy(
     call: ForecastCall,
     endsAt: Milliseconds,
@@ -70,6 +78,13 @@
   ): Milliseconds {
     return Math.max(0, deadlineAt - now);
   }
+
+  override estimateShareBy(
+    { deadlineAt }: ForecastCall,
+    endsAt: Milliseconds,
+  ): number {
+    return deadlineAt <= endsAt ? 1 : 0;
+  }
 }
 
 export interface SlowestRecentSettings {
@@ -77,6 +92,8 @@
   readonly windowMs: Milliseconds;
   /** Routes whose durations are kept; the one that was used least recently is dropped. */
   readonly maxRoutes: number;
+  /** Durations of a route that are kept to estimate shares. */
+  readonly maxDurations: number;
   /** Samples without which the deadline counts. */
   readonly minSamples: number;
   /** Safety margin as a factor of the slowest duration, 1 at least. */
@@ -92,6 +109,7 @@
   readonly pace: RecentMaximum;
   /** Durations of calls without a limit of tokens. */
   readonly whole: RecentMaximum;
+  readonly recent: RecentDurations;
 }
 
 /**
@@ -105,11 +123,11 @@
     super();
   }
 
-  /** Number of maxima that are kept. */
+  /** Number of values that are kept. */
   get size(): number {
     return [...this.routes.values()].reduce(
-      (sum, { firstByte, pace, whole }) =>
-        sum + firstByte.size + pace.size + whole.size,
+      (sum, { firstByte, pace, whole, recent }) =>
+        sum + firstByte.size + pace.size + whole.size + recent.size,
       0,
     );
   }
@@ -119,7 +137,8 @@
     { durationMs, firstByteMs }: CallTiming,
     now: Milliseconds,
   ): void {
-    const { firstByte, pace, whole } = this.reuseRoute(call.route);
+    const { firstByte, pace, whole, recent } = this.reuseRoute(call.route);
+    recent.add({ durationMs, outputTokens: call.outputTokens }, now);
     if (call.outputTokens === undefined || firstByteMs === undefined) {
       whole.add(durationMs, now);
       return;
@@ -157,6 +176,19 @@
       : Math.min(leftMs, slowestMs * factor + extraMs);
   }
 
+  /** Without recent calls, the deadline alone says when the call ends. */
+  override estimateShareBy(
+    { route, outputTokens, deadlineAt }: ForecastCall,
+    endsAt: Milliseconds,
+    now: Milliseconds,
+  ): number {
+    return deadlineAt <= endsAt
+      ? 1
+      : (this.routes
+          .get(route)
+          ?.recent.countShareWithin(outputTokens, endsAt - now, now) ?? 0);
+  }
+
   private findSlowest(
     { route, outputTokens }: ForecastCall,
     now: Milliseconds,
@@ -193,6 +225,7 @@
       firstByte: new RecentMaximum(windowMs),
       pace: new RecentMaximum(windowMs),
       whole: new RecentMaximum(windowMs),
+      recent: new RecentDurations(windowMs, this.settings.maxDurations),
     };
   }
 }
--- a/packages/decisions/tests/durationForecast.test.ts
+++ b/packages/decisions/tests/durationForecast.test.ts
@@ -11,6 +11,7 @@
 const settings = {
   windowMs: 6_000,
   maxRoutes: 3,
+  maxDurations: 10,
   minSamples: 2,
   factor: 1,
   extraMs: 0,
@@ -123,6 +124,47 @@
     );
   });
 
+  it('expects a share of calls to end that grows with the time, and all of them by the deadline', () => {
+    fc.assert(
+      fc.property(
+        history,
+        anyCall,
+        fc.integer({ min: 0, max: 30_000 }),
+        fc.integer({ min: 0, max: 30_000 }),
+        (samples, { leftMs, ...rest }, timeLeft, more) => {
+          const now = samples.at(-1)?.at ?? 0;
+          const call = { ...rest, deadlineAt: now + leftMs };
+          const forecast = createForecast(samples);
+          const share = forecast.estimateShareBy(call, now + timeLeft, now);
+          const later = now + timeLeft + more;
+          expect(share).toBeGreaterThanOrEqual(0);
+          expect(
+            forecast.estimateShareBy(call, later, now),
+          ).toBeLessThanOrEqual(1);
+          expect(
+            forecast.estimateShareBy(call, later, now),
+          ).toBeGreaterThanOrEqual(share);
+          expect(forecast.estimateShareBy(call, call.deadlineAt, now)).toBe(1);
+        },
+      ),
+      { seed: 26, numRuns: 300 },
+    );
+  });
+
+  it('scales the durations of streams to the tokens that a stream may have', () => {
+    const forecast = new SlowestRecentForecast(settings);
+    const note = (durationMs: number, outputTokens: number): void => {
+      const call = { route: 'a', outputTokens, deadlineAt: farDeadline };
+      forecast.noteComplete(call, { durationMs, firstByteMs: 1 }, 0);
+    };
+    note(100, 10);
+    note(300, 10);
+    const call = { route: 'a', outputTokens: 20, deadlineAt: farDeadline };
+    expect(forecast.estimateShareBy(call, 199, 0)).toBe(0);
+    expect(forecast.estimateShareBy(call, 200, 0)).toBe(0.5);
+    expect(forecast.estimateShareBy(call, 600, 0)).toBe(1);
+  });
+
   it('is not shortened by open calls', () => {
     fc.assert(
       fc.property(history, history, anyCall, (samples, open, { ...call }) => {
@@ -153,7 +195,10 @@
         at,
       );
       // Three maxima for each route, and at most eight slots for each maximum.
-      expect(forecast.size).toBeLessThanOrEqual(3 * settings.maxRoutes * 8);
+      const maxPerRoute = 3 * 8 + settings.maxDurations;
+      expect(forecast.size).toBeLessThanOrEqual(
+        settings.maxRoutes * maxPerRoute,
+      );
     }
   });
 
@@ -181,5 +226,7 @@
     expect(forecast.estimateDuration(call, 1_000)).toBe(500);
     expect(forecast.mayEndBy(call, 1_499, 1_000)).toBe(false);
     expect(forecast.mayEndBy(call, 1_500, 1_000)).toBe(true);
+    expect(forecast.estimateShareBy(call, 1_499)).toBe(0);
+    expect(forecast.estimateShareBy(call, 1_500)).toBe(1);
   });
 });
--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -14,7 +14,7 @@
   retryAfterMs,
   staleRetryAfterMs,
 } from './constants.js';
-import { mayEndBeforeStop, stoppingFault } from './drainAdmission.js';
+import { createStoppingFault, mayEndBeforeStop } from './drainAdmission.js';
 import { EventStream } from './eventStream.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
@@ -50,7 +50,7 @@
   const admission = finishAdmission(call, configuration, route, holder);
   return 'fault' in admission || mayEndBeforeStop(call, admission.admitted, now)
     ? admission
-    : { fault: stoppingFault };
+    : { fault: createStoppingFault(call, now) };
 };
 
 const finishAdmission = (
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -120,10 +120,17 @@
 /** Time before the drain timeout by which a call that a stopping gateway takes must end. */
 export const drainEndReserveMs = 150;
 
+/**
+ * Share of calls that must be expected to end in time while the load balancer may
+ * still choose the stopping gateway: a call that is refused would come back to it.
+ */
+export const minShareBeforeNotice = 0.5;
+
 /** How a stopping gateway forecasts the durations of calls. */
 export const forecastSettings = {
   windowMs: 60_000,
   maxRoutes: 512,
+  maxDurations: 64,
   minSamples: 8,
   factor: 1.1,
   extraMs: 150,
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -1,7 +1,12 @@
 /** Decides whether a stopping gateway still takes a call: only one that ends before the drain timeout. */
 import { ErrorKind, type Milliseconds } from '@lycheetally/common';
 import type { CallTiming, ForecastCall } from '@lycheetally/decisions';
-import { drainEndReserveMs, stoppingRetryAfterMs } from './constants.js';
+import {
+  closeConnectionsAfterMs,
+  drainEndReserveMs,
+  minShareBeforeNotice,
+  stoppingRetryAfterMs,
+} from './constants.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 /** What was expected of a call when a stopping gateway decided on it. */
@@ -11,15 +16,28 @@
   readonly timeLeftMs: Milliseconds;
 }
 
-export const stoppingFault: CallFault = {
-  status: 503,
-  kind: ErrorKind.ShuttingDown,
-  message:
-    'this gateway is stopping, and the call may not end before; another one takes the call',
-  retryAfterMs: stoppingRetryAfterMs,
+/** Describes a refusal; until the load balancer has noticed the stop, a call would come back to this gateway. */
+export const createStoppingFault = (
+  { services }: GatewayCall,
+  now: Milliseconds,
+): CallFault => {
+  const sinceStopMs = services.drainPeriod.measureSinceStop(now);
+  return {
+    status: 503,
+    kind: ErrorKind.ShuttingDown,
+    message:
+      'this gateway is stopping, and the call may not end before; another one takes the call',
+    retryAfterMs: Math.max(
+      stoppingRetryAfterMs,
+      closeConnectionsAfterMs - sinceStopMs,
+    ),
+  };
 };
 
-/** Whether an attempt that starts now is expected to end before the gateway stops. */
+/**
+ * Whether an attempt that starts now is expected to end before the gateway stops.
+ * Until the load balancer has noticed the stop, it is enough that the call probably ends.
+ */
 export const mayEndBeforeStop = (
   call: GatewayCall,
   admitted: AdmittedCall,
@@ -35,7 +53,14 @@
     timeLeftMs: drainPeriod.timeoutAt - now,
   };
   const endsAt = drainPeriod.timeoutAt - drainEndReserveMs;
-  return durationForecast.mayEndBy(forecastCall, endsAt, now);
+  const isNoticed =
+    drainPeriod.measureSinceStop(now) >= closeConnectionsAfterMs;
+  return (
+    durationForecast.mayEndBy(forecastCall, endsAt, now) ||
+    (!isNoticed &&
+      durationForecast.estimateShareBy(forecastCall, endsAt, now) >=
+        minShareBeforeNotice)
+  );
 };
 
 /** Notes how long a call took that was answered in full. */
