Take no call at a stopping gateway that must not be repeated unless it surely ends

A booking that is cut at the drain timeout has an unknown outcome, and its caller may not repeat it; a stream that may be resumed goes on elsewhere after the last event. The weaker forecast, which holds until the load balancer has noticed the stop, is therefore used for repeatable calls only.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -121,8 +121,8 @@
 export const drainEndReserveMs = 150;
 
 /**
- * Share of calls that must be expected to end in time while the load balancer may
- * still choose the stopping gateway: a call that is refused would come back to it.
+ * Share of calls like a repeatable one that must be expected to end in time while the
+ * load balancer may still choose the stopping gateway: a refused caller would come back.
  */
 export const minShareBeforeNotice = 0.5;
 
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -36,7 +36,8 @@
 
 /**
  * Whether an attempt that starts now is expected to end before the gateway stops.
- * Until the load balancer has noticed the stop, it is enough that the call probably ends.
+ * Until the load balancer has noticed the stop, it is enough that a repeatable call
+ * probably ends: its caller can continue it elsewhere if it is cut.
  */
 export const mayEndBeforeStop = (
   call: GatewayCall,
@@ -58,6 +59,7 @@
   return (
     durationForecast.mayEndBy(forecastCall, endsAt, now) ||
     (!isNoticed &&
+      admitted.isRepeatable &&
       durationForecast.estimateShareBy(forecastCall, endsAt, now) >=
         minShareBeforeNotice)
   );
