Deliver the last answers of a gateway before its process ends

Callers of a stopping gateway lost answers that it had already given, or got none:

- At the drain timeout a request whose body was still being received was cut.
It now gets 503, not run, with `Connection: close`.
- `closeIdleConnections`, which `close` of an HTTP server calls too, destroys a connection whose last response has ended but is not yet passed to the network, so a slow reader lost the rest 2.5 s after the stop signal.
Only the listening socket is closed now, and a connection after its last byte.
- Node destroys a connection after a response that announced the close.
If the caller had sent another call, TCP reset the connection, and the reset destroyed the answer on its way.
A connection is now half-closed and read until its caller closes it, 1 s at most.
- A gateway that was stopped before it had a configuration closed the connections of calls that it had received.
They are answered first.

The process ends when its connections have ended, and 0.4 s after the drain timeout at the latest. The check whether a gateway is drained also runs when a response ends, not only when a call does.

--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -4,9 +4,15 @@
  * A connection is closed only after its last open response: a caller may have sent
  * more calls before the first one was answered, and those that were passed on to a
  * server must still be answered.
+ *
+ * It is half-closed first and read until its caller closes it too. If bytes of the
+ * caller arrived at a closed connection, TCP would reset it, and the reset destroys
+ * an answer that is still on its way.
  */
 import type { Socket } from 'node:net';
+import type { ChartTimers } from '@lycheetally/charts';
 import type { CallerExchange } from './callerPort.js';
+import { lingerTimeoutMs } from './constants.js';
 
 export class CallerConnection {
   /** Whether it closes after its last open response; further requests are not passed on. */
@@ -17,8 +23,14 @@
 
   constructor(
     private readonly socket: Socket,
+    private readonly timers: ChartTimers,
     private readonly isDraining: () => boolean,
-  ) {}
+  ) {
+    // Node calls it after a response that announced the close.
+    socket.destroySoon = () => {
+      this.close();
+    };
+  }
 
   add(caller: CallerExchange): void {
     this.hasServedCalls = true;
@@ -35,9 +47,25 @@
   /** Notes that a response has ended; closes the connection if no head announced it. */
   finish(caller: CallerExchange): void {
     this.openCallers.delete(caller);
+    this.closeWhenIdle();
+  }
+
+  /** Closes the connection of a draining gateway if it has no open response. */
+  closeWhenIdle(): void {
     if (this.isDraining() && !this.isClosing && this.openCallers.size === 0) {
-      this.isClosing = true;
-      this.socket.end();
+      this.close();
     }
   }
+
+  private close(): void {
+    const { socket } = this;
+    this.isClosing = true;
+    socket.end();
+    const timeout = this.timers.schedule(lingerTimeoutMs, () => {
+      socket.destroy();
+    });
+    socket.once('close', () => {
+      timeout.dispose();
+    });
+  }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -117,6 +117,12 @@
 /** Delay until a stopping gateway closes its callers' connections; the load balancer has noticed the shutdown by then. */
 export const closeConnectionsAfterMs = 2_500;
 
+/** Longest time that a half-closed connection waits for its caller to close it. */
+export const lingerTimeoutMs = 1_000;
+
+/** Part of the reserve for the exit in which the last answers reach their callers. */
+export const lastAnswersMs = 400;
+
 /** Time before the drain timeout by which a call that a stopping gateway takes must end. */
 export const drainEndReserveMs = 150;
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -24,6 +24,7 @@
 import {
   CheapestChain,
   LargestFirstMemory,
+  Outcome,
   ReplicaPerDomain,
   SlidingRetryBudget,
   SlowestRecentForecast,
@@ -38,11 +39,13 @@
 import {
   exitReserveMs,
   forecastSettings,
+  lastAnswersMs,
+  lingerTimeoutMs,
   closeConnectionsAfterMs,
   maxResponseMemoryBytes,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
-import { noteOpenCalls } from './drainAdmission.js';
+import { noteOpenCalls, stoppingFault } from './drainAdmission.js';
 import { DrainPeriod } from './drainPeriod.js';
 import {
   GatewayCall,
@@ -54,7 +57,7 @@
 import type { GatewaySettings } from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './httpCaller.js';
-import { HttpFrontend } from './httpFrontend.js';
+import { HttpFrontend, type CallHandler } from './httpFrontend.js';
 import { bindOrderChart } from './layerOrder.js';
 import { bindLeaderChart, LayerPlacer } from './layerPlacer.js';
 import type {
@@ -104,6 +107,7 @@
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
   private configuration: GatewayConfiguration | undefined;
   private isDrainingConnections = false;
+  private hasEnded = false;
 
   constructor(
     private settings: GatewaySettings,
@@ -247,17 +251,53 @@
       for (const call of [...this.calls.values()]) {
         call.instance?.send({ type: 'STOPPING', fault: drainTimeout }, now);
       }
+      this.frontend.refuseIncomplete({
+        ...stoppingFault,
+        outcome: Outcome.NotRun,
+      });
     },
-    finishProcess: (): void => {
-      this.log.info('The gateway stopped.');
-      this.dispose();
-      this.handleStopped();
+    finishProcess: (now: Milliseconds): void => {
+      if (!this.drainPeriod.hasBegun) {
+        this.drainPeriod.begin(now, 0);
+      }
+      const timeout = this.loop.schedule(
+        this.computeLastAnswersTime(now),
+        () => {
+          this.endProcess();
+        },
+      );
+      this.frontend.finish(() => {
+        timeout.dispose();
+        this.post(() => {
+          this.endProcess();
+        });
+      });
+      this.frontend.refuseIncomplete({
+        ...stoppingFault,
+        outcome: Outcome.NotRun,
+      });
     },
     computeDrainTimeout: (): Milliseconds =>
       this.settings.process.drainSeconds * millisecondsPerSecond -
       exitReserveMs,
   };
 
+  /** Time in which the last answers may still reach their callers. */
+  private computeLastAnswersTime(now: Milliseconds): Milliseconds {
+    const endsAt = this.drainPeriod.timeoutAt + lastAnswersMs;
+    return Math.min(lingerTimeoutMs, Math.max(0, endsAt - now));
+  }
+
+  private endProcess(): void {
+    if (this.hasEnded) {
+      return;
+    }
+    this.hasEnded = true;
+    this.log.info('The gateway stopped.');
+    this.dispose();
+    this.handleStopped();
+  }
+
   private get isFresh(): boolean {
     return isFreshEnough(
       this.news.configurations.confirmedAt,
@@ -275,7 +315,7 @@
   }
 
   private createFrontend(): HttpFrontend {
-    return new HttpFrontend(this.ports.format, {
+    const handler: CallHandler = {
       receiveCall: (received, caller) => {
         this.post(now => {
           this.receiveCall(received, caller, now);
@@ -286,6 +326,15 @@
           this.receiveDisconnect(caller, now);
         });
       },
+      noteResponseClosed: () => {
+        this.postDrainCheck();
+      },
+      noteUnfinished: ({ requestId = '' }) => {
+        this.metrics.countRefused(stoppingFault.status);
+        this.log.info('A call was refused while its body was received.', {
+          request: requestId,
+        });
+      },
       noteRefused: (status, reason) => {
         this.metrics.countRefused(status);
         this.log.warn('A malformed request was refused.', { status, reason });
@@ -297,7 +346,8 @@
         });
       },
       getNow: () => this.clock.getNow(),
-    });
+    };
+    return new HttpFrontend(this.ports.format, handler, this.loop);
   }
 
   private createNews(): GatewayNews {
@@ -410,6 +460,10 @@
 
   private handleCallEnded(call: GatewayCall): void {
     this.calls.delete(call.caller);
+    this.postDrainCheck();
+  }
+
+  private postDrainCheck(): void {
     if (this.isDrainingConnections) {
       this.post(now => {
         this.checkDrained(now);
@@ -474,8 +528,8 @@
       cancelOpenWork: (node, _, now) => {
         node.lifecycleActions.cancelOpenWork(now);
       },
-      finishProcess: node => {
-        node.lifecycleActions.finishProcess();
+      finishProcess: (node, _, now) => {
+        node.lifecycleActions.finishProcess(now);
       },
     },
     guards: {},
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as TcpServer, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
   ErrorKind,
@@ -20,17 +20,22 @@
   type Result,
 } from '@lycheetally/common';
 import { Outcome, type CallLimits } from '@lycheetally/decisions';
+import type { ChartTimers } from '@lycheetally/charts';
 import { startListening } from '@lycheetally/node';
 import type { CallFields, CallFormat } from './callFormat.js';
 import { CallerConnection } from './callerConnection.js';
-import type { ReceivedCall } from './callerPort.js';
+import type { ErrorResponse, ReceivedCall } from './callerPort.js';
 import { HttpCaller } from './httpCaller.js';
 
 /** Receives the calls that the HTTP server accepts. */
 export interface CallHandler {
   receiveCall(call: ReceivedCall, exchange: HttpCaller): void;
   receiveDisconnect(exchange: HttpCaller): void;
+  /** Notes that a response has ended and its bytes were passed to the network, or that its connection closed. */
+  noteResponseClosed(): void;
   noteRefused(status: number, reason: string): void;
+  /** Notes a call that was refused because its body was not complete. */
+  noteUnfinished(call: CallFields): void;
   /** Notes a call that came on a closing connection and is not passed on. */
   noteDropped(call: CallFields): void;
   getNow(): Milliseconds;
@@ -54,12 +59,16 @@
   private limits = initialLimits;
   private isDraining = false;
   private readonly server: Server;
-  private readonly connections = new WeakMap<Socket, CallerConnection>();
+  private readonly connections = new Map<Socket, CallerConnection>();
+  /** Requests whose body is being received. */
+  private readonly incomplete = new Map<HttpCaller, IncomingMessage>();
+  private handleEmpty: (() => void) | undefined;
   private readonly openCallers = new Set<HttpCaller>();
 
   constructor(
     private readonly format: CallFormat,
     private readonly handler: CallHandler,
+    private readonly timers: ChartTimers,
   ) {
     this.server = createServer(
       {
@@ -102,8 +111,25 @@
 
   /** Stops listening and closes idle connections. */
   closeIdle(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.stopListening();
+    this.closeIdleConnections();
+  }
+
+  /** Refuses the requests whose body is still being received. */
+  refuseIncomplete(error: ErrorResponse): void {
+    for (const [caller, incoming] of [...this.incomplete]) {
+      this.dropBody(incoming, caller);
+      this.handler.noteUnfinished(this.format.readCall(incoming.rawHeaders));
+      caller.sendErrorAndClose(error);
+    }
+  }
+
+  /** Stops listening and closes each connection after its last answer; calls back once when none is left. */
+  finish(callback: () => void): void {
+    this.isDraining = true;
+    this.handleEmpty = callback;
+    this.closeIdle();
+    this.checkEmpty();
   }
 
   /** Stops listening and closes all connections. */
@@ -112,6 +138,19 @@
     this.server.closeAllConnections();
   }
 
+  /** The `close` of an HTTP server also destroys connections whose last response was not passed to the network in full. */
+  private stopListening(): void {
+    if (this.server.listening) {
+      TcpServer.prototype.close.call(this.server);
+    }
+  }
+
+  private closeIdleConnections(): void {
+    for (const connection of this.connections.values()) {
+      connection.closeWhenIdle();
+    }
+  }
+
   private receive(incoming: IncomingMessage, response: ServerResponse): void {
     const connection = this.getConnection(incoming.socket);
     if (connection.isClosing) {
@@ -126,7 +165,9 @@
     this.openCallers.add(caller);
     response.once('close', () => {
       this.openCallers.delete(caller);
+      this.incomplete.delete(caller);
       connection.finish(caller);
+      this.handler.noteResponseClosed();
       if (!response.writableFinished) {
         this.handler.receiveDisconnect(caller);
       }
@@ -147,8 +188,16 @@
     if (known) {
       return known;
     }
-    const connection = new CallerConnection(socket, () => this.isDraining);
+    const connection = new CallerConnection(
+      socket,
+      this.timers,
+      () => this.isDraining,
+    );
     this.connections.set(socket, connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.checkEmpty();
+    });
     return connection;
   }
 
@@ -159,18 +208,18 @@
   ): void {
     const chunks: Buffer[] = [];
     let size = 0;
+    this.incomplete.set(caller, incoming);
     incoming.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > this.limits.maxBodyBytes) {
-        incoming.removeAllListeners('data');
-        incoming.resume();
+        this.dropBody(incoming, caller);
         this.refuse(caller, 413, 'the body is larger than the limit');
         return;
       }
       chunks.push(chunk);
     });
     incoming.on('end', () => {
-      if (size > this.limits.maxBodyBytes) {
+      if (!this.incomplete.delete(caller)) {
         return;
       }
       const target = incoming.url ?? '/';
@@ -191,6 +240,20 @@
     incoming.on('error', () => undefined);
   }
 
+  /** Reads on without keeping what arrives. */
+  private dropBody(incoming: IncomingMessage, caller: HttpCaller): void {
+    this.incomplete.delete(caller);
+    incoming.removeAllListeners('data');
+    incoming.resume();
+  }
+
+  private checkEmpty(): void {
+    if (this.connections.size === 0) {
+      this.handleEmpty?.();
+      this.handleEmpty = undefined;
+    }
+  }
+
   private refuse(caller: HttpCaller, status: number, message: string): void {
     this.handler.noteRefused(status, message);
     caller.sendErrorAndClose({
