Cancel all calls of a connection that its caller closes

When a caller sent several calls on one connection and closed it, only the first was cancelled: Node emits no `close` for a response that waits for an earlier one. The others went on at their servers, and a stopping gateway counted their responses as open until its drain timeout.

The end of the connection now ends all of its open responses.

--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -11,15 +11,15 @@
  */
 import type { Socket } from 'node:net';
 import type { ChartTimers } from '@lycheetally/charts';
-import type { CallerExchange } from './callerPort.js';
 import { lingerTimeoutMs } from './constants.js';
+import type { HttpCaller } from './httpCaller.js';
 
 export class CallerConnection {
   /** Whether it closes after its last open response; further requests are not passed on. */
   isClosing = false;
   /** Whether a call was received on it. */
   hasServedCalls = false;
-  private readonly openCallers = new Set<CallerExchange>();
+  private readonly openCallers = new Set<HttpCaller>();
 
   constructor(
     private readonly socket: Socket,
@@ -32,20 +32,25 @@
     };
   }
 
-  add(caller: CallerExchange): void {
+  add(caller: HttpCaller): void {
     this.hasServedCalls = true;
     this.openCallers.add(caller);
   }
 
+  /** Lists the callers whose response has not ended, in the order of their calls. */
+  listOpen(): readonly HttpCaller[] {
+    return [...this.openCallers];
+  }
+
   /** Decides whether the head of this response announces the close. */
-  decideClose(caller: CallerExchange): boolean {
-    const isLast = [...this.openCallers].at(-1) === caller;
+  decideClose(caller: HttpCaller): boolean {
+    const isLast = this.listOpen().at(-1) === caller;
     this.isClosing ||= this.isDraining() && isLast;
     return this.isClosing && isLast;
   }
 
   /** Notes that a response has ended; closes the connection if no head announced it. */
-  finish(caller: CallerExchange): void {
+  finish(caller: HttpCaller): void {
     this.openCallers.delete(caller);
     this.closeWhenIdle();
   }
@@ -60,6 +65,9 @@
   private close(): void {
     const { socket } = this;
     this.isClosing = true;
+    if (socket.destroyed) {
+      return;
+    }
     socket.end();
     const timeout = this.timers.schedule(lingerTimeoutMs, () => {
       socket.destroy();
--- a/packages/gateway/src/httpCaller.ts
+++ b/packages/gateway/src/httpCaller.ts
@@ -18,6 +18,11 @@
     response.sendDate = false;
   }
 
+  /** Whether the whole response was passed to the network. */
+  get hasFinished(): boolean {
+    return this.response.writableFinished;
+  }
+
   override startResponse(
     status: number,
     text: string,
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -164,13 +164,7 @@
     connection.add(caller);
     this.openCallers.add(caller);
     response.once('close', () => {
-      this.openCallers.delete(caller);
-      this.incomplete.delete(caller);
-      connection.finish(caller);
-      this.handler.noteResponseClosed();
-      if (!response.writableFinished) {
-        this.handler.receiveDisconnect(caller);
-      }
+      this.handleClosed(caller, connection);
     });
     if (countHeaderBytes(incoming) > this.limits.maxHeaderBytes) {
       this.refuse(caller, 431, 'the headers are larger than the limit');
@@ -196,11 +190,28 @@
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
+      // Node does not close the responses that wait for an earlier one to end.
+      for (const caller of connection.listOpen()) {
+        this.handleClosed(caller, connection);
+      }
       this.checkEmpty();
     });
     return connection;
   }
 
+  /** Handles the end of a response, or of its connection before. */
+  private handleClosed(caller: HttpCaller, connection: CallerConnection): void {
+    if (!this.openCallers.delete(caller)) {
+      return;
+    }
+    this.incomplete.delete(caller);
+    connection.finish(caller);
+    this.handler.noteResponseClosed();
+    if (!caller.hasFinished) {
+      this.handler.receiveDisconnect(caller);
+    }
+  }
+
   private readBody(
     incoming: IncomingMessage,
     caller: HttpCaller,
