--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -4,40 +4,76 @@
  * A connection is closed only after its last open response: a caller may have sent
  * more calls before the first one was answered, and those that were passed on to a
  * server must still be answered.
+ *
+ * It is half-closed first and read until its caller closes it too. If bytes of the
+ * caller arrived at a closed connection, TCP would reset it, and the reset destroys
+ * an answer that is still on its way.
  */
 import type { Socket } from 'node:net';
-import type { CallerExchange } from './callerPort.js';
+import type { ChartTimers } from '@lycheetally/charts';
+import { lingerTimeoutMs } from './constants.js';
+import type { HttpCaller } from './httpCaller.js';
 
 export class CallerConnection {
   /** Whether it closes after its last open response; further requests are not passed on. */
   isClosing = false;
   /** Whether a call was received on it. */
   hasServedCalls = false;
-  private readonly openCallers = new Set<CallerExchange>();
+  private readonly openCallers = new Set<HttpCaller>();
 
   constructor(
     private readonly socket: Socket,
+    private readonly timers: ChartTimers,
     private readonly isDraining: () => boolean,
-  ) {}
+  ) {
+    // Node calls it after a response that announced the close.
+    socket.destroySoon = () => {
+      this.close();
+    };
+  }
 
-  add(caller: CallerExchange): void {
+  add(caller: HttpCaller): void {
     this.hasServedCalls = true;
     this.openCallers.add(caller);
   }
 
+  /** Lists the callers whose response has not ended, in the order of their calls. */
+  listOpen(): readonly HttpCaller[] {
+    return [...this.openCallers];
+  }
+
   /** Decides whether the head of this response announces the close. */
-  decideClose(caller: CallerExchange): boolean {
-    const isLast = [...this.openCallers].at(-1) === caller;
+  decideClose(caller: HttpCaller): boolean {
+    const isLast = this.listOpen().at(-1) === caller;
     this.isClosing ||= this.isDraining() && isLast;
     return this.isClosing && isLast;
   }
 
   /** Notes that a response has ended; closes the connection if no head announced it. */
-  finish(caller: CallerExchange): void {
+  finish(caller: HttpCaller): void {
     this.openCallers.delete(caller);
+    this.closeWhenIdle();
+  }
+
+  /** Closes the connection of a draining gateway if it has no open response. */
+  closeWhenIdle(): void {
     if (this.isDraining() && !this.isClosing && this.openCallers.size === 0) {
-      this.isClosing = true;
-      this.socket.end();
+      this.close();
+    }
+  }
+
+  private close(): void {
+    const { socket } = this;
+    this.isClosing = true;
+    if (socket.destroyed) {
+      return;
     }
+    socket.end();
+    const timeout = this.timers.schedule(lingerTimeoutMs, () => {
+      socket.destroy();
+    });
+    socket.once('close', () => {
+      timeout.dispose();
+    });
   }
 }
