Refuse calls whose body ends after an entry was told to stop

A caller whose upload took longer than the time until SIGTERM was served by an entry that was already stopping, and was cut when the entry exited.

Cause: the front end asked whether the entry is stopping before it read the body, and nobody asked afterwards. Such a call did not count as open work either, so that an entry with no other call exited 200 ms later.

The registry now decides when the call reaches the event loop: from the signal on every call is refused as not run, with the same error and retry time as the front end gives.

The test 'refuses a call whose body ends after the signal' was seen to fail before (200 instead of 503).

--- a/packages/router/src/adapters/callersHttp.ts
+++ b/packages/router/src/adapters/callersHttp.ts
@@ -142,9 +142,9 @@
 }
 
 /** Milliseconds after which a caller that a stopping entry refused may retry. */
-const leavingRetryMs = 1_000;
+export const leavingRetryMs = 1_000;
 
-const createLeavingError = (): TypedError =>
+export const createLeavingError = (): TypedError =>
   new TypedError(
     ErrorKind.ShuttingDown,
     'this entry is stopping',
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -358,6 +358,7 @@
       events: this.events,
       ledger: this.operations.ledger,
       getConfiguration: () => this.configFollower.configuration,
+      isStopping: () => this.isStopping,
       getRequestServices: () => this.services,
     });
   }
--- a/packages/router/src/entry/requestRegistry.ts
+++ b/packages/router/src/entry/requestRegistry.ts
@@ -1,13 +1,22 @@
 /** The open requests of an entry, from the arrival of a call to its outcome. */
 import type { ChartMachine, ChartTimers } from '@lycheetally/charts';
-import type { Milliseconds, TypedError } from '@lycheetally/common';
+import {
+  Err,
+  type Milliseconds,
+  type Result,
+  type TypedError,
+} from '@lycheetally/common';
 import {
   Outcome,
   emptyConfiguration,
   type RouterConfiguration,
 } from '@lycheetally/decisions';
 import type { AttemptRef, Hello, PeerMessage } from '@lycheetally/protocol';
-import type { RefusedCall } from '../adapters/callersHttp.js';
+import {
+  createLeavingError,
+  leavingRetryMs,
+  type RefusedCall,
+} from '../adapters/callersHttp.js';
 import type { EventLog } from '../eventLog.js';
 import type { OutcomeLedger } from '../ledger/outcomeLedger.js';
 import { createRefusalRecord } from '../ledger/createOutcomeRecord.js';
@@ -35,6 +44,8 @@
   readonly events: EventLog;
   readonly ledger: Pick<OutcomeLedger, 'append'>;
   getConfiguration(): RouterConfiguration | undefined;
+  /** Whether the process is stopping; every call that arrives is then refused. */
+  isStopping(): boolean;
   /** Returns the services that requests use. */
   getRequestServices(): RequestServices;
 }
@@ -62,13 +73,15 @@
   ): void {
     const requestId = this.createRequestId();
     exchange.handleAccepted(requestId);
-    const configuration =
-      this.services.getConfiguration() ?? emptyConfiguration;
-    const accepted = acceptCall(requestId, call, configuration, now);
+    const accepted = this.acceptCall(requestId, call, now);
     if (accepted.err) {
       const error = accepted.val;
+      const retryAfterMs = this.services.isStopping()
+        ? leavingRetryMs
+        : undefined;
       this.recordRefusal(requestId, call, error, now);
-      exchange.finish({ requestId, outcome: Outcome.NotRun, error });
+      const outcome = Outcome.NotRun;
+      exchange.finish({ requestId, outcome, error, retryAfterMs });
       return;
     }
     this.startRequest(accepted.val, exchange, now);
@@ -124,6 +137,20 @@
     this.byExchange.delete(context.exchange);
   }
 
+  /** Fails with `ShuttingDown` while the process is stopping; the body may have begun before. */
+  private acceptCall(
+    requestId: string,
+    call: CallerCall,
+    now: Milliseconds,
+  ): Result<CallerRequest> {
+    if (this.services.isStopping()) {
+      return Err(createLeavingError());
+    }
+    const configuration =
+      this.services.getConfiguration() ?? emptyConfiguration;
+    return acceptCall(requestId, call, configuration, now);
+  }
+
   private createRequestId(): string {
     this.requestCount += 1;
     return `${this.services.incarnation}.${String(this.requestCount)}`;
--- a/packages/router/tests/gracefulStop.test.ts
+++ b/packages/router/tests/gracefulStop.test.ts
@@ -2,11 +2,15 @@
  * A graceful stop lets open work finish. Work that is cancelled at the drain
  * limit is reported to its caller.
  */
+import { request } from 'node:http';
+import { text } from 'node:stream/consumers';
 import { afterEach, describe, expect, it } from 'vitest';
 import {
   RouterFleet,
   computeExpectedText,
   defaultFleetOptions,
+  fleetNames,
+  getAccountKey,
   streamCompletion,
   waitUntil,
   type CallerAnswer,
@@ -88,4 +92,62 @@
     expect(late.outcome).toBe('not-run');
     expect((await pending).outcome).toBe('complete');
   });
+
+  it('refuses a call whose body ends after the signal', async () => {
+    await startFleet(60);
+    const { pending } = await startStream(tokens);
+    const upload = startUpload(fleet.entryUrls[0] ?? '');
+    await waitUntil('the head has arrived', () => upload.isSent());
+    fleet.processes.sendSignal('entry-0', 'SIGTERM');
+    await waitUntil('the entry is leaving', async () => {
+      return !(await fleet.readStatus('entry-0')).ready;
+    });
+    const late = await upload.end();
+    expect(late.status).toBe(503);
+    expect(late.outcome).toBe('not-run');
+    expect((await pending).outcome).toBe('complete');
+  });
 });
+
+interface Upload {
+  /** Whether the connection has taken the head and a part of the body. */
+  isSent(): boolean;
+  /** Sends the rest of the body; resolves when the response has ended. */
+  end(): Promise<{ status: number; outcome: unknown; body: string }>;
+}
+
+/** Sends a call for a completion without the end of its body. */
+const startUpload = (entryUrl: string): Upload => {
+  const body = JSON.stringify({
+    model: fleetNames.model,
+    prompt: 'late',
+    max_tokens: 1,
+  });
+  const outgoing = request(`${entryUrl}/v1/completions`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${getAccountKey(fleetNames.accounts[0])}`,
+      'content-length': body.length,
+      'x-lycheetally-rank': fleetNames.ranks[0],
+    },
+  });
+  let isSent = false;
+  outgoing.write(body.slice(0, 1), () => {
+    isSent = true;
+  });
+  return {
+    isSent: () => isSent,
+    end: () =>
+      new Promise((resolve, reject) => {
+        outgoing.on('error', reject);
+        outgoing.on('response', incoming => {
+          void text(incoming).then(answer => {
+            const outcome = incoming.headers['x-lycheetally-outcome'];
+            const status = incoming.statusCode ?? 0;
+            resolve({ status, outcome, body: answer });
+          });
+        });
+        outgoing.end(body.slice(1));
+      }),
+  };
+};
