Send answers to their end before a stopping entry exits

A caller that read a large answer slowly got only its beginning when its entry was told to stop: 4.2 of 7.3 MB arrived, then the connection was closed.

Two causes, one of which hid the other. A request ended for the entry when its answer was complete, not when it was sent, so that the entry exited 200 ms later. Before that, closing the HTTP server destroyed the connection at once: Node's list of idle connections has those whose response is complete but not yet sent.

The entry now counts responses until their last byte was handed to the operating system, also those that wait for an earlier one on their connection, and closes idle connections by its own list. The drain timeout bounds the wait for a caller that does not read.

The test 'of an entry sends the whole answer to a caller that reads slowly' was seen to fail before.

--- a/packages/router/src/adapters/callersHttp.ts
+++ b/packages/router/src/adapters/callersHttp.ts
@@ -5,6 +5,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import {
   Err,
   ErrorKind,
@@ -16,6 +17,7 @@
 } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
 import type { CallerCall, CallerExchange } from '../ports/callerExchange.js';
+import { CallerConnections } from './callerConnections.js';
 import { parseRefusedCall, parseCall } from './parseCall.js';
 import { HttpExchange, sendRefusal } from './httpExchange.js';
 import { readBody } from '@lycheetally/node';
@@ -34,6 +36,8 @@
   /** Records a call that the HTTP server refused. */
   abstract receiveRefusedCall(call: RefusedCall, error: TypedError): void;
   abstract handleCallerDisconnected(exchange: CallerExchange): void;
+  /** Called when a response has ended, whole or not. */
+  abstract handleResponseEnded(): void;
   /** Lists the services that a bearer key may use. */
   abstract listServices(bearerKey: string): readonly string[];
   /** Says whether new requests are accepted. */
@@ -42,17 +46,29 @@
 
 export class CallersServer {
   private server: Server | undefined;
+  private readonly connections = new CallerConnections();
 
   constructor(
     private readonly sink: CallersSink,
     private readonly maxBodyBytes: number,
   ) {}
 
+  /** Responses that have not been sent to their end, to requests that were read whole. */
+  get openResponses(): number {
+    return this.connections.openResponses;
+  }
+
   /** Starts listening. Fails with `BadAddress`. */
   async listen(address: Address): Promise<Result<Address>> {
     const server = createServer((request, response) => {
+      this.connections.addResponse(request, response, () => {
+        this.sink.handleResponseEnded();
+      });
       void this.serve(request, response);
     });
+    server.on('connection', socket => {
+      this.connections.addConnection(socket);
+    });
     const bound = await startListening(server, address);
     if (bound.err) {
       return Err(bound.val);
@@ -63,12 +79,15 @@
 
   /** Stops accepting connections; requests in progress continue. */
   close(): void {
-    this.server?.close();
-    this.server?.closeIdleConnections();
+    if (this.server) {
+      // The HTTP server's own close() cuts responses that are complete but not yet sent.
+      NetServer.prototype.close.call(this.server);
+      this.connections.closeIdle();
+    }
   }
 
   dispose(): void {
-    this.close();
+    this.server?.close();
     this.server?.closeAllConnections();
   }
 
--- a/packages/router/src/entry/entryCallersSink.ts
+++ b/packages/router/src/entry/entryCallersSink.ts
@@ -32,6 +32,10 @@
     this.loop.post('callerGone', { exchange });
   }
 
+  override handleResponseEnded(): void {
+    this.loop.post('responseEnded', {});
+  }
+
   override listServices(bearerKey: string): readonly string[] {
     return this.view.listServices(bearerKey);
   }
--- a/packages/router/src/entry/entryNode.ts
+++ b/packages/router/src/entry/entryNode.ts
@@ -91,6 +91,9 @@
       callerGone: ({ exchange }, now) => {
         this.requests.handleCallerDisconnected(exchange, now);
       },
+      responseEnded: (_, now) => {
+        this.checkDrained(now);
+      },
       followerEvent: ({ event }, now) => {
         this.configFollower.receive(event, now);
       },
@@ -238,7 +241,8 @@
   }
 
   protected override countOpenWork(): number {
-    return this.requests.size;
+    const openResponses = this.callersServer?.openResponses ?? 0;
+    return Math.max(this.requests.size, openResponses);
   }
 
   private receiveVmList(
--- a/packages/router/src/entry/entryTypes.ts
+++ b/packages/router/src/entry/entryTypes.ts
@@ -14,6 +14,7 @@
   callReceived: { call: CallerCall; exchange: CallerExchange };
   callRefused: { call: RefusedCall; error: TypedError };
   callerGone: { exchange: CallerExchange };
+  responseEnded: object;
   followerEvent: { event: ConfigFollowerEvent };
   vmListRead: { list: Result<readonly VmRecord[]> };
 }
--- a/packages/router/tests/gracefulStop.test.ts
+++ b/packages/router/tests/gracefulStop.test.ts
@@ -2,8 +2,9 @@
  * A graceful stop lets open work finish. Work that is cancelled at the drain
  * limit is reported to its caller.
  */
-import { request } from 'node:http';
+import { request, type IncomingMessage } from 'node:http';
 import { text } from 'node:stream/consumers';
+import { setTimeout as wait } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import {
   RouterFleet,
@@ -107,8 +108,46 @@
     expect(late.outcome).toBe('not-run');
     expect((await pending).outcome).toBe('complete');
   });
+
+  it('of an entry sends the whole answer to a caller that reads slowly', async () => {
+    const entrySections = { limits: { maxBodyBytes: 2 * largeBytes } };
+    fleet = new RouterFleet({ ...options, plainServers: 1, entrySections });
+    await fleet.start();
+    const sent = JSON.stringify('x'.repeat(largeBytes));
+    const answer = await callEcho(fleet.entryUrls[0] ?? '', sent);
+    await waitUntil('the request has ended', async () => {
+      return (await fleet.readStatus('entry-0')).openRequests === 0;
+    });
+    fleet.processes.sendSignal('entry-0', 'SIGTERM');
+    await wait(slowReaderMs);
+    const received = await text(answer).catch(() => '');
+    expect(received.includes(sent)).toBe(true);
+    expect(await fleet.processes.getProcess('entry-0').exited).toBe(0);
+  });
 });
 
+/** More than the buffers of a connection hold, in bytes. */
+const largeBytes = 7 * 1_024 * 1_024;
+
+/** Longer than a process takes to exit without open work, in milliseconds. */
+const slowReaderMs = 1_000;
+
+/** Calls a service that sends the body back; returns the answer before its body is read. */
+const callEcho = (entryUrl: string, body: string): Promise<IncomingMessage> =>
+  new Promise((resolve, reject) => {
+    const outgoing = request(`${entryUrl}/v1/services/${fleetNames.stock}/`, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${getAccountKey(fleetNames.accounts[0])}`,
+        'content-type': 'application/json',
+        'x-lycheetally-rank': fleetNames.ranks[0],
+      },
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', resolve);
+    outgoing.end(body);
+  });
+
 interface Upload {
   /** Whether the connection has taken the head and a part of the body. */
   isSent(): boolean;
