Close a caller's connection when its last response in a drain has ended

A connection whose stream was open when an entry was told to stop stayed open after that stream, up to the idle timeout and for as long as its caller sent further calls, each of which was refused.

The server closed the connections that were idle at the signal, and no others. Each connection is now closed when the last of its responses has ended.

--- a/packages/router/src/adapters/callerConnections.ts
+++ b/packages/router/src/adapters/callerConnections.ts
@@ -2,6 +2,7 @@
  * The connections of callers and the responses that are open on each.
  *
  * A response is open until its last byte was handed to the operating system.
+ * The socket is kept from the start, since a response that has ended has none.
  * Node's own list of idle connections has those whose response is complete but
  * not yet sent, so that it cannot tell which ones may be closed.
  */
@@ -21,6 +22,7 @@
 
 export class CallerConnections {
   private readonly connections = new Map<Socket, Connection>();
+  private isDraining = false;
 
   /** Responses that are open to requests that were read whole. */
   get openResponses(): number {
@@ -54,13 +56,20 @@
     const { socket } = request;
     const added = { request, handleClosed };
     this.connections.get(socket)?.responses.add(added);
+    if (this.isDraining) {
+      response.shouldKeepAlive = false;
+    }
     response.on('close', () => {
       this.removeResponse(socket, added);
     });
   }
 
-  /** Closes the connections on which neither a request nor a response is under way. */
-  closeIdle(): void {
+  /**
+   * Closes the connections on which neither a request nor a response is under
+   * way, and each other one when its last response has ended.
+   */
+  drain(): void {
+    this.isDraining = true;
     for (const [socket, { responses, bytesWhenIdle }] of this.connections) {
       if (responses.size === 0 && socket.bytesRead === bytesWhenIdle) {
         socket.destroySoon();
@@ -75,6 +84,9 @@
     }
     if (connection.responses.size === 0) {
       connection.bytesWhenIdle = socket.bytesRead;
+      if (this.isDraining) {
+        socket.destroySoon();
+      }
     }
     response.handleClosed();
   }
--- a/packages/router/src/adapters/callersHttp.ts
+++ b/packages/router/src/adapters/callersHttp.ts
@@ -77,12 +77,12 @@
     return Ok(bound.val);
   }
 
-  /** Stops accepting connections; requests in progress continue. */
+  /** Stops accepting connections; requests in progress continue, and their connections close after them. */
   close(): void {
     if (this.server) {
       // The HTTP server's own close() cuts responses that are complete but not yet sent.
       NetServer.prototype.close.call(this.server);
-      this.connections.closeIdle();
+      this.connections.drain();
     }
   }
 
