Keep entries and agents running on SIGHUP

A SIGHUP ended an entry or an agent at once, with all calls that ran there: Node's default for a signal without a handler. Beside a SIGTERM it cut the drain short.

The daemons now log that the settings are read at the start only, and go on. A second SIGTERM had no effect before and has none now.

The test 'is disturbed neither by SIGHUP nor by a second SIGTERM' was seen to fail before, for an entry and for an agent.

--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -2,7 +2,7 @@
  * Runs an entry or an agent as a process.
  *
  * A failed start writes one line to standard error and exits with code 2.
- * SIGTERM and SIGINT start a graceful stop. A ready process writes one line of
+ * SIGTERM and SIGINT start a graceful stop; SIGHUP changes nothing. A ready process writes one line of
  * JSON with its addresses to standard output.
  */
 import {
@@ -49,7 +49,10 @@
 
 /** A running node and the addresses that it listens on. */
 interface StartedNode {
-  readonly node: Pick<RouterNode<never>, 'requestStop' | 'stopped' | 'dispose'>;
+  readonly node: Pick<
+    RouterNode<never>,
+    'requestStop' | 'noteHangup' | 'stopped' | 'dispose'
+  >;
   readonly addresses: Readonly<Record<string, Address>>;
 }
 
@@ -58,7 +61,9 @@
 
 /** Starts a node and exits the process when the node has stopped. */
 const runDaemon = async (start: () => Promise<StartedNode>): Promise<void> => {
-  let started: StartedNode;
+  let started: StartedNode | undefined;
+  // Without a handler, a SIGHUP would end the process at once.
+  process.on('SIGHUP', () => started?.node.noteHangup());
   try {
     started = await start();
   } catch (thrown) {
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -220,6 +220,13 @@
     this.loop.post('stopRequested', { signal });
   }
 
+  /** Notes that the settings may have changed; they are read at the start only. */
+  noteHangup(): void {
+    this.log.warn(
+      'SIGHUP changes nothing; restart the process to apply changed settings',
+    );
+  }
+
   override requestDrain(): void {
     this.requestStop('operator');
   }
--- a/packages/router/tests/gracefulStop.test.ts
+++ b/packages/router/tests/gracefulStop.test.ts
@@ -67,6 +67,27 @@
     expect(await fleet.processes.getProcess(name).exited).toBe(0);
   });
 
+  it.each(names)(
+    'of %s is disturbed neither by SIGHUP nor by a second SIGTERM',
+    async name => {
+      await startFleet(60);
+      const { pending } = await startStream(tokens);
+      for (const signal of [
+        'SIGHUP',
+        'SIGTERM',
+        'SIGHUP',
+        'SIGTERM',
+      ] as const) {
+        fleet.processes.sendSignal(name, signal);
+        await wait(signalPauseMs);
+      }
+      expect((await pending).outcome).toBe('complete');
+      const { exited, lines } = fleet.processes.getProcess(name);
+      expect(await exited).toBe(0);
+      expect(lines.join('\n')).toContain('SIGHUP');
+    },
+  );
+
   it.each(names)(
     'of %s fails the stream that exceeds the drain limit',
     async name => {
@@ -129,6 +150,9 @@
 /** More than the buffers of a connection hold, in bytes. */
 const largeBytes = 7 * 1_024 * 1_024;
 
+/** Pause after which a process has handled a signal, in milliseconds. */
+const signalPauseMs = 100;
+
 /** Longer than a process takes to exit without open work, in milliseconds. */
 const slowReaderMs = 1_000;
 
