Leave the leader group after a renewal that is under way

A leader that was told to stop while the renewal of its lease was under way left its group at once. The two requests use connections of their own, so that the renewal could reach the store last and make the stopped gateway a member again, for 3 s in which nobody places layers.

--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -47,7 +47,7 @@
   readonly startedAt: Milliseconds;
   /** Interval between two heartbeats of a server. */
   readonly heartbeatMs: Milliseconds;
-  readonly lossHandler: ServerLossHandler;
+  readonly lossHandler: Pick<ServerLossHandler, 'checkServer'>;
   /** Sets this gateway's share of its group, from 0 to 1. */
   setShare(share: number, now: Milliseconds): void;
   listServices(): Iterable<BackendService>;
@@ -59,6 +59,7 @@
   private fencingToken = 0;
   private leaseExpiresAt: Milliseconds = -Infinity;
   private leaseRequestedAt: Milliseconds = -Infinity;
+  private leaseRequest: Promise<void> = Promise.resolve();
   private readonly pendingOrders = new Map<string, LayerOrder>();
   private readonly chart: ChartInstance<LayerPlacer, LeaderEvent>;
 
@@ -89,11 +90,14 @@
   readonly chartActions = {
     requestLease: (now: Milliseconds): void => {
       this.leaseRequestedAt = now;
-      void this.services.leaderElection.join(leaderLeaseMs).then(result => {
-        this.services.postCompletion(receivedAt => {
-          this.receiveGrant(result, now, receivedAt);
+      const { services } = this;
+      this.leaseRequest = services.leaderElection
+        .join(leaderLeaseMs)
+        .then(result => {
+          services.postCompletion(receivedAt => {
+            this.receiveGrant(result, now, receivedAt);
+          });
         });
-      });
     },
     renewLease: (now: Milliseconds): void => {
       if (now - this.leaseRequestedAt >= leaseRenewIntervalMs) {
@@ -120,7 +124,8 @@
       }
     },
     leaveGroup: (): void => {
-      void this.services.leaderElection.leave();
+      // A renewal that arrives after the leave would join the group again.
+      void this.leaseRequest.then(() => this.services.leaderElection.leave());
     },
     hasLease: (now: Milliseconds): boolean => now < this.leaseExpiresAt,
   };
--- /dev/null
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -0,0 +1,210 @@
+/** What a leader that stops does with its lease and its orders. */
+import { Writable } from 'node:stream';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  Err,
+  ErrorKind,
+  LogComponent,
+  LoggerFactory,
+  Ok,
+  TypedError,
+  getOrThrow,
+  type Result,
+} from '@lycheetally/common';
+import { PlacementPolicy, type PlacementPlan } from '@lycheetally/decisions';
+import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import { maxFirstPlacementWaitMs } from '../src/constants.js';
+import { bindOrderChart } from '../src/layerOrder.js';
+import { LayerPlacer, bindLeaderChart } from '../src/layerPlacer.js';
+import {
+  LeaderElectionPort,
+  ServerControlPort,
+  type ChainUpdateAnswer,
+  type LeaderGrant,
+  type PlacementOrder,
+  type ServerReport,
+} from '../src/ports.js';
+import { bindHealthChart } from '../src/server.js';
+import { ServerRegistry } from '../src/serverRegistry.js';
+
+const range = { from: 0, to: 8 };
+
+const record = {
+  serverId: 'i-1',
+  service: 'model',
+  address: '127.0.0.1:1',
+  failureDomain: 'a',
+  slots: 10,
+  isLeaving: false,
+  incarnation: 1,
+  sequence: 1,
+  kind: 'large',
+  range: undefined,
+};
+
+const model = {
+  layers: 8,
+  layerMegabytes: 100,
+  cacheBytesPerToken: 1_000,
+  stepMs: 10,
+  stepMsPerRequest: 1,
+  stepMsPerContextK: 1,
+  kinds: [],
+};
+
+/** Records the calls; each join is answered by the test. */
+class HeldElection extends LeaderElectionPort {
+  readonly calls: string[] = [];
+  private readonly joins: ((result: Result<LeaderGrant>) => void)[] = [];
+
+  override join(): Promise<Result<LeaderGrant>> {
+    this.calls.push('join');
+    return new Promise(resolve => {
+      this.joins.push(result => {
+        this.calls.push('joined');
+        resolve(result);
+      });
+    });
+  }
+
+  override leave(): Promise<void> {
+    this.calls.push('leave');
+    return Promise.resolve();
+  }
+
+  answer(): void {
+    this.joins.shift()?.(Ok({ isLeader: true, share: 1, fencingToken: 1 }));
+  }
+}
+
+/** Records the orders; each report is answered by the test. */
+class HeldControl extends ServerControlPort {
+  readonly orders: PlacementOrder[] = [];
+  readonly reports: ((result: Result<ServerReport>) => void)[] = [];
+
+  override placeLayers(order: PlacementOrder): Promise<Result<boolean>> {
+    this.orders.push(order);
+    return Promise.resolve(Ok(true));
+  }
+
+  override updateChain(): Promise<Result<ChainUpdateAnswer>> {
+    const fault = new TypedError(ErrorKind.BackendFailed, 'no', 'start it');
+    return Promise.resolve(Err(fault));
+  }
+
+  override readReport(): Promise<Result<ServerReport>> {
+    return new Promise(resolve => {
+      this.reports.push(resolve);
+    });
+  }
+}
+
+/** Gives the model to every server that has no order yet. */
+class FixedPlacement extends PlacementPolicy {
+  override planPlacement(
+    ...[, servers]: Parameters<PlacementPolicy['planPlacement']>
+  ): PlacementPlan {
+    const idle = servers.filter(server => !server.isBusy);
+    return new Map(idle.map(({ serverId }) => [serverId, range]));
+  }
+}
+
+describe('a leader that stops', () => {
+  let election: HeldElection;
+  let control: HeldControl;
+  let placer: LayerPlacer;
+  let registry: ServerRegistry;
+  let clock: MonotonicClock;
+
+  beforeEach(() => {
+    election = new HeldElection();
+    control = new HeldControl();
+    clock = new MonotonicClock();
+    const loop = new EventLoop<{ completion: (now: number) => void }>(clock);
+    loop.setHandlers({
+      completion: (run, now) => {
+        run(now);
+      },
+    });
+    const output = new Writable({
+      write: (_line, _encoding, done) => {
+        done();
+      },
+    });
+    const log = new LoggerFactory('gateway-1', 'info', output).createLogger(
+      LogComponent.Layers,
+    );
+    registry = new ServerRegistry(
+      getOrThrow(bindHealthChart()),
+      loop,
+      log,
+      () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
+      () => undefined,
+    );
+    registry.apply([{ key: 'i-1', value: record }], true, clock.getNow());
+    placer = new LayerPlacer(
+      getOrThrow(bindLeaderChart()),
+      getOrThrow(bindOrderChart()),
+      {
+        timers: loop,
+        log,
+        leaderElection: election,
+        control,
+        placement: new FixedPlacement(),
+        serverRegistry: registry,
+        startedAt: clock.getNow() - maxFirstPlacementWaitMs,
+        heartbeatMs: 60_000,
+        lossHandler: { checkServer: () => undefined },
+        setShare: () => undefined,
+        postCompletion: run => {
+          loop.post('completion', run);
+        },
+        listServices: () => [{ name: 'model', model }],
+      },
+    );
+    placer.start(clock.getNow());
+  });
+
+  afterEach(() => {
+    placer.dispose();
+    registry.find('i-1')?.dispose();
+  });
+
+  /** Lets pending completions run. */
+  const settle = async (): Promise<void> => {
+    for (let turn = 0; turn < 10; turn += 1) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  };
+
+  const lead = async (): Promise<void> => {
+    election.answer();
+    await settle();
+    expect(placer.isLeader).toBe(true);
+  };
+
+  it('leaves its group only after a renewal that is under way, which would join again', async () => {
+    placer.resign(clock.getNow());
+    await settle();
+    expect(election.calls).toEqual(['join']);
+    election.answer();
+    await settle();
+    expect(election.calls).toEqual(['join', 'joined', 'leave']);
+  });
+
+  it('leaves its group at once when no renewal is under way', async () => {
+    await lead();
+    placer.resign(clock.getNow());
+    await settle();
+    expect(election.calls).toEqual(['join', 'joined', 'leave']);
+  });
+
+  it('expects the order count of the report, so that a repeated order is refused', async () => {
+    await lead();
+    control.reports[0]?.(Ok({ orders: 3, stalled: [] }));
+    await settle();
+    placer.resign(clock.getNow());
+    expect(control.orders).toHaveLength(1);
+    expect(control.orders[0]?.expectedOrders).toBe(3);
+  });
+});
