Send no order to place layers after the lease was given up

The expected order count protects a server that the next leader has ordered since, but not one for which the next leader has other plans.

An order now asks whether its gateway still leads before it is sent. Orders that were sent before are followed to their answer as before, and a repeat of one by the next leader carries the order count of a newer report, so that one of the two is refused.

--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -6,10 +6,13 @@
   type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
-import type {
-  Milliseconds,
-  ComponentLogger,
-  Result,
+import {
+  Err,
+  ErrorKind,
+  TypedError,
+  type Milliseconds,
+  type ComponentLogger,
+  type Result,
 } from '@lycheetally/common';
 import type { LayerRange } from '@lycheetally/decisions';
 import {
@@ -35,6 +38,13 @@
   postCompletion(run: (now: Milliseconds) => void): void;
 }
 
+/** The placer that an order belongs to. */
+export interface OrderOwner {
+  /** Whether it still places layers. */
+  isLeader(): boolean;
+  handleFinished(): void;
+}
+
 /** One order to one incarnation of a server. */
 export class LayerOrder {
   private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
@@ -45,7 +55,7 @@
     readonly server: Server,
     readonly range: LayerRange,
     private readonly fencingToken: number,
-    private readonly handleFinished: () => void,
+    private readonly owner: OrderOwner,
   ) {
     this.chart = machine.createInstance(this, services.timers);
   }
@@ -73,7 +83,7 @@
     },
     finishOrder: (): void => {
       this.chart.dispose();
-      this.handleFinished();
+      this.owner.handleFinished();
     },
   };
 
@@ -86,12 +96,14 @@
       reportTimeoutMs,
       ConnectionUse.New,
     );
-    return report.err
-      ? report
-      : services.control.placeLayers({
-          ...order,
-          expectedOrders: report.val.orders,
-        });
+    if (report.err) {
+      return report;
+    }
+    if (!this.owner.isLeader()) {
+      return Err(createNotLeaderError());
+    }
+    const expectedOrders = report.val.orders;
+    return services.control.placeLayers({ ...order, expectedOrders });
   }
 
   private receive(result: Result<boolean>, now: Milliseconds): void {
@@ -112,6 +124,14 @@
   }
 }
 
+/** The fault of an order whose gateway lost or gave up its lease before it was sent. */
+const createNotLeaderError = (): TypedError =>
+  new TypedError(
+    ErrorKind.ShuttingDown,
+    'this gateway no longer places layers, so the order was not sent',
+    'none is needed; the next leader plans anew',
+  );
+
 const responseEvents: Readonly<Record<string, OrderEvent['type']>> = {
   true: 'ACCEPTED',
   false: 'REFUSED',
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -233,7 +233,10 @@
       server,
       range,
       this.fencingToken,
-      () => this.pendingOrders.delete(serverId),
+      {
+        isLeader: () => this.isLeader,
+        handleFinished: () => this.pendingOrders.delete(serverId),
+      },
     );
     this.pendingOrders.set(serverId, order);
     this.orders += 1;
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -199,6 +199,15 @@
     expect(election.calls).toEqual(['join', 'joined', 'leave']);
   });
 
+  it('sends no order that it had only begun', async () => {
+    await lead();
+    expect(control.reports).toHaveLength(1);
+    placer.resign(clock.getNow());
+    control.reports[0]?.(Ok({ orders: 3, stalled: [] }));
+    await settle();
+    expect(control.orders).toEqual([]);
+  });
+
   it('expects the order count of the report, so that a repeated order is refused', async () => {
     await lead();
     control.reports[0]?.(Ok({ orders: 3, stalled: [] }));
