--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -16,6 +16,15 @@
   readonly timeLeftMs: Milliseconds;
 }
 
+/** The refusal of a gateway whose stop the load balancer has noticed. */
+export const stoppingFault: CallFault = {
+  status: 503,
+  kind: ErrorKind.ShuttingDown,
+  message:
+    'this gateway is stopping, and the call may not end before; another one takes the call',
+  retryAfterMs: stoppingRetryAfterMs,
+};
+
 /** Describes a refusal; until the load balancer has noticed the stop, a call would come back to this gateway. */
 export const createStoppingFault = (
   { services }: GatewayCall,
@@ -23,10 +32,7 @@
 ): CallFault => {
   const sinceStopMs = services.drainPeriod.measureSinceStop(now);
   return {
-    status: 503,
-    kind: ErrorKind.ShuttingDown,
-    message:
-      'this gateway is stopping, and the call may not end before; another one takes the call',
+    ...stoppingFault,
     retryAfterMs: Math.max(
       stoppingRetryAfterMs,
       closeConnectionsAfterMs - sinceStopMs,
