--- a/bench/src/soak/gatewayProcess.ts
+++ b/bench/src/soak/gatewayProcess.ts
@@ -20,6 +20,8 @@
 
 export class GatewayProcess {
   readonly logLines: string[] = [];
+  /** When the process was told to stop, by `Date.now()`. */
+  readonly stopTimes: number[] = [];
   /** Number of exits with an error code. */
   failures = 0;
   private child: ChildProcess | undefined;
@@ -74,6 +76,9 @@
    */
   async restart(signal: NodeJS.Signals, pauseMs = 0): Promise<void> {
     const { child, exited } = this;
+    if (this.stoppedChild !== child && signal === 'SIGTERM') {
+      this.stopTimes.push(Date.now());
+    }
     this.stoppedChild = child;
     this.sendSignal(signal);
     await exited;
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -1,10 +1,11 @@
 /** Runs one soak: calls during seeded faults, calls after them, then the check of the history. */
+import { millisecondsPerSecond } from '@lycheetally/common';
 import { SeededRandom, waitFor } from '@lycheetally/testkit';
 import { countBy } from '../load/reconcile.js';
 import { checkSoak } from './checkSoak.js';
 import type { GatewayProcess } from './gatewayProcess.js';
 import { runCallers } from './soakCallers.js';
-import { SoakHarness } from './soakHarness.js';
+import { SoakHarness, drainSeconds } from './soakHarness.js';
 import type { SoakScenario } from './soakScenario.js';
 import type { GuaranteeViolation, SoakCall, SoakHistory } from './types.js';
 
@@ -125,6 +126,10 @@
     accounts: harness.accounts,
     revocationDeadlines: harness.revocationDeadlines,
     isPlannedOnly,
+    stops: harness.gateways.flatMap(({ port, stopTimes }) =>
+      stopTimes.map(at => ({ port, at: at - harness.startedAt })),
+    ),
+    graceMs: drainSeconds * millisecondsPerSecond,
   };
   const broken = [...checkSoak(history), ...checkRecovery(callsAfterFaults)];
   const ids = new Set(broken.map(({ requestId }) => requestId));
--- a/bench/src/soak/soakCallers.ts
+++ b/bench/src/soak/soakCallers.ts
@@ -136,6 +136,7 @@
     kind: planned.kind,
     steps: planned.steps,
     key: planned.key,
+    port: planned.port,
     body,
     sentAt: getNow(),
   };
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -22,7 +22,7 @@
 const revokeMs = 2_000;
 
 /** Seconds that a stopping gateway waits for its open calls. */
-const drainSeconds = 5;
+export const drainSeconds = 5;
 
 const serversTable = 'keyed.servers';
 const operatorsTable = 'keyed.op';
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -17,6 +17,8 @@
   readonly requestId: string;
   readonly kind: SoakKind;
   readonly key: string;
+  /** Port of the gateway. */
+  readonly port: number;
   readonly body: string;
   /** Events of a stream; for other calls, the event intervals that the answer takes. */
   readonly steps: number;
@@ -43,6 +45,13 @@
   readonly isSuccess: boolean;
 }
 
+/** A stop signal of a gateway. */
+export interface SoakStop {
+  readonly port: number;
+  /** Milliseconds since the start of the soak. */
+  readonly at: number;
+}
+
 /** The records of all callers and servers. */
 export interface SoakHistory {
   readonly calls: readonly SoakCall[];
@@ -53,6 +62,9 @@
   readonly revocationDeadlines: ReadonlyMap<string, number>;
   /** Whether planned work was the only disturbance, so that nothing excuses a lost call. */
   readonly isPlannedOnly: boolean;
+  readonly stops: readonly SoakStop[];
+  /** Time from a stop signal until the platform kills the process, in milliseconds. */
+  readonly graceMs: number;
 }
 
 /** A guarantee that was broken, and the call for which it was. */
--- a/bench/tests/soak.test.ts
+++ b/bench/tests/soak.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import {
   FaultScenario,
+  PlannedScenario,
   SoakKind,
   checkSoak,
   formatSoakEvent,
@@ -17,6 +18,7 @@
   requestId: 'r-1',
   kind: SoakKind.Booking,
   key: 'key-1',
+  port: 1,
   body: 'body',
   steps,
   sentAt: 100,
@@ -48,6 +50,8 @@
     accounts: new Map([['key-1', 'account-1']]),
     revocationDeadlines: new Map(),
     isPlannedOnly: false,
+    stops: [],
+    graceMs: 6_000,
     ...changes,
   };
   return checkSoak(history).map(({ promise }) => promise);
@@ -166,6 +170,23 @@
     );
   });
 
+  it.each([
+    ['a stream taken at once and cut when the grace ends', {}, []],
+    ['a stream taken late', { sentAt: 3_101 }, [isCutShort]],
+    ['a stream cut early', { endedAt: 5_099 }, [isCutShort]],
+    ['a stream of another gateway', { port: 2 }, [isCutShort]],
+    [
+      'a booking',
+      { kind: SoakKind.Booking, status: 502, isSigned: false },
+      [isCutShort],
+    ],
+  ])('judges %s by the stop of its gateway', (_, changed, promises) => {
+    const cut = { ...cutStream, sentAt: 3_100, endedAt: 5_100, ...changed };
+    const runOfKind = { ...run, kind: cut.kind };
+    const changes = { isPlannedOnly: true, stops: [{ port: 1, at: 100 }] };
+    expect(findViolations([cut], [runOfKind], changes)).toEqual(promises);
+  });
+
   it('excuses a cut stream where there are other faults', () => {
     expect(findViolations([cutStream], [streamRun])).toEqual([]);
   });
@@ -180,6 +201,8 @@
   { scenario: new FaultScenario(), seed: 2 },
   // The first read after an outage of the store waited for a change.
   { scenario: new FaultScenario(), seed: 13_008 },
+  // A stopping gateway took streams that could not end before its drain timeout.
+  { scenario: new PlannedScenario(), seed: 2 },
 ];
 
 describe('gateways under injected faults', () => {
