Read the parts of a prompt and log them when an attempt hardly began

Operators could not see which part of their prompts the calls of a crashed server had in common: the log named neither the parts nor whether the server had begun to answer.

--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -21,6 +21,7 @@
   streamStallCheckMs,
 } from './constants.js';
 import { AttemptBlame } from './attemptBlame.js';
+import { AttemptProgress } from './attemptProgress.js';
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
@@ -70,6 +71,7 @@
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
+  readonly progress: AttemptProgress;
 
   constructor(
     readonly call: GatewayCall,
@@ -80,6 +82,7 @@
     super();
     const { services } = call;
     this.lastActivityAt = startedAt;
+    this.progress = new AttemptProgress(call);
     this.servers = new AttemptServers(
       services.serverRegistry,
       admitted,
@@ -283,7 +286,11 @@
       reason: fault?.message ?? '',
       afterMs: Math.round(now - this.startedAt),
       lastEvent: call.events?.lastEventId ?? '',
+      events: this.progress.events,
       retriesLeft: this.countRetries(now),
+      ...(type === 'ATTEMPT_BROKEN' && !this.progress.isUnderWay
+        ? { parts: call.received.fields.promptParts.join(',') }
+        : {}),
     });
     call.instance?.send({ type, fault }, now);
   }
@@ -363,6 +370,7 @@
     const { bytes, newEvents } = accepted.val;
     if (newEvents > 0) {
       this.noteActivity();
+      call.eventsReceived += newEvents;
       call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -110,6 +110,8 @@
   fault: CallFault | undefined;
   /** Events of a streamed response, over all attempts. */
   events: EventStream | undefined;
+  /** Events that servers sent for this call, over all attempts, each once. */
+  eventsReceived = 0;
   /** Servers that refused or failed this call. */
   readonly avoided = new Set<string>();
 
