Refuse calls with a part of the prompt that crashes servers

Cause: nothing linked the crashes, and a broken call went from server to server.

Change: an attempt whose server closes the connection before its second event reports its prompt's parts to the tracker; the second event, or a whole answer, reports them as served. Admission asks the tracker and refuses with prompt-part-refused (503, not run, Retry-After of the tracker); a broken call that had hardly begun is sent again only if the tracker allows it, and ends truthfully if not. A stream that was under way resumes as before. Connections that the gateway closes itself, silent servers and answers with a status are no crashes.

--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -29,6 +29,8 @@
   AnswerNotKept: 'answer-not-kept',
   /** No backend server can take the request now. */
   NoCapacity: 'no-capacity',
+  /** A part of the call's prompt crashes backend servers, or may. */
+  PromptPartRefused: 'prompt-part-refused',
   /** The deadline has passed or cannot be met. */
   DeadlineExceeded: 'deadline-exceeded',
   /** The process is shutting down and accepts no new work. */
--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attemptProgress.ts
@@ -1,8 +1,8 @@
-/** How far the answer to an attempt has come. */
+/** How far the answer to an attempt has come, and what that tells about the parts of the prompt. */
+import type { Milliseconds } from '@lycheetally/common';
 import type { GatewayCall } from './gatewayCall.js';
-
-/** Events after which a server is certain to write the answer. */
-const minEventsUnderWay = 2;
+import { isAnswerUnderWay, toPromptCall } from './parts/promptCalls.js';
+import type { BrokenServer } from './parts/promptPartTracker.js';
 
 export class AttemptProgress {
   private readonly eventsBefore: number;
@@ -18,6 +18,30 @@
 
   /** Whether the server has sent more than the beginning of its answer. */
   get isUnderWay(): boolean {
-    return this.events >= minEventsUnderWay;
+    return isAnswerUnderWay(this.events);
+  }
+
+  noteEvents(count: number): void {
+    const wasUnderWay = this.isUnderWay;
+    this.call.eventsReceived += count;
+    if (this.isUnderWay && !wasUnderWay) {
+      this.call.services.postCompletion(now => {
+        this.noteComplete(now);
+      });
+    }
+  }
+
+  /** Records that a server writes, or wrote, the answer. */
+  noteComplete(now: Milliseconds): void {
+    const { services } = this.call;
+    services.promptParts.noteServed(toPromptCall(this.call), now);
+  }
+
+  /** Records that the server closed the connection; an answer that another server had begun clears the prompt. */
+  noteBroken(server: BrokenServer, now: Milliseconds): void {
+    const { services } = this.call;
+    if (!this.isUnderWay && this.eventsBefore === 0) {
+      services.promptParts.noteBroken(toPromptCall(this.call), server, now);
+    }
   }
 }
--- a/packages/gateway/src/backendPort.ts
+++ b/packages/gateway/src/backendPort.ts
@@ -19,6 +19,13 @@
   readonly fields: ResponseFields;
 }
 
+/** Why an exchange ended without a whole answer. */
+export interface BackendFailure {
+  readonly reason: string;
+  /** The server closed or reset the connection, as it does when it crashes. */
+  readonly isClosedByServer: boolean;
+}
+
 /** Receives the events of one exchange; `handleEnd` or `handleFailure` is the last. */
 export abstract class BackendListener {
   abstract handleConnected(): void;
@@ -26,7 +33,7 @@
   abstract handleBody(chunk: Buffer): void;
   /** The whole body was received. */
   abstract handleEnd(): void;
-  abstract handleFailure(reason: string): void;
+  abstract handleFailure(failure: BackendFailure): void;
 }
 
 /** A request in progress and its response. */
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -17,6 +17,7 @@
 } from './constants.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
+import { decideFirstAttempt, findRepeatFault } from './parts/promptCalls.js';
 
 export type CallMachine = ChartMachine<GatewayCall, CallEvent>;
 type CallAction = ChartAction<GatewayCall, CallEvent>;
@@ -28,12 +29,22 @@
     return;
   }
   call.admitted = admission.admitted;
+  const fault = decideFirstAttempt(call, now);
+  if (fault) {
+    call.instance?.send({ type: 'REFUSED', fault }, now);
+    return;
+  }
   call.services.retryPolicy.noteRequest(call.toRequestView(), now);
   call.instance?.send({ type: 'ADMITTED' }, now);
 };
 
 const createAttempt: CallAction = (call, _, now) => {
   const { admitted } = call;
+  const promptFault = findRepeatFault(call, now);
+  if (promptFault) {
+    call.instance?.send({ type: 'PROMPT_REFUSED', fault: promptFault }, now);
+    return;
+  }
   const chosen = admitted && chooseServers(call, admitted, now);
   if (!admitted || !chosen) {
     const fault = {
@@ -63,6 +74,10 @@
   call.fault = event?.fault ?? call.fault;
 };
 
+const setPromptError: CallAction = (call, event, now) => {
+  call.fault = findRepeatFault(call, now) ?? event?.fault ?? call.fault;
+};
+
 const cancelAttempt = (call: GatewayCall, now: Milliseconds): void => {
   const { attempt } = call;
   if (attempt && !attempt.instance.isFinal && attempt.instance.state !== '') {
@@ -210,8 +225,12 @@
 
 const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
   call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
+  !isPromptRefused(call, now) &&
   call.services.retryPolicy.mayRepeat(call.toRequestView(), now);
 
+const isPromptRefused = (call: GatewayCall, now: Milliseconds): boolean =>
+  findRepeatFault(call, now) !== undefined;
+
 /**
  * Whether the call may wait for a server. Before its response starts it may do
  * so only for a short time, so that a refusal still comes early.
@@ -233,6 +252,7 @@
       createAttempt,
       startAttempt,
       setError,
+      setPromptError,
       noteRetry,
       noteForwardedError,
       decideOutcome,
@@ -249,6 +269,7 @@
       mayResume: (call, _, now) =>
         call.hasStartedResponse && mayRepeat(call, now),
       mayWait: (call, _, now) => mayWait(call, now),
+      isPromptRefused: (call, _, now) => isPromptRefused(call, now),
       hasStartedResponse: call => call.hasStartedResponse,
     },
     delays: {
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -10,6 +10,7 @@
 import {
   BackendListener,
   type BackendExchange,
+  type BackendFailure,
   type BackendHead,
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
@@ -41,6 +42,8 @@
     | 'SERVER_LOST'
     | 'CANCEL';
   readonly fault?: CallFault | undefined;
+  /** Whether the server closed the connection. */
+  readonly isClosedByServer?: boolean | undefined;
   /** Id of a server of the chain that is lost or cannot run its part. */
   readonly lost?: string | undefined;
 }
@@ -170,14 +173,18 @@
       this.mode === ResponseMode.Streamed &&
       this.call.events?.isAtBoundary === false
     ) {
-      this.failExchange('the stream ended inside an event');
+      this.failExchange(
+        'the stream ended inside an event',
+        !head.fields.isFramed,
+      );
     } else {
       this.send({ type: 'COMPLETE' });
     }
   }
 
-  override handleFailure(reason: string): void {
-    this.send({ type: 'BROKEN', fault: createBackendFault(reason) });
+  override handleFailure({ reason, isClosedByServer }: BackendFailure): void {
+    const fault = createBackendFault(reason);
+    this.send({ type: 'BROKEN', fault, isClosedByServer });
   }
 
   /** Actions, guards and delays of the chart. */
@@ -229,6 +236,9 @@
       this.fault = event?.fault ?? this.fault;
       const message = this.fault?.message ?? '';
       this.blame.reportFault(event?.type ?? 'BROKEN', message, now);
+      if (event?.isClosedByServer) {
+        this.progress.noteBroken(this.chosen.first.record, now);
+      }
     },
     setError: (event: AttemptEvent | undefined): void => {
       this.fault = event?.fault;
@@ -242,6 +252,7 @@
     },
     reportComplete: (now: Milliseconds): void => {
       this.chosen.first.noteSuccess(now);
+      this.progress.noteComplete(now);
       this.call.instance?.send({ type: 'ATTEMPT_COMPLETE' }, now);
     },
     reportNotRun: (now: Milliseconds): void => {
@@ -309,9 +320,9 @@
   }
 
   /** Ends an exchange that cannot complete the call. */
-  failExchange(reason: string): void {
+  failExchange(reason: string, isClosedByServer = false): void {
     this.exchange?.close();
-    this.handleFailure(reason);
+    this.handleFailure({ reason, isClosedByServer });
   }
 
   /** Ends an exchange whose server sends more than any sound answer has. */
@@ -370,7 +381,7 @@
     const { bytes, newEvents } = accepted.val;
     if (newEvents > 0) {
       this.noteActivity();
-      call.eventsReceived += newEvents;
+      this.progress.noteEvents(newEvents);
       call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -18,6 +18,7 @@
 import type { CallerExchange, ReceivedCall } from './callerPort.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { PromptPartTracker } from './parts/promptPartTracker.js';
 import type { ServerControlPort } from './ports.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import type { ServerLossHandler } from './serverLossHandler.js';
@@ -28,6 +29,7 @@
     | 'REFUSED'
     | 'ROUTED'
     | 'UNROUTABLE'
+    | 'PROMPT_REFUSED'
     | 'ATTEMPT_COMPLETE'
     | 'ATTEMPT_NOT_RUN'
     | 'ATTEMPT_ERROR'
@@ -63,6 +65,7 @@
   readonly lossHandler: ServerLossHandler;
   readonly attemptMachine: AttemptMachine;
   readonly responseMemory: ResponseMemory<GatewayAttempt>;
+  readonly promptParts: PromptPartTracker;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
   readonly revokeTimeoutMs: Milliseconds;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -59,6 +59,7 @@
 import { ServerLossHandler } from './serverLossHandler.js';
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
+import { PromptParts } from './parts/promptParts.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
 export interface GatewayPorts extends NewsSources {
@@ -88,6 +89,7 @@
   private readonly lossHandler: ServerLossHandler;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
+  private readonly promptParts: PromptParts;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
   private readonly calls = new Map<CallerExchange, GatewayCall>();
@@ -120,6 +122,7 @@
         this.lossHandler.handleLost(server, now);
       },
     );
+    this.promptParts = this.createPromptParts();
     this.news = this.createNews();
     this.lossHandler = this.createLossHandler();
     this.placer = this.createPlacer(startedAt);
@@ -205,6 +208,7 @@
     this.pages.dispose();
     this.backend.dispose();
     this.news.dispose();
+    this.promptParts.dispose();
     this.placer.dispose();
   }
 
@@ -303,6 +307,13 @@
     });
   }
 
+  private createPromptParts(): PromptParts {
+    return new PromptParts(this.settings.process.id, {
+      timers: this.loop,
+      log: this.loggers.createLogger(LogComponent.Prompts),
+    });
+  }
+
   private createLossHandler(): ServerLossHandler {
     return new ServerLossHandler(getOrThrow(bindCheckChart()), {
       timers: this.loop,
@@ -355,6 +366,7 @@
       retryPolicy: this.retryBudget,
       serverRegistry: this.serverRegistry,
       attemptMachine: getOrThrow(bindAttemptChart()),
+      promptParts: this.promptParts.tracker,
       responseMemory: new LargestFirstMemory(maxResponseMemoryBytes),
       homeDomain: process.failureDomain,
       revokeTimeoutMs: rules.revokeMs,
--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -104,11 +104,11 @@
       this.handleResponse(incoming);
     });
     outgoing.on('error', error => {
-      this.fail(error.message);
+      this.fail(error.message, isCloseByServer(error));
     });
     outgoing.on('upgrade', (_, socket) => {
       socket.destroy();
-      this.fail('the server changed the protocol');
+      this.fail('the server changed the protocol', false);
     });
   }
 
@@ -141,17 +141,17 @@
     });
     incoming.on('end', () => {
       if (!incoming.complete) {
-        this.fail('the answer ended early');
+        this.fail('the answer ended early', true);
       } else if (!this.isFinished) {
         this.isFinished = true;
         this.listener.handleEnd();
       }
     });
     incoming.on('error', error => {
-      this.fail(error.message);
+      this.fail(error.message, isCloseByServer(error));
     });
     incoming.on('close', () => {
-      this.fail('the connection was closed in the middle of the answer');
+      this.fail('the connection was closed in the middle of the answer', true);
     });
     this.listener.handleHead({
       status,
@@ -160,12 +160,22 @@
     });
   }
 
-  private fail(reason: string): void {
+  private fail(reason: string, isClosedByServer: boolean): void {
     if (this.isFinished) {
       return;
     }
     this.isFinished = true;
     this.outgoing.destroy();
-    this.listener.handleFailure(reason);
+    this.listener.handleFailure({ reason, isClosedByServer });
   }
 }
+
+/** Codes of the errors with which Node reports that the other side closed a connection. */
+const closeCodes: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'EPIPE',
+  'HPE_INVALID_EOF_STATE',
+]);
+
+const isCloseByServer = (error: NodeJS.ErrnoException): boolean =>
+  closeCodes.has(error.code ?? '');
--- /dev/null
+++ b/packages/gateway/src/parts/promptCalls.ts
@@ -0,0 +1,66 @@
+/** Asks the tracker of prompt parts about calls, and words its refusals. */
+import { ErrorKind, type Milliseconds } from '@lycheetally/common';
+import type { CallFault, GatewayCall } from '../gatewayCall.js';
+import type { PromptCall } from './promptPartTracker.js';
+
+/** Events after which a server is certain to write an answer. */
+const minEventsUnderWay = 2;
+
+export const isAnswerUnderWay = (events: number): boolean =>
+  events >= minEventsUnderWay;
+
+export const toPromptCall = (call: GatewayCall): PromptCall => ({
+  requestId: call.requestId,
+  service: call.admitted?.service.name ?? '',
+  parts: call.received.fields.promptParts,
+});
+
+/** Asks once for each call whether it may be sent; returns the fault if a part of its prompt forbids it. */
+export const decideFirstAttempt = (
+  call: GatewayCall,
+  now: Milliseconds,
+): CallFault | undefined => {
+  const prompt = toPromptCall(call);
+  if (prompt.parts.length === 0) {
+    return undefined;
+  }
+  const decision = call.services.promptParts.decideFirstAttempt(prompt, now);
+  return decision.isAllowed
+    ? undefined
+    : createPromptFault(
+        `backend servers crash when they begin to answer a prompt with the part ${decision.part}; send the call without it`,
+        decision.retryAfterMs,
+      );
+};
+
+/** Returns the fault if a part of its prompt forbids to send a broken call once more; nothing forbids to resume an answer that was under way. */
+export const findRepeatFault = (
+  call: GatewayCall,
+  now: Milliseconds,
+): CallFault | undefined => {
+  const prompt = toPromptCall(call);
+  const isSuspect =
+    call.runs > 0 &&
+    prompt.parts.length > 0 &&
+    !isAnswerUnderWay(call.eventsReceived);
+  if (!isSuspect) {
+    return undefined;
+  }
+  const decision = call.services.promptParts.decideRepeat(prompt, now);
+  return decision.isAllowed
+    ? undefined
+    : createPromptFault(
+        `the server crashed when it began to answer, and the part ${decision.part} of the prompt may be the cause; the call was not sent to another server, send it without the part`,
+        decision.retryAfterMs,
+      );
+};
+
+const createPromptFault = (
+  message: string,
+  retryAfterMs: Milliseconds,
+): CallFault => ({
+  status: 503,
+  kind: ErrorKind.PromptPartRefused,
+  message,
+  retryAfterMs,
+});
--- a/packages/router/src/adapters/httpExchange.ts
+++ b/packages/router/src/adapters/httpExchange.ts
@@ -24,6 +24,7 @@
   [ErrorKind.KeyRefused]: 409,
   [ErrorKind.AnswerNotKept]: 409,
   [ErrorKind.NoCapacity]: 503,
+  [ErrorKind.PromptPartRefused]: 503,
   [ErrorKind.DeadlineExceeded]: 504,
   [ErrorKind.ShuttingDown]: 503,
   [ErrorKind.BackendFailed]: 502,
