Exchange records of prompt parts between all gateways

Calls with one part come through every gateway. A verdict at one of them lets each other gateway lose servers of its own, and one that starts again knows nothing.

Change: gateways send each other what they saw of prompt parts: changes at once and then every 250 ms to all known gateways of all failure domains, at most 64 messages at a time, and a comparison of digests with two others each second while there are records, so that a lost message is made up for. A gateway that starts compares with three until one answers. A gateway that does not answer is left alone for 0.5 to 2 s and then gets all records. Neither the store nor a relay takes part. Messages are bounded, and malformed ones are refused with 400 and logged every 10 s at most. Charts partPush, partPull and partPeer.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -42,6 +42,9 @@
   RelayTrust: 'relayTrust',
   PeerRecord: 'peerRecord',
   PromptPart: 'promptPart',
+  PartPush: 'partPush',
+  PartPull: 'partPull',
+  PartPeer: 'partPeer',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -44,6 +44,12 @@
     help: 'Reads of the store that another gateway answered since the start',
     registers: [this.registry],
   });
+  private readonly partMessages = new Counter({
+    name: `${prefix}part_messages_total`,
+    help: 'Messages about prompt parts to other gateways, by whether they were answered',
+    labelNames: ['answered'],
+    registers: [this.registry],
+  });
   private readonly refused = new Counter({
     name: `${prefix}malformed_total`,
     help: 'Requests refused before they were read as calls, by status',
@@ -108,6 +114,10 @@
     (isRelayed ? this.relayedReads : this.storeReads).inc();
   }
 
+  countPartMessage(isAnswered: boolean): void {
+    this.partMessages.inc({ answered: String(isAnswered) });
+  }
+
   countRefused(status: number): void {
     this.refused.inc({ status: String(status) });
   }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -179,6 +179,7 @@
     this.post(now => {
       this.lifecycle.start(now);
       this.news.start(now);
+      this.promptParts.start(now);
       this.placer.start(now);
     });
     this.log.info('The gateway started.', {
@@ -298,6 +299,9 @@
       countNews: isRelayed => {
         this.metrics.countNews(isRelayed);
       },
+      receiveParts: (incoming, response) => {
+        this.promptParts.receive(incoming, response);
+      },
       applyConfigurations: (records, _, now) => {
         this.applyConfigurations(records, now);
       },
@@ -311,6 +315,13 @@
     return new PromptParts(this.settings.process.id, {
       timers: this.loop,
       log: this.loggers.createLogger(LogComponent.Prompts),
+      listPeers: () => this.news.listPeers(),
+      postCompletion: run => {
+        this.post(run);
+      },
+      countMessage: isAnswered => {
+        this.metrics.countPartMessage(isAnswered);
+      },
     });
   }
 
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -39,7 +39,7 @@
   type FollowerOptions,
 } from '../tableFollower.js';
 import { NewsClient } from './newsClient.js';
-import { NewsServer } from './newsServer.js';
+import { NewsServer, type PostHandler } from './newsServer.js';
 import { NewsTable } from './newsTable.js';
 import {
   PeerDirectory,
@@ -83,6 +83,8 @@
   postCompletion(run: (now: Milliseconds) => void): void;
   getMoment(): Moment;
   countNews(isRelayed: boolean): void;
+  /** Handles a message about prompt parts. */
+  readonly receiveParts: PostHandler;
   readonly applyConfigurations: RecordHandler<GatewayConfiguration>;
   readonly applyServers: RecordHandler<BackendRecord>;
 }
@@ -132,6 +134,11 @@
     return this.directory.size;
   }
 
+  /** Addresses of the other gateways that this one knows. */
+  listPeers(): readonly Address[] {
+    return this.directory.listOthers();
+  }
+
   get isRelaying(): boolean {
     return this.duty.isRelaying;
   }
@@ -177,7 +184,7 @@
         this.duty.noteAsked(now);
         news.receive(request, reply);
       });
-    });
+    }, this.services.receiveParts);
   }
 
   private createAnnouncement(address: Address): PeerAnnouncement {
--- a/packages/gateway/src/news/newsServer.ts
+++ b/packages/gateway/src/news/newsServer.ts
@@ -1,4 +1,4 @@
-/** HTTP server at which other gateways ask for news of the store. */
+/** HTTP server at which other gateways ask for news of the store and send records of prompt parts. */
 import {
   createServer,
   type IncomingMessage,
@@ -7,6 +7,7 @@
 } from 'node:http';
 import type { Address, Result } from '@lycheetally/common';
 import { startListening } from '@lycheetally/node';
+import { partPath } from '../parts/partMessage.js';
 import { encodeNews, parseNewsPath } from './newsFormat.js';
 import type { NewsAnswer, NewsCallback, NewsRequest } from './newsTable.js';
 
@@ -17,13 +18,22 @@
   reply: NewsCallback,
 ) => void;
 
+/** Handles a request with a body, and responds to it. */
+export type PostHandler = (
+  incoming: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
 /** Status when there are no fresh news here; the asking gateway reads the store. */
 const noNewsStatus = 503;
 
 export class NewsServer {
   private readonly server: Server;
 
-  constructor(private readonly handleRequest: NewsHandler) {
+  constructor(
+    private readonly handleRequest: NewsHandler,
+    private readonly receiveParts: PostHandler,
+  ) {
     this.server = createServer((incoming, response) => {
       this.receive(incoming, response);
     });
@@ -40,6 +50,10 @@
   }
 
   private receive(incoming: IncomingMessage, response: ServerResponse): void {
+    if (incoming.method === 'POST' && incoming.url === partPath) {
+      this.receiveParts(incoming, response);
+      return;
+    }
     incoming.resume();
     const parsed = parseNewsPath(incoming.url ?? '');
     if (!parsed) {
--- a/packages/gateway/src/news/peerDirectory.ts
+++ b/packages/gateway/src/news/peerDirectory.ts
@@ -98,6 +98,13 @@
     return this.peers.get(id);
   }
 
+  /** Addresses of all other gateways. */
+  listOthers(): Address[] {
+    return [...this.peers]
+      .filter(([id]) => id !== this.options.ownId)
+      .map(([, { address }]) => address);
+  }
+
   /** Adds or replaces a gateway's record, or removes it. */
   set(id: string, record: PeerRecord | undefined): void {
     if (record) {
--- /dev/null
+++ b/packages/gateway/src/parts/partClient.ts
@@ -0,0 +1,63 @@
+/** HTTP client that sends records of prompt parts to other gateways, a bounded number of messages at once. */
+import { Agent } from 'node:http';
+import PQueue from 'p-queue';
+import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
+  formatAddress,
+  type Address,
+  type Result,
+} from '@lycheetally/common';
+import { requestJson } from '@lycheetally/node';
+import { maxPartMessages, partTimeoutMs } from './exchangeConstants.js';
+import {
+  parsePartAnswer,
+  partPath,
+  type PartAnswer,
+  type PartMessage,
+} from './partMessage.js';
+
+export class PartClient {
+  private readonly agent = new Agent({ keepAlive: true, maxFreeSockets: 1 });
+  private readonly queue = new PQueue({ concurrency: maxPartMessages });
+
+  /** Fails with `PlatformUnavailable` if the other gateway does not answer in time, and with `BadMessage` if it answers something else. */
+  send(address: Address, message: PartMessage): Promise<Result<PartAnswer>> {
+    return this.queue.add(() => this.exchange(address, message));
+  }
+
+  dispose(): void {
+    this.queue.clear();
+    this.agent.destroy();
+  }
+
+  private async exchange(
+    address: Address,
+    message: PartMessage,
+  ): Promise<Result<PartAnswer>> {
+    const response = await requestJson({
+      method: 'POST',
+      url: `http://${formatAddress(address)}${partPath}`,
+      body: message,
+      timeoutMs: partTimeoutMs,
+      agent: this.agent,
+    });
+    if (response.err) {
+      return response;
+    }
+    const answer =
+      response.val.status === 200
+        ? parsePartAnswer(response.val.body)
+        : undefined;
+    return answer ? Ok(answer) : Err(createAnswerError(address));
+  }
+}
+
+const createAnswerError = (address: Address): TypedError =>
+  new TypedError(
+    ErrorKind.BadMessage,
+    `the gateway at ${formatAddress(address)} did not answer a message about prompt parts`,
+    'check that it runs a version that knows these messages',
+  );
--- /dev/null
+++ b/packages/gateway/src/parts/partExchange.ts
@@ -0,0 +1,186 @@
+/**
+ * Exchanges records of prompt parts with the gateways of all failure domains.
+ *
+ * Changes are sent to all of them at once. Messages get lost, and gateways start
+ * without records, so each gateway also compares its records with those of a few
+ * others. Neither the store nor a relay takes part. Context of the charts
+ * `partPush` and `partPull`.
+ */
+import type { ChartInstance, ChartTimers } from '@lycheetally/charts';
+import type { Address, Milliseconds, Result } from '@lycheetally/common';
+import {
+  partComparedPeers,
+  partJoinPeers,
+  partSettlingMs,
+} from './exchangeConstants.js';
+import { PartClient } from './partClient.js';
+import type {
+  PartPullEvent,
+  PartPullMachine,
+  PartPushEvent,
+  PartPushMachine,
+} from './partExchangeCharts.js';
+import {
+  trimRecords,
+  type PartAnswer,
+  type PartMessage,
+} from './partMessage.js';
+import type { PartPeer, PartPeerMachine } from './partPeer.js';
+import { PartPeers } from './partPeers.js';
+import type { PromptPartTracker } from './promptPartTracker.js';
+import { SentRecords, computeDigest } from './recordDigests.js';
+
+export interface PartExchangeServices {
+  readonly timers: ChartTimers;
+  readonly tracker: PromptPartTracker;
+  /** Addresses of all other known gateways. */
+  listPeers(): readonly Address[];
+  postCompletion(run: (now: Milliseconds) => void): void;
+  countMessage(isAnswered: boolean): void;
+}
+
+export interface PartMachines {
+  readonly push: PartPushMachine;
+  readonly pull: PartPullMachine;
+  readonly peer: PartPeerMachine;
+}
+
+export class PartExchange {
+  private readonly client = new PartClient();
+  private readonly sent = new SentRecords();
+  private readonly peers: PartPeers;
+  private readonly push: ChartInstance<PartExchange, PartPushEvent>;
+  private readonly pull: ChartInstance<PartExchange, PartPullEvent>;
+  private startedAt: Milliseconds = 0;
+  private pushedRevision: number;
+
+  constructor(
+    machines: PartMachines,
+    private readonly services: PartExchangeServices,
+  ) {
+    const { timers, tracker } = services;
+    this.peers = new PartPeers(machines.peer, timers, () =>
+      services.listPeers(),
+    );
+    this.push = machines.push.createInstance(this, timers);
+    this.pull = machines.pull.createInstance(this, timers);
+    this.pushedRevision = tracker.revision;
+  }
+
+  start(now: Milliseconds): void {
+    this.startedAt = now;
+    this.push.start(now);
+    this.pull.start(now);
+  }
+
+  /** Handles a change of the tracker's records. */
+  noteChanged(now: Milliseconds): void {
+    this.push.send({ type: 'CHANGED' }, now);
+    this.pull.send({ type: 'CHANGED' }, now);
+  }
+
+  /** Takes in another gateway's message and returns the answer. */
+  receive(message: PartMessage, now: Milliseconds): PartAnswer {
+    this.merge(message.records, now);
+    if (message.digest === undefined) {
+      return { isSame: true, records: [] };
+    }
+    const records = this.listRecords(now);
+    const isSame = computeDigest(records) === message.digest;
+    return { isSame, records: isSame ? [] : records };
+  }
+
+  dispose(): void {
+    this.push.dispose();
+    this.pull.dispose();
+    this.peers.dispose();
+    this.client.dispose();
+  }
+
+  /** Actions and guards of the charts. */
+  readonly chartActions = {
+    pushChanges: (now: Milliseconds): void => {
+      this.pushedRevision = this.services.tracker.revision;
+      const all = this.listRecords(now);
+      const changed = this.sent.filterChanged(all);
+      this.sent.keepAll(all);
+      for (const peer of this.peers.listReachable(now)) {
+        this.sendRecords(peer, peer.hasMissed ? all : changed);
+      }
+      if (changed.length > 0) {
+        this.peers.noteMissed();
+      }
+    },
+    requestAtStart: (now: Milliseconds): void => {
+      this.compare(partJoinPeers, now);
+    },
+    requestComparison: (now: Milliseconds): void => {
+      this.compare(partComparedPeers, now);
+    },
+    hasUnsent: (now: Milliseconds): boolean =>
+      this.services.tracker.revision !== this.pushedRevision ||
+      (this.peers.hasMissed && this.listRecords(now).length > 0),
+    mayHaveMissed: (now: Milliseconds): boolean =>
+      now - this.startedAt < partSettlingMs || this.listRecords(now).length > 0,
+  };
+
+  private listRecords(now: Milliseconds): PartMessage['records'] {
+    return trimRecords(this.services.tracker.listRecords(now));
+  }
+
+  private merge(records: PartMessage['records'], now: Milliseconds): void {
+    if (records.length === 0) {
+      return;
+    }
+    const before = this.listRecords(now);
+    this.services.tracker.mergeRecords(records, now);
+    this.sent.keepMerged(before, this.listRecords(now));
+  }
+
+  private compare(count: number, now: Milliseconds): void {
+    const digest = computeDigest(this.listRecords(now));
+    for (const peer of this.peers.listReachable(now).slice(0, count)) {
+      this.send(peer, { digest, records: [] }, (answer, answeredAt) => {
+        this.pull.send({ type: 'ANSWERED' }, answeredAt);
+        this.merge(answer.records, answeredAt);
+        const records = this.listRecords(answeredAt);
+        if (!answer.isSame && records.length > 0) {
+          this.sendRecords(peer, records);
+        }
+      });
+    }
+  }
+
+  private sendRecords(peer: PartPeer, records: PartMessage['records']): void {
+    if (records.length === 0) {
+      return;
+    }
+    peer.hasMissed = false;
+    this.send(peer, { records }, () => undefined);
+  }
+
+  private send(
+    peer: PartPeer,
+    message: PartMessage,
+    handleAnswer: (answer: PartAnswer, now: Milliseconds) => void,
+  ): void {
+    void this.client.send(peer.address, message).then(result => {
+      this.services.postCompletion(now => {
+        this.finish(peer, result, handleAnswer, now);
+      });
+    });
+  }
+
+  private finish(
+    peer: PartPeer,
+    result: Result<PartAnswer>,
+    handleAnswer: (answer: PartAnswer, now: Milliseconds) => void,
+    now: Milliseconds,
+  ): void {
+    this.services.countMessage(result.ok);
+    peer.noteResult(result.ok, now);
+    if (result.ok) {
+      handleAnswer(result.val, now);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/parts/partMessage.ts
@@ -0,0 +1,84 @@
+/** The messages in which gateways exchange records of prompt parts: HTTP POST with JSON bodies. */
+import { z } from 'zod';
+import type { PromptPartRecord } from './promptPartTracker.js';
+
+/** Path of the messages at the address that gateways announce. */
+export const partPath = '/parts';
+
+/** Largest message that is read, in bytes. */
+export const maxPartMessageBytes = 1_024 * 1_024;
+
+/** Records in one message. */
+const maxRecords = 512;
+
+/** Crashes in one record. */
+const maxSightings = 32;
+
+/** Characters of a name. */
+const maxNameLength = 128;
+
+const nameSchema = z.string().min(1).max(maxNameLength);
+const ageSchema = z.number().min(0);
+
+const recordSchema = z.object({
+  service: nameSchema,
+  part: nameSchema,
+  sightings: z
+    .array(
+      z.object({ crash: nameSchema, requestId: nameSchema, ageMs: ageSchema }),
+    )
+    .max(maxSightings),
+  servedAgeMs: ageSchema.optional(),
+  refusedAgeMs: ageSchema.optional(),
+});
+
+const recordsSchema = z.array(recordSchema).max(maxRecords);
+
+const messageSchema = z.object({
+  digest: z.number().int().optional(),
+  records: recordsSchema,
+});
+
+const answerSchema = z.object({
+  isSame: z.boolean(),
+  records: recordsSchema,
+});
+
+/** What one gateway sends to another. */
+export interface PartMessage {
+  /** Digest of the sender's records, if the receiver is to compare its own with it. */
+  readonly digest?: number | undefined;
+  readonly records: readonly PromptPartRecord[];
+}
+
+/** What the other gateway answers: its own records, if they are to be compared and differ. */
+export interface PartAnswer {
+  /** Whether the receiver's records have the same digest. */
+  readonly isSame: boolean;
+  readonly records: readonly PromptPartRecord[];
+}
+
+/** Parses a message; returns `undefined` if it is malformed. */
+export const parsePartMessage = (body: unknown): PartMessage | undefined =>
+  messageSchema.safeParse(body).data;
+
+/** Parses an answer; returns `undefined` if it is malformed. */
+export const parsePartAnswer = (body: unknown): PartAnswer | undefined =>
+  answerSchema.safeParse(body).data;
+
+/** Keeps the records within the limits of a message. */
+export const trimRecords = (
+  records: readonly PromptPartRecord[],
+): readonly PromptPartRecord[] =>
+  records
+    .filter(({ service, part }) => isName(service) && isName(part))
+    .slice(0, maxRecords)
+    .map(record => ({
+      ...record,
+      sightings: record.sightings
+        .filter(({ crash, requestId }) => isName(crash) && isName(requestId))
+        .slice(0, maxSightings),
+    }));
+
+const isName = (text: string): boolean =>
+  text.length > 0 && text.length <= maxNameLength;
--- /dev/null
+++ b/packages/gateway/src/parts/partReceiver.ts
@@ -0,0 +1,72 @@
+/** Reads messages about prompt parts that other gateways send; malformed ones are refused and logged now and then. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  toMessage,
+  type ComponentLogger,
+  type Milliseconds,
+} from '@lycheetally/common';
+import { parseJson, readBody } from '@lycheetally/node';
+import { malformedLogIntervalMs } from './exchangeConstants.js';
+import {
+  maxPartMessageBytes,
+  parsePartMessage,
+  type PartAnswer,
+  type PartMessage,
+} from './partMessage.js';
+
+export interface PartReceiverServices {
+  readonly log: ComponentLogger;
+  postCompletion(run: (now: Milliseconds) => void): void;
+  receiveMessage(message: PartMessage, now: Milliseconds): PartAnswer;
+}
+
+const badMessageStatus = 400;
+
+export class PartReceiver {
+  private refused = 0;
+  private loggedAt: Milliseconds = -Infinity;
+
+  constructor(private readonly services: PartReceiverServices) {}
+
+  receive(incoming: IncomingMessage, response: ServerResponse): void {
+    readBody(incoming, maxPartMessageBytes).then(
+      body => {
+        const message = parsePartMessage(parseJson(body.toString()));
+        if (message) {
+          this.answer(message, response);
+        } else {
+          this.refuse('it is not a message about prompt parts', response);
+        }
+      },
+      (thrown: unknown) => {
+        this.refuse(toMessage(thrown), response);
+      },
+    );
+  }
+
+  private answer(message: PartMessage, response: ServerResponse): void {
+    this.services.postCompletion(now => {
+      const answer = this.services.receiveMessage(message, now);
+      const body = JSON.stringify(answer);
+      response.writeHead(200, {
+        'Content-Type': 'application/json',
+        'Content-Length': Buffer.byteLength(body),
+      });
+      response.end(body);
+    });
+  }
+
+  private refuse(reason: string, response: ServerResponse): void {
+    response.writeHead(badMessageStatus, { Connection: 'close' }).end();
+    this.services.postCompletion(now => {
+      this.refused += 1;
+      if (now - this.loggedAt >= malformedLogIntervalMs) {
+        this.loggedAt = now;
+        this.services.log.warn('A message of another gateway was refused.', {
+          reason,
+          refused: this.refused,
+        });
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/parts/recordDigests.ts
@@ -0,0 +1,61 @@
+/** Digests that tell which records of prompt parts changed; ages, which always do, are left out. */
+import { hashText } from '@lycheetally/common';
+import type { PromptPartRecord } from './promptPartTracker.js';
+
+const separator = '\0';
+
+const describeRecord = (record: PromptPartRecord): string =>
+  [
+    record.service,
+    record.part,
+    String(record.refusedAgeMs !== undefined),
+    String(record.servedAgeMs !== undefined),
+    ...record.sightings
+      .map(({ crash, requestId }) => `${crash}${separator}${requestId}`)
+      .sort(),
+  ].join(separator);
+
+/** Returns one digest of all records, in any order. */
+export const computeDigest = (records: readonly PromptPartRecord[]): number =>
+  hashText(records.map(describeRecord).sort().join(separator));
+
+/** Remembers which records the other gateways were sent, or sent themselves. */
+export class SentRecords {
+  private digests = new Map<string, number>();
+
+  /** Returns the records that changed since they were kept. */
+  filterChanged(records: readonly PromptPartRecord[]): PromptPartRecord[] {
+    return records.filter(record => this.hasChanged(record));
+  }
+
+  /** Keeps the records as they are now, and drops all others. */
+  keepAll(records: readonly PromptPartRecord[]): void {
+    this.digests = new Map(records.map(toDigestEntry));
+  }
+
+  /** Keeps the records as they are after another gateway's were merged, except those that it does not know of. */
+  keepMerged(
+    before: readonly PromptPartRecord[],
+    after: readonly PromptPartRecord[],
+  ): void {
+    const unsent = new Set(this.filterChanged(before).map(formatKey));
+    const known = after.filter(record => !unsent.has(formatKey(record)));
+    for (const [key, digest] of known.map(toDigestEntry)) {
+      this.digests.set(key, digest);
+    }
+  }
+
+  private hasChanged(record: PromptPartRecord): boolean {
+    const [key, digest] = toDigestEntry(record);
+    return this.digests.get(key) !== digest;
+  }
+}
+
+const toDigestEntry = (record: PromptPartRecord): [string, number] => [
+  formatKey(record),
+  hashText(describeRecord(record)),
+];
+
+/** A part may have one record of crashes before an answer, and one of later crashes. */
+const formatKey = ({ service, part, servedAgeMs }: PromptPartRecord): string =>
+  [service, part, String(servedAgeMs !== undefined)].join(separator);
