Treat a stream without length that ends before its first event as broken off

What callers saw: a stream with neither a length nor chunks whose server closed the connection after the head was passed on as complete, with no event.

Cause: the end of the connection was taken for the end of the stream whenever no event was half received, and before the first event none is.

Change: such a stream has been broken off. It goes on at another server if it may, and is cut otherwise.

Tests seen to fail before: platform/tests/unframedStreams.test.ts, 'goes on elsewhere when it ends before its first event' and 'never ends as complete when it ends before its first event and cannot go on'. The other nine cases of that file passed before.

--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -169,16 +169,8 @@
       this.send({ type: 'NOT_RUN', fault: createRefusalFault(head) });
     } else if (!isSuccess(head.status)) {
       this.send({ type: 'ERROR', fault: createErrorFault(head) });
-    } else if (
-      this.mode === ResponseMode.Streamed &&
-      this.call.events?.isAtBoundary === false
-    ) {
-      this.failExchange(
-        'the stream ended inside an event',
-        !head.fields.isFramed,
-      );
     } else {
-      this.send({ type: 'COMPLETE' });
+      this.finishBody(head);
     }
   }
 
@@ -325,6 +317,19 @@
     this.handleFailure({ reason, isClosedByServer });
   }
 
+  private finishBody({ fields }: BackendHead): void {
+    const { call } = this;
+    const isStream = this.mode === ResponseMode.Streamed;
+    if (isStream && call.events?.isAtBoundary === false) {
+      const reason = 'the stream ended inside an event';
+      this.failExchange(reason, !fields.isFramed);
+    } else if (isStream && !fields.isFramed && call.eventsReceived === 0) {
+      this.failExchange('the stream ended before its first event', true);
+    } else {
+      this.send({ type: 'COMPLETE' });
+    }
+  }
+
   /** Ends an exchange whose server sends more than any sound answer has. */
   private failOverflow(reason: string): void {
     this.exchange?.close();
