--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attemptProgress.ts
@@ -40,8 +40,11 @@
   /** Records that the server closed the connection; an answer that another server had begun clears the prompt. */
   noteBroken(server: BrokenServer, now: Milliseconds): void {
     const { services } = this.call;
-    if (!this.isUnderWay && this.eventsBefore === 0) {
-      services.promptParts.noteBroken(toPromptCall(this.call), server, now);
+    const prompt = toPromptCall(this.call);
+    const hardlyBegan = !this.isUnderWay && this.eventsBefore === 0;
+    if (hardlyBegan && prompt.parts.length > 0) {
+      services.metrics.countPartBreak(prompt.service);
+      services.promptParts.noteBroken(prompt, server, now);
     }
   }
 }
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -17,7 +17,11 @@
 } from './constants.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
-import { decideFirstAttempt, findRepeatFault } from './parts/promptCalls.js';
+import {
+  decideFirstAttempt,
+  findRepeatFault,
+  noteRefusedRepeat,
+} from './parts/promptCalls.js';
 
 export type CallMachine = ChartMachine<GatewayCall, CallEvent>;
 type CallAction = ChartAction<GatewayCall, CallEvent>;
@@ -75,6 +79,7 @@
 };
 
 const setPromptError: CallAction = (call, event, now) => {
+  noteRefusedRepeat(call);
   call.fault = findRepeatFault(call, now) ?? event?.fault ?? call.fault;
 };
 
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -2,6 +2,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { LayerPlacer } from './layerPlacer.js';
 import type { GatewayNews } from './news/gatewayNews.js';
+import type { PromptParts } from './parts/promptParts.js';
 import type { ConnectionCounts } from './safeReuseAgent.js';
 
 /** Sources of the gauges' values. */
@@ -10,6 +11,7 @@
   readonly placer: LayerPlacer;
   countCalls(): number;
   readonly news: GatewayNews;
+  readonly promptParts: PromptParts;
   countUnreadable(): number;
   getVersion(): number;
 }
@@ -57,6 +59,16 @@
       'Gateways that it knows, itself included',
       () => sources.news.peerCount,
     ],
+    [
+      'parts_tracked',
+      'Parts of prompts that were there when a server crashed',
+      () => sources.promptParts.trackedCount,
+    ],
+    [
+      'parts_refused',
+      'Parts of prompts with which calls are refused',
+      () => sources.promptParts.refusedCount,
+    ],
     [
       'unreadable_records',
       'Records of servers that could not be read',
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -44,6 +44,18 @@
     help: 'Reads of the store that another gateway answered since the start',
     registers: [this.registry],
   });
+  private readonly partRefusals = new Counter({
+    name: `${prefix}part_refusals_total`,
+    help: 'Calls refused for a part of their prompt, at admission or when they would have been sent again',
+    labelNames: ['service', 'at'],
+    registers: [this.registry],
+  });
+  private readonly partBreaks = new Counter({
+    name: `${prefix}part_breaks_total`,
+    help: 'Attempts that their server broke before the second event, and that name parts of a prompt',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly partMessages = new Counter({
     name: `${prefix}part_messages_total`,
     help: 'Messages about prompt parts to other gateways, by whether they were answered',
@@ -114,6 +126,14 @@
     (isRelayed ? this.relayedReads : this.storeReads).inc();
   }
 
+  countPartRefusal(service: string, at: 'admission' | 'repeat'): void {
+    this.partRefusals.inc({ service, at });
+  }
+
+  countPartBreak(service: string): void {
+    this.partBreaks.inc({ service });
+  }
+
   countPartMessage(isAnswered: boolean): void {
     this.partMessages.inc({ answered: String(isAnswered) });
   }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -151,6 +151,7 @@
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
+      promptParts: this.promptParts,
     });
   }
 
--- a/packages/gateway/src/parts/promptCalls.ts
+++ b/packages/gateway/src/parts/promptCalls.ts
@@ -24,13 +24,16 @@
   if (prompt.parts.length === 0) {
     return undefined;
   }
-  const decision = call.services.promptParts.decideFirstAttempt(prompt, now);
-  return decision.isAllowed
-    ? undefined
-    : createPromptFault(
-        `backend servers crash when they begin to answer a prompt with the part ${decision.part}; send the call without it`,
-        decision.retryAfterMs,
-      );
+  const { promptParts, metrics } = call.services;
+  const decision = promptParts.decideFirstAttempt(prompt, now);
+  if (decision.isAllowed) {
+    return undefined;
+  }
+  metrics.countPartRefusal(prompt.service, 'admission');
+  return createPromptFault(
+    `backend servers crash when they begin to answer a prompt with the part ${decision.part}; send the call without it`,
+    decision.retryAfterMs,
+  );
 };
 
 /** Returns the fault if a part of its prompt forbids to send a broken call once more; nothing forbids to resume an answer that was under way. */
@@ -55,6 +58,13 @@
       );
 };
 
+export const noteRefusedRepeat = ({
+  services,
+  admitted,
+}: GatewayCall): void => {
+  services.metrics.countPartRefusal(admitted?.service.name ?? '', 'repeat');
+};
+
 const createPromptFault = (
   message: string,
   retryAfterMs: Milliseconds,
--- a/packages/gateway/src/parts/promptParts.ts
+++ b/packages/gateway/src/parts/promptParts.ts
@@ -10,7 +10,10 @@
   type Milliseconds,
 } from '@lycheetally/common';
 import { UnservedPart } from '@lycheetally/decisions';
-import { createPromptPartTracker } from './crashingPartTracker.js';
+import {
+  createPromptPartTracker,
+  type CrashingPartTracker,
+} from './crashingPartTracker.js';
 import { PartExchange } from './partExchange.js';
 import { bindPartCharts } from './partExchangeCharts.js';
 import { PartReceiver } from './partReceiver.js';
@@ -29,13 +32,14 @@
 
 export class PromptParts implements Disposable {
   readonly tracker: PromptPartTracker;
+  private readonly found: CrashingPartTracker;
   private readonly exchange: PartExchange;
   private readonly receiver: PartReceiver;
   private readonly disposables = new DisposableStore();
 
   constructor(gatewayId: string, services: PromptPartsServices) {
     const { timers, log } = services;
-    const found = this.disposables.add(
+    this.found = this.disposables.add(
       createPromptPartTracker({
         machine: getOrThrow(bindPartChart()),
         timers,
@@ -44,7 +48,7 @@
         gatewayId,
       }),
     );
-    this.tracker = new WatchedTracker(found, () => {
+    this.tracker = new WatchedTracker(this.found, () => {
       // Records that another gateway sent are kept as known before changes are sent.
       services.postCompletion(now => {
         this.exchange.noteChanged(now);
@@ -65,6 +69,16 @@
     });
   }
 
+  /** Parts that were there when a server crashed. */
+  get trackedCount(): number {
+    return this.found.trackedParts;
+  }
+
+  /** Parts with which calls are refused. */
+  get refusedCount(): number {
+    return this.found.refusedParts;
+  }
+
   start(now: Milliseconds): void {
     this.exchange.start(now);
   }
