--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -41,6 +41,10 @@
   NewsRelay: 'newsRelay',
   RelayTrust: 'relayTrust',
   PeerRecord: 'peerRecord',
+  PromptPart: 'promptPart',
+  PartPush: 'partPush',
+  PartPull: 'partPull',
+  PartPeer: 'partPeer',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -10,6 +10,7 @@
 import {
   BackendListener,
   type BackendExchange,
+  type BackendFailure,
   type BackendHead,
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
@@ -21,6 +22,7 @@
   streamStallCheckMs,
 } from './constants.js';
 import { AttemptBlame } from './attemptBlame.js';
+import { AttemptProgress } from './attemptProgress.js';
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
@@ -40,6 +42,8 @@
     | 'SERVER_LOST'
     | 'CANCEL';
   readonly fault?: CallFault | undefined;
+  /** Whether the server closed the connection. */
+  readonly isClosedByServer?: boolean | undefined;
   /** Id of a server of the chain that is lost or cannot run its part. */
   readonly lost?: string | undefined;
 }
@@ -70,6 +74,7 @@
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
+  readonly progress: AttemptProgress;
 
   constructor(
     readonly call: GatewayCall,
@@ -80,6 +85,7 @@
     super();
     const { services } = call;
     this.lastActivityAt = startedAt;
+    this.progress = new AttemptProgress(call);
     this.servers = new AttemptServers(
       services.serverRegistry,
       admitted,
@@ -163,18 +169,14 @@
       this.send({ type: 'NOT_RUN', fault: createRefusalFault(head) });
     } else if (!isSuccess(head.status)) {
       this.send({ type: 'ERROR', fault: createErrorFault(head) });
-    } else if (
-      this.mode === ResponseMode.Streamed &&
-      this.call.events?.isAtBoundary === false
-    ) {
-      this.failExchange('the stream ended inside an event');
     } else {
-      this.send({ type: 'COMPLETE' });
+      this.finishBody(head);
     }
   }
 
-  override handleFailure(reason: string): void {
-    this.send({ type: 'BROKEN', fault: createBackendFault(reason) });
+  override handleFailure({ reason, isClosedByServer }: BackendFailure): void {
+    const fault = createBackendFault(reason);
+    this.send({ type: 'BROKEN', fault, isClosedByServer });
   }
 
   /** Actions, guards and delays of the chart. */
@@ -226,6 +228,9 @@
       this.fault = event?.fault ?? this.fault;
       const message = this.fault?.message ?? '';
       this.blame.reportFault(event?.type ?? 'BROKEN', message, now);
+      if (event?.isClosedByServer) {
+        this.progress.noteBroken(this.chosen.first.record, now);
+      }
     },
     setError: (event: AttemptEvent | undefined): void => {
       this.fault = event?.fault;
@@ -239,6 +244,7 @@
     },
     reportComplete: (now: Milliseconds): void => {
       this.chosen.first.noteSuccess(now);
+      this.progress.noteComplete(now);
       this.call.instance?.send({ type: 'ATTEMPT_COMPLETE' }, now);
     },
     reportNotRun: (now: Milliseconds): void => {
@@ -283,7 +289,11 @@
       reason: fault?.message ?? '',
       afterMs: Math.round(now - this.startedAt),
       lastEvent: call.events?.lastEventId ?? '',
+      events: this.progress.events,
       retriesLeft: this.countRetries(now),
+      ...(type === 'ATTEMPT_BROKEN' && !this.progress.isUnderWay
+        ? { parts: call.received.fields.promptParts.join(',') }
+        : {}),
     });
     call.instance?.send({ type, fault }, now);
   }
@@ -302,9 +312,22 @@
   }
 
   /** Ends an exchange that cannot complete the call. */
-  failExchange(reason: string): void {
+  failExchange(reason: string, isClosedByServer = false): void {
     this.exchange?.close();
-    this.handleFailure(reason);
+    this.handleFailure({ reason, isClosedByServer });
+  }
+
+  private finishBody({ fields }: BackendHead): void {
+    const { call } = this;
+    const isStream = this.mode === ResponseMode.Streamed;
+    if (isStream && call.events?.isAtBoundary === false) {
+      const reason = 'the stream ended inside an event';
+      this.failExchange(reason, !fields.isFramed);
+    } else if (isStream && !fields.isFramed && call.eventsReceived === 0) {
+      this.failExchange('the stream ended before its first event', true);
+    } else {
+      this.send({ type: 'COMPLETE' });
+    }
   }
 
   /** Ends an exchange whose server sends more than any sound answer has. */
@@ -363,6 +386,7 @@
     const { bytes, newEvents } = accepted.val;
     if (newEvents > 0) {
       this.noteActivity();
+      this.progress.noteEvents(newEvents);
       call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -21,6 +21,7 @@
 import type { DrainPeriod } from './drainPeriod.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { PromptPartTracker } from './parts/promptPartTracker.js';
 import type { ServerControlPort } from './ports.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import type { ServerLossHandler } from './serverLossHandler.js';
@@ -31,6 +32,7 @@
     | 'REFUSED'
     | 'ROUTED'
     | 'UNROUTABLE'
+    | 'PROMPT_REFUSED'
     | 'ATTEMPT_COMPLETE'
     | 'ATTEMPT_NOT_RUN'
     | 'ATTEMPT_ERROR'
@@ -68,6 +70,7 @@
   readonly responseMemory: ResponseMemory<GatewayAttempt>;
   readonly drainPeriod: DrainPeriod;
   readonly durationForecast: DurationForecast;
+  readonly promptParts: PromptPartTracker;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
   readonly revokeTimeoutMs: Milliseconds;
@@ -115,6 +118,8 @@
   drainForecast: DrainForecast | undefined;
   /** Events of a streamed response, over all attempts. */
   events: EventStream | undefined;
+  /** Events that servers sent for this call, over all attempts, each once. */
+  eventsReceived = 0;
   /** Servers that refused or failed this call. */
   readonly avoided = new Set<string>();
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -71,6 +71,7 @@
 import { ServerLossHandler } from './serverLossHandler.js';
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
+import { PromptParts } from './parts/promptParts.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
 export interface GatewayPorts extends NewsSources {
@@ -100,6 +101,7 @@
   private readonly lossHandler: ServerLossHandler;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
+  private readonly promptParts: PromptParts;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
   private readonly drainPeriod = new DrainPeriod();
@@ -133,6 +135,7 @@
         this.lossHandler.handleLost(server, now);
       },
     );
+    this.promptParts = this.createPromptParts();
     this.news = this.createNews();
     this.lossHandler = this.createLossHandler();
     this.placer = this.createPlacer(startedAt);
@@ -161,6 +164,7 @@
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
+      promptParts: this.promptParts,
     });
   }
 
@@ -189,6 +193,7 @@
     this.post(now => {
       this.lifecycle.start(now);
       this.news.start(now);
+      this.promptParts.start(now);
       this.placer.start(now);
     });
     this.log.info('The gateway started.', {
@@ -218,6 +223,7 @@
     this.pages.dispose();
     this.backend.dispose();
     this.news.dispose();
+    this.promptParts.dispose();
     this.placer.dispose();
   }
 
@@ -361,6 +367,9 @@
       countNews: isRelayed => {
         this.metrics.countNews(isRelayed);
       },
+      receiveParts: (incoming, response) => {
+        this.promptParts.receive(incoming, response);
+      },
       applyConfigurations: (records, _, now) => {
         this.applyConfigurations(records, now);
       },
@@ -370,6 +379,20 @@
     });
   }
 
+  private createPromptParts(): PromptParts {
+    return new PromptParts(this.settings.process.id, {
+      timers: this.loop,
+      log: this.loggers.createLogger(LogComponent.Prompts),
+      listPeers: () => this.news.listPeers(),
+      postCompletion: run => {
+        this.post(run);
+      },
+      countMessage: isAnswered => {
+        this.metrics.countPartMessage(isAnswered);
+      },
+    });
+  }
+
   private createLossHandler(): ServerLossHandler {
     return new ServerLossHandler(getOrThrow(bindCheckChart()), {
       timers: this.loop,
@@ -422,6 +445,7 @@
       retryPolicy: this.retryBudget,
       serverRegistry: this.serverRegistry,
       attemptMachine: getOrThrow(bindAttemptChart()),
+      promptParts: this.promptParts.tracker,
       responseMemory: new LargestFirstMemory(maxResponseMemoryBytes),
       homeDomain: process.failureDomain,
       revokeTimeoutMs: rules.revokeMs,
--- /dev/null
+++ b/packages/gateway/src/parts/serviceParts.ts
@@ -0,0 +1,113 @@
+/** The tracked parts of one service's prompts, within a limit, and when it wrote answers. */
+import {
+  ServingTimes,
+  Suspicion,
+  isExplained,
+  type BlamePolicy,
+  type Sighting,
+} from '@lycheetally/decisions';
+import type { Milliseconds } from '@lycheetally/common';
+import {
+  maxPartsPerCall,
+  maxTrackedIdLength,
+  maxTrackedParts,
+  servingResolutionMs,
+  sightingLifetimeMs,
+} from '../constants.js';
+import { PromptPart, type PartServices } from './promptPart.js';
+
+export class ServiceParts {
+  /** When answers were written, here or elsewhere. */
+  readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
+  private readonly parts = new Map<string, PromptPart>();
+
+  constructor(
+    private readonly services: PartServices,
+    readonly service: string,
+  ) {}
+
+  get size(): number {
+    return this.parts.size;
+  }
+
+  list(): PromptPart[] {
+    return [...this.parts.values()];
+  }
+
+  /** Finds the tracked ones of a call's parts. */
+  findAll(parts: readonly string[]): PromptPart[] {
+    if (this.parts.size === 0) {
+      return [];
+    }
+    return listCandidates(parts).flatMap(part => this.parts.get(part) ?? []);
+  }
+
+  remove(part: PromptPart): void {
+    this.parts.delete(part.part);
+    part.dispose();
+  }
+
+  /** Judges a part by the crashes that no other part explains better. */
+  decideSuspicion(
+    part: PromptPart,
+    policy: BlamePolicy,
+    now: Milliseconds,
+  ): Suspicion {
+    part.sightings.removeBefore(now - sightingLifetimeMs);
+    const crashes = part.sightings.listLive().map(sighting => ({
+      ...sighting,
+      servedAfterMs: this.servings.computePause(sighting.at),
+    }));
+    if (policy.decideSuspicion(crashes, now) === Suspicion.None) {
+      return Suspicion.None;
+    }
+    const unexplained = crashes.filter(
+      crash => !isExplained(part, this.listPresent(crash)),
+    );
+    return policy.decideSuspicion(unexplained, now);
+  }
+
+  /** Returns the part, tracked from now on. */
+  add(id: string, now: Milliseconds): PromptPart {
+    const known = this.parts.get(id);
+    if (known) {
+      return known;
+    }
+    this.trim();
+    const { services, service } = this;
+    const part = new PromptPart(services, service, id, now);
+    this.parts.set(id, part);
+    return part;
+  }
+
+  private listPresent({ crash }: Sighting): PromptPart[] {
+    return this.list().filter(({ sightings }) => sightings.has(crash));
+  }
+
+  /** Makes room: drops an eighth of the parts, those with the fewest and oldest crashes, refused ones last. */
+  private trim(): void {
+    if (this.parts.size < maxTrackedParts) {
+      return;
+    }
+    const least = this.list()
+      .sort(compareWeight)
+      .slice(0, maxTrackedParts / 8);
+    for (const part of least) {
+      this.remove(part);
+    }
+  }
+}
+
+const compareWeight = (a: PromptPart, b: PromptPart): number =>
+  Number(a.isBlamed) - Number(b.isBlamed) ||
+  a.crashCount - b.crashCount ||
+  a.newestAt - b.newestAt;
+
+/** The parts of a call that are considered. */
+export const listCandidates = (parts: readonly string[]): string[] => [
+  ...new Set(
+    parts
+      .slice(0, maxPartsPerCall)
+      .filter(({ length }) => length <= maxTrackedIdLength),
+  ),
+];
