Find the parts of prompts that crash servers

Cause: nothing links the crashes of different servers.

Change: a tracker that holds each crash against the parts of the calls that it broke, until an answer on the part is written, and refuses calls with a part that was there at three separate crashes, of two requests, while other calls were served. Several gateways join what they saw. Nothing calls it yet, so no behaviour changes.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -41,6 +41,7 @@
   NewsRelay: 'newsRelay',
   RelayTrust: 'relayTrust',
   PeerRecord: 'peerRecord',
+  PromptPart: 'promptPart',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -20,6 +20,7 @@
   Store: 'store',
   Servers: 'servers',
   Layers: 'layers',
+  Prompts: 'prompts',
   Process: 'process',
   StandIn: 'stand-in',
 } as const;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -37,3 +37,4 @@
 export * from './workOrder.js';
 export * from './gateway/index.js';
 export * from './placement/index.js';
+export * from './suspects/index.js';
--- /dev/null
+++ b/packages/decisions/src/suspects/blamePolicy.ts
@@ -0,0 +1,144 @@
+/** Decides whether a part of prompts crashes the backend servers that begin to answer on it. */
+import type { Milliseconds, ValueOf } from '@lycheetally/common';
+
+/** How a part is regarded. */
+export const Suspicion = {
+  None: 'none',
+  /** Calls with the part are sent sparingly and not repeated. */
+  Suspected: 'suspected',
+  /** Calls with the part are refused. */
+  Blamed: 'blamed',
+} as const;
+export type Suspicion = ValueOf<typeof Suspicion>;
+
+/** A crash of a server that had not begun to answer a call with the part. */
+export interface PartCrash {
+  readonly at: Milliseconds;
+  readonly requestId: string;
+}
+
+/** What a gateway knows about one part since an answer on it was last written. */
+export interface PartEvidence {
+  /** Crashes that no other part explains better, oldest first. */
+  readonly crashes: readonly PartCrash[];
+  /** Answers without the part, of the same service, that are known to have been written meanwhile. */
+  readonly servedOthers: number;
+}
+
+/** Strategy that decides which parts are to blame. */
+export abstract class BlamePolicy {
+  abstract decideSuspicion(
+    evidence: PartEvidence,
+    now: Milliseconds,
+  ): Suspicion;
+
+  /** Whether an earlier verdict, also of another gateway, holds with this many crashes. */
+  abstract mayHold(crashes: number): boolean;
+}
+
+/** The baseline: no part is ever blamed. */
+export class BlameNobody extends BlamePolicy {
+  override decideSuspicion(): Suspicion {
+    return Suspicion.None;
+  }
+
+  override mayHold(): boolean {
+    return false;
+  }
+}
+
+export interface BlameThresholds {
+  readonly minCrashes: number;
+  /** Separate moments of crashes; the crashes of one moment may have a common cause, such as a power failure. */
+  readonly minMoments: number;
+  /** Moments from which a part is suspected. */
+  readonly minSuspectMoments: number;
+  readonly minRequests: number;
+  /** Answers without the part; while none are written, something else is wrong. */
+  readonly minServedOthers: number;
+  readonly momentMs: Milliseconds;
+  /** Time since the first crash in which news of answers elsewhere arrive. */
+  readonly settleMs: Milliseconds;
+}
+
+export const defaultBlameThresholds: BlameThresholds = {
+  minCrashes: 3,
+  minMoments: 3,
+  minSuspectMoments: 2,
+  minRequests: 2,
+  minServedOthers: 3,
+  momentMs: 300,
+  settleMs: 1_000,
+};
+
+/** Blames a part on which no answer was written through several separate crashes, while others were. */
+export class UnservedPart extends BlamePolicy {
+  constructor(private readonly thresholds = defaultBlameThresholds) {
+    super();
+  }
+
+  override decideSuspicion(
+    evidence: PartEvidence,
+    now: Milliseconds,
+  ): Suspicion {
+    const { crashes, servedOthers } = evidence;
+    const { thresholds } = this;
+    const moments = countMoments(crashes, thresholds.momentMs);
+    if (
+      servedOthers < thresholds.minServedOthers ||
+      moments < thresholds.minSuspectMoments
+    ) {
+      return Suspicion.None;
+    }
+    const requests = new Set(crashes.map(({ requestId }) => requestId)).size;
+    const isBlamed =
+      crashes.length >= thresholds.minCrashes &&
+      moments >= thresholds.minMoments &&
+      requests >= thresholds.minRequests &&
+      now - (crashes[0]?.at ?? now) >= thresholds.settleMs;
+    return isBlamed ? Suspicion.Blamed : Suspicion.Suspected;
+  }
+
+  override mayHold(crashes: number): boolean {
+    return crashes >= this.thresholds.minCrashes;
+  }
+}
+
+/** Counts the moments of crashes that are sorted by time; a moment begins with a crash and lasts `momentMs`. */
+export const countMoments = (
+  crashes: readonly Pick<PartCrash, 'at'>[],
+  momentMs: Milliseconds,
+): number => {
+  let moments = 0;
+  let endsAt = -Infinity;
+  for (const { at } of crashes) {
+    if (at >= endsAt) {
+      moments += 1;
+      endsAt = at + momentMs;
+    }
+  }
+  return moments;
+};
+
+/** A part among those of the calls that a crash broke. */
+export interface Suspect {
+  readonly crashCount: number;
+  readonly isBlamed: boolean;
+}
+
+/** Whether a crash at which several parts were present is better explained by another of them. */
+export const isExplained = (
+  suspect: Suspect,
+  present: Iterable<Suspect>,
+): boolean => {
+  for (const other of present) {
+    if (
+      other !== suspect &&
+      (other.crashCount > suspect.crashCount ||
+        (other.isBlamed && other.crashCount === suspect.crashCount))
+    ) {
+      return true;
+    }
+  }
+  return false;
+};
--- /dev/null
+++ b/packages/decisions/src/suspects/index.ts
@@ -0,0 +1,3 @@
+/** Decisions about parts of prompts that may crash backend servers. */
+export * from './blamePolicy.js';
+export * from './sightingSet.js';
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -173,3 +173,43 @@
 
 /** Delay before this gateway's record is written again after a failure. */
 export const peerWriteRetryMs = 1_000;
+
+/** Parts of prompts that a gateway tracks at most for each service. */
+export const maxTrackedParts = 512;
+
+/** Parts of one call that are considered at most. */
+export const maxPartsPerCall = 32;
+
+/** Crashes remembered at most for each part. */
+export const maxSightingsPerPart = 64;
+
+/** Longest id of a part, call or server that is tracked, in characters. */
+export const maxTrackedIdLength = 96;
+
+/** How long a crash counts against a part on which no answer is written. */
+export const sightingLifetimeMs = 120_000;
+
+/** How long a part is remembered as answered; news reach the other gateways sooner. */
+export const clearedLifetimeMs = 30_000;
+
+/** Interval between calls with a suspected part; further crashes within it prove nothing. */
+export const suspectIntervalMs = 300;
+
+/** First period in which calls with a blamed part are refused; doubles with each trial that crashed a server. */
+export const firstRefusalMs = 120_000;
+
+/** Longest period of refusals between two trials. */
+export const maxRefusalMs = 960_000;
+
+/** How long a trial may stay without a result; the first events of an answer come sooner. */
+export const trialTimeoutMs = 10_000;
+
+/** How long a part that no call asks for is remembered when its next trial is due. */
+export const trialWaitMs = 600_000;
+
+/** Longest `Retry-After` of a call with a blamed part. */
+export const maxPartRetryAfterMs = 10_000;
+
+/** Log lines about parts of prompts at most in each `partLogWindowMs`. */
+export const maxPartLogLines = 60;
+export const partLogWindowMs = 60_000;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,5 +6,8 @@
 export * from './eventStream.js';
 export * from './gatewayNode.js';
 export * from './gatewaySettings.js';
+export * from './parts/crashingPartTracker.js';
+export { bindPartChart } from './parts/promptPart.js';
+export * from './parts/promptPartTracker.js';
 export * from './ports.js';
 export * from './safeReuseAgent.js';
--- /dev/null
+++ b/packages/gateway/src/parts/partLog.ts
@@ -0,0 +1,25 @@
+/** Logs changes of belief about parts of prompts, with a limit on the lines in each period. */
+import type {
+  ComponentLogger,
+  LogFields,
+  Milliseconds,
+} from '@lycheetally/common';
+import { maxPartLogLines, partLogWindowMs } from '../constants.js';
+
+export class PartLog {
+  private windowStart: Milliseconds = -Infinity;
+  private lines = 0;
+
+  constructor(private readonly log: ComponentLogger) {}
+
+  write(message: string, fields: LogFields, now: Milliseconds): void {
+    if (now - this.windowStart >= partLogWindowMs) {
+      this.windowStart = now;
+      this.lines = 0;
+    }
+    this.lines += 1;
+    if (this.lines <= maxPartLogLines) {
+      this.log.warn(message, fields);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/parts/serviceParts.ts
@@ -0,0 +1,111 @@
+/** The tracked parts of one service's prompts, within a limit, and the number of its answers. */
+import {
+  Suspicion,
+  isExplained,
+  type BlamePolicy,
+  type Sighting,
+} from '@lycheetally/decisions';
+import type { Milliseconds } from '@lycheetally/common';
+import {
+  maxPartsPerCall,
+  maxTrackedIdLength,
+  maxTrackedParts,
+  sightingLifetimeMs,
+} from '../constants.js';
+import { PromptPart, type PartServices } from './promptPart.js';
+
+export class ServiceParts {
+  /** Answers that were seen to be written. */
+  served = 0;
+  private readonly parts = new Map<string, PromptPart>();
+
+  constructor(
+    private readonly services: PartServices,
+    readonly service: string,
+  ) {}
+
+  get size(): number {
+    return this.parts.size;
+  }
+
+  list(): PromptPart[] {
+    return [...this.parts.values()];
+  }
+
+  /** Finds the tracked ones of a call's parts. */
+  findAll(parts: readonly string[]): PromptPart[] {
+    if (this.parts.size === 0) {
+      return [];
+    }
+    return listCandidates(parts).flatMap(part => this.parts.get(part) ?? []);
+  }
+
+  remove(part: PromptPart): void {
+    this.parts.delete(part.part);
+    part.dispose();
+  }
+
+  /** Judges a part by the crashes that no other part explains better. */
+  decideSuspicion(
+    part: PromptPart,
+    policy: BlamePolicy,
+    now: Milliseconds,
+  ): Suspicion {
+    part.sightings.removeBefore(now - sightingLifetimeMs);
+    const servedOthers = this.served - part.servedBefore;
+    const crashes = part.sightings.listLive();
+    if (
+      policy.decideSuspicion({ crashes, servedOthers }, now) === Suspicion.None
+    ) {
+      return Suspicion.None;
+    }
+    const unexplained = crashes.filter(
+      crash => !isExplained(part, this.listPresent(crash)),
+    );
+    return policy.decideSuspicion({ crashes: unexplained, servedOthers }, now);
+  }
+
+  /** Returns the part, tracked from now on. */
+  add(id: string, now: Milliseconds): PromptPart {
+    const known = this.parts.get(id);
+    if (known) {
+      return known;
+    }
+    this.trim();
+    const { services, service, served } = this;
+    const part = new PromptPart(services, service, id, served, now);
+    this.parts.set(id, part);
+    return part;
+  }
+
+  private listPresent({ crash }: Sighting): PromptPart[] {
+    return this.list().filter(({ sightings }) => sightings.has(crash));
+  }
+
+  /** Makes room: drops an eighth of the parts, those with the fewest and oldest crashes, refused ones last. */
+  private trim(): void {
+    if (this.parts.size < maxTrackedParts) {
+      return;
+    }
+    const least = this.list()
+      .sort(compareWeight)
+      .slice(0, maxTrackedParts / 8);
+    for (const part of least) {
+      this.remove(part);
+    }
+  }
+}
+
+const compareWeight = (a: PromptPart, b: PromptPart): number =>
+  Number(a.isBlamed) - Number(b.isBlamed) ||
+  a.crashCount - b.crashCount ||
+  a.newestAt - b.newestAt;
+
+/** The parts of a call that are considered. */
+export const listCandidates = (parts: readonly string[]): string[] => [
+  ...new Set(
+    parts
+      .slice(0, maxPartsPerCall)
+      .filter(({ length }) => length <= maxTrackedIdLength),
+  ),
+];
