Hold a crash against a part only if the service went on after it

Answers written after the last crash say nothing about the time of the crashes.

Change: each crash counts only if the service is known to have written an answer within 1.5 s of it; and three different calls must have been broken instead of two, since the repeats of one call are no independent evidence.

--- a/packages/decisions/src/suspects/blamePolicy.ts
+++ b/packages/decisions/src/suspects/blamePolicy.ts
@@ -15,20 +15,15 @@
 export interface PartCrash {
   readonly at: Milliseconds;
   readonly requestId: string;
-}
-
-/** What a gateway knows about one part since an answer on it was last written. */
-export interface PartEvidence {
-  /** Crashes that no other part explains better, oldest first. */
-  readonly crashes: readonly PartCrash[];
-  /** Answers without the part, of the same service, that are known to have been written meanwhile. */
-  readonly servedOthers: number;
+  /** Time until the service is next known to have written an answer. */
+  readonly servedAfterMs: Milliseconds;
 }
 
 /** Strategy that decides which parts are to blame. */
 export abstract class BlamePolicy {
+  /** Judges a part by the crashes since an answer on it was last written, oldest first. */
   abstract decideSuspicion(
-    evidence: PartEvidence,
+    crashes: readonly PartCrash[],
     now: Milliseconds,
   ): Suspicion;
 
@@ -54,8 +49,8 @@
   /** Moments from which a part is suspected. */
   readonly minSuspectMoments: number;
   readonly minRequests: number;
-  /** Answers without the part; while none are written, something else is wrong. */
-  readonly minServedOthers: number;
+  /** Time within which the service must write other answers after a crash; if it writes none, the fault is a wider one. */
+  readonly maxPauseMs: Milliseconds;
   readonly momentMs: Milliseconds;
   /** Time since the first crash in which news of answers elsewhere arrive. */
   readonly settleMs: Milliseconds;
@@ -65,8 +60,8 @@
   minCrashes: 3,
   minMoments: 3,
   minSuspectMoments: 2,
-  minRequests: 2,
-  minServedOthers: 3,
+  minRequests: 3,
+  maxPauseMs: 1_500,
   momentMs: 300,
   settleMs: 1_000,
 };
@@ -78,24 +73,23 @@
   }
 
   override decideSuspicion(
-    evidence: PartEvidence,
+    crashes: readonly PartCrash[],
     now: Milliseconds,
   ): Suspicion {
-    const { crashes, servedOthers } = evidence;
     const { thresholds } = this;
-    const moments = countMoments(crashes, thresholds.momentMs);
-    if (
-      servedOthers < thresholds.minServedOthers ||
-      moments < thresholds.minSuspectMoments
-    ) {
+    const counted = crashes.filter(
+      ({ servedAfterMs }) => servedAfterMs <= thresholds.maxPauseMs,
+    );
+    const moments = countMoments(counted, thresholds.momentMs);
+    if (moments < thresholds.minSuspectMoments) {
       return Suspicion.None;
     }
-    const requests = new Set(crashes.map(({ requestId }) => requestId)).size;
+    const requests = new Set(counted.map(({ requestId }) => requestId)).size;
     const isBlamed =
-      crashes.length >= thresholds.minCrashes &&
+      counted.length >= thresholds.minCrashes &&
       moments >= thresholds.minMoments &&
       requests >= thresholds.minRequests &&
-      now - (crashes[0]?.at ?? now) >= thresholds.settleMs;
+      now - (counted[0]?.at ?? now) >= thresholds.settleMs;
     return isBlamed ? Suspicion.Blamed : Suspicion.Suspected;
   }
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -189,6 +189,9 @@
 /** How long a crash counts against a part on which no answer is written. */
 export const sightingLifetimeMs = 120_000;
 
+/** Resolution of the times at which a service wrote answers. */
+export const servingResolutionMs = 50;
+
 /** How long a part is remembered as answered; news reach the other gateways sooner. */
 export const clearedLifetimeMs = 30_000;
 
--- a/packages/gateway/src/parts/crashingPartTracker.ts
+++ b/packages/gateway/src/parts/crashingPartTracker.ts
@@ -150,12 +150,11 @@
 
   override noteServed(call: PromptCall, now: Milliseconds): void {
     const service = this.getService(call.service);
-    service.served += 1;
+    service.servings.add(now);
     for (const part of service.findAll(call.parts)) {
       if (part.crashCount > 0) {
         this.changes += part.isShared ? 1 : 0;
         part.sightings.clear(now);
-        part.servedBefore = service.served;
         part.send('SERVED', now);
       }
     }
@@ -183,7 +182,7 @@
     }
     // What another gateway cleared proves that it wrote an answer.
     for (const service of answered) {
-      service.served += 1;
+      service.servings.add(now);
     }
   }
 
@@ -216,7 +215,6 @@
       answered.add(service);
     }
     if (part.crashCount === 0) {
-      part.servedBefore = service.served;
       part.send('SERVED', now);
     } else if (isCleared && !this.policy.mayHold(part.crashCount)) {
       part.send('ACQUITTED', now);
--- a/packages/gateway/src/parts/promptPart.ts
+++ b/packages/gateway/src/parts/promptPart.ts
@@ -70,8 +70,6 @@
     private readonly services: PartServices,
     readonly service: string,
     readonly part: string,
-    /** Answers of the service that had been written when the first crash was sighted. */
-    public servedBefore: number,
     now: Milliseconds,
   ) {
     this.chart = services.machine.createInstance(this, services.timers);
--- a/packages/gateway/src/parts/serviceParts.ts
+++ b/packages/gateway/src/parts/serviceParts.ts
@@ -1,5 +1,6 @@
-/** The tracked parts of one service's prompts, within a limit, and the number of its answers. */
+/** The tracked parts of one service's prompts, within a limit, and when it wrote answers. */
 import {
+  ServingTimes,
   Suspicion,
   isExplained,
   type BlamePolicy,
@@ -10,13 +11,14 @@
   maxPartsPerCall,
   maxTrackedIdLength,
   maxTrackedParts,
+  servingResolutionMs,
   sightingLifetimeMs,
 } from '../constants.js';
 import { PromptPart, type PartServices } from './promptPart.js';
 
 export class ServiceParts {
-  /** Answers that were seen to be written. */
-  served = 0;
+  /** When answers were written, here or elsewhere. */
+  readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
   private readonly parts = new Map<string, PromptPart>();
 
   constructor(
@@ -52,17 +54,17 @@
     now: Milliseconds,
   ): Suspicion {
     part.sightings.removeBefore(now - sightingLifetimeMs);
-    const servedOthers = this.served - part.servedBefore;
-    const crashes = part.sightings.listLive();
-    if (
-      policy.decideSuspicion({ crashes, servedOthers }, now) === Suspicion.None
-    ) {
+    const crashes = part.sightings.listLive().map(sighting => ({
+      ...sighting,
+      servedAfterMs: this.servings.computePause(sighting.at),
+    }));
+    if (policy.decideSuspicion(crashes, now) === Suspicion.None) {
       return Suspicion.None;
     }
     const unexplained = crashes.filter(
       crash => !isExplained(part, this.listPresent(crash)),
     );
-    return policy.decideSuspicion({ crashes: unexplained, servedOthers }, now);
+    return policy.decideSuspicion(unexplained, now);
   }
 
   /** Returns the part, tracked from now on. */
@@ -72,8 +74,8 @@
       return known;
     }
     this.trim();
-    const { services, service, served } = this;
-    const part = new PromptPart(services, service, id, served, now);
+    const { services, service } = this;
+    const part = new PromptPart(services, service, id, now);
     this.parts.set(id, part);
     return part;
   }
--- a/packages/gateway/tests/promptPartTracker.test.ts
+++ b/packages/gateway/tests/promptPartTracker.test.ts
@@ -207,6 +207,8 @@
     expect(gateways.isAllowed(0, 'bad')).toBe(false);
     gateways.advance(600);
     gateways.cutServer(0, 'bad2');
+    gateways.advance(100);
+    gateways.serve(0, 'sound');
     expect(gateways.isAllowed(0, 'bad2')).toBe(false);
   });
 });
