--- a/packages/gateway/tests/newsServer.test.ts
+++ b/packages/gateway/tests/newsServer.test.ts
@@ -12,9 +12,12 @@
     const held = new Promise<void>(resolve => {
       isHeld = resolve;
     });
-    const server = new NewsServer(() => {
-      isHeld();
-    });
+    const server = new NewsServer(
+      () => {
+        isHeld();
+      },
+      () => undefined,
+    );
     const client = new NewsClient();
     const listening = await server.listen({ host: '127.0.0.1', port: 0 });
     const request = { from: 1, seen: 1 };
