Try a refused part again sooner, and weigh crashes beside it

Seen in emulation: with several crashes of most of the fleet within seconds, a part of a sixth of all calls was refused although it was sound, and would have stayed refused for two minutes.

Change: a crash counts only if the part was present at a quarter or more of the crashes about that time, and the first trial follows after 20 s instead of 120 s; further ones after 120 s, doubling. One gateway makes them, so at most three calls with a part that does crash servers are sent within 4 minutes.

Ruled out: no verdict while a quarter or half of the other calls break.

--- a/packages/decisions/src/suspects/blamePolicy.ts
+++ b/packages/decisions/src/suspects/blamePolicy.ts
@@ -17,6 +17,8 @@
   readonly requestId: string;
   /** Time until the service is next known to have written an answer. */
   readonly servedAfterMs: Milliseconds;
+  /** Share of the crashes about that time at which the part was present, from 0 to 1. */
+  readonly presence: number;
 }
 
 /** Strategy that decides which parts are to blame. */
@@ -42,6 +44,9 @@
   }
 }
 
+/** Crashes closer than this may have a common cause. */
+export const crashMomentMs = 300;
+
 export interface BlameThresholds {
   readonly minCrashes: number;
   /** Separate moments of crashes; the crashes of one moment may have a common cause, such as a power failure. */
@@ -52,6 +57,8 @@
   /** Time within which the service must write other answers after a crash; if it writes none, the fault is a wider one. */
   readonly maxPauseMs: Milliseconds;
   readonly momentMs: Milliseconds;
+  /** See `PartCrash.presence`; many crashes without the part have another cause. */
+  readonly minPresence: number;
   /** Time since the first crash in which news of answers elsewhere arrive. */
   readonly settleMs: Milliseconds;
 }
@@ -62,7 +69,8 @@
   minSuspectMoments: 2,
   minRequests: 3,
   maxPauseMs: 1_500,
-  momentMs: 300,
+  momentMs: crashMomentMs,
+  minPresence: 0.25,
   settleMs: 1_000,
 };
 
@@ -78,7 +86,9 @@
   ): Suspicion {
     const { thresholds } = this;
     const counted = crashes.filter(
-      ({ servedAfterMs }) => servedAfterMs <= thresholds.maxPauseMs,
+      ({ servedAfterMs, presence }) =>
+        servedAfterMs <= thresholds.maxPauseMs &&
+        presence >= thresholds.minPresence,
     );
     const moments = countMoments(counted, thresholds.momentMs);
     if (moments < thresholds.minSuspectMoments) {
--- /dev/null
+++ b/packages/decisions/src/suspects/crashTimes.ts
@@ -0,0 +1,27 @@
+/** When servers of one service crashed, each crash once, in a bounded table. */
+import type { Milliseconds } from '@lycheetally/common';
+
+export class CrashTimes {
+  private readonly times = new Map<string, Milliseconds>();
+
+  constructor(private readonly maxSize: number) {}
+
+  /** Adds a crash; the earliest time that is known of it counts. */
+  add(crash: string, at: Milliseconds): void {
+    const known = this.times.get(crash);
+    this.times.set(crash, Math.min(known ?? at, at));
+    if (this.times.size > this.maxSize) {
+      const [oldest] = this.times.keys();
+      this.times.delete(oldest ?? crash);
+    }
+  }
+
+  /** Counts the crashes less than `withinMs` before or after a time. */
+  count(at: Milliseconds, withinMs: Milliseconds): number {
+    let crashes = 0;
+    for (const time of this.times.values()) {
+      crashes += Math.abs(time - at) < withinMs ? 1 : 0;
+    }
+    return crashes;
+  }
+}
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -183,6 +183,9 @@
 /** Crashes remembered at most for each part. */
 export const maxSightingsPerPart = 64;
 
+/** Crashes remembered at most for each service. */
+export const maxKnownCrashes = 256;
+
 /** Longest id of a part, call or server that is tracked, in characters. */
 export const maxTrackedIdLength = 96;
 
@@ -198,11 +201,14 @@
 /** Interval between calls with a suspected part; further crashes within it prove nothing. */
 export const suspectIntervalMs = 300;
 
-/** First period in which calls with a blamed part are refused; doubles with each trial that crashed a server. */
-export const firstRefusalMs = 120_000;
+/** Time until the first trial of a refused part; a wrong verdict does not last longer. */
+export const firstTrialMs = 20_000;
+
+/** Time until the next trial; doubles with each trial that crashed a server. */
+export const trialIntervalMs = 120_000;
 
-/** Longest period of refusals between two trials. */
-export const maxRefusalMs = 960_000;
+/** Longest time between two trials. */
+export const maxTrialIntervalMs = 960_000;
 
 /** How long a trial may stay without a result; the first events of an answer come sooner. */
 export const trialTimeoutMs = 10_000;
--- a/packages/gateway/src/parts/crashingPartTracker.ts
+++ b/packages/gateway/src/parts/crashingPartTracker.ts
@@ -138,6 +138,7 @@
       isOwn: true,
     };
     const service = this.getService(call.service);
+    service.crashTimes.add(sighting.crash, now);
     for (const id of listCandidates(call.parts)) {
       const part = service.add(id, now);
       if (part.sightings.join(sighting) === SightingChange.Added) {
@@ -209,7 +210,10 @@
     const service = this.getService(record.service);
     const part = service.add(record.part, now);
     part.isShared = true;
-    const changes = sightings.map(sighting => part.sightings.join(sighting));
+    const changes = sightings.map(sighting => {
+      service.crashTimes.add(sighting.crash, sighting.at);
+      return part.sightings.join(sighting);
+    });
     const isCleared = changes.includes(SightingChange.Cleared);
     if (isCleared) {
       answered.add(service);
--- a/packages/gateway/src/parts/promptPart.ts
+++ b/packages/gateway/src/parts/promptPart.ts
@@ -19,11 +19,12 @@
 } from '@lycheetally/decisions';
 import {
   clearedLifetimeMs,
-  firstRefusalMs,
-  maxRefusalMs,
+  firstTrialMs,
   maxSightingsPerPart,
+  maxTrialIntervalMs,
   sightingLifetimeMs,
   suspectIntervalMs,
+  trialIntervalMs,
   trialTimeoutMs,
   trialWaitMs,
 } from '../constants.js';
@@ -112,17 +113,19 @@
     const { sightings, refusedAt = now } = this;
     const crashes = sightings.listLive();
     const failedTrials = countMoments(
-      crashes.filter(({ at }) => at >= refusedAt + firstRefusalMs / 2),
-      firstRefusalMs / 2,
+      crashes.filter(({ at }) => at >= refusedAt + firstTrialMs / 2),
+      firstTrialMs / 2,
     );
-    const periodMs = Math.min(maxRefusalMs, firstRefusalMs * 2 ** failedTrials);
-    const factor = sightings.isOwner() ? 1 : 2 + this.computeOffset();
     const lastAt = Math.max(
       refusedAt,
       crashes.at(-1)?.at ?? refusedAt,
       this.lastSentAt,
     );
-    return Math.max(0, lastAt + periodMs * factor - now);
+    const ownMs = computeTrialInterval(failedTrials);
+    const intervalMs = sightings.isOwner()
+      ? ownMs
+      : Math.max(ownMs, trialIntervalMs) * (2 + this.computeOffset());
+    return Math.max(0, lastAt + intervalMs - now);
   }
 
   dispose(): void {
@@ -195,6 +198,11 @@
 
 const maxLoggedRequests = 5;
 
+const computeTrialInterval = (failedTrials: number): Milliseconds =>
+  failedTrials === 0
+    ? firstTrialMs
+    : Math.min(maxTrialIntervalMs, trialIntervalMs * 2 ** (failedTrials - 1));
+
 /** Binds the chart `promptPart`. Fails with `BadChart`. */
 export const bindPartChart = (): Result<PartMachine> =>
   bindChart<PromptPart, PartEvent>(ChartName.PromptPart, {
--- a/packages/gateway/src/parts/serviceParts.ts
+++ b/packages/gateway/src/parts/serviceParts.ts
@@ -1,13 +1,17 @@
 /** The tracked parts of one service's prompts, within a limit, and when it wrote answers. */
 import {
+  CrashTimes,
   ServingTimes,
   Suspicion,
   isExplained,
+  crashMomentMs,
   type BlamePolicy,
+  type PartCrash,
   type Sighting,
 } from '@lycheetally/decisions';
 import type { Milliseconds } from '@lycheetally/common';
 import {
+  maxKnownCrashes,
   maxPartsPerCall,
   maxTrackedIdLength,
   maxTrackedParts,
@@ -19,6 +23,8 @@
 export class ServiceParts {
   /** When answers were written, here or elsewhere. */
   readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
+  /** All crashes that are known, with whatever part. */
+  readonly crashTimes = new CrashTimes(maxKnownCrashes);
   private readonly parts = new Map<string, PromptPart>();
 
   constructor(
@@ -54,10 +60,7 @@
     now: Milliseconds,
   ): Suspicion {
     part.sightings.removeBefore(now - sightingLifetimeMs);
-    const crashes = part.sightings.listLive().map(sighting => ({
-      ...sighting,
-      servedAfterMs: this.servings.computePause(sighting.at),
-    }));
+    const crashes = this.listCrashes(part);
     if (policy.decideSuspicion(crashes, now) === Suspicion.None) {
       return Suspicion.None;
     }
@@ -80,6 +83,22 @@
     return part;
   }
 
+  private listCrashes({ sightings }: PromptPart): (PartCrash & Sighting)[] {
+    const live = sightings.listLive();
+    return live.map(sighting => {
+      const { at } = sighting;
+      const present = live.filter(
+        other => Math.abs(other.at - at) < crashMomentMs,
+      );
+      const known = this.crashTimes.count(at, crashMomentMs);
+      return {
+        ...sighting,
+        servedAfterMs: this.servings.computePause(at),
+        presence: present.length / Math.max(known, present.length),
+      };
+    });
+  }
+
   private listPresent({ crash }: Sighting): PromptPart[] {
     return this.list().filter(({ sightings }) => sightings.has(crash));
   }
