--- a/packages/gateway/src/parts/crashingPartTracker.ts
+++ b/packages/gateway/src/parts/crashingPartTracker.ts
@@ -11,7 +11,7 @@
  *       timers: this.loop,
  *       log: loggers.createLogger(LogComponent.Prompts),
  *       policy: new UnservedPart(),
- *       gatewayId: settings.process.processId,
+ *       gatewayId: settings.process.id,
  *     })
  */
 import type { ChartTimers } from '@lycheetally/charts';
