Pass no call on after a stopping gateway has drained

Callers saw: a stream cut less than 1 s after it was taken, although its forecast ended 2.9 s before the drain timeout.

Cause: a gateway whose open calls have all ended 2.5 s or more after the signal waits up to 1 s for its callers to close their connections, and then ends. A connection that had not been used yet was not closed, and a call on it was judged by the drain timeout, which no longer says when the process ends.

The drain period now ends when the gateway has drained, so that the forecast refuses such a call (503, not run).

The test was seen to fail before the change (200 instead of 503).

--- a/packages/gateway/src/drainPeriod.ts
+++ b/packages/gateway/src/drainPeriod.ts
@@ -20,6 +20,11 @@
     this.endsAt = now + durationMs;
   }
 
+  /** Ends it early: the gateway has drained, and its process ends. */
+  end(now: Milliseconds): void {
+    this.endsAt = Math.min(this.endsAt, now);
+  }
+
   /** Returns how long after the stop signal that moment was; -1 if it was earlier or there was no signal. */
   measureSinceStop(at: Milliseconds): Milliseconds {
     return at < this.begunAt ? -1 : at - this.begunAt;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -266,6 +266,8 @@
           this.endProcess();
         },
       );
+      // A call that still arrives must not count on the rest of the grace period.
+      this.drainPeriod.end(now);
       this.frontend.finish(() => {
         timeout.dispose();
         this.post(() => {
