Cut calls in the last sixth of short grace periods only

Callers saw: with a grace period of 1, 2 or 3 s, a stream that was open at the signal was cut after 0.41, 0.70 and 0.80 of it.

Cause: the reserve for the exit was 0.6 s whatever the grace period was.

The reserve is now at most an eighth of the grace period. The times for sending the responses of cancelled calls and for the last answers are a third and two thirds of it, so that they do not outlast a short grace period; both are unchanged from a grace period of 4.8 s on.

The test of a gateway was seen to fail before the change for 1, 2 and 3 s, by the shares above. It passed for all three with it; 1 s is left to the test of the drain period, which covers 1 to 60 s, because the exit then has 42 ms.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -120,8 +120,8 @@
 /** Longest time that a half-closed connection waits for its caller to close it. */
 export const lingerTimeoutMs = 1_000;
 
-/** Part of the reserve for the exit in which the last answers reach their callers. */
-export const lastAnswersMs = 400;
+/** Share of the reserve for the exit in which the responses of cancelled calls are sent; in the rest the last answers reach their callers. */
+export const cancelShare = 1 / 3;
 
 /** Time before the drain timeout by which a call that a stopping gateway takes must end. */
 export const drainEndReserveMs = 150;
@@ -142,8 +142,11 @@
   extraMs: 150,
 } as const;
 
-/** Part of the platform's grace period that is reserved for the exit of the process. */
-export const exitReserveMs = 600;
+/** Longest part of the platform's grace period that is reserved for the exit of the process. */
+export const maxExitReserveMs = 600;
+
+/** Largest share of the grace period that is reserved for the exit; open calls may be cut in its last sixth only. */
+export const maxExitReserveShare = 1 / 8;
 
 /** Largest response that is buffered before it is forwarded, in bytes. */
 export const maxBufferedResponseBytes = 16 * 1_024 * 1_024;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -37,9 +37,7 @@
 import type { CallFormat } from './callFormat.js';
 import type { CallerExchange, ReceivedCall } from './callerPort.js';
 import {
-  exitReserveMs,
   forecastSettings,
-  lastAnswersMs,
   lingerTimeoutMs,
   closeConnectionsAfterMs,
   maxResponseMemoryBytes,
@@ -232,7 +230,7 @@
       this.log.info('The gateway is stopping.', { openCalls: this.calls.size });
     },
     stopAdmission: (now: Milliseconds): void => {
-      this.drainPeriod.begin(now, this.lifecycleActions.computeDrainTimeout());
+      this.drainPeriod.begin(now, this.graceMs);
       noteOpenCalls(this.calls.values(), now);
       this.frontend.beginDrain();
       this.placer.resign(now);
@@ -258,7 +256,7 @@
     },
     finishProcess: (now: Milliseconds): void => {
       if (!this.drainPeriod.hasBegun) {
-        this.drainPeriod.begin(now, 0);
+        this.drainPeriod.begin(now, this.graceMs);
       }
       const timeout = this.loop.schedule(
         this.computeLastAnswersTime(now),
@@ -279,15 +277,19 @@
         outcome: Outcome.NotRun,
       });
     },
-    computeDrainTimeout: (): Milliseconds =>
-      this.settings.process.drainSeconds * millisecondsPerSecond -
-      exitReserveMs,
+    computeDrainTimeout: (now: Milliseconds): Milliseconds =>
+      this.drainPeriod.timeoutAt - now,
+    computeCancelTimeout: (): Milliseconds => this.drainPeriod.cancelTimeoutMs,
   };
 
+  private get graceMs(): Milliseconds {
+    return this.settings.process.drainSeconds * millisecondsPerSecond;
+  }
+
   /** Time in which the last answers may still reach their callers. */
   private computeLastAnswersTime(now: Milliseconds): Milliseconds {
-    const endsAt = this.drainPeriod.timeoutAt + lastAnswersMs;
-    return Math.min(lingerTimeoutMs, Math.max(0, endsAt - now));
+    const timeLeftMs = Math.max(0, this.drainPeriod.exitAt - now);
+    return Math.min(lingerTimeoutMs, timeLeftMs);
   }
 
   private endProcess(): void {
@@ -536,8 +538,9 @@
     },
     guards: {},
     delays: {
-      DRAIN_TIMEOUT: node => node.lifecycleActions.computeDrainTimeout(),
-      FORCED_STOP_TIMEOUT: () => cancelTimeoutMs,
+      DRAIN_TIMEOUT: (node, now) =>
+        node.lifecycleActions.computeDrainTimeout(now),
+      FORCED_STOP_TIMEOUT: node => node.lifecycleActions.computeCancelTimeout(),
     },
   });
 
@@ -547,6 +550,3 @@
   message:
     'the drain timeout has passed; another gateway takes the call if it is repeated',
 };
-
-/** Milliseconds for sending the final responses of cancelled calls. */
-const cancelTimeoutMs = 200;
