Pass a pipelined call on only after the responses before it

Callers saw: a call that was sent behind another one on its connection ran, its answer was lost, and the log said that it was complete. This happened when the response before it was broken off or ended with the connection, also outside stops, and to calls that must not be repeated.

Cause: the calls of a connection were passed on side by side, before it was known whether an earlier response closes the connection.

A call now waits until it is the first without a response; if the connection closes before, it is dropped and not run. RFC 9112 (9.3.2) allows parallel processing only of safe methods.

--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -36,7 +36,7 @@
   noteRefused(status: number, reason: string): void;
   /** Notes a call that was refused because its body was not complete. */
   noteUnfinished(call: CallFields): void;
-  /** Notes a call that came on a closing connection and is not passed on. */
+  /** Notes a call that is not passed on because its connection closes. */
   noteDropped(call: CallFields): void;
   getNow(): Milliseconds;
 }
@@ -174,7 +174,7 @@
       this.refuse(caller, 400, 'the request line or its host is malformed');
       return;
     }
-    this.readBody(incoming, caller, isOnKeptConnection);
+    this.readBody(incoming, caller, connection, isOnKeptConnection);
   }
 
   private getConnection(socket: Socket): CallerConnection {
@@ -186,6 +186,9 @@
       socket,
       this.timers,
       () => this.isDraining,
+      (call, caller) => {
+        this.handler.receiveCall(call, caller);
+      },
     );
     this.connections.set(socket, connection);
     socket.once('close', () => {
@@ -205,9 +208,12 @@
       return;
     }
     this.incomplete.delete(caller);
+    const waiting = connection.findWaiting(caller);
     connection.finish(caller);
     this.handler.noteResponseClosed();
-    if (!caller.hasFinished) {
+    if (waiting) {
+      this.handler.noteDropped(waiting.fields);
+    } else if (!caller.hasFinished) {
       this.handler.receiveDisconnect(caller);
     }
   }
@@ -215,6 +221,7 @@
   private readBody(
     incoming: IncomingMessage,
     caller: HttpCaller,
+    connection: CallerConnection,
     isOnKeptConnection: boolean,
   ): void {
     const chunks: Buffer[] = [];
@@ -234,18 +241,16 @@
         return;
       }
       const target = incoming.url ?? '/';
-      this.handler.receiveCall(
-        {
-          method: incoming.method ?? 'GET',
-          target,
-          path: target.split('?', 1)[0] ?? '/',
-          fields: this.format.readCall(incoming.rawHeaders),
-          body: Buffer.concat(chunks),
-          receivedAt: this.handler.getNow(),
-          isOnKeptConnection,
-        },
-        caller,
-      );
+      const call: ReceivedCall = {
+        method: incoming.method ?? 'GET',
+        target,
+        path: target.split('?', 1)[0] ?? '/',
+        fields: this.format.readCall(incoming.rawHeaders),
+        body: Buffer.concat(chunks),
+        receivedAt: this.handler.getNow(),
+        isOnKeptConnection,
+      };
+      connection.enqueue(call, caller);
     });
     // The response's 'close' event reports a caller that disconnected.
     incoming.on('error', () => undefined);
