Move the lifecycle chart of a gateway to a module of its own

The binding of the chart, its events and the interface of its actions are in lifecycleChart.ts, as other charts have it; the fault of a call at the drain timeout is beside the other decisions of a drain. No behaviour changes: gatewayStop.test.ts and process.test.ts pass (28 tests).

--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -25,6 +25,14 @@
   retryAfterMs: stoppingRetryAfterMs,
 };
 
+/** Why a call that was open at the drain timeout ends. */
+export const drainTimeoutFault: CallFault = {
+  status: 503,
+  kind: ErrorKind.ShuttingDown,
+  message:
+    'the drain timeout has passed; another gateway takes the call if it is repeated',
+};
+
 /** Describes a refusal; until the load balancer has noticed the stop, a call would come back to this gateway. */
 export const createStoppingFault = (
   { services }: GatewayCall,
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -4,14 +4,8 @@
  * election of the gateway that places layers. Everything runs on one event loop
  * on one thread. Context of the chart `lifecycle`.
  */
+import type { ChartInstance } from '@lycheetally/charts';
 import {
-  ChartName,
-  bindChart,
-  type ChartInstance,
-  type ChartMachine,
-} from '@lycheetally/charts';
-import {
-  ErrorKind,
   LogComponent,
   millisecondsPerSecond,
   getOrThrow,
@@ -43,13 +37,13 @@
   maxResponseMemoryBytes,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
-import { noteOpenCalls, stoppingFault } from './drainAdmission.js';
-import { DrainPeriod } from './drainPeriod.js';
 import {
-  GatewayCall,
-  type CallFault,
-  type CallServices,
-} from './gatewayCall.js';
+  drainTimeoutFault,
+  noteOpenCalls,
+  stoppingFault,
+} from './drainAdmission.js';
+import { DrainPeriod } from './drainPeriod.js';
+import { GatewayCall, type CallServices } from './gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewaySettings } from './gatewaySettings.js';
@@ -58,6 +52,11 @@
 import { HttpFrontend, type CallHandler } from './httpFrontend.js';
 import { bindOrderChart } from './layerOrder.js';
 import { bindLeaderChart, LayerPlacer } from './layerPlacer.js';
+import {
+  bindLifecycleChart,
+  type LifecycleActions,
+  type LifecycleEvent,
+} from './lifecycleChart.js';
 import type {
   LeaderElectionPort,
   ServerControlPort,
@@ -82,10 +81,6 @@
   readonly completion: (now: Milliseconds) => void;
 }
 
-interface LifecycleEvent {
-  readonly type: 'READY' | 'STOP' | 'DRAINED';
-}
-
 export class GatewayNode {
   readonly metrics = new GatewayMetrics();
   readonly frontend: HttpFrontend;
@@ -140,10 +135,9 @@
     this.callServices = this.createCallServices();
     this.frontend = this.createFrontend();
     this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
-    this.lifecycle = getOrThrow(bindLifecycle()).createInstance(
-      this,
-      this.loop,
-    );
+    this.lifecycle = getOrThrow(
+      bindLifecycleChart<GatewayNode>(),
+    ).createInstance(this, this.loop);
     this.loop.setHandlers({
       completion: (run, now) => {
         run(now);
@@ -226,7 +220,7 @@
   }
 
   /** Actions and delays of the lifecycle chart. */
-  readonly lifecycleActions = {
+  readonly lifecycleActions: LifecycleActions = {
     recordReady: (): void => {
       this.log.info('The gateway serves.', {
         configuration: this.configuration?.version ?? 0,
@@ -253,7 +247,10 @@
     },
     cancelOpenWork: (now: Milliseconds): void => {
       for (const call of [...this.calls.values()]) {
-        call.instance?.send({ type: 'STOPPING', fault: drainTimeout }, now);
+        call.instance?.send(
+          { type: 'STOPPING', fault: drainTimeoutFault },
+          now,
+        );
       }
       this.frontend.refuseIncomplete({
         ...stoppingFault,
@@ -537,40 +534,3 @@
     this.lifecycle.send({ type: 'READY' }, now);
   }
 }
-
-const bindLifecycle = (): Result<ChartMachine<GatewayNode, LifecycleEvent>> =>
-  bindChart<GatewayNode, LifecycleEvent>(ChartName.Lifecycle, {
-    actions: {
-      recordReady: node => {
-        node.lifecycleActions.recordReady();
-      },
-      recordDraining: node => {
-        node.lifecycleActions.recordDraining();
-      },
-      stopAdmission: (node, _, now) => {
-        node.lifecycleActions.stopAdmission(now);
-      },
-      reportForcedStop: node => {
-        node.lifecycleActions.reportForcedStop();
-      },
-      cancelOpenWork: (node, _, now) => {
-        node.lifecycleActions.cancelOpenWork(now);
-      },
-      finishProcess: (node, _, now) => {
-        node.lifecycleActions.finishProcess(now);
-      },
-    },
-    guards: {},
-    delays: {
-      DRAIN_TIMEOUT: (node, now) =>
-        node.lifecycleActions.computeDrainTimeout(now),
-      FORCED_STOP_TIMEOUT: node => node.lifecycleActions.computeCancelTimeout(),
-    },
-  });
-
-const drainTimeout: CallFault = {
-  status: 503,
-  kind: ErrorKind.ShuttingDown,
-  message:
-    'the drain timeout has passed; another gateway takes the call if it is repeated',
-};
