Log when a server that is missing from the list is kept

The log could not tell a gateway that had not read the list from one that had read it and kept the server: nothing was logged when a missing server was kept. The new line has the time since the gateway's latest outage of the store ended.

No decision is changed.

--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -172,6 +172,12 @@
     }
     if (!this.removalTimes.has(key)) {
       this.removalTimes.set(key, keptUntil);
+      this.log.info('A server is missing from the list and is kept for now.', {
+        ...describe(server.record),
+        calls: server.calls,
+        sinceHeartbeatMs: Math.round(now - server.lastAliveAt),
+        sinceOutageMs: Math.round(now - outageEndedAt),
+      });
     }
   }
 
