Ask a server that is missing from the list before it gets calls

Cause: after an outage, a gateway kept servers that the list no longer had for 2.5 s and used them like any other, since entries of live servers may expire while the store is down. The pause counted every outage that this gateway saw. When the store turned only this gateway away, the missing entry meant that the server had left. The class of fault: missing news are read as good news, and an outage of one's own path is taken for an outage of the source.

A gateway can't tell the two outages apart, and heartbeats don't show them either: the entry of a plain server was not written anew for 27 s.

Change: a chart, serverListing, decides whether a server may be used. One that is missing after an outage gets no calls until it has answered a health check with 200 and its own id, and is dropped when its entry is not back in time. A server that said that it leaves stays so until another incarnation starts.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -35,6 +35,7 @@
   GatewayAttempt: 'gatewayAttempt',
   TableFollower: 'tableFollower',
   ServerHealth: 'serverHealth',
+  ServerListing: 'serverListing',
   DutyHolder: 'dutyHolder',
   LayerOrder: 'layerOrder',
   ServerCheck: 'serverCheck',
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -6,6 +6,8 @@
 /** A service that backend servers provide. */
 export interface BackendService {
   readonly name: string;
+  /** Path at which its servers answer questions about their health. */
+  readonly healthPath: string;
   /** Set when its servers hold layers of one model. */
   readonly model: LayeredModel | undefined;
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -51,9 +51,18 @@
 /** Delay before a table is read again after a failed read. */
 export const storeRetryDelayMs = 250;
 
-/** Time after a store outage during which servers that are missing from the list are kept. */
+/** Time after a store outage within which the entries of live servers are back in the list. */
 export const missingServerGraceMs = 2_500;
 
+/** Timeout of asking a server for its health. */
+export const healthTimeoutMs = 300;
+
+/** Delay before a server that did not confirm that it is alive is asked again. */
+export const healthRetryMs = 250;
+
+/** Servers that are asked for their health at the same time, at most. */
+export const maxHealthRequests = 16;
+
 /** How long a server that refused a call is avoided; a few of its calls end in that time. */
 export const refusalCooldownMs = 250;
 
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -13,6 +13,7 @@
   readonly news: GatewayNews;
   readonly promptParts: PromptParts;
   countUnreadable(): number;
+  countMissing(): number;
   getVersion(): number;
 }
 
@@ -74,6 +75,11 @@
       'Records of servers that could not be read',
       () => sources.countUnreadable(),
     ],
+    [
+      'missing_servers',
+      'Servers that are missing from the list after an outage and are asked',
+      () => sources.countMissing(),
+    ],
   ];
   for (const [name, help, read] of gauges) {
     metrics.addGauge(name, help, read);
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -47,6 +47,7 @@
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewaySettings } from './gatewaySettings.js';
+import { HealthRequests } from './healthRequests.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './httpCaller.js';
 import { HttpFrontend, type CallHandler } from './httpFrontend.js';
@@ -63,6 +64,7 @@
   TableRecord,
 } from './ports.js';
 import { bindHealthChart } from './server.js';
+import { bindListingChart } from './serverListing.js';
 import { ServerRegistry } from './serverRegistry.js';
 import { bindCheckChart } from './serverCheck.js';
 import { ServerLossHandler } from './serverLossHandler.js';
@@ -90,6 +92,7 @@
   private readonly log: ComponentLogger;
   private readonly backend: HttpBackend;
   private readonly retryBudget: SlidingRetryBudget;
+  private readonly healthRequests: HealthRequests;
   private readonly serverRegistry: ServerRegistry;
   private readonly lossHandler: ServerLossHandler;
   private readonly placer: LayerPlacer;
@@ -119,15 +122,8 @@
       slack: settings.rules.retrySlack,
       windowMs: settings.rules.retryWindowSeconds * millisecondsPerSecond,
     });
-    this.serverRegistry = new ServerRegistry(
-      getOrThrow(bindHealthChart()),
-      this.loop,
-      loggers.createLogger(LogComponent.Servers),
-      () => this.news.servers,
-      (server, now) => {
-        this.lossHandler.handleLost(server, now);
-      },
-    );
+    this.healthRequests = this.createHealthRequests();
+    this.serverRegistry = this.createRegistry();
     this.promptParts = this.createPromptParts();
     this.news = this.createNews();
     this.lossHandler = this.createLossHandler();
@@ -153,6 +149,7 @@
       connections: this.backend.counts,
       countCalls: () => this.calls.size,
       countUnreadable: () => this.serverRegistry.unreadableCount,
+      countMissing: () => this.serverRegistry.missingCount,
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
@@ -214,6 +211,7 @@
     this.frontend.dispose();
     this.pages.dispose();
     this.backend.dispose();
+    this.healthRequests.dispose();
     this.news.dispose();
     this.promptParts.dispose();
     this.placer.dispose();
@@ -394,6 +392,34 @@
     });
   }
 
+  private createRegistry(): ServerRegistry {
+    return new ServerRegistry({
+      timers: this.loop,
+      log: this.loggers.createLogger(LogComponent.Servers),
+      healthMachine: getOrThrow(bindHealthChart()),
+      listingMachine: getOrThrow(bindListingChart()),
+      getOutage: () => this.news.servers,
+      requestHealth: record => this.healthRequests.send(record),
+      handleLost: (server, now) => {
+        this.lossHandler.handleLost(server, now);
+      },
+      postCompletion: run => {
+        this.post(run);
+      },
+    });
+  }
+
+  private createHealthRequests(): HealthRequests {
+    return new HealthRequests({
+      control: this.ports.control,
+      getHealthPath: service =>
+        this.configuration?.services.get(service)?.healthPath ?? '/',
+      countProbe: () => {
+        this.metrics.countProbe();
+      },
+    });
+  }
+
   private createLossHandler(): ServerLossHandler {
     return new ServerLossHandler(getOrThrow(bindCheckChart()), {
       timers: this.loop,
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -181,9 +181,7 @@
       return;
     }
     this.checkHeartbeats(service, now);
-    const servers = this.services.serverRegistry
-      .listAll(service.name)
-      .filter(server => !server.record.isLeaving && server.isAvailable);
+    const servers = this.services.serverRegistry.listUsable(service.name);
     const stages = servers.map(server => this.toPlannedServer(server));
     const plan = this.services.placement.planPlacement(service.model, stages);
     for (const server of servers) {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -108,6 +108,14 @@
 } as const;
 export type ConnectionUse = ValueOf<typeof ConnectionUse>;
 
+/** What a server says of itself when it is asked for its health. */
+export interface ServerHealth {
+  /** Id of the server that answered, which may be another one at the address. */
+  readonly serverId: string;
+  /** Whether the server considers itself healthy and stays. */
+  readonly isSound: boolean;
+}
+
 /** Sends orders to backend servers and reads their reports. */
 export abstract class ServerControlPort {
   /** Sends an order; returns `true` if the server has begun it or has the layers already. Fails without a response. */
@@ -120,4 +128,10 @@
     timeoutMs: Milliseconds,
     connection: ConnectionUse,
   ): Promise<Result<ServerReport>>;
+  /** Asks for the server's health at the path of its service. Fails without a response in time. */
+  abstract readHealth(
+    address: string,
+    path: string,
+    timeoutMs: Milliseconds,
+  ): Promise<Result<ServerHealth>>;
 }
--- /dev/null
+++ b/packages/gateway/src/serverListing.ts
@@ -0,0 +1,211 @@
+/**
+ * Whether a backend server may be used, judging by its entry in the server list and
+ * by what it says of itself; context of the chart `serverListing`.
+ *
+ * An entry that is missing after an outage has two explanations: it expired while the
+ * store was down, or the server left while the store turned only this gateway away.
+ * The gateway cannot tell them apart, so the server is asked before it gets calls.
+ */
+import {
+  ChartName,
+  bindChart,
+  type ChartInstance,
+  type ChartMachine,
+  type ChartTimers,
+} from '@lycheetally/charts';
+import type {
+  ComponentLogger,
+  Milliseconds,
+  Result,
+} from '@lycheetally/common';
+import type { BackendRecord } from '@lycheetally/decisions';
+import {
+  healthRetryMs,
+  missingServerGraceMs,
+  serverReadIntervalMs,
+} from './constants.js';
+import type { ServerHealth } from './ports.js';
+
+export interface ListingEvent {
+  readonly type:
+    'LISTED' | 'MISSING' | 'SOUND' | 'UNSURE' | 'LEAVING' | 'RESTARTED';
+}
+
+export type ListingMachine = ChartMachine<ServerListing, ListingEvent>;
+
+/** The latest outage of the store, as seen by the follower of the server list. */
+export interface StoreOutage {
+  readonly outageSince: Milliseconds | undefined;
+  readonly outageEndedAt: Milliseconds;
+}
+
+/** Services that the listings of all servers share. */
+export interface ListingServices {
+  readonly timers: ChartTimers;
+  readonly log: ComponentLogger;
+  getOutage(): StoreOutage;
+  /** Asks a server for its health; fails without a response. */
+  requestHealth(record: BackendRecord): Promise<Result<ServerHealth>>;
+  postCompletion(run: (now: Milliseconds) => void): void;
+}
+
+/** The server that a listing belongs to. */
+export interface ListedServer {
+  readonly record: BackendRecord;
+  /** Drops the server, whose entry is gone for good. */
+  handleGone(now: Milliseconds): void;
+}
+
+export class ServerListing {
+  private readonly chart: ChartInstance<ServerListing, ListingEvent>;
+
+  constructor(
+    machine: ListingMachine,
+    private readonly services: ListingServices,
+    private readonly server: ListedServer,
+  ) {
+    this.chart = machine.createInstance(this, services.timers);
+  }
+
+  /** Whether the server is listed, or has confirmed that it is alive and stays. */
+  get isUsable(): boolean {
+    return (
+      this.chart.matches('listed') || this.chart.matches('missing.confirmed')
+    );
+  }
+
+  get isMissing(): boolean {
+    return this.chart.matches('missing');
+  }
+
+  start(now: Milliseconds): void {
+    this.chart.start(now);
+  }
+
+  /** Handles a read of the list that has an entry of the server. */
+  noteListed(isLeaving: boolean, now: Milliseconds): void {
+    this.chart.send({ type: isLeaving ? 'LEAVING' : 'LISTED' }, now);
+  }
+
+  /** Handles the entry of a new incarnation, which knows nothing of what an earlier one said. */
+  noteRestarted(now: Milliseconds): void {
+    this.chart.send({ type: 'RESTARTED' }, now);
+  }
+
+  /** Handles a read of the list without an entry of the server. */
+  noteMissing(now: Milliseconds): void {
+    this.chart.send({ type: 'MISSING' }, now);
+  }
+
+  dispose(): void {
+    this.chart.dispose();
+  }
+
+  /** Actions, guards and delays of the chart. */
+  readonly chartActions = {
+    noteMissing: (now: Milliseconds): void => {
+      const { services } = this;
+      services.log.info('A server is missing from the list and is asked.', {
+        ...describeServer(this.server.record),
+        sinceOutageMs: Math.round(now - services.getOutage().outageEndedAt),
+      });
+    },
+    requestHealth: (): void => {
+      const { services, server } = this;
+      const { record } = server;
+      void services.requestHealth(record).then(result => {
+        services.postCompletion(now => {
+          this.receiveHealth(result, record, now);
+        });
+      });
+    },
+    noteConfirmed: (): void => {
+      this.services.log.info(
+        'A server that is missing from the list is alive.',
+        describeServer(this.server.record),
+      );
+    },
+    noteLeaving: (): void => {
+      this.services.log.info(
+        'A server is leaving.',
+        describeServer(this.server.record),
+      );
+    },
+    handleGone: (now: Milliseconds): void => {
+      this.server.handleGone(now);
+    },
+    isStoreAvailable: (): boolean =>
+      this.services.getOutage().outageSince === undefined,
+    mayHaveExpired: (now: Milliseconds): boolean =>
+      !this.chartActions.isStoreAvailable() ||
+      now < this.services.getOutage().outageEndedAt + missingServerGraceMs,
+    /** Entries of live servers are back within the grace period, and are read one interval later. */
+    computeGraceLeft: (now: Milliseconds): Milliseconds => {
+      const { outageSince, outageEndedAt } = this.services.getOutage();
+      const start = outageSince === undefined ? outageEndedAt : now;
+      return Math.max(
+        0,
+        start + missingServerGraceMs + serverReadIntervalMs - now,
+      );
+    },
+  };
+
+  private receiveHealth(
+    health: Result<ServerHealth>,
+    { serverId }: BackendRecord,
+    now: Milliseconds,
+  ): void {
+    const isSound =
+      health.ok && health.val.isSound && health.val.serverId === serverId;
+    this.chart.send({ type: isSound ? 'SOUND' : 'UNSURE' }, now);
+  }
+}
+
+/** Fields of log lines about a server. */
+export const describeServer = (
+  record: BackendRecord,
+): Record<string, string | number | boolean> => ({
+  server: record.serverId,
+  service: record.service,
+  address: record.address,
+  domain: record.failureDomain,
+  kind: record.kind,
+  incarnation: record.incarnation,
+  leaving: record.isLeaving,
+  layers: describeRange(record),
+});
+
+export const describeRange = ({ range }: BackendRecord): string =>
+  range ? `${String(range.from)}-${String(range.to)}` : '';
+
+/** Binds the chart `serverListing`. Fails with `BadChart`. */
+export const bindListingChart = (): Result<ListingMachine> =>
+  bindChart<ServerListing, ListingEvent>(ChartName.ServerListing, {
+    actions: {
+      noteMissing: (listing, _, now) => {
+        listing.chartActions.noteMissing(now);
+      },
+      requestHealth: listing => {
+        listing.chartActions.requestHealth();
+      },
+      noteConfirmed: listing => {
+        listing.chartActions.noteConfirmed();
+      },
+      noteLeaving: listing => {
+        listing.chartActions.noteLeaving();
+      },
+      handleGone: (listing, _, now) => {
+        listing.chartActions.handleGone(now);
+      },
+    },
+    guards: {
+      mayHaveExpired: (listing, _, now) =>
+        listing.chartActions.mayHaveExpired(now),
+      isStoreAvailable: listing => listing.chartActions.isStoreAvailable(),
+    },
+    delays: {
+      MISSING_GRACE: (listing, now) =>
+        listing.chartActions.computeGraceLeft(now),
+      HEALTH_RETRY: () => healthRetryMs,
+    },
+  });
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -1,15 +1,29 @@
 /** The backend servers that a gateway knows, read from the server list in the platform's store. */
 import type { ChartTimers } from '@lycheetally/charts';
-import type { Milliseconds, ComponentLogger } from '@lycheetally/common';
+import type { Milliseconds } from '@lycheetally/common';
 import type { BackendRecord, StageServer } from '@lycheetally/decisions';
-import { missingServerGraceMs } from './constants.js';
 import type { TableRecord } from './ports.js';
 import { Server, type HealthMachine } from './server.js';
+import {
+  ServerListing,
+  describeRange,
+  describeServer,
+  type ListingMachine,
+  type ListingServices,
+} from './serverListing.js';
+
+/** Services that the registry uses. */
+export interface RegistryServices extends ListingServices {
+  readonly timers: ChartTimers;
+  readonly healthMachine: HealthMachine;
+  readonly listingMachine: ListingMachine;
+  /** Called when the running calls of a server are lost. */
+  handleLost(server: Server, now: Milliseconds): void;
+}
 
-/** The latest outage of the store, as seen by the follower of the server list. */
-export interface StoreOutage {
-  readonly outageSince: Milliseconds | undefined;
-  readonly outageEndedAt: Milliseconds;
+interface KnownServer {
+  readonly server: Server;
+  readonly listing: ServerListing;
 }
 
 export class ServerRegistry {
@@ -17,19 +31,11 @@
   gatewayShare = 0;
   /** When a server last joined. */
   lastJoinAt: Milliseconds = -Infinity;
-  private readonly servers = new Map<string, Server>();
+  private readonly known = new Map<string, KnownServer>();
   private domainCount = 0;
-  private readonly removalTimes = new Map<string, Milliseconds>();
   private unreadable = 0;
 
-  constructor(
-    private readonly machine: HealthMachine,
-    private readonly timers: ChartTimers,
-    private readonly log: ComponentLogger,
-    private readonly getOutage: () => StoreOutage,
-    /** Called when the running calls of a server are lost. */
-    private readonly handleLost: (server: Server, now: Milliseconds) => void,
-  ) {}
+  constructor(private readonly services: RegistryServices) {}
 
   /** Number of unreadable records since the start. */
   get unreadableCount(): number {
@@ -38,7 +44,7 @@
 
   /** Whether the store responds; otherwise a missing heartbeat says nothing about its server. */
   get isStoreAvailable(): boolean {
-    return this.getOutage().outageSince === undefined;
+    return this.services.getOutage().outageSince === undefined;
   }
 
   /** Estimated number of gateways that use the servers of a failure domain; each knows only its own calls. */
@@ -48,27 +54,32 @@
       : 1;
   }
 
+  /** Servers whose entries are missing and that have not been dropped yet. */
+  get missingCount(): number {
+    return [...this.known.values()].filter(({ listing }) => listing.isMissing)
+      .length;
+  }
+
   find(serverId: string): Server | undefined {
-    return this.servers.get(serverId);
+    return this.known.get(serverId)?.server;
   }
 
   findByAddress(address: string): Server | undefined {
-    return [...this.servers.values()].find(
-      server => server.record.address === address,
-    );
+    return this.list(({ record }) => record.address === address)[0];
   }
 
   /** Servers of the service that may get calls. */
   listUsable(service: string): Server[] {
-    return this.listAll(service).filter(
-      server => !server.record.isLeaving && server.isAvailable,
-    );
+    return [...this.known.values()]
+      .filter(({ listing }) => listing.isUsable)
+      .map(({ server }) => server)
+      .filter(
+        server => server.record.service === service && server.isAvailable,
+      );
   }
 
   listAll(service: string): Server[] {
-    return [...this.servers.values()].filter(
-      server => server.record.service === service,
-    );
+    return this.list(({ record }) => record.service === service);
   }
 
   apply(
@@ -80,15 +91,20 @@
       this.applyRecord(record, now);
     }
     if (isComplete) {
-      this.removeMissing(records, now);
+      this.noteMissing(records, now);
     }
-    this.removeExpired(now);
     this.countDomains();
   }
 
+  private list(isWanted: (server: Server) => boolean): Server[] {
+    return [...this.known.values()]
+      .map(({ server }) => server)
+      .filter(isWanted);
+  }
+
   private countDomains(): void {
     const domains = new Set(
-      [...this.servers.values()].map(({ record }) => record.failureDomain),
+      [...this.known.values()].map(({ server }) => server.record.failureDomain),
     );
     this.domainCount = domains.size;
   }
@@ -103,7 +119,7 @@
         this.unreadable === 1 ||
         this.unreadable % unreadableLogInterval === 0
       ) {
-        this.log.warn('A record of a server cannot be read.', {
+        this.services.log.warn('A record of a server cannot be read.', {
           key,
           fault,
           count: this.unreadable,
@@ -111,26 +127,41 @@
       }
       return;
     }
+    const known = this.known.get(key);
     if (!value) {
-      this.removeServer(key, now);
-      return;
-    }
-    this.removalTimes.delete(key);
-    const known = this.servers.get(key);
-    if (known) {
+      known?.listing.noteMissing(now);
+    } else if (known) {
       this.update(known, value, now);
-      return;
+    } else {
+      this.addServer(key, value, now);
     }
+  }
+
+  private addServer(
+    key: string,
+    record: BackendRecord,
+    now: Milliseconds,
+  ): void {
+    const { services } = this;
+    const { healthMachine, listingMachine, timers, log } = services;
     this.lastJoinAt = now;
-    this.servers.set(
-      key,
-      new Server(this.machine, this.timers, value, this.log, now),
-    );
-    this.log.info('A server joined.', describe(value));
+    const server = new Server(healthMachine, timers, record, log, now);
+    const listing = new ServerListing(listingMachine, services, {
+      get record() {
+        return server.record;
+      },
+      handleGone: () => {
+        this.dropServer(key);
+      },
+    });
+    this.known.set(key, { server, listing });
+    log.info('A server joined.', describeServer(record));
+    listing.start(now);
+    listing.noteListed(record.isLeaving, now);
   }
 
   private update(
-    server: Server,
+    { server, listing }: KnownServer,
     record: BackendRecord,
     now: Milliseconds,
   ): void {
@@ -147,88 +178,50 @@
       server.noteHeartbeat(now);
     }
     if (record.incarnation > before.incarnation) {
-      this.handleLost(server, now);
+      this.services.handleLost(server, now);
       server.noteRestart(now);
+      listing.noteRestarted(now);
       this.lastJoinAt = now;
-      this.log.info('A server was restarted.', describe(record));
-    } else if (record.isLeaving !== before.isLeaving) {
-      this.log.info('A server is leaving.', describe(record));
+      this.services.log.info('A server was restarted.', describeServer(record));
     } else if (describeRange(record) !== describeRange(before)) {
-      this.log.info('A server changed its layers.', describe(record));
+      this.services.log.info(
+        'A server changed its layers.',
+        describeServer(record),
+      );
     }
+    listing.noteListed(record.isLeaving, now);
   }
 
-  /** Removes a server, after a grace period if the store had an outage: live servers may then be missing from the list for a while. */
-  private removeServer(key: string, now: Milliseconds): void {
-    const server = this.servers.get(key);
-    if (!server) {
-      return;
-    }
-    const { outageSince, outageEndedAt } = this.getOutage();
-    const keptUntil = outageEndedAt + missingServerGraceMs;
-    if (outageSince === undefined && now >= keptUntil) {
-      this.dropServer(key, server);
-      return;
-    }
-    if (!this.removalTimes.has(key)) {
-      this.removalTimes.set(key, keptUntil);
-      this.log.info('A server is missing from the list and is kept for now.', {
-        ...describe(server.record),
-        calls: server.calls,
-        sinceHeartbeatMs: Math.round(now - server.lastAliveAt),
-        sinceOutageMs: Math.round(now - outageEndedAt),
-      });
-    }
-  }
-
-  private removeMissing(
+  private noteMissing(
     records: readonly TableRecord<BackendRecord>[],
     now: Milliseconds,
   ): void {
     const listedKeys = new Set(records.map(({ key }) => key));
-    for (const key of [...this.servers.keys()]) {
+    for (const [key, { listing }] of [...this.known]) {
       if (!listedKeys.has(key)) {
-        this.removeServer(key, now);
+        listing.noteMissing(now);
       }
     }
   }
 
-  private removeExpired(now: Milliseconds): void {
-    for (const [key, until] of this.removalTimes) {
-      const server = this.servers.get(key);
-      if (now >= until && server) {
-        this.removalTimes.delete(key);
-        this.dropServer(key, server);
-      }
+  private dropServer(key: string): void {
+    const known = this.known.get(key);
+    if (!known) {
+      return;
     }
-  }
-
-  private dropServer(key: string, server: Server): void {
-    server.dispose();
-    this.servers.delete(key);
-    this.log.info('A server left the list.', describe(server.record));
+    known.server.dispose();
+    known.listing.dispose();
+    this.known.delete(key);
+    this.services.log.info(
+      'A server left the list.',
+      describeServer(known.server.record),
+    );
   }
 }
 
 /** After the first, one in this many unreadable records is logged. */
 const unreadableLogInterval = 50;
 
-const describe = (
-  record: BackendRecord,
-): Record<string, string | number | boolean> => ({
-  server: record.serverId,
-  service: record.service,
-  address: record.address,
-  domain: record.failureDomain,
-  kind: record.kind,
-  incarnation: record.incarnation,
-  leaving: record.isLeaving,
-  layers: describeRange(record),
-});
-
-const describeRange = ({ range }: BackendRecord): string =>
-  range ? `${String(range.from)}-${String(range.to)}` : '';
-
 /** The server in the form that placement and the choice of chains take. */
 export const toStageServer = ({ record }: Server): StageServer => ({
   serverId: record.serverId,
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -22,9 +22,11 @@
   type ChainUpdateAnswer,
   type LeaderGrant,
   type PlacementOrder,
+  type ServerHealth,
   type ServerReport,
 } from '../src/ports.js';
 import { bindHealthChart } from '../src/server.js';
+import { bindListingChart } from '../src/serverListing.js';
 import { ServerRegistry } from '../src/serverRegistry.js';
 
 const range = { from: 0, to: 8 };
@@ -52,6 +54,8 @@
   kinds: [],
 };
 
+const unanswered = new TypedError(ErrorKind.BackendFailed, 'no', 'start it');
+
 /** Records the calls; each join is answered by the test. */
 class HeldElection extends LeaderElectionPort {
   readonly calls: string[] = [];
@@ -88,8 +92,11 @@
   }
 
   override updateChain(): Promise<Result<ChainUpdateAnswer>> {
-    const fault = new TypedError(ErrorKind.BackendFailed, 'no', 'start it');
-    return Promise.resolve(Err(fault));
+    return Promise.resolve(Err(unanswered));
+  }
+
+  override readHealth(): Promise<Result<ServerHealth>> {
+    return Promise.resolve(Err(unanswered));
   }
 
   override readReport(): Promise<Result<ServerReport>> {
@@ -134,13 +141,18 @@
     const log = new LoggerFactory('gateway-1', 'info', output).createLogger(
       LogComponent.Layers,
     );
-    registry = new ServerRegistry(
-      getOrThrow(bindHealthChart()),
-      loop,
+    registry = new ServerRegistry({
+      timers: loop,
       log,
-      () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
-      () => undefined,
-    );
+      healthMachine: getOrThrow(bindHealthChart()),
+      listingMachine: getOrThrow(bindListingChart()),
+      getOutage: () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
+      requestHealth: () => Promise.resolve(Err(unanswered)),
+      handleLost: () => undefined,
+      postCompletion: run => {
+        loop.post('completion', run);
+      },
+    });
     registry.apply([{ key: 'i-1', value: record }], true, clock.getNow());
     placer = new LayerPlacer(
       getOrThrow(bindLeaderChart()),
@@ -159,7 +171,7 @@
         postCompletion: run => {
           loop.post('completion', run);
         },
-        listServices: () => [{ name: 'model', model }],
+        listServices: () => [{ name: 'model', healthPath: '/health', model }],
       },
     );
     placer.start(clock.getNow());
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -16,6 +16,7 @@
   ConnectionUse,
   ServerControlPort,
   type ChainUpdateAnswer,
+  type ServerHealth,
   type ServerReport,
 } from '../src/ports.js';
 import { Server, bindHealthChart } from '../src/server.js';
@@ -43,6 +44,10 @@
     return Promise.resolve(Err(unanswered));
   }
 
+  override readHealth(): Promise<Result<ServerHealth>> {
+    return Promise.resolve(Err(unanswered));
+  }
+
   get probes(): number {
     return this.connections.length;
   }
