Take a server out of use when it says in an answer that it leaves

A server that leaves may say so in its answers before, or without, saying so in the server list; the gateway did not read the header, and a gateway whose list is out of date went on sending calls to it until they were cut.

Any answer of the server counts: a success, an error, a refusal, the head of a stream, a report, the answer to an order or to a health check. From then on the incarnation gets no calls, whatever its entry says later, also when the entry is removed and comes back; the last 4,096 such servers are remembered. A new incarnation starts anew. An answer of another server at the address (421) says nothing about this one.

--- a/packages/gateway/src/callFormat.ts
+++ b/packages/gateway/src/callFormat.ts
@@ -46,6 +46,8 @@
   readonly refusedBy: string | undefined;
   /** The response carries the server's signature, and its body was not re-encoded on the way. */
   readonly isAuthentic: boolean;
+  /** The server finishes its calls and then ends. */
+  readonly isLeaving: boolean;
   /** Number of running and waiting calls that the server reports, if it does. */
   readonly serverLoad: number | undefined;
   /** The headers delimit the body; otherwise it ends when the connection closes. */
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -63,6 +63,9 @@
 /** Servers that are asked for their health at the same time, at most. */
 export const maxHealthRequests = 16;
 
+/** Servers that left and are remembered at most. */
+export const maxDepartedServers = 4_096;
+
 /** How long a server that refused a call is avoided; a few of its calls end in that time. */
 export const refusalCooldownMs = 250;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to run a call on a backend server or a chain; context of the chart `gatewayAttempt`. */
 import type { ChartInstance, ChartMachine } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
+import type { BackendRecord } from '@lycheetally/decisions';
 import {
   createBackendFault,
   createErrorFault,
@@ -71,6 +72,8 @@
   private hasConnection = false;
   /** Number of checks that found the chain not stalled. */
   private stallChecks = 0;
+  /** The first server as the list had it when the attempt began. */
+  private readonly record: BackendRecord;
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
@@ -85,6 +88,7 @@
     super();
     const { services } = call;
     this.lastActivityAt = startedAt;
+    this.record = chosen.first.record;
     this.progress = new AttemptProgress(call);
     this.servers = new AttemptServers(
       services.serverRegistry,
@@ -133,10 +137,13 @@
   override handleHead(head: BackendHead): void {
     this.head = head;
     this.noteActivity();
-    if (head.fields.serverLoad !== undefined) {
-      this.chosen.first.noteLoad(head.fields.serverLoad);
-    }
     const { fields, status } = head;
+    if (fields.serverLoad !== undefined) {
+      this.chosen.first.noteLoad(fields.serverLoad);
+    }
+    if (fields.isLeaving && !fields.isMisdirected) {
+      this.noteLeaving();
+    }
     if (fields.requestId !== this.call.requestId) {
       this.failExchange('the answer names another call');
     } else if (isSuccess(status) && !fields.isAuthentic) {
@@ -348,6 +355,14 @@
     }
   }
 
+  /** Keeps later calls away from the server, whatever the server list says. */
+  private noteLeaving(): void {
+    const { services } = this.call;
+    services.postCompletion(now => {
+      services.serverRegistry.noteLeaving(this.record, now);
+    });
+  }
+
   private noteActivity(): void {
     this.lastActivityAt = this.call.services.getMoment().monotonic;
     this.call.lastActivityAt = this.lastActivityAt;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -6,6 +6,7 @@
  */
 import type { ChartInstance } from '@lycheetally/charts';
 import {
+  DisposableStore,
   LogComponent,
   millisecondsPerSecond,
   getOrThrow,
@@ -106,6 +107,7 @@
   private configuration: GatewayConfiguration | undefined;
   private isDrainingConnections = false;
   private hasEnded = false;
+  private readonly disposables = new DisposableStore();
 
   constructor(
     private settings: GatewaySettings,
@@ -139,6 +141,13 @@
         run(now);
       },
     });
+    this.disposables.add(
+      ports.control.leavingSeen.subscribe(address => {
+        this.post(now => {
+          this.noteLeaving(address, now);
+        });
+      }),
+    );
     this.loop.handlerFailed.subscribe(({ kind, thrown }) => {
       this.log.error('A handler of the loop failed.', {
         kind,
@@ -208,6 +217,7 @@
   }
 
   dispose(): void {
+    this.disposables.dispose();
     this.frontend.dispose();
     this.pages.dispose();
     this.backend.dispose();
@@ -311,6 +321,14 @@
     );
   }
 
+  /** Handles an answer to this gateway itself in which the server at the address said that it leaves. */
+  private noteLeaving(address: string, now: Milliseconds): void {
+    const server = this.serverRegistry.findByAddress(address);
+    if (server) {
+      this.serverRegistry.noteLeaving(server.record, now);
+    }
+  }
+
   private post(run: (now: Milliseconds) => void): void {
     this.loop.post('completion', run);
   }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,5 +1,10 @@
 /** Interfaces that a gateway needs from the platform. An adapter implements them with the platform's names and formats. */
-import type { Milliseconds, Result, ValueOf } from '@lycheetally/common';
+import {
+  Emitter,
+  type Milliseconds,
+  type Result,
+  type ValueOf,
+} from '@lycheetally/common';
 import type { ChainStage, LayerRange } from '@lycheetally/decisions';
 
 /** A key of a table and the text of its value; without a value the key was removed. */
@@ -118,6 +123,9 @@
 
 /** Sends orders to backend servers and reads their reports. */
 export abstract class ServerControlPort {
+  /** Emits the address of a server that said in an answer that it leaves. */
+  readonly leavingSeen = new Emitter<string>();
+
   /** Sends an order; returns `true` if the server has begun it or has the layers already. Fails without a response. */
   abstract placeLayers(order: PlacementOrder): Promise<Result<boolean>>;
   /** Moves a running request to another chain. Fails without a response; the request may move all the same. */
--- a/packages/gateway/src/serverListing.ts
+++ b/packages/gateway/src/serverListing.ts
@@ -57,6 +57,8 @@
 }
 
 export class ServerListing {
+  /** Whether this incarnation of the server said that it leaves. */
+  hasSaidLeaving = false;
   private readonly chart: ChartInstance<ServerListing, ListingEvent>;
 
   constructor(
@@ -83,8 +85,14 @@
   }
 
   /** Handles a read of the list that has an entry of the server. */
-  noteListed(isLeaving: boolean, now: Milliseconds): void {
-    this.chart.send({ type: isLeaving ? 'LEAVING' : 'LISTED' }, now);
+  noteListed(now: Milliseconds): void {
+    const type = this.server.record.isLeaving ? 'LEAVING' : 'LISTED';
+    this.chart.send({ type }, now);
+  }
+
+  /** Handles an answer in which the server said that it leaves. */
+  noteLeaving(now: Milliseconds): void {
+    this.chart.send({ type: 'LEAVING' }, now);
   }
 
   /** Handles the entry of a new incarnation, which knows nothing of what an earlier one said. */
@@ -125,11 +133,15 @@
         describeServer(this.server.record),
       );
     },
+    noteRestarted: (): void => {
+      this.hasSaidLeaving = false;
+    },
     noteLeaving: (): void => {
-      this.services.log.info(
-        'A server is leaving.',
-        describeServer(this.server.record),
-      );
+      this.hasSaidLeaving = true;
+      this.services.log.info('A server is leaving.', {
+        ...describeServer(this.server.record),
+        leaving: true,
+      });
     },
     handleGone: (now: Milliseconds): void => {
       this.server.handleGone(now);
@@ -194,6 +206,9 @@
       noteLeaving: listing => {
         listing.chartActions.noteLeaving();
       },
+      noteRestarted: listing => {
+        listing.chartActions.noteRestarted();
+      },
       handleGone: (listing, _, now) => {
         listing.chartActions.handleGone(now);
       },
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -2,6 +2,7 @@
 import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
 import type { BackendRecord, StageServer } from '@lycheetally/decisions';
+import { maxDepartedServers } from './constants.js';
 import type { TableRecord } from './ports.js';
 import { Server, type HealthMachine } from './server.js';
 import {
@@ -32,6 +33,8 @@
   /** When a server last joined. */
   lastJoinAt: Milliseconds = -Infinity;
   private readonly known = new Map<string, KnownServer>();
+  /** Incarnations that said that they leave, of servers that were dropped. */
+  private readonly departed = new Map<string, number>();
   private domainCount = 0;
   private unreadable = 0;
 
@@ -96,6 +99,14 @@
     this.countDomains();
   }
 
+  /** Handles an answer in which a server said that it leaves; `record` is its entry as of the request. */
+  noteLeaving(record: BackendRecord, now: Milliseconds): void {
+    const known = this.known.get(record.serverId);
+    if (known?.server.record.incarnation === record.incarnation) {
+      known.listing.noteLeaving(now);
+    }
+  }
+
   private list(isWanted: (server: Server) => boolean): Server[] {
     return [...this.known.values()]
       .map(({ server }) => server)
@@ -157,7 +168,10 @@
     this.known.set(key, { server, listing });
     log.info('A server joined.', describeServer(record));
     listing.start(now);
-    listing.noteListed(record.isLeaving, now);
+    if (this.departed.get(key) === record.incarnation) {
+      listing.noteLeaving(now);
+    }
+    listing.noteListed(now);
   }
 
   private update(
@@ -189,7 +203,7 @@
         describeServer(record),
       );
     }
-    listing.noteListed(record.isLeaving, now);
+    listing.noteListed(now);
   }
 
   private noteMissing(
@@ -209,14 +223,28 @@
     if (!known) {
       return;
     }
-    known.server.dispose();
-    known.listing.dispose();
+    const { server, listing } = known;
+    if (listing.hasSaidLeaving) {
+      this.keepDeparted(key, server.record.incarnation);
+    }
+    server.dispose();
+    listing.dispose();
     this.known.delete(key);
     this.services.log.info(
       'A server left the list.',
-      describeServer(known.server.record),
+      describeServer(server.record),
     );
   }
+
+  /** Remembers that an incarnation is leaving, since its entry may be written or read late. */
+  private keepDeparted(key: string, incarnation: number): void {
+    this.departed.delete(key);
+    this.departed.set(key, incarnation);
+    const [oldest] = this.departed.keys();
+    if (oldest !== undefined && this.departed.size > maxDepartedServers) {
+      this.departed.delete(oldest);
+    }
+  }
 }
 
 /** After the first, one in this many unreadable records is logged. */
