Order the entries of a server by the log, not by its start time

A server that starts again under its id after the clock of its VM stepped back has an earlier start time. Everything that it said was then taken for older news: its new address, its load and that it leaves, until its entry was removed. Callers lost its capacity, and calls went to an address that nobody served.

The position in the log of the list says which entry was written later, so it decides now; any other start time is a restart. Records carry their offset: the store names it, and changes that another gateway passes on follow each other without gaps. Of newest values that another gateway passes on it is only known that they are older than the next record. Messages between gateways stay as they are.

--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -46,7 +46,7 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly isLeaving: boolean;
-  /** Identifies the start of its process; larger after each restart. */
+  /** Identifies the start of its process: its time by the clock of the VM, which may step back. */
   readonly incarnation: number;
   /** Number of the announcement; increases within an incarnation. */
   readonly sequence: number;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -222,6 +222,7 @@
     this.pages.dispose();
     this.backend.dispose();
     this.healthRequests.dispose();
+    this.serverRegistry.dispose();
     this.news.dispose();
     this.promptParts.dispose();
     this.placer.dispose();
--- a/packages/gateway/src/news/newsFormat.ts
+++ b/packages/gateway/src/news/newsFormat.ts
@@ -1,7 +1,7 @@
 /** The messages in which gateways pass news of the store on: HTTP with JSON bodies, compressed when long. */
 import { gunzipSync, gzipSync } from 'node:zlib';
 import { z } from 'zod';
-import type { RawRecord } from '../ports.js';
+import type { KeyedText } from '../ports.js';
 import type { NewsAnswer, NewsRequest } from './newsTable.js';
 
 const newsPath = '/news/';
@@ -81,7 +81,7 @@
   );
   return {
     ...answer,
-    records: records.map(([key, value]): RawRecord => ({
+    records: records.map(([key, value]): KeyedText => ({
       key,
       value: value ?? undefined,
     })),
--- a/packages/gateway/src/news/newsTable.ts
+++ b/packages/gateway/src/news/newsTable.ts
@@ -11,7 +11,7 @@
 import type { Milliseconds } from '@lycheetally/common';
 import { computeAge, type Moment } from '@lycheetally/decisions';
 import { maxNewsHoldMs } from '../constants.js';
-import type { RawRecord, TableBatch } from '../ports.js';
+import type { KeyedText, TableBatch } from '../ports.js';
 import { TableHistory } from './tableHistory.js';
 
 /** What another gateway asks for. */
@@ -24,7 +24,7 @@
 
 /** News of a table. */
 export interface NewsAnswer {
-  readonly records: readonly RawRecord[];
+  readonly records: readonly KeyedText[];
   readonly next: number;
   /** Whether the changes that were asked for are no longer kept. */
   readonly isTrimmed: boolean;
--- a/packages/gateway/src/news/relayedTable.ts
+++ b/packages/gateway/src/news/relayedTable.ts
@@ -7,7 +7,7 @@
  */
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { maxRelayPollMs } from '../constants.js';
-import { TablePort, type TableBatch } from '../ports.js';
+import { TablePort, type RawRecord, type TableBatch } from '../ports.js';
 import type { NewsClient } from './newsClient.js';
 import type { NewsAnswer } from './newsTable.js';
 import type { PeerDirectory, Relay } from './peerDirectory.js';
@@ -85,7 +85,7 @@
     }
     services.countRead(true);
     this.seen.set(relay.id, answer.val.confirmation);
-    return answer.map(news => this.toBatch(news));
+    return answer.map(news => this.toBatch(news, from));
   }
 
   private noteFailure(relay: Relay, reason: string): void {
@@ -96,9 +96,9 @@
     });
   }
 
-  private toBatch(news: NewsAnswer): TableBatch {
+  private toBatch(news: NewsAnswer, from: number | undefined): TableBatch {
     return {
-      records: news.records,
+      records: addOffsets(news, from),
       next: news.next,
       isTrimmed: news.isTrimmed,
       confirmedAfterMs: news.heldMs - news.ageMs,
@@ -106,3 +106,13 @@
     };
   }
 }
+
+/** Changes follow each other without gaps. Of newest values it is only known that they were written before the next record. */
+const addOffsets = (
+  { records, next }: NewsAnswer,
+  from: number | undefined,
+): RawRecord[] =>
+  records.map((record, at) => ({
+    ...record,
+    offset: from === undefined ? next - 1 : next - records.length + at,
+  }));
--- a/packages/gateway/src/news/tableHistory.ts
+++ b/packages/gateway/src/news/tableHistory.ts
@@ -2,7 +2,7 @@
  * A copy of a table of the store: the newest value of each key and the latest
  * changes, so that other gateways can follow the table here.
  */
-import type { RawRecord, TableBatch } from '../ports.js';
+import type { KeyedText, TableBatch } from '../ports.js';
 
 /** Changes that are kept; a gateway that is further behind reads all newest values. */
 const maxChanges = 2_000;
@@ -14,7 +14,7 @@
   /** Offset after the newest record. */
   next = 0;
   private readonly newest = new Map<string, string>();
-  private changes: RawRecord[] = [];
+  private changes: KeyedText[] = [];
   private changeSize = 0;
 
   /** Replaces the copy by the newest values. */
@@ -40,18 +40,18 @@
   }
 
   /** Returns the records from an offset on, or `undefined` if they are not kept. */
-  readChanges(from: number): readonly RawRecord[] | undefined {
+  readChanges(from: number): readonly KeyedText[] | undefined {
     const first = this.next - this.changes.length;
     return from < first || from > this.next
       ? undefined
       : this.changes.slice(from - first);
   }
 
-  readNewest(): readonly RawRecord[] {
+  readNewest(): readonly KeyedText[] {
     return [...this.newest].map(([key, value]) => ({ key, value }));
   }
 
-  private setNewest({ key, value }: RawRecord): void {
+  private setNewest({ key, value }: KeyedText): void {
     if (value === undefined) {
       this.newest.delete(key);
     } else {
@@ -76,5 +76,5 @@
   }
 }
 
-const measureRecord = ({ key, value }: RawRecord): number =>
+const measureRecord = ({ key, value }: KeyedText): number =>
   key.length + (value?.length ?? 0);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -8,14 +8,22 @@
 import type { ChainStage, LayerRange } from '@lycheetally/decisions';
 
 /** A key of a table and the text of its value; without a value the key was removed. */
-export interface RawRecord {
+export interface KeyedText {
   readonly key: string;
   readonly value: string | undefined;
 }
 
+/** A record of a table. */
+export interface RawRecord extends KeyedText {
+  /** Position in the table's log; a record with a larger one was written later. */
+  readonly offset: number;
+}
+
 /** A decoded record; without a value the key was removed or the value cannot be read. */
 export interface TableRecord<T> {
   readonly key: string;
+  /** Position in the table's log; a record with a larger one was written later. */
+  readonly offset: number;
   readonly value: T | undefined;
   /** Why the value cannot be read; such a record is ignored. */
   readonly fault?: string | undefined;
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -25,6 +25,8 @@
 interface KnownServer {
   readonly server: Server;
   readonly listing: ServerListing;
+  /** Position of the server's entry in the log of the list. */
+  offset: number;
 }
 
 export class ServerRegistry {
@@ -57,6 +59,14 @@
       : 1;
   }
 
+  dispose(): void {
+    for (const { server, listing } of this.known.values()) {
+      server.dispose();
+      listing.dispose();
+    }
+    this.known.clear();
+  }
+
   /** Servers whose entries are missing and that have not been dropped yet. */
   get missingCount(): number {
     return [...this.known.values()].filter(({ listing }) => listing.isMissing)
@@ -121,7 +131,7 @@
   }
 
   private applyRecord(
-    { key, value, fault }: TableRecord<BackendRecord>,
+    { key, offset, value, fault }: TableRecord<BackendRecord>,
     now: Milliseconds,
   ): void {
     if (fault !== undefined) {
@@ -142,17 +152,18 @@
     if (!value) {
       known?.listing.noteMissing(now);
     } else if (known) {
-      this.update(known, value, now);
+      this.update(known, value, offset, now);
     } else {
-      this.addServer(key, value, now);
+      this.addServer(value, offset, now);
     }
   }
 
   private addServer(
-    key: string,
     record: BackendRecord,
+    offset: number,
     now: Milliseconds,
   ): void {
+    const { serverId: key } = record;
     const { services } = this;
     const { healthMachine, listingMachine, timers, log } = services;
     this.lastJoinAt = now;
@@ -165,7 +176,7 @@
         this.dropServer(key);
       },
     });
-    this.known.set(key, { server, listing });
+    this.known.set(key, { server, listing, offset });
     log.info('A server joined.', describeServer(record));
     listing.start(now);
     if (this.departed.get(key) === record.incarnation) {
@@ -174,24 +185,32 @@
     listing.noteListed(now);
   }
 
+  /** The order of the log decides which entry is newer: the start times of a server's incarnations may step back. */
   private update(
+    known: KnownServer,
+    record: BackendRecord,
+    offset: number,
+    now: Milliseconds,
+  ): void {
+    if (offset > known.offset) {
+      known.offset = offset;
+      this.replaceRecord(known, record, now);
+    }
+    known.listing.noteListed(now);
+  }
+
+  private replaceRecord(
     { server, listing }: KnownServer,
     record: BackendRecord,
     now: Milliseconds,
   ): void {
     const before = server.record;
-    const isOlder =
-      record.incarnation < before.incarnation ||
-      (record.incarnation === before.incarnation &&
-        record.sequence < before.sequence);
-    if (isOlder) {
-      return;
-    }
+    const isRestarted = record.incarnation !== before.incarnation;
     server.record = record;
-    if (record.sequence > before.sequence) {
+    if (isRestarted || record.sequence > before.sequence) {
       server.noteHeartbeat(now);
     }
-    if (record.incarnation > before.incarnation) {
+    if (isRestarted) {
       this.services.handleLost(server, now);
       server.noteRestart(now);
       listing.noteRestarted(now);
@@ -203,7 +222,6 @@
         describeServer(record),
       );
     }
-    listing.noteListed(now);
   }
 
   private noteMissing(
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -214,19 +214,19 @@
 });
 
 const decodeRecord = <T>(
-  { key, value }: RawRecord,
+  { key, offset, value }: RawRecord,
   decode: ValueDecoder<T>,
 ): TableRecord<T> => {
   if (value === undefined) {
-    return { key, value };
+    return { key, offset, value };
   }
   try {
     const decoded = decode(key, value);
     return decoded === undefined
-      ? { key, value: undefined, fault: 'the key is not used' }
-      : { key, value: decoded };
+      ? { key, offset, value: undefined, fault: 'the key is not used' }
+      : { key, offset, value: decoded };
   } catch (thrown) {
-    return { key, value: undefined, fault: toMessage(thrown) };
+    return { key, offset, value: undefined, fault: toMessage(thrown) };
   }
 };
 
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -153,7 +153,11 @@
         loop.post('completion', run);
       },
     });
-    registry.apply([{ key: 'i-1', value: record }], true, clock.getNow());
+    registry.apply(
+      [{ key: 'i-1', offset: 0, value: record }],
+      true,
+      clock.getNow(),
+    );
     placer = new LayerPlacer(
       getOrThrow(bindLeaderChart()),
       getOrThrow(bindOrderChart()),
@@ -179,7 +183,7 @@
 
   afterEach(() => {
     placer.dispose();
-    registry.find('i-1')?.dispose();
+    registry.dispose();
   });
 
   /** Lets pending completions run. */
--- a/packages/gateway/tests/newsTable.test.ts
+++ b/packages/gateway/tests/newsTable.test.ts
@@ -38,7 +38,11 @@
   next: number,
   values: readonly string[] = [],
 ): TableBatch => ({
-  records: values.map(value => ({ key: 'key', value })),
+  records: values.map((value, at) => ({
+    key: 'key',
+    value,
+    offset: next - values.length + at,
+  })),
   next,
   isTrimmed: false,
   confirmedAfterMs: 0,
--- /dev/null
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -0,0 +1,112 @@
+/** What a gateway makes of the entries in the server list. */
+import { Writable } from 'node:stream';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  LogComponent,
+  LoggerFactory,
+  Ok,
+  getOrThrow,
+} from '@lycheetally/common';
+import type { BackendRecord } from '@lycheetally/decisions';
+import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import type { TableRecord } from '../src/ports.js';
+import { bindHealthChart } from '../src/server.js';
+import { bindListingChart } from '../src/serverListing.js';
+import { ServerRegistry } from '../src/serverRegistry.js';
+
+const record: BackendRecord = {
+  serverId: 'i-1',
+  service: 'desk',
+  address: '127.0.0.1:1',
+  failureDomain: 'a',
+  slots: 10,
+  isLeaving: false,
+  incarnation: 2_000,
+  sequence: 5,
+  kind: '',
+  range: undefined,
+};
+
+describe('the registry of servers', () => {
+  let registry: ServerRegistry;
+  let clock: MonotonicClock;
+  let isSound: boolean;
+  let lost: string[];
+
+  beforeEach(() => {
+    isSound = true;
+    lost = [];
+    clock = new MonotonicClock();
+    const loop = new EventLoop<{ completion: (now: number) => void }>(clock);
+    loop.setHandlers({
+      completion: (run, now) => {
+        run(now);
+      },
+    });
+    const output = new Writable({
+      write: (_line, _encoding, done) => {
+        done();
+      },
+    });
+    const loggers = new LoggerFactory('gateway-1', 'info', output);
+    registry = new ServerRegistry({
+      timers: loop,
+      log: loggers.createLogger(LogComponent.Servers),
+      healthMachine: getOrThrow(bindHealthChart()),
+      listingMachine: getOrThrow(bindListingChart()),
+      getOutage: () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
+      requestHealth: ({ serverId }) =>
+        Promise.resolve(Ok({ serverId, isSound })),
+      handleLost: server => {
+        lost.push(server.record.serverId);
+      },
+      postCompletion: run => {
+        loop.post('completion', run);
+      },
+    });
+  });
+
+  afterEach(() => {
+    registry.dispose();
+  });
+
+  const apply = (
+    records: readonly TableRecord<BackendRecord>[],
+    isComplete = false,
+  ): void => {
+    registry.apply(records, isComplete, clock.getNow());
+  };
+
+  const listUsable = (): string[] =>
+    registry.listUsable('desk').map(server => server.record.address);
+
+  // Guards against a server that is ignored for ever after its VM's clock stepped back.
+  it('follows a server that started again with an earlier start time', () => {
+    apply([{ key: 'i-1', offset: 10, value: record }]);
+    const restarted = { ...record, incarnation: 1_000, sequence: 1 };
+    const value = { ...restarted, address: '127.0.0.1:2' };
+    apply([{ key: 'i-1', offset: 11, value }]);
+    expect(listUsable()).toEqual(['127.0.0.1:2']);
+    expect(lost).toEqual(['i-1']);
+    apply([{ key: 'i-1', offset: 12, value: { ...value, isLeaving: true } }]);
+    expect(listUsable()).toEqual([]);
+  });
+
+  it('ignores an entry that was written before the known one', () => {
+    const value = { ...record, isLeaving: true };
+    apply([{ key: 'i-1', offset: 10, value }]);
+    apply([
+      { key: 'i-1', offset: 9, value: { ...record, incarnation: 3_000 } },
+    ]);
+    expect(listUsable()).toEqual([]);
+    expect(lost).toEqual([]);
+  });
+
+  it('keeps a server that a complete list has with an unchanged entry', () => {
+    apply([{ key: 'i-1', offset: 10, value: record }]);
+    apply([{ key: 'i-1', offset: 10, value: record }], true);
+    expect(listUsable()).toEqual(['127.0.0.1:1']);
+    apply([], true);
+    expect(listUsable()).toEqual([]);
+  });
+});
