Don't take an older copy of a table over a newer one

When the store drops its history, a gateway reads all newest values, if it can at another gateway. That one may have read less, up to the age up to which it passes news on (2 s): a server that was removed since came back and got calls until the next read, up to 2.8 s after it had left.

A read of all newest values names the offset up to which the reader has read; an older copy is not used and the store is read instead.

--- a/packages/gateway/src/news/relayedTable.ts
+++ b/packages/gateway/src/news/relayedTable.ts
@@ -36,14 +36,15 @@
     super();
   }
 
-  override async readNewest(): Promise<Result<TableBatch>> {
+  override async readNewest(from: number): Promise<Result<TableBatch>> {
     const relay = this.chooseRelay();
     const answer = relay && (await this.request(relay, undefined));
-    if (answer) {
+    // A gateway that has read less would bring back what was removed since.
+    if (answer && (answer.err || answer.val.next >= from)) {
       return answer;
     }
     this.services.countRead(false);
-    return this.store.readNewest();
+    return this.store.readNewest(from);
   }
 
   override async readChanges(
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -46,8 +46,8 @@
 
 /** One table of the platform's store. Every call fails with `PlatformUnavailable`. */
 export abstract class TablePort {
-  /** Reads the newest value of each key. */
-  abstract readNewest(): Promise<Result<TableBatch>>;
+  /** Reads the newest value of each key, as of an offset that the caller has read up to, or later. */
+  abstract readNewest(from: number): Promise<Result<TableBatch>>;
   /** Reads changes from an offset on; waits up to `waitMs` for the first. */
   abstract readChanges(
     from: number,
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -117,7 +117,7 @@
 
   override readonly actions: FollowerActions = {
     requestNewest: () => {
-      this.request(this.options.table.readNewest(), 'LOADED');
+      this.request(this.options.table.readNewest(this.nextOffset), 'LOADED');
     },
     requestChanges: () => {
       const { table, waitMs } = this.options;
