Ask a server whose entry cannot be read before it gets calls

An entry that could not be read was skipped, and the one before it stayed in force for ever.

The server is asked for its health, as when its entry is missing, and again every 5 s until an entry can be read: another writer's entry does not take a live server out of use.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -54,6 +54,9 @@
 /** Time after a store outage within which the entries of live servers are back in the list. */
 export const missingServerGraceMs = 2_500;
 
+/** Interval at which a server whose entry cannot be read is asked for its health. */
+export const doubtedServerCheckMs = 5_000;
+
 /** Timeout of asking a server for its health. */
 export const healthTimeoutMs = 300;
 
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -13,7 +13,7 @@
   readonly news: GatewayNews;
   readonly promptParts: PromptParts;
   countUnreadable(): number;
-  countMissing(): number;
+  countDoubted(): number;
   getVersion(): number;
 }
 
@@ -76,9 +76,9 @@
       () => sources.countUnreadable(),
     ],
     [
-      'missing_servers',
-      'Servers that are missing from the list after an outage and are asked',
-      () => sources.countMissing(),
+      'doubted_servers',
+      'Servers that are asked, since their entries are missing or unreadable',
+      () => sources.countDoubted(),
     ],
   ];
   for (const [name, help, read] of gauges) {
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -158,7 +158,7 @@
       connections: this.backend.counts,
       countCalls: () => this.calls.size,
       countUnreadable: () => this.serverRegistry.unreadableCount,
-      countMissing: () => this.serverRegistry.missingCount,
+      countDoubted: () => this.serverRegistry.doubtedCount,
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
--- a/packages/gateway/src/serverListing.ts
+++ b/packages/gateway/src/serverListing.ts
@@ -3,8 +3,9 @@
  * by what it says of itself; context of the chart `serverListing`.
  *
  * An entry that is missing after an outage has two explanations: it expired while the
- * store was down, or the server left while the store turned only this gateway away.
- * The gateway cannot tell them apart, so the server is asked before it gets calls.
+ * store was down, or the server left while the store turned only this gateway away. An
+ * entry that cannot be read may be another writer's, or say that the server leaves. The
+ * gateway cannot tell, so the server is asked before it gets calls.
  */
 import {
   ChartName,
@@ -20,6 +21,7 @@
 } from '@lycheetally/common';
 import type { BackendRecord } from '@lycheetally/decisions';
 import {
+  doubtedServerCheckMs,
   healthRetryMs,
   missingServerGraceMs,
   serverReadIntervalMs,
@@ -28,7 +30,13 @@
 
 export interface ListingEvent {
   readonly type:
-    'LISTED' | 'MISSING' | 'SOUND' | 'UNSURE' | 'LEAVING' | 'RESTARTED';
+    | 'LISTED'
+    | 'MISSING'
+    | 'UNREADABLE'
+    | 'SOUND'
+    | 'UNSURE'
+    | 'LEAVING'
+    | 'RESTARTED';
 }
 
 export type ListingMachine = ChartMachine<ServerListing, ListingEvent>;
@@ -59,6 +67,7 @@
 export class ServerListing {
   /** Whether this incarnation of the server said that it leaves. */
   hasSaidLeaving = false;
+  private isMissing = false;
   private readonly chart: ChartInstance<ServerListing, ListingEvent>;
 
   constructor(
@@ -72,12 +81,13 @@
   /** Whether the server is listed, or has confirmed that it is alive and stays. */
   get isUsable(): boolean {
     return (
-      this.chart.matches('listed') || this.chart.matches('missing.confirmed')
+      this.chart.matches('listed') || this.chart.matches('doubted.confirmed')
     );
   }
 
-  get isMissing(): boolean {
-    return this.chart.matches('missing');
+  /** Whether the server is asked, since its entry is missing or cannot be read. */
+  get isDoubted(): boolean {
+    return this.chart.matches('doubted');
   }
 
   start(now: Milliseconds): void {
@@ -86,6 +96,7 @@
 
   /** Handles a read of the list that has an entry of the server. */
   noteListed(now: Milliseconds): void {
+    this.isMissing = false;
     const type = this.server.record.isLeaving ? 'LEAVING' : 'LISTED';
     this.chart.send({ type }, now);
   }
@@ -102,19 +113,27 @@
 
   /** Handles a read of the list without an entry of the server. */
   noteMissing(now: Milliseconds): void {
+    this.isMissing = true;
     this.chart.send({ type: 'MISSING' }, now);
   }
 
+  /** Handles an entry that cannot be read, which may be the server's own or another writer's. */
+  noteUnreadable(now: Milliseconds): void {
+    this.isMissing = false;
+    this.chart.send({ type: 'UNREADABLE' }, now);
+  }
+
   dispose(): void {
     this.chart.dispose();
   }
 
   /** Actions, guards and delays of the chart. */
   readonly chartActions = {
-    noteMissing: (now: Milliseconds): void => {
+    noteDoubt: (now: Milliseconds): void => {
       const { services } = this;
-      services.log.info('A server is missing from the list and is asked.', {
+      services.log.info('A server without a usable entry is asked.', {
         ...describeServer(this.server.record),
+        missing: this.isMissing,
         sinceOutageMs: Math.round(now - services.getOutage().outageEndedAt),
       });
     },
@@ -129,7 +148,7 @@
     },
     noteConfirmed: (): void => {
       this.services.log.info(
-        'A server that is missing from the list is alive.',
+        'A server without a usable entry is alive and stays.',
         describeServer(this.server.record),
       );
     },
@@ -151,8 +170,13 @@
     mayHaveExpired: (now: Milliseconds): boolean =>
       !this.chartActions.isStoreAvailable() ||
       now < this.services.getOutage().outageEndedAt + missingServerGraceMs,
-    /** Entries of live servers are back within the grace period, and are read one interval later. */
-    computeGraceLeft: (now: Milliseconds): Milliseconds => {
+    isEntryLost: (): boolean =>
+      this.isMissing && this.chartActions.isStoreAvailable(),
+    /** Missing entries of live servers are back within the grace period, and are read one interval later. */
+    computeDoubtLimit: (now: Milliseconds): Milliseconds => {
+      if (!this.isMissing) {
+        return doubtedServerCheckMs;
+      }
       const { outageSince, outageEndedAt } = this.services.getOutage();
       const start = outageSince === undefined ? outageEndedAt : now;
       return Math.max(
@@ -194,8 +218,8 @@
 export const bindListingChart = (): Result<ListingMachine> =>
   bindChart<ServerListing, ListingEvent>(ChartName.ServerListing, {
     actions: {
-      noteMissing: (listing, _, now) => {
-        listing.chartActions.noteMissing(now);
+      noteDoubt: (listing, _, now) => {
+        listing.chartActions.noteDoubt(now);
       },
       requestHealth: listing => {
         listing.chartActions.requestHealth();
@@ -216,11 +240,11 @@
     guards: {
       mayHaveExpired: (listing, _, now) =>
         listing.chartActions.mayHaveExpired(now),
-      isStoreAvailable: listing => listing.chartActions.isStoreAvailable(),
+      isEntryLost: listing => listing.chartActions.isEntryLost(),
     },
     delays: {
-      MISSING_GRACE: (listing, now) =>
-        listing.chartActions.computeGraceLeft(now),
+      DOUBT_LIMIT: (listing, now) =>
+        listing.chartActions.computeDoubtLimit(now),
       HEALTH_RETRY: () => healthRetryMs,
     },
   });
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -67,9 +67,9 @@
     this.known.clear();
   }
 
-  /** Servers whose entries are missing and that have not been dropped yet. */
-  get missingCount(): number {
-    return [...this.known.values()].filter(({ listing }) => listing.isMissing)
+  /** Servers that are asked, since their entries are missing or cannot be read. */
+  get doubtedCount(): number {
+    return [...this.known.values()].filter(({ listing }) => listing.isDoubted)
       .length;
   }
 
@@ -134,6 +134,7 @@
     { key, offset, value, fault }: TableRecord<BackendRecord>,
     now: Milliseconds,
   ): void {
+    const known = this.known.get(key);
     if (fault !== undefined) {
       this.unreadable += 1;
       if (
@@ -146,9 +147,9 @@
           count: this.unreadable,
         });
       }
+      known?.listing.noteUnreadable(now);
       return;
     }
-    const known = this.known.get(key);
     if (!value) {
       known?.listing.noteMissing(now);
     } else if (known) {
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -102,6 +102,29 @@
     expect(lost).toEqual([]);
   });
 
+  const settle = async (): Promise<void> => {
+    for (let turn = 0; turn < 10; turn += 1) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  };
+
+  // Guards against a leaving server that stays in use, since its last entry cannot be read.
+  it('asks a server whose entry cannot be read before it gets calls', async () => {
+    apply([{ key: 'i-1', offset: 10, value: record }]);
+    isSound = false;
+    const unreadable = { key: 'i-1', value: undefined, fault: 'no address' };
+    apply([{ ...unreadable, offset: 11 }]);
+    expect(listUsable()).toEqual([]);
+    await settle();
+    expect(listUsable()).toEqual([]);
+    apply([{ key: 'i-1', offset: 12, value: record }]);
+    expect(listUsable()).toEqual(['127.0.0.1:1']);
+    isSound = true;
+    apply([{ ...unreadable, offset: 13 }]);
+    await settle();
+    expect(listUsable()).toEqual(['127.0.0.1:1']);
+  });
+
   it('keeps a server that a complete list has with an unchanged entry', () => {
     apply([{ key: 'i-1', offset: 10, value: record }]);
     apply([{ key: 'i-1', offset: 10, value: record }], true);
