Let servers leave and linger in the soak of gateways

A third scenario replaces servers during the other faults. The one that leaves writes so or only removes its entry, may say so in its answers, and serves on. Two checks: a gateway that passed on such an answer sends the server no call 2 s later, restarts and freezes excused; and after the faults no call reaches a server that left.

--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -1,4 +1,6 @@
 /** Checks the calls and runs of a soak against the guarantees of a gateway. */
+import { checkLeaving } from './checkLeaving.js';
+import { listViolations } from './violations.js';
 import {
   SoakKind,
   type GuaranteeViolation,
@@ -31,6 +33,7 @@
       const callRuns = runs.get(call.requestId) ?? [];
       return [
         ...checkCall(call, callRuns),
+        ...checkLeaving(call, callRuns, history),
         ...(history.isPlannedOnly ? checkPlanned(call, callRuns, history) : []),
       ];
     }),
@@ -141,11 +144,3 @@
   Array.from({ length: steps }, (_, index) =>
     formatSoakEvent(requestId, index + 1),
   ).join('');
-
-const listViolations = (
-  requestId: string,
-  guarantees: Readonly<Record<string, boolean>>,
-): GuaranteeViolation[] =>
-  Object.entries(guarantees)
-    .filter(([, isMet]) => !isMet)
-    .map(([promise]) => ({ promise, requestId }));
--- a/bench/src/soak/gatewayProcess.ts
+++ b/bench/src/soak/gatewayProcess.ts
@@ -22,6 +22,8 @@
   readonly logLines: string[] = [];
   /** When the process was told to stop, by `Date.now()`. */
   readonly stopTimes: number[] = [];
+  /** When the process was killed, stopped or frozen, by `Date.now()`. */
+  readonly resetTimes: number[] = [];
   /** Number of exits with an error code. */
   failures = 0;
   private child: ChildProcess | undefined;
@@ -67,6 +69,9 @@
   }
 
   sendSignal(signal: NodeJS.Signals): void {
+    if (signal !== 'SIGHUP') {
+      this.resetTimes.push(Date.now());
+    }
     this.child?.kill(signal);
   }
 
--- a/bench/src/soak/gatewaySoakBench.ts
+++ b/bench/src/soak/gatewaySoakBench.ts
@@ -3,12 +3,14 @@
 import { runSoak } from './runSoak.js';
 import {
   FaultScenario,
+  LeavingScenario,
   PlannedScenario,
   type SoakScenario,
 } from './soakScenario.js';
 
 /** Seeds of one run of the bench, by scenario; `concurrentSeeds` of them run at the same time. */
 const faultSeeds = 50;
+const leavingSeeds = 50;
 const plannedSeeds = 20;
 const concurrentSeeds = 4;
 const durationMs = 8_000;
@@ -16,7 +18,7 @@
 export class GatewaySoakBench extends Bench {
   override readonly name = 'soak';
   override readonly summary =
-    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, and in 20 with planned work only';
+    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, and in 20 with planned work only';
   override readonly unit = 'calls';
 
   protected override async measure({ seed, report }: BenchOptions): Promise<{
@@ -26,6 +28,7 @@
   }> {
     const runs = [
       ...listRuns(new FaultScenario(), seed, faultSeeds),
+      ...listRuns(new LeavingScenario(), seed, leavingSeeds),
       ...listRuns(new PlannedScenario(), seed, plannedSeeds),
     ];
     let calls = 0;
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -60,6 +60,7 @@
     if (failed.length > 0) {
       return describeFailedGateways(seed, calls, faults, failed);
     }
+    const recoveredAt = Date.now() - harness.startedAt;
     const callsAfterFaults = await runCallers({
       ...load,
       seed: -seed,
@@ -71,6 +72,7 @@
       seed,
       calls,
       callsAfterFaults,
+      recoveredAt,
       faults,
       isPlannedOnly: scenario.isPlannedOnly,
     });
@@ -108,6 +110,7 @@
   readonly seed: number;
   readonly calls: readonly SoakCall[];
   readonly callsAfterFaults: readonly SoakCall[];
+  readonly recoveredAt: number;
   readonly faults: readonly string[];
   readonly isPlannedOnly: boolean;
 }
@@ -117,6 +120,7 @@
   seed,
   calls,
   callsAfterFaults,
+  recoveredAt,
   faults,
   isPlannedOnly,
 }: EndedSoak): SoakResult => {
@@ -129,6 +133,11 @@
     stops: harness.gateways.flatMap(({ port, stopTimes }) =>
       stopTimes.map(at => ({ port, at: at - harness.startedAt })),
     ),
+    resets: harness.gateways.flatMap(({ port, resetTimes }) =>
+      resetTimes.map(at => ({ port, at: at - harness.startedAt })),
+    ),
+    leaveDeadlines: harness.leaveDeadlines,
+    recoveredAt,
     graceMs: drainSeconds * millisecondsPerSecond,
   };
   const broken = [...checkSoak(history), ...checkRecovery(callsAfterFaults)];
--- a/bench/src/soak/soakCallers.ts
+++ b/bench/src/soak/soakCallers.ts
@@ -128,6 +128,14 @@
   readonly startedAt: number;
 }
 
+const noAnswer = {
+  status: 0,
+  answer: '',
+  isComplete: false,
+  isSigned: false,
+  saidLeaving: false,
+};
+
 const sendCall = (planned: PlannedCall): Promise<SoakCall> => {
   const body = `body of ${planned.requestId}`;
   const getNow = (): number => Date.now() - planned.startedAt;
@@ -160,13 +168,16 @@
       bodySentAt = getNow();
     });
     const finish = (
-      result: Pick<SoakCall, 'status' | 'answer' | 'isComplete' | 'isSigned'>,
+      result: Pick<
+        SoakCall,
+        'status' | 'answer' | 'isComplete' | 'isSigned' | 'saidLeaving'
+      >,
     ): void => {
       clearTimeout(timer);
       resolve({ ...sent, bodySentAt, endedAt: getNow(), ...result });
     };
     outgoing.on('error', () => {
-      finish({ status: 0, answer: '', isComplete: false, isSigned: false });
+      finish(noAnswer);
     });
     outgoing.on('response', incoming => {
       let answer = '';
@@ -180,6 +191,7 @@
           answer,
           isComplete: incoming.complete,
           isSigned: incoming.headers['x-response-signature'] !== undefined,
+          saidLeaving: incoming.headers['server-leaving'] !== undefined,
         });
       });
     });
--- a/bench/src/soak/soakFaults.ts
+++ b/bench/src/soak/soakFaults.ts
@@ -149,6 +149,14 @@
   }
 }
 
+class ReplaceServerFault extends SoakFault {
+  readonly name = 'replace a server, which lingers';
+
+  override run(harness: SoakHarness, random: SeededRandom): Promise<void> {
+    return harness.replaceServer(random);
+  }
+}
+
 const linkDelayMs = 150;
 
 const faults: readonly SoakFault[] = [
@@ -203,6 +211,13 @@
   }),
 ];
 
+const leavingFaults: readonly SoakFault[] = [
+  ...faults,
+  new ReplaceServerFault(),
+  new ReplaceServerFault(),
+  new ReplaceServerFault(),
+];
+
 /** Time limits that a planned change of the configuration gives to the routes; longer than any call of a session. */
 const minRouteTimeoutMs = 5_000;
 const maxRouteTimeoutMs = 9_000;
@@ -240,6 +255,14 @@
 ): Promise<string[]> =>
   runFaults(faults, longestPauseMs, { harness, random, durationMs });
 
+/** Injects faults, and servers that leave, for `durationMs`; returns their names in order. */
+export const runLeavingFaults = (
+  harness: SoakHarness,
+  random: SeededRandom,
+  durationMs: number,
+): Promise<string[]> =>
+  runFaults(leavingFaults, longestPauseMs, { harness, random, durationMs });
+
 /** Does planned work for `durationMs`, some of it at the same time; returns its names in order. */
 export const runPlannedWork = (
   harness: SoakHarness,
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -7,9 +7,11 @@
   PlatformStoreStandIn,
   StoreMode,
   TcpRelay,
+  type SeededRandom,
   formatConfigurationRecord,
   formatServerRecord,
 } from '@lycheetally/testkit';
+import { leaveMs } from './checkLeaving.js';
 import { GatewayProcess } from './gatewayProcess.js';
 import { soakHost } from './soakCallers.js';
 import { SoakServer } from './soakServers.js';
@@ -37,6 +39,8 @@
   readonly startedAt = Date.now();
   readonly accounts = new Map<string, string>();
   readonly revocationDeadlines = new Map<string, number>();
+  /** When each server that left was to get no more calls, in milliseconds since the start. */
+  readonly leaveDeadlines = new Map<string, number>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'lycheetally-soak-'));
   private version = 1;
 
@@ -84,6 +88,32 @@
     }
   }
 
+  /**
+   * Adds a server and lets another one leave, which serves on. It writes that it leaves
+   * or only removes its entry, and may say so in its answers.
+   */
+  async replaceServer(random: SeededRandom): Promise<void> {
+    const staying = this.servers.filter(
+      ({ serverId }) => !this.leaveDeadlines.has(serverId),
+    );
+    const at = this.servers.length;
+    const leaver = random.pickOne(staying);
+    const [saysSo, isRemoved] = [random.pickInteger(2), random.pickInteger(2)];
+    const deadline = Date.now() - this.startedAt + leaveMs;
+    this.leaveDeadlines.set(leaver.serverId, deadline);
+    await this.addServer(`i-${String(at)}`, this.seed * 10 + at);
+    leaver.leave(saysSo === 1);
+    const link = this.serverLinks[this.servers.indexOf(leaver)];
+    const address = (await link?.listen()) ?? '';
+    this.store.put(
+      serversTable,
+      leaver.serverId,
+      isRemoved === 1
+        ? undefined
+        : formatServerRecord(address, { slots: 50, state: 'draining', seq: 2 }),
+    );
+  }
+
   /** Drops the change history of the store. */
   dropHistory(): void {
     this.store.dropHistory(serversTable);
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -1,7 +1,11 @@
 /** What a soak does to its gateways, and who calls them meanwhile. */
 import type { SeededRandom } from '@lycheetally/testkit';
 import { runCallers, runSessions, type SoakLoad } from './soakCallers.js';
-import { runPlannedWork, runSoakFaults } from './soakFaults.js';
+import {
+  runLeavingFaults,
+  runPlannedWork,
+  runSoakFaults,
+} from './soakFaults.js';
 import type { SoakHarness } from './soakHarness.js';
 import type { SoakCall } from './types.js';
 
@@ -27,7 +31,7 @@
 
 /** Any fault, one at a time and together. */
 export class FaultScenario extends SoakScenario {
-  override readonly name = 'faults';
+  override readonly name: string = 'faults';
   override readonly isPlannedOnly = false;
   override readonly routeTimeoutMs = 3_000;
 
@@ -44,6 +48,19 @@
   }
 }
 
+/** Any fault while servers are replaced, and those that leave serve on. */
+export class LeavingScenario extends FaultScenario {
+  override readonly name = 'leaving servers';
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    return runLeavingFaults(harness, random, durationMs);
+  }
+}
+
 /** Stops, reloads and new configurations, with callers that keep their connections. */
 export class PlannedScenario extends SoakScenario {
   override readonly name = 'planned work';
--- a/bench/src/soak/soakServers.ts
+++ b/bench/src/soak/soakServers.ts
@@ -32,6 +32,8 @@
 
 /** Milliseconds between two events of a stream. */
 const eventIntervalMs = 25;
+const healthPath = '/health';
+
 /** Delay of an answer in the mode `DelayAnswer`. */
 const answerDelayMs = 400;
 
@@ -40,6 +42,8 @@
   readonly backend: BackendServerStandIn;
   /** Answers every request correctly when set. */
   isFaultFree = false;
+  private isLeaving = false;
+  private leavingHeaders: readonly string[] = [];
   private readonly random: SeededRandom;
 
   constructor(
@@ -52,14 +56,39 @@
     });
   }
 
+  /** Serves on, but considers itself leaving, and may say so in its answers. */
+  leave(saysSo: boolean): void {
+    this.isLeaving = true;
+    this.leavingHeaders = saysSo ? ['Server-Leaving: 1'] : [];
+  }
+
+  private sendAnswer(
+    request: ReceivedRequest,
+    body: string,
+    status?: string,
+    headers: readonly string[] = [],
+  ): void {
+    const all = [...headers, ...this.leavingHeaders];
+    sendResponse(request, body, status, all);
+  }
+
+  private answerHealth(request: ReceivedRequest): void {
+    const status = this.isLeaving ? '503 Leaving' : '200 OK';
+    this.sendAnswer(request, '', status, [`X-Instance-Id: ${this.serverId}`]);
+  }
+
   private serve(request: ReceivedRequest): void {
+    if (request.target === healthPath) {
+      this.answerHealth(request);
+      return;
+    }
     const mode = this.isFaultFree
       ? ResponseMode.Answer
       : this.random.pickOne(responseModes);
     if (request.headers.get('x-target-instance') !== this.serverId) {
-      sendResponse(request, '', '421 Misdirected Request');
+      this.sendAnswer(request, '', '421 Misdirected Request');
     } else if (mode === ResponseMode.Refuse) {
-      sendResponse(request, '', '503 Busy', ['X-Not-Executed: 1']);
+      this.sendAnswer(request, '', '503 Busy', ['X-Not-Executed: 1']);
     } else if (request.target.startsWith(`/${SoakKind.Stream}/`)) {
       this.record(request, '', true);
       this.streamEvents(request, mode);
@@ -76,11 +105,11 @@
     switch (mode) {
       case ResponseMode.DelayAnswer:
         setTimeout(() => {
-          sendResponse(request, answer);
+          this.sendAnswer(request, answer);
         }, answerDelayMs);
         break;
       case ResponseMode.Fail:
-        sendResponse(request, answer, '500 Failed');
+        this.sendAnswer(request, answer, '500 Failed');
         break;
       case ResponseMode.DropAnswer:
         request.socket.destroy();
@@ -103,7 +132,7 @@
       default:
         setTimeout(
           () => {
-            sendResponse(request, answer);
+            this.sendAnswer(request, answer);
           },
           parseSteps(request) * eventIntervalMs,
         );
@@ -117,7 +146,7 @@
     const breakAfter = isBroken ? this.random.pickInteger(steps) : Infinity;
     let at = Number(request.headers.get('last-event-id') ?? 0);
     let written = 0;
-    beginEventStream(request);
+    beginEventStream(request, this.leavingHeaders);
     const writeNext = (): void => {
       if (request.socket.destroyed) {
         return;
@@ -148,6 +177,7 @@
     );
     this.runs.push({
       requestId: headers.get('x-request-id') ?? '',
+      serverId: this.serverId,
       kind: kind ?? SoakKind.Booking,
       body,
       account: headers.get('x-tenant') ?? '',
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -32,11 +32,14 @@
   readonly answer: string;
   readonly isComplete: boolean;
   readonly isSigned: boolean;
+  /** Whether the answer said that its server leaves. */
+  readonly saidLeaving: boolean;
 }
 
 /** A run of a call as recorded by the server. */
 export interface SoakRun {
   readonly requestId: string;
+  readonly serverId: string;
   readonly kind: SoakKind;
   readonly body: string;
   readonly account: string;
@@ -52,6 +55,13 @@
   readonly at: number;
 }
 
+/** A restart or freeze of a gateway. */
+export interface SoakReset {
+  readonly port: number;
+  /** Milliseconds since the start of the soak. */
+  readonly at: number;
+}
+
 /** The records of all callers and servers. */
 export interface SoakHistory {
   readonly calls: readonly SoakCall[];
@@ -63,6 +73,11 @@
   /** Whether planned work was the only disturbance, so that nothing excuses a lost call. */
   readonly isPlannedOnly: boolean;
   readonly stops: readonly SoakStop[];
+  readonly resets: readonly SoakReset[];
+  /** When each server that left was to get no more calls, in milliseconds since the start of the soak. */
+  readonly leaveDeadlines: ReadonlyMap<string, number>;
+  /** When the gateways had followed the store without a fault for long enough, in milliseconds since the start of the soak. */
+  readonly recoveredAt: number;
   /** Time from a stop signal until the platform kills the process, in milliseconds. */
   readonly graceMs: number;
 }
--- a/bench/tests/soak.test.ts
+++ b/bench/tests/soak.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import {
   FaultScenario,
+  LeavingScenario,
   PlannedScenario,
   SoakKind,
   checkSoak,
@@ -28,10 +29,12 @@
   answer: 'answer',
   isComplete: true,
   isSigned: true,
+  saidLeaving: false,
 };
 
 const run: SoakRun = {
   requestId: 'r-1',
+  serverId: 'i-1',
   kind: SoakKind.Booking,
   body: 'body',
   account: 'account-1',
@@ -51,6 +54,9 @@
     revocationDeadlines: new Map(),
     isPlannedOnly: false,
     stops: [],
+    resets: [],
+    leaveDeadlines: new Map(),
+    recoveredAt: Infinity,
     graceMs: 6_000,
     ...changes,
   };
@@ -115,6 +121,38 @@
   });
 });
 
+describe('checkSoak with servers that leave', () => {
+  const promise =
+    'a gateway that passed on that a server leaves sends it no calls';
+  const notice = { ...call, saidLeaving: true };
+  const later = { ...call, requestId: 'r-2', sentAt: 2_301 };
+  const laterRun = { ...run, requestId: 'r-2' };
+
+  it.each([
+    ['a call after the notice', {}, {}, [promise]],
+    ['a call of another gateway', { port: 2 }, {}, []],
+    ['a call within the time to leave', { sentAt: 2_300 }, {}, []],
+    ['a call after a restart', {}, { resets: [{ port: 1, at: 1_000 }] }, []],
+    [
+      'a call after the restart of another gateway',
+      {},
+      { resets: [{ port: 2, at: 1_000 }] },
+      [promise],
+    ],
+  ])('judges %s', (_, changed, changes, promises) => {
+    const calls = [notice, { ...later, ...changed }];
+    expect(findViolations(calls, [run, laterRun], changes)).toEqual(promises);
+  });
+
+  it('finds a call after the faults at a server that left', () => {
+    const leaveDeadlines = new Map([['i-1', 90]]);
+    const changes = { leaveDeadlines, recoveredAt: 95 };
+    expect(findViolations([call], [run], changes)).toEqual([
+      'a server that left gets no calls after the faults',
+    ]);
+  });
+});
+
 describe('checkSoak with planned work only', () => {
   const stream: SoakCall = { ...call, kind: SoakKind.Stream };
   const streamRun = { ...run, kind: SoakKind.Stream };
@@ -201,6 +239,8 @@
   { scenario: new FaultScenario(), seed: 2 },
   // The first read after an outage of the store waited for a change.
   { scenario: new FaultScenario(), seed: 13_008 },
+  // Gateways kept servers in use that had left while they could not read the store.
+  { scenario: new LeavingScenario(), seed: 6 },
   // A stopping gateway took streams that could not end before its drain timeout.
   { scenario: new PlannedScenario(), seed: 2 },
 ];
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -162,10 +162,14 @@
 };
 
 /** Starts a chunked response of server-sent events. */
-export const beginEventStream = (request: ReceivedRequest): void => {
+export const beginEventStream = (
+  request: ReceivedRequest,
+  extraHeaders: readonly string[] = [],
+): void => {
   const headers = [
     'Content-Type: text/event-stream',
     'Transfer-Encoding: chunked',
+    ...extraHeaders,
   ];
   request.socket.write(formatResponseHead(request, '200 OK', headers));
 };
