Log what limit a server names

No gateway read the header in which a server in need names how many requests a second it takes, so nothing could be seen of it. The limit is read now (decimal numbers only; anything else leaves it as it is) and followed by a chart, serverIntake; its changes are logged, and a gauge counts the servers that name one. An answer without a limit ends it only if its request was sent after the limit was named, since answers overtake each other. No call is held back yet: the policy is the baseline, UnlimitedIntake.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -36,6 +36,7 @@
   TableFollower: 'tableFollower',
   ServerHealth: 'serverHealth',
   ServerListing: 'serverListing',
+  ServerIntake: 'serverIntake',
   DutyHolder: 'dutyHolder',
   LayerOrder: 'layerOrder',
   ServerCheck: 'serverCheck',
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -36,5 +36,6 @@
 export * from './types.js';
 export * from './workOrder.js';
 export * from './gateway/index.js';
+export * from './intake/index.js';
 export * from './placement/index.js';
 export * from './suspects/index.js';
--- a/packages/gateway/src/callFormat.ts
+++ b/packages/gateway/src/callFormat.ts
@@ -50,6 +50,8 @@
   readonly isLeaving: boolean;
   /** Number of running and waiting calls that the server reports, if it does. */
   readonly serverLoad: number | undefined;
+  /** Requests per second that the server takes from all gateways; absent without a limit, NaN if it cannot be read. */
+  readonly limitPerSecond: number | undefined;
   /** The headers delimit the body; otherwise it ends when the connection closes. */
   readonly isFramed: boolean;
   /** Headers forwarded to the caller. */
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -141,6 +141,9 @@
     if (fields.serverLoad !== undefined) {
       this.chosen.first.noteLoad(fields.serverLoad);
     }
+    if (!fields.isMisdirected) {
+      this.noteIntake(fields);
+    }
     if (fields.isLeaving && !fields.isMisdirected) {
       this.noteLeaving();
     }
@@ -355,6 +358,14 @@
     }
   }
 
+  private noteIntake({ limitPerSecond }: BackendHead['fields']): void {
+    const { services } = this.call;
+    const { intake } = this.chosen.first;
+    services.postCompletion(now => {
+      intake.noteAnswer({ limitPerSecond, sentAt: this.startedAt }, now);
+    });
+  }
+
   /** Keeps later calls away from the server, whatever the server list says. */
   private noteLeaving(): void {
     const { services } = this.call;
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -14,6 +14,7 @@
   readonly promptParts: PromptParts;
   countUnreadable(): number;
   countDoubted(): number;
+  countLimited(): number;
   getVersion(): number;
 }
 
@@ -80,6 +81,11 @@
       'Servers that are asked, since their entries are missing or unreadable',
       () => sources.countDoubted(),
     ],
+    [
+      'limited_servers',
+      'Servers that name how many requests a second they take',
+      () => sources.countLimited(),
+    ],
   ];
   for (const [name, help, read] of gauges) {
     metrics.addGauge(name, help, read);
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -23,6 +23,7 @@
   ReplicaPerDomain,
   SlidingRetryBudget,
   SlowestRecentForecast,
+  UnlimitedIntake,
   isFreshEnough,
   type GatewayConfiguration,
   type Moment,
@@ -65,6 +66,7 @@
   TableRecord,
 } from './ports.js';
 import { bindHealthChart } from './server.js';
+import { bindIntakeChart } from './serverIntake.js';
 import { bindListingChart } from './serverListing.js';
 import { ServerRegistry } from './serverRegistry.js';
 import { bindCheckChart } from './serverCheck.js';
@@ -159,6 +161,7 @@
       countCalls: () => this.calls.size,
       countUnreadable: () => this.serverRegistry.unreadableCount,
       countDoubted: () => this.serverRegistry.doubtedCount,
+      countLimited: () => this.serverRegistry.limitedCount,
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
@@ -417,6 +420,8 @@
       log: this.loggers.createLogger(LogComponent.Servers),
       healthMachine: getOrThrow(bindHealthChart()),
       listingMachine: getOrThrow(bindListingChart()),
+      intakeMachine: getOrThrow(bindIntakeChart()),
+      createIntakePolicy: () => new UnlimitedIntake(),
       getOutage: () => this.news.servers,
       requestHealth: record => this.healthRequests.send(record),
       handleLost: (server, now) => {
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -20,6 +20,7 @@
   maxSuspensionMs,
   unreachableRetryMs,
 } from './constants.js';
+import type { ServerIntake } from './serverIntake.js';
 
 export interface HealthEvent {
   readonly type:
@@ -54,6 +55,8 @@
     timers: ChartTimers,
     public record: BackendRecord,
     private readonly log: ComponentLogger,
+    /** What the server says that it takes. */
+    readonly intake: ServerIntake,
     now: Milliseconds,
   ) {
     this.lastAliveAt = now;
@@ -122,10 +125,12 @@
   }
 
   noteRestart(now: Milliseconds): void {
+    this.intake.noteRestarted(now);
     this.chart.send({ type: 'RESTARTED' }, now);
   }
 
   dispose(): void {
+    this.intake.dispose();
     this.chart.dispose();
   }
 
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -1,10 +1,15 @@
 /** The backend servers that a gateway knows, read from the server list in the platform's store. */
 import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
-import type { BackendRecord, StageServer } from '@lycheetally/decisions';
+import type {
+  BackendRecord,
+  IntakePolicy,
+  StageServer,
+} from '@lycheetally/decisions';
 import { maxDepartedServers } from './constants.js';
 import type { TableRecord } from './ports.js';
 import { Server, type HealthMachine } from './server.js';
+import { ServerIntake, type IntakeMachine } from './serverIntake.js';
 import {
   ServerListing,
   describeRange,
@@ -18,6 +23,8 @@
   readonly timers: ChartTimers;
   readonly healthMachine: HealthMachine;
   readonly listingMachine: ListingMachine;
+  readonly intakeMachine: IntakeMachine;
+  createIntakePolicy(serverId: string): IntakePolicy;
   /** Called when the running calls of a server are lost. */
   handleLost(server: Server, now: Milliseconds): void;
 }
@@ -67,6 +74,11 @@
     this.known.clear();
   }
 
+  /** Servers that name a limit. */
+  get limitedCount(): number {
+    return this.list(({ intake }) => intake.isLimited).length;
+  }
+
   /** Servers that are asked, since their entries are missing or cannot be read. */
   get doubtedCount(): number {
     return [...this.known.values()].filter(({ listing }) => listing.isDoubted)
@@ -166,9 +178,16 @@
   ): void {
     const { serverId: key } = record;
     const { services } = this;
-    const { healthMachine, listingMachine, timers, log } = services;
+    const { healthMachine, listingMachine, intakeMachine } = services;
+    const { timers, log } = services;
     this.lastJoinAt = now;
-    const server = new Server(healthMachine, timers, record, log, now);
+    const intake = new ServerIntake(
+      intakeMachine,
+      { timers, log, policy: services.createIntakePolicy(key) },
+      key,
+      now,
+    );
+    const server = new Server(healthMachine, timers, record, log, intake, now);
     const listing = new ServerListing(listingMachine, services, {
       get record() {
         return server.record;
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -11,7 +11,11 @@
   getOrThrow,
   type Result,
 } from '@lycheetally/common';
-import { PlacementPolicy, type PlacementPlan } from '@lycheetally/decisions';
+import {
+  PlacementPolicy,
+  UnlimitedIntake,
+  type PlacementPlan,
+} from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import { maxFirstPlacementWaitMs } from '../src/constants.js';
 import { bindOrderChart } from '../src/layerOrder.js';
@@ -26,6 +30,7 @@
   type ServerReport,
 } from '../src/ports.js';
 import { bindHealthChart } from '../src/server.js';
+import { bindIntakeChart } from '../src/serverIntake.js';
 import { bindListingChart } from '../src/serverListing.js';
 import { ServerRegistry } from '../src/serverRegistry.js';
 
@@ -146,6 +151,8 @@
       log,
       healthMachine: getOrThrow(bindHealthChart()),
       listingMachine: getOrThrow(bindListingChart()),
+      intakeMachine: getOrThrow(bindIntakeChart()),
+      createIntakePolicy: () => new UnlimitedIntake(),
       getOutage: () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
       requestHealth: () => Promise.resolve(Err(unanswered)),
       handleLost: () => undefined,
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -11,6 +11,7 @@
   getOrThrow,
   type Result,
 } from '@lycheetally/common';
+import { UnlimitedIntake } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import {
   ConnectionUse,
@@ -20,6 +21,7 @@
   type ServerReport,
 } from '../src/ports.js';
 import { Server, bindHealthChart } from '../src/server.js';
+import { ServerIntake, bindIntakeChart } from '../src/serverIntake.js';
 import { ServerChecks, bindCheckChart } from '../src/serverCheck.js';
 
 const unanswered = new TypedError(
@@ -87,6 +89,7 @@
       },
     });
     const loggers = new LoggerFactory('gateway-1', 'info', output);
+    const log = loggers.createLogger(LogComponent.Servers);
     this.control = new ScriptedControl(isAnswered);
     this.server = new Server(
       getOrThrow(bindHealthChart()),
@@ -103,7 +106,13 @@
         kind: 'large',
         range: { from: 0, to: 8 },
       },
-      loggers.createLogger(LogComponent.Servers),
+      log,
+      new ServerIntake(
+        getOrThrow(bindIntakeChart()),
+        { timers: this.loop, log, policy: new UnlimitedIntake() },
+        'i-1',
+        this.clock.getNow(),
+      ),
       this.clock.getNow(),
     );
     this.checks = new ServerChecks(getOrThrow(bindCheckChart()), {
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -7,10 +7,11 @@
   Ok,
   getOrThrow,
 } from '@lycheetally/common';
-import type { BackendRecord } from '@lycheetally/decisions';
+import { UnlimitedIntake, type BackendRecord } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import type { TableRecord } from '../src/ports.js';
 import { bindHealthChart } from '../src/server.js';
+import { bindIntakeChart } from '../src/serverIntake.js';
 import { bindListingChart } from '../src/serverListing.js';
 import { ServerRegistry } from '../src/serverRegistry.js';
 
@@ -54,6 +55,8 @@
       log: loggers.createLogger(LogComponent.Servers),
       healthMachine: getOrThrow(bindHealthChart()),
       listingMachine: getOrThrow(bindListingChart()),
+      intakeMachine: getOrThrow(bindIntakeChart()),
+      createIntakePolicy: () => new UnlimitedIntake(),
       getOutage: () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
       requestHealth: ({ serverId }) =>
         Promise.resolve(Ok({ serverId, isSound })),
