Send no more to a server than this gateway's part of its limit

A back end got far more requests than the limit that it had named (LIMIT), since no gateway read it; beyond its limit, callers wait there or are refused.

Each gateway sends its part: its share of the group that elects the leader, so the parts add up to the limit without any agreement. A limit below one request a second for each gateway is not rounded up; a few gateways, chosen by rendezvous hashing, have parts by turns of 20 s. The rest goes to other servers or to chains that begin elsewhere; the most urgent waiting call takes the next turn, and a call whose turn comes too late is refused at once with the time of the next turn. The policy is an abstract class whose baseline knows no limit.

--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -33,6 +33,41 @@
   nodes: readonly string[],
 ): string[] =>
   nodes
-    .map(node => ({ node, weight: hashText(`${key}\u0000${node}`) }))
-    .sort((a, b) => b.weight - a.weight || (a.node < b.node ? -1 : 1))
+    .map(node => measureNode(key, node))
+    .sort(compareWeights)
     .map(entry => entry.node);
+
+/** Says whether the node is among the first `count` ones of the rendezvous order. */
+export const isFirstByRendezvous = (
+  key: string,
+  node: string,
+  nodes: Iterable<string>,
+  count: number,
+): boolean => {
+  const own = measureNode(key, node);
+  let before = 0;
+  for (const other of nodes) {
+    before += compareWeights(measureNode(key, other), own) < 0 ? 1 : 0;
+  }
+  return before < count;
+};
+
+interface WeighedNode {
+  readonly node: string;
+  readonly weight: number;
+}
+
+const measureNode = (key: string, node: string): WeighedNode => ({
+  node,
+  weight: hashText(`${key}\u0000${node}`),
+});
+
+const compareWeights = (a: WeighedNode, b: WeighedNode): number =>
+  b.weight - a.weight || compareNames(a.node, b.node);
+
+const compareNames = (a: string, b: string): number => {
+  if (a === b) {
+    return 0;
+  }
+  return a < b ? -1 : 1;
+};
--- a/packages/decisions/src/intake/index.ts
+++ b/packages/decisions/src/intake/index.ts
@@ -1,2 +1,4 @@
 /** What backend servers say that they take, and what a gateway sends them. */
 export * from './intakePolicy.js';
+export * from './limitShare.js';
+export * from './tokenBucket.js';
--- a/packages/decisions/src/intake/intakePolicy.ts
+++ b/packages/decisions/src/intake/intakePolicy.ts
@@ -6,6 +6,7 @@
  * other gateways' requests have room.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import { TokenBucket } from './tokenBucket.js';
 
 /** Strategy that holds requests to a server back. */
 export abstract class IntakePolicy {
@@ -34,3 +35,56 @@
     return 0;
   }
 }
+
+/** Rate at which a server that takes nothing is still asked, so that the end of its limit is noticed; in requests per second. */
+const minLimitPerSecond = 0.5;
+
+/** How long a computed share is used. */
+const shareLifetimeMs = 1_000;
+
+/** Sends this gateway's part of the limit, evenly over time. */
+export class SharedLimitIntake extends IntakePolicy {
+  private limitPerSecond = 0;
+  private bucket: TokenBucket | undefined;
+  private shareComputedAt: Milliseconds = -Infinity;
+
+  constructor(
+    /** Returns this gateway's part of a limit, from 0 to 1. */
+    private readonly computeShare: (limitPerSecond: number) => number,
+  ) {
+    super();
+  }
+
+  override setLimit(
+    limitPerSecond: number | undefined,
+    now: Milliseconds,
+  ): void {
+    if (limitPerSecond === undefined) {
+      this.bucket = undefined;
+      return;
+    }
+    this.limitPerSecond = Math.max(minLimitPerSecond, limitPerSecond);
+    this.bucket ??= new TokenBucket(0, now);
+    this.updateRate(this.bucket, now);
+  }
+
+  override noteSent(now: Milliseconds): void {
+    this.bucket?.take(now);
+  }
+
+  override estimateWait(now: Milliseconds): Milliseconds {
+    if (!this.bucket) {
+      return 0;
+    }
+    if (now - this.shareComputedAt >= shareLifetimeMs) {
+      this.updateRate(this.bucket, now);
+    }
+    return this.bucket.estimateWait(now);
+  }
+
+  private updateRate(bucket: TokenBucket, now: Milliseconds): void {
+    this.shareComputedAt = now;
+    const share = this.computeShare(this.limitPerSecond);
+    bucket.setRate(share * this.limitPerSecond, now);
+  }
+}
--- a/packages/decisions/src/placement/chainChoice.ts
+++ b/packages/decisions/src/placement/chainChoice.ts
@@ -32,6 +32,8 @@
   readonly tokens: number;
   /** Servers that must not be used. */
   readonly excluded: ReadonlySet<string>;
+  /** Servers that may only continue a chain, since they take no request now. */
+  readonly notFirst?: ReadonlySet<string>;
   readonly getLoad: (serverId: string) => StageLoad;
 }
 
@@ -144,6 +146,7 @@
       server.range &&
       server.range.from <= nextLayer &&
       nextLayer < server.range.to &&
+      (nextLayer > 0 || request.notFirst?.has(server.serverId) !== true) &&
       !hasServer(partial, server),
   );
   for (const server of candidates) {
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -9,8 +9,9 @@
 import { Outcome } from '@lycheetally/decisions';
 import { admitCall } from './admitCall.js';
 import { isSuccess } from './attemptFaults.js';
-import { chooseServers } from './chooseServers.js';
+import { chooseServers, estimateIntakeWait } from './chooseServers.js';
 import {
+  maxIntakeRetryMs,
   maxResumeWaitMs,
   maxWaitShare,
   retryAfterMs,
@@ -53,19 +54,28 @@
   }
   const chosen = admitted && chooseServers(call, admitted, now);
   if (!admitted || !chosen) {
-    const fault = {
-      status: 503,
-      kind: ErrorKind.NoCapacity,
-      message: 'no backend server can take the call now',
-      retryAfterMs,
-    };
+    call.intakeWaitMs = admitted ? estimateIntakeWait(call, admitted, now) : 0;
+    call.services.waitingCalls.add(call);
+    const fault = createCapacityFault(call.intakeWaitMs);
     call.instance?.send({ type: 'UNROUTABLE', fault }, now);
     return;
   }
+  call.services.waitingCalls.remove(call);
   call.attempt = new GatewayAttempt(call, admitted, chosen, now);
   call.instance?.send({ type: 'ROUTED' }, now);
 };
 
+const createCapacityFault = (intakeWaitMs: Milliseconds): CallFault => ({
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message:
+    intakeWaitMs > 0
+      ? 'the backend servers take no more calls now, by the limits that they name'
+      : 'no backend server can take the call now',
+  retryAfterMs:
+    intakeWaitMs > 0 ? Math.min(intakeWaitMs, maxIntakeRetryMs) : retryAfterMs,
+});
+
 const startAttempt: CallAction = (call, _, now) => {
   call.attempts += 1;
   call.attempt?.instance.start(now);
@@ -236,6 +246,7 @@
     reason: outcome === Outcome.Complete ? '' : (call.fault?.message ?? ''),
   });
   call.instance?.dispose();
+  services.waitingCalls.remove(call);
   services.handleCallEnded(call);
 };
 
@@ -268,12 +279,13 @@
  * so only for a short time, so that a refusal still comes early.
  */
 const mayWait = (call: GatewayCall, now: Milliseconds): boolean => {
-  const { admitted, received } = call;
+  const { admitted, received, intakeWaitMs } = call;
   if (call.hasStartedResponse) {
-    return now - call.lastActivityAt < maxResumeWaitMs;
+    return now + intakeWaitMs - call.lastActivityAt < maxResumeWaitMs;
   }
   const maxWaitMs = (admitted?.route.targetMs ?? 0) * maxWaitShare;
-  return now + routeRetryDelayMs - received.receivedAt <= maxWaitMs;
+  const delayMs = Math.max(routeRetryDelayMs, intakeWaitMs);
+  return now + delayMs - received.receivedAt <= maxWaitMs;
 };
 
 /** Binds the chart `gatewayCall`. Fails with `BadChart`. */
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -22,7 +22,7 @@
 ): ChosenServers | undefined =>
   admitted.service.model
     ? chooseChain(call, admitted, now)
-    : chooseOne(call, admitted);
+    : chooseOne(call, admitted, now);
 
 /** Servers that refused a call recently are used only if no chain exists without them. */
 const chooseChain = (
@@ -32,17 +32,47 @@
 ): ChosenServers | undefined => {
   const all = call.services.serverRegistry.listUsable(admitted.service.name);
   const preferred = all.filter(server => !server.hasRefusedRecently(now));
-  const chosen = findChain(call, admitted, preferred);
+  const chosen = findChain(call, admitted, preferred, now);
   return (
     chosen ??
-    (preferred.length < all.length ? findChain(call, admitted, all) : undefined)
+    (preferred.length < all.length
+      ? findChain(call, admitted, all, now)
+      : undefined)
   );
 };
 
+/** Whether the server takes the call now; of one with a limit, the most urgent waiting calls take the turns first. */
+const mayReceive = (
+  { services }: GatewayCall,
+  { service, urgency }: AdmittedCall,
+  { intake }: Server,
+  now: Milliseconds,
+): boolean =>
+  intake.estimateWait(now) === 0 &&
+  !(
+    intake.isLimited &&
+    services.waitingCalls.hasMoreUrgent(service.name, urgency)
+  );
+
+/** Estimates how long the limits of the servers hold the call back; 0 if they do not. */
+export const estimateIntakeWait = (
+  call: GatewayCall,
+  { service }: AdmittedCall,
+  now: Milliseconds,
+): Milliseconds => {
+  const waits = call.services.serverRegistry
+    .listUsable(service.name)
+    .filter(({ record }) => !service.model || record.range?.from === 0)
+    .filter(({ record }) => !call.avoided.has(record.serverId))
+    .map(({ intake }) => intake.estimateWait(now));
+  return waits.length === 0 ? 0 : Math.min(...waits);
+};
+
 const findChain = (
   call: GatewayCall,
   admitted: AdmittedCall,
   usable: readonly Server[],
+  now: Milliseconds,
 ): ChosenServers | undefined => {
   const { tokens } = admitted;
   const { model } = admitted.service;
@@ -56,6 +86,11 @@
     homeDomain,
     tokens,
     excluded: call.avoided,
+    notFirst: new Set(
+      usable
+        .filter(server => !mayReceive(call, admitted, server, now))
+        .map(({ record }) => record.serverId),
+    ),
   });
   const first = serverRegistry.find(chain?.[0]?.server.serverId ?? '');
   return chain && first ? { first, chain } : undefined;
@@ -80,6 +115,7 @@
 const chooseOne = (
   call: GatewayCall,
   admitted: AdmittedCall,
+  now: Milliseconds,
 ): ChosenServers | undefined => {
   const { serverRegistry, homeDomain } = call.services;
   const computeCost = (server: Server): number =>
@@ -88,6 +124,7 @@
   const candidates = serverRegistry
     .listUsable(admitted.service.name)
     .filter(server => !call.avoided.has(server.record.serverId))
+    .filter(server => mayReceive(call, admitted, server, now))
     .sort((a, b) => computeCost(a) - computeCost(b));
   const [first] = candidates;
   return first && { first, chain: [] };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -27,6 +27,9 @@
 /** `Retry-After` of a refused call; about the time that a new layer placement takes. */
 export const retryAfterMs = 1_000;
 
+/** Longest `Retry-After` of a call that the limits of servers hold back; other gateways may have room sooner. */
+export const maxIntakeRetryMs = 2_000;
+
 /** `Retry-After` while there is no configuration; about the time of a read of the store. */
 export const notReadyRetryAfterMs = 300;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -196,6 +196,7 @@
       const { record } = chosen.first;
       const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
       this.servers.updateLoad(1);
+      chosen.first.intake.noteSent(now);
       call.events?.restart();
       const headers = call.services.format.writeRequest(
         call.received.fields,
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -25,6 +25,7 @@
 import type { ServerControlPort } from './ports.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import type { ServerLossHandler } from './serverLossHandler.js';
+import type { WaitingCalls } from './waitingCalls.js';
 
 export interface CallEvent {
   readonly type:
@@ -71,6 +72,7 @@
   readonly drainPeriod: DrainPeriod;
   readonly durationForecast: DurationForecast;
   readonly promptParts: PromptPartTracker;
+  readonly waitingCalls: WaitingCalls;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
   readonly revokeTimeoutMs: Milliseconds;
@@ -120,6 +122,8 @@
   events: EventStream | undefined;
   /** Events that servers sent for this call, over all attempts, each once. */
   eventsReceived = 0;
+  /** How long the limits of servers hold the call back, when it last found no server. */
+  intakeWaitMs: Milliseconds = 0;
   /** Servers that refused or failed this call. */
   readonly avoided = new Set<string>();
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -21,11 +21,13 @@
   LargestFirstMemory,
   Outcome,
   ReplicaPerDomain,
+  RotatingLimitShare,
   SlidingRetryBudget,
   SlowestRecentForecast,
-  UnlimitedIntake,
+  SharedLimitIntake,
   isFreshEnough,
   type GatewayConfiguration,
+  type IntakePolicy,
   type Moment,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
@@ -73,6 +75,7 @@
 import { ServerLossHandler } from './serverLossHandler.js';
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
+import { WaitingCalls } from './waitingCalls.js';
 import { PromptParts } from './parts/promptParts.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
@@ -103,6 +106,7 @@
   private readonly promptParts: PromptParts;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
+  private readonly limitShare = new RotatingLimitShare();
   private readonly drainPeriod = new DrainPeriod();
   private readonly calls = new Map<CallerExchange, GatewayCall>();
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
@@ -421,7 +425,7 @@
       healthMachine: getOrThrow(bindHealthChart()),
       listingMachine: getOrThrow(bindListingChart()),
       intakeMachine: getOrThrow(bindIntakeChart()),
-      createIntakePolicy: () => new UnlimitedIntake(),
+      createIntakePolicy: serverId => this.createIntakePolicy(serverId),
       getOutage: () => this.news.servers,
       requestHealth: record => this.healthRequests.send(record),
       handleLost: (server, now) => {
@@ -433,6 +437,19 @@
     });
   }
 
+  private createIntakePolicy(serverId: string): IntakePolicy {
+    return new SharedLimitIntake(limitPerSecond =>
+      this.limitShare.computeShare({
+        serverId,
+        limitPerSecond,
+        ownId: this.settings.process.id,
+        gateways: this.news.gatewayIds,
+        groupShare: this.serverRegistry.gatewayShare,
+        wallClock: this.getMoment().wallClock,
+      }),
+    );
+  }
+
   private createHealthRequests(): HealthRequests {
     return new HealthRequests({
       control: this.ports.control,
@@ -497,6 +514,7 @@
       serverRegistry: this.serverRegistry,
       attemptMachine: getOrThrow(bindAttemptChart()),
       promptParts: this.promptParts.tracker,
+      waitingCalls: new WaitingCalls(),
       responseMemory: new LargestFirstMemory(maxResponseMemoryBytes),
       homeDomain: process.failureDomain,
       revokeTimeoutMs: rules.revokeMs,
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -134,6 +134,11 @@
     return this.directory.size;
   }
 
+  /** Ids of the gateways that this one knows, itself included; another array after each change. */
+  get gatewayIds(): readonly string[] {
+    return this.directory.ids;
+  }
+
   /** Addresses of the other gateways that this one knows. */
   listPeers(): readonly Address[] {
     return this.directory.listOthers();
--- a/packages/gateway/src/news/peerDirectory.ts
+++ b/packages/gateway/src/news/peerDirectory.ts
@@ -81,6 +81,7 @@
 
 export class PeerDirectory {
   private readonly peers = new Map<string, PeerRecord>();
+  private knownIds: readonly string[] = [];
   private readonly trust = new Map<string, PeerTrust>();
 
   constructor(
@@ -88,7 +89,9 @@
     private readonly timers: ChartTimers,
     private readonly log: ComponentLogger,
     private readonly options: DirectoryOptions,
-  ) {}
+  ) {
+    this.knownIds = [options.ownId];
+  }
 
   get size(): number {
     return this.peers.size;
@@ -98,6 +101,11 @@
     return this.peers.get(id);
   }
 
+  /** Ids of the known gateways, the own one among them; the array is replaced when they change. */
+  get ids(): readonly string[] {
+    return this.knownIds;
+  }
+
   /** Addresses of all other gateways. */
   listOthers(): Address[] {
     return [...this.peers]
@@ -109,11 +117,12 @@
   set(id: string, record: PeerRecord | undefined): void {
     if (record) {
       this.peers.set(id, record);
-      return;
+    } else {
+      this.peers.delete(id);
+      this.trust.get(id)?.dispose();
+      this.trust.delete(id);
     }
-    this.peers.delete(id);
-    this.trust.get(id)?.dispose();
-    this.trust.delete(id);
+    this.knownIds = [...new Set([this.options.ownId, ...this.peers.keys()])];
   }
 
   /** Returns the gateway to ask for news, or `undefined` to read the store. */
--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/serverCheck.ts
@@ -51,11 +51,11 @@
   }
 
   readonly chartActions = {
-    requestReport: (): void => {
-      this.requestReport(ConnectionUse.Kept);
+    requestReport: (now: Milliseconds): void => {
+      this.requestReport(ConnectionUse.Kept, now);
     },
-    requestReportAgain: (): void => {
-      this.requestReport(ConnectionUse.New);
+    requestReportAgain: (now: Milliseconds): void => {
+      this.requestReport(ConnectionUse.New, now);
     },
     noteAlive: (now: Milliseconds): void => {
       this.server.lastAliveAt = now;
@@ -65,15 +65,16 @@
     },
   };
 
-  private requestReport(connection: ConnectionUse): void {
+  private requestReport(connection: ConnectionUse, now: Milliseconds): void {
     const { services, server } = this;
+    server.intake.noteSent(now);
     services.countProbe();
     void services.control
       .readReport(server.record.address, reportTimeoutMs, connection)
       .then(report => {
-        services.postCompletion(now => {
+        services.postCompletion(answeredAt => {
           const type = report.err ? 'UNANSWERED' : 'ANSWERED';
-          this.chart.send({ type }, now);
+          this.chart.send({ type }, answeredAt);
         });
       });
   }
@@ -105,11 +106,11 @@
 export const bindCheckChart = (): Result<CheckMachine> =>
   bindChart<ServerCheck, CheckEvent>(ChartName.ServerCheck, {
     actions: {
-      requestReport: check => {
-        check.chartActions.requestReport();
+      requestReport: (check, _, now) => {
+        check.chartActions.requestReport(now);
       },
-      requestReportAgain: check => {
-        check.chartActions.requestReportAgain();
+      requestReportAgain: (check, _, now) => {
+        check.chartActions.requestReportAgain(now);
       },
       noteAlive: (check, _, now) => {
         check.chartActions.noteAlive(now);
--- a/packages/gateway/src/serverListing.ts
+++ b/packages/gateway/src/serverListing.ts
@@ -60,6 +60,8 @@
 /** The server that a listing belongs to. */
 export interface ListedServer {
   readonly record: BackendRecord;
+  /** Counts a question about the server's health. */
+  noteAsked(now: Milliseconds): void;
   /** Drops the server, whose entry is gone for good. */
   handleGone(now: Milliseconds): void;
 }
@@ -137,12 +139,13 @@
         sinceOutageMs: Math.round(now - services.getOutage().outageEndedAt),
       });
     },
-    requestHealth: (): void => {
+    requestHealth: (now: Milliseconds): void => {
       const { services, server } = this;
       const { record } = server;
+      server.noteAsked(now);
       void services.requestHealth(record).then(result => {
-        services.postCompletion(now => {
-          this.receiveHealth(result, record, now);
+        services.postCompletion(answeredAt => {
+          this.receiveHealth(result, record, answeredAt);
         });
       });
     },
@@ -221,8 +224,8 @@
       noteDoubt: (listing, _, now) => {
         listing.chartActions.noteDoubt(now);
       },
-      requestHealth: listing => {
-        listing.chartActions.requestHealth();
+      requestHealth: (listing, _, now) => {
+        listing.chartActions.requestHealth(now);
       },
       noteConfirmed: listing => {
         listing.chartActions.noteConfirmed();
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -192,6 +192,9 @@
       get record() {
         return server.record;
       },
+      noteAsked: askedAt => {
+        intake.noteSent(askedAt);
+      },
       handleGone: () => {
         this.dropServer(key);
       },
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -19,6 +19,7 @@
     return;
   }
   services.metrics.countProbe();
+  chosen.first.intake.noteSent(now);
   // A silent connection must not look like a stalled server.
   const report = services.control.readReport(
     chosen.first.record.address,
