Send no calls to a server for as long as its Retry-After says

A server that turns a call away with 503 may name a time for which it wants nothing from this gateway.

The time is part of what the server says that it takes (chart serverIntake): it gets no calls until then, other servers do, and a call that nobody else takes is refused at once with the time that is left. A restart ends it; a value that can't be read changes nothing; an hour is the longest.

--- a/packages/gateway/src/callFormat.ts
+++ b/packages/gateway/src/callFormat.ts
@@ -52,6 +52,8 @@
   readonly serverLoad: number | undefined;
   /** Requests per second that the server takes from all gateways; absent without a limit, NaN if it cannot be read. */
   readonly limitPerSecond: number | undefined;
+  /** How long a server that turned the call away wants no others from this gateway. */
+  readonly closedForMs: Milliseconds | undefined;
   /** The headers delimit the body; otherwise it ends when the connection closes. */
   readonly isFramed: boolean;
   /** Headers forwarded to the caller. */
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -72,6 +72,9 @@
 /** Servers that left and are remembered at most. */
 export const maxDepartedServers = 4_096;
 
+/** Longest time for which a server that turned a call away gets none. */
+export const maxClosedMs = 3_600_000;
+
 /** How long a server that refused a call is avoided; a few of its calls end in that time. */
 export const refusalCooldownMs = 250;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -359,11 +359,17 @@
     }
   }
 
-  private noteIntake({ limitPerSecond }: BackendHead['fields']): void {
+  private noteIntake({
+    limitPerSecond,
+    closedForMs,
+  }: BackendHead['fields']): void {
     const { services } = this.call;
     const { intake } = this.chosen.first;
     services.postCompletion(now => {
       intake.noteAnswer({ limitPerSecond, sentAt: this.startedAt }, now);
+      if (closedForMs !== undefined) {
+        intake.noteTurnedAway(closedForMs, now);
+      }
     });
   }
 
--- a/packages/gateway/src/serverIntake.ts
+++ b/packages/gateway/src/serverIntake.ts
@@ -18,9 +18,10 @@
   Result,
 } from '@lycheetally/common';
 import type { IntakePolicy } from '@lycheetally/decisions';
+import { maxClosedMs } from './constants.js';
 
 export interface IntakeEvent {
-  readonly type: 'LIMITED' | 'LIFTED' | 'RESTARTED';
+  readonly type: 'LIMITED' | 'LIFTED' | 'CLOSED' | 'RESTARTED';
 }
 
 export type IntakeMachine = ChartMachine<ServerIntake, IntakeEvent>;
@@ -40,7 +41,9 @@
 }
 
 export class ServerIntake {
+  private hasLimit = false;
   private limitPerSecond = 0;
+  private closedUntil: Milliseconds = -Infinity;
   private namedAt: Milliseconds = -Infinity;
   private readonly chart: ChartInstance<ServerIntake, IntakeEvent>;
 
@@ -54,8 +57,9 @@
     this.chart.start(now);
   }
 
+  /** Whether the server named a limit that is in force. */
   get isLimited(): boolean {
-    return this.chart.matches('limited');
+    return this.hasLimit;
   }
 
   /** Counts a request that is sent to the server. */
@@ -65,7 +69,19 @@
 
   /** Returns the time until the server takes a request of this gateway; 0 if it takes one now. */
   estimateWait(now: Milliseconds): Milliseconds {
-    return this.services.policy.estimateWait(now);
+    const waitMs = this.services.policy.estimateWait(now);
+    return this.chart.matches('closed')
+      ? Math.max(waitMs, this.closedUntil - now)
+      : waitMs;
+  }
+
+  /** Handles a refusal with which the server wants no call from this gateway for a while. */
+  noteTurnedAway(forMs: Milliseconds, now: Milliseconds): void {
+    const until = now + Math.min(forMs, maxClosedMs);
+    if (until > this.closedUntil) {
+      this.closedUntil = until;
+      this.chart.send({ type: 'CLOSED' }, now);
+    }
   }
 
   noteAnswer(
@@ -73,7 +89,7 @@
     now: Milliseconds,
   ): void {
     if (limitPerSecond === undefined) {
-      if (sentAt > this.namedAt) {
+      if (this.hasLimit && sentAt > this.namedAt) {
         this.chart.send({ type: 'LIFTED' }, now);
       }
       return;
@@ -87,6 +103,7 @@
   }
 
   noteRestarted(now: Milliseconds): void {
+    this.closedUntil = -Infinity;
     this.chart.send({ type: 'RESTARTED' }, now);
   }
 
@@ -98,6 +115,7 @@
   readonly chartActions = {
     applyLimit: (now: Milliseconds): void => {
       const { serverId: server, limitPerSecond } = this;
+      this.hasLimit = true;
       this.services.policy.setLimit(limitPerSecond, now);
       this.services.log.info('A server named a limit.', {
         server,
@@ -105,11 +123,21 @@
       });
     },
     liftLimit: (now: Milliseconds): void => {
+      this.hasLimit = false;
       this.services.policy.setLimit(undefined, now);
       this.services.log.info('A server no longer names a limit.', {
         server: this.serverId,
       });
     },
+    noteClosed: (now: Milliseconds): void => {
+      this.services.log.info('A server wants no calls for a while.', {
+        server: this.serverId,
+        forMs: Math.round(this.closedUntil - now),
+      });
+    },
+    hasLimit: (): boolean => this.hasLimit,
+    computeClosedTime: (now: Milliseconds): Milliseconds =>
+      Math.max(0, this.closedUntil - now),
   };
 }
 
@@ -123,7 +151,12 @@
       liftLimit: (intake, _, now) => {
         intake.chartActions.liftLimit(now);
       },
+      noteClosed: (intake, _, now) => {
+        intake.chartActions.noteClosed(now);
+      },
+    },
+    guards: { hasLimit: intake => intake.chartActions.hasLimit() },
+    delays: {
+      CLOSED_TIME: (intake, now) => intake.chartActions.computeClosedTime(now),
     },
-    guards: {},
-    delays: {},
   });
