Fail an attempt whose request cannot be formed

Node throws at once for a port out of range, a control character in a header or a blank in a target. The error ended the handler of the event loop in the middle of a transition: the attempt never ended, and its caller waited until the deadline for a call that was never sent.

The exchange now fails like one without a connection, so the call is sent elsewhere or refused.

--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -11,6 +11,7 @@
   type IncomingMessage,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import { toMessage } from '@lycheetally/common';
 import {
   BackendExchange,
   BackendPort,
@@ -43,7 +44,18 @@
     const agent = request.needsRecentConnection
       ? this.recentAgent
       : this.defaultAgent;
-    return new HttpExchange(request, listener, this.format, agent, this.counts);
+    try {
+      return new HttpExchange(
+        request,
+        listener,
+        this.format,
+        agent,
+        this.counts,
+      );
+    } catch (thrown) {
+      // Node throws at once for an address, a target or a header that it does not send.
+      return new UnsentExchange(listener, toMessage(thrown));
+    }
   }
 
   override dispose(): void {
@@ -56,6 +68,32 @@
   }
 }
 
+/** An exchange whose request cannot be formed. */
+class UnsentExchange extends BackendExchange {
+  private isClosed = false;
+
+  constructor(listener: BackendListener, reason: string) {
+    super();
+    queueMicrotask(() => {
+      if (!this.isClosed) {
+        listener.handleFailure({ reason, isClosedByServer: false });
+      }
+    });
+  }
+
+  override close(): void {
+    this.isClosed = true;
+  }
+
+  override pause(): void {
+    // Nothing is received.
+  }
+
+  override resume(): void {
+    // Nothing is received.
+  }
+}
+
 class HttpExchange extends BackendExchange {
   private readonly outgoing: ClientRequest;
   private incoming: IncomingMessage | undefined;
--- /dev/null
+++ b/packages/gateway/tests/httpBackend.test.ts
@@ -0,0 +1,82 @@
+/** Requests to backend servers that cannot be formed. */
+import { expect, it } from 'vitest';
+import {
+  BackendListener,
+  type BackendFailure,
+  type BackendHead,
+} from '../src/backendPort.js';
+import {
+  CallFormat,
+  type CallFields,
+  type ResponseFields,
+} from '../src/callFormat.js';
+import { HttpBackend } from '../src/httpBackend.js';
+
+class UnusedFormat extends CallFormat {
+  override readCall(): CallFields {
+    throw new Error('no call is read');
+  }
+
+  override writeRequest(): string[] {
+    return [];
+  }
+
+  override readResponse(): ResponseFields {
+    throw new Error('no response is read');
+  }
+}
+
+class FailureListener extends BackendListener {
+  readonly failed: Promise<BackendFailure>;
+  private finish: (failure: BackendFailure) => void = () => undefined;
+
+  constructor() {
+    super();
+    this.failed = new Promise(resolve => {
+      this.finish = resolve;
+    });
+  }
+
+  override handleConnected(): void {
+    throw new Error('the request cannot be sent');
+  }
+
+  override handleHead(head: BackendHead): void {
+    throw new Error(`an answer came with status ${String(head.status)}`);
+  }
+
+  override handleBody(): void {
+    throw new Error('an answer came');
+  }
+
+  override handleEnd(): void {
+    throw new Error('an answer ended');
+  }
+
+  override handleFailure(failure: BackendFailure): void {
+    this.finish(failure);
+  }
+}
+
+// Guards against a call that is never answered, since sending it threw.
+it.each([
+  { address: '127.0.0.1:99999', headers: [], target: '/' },
+  { address: '127.0.0.1:1', headers: ['X-Name', 'two\nlines'], target: '/' },
+  { address: '127.0.0.1:1', headers: [], target: '/a b' },
+])('a request that cannot be formed fails: $address $target', async request => {
+  const backend = new HttpBackend(new UnusedFormat());
+  const listener = new FailureListener();
+  const exchange = backend.open(
+    {
+      ...request,
+      method: 'GET',
+      body: Buffer.alloc(0),
+      needsRecentConnection: false,
+    },
+    listener,
+  );
+  const failure = await listener.failed;
+  expect(failure.isClosedByServer).toBe(false);
+  exchange.close();
+  backend.dispose();
+});
