--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -12,6 +12,7 @@
 import type {
   BackendService,
   LayerRange,
+  LayeredModel,
   PlacementPolicy,
   StageServer,
 } from '@lycheetally/decisions';
@@ -182,7 +183,9 @@
     }
     this.checkHeartbeats(service, now);
     const servers = this.services.serverRegistry.listUsable(service.name);
-    const stages = servers.map(server => this.toPlannedServer(server));
+    const stages = servers.map(server =>
+      this.toPlannedServer(server, service.model),
+    );
     const plan = this.services.placement.planPlacement(service.model, stages);
     for (const server of servers) {
       const range = plan.get(server.record.serverId);
@@ -192,11 +195,17 @@
     }
   }
 
-  private toPlannedServer(server: Server): StageServer {
+  private toPlannedServer(
+    server: Server,
+    model: LayeredModel | undefined,
+  ): StageServer {
     const order = this.pendingOrders.get(server.record.serverId);
+    const { range } = server.record;
+    // A server that claims layers that the model does not have holds none that can be planned with.
+    const held = range && model && range.to > model.layers ? undefined : range;
     return {
       ...toStageServer(server),
-      range: order && !order.isCoolingDown ? order.range : server.record.range,
+      range: order && !order.isCoolingDown ? order.range : held,
       isBusy: order !== undefined,
     };
   }
