Send a call to the same server again on a new connection only

A refusal of another call is told by its id, and was no answer to the next one before. But a chain's first server may refuse a call for another server of the chain; the call is then sent to the first server again, with the same id, and could get the connection on which it was refused. A second copy of the refusal was taken for the new answer: the caller got 503 for a call that was running.

A call that goes to an address again uses a new connection. An answer with another id no longer decides which server is at fault, or what a server takes.

--- a/packages/gateway/src/backendPort.ts
+++ b/packages/gateway/src/backendPort.ts
@@ -10,6 +10,8 @@
   readonly body: Buffer;
   /** Re-uses only connections that were in use recently, which the server is unlikely to have closed. */
   readonly needsRecentConnection: boolean;
+  /** Re-uses no connection: on one that the call was sent on before, an earlier answer to it may come again. */
+  readonly needsNewConnection: boolean;
 }
 
 /** Status and headers of a backend server's response. */
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -135,21 +135,23 @@
   }
 
   override handleHead(head: BackendHead): void {
-    this.head = head;
     this.noteActivity();
     const { fields, status } = head;
     if (fields.serverLoad !== undefined) {
       this.chosen.first.noteLoad(fields.serverLoad);
     }
-    if (!fields.isMisdirected) {
-      this.noteIntake(fields);
-    }
     if (fields.isLeaving && !fields.isMisdirected) {
       this.noteLeaving();
     }
     if (fields.requestId !== this.call.requestId) {
       this.failExchange('the answer names another call');
-    } else if (isSuccess(status) && !fields.isAuthentic) {
+      return;
+    }
+    this.head = head;
+    if (!fields.isMisdirected) {
+      this.noteIntake(fields);
+    }
+    if (isSuccess(status) && !fields.isAuthentic) {
       this.failExchange('the answer is not signed by its server');
     } else if (isSuccess(status) && this.admitted.route.isStream) {
       this.beginStream(head);
@@ -197,6 +199,8 @@
       const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
       this.servers.updateLoad(1);
       chosen.first.intake.noteSent(now);
+      const needsNewConnection = call.sentTo.has(record.address);
+      call.sentTo.add(record.address);
       call.events?.restart();
       const headers = call.services.format.writeRequest(
         call.received.fields,
@@ -219,6 +223,7 @@
           headers,
           body: call.received.body,
           needsRecentConnection: !admitted.isRepeatable,
+          needsNewConnection,
         },
         this,
       );
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -124,6 +124,8 @@
   eventsReceived = 0;
   /** How long the limits of servers hold the call back, when it last found no server. */
   intakeWaitMs: Milliseconds = 0;
+  /** Addresses that this call was sent to. */
+  readonly sentTo = new Set<string>();
   /** Servers that refused or failed this call. */
   readonly avoided = new Set<string>();
 
--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -5,8 +5,8 @@
  * response belongs to a call only if it carries the call's request id.
  */
 import {
+  Agent,
   request as openRequest,
-  type Agent,
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
@@ -32,6 +32,7 @@
   readonly counts: ConnectionCounts = { opened: 0, reused: 0, surplus: 0 };
   private readonly defaultAgent = this.createAgent(backendIdleMs);
   private readonly recentAgent = this.createAgent(recentConnectionMs);
+  private readonly unsharedAgent = new Agent({ keepAlive: false });
 
   constructor(private readonly format: CallFormat) {
     super();
@@ -41,9 +42,7 @@
     request: BackendRequest,
     listener: BackendListener,
   ): BackendExchange {
-    const agent = request.needsRecentConnection
-      ? this.recentAgent
-      : this.defaultAgent;
+    const agent = this.chooseAgent(request);
     try {
       return new HttpExchange(
         request,
@@ -61,6 +60,14 @@
   override dispose(): void {
     this.defaultAgent.destroy();
     this.recentAgent.destroy();
+    this.unsharedAgent.destroy();
+  }
+
+  private chooseAgent(request: BackendRequest): Agent {
+    if (request.needsNewConnection) {
+      return this.unsharedAgent;
+    }
+    return request.needsRecentConnection ? this.recentAgent : this.defaultAgent;
   }
 
   private createAgent(idleTimeoutMs: number): SafeReuseAgent {
--- a/packages/gateway/tests/httpBackend.test.ts
+++ b/packages/gateway/tests/httpBackend.test.ts
@@ -72,6 +72,7 @@
       method: 'GET',
       body: Buffer.alloc(0),
       needsRecentConnection: false,
+      needsNewConnection: false,
     },
     listener,
   );
