Move what a gateway knows of its servers to a module of its own

The registry, the health requests, the loss handler and the parts of limits are built in GatewayServers. No behaviour is changed; the tests of the gateway, of leaving servers and of limits pass.

--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -6,7 +6,6 @@
  */
 import type { ChartInstance } from '@lycheetally/charts';
 import {
-  DisposableStore,
   LogComponent,
   millisecondsPerSecond,
   getOrThrow,
@@ -21,13 +20,10 @@
   LargestFirstMemory,
   Outcome,
   ReplicaPerDomain,
-  RotatingLimitShare,
   SlidingRetryBudget,
   SlowestRecentForecast,
-  SharedLimitIntake,
   isFreshEnough,
   type GatewayConfiguration,
-  type IntakePolicy,
   type Moment,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
@@ -50,8 +46,8 @@
 import { GatewayCall, type CallServices } from './gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { GatewayServers } from './gatewayServers.js';
 import type { GatewaySettings } from './gatewaySettings.js';
-import { HealthRequests } from './healthRequests.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './httpCaller.js';
 import { HttpFrontend, type CallHandler } from './httpFrontend.js';
@@ -67,12 +63,6 @@
   ServerControlPort,
   TableRecord,
 } from './ports.js';
-import { bindHealthChart } from './server.js';
-import { bindIntakeChart } from './serverIntake.js';
-import { bindListingChart } from './serverListing.js';
-import { ServerRegistry } from './serverRegistry.js';
-import { bindCheckChart } from './serverCheck.js';
-import { ServerLossHandler } from './serverLossHandler.js';
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
 import { WaitingCalls } from './waitingCalls.js';
@@ -98,22 +88,18 @@
   private readonly log: ComponentLogger;
   private readonly backend: HttpBackend;
   private readonly retryBudget: SlidingRetryBudget;
-  private readonly healthRequests: HealthRequests;
-  private readonly serverRegistry: ServerRegistry;
-  private readonly lossHandler: ServerLossHandler;
+  private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
   private readonly promptParts: PromptParts;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
-  private readonly limitShare = new RotatingLimitShare();
   private readonly drainPeriod = new DrainPeriod();
   private readonly calls = new Map<CallerExchange, GatewayCall>();
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
   private configuration: GatewayConfiguration | undefined;
   private isDrainingConnections = false;
   private hasEnded = false;
-  private readonly disposables = new DisposableStore();
 
   constructor(
     private settings: GatewaySettings,
@@ -130,11 +116,9 @@
       slack: settings.rules.retrySlack,
       windowMs: settings.rules.retryWindowSeconds * millisecondsPerSecond,
     });
-    this.healthRequests = this.createHealthRequests();
-    this.serverRegistry = this.createRegistry();
+    this.servers = this.createServers();
     this.promptParts = this.createPromptParts();
     this.news = this.createNews();
-    this.lossHandler = this.createLossHandler();
     this.placer = this.createPlacer(startedAt);
     this.callServices = this.createCallServices();
     this.frontend = this.createFrontend();
@@ -147,13 +131,6 @@
         run(now);
       },
     });
-    this.disposables.add(
-      ports.control.leavingSeen.subscribe(address => {
-        this.post(now => {
-          this.noteLeaving(address, now);
-        });
-      }),
-    );
     this.loop.handlerFailed.subscribe(({ kind, thrown }) => {
       this.log.error('A handler of the loop failed.', {
         kind,
@@ -163,9 +140,9 @@
     addGauges(this.metrics, {
       connections: this.backend.counts,
       countCalls: () => this.calls.size,
-      countUnreadable: () => this.serverRegistry.unreadableCount,
-      countDoubted: () => this.serverRegistry.doubtedCount,
-      countLimited: () => this.serverRegistry.limitedCount,
+      countUnreadable: () => this.servers.registry.unreadableCount,
+      countDoubted: () => this.servers.registry.doubtedCount,
+      countLimited: () => this.servers.registry.limitedCount,
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
@@ -224,12 +201,10 @@
   }
 
   dispose(): void {
-    this.disposables.dispose();
     this.frontend.dispose();
     this.pages.dispose();
     this.backend.dispose();
-    this.healthRequests.dispose();
-    this.serverRegistry.dispose();
+    this.servers.dispose();
     this.news.dispose();
     this.promptParts.dispose();
     this.placer.dispose();
@@ -329,14 +304,6 @@
     );
   }
 
-  /** Handles an answer to this gateway itself in which the server at the address said that it leaves. */
-  private noteLeaving(address: string, now: Milliseconds): void {
-    const server = this.serverRegistry.findByAddress(address);
-    if (server) {
-      this.serverRegistry.noteLeaving(server.record, now);
-    }
-  }
-
   private post(run: (now: Milliseconds) => void): void {
     this.loop.post('completion', run);
   }
@@ -403,7 +370,7 @@
         this.applyConfigurations(records, now);
       },
       applyServers: (records, isComplete, now) => {
-        this.serverRegistry.apply(records, isComplete, now);
+        this.servers.registry.apply(records, isComplete, now);
       },
     });
   }
@@ -422,59 +389,21 @@
     });
   }
 
-  private createRegistry(): ServerRegistry {
-    return new ServerRegistry({
+  private createServers(): GatewayServers {
+    return new GatewayServers({
       timers: this.loop,
       log: this.loggers.createLogger(LogComponent.Servers),
-      healthMachine: getOrThrow(bindHealthChart()),
-      listingMachine: getOrThrow(bindListingChart()),
-      intakeMachine: getOrThrow(bindIntakeChart()),
-      createIntakePolicy: serverId => this.createIntakePolicy(serverId),
-      getOutage: () => this.news.servers,
-      requestHealth: record => this.healthRequests.send(record),
-      handleLost: (server, now) => {
-        this.lossHandler.handleLost(server, now);
-      },
-      postCompletion: run => {
-        this.post(run);
-      },
-    });
-  }
-
-  private createIntakePolicy(serverId: string): IntakePolicy {
-    return new SharedLimitIntake(limitPerSecond =>
-      this.limitShare.computeShare({
-        serverId,
-        limitPerSecond,
-        ownId: this.settings.process.id,
-        gateways: this.news.gatewayIds,
-        groupShare: this.serverRegistry.gatewayShare,
-        wallClock: this.getMoment().wallClock,
-      }),
-    );
-  }
-
-  private createHealthRequests(): HealthRequests {
-    return new HealthRequests({
-      control: this.ports.control,
-      getHealthPath: service =>
-        this.configuration?.services.get(service)?.healthPath ?? '/',
-      countProbe: () => {
-        this.metrics.countProbe();
-      },
-    });
-  }
-
-  private createLossHandler(): ServerLossHandler {
-    return new ServerLossHandler(getOrThrow(bindCheckChart()), {
-      timers: this.loop,
-      control: this.ports.control,
       metrics: this.metrics,
-      serverRegistry: this.serverRegistry,
+      control: this.ports.control,
+      ownId: this.settings.process.id,
+      getOutage: () => this.news.servers,
+      getConfiguration: () => this.configuration,
+      getGatewayIds: () => this.news.gatewayIds,
+      getWallClock: () => this.getMoment().wallClock,
+      listCalls: () => this.calls.values(),
       postCompletion: run => {
         this.post(run);
       },
-      listCalls: () => this.calls.values(),
     });
   }
 
@@ -488,13 +417,13 @@
         leaderElection: this.ports.leaderElection,
         control: this.ports.control,
         placement: new ReplicaPerDomain(),
-        serverRegistry: this.serverRegistry,
+        serverRegistry: this.servers.registry,
         startedAt,
         heartbeatMs: this.settings.rules.heartbeatMs,
-        lossHandler: this.lossHandler,
+        lossHandler: this.servers.lossHandler,
         setShare: (share, now) => {
           this.retryBudget.setShare(share, now);
-          this.serverRegistry.gatewayShare = share;
+          this.servers.registry.gatewayShare = share;
         },
         postCompletion: run => {
           this.post(run);
@@ -515,7 +444,7 @@
       control: this.ports.control,
       chainPolicy: new CheapestChain(),
       retryPolicy: this.retryBudget,
-      serverRegistry: this.serverRegistry,
+      serverRegistry: this.servers.registry,
       attemptMachine: getOrThrow(bindAttemptChart()),
       promptParts: this.promptParts.tracker,
       waitingCalls: new WaitingCalls(),
@@ -525,7 +454,7 @@
       getConfiguration: () => this.configuration,
       getConfirmedAt: () => this.news.configurations.confirmedAt,
       getMoment: () => this.getMoment(),
-      lossHandler: this.lossHandler,
+      lossHandler: this.servers.lossHandler,
       drainPeriod: this.drainPeriod,
       durationForecast: new SlowestRecentForecast(forecastSettings),
       isCancellingCalls: () => this.lifecycle.matches('forcedStop'),
