Use one token bucket for the limits of accounts and of servers

The buckets of account limits and those of server limits had the same code twice. Both use the bucket in admit/tokenBucket.ts now; what differs, the start full or empty and the tolerance for rounding, stays with each.

--- a/packages/decisions/src/admit/accountLimits.ts
+++ b/packages/decisions/src/admit/accountLimits.ts
@@ -1,5 +1,6 @@
 /** Rate and burst limits by account and rank, in token units. */
-import { millisecondsPerSecond, type Milliseconds } from '@lycheetally/common';
+import type { Milliseconds } from '@lycheetally/common';
+import { TokenBucket } from './tokenBucket.js';
 
 /** Rate limit of an account for requests of one rank. */
 export interface AccountLimit {
@@ -10,11 +11,6 @@
   readonly burstCost: number;
 }
 
-interface TokenBucket {
-  available: number;
-  updatedAt: Milliseconds;
-}
-
 /** Token buckets, one for each account and rank. */
 export class AccountTokenBuckets {
   private readonly buckets = new Map<string, TokenBucket>();
@@ -26,31 +22,19 @@
     cost: number,
     now: Milliseconds,
   ): Milliseconds {
-    const bucket = this.getBucket(`${account}\n${limit.rank}`, limit, now);
-    if (cost <= bucket.available) {
-      bucket.available -= cost;
-      return 0;
-    }
-    const missing = cost - bucket.available;
-    return (missing / limit.costPerSecond) * millisecondsPerSecond;
-  }
-
-  private getBucket(
-    key: string,
-    limit: AccountLimit,
-    now: Milliseconds,
-  ): TokenBucket {
-    const known = this.buckets.get(key);
-    if (!known) {
-      const created = { available: limit.burstCost, updatedAt: now };
-      this.buckets.set(key, created);
-      return created;
+    const rate = {
+      tokensPerSecond: limit.costPerSecond,
+      capacity: limit.burstCost,
+    };
+    const key = `${account}\n${limit.rank}`;
+    const bucket =
+      this.buckets.get(key) ?? new TokenBucket(limit.burstCost, now);
+    this.buckets.set(key, bucket);
+    bucket.update(rate, now);
+    const waitMs = bucket.estimateWait(cost, rate);
+    if (waitMs === 0) {
+      bucket.take(cost);
     }
-    const elapsedSeconds =
-      Math.max(0, now - known.updatedAt) / millisecondsPerSecond;
-    const refill = elapsedSeconds * limit.costPerSecond;
-    known.available = Math.min(limit.burstCost, known.available + refill);
-    known.updatedAt = now;
-    return known;
+    return waitMs;
   }
 }
--- a/packages/decisions/src/intake/intakePolicy.ts
+++ b/packages/decisions/src/intake/intakePolicy.ts
@@ -6,7 +6,7 @@
  * other gateways' requests have room.
  */
 import type { Milliseconds } from '@lycheetally/common';
-import { TokenBucket } from './tokenBucket.js';
+import { TokenBucket, type TokenRate } from '../admit/tokenBucket.js';
 
 /** Strategy that holds requests to a server back. */
 export abstract class IntakePolicy {
@@ -39,6 +39,12 @@
 /** Rate at which a server that takes nothing is still asked, so that the end of its limit is noticed; in requests per second. */
 const minLimitPerSecond = 0.5;
 
+/** Time for which unused turns are kept. */
+const burstSeconds = 0.5;
+
+/** Part of a turn that rounding may lose. */
+const roundingError = 1e-9;
+
 /** How long a computed share is used. */
 const shareLifetimeMs = 1_000;
 
@@ -46,6 +52,7 @@
 export class SharedLimitIntake extends IntakePolicy {
   private limitPerSecond = 0;
   private bucket: TokenBucket | undefined;
+  private rate: TokenRate = { tokensPerSecond: 0, capacity: 1 };
   private shareComputedAt: Milliseconds = -Infinity;
 
   constructor(
@@ -64,12 +71,16 @@
       return;
     }
     this.limitPerSecond = Math.max(minLimitPerSecond, limitPerSecond);
-    this.bucket ??= new TokenBucket(0, now);
+    if (!this.bucket) {
+      this.rate = { tokensPerSecond: 0, capacity: 1 };
+      this.bucket = new TokenBucket(0, now);
+    }
     this.updateRate(this.bucket, now);
   }
 
   override noteSent(now: Milliseconds): void {
-    this.bucket?.take(now);
+    this.bucket?.update(this.rate, now);
+    this.bucket?.take(1);
   }
 
   override estimateWait(now: Milliseconds): Milliseconds {
@@ -79,12 +90,18 @@
     if (now - this.shareComputedAt >= shareLifetimeMs) {
       this.updateRate(this.bucket, now);
     }
-    return this.bucket.estimateWait(now);
+    this.bucket.update(this.rate, now);
+    return this.bucket.estimateWait(1 - roundingError, this.rate);
   }
 
   private updateRate(bucket: TokenBucket, now: Milliseconds): void {
     this.shareComputedAt = now;
+    bucket.update(this.rate, now);
     const share = this.computeShare(this.limitPerSecond);
-    bucket.setRate(share * this.limitPerSecond, now);
+    const tokensPerSecond = share * this.limitPerSecond;
+    const capacity = Math.max(1, tokensPerSecond * burstSeconds);
+    this.rate = { tokensPerSecond, capacity };
+    // Turns beyond a smaller capacity are lost.
+    bucket.update(this.rate, now);
   }
 }
