Derive what the servers' code kept twice

Whether a limit is in force stood behind a getter and a guard of the same name. The list of gateway ids was built anew for each record that was read, 800 times for 800 gateways at start-up, and was another array though nothing had changed; it is built when it is asked for after a change. Four tests of the gateway made the same quiet log. No behaviour is changed; the gateway's tests pass.

--- a/packages/gateway/src/news/peerDirectory.ts
+++ b/packages/gateway/src/news/peerDirectory.ts
@@ -81,7 +81,7 @@
 
 export class PeerDirectory {
   private readonly peers = new Map<string, PeerRecord>();
-  private knownIds: readonly string[] = [];
+  private knownIds: readonly string[] | undefined;
   private readonly trust = new Map<string, PeerTrust>();
 
   constructor(
@@ -89,9 +89,7 @@
     private readonly timers: ChartTimers,
     private readonly log: ComponentLogger,
     private readonly options: DirectoryOptions,
-  ) {
-    this.knownIds = [options.ownId];
-  }
+  ) {}
 
   get size(): number {
     return this.peers.size;
@@ -103,6 +101,7 @@
 
   /** Ids of the known gateways, the own one among them; the array is replaced when they change. */
   get ids(): readonly string[] {
+    this.knownIds ??= [...new Set([this.options.ownId, ...this.peers.keys()])];
     return this.knownIds;
   }
 
@@ -115,6 +114,9 @@
 
   /** Adds or replaces a gateway's record, or removes it. */
   set(id: string, record: PeerRecord | undefined): void {
+    if (this.peers.has(id) !== (record !== undefined)) {
+      this.knownIds = undefined;
+    }
     if (record) {
       this.peers.set(id, record);
     } else {
@@ -122,7 +124,6 @@
       this.trust.get(id)?.dispose();
       this.trust.delete(id);
     }
-    this.knownIds = [...new Set([this.options.ownId, ...this.peers.keys()])];
   }
 
   /** Returns the gateway to ask for news, or `undefined` to read the store. */
--- a/packages/gateway/src/serverIntake.ts
+++ b/packages/gateway/src/serverIntake.ts
@@ -41,7 +41,8 @@
 }
 
 export class ServerIntake {
-  private hasLimit = false;
+  /** Whether the server named a limit that is in force. */
+  isLimited = false;
   private limitPerSecond = 0;
   private closedUntil: Milliseconds = -Infinity;
   private namedAt: Milliseconds = -Infinity;
@@ -57,11 +58,6 @@
     this.chart.start(now);
   }
 
-  /** Whether the server named a limit that is in force. */
-  get isLimited(): boolean {
-    return this.hasLimit;
-  }
-
   /** Counts a request that is sent to the server. */
   noteSent(now: Milliseconds): void {
     this.services.policy.noteSent(now);
@@ -89,7 +85,7 @@
     now: Milliseconds,
   ): void {
     if (limitPerSecond === undefined) {
-      if (this.hasLimit && sentAt > this.namedAt) {
+      if (this.isLimited && sentAt > this.namedAt) {
         this.chart.send({ type: 'LIFTED' }, now);
       }
       return;
@@ -115,7 +111,7 @@
   readonly chartActions = {
     applyLimit: (now: Milliseconds): void => {
       const { serverId: server, limitPerSecond } = this;
-      this.hasLimit = true;
+      this.isLimited = true;
       this.services.policy.setLimit(limitPerSecond, now);
       this.services.log.info('A server named a limit.', {
         server,
@@ -123,7 +119,7 @@
       });
     },
     liftLimit: (now: Milliseconds): void => {
-      this.hasLimit = false;
+      this.isLimited = false;
       this.services.policy.setLimit(undefined, now);
       this.services.log.info('A server no longer names a limit.', {
         server: this.serverId,
@@ -135,7 +131,6 @@
         forMs: Math.round(this.closedUntil - now),
       });
     },
-    hasLimit: (): boolean => this.hasLimit,
     computeClosedTime: (now: Milliseconds): Milliseconds =>
       Math.max(0, this.closedUntil - now),
   };
@@ -155,7 +150,7 @@
         intake.chartActions.noteClosed(now);
       },
     },
-    guards: { hasLimit: intake => intake.chartActions.hasLimit() },
+    guards: { hasLimit: intake => intake.isLimited },
     delays: {
       CLOSED_TIME: (intake, now) => intake.chartActions.computeClosedTime(now),
     },
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -1,5 +1,4 @@
 /** The backend servers that a gateway knows, read from the server list in the platform's store. */
-import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
 import type {
   BackendRecord,
@@ -20,7 +19,6 @@
 
 /** Services that the registry uses. */
 export interface RegistryServices extends ListingServices {
-  readonly timers: ChartTimers;
   readonly healthMachine: HealthMachine;
   readonly listingMachine: ListingMachine;
   readonly intakeMachine: IntakeMachine;
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -1,11 +1,9 @@
 /** What a leader that stops does with its lease and its orders. */
-import { Writable } from 'node:stream';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import {
   Err,
   ErrorKind,
   LogComponent,
-  LoggerFactory,
   Ok,
   TypedError,
   getOrThrow,
@@ -33,6 +31,7 @@
 import { bindIntakeChart } from '../src/serverIntake.js';
 import { bindListingChart } from '../src/serverListing.js';
 import { ServerRegistry } from '../src/serverRegistry.js';
+import { createQuietLoggers } from './quietLoggers.js';
 
 const range = { from: 0, to: 8 };
 
@@ -138,14 +137,7 @@
         run(now);
       },
     });
-    const output = new Writable({
-      write: (_line, _encoding, done) => {
-        done();
-      },
-    });
-    const log = new LoggerFactory('gateway-1', 'info', output).createLogger(
-      LogComponent.Layers,
-    );
+    const log = createQuietLoggers().createLogger(LogComponent.Layers);
     registry = new ServerRegistry({
       timers: loop,
       log,
--- a/packages/gateway/tests/relayedTable.test.ts
+++ b/packages/gateway/tests/relayedTable.test.ts
@@ -1,22 +1,16 @@
 /** Reads of a table at another gateway. */
 import { createServer, type Server } from 'node:http';
 import { afterEach, expect, it } from 'vitest';
-import {
-  LogComponent,
-  LoggerFactory,
-  Ok,
-  getOrThrow,
-  type Result,
-} from '@lycheetally/common';
+import { LogComponent, Ok, getOrThrow, type Result } from '@lycheetally/common';
 import { RendezvousRelay } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock, startListening } from '@lycheetally/node';
-import { Writable } from 'node:stream';
 import { NewsClient } from '../src/news/newsClient.js';
 import { encodeNews } from '../src/news/newsFormat.js';
 import { PeerDirectory, bindTrustChart } from '../src/news/peerDirectory.js';
 import { RelayDuty, bindRelayChart } from '../src/news/relayDuty.js';
 import { RelayedTable } from '../src/news/relayedTable.js';
 import { TablePort, type TableBatch } from '../src/ports.js';
+import { createQuietLoggers } from './quietLoggers.js';
 
 const createBatch = (next: number): TableBatch => ({
   records: [],
@@ -54,12 +48,7 @@
   const loop = new EventLoop<{ completion: (now: number) => void }>(
     new MonotonicClock(),
   );
-  const output = new Writable({
-    write: (_line, _encoding, done) => {
-      done();
-    },
-  });
-  const loggers = new LoggerFactory('gateway-2', 'info', output);
+  const loggers = createQuietLoggers();
   const log = loggers.createLogger(LogComponent.Store);
   const directory = new PeerDirectory(getOrThrow(bindTrustChart()), loop, log, {
     ownId: 'gateway-2',
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -1,11 +1,9 @@
 /** Probes of backend servers that may have failed. */
-import { Writable } from 'node:stream';
 import { afterEach, describe, expect, it } from 'vitest';
 import {
   Err,
   ErrorKind,
   LogComponent,
-  LoggerFactory,
   Ok,
   TypedError,
   getOrThrow,
@@ -23,6 +21,7 @@
 import { Server, bindHealthChart } from '../src/server.js';
 import { ServerIntake, bindIntakeChart } from '../src/serverIntake.js';
 import { ServerChecks, bindCheckChart } from '../src/serverCheck.js';
+import { createQuietLoggers } from './quietLoggers.js';
 
 const unanswered = new TypedError(
   ErrorKind.BackendFailed,
@@ -83,12 +82,7 @@
         run(now);
       },
     });
-    const output = new Writable({
-      write: (_line, _encoding, done) => {
-        done();
-      },
-    });
-    const loggers = new LoggerFactory('gateway-1', 'info', output);
+    const loggers = createQuietLoggers();
     const log = loggers.createLogger(LogComponent.Servers);
     this.control = new ScriptedControl(isAnswered);
     this.server = new Server(
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -1,12 +1,6 @@
 /** What a gateway makes of the entries in the server list. */
-import { Writable } from 'node:stream';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import {
-  LogComponent,
-  LoggerFactory,
-  Ok,
-  getOrThrow,
-} from '@lycheetally/common';
+import { LogComponent, Ok, getOrThrow } from '@lycheetally/common';
 import { UnlimitedIntake, type BackendRecord } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import type { TableRecord } from '../src/ports.js';
@@ -14,6 +8,7 @@
 import { bindIntakeChart } from '../src/serverIntake.js';
 import { bindListingChart } from '../src/serverListing.js';
 import { ServerRegistry } from '../src/serverRegistry.js';
+import { createQuietLoggers } from './quietLoggers.js';
 
 const record: BackendRecord = {
   serverId: 'i-1',
@@ -44,12 +39,7 @@
         run(now);
       },
     });
-    const output = new Writable({
-      write: (_line, _encoding, done) => {
-        done();
-      },
-    });
-    const loggers = new LoggerFactory('gateway-1', 'info', output);
+    const loggers = createQuietLoggers();
     registry = new ServerRegistry({
       timers: loop,
       log: loggers.createLogger(LogComponent.Servers),
