--- a/packages/decisions/src/intake/intakePolicy.ts
+++ b/packages/decisions/src/intake/intakePolicy.ts
@@ -91,7 +91,9 @@
       this.updateRate(this.bucket, now);
     }
     this.bucket.update(this.rate, now);
-    return this.bucket.estimateWait(1 - roundingError, this.rate);
+    const hasTurn =
+      this.bucket.estimateWait(1 - roundingError, this.rate) === 0;
+    return hasTurn ? 0 : this.bucket.estimateWait(1, this.rate);
   }
 
   private updateRate(bucket: TokenBucket, now: Milliseconds): void {
