Count in the soak what the stops of gateways cut

Each run of the soak now reports how many calls ran that were taken after a stop signal, and how many a stop cut, by kind and by whether they began before or after the signal. A call that may not be repeated is never cut; of the calls taken after a signal, streams that the stop cuts may be a tenth at most (one cut stream alone shows no share). Streams that began before are counted, not bounded. The new scenario "stops" stops gateways one to three seconds after all are ready, one by one and all at once; three of four streams take up to 1.5 s, the others 6 s, a second more than the grace period.

--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -1,5 +1,6 @@
 /** Checks the calls and runs of a soak against the guarantees of a gateway. */
 import { checkLeaving } from './checkLeaving.js';
+import { checkCuts } from './stopCuts.js';
 import { listViolations } from './violations.js';
 import {
   SoakKind,
@@ -37,6 +38,7 @@
         ...(history.isPlannedOnly ? checkPlanned(call, callRuns, history) : []),
       ];
     }),
+    ...(history.isPlannedOnly ? checkCuts(history) : []),
   ];
 };
 
--- a/bench/src/soak/gatewayProcess.ts
+++ b/bench/src/soak/gatewayProcess.ts
@@ -20,8 +20,8 @@
 
 export class GatewayProcess {
   readonly logLines: string[] = [];
-  /** When the process was told to stop, by `Date.now()`. */
-  readonly stopTimes: number[] = [];
+  /** When the process was told to stop and when it had exited, by `Date.now()`. */
+  readonly stops: { readonly at: number; exitAt: number }[] = [];
   /** When the process was killed, stopped or frozen, by `Date.now()`. */
   readonly resetTimes: number[] = [];
   /** Number of exits with an error code. */
@@ -81,12 +81,14 @@
    */
   async restart(signal: NodeJS.Signals, pauseMs = 0): Promise<void> {
     const { child, exited } = this;
+    const stop = { at: Date.now(), exitAt: Infinity };
     if (this.stoppedChild !== child && signal === 'SIGTERM') {
-      this.stopTimes.push(Date.now());
+      this.stops.push(stop);
     }
     this.stoppedChild = child;
     this.sendSignal(signal);
     await exited;
+    stop.exitAt = Date.now();
     await waitFor(pauseMs);
     if (this.child === child) {
       this.start();
--- a/bench/src/soak/gatewaySoakBench.ts
+++ b/bench/src/soak/gatewaySoakBench.ts
@@ -5,6 +5,7 @@
   FaultScenario,
   LeavingScenario,
   PlannedScenario,
+  StopScenario,
   type SoakScenario,
 } from './soakScenario.js';
 
@@ -12,13 +13,14 @@
 const faultSeeds = 50;
 const leavingSeeds = 50;
 const plannedSeeds = 20;
+const stopSeeds = 20;
 const concurrentSeeds = 4;
 const durationMs = 8_000;
 
 export class GatewaySoakBench extends Bench {
   override readonly name = 'soak';
   override readonly summary =
-    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, and in 20 with planned work only';
+    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, and in 20 with stops of gateways that started seconds before';
   override readonly unit = 'calls';
 
   protected override async measure({ seed, report }: BenchOptions): Promise<{
@@ -30,6 +32,7 @@
       ...listRuns(new FaultScenario(), seed, faultSeeds),
       ...listRuns(new LeavingScenario(), seed, leavingSeeds),
       ...listRuns(new PlannedScenario(), seed, plannedSeeds),
+      ...listRuns(new StopScenario(), seed, stopSeeds),
     ];
     let calls = 0;
     const failed: unknown[] = [];
@@ -39,7 +42,7 @@
         const result = await runSoak(next.seed, durationMs, scenario);
         calls += result.calls;
         report(
-          `${scenario.name}, seed ${String(next.seed)}: ${String(result.calls)} calls, ${String(result.broken.length)} broken, ${JSON.stringify(result.statuses)}`,
+          `${scenario.name}, seed ${String(next.seed)}: ${String(result.calls)} calls, ${String(result.broken.length)} broken, ${JSON.stringify(result.statuses)}, cut by stops ${JSON.stringify(result.cuts)}`,
         );
         if (result.broken.length > 0) {
           failed.push(result);
--- a/bench/src/soak/index.ts
+++ b/bench/src/soak/index.ts
@@ -3,4 +3,5 @@
 export * from './gatewaySoakBench.js';
 export * from './runSoak.js';
 export * from './soakScenario.js';
+export * from './stopCuts.js';
 export * from './types.js';
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -7,6 +7,7 @@
 import { runCallers } from './soakCallers.js';
 import { SoakHarness, drainSeconds } from './soakHarness.js';
 import type { SoakScenario } from './soakScenario.js';
+import { countCuts, noCuts, type StopCuts } from './stopCuts.js';
 import type { GuaranteeViolation, SoakCall, SoakHistory } from './types.js';
 
 export interface SoakResult {
@@ -14,6 +15,8 @@
   readonly calls: number;
   /** Number of calls by response status; 0 for a connection closed without a response. */
   readonly statuses: Readonly<Record<string, number>>;
+  /** Calls that stops of gateways cut. */
+  readonly cuts: StopCuts;
   readonly faults: readonly string[];
   readonly broken: readonly GuaranteeViolation[];
   /** Lines of the gateways' logs that name a call with a broken guarantee. */
@@ -93,6 +96,7 @@
   seed,
   calls: calls.length,
   statuses: {},
+  cuts: noCuts,
   faults,
   broken: failed.map(({ name }) => ({
     promise: `${name} keeps running and is ready after the faults`,
@@ -130,8 +134,12 @@
     accounts: harness.accounts,
     revocationDeadlines: harness.revocationDeadlines,
     isPlannedOnly,
-    stops: harness.gateways.flatMap(({ port, stopTimes }) =>
-      stopTimes.map(at => ({ port, at: at - harness.startedAt })),
+    stops: harness.gateways.flatMap(({ port, stops }) =>
+      stops.map(({ at, exitAt }) => ({
+        port,
+        at: at - harness.startedAt,
+        exitAt: exitAt - harness.startedAt,
+      })),
     ),
     resets: harness.gateways.flatMap(({ port, resetTimes }) =>
       resetTimes.map(at => ({ port, at: at - harness.startedAt })),
@@ -147,7 +155,8 @@
     .filter(line => [...ids].some(id => id !== '' && line.includes(`"${id}"`)));
   const statuses = countBy(history.calls.map(({ status }) => String(status)));
   const { length } = history.calls;
-  return { seed, calls: length, statuses, faults, broken, lines };
+  const cuts = countCuts(history);
+  return { seed, calls: length, statuses, cuts, faults, broken, lines };
 };
 
 const checkRecovery = (calls: readonly SoakCall[]): GuaranteeViolation[] => {
--- a/bench/src/soak/soakCallers.ts
+++ b/bench/src/soak/soakCallers.ts
@@ -62,6 +62,9 @@
 /** Steps of the calls of sessions; the longest exceed the time that a gateway has left late in its drain. */
 const sessionSteps: readonly number[] = [4, 20, 60, 110];
 
+/** Steps of streams of which most are short and some last longer than a grace period. */
+export const mixedStreamSteps: readonly number[] = [4, 20, 60, 240];
+
 /** Steps of a look-up; its answer comes within the latency target, after which it would run again. */
 const lookupSteps = 4;
 
@@ -72,16 +75,19 @@
 ];
 
 /** Milliseconds after which a session gives up on a call; longer than any call takes. */
-const sessionTimeoutMs = 12_000;
+const sessionTimeoutMs = 16_000;
 
 /** Pause of a session after a call that was not served, in milliseconds. */
 const sessionRetryMs = 100;
 
 /** Runs sessions for `durationMs` and returns their calls. */
-export const runSessions = async (load: SoakLoad): Promise<SoakCall[]> => {
+export const runSessions = async (
+  load: SoakLoad,
+  streamSteps = sessionSteps,
+): Promise<SoakCall[]> => {
   const sessions = load.ports.flatMap((port, gateway) =>
     Array.from({ length: sessionsPerGateway }, (_, index) =>
-      runSession(load, port, gateway * sessionsPerGateway + index),
+      runSession(load, port, gateway * sessionsPerGateway + index, streamSteps),
     ),
   );
   return (await Promise.all(sessions)).flat();
@@ -91,6 +97,7 @@
   load: SoakLoad,
   port: number,
   session: number,
+  streamSteps: readonly number[],
 ): Promise<SoakCall[]> => {
   const name = `${String(load.seed)}-${String(session)}`;
   const random = new SeededRandom(load.seed * 1_000 + session);
@@ -99,7 +106,8 @@
   const calls: SoakCall[] = [];
   while (Date.now() < endsAt) {
     const kind = random.pickOne(sessionKinds);
-    const steps = random.pickOne(sessionSteps);
+    const isStream = kind === SoakKind.Stream;
+    const steps = random.pickOne(isStream ? streamSteps : sessionSteps);
     const call = await sendCall({
       requestId: `${name}-${String(calls.length)}`,
       kind,
--- a/bench/src/soak/soakFaults.ts
+++ b/bench/src/soak/soakFaults.ts
@@ -159,6 +159,14 @@
 
 const linkDelayMs = 150;
 
+class RestartAllAtOnceFault extends SoakFault {
+  readonly name = 'stop all gateways at once and start them again';
+
+  override async run({ gateways }: SoakHarness): Promise<void> {
+    await Promise.all(gateways.map(gateway => gateway.restart('SIGTERM')));
+  }
+}
+
 const faults: readonly SoakFault[] = [
   new KillGatewayFault(),
   new RestartGatewayFault(),
@@ -247,6 +255,9 @@
 /** Longest pause before the next planned work; a gateway serves for some time between two stops. */
 const longestPlannedPauseMs = 2_400;
 
+/** Shortest time for which a gateway serves between two stops. */
+const minServingMs = 1_000;
+
 /** Injects faults for `durationMs`, some of them at the same time; returns their names in order. */
 export const runSoakFaults = (
   harness: SoakHarness,
@@ -275,6 +286,30 @@
     durationMs,
   });
 
+const stopFaults: readonly SoakFault[] = [
+  new RestartGatewayFault(),
+  new RestartAllGatewaysFault(),
+  new RestartAllAtOnceFault(),
+];
+
+/** Stops gateways until `durationMs` have passed, each some seconds after all are ready; returns what was done, in order. */
+export const runStops = async (
+  harness: SoakHarness,
+  random: SeededRandom,
+  durationMs: number,
+): Promise<string[]> => {
+  const endsAt = Date.now() + durationMs;
+  const names: string[] = [];
+  while (Date.now() < endsAt) {
+    await harness.waitUntilReady();
+    await waitFor(minServingMs + random.pickInteger(longestPlannedPauseMs));
+    const fault = random.pickOne(stopFaults);
+    names.push(fault.name);
+    await fault.run(harness, random, minFaultMs);
+  }
+  return names;
+};
+
 interface FaultRun {
   readonly harness: SoakHarness;
   readonly random: SeededRandom;
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -1,10 +1,16 @@
 /** What a soak does to its gateways, and who calls them meanwhile. */
 import type { SeededRandom } from '@lycheetally/testkit';
-import { runCallers, runSessions, type SoakLoad } from './soakCallers.js';
+import {
+  mixedStreamSteps,
+  runCallers,
+  runSessions,
+  type SoakLoad,
+} from './soakCallers.js';
 import {
   runLeavingFaults,
   runPlannedWork,
   runSoakFaults,
+  runStops,
 } from './soakFaults.js';
 import type { SoakHarness } from './soakHarness.js';
 import type { SoakCall } from './types.js';
@@ -18,6 +24,9 @@
   /** Time limit of the routes at the start, in milliseconds. */
   abstract readonly routeTimeoutMs: number;
 
+  /** Duration of a short soak in a test. */
+  readonly testMs: number = 5_000;
+
   /** Sends calls while the gateways are disturbed. */
   abstract runCallers(load: SoakLoad): Promise<SoakCall[]>;
 
@@ -63,9 +72,9 @@
 
 /** Stops, reloads and new configurations, with callers that keep their connections. */
 export class PlannedScenario extends SoakScenario {
-  override readonly name = 'planned work';
+  override readonly name: string = 'planned work';
   override readonly isPlannedOnly = true;
-  override readonly routeTimeoutMs = 6_000;
+  override readonly routeTimeoutMs: number = 6_000;
 
   override runCallers(load: SoakLoad): Promise<SoakCall[]> {
     return runSessions(load);
@@ -80,3 +89,23 @@
     return runPlannedWork(harness, random, durationMs);
   }
 }
+
+/** Stops of gateways that started seconds before, one by one and all at once, under streams of mixed lengths. */
+export class StopScenario extends PlannedScenario {
+  override readonly name = 'stops';
+  override readonly routeTimeoutMs = 15_000;
+  override readonly testMs = 10_000;
+
+  override runCallers(load: SoakLoad): Promise<SoakCall[]> {
+    return runSessions(load, mixedStreamSteps);
+  }
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    harness.endFaults();
+    return runStops(harness, random, durationMs);
+  }
+}
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -53,6 +53,8 @@
   readonly port: number;
   /** Milliseconds since the start of the soak. */
   readonly at: number;
+  /** When the process had exited. */
+  readonly exitAt: number;
 }
 
 /** A restart or freeze of a gateway. */
--- a/bench/tests/soak.test.ts
+++ b/bench/tests/soak.test.ts
@@ -5,7 +5,9 @@
   LeavingScenario,
   PlannedScenario,
   SoakKind,
+  StopScenario,
   checkSoak,
+  countCuts,
   formatSoakEvent,
   runSoak,
   type SoakCall,
@@ -42,26 +44,30 @@
   isSuccess: true,
 };
 
+const createHistory = (
+  calls: readonly SoakCall[],
+  runs: readonly SoakRun[],
+  changes: Partial<SoakHistory>,
+): SoakHistory => ({
+  calls,
+  runs,
+  accounts: new Map([['key-1', 'account-1']]),
+  revocationDeadlines: new Map(),
+  isPlannedOnly: false,
+  stops: [],
+  resets: [],
+  leaveDeadlines: new Map(),
+  recoveredAt: Infinity,
+  graceMs: 6_000,
+  ...changes,
+});
+
 const findViolations = (
   calls: readonly SoakCall[],
   runs: readonly SoakRun[],
   changes: Partial<SoakHistory> = {},
-): string[] => {
-  const history: SoakHistory = {
-    calls,
-    runs,
-    accounts: new Map([['key-1', 'account-1']]),
-    revocationDeadlines: new Map(),
-    isPlannedOnly: false,
-    stops: [],
-    resets: [],
-    leaveDeadlines: new Map(),
-    recoveredAt: Infinity,
-    graceMs: 6_000,
-    ...changes,
-  };
-  return checkSoak(history).map(({ promise }) => promise);
-};
+): string[] =>
+  checkSoak(createHistory(calls, runs, changes)).map(({ promise }) => promise);
 
 const formatEvents = (numbers: readonly number[]): string =>
   numbers.map(at => formatSoakEvent('r-1', at)).join('');
@@ -163,6 +169,25 @@
   };
   const noAnswer = { ...call, status: 0, answer: '', isComplete: false };
   const refused = { ...call, status: 503, isSigned: false };
+  const isCutBooking = 'a stop cuts no call that may not be repeated';
+  const areManyCut =
+    'a stop cuts few of the streams that are taken after its signal';
+  const stopped = {
+    isPlannedOnly: true,
+    stops: [{ port: 1, at: 100, exitAt: 5_150 }],
+  };
+  const listWholeCalls = (count: number, sentAt: number): SoakCall[] =>
+    Array.from({ length: count }, (_, at) => ({
+      ...call,
+      requestId: `whole-${String(at)}`,
+      sentAt,
+      endedAt: sentAt + 100,
+    }));
+  const toRun = ({ requestId, kind }: SoakCall): SoakRun => ({
+    ...run,
+    requestId,
+    kind,
+  });
   const isCutShort = 'planned work leaves a call that runs its whole answer';
   const isUnanswered = 'planned work leaves no call without an answer';
 
@@ -216,13 +241,46 @@
     [
       'a booking',
       { kind: SoakKind.Booking, status: 502, isSigned: false },
-      [isCutShort],
+      [isCutShort, isCutBooking],
     ],
   ])('judges %s by the stop of its gateway', (_, changed, promises) => {
     const cut = { ...cutStream, sentAt: 3_100, endedAt: 5_100, ...changed };
     const runOfKind = { ...run, kind: cut.kind };
-    const changes = { isPlannedOnly: true, stops: [{ port: 1, at: 100 }] };
-    expect(findViolations([cut], [runOfKind], changes)).toEqual(promises);
+    expect(findViolations([cut], [runOfKind], stopped)).toEqual(promises);
+  });
+
+  it.each([
+    ['a tenth of the calls taken after the signal', 2, 18, 3_100, 0],
+    ['more than a tenth of them', 2, 17, 3_100, 2],
+    ['one of them', 1, 0, 3_100, 0],
+    ['calls that began before the signal', 2, 0, 50, 0],
+  ])('judges a stop that cuts %s', (_, cut, whole, sentAt, violations) => {
+    const cutCalls = Array.from({ length: cut }, (_each, at) => {
+      const requestId = `cut-${String(at)}`;
+      const answer = formatSoakEvent(requestId, 1);
+      return { ...cutStream, requestId, answer, sentAt, endedAt: 5_100 };
+    });
+    const calls = [...cutCalls, ...listWholeCalls(whole, 3_100)];
+    expect(findViolations(calls, calls.map(toRun), stopped)).toEqual(
+      Array.from({ length: violations }, () => areManyCut),
+    );
+  });
+
+  it('counts what a stop cuts, by kind and by when it began', () => {
+    const cut = { ...cutStream, sentAt: 3_100, endedAt: 5_100 };
+    const calls = [
+      cut,
+      { ...cut, requestId: 'r-2', sentAt: 50 },
+      { ...call, requestId: 'r-3', sentAt: 50, endedAt: 4_000, status: 502 },
+      { ...call, requestId: 'r-4', sentAt: 5_200, status: 502 },
+      ...listWholeCalls(2, 200),
+    ];
+    const history = createHistory(calls, calls.map(toRun), stopped);
+    expect(countCuts(history)).toEqual({
+      takenAfterStop: 3,
+      cutBegunBefore: { talk: 1, book: 1 },
+      cutBegunAfter: { talk: 1 },
+    });
   });
 
   it('excuses a cut stream where there are other faults', () => {
@@ -243,14 +301,17 @@
   { scenario: new LeavingScenario(), seed: 6 },
   // A stopping gateway took streams that could not end before its drain timeout.
   { scenario: new PlannedScenario(), seed: 2 },
+  // A gateway that had served for seconds took streams after its stop signal and cut them.
+  { scenario: new StopScenario(), seed: 4 },
 ];
 
 describe('gateways under injected faults', () => {
   it.each(runs)(
     'break no guarantee to their callers, $scenario.name, seed $seed',
     async ({ scenario, seed }) => {
-      const result = await runSoak(seed, 5_000, scenario);
-      expect(result.broken, result.lines.join('\n')).toEqual([]);
+      const result = await runSoak(seed, scenario.testMs, scenario);
+      const seen = [JSON.stringify(result.cuts), ...result.lines].join('\n');
+      expect(result.broken, seen).toEqual([]);
       expect(result.calls).toBeGreaterThan(50);
     },
     timeoutMs,
