Log the share that a drain forecast expected, its observations and the length hint

What callers saw: streams taken by a stopping gateway were cut at its drain timeout. Change: `forecastShare`, `forecastSamples` and `hintedOutputTokens` (the caller's estimate, which was not read before). No call is decided differently.

--- a/packages/decisions/src/gateway/durationForecast.ts
+++ b/packages/decisions/src/gateway/durationForecast.ts
@@ -52,6 +52,9 @@
     now: Milliseconds,
   ): number;
 
+  /** Counts the observations that the share is taken from. */
+  abstract countSamples(call: ForecastCall, now: Milliseconds): number;
+
   /** Whether a call that starts now ends by that time even if it is as slow as any recent one. */
   mayEndBy(
     call: ForecastCall,
@@ -85,6 +88,10 @@
   ): number {
     return deadlineAt <= endsAt ? 1 : 0;
   }
+
+  override countSamples(): number {
+    return 0;
+  }
 }
 
 export interface SlowestRecentSettings {
@@ -189,6 +196,10 @@
           ?.recent.countShareWithin(outputTokens, endsAt - now, now) ?? 0);
   }
 
+  override countSamples(call: ForecastCall, now: Milliseconds): number {
+    return this.routes.get(call.route)?.recent.count(now) ?? 0;
+  }
+
   private findSlowest(
     { route, outputTokens }: ForecastCall,
     now: Milliseconds,
--- a/packages/decisions/src/gateway/recentDurations.ts
+++ b/packages/decisions/src/gateway/recentDurations.ts
@@ -32,6 +32,11 @@
     }
   }
 
+  /** Counts the recent durations. */
+  count(now: Milliseconds): number {
+    return this.durations.filter(({ at }) => now - at < this.windowMs).length;
+  }
+
   /** Returns the share of recent calls that, scaled to the given tokens, took no longer; 0 if there are none. */
   countShareWithin(
     outputTokens: number | undefined,
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -239,6 +239,9 @@
     durationMs: Math.round(now - receivedAt),
     afterStopMs: Math.round(services.drainPeriod.measureSinceStop(receivedAt)),
     maxOutputTokens: received.fields.maxOutputTokens ?? -1,
+    hintedOutputTokens: received.fields.hintedOutputTokens ?? -1,
+    forecastShare: toPrinted(call.drainForecast?.share),
+    forecastSamples: call.drainForecast?.samples ?? -1,
     forecastMs: Math.round(call.drainForecast?.forecastMs ?? -1),
     drainLeftMs: Math.round(call.drainForecast?.timeLeftMs ?? -1),
     wasConnectionKept: received.isOnKeptConnection,
@@ -250,6 +253,9 @@
   services.handleCallEnded(call);
 };
 
+/** Returns a share with the digits of a log line; -1 if there is none. */
+const toPrinted = (share = -1): number => Math.round(share * 1_000) / 1_000;
+
 /** Whether the process stopped before the call had a full answer, though it may have run. */
 const isCutByStop = ({ fault }: GatewayCall, outcome: string): boolean =>
   fault?.kind === ErrorKind.ShuttingDown &&
--- a/packages/gateway/src/callFormat.ts
+++ b/packages/gateway/src/callFormat.ts
@@ -17,6 +17,8 @@
   readonly remainingMs: Milliseconds | undefined;
   readonly promptTokens: number | undefined;
   readonly maxOutputTokens: number | undefined;
+  /** The caller's estimate of the output tokens; often far off. */
+  readonly hintedOutputTokens: number | undefined;
   /** Ids of the parts that the prompt shares with other calls, in order; bounded in number and length. */
   readonly promptParts: readonly string[];
   /** Headers forwarded to the backend server. */
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -12,6 +12,10 @@
 /** What was expected of a call when a stopping gateway decided on it. */
 export interface DrainForecast {
   readonly forecastMs: Milliseconds;
+  /** Share of such calls that was expected to end in time, from 0 to 1. */
+  readonly share: number;
+  /** Observations that the share was taken from. */
+  readonly samples: number;
   /** Time until the drain timeout. */
   readonly timeLeftMs: Milliseconds;
 }
@@ -63,19 +67,19 @@
     return true;
   }
   const forecastCall = toForecastCall(call, admitted);
+  const endsAt = drainPeriod.timeoutAt - drainEndReserveMs;
+  const share = durationForecast.estimateShareBy(forecastCall, endsAt, now);
   call.drainForecast = {
     forecastMs: durationForecast.estimateDuration(forecastCall, now),
+    share,
+    samples: durationForecast.countSamples(forecastCall, now),
     timeLeftMs: drainPeriod.timeoutAt - now,
   };
-  const endsAt = drainPeriod.timeoutAt - drainEndReserveMs;
   const isNoticed =
     drainPeriod.measureSinceStop(now) >= closeConnectionsAfterMs;
   return (
     durationForecast.mayEndBy(forecastCall, endsAt, now) ||
-    (!isNoticed &&
-      admitted.isRepeatable &&
-      durationForecast.estimateShareBy(forecastCall, endsAt, now) >=
-        minShareBeforeNotice)
+    (!isNoticed && admitted.isRepeatable && share >= minShareBeforeNotice)
   );
 };
 
