Show with failing tests which calls a stopping gateway takes wrongly

What callers saw: streams taken by a stopping gateway were cut at its drain timeout, most of all at gateways that had run for seconds.

--- /dev/null
+++ b/packages/gateway/tests/drainAdmission.test.ts
@@ -0,0 +1,98 @@
+/** A stopping gateway takes no call that it will probably cut, however short it has run. */
+import { SlowestRecentForecast } from '@lycheetally/decisions';
+import { describe, expect, it } from 'vitest';
+import { forecastSettings } from '../src/constants.js';
+import { StoppingGateway, type TestCall } from './stoppingGateway.js';
+
+interface Stream {
+  readonly durationMs: number;
+  readonly call?: TestCall;
+}
+
+const signalAt = 3_000;
+const askedAt = 5_000;
+
+/** Runs streams that begin with the gateway, stops it after three seconds, and returns it two seconds later. */
+const runUntilStop = (
+  streams: readonly Stream[],
+  beganAt = 0,
+): StoppingGateway => {
+  const gateway = new StoppingGateway(
+    new SlowestRecentForecast(forecastSettings),
+  );
+  const running = streams.map(({ durationMs, call = {} }) => ({
+    endsAt: beganAt + durationMs,
+    end: gateway.request(call, beganAt),
+  }));
+  const ended = running
+    .filter(({ endsAt }) => endsAt <= askedAt)
+    .sort((a, b) => a.endsAt - b.endsAt);
+  for (const { endsAt, end } of ended.filter(each => each.endsAt < signalAt)) {
+    end?.(endsAt);
+  }
+  gateway.stop(signalAt);
+  for (const { endsAt, end } of ended.filter(each => each.endsAt >= signalAt)) {
+    end?.(endsAt);
+  }
+  return gateway;
+};
+
+const makeStreams = (count: number, stream: Stream): Stream[] =>
+  Array.from({ length: count }, () => stream);
+
+describe('a stopping gateway', () => {
+  it('does not take a stream when it has run for three seconds and half of its streams are still open', () => {
+    const gateway = runUntilStop([
+      ...makeStreams(20, { durationMs: 1_500 }),
+      ...makeStreams(20, { durationMs: 12_000 }),
+    ]);
+    expect(gateway.request({}, askedAt)).toBeUndefined();
+  });
+
+  it('does not take a non-repeatable stream while one of its kind is open that may outlast the stop', () => {
+    const gateway = runUntilStop([
+      ...makeStreams(40, { durationMs: 200, call: { isRepeatable: false } }),
+      { durationMs: 12_000, call: { isRepeatable: false } },
+    ]);
+    expect(gateway.request({ isRepeatable: false }, askedAt)).toBeUndefined();
+  });
+
+  it('does not take a stream of which four in ten outlast the time that is left', () => {
+    const gateway = runUntilStop(
+      [
+        ...makeStreams(24, { durationMs: 1_000 }),
+        ...makeStreams(16, { durationMs: 7_000 }),
+      ],
+      -20_000,
+    );
+    expect(gateway.request({}, askedAt)).toBeUndefined();
+  });
+
+  it('takes a stream that its caller expects to be short, though most are long', () => {
+    const gateway = runUntilStop(
+      [
+        ...makeStreams(10, {
+          durationMs: 500,
+          call: { hintedOutputTokens: 20 },
+        }),
+        ...makeStreams(30, {
+          durationMs: 9_000,
+          call: { hintedOutputTokens: 500 },
+        }),
+      ],
+      -20_000,
+    );
+    expect(gateway.request({ hintedOutputTokens: 20 }, askedAt)).toBeDefined();
+    expect(
+      gateway.request({ hintedOutputTokens: 500 }, askedAt),
+    ).toBeUndefined();
+  });
+
+  it('takes a non-repeatable call whose kind always ends soon', () => {
+    const gateway = runUntilStop(
+      makeStreams(40, { durationMs: 20, call: { isRepeatable: false } }),
+      2_000,
+    );
+    expect(gateway.request({ isRepeatable: false }, askedAt)).toBeDefined();
+  });
+});
--- /dev/null
+++ b/packages/gateway/tests/stoppingGateway.ts
@@ -0,0 +1,66 @@
+/** A gateway's admission during a stop, without its connections. */
+import type { DurationForecast } from '@lycheetally/decisions';
+import {
+  mayEndBeforeStop,
+  noteDuration,
+  noteOpenCalls,
+} from '../src/drainAdmission.js';
+import { DrainPeriod } from '../src/drainPeriod.js';
+import type { AdmittedCall, GatewayCall } from '../src/gatewayCall.js';
+
+/** What a caller sends. */
+export interface TestCall {
+  readonly hintedOutputTokens?: number;
+  readonly isRepeatable?: boolean;
+}
+
+const graceMs = 8_000;
+const deadlineMs = 20_000;
+
+export class StoppingGateway {
+  private readonly drainPeriod = new DrainPeriod();
+  private readonly open = new Set<GatewayCall>();
+
+  constructor(private readonly durationForecast: DurationForecast) {}
+
+  get timeoutAt(): number {
+    return this.drainPeriod.timeoutAt;
+  }
+
+  stop(now: number): void {
+    this.drainPeriod.begin(now, graceMs);
+    noteOpenCalls(this.open, now);
+  }
+
+  /** Requests a call. Returns what ends it, or nothing if it is refused. */
+  request(sent: TestCall, now: number): ((now: number) => void) | undefined {
+    const call = this.createCall(sent, now);
+    const { admitted } = call;
+    if (!admitted || !mayEndBeforeStop(call, admitted, now)) {
+      return undefined;
+    }
+    this.open.add(call);
+    return endedAt => {
+      this.open.delete(call);
+      noteDuration(call, endedAt);
+    };
+  }
+
+  private createCall(
+    { hintedOutputTokens, isRepeatable = true }: TestCall,
+    now: number,
+  ): GatewayCall {
+    const route = { name: 'route', isStream: true } as AdmittedCall['route'];
+    const service = { name: 'service' } as AdmittedCall['service'];
+    const { drainPeriod, durationForecast } = this;
+    return {
+      services: { drainPeriod, durationForecast },
+      received: {
+        receivedAt: now,
+        fields: { maxOutputTokens: 600, hintedOutputTokens },
+      },
+      firstByteAt: now,
+      admitted: { route, service, isRepeatable, deadlineAt: now + deadlineMs },
+    } as unknown as GatewayCall;
+  }
+}
