Forecast the calls of a stopping gateway by their survival and length hints

Cause: only calls that had ended were counted (open ones once, at the signal), and half of those were enough, whatever length a caller expected. Change: `SurvivalForecast`, a Kaplan-Meier estimate over the calls that were opened in the last minute. Open calls count at their ages at all times; what was not seen to end does not end; fewer than eight endings say nothing. Durations are compared per power 0.6 of the hint. A call that may not be repeated is taken only if it ends even when as slow as any of 30 recent ones with none open for longer, or by its deadline. A repeatable one is taken, until the load balancer has noticed, if more than half end in time.

--- /dev/null
+++ b/packages/decisions/src/gateway/recentLives.ts
@@ -0,0 +1,90 @@
+/**
+ * The lives of the calls of one kind that were opened recently, also of those still open.
+ *
+ * A call counts in the slot in which it was opened: counted where they end, short calls
+ * would be recent and long ones would not.
+ */
+import type { Milliseconds } from '@lycheetally/common';
+import { LifeTable } from './lifeTable.js';
+
+/** A call that is open. */
+export interface OpenLife {
+  readonly openedAt: Milliseconds;
+  /** What the duration is divided by, to compare calls of different sizes. */
+  readonly scale: number;
+}
+
+const slotsPerWindow = 6;
+
+export class RecentLives {
+  private readonly open = new Set<OpenLife>();
+  private readonly slots = new Map<number, LifeTable>();
+  private readonly slotMs: Milliseconds;
+
+  /** @param windowMs How long a call counts after it was opened. */
+  constructor(private readonly windowMs: Milliseconds) {
+    this.slotMs = windowMs / slotsPerWindow;
+  }
+
+  /** Number of values that are kept; the open calls are as many as the process has. */
+  get size(): number {
+    return [...this.slots.values()].reduce(
+      (sum, table) => sum + table.size,
+      this.open.size,
+    );
+  }
+
+  add(life: OpenLife): void {
+    this.open.add(life);
+  }
+
+  /** Ends an open call; one that was given up lasted at least that long. */
+  end(life: OpenLife, isComplete: boolean, now: Milliseconds): void {
+    if (!this.open.delete(life)) {
+      return;
+    }
+    this.dropOld(now);
+    const index = Math.floor(life.openedAt / this.slotMs);
+    if (this.isOld(index, now)) {
+      return;
+    }
+    const table = this.slots.get(index) ?? new LifeTable();
+    this.slots.set(index, table);
+    const value = measureLife(life, now);
+    if (isComplete) {
+      table.addEnded(value);
+    } else {
+      table.addOpen(value);
+    }
+  }
+
+  /** Builds the table of all recent calls, with the open ones at their present ages. */
+  buildTable(now: Milliseconds): LifeTable {
+    this.dropOld(now);
+    const all = new LifeTable();
+    for (const table of this.slots.values()) {
+      all.addAll(table);
+    }
+    for (const life of this.open) {
+      all.addOpen(measureLife(life, now));
+    }
+    return all;
+  }
+
+  private dropOld(now: Milliseconds): void {
+    for (const index of this.slots.keys()) {
+      if (this.isOld(index, now)) {
+        this.slots.delete(index);
+      }
+    }
+  }
+
+  private isOld(index: number, now: Milliseconds): boolean {
+    return (index + 1) * this.slotMs <= now - this.windowMs;
+  }
+}
+
+const measureLife = (
+  { openedAt, scale }: OpenLife,
+  now: Milliseconds,
+): number => (now - openedAt) / scale;
--- /dev/null
+++ b/packages/decisions/src/gateway/survivalForecast.ts
@@ -0,0 +1,91 @@
+/**
+ * Forecasts from the lives of recent calls of the same kind. Calls that are still open
+ * count at their ages: a process that began seconds ago has seen only short calls end.
+ */
+import type { Milliseconds } from '@lycheetally/common';
+import {
+  DurationForecast,
+  type DurationEstimate,
+  type ForecastCall,
+  type NoteEnd,
+} from './durationForecast.js';
+import { RecentLives } from './recentLives.js';
+
+export interface SurvivalSettings {
+  /** How long a call counts after it was opened. */
+  readonly windowMs: Milliseconds;
+  /** Kinds of calls that are kept; the one that was used least recently is dropped. */
+  readonly maxKinds: number;
+  /** Ended calls without which nothing is known of the share. */
+  readonly minSamples: number;
+  /** Ended calls without which a call takes until its deadline. */
+  readonly minSlowestSamples: number;
+  /** Durations grow with this power of the expected size; below 1, since the expectation is often far off. */
+  readonly sizeExponent: number;
+  /** Safety margin as a factor of all durations, 1 at least. */
+  readonly factor: number;
+  /** Safety margin on top of it. */
+  readonly extraMs: Milliseconds;
+}
+
+export class SurvivalForecast extends DurationForecast {
+  private readonly kinds = new Map<string, RecentLives>();
+
+  constructor(private readonly settings: SurvivalSettings) {
+    super();
+  }
+
+  /** Number of values that are kept. */
+  get size(): number {
+    return [...this.kinds.values()].reduce((sum, { size }) => sum + size, 0);
+  }
+
+  override noteOpened(call: ForecastCall, now: Milliseconds): NoteEnd {
+    const lives = this.reuseKind(call.kind);
+    const life = { openedAt: now, scale: this.computeScale(call) };
+    lives.add(life);
+    return (isComplete, endedAt) => {
+      lives.end(life, isComplete, endedAt);
+    };
+  }
+
+  override estimateBy(
+    call: ForecastCall,
+    endsAt: Milliseconds,
+    now: Milliseconds,
+  ): DurationEstimate {
+    const { factor, extraMs, minSamples, minSlowestSamples } = this.settings;
+    const scale = this.computeScale(call);
+    const table = this.kinds.get(call.kind)?.buildTable(now);
+    const samples = table?.endings ?? 0;
+    const leftMs = Math.max(0, call.deadlineAt - now);
+    const limit = (endsAt - now - extraMs) / factor / scale;
+    const longestMs =
+      (table?.findLongest() ?? Infinity) * scale * factor + extraMs;
+    const share =
+      samples < minSamples ? 0 : (table?.estimateShareWithin(limit) ?? 0);
+    return {
+      slowestMs:
+        samples < minSlowestSamples ? leftMs : Math.min(leftMs, longestMs),
+      share: call.deadlineAt <= endsAt ? 1 : share,
+      samples,
+    };
+  }
+
+  private computeScale({ expectedSize }: ForecastCall): number {
+    return Math.max(1, expectedSize) ** this.settings.sizeExponent;
+  }
+
+  /** Returns the lives of a kind as the most recently used ones. */
+  private reuseKind(kind: string): RecentLives {
+    const lives =
+      this.kinds.get(kind) ?? new RecentLives(this.settings.windowMs);
+    this.kinds.delete(kind);
+    this.kinds.set(kind, lives);
+    const [oldest] = this.kinds.keys();
+    if (this.kinds.size > this.settings.maxKinds && oldest !== undefined) {
+      this.kinds.delete(oldest);
+    }
+    return lives;
+  }
+}
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -17,7 +17,7 @@
   retryAfterMs,
   routeRetryDelayMs,
 } from './constants.js';
-import { mayEndBeforeStop, noteDuration } from './drainAdmission.js';
+import { mayEndBeforeStop, noteOpened } from './drainAdmission.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
 import {
@@ -36,6 +36,7 @@
     return;
   }
   call.admitted = admission.admitted;
+  noteOpened(call, admission.admitted);
   const fault = decideFirstAttempt(call, now);
   if (fault) {
     call.instance?.send({ type: 'REFUSED', fault }, now);
@@ -127,9 +128,6 @@
     });
   }
   const status = attempt?.head?.status ?? 0;
-  if (isSuccess(status)) {
-    noteDuration(call, now);
-  }
   endCall(call, Outcome.Complete, status, now);
 };
 
@@ -242,12 +240,13 @@
     hintedOutputTokens: received.fields.hintedOutputTokens ?? -1,
     forecastShare: toPrinted(call.drainForecast?.share),
     forecastSamples: call.drainForecast?.samples ?? -1,
-    forecastMs: Math.round(call.drainForecast?.forecastMs ?? -1),
+    forecastMs: Math.round(call.drainForecast?.slowestMs ?? -1),
     drainLeftMs: Math.round(call.drainForecast?.timeLeftMs ?? -1),
     wasConnectionKept: received.isOnKeptConnection,
     lastEvent: call.events?.lastEventId ?? '',
     reason: outcome === Outcome.Complete ? '' : (call.fault?.message ?? ''),
   });
+  call.noteEnd?.(outcome === Outcome.Complete && isSuccess(status), now);
   call.instance?.dispose();
   services.waitingCalls.remove(call);
   services.handleCallEnded(call);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -148,17 +148,19 @@
 export const drainEndReserveMs = 150;
 
 /**
- * Share of calls like a repeatable one that must be expected to end in time while the
- * load balancer may still choose the stopping gateway: a refused caller would come back.
+ * While the load balancer may still choose the stopping gateway, a repeatable call is
+ * taken if more than this share of calls like it is known to end in time; a refused
+ * caller may find no other gateway.
  */
 export const minShareBeforeNotice = 0.5;
 
 /** How a stopping gateway forecasts the durations of calls. */
 export const forecastSettings = {
   windowMs: 60_000,
-  maxRoutes: 512,
-  maxDurations: 64,
+  maxKinds: 512,
   minSamples: 8,
+  minSlowestSamples: 30,
+  sizeExponent: 0.6,
   factor: 1.1,
   extraMs: 150,
 } as const;
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -1,6 +1,6 @@
 /** Decides whether a stopping gateway still takes a call: only one that ends before the drain timeout. */
 import { ErrorKind, type Milliseconds } from '@lycheetally/common';
-import type { CallTiming, ForecastCall } from '@lycheetally/decisions';
+import type { DurationEstimate, ForecastCall } from '@lycheetally/decisions';
 import {
   closeConnectionsAfterMs,
   drainEndReserveMs,
@@ -10,12 +10,7 @@
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 /** What was expected of a call when a stopping gateway decided on it. */
-export interface DrainForecast {
-  readonly forecastMs: Milliseconds;
-  /** Share of such calls that was expected to end in time, from 0 to 1. */
-  readonly share: number;
-  /** Observations that the share was taken from. */
-  readonly samples: number;
+export interface DrainForecast extends DurationEstimate {
   /** Time until the drain timeout. */
   readonly timeLeftMs: Milliseconds;
 }
@@ -68,63 +63,46 @@
   }
   const forecastCall = toForecastCall(call, admitted);
   const endsAt = drainPeriod.timeoutAt - drainEndReserveMs;
-  const share = durationForecast.estimateShareBy(forecastCall, endsAt, now);
+  const estimate = durationForecast.estimateBy(forecastCall, endsAt, now);
   call.drainForecast = {
-    forecastMs: durationForecast.estimateDuration(forecastCall, now),
-    share,
-    samples: durationForecast.countSamples(forecastCall, now),
+    ...estimate,
     timeLeftMs: drainPeriod.timeoutAt - now,
   };
   const isNoticed =
     drainPeriod.measureSinceStop(now) >= closeConnectionsAfterMs;
   return (
-    durationForecast.mayEndBy(forecastCall, endsAt, now) ||
-    (!isNoticed && admitted.isRepeatable && share >= minShareBeforeNotice)
+    now + estimate.slowestMs <= endsAt ||
+    (!isNoticed &&
+      admitted.isRepeatable &&
+      estimate.share > minShareBeforeNotice)
   );
 };
 
-/** Notes how long a call took that was answered in full. */
-export const noteDuration = (call: GatewayCall, now: Milliseconds): void => {
-  const { admitted, services } = call;
-  if (admitted) {
-    services.durationForecast.noteComplete(
-      toForecastCall(call, admitted),
-      measureTiming(call, now),
-      now,
-    );
-  }
-};
-
-/** Notes the ages of the calls that are open when the gateway is stopped. */
-export const noteOpenCalls = (
-  calls: Iterable<GatewayCall>,
-  now: Milliseconds,
-): void => {
-  for (const call of calls) {
-    if (call.admitted) {
-      call.services.durationForecast.noteOpen(
-        toForecastCall(call, call.admitted),
-        measureTiming(call, now),
-        now,
-      );
-    }
-  }
+/** Notes that a call was admitted; until it ends, its age counts for others like it. */
+export const noteOpened = (call: GatewayCall, admitted: AdmittedCall): void => {
+  call.noteEnd = call.services.durationForecast.noteOpened(
+    toForecastCall(call, admitted),
+    call.received.receivedAt,
+  );
 };
 
+/**
+ * Streams with a hint of their length are alike on all routes of a service. Only the
+ * length of a repeatable call may be guessed; others are compared with those of a similar limit.
+ */
 const toForecastCall = (
   { received }: GatewayCall,
-  { route, service, deadlineAt }: AdmittedCall,
-): ForecastCall => ({
-  route: `${route.name} ${service.name}`,
-  outputTokens: route.isStream ? received.fields.maxOutputTokens : undefined,
-  deadlineAt,
-});
-
-const measureTiming = (
-  { received, firstByteAt }: GatewayCall,
-  now: Milliseconds,
-): CallTiming => ({
-  durationMs: now - received.receivedAt,
-  firstByteMs:
-    firstByteAt === undefined ? undefined : firstByteAt - received.receivedAt,
-});
+  { route, service, isRepeatable, deadlineAt }: AdmittedCall,
+): ForecastCall => {
+  const { maxOutputTokens = 0, hintedOutputTokens = 0 } = received.fields;
+  const hinted = isRepeatable ? hintedOutputTokens : 0;
+  const limitClass = Math.ceil(Math.log2(maxOutputTokens + 1));
+  return {
+    kind:
+      hinted > 0
+        ? service.name
+        : `${service.name} ${route.name} ${String(limitClass)}`,
+    expectedSize: Math.max(1, hinted),
+    deadlineAt,
+  };
+};
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -8,6 +8,7 @@
   GatewayConfiguration,
   KeyHolder,
   Moment,
+  NoteEnd,
   RequestView,
   ResponseMemory,
   RetryPolicy,
@@ -118,6 +119,8 @@
   fault: CallFault | undefined;
   /** Set when a stopping gateway decided whether to take the call or to retry it. */
   drainForecast: DrainForecast | undefined;
+  /** Ends the observation of how long the call is open. */
+  noteEnd: NoteEnd | undefined;
   /** Events of a streamed response, over all attempts. */
   events: EventStream | undefined;
   /** Events that servers sent for this call, over all attempts, each once. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -21,7 +21,7 @@
   Outcome,
   ReplicaPerDomain,
   SlidingRetryBudget,
-  SlowestRecentForecast,
+  SurvivalForecast,
   isFreshEnough,
   type GatewayConfiguration,
   type Moment,
@@ -37,11 +37,7 @@
   maxResponseMemoryBytes,
 } from './constants.js';
 import { bindAttemptChart } from './attemptChart.js';
-import {
-  drainTimeoutFault,
-  noteOpenCalls,
-  stoppingFault,
-} from './drainAdmission.js';
+import { drainTimeoutFault, stoppingFault } from './drainAdmission.js';
 import { DrainPeriod } from './drainPeriod.js';
 import { GatewayCall, type CallServices } from './gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
@@ -222,7 +218,6 @@
     },
     stopAdmission: (now: Milliseconds): void => {
       this.drainPeriod.begin(now, this.graceMs);
-      noteOpenCalls(this.calls.values(), now);
       this.frontend.beginDrain();
       this.placer.resign(now);
       this.loop.schedule(closeConnectionsAfterMs, closedAt => {
@@ -456,7 +451,7 @@
       getMoment: () => this.getMoment(),
       lossHandler: this.servers.lossHandler,
       drainPeriod: this.drainPeriod,
-      durationForecast: new SlowestRecentForecast(forecastSettings),
+      durationForecast: new SurvivalForecast(forecastSettings),
       isCancellingCalls: () => this.lifecycle.matches('forcedStop'),
       postCompletion: run => {
         this.post(run);
--- a/packages/gateway/tests/drainAdmission.test.ts
+++ b/packages/gateway/tests/drainAdmission.test.ts
@@ -1,5 +1,5 @@
 /** A stopping gateway takes no call that it will probably cut, however short it has run. */
-import { SlowestRecentForecast } from '@lycheetally/decisions';
+import { SurvivalForecast } from '@lycheetally/decisions';
 import { describe, expect, it } from 'vitest';
 import { forecastSettings } from '../src/constants.js';
 import { StoppingGateway, type TestCall } from './stoppingGateway.js';
@@ -17,9 +17,7 @@
   streams: readonly Stream[],
   beganAt = 0,
 ): StoppingGateway => {
-  const gateway = new StoppingGateway(
-    new SlowestRecentForecast(forecastSettings),
-  );
+  const gateway = new StoppingGateway(new SurvivalForecast(forecastSettings));
   const running = streams.map(({ durationMs, call = {} }) => ({
     endsAt: beganAt + durationMs,
     end: gateway.request(call, beganAt),
@@ -57,15 +55,24 @@
     expect(gateway.request({ isRepeatable: false }, askedAt)).toBeUndefined();
   });
 
-  it('does not take a stream of which four in ten outlast the time that is left', () => {
+  it('does not take a stream that its caller expects to be long, though most end in time', () => {
     const gateway = runUntilStop(
       [
-        ...makeStreams(24, { durationMs: 1_000 }),
-        ...makeStreams(16, { durationMs: 7_000 }),
+        ...makeStreams(30, {
+          durationMs: 1_000,
+          call: { hintedOutputTokens: 35 },
+        }),
+        ...makeStreams(10, {
+          durationMs: 7_000,
+          call: { hintedOutputTokens: 600 },
+        }),
       ],
       -20_000,
     );
-    expect(gateway.request({}, askedAt)).toBeUndefined();
+    expect(gateway.request({ hintedOutputTokens: 600 }, askedAt)).toBe(
+      undefined,
+    );
+    expect(gateway.request({ hintedOutputTokens: 35 }, askedAt)).toBeDefined();
   });
 
   it('takes a stream that its caller expects to be short, though most are long', () => {
--- a/packages/gateway/tests/stoppingGateway.ts
+++ b/packages/gateway/tests/stoppingGateway.ts
@@ -1,10 +1,6 @@
 /** A gateway's admission during a stop, without its connections. */
 import type { DurationForecast } from '@lycheetally/decisions';
-import {
-  mayEndBeforeStop,
-  noteDuration,
-  noteOpenCalls,
-} from '../src/drainAdmission.js';
+import { mayEndBeforeStop, noteOpened } from '../src/drainAdmission.js';
 import { DrainPeriod } from '../src/drainPeriod.js';
 import type { AdmittedCall, GatewayCall } from '../src/gatewayCall.js';
 
@@ -19,7 +15,6 @@
 
 export class StoppingGateway {
   private readonly drainPeriod = new DrainPeriod();
-  private readonly open = new Set<GatewayCall>();
 
   constructor(private readonly durationForecast: DurationForecast) {}
 
@@ -29,7 +24,6 @@
 
   stop(now: number): void {
     this.drainPeriod.begin(now, graceMs);
-    noteOpenCalls(this.open, now);
   }
 
   /** Requests a call. Returns what ends it, or nothing if it is refused. */
@@ -39,11 +33,8 @@
     if (!admitted || !mayEndBeforeStop(call, admitted, now)) {
       return undefined;
     }
-    this.open.add(call);
-    return endedAt => {
-      this.open.delete(call);
-      noteDuration(call, endedAt);
-    };
+    noteOpened(call, admitted);
+    return endedAt => call.noteEnd?.(true, endedAt);
   }
 
   private createCall(
