Show that a restored store is followed wrongly

The stand-in store can be put back to an older copy: its era rises in every answer, offsets are given out again, a read beyond the end gets 410.

--- a/packages/testkit/src/platform/platformStore.ts
+++ b/packages/testkit/src/platform/platformStore.ts
@@ -1,6 +1,7 @@
 /**
  * Stand-in for the platform's store: tables kept as logs of keyed records, and
- * a consumer group whose every member is assigned the same partition.
+ * a consumer group whose every member is assigned the same partition. The tables
+ * can be put back to an older copy, as a drill at the store does.
  */
 import {
   createServer,
@@ -27,11 +28,17 @@
 }
 
 interface Table {
-  records: StoredRecord[];
+  readonly records: StoredRecord[];
   /** Offset of the oldest record that a read of changes may start from. */
   firstOffset: number;
 }
 
+/** Header of every answer: the number of the store's history. */
+const eraHeader = 'Store-Era';
+
+/** What the tables held at a moment. */
+export type StoreCopy = ReadonlyMap<string, Table>;
+
 const lengthBytes = 4;
 const offsetBytes = 8;
 const maxPageEntries = 3;
@@ -48,6 +55,7 @@
   private readonly tables = new Map<string, Table>();
   private readonly pendingReads = new Set<() => void>();
   private generation = 0;
+  private era = 1;
   private readonly server: Server = createServer((request, response) => {
     this.serve(request, response);
   });
@@ -87,6 +95,33 @@
     table.firstOffset = table.records.length;
   }
 
+  takeCopy(): StoreCopy {
+    return createTables(this.tables);
+  }
+
+  /**
+   * Puts the tables back to a copy: what was written since is gone, and its
+   * offsets are given out again. Open connections break.
+   */
+  resetTo(copy: StoreCopy): void {
+    this.tables.clear();
+    for (const [name, table] of createTables(copy)) {
+      this.tables.set(name, table);
+    }
+    this.era += 1;
+    this.pendingReads.clear();
+    this.server.closeAllConnections();
+  }
+
+  /** Returns the keys of a table that have a value. */
+  listKeys(name: string): string[] {
+    const { records } = this.getTable(name);
+    const newest = new Map(records.map(({ key, value }) => [key, value]));
+    return [...newest]
+      .filter(([, value]) => value.length > 0)
+      .map(([key]) => key);
+  }
+
   private getTable(name: string): Table {
     const table = this.tables.get(name) ?? { records: [], firstOffset: 0 };
     this.tables.set(name, table);
@@ -94,6 +129,7 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
+    response.setHeader(eraHeader, this.era);
     const url = new URL(request.url ?? '/', 'http://store');
     const count = this.requestCounts.get(url.pathname) ?? 0;
     this.requestCounts.set(url.pathname, count + 1);
@@ -153,7 +189,7 @@
   ): void {
     const table = this.getTable(name);
     const from = Number(query.get('from'));
-    if (from < table.firstOffset) {
+    if (from < table.firstOffset || from > table.records.length) {
       answerJson(response, { first_offset: table.firstOffset }, 410);
       return;
     }
@@ -206,6 +242,14 @@
   }
 }
 
+const createTables = (tables: StoreCopy): Map<string, Table> =>
+  new Map(
+    [...tables].map(([name, { records, firstOffset }]) => [
+      name,
+      { records: [...records], firstOffset },
+    ]),
+  );
+
 const answerJson = (
   response: ServerResponse,
   body: unknown,
