Order what is read from the store by era, then by offset

Cause: positions were bare offsets, which a restored store gives out again.

Change: one type, StorePosition, compared in one place; batches, records, the registry, the copies for other gateways and the messages between gateways carry it. A follower that sees a newer era reads the newest values again (chart event REPLACED) and refuses an answer of an older one. A gateway has no news for one that has seen a newer era; a request that names no era gets none.

--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -4,4 +4,5 @@
 export * from './recentMaximum.js';
 export * from './responseMemory.js';
 export * from './routeTable.js';
+export * from './storePosition.js';
 export * from './types.js';
--- a/packages/gateway/src/eraWatch.ts
+++ b/packages/gateway/src/eraWatch.ts
@@ -1,7 +1,13 @@
 /** Which of its histories the store answers from, as far as this gateway knows. */
-import type { ComponentLogger } from '@lycheetally/common';
+import {
+  Emitter,
+  type ComponentLogger,
+  type Milliseconds,
+} from '@lycheetally/common';
 
 export class EraWatch {
+  /** Emits the time when the store's history was seen to be replaced. */
+  readonly replaced = new Emitter<Milliseconds>();
   private newest = 0;
 
   constructor(private readonly log: ComponentLogger) {}
@@ -12,11 +18,15 @@
   }
 
   /** Handles the era of an answer; answers of an older history may arrive late. */
-  note(era: number): void {
-    if (era <= this.newest) {
+  note(era: number, now: Milliseconds): void {
+    const before = this.newest;
+    if (era <= before) {
       return;
     }
-    this.log.info('The era of the store rose.', { era, before: this.newest });
+    this.log.info('The era of the store rose.', { era, before });
     this.newest = era;
+    if (before > 0) {
+      this.replaced.emit(now);
+    }
   }
 }
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -125,8 +125,8 @@
     this.duty = new RelayDuty(getOrThrow(bindRelayChart()), timers, log);
     this.eraWatch = new EraWatch(log);
     this.subscription = sources.history.eraSeen.subscribe(era => {
-      services.postCompletion(() => {
-        this.eraWatch.note(era);
+      services.postCompletion(now => {
+        this.eraWatch.note(era, now);
       });
     });
     this.directory = new PeerDirectory(
@@ -288,6 +288,7 @@
       {
         timers: services.timers,
         log: services.loggers.createLogger(LogComponent.Store),
+        eraWatch: this.eraWatch,
         postCompletion: run => {
           services.postCompletion(run);
         },
@@ -314,12 +315,13 @@
     store: TablePort,
     isHeld: boolean,
   ): RelayedTable {
-    const { client, directory, duty, services } = this;
+    const { client, directory, duty, eraWatch, services } = this;
     return new RelayedTable(
       {
         client,
         directory,
         duty,
+        eraWatch,
         postCompletion: run => {
           services.postCompletion(run);
         },
--- a/packages/gateway/src/news/newsFormat.ts
+++ b/packages/gateway/src/news/newsFormat.ts
@@ -8,6 +8,7 @@
 
 const requestSchema = z.object({
   from: z.coerce.number().int().min(0).optional(),
+  era: z.coerce.number().int().min(0),
   seen: z.coerce.number().int(),
 });
 
@@ -15,7 +16,10 @@
 const recordsSchema = z.array(z.tuple([z.string(), z.string().nullable()]));
 
 const answerSchema = z.object({
-  next: z.number().int().min(0),
+  next: z.object({
+    era: z.number().int().min(0),
+    offset: z.number().int().min(0),
+  }),
   isTrimmed: z.boolean(),
   confirmation: z.number().int(),
   ageMs: z.number().min(0),
@@ -32,7 +36,7 @@
 export const formatNewsPath = (table: string, request: NewsRequest): string => {
   const from =
     request.from === undefined ? '' : `from=${String(request.from)}&`;
-  return `${newsPath}${table}?${from}seen=${String(request.seen)}`;
+  return `${newsPath}${table}?${from}era=${String(request.era)}&seen=${String(request.seen)}`;
 };
 
 /** Parses the target of a request; returns `undefined` if it asks for no news. */
@@ -46,7 +50,7 @@
   return path.startsWith(newsPath) && parsed.success
     ? {
         table: path.slice(newsPath.length),
-        request: { from: parsed.data.from, seen: parsed.data.seen },
+        request: { ...parsed.data, from: parsed.data.from },
       }
     : undefined;
 };
--- a/packages/gateway/src/news/newsTable.ts
+++ b/packages/gateway/src/news/newsTable.ts
@@ -9,7 +9,12 @@
  */
 import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
-import { computeAge, type Moment } from '@lycheetally/decisions';
+import {
+  comparePositions,
+  computeAge,
+  type Moment,
+  type StorePosition,
+} from '@lycheetally/decisions';
 import { maxNewsHoldMs } from '../constants.js';
 import type { KeyedText, TableBatch } from '../ports.js';
 import { TableHistory } from './tableHistory.js';
@@ -18,6 +23,8 @@
 export interface NewsRequest {
   /** Offset from which changes are asked for; all newest values when absent. */
   readonly from: number | undefined;
+  /** The newest era of the store that the asking gateway has seen. */
+  readonly era: number;
   /** The newest confirmation that the asking gateway has seen here. */
   readonly seen: number;
 }
@@ -25,7 +32,7 @@
 /** News of a table. */
 export interface NewsAnswer {
   readonly records: readonly KeyedText[];
-  readonly next: number;
+  readonly next: StorePosition;
   /** Whether the changes that were asked for are no longer kept. */
   readonly isTrimmed: boolean;
   /** Number of this confirmation, counted by the answering gateway. */
@@ -118,7 +125,8 @@
     const now = this.services.getMoment();
     const { confirmedAt, confirmation, history } = this;
     const ageMs = confirmedAt ? computeAge(confirmedAt, now) : Infinity;
-    const isBehind = (request.from ?? 0) > history.next;
+    const from = { era: request.era, offset: request.from ?? 0 };
+    const isBehind = comparePositions(from, history.next) > 0;
     if (ageMs > this.maxAgeMs || isBehind || this.hasSeenAll(request)) {
       reply(undefined);
       return;
@@ -126,10 +134,10 @@
     const records =
       request.from === undefined
         ? history.readNewest()
-        : history.readChanges(request.from);
+        : history.readChanges(from);
     reply({
       records: records ?? [],
-      next: records ? history.next : (request.from ?? 0),
+      next: history.next,
       isTrimmed: records === undefined,
       confirmation,
       ageMs,
--- a/packages/gateway/src/news/relayedTable.ts
+++ b/packages/gateway/src/news/relayedTable.ts
@@ -5,8 +5,14 @@
  * A gateway that does not answer is left at once: the store is read without a
  * wait, and the next reads go to another gateway.
  */
-import type { Milliseconds, Result } from '@lycheetally/common';
+import { Ok, type Milliseconds, type Result } from '@lycheetally/common';
+import {
+  advancePosition,
+  comparePositions,
+  type StorePosition,
+} from '@lycheetally/decisions';
 import { maxRelayPollMs } from '../constants.js';
+import type { EraWatch } from '../eraWatch.js';
 import { TablePort, type RawRecord, type TableBatch } from '../ports.js';
 import type { NewsClient } from './newsClient.js';
 import type { NewsAnswer } from './newsTable.js';
@@ -17,6 +23,7 @@
   readonly client: NewsClient;
   readonly directory: PeerDirectory;
   readonly duty: RelayDuty;
+  readonly eraWatch: EraWatch;
   /** Runs a callback on the event loop. */
   postCompletion(run: (now: Milliseconds) => void): void;
   countRead(isRelayed: boolean): void;
@@ -36,11 +43,14 @@
     super();
   }
 
-  override async readNewest(from: number): Promise<Result<TableBatch>> {
+  override async readNewest(from: StorePosition): Promise<Result<TableBatch>> {
     const relay = this.chooseRelay();
     const answer = relay && (await this.request(relay, undefined));
     // A gateway that has read less would bring back what was removed since.
-    if (answer && (answer.err || answer.val.next >= from)) {
+    if (
+      answer &&
+      (answer.err || comparePositions(answer.val.next, from) >= 0)
+    ) {
       return answer;
     }
     this.services.countRead(false);
@@ -48,11 +58,15 @@
   }
 
   override async readChanges(
-    from: number,
+    from: StorePosition,
     waitMs: Milliseconds,
   ): Promise<Result<TableBatch>> {
+    const { era } = this.services.eraWatch;
+    if (era > from.era) {
+      return Ok(createReplacedBatch(era));
+    }
     const relay = this.chooseRelay();
-    const answer = relay && (await this.request(relay, from));
+    const answer = relay && (await this.request(relay, from.offset));
     if (answer) {
       return answer;
     }
@@ -78,7 +92,11 @@
     from: number | undefined,
   ): Promise<Result<TableBatch> | undefined> {
     const { services, name } = this;
-    const newsRequest = { from, seen: this.seen.get(relay.id) ?? -1 };
+    const newsRequest = {
+      from,
+      era: services.eraWatch.era,
+      seen: this.seen.get(relay.id) ?? -1,
+    };
     const answer = await services.client.read(relay.address, name, newsRequest);
     if (answer.err) {
       this.noteFailure(relay, answer.val.message);
@@ -99,7 +117,7 @@
 
   private toBatch(news: NewsAnswer, from: number | undefined): TableBatch {
     return {
-      records: addOffsets(news, from),
+      records: addPositions(news, from),
       next: news.next,
       isTrimmed: news.isTrimmed,
       confirmedAfterMs: news.heldMs - news.ageMs,
@@ -109,11 +127,23 @@
 }
 
 /** Changes follow each other without gaps. Of newest values it is only known that they were written before the next record. */
-const addOffsets = (
+const addPositions = (
   { records, next }: NewsAnswer,
   from: number | undefined,
 ): RawRecord[] =>
   records.map((record, at) => ({
     ...record,
-    offset: from === undefined ? next - 1 : next - records.length + at,
+    position: advancePosition(
+      next,
+      from === undefined ? -1 : at - records.length,
+    ),
   }));
+
+/** Tells without a read that the changes were replaced with their history. */
+const createReplacedBatch = (era: number): TableBatch => ({
+  records: [],
+  next: { era, offset: 0 },
+  isTrimmed: true,
+  confirmedAfterMs: 0,
+  isHeld: false,
+});
--- a/packages/gateway/src/news/tableHistory.ts
+++ b/packages/gateway/src/news/tableHistory.ts
@@ -2,6 +2,12 @@
  * A copy of a table of the store: the newest value of each key and the latest
  * changes, so that other gateways can follow the table here.
  */
+import {
+  advancePosition,
+  comparePositions,
+  storeStart,
+  type StorePosition,
+} from '@lycheetally/decisions';
 import type { KeyedText, TableBatch } from '../ports.js';
 
 /** Changes that are kept; a gateway that is further behind reads all newest values. */
@@ -11,8 +17,8 @@
 const maxChangeSize = 2 * 1_024 * 1_024;
 
 export class TableHistory {
-  /** Offset after the newest record. */
-  next = 0;
+  /** Position after the newest record. */
+  next = storeStart;
   private readonly newest = new Map<string, string>();
   private changes: KeyedText[] = [];
   private changeSize = 0;
@@ -39,12 +45,13 @@
     this.dropOldest();
   }
 
-  /** Returns the records from an offset on, or `undefined` if they are not kept. */
-  readChanges(from: number): readonly KeyedText[] | undefined {
-    const first = this.next - this.changes.length;
-    return from < first || from > this.next
+  /** Returns the records from a position on, or `undefined` if they are not kept. */
+  readChanges(from: StorePosition): readonly KeyedText[] | undefined {
+    const first = advancePosition(this.next, -this.changes.length);
+    return comparePositions(from, first) < 0 ||
+      comparePositions(from, this.next) > 0
       ? undefined
-      : this.changes.slice(from - first);
+      : this.changes.slice(from.offset - first.offset);
   }
 
   readNewest(): readonly KeyedText[] {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -5,7 +5,11 @@
   type Result,
   type ValueOf,
 } from '@lycheetally/common';
-import type { ChainStage, LayerRange } from '@lycheetally/decisions';
+import type {
+  ChainStage,
+  LayerRange,
+  StorePosition,
+} from '@lycheetally/decisions';
 
 /** A key of a table and the text of its value; without a value the key was removed. */
 export interface KeyedText {
@@ -15,15 +19,15 @@
 
 /** A record of a table. */
 export interface RawRecord extends KeyedText {
-  /** Position in the table's log; a record with a larger one was written later. */
-  readonly offset: number;
+  /** Position in the table's log; a record with a later one was written later. */
+  readonly position: StorePosition;
 }
 
 /** A decoded record; without a value the key was removed or the value cannot be read. */
 export interface TableRecord<T> {
   readonly key: string;
-  /** Position in the table's log; a record with a larger one was written later. */
-  readonly offset: number;
+  /** Position in the table's log; a record with a later one was written later. */
+  readonly position: StorePosition;
   readonly value: T | undefined;
   /** Why the value cannot be read; such a record is ignored. */
   readonly fault?: string | undefined;
@@ -32,11 +36,11 @@
 /** Decodes a value. A thrown error is reported as the record's fault; `undefined` means that the key is not used. */
 export type ValueDecoder<T> = (key: string, text: string) => T | undefined;
 
-/** Records of a table, and the offset at which the next read begins. */
+/** Records of a table, and the position at which the next read begins. */
 export interface TableBatch {
   readonly records: readonly RawRecord[];
-  readonly next: number;
-  /** Whether the store no longer keeps the records after the offset. */
+  readonly next: StorePosition;
+  /** Whether the store no longer has the records after the position; the era of `next` holds all the same. */
   readonly isTrimmed: boolean;
   /** Milliseconds from sending the read to the moment as of which the records are the newest; negative if another gateway read them before. */
   readonly confirmedAfterMs: Milliseconds;
@@ -52,11 +56,11 @@
 
 /** One table of the platform's store. Every call fails with `PlatformUnavailable`. */
 export abstract class TablePort {
-  /** Reads the newest value of each key, as of an offset that the caller has read up to, or later. */
-  abstract readNewest(from: number): Promise<Result<TableBatch>>;
-  /** Reads changes from an offset on; waits up to `waitMs` for the first. */
+  /** Reads the newest value of each key, as of a position that the caller has read up to, or later. */
+  abstract readNewest(from: StorePosition): Promise<Result<TableBatch>>;
+  /** Reads changes from a position on; waits up to `waitMs` for the first. */
   abstract readChanges(
-    from: number,
+    from: StorePosition,
     waitMs: Milliseconds,
   ): Promise<Result<TableBatch>>;
 }
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -1,9 +1,11 @@
 /** The backend servers that a gateway knows, read from the server list in the platform's store. */
 import type { Milliseconds } from '@lycheetally/common';
-import type {
-  BackendRecord,
-  IntakePolicy,
-  StageServer,
+import {
+  comparePositions,
+  type BackendRecord,
+  type IntakePolicy,
+  type StageServer,
+  type StorePosition,
 } from '@lycheetally/decisions';
 import { maxDepartedServers } from './constants.js';
 import type { TableRecord } from './ports.js';
@@ -31,7 +33,7 @@
   readonly server: Server;
   readonly listing: ServerListing;
   /** Position of the server's entry in the log of the list. */
-  offset: number;
+  position: StorePosition;
 }
 
 export class ServerRegistry {
@@ -141,7 +143,7 @@
   }
 
   private applyRecord(
-    { key, offset, value, fault }: TableRecord<BackendRecord>,
+    { key, position, value, fault }: TableRecord<BackendRecord>,
     now: Milliseconds,
   ): void {
     const known = this.known.get(key);
@@ -163,15 +165,15 @@
     if (!value) {
       known?.listing.noteMissing(now);
     } else if (known) {
-      this.update(known, value, offset, now);
+      this.update(known, value, position, now);
     } else {
-      this.addServer(value, offset, now);
+      this.addServer(value, position, now);
     }
   }
 
   private addServer(
     record: BackendRecord,
-    offset: number,
+    position: StorePosition,
     now: Milliseconds,
   ): void {
     const { serverId: key } = record;
@@ -197,7 +199,7 @@
         this.dropServer(key);
       },
     });
-    this.known.set(key, { server, listing, offset });
+    this.known.set(key, { server, listing, position });
     log.info('A server joined.', describeServer(record));
     listing.start(now);
     if (this.departed.get(key) === record.incarnation) {
@@ -210,11 +212,11 @@
   private update(
     known: KnownServer,
     record: BackendRecord,
-    offset: number,
+    position: StorePosition,
     now: Milliseconds,
   ): void {
-    if (offset > known.offset) {
-      known.offset = offset;
+    if (comparePositions(position, known.position) > 0) {
+      known.position = position;
       this.replaceRecord(known, record, now);
     }
     known.listing.noteListed(now);
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -7,14 +7,22 @@
   type ChartTimers,
 } from '@lycheetally/charts';
 import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
   toMessage,
   type Milliseconds,
   type ComponentLogger,
   type Result,
-  type TypedError,
 } from '@lycheetally/common';
-import type { Moment } from '@lycheetally/decisions';
+import {
+  storeStart,
+  type Moment,
+  type StorePosition,
+} from '@lycheetally/decisions';
 import { storeRetryDelayMs } from './constants.js';
+import type { EraWatch } from './eraWatch.js';
 import type {
   RawRecord,
   TablePort,
@@ -24,7 +32,7 @@
 } from './ports.js';
 
 export interface FollowerEvent {
-  readonly type: 'LOADED' | 'CHANGED' | 'TRIMMED' | 'FAILED';
+  readonly type: 'LOADED' | 'CHANGED' | 'TRIMMED' | 'REPLACED' | 'FAILED';
 }
 
 export type FollowerMachine = ChartMachine<AnyFollower, FollowerEvent>;
@@ -33,6 +41,7 @@
 export interface FollowerServices {
   readonly timers: ChartTimers;
   readonly log: ComponentLogger;
+  readonly eraWatch: EraWatch;
   /** Runs a callback on the event loop. */
   postCompletion(run: (now: Milliseconds) => void): void;
   getMoment(): Moment;
@@ -84,7 +93,7 @@
   outageSince: Milliseconds | undefined;
   /** End of the latest outage of the store. */
   outageEndedAt: Milliseconds = -Infinity;
-  private nextOffset = 0;
+  private next: StorePosition = storeStart;
   private batch: TableBatch | undefined;
   private wasHeld = false;
   private error: TypedError | undefined;
@@ -117,14 +126,14 @@
 
   override readonly actions: FollowerActions = {
     requestNewest: () => {
-      this.request(this.options.table.readNewest(this.nextOffset), 'LOADED');
+      this.request(this.options.table.readNewest(this.next), 'LOADED');
     },
     requestChanges: () => {
       const { table, waitMs } = this.options;
       const hasOutage = this.outageSince !== undefined;
       // After an outage, a read without a wait confirms the records at once.
       this.request(
-        table.readChanges(this.nextOffset, hasOutage ? 0 : waitMs),
+        table.readChanges(this.next, hasOutage ? 0 : waitMs),
         'CHANGED',
       );
     },
@@ -143,7 +152,8 @@
       this.services.log.warn('The store does not answer for a table.', {
         table: this.options.name,
         reason: this.error?.message ?? '',
-        next: this.nextOffset,
+        era: this.next.era,
+        next: this.next.offset,
       });
     },
   };
@@ -166,24 +176,42 @@
     sentAt: Moment,
     now: Milliseconds,
   ): void {
-    if (result.err) {
-      this.error = result.val;
+    const answer = result.andThen(batch => this.checkEra(batch, now));
+    if (answer.err) {
+      this.error = answer.val;
       this.chart.send({ type: 'FAILED' }, now);
       return;
     }
+    const batch = answer.val;
     this.noteRecovery(now);
-    if (result.val.isTrimmed) {
-      this.chart.send({ type: 'TRIMMED' }, now);
+    if (batch.isTrimmed) {
+      const isReplaced = batch.next.era > this.next.era;
+      this.chart.send({ type: isReplaced ? 'REPLACED' : 'TRIMMED' }, now);
       return;
     }
-    this.batch = result.val;
-    this.wasHeld = result.val.isHeld;
-    const confirmedAt = addTime(sentAt, result.val.confirmedAfterMs);
-    this.options.noteRead?.(result.val, type === 'LOADED', confirmedAt);
+    this.batch = batch;
+    this.wasHeld = batch.isHeld;
+    const confirmedAt = addTime(sentAt, batch.confirmedAfterMs);
+    this.options.noteRead?.(batch, type === 'LOADED', confirmedAt);
     this.chart.send({ type }, now);
     this.confirmedAt = confirmedAt;
   }
 
+  /** Refuses what belongs to a history of the store that was replaced. */
+  private checkEra(batch: TableBatch, now: Milliseconds): Result<TableBatch> {
+    const { eraWatch } = this.services;
+    eraWatch.note(batch.next.era, now);
+    return batch.next.era === eraWatch.era
+      ? Ok(batch)
+      : Err(
+          new TypedError(
+            ErrorKind.PlatformUnavailable,
+            `an answer for ${this.options.name} is of era ${String(batch.next.era)} of the store, which is replaced`,
+            'read the table again; the store answers from a newer history',
+          ),
+        );
+  }
+
   private noteRecovery(now: Milliseconds): void {
     if (this.outageSince === undefined) {
       return;
@@ -200,7 +228,7 @@
     const { batch } = this;
     this.batch = undefined;
     if (batch) {
-      this.nextOffset = batch.next;
+      this.next = batch.next;
       const { decode, apply } = this.options;
       const records = batch.records.map(each => decodeRecord(each, decode));
       apply(records, isComplete, now);
@@ -214,19 +242,19 @@
 });
 
 const decodeRecord = <T>(
-  { key, offset, value }: RawRecord,
+  { key, position, value }: RawRecord,
   decode: ValueDecoder<T>,
 ): TableRecord<T> => {
   if (value === undefined) {
-    return { key, offset, value };
+    return { key, position, value };
   }
   try {
     const decoded = decode(key, value);
     return decoded === undefined
-      ? { key, offset, value: undefined, fault: 'the key is not used' }
-      : { key, offset, value: decoded };
+      ? { key, position, value: undefined, fault: 'the key is not used' }
+      : { key, position, value: decoded };
   } catch (thrown) {
-    return { key, offset, value: undefined, fault: toMessage(thrown) };
+    return { key, position, value: undefined, fault: toMessage(thrown) };
   }
 };
 
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -153,7 +153,7 @@
       },
     });
     registry.apply(
-      [{ key: 'i-1', offset: 0, value: record }],
+      [{ key: 'i-1', position: { era: 1, offset: 0 }, value: record }],
       true,
       clock.getNow(),
     );
--- a/packages/gateway/tests/newsServer.test.ts
+++ b/packages/gateway/tests/newsServer.test.ts
@@ -20,7 +20,7 @@
     );
     const client = new NewsClient();
     const listening = await server.listen({ host: '127.0.0.1', port: 0 });
-    const request = { from: 1, seen: 1 };
+    const request = { from: 1, era: 1, seen: 1 };
     const pending = client.read(listening.unwrap(), 'servers', request);
     await held;
     const stoppedAt = performance.now();
--- a/packages/gateway/tests/newsTable.test.ts
+++ b/packages/gateway/tests/newsTable.test.ts
@@ -41,9 +41,9 @@
   records: values.map((value, at) => ({
     key: 'key',
     value,
-    offset: next - values.length + at,
+    position: { era: 1, offset: next - values.length + at },
   })),
-  next,
+  next: { era: 1, offset: next },
   isTrimmed: false,
   confirmedAfterMs: 0,
   isHeld: false,
@@ -89,7 +89,7 @@
             table.accept(createBatch(0), seen === -1, sentAt);
           } else {
             const askedAt = trueTime;
-            table.receive({ from: 0, seen }, answer => {
+            table.receive({ from: 0, era: 1, seen }, answer => {
               if (answer) {
                 const proven = askedAt + answer.heldMs - answer.ageMs;
                 expect(proven).toBeLessThanOrEqual(confirmedAt);
@@ -108,7 +108,7 @@
     const table = createTable(clock);
     const answers: (NewsAnswer | undefined)[] = [];
     const ask = (seen: number): void => {
-      table.receive({ from: 0, seen }, answer => answers.push(answer));
+      table.receive({ from: 0, era: 1, seen }, answer => answers.push(answer));
     };
     table.accept(createBatch(0), true, clock.getMoment());
     ask(-1);
@@ -120,7 +120,7 @@
     table.accept(createBatch(1, ['new']), false, clock.getMoment());
     expect(answers[1]).toMatchObject({
       records: [{ key: 'key', value: 'new' }],
-      next: 1,
+      next: { era: 1, offset: 1 },
       heldMs: 500,
       ageMs: 0,
     });
@@ -134,7 +134,7 @@
     const table = createTable(clock);
     const answers: (NewsAnswer | undefined)[] = [];
     const ask = (from: number): void => {
-      table.receive({ from, seen: -1 }, answer => answers.push(answer));
+      table.receive({ from, era: 1, seen: -1 }, answer => answers.push(answer));
     };
     table.accept(createBatch(3), true, clock.getMoment());
     ask(4);
@@ -148,13 +148,15 @@
     const table = createTable(clock);
     const answers: (NewsAnswer | undefined)[] = [];
     table.accept(createBatch(7, ['newest']), true, clock.getMoment());
-    table.receive({ from: 2, seen: -1 }, answer => answers.push(answer));
-    table.receive({ from: undefined, seen: -1 }, answer =>
+    table.receive({ from: 2, era: 1, seen: -1 }, answer =>
+      answers.push(answer),
+    );
+    table.receive({ from: undefined, era: 1, seen: -1 }, answer =>
       answers.push(answer),
     );
     expect(answers[0]).toMatchObject({ isTrimmed: true, records: [] });
     expect(answers[1]).toMatchObject({
-      next: 7,
+      next: { era: 1, offset: 7 },
       records: [{ key: 'key', value: 'newest' }],
     });
   });
@@ -166,7 +168,7 @@
       { key: 'a', value: 'x'.repeat(10_000) },
       { key: 'b', value: undefined },
     ],
-    next: 4,
+    next: { era: 1, offset: 4 },
     isTrimmed: false,
     confirmation: 5,
     ageMs: 6,
--- a/packages/gateway/tests/relayedTable.test.ts
+++ b/packages/gateway/tests/relayedTable.test.ts
@@ -2,8 +2,9 @@
 import { createServer, type Server } from 'node:http';
 import { afterEach, expect, it } from 'vitest';
 import { LogComponent, Ok, getOrThrow, type Result } from '@lycheetally/common';
-import { RendezvousRelay } from '@lycheetally/decisions';
+import { RendezvousRelay, type StorePosition } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock, startListening } from '@lycheetally/node';
+import { EraWatch } from '../src/eraWatch.js';
 import { NewsClient } from '../src/news/newsClient.js';
 import { encodeNews } from '../src/news/newsFormat.js';
 import { PeerDirectory, bindTrustChart } from '../src/news/peerDirectory.js';
@@ -12,7 +13,12 @@
 import { TablePort, type TableBatch } from '../src/ports.js';
 import { createQuietLoggers } from './quietLoggers.js';
 
-const createBatch = (next: number): TableBatch => ({
+const toPosition = (offset: number, era = 1): StorePosition => ({
+  era,
+  offset,
+});
+
+const createBatch = (next: StorePosition): TableBatch => ({
   records: [],
   next,
   isTrimmed: false,
@@ -22,11 +28,11 @@
 
 class FixedStore extends TablePort {
   override readNewest(): Promise<Result<TableBatch>> {
-    return Promise.resolve(Ok(createBatch(9)));
+    return Promise.resolve(Ok(createBatch(toPosition(9))));
   }
 
   override readChanges(): Promise<Result<TableBatch>> {
-    return Promise.resolve(Ok(createBatch(9)));
+    return Promise.resolve(Ok(createBatch(toPosition(9))));
   }
 }
 
@@ -38,10 +44,11 @@
 });
 
 /** Reads all newest values at a gateway that has read up to 6, with a store that ends at 9. */
-const readNewest = async (from: number): Promise<number> => {
+const readNewest = async (from: StorePosition): Promise<StorePosition> => {
   relay = createServer((_, response) => {
-    const news = { records: [], next: 6, isTrimmed: false, confirmation: 1 };
-    response.end(encodeNews({ ...news, ageMs: 0, heldMs: 0 }).bytes);
+    const news = { records: [], isTrimmed: false, confirmation: 1 };
+    const answer = { ...news, next: toPosition(6), ageMs: 0, heldMs: 0 };
+    response.end(encodeNews(answer).bytes);
   });
   const any = { host: '127.0.0.1', port: 0 };
   const address = (await startListening(relay, any)).unwrap();
@@ -61,6 +68,7 @@
       client: new NewsClient(),
       directory,
       duty: new RelayDuty(getOrThrow(bindRelayChart()), loop, log),
+      eraWatch: new EraWatch(log),
       postCompletion: () => undefined,
       countRead: () => undefined,
     },
@@ -78,10 +86,14 @@
 }
 
 it('reads all newest values at another gateway', async () => {
-  expect(await readNewest(6)).toBe(6);
+  expect(await readNewest(toPosition(6))).toEqual(toPosition(6));
 });
 
 // Guards against a removed server or key that an older copy of the table brings back.
 it('reads the store when the other gateway has read less', async () => {
-  expect(await readNewest(7)).toBe(9);
+  expect(await readNewest(toPosition(7))).toEqual(toPosition(9));
+});
+
+it('reads the store when the other gateway knows only an older era', async () => {
+  expect(await readNewest(toPosition(2, 2))).toEqual(toPosition(9));
 });
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -1,7 +1,11 @@
 /** What a gateway makes of the entries in the server list. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { LogComponent, Ok, getOrThrow } from '@lycheetally/common';
-import { UnlimitedIntake, type BackendRecord } from '@lycheetally/decisions';
+import {
+  UnlimitedIntake,
+  type BackendRecord,
+  type StorePosition,
+} from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import type { TableRecord } from '../src/ports.js';
 import { bindHealthChart } from '../src/server.js';
@@ -23,6 +27,11 @@
   range: undefined,
 };
 
+const toPosition = (offset: number, era = 1): StorePosition => ({
+  era,
+  offset,
+});
+
 describe('the registry of servers', () => {
   let registry: ServerRegistry;
   let clock: MonotonicClock;
@@ -75,21 +84,31 @@
 
   // Guards against a server that is ignored for ever after its VM's clock stepped back.
   it('follows a server that started again with an earlier start time', () => {
-    apply([{ key: 'i-1', offset: 10, value: record }]);
+    apply([{ key: 'i-1', position: toPosition(10), value: record }]);
     const restarted = { ...record, incarnation: 1_000, sequence: 1 };
     const value = { ...restarted, address: '127.0.0.1:2' };
-    apply([{ key: 'i-1', offset: 11, value }]);
+    apply([{ key: 'i-1', position: toPosition(11), value }]);
     expect(listUsable()).toEqual(['127.0.0.1:2']);
     expect(lost).toEqual(['i-1']);
-    apply([{ key: 'i-1', offset: 12, value: { ...value, isLeaving: true } }]);
+    apply([
+      {
+        key: 'i-1',
+        position: toPosition(12),
+        value: { ...value, isLeaving: true },
+      },
+    ]);
     expect(listUsable()).toEqual([]);
   });
 
   it('ignores an entry that was written before the known one', () => {
     const value = { ...record, isLeaving: true };
-    apply([{ key: 'i-1', offset: 10, value }]);
+    apply([{ key: 'i-1', position: toPosition(10), value }]);
     apply([
-      { key: 'i-1', offset: 9, value: { ...record, incarnation: 3_000 } },
+      {
+        key: 'i-1',
+        position: toPosition(9),
+        value: { ...record, incarnation: 3_000 },
+      },
     ]);
     expect(listUsable()).toEqual([]);
     expect(lost).toEqual([]);
@@ -103,24 +122,24 @@
 
   // Guards against a leaving server that stays in use, since its last entry cannot be read.
   it('asks a server whose entry cannot be read before it gets calls', async () => {
-    apply([{ key: 'i-1', offset: 10, value: record }]);
+    apply([{ key: 'i-1', position: toPosition(10), value: record }]);
     isSound = false;
     const unreadable = { key: 'i-1', value: undefined, fault: 'no address' };
-    apply([{ ...unreadable, offset: 11 }]);
+    apply([{ ...unreadable, position: toPosition(11) }]);
     expect(listUsable()).toEqual([]);
     await settle();
     expect(listUsable()).toEqual([]);
-    apply([{ key: 'i-1', offset: 12, value: record }]);
+    apply([{ key: 'i-1', position: toPosition(12), value: record }]);
     expect(listUsable()).toEqual(['127.0.0.1:1']);
     isSound = true;
-    apply([{ ...unreadable, offset: 13 }]);
+    apply([{ ...unreadable, position: toPosition(13) }]);
     await settle();
     expect(listUsable()).toEqual(['127.0.0.1:1']);
   });
 
   it('keeps a server that a complete list has with an unchanged entry', () => {
-    apply([{ key: 'i-1', offset: 10, value: record }]);
-    apply([{ key: 'i-1', offset: 10, value: record }], true);
+    apply([{ key: 'i-1', position: toPosition(10), value: record }]);
+    apply([{ key: 'i-1', position: toPosition(10), value: record }], true);
     expect(listUsable()).toEqual(['127.0.0.1:1']);
     apply([], true);
     expect(listUsable()).toEqual([]);
