Ask the servers that a restored store lacks before they are dropped

What callers saw: in the test, a live server was dropped at the first read after the store had come back without its entry; its calls would have been cut off from it until its next announcement.

Cause: missing entries are asked after an outage only, and a gateway whose reads fall before and after the drill, or go through another gateway, sees none.

Change: newest values of a newer era count as the end of an outage (chart guard isReplaced); a log line says which table was replaced.

--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -75,12 +75,15 @@
 export abstract class AnyFollower {
   abstract readonly actions: FollowerActions;
   abstract readonly hasLoaded: boolean;
+  /** Whether the values that were read replace those of an older history of the store. */
+  abstract readonly isReplaced: boolean;
   abstract readonly readIntervalMs: Milliseconds;
 }
 
 interface FollowerActions {
   requestNewest(): void;
   requestChanges(): void;
+  noteReplaced(now: Milliseconds): void;
   applyNewest(now: Milliseconds): void;
   applyChanges(now: Milliseconds): void;
   noteOutage(now: Milliseconds): void;
@@ -91,7 +94,7 @@
   confirmedAt: Moment | undefined;
   /** Start of the current outage of the store, if there is one. */
   outageSince: Milliseconds | undefined;
-  /** End of the latest outage of the store. */
+  /** End of the latest outage of the store, or when its replaced history was read. */
   outageEndedAt: Milliseconds = -Infinity;
   private next: StorePosition = storeStart;
   private batch: TableBatch | undefined;
@@ -116,6 +119,10 @@
     return this.confirmedAt !== undefined;
   }
 
+  override get isReplaced(): boolean {
+    return this.hasLoaded && (this.batch?.next.era ?? 0) > this.next.era;
+  }
+
   override get readIntervalMs(): Milliseconds {
     return this.wasHeld ? 0 : this.options.readIntervalMs;
   }
@@ -137,6 +144,15 @@
         'CHANGED',
       );
     },
+    noteReplaced: now => {
+      this.outageEndedAt = now;
+      this.services.log.warn('A table was replaced by an older copy.', {
+        table: this.options.name,
+        era: this.batch?.next.era ?? 0,
+        next: this.batch?.next.offset ?? 0,
+        before: this.next.offset,
+      });
+    },
     applyNewest: now => {
       this.applyBatch(true, now);
     },
@@ -268,6 +284,9 @@
       requestChanges: follower => {
         follower.actions.requestChanges();
       },
+      noteReplaced: (follower, _, now) => {
+        follower.actions.noteReplaced(now);
+      },
       applyNewest: (follower, _, now) => {
         follower.actions.applyNewest(now);
       },
@@ -278,7 +297,10 @@
         follower.actions.noteOutage(now);
       },
     },
-    guards: { hasLoaded: follower => follower.hasLoaded },
+    guards: {
+      hasLoaded: follower => follower.hasLoaded,
+      isReplaced: follower => follower.isReplaced,
+    },
     delays: {
       READ_INTERVAL: follower => follower.readIntervalMs,
       RETRY_DELAY: () => storeRetryDelayMs,
