Write a gateway's record again when the store's history is replaced

What callers saw: nothing measured; in the test a gateway whose record the restored store lacked was never in its list again, so that gateways that start later don't ask it, nor tell it of prompt parts that crash servers.

Cause: the record was written once, at the start of the gateway.

Change: the chart peerRecord has the event REPLACED: the record is written again at once, and once more if a write was under way then.

--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -4,10 +4,10 @@
  */
 import type { ChartTimers } from '@lycheetally/charts';
 import {
+  DisposableStore,
   LogComponent,
   getOrThrow,
   type Address,
-  type Disposable,
   type LoggerFactory,
   type Milliseconds,
   type Result,
@@ -109,7 +109,7 @@
   private readonly client = new NewsClient();
   private readonly duty: RelayDuty;
   private readonly eraWatch: EraWatch;
-  private readonly subscription: Disposable;
+  private readonly subscriptions = new DisposableStore();
   private readonly directory: PeerDirectory;
   private readonly server: NewsServer;
   private announcement: PeerAnnouncement | undefined;
@@ -124,11 +124,7 @@
     const { id, failureDomain } = settings.process;
     this.duty = new RelayDuty(getOrThrow(bindRelayChart()), timers, log);
     this.eraWatch = new EraWatch(log);
-    this.subscription = sources.history.eraSeen.subscribe(era => {
-      services.postCompletion(now => {
-        this.eraWatch.note(era, now);
-      });
-    });
+    this.subscribeToEras();
     this.directory = new PeerDirectory(
       getOrThrow(bindTrustChart()),
       timers,
@@ -186,7 +182,7 @@
   }
 
   dispose(): void {
-    this.subscription.dispose();
+    this.subscriptions.dispose();
     this.server.dispose();
     this.client.dispose();
     this.duty.dispose();
@@ -196,6 +192,23 @@
     this.peers.dispose();
   }
 
+  /** Writes again what this gateway wrote when the store comes back from an older copy. */
+  private subscribeToEras(): void {
+    const { eraWatch, services, sources, subscriptions } = this;
+    subscriptions.add(
+      sources.history.eraSeen.subscribe(era => {
+        services.postCompletion(now => {
+          eraWatch.note(era, now);
+        });
+      }),
+    );
+    subscriptions.add(
+      eraWatch.replaced.subscribe(now => {
+        this.announcement?.noteReplaced(now);
+      }),
+    );
+  }
+
   private createServer(): NewsServer {
     return new NewsServer((table, request, reply) => {
       this.services.postCompletion(now => {
@@ -223,7 +236,9 @@
           services.postCompletion(run);
         },
         handleWritten: now => {
-          this.peers.start(now);
+          if (!this.peers.hasStarted) {
+            this.peers.start(now);
+          }
         },
       },
       id,
--- a/packages/gateway/src/news/peerRecord.ts
+++ b/packages/gateway/src/news/peerRecord.ts
@@ -31,7 +31,7 @@
   JSON.stringify({ address: formatAddress(address), failureDomain });
 
 interface AnnouncementEvent {
-  readonly type: 'WRITTEN' | 'FAILED';
+  readonly type: 'WRITTEN' | 'FAILED' | 'REPLACED';
 }
 
 export type AnnouncementMachine = ChartMachine<
@@ -44,7 +44,7 @@
   readonly log: ComponentLogger;
   readonly writer: TableWriterPort;
   postCompletion(run: (now: Milliseconds) => void): void;
-  /** Called when the record is written. */
+  /** Called when the record is written, also again. */
   handleWritten(now: Milliseconds): void;
 }
 
@@ -68,6 +68,11 @@
     this.chart.dispose();
   }
 
+  /** The store came back from an older copy, which may lack the record. */
+  noteReplaced(now: Milliseconds): void {
+    this.chart.send({ type: 'REPLACED' }, now);
+  }
+
   writeRecord(): void {
     const { services, id, record } = this;
     void services.writer.writeValue(id, encodePeer(record)).then(result => {
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -115,6 +115,10 @@
     this.chart.start(now);
   }
 
+  get hasStarted(): boolean {
+    return this.chart.state !== '';
+  }
+
   override get hasLoaded(): boolean {
     return this.confirmedAt !== undefined;
   }
