--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -144,4 +144,25 @@
     apply([], true);
     expect(listUsable()).toEqual([]);
   });
+
+  // Guards against calls to an address of before, which may be another server's by now.
+  it('keeps what a server announced since the copy that the store came back from', () => {
+    apply([{ key: 'i-1', position: toPosition(10), value: record }]);
+    const value = { ...record, address: '127.0.0.1:2', incarnation: 1_000 };
+    apply([{ key: 'i-1', position: toPosition(3, 2), value }], true);
+    expect(listUsable()).toEqual(['127.0.0.1:1']);
+    expect(lost).toEqual([]);
+    apply([{ key: 'i-1', position: toPosition(4, 2), value }]);
+    expect(listUsable()).toEqual(['127.0.0.1:2']);
+  });
+
+  it('takes no server back that left after the copy that the store came back from', () => {
+    apply([{ key: 'i-1', position: toPosition(10), value: record }]);
+    apply([{ key: 'i-1', position: toPosition(11), value: undefined }]);
+    apply([{ key: 'i-1', position: toPosition(3, 2), value: record }], true);
+    expect(listUsable()).toEqual([]);
+    const value = { ...record, sequence: record.sequence + 1 };
+    apply([{ key: 'i-1', position: toPosition(4, 2), value }]);
+    expect(listUsable()).toEqual(['127.0.0.1:1']);
+  });
 });
