Keep what servers announced since the copy that the store came back from

What callers saw: nothing measured; in the tests calls went to a server's earlier address, or to a server that had left, until its next announcement.

Cause: an entry of a newer era was taken as the server's newest, though the copy is older than what the gateway had read.

Change: an entry of a newer era replaces a known one only if it announces a later start or has a higher announcement number; what is written in that era counts as before. Every server that left is remembered, not only those that said so.

--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -4,5 +4,6 @@
 export * from './recentMaximum.js';
 export * from './responseMemory.js';
 export * from './routeTable.js';
+export * from './serverEntry.js';
 export * from './storePosition.js';
 export * from './types.js';
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -1,13 +1,15 @@
 /** The backend servers that a gateway knows, read from the server list in the platform's store. */
 import type { Milliseconds } from '@lycheetally/common';
 import {
-  comparePositions,
+  isCopiedEntry,
+  isNewerEntry,
   type BackendRecord,
   type IntakePolicy,
+  type ServerEntry,
   type StageServer,
   type StorePosition,
 } from '@lycheetally/decisions';
-import { maxDepartedServers } from './constants.js';
+import { DepartedServers } from './departedServers.js';
 import type { TableRecord } from './ports.js';
 import { Server, type HealthMachine } from './server.js';
 import { ServerIntake, type IntakeMachine } from './serverIntake.js';
@@ -42,8 +44,7 @@
   /** When a server last joined. */
   lastJoinAt: Milliseconds = -Infinity;
   private readonly known = new Map<string, KnownServer>();
-  /** Incarnations that said that they leave, of servers that were dropped. */
-  private readonly departed = new Map<string, number>();
+  private readonly departed = new DepartedServers();
   private domainCount = 0;
   private unreadable = 0;
 
@@ -162,18 +163,18 @@
       known?.listing.noteUnreadable(now);
       return;
     }
-    if (!value) {
+    const entry = value && { record: value, position };
+    if (!entry) {
       known?.listing.noteMissing(now);
     } else if (known) {
-      this.update(known, value, position, now);
-    } else {
-      this.addServer(value, position, now);
+      this.update(known, entry, now);
+    } else if (!this.departed.refuse(entry)) {
+      this.addServer(entry, now);
     }
   }
 
   private addServer(
-    record: BackendRecord,
-    position: StorePosition,
+    { record, position }: ServerEntry,
     now: Milliseconds,
   ): void {
     const { serverId: key } = record;
@@ -202,22 +203,23 @@
     this.known.set(key, { server, listing, position });
     log.info('A server joined.', describeServer(record));
     listing.start(now);
-    if (this.departed.get(key) === record.incarnation) {
+    if (this.departed.hasSaidLeaving(record)) {
       listing.noteLeaving(now);
     }
     listing.noteListed(now);
   }
 
-  /** The order of the log decides which entry is newer: the start times of a server's incarnations may step back. */
   private update(
     known: KnownServer,
-    record: BackendRecord,
-    position: StorePosition,
+    entry: ServerEntry,
     now: Milliseconds,
   ): void {
-    if (comparePositions(position, known.position) > 0) {
-      known.position = position;
-      this.replaceRecord(known, record, now);
+    const before = getEntry(known);
+    if (isNewerEntry(entry, before)) {
+      known.position = entry.position;
+      if (!isCopiedEntry(entry, before)) {
+        this.replaceRecord(known, entry.record, now);
+      }
     }
     known.listing.noteListed(now);
   }
@@ -265,9 +267,7 @@
       return;
     }
     const { server, listing } = known;
-    if (listing.hasSaidLeaving) {
-      this.keepDeparted(key, server.record.incarnation);
-    }
+    this.departed.keep(getEntry(known), listing.hasSaidLeaving);
     server.dispose();
     listing.dispose();
     this.known.delete(key);
@@ -276,18 +276,13 @@
       describeServer(server.record),
     );
   }
-
-  /** Remembers that an incarnation is leaving, since its entry may be written or read late. */
-  private keepDeparted(key: string, incarnation: number): void {
-    this.departed.delete(key);
-    this.departed.set(key, incarnation);
-    const [oldest] = this.departed.keys();
-    if (oldest !== undefined && this.departed.size > maxDepartedServers) {
-      this.departed.delete(oldest);
-    }
-  }
 }
 
+const getEntry = ({ server, position }: KnownServer): ServerEntry => ({
+  record: server.record,
+  position,
+});
+
 /** After the first, one in this many unreadable records is logged. */
 const unreadableLogInterval = 50;
 
