Confirm nothing while the store lacks the configuration in force

What callers saw: nothing measured. A gateway that held version 2 counted a restored copy with version 1 as proof that its keys were the newest, though a version 3 that was lost too may have revoked some.

Cause: every read confirmed what is in force, also one of a copy older than that.

Change: such a read confirms nothing, here and for the gateways that ask this one; what is in force stays so. When it is written again all is confirmed.

--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -98,6 +98,8 @@
   private readonly calls = new Map<CallerExchange, GatewayCall>();
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
   private configuration: GatewayConfiguration | undefined;
+  /** The newest version in the store, as read; lower than the one in force after the store lost it. */
+  private storedVersion = 0;
   private isDrainingConnections = false;
   private hasEnded = false;
 
@@ -366,9 +368,12 @@
       receiveParts: (incoming, response) => {
         this.promptParts.receive(incoming, response);
       },
-      applyConfigurations: (records, _, now) => {
+      applyConfigurations: (records, isComplete, now) => {
+        this.noteStored(records, isComplete);
         this.applyConfigurations(records, now);
       },
+      isConfigurationStored: () =>
+        this.storedVersion >= (this.configuration?.version ?? 0),
       applyServers: (records, isComplete, now) => {
         this.servers.registry.apply(records, isComplete, now);
       },
@@ -510,6 +515,22 @@
     }
   }
 
+  private noteStored(
+    records: readonly TableRecord<GatewayConfiguration>[],
+    isComplete: boolean,
+  ): void {
+    const versions = records.map(({ value }) => value?.version ?? 0);
+    const known = isComplete ? 0 : this.storedVersion;
+    this.storedVersion = Math.max(known, ...versions);
+    const inForce = this.configuration?.version ?? 0;
+    if (this.storedVersion < inForce) {
+      this.log.warn('The store lacks the configuration in force.', {
+        stored: this.storedVersion,
+        inForce,
+      });
+    }
+  }
+
   private applyConfigurations(
     records: readonly TableRecord<GatewayConfiguration>[],
     now: Milliseconds,
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -90,6 +90,8 @@
   /** Handles a message about prompt parts. */
   readonly receiveParts: PostHandler;
   readonly applyConfigurations: RecordHandler<GatewayConfiguration>;
+  /** Whether the store has the configuration in force, or a newer one. */
+  isConfigurationStored(): boolean;
   readonly applyServers: RecordHandler<BackendRecord>;
 }
 
@@ -255,7 +257,11 @@
     return this.createFollower(
       NewsName.Configuration,
       this.sources.configurations,
-      { waitMs: pollMs, readIntervalMs: 0 },
+      {
+        waitMs: pollMs,
+        readIntervalMs: 0,
+        isCurrent: () => this.services.isConfigurationStored(),
+      },
       this.services.applyConfigurations,
     );
   }
@@ -287,7 +293,10 @@
   private createFollower<T>(
     name: string,
     source: TableSource<T>,
-    times: Pick<FollowerOptions<T>, 'waitMs' | 'readIntervalMs'>,
+    options: Pick<
+      FollowerOptions<T>,
+      'waitMs' | 'readIntervalMs' | 'isCurrent'
+    >,
     apply: RecordHandler<T>,
   ): TableFollower<T> {
     const { services } = this;
@@ -313,7 +322,7 @@
         name,
         table: this.createTable(name, source.table, isHeld),
         decode: source.decode,
-        ...times,
+        ...options,
         apply,
         noteRead: (batch, isComplete, confirmedAt) => {
           news.accept(batch, isComplete, confirmedAt);
--- a/packages/gateway/src/news/newsTable.ts
+++ b/packages/gateway/src/news/newsTable.ts
@@ -74,8 +74,12 @@
     this.confirmation = Math.floor(services.getMoment().wallClock);
   }
 
-  /** Takes in what was read, here or at another gateway, and answers the held requests. */
-  accept(batch: TableBatch, isComplete: boolean, confirmedAt: Moment): void {
+  /** Takes in what was read, here or at another gateway, and answers the held requests; without a time nothing is passed on. */
+  accept(
+    batch: TableBatch,
+    isComplete: boolean,
+    confirmedAt: Moment | undefined,
+  ): void {
     if (isComplete) {
       this.history.applyNewest(batch);
     } else {
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -62,11 +62,13 @@
     isComplete: boolean,
     now: Milliseconds,
   ) => void;
-  /** Passes on what was read before it is applied. */
+  /** Whether the table has all that is in force; otherwise its copy is too old to confirm anything. */
+  readonly isCurrent?: () => boolean;
+  /** Passes on what was read, once it is applied; without a time it confirms nothing. */
   readonly noteRead?: (
     batch: TableBatch,
     isComplete: boolean,
-    confirmedAt: Moment,
+    confirmedAt: Moment | undefined,
   ) => void;
   /** Called when a read failed. */
   readonly noteFailure?: () => void;
@@ -211,10 +213,13 @@
     }
     this.batch = batch;
     this.wasHeld = batch.isHeld;
-    const confirmedAt = addTime(sentAt, batch.confirmedAfterMs);
-    this.options.noteRead?.(batch, type === 'LOADED', confirmedAt);
     this.chart.send({ type }, now);
-    this.confirmedAt = confirmedAt;
+    const isCurrent = this.options.isCurrent?.() ?? true;
+    const confirmedAt = isCurrent
+      ? addTime(sentAt, batch.confirmedAfterMs)
+      : undefined;
+    this.options.noteRead?.(batch, type === 'LOADED', confirmedAt);
+    this.confirmedAt = confirmedAt ?? this.confirmedAt;
   }
 
   /** Refuses what belongs to a history of the store that was replaced. */
