--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -4,6 +4,7 @@
  */
 import type { ChartTimers } from '@lycheetally/charts';
 import {
+  DisposableStore,
   LogComponent,
   getOrThrow,
   type Address,
@@ -26,7 +27,9 @@
   serverReadIntervalMs,
 } from '../constants.js';
 import type { GatewaySettings } from '../gatewaySettings.js';
+import { EraWatch } from '../eraWatch.js';
 import type {
+  StoreHistoryPort,
   TablePort,
   TableRecord,
   TableWriterPort,
@@ -62,6 +65,7 @@
 
 /** The tables that a gateway follows. */
 export interface NewsSources {
+  readonly history: StoreHistoryPort;
   readonly configurations: TableSource<GatewayConfiguration>;
   readonly servers: TableSource<BackendRecord>;
   readonly gateways: {
@@ -86,6 +90,8 @@
   /** Handles a message about prompt parts. */
   readonly receiveParts: PostHandler;
   readonly applyConfigurations: RecordHandler<GatewayConfiguration>;
+  /** Whether the store has the configuration in force, or a newer one. */
+  isConfigurationStored(): boolean;
   readonly applyServers: RecordHandler<BackendRecord>;
 }
 
@@ -104,6 +110,8 @@
   private readonly machine: FollowerMachine = getOrThrow(bindFollowerChart());
   private readonly client = new NewsClient();
   private readonly duty: RelayDuty;
+  private readonly eraWatch: EraWatch;
+  private readonly subscriptions = new DisposableStore();
   private readonly directory: PeerDirectory;
   private readonly server: NewsServer;
   private announcement: PeerAnnouncement | undefined;
@@ -117,6 +125,8 @@
     const { timers } = services;
     const { id, failureDomain } = settings.process;
     this.duty = new RelayDuty(getOrThrow(bindRelayChart()), timers, log);
+    this.eraWatch = new EraWatch(log);
+    this.subscribeToEras();
     this.directory = new PeerDirectory(
       getOrThrow(bindTrustChart()),
       timers,
@@ -129,6 +139,11 @@
     this.peers = this.createPeerFollower();
   }
 
+  /** Era of the store, which rises when it comes back from an older copy; 0 while it names none. */
+  get storeEra(): number {
+    return this.eraWatch.era;
+  }
+
   /** Gateways that this one knows, itself included. */
   get peerCount(): number {
     return this.directory.size;
@@ -169,6 +184,7 @@
   }
 
   dispose(): void {
+    this.subscriptions.dispose();
     this.server.dispose();
     this.client.dispose();
     this.duty.dispose();
@@ -178,6 +194,23 @@
     this.peers.dispose();
   }
 
+  /** Writes again what this gateway wrote when the store comes back from an older copy. */
+  private subscribeToEras(): void {
+    const { eraWatch, services, sources, subscriptions } = this;
+    subscriptions.add(
+      sources.history.eraSeen.subscribe(era => {
+        services.postCompletion(now => {
+          eraWatch.note(era, now);
+        });
+      }),
+    );
+    subscriptions.add(
+      eraWatch.replaced.subscribe(now => {
+        this.announcement?.noteReplaced(now);
+      }),
+    );
+  }
+
   private createServer(): NewsServer {
     return new NewsServer((table, request, reply) => {
       this.services.postCompletion(now => {
@@ -205,7 +238,9 @@
           services.postCompletion(run);
         },
         handleWritten: now => {
-          this.peers.start(now);
+          if (!this.peers.hasStarted) {
+            this.peers.start(now);
+          }
         },
       },
       id,
@@ -222,7 +257,11 @@
     return this.createFollower(
       NewsName.Configuration,
       this.sources.configurations,
-      { waitMs: pollMs, readIntervalMs: 0 },
+      {
+        waitMs: pollMs,
+        readIntervalMs: 0,
+        isCurrent: () => this.services.isConfigurationStored(),
+      },
       this.services.applyConfigurations,
     );
   }
@@ -254,7 +293,10 @@
   private createFollower<T>(
     name: string,
     source: TableSource<T>,
-    times: Pick<FollowerOptions<T>, 'waitMs' | 'readIntervalMs'>,
+    options: Pick<
+      FollowerOptions<T>,
+      'waitMs' | 'readIntervalMs' | 'isCurrent'
+    >,
     apply: RecordHandler<T>,
   ): TableFollower<T> {
     const { services } = this;
@@ -270,6 +312,7 @@
       {
         timers: services.timers,
         log: services.loggers.createLogger(LogComponent.Store),
+        eraWatch: this.eraWatch,
         postCompletion: run => {
           services.postCompletion(run);
         },
@@ -279,7 +322,7 @@
         name,
         table: this.createTable(name, source.table, isHeld),
         decode: source.decode,
-        ...times,
+        ...options,
         apply,
         noteRead: (batch, isComplete, confirmedAt) => {
           news.accept(batch, isComplete, confirmedAt);
@@ -296,12 +339,13 @@
     store: TablePort,
     isHeld: boolean,
   ): RelayedTable {
-    const { client, directory, duty, services } = this;
+    const { client, directory, duty, eraWatch, services } = this;
     return new RelayedTable(
       {
         client,
         directory,
         duty,
+        eraWatch,
         postCompletion: run => {
           services.postCompletion(run);
         },
--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -7,14 +7,22 @@
   type ChartTimers,
 } from '@lycheetally/charts';
 import {
+  Err,
+  ErrorKind,
+  Ok,
+  TypedError,
   toMessage,
   type Milliseconds,
   type ComponentLogger,
   type Result,
-  type TypedError,
 } from '@lycheetally/common';
-import type { Moment } from '@lycheetally/decisions';
+import {
+  storeStart,
+  type Moment,
+  type StorePosition,
+} from '@lycheetally/decisions';
 import { storeRetryDelayMs } from './constants.js';
+import type { EraWatch } from './eraWatch.js';
 import type {
   RawRecord,
   TablePort,
@@ -24,7 +32,7 @@
 } from './ports.js';
 
 export interface FollowerEvent {
-  readonly type: 'LOADED' | 'CHANGED' | 'TRIMMED' | 'FAILED';
+  readonly type: 'LOADED' | 'CHANGED' | 'TRIMMED' | 'REPLACED' | 'FAILED';
 }
 
 export type FollowerMachine = ChartMachine<AnyFollower, FollowerEvent>;
@@ -33,6 +41,7 @@
 export interface FollowerServices {
   readonly timers: ChartTimers;
   readonly log: ComponentLogger;
+  readonly eraWatch: EraWatch;
   /** Runs a callback on the event loop. */
   postCompletion(run: (now: Milliseconds) => void): void;
   getMoment(): Moment;
@@ -53,11 +62,13 @@
     isComplete: boolean,
     now: Milliseconds,
   ) => void;
-  /** Passes on what was read before it is applied. */
+  /** Whether the table has all that is in force; otherwise its copy is too old to confirm anything. */
+  readonly isCurrent?: () => boolean;
+  /** Passes on what was read, once it is applied; without a time it confirms nothing. */
   readonly noteRead?: (
     batch: TableBatch,
     isComplete: boolean,
-    confirmedAt: Moment,
+    confirmedAt: Moment | undefined,
   ) => void;
   /** Called when a read failed. */
   readonly noteFailure?: () => void;
@@ -66,12 +77,15 @@
 export abstract class AnyFollower {
   abstract readonly actions: FollowerActions;
   abstract readonly hasLoaded: boolean;
+  /** Whether the values that were read replace those of an older history of the store. */
+  abstract readonly isReplaced: boolean;
   abstract readonly readIntervalMs: Milliseconds;
 }
 
 interface FollowerActions {
   requestNewest(): void;
   requestChanges(): void;
+  noteReplaced(now: Milliseconds): void;
   applyNewest(now: Milliseconds): void;
   applyChanges(now: Milliseconds): void;
   noteOutage(now: Milliseconds): void;
@@ -82,9 +96,9 @@
   confirmedAt: Moment | undefined;
   /** Start of the current outage of the store, if there is one. */
   outageSince: Milliseconds | undefined;
-  /** End of the latest outage of the store. */
+  /** End of the latest outage of the store, or when its replaced history was read. */
   outageEndedAt: Milliseconds = -Infinity;
-  private nextOffset = 0;
+  private next: StorePosition = storeStart;
   private batch: TableBatch | undefined;
   private wasHeld = false;
   private error: TypedError | undefined;
@@ -103,10 +117,18 @@
     this.chart.start(now);
   }
 
+  get hasStarted(): boolean {
+    return this.chart.state !== '';
+  }
+
   override get hasLoaded(): boolean {
     return this.confirmedAt !== undefined;
   }
 
+  override get isReplaced(): boolean {
+    return this.hasLoaded && (this.batch?.next.era ?? 0) > this.next.era;
+  }
+
   override get readIntervalMs(): Milliseconds {
     return this.wasHeld ? 0 : this.options.readIntervalMs;
   }
@@ -117,17 +139,26 @@
 
   override readonly actions: FollowerActions = {
     requestNewest: () => {
-      this.request(this.options.table.readNewest(this.nextOffset), 'LOADED');
+      this.request(this.options.table.readNewest(this.next), 'LOADED');
     },
     requestChanges: () => {
       const { table, waitMs } = this.options;
       const hasOutage = this.outageSince !== undefined;
       // After an outage, a read without a wait confirms the records at once.
       this.request(
-        table.readChanges(this.nextOffset, hasOutage ? 0 : waitMs),
+        table.readChanges(this.next, hasOutage ? 0 : waitMs),
         'CHANGED',
       );
     },
+    noteReplaced: now => {
+      this.outageEndedAt = now;
+      this.services.log.warn('A table was replaced by an older copy.', {
+        table: this.options.name,
+        era: this.batch?.next.era ?? 0,
+        next: this.batch?.next.offset ?? 0,
+        before: this.next.offset,
+      });
+    },
     applyNewest: now => {
       this.applyBatch(true, now);
     },
@@ -143,7 +174,8 @@
       this.services.log.warn('The store does not answer for a table.', {
         table: this.options.name,
         reason: this.error?.message ?? '',
-        next: this.nextOffset,
+        era: this.next.era,
+        next: this.next.offset,
       });
     },
   };
@@ -166,22 +198,43 @@
     sentAt: Moment,
     now: Milliseconds,
   ): void {
-    if (result.err) {
-      this.error = result.val;
+    const answer = result.andThen(batch => this.checkEra(batch, now));
+    if (answer.err) {
+      this.error = answer.val;
       this.chart.send({ type: 'FAILED' }, now);
       return;
     }
+    const batch = answer.val;
     this.noteRecovery(now);
-    if (result.val.isTrimmed) {
-      this.chart.send({ type: 'TRIMMED' }, now);
+    if (batch.isTrimmed) {
+      const isReplaced = batch.next.era > this.next.era;
+      this.chart.send({ type: isReplaced ? 'REPLACED' : 'TRIMMED' }, now);
       return;
     }
-    this.batch = result.val;
-    this.wasHeld = result.val.isHeld;
-    const confirmedAt = addTime(sentAt, result.val.confirmedAfterMs);
-    this.options.noteRead?.(result.val, type === 'LOADED', confirmedAt);
+    this.batch = batch;
+    this.wasHeld = batch.isHeld;
     this.chart.send({ type }, now);
-    this.confirmedAt = confirmedAt;
+    const isCurrent = this.options.isCurrent?.() ?? true;
+    const confirmedAt = isCurrent
+      ? addTime(sentAt, batch.confirmedAfterMs)
+      : undefined;
+    this.options.noteRead?.(batch, type === 'LOADED', confirmedAt);
+    this.confirmedAt = confirmedAt ?? this.confirmedAt;
+  }
+
+  /** Refuses what belongs to a history of the store that was replaced. */
+  private checkEra(batch: TableBatch, now: Milliseconds): Result<TableBatch> {
+    const { eraWatch } = this.services;
+    eraWatch.note(batch.next.era, now);
+    return batch.next.era === eraWatch.era
+      ? Ok(batch)
+      : Err(
+          new TypedError(
+            ErrorKind.PlatformUnavailable,
+            `an answer for ${this.options.name} is of era ${String(batch.next.era)} of the store, which is replaced`,
+            'read the table again; the store answers from a newer history',
+          ),
+        );
   }
 
   private noteRecovery(now: Milliseconds): void {
@@ -200,7 +253,7 @@
     const { batch } = this;
     this.batch = undefined;
     if (batch) {
-      this.nextOffset = batch.next;
+      this.next = batch.next;
       const { decode, apply } = this.options;
       const records = batch.records.map(each => decodeRecord(each, decode));
       apply(records, isComplete, now);
@@ -214,19 +267,19 @@
 });
 
 const decodeRecord = <T>(
-  { key, offset, value }: RawRecord,
+  { key, position, value }: RawRecord,
   decode: ValueDecoder<T>,
 ): TableRecord<T> => {
   if (value === undefined) {
-    return { key, offset, value };
+    return { key, position, value };
   }
   try {
     const decoded = decode(key, value);
     return decoded === undefined
-      ? { key, offset, value: undefined, fault: 'the key is not used' }
-      : { key, offset, value: decoded };
+      ? { key, position, value: undefined, fault: 'the key is not used' }
+      : { key, position, value: decoded };
   } catch (thrown) {
-    return { key, offset, value: undefined, fault: toMessage(thrown) };
+    return { key, position, value: undefined, fault: toMessage(thrown) };
   }
 };
 
@@ -240,6 +293,9 @@
       requestChanges: follower => {
         follower.actions.requestChanges();
       },
+      noteReplaced: (follower, _, now) => {
+        follower.actions.noteReplaced(now);
+      },
       applyNewest: (follower, _, now) => {
         follower.actions.applyNewest(now);
       },
@@ -250,7 +306,10 @@
         follower.actions.noteOutage(now);
       },
     },
-    guards: { hasLoaded: follower => follower.hasLoaded },
+    guards: {
+      hasLoaded: follower => follower.hasLoaded,
+      isReplaced: follower => follower.isReplaced,
+    },
     delays: {
       READ_INTERVAL: follower => follower.readIntervalMs,
       RETRY_DELAY: () => storeRetryDelayMs,
