--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -21,7 +21,11 @@
   refusedServerCooldownMs,
   reportTimeoutMs,
 } from './constants.js';
-import { ConnectionUse, type ServerControlPort } from './ports.js';
+import {
+  ConnectionUse,
+  type OrderAnswer,
+  type ServerControlPort,
+} from './ports.js';
 import type { Server } from './server.js';
 
 export interface OrderEvent {
@@ -87,7 +91,7 @@
     },
   };
 
-  private async exchangeOrder(): Promise<Result<boolean>> {
+  private async exchangeOrder(): Promise<Result<OrderAnswer>> {
     const { services, server, range, fencingToken } = this;
     const { serverId, address } = server.record;
     const order = { serverId, address, range, fencingToken };
@@ -106,21 +110,18 @@
     return services.control.placeLayers({ ...order, expectedOrders });
   }
 
-  private receive(result: Result<boolean>, now: Milliseconds): void {
+  private receive(result: Result<OrderAnswer>, now: Milliseconds): void {
     const { from, to } = this.range;
-    const eventType = result.err
-      ? 'UNANSWERED'
-      : responseEvents[String(result.val)];
+    const type = getEventType(result);
     this.services.log.info('A server was told to hold layers.', {
       server: this.server.record.serverId,
       layers: `${String(from)}-${String(to)}`,
       fencingToken: this.fencingToken,
-      answer: eventType ?? '',
-      reason: result.err ? result.val.message : '',
+      answer: type,
+      refusal: result.err ? '' : (result.val.refusal ?? ''),
+      reason: result.err ? result.val.message : result.val.detail,
     });
-    if (eventType) {
-      this.chart.send({ type: eventType }, now);
-    }
+    this.chart.send({ type }, now);
   }
 }
 
@@ -132,9 +133,11 @@
     'none is needed; the next leader plans anew',
   );
 
-const responseEvents: Readonly<Record<string, OrderEvent['type']>> = {
-  true: 'ACCEPTED',
-  false: 'REFUSED',
+const getEventType = (result: Result<OrderAnswer>): OrderEvent['type'] => {
+  if (result.err) {
+    return 'UNANSWERED';
+  }
+  return result.val.refusal === undefined ? 'ACCEPTED' : 'REFUSED';
 };
 
 /** Binds the chart `layerOrder`. Fails with `BadChart`. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -85,6 +85,31 @@
   readonly fencingToken: number;
 }
 
+/** Why a server did not begin an order. */
+export const OrderRefusal = {
+  /** It is still carrying out another order. */
+  Busy: 'busy',
+  /** The order does not fit its state, or it has begun another one since its report. */
+  Conflict: 'conflict',
+  /** It has seen an order with a larger fencing token. */
+  Fenced: 'fenced',
+  /** Another server has the address now. */
+  Misdirected: 'misdirected',
+  /** It takes no orders now. */
+  Unavailable: 'unavailable',
+  /** It does not know such an order. */
+  Unsupported: 'unsupported',
+} as const;
+export type OrderRefusal = ValueOf<typeof OrderRefusal>;
+
+/** A server's answer to an order. */
+export interface OrderAnswer {
+  /** Absent if the server has begun the order or has the layers already. */
+  readonly refusal: OrderRefusal | undefined;
+  /** What the server answered, for the log. */
+  readonly detail: string;
+}
+
 /** A new chain for a request that its first server is running. */
 export interface ChainUpdate {
   /** Address of the first server, which stays the first. */
@@ -104,6 +129,8 @@
 export interface ServerReport {
   /** Orders that the server has begun since its start. */
   readonly orders: number;
+  /** Whether it is carrying out an order. */
+  readonly isBusy: boolean;
   /** Requests whose chain has stalled, with the address of the server at fault. */
   readonly stalled: readonly StalledRequest[];
 }
@@ -134,8 +161,8 @@
   /** Emits the address of a server that said in an answer that it leaves. */
   readonly leavingSeen = new Emitter<string>();
 
-  /** Sends an order; returns `true` if the server has begun it or has the layers already. Fails without a response. */
-  abstract placeLayers(order: PlacementOrder): Promise<Result<boolean>>;
+  /** Sends an order. Fails without a response; the server may begin it all the same. */
+  abstract placeLayers(order: PlacementOrder): Promise<Result<OrderAnswer>>;
   /** Moves a running request to another chain. Fails without a response; the request may move all the same. */
   abstract updateChain(update: ChainUpdate): Promise<Result<ChainUpdateAnswer>>;
   /** Fails if the server sends no whole report in time. */
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -23,6 +23,7 @@
   ServerControlPort,
   type ChainUpdateAnswer,
   type LeaderGrant,
+  type OrderAnswer,
   type PlacementOrder,
   type ServerHealth,
   type ServerReport,
@@ -90,9 +91,9 @@
   readonly orders: PlacementOrder[] = [];
   readonly reports: ((result: Result<ServerReport>) => void)[] = [];
 
-  override placeLayers(order: PlacementOrder): Promise<Result<boolean>> {
+  override placeLayers(order: PlacementOrder): Promise<Result<OrderAnswer>> {
     this.orders.push(order);
-    return Promise.resolve(Ok(true));
+    return Promise.resolve(Ok({ refusal: undefined, detail: '' }));
   }
 
   override updateChain(): Promise<Result<ChainUpdateAnswer>> {
@@ -218,14 +219,14 @@
     await lead();
     expect(control.reports).toHaveLength(1);
     placer.resign(clock.getNow());
-    control.reports[0]?.(Ok({ orders: 3, stalled: [] }));
+    control.reports[0]?.(Ok({ orders: 3, isBusy: false, stalled: [] }));
     await settle();
     expect(control.orders).toEqual([]);
   });
 
   it('expects the order count of the report, so that a repeated order is refused', async () => {
     await lead();
-    control.reports[0]?.(Ok({ orders: 3, stalled: [] }));
+    control.reports[0]?.(Ok({ orders: 3, isBusy: false, stalled: [] }));
     await settle();
     placer.resign(clock.getNow());
     expect(control.orders).toHaveLength(1);
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -15,6 +15,7 @@
   ConnectionUse,
   ServerControlPort,
   type ChainUpdateAnswer,
+  type OrderAnswer,
   type ServerHealth,
   type ServerReport,
 } from '../src/ports.js';
@@ -37,7 +38,7 @@
     super();
   }
 
-  override placeLayers(): Promise<Result<boolean>> {
+  override placeLayers(): Promise<Result<OrderAnswer>> {
     return Promise.resolve(Err(unanswered));
   }
 
@@ -61,7 +62,9 @@
     const isAnswered = this.isAnswered[this.probes] ?? false;
     this.connections.push(connection);
     return Promise.resolve(
-      isAnswered ? Ok({ orders: 0, stalled: [] }) : Err(unanswered),
+      isAnswered
+        ? Ok({ orders: 0, isBusy: false, stalled: [] })
+        : Err(unanswered),
     );
   }
 }
