--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -10,6 +10,7 @@
   type ChainRequest,
   type ChainStage,
   type LayeredModel,
+  type PlacementPlan,
   type StageServer,
 } from '../src/index.js';
 
@@ -207,6 +208,54 @@
   });
 });
 
+/** Counts, for each layer, the servers that hold it and give it up in no order. */
+const countSteadyHolders = (
+  servers: readonly StageServer[],
+  plan: PlacementPlan,
+): number[] =>
+  Array.from(
+    { length: model.layers },
+    (_, layer) =>
+      servers.filter(({ serverId, range, isBusy }) => {
+        const kept = [range, plan.get(serverId) ?? range];
+        return (
+          isBusy !== true &&
+          kept.every(each => each && each.from <= layer && layer < each.to)
+        );
+      }).length,
+  );
+
+describe('a layer that one server serves and others still load', () => {
+  it('stays at that server, whichever servers were lost', () => {
+    const placed = applyPlan(fleet);
+    const ids = placed.map(({ serverId }) => serverId);
+    const losses = fc.array(fc.subarray(ids, { maxLength: 4 }), {
+      minLength: 1,
+      maxLength: 5,
+    });
+    fc.assert(
+      fc.property(losses, rounds => {
+        let servers = placed;
+        for (const lost of rounds) {
+          servers = servers.filter(({ serverId }) => !lost.includes(serverId));
+          const plan = new ReplicaPerDomain().planPlacement(model, servers);
+          const before = countSteadyHolders(servers, new Map());
+          const after = countSteadyHolders(servers, plan);
+          const dropped = before.findIndex(
+            (count, layer) => count > 0 && after[layer] === 0,
+          );
+          expect(dropped).toBe(-1);
+          servers = servers.map(server => {
+            const range = plan.get(server.serverId);
+            return range ? { ...server, range, isBusy: true } : server;
+          });
+        }
+      }),
+      { seed: 4, numRuns: 300 },
+    );
+  });
+});
+
 describe('a server that returns without layers', () => {
   it('restores more than 75% of the lowest layer capacity in its failure domain', () => {
     const placed = applyPlan(fleet);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -71,6 +71,9 @@
 
 /** A group of gateways that elects a leader. Joining again renews the lease. Fails with `PlatformUnavailable`. */
 export abstract class LeaderElectionPort {
+  /** Emits when the history that the grant belongs to was replaced; the member joins afresh. */
+  readonly grantEnded = new Emitter<void>();
+
   abstract join(leaseMs: Milliseconds): Promise<Result<LeaderGrant>>;
   abstract leave(): Promise<void>;
 }
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -1,5 +1,5 @@
-/** What a leader that stops does with its lease and its orders. */
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+/** What a leader does with its lease and its orders: when it stops, when the store's history is replaced, and when servers refuse. */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import {
   Err,
   ErrorKind,
@@ -13,6 +13,7 @@
   PlacementPolicy,
   UnlimitedIntake,
   type PlacementPlan,
+  type StageServer,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import { maxFirstPlacementWaitMs } from '../src/constants.js';
@@ -20,6 +21,7 @@
 import { LayerPlacer, bindLeaderChart } from '../src/layerPlacer.js';
 import {
   LeaderElectionPort,
+  OrderRefusal,
   ServerControlPort,
   type ChainUpdateAnswer,
   type LeaderGrant,
@@ -89,11 +91,12 @@
 /** Records the orders; each report is answered by the test. */
 class HeldControl extends ServerControlPort {
   readonly orders: PlacementOrder[] = [];
+  answer: OrderAnswer = { refusal: undefined, detail: '' };
   readonly reports: ((result: Result<ServerReport>) => void)[] = [];
 
   override placeLayers(order: PlacementOrder): Promise<Result<OrderAnswer>> {
     this.orders.push(order);
-    return Promise.resolve(Ok({ refusal: undefined, detail: '' }));
+    return Promise.resolve(Ok(this.answer));
   }
 
   override updateChain(): Promise<Result<ChainUpdateAnswer>> {
@@ -111,26 +114,31 @@
   }
 }
 
-/** Gives the model to every server that has no order yet. */
+/** Gives the model to every server that has no order yet; records what it was told of them. */
 class FixedPlacement extends PlacementPolicy {
+  readonly seen: StageServer[] = [];
+
   override planPlacement(
     ...[, servers]: Parameters<PlacementPolicy['planPlacement']>
   ): PlacementPlan {
+    this.seen.push(...servers);
     const idle = servers.filter(server => !server.isBusy);
     return new Map(idle.map(({ serverId }) => [serverId, range]));
   }
 }
 
-describe('a leader that stops', () => {
+describe('a leader that places layers', () => {
   let election: HeldElection;
   let control: HeldControl;
   let placer: LayerPlacer;
+  let placement: FixedPlacement;
   let registry: ServerRegistry;
   let clock: MonotonicClock;
 
   beforeEach(() => {
     election = new HeldElection();
     control = new HeldControl();
+    placement = new FixedPlacement();
     clock = new MonotonicClock();
     const loop = new EventLoop<{ completion: (now: number) => void }>(clock);
     loop.setHandlers({
@@ -166,7 +174,7 @@
         log,
         leaderElection: election,
         control,
-        placement: new FixedPlacement(),
+        placement,
         serverRegistry: registry,
         startedAt: clock.getNow() - maxFirstPlacementWaitMs,
         heartbeatMs: 60_000,
@@ -232,4 +240,37 @@
     expect(control.orders).toHaveLength(1);
     expect(control.orders[0]?.expectedOrders).toBe(3);
   });
+
+  it('a leader of the old history gives no orders after the first answer of the new one', async () => {
+    await lead();
+    expect(control.reports).toHaveLength(1);
+    election.grantEnded.emit();
+    control.reports[0]?.(Ok({ orders: 3, isBusy: false, stalled: [] }));
+    await settle();
+    expect(placer.isLeader).toBe(false);
+    expect(control.orders).toEqual([]);
+    expect(election.calls).toEqual(['join', 'joined', 'join']);
+  });
+
+  it('a server that carries out the order of a former leader gets no other one and is not counted on', async () => {
+    await lead();
+    control.reports[0]?.(Ok({ orders: 3, isBusy: true, stalled: [] }));
+    await settle();
+    placement.seen.length = 0;
+    await vi.waitUntil(() => placement.seen.length > 0);
+    expect(control.orders).toEqual([]);
+    expect(placement.seen[0]?.isBusy).toBe(true);
+    expect(placement.seen[0]?.range).toBeUndefined();
+  });
+
+  it('a server that refused is not counted on for the layers that it refused', async () => {
+    control.answer = { refusal: OrderRefusal.Conflict, detail: '' };
+    await lead();
+    control.reports[0]?.(Ok({ orders: 3, isBusy: false, stalled: [] }));
+    await settle();
+    placement.seen.length = 0;
+    await vi.waitUntil(() => placement.seen.length > 0);
+    expect(control.orders).toHaveLength(1);
+    expect(placement.seen[0]?.range).toBeUndefined();
+  });
 });
