Log the store's era when it rises, and show it in the metrics

The store's pages say that after some drills it comes back from an older copy, with a higher Store-Era in each answer. Nothing read the header, so that a log didn't show when the store's offsets began to be given out again.

The store client reads it from every answer, refusals included, and the gateway logs one line when it rises; the gauge store_era shows it.

--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -56,6 +56,11 @@
       'Whether it reads the store for other gateways',
       () => Number(sources.news.isRelaying),
     ],
+    [
+      'store_era',
+      'Era of the store, which rises when it comes back from an older copy',
+      () => sources.news.storeEra,
+    ],
     [
       'known_gateways',
       'Gateways that it knows, itself included',
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -7,6 +7,7 @@
   LogComponent,
   getOrThrow,
   type Address,
+  type Disposable,
   type LoggerFactory,
   type Milliseconds,
   type Result,
@@ -26,7 +27,9 @@
   serverReadIntervalMs,
 } from '../constants.js';
 import type { GatewaySettings } from '../gatewaySettings.js';
+import { EraWatch } from '../eraWatch.js';
 import type {
+  StoreHistoryPort,
   TablePort,
   TableRecord,
   TableWriterPort,
@@ -62,6 +65,7 @@
 
 /** The tables that a gateway follows. */
 export interface NewsSources {
+  readonly history: StoreHistoryPort;
   readonly configurations: TableSource<GatewayConfiguration>;
   readonly servers: TableSource<BackendRecord>;
   readonly gateways: {
@@ -104,6 +108,8 @@
   private readonly machine: FollowerMachine = getOrThrow(bindFollowerChart());
   private readonly client = new NewsClient();
   private readonly duty: RelayDuty;
+  private readonly eraWatch: EraWatch;
+  private readonly subscription: Disposable;
   private readonly directory: PeerDirectory;
   private readonly server: NewsServer;
   private announcement: PeerAnnouncement | undefined;
@@ -117,6 +123,12 @@
     const { timers } = services;
     const { id, failureDomain } = settings.process;
     this.duty = new RelayDuty(getOrThrow(bindRelayChart()), timers, log);
+    this.eraWatch = new EraWatch(log);
+    this.subscription = sources.history.eraSeen.subscribe(era => {
+      services.postCompletion(() => {
+        this.eraWatch.note(era);
+      });
+    });
     this.directory = new PeerDirectory(
       getOrThrow(bindTrustChart()),
       timers,
@@ -129,6 +141,11 @@
     this.peers = this.createPeerFollower();
   }
 
+  /** Era of the store, which rises when it comes back from an older copy; 0 while it names none. */
+  get storeEra(): number {
+    return this.eraWatch.era;
+  }
+
   /** Gateways that this one knows, itself included. */
   get peerCount(): number {
     return this.directory.size;
@@ -169,6 +186,7 @@
   }
 
   dispose(): void {
+    this.subscription.dispose();
     this.server.dispose();
     this.client.dispose();
     this.duty.dispose();
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -44,6 +44,12 @@
   readonly isHeld: boolean;
 }
 
+/** Tells which of its histories the store answers from. */
+export abstract class StoreHistoryPort {
+  /** Emits the era of each answer, also of a refusal; it rises when the store comes back from an older copy. */
+  readonly eraSeen = new Emitter<number>();
+}
+
 /** One table of the platform's store. Every call fails with `PlatformUnavailable`. */
 export abstract class TablePort {
   /** Reads the newest value of each key, as of an offset that the caller has read up to, or later. */
