--- a/packages/decisions/src/placement/closeGaps.ts
+++ b/packages/decisions/src/placement/closeGaps.ts
@@ -7,7 +7,7 @@
  * the ranges next to the gap are extended, which drains no server.
  */
 import { updateCoverage } from './coverage.js';
-import { mayReassign, type LayerHolder } from './holders.js';
+import { mayGiveUp, mayReassign, type LayerHolder } from './holders.js';
 import {
   findAcceleratorKind,
   type LayerRange,
@@ -53,7 +53,7 @@
   return { from: start, to: end < 0 ? coverage.length : end };
 };
 
-/** Finds the smallest holder with a range at least as large as the gap, all of whose layers have other holders. */
+/** Finds the smallest holder with a range at least as large as the gap, all of whose layers other servers serve. */
 const findRedundantHolder = (
   holders: readonly LayerHolder[],
   coverage: readonly number[],
@@ -67,6 +67,7 @@
     .filter(({ range }) =>
       coverage.slice(range.from, range.to).every(count => count > 1),
     )
+    .filter(holder => mayGiveUp(holder, gap, holders, plan))
     .sort((a, b) => a.range.to - a.range.from - (b.range.to - b.range.from))[0];
   if (!smallest) {
     return undefined;
--- a/packages/decisions/src/placement/holders.ts
+++ b/packages/decisions/src/placement/holders.ts
@@ -12,3 +12,33 @@
   server: StageServer,
   plan: ReadonlyMap<string, LayerRange>,
 ): boolean => server.isBusy !== true && !plan.has(server.serverId);
+
+/**
+ * Says whether each layer that the holder would give up for the new range stays at
+ * another server. A server that is only told to load a layer, in this plan or an
+ * earlier one, doesn't serve it for seconds, so it does not count.
+ */
+export const mayGiveUp = (
+  holder: LayerHolder,
+  newRange: LayerRange,
+  holders: readonly LayerHolder[],
+  plan: ReadonlyMap<string, LayerRange>,
+): boolean => {
+  const others = holders.filter(
+    ({ server }) =>
+      server !== holder.server &&
+      server.isLoading !== true &&
+      !plan.has(server.serverId),
+  );
+  return listGivenUp(holder.range, newRange).every(layer =>
+    others.some(({ range }) => hasLayer(range, layer)),
+  );
+};
+
+const listGivenUp = (held: LayerRange, kept: LayerRange): number[] =>
+  Array.from({ length: held.to - held.from }, (_, at) => held.from + at).filter(
+    layer => !hasLayer(kept, layer),
+  );
+
+const hasLayer = ({ from, to }: LayerRange, layer: number): boolean =>
+  from <= layer && layer < to;
--- a/packages/decisions/src/placement/releaseLayers.ts
+++ b/packages/decisions/src/placement/releaseLayers.ts
@@ -6,7 +6,7 @@
  * its layers the bottleneck of the whole replica.
  */
 import { LayerCapacities, computeLayerCapacity } from './layerCapacities.js';
-import { mayReassign, type LayerHolder } from './holders.js';
+import { mayGiveUp, mayReassign, type LayerHolder } from './holders.js';
 import type { LayerRange, LayeredModel, StageServer } from './types.js';
 
 /** Plans the release of layers by the oversized server with the least KV cache per layer. */
@@ -33,7 +33,7 @@
       bottleneck,
       getLayerCount(bottleneck.server),
     );
-  if (kept) {
+  if (kept && mayGiveUp(bottleneck, kept, holders, plan)) {
     plan.set(bottleneck.server.serverId, kept);
   }
 };
--- a/packages/decisions/src/placement/repairPlan.ts
+++ b/packages/decisions/src/placement/repairPlan.ts
@@ -5,9 +5,11 @@
  * ones were, so that two repairs never undo each other.
  */
 import { updateCoverage, findLeastCovered } from './coverage.js';
-import { mayReassign, type LayerHolder } from './holders.js';
+import { mayGiveUp, mayReassign, type LayerHolder } from './holders.js';
 import type { LayerRange } from './types.js';
 
+const noLayers: LayerRange = { from: 0, to: 0 };
+
 /** The most reassignments in a plan; the next plan sees their outcome. */
 const maxReassignments = 6;
 
@@ -57,6 +59,7 @@
   return holders
     .filter(({ server }) => mayReassign(server, plan))
     .filter(holder => computeSurplus(holder) >= minHolderSurplus)
+    .filter(holder => mayGiveUp(holder, noLayers, holders, plan))
     .sort(
       (a, b) =>
         computeSurplus(b) - computeSurplus(a) ||
--- a/packages/decisions/src/placement/types.ts
+++ b/packages/decisions/src/placement/types.ts
@@ -44,6 +44,8 @@
   readonly slots: number;
   /** It is carrying out a placement order or has just refused one, so plans keep its layers. */
   readonly isBusy?: boolean;
+  /** It was told to take the layers of `range` and may serve none of them yet. */
+  readonly isLoading?: boolean;
 }
 
 /** The estimated load of a backend server. */
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -247,7 +247,9 @@
           expect(dropped).toBe(-1);
           servers = servers.map(server => {
             const range = plan.get(server.serverId);
-            return range ? { ...server, range, isBusy: true } : server;
+            return range
+              ? { ...server, range, isBusy: true, isLoading: true }
+              : server;
           });
         }
       }),
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -200,13 +200,15 @@
     model: LayeredModel | undefined,
   ): StageServer {
     const order = this.pendingOrders.get(server.record.serverId);
+    const isLoading = order !== undefined && !order.isCoolingDown;
     const { range } = server.record;
     // A server that claims layers that the model does not have holds none that can be planned with.
     const held = range && model && range.to > model.layers ? undefined : range;
     return {
       ...toStageServer(server),
-      range: order && !order.isCoolingDown ? order.range : held,
+      range: isLoading ? order.range : held,
       isBusy: order !== undefined,
+      isLoading,
     };
   }
 
