--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -8,7 +8,7 @@
   type ChartInstance,
   type ChartMachine,
 } from '@lycheetally/charts';
-import type { Milliseconds, Result } from '@lycheetally/common';
+import type { Disposable, Milliseconds, Result } from '@lycheetally/common';
 import type {
   BackendService,
   LayerRange,
@@ -36,7 +36,7 @@
 import type { ServerLossHandler } from './serverLossHandler.js';
 
 export interface LeaderEvent {
-  readonly type: 'GRANTED' | 'DENIED' | 'RESIGN';
+  readonly type: 'GRANTED' | 'DENIED' | 'GRANT_ENDED' | 'RESIGN';
 }
 
 export type LeaderMachine = ChartMachine<LayerPlacer, LeaderEvent>;
@@ -60,8 +60,9 @@
   private fencingToken = 0;
   private leaseExpiresAt: Milliseconds = -Infinity;
   private leaseRequestedAt: Milliseconds = -Infinity;
-  private leaseRequest: Promise<void> = Promise.resolve();
+  private leaseRequests: Promise<unknown> = Promise.resolve();
   private readonly pendingOrders = new Map<string, LayerOrder>();
+  private readonly subscription: Disposable;
   private readonly chart: ChartInstance<LayerPlacer, LeaderEvent>;
 
   constructor(
@@ -70,6 +71,11 @@
     private readonly services: PlacerServices,
   ) {
     this.chart = machine.createInstance(this, services.timers);
+    this.subscription = services.leaderElection.grantEnded.subscribe(() => {
+      services.postCompletion(now => {
+        this.chart.send({ type: 'GRANT_ENDED' }, now);
+      });
+    });
   }
 
   get isLeader(): boolean {
@@ -85,6 +91,7 @@
   }
 
   dispose(): void {
+    this.subscription.dispose();
     this.chart.dispose();
   }
 
@@ -92,13 +99,14 @@
     requestLease: (now: Milliseconds): void => {
       this.leaseRequestedAt = now;
       const { services } = this;
-      this.leaseRequest = services.leaderElection
+      const request = services.leaderElection
         .join(leaderLeaseMs)
         .then(result => {
           services.postCompletion(receivedAt => {
             this.receiveGrant(result, now, receivedAt);
           });
         });
+      this.leaseRequests = Promise.all([this.leaseRequests, request]);
     },
     renewLease: (now: Milliseconds): void => {
       if (now - this.leaseRequestedAt >= leaseRenewIntervalMs) {
@@ -126,7 +134,7 @@
     },
     leaveGroup: (): void => {
       // A renewal that arrives after the leave would join the group again.
-      void this.leaseRequest.then(() => this.services.leaderElection.leave());
+      void this.leaseRequests.then(() => this.services.leaderElection.leave());
     },
     hasLease: (now: Milliseconds): boolean => now < this.leaseExpiresAt,
   };
