--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -120,11 +120,14 @@
 /** Time after which an accepted order counts as lost if its server has not announced the layers. */
 export const layerLoadTimeoutMs = 8_000;
 
-/** How long placement still plans with the layers of an order that was refused or not answered. */
+/** How long placement still plans with the layers of an order that was not answered. */
 export const failedOrderTimeoutMs = 700;
 
-/** How long a server that refused an order gets no new one; it is still unloading layers, and others can take its place. */
-export const refusedServerCooldownMs = 2_500;
+/** How long a server that refused one order gets no new one; others can take its place meanwhile. */
+export const firstOrderCooldownMs = 1_000;
+
+/** Upper bound of `firstOrderCooldownMs` when doubled; as long as an accepted order may take. */
+export const maxOrderCooldownMs = 8_000;
 
 /** Timeout of sending an order to a server. */
 export const orderTimeoutMs = 800;
--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -9,6 +9,7 @@
 import {
   Err,
   ErrorKind,
+  Ok,
   TypedError,
   type Milliseconds,
   type ComponentLogger,
@@ -18,14 +19,16 @@
 import {
   layerLoadTimeoutMs,
   failedOrderTimeoutMs,
-  refusedServerCooldownMs,
   reportTimeoutMs,
 } from './constants.js';
 import {
   ConnectionUse,
+  OrderRefusal,
   type OrderAnswer,
   type ServerControlPort,
+  type ServerReport,
 } from './ports.js';
+import type { OrderBackoff } from './orderBackoff.js';
 import type { Server } from './server.js';
 
 export interface OrderEvent {
@@ -44,8 +47,9 @@
 
 /** The placer that an order belongs to. */
 export interface OrderOwner {
-  /** Whether it still places layers. */
-  isLeader(): boolean;
+  readonly backoff: OrderBackoff;
+  /** Whether it may still give orders. */
+  mayOrder(now: Milliseconds): boolean;
   handleFinished(): void;
 }
 
@@ -64,7 +68,7 @@
     this.chart = machine.createInstance(this, services.timers);
   }
 
-  /** Whether the server refused the order; placement then plans with the layers that it holds now. */
+  /** Whether the server refused the order; placement then plans with the layers that it announces. */
   get isCoolingDown(): boolean {
     return this.chart.matches('coolingDown');
   }
@@ -73,17 +77,25 @@
     this.chart.start(now);
   }
 
+  computeCooldown(): Milliseconds {
+    return this.owner.backoff.computeCooldown(this.server);
+  }
+
   noteResolved(now: Milliseconds): void {
     this.chart.send({ type: 'RESOLVED' }, now);
   }
 
   readonly chartActions = {
     sendOrder: (): void => {
-      void this.exchangeOrder().then(result => {
-        this.services.postCompletion(now => {
-          this.receive(result, now);
+      const { services } = this;
+      const { address } = this.server.record;
+      void services.control
+        .readReport(address, reportTimeoutMs, ConnectionUse.New)
+        .then(report => {
+          services.postCompletion(now => {
+            this.receiveReport(report, now);
+          });
         });
-      });
     },
     finishOrder: (): void => {
       this.chart.dispose();
@@ -91,23 +103,29 @@
     },
   };
 
-  private async exchangeOrder(): Promise<Result<OrderAnswer>> {
-    const { services, server, range, fencingToken } = this;
-    const { serverId, address } = server.record;
-    const order = { serverId, address, range, fencingToken };
-    const report = await services.control.readReport(
-      address,
-      reportTimeoutMs,
-      ConnectionUse.New,
-    );
+  /** Sends the order if the server is free to begin it; its report may be some hundred milliseconds old. */
+  private receiveReport(report: Result<ServerReport>, now: Milliseconds): void {
     if (report.err) {
-      return report;
+      this.receive(report, now);
+    } else if (!this.owner.mayOrder(now)) {
+      this.receive(Err(createNotLeaderError()), now);
+    } else if (report.val.isBusy) {
+      this.receive(Ok(busyAnswer), now);
+    } else {
+      this.placeLayers(report.val.orders);
     }
-    if (!this.owner.isLeader()) {
-      return Err(createNotLeaderError());
-    }
-    const expectedOrders = report.val.orders;
-    return services.control.placeLayers({ ...order, expectedOrders });
+  }
+
+  private placeLayers(expectedOrders: number): void {
+    const { services, range, fencingToken } = this;
+    const { serverId, address } = this.server.record;
+    void services.control
+      .placeLayers({ serverId, address, range, fencingToken, expectedOrders })
+      .then(result => {
+        services.postCompletion(now => {
+          this.receive(result, now);
+        });
+      });
   }
 
   private receive(result: Result<OrderAnswer>, now: Milliseconds): void {
@@ -121,10 +139,25 @@
       refusal: result.err ? '' : (result.val.refusal ?? ''),
       reason: result.err ? result.val.message : result.val.detail,
     });
+    this.noteAnswer(type);
     this.chart.send({ type }, now);
   }
+
+  private noteAnswer(type: OrderEvent['type']): void {
+    const { backoff } = this.owner;
+    if (type === 'REFUSED') {
+      backoff.noteRefusal(this.server);
+    } else if (type === 'ACCEPTED') {
+      backoff.clear(this.server);
+    }
+  }
 }
 
+const busyAnswer: OrderAnswer = {
+  refusal: OrderRefusal.Busy,
+  detail: 'its report says that it carries out an order',
+};
+
 /** The fault of an order whose gateway lost or gave up its lease before it was sent. */
 const createNotLeaderError = (): TypedError =>
   new TypedError(
@@ -154,8 +187,7 @@
     guards: {},
     delays: {
       LOAD_TIMEOUT: () => layerLoadTimeoutMs,
-      REFUSED_TIMEOUT: () => failedOrderTimeoutMs,
-      COOLDOWN: () => refusedServerCooldownMs,
+      COOLDOWN: order => order.computeCooldown(),
       UNANSWERED_TIMEOUT: () => failedOrderTimeoutMs,
     },
   });
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -30,6 +30,7 @@
   type OrderMachine,
   type OrderServices,
 } from './layerOrder.js';
+import { OrderBackoff } from './orderBackoff.js';
 import type { LeaderGrant, LeaderElectionPort } from './ports.js';
 import type { Server } from './server.js';
 import { toStageServer, type ServerRegistry } from './serverRegistry.js';
@@ -62,6 +63,7 @@
   private leaseRequestedAt: Milliseconds = -Infinity;
   private leaseRequests: Promise<unknown> = Promise.resolve();
   private readonly pendingOrders = new Map<string, LayerOrder>();
+  private readonly backoff = new OrderBackoff();
   private readonly subscription: Disposable;
   private readonly chart: ChartInstance<LayerPlacer, LeaderEvent>;
 
@@ -136,9 +138,13 @@
       // A renewal that arrives after the leave would join the group again.
       void this.leaseRequests.then(() => this.services.leaderElection.leave());
     },
-    hasLease: (now: Milliseconds): boolean => now < this.leaseExpiresAt,
+    hasLease: (now: Milliseconds): boolean => this.hasLease(now),
   };
 
+  private hasLease(now: Milliseconds): boolean {
+    return now < this.leaseExpiresAt;
+  }
+
   private receiveGrant(
     result: Result<LeaderGrant>,
     sentAt: Milliseconds,
@@ -251,7 +257,8 @@
       range,
       this.fencingToken,
       {
-        isLeader: () => this.isLeader,
+        backoff: this.backoff,
+        mayOrder: time => this.isLeader && this.hasLease(time),
         handleFinished: () => this.pendingOrders.delete(serverId),
       },
     );
