--- a/packages/gateway/src/orderBackoff.ts
+++ b/packages/gateway/src/orderBackoff.ts
@@ -8,6 +8,8 @@
 import { firstOrderCooldownMs, maxOrderCooldownMs } from './constants.js';
 import type { Server } from './server.js';
 
+type OrderedServer = Pick<Server, 'record'>;
+
 interface Refusals {
   /** Start of the server that refused; a restart clears what it was doing. */
   readonly incarnation: number;
@@ -15,24 +17,24 @@
 }
 
 export class OrderBackoff {
-  private readonly refusals = new WeakMap<Server, Refusals>();
+  private readonly refusals = new WeakMap<OrderedServer, Refusals>();
 
-  noteRefusal(server: Server): void {
+  noteRefusal(server: OrderedServer): void {
     const { incarnation } = server.record;
     const count = this.countRefusals(server) + 1;
     this.refusals.set(server, { incarnation, count });
   }
 
-  clear(server: Server): void {
+  clear(server: OrderedServer): void {
     this.refusals.delete(server);
   }
 
-  computeCooldown(server: Server): Milliseconds {
+  computeCooldown(server: OrderedServer): Milliseconds {
     const doublings = Math.max(0, this.countRefusals(server) - 1);
     return Math.min(maxOrderCooldownMs, firstOrderCooldownMs * 2 ** doublings);
   }
 
-  private countRefusals(server: Server): number {
+  private countRefusals(server: OrderedServer): number {
     const known = this.refusals.get(server);
     return known?.incarnation === server.record.incarnation ? known.count : 0;
   }
