--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -9,6 +9,7 @@
 import {
   Err,
   ErrorKind,
+  Ok,
   TypedError,
   type Milliseconds,
   type ComponentLogger,
@@ -18,10 +19,16 @@
 import {
   layerLoadTimeoutMs,
   failedOrderTimeoutMs,
-  refusedServerCooldownMs,
   reportTimeoutMs,
 } from './constants.js';
-import { ConnectionUse, type ServerControlPort } from './ports.js';
+import {
+  ConnectionUse,
+  OrderRefusal,
+  type OrderAnswer,
+  type ServerControlPort,
+  type ServerReport,
+} from './ports.js';
+import type { OrderBackoff } from './orderBackoff.js';
 import type { Server } from './server.js';
 
 export interface OrderEvent {
@@ -40,8 +47,9 @@
 
 /** The placer that an order belongs to. */
 export interface OrderOwner {
-  /** Whether it still places layers. */
-  isLeader(): boolean;
+  readonly backoff: OrderBackoff;
+  /** Whether it may still give orders. */
+  mayOrder(now: Milliseconds): boolean;
   handleFinished(): void;
 }
 
@@ -60,7 +68,7 @@
     this.chart = machine.createInstance(this, services.timers);
   }
 
-  /** Whether the server refused the order; placement then plans with the layers that it holds now. */
+  /** Whether the server refused the order; placement then plans with the layers that it announces. */
   get isCoolingDown(): boolean {
     return this.chart.matches('coolingDown');
   }
@@ -69,17 +77,25 @@
     this.chart.start(now);
   }
 
+  computeCooldown(): Milliseconds {
+    return this.owner.backoff.computeCooldown(this.server);
+  }
+
   noteResolved(now: Milliseconds): void {
     this.chart.send({ type: 'RESOLVED' }, now);
   }
 
   readonly chartActions = {
     sendOrder: (): void => {
-      void this.exchangeOrder().then(result => {
-        this.services.postCompletion(now => {
-          this.receive(result, now);
+      const { services } = this;
+      const { address } = this.server.record;
+      void services.control
+        .readReport(address, reportTimeoutMs, ConnectionUse.New)
+        .then(report => {
+          services.postCompletion(now => {
+            this.receiveReport(report, now);
+          });
         });
-      });
     },
     finishOrder: (): void => {
       this.chart.dispose();
@@ -87,43 +103,61 @@
     },
   };
 
-  private async exchangeOrder(): Promise<Result<boolean>> {
-    const { services, server, range, fencingToken } = this;
-    const { serverId, address } = server.record;
-    const order = { serverId, address, range, fencingToken };
-    const report = await services.control.readReport(
-      address,
-      reportTimeoutMs,
-      ConnectionUse.New,
-    );
+  /** Sends the order if the server is free to begin it; its report may be some hundred milliseconds old. */
+  private receiveReport(report: Result<ServerReport>, now: Milliseconds): void {
     if (report.err) {
-      return report;
-    }
-    if (!this.owner.isLeader()) {
-      return Err(createNotLeaderError());
+      this.receive(report, now);
+    } else if (!this.owner.mayOrder(now)) {
+      this.receive(Err(createNotLeaderError()), now);
+    } else if (report.val.isBusy) {
+      this.receive(Ok(busyAnswer), now);
+    } else {
+      this.placeLayers(report.val.orders);
     }
-    const expectedOrders = report.val.orders;
-    return services.control.placeLayers({ ...order, expectedOrders });
   }
 
-  private receive(result: Result<boolean>, now: Milliseconds): void {
+  private placeLayers(expectedOrders: number): void {
+    const { services, range, fencingToken } = this;
+    const { serverId, address } = this.server.record;
+    void services.control
+      .placeLayers({ serverId, address, range, fencingToken, expectedOrders })
+      .then(result => {
+        services.postCompletion(now => {
+          this.receive(result, now);
+        });
+      });
+  }
+
+  private receive(result: Result<OrderAnswer>, now: Milliseconds): void {
     const { from, to } = this.range;
-    const eventType = result.err
-      ? 'UNANSWERED'
-      : responseEvents[String(result.val)];
+    const type = getEventType(result);
     this.services.log.info('A server was told to hold layers.', {
       server: this.server.record.serverId,
       layers: `${String(from)}-${String(to)}`,
       fencingToken: this.fencingToken,
-      answer: eventType ?? '',
-      reason: result.err ? result.val.message : '',
+      answer: type,
+      refusal: result.err ? '' : (result.val.refusal ?? ''),
+      reason: result.err ? result.val.message : result.val.detail,
     });
-    if (eventType) {
-      this.chart.send({ type: eventType }, now);
+    this.noteAnswer(type);
+    this.chart.send({ type }, now);
+  }
+
+  private noteAnswer(type: OrderEvent['type']): void {
+    const { backoff } = this.owner;
+    if (type === 'REFUSED') {
+      backoff.noteRefusal(this.server);
+    } else if (type === 'ACCEPTED') {
+      backoff.clear(this.server);
     }
   }
 }
 
+const busyAnswer: OrderAnswer = {
+  refusal: OrderRefusal.Busy,
+  detail: 'its report says that it carries out an order',
+};
+
 /** The fault of an order whose gateway lost or gave up its lease before it was sent. */
 const createNotLeaderError = (): TypedError =>
   new TypedError(
@@ -132,9 +166,11 @@
     'none is needed; the next leader plans anew',
   );
 
-const responseEvents: Readonly<Record<string, OrderEvent['type']>> = {
-  true: 'ACCEPTED',
-  false: 'REFUSED',
+const getEventType = (result: Result<OrderAnswer>): OrderEvent['type'] => {
+  if (result.err) {
+    return 'UNANSWERED';
+  }
+  return result.val.refusal === undefined ? 'ACCEPTED' : 'REFUSED';
 };
 
 /** Binds the chart `layerOrder`. Fails with `BadChart`. */
@@ -151,8 +187,7 @@
     guards: {},
     delays: {
       LOAD_TIMEOUT: () => layerLoadTimeoutMs,
-      REFUSED_TIMEOUT: () => failedOrderTimeoutMs,
-      COOLDOWN: () => refusedServerCooldownMs,
+      COOLDOWN: order => order.computeCooldown(),
       UNANSWERED_TIMEOUT: () => failedOrderTimeoutMs,
     },
   });
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -8,7 +8,7 @@
   type ChartInstance,
   type ChartMachine,
 } from '@lycheetally/charts';
-import type { Milliseconds, Result } from '@lycheetally/common';
+import type { Disposable, Milliseconds, Result } from '@lycheetally/common';
 import type {
   BackendService,
   LayerRange,
@@ -30,13 +30,14 @@
   type OrderMachine,
   type OrderServices,
 } from './layerOrder.js';
+import { OrderBackoff } from './orderBackoff.js';
 import type { LeaderGrant, LeaderElectionPort } from './ports.js';
 import type { Server } from './server.js';
 import { toStageServer, type ServerRegistry } from './serverRegistry.js';
 import type { ServerLossHandler } from './serverLossHandler.js';
 
 export interface LeaderEvent {
-  readonly type: 'GRANTED' | 'DENIED' | 'RESIGN';
+  readonly type: 'GRANTED' | 'DENIED' | 'GRANT_ENDED' | 'RESIGN';
 }
 
 export type LeaderMachine = ChartMachine<LayerPlacer, LeaderEvent>;
@@ -60,8 +61,10 @@
   private fencingToken = 0;
   private leaseExpiresAt: Milliseconds = -Infinity;
   private leaseRequestedAt: Milliseconds = -Infinity;
-  private leaseRequest: Promise<void> = Promise.resolve();
+  private leaseRequests: Promise<unknown> = Promise.resolve();
   private readonly pendingOrders = new Map<string, LayerOrder>();
+  private readonly backoff = new OrderBackoff();
+  private readonly subscription: Disposable;
   private readonly chart: ChartInstance<LayerPlacer, LeaderEvent>;
 
   constructor(
@@ -70,6 +73,11 @@
     private readonly services: PlacerServices,
   ) {
     this.chart = machine.createInstance(this, services.timers);
+    this.subscription = services.leaderElection.grantEnded.subscribe(() => {
+      services.postCompletion(now => {
+        this.chart.send({ type: 'GRANT_ENDED' }, now);
+      });
+    });
   }
 
   get isLeader(): boolean {
@@ -85,6 +93,7 @@
   }
 
   dispose(): void {
+    this.subscription.dispose();
     this.chart.dispose();
   }
 
@@ -92,13 +101,14 @@
     requestLease: (now: Milliseconds): void => {
       this.leaseRequestedAt = now;
       const { services } = this;
-      this.leaseRequest = services.leaderElection
+      const request = services.leaderElection
         .join(leaderLeaseMs)
         .then(result => {
           services.postCompletion(receivedAt => {
             this.receiveGrant(result, now, receivedAt);
           });
         });
+      this.leaseRequests = Promise.all([this.leaseRequests, request]);
     },
     renewLease: (now: Milliseconds): void => {
       if (now - this.leaseRequestedAt >= leaseRenewIntervalMs) {
@@ -126,11 +136,15 @@
     },
     leaveGroup: (): void => {
       // A renewal that arrives after the leave would join the group again.
-      void this.leaseRequest.then(() => this.services.leaderElection.leave());
+      void this.leaseRequests.then(() => this.services.leaderElection.leave());
     },
-    hasLease: (now: Milliseconds): boolean => now < this.leaseExpiresAt,
+    hasLease: (now: Milliseconds): boolean => this.hasLease(now),
   };
 
+  private hasLease(now: Milliseconds): boolean {
+    return now < this.leaseExpiresAt;
+  }
+
   private receiveGrant(
     result: Result<LeaderGrant>,
     sentAt: Milliseconds,
@@ -200,13 +214,15 @@
     model: LayeredModel | undefined,
   ): StageServer {
     const order = this.pendingOrders.get(server.record.serverId);
+    const isLoading = order !== undefined && !order.isCoolingDown;
     const { range } = server.record;
     // A server that claims layers that the model does not have holds none that can be planned with.
     const held = range && model && range.to > model.layers ? undefined : range;
     return {
       ...toStageServer(server),
-      range: order && !order.isCoolingDown ? order.range : held,
+      range: isLoading ? order.range : held,
       isBusy: order !== undefined,
+      isLoading,
     };
   }
 
@@ -241,7 +257,8 @@
       range,
       this.fencingToken,
       {
-        isLeader: () => this.isLeader,
+        backoff: this.backoff,
+        mayOrder: time => this.isLeader && this.hasLease(time),
         handleFinished: () => this.pendingOrders.delete(serverId),
       },
     );
