Take the share of a drain forecast without a margin, and ask more of certainty

What callers saw: too many refusals. Cause: the safety margins for calls that must end were also in the share. Change: the margins belong to the slowest duration only; the threshold stays at one half. The slowest duration counts as known only after twice that time: a gateway that has run for four seconds cannot have seen a call of six seconds end.

--- a/packages/decisions/src/gateway/recentLives.ts
+++ b/packages/decisions/src/gateway/recentLives.ts
@@ -20,6 +20,7 @@
   private readonly open = new Set<OpenLife>();
   private readonly slots = new Map<number, LifeTable>();
   private readonly slotMs: Milliseconds;
+  private firstOpenedAt = Infinity;
 
   /** @param windowMs How long a call counts after it was opened. */
   constructor(private readonly windowMs: Milliseconds) {
@@ -34,7 +35,13 @@
     );
   }
 
+  /** Returns how long calls have been observed. */
+  measureObserved(now: Milliseconds): Milliseconds {
+    return Math.max(0, now - this.firstOpenedAt);
+  }
+
   add(life: OpenLife): void {
+    this.firstOpenedAt = Math.min(this.firstOpenedAt, life.openedAt);
     this.open.add(life);
   }
 
--- a/packages/decisions/src/gateway/survivalForecast.ts
+++ b/packages/decisions/src/gateway/survivalForecast.ts
@@ -22,7 +22,7 @@
   readonly minSlowestSamples: number;
   /** Durations grow with this power of the expected size; below 1, since the expectation is often far off. */
   readonly sizeExponent: number;
-  /** Safety margin as a factor of all durations, 1 at least. */
+  /** Safety margin as a factor of the slowest duration, 1 at least. */
   readonly factor: number;
   /** Safety margin on top of it. */
   readonly extraMs: Milliseconds;
@@ -56,17 +56,21 @@
   ): DurationEstimate {
     const { factor, extraMs, minSamples, minSlowestSamples } = this.settings;
     const scale = this.computeScale(call);
-    const table = this.kinds.get(call.kind)?.buildTable(now);
+    const lives = this.kinds.get(call.kind);
+    const table = lives?.buildTable(now);
     const samples = table?.endings ?? 0;
     const leftMs = Math.max(0, call.deadlineAt - now);
-    const limit = (endsAt - now - extraMs) / factor / scale;
+    const limit = (endsAt - now) / scale;
     const longestMs =
       (table?.findLongest() ?? Infinity) * scale * factor + extraMs;
+    // Who has watched for little longer than that cannot have seen a longer call end.
+    const isSlowestKnown =
+      samples >= minSlowestSamples &&
+      2 * longestMs <= (lives?.measureObserved(now) ?? 0);
     const share =
       samples < minSamples ? 0 : (table?.estimateShareWithin(limit) ?? 0);
     return {
-      slowestMs:
-        samples < minSlowestSamples ? leftMs : Math.min(leftMs, longestMs),
+      slowestMs: isSlowestKnown ? Math.min(leftMs, longestMs) : leftMs,
       share: call.deadlineAt <= endsAt ? 1 : share,
       samples,
     };
