--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
 export * from './eventStream.js';
 export * from './gatewayNode.js';
 export * from './gatewaySettings.js';
+export { HttpBackend } from './httpBackend.js';
 export * from './parts/crashingPartTracker.js';
 export { bindPartChart } from './parts/promptPart.js';
 export * from './parts/promptPartTracker.js';
