Ask again whether a call that waited can end before the stop

A booking that was received before the stop signal and waited for a server was sent to one after the signal and got a 502 at the drain timeout, though it may have run. Whether a call can end was asked at its admission and before a retry, not when a waiting call is routed; the time that is left shrinks meanwhile.

Each routing asks now, unless the response has begun: a call that may not end is refused as one that has not run, and its caller takes it to another gateway.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -17,7 +17,11 @@
   retryAfterMs,
   routeRetryDelayMs,
 } from './constants.js';
-import { mayEndBeforeStop, noteDuration } from './drainAdmission.js';
+import {
+  createStoppingFault,
+  mayEndBeforeStop,
+  noteDuration,
+} from './drainAdmission.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
 import {
@@ -47,6 +51,12 @@
 
 const createAttempt: CallAction = (call, _, now) => {
   const { admitted } = call;
+  if (!mayStartAttempt(call, now)) {
+    // It waited for a server, and the time that was left has become too short.
+    const fault = createStoppingFault(call, now);
+    call.instance?.send({ type: 'STOPPING', fault }, now);
+    return;
+  }
   const promptFault = findRepeatFault(call, now);
   if (promptFault) {
     call.instance?.send({ type: 'PROMPT_REFUSED', fault: promptFault }, now);
