--- a/packages/decisions/src/placement/closeGaps.ts
+++ b/packages/decisions/src/placement/closeGaps.ts
@@ -12,6 +12,7 @@
   findAcceleratorKind,
   type LayerRange,
   type LayeredModel,
+  type StageServer,
 } from './types.js';
 
 /** The largest share of a server's memory that weights may take once its range is extended. */
@@ -20,13 +21,14 @@
 /** Adds changes to the plan; `coverage` counts the holders of each layer in the domain and is updated. */
 export const closeGaps = (
   model: LayeredModel,
+  servers: readonly StageServer[],
   holders: readonly LayerHolder[],
   coverage: number[],
   plan: Map<string, LayerRange>,
 ): void => {
   for (let gap = findGap(coverage, 0); gap; gap = findGap(coverage, gap.to)) {
     const changes =
-      findRedundantHolder(holders, coverage, gap, plan) ??
+      findRedundantHolder(servers, holders, coverage, gap, plan) ??
       addToNeighbours(model, holders, gap, plan);
     for (const { holder, range } of changes) {
       updateCoverage(coverage, holder.range, -1);
@@ -53,8 +55,9 @@
   return { from: start, to: end < 0 ? coverage.length : end };
 };
 
-/** Finds the smallest holder with a range at least as large as the gap, all of whose layers other servers serve. */
+/** Finds the smallest holder with a range at least as large as the gap, all of whose layers have other holders. */
 const findRedundantHolder = (
+  servers: readonly StageServer[],
   holders: readonly LayerHolder[],
   coverage: readonly number[],
   gap: LayerRange,
@@ -67,7 +70,7 @@
     .filter(({ range }) =>
       coverage.slice(range.from, range.to).every(count => count > 1),
     )
-    .filter(holder => mayGiveUp(holder, gap, holders, plan))
+    .filter(holder => mayGiveUp(holder, gap, servers, plan))
     .sort((a, b) => a.range.to - a.range.from - (b.range.to - b.range.from))[0];
   if (!smallest) {
     return undefined;
--- a/packages/decisions/src/placement/holders.ts
+++ b/packages/decisions/src/placement/holders.ts
@@ -15,23 +15,23 @@
 
 /**
  * Says whether each layer that the holder would give up for the new range stays at
- * another server. A server that is only told to load a layer, in this plan or an
- * earlier one, doesn't serve it for seconds, so it does not count.
+ * another server, of any failure domain. A server that is only told to load a layer, in
+ * this plan or an earlier one, doesn't serve it for seconds, so it does not count.
  */
 export const mayGiveUp = (
   holder: LayerHolder,
   newRange: LayerRange,
-  holders: readonly LayerHolder[],
+  servers: readonly StageServer[],
   plan: ReadonlyMap<string, LayerRange>,
 ): boolean => {
-  const others = holders.filter(
-    ({ server }) =>
+  const others = servers.filter(
+    server =>
       server !== holder.server &&
       server.isLoading !== true &&
       !plan.has(server.serverId),
   );
   return listGivenUp(holder.range, newRange).every(layer =>
-    others.some(({ range }) => hasLayer(range, layer)),
+    others.some(({ range }) => range && hasLayer(range, layer)),
   );
 };
 
--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -52,11 +52,11 @@
   ): PlacementPlan {
     const plan = new Map<string, LayerRange>();
     for (const group of listGroups(model, servers)) {
-      planGroup(model, group, plan);
+      planGroup(model, servers, group, plan);
     }
     const holders = listHolders(servers, plan);
     if (holders.length > 0) {
-      planRepair(model.layers, holders, plan);
+      planRepair(model.layers, servers, holders, plan);
     }
     return plan;
   }
@@ -99,8 +99,10 @@
   return small.length > 0 ? [...large, small] : large;
 };
 
+/** Plans for one group; `servers` are those of all groups. */
 const planGroup = (
   model: LayeredModel,
+  servers: readonly StageServer[],
   group: readonly StageServer[],
   plan: Map<string, LayerRange>,
 ): void => {
@@ -113,8 +115,8 @@
   for (const { range } of listHolders(group, plan)) {
     updateCoverage(coverage, range, 1);
   }
-  closeGaps(model, listHolders(group, plan), coverage, plan);
-  releaseLayers(model, listHolders(group, plan), getLayerCount, plan);
+  closeGaps(model, servers, listHolders(group, plan), coverage, plan);
+  releaseLayers(model, servers, listHolders(group, plan), getLayerCount, plan);
 };
 
 const countFirstLayerHolders = (group: readonly StageServer[]): number =>
--- a/packages/decisions/src/placement/releaseLayers.ts
+++ b/packages/decisions/src/placement/releaseLayers.ts
@@ -12,6 +12,7 @@
 /** Plans the release of layers by the oversized server with the least KV cache per layer. */
 export const releaseLayers = (
   model: LayeredModel,
+  servers: readonly StageServer[],
   holders: readonly LayerHolder[],
   getLayerCount: (server: StageServer) => number,
   plan: Map<string, LayerRange>,
@@ -33,7 +34,7 @@
       bottleneck,
       getLayerCount(bottleneck.server),
     );
-  if (kept && mayGiveUp(bottleneck, kept, holders, plan)) {
+  if (kept && mayGiveUp(bottleneck, kept, servers, plan)) {
     plan.set(bottleneck.server.serverId, kept);
   }
 };
--- a/packages/decisions/src/placement/repairPlan.ts
+++ b/packages/decisions/src/placement/repairPlan.ts
@@ -6,7 +6,7 @@
  */
 import { updateCoverage, findLeastCovered } from './coverage.js';
 import { mayGiveUp, mayReassign, type LayerHolder } from './holders.js';
-import type { LayerRange } from './types.js';
+import type { LayerRange, StageServer } from './types.js';
 
 const noLayers: LayerRange = { from: 0, to: 0 };
 
@@ -25,6 +25,7 @@
 /** Adds reassignments to the plan; `holders` are all servers that hold layers. */
 export const planRepair = (
   layers: number,
+  servers: readonly StageServer[],
   holders: readonly LayerHolder[],
   plan: Map<string, LayerRange>,
 ): void => {
@@ -33,7 +34,7 @@
     updateCoverage(coverage, range, 1);
   }
   for (let reassigned = 0; reassigned < maxReassignments; reassigned += 1) {
-    const holder = findMostRedundant(coverage, holders, plan);
+    const holder = findMostRedundant(coverage, servers, holders, plan);
     if (!holder) {
       return;
     }
@@ -47,6 +48,7 @@
 /** Finds the server whose layers have the most redundant holders. */
 const findMostRedundant = (
   coverage: readonly number[],
+  servers: readonly StageServer[],
   holders: readonly LayerHolder[],
   plan: ReadonlyMap<string, LayerRange>,
 ): LayerHolder | undefined => {
@@ -59,7 +61,7 @@
   return holders
     .filter(({ server }) => mayReassign(server, plan))
     .filter(holder => computeSurplus(holder) >= minHolderSurplus)
-    .filter(holder => mayGiveUp(holder, noLayers, holders, plan))
+    .filter(holder => mayGiveUp(holder, noLayers, servers, plan))
     .sort(
       (a, b) =>
         computeSurplus(b) - computeSurplus(a) ||
