--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -15,7 +15,7 @@
   type ComponentLogger,
   type Result,
 } from '@lycheetally/common';
-import type { LayerRange } from '@lycheetally/decisions';
+import type { BackendRecord, LayerRange } from '@lycheetally/decisions';
 import {
   layerLoadTimeoutMs,
   failedOrderTimeoutMs,
@@ -24,6 +24,7 @@
 import {
   ConnectionUse,
   OrderRefusal,
+  type HeldLayers,
   type OrderAnswer,
   type ServerControlPort,
   type ServerReport,
@@ -56,6 +57,8 @@
 /** One order to one incarnation of a server. */
 export class LayerOrder {
   private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
+  /** What the server's report said, and its entry at that time. */
+  private reported: (HeldLayers & { record: BackendRecord }) | undefined;
 
   constructor(
     machine: OrderMachine,
@@ -68,11 +71,19 @@
     this.chart = machine.createInstance(this, services.timers);
   }
 
-  /** Whether the server refused the order; placement then plans with the layers that it announces. */
+  /** Whether the server refused the order; placement then plans with `heldRange`. */
   get isCoolingDown(): boolean {
     return this.chart.matches('coolingDown');
   }
 
+  /** The layers to plan with once the server has refused: what its report says, until its entry changes. */
+  get heldRange(): LayerRange | undefined {
+    const { record } = this.server;
+    return this.reported?.record === record
+      ? this.reported.range
+      : record.range;
+  }
+
   start(now: Milliseconds): void {
     this.chart.start(now);
   }
@@ -109,13 +120,37 @@
       this.receive(report, now);
     } else if (!this.owner.mayOrder(now)) {
       this.receive(Err(createNotLeaderError()), now);
-    } else if (report.val.isBusy) {
-      this.receive(Ok(busyAnswer), now);
     } else {
-      this.placeLayers(report.val.orders);
+      this.noteHeld(report.val);
+      const refusal = this.findRefusal(report.val);
+      if (refusal) {
+        this.receive(Ok({ refusal, detail: 'by its report' }), now);
+      } else {
+        this.placeLayers(report.val.orders);
+      }
     }
   }
 
+  private noteHeld({ held }: ServerReport): void {
+    const { record } = this.server;
+    this.reported = held && { ...held, record };
+  }
+
+  /** Finds out from the report whether the order was planned for another state of the server. */
+  private findRefusal({
+    isBusy,
+    held,
+  }: ServerReport): OrderRefusal | undefined {
+    if (isBusy) {
+      return OrderRefusal.Busy;
+    }
+    const { range } = this.server.record;
+    const isAsKnown =
+      !held ||
+      (held.range?.from === range?.from && held.range?.to === range?.to);
+    return isAsKnown ? undefined : OrderRefusal.Outdated;
+  }
+
   private placeLayers(expectedOrders: number): void {
     const { services, range, fencingToken } = this;
     const { serverId, address } = this.server.record;
@@ -153,11 +188,6 @@
   }
 }
 
-const busyAnswer: OrderAnswer = {
-  refusal: OrderRefusal.Busy,
-  detail: 'its report says that it carries out an order',
-};
-
 /** The fault of an order whose gateway lost or gave up its lease before it was sent. */
 const createNotLeaderError = (): TypedError =>
   new TypedError(
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -215,7 +215,7 @@
   ): StageServer {
     const order = this.pendingOrders.get(server.record.serverId);
     const isLoading = order !== undefined && !order.isCoolingDown;
-    const { range } = server.record;
+    const range = order ? order.heldRange : server.record.range;
     // A server that claims layers that the model does not have holds none that can be planned with.
     const held = range && model && range.to > model.layers ? undefined : range;
     return {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -100,6 +100,8 @@
   Busy: 'busy',
   /** The order does not fit its state, or it has begun another one since its report. */
   Conflict: 'conflict',
+  /** It holds other layers than its entry says, so the order was planned on old news. */
+  Outdated: 'outdated',
   /** It has seen an order with a larger fencing token. */
   Fenced: 'fenced',
   /** Another server has the address now. */
@@ -134,12 +136,19 @@
   readonly refusedBy?: string | undefined;
 }
 
+/** What a server says that it holds; it has no range while it holds nothing or carries out an order. */
+export interface HeldLayers {
+  readonly range: LayerRange | undefined;
+}
+
 /** A server's report on its work. */
 export interface ServerReport {
   /** Orders that the server has begun since its start. */
   readonly orders: number;
   /** Whether it is carrying out an order. */
   readonly isBusy: boolean;
+  /** The layers that it holds; absent if the report doesn't say. */
+  readonly held?: HeldLayers;
   /** Requests whose chain has stalled, with the address of the server at fault. */
   readonly stalled: readonly StalledRequest[];
 }
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -263,6 +263,17 @@
     expect(placement.seen[0]?.range).toBeUndefined();
   });
 
+  it('a server that holds other layers than its entry says gets no order planned on the old entry', async () => {
+    await lead();
+    const held = { range: { from: 4, to: 8 } };
+    control.reports[0]?.(Ok({ orders: 3, isBusy: false, held, stalled: [] }));
+    await settle();
+    placement.seen.length = 0;
+    await vi.waitUntil(() => placement.seen.length > 0);
+    expect(control.orders).toEqual([]);
+    expect(placement.seen[0]?.range).toEqual(held.range);
+  });
+
   it('a server that refused is not counted on for the layers that it refused', async () => {
     control.answer = { refusal: OrderRefusal.Conflict, detail: '' };
     await lead();
