--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -57,6 +57,8 @@
 /** One order to one incarnation of a server. */
 export class LayerOrder {
   private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
+  /** The layers of the server's entry when it answered. */
+  private entryRange: LayerRange | undefined;
   /** What the server's report said, and its entry at that time. */
   private reported: (HeldLayers & { record: BackendRecord }) | undefined;
 
@@ -84,6 +86,12 @@
       : record.range;
   }
 
+  /** Whether the server has refused and its entry names other layers since, so that the refusal's cause has passed. */
+  get isRefusalOver(): boolean {
+    const { record } = this.server;
+    return this.isCoolingDown && !isSameRange(this.entryRange, record.range);
+  }
+
   start(now: Milliseconds): void {
     this.chart.start(now);
   }
@@ -144,11 +152,9 @@
     if (isBusy) {
       return OrderRefusal.Busy;
     }
-    const { range } = this.server.record;
-    const isAsKnown =
-      !held ||
-      (held.range?.from === range?.from && held.range?.to === range?.to);
-    return isAsKnown ? undefined : OrderRefusal.Outdated;
+    return !held || isSameRange(held.range, this.server.record.range)
+      ? undefined
+      : OrderRefusal.Outdated;
   }
 
   private placeLayers(expectedOrders: number): void {
@@ -166,6 +172,7 @@
   private receive(result: Result<OrderAnswer>, now: Milliseconds): void {
     const { from, to } = this.range;
     const type = getEventType(result);
+    this.entryRange = this.server.record.range;
     this.services.log.info('A server was told to hold layers.', {
       server: this.server.record.serverId,
       layers: `${String(from)}-${String(to)}`,
@@ -188,6 +195,11 @@
   }
 }
 
+const isSameRange = (
+  a: LayerRange | undefined,
+  b: LayerRange | undefined,
+): boolean => a?.from === b?.from && a?.to === b?.to;
+
 /** The fault of an order whose gateway lost or gave up its lease before it was sent. */
 const createNotLeaderError = (): TypedError =>
   new TypedError(
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -182,8 +182,12 @@
       const { range } = order.server.record;
       const isApplied =
         range?.from === order.range.from && range.to === order.range.to;
+      if (order.isRefusalOver) {
+        this.backoff.clear(order.server);
+      }
       if (
         isApplied ||
+        order.isRefusalOver ||
         !this.services.serverRegistry.find(order.server.record.serverId)
       ) {
         order.noteResolved(now);
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -16,7 +16,10 @@
   type StageServer,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
-import { maxFirstPlacementWaitMs } from '../src/constants.js';
+import {
+  maxFirstPlacementWaitMs,
+  placementIntervalMs,
+} from '../src/constants.js';
 import { bindOrderChart } from '../src/layerOrder.js';
 import { LayerPlacer, bindLeaderChart } from '../src/layerPlacer.js';
 import {
@@ -274,6 +277,26 @@
     expect(placement.seen[0]?.range).toEqual(held.range);
   });
 
+  it('a server that refused gets an order as soon as its entry names other layers', async () => {
+    await lead();
+    control.reports[0]?.(Ok({ orders: 3, isBusy: true, stalled: [] }));
+    await settle();
+    registry.apply(
+      [
+        {
+          key: 'i-1',
+          offset: 1,
+          value: { ...record, sequence: 2, range: { from: 0, to: 4 } },
+        },
+      ],
+      false,
+      clock.getNow(),
+    );
+    await vi.waitUntil(() => control.reports.length > 1, {
+      timeout: 2 * placementIntervalMs,
+    });
+  });
+
   it('a server that refused is not counted on for the layers that it refused', async () => {
     control.answer = { refusal: OrderRefusal.Conflict, detail: '' };
     await lead();
