--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -15,7 +15,7 @@
   type ComponentLogger,
   type Result,
 } from '@lycheetally/common';
-import type { LayerRange } from '@lycheetally/decisions';
+import type { BackendRecord, LayerRange } from '@lycheetally/decisions';
 import {
   layerLoadTimeoutMs,
   failedOrderTimeoutMs,
@@ -24,6 +24,7 @@
 import {
   ConnectionUse,
   OrderRefusal,
+  type HeldLayers,
   type OrderAnswer,
   type ServerControlPort,
   type ServerReport,
@@ -56,6 +57,10 @@
 /** One order to one incarnation of a server. */
 export class LayerOrder {
   private readonly chart: ChartInstance<LayerOrder, OrderEvent>;
+  /** The layers of the server's entry when it answered. */
+  private entryRange: LayerRange | undefined;
+  /** What the server's report said, and its entry at that time. */
+  private reported: (HeldLayers & { record: BackendRecord }) | undefined;
 
   constructor(
     machine: OrderMachine,
@@ -68,11 +73,25 @@
     this.chart = machine.createInstance(this, services.timers);
   }
 
-  /** Whether the server refused the order; placement then plans with the layers that it announces. */
+  /** Whether the server refused the order; placement then plans with `heldRange`. */
   get isCoolingDown(): boolean {
     return this.chart.matches('coolingDown');
   }
 
+  /** The layers to plan with once the server has refused: what its report says, until its entry changes. */
+  get heldRange(): LayerRange | undefined {
+    const { record } = this.server;
+    return this.reported?.record === record
+      ? this.reported.range
+      : record.range;
+  }
+
+  /** Whether the server has refused and its entry names other layers since, so that the refusal's cause has passed. */
+  get isRefusalOver(): boolean {
+    const { record } = this.server;
+    return this.isCoolingDown && !isSameRange(this.entryRange, record.range);
+  }
+
   start(now: Milliseconds): void {
     this.chart.start(now);
   }
@@ -109,11 +128,33 @@
       this.receive(report, now);
     } else if (!this.owner.mayOrder(now)) {
       this.receive(Err(createNotLeaderError()), now);
-    } else if (report.val.isBusy) {
-      this.receive(Ok(busyAnswer), now);
     } else {
-      this.placeLayers(report.val.orders);
+      this.noteHeld(report.val);
+      const refusal = this.findRefusal(report.val);
+      if (refusal) {
+        this.receive(Ok({ refusal, detail: 'by its report' }), now);
+      } else {
+        this.placeLayers(report.val.orders);
+      }
+    }
+  }
+
+  private noteHeld({ held }: ServerReport): void {
+    const { record } = this.server;
+    this.reported = held && { ...held, record };
+  }
+
+  /** Finds out from the report whether the order was planned for another state of the server. */
+  private findRefusal({
+    isBusy,
+    held,
+  }: ServerReport): OrderRefusal | undefined {
+    if (isBusy) {
+      return OrderRefusal.Busy;
     }
+    return !held || isSameRange(held.range, this.server.record.range)
+      ? undefined
+      : OrderRefusal.Outdated;
   }
 
   private placeLayers(expectedOrders: number): void {
@@ -131,6 +172,7 @@
   private receive(result: Result<OrderAnswer>, now: Milliseconds): void {
     const { from, to } = this.range;
     const type = getEventType(result);
+    this.entryRange = this.server.record.range;
     this.services.log.info('A server was told to hold layers.', {
       server: this.server.record.serverId,
       layers: `${String(from)}-${String(to)}`,
@@ -153,10 +195,10 @@
   }
 }
 
-const busyAnswer: OrderAnswer = {
-  refusal: OrderRefusal.Busy,
-  detail: 'its report says that it carries out an order',
-};
+const isSameRange = (
+  a: LayerRange | undefined,
+  b: LayerRange | undefined,
+): boolean => a?.from === b?.from && a?.to === b?.to;
 
 /** The fault of an order whose gateway lost or gave up its lease before it was sent. */
 const createNotLeaderError = (): TypedError =>
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -182,8 +182,12 @@
       const { range } = order.server.record;
       const isApplied =
         range?.from === order.range.from && range.to === order.range.to;
+      if (order.isRefusalOver) {
+        this.backoff.clear(order.server);
+      }
       if (
         isApplied ||
+        order.isRefusalOver ||
         !this.services.serverRegistry.find(order.server.record.serverId)
       ) {
         order.noteResolved(now);
@@ -215,7 +219,7 @@
   ): StageServer {
     const order = this.pendingOrders.get(server.record.serverId);
     const isLoading = order !== undefined && !order.isCoolingDown;
-    const { range } = server.record;
+    const range = order ? order.heldRange : server.record.range;
     // A server that claims layers that the model does not have holds none that can be planned with.
     const held = range && model && range.to > model.layers ? undefined : range;
     return {
