--- a/bench/src/soak/gatewaySoakBench.ts
+++ b/bench/src/soak/gatewaySoakBench.ts
@@ -5,6 +5,7 @@
   FaultScenario,
   LeavingScenario,
   PlannedScenario,
+  RestoringScenario,
   type SoakScenario,
 } from './soakScenario.js';
 
@@ -12,13 +13,14 @@
 const faultSeeds = 50;
 const leavingSeeds = 50;
 const plannedSeeds = 20;
+const restoringSeeds = 20;
 const concurrentSeeds = 4;
 const durationMs = 8_000;
 
 export class GatewaySoakBench extends Bench {
   override readonly name = 'soak';
   override readonly summary =
-    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, and in 20 with planned work only';
+    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, and in 20 with a store that comes back from older copies';
   override readonly unit = 'calls';
 
   protected override async measure({ seed, report }: BenchOptions): Promise<{
@@ -30,6 +32,7 @@
       ...listRuns(new FaultScenario(), seed, faultSeeds),
       ...listRuns(new LeavingScenario(), seed, leavingSeeds),
       ...listRuns(new PlannedScenario(), seed, plannedSeeds),
+      ...listRuns(new RestoringScenario(), seed, restoringSeeds),
     ];
     let calls = 0;
     const failed: unknown[] = [];
--- a/bench/src/soak/soakFaults.ts
+++ b/bench/src/soak/soakFaults.ts
@@ -149,6 +149,28 @@
   }
 }
 
+/**
+ * The store comes back from a copy that is as old as the fault is long. The operator
+ * writes two versions before and two after, so that offsets that were read are given
+ * out again for a version that revokes a key.
+ */
+class RestoreStoreFault extends SoakFault {
+  readonly name = 'put the store back to an older copy';
+
+  override async run(
+    harness: SoakHarness,
+    random: SeededRandom,
+    forMs: number,
+  ): Promise<void> {
+    const copy = harness.store.takeCopy();
+    harness.publishConfiguration();
+    harness.publishConfiguration();
+    await waitFor(forMs);
+    harness.resetStore(copy);
+    revokeAnyKey(harness, random);
+  }
+}
+
 class ReplaceServerFault extends SoakFault {
   readonly name = 'replace a server, which lingers';
 
@@ -157,6 +179,12 @@
   }
 }
 
+/** Revokes a key other than the first, which callers keep. */
+const revokeAnyKey = (harness: SoakHarness, random: SeededRandom): void => {
+  const [, ...keys] = [...harness.accounts.keys()];
+  harness.revokeKey(random.pickOne(keys));
+};
+
 const linkDelayMs = 150;
 
 const faults: readonly SoakFault[] = [
@@ -205,10 +233,7 @@
   new StoreChangeFault('drop the history of the store', harness => {
     harness.dropHistory();
   }),
-  new StoreChangeFault('revoke a key', (harness, random) => {
-    const [, ...keys] = [...harness.accounts.keys()];
-    harness.revokeKey(random.pickOne(keys));
-  }),
+  new StoreChangeFault('revoke a key', revokeAnyKey),
 ];
 
 const leavingFaults: readonly SoakFault[] = [
@@ -218,6 +243,14 @@
   new ReplaceServerFault(),
 ];
 
+const restoringFaults: readonly SoakFault[] = [
+  ...leavingFaults,
+  new RestoreStoreFault(),
+  new RestoreStoreFault(),
+  new RestoreStoreFault(),
+  new RestoreStoreFault(),
+];
+
 /** Time limits that a planned change of the configuration gives to the routes; longer than any call of a session. */
 const minRouteTimeoutMs = 5_000;
 const maxRouteTimeoutMs = 9_000;
@@ -263,6 +296,14 @@
 ): Promise<string[]> =>
   runFaults(leavingFaults, longestPauseMs, { harness, random, durationMs });
 
+/** Injects faults, servers that leave and older copies of the store, for `durationMs`; returns their names in order. */
+export const runRestoringFaults = (
+  harness: SoakHarness,
+  random: SeededRandom,
+  durationMs: number,
+): Promise<string[]> =>
+  runFaults(restoringFaults, longestPauseMs, { harness, random, durationMs });
+
 /** Does planned work for `durationMs`, some of it at the same time; returns its names in order. */
 export const runPlannedWork = (
   harness: SoakHarness,
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path';
 import {
   PlatformStoreStandIn,
+  type StoreCopy,
   StoreMode,
   TcpRelay,
   type SeededRandom,
@@ -29,6 +30,13 @@
 const serversTable = 'keyed.servers';
 const operatorsTable = 'keyed.op';
 
+/** A value that a writer holds in the store. */
+interface WrittenValue {
+  readonly table: string;
+  readonly key: string;
+  readonly value: unknown;
+}
+
 export class SoakHarness {
   readonly store = new PlatformStoreStandIn();
   readonly gateways: GatewayProcess[] = [];
@@ -42,6 +50,8 @@
   /** When each server that left was to get no more calls, in milliseconds since the start. */
   readonly leaveDeadlines = new Map<string, number>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'lycheetally-soak-'));
+  /** What each key was last written with. */
+  private readonly written = new Map<string, WrittenValue>();
   private version = 1;
 
   constructor(
@@ -78,7 +88,7 @@
       timeoutMs: this.routeTimeoutMs,
       accounts,
     });
-    this.store.put(operatorsTable, 'config', configuration);
+    this.put(operatorsTable, 'config', configuration);
   }
 
   revokeKey(key: string): void {
@@ -105,7 +115,7 @@
     leaver.leave(saysSo === 1);
     const link = this.serverLinks[this.servers.indexOf(leaver)];
     const address = (await link?.listen()) ?? '';
-    this.store.put(
+    this.put(
       serversTable,
       leaver.serverId,
       isRemoved === 1
@@ -114,6 +124,14 @@
     );
   }
 
+  /** Puts the store back to an older copy, after which each writer writes again what it wrote last. */
+  resetStore(copy: StoreCopy): void {
+    this.store.resetTo(copy);
+    for (const { table, key, value } of this.written.values()) {
+      this.store.put(table, key, value);
+    }
+  }
+
   /** Drops the change history of the store. */
   dropHistory(): void {
     this.store.dropHistory(serversTable);
@@ -157,13 +175,18 @@
     rmSync(this.folder, { recursive: true });
   }
 
+  private put(table: string, key: string, value?: unknown): void {
+    this.written.set(`${table} ${key}`, { table, key, value });
+    this.store.put(table, key, value);
+  }
+
   private async addServer(serverId: string, seed: number): Promise<void> {
     const server = new SoakServer(serverId, seed);
     const link = new TcpRelay(await server.backend.listen());
     this.servers.push(server);
     this.serverLinks.push(link);
     const record = formatServerRecord(await link.listen(), { slots: 50 });
-    this.store.put(serversTable, serverId, record);
+    this.put(serversTable, serverId, record);
   }
 
   private async addGateway(name: string, store: string): Promise<void> {
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -4,6 +4,7 @@
 import {
   runLeavingFaults,
   runPlannedWork,
+  runRestoringFaults,
   runSoakFaults,
 } from './soakFaults.js';
 import type { SoakHarness } from './soakHarness.js';
@@ -61,6 +62,19 @@
   }
 }
 
+/** Any fault and servers that leave, while the store comes back from older copies. */
+export class RestoringScenario extends FaultScenario {
+  override readonly name = 'restored store';
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    return runRestoringFaults(harness, random, durationMs);
+  }
+}
+
 /** Stops, reloads and new configurations, with callers that keep their connections. */
 export class PlannedScenario extends SoakScenario {
   override readonly name = 'planned work';
