--- a/bench/src/soak/gatewaySoakBench.ts
+++ b/bench/src/soak/gatewaySoakBench.ts
@@ -5,6 +5,7 @@
   FaultScenario,
   LeavingScenario,
   PlannedScenario,
+  RestoringScenario,
   StopScenario,
   type SoakScenario,
 } from './soakScenario.js';
@@ -14,13 +15,14 @@
 const leavingSeeds = 50;
 const plannedSeeds = 20;
 const stopSeeds = 20;
+const restoringSeeds = 20;
 const concurrentSeeds = 4;
 const durationMs = 8_000;
 
 export class GatewaySoakBench extends Bench {
   override readonly name = 'soak';
   override readonly summary =
-    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, and in 20 with stops of gateways that started seconds before';
+    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, in 20 with stops of gateways that started seconds before, and in 20 with a store that comes back from older copies';
   override readonly unit = 'calls';
 
   protected override async measure({ seed, report }: BenchOptions): Promise<{
@@ -33,6 +35,7 @@
       ...listRuns(new LeavingScenario(), seed, leavingSeeds),
       ...listRuns(new PlannedScenario(), seed, plannedSeeds),
       ...listRuns(new StopScenario(), seed, stopSeeds),
+      ...listRuns(new RestoringScenario(), seed, restoringSeeds),
     ];
     let calls = 0;
     const failed: unknown[] = [];
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -9,6 +9,7 @@
 import {
   runLeavingFaults,
   runPlannedWork,
+  runRestoringFaults,
   runSoakFaults,
   runStops,
 } from './soakFaults.js';
@@ -70,6 +71,19 @@
   }
 }
 
+/** Any fault and servers that leave, while the store comes back from older copies. */
+export class RestoringScenario extends FaultScenario {
+  override readonly name = 'restored store';
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    return runRestoringFaults(harness, random, durationMs);
+  }
+}
+
 /** Stops, reloads and new configurations, with callers that keep their connections. */
 export class PlannedScenario extends SoakScenario {
   override readonly name: string = 'planned work';
