--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -285,7 +285,7 @@
       [
         {
           key: 'i-1',
-          position: { era: 0, offset: 1 },
+          position: { era: 1, offset: 1 },
           value: { ...record, sequence: 2, range: { from: 0, to: 4 } },
         },
       ],
