Keep what servers announced when an older copy is read once more

What callers saw: after the store came back older, calls went to an address or to layers that a server had given up, and a server that had left was used again. Cause: the entry of the copy was refused once, but raised the known position to the new era; the next read of the whole list named the same entry with the same era, and it was taken as an announcement. Whole lists are read again in one era: a gateway that asks another one whose history begins later is told that its changes are trimmed, and newest values that come from a gateway have the position of the list's end. Evidence: the two new tests of serverRegistry.test.ts failed before the change (record with sequence 4 in place of 5; the server that left is usable). Change: only a complete list may hold copies, and a copy never raises the position; a change was written after the store came back, and counts.

--- a/packages/decisions/src/gateway/serverEntry.ts
+++ b/packages/decisions/src/gateway/serverEntry.ts
@@ -16,8 +16,9 @@
   comparePositions(entry.position, known.position) > 0;
 
 /**
- * Whether an entry came back with an older copy of the store, though the server has
- * announced something newer since.
+ * Whether an entry of a complete list came back with an older copy of the store, though
+ * the server has announced something newer since. What is read as a change was written
+ * after the store came back.
  */
 export const isCopiedEntry = (
   entry: ServerEntry,
--- a/packages/gateway/src/departedServers.ts
+++ b/packages/gateway/src/departedServers.ts
@@ -34,15 +34,9 @@
     );
   }
 
-  /** Whether an entry is older than the server's departure; one that is written after it counts. */
-  refuse(entry: ServerEntry): boolean {
-    const { record, position } = entry;
-    const departed = this.servers.get(record.serverId);
-    if (!departed || !isCopiedEntry(entry, departed.entry)) {
-      return false;
-    }
-    const known = { record: departed.entry.record, position };
-    this.keep(known, departed.hasSaidLeaving);
-    return true;
+  /** Whether an entry of a complete list may be older than the server's departure. */
+  isCopied(entry: ServerEntry): boolean {
+    const departed = this.servers.get(entry.record.serverId);
+    return departed !== undefined && isCopiedEntry(entry, departed.entry);
   }
 }
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -34,7 +34,7 @@
 interface KnownServer {
   readonly server: Server;
   readonly listing: ServerListing;
-  /** Position of the server's entry in the log of the list. */
+  /** Position of the entry that the server's record is from; a copy doesn't raise it, since it is read again and again. */
   position: StorePosition;
 }
 
@@ -114,7 +114,7 @@
     now: Milliseconds,
   ): void {
     for (const record of records) {
-      this.applyRecord(record, now);
+      this.applyRecord(record, isComplete, now);
     }
     if (isComplete) {
       this.noteMissing(records, now);
@@ -145,6 +145,7 @@
 
   private applyRecord(
     { key, position, value, fault }: TableRecord<BackendRecord>,
+    isComplete: boolean,
     now: Milliseconds,
   ): void {
     const known = this.known.get(key);
@@ -167,8 +168,8 @@
     if (!entry) {
       known?.listing.noteMissing(now);
     } else if (known) {
-      this.update(known, entry, now);
-    } else if (!this.departed.refuse(entry)) {
+      this.update(known, entry, isComplete, now);
+    } else if (!isComplete || !this.departed.isCopied(entry)) {
       this.addServer(entry, now);
     }
   }
@@ -212,14 +213,14 @@
   private update(
     known: KnownServer,
     entry: ServerEntry,
+    isComplete: boolean,
     now: Milliseconds,
   ): void {
     const before = getEntry(known);
-    if (isNewerEntry(entry, before)) {
+    const isCopied = isComplete && isCopiedEntry(entry, before);
+    if (isNewerEntry(entry, before) && !isCopied) {
       known.position = entry.position;
-      if (!isCopiedEntry(entry, before)) {
-        this.replaceRecord(known, entry.record, now);
-      }
+      this.replaceRecord(known, entry.record, now);
     }
     known.listing.noteListed(now);
   }
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -165,4 +165,27 @@
     apply([{ key: 'i-1', position: toPosition(4, 2), value }]);
     expect(listUsable()).toEqual(['127.0.0.1:1']);
   });
+
+  // Guards against a step back by one more read of the whole list, as when a gateway asks another one.
+  it('keeps what a server announced when the older copy is read once more', () => {
+    const announced = { ...record, isLeaving: true };
+    apply([{ key: 'i-1', position: toPosition(10), value: announced }]);
+    const value = { ...record, address: '127.0.0.1:2', sequence: 4 };
+    apply([{ key: 'i-1', position: toPosition(3, 2), value }], true);
+    expect(listUsable()).toEqual([]);
+    // Another gateway names only the end of the list.
+    apply([{ key: 'i-1', position: toPosition(9, 2), value }], true);
+    expect(listUsable()).toEqual([]);
+    expect(registry.find('i-1')?.record).toEqual(announced);
+  });
+
+  it('takes no server back that left when the older copy is read once more', () => {
+    apply([{ key: 'i-1', position: toPosition(10), value: record }]);
+    apply([{ key: 'i-1', position: toPosition(11), value: undefined }]);
+    apply([{ key: 'i-1', position: toPosition(3, 2), value: record }], true);
+    apply([{ key: 'i-1', position: toPosition(3, 2), value: record }], true);
+    expect(listUsable()).toEqual([]);
+    apply([{ key: 'i-1', position: toPosition(9, 2), value: record }], true);
+    expect(listUsable()).toEqual([]);
+  });
 });
