Count an outage of the store as ended only when the store answers

What callers saw: while the store was away after its era had risen, servers were probed as late or dropped as missing, and the log told in turn that the store answered and that it didn't. Cause: a follower that knows of a newer era tells itself, without a read, that its changes are replaced; this counted as an answer and ended the outage, at each retry. Evidence: the new test tableFollower.test.ts failed before the change (outageEndedAt moved while every read failed). Change: the outage ends with the first batch that was read.

--- a/packages/gateway/src/tableFollower.ts
+++ b/packages/gateway/src/tableFollower.ts
@@ -205,12 +205,13 @@
       return;
     }
     const batch = answer.val;
-    this.noteRecovery(now);
+    // Says nothing of the store: it may come without a read.
     if (batch.isTrimmed) {
       const isReplaced = batch.next.era > this.next.era;
       this.chart.send({ type: isReplaced ? 'REPLACED' : 'TRIMMED' }, now);
       return;
     }
+    this.noteRecovery(now);
     this.batch = batch;
     this.wasHeld = batch.isHeld;
     this.chart.send({ type }, now);
