Measure how long calls of a kind are observed anew after a quiet time

What callers saw: a stopping gateway took a stream of a kind that had been quiet for longer than the window, by the short ones of a burst that had just begun. Cause: the slowest duration counts as known once calls have been observed for twice as long; the observation began with the first call ever, though nothing of that time is kept. Evidence: the new test of drainAdmission.test.ts failed before the change (the stream is taken while half of the new ones are open). Change: the observation begins again when no recent call is left.

--- a/packages/decisions/src/gateway/recentLives.ts
+++ b/packages/decisions/src/gateway/recentLives.ts
@@ -35,13 +35,17 @@
     );
   }
 
-  /** Returns how long calls have been observed. */
+  /** Returns how long calls have been observed without a gap of a whole window. */
   measureObserved(now: Milliseconds): Milliseconds {
     return Math.max(0, now - this.firstOpenedAt);
   }
 
   add(life: OpenLife): void {
-    this.firstOpenedAt = Math.min(this.firstOpenedAt, life.openedAt);
+    this.dropOld(life.openedAt);
+    const isFirst = this.open.size === 0 && this.slots.size === 0;
+    this.firstOpenedAt = isFirst
+      ? life.openedAt
+      : Math.min(this.firstOpenedAt, life.openedAt);
     this.open.add(life);
   }
 
--- a/packages/gateway/tests/drainAdmission.test.ts
+++ b/packages/gateway/tests/drainAdmission.test.ts
@@ -95,6 +95,21 @@
     ).toBeUndefined();
   });
 
+  // Guards against short streams after a quiet time that look like all there are.
+  it('does not take a stream when its kind was seen long ago and half of the new ones are open', () => {
+    const gateway = new StoppingGateway(new SurvivalForecast(forecastSettings));
+    gateway.request({}, 0)?.(1_000);
+    const beganAt = 2 * forecastSettings.windowMs;
+    const streams = Array.from({ length: 80 }, () =>
+      gateway.request({}, beganAt),
+    );
+    gateway.stop(beganAt + 500);
+    for (const end of streams.slice(0, 40)) {
+      end?.(beganAt + 1_000);
+    }
+    expect(gateway.request({}, beganAt + 1_010)).toBeUndefined();
+  });
+
   it('takes a non-repeatable call only if its deadline comes before the stop', () => {
     const gateway = runUntilStop(
       makeStreams(40, { durationMs: 20, call: { isRepeatable: false } }),
