--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -63,13 +63,6 @@
     call.instance?.send({ type: 'PROMPT_REFUSED', fault: promptFault }, now);
     return;
   }
-  // A call that waited for a server may have come before the stop signal.
-  if (!mayStartAttempt(call, now)) {
-    call.services.waitingCalls.remove(call);
-    const fault = createStoppingFault(call, now);
-    call.instance?.send({ type: 'STOPPING', fault }, now);
-    return;
-  }
   const chosen = admitted && chooseServers(call, admitted, now);
   if (!admitted || !chosen) {
     call.intakeWaitMs = admitted ? estimateIntakeWait(call, admitted, now) : 0;
