--- a/packages/gateway/tests/storeEras.test.ts
+++ b/packages/gateway/tests/storeEras.test.ts
@@ -4,7 +4,6 @@
  */
 import fc from 'fast-check';
 import { expect, it } from 'vitest';
-import { ChartTimers } from '@lycheetally/charts';
 import {
   Err,
   ErrorKind,
@@ -39,6 +38,7 @@
   type TableRecord,
 } from '../src/ports.js';
 import { TableFollower, bindFollowerChart } from '../src/tableFollower.js';
+import { ManualTimers } from './manualTimers.js';
 import { createQuietLoggers } from './quietLoggers.js';
 
 const followerMachine = getOrThrow(bindFollowerChart());
@@ -46,33 +46,6 @@
 const relayMachine = getOrThrow(bindRelayChart());
 const log = createQuietLoggers().createLogger(LogComponent.Store);
 
-class ManualTimers extends ChartTimers {
-  now = 0;
-  private timers: { at: number; run: (now: number) => void }[] = [];
-
-  override schedule(
-    delayMs: number,
-    run: (now: number) => void,
-  ): { dispose(): void } {
-    const timer = { at: this.now + delayMs, run };
-    this.timers.push(timer);
-    return {
-      dispose: () => {
-        this.timers = this.timers.filter(each => each !== timer);
-      },
-    };
-  }
-
-  advance(durationMs: number): void {
-    this.now += durationMs;
-    const due = this.timers.filter(({ at }) => at <= this.now);
-    this.timers = this.timers.filter(({ at }) => at > this.now);
-    due.forEach(({ run }) => {
-      run(this.now);
-    });
-  }
-}
-
 /** One table of a store that can be put back; a value is the number of its writing. */
 class ModelStore {
   era = 1;
--- a/packages/gateway/tests/tableFollower.test.ts
+++ b/packages/gateway/tests/tableFollower.test.ts
@@ -1,6 +1,5 @@
 /** What a follower makes of a store that fails after its history was replaced. */
 import { expect, it } from 'vitest';
-import { ChartTimers } from '@lycheetally/charts';
 import {
   Err,
   ErrorKind,
@@ -14,35 +13,9 @@
 import { EraWatch } from '../src/eraWatch.js';
 import { TablePort, type TableBatch } from '../src/ports.js';
 import { TableFollower, bindFollowerChart } from '../src/tableFollower.js';
+import { ManualTimers } from './manualTimers.js';
 import { createQuietLoggers } from './quietLoggers.js';
 
-class ManualTimers extends ChartTimers {
-  now = 0;
-  private timers: { at: number; run: (now: number) => void }[] = [];
-
-  override schedule(
-    delayMs: number,
-    run: (now: number) => void,
-  ): { dispose(): void } {
-    const timer = { at: this.now + delayMs, run };
-    this.timers.push(timer);
-    return {
-      dispose: () => {
-        this.timers = this.timers.filter(each => each !== timer);
-      },
-    };
-  }
-
-  advance(durationMs: number): void {
-    this.now += durationMs;
-    const due = this.timers.filter(({ at }) => at <= this.now);
-    this.timers = this.timers.filter(({ at }) => at > this.now);
-    due.forEach(({ run }) => {
-      run(this.now);
-    });
-  }
-}
-
 const createBatch = (next: StorePosition, isTrimmed = false): TableBatch => ({
   records: [],
   next,
