--- a/packages/decisions/src/gateway/recentLives.ts
+++ b/packages/decisions/src/gateway/recentLifetimes.ts
@@ -1,5 +1,5 @@
 /**
- * The lives of the calls of one kind that were opened recently, also of those still open.
+ * The lifetimes of the calls of one kind that were opened recently, also of those still open.
  *
  * A call counts in the slot in which it was opened: counted where they end, short calls
  * would be recent and long ones would not.
@@ -8,7 +8,7 @@
 import { LifeTable } from './lifeTable.js';
 
 /** A call that is open. */
-export interface OpenLife {
+export interface OpenCall {
   readonly openedAt: Milliseconds;
   /** What the duration is divided by, to compare calls of different sizes. */
   readonly scale: number;
@@ -16,8 +16,8 @@
 
 const slotsPerWindow = 6;
 
-export class RecentLives {
-  private readonly open = new Set<OpenLife>();
+export class RecentLifetimes {
+  private readonly open = new Set<OpenCall>();
   private readonly slots = new Map<number, LifeTable>();
   private readonly slotMs: Milliseconds;
   private firstOpenedAt = Infinity;
@@ -40,28 +40,28 @@
     return Math.max(0, now - this.firstOpenedAt);
   }
 
-  add(life: OpenLife): void {
-    this.dropOld(life.openedAt);
+  add(call: OpenCall): void {
+    this.dropOld(call.openedAt);
     const isFirst = this.open.size === 0 && this.slots.size === 0;
     this.firstOpenedAt = isFirst
-      ? life.openedAt
-      : Math.min(this.firstOpenedAt, life.openedAt);
-    this.open.add(life);
+      ? call.openedAt
+      : Math.min(this.firstOpenedAt, call.openedAt);
+    this.open.add(call);
   }
 
   /** Ends an open call; one that was given up lasted at least that long. */
-  end(life: OpenLife, isComplete: boolean, now: Milliseconds): void {
-    if (!this.open.delete(life)) {
+  end(call: OpenCall, isComplete: boolean, now: Milliseconds): void {
+    if (!this.open.delete(call)) {
       return;
     }
     this.dropOld(now);
-    const index = Math.floor(life.openedAt / this.slotMs);
+    const index = Math.floor(call.openedAt / this.slotMs);
     if (this.isOld(index, now)) {
       return;
     }
     const table = this.slots.get(index) ?? new LifeTable();
     this.slots.set(index, table);
-    const value = measureLife(life, now);
+    const value = measureLifetime(call, now);
     if (isComplete) {
       table.addEnded(value);
     } else {
@@ -76,8 +76,8 @@
     for (const table of this.slots.values()) {
       all.addAll(table);
     }
-    for (const life of this.open) {
-      all.addOpen(measureLife(life, now));
+    for (const call of this.open) {
+      all.addOpen(measureLifetime(call, now));
     }
     return all;
   }
@@ -95,7 +95,7 @@
   }
 }
 
-const measureLife = (
-  { openedAt, scale }: OpenLife,
+const measureLifetime = (
+  { openedAt, scale }: OpenCall,
   now: Milliseconds,
 ): number => (now - openedAt) / scale;
--- a/packages/decisions/src/gateway/survivalForecast.ts
+++ b/packages/decisions/src/gateway/survivalForecast.ts
@@ -1,5 +1,5 @@
 /**
- * Forecasts from the lives of recent calls of the same kind. Calls that are still open
+ * Forecasts from the lifetimes of recent calls of the same kind. Calls that are still open
  * count at their ages: a process that began seconds ago has seen only short calls end.
  */
 import type { Milliseconds } from '@lycheetally/common';
@@ -9,7 +9,7 @@
   type ForecastCall,
   type NoteEnd,
 } from './durationForecast.js';
-import { RecentLives } from './recentLives.js';
+import { RecentLifetimes } from './recentLifetimes.js';
 
 export interface SurvivalSettings {
   /** How long a call counts after it was opened. */
@@ -29,7 +29,7 @@
 }
 
 export class SurvivalForecast extends DurationForecast {
-  private readonly kinds = new Map<string, RecentLives>();
+  private readonly kinds = new Map<string, RecentLifetimes>();
 
   constructor(private readonly settings: SurvivalSettings) {
     super();
@@ -41,11 +41,11 @@
   }
 
   override noteOpened(call: ForecastCall, now: Milliseconds): NoteEnd {
-    const lives = this.reuseKind(call.kind);
-    const life = { openedAt: now, scale: this.computeScale(call) };
-    lives.add(life);
+    const lifetimes = this.reuseKind(call.kind);
+    const open = { openedAt: now, scale: this.computeScale(call) };
+    lifetimes.add(open);
     return (isComplete, endedAt) => {
-      lives.end(life, isComplete, endedAt);
+      lifetimes.end(open, isComplete, endedAt);
     };
   }
 
@@ -56,8 +56,8 @@
   ): DurationEstimate {
     const { factor, extraMs, minSamples, minSlowestSamples } = this.settings;
     const scale = this.computeScale(call);
-    const lives = this.kinds.get(call.kind);
-    const table = lives?.buildTable(now);
+    const lifetimes = this.kinds.get(call.kind);
+    const table = lifetimes?.buildTable(now);
     const samples = table?.endings ?? 0;
     const leftMs = Math.max(0, call.deadlineAt - now);
     const limit = (endsAt - now) / scale;
@@ -66,7 +66,7 @@
     // Who has watched for little longer than that cannot have seen a longer call end.
     const isSlowestKnown =
       samples >= minSlowestSamples &&
-      2 * longestMs <= (lives?.measureObserved(now) ?? 0);
+      2 * longestMs <= (lifetimes?.measureObserved(now) ?? 0);
     const share =
       samples < minSamples ? 0 : (table?.estimateShareWithin(limit) ?? 0);
     return {
@@ -80,16 +80,16 @@
     return Math.max(1, expectedSize) ** this.settings.sizeExponent;
   }
 
-  /** Returns the lives of a kind as the most recently used ones. */
-  private reuseKind(kind: string): RecentLives {
-    const lives =
-      this.kinds.get(kind) ?? new RecentLives(this.settings.windowMs);
+  /** Returns the lifetimes of a kind as the most recently used ones. */
+  private reuseKind(kind: string): RecentLifetimes {
+    const lifetimes =
+      this.kinds.get(kind) ?? new RecentLifetimes(this.settings.windowMs);
     this.kinds.delete(kind);
-    this.kinds.set(kind, lives);
+    this.kinds.set(kind, lifetimes);
     const [oldest] = this.kinds.keys();
     if (this.kinds.size > this.settings.maxKinds && oldest !== undefined) {
       this.kinds.delete(oldest);
     }
-    return lives;
+    return lifetimes;
   }
 }
