Keep no results of earlier lease requests

Reading the change again: the promise of all lease requests under way held its predecessor's result, and so one array more with each renewal, each second, for as long as the process runs. It now resolves without a value. A gateway that stops still waits for every request under way; the tests of the placer pass, unchanged. Not measured: the memory, which is small.

--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -61,7 +61,7 @@
   private fencingToken = 0;
   private leaseExpiresAt: Milliseconds = -Infinity;
   private leaseRequestedAt: Milliseconds = -Infinity;
-  private leaseRequests: Promise<unknown> = Promise.resolve();
+  private leaseRequests: Promise<void> = Promise.resolve();
   private readonly pendingOrders = new Map<string, LayerOrder>();
   private readonly backoff = new OrderBackoff();
   private readonly subscription: Disposable;
@@ -108,7 +108,8 @@
             this.receiveGrant(result, now, receivedAt);
           });
         });
-      this.leaseRequests = Promise.all([this.leaseRequests, request]);
+      const earlier = this.leaseRequests;
+      this.leaseRequests = request.then(() => earlier);
     },
     renewLease: (now: Milliseconds): void => {
       if (now - this.leaseRequestedAt >= leaseRenewIntervalMs) {
