Compare the layers of an order and of an entry in one place

The placer compared the two ranges by hand beside isSameRange of the order; the order now says whether it is applied.

--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/layerOrder.ts
@@ -100,6 +100,11 @@
     return this.owner.backoff.computeCooldown(this.server);
   }
 
+  /** Whether the server's entry names the layers of the order. */
+  get isApplied(): boolean {
+    return isSameRange(this.server.record.range, this.range);
+  }
+
   noteResolved(now: Milliseconds): void {
     this.chart.send({ type: 'RESOLVED' }, now);
   }
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -180,14 +180,11 @@
 
   private updateOrders(now: Milliseconds): void {
     for (const order of [...this.pendingOrders.values()]) {
-      const { range } = order.server.record;
-      const isApplied =
-        range?.from === order.range.from && range.to === order.range.to;
       if (order.isRefusalOver) {
         this.backoff.clear(order.server);
       }
       if (
-        isApplied ||
+        order.isApplied ||
         order.isRefusalOver ||
         !this.services.serverRegistry.find(order.server.record.serverId)
       ) {
