--- a/review/lib/case.ts
+++ b/review/lib/case.ts
@@ -3,9 +3,9 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { PlatformStoreStandIn } from '@lycheetally/testkit';
 import { Gateway } from './gateway.js';
 import { startStore } from './platform.js';
+import type { LogStore } from './store.js';
 import { Worker, type WorkerScript } from './worker.js';
 
 export { wait };
@@ -22,8 +22,8 @@
   constructor(
     /** Whether the disruption is applied. */
     readonly hasTrouble: boolean,
-    readonly store: PlatformStoreStandIn,
-    private readonly storeAddress: string,
+    readonly store: LogStore,
+    readonly storeAddress: string,
     readonly folder: string,
     private readonly recordPath: string,
   ) {
@@ -47,8 +47,12 @@
   }
 
   /** Starts a gateway and waits until it serves with so many workers. */
-  async startGateway(id: string, workerCount: number): Promise<Gateway> {
-    const gateway = await Gateway.create(this.folder, id, this.storeAddress);
+  async startGateway(
+    id: string,
+    workerCount: number,
+    storeAddress = this.storeAddress,
+  ): Promise<Gateway> {
+    const gateway = await Gateway.create(this.folder, id, storeAddress);
     this.gateways.push(gateway);
     gateway.start();
     await waitUntil(
--- a/review/lib/worker.ts
+++ b/review/lib/worker.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { formatAddress } from '@lycheetally/common';
 import { startListening } from '@lycheetally/node';
-import type { PlatformStoreStandIn } from '@lycheetally/testkit';
+import type { LogStore } from './store.js';
 
 /** Interval of a worker's records in the store, in milliseconds; `heartbeat_ms` of the settings. */
 const heartbeatMs = 1_200;
@@ -29,6 +29,8 @@
 
 export class Worker {
   address = '';
+  /** Whether it accepts one more channel beside the open ones; it resets the others. */
+  mayAccept: (open: ReadonlySet<Socket>) => boolean = () => true;
   private sequence = 0;
   private heartbeat: NodeJS.Timeout | undefined;
   private readonly born = Date.now();
@@ -43,7 +45,7 @@
   ) {}
 
   /** Listens, registers itself in the store and goes on doing so. */
-  async start(store: PlatformStoreStandIn): Promise<void> {
+  async start(store: LogStore): Promise<void> {
     const bound = await startListening(this.server, {
       host: '127.0.0.1',
       port: 0,
@@ -85,9 +87,13 @@
 
   private serve(socket: Socket): void {
     let bytes = Buffer.alloc(0);
+    socket.on('error', () => undefined);
+    if (!this.mayAccept(this.sockets)) {
+      resetChannel(socket);
+      return;
+    }
     this.sockets.add(socket);
     socket.setNoDelay(true);
-    socket.on('error', () => undefined);
     socket.on('close', () => this.sockets.delete(socket));
     socket.on('data', chunk => {
       bytes = Buffer.concat([bytes, chunk]);
@@ -137,6 +143,16 @@
   }
 }
 
+/** Closes the channel with a reset alone; `resetAndDestroy` of Node's sockets sends a regular end before it. */
+export const resetChannel = (socket: Socket): void => {
+  const { _handle: handle } = socket as unknown as {
+    _handle: { reset: (callback: () => void) => void } | null;
+  };
+  handle?.reset(() => {
+    socket.destroy();
+  });
+};
+
 const parseRequest = (
   bytes: Buffer,
   socket: Socket,
