--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,78 +1,92 @@
-/** One spoilt byte in the heads of plain answers; each request is to be answered by its route's time-out. */
-import { runCase } from '../lib/case.js';
-import { Client, type ClientAnswer } from '../lib/client.js';
-import { sendAnswer, type WorkerRequest } from '../lib/worker.js';
+/** An answer whose body comes without end, in small chunks; the gateway is to survive it. */
+import { runCase, wait } from '../lib/case.js';
+import { KeptRequests } from '../lib/keptRequests.js';
+import { modelLayers } from '../lib/platform.js';
+import {
+  formatHead,
+  getRequestId,
+  streamEvents,
+  type WorkerRequest,
+} from '../lib/worker.js';
 
-/** One in so many answers of the faulty worker is spoilt: x = 0.02. */
-const answersPerSpoilt = 50;
+const clientCount = 20;
 
-const clientCount = 12;
-const disruptionMs = 5_000;
+/** Time until the first event of a sound answer. */
+const firstEventMs = 400;
 
-/** The route's `timeout_ms`, and the time after it in which an answer is due. */
-const routeTimeoutMs = 800;
-const allowedDelayMs = 500;
+/** More lost requests than these break the rule LOST. */
+const allowedLosses = 3;
 
-const sendSpoilt = (request: WorkerRequest): void => {
-  sendAnswer(request, '200 O\x01K', Buffer.from('found'));
+/** The route's `timeout_ms`, and the client's deadline. */
+const deadlineMs = 20_000;
+
+/** A chunk of one byte, and what the faulty worker sends each time: about 150,000 chunks, or 0.9 MB, a second. */
+const chunk = Buffer.from('1\r\nx\r\n');
+const block = Buffer.concat(Array.from({ length: 1_500 }, () => chunk));
+const blockIntervalMs = 10;
+
+const formatErrorHead = (request: WorkerRequest): Buffer =>
+  formatHead(request, '500 Internal Server Error', [
+    'Transfer-Encoding: chunked',
+  ]);
+
+/** Sends chunks of one byte until the caller closes. */
+const sendWithoutEnd = (request: WorkerRequest): void => {
+  const { socket } = request;
+  socket.write(formatErrorHead(request));
+  const timer = setInterval(() => {
+    if (socket.destroyed) {
+      clearInterval(timer);
+    } else if (!socket.writableNeedDrain) {
+      socket.write(block);
+    }
+  }, blockIntervalMs);
 };
 
 await runCase(async run => {
-  let answered = 0;
-  let spoilt = 0;
+  const asks = new KeptRequests({
+    name: 'ask',
+    path: '/ask/x',
+    timeoutMs: deadlineMs,
+  });
+  let isDue = false;
   const serve = (request: WorkerRequest, isFaulty: boolean): void => {
-    answered += isFaulty ? 1 : 0;
-    const isSpoilt =
-      run.hasTrouble && isFaulty && answered % answersPerSpoilt === 0;
-    spoilt += isSpoilt ? 1 : 0;
-    setTimeout(() => {
-      if (isSpoilt) {
-        sendSpoilt(request);
+    if (isFaulty && isDue) {
+      isDue = false;
+      run.note(`${getRequestId(request)}: chat-1 begins an error answer`);
+      if (run.hasTrouble) {
+        sendWithoutEnd(request);
       } else {
-        sendAnswer(request, '200 OK', Buffer.from('found'));
+        const end = Buffer.from('0\r\n\r\n');
+        request.socket.write(
+          Buffer.concat([formatErrorHead(request), chunk, end]),
+        );
       }
-    }, 20);
-  };
-  for (const id of ['desk-1', 'desk-2', 'desk-3']) {
-    await run.startWorker({ id, service: 'desk' }, request => {
-      serve(request, id === 'desk-1');
-    });
-  }
-  const gateway = await run.startGateway('edge-1', 3);
-  const answers: ClientAnswer[] = [];
-  const endsAt = performance.now() + disruptionMs;
-  const sendInTurn = async (name: string): Promise<void> => {
-    for (let turn = 0; performance.now() < endsAt; turn += 1) {
-      const client = new Client(gateway.port);
-      const id = `${name}-${String(turn)}`;
-      answers.push(
-        await client.send({
-          id,
-          path: '/look/x',
-          method: 'GET',
-          timeoutMs: 1_500,
-        }),
-      );
-      client.dispose();
+      return;
     }
+    asks.noteRun(request);
+    setTimeout(() => {
+      streamEvents(request, 3, 20);
+    }, firstEventMs);
   };
-  await Promise.all(
-    Array.from({ length: clientCount }, (_, at) =>
-      sendInTurn(`look-${String(at)}`),
-    ),
-  );
-  const late = answers.filter(({ afterMs }) => afterMs > routeTimeoutMs);
-  const unanswered = late.filter(
-    ({ afterMs }) => afterMs > routeTimeoutMs + allowedDelayMs,
-  );
-  run.note(
-    `${String(answers.length)} requests; answers of desk-1: ${String(answered)}, spoilt: ${String(spoilt)}`,
-  );
-  run.note(
-    `unanswered at the route's time-out: ${String(late.length)}; half a second later: ${String(unanswered.length)}; handlers that failed: ${String(gateway.countLog('A handler of the loop failed'))}`,
-  );
-  for (const { id, afterMs, fault } of unanswered) {
-    run.note(`${id}: ${fault}, waited ${String(afterMs)} ms`);
+  for (const id of ['chat-1', 'chat-2']) {
+    await run.startWorker(
+      { id, service: 'chat', layers: modelLayers },
+      request => {
+        serve(request, id === 'chat-1');
+      },
+    );
+  }
+  const gateway = await run.startGateway('edge-1', 2);
+  asks.start(gateway, clientCount, 1);
+  await wait(3_000);
+  isDue = true;
+  const endsAt = performance.now() + deadlineMs;
+  while (gateway.end === undefined && performance.now() < endsAt) {
+    await wait(100);
   }
-  return unanswered.length < 8 || unanswered.length * 2 <= late.length;
+  await asks.stop();
+  run.note(`the gateway: ${gateway.end ?? 'runs'}`);
+  asks.note(run);
+  return asks.listLost().length <= allowedLosses;
 });
