Let a review case that can't run say so

A case whose programs aren't built, or whose own stand-ins fail, exits with 2; it would have exited with 1, which says that the rule was broken.

--- a/review/lib/case.ts
+++ b/review/lib/case.ts
@@ -106,11 +106,20 @@
     await run.dispose();
     process.exit(code);
   };
-  setTimeout(() => {
-    run.note('the case took too long');
+  const failRun = (reason: string): void => {
+    run.note(`the case could not run: ${reason}`);
     code = 2;
     void finish();
+  };
+  setTimeout(() => {
+    failRun('it took too long');
   }, longestRunMs).unref();
+  process.on('uncaughtException', thrown => {
+    failRun(String(thrown));
+  });
+  process.on('SIGTERM', () => {
+    failRun('it was ended');
+  });
   run.note(hasTrouble ? 'with the disruption' : 'without the disruption');
   try {
     code = (await runScript(run)) ? 0 : 1;
