Log how long servers sent nothing to a call

What callers saw: streams cut, with nothing in the log that tells a pause of the server from a slow stream. longestPauseMs counts only between events that reached the caller.

Change: 'A call ended.' has longestSilenceMs, over all attempts and also before the first byte and at the end; 'An attempt did not complete its call.' has silentMs; the histogram longest_silence_seconds shows the silences of calls by outcome. Beside forecastMs and drainLeftMs they tell whether a stop's forecast lacked just a pause.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -110,6 +110,7 @@
 const cancelAttempt = (call: GatewayCall, now: Milliseconds): void => {
   const { attempt } = call;
   if (attempt && !attempt.instance.isFinal && attempt.instance.state !== '') {
+    attempt.noteSilence(now);
     attempt.instance.send({ type: 'CANCEL' }, now);
     call.runs += 1;
   }
@@ -237,6 +238,10 @@
     now - receivedAt,
     firstByteAt === undefined ? undefined : firstByteAt - receivedAt,
   );
+  if (attempt && admitted) {
+    const { name } = admitted.service;
+    services.metrics.observeSilence(name, outcome, call.longestSilenceMs);
+  }
   if (isCutByStop(call, outcome)) {
     services.metrics.countCutByStop();
   }
@@ -257,6 +262,7 @@
       firstByteAt === undefined ? -1 : Math.round(firstByteAt - receivedAt),
     serverLoad: attempt?.head?.fields.serverLoad ?? -1,
     longestPauseMs: Math.round(call.longestPauseMs),
+    longestSilenceMs: Math.round(call.longestSilenceMs),
     durationMs: Math.round(now - receivedAt),
     afterStopMs: Math.round(services.drainPeriod.measureSinceStop(receivedAt)),
     maxOutputTokens: received.fields.maxOutputTokens ?? -1,
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -66,7 +66,9 @@
   private exchange: BackendExchange | undefined;
   private readonly buffered = new ByteCollector();
   private mode: string = ResponseMode.Buffered;
+  /** When the attempt last made progress, or was found to be sound. */
   private lastActivityAt: Milliseconds;
+  private lastByteAt: Milliseconds;
   private fault: CallFault | undefined;
   /** Whether the request may have been sent; known before the loop handles `CONNECTED`. */
   private hasConnection = false;
@@ -88,6 +90,7 @@
     super();
     const { services } = call;
     this.lastActivityAt = startedAt;
+    this.lastByteAt = startedAt;
     this.record = chosen.first.record;
     this.progress = new AttemptProgress(call);
     this.servers = new AttemptServers(
@@ -160,6 +163,7 @@
 
   override handleBody(chunk: Buffer): void {
     if (this.mode === ResponseMode.Streamed) {
+      this.noteByte(this.call.services.getMoment().monotonic);
       this.forwardEvents(chunk);
       return;
     }
@@ -302,6 +306,7 @@
   ): void {
     const { call, chosen, fault } = this;
     this.blame.keepFromFaultyServers();
+    this.noteSilence(now);
     call.services.metrics.countAttempt(type);
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
@@ -314,6 +319,7 @@
       refusedBy: this.head?.fields.refusedBy ?? '',
       reason: fault?.message ?? '',
       afterMs: Math.round(now - this.startedAt),
+      silentMs: Math.round(now - this.lastByteAt),
       lastEvent: call.events?.lastEventId ?? '',
       events: this.progress.events,
       retriesLeft: this.countRetries(now),
@@ -399,6 +405,20 @@
   private noteActivity(): void {
     this.lastActivityAt = this.call.services.getMoment().monotonic;
     this.call.lastActivityAt = this.lastActivityAt;
+    this.noteByte(this.lastActivityAt);
+  }
+
+  private noteByte(now: Milliseconds): void {
+    this.noteSilence(now);
+    this.lastByteAt = now;
+  }
+
+  /** Records how long the server has sent nothing; also for an attempt that ends in the middle of a silence. */
+  noteSilence(now: Milliseconds): void {
+    const silenceMs = now - this.lastByteAt;
+    if (silenceMs > this.call.longestSilenceMs) {
+      this.call.longestSilenceMs = silenceMs;
+    }
   }
 
   private beginStream(head: BackendHead): void {
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -116,6 +116,8 @@
   firstByteAt: Milliseconds | undefined;
   /** Longest pause between two events that were sent to the caller. */
   longestPauseMs: Milliseconds = 0;
+  /** Longest time without a byte of a server, over all attempts, also before the first byte. */
+  longestSilenceMs: Milliseconds = 0;
   fault: CallFault | undefined;
   /** Set when a stopping gateway decided whether to take the call or to retry it. */
   drainForecast: DrainForecast | undefined;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -97,6 +97,13 @@
     buckets: secondsBuckets,
     registers: [this.registry],
   });
+  private readonly silence = new Histogram({
+    name: `${prefix}longest_silence_seconds`,
+    help: 'Longest time without a byte of a server, for each call that was sent',
+    labelNames: ['service', 'outcome'],
+    buckets: secondsBuckets,
+    registers: [this.registry],
+  });
 
   /** Adds a gauge that is read when the metrics page is requested. */
   addGauge(name: string, help: string, read: () => number): void {
@@ -110,6 +117,17 @@
     });
   }
 
+  observeSilence(
+    service: string,
+    outcome: string,
+    silenceMs: Milliseconds,
+  ): void {
+    this.silence.observe(
+      { service, outcome },
+      silenceMs / millisecondsPerSecond,
+    );
+  }
+
   countCall(
     service: string,
     outcome: string,
