Show that pauses of sound servers lose calls

Callers saw streams cut, calls refused or failed, and repeatable calls run twice when sound servers fell silent for 0.7 to 1.8 s.

--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -36,10 +36,14 @@
   acceptedConnections = 0;
   /** Number of connections that have closed. */
   closedConnections = 0;
+  private isPaused = false;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server = createServer(socket => {
     this.acceptedConnections += 1;
     this.sockets.add(socket);
+    if (this.isPaused) {
+      pauseSocket(socket);
+    }
     socket.on('error', () => undefined);
     socket.on('close', () => {
       this.sockets.delete(socket);
@@ -70,6 +74,18 @@
     }
   }
 
+  /** Falls silent, as a stopped process does: accepts connections, reads nothing and sends nothing. */
+  pause(): void {
+    this.isPaused = true;
+    this.sockets.forEach(pauseSocket);
+  }
+
+  /** Goes on where it was paused. */
+  resume(): void {
+    this.isPaused = false;
+    this.sockets.forEach(resumeSocket);
+  }
+
   private readRequests(socket: Socket): void {
     let text = '';
     socket.on('data', chunk => {
@@ -100,6 +116,16 @@
   }
 }
 
+const pauseSocket = (socket: Socket): void => {
+  socket.pause();
+  socket.cork();
+};
+
+const resumeSocket = (socket: Socket): void => {
+  socket.uncork();
+  socket.resume();
+};
+
 const parseRequest = (
   text: string,
   socket: Socket,
