Take a silence of servers for a doubt, not for their loss

Callers saw their streams cut, and calls refused or failed, while sound servers paused for 0.7 s or longer; repeatable calls ran a second time for the pause of one server.

Cause: a guess from silence was acted on at once and could not be taken back. A server that sent no report within 300 ms counted as lost: all its attempts ended, also where no other server could take them, and it got no work until its next heartbeat. Plain calls were given up at their latency target. Class: unreliable failure detection used as if it were reliable.

Change: a server that answers nothing is silent (chart serverHealth), first doubted, later lost. New calls go to others; without others they wait for the first sign of life, until their deadline or the loss. A running attempt moves only if servers that have shown since the question that they live can take it; else it goes on. A silent server is probed without a break (chart serverCheck), and any byte of it ends its silence and routes the waiting calls, the most urgent first. A refused connection is evidence of the loss, as before; a connect timeout is a silence. Placement keeps the layers of a server that just fell silent. A plain call waits for a pause if its deadline allows.

--- a/packages/gateway/src/attemptBlame.ts
+++ b/packages/gateway/src/attemptBlame.ts
@@ -38,11 +38,21 @@
 
   /** Keeps the call away from the servers that the chain lost, or from the first server unless it refused for another one. */
   keepFromFaultyServers(): void {
-    const { call, repair, head, chosen } = this.attempt;
+    const { repair, head, chosen } = this.attempt;
     if (repair.lostServers.size > 0) {
-      repair.lostServers.forEach(serverId => call.avoided.add(serverId));
+      repair.lostServers.forEach(serverId => {
+        this.keepFrom(serverId);
+      });
     } else if (head?.fields.refusedBy === undefined) {
-      call.avoided.add(chosen.first.record.serverId);
+      this.keepFrom(chosen.first.record.serverId);
+    }
+  }
+
+  /** A silent server may serve the call when it is back. */
+  private keepFrom(serverId: string): void {
+    const { call } = this.attempt;
+    if (!call.services.serverRegistry.find(serverId)?.isSilent) {
+      call.avoided.add(serverId);
     }
   }
 
--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -24,6 +24,9 @@
       noteConnectionRefused: (attempt, event, now) => {
         attempt.chartActions.noteConnectionRefused(event, now);
       },
+      noteSilent: (attempt, _, now) => {
+        attempt.chartActions.noteSilent(now);
+      },
       noteUnreachable: (attempt, _, now) => {
         attempt.chartActions.noteUnreachable(now);
       },
@@ -33,6 +36,9 @@
       setError: (attempt, event) => {
         attempt.chartActions.setError(event);
       },
+      noteMoved: attempt => {
+        attempt.chartActions.noteMoved();
+      },
       requestReport: attempt => {
         attempt.chartActions.requestReport();
       },
@@ -67,6 +73,10 @@
       isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
       isRepeatable: attempt => attempt.admitted.isRepeatable,
       mayRepair: (attempt, event) => attempt.repair.mayRepair(event),
+      mayReplace: (attempt, event, now) =>
+        attempt.repair.mayReplace(event, now),
+      mayMove: (attempt, _, now) => attempt.chartActions.mayMove(now),
+      mayGiveUp: (attempt, _, now) => attempt.chartActions.mayGiveUp(now),
     },
     delays: {
       CONNECT_TIMEOUT: () => connectTimeoutMs,
--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attemptRepair.ts
@@ -24,6 +24,24 @@
     );
   }
 
+  /** Whether other servers can replace the one that the event names at once. */
+  mayReplace(event: AttemptEvent | undefined, now: Milliseconds): boolean {
+    return (
+      event?.lost !== undefined &&
+      this.mayRepair(event) &&
+      this.chooseChain(new Set([...this.lostServers, event.lost]), now) !==
+        undefined
+    );
+  }
+
+  /** Whether one of the servers to replace is known to be gone, and not only silent. */
+  get hasLostServer(): boolean {
+    const { serverRegistry } = this.attempt.call.services;
+    return [...this.lostServers].some(
+      serverId => !serverRegistry.find(serverId)?.isSilent,
+    );
+  }
+
   noteLost(event: AttemptEvent | undefined): void {
     if (event?.lost !== undefined) {
       this.lostServers.add(event.lost);
@@ -33,7 +51,7 @@
   /** Sends the new chain to the first server; the attempt receives `REPAIRED` or `REPAIR_FAILED`. */
   request(now: Milliseconds): void {
     this.repairs += 1;
-    const chain = this.chooseChain(now);
+    const chain = this.chooseChain(this.lostServers, now);
     if (!chain) {
       this.finish('no servers hold the lost layers', 'REPAIR_FAILED');
       return;
@@ -51,7 +69,10 @@
       });
   }
 
-  private chooseChain(now: Milliseconds): readonly ChainStage[] | undefined {
+  private chooseChain(
+    lost: ReadonlySet<string>,
+    now: Milliseconds,
+  ): readonly ChainStage[] | undefined {
     const { call, admitted, chosen } = this.attempt;
     const { model, name } = admitted.service;
     if (!model) {
@@ -68,7 +89,7 @@
       tokens: admitted.tokens,
       excluded: call.avoided,
       chain: chosen.chain,
-      lost: this.lostServers,
+      lost,
     });
   }
 
--- a/packages/gateway/src/attemptServers.ts
+++ b/packages/gateway/src/attemptServers.ts
@@ -5,6 +5,8 @@
 import type { ServerRegistry } from './serverRegistry.js';
 
 export class AttemptServers {
+  /** The servers of the chain as the registry knows them; each event of a stream has passed all of them. */
+  stages: readonly Server[];
   private layerTokens: ReadonlyMap<string, number>;
 
   constructor(
@@ -13,6 +15,7 @@
     private servers: ChosenServers,
   ) {
     this.layerTokens = computeLayerTokens(servers, admitted.tokens);
+    this.stages = this.findStages();
   }
 
   get chosen(): ChosenServers {
@@ -24,6 +27,7 @@
     this.updateLoad(-1);
     this.servers = { ...this.servers, chain };
     this.layerTokens = computeLayerTokens(this.servers, this.admitted.tokens);
+    this.stages = this.findStages();
     this.updateLoad(1);
   }
 
@@ -41,6 +45,12 @@
     }
   }
 
+  private findStages(): readonly Server[] {
+    return this.servers.chain.flatMap(
+      ({ server }) => this.registry.find(server.serverId) ?? [],
+    );
+  }
+
   /** Whether the server is part of the attempt. */
   has(server: Server): boolean {
     const { serverId } = server.record;
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -10,19 +10,20 @@
 import { admitCall } from './admitCall.js';
 import { createBackendFault, isSuccess } from './attemptFaults.js';
 import type { BackendHead } from './backendPort.js';
-import { chooseServers, estimateIntakeWait } from './chooseServers.js';
+import {
+  chooseServers,
+  estimateIntakeWait,
+  mayReturnForCall,
+} from './chooseServers.js';
 import {
   maxIntakeRetryMs,
   maxResumeWaitMs,
   maxWaitShare,
   retryAfterMs,
   routeRetryDelayMs,
+  silentRetryDelayMs,
 } from './constants.js';
-import {
-  createStoppingFault,
-  mayEndBeforeStop,
-  noteOpened,
-} from './drainAdmission.js';
+import { createStoppingFault, noteOpened } from './drainAdmission.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
 import {
@@ -30,6 +31,12 @@
   findRepeatFault,
   noteRefusedRepeat,
 } from './parts/promptCalls.js';
+import {
+  isPromptRefused,
+  mayRepeat,
+  mayRetry,
+  mayStartAttempt,
+} from './repeatRules.js';
 
 export type CallMachine = ChartMachine<GatewayCall, CallEvent>;
 type CallAction = ChartAction<GatewayCall, CallEvent>;
@@ -67,6 +74,8 @@
   const chosen = admitted && chooseServers(call, admitted, now);
   if (!admitted || !chosen) {
     call.intakeWaitMs = admitted ? estimateIntakeWait(call, admitted, now) : 0;
+    call.isWaitingForSilent =
+      admitted !== undefined && mayReturnForCall(call, admitted, now);
     call.services.waitingCalls.add(call);
     const fault = createCapacityFault(call.intakeWaitMs);
     call.instance?.send({ type: 'UNROUTABLE', fault }, now);
@@ -195,7 +204,8 @@
 
 const sendTimeout: CallAction = (call, _, now) => {
   cancelAttempt(call, now);
-  endWithError(call, Outcome.Unknown, timeoutFault, now);
+  const outcome = call.runs > 0 ? Outcome.Unknown : Outcome.NotRun;
+  endWithError(call, outcome, timeoutFault, now);
 };
 
 const dropConnection: CallAction = (call, _, now) => {
@@ -289,31 +299,16 @@
   fault?.kind === ErrorKind.ShuttingDown &&
   (outcome === Outcome.Failed || outcome === Outcome.Unknown);
 
-/** Whether a stopping gateway starts another attempt; a stream that has begun goes on as long as it can. */
-const mayStartAttempt = (call: GatewayCall, now: Milliseconds): boolean =>
-  call.hasStartedResponse ||
-  call.admitted === undefined ||
-  mayEndBeforeStop(call, call.admitted, now);
-
-const mayRetry = (call: GatewayCall, now: Milliseconds): boolean =>
-  mayStartAttempt(call, now) &&
-  call.services.retryPolicy.mayRetry(call.toRequestView(), now);
-
-const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
-  call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
-  mayStartAttempt(call, now) &&
-  !isPromptRefused(call, now) &&
-  call.services.retryPolicy.mayRepeat(call.toRequestView(), now);
-
-const isPromptRefused = (call: GatewayCall, now: Milliseconds): boolean =>
-  findRepeatFault(call, now) !== undefined;
-
 /**
  * Whether the call may wait for a server. Before its response starts it may do
- * so only for a short time, so that a refusal still comes early.
+ * so only for a short time, so that a refusal still comes early; only for servers
+ * that may be back at any moment it waits until its deadline.
  */
 const mayWait = (call: GatewayCall, now: Milliseconds): boolean => {
   const { admitted, received, intakeWaitMs } = call;
+  if (call.isWaitingForSilent) {
+    return true;
+  }
   if (call.hasStartedResponse) {
     return now + intakeWaitMs - call.lastActivityAt < maxResumeWaitMs;
   }
@@ -352,6 +347,7 @@
     },
     delays: {
       TIME_LIMIT: (call, now) => (call.admitted?.deadlineAt ?? now) - now,
-      ROUTE_RETRY_DELAY: () => routeRetryDelayMs,
+      ROUTE_RETRY_DELAY: call =>
+        call.isWaitingForSilent ? silentRetryDelayMs : routeRetryDelayMs,
     },
   });
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -15,22 +15,66 @@
 /** Calls added to the load of a server in another failure domain when servers are compared. */
 const otherDomainCalls = 2;
 
+/** A call that left a silent server goes to others that were silent, too, only if none is known to live. */
 export const chooseServers = (
   call: GatewayCall,
   admitted: AdmittedCall,
   now: Milliseconds,
+): ChosenServers | undefined => {
+  const { serverRegistry } = call.services;
+  const usable = serverRegistry.listUsable(admitted.service.name);
+  const alive = listAlive(usable, call.movedSince);
+  return (
+    (alive.length < usable.length
+      ? chooseAmong(call, admitted, alive, now)
+      : undefined) ?? chooseAmong(call, admitted, usable, now)
+  );
+};
+
+/** Which servers are known to live. */
+export interface ProofOfLife {
+  /** They have shown it since then. */
+  readonly since: Milliseconds;
+  /** Id of a server that holds the call up, whatever it has shown. */
+  readonly without: string | undefined;
+}
+
+/** Chooses among servers that are known to live. */
+export const chooseAlive = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  { since, without }: ProofOfLife,
+  now: Milliseconds,
+): ChosenServers | undefined => {
+  const usable = call.services.serverRegistry
+    .listUsable(admitted.service.name)
+    .filter(({ record }) => record.serverId !== without);
+  return chooseAmong(call, admitted, listAlive(usable, since), now);
+};
+
+const listAlive = (
+  servers: readonly Server[],
+  since: Milliseconds,
+): readonly Server[] =>
+  servers.filter(({ lastAliveAt }) => lastAliveAt >= since);
+
+const chooseAmong = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  usable: readonly Server[],
+  now: Milliseconds,
 ): ChosenServers | undefined =>
   admitted.service.model
-    ? chooseChain(call, admitted, now)
-    : chooseOne(call, admitted, now);
+    ? chooseChain(call, admitted, usable, now)
+    : chooseOne(call, admitted, usable, now);
 
 /** Servers that refused a call recently are used only if no chain exists without them. */
 const chooseChain = (
   call: GatewayCall,
   admitted: AdmittedCall,
+  all: readonly Server[],
   now: Milliseconds,
 ): ChosenServers | undefined => {
-  const all = call.services.serverRegistry.listUsable(admitted.service.name);
   const preferred = all.filter(server => !server.hasRefusedRecently(now));
   const chosen = findChain(call, admitted, preferred, now);
   return (
@@ -68,6 +112,24 @@
   return waits.length === 0 ? 0 : Math.min(...waits);
 };
 
+/** Whether silent servers can take the call if they are back soon. While the store is silent too, this gateway's own link may be cut, and another one serves the caller sooner. */
+export const mayReturnForCall = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  now: Milliseconds,
+): boolean => {
+  const { serverRegistry } = call.services;
+  const { name, model } = admitted.service;
+  const doubted = serverRegistry.listDoubted(name);
+  if (doubted.length === 0 || !serverRegistry.isStoreAvailable) {
+    return false;
+  }
+  const all = [...serverRegistry.listUsable(name), ...doubted];
+  return model
+    ? findChain(call, admitted, all, now) !== undefined
+    : doubted.some(({ record }) => !call.avoided.has(record.serverId));
+};
+
 const findChain = (
   call: GatewayCall,
   admitted: AdmittedCall,
@@ -115,14 +177,14 @@
 const chooseOne = (
   call: GatewayCall,
   admitted: AdmittedCall,
+  usable: readonly Server[],
   now: Milliseconds,
 ): ChosenServers | undefined => {
-  const { serverRegistry, homeDomain } = call.services;
+  const { homeDomain } = call.services;
   const computeCost = (server: Server): number =>
     server.calls +
     (server.record.failureDomain === homeDomain ? 0 : otherDomainCalls);
-  const candidates = serverRegistry
-    .listUsable(admitted.service.name)
+  const candidates = usable
     .filter(server => !call.avoided.has(server.record.serverId))
     .filter(server => mayReceive(call, admitted, server, now))
     .sort((a, b) => computeCost(a) - computeCost(b));
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -87,9 +87,33 @@
 /** Interval between two checks of a suspected server; many calls get the same refusal at once. */
 export const checkIntervalMs = 1_000;
 
-/** Silence after which an attempt fails if its chain uses a server that answers no probe; two usual pauses between events. */
+/** Silence after which an attempt moves away from a silent server; two usual pauses between events. */
 export const unresponsiveSilenceMs = 250;
 
+/** Time after which a silent server counts as lost; sound ones pause for a second or so. */
+export const lossSilenceMs = 2_000;
+
+/** Time after which placement plans without a silent server; loading its layers elsewhere takes longer than a pause. */
+export const placementSilenceMs = 800;
+
+/** Timeout of each probe of a server that is silent already. */
+export const watchTimeoutMs = 600;
+
+/** Time after which a report shows that its server was silent until it sent it; a sound server takes some milliseconds. */
+export const slowReportMs = 100;
+
+/** Pause between two probes of a silent server; a probe may fail at once. */
+export const watchPauseMs = 50;
+
+/** Silence of a plain server that a call waits for before it runs elsewhere, if its deadline allows; most pauses are shorter. */
+export const maxPatienceMs = 1_500;
+
+/** Delay before a call that waits for silent servers is routed again; the end of a silence routes it at once. */
+export const silentRetryDelayMs = 200;
+
+/** Silence of a stream of a plain server after which it is checked; the check ends within `maxStallCheckMs`. */
+export const plainStreamCheckMs = 700;
+
 /** Share of the heartbeat interval by which a heartbeat may be late before its server is probed. */
 export const heartbeatLateShare = 0.25;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -15,11 +15,15 @@
   type BackendHead,
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
+import { mayMove } from './repeatRules.js';
+import type { Server } from './server.js';
 import { checkStall } from './stallCheck.js';
 import {
   maxBufferedResponseBytes,
   firstStallCheckMs,
+  maxPatienceMs,
   maxStallCheckMs,
+  plainStreamCheckMs,
   streamStallCheckMs,
 } from './constants.js';
 import { AttemptBlame } from './attemptBlame.js';
@@ -37,11 +41,12 @@
     | 'BROKEN'
     | 'UNSENDABLE'
     | 'OVERFLOWED'
-    | 'REPORT_NOT_STALLED'
-    | 'REPORT_STALLED'
+    | 'CHECKED'
+    | 'SILENT'
     | 'REPAIRED'
     | 'REPAIR_FAILED'
     | 'SERVER_LOST'
+    | 'SERVER_SILENT'
     | 'CANCEL';
   readonly fault?: CallFault | undefined;
   /** Whether the server closed the connection. */
@@ -66,8 +71,12 @@
   private exchange: BackendExchange | undefined;
   private readonly buffered = new ByteCollector();
   private mode: string = ResponseMode.Buffered;
-  /** When the attempt last made progress, or was found to be sound. */
+  /** When the attempt last made progress. */
   private lastActivityAt: Milliseconds;
+  /** When the attempt was last found to be sound, or could only wait. */
+  private checkedAt: Milliseconds = -Infinity;
+  /** Id of the server at which its chain has stalled, as its first server said since the last event. */
+  stalledServer: string | undefined;
   private lastByteAt: Milliseconds;
   private fault: CallFault | undefined;
   /** Whether the request may have been sent; known before the loop handles `CONNECTED`. */
@@ -117,9 +126,12 @@
   private get stallCheckMs(): Milliseconds {
     if (this.chosen.chain.length === 0) {
       return this.mode === ResponseMode.Streamed
-        ? maxStallCheckMs
+        ? computePlainStreamCheck(this.stallChecks)
         : this.admitted.route.targetMs;
     }
+    if (this.chosen.first.isSilent) {
+      return streamStallCheckMs;
+    }
     const first =
       this.mode === ResponseMode.Streamed
         ? streamStallCheckMs
@@ -254,6 +266,12 @@
       this.fault = createBackendFault('the server cannot be reached');
       this.blame.reportUnreachable(first.record.address, 'no connection', now);
     },
+    noteSilent: (now: Milliseconds): void => {
+      const { first } = this.chosen;
+      const reason = 'no connection in time';
+      this.fault = createBackendFault('the server does not accept connections');
+      this.call.services.lossHandler.noteSilent(first, reason, now);
+    },
     handleFault: (event: AttemptEvent | undefined, now: Milliseconds): void => {
       this.fault = event?.fault ?? this.fault;
       const message = this.fault?.message ?? '';
@@ -265,12 +283,18 @@
     setError: (event: AttemptEvent | undefined): void => {
       this.fault = event?.fault;
     },
+    noteMoved: (): void => {
+      this.call.movedSince = this.proofSince;
+      if (this.stalledServer !== undefined) {
+        this.call.avoided.add(this.stalledServer);
+      }
+    },
     requestReport: (): void => {
       checkStall(this);
     },
     restartStallCheck: (now: Milliseconds): void => {
       this.stallChecks += 1;
-      this.lastActivityAt = now;
+      this.checkedAt = now;
     },
     reportComplete: (now: Milliseconds): void => {
       this.chosen.first.noteSuccess(now);
@@ -290,16 +314,73 @@
     },
     noteRepaired: (now: Milliseconds): void => {
       this.stallChecks = 0;
+      this.stalledServer = undefined;
       this.lastActivityAt = now;
     },
+    mayMove: (now: Milliseconds): boolean =>
+      !this.isPatient(now) &&
+      mayMove(
+        this.call,
+        this.admitted,
+        { since: this.proofSince, without: this.findSilentServer() },
+        now,
+      ),
+    /** Whether an attempt that found no replacement ends: its server is known to be gone, or another chain can take the call. */
+    mayGiveUp: (now: Milliseconds): boolean =>
+      (this.admitted.isRepeatable && this.repair.hasLostServer) ||
+      this.chartActions.mayMove(now),
     isConnected: (): boolean => this.hasConnection,
     isSilent: (now: Milliseconds): boolean =>
       (this.admitted.isRepeatable || this.chosen.chain.length > 0) &&
-      now - this.lastActivityAt >= this.stallCheckMs,
+      now >= this.stallCheckAt,
     computeStallCheckDelay: (now: Milliseconds): Milliseconds =>
-      Math.max(1, this.lastActivityAt + this.stallCheckMs - now),
+      Math.max(1, this.stallCheckAt - now),
   };
 
+  /** Id of the server that holds the attempt up: its chain stalled there, or it is silent. */
+  findSilentServer(): string | undefined {
+    const silent = [this.chosen.first, ...this.servers.stages].find(
+      ({ isSilent }) => isSilent,
+    );
+    return this.stalledServer ?? silent?.record.serverId;
+  }
+
+  /** A server that has shown since then that it lives does not share the silence of this attempt's servers. */
+  get proofSince(): Milliseconds {
+    const silent = [this.chosen.first, ...this.servers.stages].filter(
+      ({ isSilent }) => isSilent,
+    );
+    return Math.max(this.lastByteAt, ...silent.map(({ askedAt }) => askedAt));
+  }
+
+  private get stallCheckAt(): Milliseconds {
+    return Math.max(this.quietSince, this.checkedAt) + this.stallCheckMs;
+  }
+
+  /** Time without progress after which an attempt at a plain server that answers other questions has stalled. */
+  private get stallLimitMs(): Milliseconds {
+    return this.mode === ResponseMode.Streamed
+      ? maxStallCheckMs
+      : this.admitted.route.targetMs;
+  }
+
+  /** Since when a sound server would have had to say something; one that was silent needs time to go on. */
+  private get quietSince(): Milliseconds {
+    return Math.max(this.lastActivityAt, this.chosen.first.returnedAt);
+  }
+
+  /** Whether the call waits for a plain server's pause to end rather than run twice. */
+  private isPatient(now: Milliseconds): boolean {
+    const isStream = this.mode === ResponseMode.Streamed;
+    return (
+      this.chosen.chain.length === 0 &&
+      !isStream &&
+      this.chosen.first.isSilent &&
+      now - this.lastByteAt < maxPatienceMs &&
+      this.admitted.deadlineAt - now > maxPatienceMs
+    );
+  }
+
   private report(
     type: 'ATTEMPT_NOT_RUN' | 'ATTEMPT_ERROR' | 'ATTEMPT_BROKEN',
     now: Milliseconds,
@@ -349,6 +430,16 @@
     this.handleFailure({ reason, isClosedByServer });
   }
 
+  /** Ends an attempt whose server answers other questions, if another server can take the call; one that was silent until now goes on. */
+  endStalled(now: Milliseconds): void {
+    const silenceMs = now - this.quietSince;
+    if (silenceMs >= this.stallLimitMs && this.chartActions.mayMove(now)) {
+      this.failExchange('the server was silent for too long');
+    } else {
+      this.instance.send({ type: 'CHECKED' }, now);
+    }
+  }
+
   private finishBody({ fields }: BackendHead): void {
     const { call } = this;
     const isStream = this.mode === ResponseMode.Streamed;
@@ -411,6 +502,16 @@
   private noteByte(now: Milliseconds): void {
     this.noteSilence(now);
     this.lastByteAt = now;
+    this.noteAlive(this.chosen.first, now);
+  }
+
+  private noteAlive(server: Server, now: Milliseconds): void {
+    server.lastAliveAt = now;
+    if (server.isSilent) {
+      this.call.services.postCompletion(readAt => {
+        server.noteAlive(readAt);
+      });
+    }
   }
 
   /** Records how long the server has sent nothing; also for an attempt that ends in the middle of a silence. */
@@ -456,6 +557,10 @@
     const { bytes, newEvents } = accepted.val;
     if (newEvents > 0) {
       this.noteActivity();
+      this.stalledServer = undefined;
+      this.servers.stages.forEach(server => {
+        this.noteAlive(server, now);
+      });
       this.progress.noteEvents(newEvents);
       call.noteEventsSent(now);
     }
@@ -469,3 +574,7 @@
     return now - this.lastActivityAt >= silenceMs;
   }
 }
+
+/** A second check comes when the stream has been silent for `maxStallCheckMs`. */
+const computePlainStreamCheck = (checks: number): Milliseconds =>
+  checks === 0 ? plainStreamCheckMs : maxStallCheckMs - plainStreamCheckMs;
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -42,6 +42,7 @@
     | 'NEVER_RAN'
     | 'MAY_HAVE_RUN'
     | 'RESPONSE_STARTED'
+    | 'SERVER_RETURNED'
     | 'CALLER_DISCONNECTED'
     | 'STOPPING';
   /** The fault, in an event that reports a refusal or a failure. */
@@ -129,6 +130,10 @@
   eventsReceived = 0;
   /** How long the limits of servers hold the call back, when it last found no server. */
   intakeWaitMs: Milliseconds = 0;
+  /** When the silence began for which its last attempt was given up. */
+  movedSince: Milliseconds = -Infinity;
+  /** Whether the call, when it last found no server, waits for silent ones that may only pause. */
+  isWaitingForSilent = false;
   /** Addresses that this call was sent to. */
   readonly sentTo = new Set<string>();
   /** Servers that refused or failed this call. */
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -16,6 +16,7 @@
   countUnreadable(): number;
   countDoubted(): number;
   countLimited(): number;
+  countSilent(): number;
   getVersion(): number;
 }
 
@@ -97,6 +98,11 @@
       'Servers that name how many requests a second they take',
       () => sources.countLimited(),
     ],
+    [
+      'silent_servers',
+      'Servers that answer nothing, though nothing else says that they are gone',
+      () => sources.countSilent(),
+    ],
   ];
   for (const [name, help, read] of gauges) {
     metrics.addGauge(name, help, read);
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -89,6 +89,7 @@
   private readonly backend: HttpBackend;
   private readonly bufferMemory: LargestFirstMemory<GatewayAttempt>;
   private readonly retryBudget: SlidingRetryBudget;
+  private readonly waitingCalls = new WaitingCalls();
   private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
@@ -155,6 +156,7 @@
       countUnreadable: () => this.servers.registry.unreadableCount,
       countDoubted: () => this.servers.registry.doubtedCount,
       countLimited: () => this.servers.registry.limitedCount,
+      countSilent: () => this.servers.registry.silentCount,
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
@@ -466,6 +468,7 @@
       log: this.loggers.createLogger(LogComponent.Servers),
       metrics: this.metrics,
       control: this.ports.control,
+      waitingCalls: this.waitingCalls,
       ownId: this.settings.process.id,
       getOutage: () => this.news.servers,
       getConfiguration: () => this.configuration,
@@ -518,7 +521,7 @@
       serverRegistry: this.servers.registry,
       attemptMachine: getOrThrow(bindAttemptChart()),
       promptParts: this.promptParts.tracker,
-      waitingCalls: new WaitingCalls(),
+      waitingCalls: this.waitingCalls,
       bufferMemory: this.bufferMemory,
       homeDomain: process.failureDomain,
       revokeTimeoutMs: rules.revokeMs,
--- a/packages/gateway/src/gatewayServers.ts
+++ b/packages/gateway/src/gatewayServers.ts
@@ -22,12 +22,14 @@
 import { bindListingChart, type StoreOutage } from './serverListing.js';
 import { ServerLossHandler } from './serverLossHandler.js';
 import { ServerRegistry } from './serverRegistry.js';
+import type { WaitingCalls } from './waitingCalls.js';
 
 export interface GatewayServersServices {
   readonly timers: ChartTimers;
   readonly log: ComponentLogger;
   readonly metrics: GatewayMetrics;
   readonly control: ServerControlPort;
+  readonly waitingCalls: WaitingCalls;
   readonly ownId: string;
   /** The latest outage of the store for the server list. */
   getOutage(): StoreOutage;
@@ -88,6 +90,9 @@
       handleLost: (server, now) => {
         this.lossHandler.handleLost(server, now);
       },
+      handleReturn: (server, now) => {
+        services.waitingCalls.handleReturn(server.record.service, now);
+      },
       postCompletion: run => {
         services.postCompletion(run);
       },
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/layerPlacer.ts
@@ -198,7 +198,8 @@
       return;
     }
     this.checkHeartbeats(service, now);
-    const servers = this.services.serverRegistry.listUsable(service.name);
+    const { serverRegistry } = this.services;
+    const servers = serverRegistry.listPlanned(service.name, now);
     const stages = servers.map(server =>
       this.toPlannedServer(server, service.model),
     );
@@ -223,7 +224,7 @@
     return {
       ...toStageServer(server),
       range: isLoading ? order.range : held,
-      isBusy: order !== undefined,
+      isBusy: order !== undefined || server.isSilent,
       isLoading,
     };
   }
--- /dev/null
+++ b/packages/gateway/src/repeatRules.ts
@@ -0,0 +1,44 @@
+/** Decides whether a call may get another attempt. */
+import type { Milliseconds } from '@lycheetally/common';
+import { chooseAlive, type ProofOfLife } from './chooseServers.js';
+import { mayEndBeforeStop } from './drainAdmission.js';
+import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
+import { findRepeatFault } from './parts/promptCalls.js';
+
+/** Whether a stopping gateway starts another attempt; a stream that has begun goes on as long as it can. */
+export const mayStartAttempt = (
+  call: GatewayCall,
+  now: Milliseconds,
+): boolean =>
+  call.hasStartedResponse ||
+  call.admitted === undefined ||
+  mayEndBeforeStop(call, call.admitted, now);
+
+/** Whether a call that has not run may be sent again. */
+export const mayRetry = (call: GatewayCall, now: Milliseconds): boolean =>
+  mayStartAttempt(call, now) &&
+  call.services.retryPolicy.mayRetry(call.toRequestView(), now);
+
+/** Whether a call that may have run may run again. */
+export const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
+  call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
+  mayStartAttempt(call, now) &&
+  !isPromptRefused(call, now) &&
+  call.services.retryPolicy.mayRepeat(call.toRequestView(), now);
+
+/** Whether servers that are known to live can take a running call: only then is the running attempt worth giving up. */
+export const mayMove = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  proof: ProofOfLife,
+  now: Milliseconds,
+): boolean =>
+  admitted.isRepeatable &&
+  call.runs + 1 < admitted.route.maxAttempts &&
+  mayRepeat(call, now) &&
+  chooseAlive(call, admitted, proof, now) !== undefined;
+
+export const isPromptRefused = (
+  call: GatewayCall,
+  now: Milliseconds,
+): boolean => findRepeatFault(call, now) !== undefined;
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -16,8 +16,10 @@
   refusalCooldownMs,
   firstSuspensionMs,
   heartbeatDelayMs,
+  lossSilenceMs,
   maxConsecutiveErrors,
   maxSuspensionMs,
+  reportTimeoutMs,
   unreachableRetryMs,
 } from './constants.js';
 import type { ServerIntake } from './serverIntake.js';
@@ -27,6 +29,8 @@
     | 'SUCCEEDED'
     | 'FAILED'
     | 'OVERFLOWED'
+    | 'SILENT'
+    | 'ALIVE'
     | 'UNREACHABLE'
     | 'HEARTBEAT'
     | 'RESTARTED';
@@ -41,10 +45,13 @@
   layerTokens = 0;
   /** When the server was last known to be alive, by a heartbeat or a response to a probe. */
   lastAliveAt: Milliseconds;
+  /** When its last silence ended. */
+  returnedAt: Milliseconds = -Infinity;
   /** Calls that the server reported in its newest response; 0 after a heartbeat. */
   private reportedCalls = 0;
   private refusedAt: Milliseconds = -Infinity;
-  private unreachableSince: Milliseconds = 0;
+  /** When the server was found to be unreachable or silent. */
+  private awaySince: Milliseconds = 0;
   private consecutiveErrors = 0;
   private suspensions = 0;
   private lastReason = '';
@@ -58,6 +65,8 @@
     /** What the server says that it takes. */
     readonly intake: ServerIntake,
     now: Milliseconds,
+    /** Called when the server is back after a silence. */
+    private readonly handleReturn: (now: Milliseconds) => void,
   ) {
     this.lastAliveAt = now;
     this.chart = machine.createInstance(this, timers);
@@ -67,10 +76,32 @@
   /** Whether the server may get calls, judging by the results of earlier ones. */
   get isAvailable(): boolean {
     return (
-      !this.chart.matches('suspended') && !this.chart.matches('unreachable')
+      !this.chart.matches('suspended') &&
+      !this.chart.matches('unreachable') &&
+      !this.isSilent
     );
   }
 
+  /** Whether the server answers nothing, though nothing else says that it is gone. */
+  get isSilent(): boolean {
+    return this.chart.matches('silent');
+  }
+
+  /** Whether its silence may be the pause of a sound server. */
+  get isDoubted(): boolean {
+    return this.chart.matches('silent.doubted');
+  }
+
+  /** When the question was asked, at the latest, that a silent server did not answer. */
+  get askedAt(): Milliseconds {
+    return this.awaySince - reportTimeoutMs;
+  }
+
+  /** Whether it has been silent for less than that. */
+  isSilentForLess(silenceMs: Milliseconds, now: Milliseconds): boolean {
+    return this.isSilent && now - this.awaySince < silenceMs;
+  }
+
   /** Estimates the load from all gateways, assuming that each sends as much as this one. */
   estimateLoad(gateways: number): StageLoad {
     const { layerTokens, calls, reportedCalls } = this;
@@ -107,6 +138,18 @@
     this.chart.send({ type: 'OVERFLOWED' }, now);
   }
 
+  /** Handles a question that the server did not answer. */
+  noteSilent(reason: string, now: Milliseconds): void {
+    this.lastReason = reason;
+    this.chart.send({ type: 'SILENT' }, now);
+  }
+
+  /** Handles any sign of life that is not an answer to a call. */
+  noteAlive(now: Milliseconds): void {
+    this.lastAliveAt = now;
+    this.chart.send({ type: 'ALIVE' }, now);
+  }
+
   noteUnreachable(reason: string, now: Milliseconds): void {
     this.lastReason = reason;
     this.chart.send({ type: 'UNREACHABLE' }, now);
@@ -146,15 +189,37 @@
       this.suspensions = 0;
     },
     recordUnreachable: (now: Milliseconds): void => {
-      this.unreachableSince = now;
+      this.awaySince = now;
       this.log.warn('A server gets no work until its next heartbeat.', {
         server: this.record.serverId,
         reason: this.lastReason,
         sequence: this.record.sequence,
       });
     },
+    recordSilence: (now: Milliseconds): void => {
+      this.awaySince = now;
+      this.log.warn('A server is silent; new calls go elsewhere.', {
+        server: this.record.serverId,
+        reason: this.lastReason,
+        sequence: this.record.sequence,
+      });
+    },
+    recordLoss: (now: Milliseconds): void => {
+      this.log.warn('A silent server counts as lost.', {
+        server: this.record.serverId,
+        afterMs: Math.round(now - this.awaySince),
+      });
+    },
+    recordReturn: (now: Milliseconds): void => {
+      this.log.info('A silent server is back.', {
+        server: this.record.serverId,
+        afterMs: Math.round(now - this.awaySince),
+      });
+      this.returnedAt = now;
+      this.handleReturn(now);
+    },
     isNewHeartbeat: (now: Milliseconds): boolean =>
-      now - this.unreachableSince >= heartbeatDelayMs,
+      now - this.awaySince >= heartbeatDelayMs,
     noteSuspended: (): void => {
       this.suspensions += 1;
       this.log.warn('A server was suspended because of errors.', {
@@ -194,6 +259,15 @@
       recordUnreachable: (server, _, now) => {
         server.chartActions.recordUnreachable(now);
       },
+      recordSilence: (server, _, now) => {
+        server.chartActions.recordSilence(now);
+      },
+      recordLoss: (server, _, now) => {
+        server.chartActions.recordLoss(now);
+      },
+      recordReturn: (server, _, now) => {
+        server.chartActions.recordReturn(now);
+      },
       noteSuspended: server => {
         server.chartActions.noteSuspended();
       },
@@ -210,5 +284,6 @@
     delays: {
       SUSPENSION: server => server.computeSuspension(),
       UNREACHABLE_RETRY: () => unreachableRetryMs,
+      LOSS_SILENCE: () => lossSilenceMs,
     },
   });
--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/serverCheck.ts
@@ -1,4 +1,4 @@
-/** Probes backend servers that may have failed; context of the chart `serverCheck`. */
+/** Probes backend servers that may have failed, and watches silent ones; context of the chart `serverCheck`. */
 import {
   ChartName,
   bindChart,
@@ -6,13 +6,28 @@
   type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
-import type { Milliseconds, Result } from '@lycheetally/common';
-import { checkIntervalMs, reportTimeoutMs } from './constants.js';
-import { ConnectionUse, type ServerControlPort } from './ports.js';
+import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
+import {
+  checkIntervalMs,
+  reportTimeoutMs,
+  watchPauseMs,
+  watchTimeoutMs,
+} from './constants.js';
+import {
+  ConnectionUse,
+  type ServerControlPort,
+  type ServerReport,
+} from './ports.js';
 import type { Server } from './server.js';
 
 export interface CheckEvent {
-  readonly type: 'SUSPECTED' | 'ANSWERED' | 'UNANSWERED';
+  readonly type:
+    | 'SUSPECTED'
+    | 'PROOF_WANTED'
+    | 'SILENT'
+    | 'ANSWERED'
+    | 'UNANSWERED'
+    | 'REFUSED';
 }
 
 export type CheckMachine = ChartMachine<ServerCheck, CheckEvent>;
@@ -23,13 +38,29 @@
   readonly control: ServerControlPort;
   postCompletion(run: (now: Milliseconds) => void): void;
   countProbe(): void;
+  /** Called when the server answered a probe. */
+  handleAnswer(server: Server, now: Milliseconds): void;
   /** Called when the server did not answer its probes. */
   handleUnresponsive(server: Server, reason: string, now: Milliseconds): void;
+  /** Called when the server's VM refused the connection of a probe. */
+  handleRefused(server: Server, reason: string, now: Milliseconds): void;
 }
 
+/** Whether no process listens at a server's address any more. */
+export const isRefused = (report: Result<ServerReport>): boolean =>
+  report.err && report.val.kind === ErrorKind.BadAddress;
+
+const toCheckEvent = (report: Result<ServerReport>): CheckEvent['type'] => {
+  if (report.ok) {
+    return 'ANSWERED';
+  }
+  return isRefused(report) ? 'REFUSED' : 'UNANSWERED';
+};
+
 /** Probes one server. */
 export class ServerCheck {
   private suspicion = '';
+  private probes = 0;
   private readonly chart: ChartInstance<ServerCheck, CheckEvent>;
 
   constructor(
@@ -50,31 +81,58 @@
     }
   }
 
+  /** Probes the server even if it was probed recently; it is to prove that it lives now. */
+  requestProof(suspicion: string, now: Milliseconds): void {
+    this.suspicion = suspicion;
+    this.chart.send({ type: 'PROOF_WANTED' }, now);
+  }
+
+  /** Watches a server that is known to be silent until it says something. */
+  observe(now: Milliseconds): void {
+    this.chart.send({ type: 'SILENT' }, now);
+  }
+
   readonly chartActions = {
     requestReport: (now: Milliseconds): void => {
-      this.requestReport(ConnectionUse.Kept, now);
+      this.requestReport(ConnectionUse.Kept, reportTimeoutMs, now);
     },
     requestReportAgain: (now: Milliseconds): void => {
-      this.requestReport(ConnectionUse.New, now);
+      this.requestReport(ConnectionUse.New, reportTimeoutMs, now);
+    },
+    requestWatch: (now: Milliseconds): void => {
+      this.requestReport(ConnectionUse.New, watchTimeoutMs, now);
     },
     noteAlive: (now: Milliseconds): void => {
-      this.server.lastAliveAt = now;
+      this.server.noteAlive(now);
+      this.services.handleAnswer(this.server, now);
+    },
+    noteRefused: (now: Milliseconds): void => {
+      this.services.handleRefused(this.server, this.suspicion, now);
     },
+    isSilent: (): boolean => this.server.isSilent,
     noteUnresponsive: (now: Milliseconds): void => {
       this.services.handleUnresponsive(this.server, this.suspicion, now);
     },
   };
 
-  private requestReport(connection: ConnectionUse, now: Milliseconds): void {
+  private requestReport(
+    connection: ConnectionUse,
+    timeoutMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
     const { services, server } = this;
+    this.probes += 1;
+    const { probes } = this;
     server.intake.noteSent(now);
     services.countProbe();
     void services.control
-      .readReport(server.record.address, reportTimeoutMs, connection)
+      .readReport(server.record.address, timeoutMs, connection)
       .then(report => {
         services.postCompletion(answeredAt => {
-          const type = report.err ? 'UNANSWERED' : 'ANSWERED';
-          this.chart.send({ type }, answeredAt);
+          // Of an earlier probe only an answer tells something.
+          if (report.ok || probes === this.probes) {
+            this.chart.send({ type: toCheckEvent(report) }, answeredAt);
+          }
         });
       });
   }
@@ -94,11 +152,27 @@
     if (!server.isAvailable) {
       return;
     }
+    this.getCheck(server, now).request(suspicion, now);
+  }
+
+  /** Probes a server that is to prove that it lives now, unless it gets no calls anyway. */
+  requestProof(server: Server, suspicion: string, now: Milliseconds): void {
+    if (server.isAvailable) {
+      this.getCheck(server, now).requestProof(suspicion, now);
+    }
+  }
+
+  /** Watches a silent server until it says something. */
+  observe(server: Server, now: Milliseconds): void {
+    this.getCheck(server, now).observe(now);
+  }
+
+  private getCheck(server: Server, now: Milliseconds): ServerCheck {
     const check =
       this.checks.get(server) ??
       new ServerCheck(this.machine, this.services, server, now);
     this.checks.set(server, check);
-    check.request(suspicion, now);
+    return check;
   }
 }
 
@@ -112,13 +186,22 @@
       requestReportAgain: (check, _, now) => {
         check.chartActions.requestReportAgain(now);
       },
+      requestWatch: (check, _, now) => {
+        check.chartActions.requestWatch(now);
+      },
       noteAlive: (check, _, now) => {
         check.chartActions.noteAlive(now);
       },
+      noteRefused: (check, _, now) => {
+        check.chartActions.noteRefused(now);
+      },
       noteUnresponsive: (check, _, now) => {
         check.chartActions.noteUnresponsive(now);
       },
     },
-    guards: {},
-    delays: { CHECK_INTERVAL: () => checkIntervalMs },
+    guards: { isSilent: check => check.chartActions.isSilent() },
+    delays: {
+      CHECK_INTERVAL: () => checkIntervalMs,
+      WATCH_PAUSE: () => watchPauseMs,
+    },
   });
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -1,8 +1,15 @@
-/** Handles the loss or suspected loss of a backend server that calls use. */
+/**
+ * Handles the loss of a backend server that calls use, and its silence.
+ *
+ * A silence may be the pause of a sound server, so it ends no call: an attempt moves away
+ * only if another server can take it at once, and otherwise goes on where it is. A refused
+ * connection, a restart and a lapsed entry are evidence of the loss, and end its attempts.
+ */
 import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
 import { createBackendFault } from './attemptFaults.js';
 import { unresponsiveSilenceMs } from './constants.js';
+import type { GatewayAttempt } from './gatewayAttempt.js';
 import type { GatewayCall } from './gatewayCall.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { ServerControlPort } from './ports.js';
@@ -36,9 +43,14 @@
       countProbe: () => {
         services.metrics.countProbe();
       },
+      handleAnswer: (server, now) => {
+        this.reportAlternative(server, now);
+      },
       handleUnresponsive: (server, reason, now) => {
-        server.noteUnreachable(reason, now);
-        this.handleUnresponsive(server, now);
+        this.noteSilent(server, reason, now);
+      },
+      handleRefused: (server, reason, now) => {
+        this.noteRefused(server, reason, now);
       },
     });
   }
@@ -50,48 +62,103 @@
 
   /** Handles a server that is known to have lost its running calls. */
   handleLost(server: Server, now: Milliseconds): void {
-    this.failAttempts(server, 0, now);
+    this.sendToAttempts('SERVER_LOST', server, 0, now);
     this.checkOtherServers(server, now);
   }
 
-  /** Handles a server that answers no probe. If it is only leaving, it may still finish its streams, so only silent attempts fail. */
-  private handleUnresponsive(server: Server, now: Milliseconds): void {
-    this.failAttempts(server, unresponsiveSilenceMs, now);
+  /** Handles a server that did not answer a question; its attempts that are silent too look for another one. */
+  noteSilent(server: Server, reason: string, now: Milliseconds): void {
+    if (!server.isSilent) {
+      server.noteSilent(reason, now);
+      this.checks.observe(server, now);
+      this.sendToSilentAttempts('SERVER_SILENT', server, now);
+      this.checkOtherServers(server, now);
+    }
+  }
+
+  /** Handles a server that refuses connections. If it is only leaving, it may still finish its streams, so only silent attempts fail. */
+  noteRefused(server: Server, reason: string, now: Milliseconds): void {
+    server.noteUnreachable(reason, now);
+    this.sendToSilentAttempts('SERVER_LOST', server, now);
+    this.checkOtherServers(server, now);
+  }
+
+  private sendToSilentAttempts(
+    type: 'SERVER_LOST' | 'SERVER_SILENT',
+    server: Server,
+    now: Milliseconds,
+  ): void {
+    this.sendToAttempts(type, server, unresponsiveSilenceMs, now);
     this.services.timers.schedule(unresponsiveSilenceMs, later => {
-      this.failAttempts(server, unresponsiveSilenceMs, later);
+      if (!server.isAvailable) {
+        this.sendToAttempts(type, server, unresponsiveSilenceMs, later);
+      }
     });
-    this.checkOtherServers(server, now);
   }
 
-  /** Fails attempts whose chain uses the server. The loss of a plain server shows in the attempt's own connection. */
-  private failAttempts(
+  /** Sends the event to attempts whose chain uses the server. A plain server's attempts find out by their own checks. */
+  private sendToAttempts(
+    type: 'SERVER_LOST' | 'SERVER_SILENT',
     server: Server,
     silenceMs: Milliseconds,
     now: Milliseconds,
   ): void {
     const { serverId } = server.record;
-    const fault = createBackendFault(`server ${serverId} of the chain is gone`);
-    for (const { attempt } of [...this.services.listCalls()]) {
+    for (const attempt of this.listSilentAttempts(silenceMs, now)) {
+      if (attempt.servers.has(server)) {
+        sendLoss(attempt, type, serverId, now);
+      }
+    }
+  }
+
+  /** Tells the attempts that a silent server holds up that another server lives. */
+  private reportAlternative(alive: Server, now: Milliseconds): void {
+    for (const attempt of this.listSilentAttempts(unresponsiveSilenceMs, now)) {
+      const serverId = attempt.findSilentServer();
       if (
-        attempt &&
-        attempt.chosen.chain.length > 0 &&
-        attempt.servers.has(server) &&
-        attempt.isSilentFor(silenceMs, now)
+        serverId !== undefined &&
+        attempt.admitted.service.name === alive.record.service
       ) {
-        const event = { type: 'SERVER_LOST', fault, lost: serverId } as const;
-        attempt.instance.send(event, now);
+        sendLoss(attempt, 'SERVER_SILENT', serverId, now);
       }
     }
   }
 
-  /** Probes the other servers: they are often lost together, and each loss that is not yet known costs a retry per call. */
+  /** Lists the attempts with a chain that have been silent for that long. */
+  private listSilentAttempts(
+    silenceMs: Milliseconds,
+    now: Milliseconds,
+  ): readonly GatewayAttempt[] {
+    return [...this.services.listCalls()].flatMap(({ attempt }) =>
+      attempt &&
+      attempt.chosen.chain.length > 0 &&
+      attempt.isSilentFor(silenceMs, now)
+        ? attempt
+        : [],
+    );
+  }
+
+  /** Probes the other servers: they are often lost together, and calls move only to those that live. */
   private checkOtherServers(lost: Server, now: Milliseconds): void {
-    for (const server of this.services.serverRegistry.listUsable(
-      lost.record.service,
-    )) {
-      if (server.record.range) {
-        this.checkServer(server, 'another server was lost', now);
+    const { service, range } = lost.record;
+    for (const server of this.services.serverRegistry.listUsable(service)) {
+      if (server.record.range || !range) {
+        const reason = 'another server was lost or is silent';
+        this.checks.requestProof(server, reason, now);
       }
     }
   }
 }
+
+const sendLoss = (
+  attempt: GatewayAttempt,
+  type: 'SERVER_LOST' | 'SERVER_SILENT',
+  serverId: string,
+  now: Milliseconds,
+): void => {
+  const state = type === 'SERVER_LOST' ? 'gone' : 'silent';
+  const fault = createBackendFault(
+    `server ${serverId} of the chain is ${state}`,
+  );
+  attempt.instance.send({ type, fault, lost: serverId }, now);
+};
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -9,6 +9,7 @@
   type StageServer,
   type StorePosition,
 } from '@lycheetally/decisions';
+import { placementSilenceMs } from './constants.js';
 import { DepartedServers } from './departedServers.js';
 import type { TableRecord } from './ports.js';
 import { Server, type HealthMachine } from './server.js';
@@ -29,6 +30,8 @@
   createIntakePolicy(serverId: string): IntakePolicy;
   /** Called when the running calls of a server are lost. */
   handleLost(server: Server, now: Milliseconds): void;
+  /** Called when a server is back after a silence. */
+  handleReturn(server: Server, now: Milliseconds): void;
 }
 
 interface KnownServer {
@@ -94,14 +97,36 @@
     return this.list(({ record }) => record.address === address)[0];
   }
 
+  /** Servers that are silent. */
+  get silentCount(): number {
+    return this.list(({ isSilent }) => isSilent).length;
+  }
+
   /** Servers of the service that may get calls. */
   listUsable(service: string): Server[] {
+    return this.listListed(service).filter(({ isAvailable }) => isAvailable);
+  }
+
+  /** Servers of the service that may get calls when their silence ends, which may be a pause. */
+  listDoubted(service: string): Server[] {
+    return this.listListed(service).filter(({ isDoubted }) => isDoubted);
+  }
+
+  /** Servers of the service that placement plans with; one that just fell silent keeps its layers. */
+  listPlanned(service: string, now: Milliseconds): Server[] {
+    return this.listListed(service).filter(
+      server =>
+        server.isAvailable || server.isSilentForLess(placementSilenceMs, now),
+    );
+  }
+
+  private listListed(service: string): Server[] {
     return [...this.known.values()]
-      .filter(({ listing }) => listing.isUsable)
-      .map(({ server }) => server)
       .filter(
-        server => server.record.service === service && server.isAvailable,
-      );
+        ({ server, listing }) =>
+          server.record.service === service && listing.isUsable,
+      )
+      .map(({ server }) => server);
   }
 
   listAll(service: string): Server[] {
@@ -189,7 +214,17 @@
       key,
       now,
     );
-    const server = new Server(healthMachine, timers, record, log, intake, now);
+    const server: Server = new Server(
+      healthMachine,
+      timers,
+      record,
+      log,
+      intake,
+      now,
+      returnedAt => {
+        services.handleReturn(server, returnedAt);
+      },
+    );
     const listing = new ServerListing(listingMachine, services, {
       get record() {
         return server.record;
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -160,6 +160,7 @@
       getOutage: () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
       requestHealth: () => Promise.resolve(Err(unanswered)),
       handleLost: () => undefined,
+      handleReturn: () => undefined,
       postCompletion: run => {
         loop.post('completion', run);
       },
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -59,6 +59,7 @@
       getOutage: () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
       requestHealth: ({ serverId }) =>
         Promise.resolve(Ok({ serverId, isSound })),
+      handleReturn: () => undefined,
       handleLost: server => {
         lost.push(server.record.serverId);
       },
