Count any answer to a probe as a sign of life

Cause: whatever is no valid report counted as no answer. A reset was the other way round for a moment: the end of a process looked like a sign of its life.

Change: a probe has four results, answered, unanswered, refused and reset. A reset neither begins nor ends a silence. A server that left the list is not probed any more.

--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -189,7 +189,7 @@
   abstract placeLayers(order: PlacementOrder): Promise<Result<OrderAnswer>>;
   /** Moves a running request to another chain. Fails without a response; the request may move all the same. */
   abstract updateChain(update: ChainUpdate): Promise<Result<ChainUpdateAnswer>>;
-  /** Fails if the server sends no whole report in time. */
+  /** Fails with `BadAddress` if no process listens at the address, with `DeadlineExceeded` if nothing comes in time, with `ConnectionLost` if the connection is reset, and with `BackendFailed` if the answer is no report. */
   abstract readReport(
     address: string,
     timeoutMs: Milliseconds,
--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/serverCheck.ts
@@ -6,7 +6,12 @@
   type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
-import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
+import {
+  ErrorKind,
+  type Milliseconds,
+  type Result,
+  type ValueOf,
+} from '@lycheetally/common';
 import {
   checkIntervalMs,
   reportTimeoutMs,
@@ -21,13 +26,7 @@
 import type { Server } from './server.js';
 
 export interface CheckEvent {
-  readonly type:
-    | 'SUSPECTED'
-    | 'PROOF_WANTED'
-    | 'SILENT'
-    | 'ANSWERED'
-    | 'UNANSWERED'
-    | 'REFUSED';
+  readonly type: 'SUSPECTED' | 'PROOF_WANTED' | 'SILENT' | ProbeResult;
 }
 
 export type CheckMachine = ChartMachine<ServerCheck, CheckEvent>;
@@ -38,6 +37,8 @@
   readonly control: ServerControlPort;
   postCompletion(run: (now: Milliseconds) => void): void;
   countProbe(): void;
+  /** Whether the server is still in use; one that left the list is not probed any more. */
+  isKnown(server: Server): boolean;
   /** Called when the server answered a probe. */
   handleAnswer(server: Server, now: Milliseconds): void;
   /** Called when the server did not answer its probes. */
@@ -46,15 +47,28 @@
   handleRefused(server: Server, reason: string, now: Milliseconds): void;
 }
 
-/** Whether no process listens at a server's address any more. */
-export const isRefused = (report: Result<ServerReport>): boolean =>
-  report.err && report.val.kind === ErrorKind.BadAddress;
-
-const toCheckEvent = (report: Result<ServerReport>): CheckEvent['type'] => {
-  if (report.ok) {
-    return 'ANSWERED';
-  }
-  return isRefused(report) ? 'REFUSED' : 'UNANSWERED';
+/** What the result of a probe says about its server. */
+export const ProbeResult = {
+  /** It lives: any answer is a sign of life, also one that is no report. */
+  Answered: 'ANSWERED',
+  /** Nothing came, which may be a pause. */
+  Unanswered: 'UNANSWERED',
+  /** No process listens at its address any more. */
+  Refused: 'REFUSED',
+  /** The connection was reset: the server takes no more of them, or its process just ended. */
+  Reset: 'RESET',
+} as const;
+export type ProbeResult = ValueOf<typeof ProbeResult>;
+
+export const toProbeResult = (report: Result<ServerReport>): ProbeResult =>
+  report.ok
+    ? ProbeResult.Answered
+    : (resultsByError[report.val.kind] ?? ProbeResult.Unanswered);
+
+const resultsByError: Readonly<Partial<Record<ErrorKind, ProbeResult>>> = {
+  [ErrorKind.BadAddress]: ProbeResult.Refused,
+  [ErrorKind.ConnectionLost]: ProbeResult.Reset,
+  [ErrorKind.BackendFailed]: ProbeResult.Answered,
 };
 
 /** Probes one server. */
@@ -109,7 +123,8 @@
     noteRefused: (now: Milliseconds): void => {
       this.services.handleRefused(this.server, this.suspicion, now);
     },
-    isSilent: (): boolean => this.server.isSilent,
+    isSilent: (): boolean =>
+      this.server.isSilent && this.services.isKnown(this.server),
     noteUnresponsive: (now: Milliseconds): void => {
       this.services.handleUnresponsive(this.server, this.suspicion, now);
     },
@@ -131,7 +146,7 @@
         services.postCompletion(answeredAt => {
           // Of an earlier probe only an answer tells something.
           if (report.ok || probes === this.probes) {
-            this.chart.send({ type: toCheckEvent(report) }, answeredAt);
+            this.chart.send({ type: toProbeResult(report) }, answeredAt);
           }
         });
       });
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -43,6 +43,8 @@
       countProbe: () => {
         services.metrics.countProbe();
       },
+      isKnown: server =>
+        services.serverRegistry.find(server.record.serverId) === server,
       handleAnswer: (server, now) => {
         this.reportAlternative(server, now);
       },
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -14,7 +14,7 @@
 } from './constants.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import { ConnectionUse, type ServerReport } from './ports.js';
-import { isRefused } from './serverCheck.js';
+import { ProbeResult, toProbeResult } from './serverCheck.js';
 
 /** Checks the attempt; it receives `CHECKED` or `SILENT`, or fails at once. */
 export const checkStall = (attempt: GatewayAttempt): void => {
@@ -40,7 +40,8 @@
   );
   void report.then(result => {
     services.postCompletion(receivedAt => {
-      if (result.ok && receivedAt - now >= slowReportMs) {
+      const isAnswered = toProbeResult(result) === ProbeResult.Answered;
+      if (isAnswered && receivedAt - now >= slowReportMs) {
         first.returnedAt = receivedAt;
       }
       receiveReport(attempt, result, receivedAt);
@@ -63,25 +64,40 @@
   now: Milliseconds,
 ): void => {
   const { call, chosen } = attempt;
-  const { lossHandler, serverRegistry } = call.services;
-  if (isRefused(report)) {
-    lossHandler.noteRefused(chosen.first, 'it refuses connections', now);
-    attempt.instance.send({ type: 'CHECKED' }, now);
-    return;
-  }
-  if (report.err) {
-    lossHandler.noteSilent(chosen.first, 'it sends no report', now);
-    sendSilent(attempt, now);
-    return;
+  const { lossHandler } = call.services;
+  switch (toProbeResult(report)) {
+    case ProbeResult.Refused:
+      lossHandler.noteRefused(chosen.first, 'it refuses connections', now);
+      attempt.instance.send({ type: 'CHECKED' }, now);
+      return;
+    case ProbeResult.Unanswered:
+      lossHandler.noteSilent(chosen.first, 'it sends no report', now);
+      sendSilent(attempt, now);
+      return;
+    case ProbeResult.Reset:
+      attempt.instance.send({ type: 'CHECKED' }, now);
+      return;
+    case ProbeResult.Answered:
+      receiveAnswer(attempt, report, now);
   }
+};
+
+/** Handles the report of a server that lives, or an answer that is none. */
+const receiveAnswer = (
+  attempt: GatewayAttempt,
+  report: Result<ServerReport>,
+  now: Milliseconds,
+): void => {
+  const { call, chosen } = attempt;
+  const { lossHandler, serverRegistry } = call.services;
   chosen.first.noteAlive(now);
   if (chosen.chain.length === 0) {
     attempt.endStalled(now);
     return;
   }
-  const stalled = report.val.stalled.find(
-    ({ requestId }) => requestId === call.requestId,
-  );
+  const stalled = report.ok
+    ? report.val.stalled.find(({ requestId }) => requestId === call.requestId)
+    : undefined;
   const server = serverRegistry.findByAddress(stalled?.address ?? '');
   if (server) {
     lossHandler.noteSilent(server, 'a chain stalled there', now);
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -11,6 +11,7 @@
 } from '@lycheetally/common';
 import { UnlimitedIntake } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import { watchPauseMs } from '../src/constants.js';
 import {
   ConnectionUse,
   ServerControlPort,
@@ -25,7 +26,7 @@
 import { createQuietLoggers } from './quietLoggers.js';
 
 const unanswered = new TypedError(
-  ErrorKind.BackendFailed,
+  ErrorKind.DeadlineExceeded,
   'no answer',
   'start it',
 );
@@ -82,6 +83,7 @@
   readonly control: ScriptedControl;
   readonly unresponsive: string[] = [];
   returns = 0;
+  isKnown = true;
   readonly server: Server;
   private readonly clock = new MonotonicClock();
   private readonly loop = new EventLoop<{
@@ -132,6 +134,7 @@
         this.loop.post('completion', run);
       },
       countProbe: () => undefined,
+      isKnown: () => this.isKnown,
       handleAnswer: () => undefined,
       handleUnresponsive: (server, reason, now) => {
         this.unresponsive.push(reason);
@@ -201,6 +204,16 @@
     expect(fixture.control.probes).toBe(3);
   });
 
+  // Guards against probes without end of a server that fell silent and left.
+  it('that left while it was silent is not probed any more', async () => {
+    fixture = new CheckFixture([false, false, false]);
+    fixture.isKnown = false;
+    fixture.request('its heartbeat is overdue');
+    await fixture.settle();
+    await new Promise(resolve => setTimeout(resolve, 2 * watchPauseMs));
+    expect(fixture.control.probes).toBe(3);
+  });
+
   // Guards against a server that gets no calls until its next heartbeat after a pause.
   it('that answers a later probe gets calls again at once', async () => {
     fixture = new CheckFixture([false, false]);
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -24,6 +24,8 @@
 
 export class BackendServerStandIn {
   readonly receivedRequests: ReceivedRequest[] = [];
+  /** Whether it reports its load; servers of services without layers need not know such requests. */
+  hasReports = true;
   /** Requests whose chain has stalled, as its report lists them. */
   stalledRequests: readonly { id: string; address: string }[] = [];
   /** Orders received, in order. */
@@ -102,7 +104,9 @@
   }
 
   private serve(request: ReceivedRequest): void {
-    if (request.target === '/report') {
+    if (request.target === '/report' && !this.hasReports) {
+      sendResponse(request, '', '404 Not Found');
+    } else if (request.target === '/report') {
       sendJson(request, { seq: 0, stalled: this.stalledRequests });
     } else if (request.target === '/order') {
       const order: unknown = JSON.parse(request.body);
