Take no heartbeat for a proof that a server lives now

Callers had streams that moved from one pausing server to another one, which paused too; they waited no longer for it, but ran a second time and took retries.

Cause: an entry of the server list counted as a sign of life at the moment when it was read. It may have been written up to a read of the list earlier, before the pause. Same class as the silence itself: old knowledge used as if it were new.

Evidence: serverRegistry.test.ts, "takes no heartbeat for a proof that the server lives now", failed before (the server was chosen), passes now.

Change: a server has proven life only by what it sent to this gateway itself: bytes of a call or an answer to a probe. Heartbeats still count where their age matters.

--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -55,8 +55,7 @@
 const listAlive = (
   servers: readonly Server[],
   since: Milliseconds,
-): readonly Server[] =>
-  servers.filter(({ lastAliveAt }) => lastAliveAt >= since);
+): readonly Server[] => servers.filter(server => server.hasProvenLife(since));
 
 const chooseAmong = (
   call: GatewayCall,
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -506,7 +506,7 @@
   }
 
   private noteAlive(server: Server, now: Milliseconds): void {
-    server.lastAliveAt = now;
+    server.noteProof(now);
     if (server.isSilent) {
       this.call.services.postCompletion(readAt => {
         server.noteAlive(readAt);
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -45,6 +45,8 @@
   layerTokens = 0;
   /** When the server was last known to be alive, by a heartbeat or a response to a probe. */
   lastAliveAt: Milliseconds;
+  /** When it last sent something itself; a heartbeat may have been written up to a read of the list earlier. */
+  private provenAt: Milliseconds = -Infinity;
   /** When its last silence ended. */
   returnedAt: Milliseconds = -Infinity;
   /** Calls that the server reported in its newest response; 0 after a heartbeat. */
@@ -146,10 +148,21 @@
 
   /** Handles any sign of life that is not an answer to a call. */
   noteAlive(now: Milliseconds): void {
-    this.lastAliveAt = now;
+    this.noteProof(now);
     this.chart.send({ type: 'ALIVE' }, now);
   }
 
+  /** Records that the server sent something, which proves that it lives. */
+  noteProof(now: Milliseconds): void {
+    this.lastAliveAt = now;
+    this.provenAt = now;
+  }
+
+  /** Whether the server has sent something since then. */
+  hasProvenLife(since: Milliseconds): boolean {
+    return this.provenAt >= since;
+  }
+
   noteUnreachable(reason: string, now: Milliseconds): void {
     this.lastReason = reason;
     this.chart.send({ type: 'UNREACHABLE' }, now);
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -7,6 +7,8 @@
   type StorePosition,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import { chooseAlive } from '../src/chooseServers.js';
+import type { AdmittedCall, GatewayCall } from '../src/gatewayCall.js';
 import type { TableRecord } from '../src/ports.js';
 import { bindHealthChart } from '../src/server.js';
 import { bindIntakeChart } from '../src/serverIntake.js';
@@ -83,6 +85,29 @@
   const listUsable = (): string[] =>
     registry.listUsable('desk').map(server => server.record.address);
 
+  const findAlive = (since: number): string | undefined => {
+    const services = { serverRegistry: registry, homeDomain: 'a' };
+    const call = { services, avoided: new Set() };
+    const admitted = { service: { name: 'desk' } };
+    return chooseAlive(
+      call as unknown as GatewayCall,
+      admitted as AdmittedCall,
+      { since, without: undefined },
+      clock.getNow(),
+    )?.first.record.serverId;
+  };
+
+  // Guards against calls that move from one pausing server to another, whose heartbeat was written before the pause and read in it.
+  it('takes no heartbeat for a proof that the server lives now', () => {
+    apply([{ key: 'i-1', position: toPosition(10), value: record }]);
+    const askedAt = clock.getNow();
+    const value = { ...record, sequence: record.sequence + 1 };
+    apply([{ key: 'i-1', position: toPosition(11), value }]);
+    expect(findAlive(askedAt)).toBeUndefined();
+    registry.find('i-1')?.noteAlive(clock.getNow());
+    expect(findAlive(askedAt)).toBe('i-1');
+  });
+
   // Guards against a server that is ignored for ever after its VM's clock stepped back.
   it('follows a server that started again with an earlier start time', () => {
     apply([{ key: 'i-1', position: toPosition(10), value: record }]);
