Soak: let sound servers pause beside planned work and faults

Two scenarios: pauses of one, several or all servers for 0.3 to 2 s beside stops, reloads and new configurations, where no call may be cut or lost and a gateway that neither stops nor starts refuses none (a check of its own; the promises of the other scenarios are unchanged); and pauses beside the faults of before, whose seeded runs stay as they are. A pause comes 3 s after the end of the one before, since the deadlines allow for one a call.

--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -1,5 +1,6 @@
 /** Checks the calls and runs of a soak against the guarantees of a gateway. */
 import { checkLeaving } from './checkLeaving.js';
+import { checkRefusal } from './checkRefusals.js';
 import { checkCuts } from './stopCuts.js';
 import { listViolations } from './violations.js';
 import {
@@ -36,6 +37,7 @@
         ...checkCall(call, callRuns),
         ...checkLeaving(call, callRuns, history),
         ...(history.isPlannedOnly ? checkPlanned(call, callRuns, history) : []),
+        ...(history.refusesOnlyAtStops ? checkRefusal(call, history) : []),
       ];
     }),
     ...(history.isPlannedOnly ? checkCuts(history) : []),
--- a/bench/src/soak/gatewaySoakBench.ts
+++ b/bench/src/soak/gatewaySoakBench.ts
@@ -4,6 +4,8 @@
 import {
   FaultScenario,
   LeavingScenario,
+  PausedFaultScenario,
+  PausedScenario,
   PlannedScenario,
   RestoringScenario,
   StopScenario,
@@ -16,13 +18,14 @@
 const plannedSeeds = 20;
 const stopSeeds = 20;
 const restoringSeeds = 20;
+const pausedSeeds = 20;
 const concurrentSeeds = 4;
 const durationMs = 8_000;
 
 export class GatewaySoakBench extends Bench {
   override readonly name = 'soak';
   override readonly summary =
-    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, in 20 with stops of gateways that started seconds before, and in 20 with a store that comes back from older copies';
+    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, in 20 with stops of gateways that started seconds before, in 20 with a store that comes back from older copies, and in 40 with pauses of sound servers';
   override readonly unit = 'calls';
 
   protected override async measure({ seed, report }: BenchOptions): Promise<{
@@ -36,6 +39,8 @@
       ...listRuns(new PlannedScenario(), seed, plannedSeeds),
       ...listRuns(new StopScenario(), seed, stopSeeds),
       ...listRuns(new RestoringScenario(), seed, restoringSeeds),
+      ...listRuns(new PausedScenario(), seed, pausedSeeds),
+      ...listRuns(new PausedFaultScenario(), seed, pausedSeeds),
     ];
     let calls = 0;
     const failed: unknown[] = [];
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -77,7 +77,7 @@
       callsAfterFaults,
       recoveredAt,
       faults,
-      isPlannedOnly: scenario.isPlannedOnly,
+      scenario,
     });
   } finally {
     await harness.dispose();
@@ -116,7 +116,7 @@
   readonly callsAfterFaults: readonly SoakCall[];
   readonly recoveredAt: number;
   readonly faults: readonly string[];
-  readonly isPlannedOnly: boolean;
+  readonly scenario: SoakScenario;
 }
 
 const describeSoak = ({
@@ -126,14 +126,15 @@
   callsAfterFaults,
   recoveredAt,
   faults,
-  isPlannedOnly,
+  scenario,
 }: EndedSoak): SoakResult => {
   const history: SoakHistory = {
     calls: [...calls, ...callsAfterFaults],
     runs: harness.servers.flatMap(({ runs }) => runs),
     accounts: harness.accounts,
     revocationDeadlines: harness.revocationDeadlines,
-    isPlannedOnly,
+    isPlannedOnly: scenario.isPlannedOnly,
+    refusesOnlyAtStops: scenario.refusesOnlyAtStops,
     stops: harness.gateways.flatMap(({ port, stops }) =>
       stops.map(({ at, exitAt }) => ({
         port,
--- a/bench/src/soak/soakCallers.ts
+++ b/bench/src/soak/soakCallers.ts
@@ -65,6 +65,9 @@
 /** Steps of streams of which most are short and some last longer than a grace period. */
 export const mixedStreamSteps: readonly number[] = [4, 20, 60, 240];
 
+/** Steps of calls that end before a gateway's drain timeout even if their server pauses. */
+export const shortSteps: readonly number[] = [4, 20, 50];
+
 /** Steps of a look-up; its answer comes within the latency target, after which it would run again. */
 const lookupSteps = 4;
 
@@ -84,20 +87,29 @@
 export const runSessions = async (
   load: SoakLoad,
   streamSteps = sessionSteps,
+  bookingSteps = sessionSteps,
 ): Promise<SoakCall[]> => {
   const sessions = load.ports.flatMap((port, gateway) =>
     Array.from({ length: sessionsPerGateway }, (_, index) =>
-      runSession(load, port, gateway * sessionsPerGateway + index, streamSteps),
+      runSession(load, port, gateway * sessionsPerGateway + index, {
+        streamSteps,
+        bookingSteps,
+      }),
     ),
   );
   return (await Promise.all(sessions)).flat();
 };
 
+interface SessionSteps {
+  readonly streamSteps: readonly number[];
+  readonly bookingSteps: readonly number[];
+}
+
 const runSession = async (
   load: SoakLoad,
   port: number,
   session: number,
-  streamSteps: readonly number[],
+  { streamSteps, bookingSteps }: SessionSteps,
 ): Promise<SoakCall[]> => {
   const name = `${String(load.seed)}-${String(session)}`;
   const random = new SeededRandom(load.seed * 1_000 + session);
@@ -107,7 +119,7 @@
   while (Date.now() < endsAt) {
     const kind = random.pickOne(sessionKinds);
     const isStream = kind === SoakKind.Stream;
-    const steps = random.pickOne(isStream ? streamSteps : sessionSteps);
+    const steps = random.pickOne(isStream ? streamSteps : bookingSteps);
     const call = await sendCall({
       requestId: `${name}-${String(calls.length)}`,
       kind,
--- a/bench/src/soak/soakFaults.ts
+++ b/bench/src/soak/soakFaults.ts
@@ -179,6 +179,17 @@
   }
 }
 
+/** Some servers fall silent at the same time and go on where they were. */
+class PauseServersFault extends SoakFault {
+  readonly name = 'pause servers';
+
+  override run(harness: SoakHarness, random: SeededRandom): Promise<void> {
+    const count = 1 + random.pickInteger(harness.servers.length);
+    const forMs = minPauseMs + random.pickInteger(maxPauseMs - minPauseMs);
+    return harness.pauseServers(count, forMs, random);
+  }
+}
+
 /** Revokes a key other than the first, which callers keep. */
 const revokeAnyKey = (harness: SoakHarness, random: SeededRandom): void => {
   const [, ...keys] = [...harness.accounts.keys()];
@@ -280,6 +291,24 @@
   new StoreChangeFault('change the time limits', applyRouteTimeout),
 ];
 
+const pausedFaults: readonly SoakFault[] = [
+  ...faults,
+  ...Array.from({ length: 4 }, () => new PauseServersFault()),
+];
+
+const pausedWork: readonly SoakFault[] = [
+  new RestartGatewayFault(),
+  new ReloadGatewayFault(),
+  new StoreChangeFault('change the configuration', harness => {
+    harness.publishConfiguration();
+  }),
+  ...Array.from({ length: 4 }, () => new PauseServersFault()),
+];
+
+/** Bounds of the pause of a sound server. */
+const minPauseMs = 300;
+const maxPauseMs = 2_000;
+
 /** Bounds of a fault's duration and of the pause before the next one. */
 const minFaultMs = 200;
 const maxFaultMs = 1_800;
@@ -315,6 +344,26 @@
 ): Promise<string[]> =>
   runFaults(restoringFaults, longestPauseMs, { harness, random, durationMs });
 
+/** Injects faults, and pauses of servers, for `durationMs`; returns their names in order. */
+export const runPausedFaults = (
+  harness: SoakHarness,
+  random: SeededRandom,
+  durationMs: number,
+): Promise<string[]> =>
+  runFaults(pausedFaults, longestPauseMs, { harness, random, durationMs });
+
+/** Does planned work while servers pause, for `durationMs`; returns its names in order. */
+export const runPausedWork = (
+  harness: SoakHarness,
+  random: SeededRandom,
+  durationMs: number,
+): Promise<string[]> =>
+  runFaults(pausedWork, longestPlannedPauseMs, {
+    harness,
+    random,
+    durationMs,
+  });
+
 /** Does planned work for `durationMs`, some of it at the same time; returns its names in order. */
 export const runPlannedWork = (
   harness: SoakHarness,
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -9,6 +9,7 @@
   StoreMode,
   TcpRelay,
   type SeededRandom,
+  waitFor,
   formatConfigurationRecord,
   formatServerRecord,
 } from '@lycheetally/testkit';
@@ -24,6 +25,9 @@
 /** Milliseconds after which every gateway must reject a revoked key; short to keep the runs short. */
 const revokeMs = 2_000;
 
+/** Time between two pauses of servers, in milliseconds; the deadlines of calls allow for one pause. */
+const pauseIntervalMs = 3_000;
+
 /** Seconds that a stopping gateway waits for its open calls. */
 export const drainSeconds = 5;
 
@@ -53,6 +57,7 @@
   /** What each key was last written with. */
   private readonly written = new Map<string, WrittenValue>();
   private version = 1;
+  private mayPauseAt = 0;
 
   constructor(
     private readonly seed: number,
@@ -124,6 +129,30 @@
     );
   }
 
+  /** Lets some servers fall silent and go on, unless others did so a short time ago. */
+  async pauseServers(
+    count: number,
+    forMs: number,
+    random: SeededRandom,
+  ): Promise<void> {
+    const first = random.pickInteger(this.servers.length);
+    if (Date.now() < this.mayPauseAt) {
+      return;
+    }
+    this.mayPauseAt = Date.now() + forMs + pauseIntervalMs;
+    const paused = [
+      ...this.servers.slice(first),
+      ...this.servers.slice(0, first),
+    ].slice(0, count);
+    paused.forEach(({ backend }) => {
+      backend.pause();
+    });
+    await waitFor(forMs);
+    paused.forEach(({ backend }) => {
+      backend.resume();
+    });
+  }
+
   /** Puts the store back to an older copy, after which each writer writes again what it wrote last. */
   resetStore(copy: StoreCopy): void {
     this.store.resetTo(copy);
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -2,12 +2,15 @@
 import type { SeededRandom } from '@lycheetally/testkit';
 import {
   mixedStreamSteps,
+  shortSteps,
   runCallers,
   runSessions,
   type SoakLoad,
 } from './soakCallers.js';
 import {
   runLeavingFaults,
+  runPausedFaults,
+  runPausedWork,
   runPlannedWork,
   runRestoringFaults,
   runSoakFaults,
@@ -22,6 +25,9 @@
   /** Whether the soak consists of planned work only. */
   abstract readonly isPlannedOnly: boolean;
 
+  /** Whether gateways have a reason to refuse calls only while they stop or start. */
+  readonly refusesOnlyAtStops: boolean = false;
+
   /** Time limit of the routes at the start, in milliseconds. */
   abstract readonly routeTimeoutMs: number;
 
@@ -84,6 +90,19 @@
   }
 }
 
+/** Any fault while sound servers pause. */
+export class PausedFaultScenario extends FaultScenario {
+  override readonly name = 'paused servers and faults';
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    return runPausedFaults(harness, random, durationMs);
+  }
+}
+
 /** Stops, reloads and new configurations, with callers that keep their connections. */
 export class PlannedScenario extends SoakScenario {
   override readonly name: string = 'planned work';
@@ -123,3 +142,24 @@
     return runStops(harness, random, durationMs);
   }
 }
+
+/** Planned work while sound servers pause, which is no reason to lose or to refuse a call. */
+export class PausedScenario extends PlannedScenario {
+  override readonly name = 'paused servers';
+  override readonly refusesOnlyAtStops = true;
+  override readonly routeTimeoutMs = 9_000;
+  override readonly testMs = 8_000;
+
+  override runCallers(load: SoakLoad): Promise<SoakCall[]> {
+    return runSessions(load, shortSteps, shortSteps);
+  }
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    harness.endFaults();
+    return runPausedWork(harness, random, durationMs);
+  }
+}
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -74,6 +74,8 @@
   readonly revocationDeadlines: ReadonlyMap<string, number>;
   /** Whether planned work was the only disturbance, so that nothing excuses a lost call. */
   readonly isPlannedOnly: boolean;
+  /** Whether gateways have a reason to refuse calls only while they stop or start. */
+  readonly refusesOnlyAtStops: boolean;
   readonly stops: readonly SoakStop[];
   readonly resets: readonly SoakReset[];
   /** When each server that left was to get no more calls, in milliseconds since the start of the soak. */
--- a/bench/tests/soak.test.ts
+++ b/bench/tests/soak.test.ts
@@ -3,6 +3,8 @@
 import {
   FaultScenario,
   LeavingScenario,
+  PausedFaultScenario,
+  PausedScenario,
   PlannedScenario,
   SoakKind,
   StopScenario,
@@ -56,6 +58,7 @@
   accounts: new Map([['key-1', 'account-1']]),
   revocationDeadlines: new Map(),
   isPlannedOnly: false,
+  refusesOnlyAtStops: false,
   stops: [],
   resets: [],
   leaveDeadlines: new Map(),
@@ -161,6 +164,33 @@
   });
 });
 
+describe('checkSoak with refusals while servers pause', () => {
+  const refused = {
+    ...call,
+    status: 503,
+    isSigned: false,
+    sentAt: 5_000,
+    endedAt: 5_010,
+  };
+  const promise = 'a gateway that neither stops nor starts refuses no call';
+
+  it.each([
+    ['no stop', [], [promise]],
+    ['a stop', [{ port: 1, at: 5_005, exitAt: 6_000 }], []],
+    ['a start', [{ port: 1, at: 1_000, exitAt: 2_000 }], []],
+    ['a stop long ago', [{ port: 1, at: 1_000, exitAt: 1_999 }], [promise]],
+    ['a later stop', [{ port: 1, at: 5_011, exitAt: 6_000 }], [promise]],
+    [
+      'a stop of another gateway',
+      [{ port: 2, at: 4_000, exitAt: 5_000 }],
+      [promise],
+    ],
+  ])('judges a refusal by a gateway with %s', (_, stops, promises) => {
+    const changes = { refusesOnlyAtStops: true, stops };
+    expect(findViolations([refused], [], changes)).toEqual(promises);
+  });
+});
+
 describe('checkSoak with planned work only', () => {
   const stream: SoakCall = { ...call, kind: SoakKind.Stream };
   const streamRun = { ...run, kind: SoakKind.Stream };
@@ -305,6 +335,9 @@
   { scenario: new PlannedScenario(), seed: 2 },
   // A gateway that had served for seconds took streams after its stop signal and cut them.
   { scenario: new StopScenario(), seed: 4 },
+  // Gateways took a pause of sound servers for their loss: they cut and refused calls.
+  { scenario: new PausedScenario(), seed: 102 },
+  { scenario: new PausedFaultScenario(), seed: 102 },
 ];
 
 const results = new Map<unknown, Promise<SoakResult>>();
