Log the forecast that a stopping gateway took a call on

Cause: the question whether an attempt would be worth moving recorded a forecast too, and a silence asks it again and again.

Evidence: drainAdmission.test.ts, "keeps the forecast that it took a call on when it looks for another server", failed before, passes now.

Change: only a call that is about to be taken keeps the forecast.

--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -14,7 +14,7 @@
   retryAfterMs,
   staleRetryAfterMs,
 } from './constants.js';
-import { createStoppingFault, mayEndBeforeStop } from './drainAdmission.js';
+import { createStoppingFault, mayTakeBeforeStop } from './drainAdmission.js';
 import { EventStream } from './eventStream.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
@@ -48,7 +48,8 @@
     return { fault: unknownKey };
   }
   const admission = finishAdmission(call, configuration, route, holder);
-  return 'fault' in admission || mayEndBeforeStop(call, admission.admitted, now)
+  return 'fault' in admission ||
+    mayTakeBeforeStop(call, admission.admitted, now)
     ? admission
     : { fault: createStoppingFault(call, now) };
 };
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -57,18 +57,50 @@
   call: GatewayCall,
   admitted: AdmittedCall,
   now: Milliseconds,
+): boolean =>
+  !call.services.drainPeriod.hasBegun ||
+  isExpectedToEnd(call, admitted, estimateEnd(call, admitted, now), now);
+
+/** Like `mayEndBeforeStop`, for a call that is about to be taken; keeps the forecast for the log. */
+export const mayTakeBeforeStop = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  now: Milliseconds,
 ): boolean => {
-  const { drainPeriod, durationForecast } = call.services;
+  const { drainPeriod } = call.services;
   if (!drainPeriod.hasBegun) {
     return true;
   }
-  const forecastCall = toForecastCall(call, admitted);
-  const endsAt = drainPeriod.timeoutAt - drainEndReserveMs;
-  const estimate = durationForecast.estimateBy(forecastCall, endsAt, now);
+  const estimate = estimateEnd(call, admitted, now);
   call.drainForecast = {
     ...estimate,
     timeLeftMs: drainPeriod.timeoutAt - now,
   };
+  return isExpectedToEnd(call, admitted, estimate, now);
+};
+
+const getLatestEnd = ({ services }: GatewayCall): Milliseconds =>
+  services.drainPeriod.timeoutAt - drainEndReserveMs;
+
+const estimateEnd = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  now: Milliseconds,
+): DurationEstimate =>
+  call.services.durationForecast.estimateBy(
+    toForecastCall(call, admitted),
+    getLatestEnd(call),
+    now,
+  );
+
+const isExpectedToEnd = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  estimate: DurationEstimate,
+  now: Milliseconds,
+): boolean => {
+  const { drainPeriod } = call.services;
+  const endsAt = getLatestEnd(call);
   if (!admitted.isRepeatable) {
     return admitted.deadlineAt <= endsAt;
   }
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/repeatRules.ts
@@ -1,28 +1,34 @@
 /** Decides whether a call may get another attempt. */
 import type { Milliseconds } from '@lycheetally/common';
 import { chooseAlive, type ProofOfLife } from './chooseServers.js';
-import { mayEndBeforeStop } from './drainAdmission.js';
+import { mayEndBeforeStop, mayTakeBeforeStop } from './drainAdmission.js';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
 import { findRepeatFault } from './parts/promptCalls.js';
 
-/** Whether a stopping gateway starts another attempt; a stream that has begun goes on as long as it can. */
+/** Whether a stopping gateway starts an attempt now; a stream that has begun goes on as long as it can. */
 export const mayStartAttempt = (
   call: GatewayCall,
   now: Milliseconds,
 ): boolean =>
+  call.hasStartedResponse ||
+  call.admitted === undefined ||
+  mayTakeBeforeStop(call, call.admitted, now);
+
+/** Whether a stopping gateway would start another attempt. */
+const mayStartAnother = (call: GatewayCall, now: Milliseconds): boolean =>
   call.hasStartedResponse ||
   call.admitted === undefined ||
   mayEndBeforeStop(call, call.admitted, now);
 
 /** Whether a call that has not run may be sent again. */
 export const mayRetry = (call: GatewayCall, now: Milliseconds): boolean =>
-  mayStartAttempt(call, now) &&
+  mayStartAnother(call, now) &&
   call.services.retryPolicy.mayRetry(call.toRequestView(), now);
 
 /** Whether a call that may have run may run again. */
 export const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
   call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
-  mayStartAttempt(call, now) &&
+  mayStartAnother(call, now) &&
   !isPromptRefused(call, now) &&
   call.services.retryPolicy.mayRepeat(call.toRequestView(), now);
 
--- a/packages/gateway/tests/drainAdmission.test.ts
+++ b/packages/gateway/tests/drainAdmission.test.ts
@@ -2,6 +2,7 @@
 import { SurvivalForecast } from '@lycheetally/decisions';
 import { describe, expect, it } from 'vitest';
 import { forecastSettings } from '../src/constants.js';
+import { mayRetry, mayStartAttempt } from '../src/repeatRules.js';
 import { StoppingGateway, type TestCall } from './stoppingGateway.js';
 
 interface Stream {
@@ -39,6 +40,17 @@
   Array.from({ length: count }, () => stream);
 
 describe('a stopping gateway', () => {
+  // Guards against a log that tells another forecast than the one that the call was taken on.
+  it('keeps the forecast that it took a call on when it looks for another server', () => {
+    const gateway = runUntilStop(makeStreams(20, { durationMs: 1_500 }));
+    const call = gateway.createCall({}, askedAt);
+    expect(mayStartAttempt(call, askedAt)).toBe(true);
+    const taken = call.drainForecast;
+    expect(mayRetry(call, askedAt + 100)).toBe(true);
+    expect(call.drainForecast).toBe(taken);
+    expect(taken?.timeLeftMs).toBe(gateway.timeoutAt - askedAt);
+  });
+
   it('does not take a stream when it has run for three seconds and half of its streams are still open', () => {
     const gateway = runUntilStop([
       ...makeStreams(20, { durationMs: 1_500 }),
--- a/packages/gateway/tests/stoppingGateway.ts
+++ b/packages/gateway/tests/stoppingGateway.ts
@@ -1,5 +1,5 @@
 /** A gateway's admission during a stop, without its connections. */
-import type { DurationForecast } from '@lycheetally/decisions';
+import { BoundedRetry, type DurationForecast } from '@lycheetally/decisions';
 import { mayEndBeforeStop, noteOpened } from '../src/drainAdmission.js';
 import { DrainPeriod } from '../src/drainPeriod.js';
 import type { AdmittedCall, GatewayCall } from '../src/gatewayCall.js';
@@ -39,7 +39,7 @@
     return endedAt => call.noteEnd?.(true, endedAt);
   }
 
-  private createCall(
+  createCall(
     {
       hintedOutputTokens,
       isRepeatable = true,
@@ -51,7 +51,12 @@
     const service = { name: 'service' } as AdmittedCall['service'];
     const { drainPeriod, durationForecast } = this;
     return {
-      services: { drainPeriod, durationForecast },
+      services: {
+        drainPeriod,
+        durationForecast,
+        retryPolicy: new BoundedRetry(),
+      },
+      toRequestView: () => ({ attempts: 1, deadlineAt: Infinity }),
       received: {
         receivedAt: now,
         fields: { maxOutputTokens: 600, hintedOutputTokens },
