Never let a call leave its plain server for that same server

Cause: a late server answers the question whether it lives, and so counted as the other server that can take the call. The call left it, avoided it from then on, and found no server.

Evidence: pausedServers.test.ts, "answer late rather than never when no other one is there", failed before with 502, passes now.

Change: what holds a plain attempt up is its own server, whatever that server says.

--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -337,9 +337,13 @@
       Math.max(1, this.stallCheckAt - now),
   };
 
-  /** Id of the server that holds the attempt up: its chain stalled there, or it is silent. */
+  /** Id of the server that holds the attempt up: a plain one itself, the one where its chain stalled, or a silent one. */
   findSilentServer(): string | undefined {
-    const silent = [this.chosen.first, ...this.servers.stages].find(
+    const { first, chain } = this.chosen;
+    if (chain.length === 0) {
+      return first.record.serverId;
+    }
+    const silent = [first, ...this.servers.stages].find(
       ({ isSilent }) => isSilent,
     );
     return this.stalledServer ?? silent?.record.serverId;
