Don't take the pause of a server for an event that never ends

Callers of streams whose server paused after the first half of an event had their call run a second time, also where all servers paused and none could take it; with no run left, the stream was cut.

Cause: an event that had begun 0.8 s before failed its attempt before anything was asked. A server that pauses between two packets of an event is silent for longer than that.

Change: the check of the event follows the report: it counts only at a server that answers, and the time since the end of a silence only.

--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -18,14 +18,9 @@
 
 /** Checks the attempt; it receives `CHECKED` or `SILENT`, or fails at once. */
 export const checkStall = (attempt: GatewayAttempt): void => {
-  const { call, admitted, chosen } = attempt;
-  const { services } = call;
+  const { services } = attempt.call;
   const now = services.getMoment().monotonic;
-  if (admitted.isRepeatable && hasOverdueEvent(attempt, now)) {
-    attempt.failExchange('the server began an event and did not end it');
-    return;
-  }
-  const { first } = chosen;
+  const { first } = attempt.chosen;
   if (first.isSilent) {
     sendSilent(attempt, now);
     return;
@@ -49,13 +44,17 @@
   });
 };
 
-/** Whether the server sends an event in pieces that are too far apart to be sound. */
+/** Whether the server sends an event in pieces that are too far apart to be sound; a pause between them doesn't count. */
 const hasOverdueEvent = (
-  { call }: GatewayAttempt,
+  { call, admitted, chosen }: GatewayAttempt,
   now: Milliseconds,
 ): boolean => {
   const since = call.events?.partialSince;
-  return since !== undefined && now - since >= maxPartialEventMs;
+  return (
+    admitted.isRepeatable &&
+    since !== undefined &&
+    now - Math.max(since, chosen.first.returnedAt) >= maxPartialEventMs
+  );
 };
 
 const receiveReport = (
@@ -91,6 +90,10 @@
   const { call, chosen } = attempt;
   const { lossHandler, serverRegistry } = call.services;
   chosen.first.noteAlive(now);
+  if (hasOverdueEvent(attempt, now)) {
+    attempt.failExchange('the server began an event and did not end it');
+    return;
+  }
   if (chosen.chain.length === 0) {
     attempt.endStalled(now);
     return;
