Give up a plain server that refuses connections

Callers of repeatable plain calls waited until their deadline and got 504 when their server was gone and its connection stayed open, as that of a VM that was replaced.

Cause: the report of such a server is refused; its attempts were told that they were checked, and only attempts with a chain get the event of the loss. A server that resets the question, at its limit of connections, held its calls in the same way.

Evidence: 'lose the repeatable calls that they hold when they refuse connections' failed before (504 after 8 s) and passes now.

Change: a refused question ends the attempt if the call may run on another server; a reset counts as an answer of a server that has stalled the call.

--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -15,7 +15,7 @@
   type BackendHead,
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
-import { mayMove } from './repeatRules.js';
+import { mayMove, mayRunElsewhere } from './repeatRules.js';
 import type { Server } from './server.js';
 import { checkStall } from './stallCheck.js';
 import {
@@ -440,6 +440,16 @@
     }
   }
 
+  /** Ends an attempt whose plain server is gone, if the call may run elsewhere; attempts with a chain got the loss already. */
+  endLost(now: Milliseconds): void {
+    const { call, admitted, chosen } = this;
+    if (chosen.chain.length === 0 && mayRunElsewhere(call, admitted, now)) {
+      this.failExchange('its server refuses connections');
+    } else {
+      this.instance.send({ type: 'CHECKED' }, now);
+    }
+  }
+
   private finishBody({ fields }: BackendHead): void {
     const { call } = this;
     const isStream = this.mode === ResponseMode.Streamed;
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/repeatRules.ts
@@ -1,6 +1,10 @@
 /** Decides whether a call may get another attempt. */
 import type { Milliseconds } from '@lycheetally/common';
-import { chooseAlive, type ProofOfLife } from './chooseServers.js';
+import {
+  chooseAlive,
+  chooseServers,
+  type ProofOfLife,
+} from './chooseServers.js';
 import { mayEndBeforeStop } from './drainAdmission.js';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
 import { findRepeatFault } from './parts/promptCalls.js';
@@ -32,11 +36,28 @@
   admitted: AdmittedCall,
   proof: ProofOfLife,
   now: Milliseconds,
+): boolean =>
+  mayRunAgain(call, admitted, now) &&
+  chooseAlive(call, admitted, proof, now) !== undefined;
+
+/** Whether a running call whose server is gone may run on another one. */
+export const mayRunElsewhere = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  now: Milliseconds,
+): boolean =>
+  mayRunAgain(call, admitted, now) &&
+  chooseServers(call, admitted, now) !== undefined;
+
+/** Whether the call may run once more when its running attempt ends. */
+const mayRunAgain = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  now: Milliseconds,
 ): boolean =>
   admitted.isRepeatable &&
   call.runs + 1 < admitted.route.maxAttempts &&
-  mayRepeat(call, now) &&
-  chooseAlive(call, admitted, proof, now) !== undefined;
+  mayRepeat(call, now);
 
 export const isPromptRefused = (
   call: GatewayCall,
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -67,20 +67,29 @@
   switch (toProbeResult(report)) {
     case ProbeResult.Refused:
       lossHandler.noteRefused(chosen.first, 'it refuses connections', now);
-      attempt.instance.send({ type: 'CHECKED' }, now);
+      attempt.endLost(now);
       return;
     case ProbeResult.Unanswered:
       lossHandler.noteSilent(chosen.first, 'it sends no report', now);
       sendSilent(attempt, now);
       return;
     case ProbeResult.Reset:
-      attempt.instance.send({ type: 'CHECKED' }, now);
+      receiveReset(attempt, now);
       return;
     case ProbeResult.Answered:
       receiveAnswer(attempt, report, now);
   }
 };
 
+/** Handles a reset, as at a limit of connections: the server is there, and stalls a plain call as one that answers does. */
+const receiveReset = (attempt: GatewayAttempt, now: Milliseconds): void => {
+  if (attempt.chosen.chain.length === 0) {
+    attempt.endStalled(now);
+  } else {
+    attempt.instance.send({ type: 'CHECKED' }, now);
+  }
+};
+
 /** Handles the report of a server that lives, or an answer that is none. */
 const receiveAnswer = (
   attempt: GatewayAttempt,
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Refuses new connections; the open ones go on. */
+  refuseConnections(): void {
+    this.server.close();
+  }
+
   /** Falls silent, as a stopped process does: accepts connections, reads nothing and sends nothing. */
   pause(): void {
     this.isPaused = true;
