Close a caller's connection only when it was read empty

Callers saw a reset, or a close without a byte, for a call that they had sent in time. Node starts the timer of a kept connection when its last answer ends, with the limit of that moment, and runs it before the reads of the same turn: a raised limit did not apply to connections that were idle at the change, and a loop that was late closed connections in which whole calls waited. The check of the header timeout and the close at a stop had the second cause too. The Keep-Alive header told the limit at the request, not at the answer.

The chart callerConnection decides each close now. Timers of the loop run after the reads of their turn; a stop and an overdue head wait for one more turn of reads. The idle time is the longer one of the limit in force and of what the last answer told, and 1 s more. A counter tells idle closes from those of a stop. HttpCaller's unit test builds its connection from the new services; its assertions are unchanged.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -31,6 +31,7 @@
   Publication: 'publication',
   Member: 'member',
   AgentMembership: 'agentMembership',
+  CallerConnection: 'callerConnection',
   GatewayCall: 'gatewayCall',
   GatewayAttempt: 'gatewayAttempt',
   TableFollower: 'tableFollower',
--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -1,43 +1,93 @@
 /**
- * A caller's connection and its open responses.
+ * A caller's connection and its open responses; context of the chart `callerConnection`.
  *
  * A connection is closed only after its last open response: a caller may have sent
  * more calls before the first one was answered, and those that were passed on to a
  * server must still be answered. A call is therefore passed on only when the earlier
  * responses of its connection have ended: each of them may have to close it.
  *
+ * It is closed only when it was read empty, by the idle limit and at a stop: the timers
+ * of the loop run after the reads of their turn, and what a stop closes is read once more.
+ * Its idle time is the longer one of the limit in force and of what its caller was told.
+ *
  * It is half-closed first and read until its caller closes it too. If bytes of the
  * caller arrived at a closed connection, TCP would reset it, and the reset destroys
  * an answer that is still on its way.
  */
 import type { Socket } from 'node:net';
-import type { ChartTimers } from '@lycheetally/charts';
-import { lingerTimeoutMs } from './constants.js';
+import type { ChartInstance, ChartTimers } from '@lycheetally/charts';
+import {
+  millisecondsPerSecond,
+  type Milliseconds,
+  type ValueOf,
+} from '@lycheetally/common';
+import type { CallLimits } from '@lycheetally/decisions';
+import type {
+  ConnectionEvent,
+  ConnectionMachine,
+} from './callerConnectionChart.js';
+import { headCheckMs, idleReserveMs } from './constants.js';
 import type { ReceivedCall } from './callerPort.js';
 import type { HttpCaller } from './httpCaller.js';
 
+/** Why a gateway closes a connection that has no open response. */
+export const CloseReason = {
+  Idle: 'idle',
+  Stop: 'stop',
+} as const;
+export type CloseReason = ValueOf<typeof CloseReason>;
+
+/** Services that a caller's connection uses. */
+export interface ConnectionServices {
+  readonly timers: ChartTimers;
+  getLimits(): CallLimits;
+  isDraining(): boolean;
+  getNow(): Milliseconds;
+  /** Runs it in a later turn, after what can be read now. */
+  postCompletion(run: (now: Milliseconds) => void): void;
+  forwardCall(call: ReceivedCall, caller: HttpCaller): void;
+  noteClosed(reason: CloseReason): void;
+  /** Formats the refusal of a head that came too slowly, and notes it. */
+  refuseSlowHead(): string;
+}
+
 export class CallerConnection {
-  /** Whether it closes after its last open response; further requests are not passed on. */
-  isClosing = false;
   /** Whether a call was received on it. */
   hasServedCalls = false;
+  private isCloseAnnounced = false;
   private readonly openCallers = new Set<HttpCaller>();
   /** Calls that wait for an earlier response. */
   private readonly waiting = new Map<HttpCaller, ReceivedCall>();
+  private readonly chart: ChartInstance<CallerConnection, ConnectionEvent>;
+  private quietSince: Milliseconds = 0;
+  /** Bytes that were read until the last response ended. */
+  private quietBytes = 0;
+  /** Idle time that the last response told the caller. */
+  private toldIdleMs: Milliseconds = 0;
+  /** Raw response to what is no request. */
+  private refusal: string | undefined;
 
   constructor(
     private readonly socket: Socket,
-    private readonly timers: ChartTimers,
-    private readonly isDraining: () => boolean,
-    private readonly forwardCall: (
-      call: ReceivedCall,
-      caller: HttpCaller,
-    ) => void,
+    machine: ConnectionMachine,
+    private readonly services: ConnectionServices,
   ) {
     // Node calls it after a response that announced the close.
     socket.destroySoon = () => {
-      this.close();
+      this.send({ type: 'CLOSE' });
     };
+    this.chart = machine.createInstance(this, services.timers);
+    this.chart.start(services.getNow());
+  }
+
+  /** Whether it closes after its last open response; further requests are not passed on. */
+  get isClosing(): boolean {
+    return (
+      this.isCloseAnnounced ||
+      this.refusal !== undefined ||
+      this.chart.matches('closing') ||
+      this.chart.isFinal
+    );
   }
 
   /** Whether the caller has closed the connection, as far as the socket was read. */
@@ -48,6 +98,7 @@
   add(caller: HttpCaller): void {
     this.hasServedCalls = true;
     this.openCallers.add(caller);
+    this.send({ type: 'REQUEST' });
   }
 
   /** Lists the callers whose response has not ended, in the order of their calls. */
@@ -69,25 +120,102 @@
   /** Decides whether the head of this response announces the close. */
   decideClose(caller: HttpCaller): boolean {
     const isLast = this.listOpen().at(-1) === caller;
-    this.isClosing ||= this.isDraining() && isLast;
+    this.isCloseAnnounced ||= this.services.isDraining() && isLast;
     return this.isClosing && isLast;
   }
 
+  /** Notes that a response announces the close, or will once the ones before it have ended. */
+  noteCloseAnnounced(): void {
+    this.isCloseAnnounced = true;
+  }
+
+  /** Notes that a response tells the caller the idle limit, and returns it in seconds. */
+  noteIdleTimeTold(): number {
+    const { idleTimeoutMs } = this.services.getLimits();
+    this.toldIdleMs = idleTimeoutMs;
+    return Math.floor(idleTimeoutMs / millisecondsPerSecond);
+  }
+
   /** Notes that a response has ended; closes the connection if no head announced it. */
   finish(caller: HttpCaller): void {
     this.openCallers.delete(caller);
     this.waiting.delete(caller);
-    this.closeWhenIdle();
+    if (this.openCallers.size === 0) {
+      this.send({ type: 'ENDED' });
+    }
     this.forwardNext();
   }
 
-  /** Closes the connection of a draining gateway if it has no open response. */
+  /** Closes the connection of a draining gateway if it has no open response and no request comes. */
   closeWhenIdle(): void {
-    if (this.isDraining() && !this.isClosing && this.openCallers.size === 0) {
-      this.close();
+    if (this.services.isDraining() && !this.isClosing) {
+      this.send({ type: 'DRAIN' });
     }
   }
 
+  /** Answers what is no request, and closes the connection. */
+  refuseMalformed(refusal: string): void {
+    this.send({ type: 'MALFORMED', refusal });
+  }
+
+  /** Notes that a head has not arrived in time, as far as the socket was read. */
+  noteHeadOverdue(): void {
+    this.send({ type: 'HEAD_OVERDUE' });
+  }
+
+  /** Notes that the socket has closed. */
+  noteLost(): void {
+    this.send({ type: 'LOST' });
+  }
+
+  readonly chartActions = {
+    noteQuiet: (now: Milliseconds): void => {
+      this.quietSince = now;
+      this.quietBytes = this.socket.bytesRead;
+    },
+    awaitRead: (): void => {
+      this.services.postCompletion(now => {
+        this.chart.send({ type: 'READ' }, now);
+      });
+    },
+    keepRefusal: (event: ConnectionEvent | undefined): void => {
+      this.refusal ??= event?.refusal;
+    },
+    keepTimeoutRefusal: (): void => {
+      this.refusal ??= this.services.refuseSlowHead();
+    },
+    sendRefusal: (): void => {
+      this.socket.write(this.refusal ?? '');
+    },
+    noteIdleClose: (): void => {
+      this.services.noteClosed(CloseReason.Idle);
+    },
+    noteDrainClose: (): void => {
+      this.services.noteClosed(CloseReason.Stop);
+    },
+    halfClose: (): void => {
+      this.socket.end();
+    },
+    destroySocket: (): void => {
+      this.socket.destroy();
+    },
+    hasNewBytes: (): boolean => this.socket.bytesRead > this.quietBytes,
+    isDraining: (): boolean => this.services.isDraining(),
+    /** Time until the connection has been idle for too long. */
+    computeIdleTime: (now: Milliseconds): Milliseconds => {
+      const { idleTimeoutMs } = this.services.getLimits();
+      const limitMs = Math.max(idleTimeoutMs, this.toldIdleMs);
+      return this.quietSince + limitMs + idleReserveMs - now;
+    },
+    /** Node checks it sooner, unless what has arrived begins no head. */
+    computeHeadTimeout: (): Milliseconds =>
+      this.services.getLimits().headerTimeoutMs + headCheckMs,
+  };
+
+  private send(event: ConnectionEvent): void {
+    this.chart.send(event, this.services.getNow());
+  }
+
   private forwardNext(): void {
     const [first] = this.openCallers;
     const call = first && this.waiting.get(first);
@@ -95,21 +223,6 @@
       return;
     }
     this.waiting.delete(first);
-    this.forwardCall(call, first);
-  }
-
-  private close(): void {
-    const { socket } = this;
-    this.isClosing = true;
-    if (socket.destroyed) {
-      return;
-    }
-    socket.end();
-    const timeout = this.timers.schedule(lingerTimeoutMs, () => {
-      socket.destroy();
-    });
-    socket.once('close', () => {
-      timeout.dispose();
-    });
+    this.services.forwardCall(call, first);
   }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -141,6 +141,12 @@
 /** Delay until a stopping gateway closes its callers' connections; the load balancer has noticed the shutdown by then. */
 export const closeConnectionsAfterMs = 2_500;
 
+/** How much longer than its limit a caller's connection may be idle; a call that was sent in time may be on its way. */
+export const idleReserveMs = 1_000;
+
+/** Interval at which Node checks for callers that exceed the header timeout. */
+export const headCheckMs = 500;
+
 /** Longest time that a half-closed connection waits for its caller to close it. */
 export const lingerTimeoutMs = 1_000;
 
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -73,6 +73,12 @@
     help: 'Calls that came on a closing connection and were not passed on',
     registers: [this.registry],
   });
+  private readonly connectionsClosed = new Counter({
+    name: `${prefix}connections_closed_total`,
+    help: 'Connections of callers that were closed without an open response, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   private readonly left = new Counter({
     name: `${prefix}calls_left_total`,
     help: 'Calls whose callers had left before they were passed on',
@@ -141,6 +147,10 @@
     (isRelayed ? this.relayedReads : this.storeReads).inc();
   }
 
+  countConnectionClosed(reason: string): void {
+    this.connectionsClosed.inc({ reason });
+  }
+
   countDropped(): void {
     this.dropped.inc();
   }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -410,6 +410,12 @@
           request: requestId,
         });
       },
+      noteConnectionClosed: reason => {
+        this.metrics.countConnectionClosed(reason);
+      },
+      postCompletion: run => {
+        this.post(run);
+      },
       getNow: () => this.clock.getNow(),
     };
     return new HttpFrontend(
--- a/packages/gateway/src/httpCaller.ts
+++ b/packages/gateway/src/httpCaller.ts
@@ -43,7 +43,7 @@
     text: string,
     headers: RawHeaders,
   ): Result<void> {
-    const all = this.addCloseHeader([...headers]);
+    const all = this.addConnectionHeaders([...headers]);
     return this.writeHead(status, text, all).map(() => {
       this.response.flushHeaders();
     });
@@ -62,11 +62,15 @@
     if (!isFramed) {
       // The end of the connection alone delimited the body, which may be truncated;
       // a length would mark it as complete.
-      this.connection.isClosing = true;
+      this.connection.noteCloseAnnounced();
       this.response.useChunkedEncodingByDefault = false;
     }
     const all = isFramed
-      ? this.addCloseHeader([...headers, 'Content-Length', String(body.length)])
+      ? this.addConnectionHeaders([
+          ...headers,
+          'Content-Length',
+          String(body.length),
+        ])
       : [...headers, 'Connection', 'close'];
     return this.writeHead(status, text, all).map(() => {
       // The call is not repeated any more, and its answer waits for the caller. Nothing
@@ -83,12 +87,12 @@
       this.closeConnection();
       return;
     }
-    this.writeError(error, this.addCloseHeader([]));
+    this.writeError(error, this.addConnectionHeaders([]));
   }
 
   /** Answers a request that cannot be read to its end, and closes its connection. */
   sendErrorAndClose(error: ErrorResponse): void {
-    this.connection.isClosing = true;
+    this.connection.noteCloseAnnounced();
     this.writeError(error, ['Connection', 'close']);
   }
 
@@ -137,10 +141,16 @@
     }
   }
 
-  private addCloseHeader(headers: string[]): string[] {
-    return this.connection.decideClose(this)
-      ? [...headers, 'Connection', 'close']
-      : headers;
+  private addConnectionHeaders(headers: string[]): string[] {
+    const { connection, response } = this;
+    if (connection.decideClose(this)) {
+      return [...headers, 'Connection', 'close'];
+    }
+    if (!response.shouldKeepAlive) {
+      return headers;
+    }
+    const seconds = connection.noteIdleTimeTold();
+    return [...headers, 'Keep-Alive', `timeout=${String(seconds)}`];
   }
 }
 
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -10,11 +10,12 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import { Server as TcpServer, type Socket } from 'node:net';
+import { Server as TcpServer, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
   ErrorKind,
   millisecondsPerSecond,
+  getOrThrow,
   type Address,
   type Milliseconds,
   type Result,
@@ -28,9 +29,14 @@
 import { findHeaderFault, startListening } from '@lycheetally/node';
 import { BodyReader, BodyRefusal } from './bodyReader.js';
 import type { CallFields, CallFormat } from './callFormat.js';
-import { CallerConnection } from './callerConnection.js';
+import {
+  CallerConnection,
+  type CloseReason,
+  type ConnectionServices,
+} from './callerConnection.js';
+import { bindConnectionChart } from './callerConnectionChart.js';
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
-import { noRoomRetryAfterMs } from './constants.js';
+import { headCheckMs, noRoomRetryAfterMs } from './constants.js';
 import { HttpCaller } from './httpCaller.js';
 
 /** Receives the calls that the HTTP server accepts. */
@@ -44,6 +50,10 @@
   noteUnfinished(call: CallFields, error: ErrorResponse): void;
   /** Notes a call that is not passed on because its connection closes. */
   noteDropped(call: CallFields): void;
+  /** Notes that a connection without an open response is closed. */
+  noteConnectionClosed(reason: CloseReason): void;
+  /** Runs it in a later turn, after what can be read now. */
+  postCompletion(run: (now: Milliseconds) => void): void;
   getNow(): Milliseconds;
 }
 
@@ -58,11 +68,10 @@
 /** Largest header block that Node's parser accepts, in bytes. */
 const parserHeaderBytes = 65_536;
 
-/** Interval at which Node checks for callers that exceed the header timeout, in milliseconds. */
-const timeoutCheckMs = 500;
-
 export class HttpFrontend {
   private limits = initialLimits;
+  private readonly connectionMachine = getOrThrow(bindConnectionChart());
+  private readonly connectionServices: ConnectionServices;
   private isDraining = false;
   private readonly server: Server;
   private readonly connections = new Map<Socket, CallerConnection>();
@@ -80,7 +89,7 @@
     this.server = createServer(
       {
         maxHeaderSize: parserHeaderBytes,
-        connectionsCheckingInterval: timeoutCheckMs,
+        connectionsCheckingInterval: headCheckMs,
         noDelay: true,
         keepAlive: true,
         keepAliveInitialDelay: millisecondsPerSecond,
@@ -89,8 +98,12 @@
         this.receive(incoming, response);
       },
     );
+    this.connectionServices = this.createConnectionServices();
+    this.server.on('connection', socket => {
+      this.addConnection(socket);
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      this.refuseMalformed(error, socket);
+      this.receiveFault(error, socket);
     });
     this.applyLimits(initialLimits);
   }
@@ -108,7 +121,8 @@
     this.limits = limits;
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.requestTimeout = 0;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    // The connections' chart closes them, after what waits in them was read.
+    this.server.keepAliveTimeout = 0;
   }
 
   /** From now on each connection is closed after its last open response. */
@@ -116,10 +130,20 @@
     this.isDraining = true;
   }
 
-  /** Stops listening and closes idle connections. */
+  /** Stops listening and closes idle connections; one that was not used yet may bring a call. */
   closeIdle(): void {
     this.stopListening();
-    this.closeIdleConnections();
+    this.closeIdleConnections(connection => connection.hasServedCalls);
+  }
+
+  private closeIdleConnections(
+    matches: (connection: CallerConnection) => boolean,
+  ): void {
+    for (const connection of this.connections.values()) {
+      if (matches(connection)) {
+        connection.closeWhenIdle();
+      }
+    }
   }
 
   /** Refuses the requests whose body is still being received. */
@@ -164,15 +188,9 @@
     }
   }
 
-  private closeIdleConnections(): void {
-    for (const connection of this.connections.values()) {
-      connection.closeWhenIdle();
-    }
-  }
-
   private receive(incoming: IncomingMessage, response: ServerResponse): void {
-    const connection = this.getConnection(incoming.socket);
-    if (connection.isClosing) {
+    const connection = this.connections.get(incoming.socket);
+    if (!connection || connection.isClosing) {
       // It is neither run nor answered: the caller sees the close instead.
       incoming.resume();
       this.handler.noteDropped(this.format.readCall(incoming.rawHeaders));
@@ -202,29 +220,45 @@
     this.readBody(incoming, caller, connection, isOnKeptConnection);
   }
 
-  private getConnection(socket: Socket): CallerConnection {
-    const known = this.connections.get(socket);
-    if (known) {
-      return known;
-    }
+  private addConnection(socket: Socket): void {
     const connection = new CallerConnection(
       socket,
-      this.timers,
-      () => this.isDraining,
-      (call, caller) => {
-        this.handler.receiveCall(call, caller);
-      },
+      this.connectionMachine,
+      this.connectionServices,
     );
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
+      connection.noteLost();
       // Node does not close the responses that wait for an earlier one to end.
       for (const caller of connection.listOpen()) {
         this.handleClosed(caller, connection);
       }
       this.checkEmpty();
     });
-    return connection;
+  }
+
+  private createConnectionServices(): ConnectionServices {
+    const { handler, timers } = this;
+    return {
+      timers,
+      getLimits: () => this.limits,
+      isDraining: () => this.isDraining,
+      getNow: () => handler.getNow(),
+      postCompletion: run => {
+        handler.postCompletion(run);
+      },
+      forwardCall: (call, caller) => {
+        handler.receiveCall(call, caller);
+      },
+      noteClosed: reason => {
+        handler.noteConnectionClosed(reason);
+      },
+      refuseSlowHead: () => {
+        handler.noteRefused(408, 'the head came too slowly');
+        return formatRefusal('408 Request Timeout');
+      },
+    };
   }
 
   /** Handles the end of a response, or of its connection before. */
@@ -291,10 +325,17 @@
     };
   }
 
+  /** Ends once no connection is left; those that brought no call are closed last. */
   private checkEmpty(): void {
-    if (this.connections.size === 0) {
-      this.handleEmpty?.();
+    if (!this.handleEmpty) {
+      return;
+    }
+    const connections = [...this.connections.values()];
+    if (connections.length === 0) {
+      this.handleEmpty();
       this.handleEmpty = undefined;
+    } else if (connections.every(({ hasServedCalls }) => !hasServedCalls)) {
+      this.closeIdleConnections(() => true);
     }
   }
 
@@ -308,19 +349,37 @@
     });
   }
 
-  private refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (!socket.writable || error.code === 'ECONNRESET') {
+  private receiveFault(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const { code = '' } = error;
+    if (code === 'ECONNRESET') {
       socket.destroy();
-      return;
+    } else if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+      this.findConnection(socket)?.noteHeadOverdue();
+    } else {
+      this.refuseMalformed(socket, code, parserErrorStatus[code]);
     }
-    const status = parserErrorStatus[error.code ?? ''] ?? '400 Bad Request';
-    this.handler.noteRefused(Number(status.slice(0, 3)), error.code ?? '');
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
+  }
+
+  private refuseMalformed(
+    socket: Duplex,
+    reason: string,
+    status = '400 Bad Request',
+  ): void {
+    const connection = this.findConnection(socket);
+    if (connection && !connection.isClosing) {
+      this.handler.noteRefused(Number(status.slice(0, 3)), reason);
+      connection.refuseMalformed(formatRefusal(status));
+    }
+  }
+
+  private findConnection(socket: Duplex): CallerConnection | undefined {
+    return socket instanceof Socket ? this.connections.get(socket) : undefined;
   }
 }
 
+const formatRefusal = (status: string): string =>
+  `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+
 const noRoomError: ErrorResponse = {
   status: 503,
   kind: ErrorKind.NoCapacity,
@@ -331,7 +390,6 @@
 
 const parserErrorStatus: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
 /** Bytes of the name-value separator and the line end. */
--- a/packages/gateway/tests/httpCaller.test.ts
+++ b/packages/gateway/tests/httpCaller.test.ts
@@ -1,13 +1,32 @@
 /** What a refused caller is told, and what is counted for an answer on its way. */
 import { createServer } from 'node:http';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { expect, it } from 'vitest';
+import { getOrThrow } from '@lycheetally/common';
 import { LargestFirstMemory } from '@lycheetally/decisions';
 import { startListening } from '@lycheetally/node';
 import { CallerConnection } from '../src/callerConnection.js';
+import { bindConnectionChart } from '../src/callerConnectionChart.js';
 import { HttpCaller, formatRetryAfter } from '../src/httpCaller.js';
 import { ManualTimers } from './manualTimers.js';
 
+const createConnection = (socket: Socket): CallerConnection =>
+  new CallerConnection(socket, getOrThrow(bindConnectionChart()), {
+    timers: new ManualTimers(),
+    getLimits: () => ({
+      maxHeaderBytes: 1_000,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+    }),
+    isDraining: () => false,
+    getNow: () => 0,
+    postCompletion: () => undefined,
+    forwardCall: () => undefined,
+    noteClosed: () => undefined,
+    refuseSlowHead: () => '',
+  });
+
 // Guards against callers that are told to return at once while there is no room for some milliseconds.
 it.each([
   [1, '0.01'],
@@ -24,12 +43,7 @@
   const memory = new LargestFirstMemory<object>(1_000);
   const sent = new Promise<void>(resolve => {
     const server = createServer((incoming, response) => {
-      const connection = new CallerConnection(
-        incoming.socket,
-        new ManualTimers(),
-        () => false,
-        () => undefined,
-      );
+      const connection = createConnection(incoming.socket);
       const caller = new HttpCaller(response, connection, memory);
       response.once('close', () => {
         const body = Buffer.alloc(100);
