Send the refusal of a head after the answers before it

Callers saw "408 Request Timeout" in the middle of a stream, or a 400 in place of the answer to a call that a server was running, if a later head on the same connection was too slow or malformed; a request for a tunnel (CONNECT) closed the connection without an answer to any. The raw refusal was written to the socket at once, whatever responses were open, and Node destroys the connection of a tunnel that nobody handles.

The chart callerConnection keeps the refusal until the last open response has ended. If that response's head is still to come, it announces the close instead.

--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -153,7 +153,7 @@
     }
   }
 
-  /** Answers what is no request, and closes the connection. */
+  /** Answers what is no request, after the open responses, and closes the connection. */
   refuseMalformed(refusal: string): void {
     this.send({ type: 'MALFORMED', refusal });
   }
@@ -200,6 +200,7 @@
       this.socket.destroy();
     },
     hasNewBytes: (): boolean => this.socket.bytesRead > this.quietBytes,
+    hasRefusal: (): boolean => this.refusal !== undefined,
     isDraining: (): boolean => this.services.isDraining(),
     /** Time until the connection has been idle for too long. */
     computeIdleTime: (now: Milliseconds): Milliseconds => {
--- a/packages/gateway/src/callerConnectionChart.ts
+++ b/packages/gateway/src/callerConnectionChart.ts
@@ -56,6 +56,8 @@
       hasNewBytes: connection => connection.chartActions.hasNewBytes(),
       hasIdleTime: (connection, _, now) =>
         connection.chartActions.computeIdleTime(now) > 0,
+      hasRefusal: connection => connection.chartActions.hasRefusal(),
+      hasCallerLeft: connection => connection.hasCallerLeft,
       isDraining: connection => connection.chartActions.isDraining(),
     },
     delays: {
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -105,6 +105,11 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.receiveFault(error, socket);
     });
+    // Node would destroy the connection.
+    this.server.on('connect', (_, socket) => {
+      this.refuseMalformed(socket, 'a tunnel is asked for');
+      socket.resume();
+    });
     this.applyLimits(initialLimits);
   }
 
