Let a caller read why its request is malformed

Callers that were still sending when their head or body was refused as malformed or too large for the parser got a reset: EPIPE at their next write, and no answer.

Cause: the refusal was written to the socket beside the caller's connection. Each further piece is another error of the parser, and the second one found the socket ended and destroyed it with bytes unread.

Evidence: both cases of 'a caller that is still sending when it is refused' failed before, with EPIPE and nothing received.

Change: the connection is half-closed and read until the caller closes it or the linger time is over, as after other refusals; later errors of the parser are ignored. Both cases read their 431 and 400 after it.

--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import { Server as TcpServer, type Socket } from 'node:net';
+import { Server as TcpServer, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
   ErrorKind,
@@ -309,15 +309,25 @@
   }
 
   private refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (!socket.writable || error.code === 'ECONNRESET') {
+    const { code = '' } = error;
+    if (
+      !(socket instanceof Socket) ||
+      socket.destroyed ||
+      code === 'ECONNRESET'
+    ) {
       socket.destroy();
       return;
     }
-    const status = parserErrorStatus[error.code ?? ''] ?? '400 Bad Request';
-    this.handler.noteRefused(Number(status.slice(0, 3)), error.code ?? '');
-    socket.end(
+    if (this.getConnection(socket).isClosing) {
+      // It was refused already. What still arrives is read and dropped: a reset would destroy the refusal.
+      return;
+    }
+    const status = parserErrorStatus[code] ?? '400 Bad Request';
+    this.handler.noteRefused(Number(status.slice(0, 3)), code);
+    socket.write(
       `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
     );
+    socket.destroySoon();
   }
 }
 
