Refuse malformed input after the answers before it

A caller that began its next request while a call of it still ran got a 408 or 400 in place of the answer to that call, and a closed connection. A 408 promises that the call never ran; a server was at work on it. A lower header timeout in a new configuration was enough.

Cause: the parser reports such input for the connection, and the refusal was written to it at once, before the answers to its open calls.

Change: the refusal waits for those answers, and for the next read; a late head that arrives by then is served. A malformed body is refused by the response of its own call.

--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -32,6 +32,7 @@
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
 import { noRoomRetryAfterMs } from './constants.js';
 import { HttpCaller } from './httpCaller.js';
+import { InputRefusals } from './inputRefusals.js';
 
 /** Receives the calls that the HTTP server accepts. */
 export interface CallHandler {
@@ -70,6 +71,7 @@
   private readonly incomplete = new Map<HttpCaller, BodyReader>();
   private handleEmpty: (() => void) | undefined;
   private readonly openCallers = new Set<HttpCaller>();
+  private readonly inputRefusals: InputRefusals;
 
   constructor(
     private readonly format: CallFormat,
@@ -77,6 +79,7 @@
     private readonly timers: ChartTimers,
     private readonly memory: KeptMemory,
   ) {
+    this.inputRefusals = new InputRefusals(timers);
     this.server = createServer(
       {
         maxHeaderSize: parserHeaderBytes,
@@ -178,6 +181,7 @@
       this.handler.noteDropped(this.format.readCall(incoming.rawHeaders));
       return;
     }
+    this.inputRefusals.withdraw(connection);
     const isOnKeptConnection = connection.hasServedCalls;
     const caller = new HttpCaller(response, connection, this.memory);
     connection.add(caller);
@@ -218,6 +222,7 @@
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
+      this.inputRefusals.withdraw(connection);
       // Node does not close the responses that wait for an earlier one to end.
       for (const caller of connection.listOpen()) {
         this.handleClosed(caller, connection);
@@ -236,6 +241,7 @@
     this.memory.release(caller);
     const waiting = connection.findWaiting(caller);
     connection.finish(caller);
+    this.inputRefusals.sendNext(connection);
     this.handler.noteResponseClosed();
     if (waiting) {
       this.handler.noteDropped(waiting.fields);
@@ -318,16 +324,23 @@
       socket.destroy();
       return;
     }
-    if (this.getConnection(socket).isClosing) {
+    const connection = this.getConnection(socket);
+    if (connection.isClosing || this.inputRefusals.has(connection)) {
       // It was refused already. What still arrives is read and dropped: a reset would destroy the refusal.
       return;
     }
-    const status = parserErrorStatus[code] ?? '400 Bad Request';
-    this.handler.noteRefused(Number(status.slice(0, 3)), code);
-    socket.write(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
-    socket.destroySoon();
+    const text = parserErrorStatus[code] ?? '400 Bad Request';
+    const status = Number(text.slice(0, 3));
+    const caller = connection.listOpen().at(-1);
+    const reader = caller && this.incomplete.get(caller);
+    if (caller && reader?.incoming.complete === false) {
+      reader.drop();
+      this.incomplete.delete(caller);
+      this.refuse(caller, status, `the body is malformed (${code})`);
+      return;
+    }
+    this.handler.noteRefused(status, code);
+    this.inputRefusals.add(connection, socket, text);
   }
 }
 
