Measure a body against the largest limit since its head

A body in chunks that a newer configuration allows was refused with 413 long after that was in force, if its head had come before.

Cause: the limit was read once, at the head.

Evidence: 'may meet the larger limit if it is raised while it arrives' got 413 before and gets 200 after; lowered limits: 200 before and after.

--- a/packages/gateway/src/bodyReader.ts
+++ b/packages/gateway/src/bodyReader.ts
@@ -16,7 +16,8 @@
 
 /** Limits of one body, and who receives it. */
 export interface BodyOptions {
-  readonly maxBytes: number;
+  /** Returns the largest limit that held since the head arrived. */
+  getMaxBytes(): number;
   /** Whether there is room for a body that takes that much memory, in bytes. */
   hasRoom(bytes: number): boolean;
   /** Notes how much memory the body takes, in bytes. */
@@ -70,8 +71,7 @@
 
   /** Refuses a body of that many bytes if it does not fit. */
   private check(bytes: number, memoryBytes = bytes): void {
-    const { maxBytes } = this.options;
-    if (bytes > maxBytes) {
+    if (bytes > this.options.getMaxBytes()) {
       this.refuse(BodyRefusal.TooLarge);
     } else if (!this.options.hasRoom(memoryBytes)) {
       this.refuse(BodyRefusal.NoRoom);
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -256,8 +256,12 @@
     connection: CallerConnection,
     isOnKeptConnection: boolean,
   ): void {
+    let maxBytes = 0;
     const reader = new BodyReader(incoming, {
-      maxBytes: this.limits.maxBodyBytes,
+      getMaxBytes: () => {
+        maxBytes = Math.max(maxBytes, this.limits.maxBodyBytes);
+        return maxBytes;
+      },
       hasRoom: bytes => this.memory.hasRoom(caller, bytes),
       noteMemory: bytes => {
         this.memory.keep(caller, bytes);
