Refuse a call whose time limit has passed before it is sent

A call that waited behind another one of its connection beyond its time limit, which a new configuration may have lowered, was sent to a server with 1 ms left and broken off; its caller got 504.

Cause: admission computed the deadline and didn't look at it.

--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -47,7 +47,7 @@
   if (needsKey && !holder) {
     return { fault: unknownKey };
   }
-  const admission = finishAdmission(call, configuration, route, holder);
+  const admission = finishAdmission(call, configuration, route, holder, now);
   return 'fault' in admission || mayEndBeforeStop(call, admission.admitted, now)
     ? admission
     : { fault: createStoppingFault(call, now) };
@@ -58,6 +58,7 @@
   configuration: GatewayConfiguration,
   route: RouteRule,
   holder: KeyHolder | undefined,
+  now: Milliseconds,
 ): Admission => {
   const { fields, receivedAt } = call.received;
   const name = pickService(route, call.requestId);
@@ -67,6 +68,11 @@
   }
   const isRepeatable = route.isStream ? route.isResumable : route.isRepeatable;
   const remainingMs = fields.remainingMs ?? route.timeoutMs;
+  const deadlineAt = receivedAt + Math.min(remainingMs, route.timeoutMs);
+  if (deadlineAt <= now) {
+    // It waited behind other calls of its connection.
+    return { fault: noTimeLeft };
+  }
   if (route.isStream) {
     call.events = new EventStream(maxEventBytes);
   }
@@ -77,7 +83,7 @@
       holder,
       urgency: holder?.urgency ?? route.urgency,
       isRepeatable,
-      deadlineAt: receivedAt + Math.min(remainingMs, route.timeoutMs),
+      deadlineAt,
       tokens: estimateTokens(fields.promptTokens, fields.maxOutputTokens),
       configVersion: configuration.version,
     },
@@ -134,6 +140,12 @@
   message: 'the key belongs to no client account; use a current key',
 };
 
+const noTimeLeft: CallFault = {
+  status: 503,
+  kind: ErrorKind.DeadlineExceeded,
+  message: 'the time limit of the call has passed before it could be sent',
+};
+
 const noService: CallFault = {
   status: 503,
   kind: ErrorKind.NoCapacity,
