--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -117,11 +117,11 @@
     return this.waiting.get(caller);
   }
 
-  /** Decides whether the head of this response announces the close. */
+  /** Decides whether the head of this response announces the close; before a refusal it doesn't, since the refusal will. */
   decideClose(caller: HttpCaller): boolean {
     const isLast = this.listOpen().at(-1) === caller;
     this.isCloseAnnounced ||= this.services.isDraining() && isLast;
-    return this.isClosing && isLast;
+    return this.isCloseAnnounced && isLast;
   }
 
   /** Notes that a response announces the close, or will once the ones before it have ended. */
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -289,8 +289,12 @@
     connection: CallerConnection,
     isOnKeptConnection: boolean,
   ): void {
+    let maxBytes = 0;
     const reader = new BodyReader(incoming, {
-      maxBytes: this.limits.maxBodyBytes,
+      getMaxBytes: () => {
+        maxBytes = Math.max(maxBytes, this.limits.maxBodyBytes);
+        return maxBytes;
+      },
       hasRoom: bytes => this.memory.hasRoom(caller, bytes),
       noteMemory: bytes => {
         this.memory.keep(caller, bytes);
@@ -371,12 +375,33 @@
     status = '400 Bad Request',
   ): void {
     const connection = this.findConnection(socket);
-    if (connection && !connection.isClosing) {
+    if (
+      connection &&
+      !connection.isClosing &&
+      !this.refuseBody(connection, Number(status.slice(0, 3)), reason)
+    ) {
       this.handler.noteRefused(Number(status.slice(0, 3)), reason);
       connection.refuseMalformed(formatRefusal(status));
     }
   }
 
+  /** Refuses the call whose body is malformed; returns whether there is one. */
+  private refuseBody(
+    connection: CallerConnection,
+    status: number,
+    reason: string,
+  ): boolean {
+    const caller = connection.listOpen().at(-1);
+    const reader = caller && this.incomplete.get(caller);
+    if (!caller || reader?.incoming.complete !== false) {
+      return false;
+    }
+    reader.drop();
+    this.incomplete.delete(caller);
+    this.refuse(caller, status, `the body is malformed (${reason})`);
+    return true;
+  }
+
   private findConnection(socket: Duplex): CallerConnection | undefined {
     return socket instanceof Socket ? this.connections.get(socket) : undefined;
   }
