Take a late answer to any question for the end of a pause

Callers had repeatable calls run a second time when all plain servers paused: one server's calls left it for another one right after the pause, though it had just gone on with them.

Cause: whether a server paused until now was seen only by the question of a call about its own server, and not by the probes that other servers' silences send. And a server whose every answer is late, as one in another region, had its calls' checks begin anew each time, so that calls that it had stalled never left it (by reading).

Change: any late answer marks the end of a pause, at most once in the time after which a silence counts as a loss. Late begins at 50 ms: what it costs if it is wrong is one check more.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -100,7 +100,7 @@
 export const watchTimeoutMs = 600;
 
 /** Time after which a report shows that its server was silent until it sent it; a sound server takes some milliseconds. */
-export const slowReportMs = 100;
+export const slowReportMs = 50;
 
 /** Pause between two probes of a silent server; a probe may fail at once. */
 export const watchPauseMs = 50;
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -20,6 +20,7 @@
   maxConsecutiveErrors,
   maxSuspensionMs,
   reportTimeoutMs,
+  slowReportMs,
   unreachableRetryMs,
 } from './constants.js';
 import type { ServerIntake } from './serverIntake.js';
@@ -47,7 +48,7 @@
   lastAliveAt: Milliseconds;
   /** When it last sent something itself; a heartbeat may have been written up to a read of the list earlier. */
   private provenAt: Milliseconds = -Infinity;
-  /** When its last silence ended. */
+  /** When its last silence or pause ended, as far as that was seen. */
   returnedAt: Milliseconds = -Infinity;
   /** Calls that the server reported in its newest response; 0 after a heartbeat. */
   private reportedCalls = 0;
@@ -152,6 +153,17 @@
     this.chart.send({ type: 'ALIVE' }, now);
   }
 
+  /** Handles an answer to a question. A late one shows that the server paused until now; one that is late again and again is slow or far away. */
+  noteAnswer(askedAt: Milliseconds, now: Milliseconds): void {
+    if (
+      now - askedAt >= slowReportMs &&
+      now - this.returnedAt >= lossSilenceMs
+    ) {
+      this.returnedAt = now;
+    }
+    this.noteAlive(now);
+  }
+
   /** Records that the server sent something, which proves that it lives. */
   noteProof(now: Milliseconds): void {
     this.lastAliveAt = now;
--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/serverCheck.ts
@@ -61,6 +61,8 @@
 export class ServerCheck {
   private suspicion = '';
   private probes = 0;
+  /** When the newest probe was sent. */
+  private askedAt: Milliseconds = 0;
   private readonly chart: ChartInstance<ServerCheck, CheckEvent>;
 
   constructor(
@@ -103,7 +105,7 @@
       this.requestReport(ConnectionUse.New, watchTimeoutMs, now);
     },
     noteAlive: (now: Milliseconds): void => {
-      this.server.noteAlive(now);
+      this.server.noteAnswer(this.askedAt, now);
       this.services.handleAnswer(this.server, now);
     },
     noteRefused: (now: Milliseconds): void => {
@@ -122,6 +124,7 @@
   ): void {
     const { services, server } = this;
     this.probes += 1;
+    this.askedAt = now;
     const { probes } = this;
     server.intake.noteSent(now);
     services.countProbe();
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -7,11 +7,7 @@
  */
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { createBackendFault } from './attemptFaults.js';
-import {
-  maxPartialEventMs,
-  reportTimeoutMs,
-  slowReportMs,
-} from './constants.js';
+import { maxPartialEventMs, reportTimeoutMs } from './constants.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import { ConnectionUse, type ServerReport } from './ports.js';
 import { isRefused } from './serverCheck.js';
@@ -40,8 +36,8 @@
   );
   void report.then(result => {
     services.postCompletion(receivedAt => {
-      if (result.ok && receivedAt - now >= slowReportMs) {
-        first.returnedAt = receivedAt;
+      if (result.ok) {
+        first.noteAnswer(now, receivedAt);
       }
       receiveReport(attempt, result, receivedAt);
     });
@@ -74,7 +70,6 @@
     sendSilent(attempt, now);
     return;
   }
-  chosen.first.noteAlive(now);
   if (chosen.chain.length === 0) {
     attempt.endStalled(now);
     return;
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -11,6 +11,7 @@
 } from '@lycheetally/common';
 import { UnlimitedIntake } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import { slowReportMs } from '../src/constants.js';
 import {
   ConnectionUse,
   ServerControlPort,
@@ -201,6 +202,30 @@
     expect(fixture.control.probes).toBe(3);
   });
 
+  // Guards against calls that leave a server which only now goes on with them after a pause.
+  it('that answers late counts as having paused until then', async () => {
+    fixture = new CheckFixture([]);
+    fixture.request('another server was lost or is silent');
+    await fixture.settle();
+    expect(fixture.server.returnedAt).toBe(-Infinity);
+    await new Promise(resolve => setTimeout(resolve, 2 * slowReportMs));
+    fixture.control.answerLate();
+    await fixture.settle();
+    expect(fixture.server.isAvailable).toBe(true);
+    expect(fixture.server.returnedAt).toBeGreaterThan(-Infinity);
+  });
+
+  // Guards against calls that never leave a server which is far away and has stalled them.
+  it.each([
+    ['again and again', 1_200, 1_400, 1_100],
+    ['once more after a long time', 3_100, 3_200, 3_200],
+  ])('that answers late %s', (_, askedAt, answeredAt, returnedAt) => {
+    fixture = new CheckFixture([]);
+    fixture.server.noteAnswer(1_000, 1_100);
+    fixture.server.noteAnswer(askedAt, answeredAt);
+    expect(fixture.server.returnedAt).toBe(returnedAt);
+  });
+
   // Guards against a server that gets no calls until its next heartbeat after a pause.
   it('that answers a later probe gets calls again at once', async () => {
     fixture = new CheckFixture([false, false]);
