--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/serverCheck.ts
@@ -75,6 +75,8 @@
 export class ServerCheck {
   private suspicion = '';
   private probes = 0;
+  /** When the newest probe was sent. */
+  private askedAt: Milliseconds = 0;
   private readonly chart: ChartInstance<ServerCheck, CheckEvent>;
 
   constructor(
@@ -117,7 +119,7 @@
       this.requestReport(ConnectionUse.New, watchTimeoutMs, now);
     },
     noteAlive: (now: Milliseconds): void => {
-      this.server.noteAlive(now);
+      this.server.noteAnswer(this.askedAt, now);
       this.services.handleAnswer(this.server, now);
     },
     noteRefused: (now: Milliseconds): void => {
@@ -137,6 +139,7 @@
   ): void {
     const { services, server } = this;
     this.probes += 1;
+    this.askedAt = now;
     const { probes } = this;
     server.intake.noteSent(now);
     services.countProbe();
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -7,11 +7,7 @@
  */
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { createBackendFault } from './attemptFaults.js';
-import {
-  maxPartialEventMs,
-  reportTimeoutMs,
-  slowReportMs,
-} from './constants.js';
+import { maxPartialEventMs, reportTimeoutMs } from './constants.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import { ConnectionUse, type ServerReport } from './ports.js';
 import { ProbeResult, toProbeResult } from './serverCheck.js';
@@ -35,9 +31,8 @@
   );
   void report.then(result => {
     services.postCompletion(receivedAt => {
-      const isAnswered = toProbeResult(result) === ProbeResult.Answered;
-      if (isAnswered && receivedAt - now >= slowReportMs) {
-        first.returnedAt = receivedAt;
+      if (toProbeResult(result) === ProbeResult.Answered) {
+        first.noteAnswer(now, receivedAt);
       }
       receiveReport(attempt, result, receivedAt);
     });
@@ -98,7 +93,6 @@
 ): void => {
   const { call, chosen } = attempt;
   const { lossHandler, serverRegistry } = call.services;
-  chosen.first.noteAlive(now);
   if (hasOverdueEvent(attempt, now)) {
     attempt.failExchange('the server began an event and did not end it');
     return;
