Don't run a call twice for a pause that ended unseen

Callers' repeatable plain calls ran a second time when their server's pause ended shortly before the calls were checked: the server answered the question, and had not yet had the time to answer the call.

Cause: the time to answer was counted anew only after a silence that a question had found, or a slow report. A server that nobody asked in its pause looked as if it had worked all the time.

Change: a server that says something after a quiet while counts at the first check of an attempt as just back; only at the first, so that a server that works and never answers is still left.

--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -369,6 +369,13 @@
     return Math.max(this.lastActivityAt, this.chosen.first.returnedAt);
   }
 
+  /** Since when the server works and says nothing to this attempt; at the first check it may be just back from a pause. */
+  private get stalledSince(): Milliseconds {
+    return this.stallChecks === 0
+      ? Math.max(this.quietSince, this.chosen.first.heardAgainAt)
+      : this.quietSince;
+  }
+
   /** Whether the call waits for a plain server's pause to end rather than run twice. */
   private isPatient(now: Milliseconds): boolean {
     const isStream = this.mode === ResponseMode.Streamed;
@@ -432,7 +439,7 @@
 
   /** Ends an attempt whose server answers other questions, if another server can take the call; one that was silent until now goes on. */
   endStalled(now: Milliseconds): void {
-    const silenceMs = now - this.quietSince;
+    const silenceMs = now - this.stalledSince;
     if (silenceMs >= this.stallLimitMs && this.chartActions.mayMove(now)) {
       this.failExchange('the server was silent for too long');
     } else {
@@ -516,7 +523,7 @@
   }
 
   private noteAlive(server: Server, now: Milliseconds): void {
-    server.lastAliveAt = now;
+    server.noteHeard(now);
     if (server.isSilent) {
       this.call.services.postCompletion(readAt => {
         server.noteAlive(readAt);
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -21,6 +21,7 @@
   maxSuspensionMs,
   reportTimeoutMs,
   unreachableRetryMs,
+  unresponsiveSilenceMs,
 } from './constants.js';
 import type { ServerIntake } from './serverIntake.js';
 
@@ -47,6 +48,8 @@
   lastAliveAt: Milliseconds;
   /** When its last silence ended. */
   returnedAt: Milliseconds = -Infinity;
+  /** When it last said something after it had said nothing for a while, as at the end of a pause that no question found. */
+  heardAgainAt: Milliseconds = -Infinity;
   /** Calls that the server reported in its newest response; 0 after a heartbeat. */
   private reportedCalls = 0;
   private refusedAt: Milliseconds = -Infinity;
@@ -146,10 +149,18 @@
 
   /** Handles any sign of life that is not an answer to a call. */
   noteAlive(now: Milliseconds): void {
-    this.lastAliveAt = now;
+    this.noteHeard(now);
     this.chart.send({ type: 'ALIVE' }, now);
   }
 
+  /** Records when the server said something. */
+  noteHeard(now: Milliseconds): void {
+    if (now - this.lastAliveAt >= unresponsiveSilenceMs) {
+      this.heardAgainAt = now;
+    }
+    this.lastAliveAt = now;
+  }
+
   noteUnreachable(reason: string, now: Milliseconds): void {
     this.lastReason = reason;
     this.chart.send({ type: 'UNREACHABLE' }, now);
