Let a stream wait for the repair of its chain

Callers' streams ran a second time on other servers, and paid for it with an attempt of their retries, while their first server was about to go on through a new chain.

Cause: while the first server is told to replace a stalled server, a sign of life of another server reports the stalled one once more. It is not in the chain any more, so no repair was begun for it, and the attempt was given up instead.

Change: an attempt that is being repaired ignores the silence of a server that the repair replaces. Silences of other servers of the chain end or repair it as before.

--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -73,6 +73,7 @@
       isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
       isRepeatable: attempt => attempt.admitted.isRepeatable,
       mayRepair: (attempt, event) => attempt.repair.mayRepair(event),
+      isReplacing: (attempt, event) => attempt.repair.isReplacing(event),
       mayReplace: (attempt, event, now) =>
         attempt.repair.mayReplace(event, now),
       mayMove: (attempt, _, now) => attempt.chartActions.mayMove(now),
--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attemptRepair.ts
@@ -24,6 +24,11 @@
     );
   }
 
+  /** Whether the event names a server that the first server was told to replace. */
+  isReplacing(event: AttemptEvent | undefined): boolean {
+    return event?.lost !== undefined && this.lostServers.has(event.lost);
+  }
+
   /** Whether other servers can replace the one that the event names at once. */
   mayReplace(event: AttemptEvent | undefined, now: Milliseconds): boolean {
     return (
