--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -22,6 +22,7 @@
   reportTimeoutMs,
   slowReportMs,
   unreachableRetryMs,
+  unresponsiveSilenceMs,
 } from './constants.js';
 import type { ServerIntake } from './serverIntake.js';
 
@@ -50,6 +51,8 @@
   private provenAt: Milliseconds = -Infinity;
   /** When its last silence or pause ended, as far as that was seen. */
   returnedAt: Milliseconds = -Infinity;
+  /** When it last said something after it had said nothing for a while, as at the end of a pause that no question found. */
+  heardAgainAt: Milliseconds = -Infinity;
   /** Calls that the server reported in its newest response; 0 after a heartbeat. */
   private reportedCalls = 0;
   private refusedAt: Milliseconds = -Infinity;
@@ -166,6 +169,9 @@
 
   /** Records that the server sent something, which proves that it lives. */
   noteProof(now: Milliseconds): void {
+    if (now - this.provenAt >= unresponsiveSilenceMs) {
+      this.heardAgainAt = now;
+    }
     this.lastAliveAt = now;
     this.provenAt = now;
   }
