Cut no stream for a server that was only silent

Callers of streams with no retry left had them cut, and others had them run a second time, when the second server of their chain paused and was back before the repair of the chain had failed, as when the first server refuses it because its chain goes on.

Cause: an attempt whose repair fails ends if a server of its chain is known to be gone. Each server that is not silent now counted as gone, and so one that is back.

Change: the attempt remembers which servers were reported as gone, until the chain is repaired.

--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attemptRepair.ts
@@ -9,6 +9,8 @@
 export class AttemptRepair {
   /** Ids of the servers that the attempt lost. */
   readonly lostServers = new Set<string>();
+  /** Ids of those that are known to be gone and are not replaced yet. */
+  private readonly goneServers = new Set<string>();
   private repairs = 0;
 
   constructor(private readonly attempt: GatewayAttempt) {}
@@ -39,20 +41,25 @@
     );
   }
 
-  /** Whether one of the servers to replace is known to be gone, and not only silent. */
-  get hasLostServer(): boolean {
-    const { serverRegistry } = this.attempt.call.services;
-    return [...this.lostServers].some(
-      serverId => !serverRegistry.find(serverId)?.isSilent,
-    );
+  /** Whether one of the servers to replace is known to be gone, and was not only silent. */
+  get hasGoneServer(): boolean {
+    return this.goneServers.size > 0;
   }
 
   noteLost(event: AttemptEvent | undefined): void {
     if (event?.lost !== undefined) {
       this.lostServers.add(event.lost);
+      if (event.type === 'SERVER_LOST') {
+        this.goneServers.add(event.lost);
+      }
     }
   }
 
+  /** The chain goes on without the servers that are gone. */
+  noteRepaired(): void {
+    this.goneServers.clear();
+  }
+
   /** Sends the new chain to the first server; the attempt receives `REPAIRED` or `REPAIR_FAILED`. */
   request(now: Milliseconds): void {
     this.repairs += 1;
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -313,6 +313,7 @@
       this.report('ATTEMPT_BROKEN', now);
     },
     noteRepaired: (now: Milliseconds): void => {
+      this.repair.noteRepaired();
       this.stallChecks = 0;
       this.stalledServer = undefined;
       this.lastActivityAt = now;
@@ -327,7 +328,7 @@
       ),
     /** Whether an attempt that found no replacement ends: its server is known to be gone, or another chain can take the call. */
     mayGiveUp: (now: Milliseconds): boolean =>
-      (this.admitted.isRepeatable && this.repair.hasLostServer) ||
+      (this.admitted.isRepeatable && this.repair.hasGoneServer) ||
       this.chartActions.mayMove(now),
     isConnected: (): boolean => this.hasConnection,
     isSilent: (now: Milliseconds): boolean =>
