Repair a chain only through servers that live

Callers' streams were moved to another server in the middle of a pause of all servers, which had to compute their prompts again, though nobody had died.

Cause: the silence of a server that is not the first began a repair with any server that was not silent yet; in a pause of all, that is the one whose probe ends last. The first server was silent too and read the order after its pause.

Change: the silence of a server begins a repair only if the first server is not silent and servers that have shown since the question that they live can take its place. A repair for a loss prefers them too.

--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attemptRepair.ts
@@ -31,13 +31,18 @@
     return event?.lost !== undefined && this.lostServers.has(event.lost);
   }
 
-  /** Whether other servers can replace the one that the event names at once. */
+  /** Whether other servers, known to live, can replace the one that the event names; a silent first server can't be told. */
   mayReplace(event: AttemptEvent | undefined, now: Milliseconds): boolean {
+    const { chosen, proofSince } = this.attempt;
     return (
       event?.lost !== undefined &&
       this.mayRepair(event) &&
-      this.chooseChain(new Set([...this.lostServers, event.lost]), now) !==
-        undefined
+      !chosen.first.isSilent &&
+      this.chooseChain(
+        new Set([...this.lostServers, event.lost]),
+        proofSince,
+        now,
+      ) !== undefined
     );
   }
 
@@ -63,7 +68,10 @@
   /** Sends the new chain to the first server; the attempt receives `REPAIRED` or `REPAIR_FAILED`. */
   request(now: Milliseconds): void {
     this.repairs += 1;
-    const chain = this.chooseChain(this.lostServers, now);
+    const { lostServers } = this;
+    const chain =
+      this.chooseChain(lostServers, this.attempt.proofSince, now) ??
+      this.chooseChain(lostServers, -Infinity, now);
     if (!chain) {
       this.finish('no servers hold the lost layers', 'REPAIR_FAILED');
       return;
@@ -83,6 +91,7 @@
 
   private chooseChain(
     lost: ReadonlySet<string>,
+    aliveSince: Milliseconds,
     now: Milliseconds,
   ): readonly ChainStage[] | undefined {
     const { call, admitted, chosen } = this.attempt;
@@ -93,6 +102,7 @@
     const { serverRegistry, chainPolicy, homeDomain } = call.services;
     const usable = serverRegistry
       .listUsable(name)
+      .filter(({ lastAliveAt }) => lastAliveAt >= aliveSince)
       .filter(server => !server.hasRefusedRecently(now));
     return replaceStages(chainPolicy, {
       ...describeChainServers(usable, serverRegistry.gatewaysPerDomain),
