--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attemptRepair.ts
@@ -9,6 +9,8 @@
 export class AttemptRepair {
   /** Ids of the servers that the attempt lost. */
   readonly lostServers = new Set<string>();
+  /** Ids of those that are known to be gone and are not replaced yet. */
+  private readonly goneServers = new Set<string>();
   private repairs = 0;
 
   constructor(private readonly attempt: GatewayAttempt) {}
@@ -29,34 +31,47 @@
     return event?.lost !== undefined && this.lostServers.has(event.lost);
   }
 
-  /** Whether other servers can replace the one that the event names at once. */
+  /** Whether other servers, known to live, can replace the one that the event names; a silent first server can't be told. */
   mayReplace(event: AttemptEvent | undefined, now: Milliseconds): boolean {
+    const { chosen, proofSince } = this.attempt;
     return (
       event?.lost !== undefined &&
       this.mayRepair(event) &&
-      this.chooseChain(new Set([...this.lostServers, event.lost]), now) !==
-        undefined
+      !chosen.first.isSilent &&
+      this.chooseChain(
+        new Set([...this.lostServers, event.lost]),
+        proofSince,
+        now,
+      ) !== undefined
     );
   }
 
-  /** Whether one of the servers to replace is known to be gone, and not only silent. */
-  get hasLostServer(): boolean {
-    const { serverRegistry } = this.attempt.call.services;
-    return [...this.lostServers].some(
-      serverId => !serverRegistry.find(serverId)?.isSilent,
-    );
+  /** Whether one of the servers to replace is known to be gone, and was not only silent. */
+  get hasGoneServer(): boolean {
+    return this.goneServers.size > 0;
   }
 
   noteLost(event: AttemptEvent | undefined): void {
     if (event?.lost !== undefined) {
       this.lostServers.add(event.lost);
+      if (event.type === 'SERVER_LOST') {
+        this.goneServers.add(event.lost);
+      }
     }
   }
 
+  /** The chain goes on without the servers that are gone. */
+  noteRepaired(): void {
+    this.goneServers.clear();
+  }
+
   /** Sends the new chain to the first server; the attempt receives `REPAIRED` or `REPAIR_FAILED`. */
   request(now: Milliseconds): void {
     this.repairs += 1;
-    const chain = this.chooseChain(this.lostServers, now);
+    const { lostServers } = this;
+    const chain =
+      this.chooseChain(lostServers, this.attempt.proofSince, now) ??
+      this.chooseChain(lostServers, -Infinity, now);
     if (!chain) {
       this.finish('no servers hold the lost layers', 'REPAIR_FAILED');
       return;
@@ -76,6 +91,7 @@
 
   private chooseChain(
     lost: ReadonlySet<string>,
+    aliveSince: Milliseconds,
     now: Milliseconds,
   ): readonly ChainStage[] | undefined {
     const { call, admitted, chosen } = this.attempt;
@@ -86,6 +102,7 @@
     const { serverRegistry, chainPolicy, homeDomain } = call.services;
     const usable = serverRegistry
       .listUsable(name)
+      .filter(({ lastAliveAt }) => lastAliveAt >= aliveSince)
       .filter(server => !server.hasRefusedRecently(now));
     return replaceStages(chainPolicy, {
       ...describeChainServers(usable, serverRegistry.gatewaysPerDomain),
