Probe servers for a proof of life only when another one is silent

Also, by a reader's finding: a call that waits for a silent server no longer holds less urgent ones back from a server with a limit, and a call that was routed is not taken for waiting.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -82,6 +82,7 @@
     return;
   }
   call.services.waitingCalls.remove(call);
+  call.isWaitingForSilent = false;
   call.attempt = new GatewayAttempt(call, admitted, chosen, now);
   call.instance?.send({ type: 'ROUTED' }, now);
 };
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -70,12 +70,13 @@
 
   /** Handles a server that did not answer a question; its attempts that are silent too look for another one. */
   noteSilent(server: Server, reason: string, now: Milliseconds): void {
-    if (!server.isSilent) {
-      server.noteSilent(reason, now);
-      this.checks.observe(server, now);
-      this.sendToSilentAttempts('SERVER_SILENT', server, now);
-      this.checkOtherServers(server, now);
+    if (!server.isAvailable) {
+      return;
     }
+    server.noteSilent(reason, now);
+    this.checks.observe(server, now);
+    this.sendToSilentAttempts('SERVER_SILENT', server, now);
+    this.requestProofs(server, now);
   }
 
   /** Handles a server that refuses connections. If it is only leaving, it may still finish its streams, so only silent attempts fail. */
@@ -140,16 +141,27 @@
     );
   }
 
-  /** Probes the other servers: they are often lost together, and calls move only to those that live. */
+  /** Probes the other servers: they are often lost together. */
   private checkOtherServers(lost: Server, now: Milliseconds): void {
-    const { service, range } = lost.record;
-    for (const server of this.services.serverRegistry.listUsable(service)) {
-      if (server.record.range || !range) {
-        const reason = 'another server was lost or is silent';
-        this.checks.requestProof(server, reason, now);
-      }
+    for (const server of this.listOtherServers(lost)) {
+      this.checks.request(server, 'another server was lost', now);
+    }
+  }
+
+  /** Has the other servers prove that they live now, since calls move only to those that do. */
+  private requestProofs(silent: Server, now: Milliseconds): void {
+    for (const server of this.listOtherServers(silent)) {
+      this.checks.requestProof(server, 'another server is silent', now);
     }
   }
+
+  /** Lists the usable servers of the service; of a model those that hold layers. */
+  private listOtherServers({ record }: Server): readonly Server[] {
+    const { service, range } = record;
+    return this.services.serverRegistry
+      .listUsable(service)
+      .filter(server => !range || server.record.range !== undefined);
+  }
 }
 
 const sendLoss = (
--- a/packages/gateway/src/waitingCalls.ts
+++ b/packages/gateway/src/waitingCalls.ts
@@ -29,10 +29,13 @@
     }
   }
 
-  /** Whether a call of the service waits that is more urgent; 0 is the most urgent. */
+  /** Whether a call of the service waits for a turn that is more urgent; 0 is the most urgent. */
   hasMoreUrgent(service: string, urgency: number): boolean {
     return [...(this.byService.get(service) ?? [])].some(
-      ({ admitted }) => admitted !== undefined && admitted.urgency < urgency,
+      ({ admitted, isWaitingForSilent }) =>
+        admitted !== undefined &&
+        admitted.urgency < urgency &&
+        !isWaitingForSilent,
     );
   }
 }
