Give the silence of an attempt a class of its own

A newcomer met 600 lines in gatewayAttempt.ts, a third of them about silences, and words with two meanings. AttemptSilence holds what the silence of the servers tells; a server that may only pause is pausing, not doubted, which the server list uses; a check without a report is NO_REPORT.

--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attemptRepair.ts
@@ -33,14 +33,14 @@
 
   /** Whether other servers, known to live, can replace the one that the event names; a silent first server can't be told. */
   mayReplace(event: AttemptEvent | undefined, now: Milliseconds): boolean {
-    const { chosen, proofSince } = this.attempt;
+    const { chosen, silence } = this.attempt;
     return (
       event?.lost !== undefined &&
       this.mayRepair(event) &&
       !chosen.first.isSilent &&
       this.chooseChain(
         new Set([...this.lostServers, event.lost]),
-        proofSince,
+        silence.proofSince,
         now,
       ) !== undefined
     );
@@ -70,7 +70,7 @@
     this.repairs += 1;
     const { lostServers } = this;
     const chain =
-      this.chooseChain(lostServers, this.attempt.proofSince, now) ??
+      this.chooseChain(lostServers, this.attempt.silence.proofSince, now) ??
       this.chooseChain(lostServers, -Infinity, now);
     if (!chain) {
       this.finish('no servers hold the lost layers', 'REPAIR_FAILED');
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -120,7 +120,7 @@
 const cancelAttempt = (call: GatewayCall, now: Milliseconds): void => {
   const { attempt } = call;
   if (attempt && !attempt.instance.isFinal && attempt.instance.state !== '') {
-    attempt.noteSilence(now);
+    attempt.silence.noteEnd(now);
     attempt.instance.send({ type: 'CANCEL' }, now);
     call.runs += 1;
   }
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -119,14 +119,14 @@
 ): boolean => {
   const { serverRegistry } = call.services;
   const { name, model } = admitted.service;
-  const doubted = serverRegistry.listDoubted(name);
-  if (doubted.length === 0 || !serverRegistry.isStoreAvailable) {
+  const pausing = serverRegistry.listPausing(name);
+  if (pausing.length === 0 || !serverRegistry.isStoreAvailable) {
     return false;
   }
-  const all = [...serverRegistry.listUsable(name), ...doubted];
+  const all = [...serverRegistry.listUsable(name), ...pausing];
   return model
     ? findChain(call, admitted, all, now) !== undefined
-    : doubted.some(({ record }) => !call.avoided.has(record.serverId));
+    : pausing.some(({ record }) => !call.avoided.has(record.serverId));
 };
 
 const findChain = (
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -16,20 +16,13 @@
 } from './backendPort.js';
 import type { ChosenServers } from './chooseServers.js';
 import { mayMove, mayRunElsewhere } from './repeatRules.js';
-import type { Server } from './server.js';
 import { checkStall } from './stallCheck.js';
-import {
-  maxBufferedResponseBytes,
-  firstStallCheckMs,
-  maxPatienceMs,
-  maxStallCheckMs,
-  plainStreamCheckMs,
-  streamStallCheckMs,
-} from './constants.js';
+import { maxBufferedResponseBytes } from './constants.js';
 import { AttemptBlame } from './attemptBlame.js';
 import { AttemptProgress } from './attemptProgress.js';
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
+import { AttemptSilence } from './attemptSilence.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 export interface AttemptEvent {
@@ -42,7 +35,7 @@
     | 'UNSENDABLE'
     | 'OVERFLOWED'
     | 'CHECKED'
-    | 'SILENT'
+    | 'NO_REPORT'
     | 'REPAIRED'
     | 'REPAIR_FAILED'
     | 'SERVER_LOST'
@@ -71,24 +64,16 @@
   private exchange: BackendExchange | undefined;
   private readonly buffered = new ByteCollector();
   private mode: string = ResponseMode.Buffered;
-  /** When the attempt last made progress. */
-  private lastActivityAt: Milliseconds;
-  /** When the attempt was last found to be sound, or could only wait. */
-  private checkedAt: Milliseconds = -Infinity;
-  /** Id of the server at which its chain has stalled, as its first server said since the last event. */
-  stalledServer: string | undefined;
-  private lastByteAt: Milliseconds;
   private fault: CallFault | undefined;
   /** Whether the request may have been sent; known before the loop handles `CONNECTED`. */
   private hasConnection = false;
-  /** Number of checks that found the chain not stalled. */
-  private stallChecks = 0;
   /** The first server as the list had it when the attempt began. */
   private readonly record: BackendRecord;
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
   readonly progress: AttemptProgress;
+  readonly silence: AttemptSilence;
 
   constructor(
     readonly call: GatewayCall,
@@ -98,8 +83,7 @@
   ) {
     super();
     const { services } = call;
-    this.lastActivityAt = startedAt;
-    this.lastByteAt = startedAt;
+    this.silence = new AttemptSilence(this, startedAt);
     this.record = chosen.first.record;
     this.progress = new AttemptProgress(call);
     this.servers = new AttemptServers(
@@ -123,20 +107,9 @@
     return this.buffered.take();
   }
 
-  private get stallCheckMs(): Milliseconds {
-    if (this.chosen.chain.length === 0) {
-      return this.mode === ResponseMode.Streamed
-        ? computePlainStreamCheck(this.stallChecks)
-        : this.admitted.route.targetMs;
-    }
-    if (this.chosen.first.isSilent) {
-      return streamStallCheckMs;
-    }
-    const first =
-      this.mode === ResponseMode.Streamed
-        ? streamStallCheckMs
-        : firstStallCheckMs;
-    return Math.min(maxStallCheckMs, first * 2 ** this.stallChecks);
+  /** Whether the response is forwarded event by event. */
+  get isStreamed(): boolean {
+    return this.mode === ResponseMode.Streamed;
   }
 
   /** Reads from the server again after the caller's connection has drained. */
@@ -150,7 +123,7 @@
   }
 
   override handleHead(head: BackendHead): void {
-    this.noteActivity();
+    this.silence.noteActivity(this.call.services.getMoment().monotonic);
     const { fields, status } = head;
     if (fields.serverLoad !== undefined) {
       this.chosen.first.noteLoad(fields.serverLoad);
@@ -174,12 +147,12 @@
   }
 
   override handleBody(chunk: Buffer): void {
-    if (this.mode === ResponseMode.Streamed) {
-      this.noteByte(this.call.services.getMoment().monotonic);
-      this.forwardEvents(chunk);
+    const now = this.call.services.getMoment().monotonic;
+    if (this.isStreamed) {
+      this.forwardEvents(chunk, now);
       return;
     }
-    this.noteActivity();
+    this.silence.noteActivity(now);
     this.buffered.append(chunk);
     if (this.buffered.length > maxBufferedResponseBytes) {
       this.failOverflow('the answer is larger than the gateway buffers');
@@ -284,17 +257,17 @@
       this.fault = event?.fault;
     },
     noteMoved: (): void => {
-      this.call.movedSince = this.proofSince;
-      if (this.stalledServer !== undefined) {
-        this.call.avoided.add(this.stalledServer);
+      const { proofSince, stalledServer } = this.silence;
+      this.call.movedSince = proofSince;
+      if (stalledServer !== undefined) {
+        this.call.avoided.add(stalledServer);
       }
     },
     requestReport: (): void => {
       checkStall(this);
     },
     restartStallCheck: (now: Milliseconds): void => {
-      this.stallChecks += 1;
-      this.checkedAt = now;
+      this.silence.noteChecked(now);
     },
     reportComplete: (now: Milliseconds): void => {
       this.chosen.first.noteSuccess(now);
@@ -314,18 +287,14 @@
     },
     noteRepaired: (now: Milliseconds): void => {
       this.repair.noteRepaired();
-      this.stallChecks = 0;
-      this.stalledServer = undefined;
-      this.lastActivityAt = now;
+      this.silence.noteRepaired(now);
+    },
+    mayMove: (now: Milliseconds): boolean => {
+      const { call, admitted, silence } = this;
+      const without = silence.findSilentServer();
+      const proof = { since: silence.proofSince, without };
+      return !silence.isPatient(now) && mayMove(call, admitted, proof, now);
     },
-    mayMove: (now: Milliseconds): boolean =>
-      !this.isPatient(now) &&
-      mayMove(
-        this.call,
-        this.admitted,
-        { since: this.proofSince, without: this.findSilentServer() },
-        now,
-      ),
     /** Whether an attempt that found no replacement ends: its server is known to be gone, or another chain can take the call. */
     mayGiveUp: (now: Milliseconds): boolean =>
       (this.admitted.isRepeatable && this.repair.hasGoneServer) ||
@@ -333,73 +302,18 @@
     isConnected: (): boolean => this.hasConnection,
     isSilent: (now: Milliseconds): boolean =>
       (this.admitted.isRepeatable || this.chosen.chain.length > 0) &&
-      now >= this.stallCheckAt,
+      this.silence.isCheckDue(now),
     computeStallCheckDelay: (now: Milliseconds): Milliseconds =>
-      Math.max(1, this.stallCheckAt - now),
+      this.silence.computeCheckDelay(now),
   };
 
-  /** Id of the server that holds the attempt up: a plain one itself, the one where its chain stalled, or a silent one. */
-  findSilentServer(): string | undefined {
-    const { first, chain } = this.chosen;
-    if (chain.length === 0) {
-      return first.record.serverId;
-    }
-    const silent = [first, ...this.servers.stages].find(
-      ({ isSilent }) => isSilent,
-    );
-    return this.stalledServer ?? silent?.record.serverId;
-  }
-
-  /** A server that has shown since then that it lives does not share the silence of this attempt's servers. */
-  get proofSince(): Milliseconds {
-    const silent = [this.chosen.first, ...this.servers.stages].filter(
-      ({ isSilent }) => isSilent,
-    );
-    return Math.max(this.lastByteAt, ...silent.map(({ askedAt }) => askedAt));
-  }
-
-  private get stallCheckAt(): Milliseconds {
-    return Math.max(this.quietSince, this.checkedAt) + this.stallCheckMs;
-  }
-
-  /** Time without progress after which an attempt at a plain server that answers other questions has stalled. */
-  private get stallLimitMs(): Milliseconds {
-    return this.mode === ResponseMode.Streamed
-      ? maxStallCheckMs
-      : this.admitted.route.targetMs;
-  }
-
-  /** Since when a sound server would have had to say something; one that was silent needs time to go on. */
-  private get quietSince(): Milliseconds {
-    return Math.max(this.lastActivityAt, this.chosen.first.returnedAt);
-  }
-
-  /** Since when the server works and says nothing to this attempt; at the first check it may be just back from a pause. */
-  private get stalledSince(): Milliseconds {
-    return this.stallChecks === 0
-      ? Math.max(this.quietSince, this.chosen.first.heardAgainAt)
-      : this.quietSince;
-  }
-
-  /** Whether the call waits for a plain server's pause to end rather than run twice. */
-  private isPatient(now: Milliseconds): boolean {
-    const isStream = this.mode === ResponseMode.Streamed;
-    return (
-      this.chosen.chain.length === 0 &&
-      !isStream &&
-      this.chosen.first.isSilent &&
-      now - this.lastByteAt < maxPatienceMs &&
-      this.admitted.deadlineAt - now > maxPatienceMs
-    );
-  }
-
   private report(
     type: 'ATTEMPT_NOT_RUN' | 'ATTEMPT_ERROR' | 'ATTEMPT_BROKEN',
     now: Milliseconds,
   ): void {
     const { call, chosen, fault } = this;
     this.blame.keepFromFaultyServers();
-    this.noteSilence(now);
+    this.silence.noteEnd(now);
     call.services.metrics.countAttempt(type);
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
@@ -412,7 +326,7 @@
       refusedBy: this.head?.fields.refusedBy ?? '',
       reason: fault?.message ?? '',
       afterMs: Math.round(now - this.startedAt),
-      silentMs: Math.round(now - this.lastByteAt),
+      silentMs: Math.round(this.silence.measure(now)),
       lastEvent: call.events?.lastEventId ?? '',
       events: this.progress.events,
       retriesLeft: this.countRetries(now),
@@ -444,8 +358,7 @@
 
   /** Ends an attempt whose server answers other questions, if another server can take the call; one that was silent until now goes on. */
   endStalled(now: Milliseconds): void {
-    const silenceMs = now - this.stalledSince;
-    if (silenceMs >= this.stallLimitMs && this.chartActions.mayMove(now)) {
+    if (this.silence.hasStalled(now) && this.chartActions.mayMove(now)) {
       this.failExchange('the server was silent for too long');
     } else {
       this.instance.send({ type: 'CHECKED' }, now);
@@ -464,7 +377,7 @@
 
   private finishBody({ fields }: BackendHead): void {
     const { call } = this;
-    const isStream = this.mode === ResponseMode.Streamed;
+    const isStream = this.isStreamed;
     if (isStream && call.events?.isAtBoundary === false) {
       const reason = 'the stream ended inside an event';
       this.failExchange(reason, !fields.isFramed);
@@ -515,35 +428,6 @@
     });
   }
 
-  private noteActivity(): void {
-    this.lastActivityAt = this.call.services.getMoment().monotonic;
-    this.call.lastActivityAt = this.lastActivityAt;
-    this.noteByte(this.lastActivityAt);
-  }
-
-  private noteByte(now: Milliseconds): void {
-    this.noteSilence(now);
-    this.lastByteAt = now;
-    this.noteAlive(this.chosen.first, now);
-  }
-
-  private noteAlive(server: Server, now: Milliseconds): void {
-    server.noteProof(now);
-    if (server.isSilent) {
-      this.call.services.postCompletion(readAt => {
-        server.noteAlive(readAt);
-      });
-    }
-  }
-
-  /** Records how long the server has sent nothing; also for an attempt that ends in the middle of a silence. */
-  noteSilence(now: Milliseconds): void {
-    const silenceMs = now - this.lastByteAt;
-    if (silenceMs > this.call.longestSilenceMs) {
-      this.call.longestSilenceMs = silenceMs;
-    }
-  }
-
   private beginStream(head: BackendHead): void {
     const { call } = this;
     const { caller } = call;
@@ -556,17 +440,17 @@
         return;
       }
       call.hasStartedResponse = true;
-      call.firstByteAt = this.lastActivityAt;
+      call.firstByteAt = call.lastActivityAt;
       caller.setDrainListener(() => {
         call.attempt?.resume();
       });
     }
   }
 
-  private forwardEvents(chunk: Buffer): void {
+  private forwardEvents(chunk: Buffer, now: Milliseconds): void {
     const { call } = this;
     const { events } = call;
-    const now = call.services.getMoment().monotonic;
+    this.silence.noteByte(now);
     const accepted = events?.accept(chunk, now);
     if (!events || !accepted) {
       return;
@@ -578,11 +462,7 @@
     this.reserveMemory(events.bufferedBytes);
     const { bytes, newEvents } = accepted.val;
     if (newEvents > 0) {
-      this.noteActivity();
-      this.stalledServer = undefined;
-      this.servers.stages.forEach(server => {
-        this.noteAlive(server, now);
-      });
+      this.silence.noteEvent(now);
       this.progress.noteEvents(newEvents);
       call.noteEventsSent(now);
     }
@@ -590,13 +470,4 @@
       this.exchange?.pause();
     }
   }
-
-  /** Whether the attempt made no progress in the given time: no event of a stream, no byte of another answer. */
-  isSilentFor(silenceMs: Milliseconds, now: Milliseconds): boolean {
-    return now - this.lastActivityAt >= silenceMs;
-  }
 }
-
-/** A second check comes when the stream has been silent for `maxStallCheckMs`. */
-const computePlainStreamCheck = (checks: number): Milliseconds =>
-  checks === 0 ? plainStreamCheckMs : maxStallCheckMs - plainStreamCheckMs;
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -94,8 +94,8 @@
   }
 
   /** Whether its silence may be the pause of a sound server. */
-  get isDoubted(): boolean {
-    return this.chart.matches('silent.doubted');
+  get isPausing(): boolean {
+    return this.chart.matches('silent.pausing');
   }
 
   /** When the question was asked, at the latest, that a silent server did not answer. */
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -109,7 +109,7 @@
     const { serverId } = server.record;
     for (const attempt of this.listSilentAttempts(silenceMs, now)) {
       if (attempt.servers.has(server)) {
-        sendLoss(attempt, type, serverId, now);
+        sendServerEvent(attempt, type, serverId, now);
       }
     }
   }
@@ -117,12 +117,12 @@
   /** Tells the attempts that a silent server holds up that another server lives. */
   private reportAlternative(alive: Server, now: Milliseconds): void {
     for (const attempt of this.listSilentAttempts(unresponsiveSilenceMs, now)) {
-      const serverId = attempt.findSilentServer();
+      const serverId = attempt.silence.findSilentServer();
       if (
         serverId !== undefined &&
         attempt.admitted.service.name === alive.record.service
       ) {
-        sendLoss(attempt, 'SERVER_SILENT', serverId, now);
+        sendServerEvent(attempt, 'SERVER_SILENT', serverId, now);
       }
     }
   }
@@ -135,7 +135,7 @@
     return [...this.services.listCalls()].flatMap(({ attempt }) =>
       attempt &&
       attempt.chosen.chain.length > 0 &&
-      attempt.isSilentFor(silenceMs, now)
+      attempt.silence.isSilentFor(silenceMs, now)
         ? attempt
         : [],
     );
@@ -164,7 +164,7 @@
   }
 }
 
-const sendLoss = (
+const sendServerEvent = (
   attempt: GatewayAttempt,
   type: 'SERVER_LOST' | 'SERVER_SILENT',
   serverId: string,
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/serverRegistry.ts
@@ -108,8 +108,8 @@
   }
 
   /** Servers of the service that may get calls when their silence ends, which may be a pause. */
-  listDoubted(service: string): Server[] {
-    return this.listListed(service).filter(({ isDoubted }) => isDoubted);
+  listPausing(service: string): Server[] {
+    return this.listListed(service).filter(({ isPausing }) => isPausing);
   }
 
   /** Servers of the service that placement plans with; one that just fell silent keeps its layers. */
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -12,13 +12,13 @@
 import { ConnectionUse, type ServerReport } from './ports.js';
 import { ProbeResult, toProbeResult } from './serverCheck.js';
 
-/** Checks the attempt; it receives `CHECKED` or `SILENT`, or fails at once. */
+/** Checks the attempt; it receives `CHECKED` or `NO_REPORT`, or fails at once. */
 export const checkStall = (attempt: GatewayAttempt): void => {
   const { services } = attempt.call;
   const now = services.getMoment().monotonic;
   const { first } = attempt.chosen;
   if (first.isSilent) {
-    sendSilent(attempt, now);
+    sendNoReport(attempt, now);
     return;
   }
   services.metrics.countProbe();
@@ -66,7 +66,7 @@
       return;
     case ProbeResult.Unanswered:
       lossHandler.noteSilent(chosen.first, 'it sends no report', now);
-      sendSilent(attempt, now);
+      sendNoReport(attempt, now);
       return;
     case ProbeResult.Reset:
       receiveReset(attempt, now);
@@ -111,13 +111,13 @@
       `the chain stalled at ${server.record.address}`,
     );
     const lost = server.record.serverId;
-    attempt.stalledServer = lost;
+    attempt.silence.stalledServer = lost;
     attempt.instance.send({ type: 'SERVER_SILENT', fault, lost }, now);
   }
   attempt.instance.send({ type: 'CHECKED' }, now);
 };
 
-const sendSilent = (attempt: GatewayAttempt, now: Milliseconds): void => {
+const sendNoReport = (attempt: GatewayAttempt, now: Milliseconds): void => {
   const fault = createBackendFault('the server was silent for too long');
-  attempt.instance.send({ type: 'SILENT', fault }, now);
+  attempt.instance.send({ type: 'NO_REPORT', fault }, now);
 };
