--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -44,10 +44,10 @@
   NewsRelay: 'newsRelay',
   RelayTrust: 'relayTrust',
   PeerRecord: 'peerRecord',
-  PromptPart: 'promptPart',
-  PartPush: 'partPush',
-  PartPull: 'partPull',
-  PartPeer: 'partPeer',
+  Suspect: 'suspect',
+  SuspectPush: 'suspectPush',
+  SuspectPull: 'suspectPull',
+  SuspectPeer: 'suspectPeer',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
 
--- a/packages/decisions/src/suspects/blamePolicy.ts
+++ b/packages/decisions/src/suspects/blamePolicy.ts
@@ -12,7 +12,7 @@
 export type Suspicion = ValueOf<typeof Suspicion>;
 
 /** A crash of a server that had not begun to answer a call with the part. */
-export interface PartCrash {
+export interface SuspectCrash {
   readonly at: Milliseconds;
   readonly requestId: string;
   /** Time until the service is next known to have written an answer. */
@@ -25,7 +25,7 @@
 export abstract class BlamePolicy {
   /** Judges a part by the crashes since an answer on it was last written, oldest first. */
   abstract decideSuspicion(
-    crashes: readonly PartCrash[],
+    crashes: readonly SuspectCrash[],
     now: Milliseconds,
   ): Suspicion;
 
@@ -57,7 +57,7 @@
   /** Time within which the service must write other answers after a crash; if it writes none, the fault is a wider one. */
   readonly maxPauseMs: Milliseconds;
   readonly momentMs: Milliseconds;
-  /** See `PartCrash.presence`; many crashes without the part have another cause. */
+  /** See `SuspectCrash.presence`; many crashes without the part have another cause. */
   readonly minPresence: number;
   /** Time since the first crash in which news of answers elsewhere arrive. */
   readonly settleMs: Milliseconds;
@@ -81,7 +81,7 @@
   }
 
   override decideSuspicion(
-    crashes: readonly PartCrash[],
+    crashes: readonly SuspectCrash[],
     now: Milliseconds,
   ): Suspicion {
     const { thresholds } = this;
@@ -110,7 +110,7 @@
 
 /** Counts the moments of crashes that are sorted by time; a moment begins with a crash and lasts `momentMs`. */
 export const countMoments = (
-  crashes: readonly Pick<PartCrash, 'at'>[],
+  crashes: readonly Pick<SuspectCrash, 'at'>[],
   momentMs: Milliseconds,
 ): number => {
   let moments = 0;
@@ -125,15 +125,15 @@
 };
 
 /** A part among those of the calls that a crash broke. */
-export interface Suspect {
+export interface SuspectStanding {
   readonly crashCount: number;
   readonly isBlamed: boolean;
 }
 
 /** Whether a crash at which several parts were present is better explained by another of them. */
 export const isExplained = (
-  suspect: Suspect,
-  present: Iterable<Suspect>,
+  suspect: SuspectStanding,
+  present: Iterable<SuspectStanding>,
 ): boolean => {
   for (const other of present) {
     if (
--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attemptProgress.ts
@@ -1,8 +1,8 @@
 /** How far the answer to an attempt has come, and what that tells about the parts of the prompt. */
 import type { Milliseconds } from '@lycheetally/common';
 import type { GatewayCall } from './gatewayCall.js';
-import { isAnswerUnderWay, toPromptCall } from './parts/promptCalls.js';
-import type { BrokenServer } from './parts/promptPartTracker.js';
+import { isAnswerUnderWay, toTracedCall } from './suspects/suspectCalls.js';
+import type { BrokenServer } from './suspects/suspectTracker.js';
 
 export class AttemptProgress {
   private readonly eventsBefore: number;
@@ -34,17 +34,17 @@
   /** Records that a server writes, or wrote, the answer. */
   noteComplete(now: Milliseconds): void {
     const { services } = this.call;
-    services.promptParts.noteServed(toPromptCall(this.call), now);
+    services.suspects.noteServed(toTracedCall(this.call), now);
   }
 
   /** Records that the server closed the connection; an answer that another server had begun clears the prompt. */
   noteBroken(server: BrokenServer, now: Milliseconds): void {
     const { services } = this.call;
-    const prompt = toPromptCall(this.call);
+    const prompt = toTracedCall(this.call);
     const hardlyBegan = !this.isUnderWay && this.eventsBefore === 0;
     if (hardlyBegan && prompt.parts.length > 0) {
-      services.metrics.countPartBreak(prompt.service);
-      services.promptParts.noteBroken(prompt, server, now);
+      services.metrics.countSuspectBreak(prompt.service);
+      services.suspects.noteBroken(prompt, server, now);
     }
   }
 }
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -30,7 +30,7 @@
   decideFirstAttempt,
   findRepeatFault,
   noteRefusedRepeat,
-} from './parts/promptCalls.js';
+} from './suspects/suspectCalls.js';
 import {
   isPromptRefused,
   mayRepeat,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -268,13 +268,13 @@
 export const peerWriteRetryMs = 1_000;
 
 /** Parts of prompts that a gateway tracks at most for each service. */
-export const maxTrackedParts = 512;
+export const maxTrackedSuspects = 512;
 
 /** Parts of one call that are considered at most. */
 export const maxPartsPerCall = 32;
 
 /** Crashes remembered at most for each part. */
-export const maxSightingsPerPart = 64;
+export const maxSightingsPerSuspect = 64;
 
 /** Crashes remembered at most for each service. */
 export const maxKnownCrashes = 256;
@@ -310,8 +310,8 @@
 export const trialWaitMs = 600_000;
 
 /** Longest `Retry-After` of a call with a blamed part. */
-export const maxPartRetryAfterMs = 10_000;
+export const maxSuspectRetryAfterMs = 10_000;
 
-/** Log lines about parts of prompts at most in each `partLogWindowMs`. */
-export const maxPartLogLines = 60;
-export const partLogWindowMs = 60_000;
+/** Log lines about parts of prompts at most in each `suspectLogWindowMs`. */
+export const maxSuspectLogLines = 60;
+export const suspectLogWindowMs = 60_000;
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -22,7 +22,7 @@
 import type { DrainPeriod } from './drainPeriod.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import type { PromptPartTracker } from './parts/promptPartTracker.js';
+import type { SuspectTracker } from './suspects/suspectTracker.js';
 import type { ServerControlPort } from './ports.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import type { ServerLossHandler } from './serverLossHandler.js';
@@ -73,7 +73,7 @@
   readonly bufferMemory: BufferMemory<GatewayAttempt>;
   readonly drainPeriod: DrainPeriod;
   readonly durationForecast: DurationForecast;
-  readonly promptParts: PromptPartTracker;
+  readonly suspects: SuspectTracker;
   readonly waitingCalls: WaitingCalls;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -2,7 +2,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { LayerPlacer } from './layerPlacer.js';
 import type { GatewayNews } from './news/gatewayNews.js';
-import type { PromptParts } from './parts/promptParts.js';
+import type { Suspects } from './suspects/suspects.js';
 import type { ConnectionCounts } from './safeReuseAgent.js';
 
 /** Sources of the gauges' values. */
@@ -12,7 +12,7 @@
   countCalls(): number;
   countBufferedBytes(): number;
   readonly news: GatewayNews;
-  readonly promptParts: PromptParts;
+  readonly suspects: Suspects;
   countUnreadable(): number;
   countDoubted(): number;
   countLimited(): number;
@@ -76,12 +76,12 @@
     [
       'parts_tracked',
       'Parts of prompts that were there when a server crashed',
-      () => sources.promptParts.trackedCount,
+      () => sources.suspects.trackedCount,
     ],
     [
       'parts_refused',
       'Parts of prompts with which calls are refused',
-      () => sources.promptParts.refusedCount,
+      () => sources.suspects.refusedCount,
     ],
     [
       'unreadable_records',
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -44,19 +44,19 @@
     help: 'Reads of the store that another gateway answered since the start',
     registers: [this.registry],
   });
-  private readonly partRefusals = new Counter({
+  private readonly suspectRefusals = new Counter({
     name: `${prefix}part_refusals_total`,
     help: 'Calls refused for a part of their prompt, at admission or when they would have been sent again',
     labelNames: ['service', 'at'],
     registers: [this.registry],
   });
-  private readonly partBreaks = new Counter({
+  private readonly suspectBreaks = new Counter({
     name: `${prefix}part_breaks_total`,
     help: 'Attempts that their server broke before the second event, and that name parts of a prompt',
     labelNames: ['service'],
     registers: [this.registry],
   });
-  private readonly partMessages = new Counter({
+  private readonly suspectMessages = new Counter({
     name: `${prefix}part_messages_total`,
     help: 'Messages about prompt parts to other gateways, by whether they were answered',
     labelNames: ['answered'],
@@ -181,16 +181,16 @@
     this.cutByStop.inc();
   }
 
-  countPartRefusal(service: string, at: 'admission' | 'repeat'): void {
-    this.partRefusals.inc({ service, at });
+  countSuspectRefusal(service: string, at: 'admission' | 'repeat'): void {
+    this.suspectRefusals.inc({ service, at });
   }
 
-  countPartBreak(service: string): void {
-    this.partBreaks.inc({ service });
+  countSuspectBreak(service: string): void {
+    this.suspectBreaks.inc({ service });
   }
 
-  countPartMessage(isAnswered: boolean): void {
-    this.partMessages.inc({ answered: String(isAnswered) });
+  countSuspectMessage(isAnswered: boolean): void {
+    this.suspectMessages.inc({ answered: String(isAnswered) });
   }
 
   countRefused(status: number): void {
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -66,7 +66,7 @@
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
 import { WaitingCalls } from './waitingCalls.js';
-import { PromptParts } from './parts/promptParts.js';
+import { Suspects } from './suspects/suspects.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
 export interface GatewayPorts extends NewsSources {
@@ -93,7 +93,7 @@
   private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
-  private readonly promptParts: PromptParts;
+  private readonly suspects: Suspects;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
   private readonly drainPeriod = new DrainPeriod();
@@ -125,7 +125,7 @@
       windowMs: settings.rules.retryWindowSeconds * millisecondsPerSecond,
     });
     this.servers = this.createServers();
-    this.promptParts = this.createPromptParts();
+    this.suspects = this.createSuspects();
     this.news = this.createNews();
     this.placer = this.createPlacer(startedAt);
     this.callServices = this.createCallServices();
@@ -160,7 +160,7 @@
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
-      promptParts: this.promptParts,
+      suspects: this.suspects,
     });
   }
 
@@ -197,7 +197,7 @@
     this.post(now => {
       if (!this.hasStopped) {
         this.news.start(now);
-        this.promptParts.start(now);
+        this.suspects.start(now);
         this.placer.start(now);
       }
     });
@@ -270,7 +270,7 @@
     this.backend.dispose();
     this.servers.dispose();
     this.news.dispose();
-    this.promptParts.dispose();
+    this.suspects.dispose();
     this.placer.dispose();
   }
 
@@ -440,7 +440,7 @@
         this.metrics.countNews(isRelayed);
       },
       receiveParts: (incoming, response) => {
-        this.promptParts.receive(incoming, response);
+        this.suspects.receive(incoming, response);
       },
       applyConfigurations: (records, isComplete, now) => {
         this.noteStored(records, isComplete);
@@ -454,8 +454,8 @@
     });
   }
 
-  private createPromptParts(): PromptParts {
-    return new PromptParts(this.settings.process.id, {
+  private createSuspects(): Suspects {
+    return new Suspects(this.settings.process.id, {
       timers: this.loop,
       log: this.loggers.createLogger(LogComponent.Prompts),
       listPeers: () => this.news.listPeers(),
@@ -463,7 +463,7 @@
         this.post(run);
       },
       countMessage: isAnswered => {
-        this.metrics.countPartMessage(isAnswered);
+        this.metrics.countSuspectMessage(isAnswered);
       },
     });
   }
@@ -526,7 +526,7 @@
       retryPolicy: this.retryBudget,
       serverRegistry: this.servers.registry,
       attemptMachine: getOrThrow(bindAttemptChart()),
-      promptParts: this.promptParts.tracker,
+      suspects: this.suspects.tracker,
       waitingCalls: this.waitingCalls,
       bufferMemory: this.bufferMemory,
       homeDomain: process.failureDomain,
--- a/packages/gateway/src/news/newsServer.ts
+++ b/packages/gateway/src/news/newsServer.ts
@@ -7,7 +7,7 @@
 } from 'node:http';
 import type { Address, Result } from '@lycheetally/common';
 import { startListening } from '@lycheetally/node';
-import { partPath } from '../parts/partMessage.js';
+import { suspectPath } from '../suspects/suspectMessage.js';
 import { encodeNews, parseNewsPath } from './newsFormat.js';
 import type { NewsAnswer, NewsCallback, NewsRequest } from './newsTable.js';
 
@@ -50,7 +50,7 @@
   }
 
   private receive(incoming: IncomingMessage, response: ServerResponse): void {
-    if (incoming.method === 'POST' && incoming.url === partPath) {
+    if (incoming.method === 'POST' && incoming.url === suspectPath) {
       this.receiveParts(incoming, response);
       return;
     }
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/repeatRules.ts
@@ -7,7 +7,7 @@
 } from './chooseServers.js';
 import { mayEndBeforeStop, mayTakeBeforeStop } from './drainAdmission.js';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
-import { findRepeatFault } from './parts/promptCalls.js';
+import { findRepeatFault } from './suspects/suspectCalls.js';
 
 /** Whether a stopping gateway starts an attempt now; a stream that has begun goes on as long as it can. */
 export const mayStartAttempt = (
--- a/packages/gateway/src/parts/crashingPartTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -6,8 +6,8 @@
  * were answered, until an answer on the part is written. What several gateways
  * sighted is joined, whatever the order of the news. A gateway creates one:
  *
- *     createPromptPartTracker({
- *       machine: getOrThrow(bindPartChart()),
+ *     createSuspectTracker({
+ *       machine: getOrThrow(bindSuspectChart()),
  *       timers: this.loop,
  *       log: loggers.createLogger(LogComponent.Prompts),
  *       policy: new UnservedPart(),
@@ -27,25 +27,25 @@
   type Sighting,
 } from '@lycheetally/decisions';
 import {
-  maxPartRetryAfterMs,
+  maxSuspectRetryAfterMs,
   maxTrackedIdLength,
   sightingLifetimeMs,
   suspectIntervalMs,
 } from '../constants.js';
-import { PartLog } from './partLog.js';
-import { decodeSightings, listPartRecords } from './partRecords.js';
-import type { PartMachine, PartServices, PromptPart } from './promptPart.js';
+import { SuspectLog } from './suspectLog.js';
+import { decodeSightings, listSuspectRecords } from './suspectRecords.js';
+import type { SuspectMachine, SuspectServices, Suspect } from './suspect.js';
 import {
-  PromptPartTracker,
+  SuspectTracker,
   type BrokenServer,
-  type PromptCall,
-  type PromptDecision,
-  type PromptPartRecord,
-} from './promptPartTracker.js';
-import { ServiceParts, listCandidates } from './serviceParts.js';
+  type TracedCall,
+  type SuspectDecision,
+  type SuspectRecord,
+} from './suspectTracker.js';
+import { ServiceSuspects, listCandidates } from './serviceSuspects.js';
 
-export interface PartTrackerOptions {
-  readonly machine: PartMachine;
+export interface SuspectTrackerOptions {
+  readonly machine: SuspectMachine;
   readonly timers: ChartTimers;
   readonly log: ComponentLogger;
   readonly policy: BlamePolicy;
@@ -53,23 +53,20 @@
   readonly gatewayId: string;
 }
 
-export class CrashingPartTracker
-  extends PromptPartTracker
-  implements Disposable
-{
-  private readonly byService = new Map<string, ServiceParts>();
-  private readonly partServices: PartServices;
+export class CrashSuspectTracker extends SuspectTracker implements Disposable {
+  private readonly byService = new Map<string, ServiceSuspects>();
+  private readonly partServices: SuspectServices;
   private readonly policy: BlamePolicy;
   private changes = 0;
 
-  constructor(options: PartTrackerOptions) {
+  constructor(options: SuspectTrackerOptions) {
     super();
     const { machine, timers, log, policy, gatewayId } = options;
     this.policy = policy;
     this.partServices = {
       machine,
       timers,
-      log: new PartLog(log),
+      log: new SuspectLog(log),
       gatewayId,
       handleForgotten: part => {
         this.byService.get(part.service)?.remove(part);
@@ -92,14 +89,14 @@
   }
 
   /** Lists the parts with which calls are refused. */
-  listRefused(): PromptPart[] {
+  listRefused(): Suspect[] {
     return this.listParts().filter(({ isBlamed }) => isBlamed);
   }
 
   override decideFirstAttempt(
-    call: PromptCall,
+    call: TracedCall,
     now: Milliseconds,
-  ): PromptDecision {
+  ): SuspectDecision {
     const parts = this.updateSuspicions(call, now);
     const forbidding = parts.find(part => !maySend(part, now));
     if (forbidding) {
@@ -115,7 +112,7 @@
     return { isAllowed: true };
   }
 
-  override decideRepeat(call: PromptCall, now: Milliseconds): PromptDecision {
+  override decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision {
     const forbidding = this.updateSuspicions(call, now).find(
       part =>
         part.isBlamed ||
@@ -126,7 +123,7 @@
   }
 
   override noteBroken(
-    call: PromptCall,
+    call: TracedCall,
     server: BrokenServer,
     now: Milliseconds,
   ): void {
@@ -149,7 +146,7 @@
     this.updateSuspicions(call, now);
   }
 
-  override noteServed(call: PromptCall, now: Milliseconds): void {
+  override noteServed(call: TracedCall, now: Milliseconds): void {
     const service = this.getService(call.service);
     service.servings.add(now);
     for (const part of service.findAll(call.parts)) {
@@ -161,18 +158,18 @@
     }
   }
 
-  override listRecords(now: Milliseconds): readonly PromptPartRecord[] {
+  override listRecords(now: Milliseconds): readonly SuspectRecord[] {
     return this.listParts().flatMap(part => {
       part.isShared = true;
-      return listPartRecords(part, now);
+      return listSuspectRecords(part, now);
     });
   }
 
   override mergeRecords(
-    records: readonly PromptPartRecord[],
+    records: readonly SuspectRecord[],
     now: Milliseconds,
   ): void {
-    const answered = new Set<ServiceParts>();
+    const answered = new Set<ServiceSuspects>();
     for (const record of records) {
       const isUsable = [record.service, record.part].every(
         ({ length }) => length <= maxTrackedIdLength,
@@ -196,8 +193,8 @@
 
   /** Merges a record; adds its service to `answered` if it tells of an answer. */
   private mergeRecord(
-    record: PromptPartRecord,
-    answered: Set<ServiceParts>,
+    record: SuspectRecord,
+    answered: Set<ServiceSuspects>,
     now: Milliseconds,
   ): void {
     const { refusedAgeMs } = record;
@@ -232,7 +229,7 @@
   }
 
   /** Judges all tracked parts of a call by the same evidence, and returns them. */
-  private updateSuspicions(call: PromptCall, now: Milliseconds): PromptPart[] {
+  private updateSuspicions(call: TracedCall, now: Milliseconds): Suspect[] {
     const service = this.getService(call.service);
     const parts = service.findAll(call.parts);
     const judged = parts
@@ -253,24 +250,24 @@
     return parts;
   }
 
-  private getService(name: string): ServiceParts {
+  private getService(name: string): ServiceSuspects {
     const known = this.byService.get(name);
-    const service = known ?? new ServiceParts(this.partServices, name);
+    const service = known ?? new ServiceSuspects(this.partServices, name);
     this.byService.set(name, service);
     return service;
   }
 
-  private listParts(): PromptPart[] {
+  private listParts(): Suspect[] {
     return [...this.byService.values()].flatMap(service => service.list());
   }
 }
 
 /** Creates the tracker of one gateway. */
-export const createPromptPartTracker = (
-  options: PartTrackerOptions,
-): CrashingPartTracker => new CrashingPartTracker(options);
+export const createSuspectTracker = (
+  options: SuspectTrackerOptions,
+): CrashSuspectTracker => new CrashSuspectTracker(options);
 
-const maySend = (part: PromptPart, now: Milliseconds): boolean => {
+const maySend = (part: Suspect, now: Milliseconds): boolean => {
   if (part.isBlamed) {
     return part.isTrialDue;
   }
@@ -278,7 +275,7 @@
 };
 
 /** Whether one call crashed several servers; it must not go on from server to server. */
-const hasCrashedServers = (part: PromptPart, requestId: string): boolean => {
+const hasCrashedServers = (part: Suspect, requestId: string): boolean => {
   const id = trimId(requestId);
   const own = part.sightings
     .listLive()
@@ -289,12 +286,12 @@
 /** Servers after whose crashes a call is not repeated. */
 const maxCrashesPerCall = 2;
 
-const refuse = (part: PromptPart, now: Milliseconds): PromptDecision => ({
+const refuse = (part: Suspect, now: Milliseconds): SuspectDecision => ({
   isAllowed: false,
   part: part.part,
   retryAfterMs: part.isBlamed
     ? Math.min(
-        maxPartRetryAfterMs,
+        maxSuspectRetryAfterMs,
         Math.max(suspectIntervalMs, part.computeRefusal(now)),
       )
     : suspectIntervalMs,
--- a/packages/gateway/src/parts/exchangeConstants.ts
+++ b/packages/gateway/src/suspects/exchangeConstants.ts
@@ -2,34 +2,34 @@
 import { maxPeersAgeMs } from '../constants.js';
 
 /** Interval between two messages with changed records of prompt parts to one gateway. */
-export const partPushIntervalMs = 250;
+export const suspectPushIntervalMs = 250;
 
 /** Interval between two comparisons of the records of prompt parts with other gateways. */
-export const partCompareIntervalMs = 1_000;
+export const suspectCompareIntervalMs = 1_000;
 
 /** Gateways with which each comparison is made. */
-export const partComparedPeers = 2;
+export const suspectComparedPeers = 2;
 
 /** Gateways that one asks for records of prompt parts when it starts. */
-export const partJoinPeers = 3;
+export const suspectJoinPeers = 3;
 
 /** Delay before a gateway that starts asks again for records of prompt parts. */
-export const partJoinRetryMs = 500;
+export const suspectJoinRetryMs = 500;
 
 /** Time after the start in which the other gateways may not know this one; comparisons make up for it. */
-export const partSettlingMs = maxPeersAgeMs;
+export const suspectSettlingMs = maxPeersAgeMs;
 
 /** Timeout of a message about prompt parts to another gateway. */
-export const partTimeoutMs = 500;
+export const suspectTimeoutMs = 500;
 
 /** First pause after a gateway did not answer a message about prompt parts; doubles with each further one. */
-export const partFirstPauseMs = 500;
+export const suspectFirstPauseMs = 500;
 
 /** Longest pause after a gateway did not answer; it must hear of a crash again soon after it is back. */
-export const partMaxPauseMs = 2_000;
+export const suspectMaxPauseMs = 2_000;
 
 /** Messages about prompt parts that a gateway sends at once. */
-export const maxPartMessages = 64;
+export const maxSuspectMessages = 64;
 
 /** Interval between two log lines about malformed messages. */
 export const malformedLogIntervalMs = 10_000;
--- a/packages/gateway/src/parts/recordDigests.ts
+++ b/packages/gateway/src/suspects/recordDigests.ts
@@ -1,10 +1,10 @@
 /** Digests that tell which records of prompt parts changed; ages, which always do, are left out. */
 import { hashText } from '@lycheetally/common';
-import type { PromptPartRecord } from './promptPartTracker.js';
+import type { SuspectRecord } from './suspectTracker.js';
 
 const separator = '\0';
 
-const describeRecord = (record: PromptPartRecord): string =>
+const describeRecord = (record: SuspectRecord): string =>
   [
     record.service,
     record.part,
@@ -16,7 +16,7 @@
   ].join(separator);
 
 /** Returns one digest of all records, in any order. */
-export const computeDigest = (records: readonly PromptPartRecord[]): number =>
+export const computeDigest = (records: readonly SuspectRecord[]): number =>
   hashText(records.map(describeRecord).sort().join(separator));
 
 /** Remembers which records the other gateways were sent, or sent themselves. */
@@ -24,19 +24,19 @@
   private digests = new Map<string, number>();
 
   /** Returns the records that changed since they were kept. */
-  filterChanged(records: readonly PromptPartRecord[]): PromptPartRecord[] {
+  filterChanged(records: readonly SuspectRecord[]): SuspectRecord[] {
     return records.filter(record => this.hasChanged(record));
   }
 
   /** Keeps the records as they are now, and drops all others. */
-  keepAll(records: readonly PromptPartRecord[]): void {
+  keepAll(records: readonly SuspectRecord[]): void {
     this.digests = new Map(records.map(toDigestEntry));
   }
 
   /** Keeps the records as they are after another gateway's were merged, except those that it does not know of. */
   keepMerged(
-    before: readonly PromptPartRecord[],
-    after: readonly PromptPartRecord[],
+    before: readonly SuspectRecord[],
+    after: readonly SuspectRecord[],
   ): void {
     const unsent = new Set(this.filterChanged(before).map(formatKey));
     const known = after.filter(record => !unsent.has(formatKey(record)));
@@ -45,17 +45,17 @@
     }
   }
 
-  private hasChanged(record: PromptPartRecord): boolean {
+  private hasChanged(record: SuspectRecord): boolean {
     const [key, digest] = toDigestEntry(record);
     return this.digests.get(key) !== digest;
   }
 }
 
-const toDigestEntry = (record: PromptPartRecord): [string, number] => [
+const toDigestEntry = (record: SuspectRecord): [string, number] => [
   formatKey(record),
   hashText(describeRecord(record)),
 ];
 
 /** A part may have one record of crashes before an answer, and one of later crashes. */
-const formatKey = ({ service, part, servedAgeMs }: PromptPartRecord): string =>
+const formatKey = ({ service, part, servedAgeMs }: SuspectRecord): string =>
   [service, part, String(servedAgeMs !== undefined)].join(separator);
--- a/packages/gateway/src/parts/serviceParts.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -6,7 +6,7 @@
   isExplained,
   crashMomentMs,
   type BlamePolicy,
-  type PartCrash,
+  type SuspectCrash,
   type Sighting,
 } from '@lycheetally/decisions';
 import type { Milliseconds } from '@lycheetally/common';
@@ -14,21 +14,21 @@
   maxKnownCrashes,
   maxPartsPerCall,
   maxTrackedIdLength,
-  maxTrackedParts,
+  maxTrackedSuspects,
   servingResolutionMs,
   sightingLifetimeMs,
 } from '../constants.js';
-import { PromptPart, type PartServices } from './promptPart.js';
+import { Suspect, type SuspectServices } from './suspect.js';
 
-export class ServiceParts {
+export class ServiceSuspects {
   /** When answers were written, here or elsewhere. */
   readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
   /** All crashes that are known, with whatever part. */
   readonly crashTimes = new CrashTimes(maxKnownCrashes);
-  private readonly parts = new Map<string, PromptPart>();
+  private readonly parts = new Map<string, Suspect>();
 
   constructor(
-    private readonly services: PartServices,
+    private readonly services: SuspectServices,
     readonly service: string,
   ) {}
 
@@ -36,26 +36,26 @@
     return this.parts.size;
   }
 
-  list(): PromptPart[] {
+  list(): Suspect[] {
     return [...this.parts.values()];
   }
 
   /** Finds the tracked ones of a call's parts. */
-  findAll(parts: readonly string[]): PromptPart[] {
+  findAll(parts: readonly string[]): Suspect[] {
     if (this.parts.size === 0) {
       return [];
     }
     return listCandidates(parts).flatMap(part => this.parts.get(part) ?? []);
   }
 
-  remove(part: PromptPart): void {
+  remove(part: Suspect): void {
     this.parts.delete(part.part);
     part.dispose();
   }
 
   /** Judges a part by the crashes that no other part explains better. */
   decideSuspicion(
-    part: PromptPart,
+    part: Suspect,
     policy: BlamePolicy,
     now: Milliseconds,
   ): Suspicion {
@@ -71,19 +71,19 @@
   }
 
   /** Returns the part, tracked from now on. */
-  add(id: string, now: Milliseconds): PromptPart {
+  add(id: string, now: Milliseconds): Suspect {
     const known = this.parts.get(id);
     if (known) {
       return known;
     }
     this.trim();
     const { services, service } = this;
-    const part = new PromptPart(services, service, id, now);
+    const part = new Suspect(services, service, id, now);
     this.parts.set(id, part);
     return part;
   }
 
-  private listCrashes({ sightings }: PromptPart): (PartCrash & Sighting)[] {
+  private listCrashes({ sightings }: Suspect): (SuspectCrash & Sighting)[] {
     const live = sightings.listLive();
     return live.map(sighting => {
       const { at } = sighting;
@@ -99,25 +99,25 @@
     });
   }
 
-  private listPresent({ crash }: Sighting): PromptPart[] {
+  private listPresent({ crash }: Sighting): Suspect[] {
     return this.list().filter(({ sightings }) => sightings.has(crash));
   }
 
   /** Makes room: drops an eighth of the parts, those with the fewest and oldest crashes, refused ones last. */
   private trim(): void {
-    if (this.parts.size < maxTrackedParts) {
+    if (this.parts.size < maxTrackedSuspects) {
       return;
     }
     const least = this.list()
       .sort(compareWeight)
-      .slice(0, maxTrackedParts / 8);
+      .slice(0, maxTrackedSuspects / 8);
     for (const part of least) {
       this.remove(part);
     }
   }
 }
 
-const compareWeight = (a: PromptPart, b: PromptPart): number =>
+const compareWeight = (a: Suspect, b: Suspect): number =>
   Number(a.isBlamed) - Number(b.isBlamed) ||
   a.crashCount - b.crashCount ||
   a.newestAt - b.newestAt;
--- a/packages/gateway/src/parts/promptPart.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -1,4 +1,4 @@
-/** What a gateway believes about one part of prompts; context of the chart `promptPart`. */
+/** What a gateway believes about one part of prompts; context of the chart `suspect`. */
 import {
   ChartName,
   bindChart,
@@ -15,12 +15,12 @@
 import {
   SightingSet,
   countMoments,
-  type Suspect,
+  type SuspectStanding,
 } from '@lycheetally/decisions';
 import {
   clearedLifetimeMs,
   firstTrialMs,
-  maxSightingsPerPart,
+  maxSightingsPerSuspect,
   maxTrialIntervalMs,
   sightingLifetimeMs,
   suspectIntervalMs,
@@ -28,9 +28,9 @@
   trialTimeoutMs,
   trialWaitMs,
 } from '../constants.js';
-import type { PartLog } from './partLog.js';
+import type { SuspectLog } from './suspectLog.js';
 
-export interface PartEvent {
+export interface SuspectEvent {
   readonly type:
     | 'SIGHTED'
     | 'SUSPECTED'
@@ -41,15 +41,15 @@
     | 'SERVED';
 }
 
-export type PartMachine = ChartMachine<PromptPart, PartEvent>;
+export type SuspectMachine = ChartMachine<Suspect, SuspectEvent>;
 
 /** Services that tracked parts use. */
-export interface PartServices {
-  readonly machine: PartMachine;
+export interface SuspectServices {
+  readonly machine: SuspectMachine;
   readonly timers: ChartTimers;
-  readonly log: PartLog;
+  readonly log: SuspectLog;
   readonly gatewayId: string;
-  handleForgotten(part: PromptPart): void;
+  handleForgotten(part: Suspect): void;
 }
 
 /** Names the states of the chart in which no call is sent. */
@@ -57,18 +57,18 @@
 
 const maxHash = 2 ** 32;
 
-export class PromptPart implements Disposable, Suspect {
-  readonly sightings = new SightingSet(maxSightingsPerPart);
+export class Suspect implements Disposable, SuspectStanding {
+  readonly sightings = new SightingSet(maxSightingsPerSuspect);
   /** Whether another gateway may have a record of the part. */
   isShared = false;
   /** When calls with the part began to be refused. */
   refusedAt: Milliseconds | undefined;
   /** When a call with the part was last sent although it was suspected. */
   lastSentAt: Milliseconds = -Infinity;
-  private readonly chart: ChartInstance<PromptPart, PartEvent>;
+  private readonly chart: ChartInstance<Suspect, SuspectEvent>;
 
   constructor(
-    private readonly services: PartServices,
+    private readonly services: SuspectServices,
     readonly service: string,
     readonly part: string,
     now: Milliseconds,
@@ -99,7 +99,7 @@
     return this.sightings.listLive().at(-1)?.at ?? -Infinity;
   }
 
-  send(type: PartEvent['type'], now: Milliseconds): void {
+  send(type: SuspectEvent['type'], now: Milliseconds): void {
     this.chart.send({ type }, now);
   }
 
@@ -203,9 +203,9 @@
     ? firstTrialMs
     : Math.min(maxTrialIntervalMs, trialIntervalMs * 2 ** (failedTrials - 1));
 
-/** Binds the chart `promptPart`. Fails with `BadChart`. */
-export const bindPartChart = (): Result<PartMachine> =>
-  bindChart<PromptPart, PartEvent>(ChartName.PromptPart, {
+/** Binds the chart `suspect`. Fails with `BadChart`. */
+export const bindSuspectChart = (): Result<SuspectMachine> =>
+  bindChart<Suspect, SuspectEvent>(ChartName.Suspect, {
     actions: {
       noteSuspected: (part, _, now) => {
         part.chartActions.noteSuspected(now);
--- a/packages/gateway/src/parts/promptCalls.ts
+++ b/packages/gateway/src/suspects/suspectCalls.ts
@@ -1,7 +1,7 @@
 /** Asks the tracker of prompt parts about calls, and words its refusals. */
 import { ErrorKind, type Milliseconds } from '@lycheetally/common';
 import type { CallFault, GatewayCall } from '../gatewayCall.js';
-import type { PromptCall } from './promptPartTracker.js';
+import type { TracedCall } from './suspectTracker.js';
 
 /** Events after which a server is certain to write an answer. */
 const minEventsUnderWay = 2;
@@ -9,7 +9,7 @@
 export const isAnswerUnderWay = (events: number): boolean =>
   events >= minEventsUnderWay;
 
-export const toPromptCall = (call: GatewayCall): PromptCall => ({
+export const toTracedCall = (call: GatewayCall): TracedCall => ({
   requestId: call.requestId,
   service: call.admitted?.service.name ?? '',
   parts: call.received.fields.promptParts,
@@ -20,16 +20,16 @@
   call: GatewayCall,
   now: Milliseconds,
 ): CallFault | undefined => {
-  const prompt = toPromptCall(call);
+  const prompt = toTracedCall(call);
   if (prompt.parts.length === 0) {
     return undefined;
   }
-  const { promptParts, metrics } = call.services;
-  const decision = promptParts.decideFirstAttempt(prompt, now);
+  const { suspects, metrics } = call.services;
+  const decision = suspects.decideFirstAttempt(prompt, now);
   if (decision.isAllowed) {
     return undefined;
   }
-  metrics.countPartRefusal(prompt.service, 'admission');
+  metrics.countSuspectRefusal(prompt.service, 'admission');
   return createPromptFault(
     `backend servers crash when they begin to answer a prompt with the part ${decision.part}; send the call without it`,
     decision.retryAfterMs,
@@ -41,7 +41,7 @@
   call: GatewayCall,
   now: Milliseconds,
 ): CallFault | undefined => {
-  const prompt = toPromptCall(call);
+  const prompt = toTracedCall(call);
   const isSuspect =
     call.runs > 0 &&
     prompt.parts.length > 0 &&
@@ -49,7 +49,7 @@
   if (!isSuspect) {
     return undefined;
   }
-  const decision = call.services.promptParts.decideRepeat(prompt, now);
+  const decision = call.services.suspects.decideRepeat(prompt, now);
   return decision.isAllowed
     ? undefined
     : createPromptFault(
@@ -62,7 +62,7 @@
   services,
   admitted,
 }: GatewayCall): void => {
-  services.metrics.countPartRefusal(admitted?.service.name ?? '', 'repeat');
+  services.metrics.countSuspectRefusal(admitted?.service.name ?? '', 'repeat');
 };
 
 const createPromptFault = (
--- a/packages/gateway/src/parts/partClient.ts
+++ b/packages/gateway/src/suspects/suspectClient.ts
@@ -11,20 +11,23 @@
   type Result,
 } from '@lycheetally/common';
 import { requestJson } from '@lycheetally/node';
-import { maxPartMessages, partTimeoutMs } from './exchangeConstants.js';
+import { maxSuspectMessages, suspectTimeoutMs } from './exchangeConstants.js';
 import {
-  parsePartAnswer,
-  partPath,
-  type PartAnswer,
-  type PartMessage,
-} from './partMessage.js';
+  parseSuspectAnswer,
+  suspectPath,
+  type SuspectAnswer,
+  type SuspectMessage,
+} from './suspectMessage.js';
 
-export class PartClient {
+export class SuspectClient {
   private readonly agent = new Agent({ keepAlive: true, maxFreeSockets: 1 });
-  private readonly queue = new PQueue({ concurrency: maxPartMessages });
+  private readonly queue = new PQueue({ concurrency: maxSuspectMessages });
 
   /** Fails with `PlatformUnavailable` if the other gateway does not answer in time, and with `BadMessage` if it answers something else. */
-  send(address: Address, message: PartMessage): Promise<Result<PartAnswer>> {
+  send(
+    address: Address,
+    message: SuspectMessage,
+  ): Promise<Result<SuspectAnswer>> {
     return this.queue.add(() => this.exchange(address, message));
   }
 
@@ -35,13 +38,13 @@
 
   private async exchange(
     address: Address,
-    message: PartMessage,
-  ): Promise<Result<PartAnswer>> {
+    message: SuspectMessage,
+  ): Promise<Result<SuspectAnswer>> {
     const response = await requestJson({
       method: 'POST',
-      url: `http://${formatAddress(address)}${partPath}`,
+      url: `http://${formatAddress(address)}${suspectPath}`,
       body: message,
-      timeoutMs: partTimeoutMs,
+      timeoutMs: suspectTimeoutMs,
       agent: this.agent,
     });
     if (response.err) {
@@ -49,7 +52,7 @@
     }
     const answer =
       response.val.status === 200
-        ? parsePartAnswer(response.val.body)
+        ? parseSuspectAnswer(response.val.body)
         : undefined;
     return answer ? Ok(answer) : Err(createAnswerError(address));
   }
--- a/packages/gateway/src/parts/partExchange.ts
+++ b/packages/gateway/src/suspects/suspectExchange.ts
@@ -4,62 +4,62 @@
  * Changes are sent to all of them at once. Messages get lost, and gateways start
  * without records, so each gateway also compares its records with those of a few
  * others. Neither the store nor a relay takes part. Context of the charts
- * `partPush` and `partPull`.
+ * `suspectPush` and `suspectPull`.
  */
 import type { ChartInstance, ChartTimers } from '@lycheetally/charts';
 import type { Address, Milliseconds, Result } from '@lycheetally/common';
 import {
-  partComparedPeers,
-  partJoinPeers,
-  partSettlingMs,
+  suspectComparedPeers,
+  suspectJoinPeers,
+  suspectSettlingMs,
 } from './exchangeConstants.js';
-import { PartClient } from './partClient.js';
+import { SuspectClient } from './suspectClient.js';
 import type {
-  PartPullEvent,
-  PartPullMachine,
-  PartPushEvent,
-  PartPushMachine,
-} from './partExchangeCharts.js';
+  SuspectPullEvent,
+  SuspectPullMachine,
+  SuspectPushEvent,
+  SuspectPushMachine,
+} from './suspectExchangeCharts.js';
 import {
   trimRecords,
-  type PartAnswer,
-  type PartMessage,
-} from './partMessage.js';
-import type { PartPeer, PartPeerMachine } from './partPeer.js';
-import { PartPeers } from './partPeers.js';
-import type { PromptPartTracker } from './promptPartTracker.js';
+  type SuspectAnswer,
+  type SuspectMessage,
+} from './suspectMessage.js';
+import type { SuspectPeer, SuspectPeerMachine } from './suspectPeer.js';
+import { SuspectPeers } from './suspectPeers.js';
+import type { SuspectTracker } from './suspectTracker.js';
 import { SentRecords, computeDigest } from './recordDigests.js';
 
-export interface PartExchangeServices {
+export interface SuspectExchangeServices {
   readonly timers: ChartTimers;
-  readonly tracker: PromptPartTracker;
+  readonly tracker: SuspectTracker;
   /** Addresses of all other known gateways. */
   listPeers(): readonly Address[];
   postCompletion(run: (now: Milliseconds) => void): void;
   countMessage(isAnswered: boolean): void;
 }
 
-export interface PartMachines {
-  readonly push: PartPushMachine;
-  readonly pull: PartPullMachine;
-  readonly peer: PartPeerMachine;
+export interface SuspectMachines {
+  readonly push: SuspectPushMachine;
+  readonly pull: SuspectPullMachine;
+  readonly peer: SuspectPeerMachine;
 }
 
-export class PartExchange {
-  private readonly client = new PartClient();
+export class SuspectExchange {
+  private readonly client = new SuspectClient();
   private readonly sent = new SentRecords();
-  private readonly peers: PartPeers;
-  private readonly push: ChartInstance<PartExchange, PartPushEvent>;
-  private readonly pull: ChartInstance<PartExchange, PartPullEvent>;
+  private readonly peers: SuspectPeers;
+  private readonly push: ChartInstance<SuspectExchange, SuspectPushEvent>;
+  private readonly pull: ChartInstance<SuspectExchange, SuspectPullEvent>;
   private startedAt: Milliseconds = 0;
   private pushedRevision: number;
 
   constructor(
-    machines: PartMachines,
-    private readonly services: PartExchangeServices,
+    machines: SuspectMachines,
+    private readonly services: SuspectExchangeServices,
   ) {
     const { timers, tracker } = services;
-    this.peers = new PartPeers(machines.peer, timers, () =>
+    this.peers = new SuspectPeers(machines.peer, timers, () =>
       services.listPeers(),
     );
     this.push = machines.push.createInstance(this, timers);
@@ -80,7 +80,7 @@
   }
 
   /** Takes in another gateway's message and returns the answer. */
-  receive(message: PartMessage, now: Milliseconds): PartAnswer {
+  receive(message: SuspectMessage, now: Milliseconds): SuspectAnswer {
     this.merge(message.records, now);
     if (message.digest === undefined) {
       return { isSame: true, records: [] };
@@ -112,23 +112,24 @@
       }
     },
     requestAtStart: (now: Milliseconds): void => {
-      this.compare(partJoinPeers, now);
+      this.compare(suspectJoinPeers, now);
     },
     requestComparison: (now: Milliseconds): void => {
-      this.compare(partComparedPeers, now);
+      this.compare(suspectComparedPeers, now);
     },
     hasUnsent: (now: Milliseconds): boolean =>
       this.services.tracker.revision !== this.pushedRevision ||
       (this.peers.hasMissed && this.listRecords(now).length > 0),
     mayHaveMissed: (now: Milliseconds): boolean =>
-      now - this.startedAt < partSettlingMs || this.listRecords(now).length > 0,
+      now - this.startedAt < suspectSettlingMs ||
+      this.listRecords(now).length > 0,
   };
 
-  private listRecords(now: Milliseconds): PartMessage['records'] {
+  private listRecords(now: Milliseconds): SuspectMessage['records'] {
     return trimRecords(this.services.tracker.listRecords(now));
   }
 
-  private merge(records: PartMessage['records'], now: Milliseconds): void {
+  private merge(records: SuspectMessage['records'], now: Milliseconds): void {
     if (records.length === 0) {
       return;
     }
@@ -151,7 +152,10 @@
     }
   }
 
-  private sendRecords(peer: PartPeer, records: PartMessage['records']): void {
+  private sendRecords(
+    peer: SuspectPeer,
+    records: SuspectMessage['records'],
+  ): void {
     if (records.length === 0) {
       return;
     }
@@ -160,9 +164,9 @@
   }
 
   private send(
-    peer: PartPeer,
-    message: PartMessage,
-    handleAnswer: (answer: PartAnswer, now: Milliseconds) => void,
+    peer: SuspectPeer,
+    message: SuspectMessage,
+    handleAnswer: (answer: SuspectAnswer, now: Milliseconds) => void,
   ): void {
     void this.client.send(peer.address, message).then(result => {
       this.services.postCompletion(now => {
@@ -172,9 +176,9 @@
   }
 
   private finish(
-    peer: PartPeer,
-    result: Result<PartAnswer>,
-    handleAnswer: (answer: PartAnswer, now: Milliseconds) => void,
+    peer: SuspectPeer,
+    result: Result<SuspectAnswer>,
+    handleAnswer: (answer: SuspectAnswer, now: Milliseconds) => void,
     now: Milliseconds,
   ): void {
     this.services.countMessage(result.ok);
--- a/packages/gateway/src/parts/partLog.ts
+++ b/packages/gateway/src/suspects/suspectLog.ts
@@ -4,21 +4,21 @@
   LogFields,
   Milliseconds,
 } from '@lycheetally/common';
-import { maxPartLogLines, partLogWindowMs } from '../constants.js';
+import { maxSuspectLogLines, suspectLogWindowMs } from '../constants.js';
 
-export class PartLog {
+export class SuspectLog {
   private windowStart: Milliseconds = -Infinity;
   private lines = 0;
 
   constructor(private readonly log: ComponentLogger) {}
 
   write(message: string, fields: LogFields, now: Milliseconds): void {
-    if (now - this.windowStart >= partLogWindowMs) {
+    if (now - this.windowStart >= suspectLogWindowMs) {
       this.windowStart = now;
       this.lines = 0;
     }
     this.lines += 1;
-    if (this.lines <= maxPartLogLines) {
+    if (this.lines <= maxSuspectLogLines) {
       this.log.warn(message, fields);
     }
   }
--- a/packages/gateway/src/parts/partMessage.ts
+++ b/packages/gateway/src/suspects/suspectMessage.ts
@@ -1,12 +1,12 @@
 /** The messages in which gateways exchange records of prompt parts: HTTP POST with JSON bodies. */
 import { z } from 'zod';
-import type { PromptPartRecord } from './promptPartTracker.js';
+import type { SuspectRecord } from './suspectTracker.js';
 
 /** Path of the messages at the address that gateways announce. */
-export const partPath = '/parts';
+export const suspectPath = '/parts';
 
 /** Largest message that is read, in bytes. */
-export const maxPartMessageBytes = 1_024 * 1_024;
+export const maxSuspectMessageBytes = 1_024 * 1_024;
 
 /** Records in one message. */
 const maxRecords = 512;
@@ -45,31 +45,32 @@
 });
 
 /** What one gateway sends to another. */
-export interface PartMessage {
+export interface SuspectMessage {
   /** Digest of the sender's records, if the receiver is to compare its own with it. */
   readonly digest?: number | undefined;
-  readonly records: readonly PromptPartRecord[];
+  readonly records: readonly SuspectRecord[];
 }
 
 /** What the other gateway answers: its own records, if they are to be compared and differ. */
-export interface PartAnswer {
+export interface SuspectAnswer {
   /** Whether the receiver's records have the same digest. */
   readonly isSame: boolean;
-  readonly records: readonly PromptPartRecord[];
+  readonly records: readonly SuspectRecord[];
 }
 
 /** Parses a message; returns `undefined` if it is malformed. */
-export const parsePartMessage = (body: unknown): PartMessage | undefined =>
-  messageSchema.safeParse(body).data;
+export const parseSuspectMessage = (
+  body: unknown,
+): SuspectMessage | undefined => messageSchema.safeParse(body).data;
 
 /** Parses an answer; returns `undefined` if it is malformed. */
-export const parsePartAnswer = (body: unknown): PartAnswer | undefined =>
+export const parseSuspectAnswer = (body: unknown): SuspectAnswer | undefined =>
   answerSchema.safeParse(body).data;
 
 /** Keeps the records within the limits of a message. */
 export const trimRecords = (
-  records: readonly PromptPartRecord[],
-): readonly PromptPartRecord[] =>
+  records: readonly SuspectRecord[],
+): readonly SuspectRecord[] =>
   records
     .filter(({ service, part }) => isName(service) && isName(part))
     .slice(0, maxRecords)
--- a/packages/gateway/src/parts/partPeer.ts
+++ b/packages/gateway/src/suspects/suspectPeer.ts
@@ -1,4 +1,4 @@
-/** Another gateway that gets records of prompt parts; context of the chart `partPeer`. */
+/** Another gateway that gets records of prompt parts; context of the chart `suspectPeer`. */
 import {
   ChartName,
   bindChart,
@@ -7,22 +7,22 @@
   type ChartTimers,
 } from '@lycheetally/charts';
 import type { Address, Milliseconds, Result } from '@lycheetally/common';
-import { partFirstPauseMs, partMaxPauseMs } from './exchangeConstants.js';
+import { suspectFirstPauseMs, suspectMaxPauseMs } from './exchangeConstants.js';
 
 interface PeerEvent {
   readonly type: 'ANSWERED' | 'FAILED';
 }
 
-export type PartPeerMachine = ChartMachine<PartPeer, PeerEvent>;
+export type SuspectPeerMachine = ChartMachine<SuspectPeer, PeerEvent>;
 
-export class PartPeer {
+export class SuspectPeer {
   /** Whether it may have missed records, so that it gets all of them next. */
   hasMissed = true;
   private failures = 0;
-  private readonly chart: ChartInstance<PartPeer, PeerEvent>;
+  private readonly chart: ChartInstance<SuspectPeer, PeerEvent>;
 
   constructor(
-    machine: PartPeerMachine,
+    machine: SuspectPeerMachine,
     timers: ChartTimers,
     readonly address: Address,
     now: Milliseconds,
@@ -37,8 +37,8 @@
 
   get pauseMs(): Milliseconds {
     return Math.min(
-      partMaxPauseMs,
-      partFirstPauseMs * 2 ** Math.max(0, this.failures - 1),
+      suspectMaxPauseMs,
+      suspectFirstPauseMs * 2 ** Math.max(0, this.failures - 1),
     );
   }
 
@@ -63,8 +63,8 @@
 }
 
 /** Binds the chart `partPeer`. Fails with `BadChart`. */
-export const bindPartPeerChart = (): Result<PartPeerMachine> =>
-  bindChart<PartPeer, PeerEvent>(ChartName.PartPeer, {
+export const bindSuspectPeerChart = (): Result<SuspectPeerMachine> =>
+  bindChart<SuspectPeer, PeerEvent>(ChartName.SuspectPeer, {
     actions: {
       noteAnswered: peer => {
         peer.chartActions.noteAnswered();
--- a/packages/gateway/src/parts/partPeers.ts
+++ b/packages/gateway/src/suspects/suspectPeers.ts
@@ -5,20 +5,20 @@
   type Address,
   type Milliseconds,
 } from '@lycheetally/common';
-import { PartPeer, type PartPeerMachine } from './partPeer.js';
+import { SuspectPeer, type SuspectPeerMachine } from './suspectPeer.js';
 
-export class PartPeers {
-  private readonly peers = new Map<string, PartPeer>();
+export class SuspectPeers {
+  private readonly peers = new Map<string, SuspectPeer>();
 
   constructor(
-    private readonly machine: PartPeerMachine,
+    private readonly machine: SuspectPeerMachine,
     private readonly timers: ChartTimers,
     /** Addresses of all other known gateways. */
     private readonly listAddresses: () => readonly Address[],
   ) {}
 
   /** Returns the gateways that are known now and may get a message, in random order. */
-  listReachable(now: Milliseconds): PartPeer[] {
+  listReachable(now: Milliseconds): SuspectPeer[] {
     this.update(now);
     const reachable = [...this.peers.values()].filter(peer => peer.isReachable);
     return sortRandomly(reachable);
@@ -55,7 +55,7 @@
     for (const address of addresses) {
       const key = formatAddress(address);
       if (!this.peers.has(key)) {
-        const peer = new PartPeer(this.machine, this.timers, address, now);
+        const peer = new SuspectPeer(this.machine, this.timers, address, now);
         this.peers.set(key, peer);
       }
     }
--- a/packages/gateway/src/parts/partReceiver.ts
+++ b/packages/gateway/src/suspects/suspectReceiver.ts
@@ -8,30 +8,30 @@
 import { parseJson, readBody } from '@lycheetally/node';
 import { malformedLogIntervalMs } from './exchangeConstants.js';
 import {
-  maxPartMessageBytes,
-  parsePartMessage,
-  type PartAnswer,
-  type PartMessage,
-} from './partMessage.js';
+  maxSuspectMessageBytes,
+  parseSuspectMessage,
+  type SuspectAnswer,
+  type SuspectMessage,
+} from './suspectMessage.js';
 
-export interface PartReceiverServices {
+export interface SuspectReceiverServices {
   readonly log: ComponentLogger;
   postCompletion(run: (now: Milliseconds) => void): void;
-  receiveMessage(message: PartMessage, now: Milliseconds): PartAnswer;
+  receiveMessage(message: SuspectMessage, now: Milliseconds): SuspectAnswer;
 }
 
 const badMessageStatus = 400;
 
-export class PartReceiver {
+export class SuspectReceiver {
   private refused = 0;
   private loggedAt: Milliseconds = -Infinity;
 
-  constructor(private readonly services: PartReceiverServices) {}
+  constructor(private readonly services: SuspectReceiverServices) {}
 
   receive(incoming: IncomingMessage, response: ServerResponse): void {
-    readBody(incoming, maxPartMessageBytes).then(
+    readBody(incoming, maxSuspectMessageBytes).then(
       body => {
-        const message = parsePartMessage(parseJson(body.toString()));
+        const message = parseSuspectMessage(parseJson(body.toString()));
         if (message) {
           this.answer(message, response);
         } else {
@@ -44,7 +44,7 @@
     );
   }
 
-  private answer(message: PartMessage, response: ServerResponse): void {
+  private answer(message: SuspectMessage, response: ServerResponse): void {
     this.services.postCompletion(now => {
       const answer = this.services.receiveMessage(message, now);
       const body = JSON.stringify(answer);
--- a/packages/gateway/src/parts/partRecords.ts
+++ b/packages/gateway/src/suspects/suspectRecords.ts
@@ -6,14 +6,14 @@
  */
 import type { Milliseconds } from '@lycheetally/common';
 import type { Sighting } from '@lycheetally/decisions';
-import { maxSightingsPerPart, maxTrackedIdLength } from '../constants.js';
-import type { PromptPart } from './promptPart.js';
-import type { CrashSighting, PromptPartRecord } from './promptPartTracker.js';
+import { maxSightingsPerSuspect, maxTrackedIdLength } from '../constants.js';
+import type { Suspect } from './suspect.js';
+import type { CrashSighting, SuspectRecord } from './suspectTracker.js';
 
-export const listPartRecords = (
-  { service, part, sightings, isBlamed, refusedAt }: PromptPart,
+export const listSuspectRecords = (
+  { service, part, sightings, isBlamed, refusedAt }: Suspect,
   now: Milliseconds,
-): PromptPartRecord[] => {
+): SuspectRecord[] => {
   const cleared = sightings
     .listAll()
     .filter(({ clearedAt }) => clearedAt !== undefined);
@@ -41,11 +41,11 @@
 
 /** Returns the usable sightings of a record. */
 export const decodeSightings = (
-  { sightings, servedAgeMs }: PromptPartRecord,
+  { sightings, servedAgeMs }: SuspectRecord,
   now: Milliseconds,
 ): Sighting[] =>
   sightings
-    .slice(0, maxSightingsPerPart)
+    .slice(0, maxSightingsPerSuspect)
     .filter(
       ({ crash, requestId }) =>
         crash.length <= maxTrackedIdLength &&
--- a/packages/gateway/src/parts/promptPartTracker.ts
+++ b/packages/gateway/src/suspects/suspectTracker.ts
@@ -7,7 +7,7 @@
 import type { Milliseconds } from '@lycheetally/common';
 
 /** A call in the form that the tracker takes. */
-export interface PromptCall {
+export interface TracedCall {
   readonly requestId: string;
   readonly service: string;
   /** Ids of the prompt's parts, without the last one, which belongs to the call itself. */
@@ -22,7 +22,7 @@
 }
 
 /** Whether an attempt may be sent, and if not, which part forbids it. */
-export type PromptDecision =
+export type SuspectDecision =
   | { readonly isAllowed: true }
   | {
       readonly isAllowed: false;
@@ -39,7 +39,7 @@
 }
 
 /** What gateways tell each other about one part; ages instead of times, since clocks differ. */
-export interface PromptPartRecord {
+export interface SuspectRecord {
   readonly service: string;
   readonly part: string;
   readonly sightings: readonly CrashSighting[];
@@ -49,32 +49,32 @@
   readonly refusedAgeMs?: Milliseconds | undefined;
 }
 
-export abstract class PromptPartTracker {
+export abstract class SuspectTracker {
   /** Whether a call may be sent to a server for the first time. */
   abstract decideFirstAttempt(
-    call: PromptCall,
+    call: TracedCall,
     now: Milliseconds,
-  ): PromptDecision;
+  ): SuspectDecision;
 
   /** Whether a call whose attempt broke may be sent to another server. */
-  abstract decideRepeat(call: PromptCall, now: Milliseconds): PromptDecision;
+  abstract decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision;
 
   /** Records that a server closed the connection before it had answered the call with two events. */
   abstract noteBroken(
-    call: PromptCall,
+    call: TracedCall,
     server: BrokenServer,
     now: Milliseconds,
   ): void;
 
   /** Records that a server writes, or wrote, an answer to the call. */
-  abstract noteServed(call: PromptCall, now: Milliseconds): void;
+  abstract noteServed(call: TracedCall, now: Milliseconds): void;
 
   /** Records of all tracked parts, for another gateway. */
-  abstract listRecords(now: Milliseconds): readonly PromptPartRecord[];
+  abstract listRecords(now: Milliseconds): readonly SuspectRecord[];
 
   /** Adds what another gateway saw. */
   abstract mergeRecords(
-    records: readonly PromptPartRecord[],
+    records: readonly SuspectRecord[],
     now: Milliseconds,
   ): void;
 
--- a/packages/gateway/src/parts/promptParts.ts
+++ b/packages/gateway/src/suspects/suspects.ts
@@ -11,17 +11,17 @@
 } from '@lycheetally/common';
 import { UnservedPart } from '@lycheetally/decisions';
 import {
-  createPromptPartTracker,
-  type CrashingPartTracker,
-} from './crashingPartTracker.js';
-import { PartExchange } from './partExchange.js';
-import { bindPartCharts } from './partExchangeCharts.js';
-import { PartReceiver } from './partReceiver.js';
-import { bindPartChart } from './promptPart.js';
-import type { PromptPartTracker } from './promptPartTracker.js';
+  createSuspectTracker,
+  type CrashSuspectTracker,
+} from './crashSuspectTracker.js';
+import { SuspectExchange } from './suspectExchange.js';
+import { bindSuspectCharts } from './suspectExchangeCharts.js';
+import { SuspectReceiver } from './suspectReceiver.js';
+import { bindSuspectChart } from './suspect.js';
+import type { SuspectTracker } from './suspectTracker.js';
 import { WatchedTracker } from './watchedTracker.js';
 
-export interface PromptPartsServices {
+export interface SuspectsServices {
   readonly timers: ChartTimers;
   readonly log: ComponentLogger;
   /** Addresses of all other known gateways. */
@@ -30,18 +30,18 @@
   countMessage(isAnswered: boolean): void;
 }
 
-export class PromptParts implements Disposable {
-  readonly tracker: PromptPartTracker;
-  private readonly found: CrashingPartTracker;
-  private readonly exchange: PartExchange;
-  private readonly receiver: PartReceiver;
+export class Suspects implements Disposable {
+  readonly tracker: SuspectTracker;
+  private readonly found: CrashSuspectTracker;
+  private readonly exchange: SuspectExchange;
+  private readonly receiver: SuspectReceiver;
   private readonly disposables = new DisposableStore();
 
-  constructor(gatewayId: string, services: PromptPartsServices) {
+  constructor(gatewayId: string, services: SuspectsServices) {
     const { timers, log } = services;
     this.found = this.disposables.add(
-      createPromptPartTracker({
-        machine: getOrThrow(bindPartChart()),
+      createSuspectTracker({
+        machine: getOrThrow(bindSuspectChart()),
         timers,
         log,
         policy: new UnservedPart(),
@@ -55,12 +55,12 @@
       });
     });
     this.exchange = this.disposables.add(
-      new PartExchange(bindPartCharts(), {
+      new SuspectExchange(bindSuspectCharts(), {
         ...services,
         tracker: this.tracker,
       }),
     );
-    this.receiver = new PartReceiver({
+    this.receiver = new SuspectReceiver({
       log,
       postCompletion: run => {
         services.postCompletion(run);
--- a/packages/gateway/src/parts/watchedTracker.ts
+++ b/packages/gateway/src/suspects/watchedTracker.ts
@@ -1,18 +1,18 @@
 /** Reports each change of a tracker's records, so that other gateways hear of it soon. */
 import type { Milliseconds } from '@lycheetally/common';
 import {
-  PromptPartTracker,
+  SuspectTracker,
   type BrokenServer,
-  type PromptCall,
-  type PromptDecision,
-  type PromptPartRecord,
-} from './promptPartTracker.js';
+  type TracedCall,
+  type SuspectDecision,
+  type SuspectRecord,
+} from './suspectTracker.js';
 
-export class WatchedTracker extends PromptPartTracker {
+export class WatchedTracker extends SuspectTracker {
   private reportedRevision: number;
 
   constructor(
-    private readonly tracker: PromptPartTracker,
+    private readonly tracker: SuspectTracker,
     private readonly handleChanged: (now: Milliseconds) => void,
   ) {
     super();
@@ -24,22 +24,22 @@
   }
 
   override decideFirstAttempt(
-    call: PromptCall,
+    call: TracedCall,
     now: Milliseconds,
-  ): PromptDecision {
+  ): SuspectDecision {
     const decision = this.tracker.decideFirstAttempt(call, now);
     this.reportChange(now);
     return decision;
   }
 
-  override decideRepeat(call: PromptCall, now: Milliseconds): PromptDecision {
+  override decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision {
     const decision = this.tracker.decideRepeat(call, now);
     this.reportChange(now);
     return decision;
   }
 
   override noteBroken(
-    call: PromptCall,
+    call: TracedCall,
     server: BrokenServer,
     now: Milliseconds,
   ): void {
@@ -47,17 +47,17 @@
     this.reportChange(now);
   }
 
-  override noteServed(call: PromptCall, now: Milliseconds): void {
+  override noteServed(call: TracedCall, now: Milliseconds): void {
     this.tracker.noteServed(call, now);
     this.reportChange(now);
   }
 
-  override listRecords(now: Milliseconds): readonly PromptPartRecord[] {
+  override listRecords(now: Milliseconds): readonly SuspectRecord[] {
     return this.tracker.listRecords(now);
   }
 
   override mergeRecords(
-    records: readonly PromptPartRecord[],
+    records: readonly SuspectRecord[],
     now: Milliseconds,
   ): void {
     this.tracker.mergeRecords(records, now);
--- a/packages/gateway/tests/crashEmulator.ts
+++ b/packages/gateway/tests/crashEmulator.ts
@@ -8,9 +8,9 @@
 } from '@lycheetally/common';
 import { UnservedPart, type BlamePolicy } from '@lycheetally/decisions';
 import {
-  CrashingPartTracker,
-  bindPartChart,
-  type PromptCall,
+  CrashSuspectTracker,
+  bindSuspectChart,
+  type TracedCall,
 } from '../src/index.js';
 
 class SilentLog extends ComponentLogger {
@@ -66,14 +66,14 @@
   }
 }
 
-const machine = getOrThrow(bindPartChart());
+const machine = getOrThrow(bindSuspectChart());
 
 export const createTracker = (
   timers: ChartTimers,
   gatewayId: string,
   policy: BlamePolicy = new UnservedPart(),
-): CrashingPartTracker =>
-  new CrashingPartTracker({
+): CrashSuspectTracker =>
+  new CrashSuspectTracker({
     machine,
     timers,
     log: new SilentLog(),
@@ -104,7 +104,7 @@
 }
 
 interface Attempt {
-  readonly call: PromptCall;
+  readonly call: TracedCall;
   readonly gateway: number;
   readonly tries: number;
   events: number;
@@ -134,7 +134,7 @@
   readonly wronglyRefused = new Set<string>();
   readonly soundSent: number[] = [];
   readonly soundRefused: number[] = [];
-  trackers: CrashingPartTracker[] = [];
+  trackers: CrashSuspectTracker[] = [];
   private readonly servers: EmulatedServer[] = [];
   private readonly announced: number[] = [];
   private readonly isAnnouncing: boolean[] = [];
@@ -241,7 +241,7 @@
     }
   }
 
-  private findDeadly({ parts }: PromptCall): string | undefined {
+  private findDeadly({ parts }: TracedCall): string | undefined {
     return this.scenario.deadlyParts.find(part => parts.includes(part));
   }
 
--- a/packages/gateway/tests/recordDigests.test.ts
+++ b/packages/gateway/tests/recordDigests.test.ts
@@ -1,13 +1,13 @@
 /** Tests which records of prompt parts count as changed. */
 import { describe, expect, it } from 'vitest';
-import type { PromptPartRecord } from '../src/parts/promptPartTracker.js';
-import { SentRecords, computeDigest } from '../src/parts/recordDigests.js';
+import type { SuspectRecord } from '../src/suspects/suspectTracker.js';
+import { SentRecords, computeDigest } from '../src/suspects/recordDigests.js';
 
 const createRecord = (
   part: string,
   crashes: readonly string[],
   ageMs = 0,
-): PromptPartRecord => ({
+): SuspectRecord => ({
   service: 'desk',
   part,
   sightings: crashes.map(crash => ({ crash, requestId: 'r', ageMs })),
--- a/packages/gateway/tests/promptPartTracker.test.ts
+++ b/packages/gateway/tests/suspectTracker.test.ts
@@ -2,18 +2,18 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import {
-  CrashingPartTracker,
+  CrashSuspectTracker,
   firstTrialMs,
-  maxTrackedParts,
+  maxTrackedSuspects,
   trialIntervalMs,
-  type PromptCall,
+  type TracedCall,
 } from '../src/index.js';
 import { VirtualTime, createTracker } from './crashEmulator.js';
 
 /** One gateway or several that share a virtual time. */
 class Gateways {
   readonly time = new VirtualTime();
-  readonly trackers: CrashingPartTracker[];
+  readonly trackers: CrashSuspectTracker[];
   private crashes = 0;
   private requests = 0;
 
@@ -23,7 +23,7 @@
     );
   }
 
-  get(index: number): CrashingPartTracker {
+  get(index: number): CrashSuspectTracker {
     const tracker = this.trackers[index];
     if (!tracker) {
       throw new Error(`there is no gateway ${String(index)}`);
@@ -31,7 +31,7 @@
     return tracker;
   }
 
-  createCall(...parts: string[]): PromptCall {
+  createCall(...parts: string[]): TracedCall {
     this.requests += 1;
     return { requestId: `r${String(this.requests)}`, service: 'model', parts };
   }
@@ -71,7 +71,7 @@
   }
 }
 
-describe('CrashingPartTracker', () => {
+describe('CrashSuspectTracker', () => {
   it('refuses calls with a part that crashed three servers, and no others', () => {
     const gateways = new Gateways(1);
     gateways.cutServer(0, 'shared', 'bad');
@@ -196,17 +196,21 @@
     gateways.cutServer(0, 'bad2');
     gateways.advance(600);
     gateways.cutServer(0, 'bad2');
-    for (let call = 0; call < maxTrackedParts / 4; call += 1) {
+    for (let call = 0; call < maxTrackedSuspects / 4; call += 1) {
       const parts = Array.from(
         { length: 40 },
         (_, part) => `p${String(call)}-${String(part)}`,
       );
       gateways.serve(0, ...parts);
-      expect(gateways.get(0).trackedParts).toBeLessThanOrEqual(maxTrackedParts);
+      expect(gateways.get(0).trackedParts).toBeLessThanOrEqual(
+        maxTrackedSuspects,
+      );
       gateways.cutServer(0, ...parts, 'x'.repeat(10_000));
       gateways.advance(100);
     }
-    expect(gateways.get(0).trackedParts).toBeGreaterThan(maxTrackedParts / 2);
+    expect(gateways.get(0).trackedParts).toBeGreaterThan(
+      maxTrackedSuspects / 2,
+    );
     expect(gateways.isAllowed(0, 'bad')).toBe(false);
     gateways.advance(600);
     gateways.cutServer(0, 'bad2');
@@ -229,7 +233,7 @@
     fc.assert(
       fc.property(fc.array(step, { maxLength: 40 }), steps => {
         const gateways = new Gateways(3);
-        let sent: ReturnType<CrashingPartTracker['listRecords']> = [];
+        let sent: ReturnType<CrashSuspectTracker['listRecords']> = [];
         for (const { gateway, to, kind, server, afterMs } of steps) {
           gateways.advance(afterMs);
           const { now } = gateways.time;
@@ -267,7 +271,7 @@
   });
 
   /** The uncleared crashes of each part, with the call that stands for each. */
-  const describeLive = (tracker: CrashingPartTracker): string[] =>
+  const describeLive = (tracker: CrashSuspectTracker): string[] =>
     tracker
       .listRecords(0)
       .filter(({ servedAgeMs }) => servedAgeMs === undefined)
