--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -5,6 +5,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { formatAddress } from '@lycheetally/common';
 import { startListening } from '@lycheetally/node';
+import { waitUntil } from '../fleet/routerFleet.js';
 
 /** A request as the server received it. */
 export interface ReceivedRequest {
@@ -20,6 +21,8 @@
 /** Responds to one request. */
 export type RequestHandler = (request: ReceivedRequest) => void;
 
+const host = '127.0.0.1';
+
 const headerEnd = '\r\n\r\n';
 
 export class BackendServerStandIn {
@@ -61,14 +64,26 @@
   ) {}
 
   async listen(): Promise<string> {
-    const bound = await startListening(this.server, {
-      host: '127.0.0.1',
-      port: 0,
-    });
+    const bound = await startListening(this.server, { host, port: 0 });
     this.address = formatAddress(bound.unwrap());
     return this.address;
   }
 
+  /** Ends as a killed process does: all connections are reset and new ones refused. */
+  crash(): void {
+    this.server.close();
+    this.sockets.forEach(resetConnection);
+  }
+
+  /** Listens again at the address that it had before it crashed. */
+  async listenAgain(): Promise<void> {
+    const port = Number(this.address.split(':')[1]);
+    await waitUntil(`${this.address} is free again`, async () => {
+      const bound = await startListening(this.server, { host, port });
+      return bound.ok;
+    });
+  }
+
   close(): void {
     this.server.close();
     for (const socket of this.sockets) {
@@ -125,6 +140,16 @@
   }
 }
 
+/** Closes the connection with a reset alone; `resetAndDestroy` of Node's sockets sends a regular end before it. */
+const resetConnection = (socket: Socket): void => {
+  const { _handle: handle } = socket as unknown as {
+    _handle: { reset: (callback: () => void) => void } | null;
+  };
+  handle?.reset(() => {
+    socket.destroy();
+  });
+};
+
 const pauseSocket = (socket: Socket): void => {
   socket.pause();
   socket.cork();
