Let streams that have begun use the reserve for the exit

Callers saw: at a stop, streams were cut 0.6 s before the end of the grace period, also those that needed a few events more.

Cause: the drain timeout ended all open calls at once. The time after it is reserved for answers that are made then, but a stream that has begun gets no answer: it ends with its connection.

Calls without a response are still answered at the drain timeout. Streams go on for half of the reserve, 0.3 s of 0.6 s; the process ends after two thirds of it as before. Retries and admission keep the drain timeout as their limit.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -174,8 +174,11 @@
 /** Longest time that a half-closed connection waits for its caller to close it. */
 export const lingerTimeoutMs = 1_000;
 
-/** Share of the reserve for the exit in which the responses of cancelled calls are sent; in the rest the last answers reach their callers. */
-export const cancelShare = 1 / 3;
+/** Share of the reserve for the exit in which streams that have begun go on; the events that were sent before reach their callers in the rest. */
+export const lastStreamsShare = 1 / 2;
+
+/** Share of the reserve for the exit after which the process ends; the rest is for a late event loop. */
+export const lastAnswersShare = 2 / 3;
 
 /** Time before the drain timeout by which a call that a stopping gateway takes must end. */
 export const drainEndReserveMs = 150;
--- a/packages/gateway/src/drainPeriod.ts
+++ b/packages/gateway/src/drainPeriod.ts
@@ -1,10 +1,13 @@
 /**
  * The time between the stop signal and the drain timeout of a gateway. The rest of
- * the platform's grace period is reserved for the exit of the process.
+ * the platform's grace period is reserved for the exit of the process: answers that
+ * are made at the drain timeout must reach their callers. A stream that has begun gets
+ * no such answer, so it goes on for a part of that time.
  */
 import type { Milliseconds } from '@lycheetally/common';
 import {
-  cancelShare,
+  lastAnswersShare,
+  lastStreamsShare,
   maxExitReserveMs,
   maxExitReserveShare,
 } from './constants.js';
@@ -19,19 +22,19 @@
     return this.begunAt < Infinity;
   }
 
-  /** When open calls are cancelled; infinite before the stop signal. */
+  /** When calls without a response are cancelled; infinite before the stop signal. */
   get timeoutAt(): Milliseconds {
     return this.endsAt;
   }
 
-  /** Time in which the responses of cancelled calls are sent after the drain timeout. */
-  get cancelTimeoutMs(): Milliseconds {
-    return this.exitReserveMs * cancelShare;
+  /** How long streams that have begun go on after the drain timeout. */
+  get lastStreamsMs(): Milliseconds {
+    return this.exitReserveMs * lastStreamsShare;
   }
 
   /** When the last answers must have reached their callers. */
   get exitAt(): Milliseconds {
-    return this.endsAt + this.exitReserveMs * (1 - cancelShare);
+    return this.endsAt + this.exitReserveMs * lastAnswersShare;
   }
 
   begin(now: Milliseconds, graceMs: Milliseconds): void {
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -297,15 +297,14 @@
     reportForcedStop: (): void => {
       this.log.warn('The drain timeout is reached; cancelling open calls.', {
         openCalls: this.calls.size,
+        openStreams: this.openStreams.length,
       });
     },
     cancelOpenWork: (now: Milliseconds): void => {
-      for (const call of [...this.calls.values()]) {
-        call.instance?.send(
-          { type: 'STOPPING', fault: drainTimeoutFault },
-          now,
-        );
-      }
+      const unanswered = [...this.calls.values()].filter(
+        call => !call.hasStartedResponse,
+      );
+      cancelCalls(unanswered, now);
       this.frontend.refuseIncomplete({
         ...stoppingFault,
         outcome: Outcome.NotRun,
@@ -315,6 +314,7 @@
       if (!this.drainPeriod.hasBegun) {
         this.drainPeriod.begin(now, this.graceMs);
       }
+      cancelCalls(this.openStreams, now);
       const timeout = this.loop.schedule(
         this.computeLastAnswersTime(now),
         () => {
@@ -336,9 +336,14 @@
     },
     computeDrainTimeout: (now: Milliseconds): Milliseconds =>
       this.drainPeriod.timeoutAt - now,
-    computeCancelTimeout: (): Milliseconds => this.drainPeriod.cancelTimeoutMs,
+    computeLastStreamsTime: (): Milliseconds => this.drainPeriod.lastStreamsMs,
   };
 
+  /** The calls whose response has begun and goes on. */
+  private get openStreams(): GatewayCall[] {
+    return [...this.calls.values()].filter(call => call.hasStartedResponse);
+  }
+
   private get graceMs(): Milliseconds {
     return this.settings.process.drainSeconds * millisecondsPerSecond;
   }
@@ -537,7 +542,9 @@
       lossHandler: this.servers.lossHandler,
       drainPeriod: this.drainPeriod,
       durationForecast: new SurvivalForecast(forecastSettings),
-      isCancellingCalls: () => this.lifecycle.matches('forcedStop'),
+      isCancellingCalls: () =>
+        this.lifecycle.matches('forcedStop') ||
+        this.lifecycle.matches('stopped'),
       postCompletion: run => {
         this.post(run);
       },
@@ -639,5 +646,15 @@
   }
 }
 
+/** Cancels calls for the drain timeout. */
+const cancelCalls = (
+  calls: readonly GatewayCall[],
+  now: Milliseconds,
+): void => {
+  for (const { instance } of calls) {
+    instance?.send({ type: 'STOPPING', fault: drainTimeoutFault }, now);
+  }
+};
+
 const describeThrown = (thrown: unknown): string =>
   thrown instanceof Error ? (thrown.stack ?? thrown.message) : String(thrown);
--- a/packages/gateway/src/lifecycleChart.ts
+++ b/packages/gateway/src/lifecycleChart.ts
@@ -13,11 +13,12 @@
   /** Begins the drain: from now on calls are taken only if they end in time. */
   stopAdmission(now: Milliseconds): void;
   reportForcedStop(): void;
+  /** Cancels the calls that get an answer for it; streams that have begun go on. */
   cancelOpenWork(now: Milliseconds): void;
-  /** Lets the last answers reach their callers, then ends the process. */
+  /** Cuts what is still open, lets the last answers reach their callers, then ends the process. */
   finishProcess(now: Milliseconds): void;
   computeDrainTimeout(now: Milliseconds): Milliseconds;
-  computeCancelTimeout(): Milliseconds;
+  computeLastStreamsTime(): Milliseconds;
 }
 
 /** Context of the chart. */
@@ -55,6 +56,6 @@
       DRAIN_TIMEOUT: ({ lifecycleActions }, now) =>
         lifecycleActions.computeDrainTimeout(now),
       FORCED_STOP_TIMEOUT: ({ lifecycleActions }) =>
-        lifecycleActions.computeCancelTimeout(),
+        lifecycleActions.computeLastStreamsTime(),
     },
   });
