--- a/packages/decisions/src/gateway/durationForecast.ts
+++ b/packages/decisions/src/gateway/durationForecast.ts
@@ -25,14 +25,20 @@
   readonly share: number;
   /** Calls that ended among those that the estimate is taken from. */
   readonly samples: number;
+  /** How fast open streams get their events now, relative to 20 a second; 1 if there are none. */
+  readonly speed: number;
 }
 
-/** Ends the observation of an open call. */
-export type NoteEnd = (isComplete: boolean, now: Milliseconds) => void;
+/** An open call whose progress the forecast observes. */
+export abstract class WatchedCall {
+  abstract noteEvents(count: number, now: Milliseconds): void;
+
+  /** Notes the end: with a full answer, or given up. */
+  abstract noteEnd(isComplete: boolean, now: Milliseconds): void;
+}
 
 export abstract class DurationForecast {
-  /** Notes that a call was opened. Returns what notes its end: with a full answer, or given up. */
-  abstract noteOpened(call: ForecastCall, now: Milliseconds): NoteEnd;
+  abstract noteOpened(call: ForecastCall, now: Milliseconds): WatchedCall;
 
   /** Estimates how a call that starts now relates to that time. */
   abstract estimateBy(
@@ -42,12 +48,21 @@
   ): DurationEstimate;
 }
 
+/** A call whose progress does not matter. */
+class UnwatchedCall extends WatchedCall {
+  override noteEvents(): void {
+    // The deadline does not depend on it.
+  }
+
+  override noteEnd(): void {
+    // The deadline does not depend on it.
+  }
+}
+
 /** Baseline: a call takes until its deadline. */
 export class DeadlineForecast extends DurationForecast {
-  override noteOpened(): NoteEnd {
-    return () => {
-      // The deadline does not depend on other calls.
-    };
+  override noteOpened(): WatchedCall {
+    return new UnwatchedCall();
   }
 
   override estimateBy(
@@ -59,6 +74,7 @@
       slowestMs: Math.max(0, deadlineAt - now),
       share: deadlineAt <= endsAt ? 1 : 0,
       samples: 0,
+      speed: 1,
     };
   }
 }
--- a/packages/decisions/src/gateway/survivalForecast.ts
+++ b/packages/decisions/src/gateway/survivalForecast.ts
@@ -1,15 +1,16 @@
 /**
  * Forecasts from the lifetimes of recent calls of the same kind. Calls that are still open
  * count at their ages: a process that began seconds ago has seen only short calls end.
+ * Streams are expected to go on at the pace at which the open ones get their events.
  */
 import type { Milliseconds } from '@lycheetally/common';
 import {
   DurationForecast,
   type DurationEstimate,
   type ForecastCall,
-  type NoteEnd,
+  WatchedCall,
 } from './durationForecast.js';
-import { RecentLifetimes } from './recentLifetimes.js';
+import { RecentLifetimes, type OpenCall } from './recentLifetimes.js';
 
 export interface SurvivalSettings {
   /** How long a call counts after it was opened. */
@@ -28,6 +29,23 @@
   readonly extraMs: Milliseconds;
 }
 
+class WatchedLifetime extends WatchedCall {
+  constructor(
+    private readonly lifetimes: RecentLifetimes,
+    private readonly call: OpenCall,
+  ) {
+    super();
+  }
+
+  override noteEvents(count: number, now: Milliseconds): void {
+    this.lifetimes.noteEvents(count, now);
+  }
+
+  override noteEnd(isComplete: boolean, now: Milliseconds): void {
+    this.lifetimes.end(this.call, isComplete, now);
+  }
+}
+
 export class SurvivalForecast extends DurationForecast {
   private readonly kinds = new Map<string, RecentLifetimes>();
 
@@ -40,13 +58,10 @@
     return [...this.kinds.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
-  override noteOpened(call: ForecastCall, now: Milliseconds): NoteEnd {
+  override noteOpened(call: ForecastCall, now: Milliseconds): WatchedCall {
     const lifetimes = this.reuseKind(call.kind);
-    const open = { openedAt: now, scale: this.computeScale(call) };
-    lifetimes.add(open);
-    return (isComplete, endedAt) => {
-      lifetimes.end(open, isComplete, endedAt);
-    };
+    const open = lifetimes.open(this.computeScale(call), now);
+    return new WatchedLifetime(lifetimes, open);
   }
 
   override estimateBy(
@@ -55,8 +70,9 @@
     now: Milliseconds,
   ): DurationEstimate {
     const { factor, extraMs, minSamples, minSlowestSamples } = this.settings;
-    const scale = this.computeScale(call);
     const lifetimes = this.kinds.get(call.kind);
+    const speed = lifetimes?.measureSpeed(now) ?? 1;
+    const scale = this.computeScale(call) / speed;
     const table = lifetimes?.buildTable(now);
     const samples = table?.endings ?? 0;
     const leftMs = Math.max(0, call.deadlineAt - now);
@@ -73,6 +89,7 @@
       slowestMs: isSlowestKnown ? Math.min(leftMs, longestMs) : leftMs,
       share: call.deadlineAt <= endsAt ? 1 : share,
       samples,
+      speed,
     };
   }
 
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -112,9 +112,9 @@
   );
 };
 
-/** Notes that a call was admitted; until it ends, its age counts for others like it. */
+/** Notes that a call was admitted; until it ends, its progress counts for others like it. */
 export const noteOpened = (call: GatewayCall, admitted: AdmittedCall): void => {
-  call.noteEnd = call.services.durationForecast.noteOpened(
+  call.watched = call.services.durationForecast.noteOpened(
     toForecastCall(call, admitted),
     call.received.receivedAt,
   );
