Revert "Expect streams to go on at the pace at which the open ones proceed"

It also replaced the bound of its two red tests, 1.5 times the share in calm, by one that is easier to meet.

--- a/packages/decisions/src/gateway/durationForecast.ts
+++ b/packages/decisions/src/gateway/durationForecast.ts
@@ -11,6 +11,8 @@
 export interface ForecastCall {
   /** Calls of the same kind take similar times. */
   readonly kind: string;
+  /** Whether its response is read event by event. */
+  readonly isStream: boolean;
   /** The length that is expected of the response, in any unit; 1 if nothing is known of it. */
   readonly expectedSize: number;
   /** When the call ends at the latest. */
@@ -25,8 +27,8 @@
   readonly share: number;
   /** Calls that ended among those that the estimate is taken from. */
   readonly samples: number;
-  /** How fast open streams get their events now, relative to 20 a second; 1 if there are none. */
-  readonly speed: number;
+  /** Time that streams take for an event now; 0 if durations are not taken from it. */
+  readonly paceMs: Milliseconds;
 }
 
 /** An open call whose progress the forecast observes. */
@@ -74,7 +76,7 @@
       slowestMs: Math.max(0, deadlineAt - now),
       share: deadlineAt <= endsAt ? 1 : 0,
       samples: 0,
-      speed: 1,
+      paceMs: 0,
     };
   }
 }
--- a/packages/decisions/src/gateway/recentLifetimes.ts
+++ b/packages/decisions/src/gateway/recentLifetimes.ts
@@ -6,24 +6,20 @@
  */
 import type { Milliseconds } from '@lycheetally/common';
 import { LifeTable } from './lifeTable.js';
-import { PacedClock } from './pacedClock.js';
 
 /** A call that is open. */
 export interface OpenCall {
   readonly openedAt: Milliseconds;
-  /** What the paced clock showed then. */
-  readonly openedAtPaced: Milliseconds;
-  /** What the lifetime is divided by, to compare calls of different sizes. */
+  /** What the duration is divided by, to compare calls of different sizes. */
   readonly scale: number;
 }
 
 const slotsPerWindow = 6;
 
 export class RecentLifetimes {
-  private readonly openCalls = new Set<OpenCall>();
+  private readonly open = new Set<OpenCall>();
   private readonly slots = new Map<number, LifeTable>();
   private readonly slotMs: Milliseconds;
-  private readonly clock = new PacedClock();
   private firstOpenedAt = Infinity;
 
   /** @param windowMs How long a call counts after it was opened. */
@@ -35,7 +31,7 @@
   get size(): number {
     return [...this.slots.values()].reduce(
       (sum, table) => sum + table.size,
-      this.openCalls.size,
+      this.open.size,
     );
   }
 
@@ -44,34 +40,20 @@
     return Math.max(0, now - this.firstOpenedAt);
   }
 
-  /** Returns how much of a lifetime passes in a millisecond at present. */
-  measureSpeed(now: Milliseconds): number {
-    return this.clock.measureSpeed(now);
-  }
-
-  open(scale: number, now: Milliseconds): OpenCall {
-    this.dropOld(now);
-    this.clock.noteOpened(now);
-    const openedAtPaced = this.clock.read(now);
-    const call = { openedAt: now, openedAtPaced, scale };
-    const isFirst = this.openCalls.size === 0 && this.slots.size === 0;
+  add(call: OpenCall): void {
+    this.dropOld(call.openedAt);
+    const isFirst = this.open.size === 0 && this.slots.size === 0;
     this.firstOpenedAt = isFirst
       ? call.openedAt
       : Math.min(this.firstOpenedAt, call.openedAt);
-    this.openCalls.add(call);
-    return call;
-  }
-
-  noteEvents(count: number, now: Milliseconds): void {
-    this.clock.noteEvents(count, now);
+    this.open.add(call);
   }
 
   /** Ends an open call; one that was given up lasted at least that long. */
   end(call: OpenCall, isComplete: boolean, now: Milliseconds): void {
-    if (!this.openCalls.delete(call)) {
+    if (!this.open.delete(call)) {
       return;
     }
-    this.clock.noteEnded(now);
     this.dropOld(now);
     const index = Math.floor(call.openedAt / this.slotMs);
     if (this.isOld(index, now)) {
@@ -79,7 +61,7 @@
     }
     const table = this.slots.get(index) ?? new LifeTable();
     this.slots.set(index, table);
-    const value = this.measureLifetime(call, now);
+    const value = measureLifetime(call, now);
     if (isComplete) {
       table.addEnded(value);
     } else {
@@ -87,26 +69,19 @@
     }
   }
 
-  /** Builds the table of all recent calls, with the open ones as far as they have come. */
+  /** Builds the table of all recent calls, with the open ones at their present ages. */
   buildTable(now: Milliseconds): LifeTable {
     this.dropOld(now);
     const all = new LifeTable();
     for (const table of this.slots.values()) {
       all.addAll(table);
     }
-    for (const call of this.openCalls) {
-      all.addOpen(this.measureLifetime(call, now));
+    for (const call of this.open) {
+      all.addOpen(measureLifetime(call, now));
     }
     return all;
   }
 
-  private measureLifetime(
-    { openedAtPaced, scale }: OpenCall,
-    now: Milliseconds,
-  ): number {
-    return (this.clock.read(now) - openedAtPaced) / scale;
-  }
-
   private dropOld(now: Milliseconds): void {
     for (const index of this.slots.keys()) {
       if (this.isOld(index, now)) {
@@ -119,3 +94,8 @@
     return (index + 1) * this.slotMs <= now - this.windowMs;
   }
 }
+
+const measureLifetime = (
+  { openedAt, scale }: OpenCall,
+  now: Milliseconds,
+): number => (now - openedAt) / scale;
--- a/packages/decisions/src/gateway/survivalForecast.ts
+++ b/packages/decisions/src/gateway/survivalForecast.ts
@@ -1,7 +1,6 @@
 /**
  * Forecasts from the lifetimes of recent calls of the same kind. Calls that are still open
  * count at their ages: a process that began seconds ago has seen only short calls end.
- * Streams are expected to go on at the pace at which the open ones get their events.
  */
 import type { Milliseconds } from '@lycheetally/common';
 import {
@@ -32,17 +31,17 @@
 class WatchedLifetime extends WatchedCall {
   constructor(
     private readonly lifetimes: RecentLifetimes,
-    private readonly call: OpenCall,
+    private readonly open: OpenCall,
   ) {
     super();
   }
 
-  override noteEvents(count: number, now: Milliseconds): void {
-    this.lifetimes.noteEvents(count, now);
+  override noteEvents(): void {
+    // Durations are taken from the ends of calls.
   }
 
   override noteEnd(isComplete: boolean, now: Milliseconds): void {
-    this.lifetimes.end(this.call, isComplete, now);
+    this.lifetimes.end(this.open, isComplete, now);
   }
 }
 
@@ -60,7 +59,8 @@
 
   override noteOpened(call: ForecastCall, now: Milliseconds): WatchedCall {
     const lifetimes = this.reuseKind(call.kind);
-    const open = lifetimes.open(this.computeScale(call), now);
+    const open = { openedAt: now, scale: this.computeScale(call) };
+    lifetimes.add(open);
     return new WatchedLifetime(lifetimes, open);
   }
 
@@ -70,9 +70,8 @@
     now: Milliseconds,
   ): DurationEstimate {
     const { factor, extraMs, minSamples, minSlowestSamples } = this.settings;
+    const scale = this.computeScale(call);
     const lifetimes = this.kinds.get(call.kind);
-    const speed = lifetimes?.measureSpeed(now) ?? 1;
-    const scale = this.computeScale(call) / speed;
     const table = lifetimes?.buildTable(now);
     const samples = table?.endings ?? 0;
     const leftMs = Math.max(0, call.deadlineAt - now);
@@ -89,7 +88,7 @@
       slowestMs: isSlowestKnown ? Math.min(leftMs, longestMs) : leftMs,
       share: call.deadlineAt <= endsAt ? 1 : share,
       samples,
-      speed,
+      paceMs: 0,
     };
   }
 
--- a/packages/decisions/tests/durationForecast.test.ts
+++ b/packages/decisions/tests/durationForecast.test.ts
@@ -32,6 +32,7 @@
 
 const toCall = (life: Life): ForecastCall => ({
   ...life,
+  isStream: false,
   deadlineAt: farDeadline,
 });
 
@@ -67,6 +68,7 @@
 
 const anyCall = fc.record({
   kind: fc.constantFrom('a', 'b', 'unknown'),
+  isStream: fc.constant(false),
   expectedSize: fc.integer({ min: 1, max: 9 }),
   leftMs: fc.integer({ min: -100, max: 60_000 }),
 });
@@ -165,6 +167,7 @@
     }));
   const anyOf = {
     kind: 'a',
+    isStream: false,
     expectedSize: 1,
     deadlineAt: farDeadline,
   };
@@ -187,7 +190,7 @@
       slowestMs: farDeadline - now,
       share: 0,
       samples: 1,
-      speed: 1,
+      paceMs: 0,
     });
   });
 
@@ -220,6 +223,7 @@
       const kind = `kind-${String(at % 11)}`;
       const call = {
         kind,
+        isStream: at % 3 === 0,
         expectedSize: 1 + (at % 5),
         deadlineAt: 1e12,
       };
@@ -237,6 +241,7 @@
     const forecast = new DeadlineForecast();
     const call = {
       kind: 'a',
+      isStream: false,
       expectedSize: 1,
       deadlineAt: 1_500,
     };
@@ -245,7 +250,7 @@
       slowestMs: 500,
       share: 0,
       samples: 0,
-      speed: 1,
+      paceMs: 0,
     });
     expect(forecast.estimateBy(call, 1_500, 1_000).share).toBe(1);
   });
--- a/packages/decisions/tests/stopEmulation.test.ts
+++ b/packages/decisions/tests/stopEmulation.test.ts
@@ -52,7 +52,7 @@
       slowestMs: deadlineAt - now,
       share,
       samples: recent.length,
-      speed: 1,
+      paceMs: 0,
     };
   }
 }
@@ -132,9 +132,6 @@
   };
 };
 
-const countCutShare = ({ cut, complete }: StopResult): number =>
-  cut / (cut + complete);
-
 const createSurvival = (): DurationForecast => new SurvivalForecast(settings);
 
 const longRun: StopScenario = { ...base, ageMs: 12_000 };
@@ -180,17 +177,17 @@
 
   // Guards against a forecast from durations that are no longer true.
   it.each(Object.entries(slowdowns))(
-    'cuts hardly a larger share of the streams beside %s than if the servers had always been so slow',
+    'cuts hardly a larger share of the streams beside %s than in calm',
     (_, scenario) => {
-      const { ageMs } = scenario;
+      const calm = run(longRun, createSurvival, takeBy(minShare));
       const slow = run(scenario, createSurvival, takeBy(minShare));
-      const steady = { ...scenario, burstLeadMs: ageMs };
-      const known = run(steady, createSurvival, takeBy(minShare));
       const all = run(scenario, createSurvival, takeAll);
       const none = run(scenario, createSurvival, refuseAll);
-      expect(countCutShare(slow)).toBeLessThan(1.5 * countCutShare(known));
-      expect(slow.loss).toBeLessThan(all.loss * 0.95);
-      expect(slow.loss).toBeLessThan(none.loss * 0.95);
+      const countShare = ({ cut, complete }: StopResult): number =>
+        cut / (cut + complete);
+      expect(countShare(slow)).toBeLessThan(1.5 * countShare(calm));
+      expect(slow.loss).toBeLessThan(all.loss);
+      expect(slow.loss).toBeLessThan(none.loss);
     },
   );
 
--- a/packages/decisions/tests/stopEmulator.ts
+++ b/packages/decisions/tests/stopEmulator.ts
@@ -85,6 +85,7 @@
     const cutAt = stoppedAt + drainMs;
     const call = {
       kind: 'a',
+      isStream: true,
       expectedSize,
       deadlineAt: now + deadlineMs,
     };
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -281,7 +281,7 @@
     forecastShare: toPrinted(call.drainForecast?.share),
     forecastSamples: call.drainForecast?.samples ?? -1,
     forecastMs: Math.round(call.drainForecast?.slowestMs ?? -1),
-    forecastSpeed: toPrinted(call.drainForecast?.speed),
+    forecastPaceMs: Math.round(call.drainForecast?.paceMs ?? -1),
     drainLeftMs: Math.round(call.drainForecast?.timeLeftMs ?? -1),
     wasConnectionKept: received.isOnKeptConnection,
     lastEvent: call.events?.lastEventId ?? '',
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -136,6 +136,7 @@
       hinted > 0
         ? service.name
         : `${service.name} ${route.name} ${String(limitClass)}`,
+    isStream: route.isStream,
     expectedSize: Math.max(1, hinted),
     deadlineAt,
   };
