Let a second run compete with a silent one instead of replacing it

What callers saw: a call that may be repeated, at a server that fell silent, was given up there for a run elsewhere.

Cause: a move ends the first run before the second has anything to show.

Change: where an attempt would have moved, the call starts a second run beside it (charts gatewayAttempt and gatewayCall, callHedge.ts). The first of both to deliver an event or a whole answer has the call; that is decided when the bytes come, so that the other delivers nothing more, and the loop then cancels it at its server. Each run has its own EventStream, which begins after the last event that the caller has: a partial event of one is never joined to the other's. A second run uses no server of the first; where none is left, the call moves as before. If one of two runs fails, the other has the call.

--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -39,6 +39,9 @@
       noteMoved: attempt => {
         attempt.chartActions.noteMoved();
       },
+      requestHedge: (attempt, _, now) => {
+        attempt.chartActions.requestHedge(now);
+      },
       requestReport: attempt => {
         attempt.chartActions.requestReport();
       },
@@ -76,6 +79,7 @@
       isReplacing: (attempt, event) => attempt.repair.isReplacing(event),
       mayReplace: (attempt, event, now) =>
         attempt.repair.mayReplace(event, now),
+      mayHedge: (attempt, _, now) => attempt.chartActions.mayHedge(now),
       mayMove: (attempt, _, now) => attempt.chartActions.mayMove(now),
       mayGiveUp: (attempt, _, now) => attempt.chartActions.mayGiveUp(now),
     },
--- a/packages/gateway/src/attemptServers.ts
+++ b/packages/gateway/src/attemptServers.ts
@@ -60,6 +60,16 @@
     );
   }
 
+  /** Whether one of the servers is part of the attempt. */
+  hasAny({ first, chain }: ChosenServers): boolean {
+    const used = new Set(
+      this.servers.chain.map(({ server }) => server.serverId),
+    );
+    return (
+      this.has(first) || chain.some(({ server }) => used.has(server.serverId))
+    );
+  }
+
   /** Returns the id of the chain's server at the address. */
   findStage(address: string): string | undefined {
     return this.servers.chain.find(({ server }) => server.address === address)
--- a/packages/gateway/src/attemptSilence.ts
+++ b/packages/gateway/src/attemptSilence.ts
@@ -10,6 +10,7 @@
   plainStreamCheckMs,
   streamStallCheckMs,
 } from './constants.js';
+import type { ProofOfLife } from './chooseServers.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import type { Server } from './server.js';
 
@@ -113,6 +114,11 @@
       : (this.stalledServer ?? this.listSilent()[0]?.record.serverId);
   }
 
+  /** Which servers are known not to share the silence of this attempt's servers. */
+  get proof(): ProofOfLife {
+    return { since: this.proofSince, without: this.findSilentServer() };
+  }
+
   /** A server that has shown since then that it lives does not share the silence of this attempt's servers. */
   get proofSince(): Milliseconds {
     const askedAt = this.listSilent().map(server => server.askedAt);
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -10,6 +10,7 @@
 import { admitCall } from './admitCall.js';
 import { createBackendFault, isSuccess } from './attemptFaults.js';
 import type { BackendHead } from './backendPort.js';
+import { cancelAttempts, dropAttempt, settleHedge } from './callHedge.js';
 import {
   chooseServers,
   estimateIntakeWait,
@@ -26,6 +27,7 @@
 import { createStoppingFault, noteOpened } from './drainAdmission.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
+import { startHedge } from './startHedge.js';
 import {
   decideFirstAttempt,
   findRepeatFault,
@@ -117,17 +119,8 @@
   call.fault = findRepeatFault(call, now) ?? event?.fault ?? call.fault;
 };
 
-const cancelAttempt = (call: GatewayCall, now: Milliseconds): void => {
-  const { attempt } = call;
-  if (attempt && !attempt.instance.isFinal && attempt.instance.state !== '') {
-    attempt.silence.noteEnd(now);
-    attempt.instance.send({ type: 'CANCEL' }, now);
-    call.runs += 1;
-  }
-};
-
 const decideOutcome: CallAction = (call, _, now) => {
-  cancelAttempt(call, now);
+  cancelAttempts(call, now);
   const runEvent = call.runs > 0 ? 'MAY_HAVE_RUN' : 'NEVER_RAN';
   call.instance?.send(
     { type: call.hasStartedResponse ? 'RESPONSE_STARTED' : runEvent },
@@ -204,7 +197,7 @@
 };
 
 const sendTimeout: CallAction = (call, _, now) => {
-  cancelAttempt(call, now);
+  cancelAttempts(call, now);
   const outcome = call.runs > 0 ? Outcome.Unknown : Outcome.NotRun;
   endWithError(call, outcome, timeoutFault, now);
 };
@@ -215,7 +208,7 @@
 };
 
 const cancelCall: CallAction = (call, _, now) => {
-  cancelAttempt(call, now);
+  cancelAttempts(call, now);
   endCall(call, outcomeDisconnected, 0, now);
 };
 
@@ -325,6 +318,15 @@
       decideAdmission,
       createAttempt,
       startAttempt,
+      startHedge: (call, _, now) => {
+        startHedge(call, now);
+      },
+      settleHedge: (call, _, now) => {
+        settleHedge(call, now);
+      },
+      dropAttempt: (call, event) => {
+        dropAttempt(call, event?.attempt);
+      },
       setError,
       setPromptError,
       noteRetry,
@@ -338,6 +340,7 @@
       cancelCall,
     },
     guards: {
+      isHedged: call => call.hedge !== undefined,
       mayRetry: (call, _, now) => mayRetry(call, now),
       mayRepeat: (call, _, now) => mayRepeat(call, now),
       mayResume: (call, _, now) =>
--- a/packages/gateway/src/eventStream.ts
+++ b/packages/gateway/src/eventStream.ts
@@ -49,6 +49,13 @@
     return this.partialEvent.memoryBytes;
   }
 
+  /** Creates the stream of another run, which continues after the last complete event. */
+  createNext(): EventStream {
+    const next = new EventStream(this.maxEventBytes);
+    next.lastEventId = this.lastEventId;
+    return next;
+  }
+
   /** Drops a partial event before another server continues the stream. */
   restart(): void {
     this.partialEvent.clear();
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -14,7 +14,9 @@
   type BackendFailure,
   type BackendHead,
 } from './backendPort.js';
+import { chooseHedge, claimAnswer, isAnswering } from './callHedge.js';
 import type { ChosenServers } from './chooseServers.js';
+import type { EventStream } from './eventStream.js';
 import { mayMove, mayRunElsewhere } from './repeatRules.js';
 import { checkStall } from './stallCheck.js';
 import { maxBufferedResponseBytes } from './constants.js';
@@ -69,6 +71,8 @@
   private hasConnection = false;
   /** The first server as the list had it when the attempt began. */
   private readonly record: BackendRecord;
+  /** What the server sends of a streamed response, from the last event that the caller had at the start. */
+  events: EventStream | undefined;
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
@@ -193,7 +197,7 @@
       chosen.first.intake.noteSent(now);
       const needsNewConnection = call.sentTo.has(record.address);
       call.sentTo.add(record.address);
-      call.events?.restart();
+      this.events = call.events?.createNext();
       const headers = call.services.format.writeRequest(
         call.received.fields,
         call.received.method,
@@ -263,6 +267,10 @@
         this.call.avoided.add(stalledServer);
       }
     },
+    requestHedge: (now: Milliseconds): void => {
+      this.chartActions.noteMoved();
+      this.call.instance?.send({ type: 'HEDGE' }, now);
+    },
     requestReport: (): void => {
       checkStall(this);
     },
@@ -291,10 +299,14 @@
     },
     mayMove: (now: Milliseconds): boolean => {
       const { call, admitted, silence } = this;
-      const without = silence.findSilentServer();
-      const proof = { since: silence.proofSince, without };
-      return !silence.isPatient(now) && mayMove(call, admitted, proof, now);
+      return (
+        !call.hedge &&
+        !silence.isPatient(now) &&
+        mayMove(call, admitted, silence.proof, now)
+      );
     },
+    mayHedge: (now: Milliseconds): boolean =>
+      this.chartActions.mayMove(now) && chooseHedge(this, now) !== undefined,
     /** Whether an attempt that found no replacement ends: its server is known to be gone, or another chain can take the call. */
     mayGiveUp: (now: Milliseconds): boolean =>
       (this.admitted.isRepeatable && this.repair.hasGoneServer) ||
@@ -334,7 +346,7 @@
         ? { parts: call.received.fields.promptParts.join(',') }
         : {}),
     });
-    call.instance?.send({ type, fault }, now);
+    call.instance?.send({ type, fault, attempt: this }, now);
   }
 
   private countRetries(now: Milliseconds): number {
@@ -368,7 +380,10 @@
   /** Ends an attempt whose plain server is gone, if the call may run elsewhere; attempts with a chain got the loss already. */
   endLost(now: Milliseconds): void {
     const { call, admitted, chosen } = this;
-    if (chosen.chain.length === 0 && mayRunElsewhere(call, admitted, now)) {
+    if (
+      chosen.chain.length === 0 &&
+      (call.hedge || mayRunElsewhere(call, admitted, now))
+    ) {
       this.failExchange('its server refuses connections');
     } else {
       this.instance.send({ type: 'CHECKED' }, now);
@@ -378,12 +393,12 @@
   private finishBody({ fields }: BackendHead): void {
     const { call } = this;
     const isStream = this.isStreamed;
-    if (isStream && call.events?.isAtBoundary === false) {
+    if (isStream && this.events?.isAtBoundary === false) {
       const reason = 'the stream ended inside an event';
       this.failExchange(reason, !fields.isFramed);
     } else if (isStream && !fields.isFramed && call.eventsReceived === 0) {
       this.failExchange('the stream ended before its first event', true);
-    } else {
+    } else if (claimAnswer(this)) {
       this.send({ type: 'COMPLETE' });
     }
   }
@@ -448,8 +463,7 @@
   }
 
   private forwardEvents(chunk: Buffer, now: Milliseconds): void {
-    const { call } = this;
-    const { events } = call;
+    const { call, events } = this;
     this.silence.noteByte(now);
     const accepted = events?.accept(chunk, now);
     if (!events || !accepted) {
@@ -461,7 +475,11 @@
     }
     this.reserveMemory(events.bufferedBytes);
     const { bytes, newEvents } = accepted.val;
+    if (!(newEvents > 0 ? claimAnswer(this) : isAnswering(this))) {
+      return;
+    }
     if (newEvents > 0) {
+      call.events = events;
       this.silence.noteEvent(now);
       this.progress.noteEvents(newEvents);
       call.noteEventsSent(now);
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -39,6 +39,8 @@
     | 'ATTEMPT_NOT_RUN'
     | 'ATTEMPT_ERROR'
     | 'ATTEMPT_BROKEN'
+    | 'HEDGE'
+    | 'HEDGE_DECIDED'
     | 'NEVER_RAN'
     | 'MAY_HAVE_RUN'
     | 'RESPONSE_STARTED'
@@ -47,6 +49,8 @@
     | 'STOPPING';
   /** The fault, in an event that reports a refusal or a failure. */
   readonly fault?: CallFault | undefined;
+  /** The attempt, in an event that reports its end. */
+  readonly attempt?: GatewayAttempt | undefined;
 }
 
 /** Why a call was refused or an attempt did not complete it. */
@@ -105,6 +109,10 @@
   instance: ChartInstance<GatewayCall, CallEvent> | undefined;
   admitted: AdmittedCall | undefined;
   attempt: GatewayAttempt | undefined;
+  /** A second run beside the silent `attempt`, until one of them answers or ends. */
+  hedge: GatewayAttempt | undefined;
+  /** The one of both runs that answers; known before the loop cancels the other. */
+  answeredBy: GatewayAttempt | undefined;
   /** Attempts that were started. */
   attempts = 0;
   /** Attempts that ran or may have run. */
@@ -124,7 +132,7 @@
   drainForecast: DrainForecast | undefined;
   /** Ends the observation of how long the call is open. */
   noteEnd: NoteEnd | undefined;
-  /** Events of a streamed response, over all attempts. */
+  /** Events of a streamed response as the caller has them, over all attempts. */
   events: EventStream | undefined;
   /** Events that servers sent for this call, over all attempts, each once. */
   eventsReceived = 0;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -34,6 +34,12 @@
     labelNames: ['outcome'],
     registers: [this.registry],
   });
+  private readonly hedges = new Counter({
+    name: `${prefix}hedges_total`,
+    help: 'Second runs beside a silent one, by what became of them',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
   private readonly storeReads = new Gauge({
     name: `${prefix}store_reads`,
     help: 'Reads of the store since the start',
@@ -160,6 +166,10 @@
     this.repairs.inc({ outcome });
   }
 
+  countHedge(outcome: string): void {
+    this.hedges.inc({ outcome });
+  }
+
   /** Counts a read of a table of the store. */
   countNews(isRelayed: boolean): void {
     (isRelayed ? this.relayedReads : this.storeReads).inc();
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -8,6 +8,7 @@
 import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
 import { createBackendFault } from './attemptFaults.js';
+import { listAttempts } from './callHedge.js';
 import { unresponsiveSilenceMs } from './constants.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import type { GatewayCall } from './gatewayCall.js';
@@ -132,13 +133,12 @@
     silenceMs: Milliseconds,
     now: Milliseconds,
   ): readonly GatewayAttempt[] {
-    return [...this.services.listCalls()].flatMap(({ attempt }) =>
-      attempt &&
-      attempt.chosen.chain.length > 0 &&
-      attempt.silence.isSilentFor(silenceMs, now)
-        ? attempt
-        : [],
-    );
+    return [...this.services.listCalls()]
+      .flatMap(listAttempts)
+      .filter(
+        ({ chosen, silence }) =>
+          chosen.chain.length > 0 && silence.isSilentFor(silenceMs, now),
+      );
   }
 
   /** Probes the other servers: they are often lost together. */
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -41,10 +41,10 @@
 
 /** Whether the server sends an event in pieces that are too far apart to be sound; a pause between them doesn't count. */
 const hasOverdueEvent = (
-  { call, admitted, chosen }: GatewayAttempt,
+  { events, admitted, chosen }: GatewayAttempt,
   now: Milliseconds,
 ): boolean => {
-  const since = call.events?.partialSince;
+  const since = events?.partialSince;
   return (
     admitted.isRepeatable &&
     since !== undefined &&
