Hedge a stream at a plain server that has not begun as early as one that has

What callers saw: a stream at a plain server that was silent before its first byte waited 1.5 s before it ran elsewhere; one under way waits 1.0 s.

Cause: AttemptSilence.isPatient, which has plain calls wait for a pause, asked whether the attempt had sent a head, not whether its route is one of streams.

Change: it asks the route. Ruled out: a bound on the time by the clock of the test; it compares the silence of the call with the patience of plain calls.

--- a/packages/gateway/src/attemptSilence.ts
+++ b/packages/gateway/src/attemptSilence.ts
@@ -94,12 +94,12 @@
     return now - this.stalledSince >= this.stallLimitMs;
   }
 
-  /** Whether the call waits for a plain server's pause to end rather than run twice. */
+  /** Whether the call waits for a plain server's pause to end rather than run twice; the caller of a stream notices the wait. */
   isPatient(now: Milliseconds): boolean {
-    const { chosen, admitted, isStreamed } = this.attempt;
+    const { chosen, admitted } = this.attempt;
     return (
       chosen.chain.length === 0 &&
-      !isStreamed &&
+      !admitted.route.isStream &&
       chosen.first.isSilent &&
       this.measure(now) < maxPatienceMs &&
       admitted.deadlineAt - now > maxPatienceMs
