Cut the last streams of a stop at a fixed time, however late the loop is

What callers would see: a gateway whose loop is late by 0.3 s at the drain timeout cut its streams that much later, and had no time left for the bytes on their way before the platform ends it. Cause, found by a reader who had not seen the work: the timer for the last streams counted from its state's entry, not from the stop signal. The drain period names the time now.

--- a/packages/gateway/src/drainPeriod.ts
+++ b/packages/gateway/src/drainPeriod.ts
@@ -27,9 +27,9 @@
     return this.endsAt;
   }
 
-  /** How long streams that have begun go on after the drain timeout. */
-  get lastStreamsMs(): Milliseconds {
-    return this.exitReserveMs * lastStreamsShare;
+  /** Until when streams that have begun go on after the drain timeout. */
+  get lastStreamsAt(): Milliseconds {
+    return this.endsAt + this.exitReserveMs * lastStreamsShare;
   }
 
   /** When the last answers must have reached their callers. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -336,7 +336,8 @@
     },
     computeDrainTimeout: (now: Milliseconds): Milliseconds =>
       this.drainPeriod.timeoutAt - now,
-    computeLastStreamsTime: (): Milliseconds => this.drainPeriod.lastStreamsMs,
+    computeLastStreamsTime: (now: Milliseconds): Milliseconds =>
+      Math.max(0, this.drainPeriod.lastStreamsAt - now),
   };
 
   /** The calls whose response has begun and goes on. */
--- a/packages/gateway/src/lifecycleChart.ts
+++ b/packages/gateway/src/lifecycleChart.ts
@@ -18,7 +18,7 @@
   /** Cuts what is still open, lets the last answers reach their callers, then ends the process. */
   finishProcess(now: Milliseconds): void;
   computeDrainTimeout(now: Milliseconds): Milliseconds;
-  computeLastStreamsTime(): Milliseconds;
+  computeLastStreamsTime(now: Milliseconds): Milliseconds;
 }
 
 /** Context of the chart. */
@@ -55,7 +55,7 @@
     delays: {
       DRAIN_TIMEOUT: ({ lifecycleActions }, now) =>
         lifecycleActions.computeDrainTimeout(now),
-      FORCED_STOP_TIMEOUT: ({ lifecycleActions }) =>
-        lifecycleActions.computeLastStreamsTime(),
+      FORCED_STOP_TIMEOUT: ({ lifecycleActions }, now) =>
+        lifecycleActions.computeLastStreamsTime(now),
     },
   });
--- a/packages/gateway/tests/drainPeriod.test.ts
+++ b/packages/gateway/tests/drainPeriod.test.ts
@@ -12,9 +12,7 @@
       const period = new DrainPeriod();
       period.begin(0, graceMs);
       expect(period.timeoutAt).toBeGreaterThan((graceMs * 5) / 6);
-      expect(period.timeoutAt + period.lastStreamsMs).toBeLessThan(
-        period.exitAt,
-      );
+      expect(period.lastStreamsAt).toBeLessThan(period.exitAt);
       expect(period.exitAt).toBeLessThan(graceMs);
     }
   });
