Read the run that answers, and take an error answer beside a silent run

What callers would see, found by a reader who had not seen the hedge: a stream whose second run begins with more than the caller's connection takes at once stopped there, since the connection's drain resumed the other run; a call whose second run was answered with an error waited for the silent server until its time limit, 504, where it had got the error before there were hedges.

Cause: the drain listener and the transition on ATTEMPT_ERROR took the first run for the only one.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -10,7 +10,13 @@
 import { admitCall } from './admitCall.js';
 import { createBackendFault, isSuccess } from './attemptFaults.js';
 import type { BackendHead } from './backendPort.js';
-import { cancelAttempts, dropAttempt, settleHedge } from './callHedge.js';
+import {
+  cancelAttempts,
+  dropAttempt,
+  hasLivingRun,
+  keepEnded,
+  settleHedge,
+} from './callHedge.js';
 import {
   chooseServers,
   estimateIntakeWait,
@@ -328,6 +334,9 @@
       dropAttempt: (call, event) => {
         dropAttempt(call, event?.attempt);
       },
+      keepEnded: (call, event, now) => {
+        keepEnded(call, event?.attempt, now);
+      },
       setError,
       setPromptError,
       noteRetry,
@@ -342,6 +351,7 @@
     },
     guards: {
       isHedged: call => call.hedge !== undefined,
+      hasLivingRun: (call, event) => hasLivingRun(call, event?.attempt),
       mayRetry: (call, _, now) => mayRetry(call, now),
       mayRepeat: (call, _, now) => mayRepeat(call, now),
       mayResume: (call, _, now) =>
--- a/packages/gateway/src/callHedge.ts
+++ b/packages/gateway/src/callHedge.ts
@@ -68,6 +68,30 @@
   keepAttempt(call, ended === call.hedge ? call.attempt : call.hedge);
 };
 
+/** Takes the end of this run for that of the call, and cancels the other run if there is one. */
+export const keepEnded = (
+  call: GatewayCall,
+  ended: GatewayAttempt | undefined,
+  now: Milliseconds,
+): void => {
+  const { attempt, hedge } = call;
+  const other = ended === hedge ? attempt : hedge;
+  if (hedge && ended && other) {
+    cancelAttempt(other, now);
+    keepAttempt(call, ended);
+  }
+};
+
+/** Whether the other one of two runs gets its answer, as far as is known. */
+export const hasLivingRun = (
+  call: GatewayCall,
+  ended: GatewayAttempt | undefined,
+): boolean => {
+  const { attempt, hedge } = call;
+  const other = ended === hedge ? attempt : hedge;
+  return hedge !== undefined && other?.chosen.first.isSilent === false;
+};
+
 const keepAttempt = (
   call: GatewayCall,
   attempt: GatewayAttempt | undefined,
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -280,7 +280,10 @@
     reportComplete: (now: Milliseconds): void => {
       this.chosen.first.noteSuccess(now);
       this.progress.noteComplete(now);
-      this.call.instance?.send({ type: 'ATTEMPT_COMPLETE' }, now);
+      this.call.instance?.send(
+        { type: 'ATTEMPT_COMPLETE', attempt: this },
+        now,
+      );
     },
     reportNotRun: (now: Milliseconds): void => {
       this.report('ATTEMPT_NOT_RUN', now);
@@ -457,7 +460,7 @@
       call.hasStartedResponse = true;
       call.firstByteAt = call.lastActivityAt;
       caller.setDrainListener(() => {
-        call.attempt?.resume();
+        (call.answeredBy ?? call.attempt)?.resume();
       });
     }
   }
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/repeatRules.ts
@@ -29,9 +29,9 @@
   mayStartAnother(call, now) &&
   call.services.retryPolicy.mayRetry(call.toRequestView(), now);
 
-/** Whether a call that may have run may run again. */
+/** Whether a call that may have run may run again; a second run that goes on counts too. */
 export const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
-  call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
+  call.runs + (call.hedge ? 1 : 0) < (call.admitted?.route.maxAttempts ?? 1) &&
   mayStartAnother(call, now) &&
   !isPromptRefused(call, now) &&
   call.services.retryPolicy.mayRepeat(call.toRequestView(), now);
