--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -31,6 +31,8 @@
   NoCapacity: 'no-capacity',
   /** A part of the call's prompt crashes backend servers, or may. */
   PromptPartRefused: 'prompt-part-refused',
+  /** The call as a whole crashes backend servers, or may. */
+  CallRefused: 'call-refused',
   /** The deadline has passed or cannot be met. */
   DeadlineExceeded: 'deadline-exceeded',
   /** The process is shutting down and accepts no new work. */
--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attemptProgress.ts
@@ -1,14 +1,21 @@
-/** How far the answer to an attempt has come, and what that tells about the parts of the prompt. */
+/** How far the answer to an attempt has come, and what that tells about what its call has in common with others. */
 import type { Milliseconds } from '@lycheetally/common';
 import type { GatewayCall } from './gatewayCall.js';
+import { TraitKind } from './suspects/callTrait.js';
 import { isAnswerUnderWay, toTracedCall } from './suspects/suspectCalls.js';
-import type { BrokenServer } from './suspects/suspectTracker.js';
+import type { AnsweredAttempt, ServerRun } from './suspects/suspectTracker.js';
 
 export class AttemptProgress {
   private readonly eventsBefore: number;
+  private readonly attempt: AnsweredAttempt;
 
-  constructor(private readonly call: GatewayCall) {
+  constructor(
+    private readonly call: GatewayCall,
+    { serverId, incarnation }: ServerRun,
+    sentAt: Milliseconds,
+  ) {
     this.eventsBefore = call.eventsReceived;
+    this.attempt = { serverId, incarnation, sentAt };
   }
 
   /** Events that this attempt added to the answer. */
@@ -34,17 +41,20 @@
   /** Records that a server writes, or wrote, the answer. */
   noteComplete(now: Milliseconds): void {
     const { services } = this.call;
-    services.suspects.noteServed(toTracedCall(this.call), now);
+    services.suspects.noteServed(toTracedCall(this.call), now, this.attempt);
   }
 
-  /** Records that the server closed the connection; an answer that another server had begun clears the prompt. */
-  noteBroken(server: BrokenServer, now: Milliseconds): void {
-    const { services } = this.call;
-    const prompt = toTracedCall(this.call);
-    const hardlyBegan = !this.isUnderWay && this.eventsBefore === 0;
-    if (hardlyBegan && prompt.parts.length > 0) {
-      services.metrics.countSuspectBreak(prompt.service);
-      services.suspects.noteBroken(prompt, server, now);
+  /** Records that the server closed the connection; an answer that another server had begun clears the call. */
+  noteBroken(now: Milliseconds): void {
+    if (this.isUnderWay || this.eventsBefore > 0) {
+      return;
+    }
+    const { metrics, suspects } = this.call.services;
+    const traced = toTracedCall(this.call);
+    metrics.countSuspectBreak(traced.service, TraitKind.WholeCall);
+    if (traced.parts.length > 0) {
+      metrics.countSuspectBreak(traced.service, TraitKind.PromptPart);
     }
+    suspects.noteBroken(traced, this.attempt, now);
   }
 }
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -12,6 +12,7 @@
 import type { BackendHead } from './backendPort.js';
 import {
   chooseServers,
+  estimateHold,
   estimateIntakeWait,
   mayReturnForCall,
 } from './chooseServers.js';
@@ -28,11 +29,11 @@
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
 import {
   decideFirstAttempt,
-  findRepeatFault,
-  noteRefusedRepeat,
+  findSuspectFault,
+  noteSuspectRefusal,
 } from './suspects/suspectCalls.js';
 import {
-  isPromptRefused,
+  isSuspectRefused,
   mayRepeat,
   mayRetry,
   mayStartAttempt,
@@ -66,9 +67,9 @@
     call.instance?.send({ type: 'STOPPING', fault }, now);
     return;
   }
-  const promptFault = findRepeatFault(call, now);
-  if (promptFault) {
-    call.instance?.send({ type: 'PROMPT_REFUSED', fault: promptFault }, now);
+  const suspectFault = findSuspectFault(call, now);
+  if (suspectFault) {
+    call.instance?.send({ type: 'SUSPECT_REFUSED', fault: suspectFault }, now);
     return;
   }
   const chosen = admitted && chooseServers(call, admitted, now);
@@ -77,7 +78,11 @@
     call.isWaitingForSilent =
       admitted !== undefined && mayReturnForCall(call, admitted, now);
     call.services.waitingCalls.add(call);
-    const fault = createCapacityFault(call.intakeWaitMs);
+    const holdMs = admitted ? estimateHold(call, admitted, now) : 0;
+    const fault =
+      holdMs > 0
+        ? createHoldFault(holdMs)
+        : createCapacityFault(call.intakeWaitMs);
     call.instance?.send({ type: 'UNROUTABLE', fault }, now);
     return;
   }
@@ -98,6 +103,14 @@
     intakeWaitMs > 0 ? Math.min(intakeWaitMs, maxIntakeRetryMs) : retryAfterMs,
 });
 
+const createHoldFault = (holdMs: Milliseconds): CallFault => ({
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message:
+    'servers crashed with this request, and it is not sent to the last one; send it again when they are back',
+  retryAfterMs: Math.max(holdMs, retryAfterMs),
+});
+
 const startAttempt: CallAction = (call, _, now) => {
   call.attempts += 1;
   call.attempt?.instance.start(now);
@@ -112,9 +125,9 @@
   call.fault = event?.fault ?? call.fault;
 };
 
-const setPromptError: CallAction = (call, event, now) => {
-  noteRefusedRepeat(call);
-  call.fault = findRepeatFault(call, now) ?? event?.fault ?? call.fault;
+const setSuspectError: CallAction = (call, event, now) => {
+  noteSuspectRefusal(call, now);
+  call.fault = findSuspectFault(call, now) ?? event?.fault ?? call.fault;
 };
 
 const cancelAttempt = (call: GatewayCall, now: Milliseconds): void => {
@@ -326,7 +339,7 @@
       createAttempt,
       startAttempt,
       setError,
-      setPromptError,
+      setSuspectError,
       noteRetry,
       noteForwardedError,
       decideOutcome,
@@ -343,7 +356,7 @@
       mayResume: (call, _, now) =>
         call.hasStartedResponse && mayRepeat(call, now),
       mayWait: (call, _, now) => mayWait(call, now),
-      isPromptRefused: (call, _, now) => isPromptRefused(call, now),
+      isSuspectRefused: (call, _, now) => isSuspectRefused(call, now),
       hasStartedResponse: call => call.hasStartedResponse,
     },
     delays: {
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -3,6 +3,7 @@
 import type { ChainRequest, ChainStage } from '@lycheetally/decisions';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
 import type { Server } from './server.js';
+import { toTracedCall } from './suspects/suspectCalls.js';
 import { toStageServer } from './serverRegistry.js';
 
 /** The servers that an attempt uses. */
@@ -129,6 +130,16 @@
     : pausing.some(({ record }) => !call.avoided.has(record.serverId));
 };
 
+/** Estimates how long a call is held back that is suspected of crashing servers; 0 if it is not. */
+export const estimateHold = (
+  call: GatewayCall,
+  { service }: AdmittedCall,
+  now: Milliseconds,
+): Milliseconds =>
+  service.model
+    ? 0
+    : call.services.suspects.estimateHold(toTracedCall(call), now);
+
 const findChain = (
   call: GatewayCall,
   admitted: AdmittedCall,
@@ -187,6 +198,17 @@
     .filter(server => !call.avoided.has(server.record.serverId))
     .filter(server => mayReceive(call, admitted, server, now))
     .sort((a, b) => computeCost(a) - computeCost(b));
-  const [first] = candidates;
+  const placement = call.services.suspects.choosePlacement(
+    toTracedCall(call),
+    {
+      candidates: candidates.map(({ record }) => record),
+      usable: usable.map(({ record }) => record),
+      total: call.services.serverRegistry.listAll(admitted.service.name).length,
+    },
+    now,
+  );
+  const first = placement.isFree
+    ? candidates[0]
+    : candidates.find(({ record }) => record.serverId === placement.serverId);
   return first && { first, chain: [] };
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -270,10 +270,13 @@
 /** Parts of prompts that a gateway tracks at most for each service. */
 export const maxTrackedSuspects = 512;
 
+/** Whole calls that a gateway tracks at most for each service; a crash makes suspects of all calls that its server had begun. */
+export const maxTrackedCalls = 256;
+
 /** Parts of one call that are considered at most. */
 export const maxPartsPerCall = 32;
 
-/** Crashes remembered at most for each part. */
+/** Crashes remembered at most for each suspect. */
 export const maxSightingsPerSuspect = 64;
 
 /** Crashes remembered at most for each service. */
@@ -282,36 +285,30 @@
 /** Longest id of a part, call or server that is tracked, in characters. */
 export const maxTrackedIdLength = 96;
 
-/** How long a crash counts against a part on which no answer is written. */
-export const sightingLifetimeMs = 120_000;
-
 /** Resolution of the times at which a service wrote answers. */
 export const servingResolutionMs = 50;
 
-/** How long a part is remembered as answered; news reach the other gateways sooner. */
+/** How long a suspect is remembered as answered; news reach the other gateways sooner. */
 export const clearedLifetimeMs = 30_000;
 
-/** Interval between calls with a suspected part; further crashes within it prove nothing. */
-export const suspectIntervalMs = 300;
-
-/** Time until the first trial of a refused part; a wrong verdict does not last longer. */
-export const firstTrialMs = 20_000;
-
-/** Time until the next trial; doubles with each trial that crashed a server. */
-export const trialIntervalMs = 120_000;
-
-/** Longest time between two trials. */
-export const maxTrialIntervalMs = 960_000;
-
 /** How long a trial may stay without a result; the first events of an answer come sooner. */
 export const trialTimeoutMs = 10_000;
 
-/** How long a part that no call asks for is remembered when its next trial is due. */
+/** How long a suspect that no call asks for is remembered when its next trial is due, at least. */
 export const trialWaitMs = 600_000;
 
-/** Longest `Retry-After` of a call with a blamed part. */
+/** Time after a supposed crash from which an answer of the server shows that it went on; one that was on its way comes sooner. */
+export const disproofDelayMs = 250;
+
+/** Usual time until a server that crashed is back; `Retry-After` of calls that wait for it. */
+export const usualRestartMs = 3_500;
+
+/** Shortest `Retry-After` of a call with a suspect. */
+export const minSuspectRetryAfterMs = 300;
+
+/** Longest `Retry-After` of a refused call. */
 export const maxSuspectRetryAfterMs = 10_000;
 
-/** Log lines about parts of prompts at most in each `suspectLogWindowMs`. */
+/** Log lines with one message about suspects at most in each `suspectLogWindowMs`. */
 export const maxSuspectLogLines = 60;
 export const suspectLogWindowMs = 60_000;
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -85,7 +85,7 @@
     const { services } = call;
     this.silence = new AttemptSilence(this, startedAt);
     this.record = chosen.first.record;
-    this.progress = new AttemptProgress(call);
+    this.progress = new AttemptProgress(call, this.record, startedAt);
     this.servers = new AttemptServers(
       services.serverRegistry,
       admitted,
@@ -250,7 +250,7 @@
       const message = this.fault?.message ?? '';
       this.blame.reportFault(event?.type ?? 'BROKEN', message, now);
       if (event?.isClosedByServer) {
-        this.progress.noteBroken(this.chosen.first.record, now);
+        this.progress.noteBroken(now);
       }
     },
     setError: (event: AttemptEvent | undefined): void => {
@@ -331,7 +331,10 @@
       events: this.progress.events,
       retriesLeft: this.countRetries(now),
       ...(type === 'ATTEMPT_BROKEN' && !this.progress.isUnderWay
-        ? { parts: call.received.fields.promptParts.join(',') }
+        ? {
+            parts: call.received.fields.promptParts.join(','),
+            suspect: call.identity.id,
+          }
         : {}),
     });
     call.instance?.send({ type, fault }, now);
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -22,6 +22,7 @@
 import type { DrainPeriod } from './drainPeriod.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import { CallIdentity } from './suspects/callIdentity.js';
 import type { SuspectTracker } from './suspects/suspectTracker.js';
 import type { ServerControlPort } from './ports.js';
 import type { ServerRegistry } from './serverRegistry.js';
@@ -34,7 +35,7 @@
     | 'REFUSED'
     | 'ROUTED'
     | 'UNROUTABLE'
-    | 'PROMPT_REFUSED'
+    | 'SUSPECT_REFUSED'
     | 'ATTEMPT_COMPLETE'
     | 'ATTEMPT_NOT_RUN'
     | 'ATTEMPT_ERROR'
@@ -128,6 +129,8 @@
   events: EventStream | undefined;
   /** Events that servers sent for this call, over all attempts, each once. */
   eventsReceived = 0;
+  /** Whether calls like it are refused, and this one finds out if they still crash servers. */
+  isTrial = false;
   /** How long the limits of servers hold the call back, when it last found no server. */
   intakeWaitMs: Milliseconds = 0;
   /** When the silence began for which its last attempt was given up. */
@@ -139,6 +142,7 @@
   /** Servers that refused or failed this call. */
   readonly avoided = new Set<string>();
 
+  private knownIdentity: CallIdentity | undefined;
   private eventsSentAt: Milliseconds | undefined;
 
   constructor(
@@ -151,6 +155,14 @@
     return this.received.fields.requestId ?? '';
   }
 
+  /** What tells that the same request comes again; known once the call is admitted. */
+  get identity(): CallIdentity {
+    const { method, target, body } = this.received;
+    const account = this.admitted?.holder?.account ?? '';
+    this.knownIdentity ??= new CallIdentity({ method, target, account, body });
+    return this.knownIdentity;
+  }
+
   /** Records that events were sent to the caller. */
   noteEventsSent(now: Milliseconds): void {
     if (this.eventsSentAt !== undefined) {
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -2,6 +2,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { LayerPlacer } from './layerPlacer.js';
 import type { GatewayNews } from './news/gatewayNews.js';
+import { TraitKind } from './suspects/callTrait.js';
 import type { Suspects } from './suspects/suspects.js';
 import type { ConnectionCounts } from './safeReuseAgent.js';
 
@@ -76,12 +77,22 @@
     [
       'parts_tracked',
       'Parts of prompts that were there when a server crashed',
-      () => sources.suspects.trackedCount,
+      () => sources.suspects.countTracked(TraitKind.PromptPart),
     ],
     [
       'parts_refused',
       'Parts of prompts with which calls are refused',
-      () => sources.suspects.refusedCount,
+      () => sources.suspects.countRefused(TraitKind.PromptPart),
+    ],
+    [
+      'suspect_calls_tracked',
+      'Requests that a server had begun to run when it crashed',
+      () => sources.suspects.countTracked(TraitKind.WholeCall),
+    ],
+    [
+      'suspect_calls_refused',
+      'Requests that are refused, since they crash servers',
+      () => sources.suspects.countRefused(TraitKind.WholeCall),
     ],
     [
       'unreadable_records',
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /** Counters and latency histograms of a gateway. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { millisecondsPerSecond, type Milliseconds } from '@lycheetally/common';
+import type { TraitKind } from './suspects/callTrait.js';
 
 const prefix = 'lycheetally_gateway_';
 
@@ -46,19 +47,19 @@
   });
   private readonly suspectRefusals = new Counter({
     name: `${prefix}part_refusals_total`,
-    help: 'Calls refused for a part of their prompt, at admission or when they would have been sent again',
-    labelNames: ['service', 'at'],
+    help: 'Calls refused for a part of their prompt or as a whole, by kind, at admission or when they would have been sent again',
+    labelNames: ['service', 'at', 'kind'],
     registers: [this.registry],
   });
   private readonly suspectBreaks = new Counter({
     name: `${prefix}part_breaks_total`,
-    help: 'Attempts that their server broke before the second event, and that name parts of a prompt',
-    labelNames: ['service'],
+    help: 'Attempts that their server broke before the second event, counted as a whole and, if they name parts of a prompt, once more for these',
+    labelNames: ['service', 'kind'],
     registers: [this.registry],
   });
   private readonly suspectMessages = new Counter({
     name: `${prefix}part_messages_total`,
-    help: 'Messages about prompt parts to other gateways, by whether they were answered',
+    help: 'Messages about prompt parts and calls to other gateways, by whether they were answered',
     labelNames: ['answered'],
     registers: [this.registry],
   });
@@ -181,12 +182,16 @@
     this.cutByStop.inc();
   }
 
-  countSuspectRefusal(service: string, at: 'admission' | 'repeat'): void {
-    this.suspectRefusals.inc({ service, at });
+  countSuspectRefusal(
+    service: string,
+    at: 'admission' | 'repeat',
+    kind: TraitKind,
+  ): void {
+    this.suspectRefusals.inc({ service, at, kind });
   }
 
-  countSuspectBreak(service: string): void {
-    this.suspectBreaks.inc({ service });
+  countSuspectBreak(service: string, kind: TraitKind): void {
+    this.suspectBreaks.inc({ service, kind });
   }
 
   countSuspectMessage(isAnswered: boolean): void {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,8 @@
 export * from './gatewayNode.js';
 export * from './gatewaySettings.js';
 export { HttpBackend } from './httpBackend.js';
+export * from './suspects/callIdentity.js';
+export * from './suspects/callTrait.js';
 export * from './suspects/crashSuspectTracker.js';
 export { bindSuspectChart } from './suspects/suspect.js';
 export * from './suspects/suspectTracker.js';
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/repeatRules.ts
@@ -7,7 +7,7 @@
 } from './chooseServers.js';
 import { mayEndBeforeStop, mayTakeBeforeStop } from './drainAdmission.js';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
-import { findRepeatFault } from './suspects/suspectCalls.js';
+import { findSuspectFault } from './suspects/suspectCalls.js';
 
 /** Whether a stopping gateway starts an attempt now; a stream that has begun goes on as long as it can. */
 export const mayStartAttempt = (
@@ -33,7 +33,7 @@
 export const mayRepeat = (call: GatewayCall, now: Milliseconds): boolean =>
   call.runs < (call.admitted?.route.maxAttempts ?? 1) &&
   mayStartAnother(call, now) &&
-  !isPromptRefused(call, now) &&
+  !isSuspectRefused(call, now) &&
   call.services.retryPolicy.mayRepeat(call.toRequestView(), now);
 
 /** Whether servers that are known to live can take a running call: only then is the running attempt worth giving up. */
@@ -65,7 +65,8 @@
   call.runs + 1 < admitted.route.maxAttempts &&
   mayRepeat(call, now);
 
-export const isPromptRefused = (
+/** Whether the call must not be sent, since it crashes servers, or may. */
+export const isSuspectRefused = (
   call: GatewayCall,
   now: Milliseconds,
-): boolean => findRepeatFault(call, now) !== undefined;
+): boolean => findSuspectFault(call, now) !== undefined;
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -1,16 +1,16 @@
 /**
- * Finds the parts of prompts that crash backend servers, and refuses calls with
- * them.
+ * Finds the parts of prompts and the whole calls that crash backend servers, and refuses
+ * calls with them.
  *
- * A crash is held against every part of the calls that it broke before they
- * were answered, until an answer on the part is written. What several gateways
+ * A crash is held against every trait of the calls that it broke before they
+ * were answered, until a call with the trait is answered. What several gateways
  * sighted is joined, whatever the order of the news. A gateway creates one:
  *
  *     createSuspectTracker({
  *       machine: getOrThrow(bindSuspectChart()),
  *       timers: this.loop,
  *       log: loggers.createLogger(LogComponent.Prompts),
- *       policy: new UnservedPart(),
+ *       policies: { part: new UnservedPart(), call: new UnservedCall() },
  *       gatewayId: settings.process.id,
  *     })
  */
@@ -23,53 +23,63 @@
 import {
   SightingChange,
   Suspicion,
-  type BlamePolicy,
+  chooseSuspectServer,
   type Sighting,
 } from '@lycheetally/decisions';
 import {
+  disproofDelayMs,
   maxSuspectRetryAfterMs,
   maxTrackedIdLength,
-  sightingLifetimeMs,
-  suspectIntervalMs,
+  minSuspectRetryAfterMs,
+  usualRestartMs,
 } from '../constants.js';
+import {
+  createTrait,
+  type TraitKind,
+  type TraitPolicies,
+} from './callTrait.js';
 import { SuspectLog } from './suspectLog.js';
 import { decodeSightings, listSuspectRecords } from './suspectRecords.js';
 import type { SuspectMachine, SuspectServices, Suspect } from './suspect.js';
 import {
   SuspectTracker,
-  type BrokenServer,
+  type AnsweredAttempt,
+  type BrokenAttempt,
+  type Placement,
+  type PlacementChoice,
   type TracedCall,
   type SuspectDecision,
   type SuspectRecord,
 } from './suspectTracker.js';
-import { ServiceSuspects, listCandidates } from './serviceSuspects.js';
+import {
+  ServiceSuspects,
+  formatCrash,
+  listTraitIds,
+  trimId,
+} from './serviceSuspects.js';
 
 export interface SuspectTrackerOptions {
   readonly machine: SuspectMachine;
   readonly timers: ChartTimers;
   readonly log: ComponentLogger;
-  readonly policy: BlamePolicy;
+  readonly policies: TraitPolicies;
   /** Spreads the trials of several gateways over time. */
   readonly gatewayId: string;
 }
 
 export class CrashSuspectTracker extends SuspectTracker implements Disposable {
   private readonly byService = new Map<string, ServiceSuspects>();
-  private readonly partServices: SuspectServices;
-  private readonly policy: BlamePolicy;
+  private readonly suspectServices: SuspectServices;
   private changes = 0;
 
   constructor(options: SuspectTrackerOptions) {
     super();
-    const { machine, timers, log, policy, gatewayId } = options;
-    this.policy = policy;
-    this.partServices = {
-      machine,
-      timers,
+    const { log, ...services } = options;
+    this.suspectServices = {
+      ...services,
       log: new SuspectLog(log),
-      gatewayId,
-      handleForgotten: part => {
-        this.byService.get(part.service)?.remove(part);
+      handleForgotten: suspect => {
+        this.byService.get(suspect.service)?.remove(suspect);
       },
     };
   }
@@ -78,90 +88,154 @@
     return this.changes;
   }
 
-  /** Number of parts with crashes since they were last answered, or cleared lately. */
-  get trackedParts(): number {
-    return this.listParts().length;
+  /** Counts the suspects of a kind with crashes since they were last answered, or cleared lately. */
+  countTracked(kind: TraitKind): number {
+    return this.list().filter(({ trait }) => trait.kind === kind).length;
   }
 
-  /** Number of parts with which calls are refused. */
-  get refusedParts(): number {
-    return this.listRefused().length;
+  /** Counts the suspects of a kind with which calls are refused. */
+  countRefused(kind: TraitKind): number {
+    return this.listRefused().filter(({ trait }) => trait.kind === kind).length;
   }
 
-  /** Lists the parts with which calls are refused. */
+  /** Lists the suspects with which calls are refused. */
   listRefused(): Suspect[] {
-    return this.listParts().filter(({ isBlamed }) => isBlamed);
+    return this.list().filter(({ isBlamed }) => isBlamed);
+  }
+
+  list(): Suspect[] {
+    return [...this.byService.values()].flatMap(service => service.list());
   }
 
   override decideFirstAttempt(
     call: TracedCall,
     now: Milliseconds,
   ): SuspectDecision {
-    const parts = this.updateSuspicions(call, now);
-    const forbidding = parts.find(part => !maySend(part, now));
+    const suspects = this.updateSuspicions(call, now);
+    const forbidding = suspects.find(suspect => !maySend(suspect, now));
     if (forbidding) {
       return refuse(forbidding, now);
     }
-    for (const part of parts) {
-      if (part.isTrialDue) {
-        part.send('TRIED', now);
-      } else if (part.isSuspected) {
-        part.lastSentAt = now;
+    const isTrial = suspects.some(suspect => suspect.isTrialDue);
+    for (const suspect of suspects) {
+      if (suspect.isTrialDue) {
+        suspect.send('TRIED', now);
+      } else if (suspect.isSuspected) {
+        suspect.lastSentAt = now;
       }
     }
-    return { isAllowed: true };
+    return { isAllowed: true, isTrial };
+  }
+
+  override decideDelayedAttempt(
+    call: TracedCall,
+    now: Milliseconds,
+  ): SuspectDecision {
+    const forbidding = this.findAll(call).find(suspect => suspect.isBlamed);
+    return forbidding ? refuse(forbidding, now) : allow;
   }
 
   override decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision {
+    const requestId = trimId(call.requestId);
     const forbidding = this.updateSuspicions(call, now).find(
-      part =>
-        part.isBlamed ||
-        part.isSuspected ||
-        hasCrashedServers(part, call.requestId),
+      ({ trait, sightings, isBlamed, isSuspected }) => {
+        const unblamed = isSuspected ? Suspicion.Suspected : Suspicion.None;
+        const suspicion = isBlamed ? Suspicion.Blamed : unblamed;
+        const crashes = sightings.listLive();
+        return !trait.policy.mayRepeat(suspicion, crashes, requestId);
+      },
     );
-    return forbidding ? refuse(forbidding, now) : { isAllowed: true };
+    return forbidding ? refuse(forbidding, now) : allow;
+  }
+
+  override choosePlacement(
+    call: TracedCall,
+    { candidates, usable, total }: PlacementChoice,
+    now: Milliseconds,
+  ): Placement {
+    const suspect = this.findPlaced(call);
+    if (!suspect) {
+      return { isFree: true };
+    }
+    const service = this.getService(call.service);
+    const isAlive = (run: PlacementChoice['usable'][number]): boolean =>
+      !service.hasCrashed(run, now);
+    const serverId = chooseSuspectServer({
+      suspectId: suspect.trait.id,
+      servers: candidates.filter(isAlive).map(run => run.serverId),
+      living: usable.filter(isAlive).length,
+      total,
+      // A trial may crash its server, however long ago the last crash was.
+      sinceCrashMs: suspect.isBlamed ? 0 : now - suspect.newestAt,
+    });
+    return { isFree: false, serverId };
+  }
+
+  override estimateHold(call: TracedCall, now: Milliseconds): Milliseconds {
+    const newestAt = this.findPlaced(call)?.newestAt ?? -Infinity;
+    return Math.max(0, newestAt + usualRestartMs - now);
   }
 
   override noteBroken(
     call: TracedCall,
-    server: BrokenServer,
+    attempt: BrokenAttempt,
     now: Milliseconds,
   ): void {
     const sighting: Sighting = {
-      crash: `${trimId(server.serverId)}#${String(server.incarnation)}`,
+      crash: formatCrash(attempt),
       requestId: trimId(call.requestId),
       at: now,
+      sentAt: attempt.sentAt ?? now,
       clearedAt: undefined,
       isOwn: true,
     };
     const service = this.getService(call.service);
     service.crashTimes.add(sighting.crash, now);
-    for (const id of listCandidates(call.parts)) {
-      const part = service.add(id, now);
-      if (part.sightings.join(sighting) === SightingChange.Added) {
+    for (const id of listTraitIds(call)) {
+      const suspect = service.add(id, now);
+      if (suspect.sightings.join(sighting) === SightingChange.Added) {
         this.changes += 1;
-        part.send('SIGHTED', now);
+        suspect.send('SIGHTED', now);
       }
     }
     this.updateSuspicions(call, now);
   }
 
-  override noteServed(call: TracedCall, now: Milliseconds): void {
+  override noteServed(
+    call: TracedCall,
+    now: Milliseconds,
+    attempt?: AnsweredAttempt,
+  ): void {
     const service = this.getService(call.service);
     service.servings.add(now);
-    for (const part of service.findAll(call.parts)) {
-      if (part.crashCount > 0) {
-        this.changes += part.isShared ? 1 : 0;
-        part.sightings.clear(now);
-        part.send('SERVED', now);
+    for (const suspect of service.findAll(call)) {
+      if (suspect.crashCount > 0) {
+        this.changes += suspect.isShared ? 1 : 0;
+        suspect.sightings.clear(now);
+        suspect.send('SERVED', now);
       }
     }
+    if (attempt) {
+      this.disproveCrash(service, attempt, now);
+    }
+  }
+
+  override liftVerdict(id: string, now: Milliseconds): boolean {
+    const suspects = this.list().filter(
+      ({ trait, crashCount }) => trait.id === id && crashCount > 0,
+    );
+    for (const suspect of suspects) {
+      this.changes += 1;
+      suspect.sightings.clear(now);
+      suspect.send('LIFTED', now);
+    }
+    return suspects.length > 0;
   }
 
   override listRecords(now: Milliseconds): readonly SuspectRecord[] {
-    return this.listParts().flatMap(part => {
-      part.isShared = true;
-      return listSuspectRecords(part, now);
+    return this.list().flatMap(suspect => {
+      suspect.isShared = true;
+      return listSuspectRecords(suspect, now);
     });
   }
 
@@ -185,8 +259,8 @@
   }
 
   dispose(): void {
-    for (const part of this.listParts()) {
-      part.dispose();
+    for (const suspect of this.list()) {
+      suspect.dispose();
     }
     this.byService.clear();
   }
@@ -198,68 +272,107 @@
     now: Milliseconds,
   ): void {
     const { refusedAgeMs } = record;
+    const { policies } = this.suspectServices;
+    const { policy } = createTrait(record.part, policies);
     const sightings = decodeSightings(record, now).filter(
-      ({ at }) => refusedAgeMs !== undefined || now - at < sightingLifetimeMs,
+      ({ at }) => refusedAgeMs !== undefined || now - at < policy.lifetimeMs,
     );
     if (sightings.length === 0) {
       return;
     }
     const service = this.getService(record.service);
-    const part = service.add(record.part, now);
-    part.isShared = true;
+    const suspect = service.add(record.part, now);
+    suspect.isShared = true;
     const changes = sightings.map(sighting => {
       service.crashTimes.add(sighting.crash, sighting.at);
-      return part.sightings.join(sighting);
+      return suspect.sightings.join(sighting);
     });
     const isCleared = changes.includes(SightingChange.Cleared);
     if (isCleared) {
       answered.add(service);
     }
-    if (part.crashCount === 0) {
-      part.send('SERVED', now);
-    } else if (isCleared && !this.policy.mayHold(part.crashCount)) {
-      part.send('ACQUITTED', now);
+    if (suspect.crashCount === 0) {
+      suspect.send('SERVED', now);
+    } else if (isCleared && !policy.mayHold(suspect.crashCount)) {
+      suspect.send('ACQUITTED', now);
     }
     if (changes.includes(SightingChange.Added)) {
-      part.send('SIGHTED', now);
+      suspect.send('SIGHTED', now);
     }
-    if (refusedAgeMs !== undefined && this.policy.mayHold(part.crashCount)) {
-      part.refuseSince(now - refusedAgeMs, now);
+    if (refusedAgeMs !== undefined && policy.mayHold(suspect.crashCount)) {
+      suspect.refuseSince(now - refusedAgeMs, now);
+    }
+  }
+
+  /** Clears a supposed crash: the server, in the same run, answered what it was sent before. An answer that was on its way when it crashed comes at once. */
+  private disproveCrash(
+    service: ServiceSuspects,
+    attempt: AnsweredAttempt,
+    now: Milliseconds,
+  ): void {
+    const crash = formatCrash(attempt);
+    const crashedAt = service.crashTimes.find(crash);
+    if (
+      crashedAt === undefined ||
+      attempt.sentAt >= crashedAt ||
+      now - crashedAt < disproofDelayMs
+    ) {
+      return;
+    }
+    service.crashTimes.remove(crash);
+    for (const suspect of service.list()) {
+      if (suspect.sightings.clearCrash(crash, now)) {
+        this.changes += suspect.isShared ? 1 : 0;
+        this.notePartlyCleared(suspect, now);
+      }
+    }
+  }
+
+  private notePartlyCleared(suspect: Suspect, now: Milliseconds): void {
+    const { crashCount, trait } = suspect;
+    if (crashCount === 0) {
+      suspect.send('SERVED', now);
+    } else if (!trait.policy.mayHold(crashCount)) {
+      suspect.send('ACQUITTED', now);
     }
   }
 
-  /** Judges all tracked parts of a call by the same evidence, and returns them. */
+  /** Judges all suspects of a call by the same evidence, and returns them. */
   private updateSuspicions(call: TracedCall, now: Milliseconds): Suspect[] {
     const service = this.getService(call.service);
-    const parts = service.findAll(call.parts);
-    const judged = parts
+    const suspects = service.findAll(call);
+    const judged = suspects
       .filter(({ isBlamed }) => !isBlamed)
-      .map(part => ({
-        part,
-        suspicion: service.decideSuspicion(part, this.policy, now),
+      .map(suspect => ({
+        suspect,
+        suspicion: service.decideSuspicion(suspect, now),
       }));
-    for (const { part, suspicion } of judged) {
+    for (const { suspect, suspicion } of judged) {
       if (suspicion === Suspicion.Blamed) {
         this.changes += 1;
-        part.refuseSince(now, now);
+        suspect.refuseSince(now, now);
       } else {
         const isSuspected = suspicion === Suspicion.Suspected;
-        part.send(isSuspected ? 'SUSPECTED' : 'EASED', now);
+        suspect.send(isSuspected ? 'SUSPECTED' : 'EASED', now);
       }
     }
-    return parts;
+    return suspects;
+  }
+
+  private findAll(call: TracedCall): Suspect[] {
+    return this.byService.get(call.service)?.findAll(call) ?? [];
+  }
+
+  private findPlaced(call: TracedCall): Suspect | undefined {
+    return this.findAll(call).find(({ isPlaced }) => isPlaced);
   }
 
   private getService(name: string): ServiceSuspects {
     const known = this.byService.get(name);
-    const service = known ?? new ServiceSuspects(this.partServices, name);
+    const service = known ?? new ServiceSuspects(this.suspectServices, name);
     this.byService.set(name, service);
     return service;
   }
-
-  private listParts(): Suspect[] {
-    return [...this.byService.values()].flatMap(service => service.list());
-  }
 }
 
 /** Creates the tracker of one gateway. */
@@ -267,34 +380,23 @@
   options: SuspectTrackerOptions,
 ): CrashSuspectTracker => new CrashSuspectTracker(options);
 
-const maySend = (part: Suspect, now: Milliseconds): boolean => {
-  if (part.isBlamed) {
-    return part.isTrialDue;
-  }
-  return !part.isSuspected || now - part.lastSentAt >= suspectIntervalMs;
-};
+const allow: SuspectDecision = { isAllowed: true, isTrial: false };
 
-/** Whether one call crashed several servers; it must not go on from server to server. */
-const hasCrashedServers = (part: Suspect, requestId: string): boolean => {
-  const id = trimId(requestId);
-  const own = part.sightings
-    .listLive()
-    .filter(sighting => sighting.requestId === id);
-  return own.length >= maxCrashesPerCall;
+const maySend = (suspect: Suspect, now: Milliseconds): boolean => {
+  if (suspect.isBlamed) {
+    return suspect.isTrialDue;
+  }
+  const { sendIntervalMs } = suspect.trait.policy;
+  return !suspect.isSuspected || now - suspect.lastSentAt >= sendIntervalMs;
 };
 
-/** Servers after whose crashes a call is not repeated. */
-const maxCrashesPerCall = 2;
-
-const refuse = (part: Suspect, now: Milliseconds): SuspectDecision => ({
+const refuse = (suspect: Suspect, now: Milliseconds): SuspectDecision => ({
   isAllowed: false,
-  part: part.part,
-  retryAfterMs: part.isBlamed
+  trait: suspect.trait,
+  retryAfterMs: suspect.isBlamed
     ? Math.min(
         maxSuspectRetryAfterMs,
-        Math.max(suspectIntervalMs, part.computeRefusal(now)),
+        Math.max(minSuspectRetryAfterMs, suspect.computeRefusal(now)),
       )
-    : suspectIntervalMs,
+    : minSuspectRetryAfterMs,
 });
-
-const trimId = (id: string): string => id.slice(0, maxTrackedIdLength);
--- a/packages/gateway/src/suspects/recordDigests.ts
+++ b/packages/gateway/src/suspects/recordDigests.ts
@@ -1,4 +1,4 @@
-/** Digests that tell which records of prompt parts changed; ages, which always do, are left out. */
+/** Digests that tell which records of suspects changed; ages, which always do, are left out. */
 import { hashText } from '@lycheetally/common';
 import type { SuspectRecord } from './suspectTracker.js';
 
@@ -56,6 +56,6 @@
   hashText(describeRecord(record)),
 ];
 
-/** A part may have one record of crashes before an answer, and one of later crashes. */
+/** A suspect may have one record of crashes before an answer, and one of later crashes. */
 const formatKey = ({ service, part, servedAgeMs }: SuspectRecord): string =>
   [service, part, String(servedAgeMs !== undefined)].join(separator);
--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -1,11 +1,12 @@
-/** The tracked parts of one service's prompts, within a limit, and when it wrote answers. */
+/** The suspects of one service, within limits, and when it wrote answers and its servers crashed. */
 import {
   CrashTimes,
   ServingTimes,
   Suspicion,
   isExplained,
   crashMomentMs,
-  type BlamePolicy,
+  maxRestartMs,
+  sightingLifetimeMs,
   type SuspectCrash,
   type Sighting,
 } from '@lycheetally/decisions';
@@ -14,73 +15,90 @@
   maxKnownCrashes,
   maxPartsPerCall,
   maxTrackedIdLength,
-  maxTrackedSuspects,
   servingResolutionMs,
-  sightingLifetimeMs,
 } from '../constants.js';
+import { parseOutline } from './callIdentity.js';
+import { createTrait } from './callTrait.js';
 import { Suspect, type SuspectServices } from './suspect.js';
+import type { ServerRun, TracedCall } from './suspectTracker.js';
+
+/** Share of the suspects of one kind that is dropped to make room. */
+const droppedShare = 1 / 8;
 
 export class ServiceSuspects {
   /** When answers were written, here or elsewhere. */
   readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
-  /** All crashes that are known, with whatever part. */
+  /** All crashes that are known, with whatever suspect. */
   readonly crashTimes = new CrashTimes(maxKnownCrashes);
-  private readonly parts = new Map<string, Suspect>();
+  private readonly suspects = new Map<string, Suspect>();
+  /** How many suspects have each outline of a whole call. */
+  private readonly outlines = new Map<string, number>();
 
   constructor(
     private readonly services: SuspectServices,
     readonly service: string,
   ) {}
 
-  get size(): number {
-    return this.parts.size;
+  list(): Suspect[] {
+    return [...this.suspects.values()];
   }
 
-  list(): Suspect[] {
-    return [...this.parts.values()];
+  find(id: string): Suspect | undefined {
+    return this.suspects.get(id);
   }
 
-  /** Finds the tracked ones of a call's parts. */
-  findAll(parts: readonly string[]): Suspect[] {
-    if (this.parts.size === 0) {
+  /** Finds the suspects that a call has; computes its digest only if a call like it is tracked. */
+  findAll(call: TracedCall): Suspect[] {
+    if (this.suspects.size === 0) {
       return [];
     }
-    return listCandidates(parts).flatMap(part => this.parts.get(part) ?? []);
+    const { parts, identity } = call;
+    const isLikely =
+      this.outlines.size > 0 && this.outlines.has(identity?.outline ?? '');
+    const ids = isLikely ? listTraitIds(call) : listPartIds(parts);
+    return ids.flatMap(id => this.suspects.get(id) ?? []);
   }
 
-  remove(part: Suspect): void {
-    this.parts.delete(part.part);
-    part.dispose();
+  remove(suspect: Suspect): void {
+    if (this.suspects.delete(suspect.trait.id)) {
+      this.countOutline(suspect, -1);
+    }
+    suspect.dispose();
   }
 
-  /** Judges a part by the crashes that no other part explains better. */
-  decideSuspicion(
-    part: Suspect,
-    policy: BlamePolicy,
-    now: Milliseconds,
-  ): Suspicion {
-    part.sightings.removeBefore(now - sightingLifetimeMs);
-    const crashes = this.listCrashes(part);
+  /** Judges a suspect by the crashes that no other one explains better. */
+  decideSuspicion(suspect: Suspect, now: Milliseconds): Suspicion {
+    const { policy } = suspect.trait;
+    suspect.sightings.removeBefore(now - policy.lifetimeMs);
+    const crashes = this.listCrashes(suspect);
     if (policy.decideSuspicion(crashes, now) === Suspicion.None) {
       return Suspicion.None;
     }
     const unexplained = crashes.filter(
-      crash => !isExplained(part, this.listPresent(crash)),
+      crash => !isExplained(suspect, this.listRivals(suspect, crash)),
     );
     return policy.decideSuspicion(unexplained, now);
   }
 
-  /** Returns the part, tracked from now on. */
+  /** Returns the suspect, tracked from now on. */
   add(id: string, now: Milliseconds): Suspect {
-    const known = this.parts.get(id);
+    const known = this.suspects.get(id);
     if (known) {
       return known;
     }
-    this.trim();
     const { services, service } = this;
-    const part = new Suspect(services, service, id, now);
-    this.parts.set(id, part);
-    return part;
+    const trait = createTrait(id, services.policies);
+    const suspect = new Suspect(services, service, trait, now);
+    this.makeRoom(suspect);
+    this.suspects.set(id, suspect);
+    this.countOutline(suspect, 1);
+    return suspect;
+  }
+
+  /** Whether this run of the server has crashed, and the next one may not have begun. */
+  hasCrashed(run: ServerRun, now: Milliseconds): boolean {
+    const crashedAt = this.crashTimes.find(formatCrash(run));
+    return crashedAt !== undefined && now - crashedAt < maxRestartMs;
   }
 
   private listCrashes({ sightings }: Suspect): (SuspectCrash & Sighting)[] {
@@ -95,35 +113,68 @@
         ...sighting,
         servedAfterMs: this.servings.computePause(at),
         presence: present.length / Math.max(known, present.length),
+        serviceCrashes: this.crashTimes.countSince(at),
       };
     });
   }
 
-  private listPresent({ crash }: Sighting): Suspect[] {
-    return this.list().filter(({ sightings }) => sightings.has(crash));
+  /** Suspects that were present at a crash, too; one of the other kind counts only once it is blamed, since a call and its parts are present together. */
+  private listRivals({ trait }: Suspect, { crash }: Sighting): Suspect[] {
+    return this.list().filter(
+      other =>
+        other.sightings.has(crash) &&
+        (other.trait.kind === trait.kind || other.isBlamed),
+    );
   }
 
-  /** Makes room: drops an eighth of the parts, those with the fewest and oldest crashes, refused ones last. */
-  private trim(): void {
-    if (this.parts.size < maxTrackedSuspects) {
+  /** Drops some suspects of the same kind if there are too many, those with the fewest and oldest crashes, refused ones last. */
+  private makeRoom({ trait }: Suspect): void {
+    const { kind, maxTracked } = trait;
+    const alike = this.list().filter(other => other.trait.kind === kind);
+    if (alike.length < maxTracked) {
       return;
     }
-    const least = this.list()
+    const least = alike
       .sort(compareWeight)
-      .slice(0, maxTrackedSuspects / 8);
-    for (const part of least) {
-      this.remove(part);
+      .slice(0, Math.ceil(maxTracked * droppedShare));
+    for (const suspect of least) {
+      this.remove(suspect);
+    }
+  }
+
+  private countOutline({ trait }: Suspect, change: number): void {
+    const outline = parseOutline(trait.id);
+    if (outline === undefined) {
+      return;
+    }
+    const count = (this.outlines.get(outline) ?? 0) + change;
+    if (count > 0) {
+      this.outlines.set(outline, count);
+    } else {
+      this.outlines.delete(outline);
     }
   }
 }
 
+/** Names a crash: a run of a server ends with it. */
+export const formatCrash = ({ serverId, incarnation }: ServerRun): string =>
+  `${trimId(serverId)}#${String(incarnation)}`;
+
+export const trimId = (id: string): string => id.slice(0, maxTrackedIdLength);
+
+/** The ids of all that a crash may be held against. */
+export const listTraitIds = ({ parts, identity }: TracedCall): string[] => [
+  ...listPartIds(parts),
+  ...(identity ? [identity.id] : []),
+];
+
 const compareWeight = (a: Suspect, b: Suspect): number =>
   Number(a.isBlamed) - Number(b.isBlamed) ||
   a.crashCount - b.crashCount ||
   a.newestAt - b.newestAt;
 
-/** The parts of a call that are considered. */
-export const listCandidates = (parts: readonly string[]): string[] => [
+/** The parts of a prompt that are considered. */
+const listPartIds = (parts: readonly string[]): string[] => [
   ...new Set(
     parts
       .slice(0, maxPartsPerCall)
--- a/packages/gateway/src/suspects/suspect.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -1,4 +1,4 @@
-/** What a gateway believes about one part of prompts; context of the chart `suspect`. */
+/** What a gateway believes about one trait of calls; context of the chart `suspect`. */
 import {
   ChartName,
   bindChart,
@@ -15,19 +15,19 @@
 import {
   SightingSet,
   countMoments,
+  countSteps,
+  crashMomentMs,
+  firstTrialMs,
+  trialIntervalMs,
   type SuspectStanding,
 } from '@lycheetally/decisions';
 import {
   clearedLifetimeMs,
-  firstTrialMs,
   maxSightingsPerSuspect,
-  maxTrialIntervalMs,
-  sightingLifetimeMs,
-  suspectIntervalMs,
-  trialIntervalMs,
   trialTimeoutMs,
   trialWaitMs,
 } from '../constants.js';
+import type { CallTrait, TraitMessages, TraitPolicies } from './callTrait.js';
 import type { SuspectLog } from './suspectLog.js';
 
 export interface SuspectEvent {
@@ -38,18 +38,20 @@
     | 'BLAMED'
     | 'TRIED'
     | 'ACQUITTED'
-    | 'SERVED';
+    | 'SERVED'
+    | 'LIFTED';
 }
 
 export type SuspectMachine = ChartMachine<Suspect, SuspectEvent>;
 
-/** Services that tracked parts use. */
+/** Services that suspects use. */
 export interface SuspectServices {
   readonly machine: SuspectMachine;
   readonly timers: ChartTimers;
   readonly log: SuspectLog;
+  readonly policies: TraitPolicies;
   readonly gatewayId: string;
-  handleForgotten(part: Suspect): void;
+  handleForgotten(suspect: Suspect): void;
 }
 
 /** Names the states of the chart in which no call is sent. */
@@ -59,18 +61,18 @@
 
 export class Suspect implements Disposable, SuspectStanding {
   readonly sightings = new SightingSet(maxSightingsPerSuspect);
-  /** Whether another gateway may have a record of the part. */
+  /** Whether another gateway may have a record of it. */
   isShared = false;
-  /** When calls with the part began to be refused. */
+  /** When calls with the trait began to be refused. */
   refusedAt: Milliseconds | undefined;
-  /** When a call with the part was last sent although it was suspected. */
+  /** When a call with the trait was last sent although it was suspected. */
   lastSentAt: Milliseconds = -Infinity;
   private readonly chart: ChartInstance<Suspect, SuspectEvent>;
 
   constructor(
     private readonly services: SuspectServices,
     readonly service: string,
-    readonly part: string,
+    readonly trait: CallTrait,
     now: Milliseconds,
   ) {
     this.chart = services.machine.createInstance(this, services.timers);
@@ -81,6 +83,10 @@
     return this.sightings.listLive().length;
   }
 
+  get state(): string {
+    return this.chart.state;
+  }
+
   get isBlamed(): boolean {
     return refusingStates.includes(this.chart.state);
   }
@@ -89,12 +95,17 @@
     return this.chart.matches('suspected');
   }
 
-  /** Whether one call may be sent to find out if the part still crashes servers. */
+  /** Whether one call may be sent to find out if the trait still crashes servers. */
   get isTrialDue(): boolean {
     return this.chart.matches('due');
   }
 
-  /** Time of the newest crash; parts with older ones are forgotten first. */
+  /** Whether all gateways send calls with the trait to the same server. */
+  get isPlaced(): boolean {
+    return this.trait.policy.isPlaced && (this.isSuspected || this.isBlamed);
+  }
+
+  /** Time of the newest crash; suspects with older ones are forgotten first. */
   get newestAt(): Milliseconds {
     return this.sightings.listLive().at(-1)?.at ?? -Infinity;
   }
@@ -108,20 +119,11 @@
     this.send('BLAMED', now);
   }
 
-  /** Time until the next trial, which the gateway that owns the evidence makes; others follow only if it does not. */
+  /** Time until the next trial, which the gateway that owns the evidence makes; others follow only if it does not. `Infinity` if there is none. */
   computeRefusal(now: Milliseconds): Milliseconds {
     const { sightings, refusedAt = now } = this;
-    const crashes = sightings.listLive();
-    const failedTrials = countMoments(
-      crashes.filter(({ at }) => at >= refusedAt + firstTrialMs / 2),
-      firstTrialMs / 2,
-    );
-    const lastAt = Math.max(
-      refusedAt,
-      crashes.at(-1)?.at ?? refusedAt,
-      this.lastSentAt,
-    );
-    const ownMs = computeTrialInterval(failedTrials);
+    const lastAt = Math.max(refusedAt, this.newestAt, this.lastSentAt);
+    const ownMs = this.computeTrialInterval(now);
     const intervalMs = sightings.isOwner()
       ? ownMs
       : Math.max(ownMs, trialIntervalMs) * (2 + this.computeOffset());
@@ -134,61 +136,92 @@
 
   readonly chartActions = {
     noteSuspected: (now: Milliseconds): void => {
-      this.recordChange('A part of prompts is suspected.', now);
+      this.recordChange('suspected', now);
     },
     noteBlamed: (now: Milliseconds): void => {
-      this.recordChange('Calls with a part of prompts are refused.', now);
+      this.recordChange('refused', now);
     },
     noteTrial: (now: Milliseconds): void => {
       this.lastSentAt = now;
-      this.recordChange('A call tries a refused part of prompts.', now);
+      this.recordChange('tried', now);
     },
     noteTrialFailed: (now: Milliseconds): void => {
-      this.recordChange(
-        'A refused part of prompts crashed a server again.',
-        now,
-      );
+      this.recordChange('trialFailed', now);
     },
     noteAcquitted: (now: Milliseconds): void => {
       this.refusedAt = undefined;
-      this.recordChange(
-        'Calls with a part of prompts are sent again, as most crashes were before an answer.',
-        now,
-      );
+      this.recordChange('acquitted', now);
     },
     noteServed: (now: Milliseconds): void => {
-      this.refusedAt = undefined;
-      this.lastSentAt = -Infinity;
-      if (this.isSuspected || this.isBlamed) {
-        this.recordChange(
-          'A part of prompts is cleared, since an answer was written.',
-          now,
-        );
-      }
+      this.noteCleared('cleared', now);
+    },
+    noteLifted: (now: Milliseconds): void => {
+      this.noteCleared('lifted', now);
     },
     forget: (): void => {
       this.services.handleForgotten(this);
     },
+    mayTry: (now: Milliseconds): boolean =>
+      Number.isFinite(this.computeTrialInterval(now)),
+    /** Time until the next trial, or until the verdict is forgotten if there is none. */
+    computeRefusalDelay: (now: Milliseconds): Milliseconds =>
+      Math.min(
+        this.computeRefusal(now),
+        Math.max(0, this.computeVerdictLifetime(now)),
+      ),
+    computeTrialWait: (): Milliseconds =>
+      Math.max(trialWaitMs, this.trait.policy.lifetimeMs),
   };
 
+  private computeTrialInterval(now: Milliseconds): Milliseconds {
+    const { sightings, refusedAt = now } = this;
+    const failedTrials = countMoments(
+      sightings
+        .listLive()
+        .filter(({ at }) => at >= refusedAt + firstTrialMs / 2),
+      firstTrialMs / 2,
+    );
+    return this.trait.policy.computeTrialInterval(failedTrials);
+  }
+
+  /** Time for which a verdict without further trials holds. */
+  private computeVerdictLifetime(now: Milliseconds): Milliseconds {
+    return this.chartActions.mayTry(now)
+      ? Infinity
+      : (this.refusedAt ?? now) + this.trait.policy.lifetimeMs - now;
+  }
+
+  private noteCleared(reason: 'cleared' | 'lifted', now: Milliseconds): void {
+    this.refusedAt = undefined;
+    this.lastSentAt = -Infinity;
+    if (this.isSuspected || this.isBlamed) {
+      this.recordChange(reason, now);
+    }
+  }
+
   /** Spreads the trials of the gateways over time, from 0 to 1. */
   private computeOffset(): number {
-    return hashText(`${this.services.gatewayId}\u0000${this.part}`) / maxHash;
+    const { services, trait } = this;
+    return hashText(`${services.gatewayId}\u0000${trait.id}`) / maxHash;
   }
 
-  private recordChange(message: string, now: Milliseconds): void {
-    const crashes = this.sightings.listLive();
-    const newest = crashes.at(-1);
+  private recordChange(change: keyof TraitMessages, now: Milliseconds): void {
+    const { service, trait, sightings, services } = this;
+    const crashes = sightings.listLive();
     const requests = new Set(crashes.map(({ requestId }) => requestId));
-    this.services.log.write(
-      message,
+    const own = crashes.filter(({ isOwn }) => isOwn);
+    services.log.write(
+      trait.messages[change],
       {
-        service: this.service,
-        part: this.part,
+        service,
+        suspect: trait.id,
+        kind: trait.kind,
         crashes: crashes.length,
-        moments: countMoments(crashes, suspectIntervalMs),
-        requests: [...requests].slice(-maxLoggedRequests).join(' '),
-        lastCrash: newest?.crash ?? '',
+        moments: countMoments(crashes, crashMomentMs),
+        steps: countSteps(crashes),
+        requests: [...requests].slice(-maxLoggedCrashes).join(' '),
+        servers: formatCrashes(crashes),
+        seenHere: formatCrashes(own),
         sinceFirstMs: Math.round(now - (crashes[0]?.at ?? now)),
       },
       now,
@@ -196,45 +229,53 @@
   }
 }
 
-const maxLoggedRequests = 5;
+const maxLoggedCrashes = 5;
 
-const computeTrialInterval = (failedTrials: number): Milliseconds =>
-  failedTrials === 0
-    ? firstTrialMs
-    : Math.min(maxTrialIntervalMs, trialIntervalMs * 2 ** (failedTrials - 1));
+/** Formats the newest crashes, each as the server and its incarnation. */
+const formatCrashes = (crashes: readonly { crash: string }[]): string =>
+  crashes
+    .slice(-maxLoggedCrashes)
+    .map(({ crash }) => crash)
+    .join(' ');
 
 /** Binds the chart `suspect`. Fails with `BadChart`. */
 export const bindSuspectChart = (): Result<SuspectMachine> =>
   bindChart<Suspect, SuspectEvent>(ChartName.Suspect, {
     actions: {
-      noteSuspected: (part, _, now) => {
-        part.chartActions.noteSuspected(now);
+      noteSuspected: (suspect, _, now) => {
+        suspect.chartActions.noteSuspected(now);
+      },
+      noteBlamed: (suspect, _, now) => {
+        suspect.chartActions.noteBlamed(now);
       },
-      noteBlamed: (part, _, now) => {
-        part.chartActions.noteBlamed(now);
+      noteTrial: (suspect, _, now) => {
+        suspect.chartActions.noteTrial(now);
       },
-      noteTrial: (part, _, now) => {
-        part.chartActions.noteTrial(now);
+      noteTrialFailed: (suspect, _, now) => {
+        suspect.chartActions.noteTrialFailed(now);
       },
-      noteTrialFailed: (part, _, now) => {
-        part.chartActions.noteTrialFailed(now);
+      noteAcquitted: (suspect, _, now) => {
+        suspect.chartActions.noteAcquitted(now);
       },
-      noteAcquitted: (part, _, now) => {
-        part.chartActions.noteAcquitted(now);
+      noteServed: (suspect, _, now) => {
+        suspect.chartActions.noteServed(now);
       },
-      noteServed: (part, _, now) => {
-        part.chartActions.noteServed(now);
+      noteLifted: (suspect, _, now) => {
+        suspect.chartActions.noteLifted(now);
       },
-      forget: part => {
-        part.chartActions.forget();
+      forget: suspect => {
+        suspect.chartActions.forget();
       },
     },
-    guards: { isShared: part => part.isShared },
+    guards: {
+      isShared: suspect => suspect.isShared,
+      mayTry: (suspect, _, now) => suspect.chartActions.mayTry(now),
+    },
     delays: {
-      SIGHTING_LIFETIME: () => sightingLifetimeMs,
+      SIGHTING_LIFETIME: suspect => suspect.trait.policy.lifetimeMs,
       CLEARED_LIFETIME: () => clearedLifetimeMs,
-      REFUSAL: (part, now) => part.computeRefusal(now),
+      REFUSAL: (suspect, now) => suspect.chartActions.computeRefusalDelay(now),
       TRIAL_TIMEOUT: () => trialTimeoutMs,
-      TRIAL_WAIT: () => trialWaitMs,
+      TRIAL_WAIT: suspect => suspect.chartActions.computeTrialWait(),
     },
   });
--- a/packages/gateway/src/suspects/suspectCalls.ts
+++ b/packages/gateway/src/suspects/suspectCalls.ts
@@ -1,7 +1,7 @@
-/** Asks the tracker of prompt parts about calls, and words its refusals. */
-import { ErrorKind, type Milliseconds } from '@lycheetally/common';
+/** Asks the tracker of suspects about calls, and turns its refusals into faults. */
+import type { Milliseconds } from '@lycheetally/common';
 import type { CallFault, GatewayCall } from '../gatewayCall.js';
-import type { TracedCall } from './suspectTracker.js';
+import type { SuspectDecision, TracedCall } from './suspectTracker.js';
 
 /** Events after which a server is certain to write an answer. */
 const minEventsUnderWay = 2;
@@ -13,64 +13,105 @@
   requestId: call.requestId,
   service: call.admitted?.service.name ?? '',
   parts: call.received.fields.promptParts,
+  identity: call.identity,
 });
 
-/** Asks once for each call whether it may be sent; returns the fault if a part of its prompt forbids it. */
+/** Asks once for each call whether it may be sent; returns the fault if one of its traits forbids it. */
 export const decideFirstAttempt = (
   call: GatewayCall,
   now: Milliseconds,
 ): CallFault | undefined => {
-  const prompt = toTracedCall(call);
-  if (prompt.parts.length === 0) {
-    return undefined;
-  }
-  const { suspects, metrics } = call.services;
-  const decision = suspects.decideFirstAttempt(prompt, now);
-  if (decision.isAllowed) {
-    return undefined;
-  }
-  metrics.countSuspectRefusal(prompt.service, 'admission');
-  return createPromptFault(
-    `backend servers crash when they begin to answer a prompt with the part ${decision.part}; send the call without it`,
-    decision.retryAfterMs,
+  const decision = call.services.suspects.decideFirstAttempt(
+    toTracedCall(call),
+    now,
   );
+  call.isTrial = decision.isAllowed && decision.isTrial;
+  if (!decision.isAllowed) {
+    countRefusal(call, decision, 'admission');
+  }
+  return createFault(decision, refusalStatus);
 };
 
-/** Returns the fault if a part of its prompt forbids to send a broken call once more; nothing forbids to resume an answer that was under way. */
-export const findRepeatFault = (
+/** Returns the fault if a call must not be sent, or not once more: it crashes servers, or may. */
+export const findSuspectFault = (
+  call: GatewayCall,
+  now: Milliseconds,
+): CallFault | undefined =>
+  call.runs > 0 ? findRepeatFault(call, now) : findVerdictFault(call, now);
+
+/** Counts a call that is not sent, or not once more, after it was admitted. */
+export const noteSuspectRefusal = (
+  call: GatewayCall,
+  now: Milliseconds,
+): void => {
+  const decision = decideAttempt(call, now);
+  countRefusal(call, decision, call.runs > 0 ? 'repeat' : 'admission');
+};
+
+/** Nothing forbids to resume an answer that was under way. */
+const findRepeatFault = (
+  call: GatewayCall,
+  now: Milliseconds,
+): CallFault | undefined =>
+  isAnswerUnderWay(call.eventsReceived)
+    ? undefined
+    : createFault(decideAttempt(call, now), failureStatus);
+
+/** A call that waits for a server may meet a verdict that came after its admission. */
+const findVerdictFault = (
+  call: GatewayCall,
+  now: Milliseconds,
+): CallFault | undefined =>
+  call.isTrial
+    ? undefined
+    : createFault(decideAttempt(call, now), refusalStatus);
+
+const decideAttempt = (
   call: GatewayCall,
   now: Milliseconds,
+): SuspectDecision => {
+  const { suspects } = call.services;
+  const traced = toTracedCall(call);
+  return call.runs > 0
+    ? suspects.decideRepeat(traced, now)
+    : suspects.decideDelayedAttempt(traced, now);
+};
+
+/** Status of a call that did not run. */
+const refusalStatus = 503;
+
+/** Status of a call that ran, or may have. */
+const failureStatus = 502;
+
+const createFault = (
+  decision: SuspectDecision,
+  status: typeof refusalStatus | typeof failureStatus,
 ): CallFault | undefined => {
-  const prompt = toTracedCall(call);
-  const isSuspect =
-    call.runs > 0 &&
-    prompt.parts.length > 0 &&
-    !isAnswerUnderWay(call.eventsReceived);
-  if (!isSuspect) {
+  if (decision.isAllowed) {
     return undefined;
   }
-  const decision = call.services.suspects.decideRepeat(prompt, now);
-  return decision.isAllowed
-    ? undefined
-    : createPromptFault(
-        `the server crashed when it began to answer, and the part ${decision.part} of the prompt may be the cause; the call was not sent to another server, send it without the part`,
-        decision.retryAfterMs,
-      );
+  const { trait, retryAfterMs } = decision;
+  return status === refusalStatus
+    ? {
+        status,
+        kind: trait.errorKind,
+        message: trait.describeRefusal(),
+        retryAfterMs,
+      }
+    : {
+        status,
+        kind: trait.errorKind,
+        message: trait.describeRefusedRepeat(),
+      };
 };
 
-export const noteRefusedRepeat = ({
-  services,
-  admitted,
-}: GatewayCall): void => {
-  services.metrics.countSuspectRefusal(admitted?.service.name ?? '', 'repeat');
+const countRefusal = (
+  { services, admitted }: GatewayCall,
+  decision: SuspectDecision,
+  at: 'admission' | 'repeat',
+): void => {
+  if (!decision.isAllowed) {
+    const service = admitted?.service.name ?? '';
+    services.metrics.countSuspectRefusal(service, at, decision.trait.kind);
+  }
 };
-
-const createPromptFault = (
-  message: string,
-  retryAfterMs: Milliseconds,
-): CallFault => ({
-  status: 503,
-  kind: ErrorKind.PromptPartRefused,
-  message,
-  retryAfterMs,
-});
--- a/packages/gateway/src/suspects/suspectClient.ts
+++ b/packages/gateway/src/suspects/suspectClient.ts
@@ -1,4 +1,4 @@
-/** HTTP client that sends records of prompt parts to other gateways, a bounded number of messages at once. */
+/** HTTP client that sends records of suspects to other gateways, a bounded number of messages at once. */
 import { Agent } from 'node:http';
 import PQueue from 'p-queue';
 import {
@@ -61,6 +61,6 @@
 const createAnswerError = (address: Address): TypedError =>
   new TypedError(
     ErrorKind.BadMessage,
-    `the gateway at ${formatAddress(address)} did not answer a message about prompt parts`,
+    `the gateway at ${formatAddress(address)} did not answer a message about suspects`,
     'check that it runs a version that knows these messages',
   );
--- a/packages/gateway/src/suspects/suspectExchange.ts
+++ b/packages/gateway/src/suspects/suspectExchange.ts
@@ -1,5 +1,5 @@
 /**
- * Exchanges records of prompt parts with the gateways of all failure domains.
+ * Exchanges records of suspects with the gateways of all failure domains.
  *
  * Changes are sent to all of them at once. Messages get lost, and gateways start
  * without records, so each gateway also compares its records with those of a few
--- a/packages/gateway/src/suspects/suspectMessage.ts
+++ b/packages/gateway/src/suspects/suspectMessage.ts
@@ -1,4 +1,4 @@
-/** The messages in which gateways exchange records of prompt parts: HTTP POST with JSON bodies. */
+/** The messages in which gateways exchange records of suspects: HTTP POST with JSON bodies. */
 import { z } from 'zod';
 import type { SuspectRecord } from './suspectTracker.js';
 
@@ -25,7 +25,12 @@
   part: nameSchema,
   sightings: z
     .array(
-      z.object({ crash: nameSchema, requestId: nameSchema, ageMs: ageSchema }),
+      z.object({
+        crash: nameSchema,
+        requestId: nameSchema,
+        ageMs: ageSchema,
+        sentAgeMs: ageSchema.optional(),
+      }),
     )
     .max(maxSightings),
   servedAgeMs: ageSchema.optional(),
@@ -67,12 +72,13 @@
 export const parseSuspectAnswer = (body: unknown): SuspectAnswer | undefined =>
   answerSchema.safeParse(body).data;
 
-/** Keeps the records within the limits of a message. */
+/** Keeps the records within the limits of a message; bystanders of few crashes give way to refused suspects. */
 export const trimRecords = (
   records: readonly SuspectRecord[],
 ): readonly SuspectRecord[] =>
   records
     .filter(({ service, part }) => isName(service) && isName(part))
+    .sort(compareWeight)
     .slice(0, maxRecords)
     .map(record => ({
       ...record,
@@ -81,5 +87,13 @@
         .slice(0, maxSightings),
     }));
 
+const compareWeight = (a: SuspectRecord, b: SuspectRecord): number =>
+  Number(b.refusedAgeMs !== undefined) - Number(a.refusedAgeMs !== undefined) ||
+  b.sightings.length - a.sightings.length ||
+  computeNewestAge(a) - computeNewestAge(b);
+
+const computeNewestAge = ({ sightings }: SuspectRecord): number =>
+  Math.min(...sightings.map(({ ageMs }) => ageMs));
+
 const isName = (text: string): boolean =>
   text.length > 0 && text.length <= maxNameLength;
--- a/packages/gateway/src/suspects/suspectPeer.ts
+++ b/packages/gateway/src/suspects/suspectPeer.ts
@@ -1,4 +1,4 @@
-/** Another gateway that gets records of prompt parts; context of the chart `suspectPeer`. */
+/** Another gateway that gets records of suspects; context of the chart `suspectPeer`. */
 import {
   ChartName,
   bindChart,
@@ -62,7 +62,7 @@
   }
 }
 
-/** Binds the chart `partPeer`. Fails with `BadChart`. */
+/** Binds the chart `suspectPeer`. Fails with `BadChart`. */
 export const bindSuspectPeerChart = (): Result<SuspectPeerMachine> =>
   bindChart<SuspectPeer, PeerEvent>(ChartName.SuspectPeer, {
     actions: {
--- a/packages/gateway/src/suspects/suspectPeers.ts
+++ b/packages/gateway/src/suspects/suspectPeers.ts
@@ -1,4 +1,4 @@
-/** The other gateways to which records of prompt parts are sent. */
+/** The other gateways to which records of suspects are sent. */
 import type { ChartTimers } from '@lycheetally/charts';
 import {
   formatAddress,
--- a/packages/gateway/src/suspects/suspectReceiver.ts
+++ b/packages/gateway/src/suspects/suspectReceiver.ts
@@ -1,4 +1,4 @@
-/** Reads messages about prompt parts that other gateways send; malformed ones are refused and logged now and then. */
+/** Reads messages about suspects that other gateways send; malformed ones are refused and logged now and then. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   toMessage,
@@ -35,7 +35,7 @@
         if (message) {
           this.answer(message, response);
         } else {
-          this.refuse('it is not a message about prompt parts', response);
+          this.refuse('it is not a message about suspects', response);
         }
       },
       (thrown: unknown) => {
--- a/packages/gateway/src/suspects/suspectRecords.ts
+++ b/packages/gateway/src/suspects/suspectRecords.ts
@@ -1,5 +1,5 @@
 /**
- * Converts a tracked part to the records that gateways exchange, and back.
+ * Converts a suspect to the records that gateways exchange, and back.
  *
  * Crashes before an answer are listed in a record of their own, with the time
  * since the answer; ages are comparable only within one record.
@@ -11,9 +11,10 @@
 import type { CrashSighting, SuspectRecord } from './suspectTracker.js';
 
 export const listSuspectRecords = (
-  { service, part, sightings, isBlamed, refusedAt }: Suspect,
+  { service, trait, sightings, isBlamed, refusedAt }: Suspect,
   now: Milliseconds,
 ): SuspectRecord[] => {
+  const { id: part } = trait;
   const cleared = sightings
     .listAll()
     .filter(({ clearedAt }) => clearedAt !== undefined);
@@ -51,10 +52,11 @@
         crash.length <= maxTrackedIdLength &&
         requestId.length <= maxTrackedIdLength,
     )
-    .map(({ crash, requestId, ageMs }) => ({
+    .map(({ crash, requestId, ageMs, sentAgeMs = ageMs }) => ({
       crash,
       requestId,
       at: now - ageMs,
+      sentAt: now - Math.max(ageMs, sentAgeMs),
       clearedAt:
         servedAgeMs !== undefined && ageMs >= servedAgeMs
           ? now - servedAgeMs
@@ -63,6 +65,11 @@
     }));
 
 const encodeSighting = (
-  { crash, requestId, at }: Sighting,
+  { crash, requestId, at, sentAt }: Sighting,
   now: Milliseconds,
-): CrashSighting => ({ crash, requestId, ageMs: now - at });
+): CrashSighting => ({
+  crash,
+  requestId,
+  ageMs: now - at,
+  sentAgeMs: now - sentAt,
+});
--- a/packages/gateway/src/suspects/suspectTracker.ts
+++ b/packages/gateway/src/suspects/suspectTracker.ts
@@ -1,10 +1,13 @@
 /**
- * What a gateway knows about parts of prompts that may crash backend servers.
+ * What a gateway knows about suspects: parts of prompts and whole calls that may crash
+ * backend servers.
  *
  * Calls ask before each attempt and report how attempts end; gateways exchange
  * what they saw as records.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import type { CallIdentity } from './callIdentity.js';
+import type { CallTrait } from './callTrait.js';
 
 /** A call in the form that the tracker takes. */
 export interface TracedCall {
@@ -12,40 +15,79 @@
   readonly service: string;
   /** Ids of the prompt's parts, without the last one, which belongs to the call itself. */
   readonly parts: readonly string[];
+  /** What a repetition of the same request has, too; absent if its body was not kept. */
+  readonly identity?: CallIdentity;
 }
 
-/** A backend server at which an attempt broke. */
-export interface BrokenServer {
+/** One run of a backend server. */
+export interface ServerRun {
   readonly serverId: string;
   /** Distinguishes the runs of one server. */
   readonly incarnation: number;
 }
 
-/** Whether an attempt may be sent, and if not, which part forbids it. */
+/** An attempt that its server broke. */
+export interface BrokenAttempt extends ServerRun {
+  /** When it was sent; the time of the crash if that is not known. */
+  readonly sentAt?: Milliseconds;
+}
+
+/** An attempt that its server answers, or answered. */
+export interface AnsweredAttempt extends ServerRun {
+  readonly sentAt: Milliseconds;
+}
+
+/** Whether an attempt may be sent, and if not, which trait of the call forbids it. */
 export type SuspectDecision =
-  | { readonly isAllowed: true }
+  | {
+      readonly isAllowed: true;
+      /** Whether calls like it are refused, and this one finds out if they still crash servers. */
+      readonly isTrial: boolean;
+    }
   | {
       readonly isAllowed: false;
-      readonly part: string;
+      readonly trait: CallTrait;
       readonly retryAfterMs: Milliseconds;
     };
 
-/** One crash at which a call with the part had not begun to be answered. */
+/** The servers among which one is chosen. */
+export interface PlacementChoice {
+  /** Servers that may take the call now. */
+  readonly candidates: readonly ServerRun[];
+  /** Servers that may take calls of the service. */
+  readonly usable: readonly ServerRun[];
+  /** Servers that the service has in all. */
+  readonly total: number;
+}
+
+/** Where a call may go. */
+export type Placement =
+  | { readonly isFree: true }
+  | {
+      readonly isFree: false;
+      /** The server for it; `undefined` if none is to take it now. */
+      readonly serverId: string | undefined;
+    };
+
+/** One crash at which a call with the trait had not begun to be answered. */
 export interface CrashSighting {
   /** Names the server and its run, so that sightings of several gateways count once. */
   readonly crash: string;
   readonly requestId: string;
   readonly ageMs: Milliseconds;
+  /** Time since the call was sent to the server; gateways of an earlier build do not tell it. */
+  readonly sentAgeMs?: Milliseconds | undefined;
 }
 
-/** What gateways tell each other about one part; ages instead of times, since clocks differ. */
+/** What gateways tell each other about one suspect; ages instead of times, since clocks differ. */
 export interface SuspectRecord {
   readonly service: string;
+  /** Id of the trait, be it a part of prompts or a whole call. */
   readonly part: string;
   readonly sightings: readonly CrashSighting[];
-  /** Time since an answer on the part was last written, if that was seen. */
+  /** Time since a call with the trait was last answered, if that was seen. */
   readonly servedAgeMs?: Milliseconds | undefined;
-  /** Time since calls with the part began to be refused, if they are. */
+  /** Time since calls with the trait began to be refused, if they are. */
   readonly refusedAgeMs?: Milliseconds | undefined;
 }
 
@@ -56,20 +98,40 @@
     now: Milliseconds,
   ): SuspectDecision;
 
+  /** Whether a call that has waited for a server may still be sent; a verdict may have come meanwhile. */
+  abstract decideDelayedAttempt(
+    call: TracedCall,
+    now: Milliseconds,
+  ): SuspectDecision;
+
   /** Whether a call whose attempt broke may be sent to another server. */
   abstract decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision;
 
+  /** Chooses the server for a call with a suspected trait. */
+  abstract choosePlacement(
+    call: TracedCall,
+    choice: PlacementChoice,
+    now: Milliseconds,
+  ): Placement;
+
+  /** Estimates when crashed servers are back, for a call that is not sent to the last one; 0 if it is not held back. */
+  abstract estimateHold(call: TracedCall, now: Milliseconds): Milliseconds;
+
   /** Records that a server closed the connection before it had answered the call with two events. */
   abstract noteBroken(
     call: TracedCall,
-    server: BrokenServer,
+    attempt: BrokenAttempt,
     now: Milliseconds,
   ): void;
 
   /** Records that a server writes, or wrote, an answer to the call. */
-  abstract noteServed(call: TracedCall, now: Milliseconds): void;
+  abstract noteServed(
+    call: TracedCall,
+    now: Milliseconds,
+    attempt?: AnsweredAttempt,
+  ): void;
 
-  /** Records of all tracked parts, for another gateway. */
+  /** Records of all suspects, for another gateway. */
   abstract listRecords(now: Milliseconds): readonly SuspectRecord[];
 
   /** Adds what another gateway saw. */
@@ -78,6 +140,9 @@
     now: Milliseconds,
   ): void;
 
+  /** Clears a suspect at an operator's request; returns whether it was known. */
+  abstract liftVerdict(id: string, now: Milliseconds): boolean;
+
   /** Number that grows with each change that other gateways should learn of soon. */
   abstract get revision(): number;
 }
--- a/packages/gateway/src/suspects/suspects.ts
+++ b/packages/gateway/src/suspects/suspects.ts
@@ -1,4 +1,4 @@
-/** What a gateway knows about prompt parts, kept up to date with the other gateways. */
+/** What a gateway knows about suspects, kept up to date with the other gateways. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ChartTimers } from '@lycheetally/charts';
 import {
@@ -9,7 +9,8 @@
   type Disposable,
   type Milliseconds,
 } from '@lycheetally/common';
-import { UnservedPart } from '@lycheetally/decisions';
+import { UnservedCall, UnservedPart } from '@lycheetally/decisions';
+import type { TraitKind } from './callTrait.js';
 import {
   createSuspectTracker,
   type CrashSuspectTracker,
@@ -44,7 +45,7 @@
         machine: getOrThrow(bindSuspectChart()),
         timers,
         log,
-        policy: new UnservedPart(),
+        policies: { part: new UnservedPart(), call: new UnservedCall() },
         gatewayId,
       }),
     );
@@ -69,14 +70,14 @@
     });
   }
 
-  /** Parts that were there when a server crashed. */
-  get trackedCount(): number {
-    return this.found.trackedParts;
+  /** Counts the suspects of a kind that were there when a server crashed. */
+  countTracked(kind: TraitKind): number {
+    return this.found.countTracked(kind);
   }
 
-  /** Parts with which calls are refused. */
-  get refusedCount(): number {
-    return this.found.refusedParts;
+  /** Counts the suspects of a kind with which calls are refused. */
+  countRefused(kind: TraitKind): number {
+    return this.found.countRefused(kind);
   }
 
   start(now: Milliseconds): void {
--- a/packages/gateway/src/suspects/watchedTracker.ts
+++ b/packages/gateway/src/suspects/watchedTracker.ts
@@ -2,7 +2,10 @@
 import type { Milliseconds } from '@lycheetally/common';
 import {
   SuspectTracker,
-  type BrokenServer,
+  type AnsweredAttempt,
+  type BrokenAttempt,
+  type Placement,
+  type PlacementChoice,
   type TracedCall,
   type SuspectDecision,
   type SuspectRecord,
@@ -32,23 +35,46 @@
     return decision;
   }
 
+  override decideDelayedAttempt(
+    call: TracedCall,
+    now: Milliseconds,
+  ): SuspectDecision {
+    return this.tracker.decideDelayedAttempt(call, now);
+  }
+
   override decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision {
     const decision = this.tracker.decideRepeat(call, now);
     this.reportChange(now);
     return decision;
   }
 
+  override choosePlacement(
+    call: TracedCall,
+    choice: PlacementChoice,
+    now: Milliseconds,
+  ): Placement {
+    return this.tracker.choosePlacement(call, choice, now);
+  }
+
+  override estimateHold(call: TracedCall, now: Milliseconds): Milliseconds {
+    return this.tracker.estimateHold(call, now);
+  }
+
   override noteBroken(
     call: TracedCall,
-    server: BrokenServer,
+    attempt: BrokenAttempt,
     now: Milliseconds,
   ): void {
-    this.tracker.noteBroken(call, server, now);
+    this.tracker.noteBroken(call, attempt, now);
     this.reportChange(now);
   }
 
-  override noteServed(call: TracedCall, now: Milliseconds): void {
-    this.tracker.noteServed(call, now);
+  override noteServed(
+    call: TracedCall,
+    now: Milliseconds,
+    attempt?: AnsweredAttempt,
+  ): void {
+    this.tracker.noteServed(call, now, attempt);
     this.reportChange(now);
   }
 
@@ -64,6 +90,12 @@
     this.reportChange(now);
   }
 
+  override liftVerdict(id: string, now: Milliseconds): boolean {
+    const isKnown = this.tracker.liftVerdict(id, now);
+    this.reportChange(now);
+    return isKnown;
+  }
+
   private reportChange(now: Milliseconds): void {
     const { revision } = this.tracker;
     if (revision !== this.reportedRevision) {
--- a/packages/gateway/tests/crashEmulator.ts
+++ b/packages/gateway/tests/crashEmulator.ts
@@ -6,9 +6,14 @@
   getOrThrow,
   type Disposable,
 } from '@lycheetally/common';
-import { UnservedPart, type BlamePolicy } from '@lycheetally/decisions';
+import {
+  UnservedCall,
+  UnservedPart,
+  type BlamePolicy,
+} from '@lycheetally/decisions';
 import {
   CrashSuspectTracker,
+  TraitKind,
   bindSuspectChart,
   type TracedCall,
 } from '../src/index.js';
@@ -77,7 +82,7 @@
     machine,
     timers,
     log: new SilentLog(),
-    policy,
+    policies: { part: policy, call: new UnservedCall() },
     gatewayId,
   });
 
@@ -356,7 +361,7 @@
   /** Sends all records to all gateways now and then, since news may be lost. */
   private sendAllNews(): void {
     this.trackers.forEach((tracker, index) => {
-      if (tracker.trackedParts > 0) {
+      if (tracker.countTracked(TraitKind.PromptPart) > 0) {
         this.sendNews(index);
       }
     });
@@ -366,9 +371,9 @@
   }
 
   private checkRefused(gateway: number): void {
-    for (const { part } of this.trackers[gateway]?.listRefused() ?? []) {
-      if (!this.scenario.deadlyParts.includes(part)) {
-        this.wronglyRefused.add(part);
+    for (const { trait } of this.trackers[gateway]?.listRefused() ?? []) {
+      if (!this.scenario.deadlyParts.includes(trait.id)) {
+        this.wronglyRefused.add(trait.id);
       }
     }
   }
--- a/packages/gateway/tests/suspectTracker.test.ts
+++ b/packages/gateway/tests/suspectTracker.test.ts
@@ -1,11 +1,11 @@
 /** Parts of prompts that crash servers are found and refused; sound ones are not. */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { firstTrialMs, trialIntervalMs } from '@lycheetally/decisions';
 import {
   CrashSuspectTracker,
-  firstTrialMs,
+  TraitKind,
   maxTrackedSuspects,
-  trialIntervalMs,
   type TracedCall,
 } from '../src/index.js';
 import { VirtualTime, createTracker } from './crashEmulator.js';
@@ -85,7 +85,7 @@
       gateways
         .get(0)
         .listRefused()
-        .map(({ part }) => part),
+        .map(({ trait }) => trait.id),
     ).toEqual(['bad']);
   });
 
@@ -143,7 +143,7 @@
     gateways.exchange(2, 0);
     for (const index of [0, 1, 2]) {
       expect(gateways.isAllowed(index, 'bad')).toBe(true);
-      expect(gateways.get(index).refusedParts).toBe(0);
+      expect(gateways.get(index).countRefused(TraitKind.PromptPart)).toBe(0);
     }
   });
 
@@ -202,13 +202,13 @@
         (_, part) => `p${String(call)}-${String(part)}`,
       );
       gateways.serve(0, ...parts);
-      expect(gateways.get(0).trackedParts).toBeLessThanOrEqual(
-        maxTrackedSuspects,
-      );
+      expect(
+        gateways.get(0).countTracked(TraitKind.PromptPart),
+      ).toBeLessThanOrEqual(maxTrackedSuspects);
       gateways.cutServer(0, ...parts, 'x'.repeat(10_000));
       gateways.advance(100);
     }
-    expect(gateways.get(0).trackedParts).toBeGreaterThan(
+    expect(gateways.get(0).countTracked(TraitKind.PromptPart)).toBeGreaterThan(
       maxTrackedSuspects / 2,
     );
     expect(gateways.isAllowed(0, 'bad')).toBe(false);
--- a/packages/router/src/adapters/httpExchange.ts
+++ b/packages/router/src/adapters/httpExchange.ts
@@ -25,6 +25,7 @@
   [ErrorKind.AnswerNotKept]: 409,
   [ErrorKind.NoCapacity]: 503,
   [ErrorKind.PromptPartRefused]: 503,
+  [ErrorKind.CallRefused]: 503,
   [ErrorKind.DeadlineExceeded]: 504,
   [ErrorKind.ShuttingDown]: 503,
   [ErrorKind.BackendFailed]: 502,
