Judge whole calls by the order of their crashes

A call without prompt parts has nothing that its crashes are held against, and the verdict on parts asks for answers, moments and several requests, which a service of three servers cannot give while two of them restart.

Change: a policy for each kind of suspect (UnservedPart as before, UnservedCall new), with its trials, repeats and lifetimes; steps of crashes, each sent after the crash before; the server that runs a suspected call; clearing of one crash. Not wired into calls yet: sentAt is the time of the crash until it is.

--- a/packages/decisions/src/suspects/crashTimes.ts
+++ b/packages/decisions/src/suspects/crashTimes.ts
@@ -16,6 +16,20 @@
     }
   }
 
+  /** Removes a supposed crash of a server that went on. */
+  remove(crash: string): void {
+    this.times.delete(crash);
+  }
+
+  /** Counts the crashes from a time on. */
+  countSince(at: Milliseconds): number {
+    let crashes = 0;
+    for (const time of this.times.values()) {
+      crashes += time >= at ? 1 : 0;
+    }
+    return crashes;
+  }
+
   /** Counts the crashes less than `withinMs` before or after a time. */
   count(at: Milliseconds, withinMs: Milliseconds): number {
     let crashes = 0;
--- a/packages/decisions/src/suspects/index.ts
+++ b/packages/decisions/src/suspects/index.ts
@@ -1,5 +1,9 @@
-/** Decisions about parts of prompts that may crash backend servers. */
+/** Decisions about prompt parts and whole calls that may crash backend servers. */
 export * from './blamePolicy.js';
+export * from './crashSteps.js';
 export * from './crashTimes.js';
 export * from './servingTimes.js';
 export * from './sightingSet.js';
+export * from './suspectPlacement.js';
+export * from './unservedCall.js';
+export * from './unservedPart.js';
--- a/packages/decisions/src/suspects/sightingSet.ts
+++ b/packages/decisions/src/suspects/sightingSet.ts
@@ -1,7 +1,7 @@
 /**
- * Crashes sighted with one part, as a set that several gateways merge.
+ * Crashes sighted with one suspect, as a set that several gateways merge.
  *
- * A crash is in the set once, whoever saw it. An answer on the part clears the
+ * A crash is in the set once, whoever saw it. An answer on the suspect clears the
  * crashes before it for good: clearing wins over any number of sightings. The
  * earliest time of each fact is kept, so that passing news on in circles does
  * not make it look newer.
@@ -12,7 +12,9 @@
   readonly crash: string;
   readonly requestId: string;
   readonly at: Milliseconds;
-  /** When an answer on the part was written after the crash. */
+  /** When the call was sent to the server that crashed. */
+  readonly sentAt: Milliseconds;
+  /** When an answer on the suspect was written after the crash. */
   readonly clearedAt: Milliseconds | undefined;
   /** Whether the call ran through this gateway. */
   readonly isOwn: boolean;
@@ -75,6 +77,16 @@
     }
   }
 
+  /** Clears one crash, since its server went on; returns whether it was uncleared. */
+  clearCrash(crash: string, now: Milliseconds): boolean {
+    const known = this.byCrash.get(crash);
+    if (known?.clearedAt !== undefined || known === undefined) {
+      return false;
+    }
+    this.put({ ...known, clearedAt: now });
+    return true;
+  }
+
   /** Removes what was sighted before a time. */
   removeBefore(at: Milliseconds): void {
     for (const sighting of this.listAll()) {
@@ -125,15 +137,23 @@
 const joinSightings = (a: Sighting, b: Sighting): Sighting => {
   const lower = a.requestId <= b.requestId ? a : b;
   const isSameCall = a.requestId === b.requestId;
+  const at = Math.min(a.at, b.at);
+  const runMs = isSameCall
+    ? Math.max(computeRun(a), computeRun(b))
+    : computeRun(lower);
   return {
     crash: a.crash,
     requestId: lower.requestId,
-    at: Math.min(a.at, b.at),
+    at,
+    sentAt: at - runMs,
     clearedAt: findEarlier(a.clearedAt, b.clearedAt),
     isOwn: isSameCall ? a.isOwn || b.isOwn : lower.isOwn,
   };
 };
 
+/** Returns how long the server ran the call; unlike the times, it does not depend on the delay of news. */
+const computeRun = ({ sentAt, at }: Sighting): Milliseconds => at - sentAt;
+
 const findEarlier = (
   a: Milliseconds | undefined,
   b: Milliseconds | undefined,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -282,27 +282,12 @@
 /** Longest id of a part, call or server that is tracked, in characters. */
 export const maxTrackedIdLength = 96;
 
-/** How long a crash counts against a part on which no answer is written. */
-export const sightingLifetimeMs = 120_000;
-
 /** Resolution of the times at which a service wrote answers. */
 export const servingResolutionMs = 50;
 
 /** How long a part is remembered as answered; news reach the other gateways sooner. */
 export const clearedLifetimeMs = 30_000;
 
-/** Interval between calls with a suspected part; further crashes within it prove nothing. */
-export const suspectIntervalMs = 300;
-
-/** Time until the first trial of a refused part; a wrong verdict does not last longer. */
-export const firstTrialMs = 20_000;
-
-/** Time until the next trial; doubles with each trial that crashed a server. */
-export const trialIntervalMs = 120_000;
-
-/** Longest time between two trials. */
-export const maxTrialIntervalMs = 960_000;
-
 /** How long a trial may stay without a result; the first events of an answer come sooner. */
 export const trialTimeoutMs = 10_000;
 
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -23,15 +23,12 @@
 import {
   SightingChange,
   Suspicion,
+  sightingLifetimeMs,
+  suspectIntervalMs,
   type BlamePolicy,
   type Sighting,
 } from '@lycheetally/decisions';
-import {
-  maxSuspectRetryAfterMs,
-  maxTrackedIdLength,
-  sightingLifetimeMs,
-  suspectIntervalMs,
-} from '../constants.js';
+import { maxSuspectRetryAfterMs, maxTrackedIdLength } from '../constants.js';
 import { SuspectLog } from './suspectLog.js';
 import { decodeSightings, listSuspectRecords } from './suspectRecords.js';
 import type { SuspectMachine, SuspectServices, Suspect } from './suspect.js';
@@ -68,6 +65,7 @@
       timers,
       log: new SuspectLog(log),
       gatewayId,
+      policy,
       handleForgotten: part => {
         this.byService.get(part.service)?.remove(part);
       },
@@ -131,6 +129,7 @@
       crash: `${trimId(server.serverId)}#${String(server.incarnation)}`,
       requestId: trimId(call.requestId),
       at: now,
+      sentAt: now,
       clearedAt: undefined,
       isOwn: true,
     };
--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -5,6 +5,7 @@
   Suspicion,
   isExplained,
   crashMomentMs,
+  sightingLifetimeMs,
   type BlamePolicy,
   type SuspectCrash,
   type Sighting,
@@ -16,7 +17,6 @@
   maxTrackedIdLength,
   maxTrackedSuspects,
   servingResolutionMs,
-  sightingLifetimeMs,
 } from '../constants.js';
 import { Suspect, type SuspectServices } from './suspect.js';
 
@@ -95,6 +95,7 @@
         ...sighting,
         servedAfterMs: this.servings.computePause(at),
         presence: present.length / Math.max(known, present.length),
+        serviceCrashes: this.crashTimes.countSince(at),
       };
     });
   }
--- a/packages/gateway/src/suspects/suspect.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -15,16 +15,16 @@
 import {
   SightingSet,
   countMoments,
+  firstTrialMs,
+  sightingLifetimeMs,
+  suspectIntervalMs,
+  trialIntervalMs,
+  type BlamePolicy,
   type SuspectStanding,
 } from '@lycheetally/decisions';
 import {
   clearedLifetimeMs,
-  firstTrialMs,
   maxSightingsPerSuspect,
-  maxTrialIntervalMs,
-  sightingLifetimeMs,
-  suspectIntervalMs,
-  trialIntervalMs,
   trialTimeoutMs,
   trialWaitMs,
 } from '../constants.js';
@@ -49,6 +49,7 @@
   readonly timers: ChartTimers;
   readonly log: SuspectLog;
   readonly gatewayId: string;
+  readonly policy: BlamePolicy;
   handleForgotten(part: Suspect): void;
 }
 
@@ -121,7 +122,7 @@
       crashes.at(-1)?.at ?? refusedAt,
       this.lastSentAt,
     );
-    const ownMs = computeTrialInterval(failedTrials);
+    const ownMs = this.services.policy.computeTrialInterval(failedTrials);
     const intervalMs = sightings.isOwner()
       ? ownMs
       : Math.max(ownMs, trialIntervalMs) * (2 + this.computeOffset());
@@ -198,11 +199,6 @@
 
 const maxLoggedRequests = 5;
 
-const computeTrialInterval = (failedTrials: number): Milliseconds =>
-  failedTrials === 0
-    ? firstTrialMs
-    : Math.min(maxTrialIntervalMs, trialIntervalMs * 2 ** (failedTrials - 1));
-
 /** Binds the chart `suspect`. Fails with `BadChart`. */
 export const bindSuspectChart = (): Result<SuspectMachine> =>
   bindChart<Suspect, SuspectEvent>(ChartName.Suspect, {
--- a/packages/gateway/src/suspects/suspectRecords.ts
+++ b/packages/gateway/src/suspects/suspectRecords.ts
@@ -55,6 +55,7 @@
       crash,
       requestId,
       at: now - ageMs,
+      sentAt: now - ageMs,
       clearedAt:
         servedAgeMs !== undefined && ageMs >= servedAgeMs
           ? now - servedAgeMs
--- a/packages/gateway/tests/suspectTracker.test.ts
+++ b/packages/gateway/tests/suspectTracker.test.ts
@@ -1,11 +1,10 @@
 /** Parts of prompts that crash servers are found and refused; sound ones are not. */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { firstTrialMs, trialIntervalMs } from '@lycheetally/decisions';
 import {
   CrashSuspectTracker,
-  firstTrialMs,
   maxTrackedSuspects,
-  trialIntervalMs,
   type TracedCall,
 } from '../src/index.js';
 import { VirtualTime, createTracker } from './crashEmulator.js';
