Keep the verdict and its evidence in one place for every kind of suspect

ServiceSuspects listed the crashes of a part and left out the explained ones; whole calls need the same. Moved to decisions (decideSuspicion), unchanged.

--- a/packages/decisions/src/suspects/index.ts
+++ b/packages/decisions/src/suspects/index.ts
@@ -5,5 +5,6 @@
 export * from './servingTimes.js';
 export * from './sightingSet.js';
 export * from './suspectPlacement.js';
+export * from './suspectVerdict.js';
 export * from './unservedCall.js';
 export * from './unservedPart.js';
--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -2,13 +2,11 @@
 import {
   CrashTimes,
   ServingTimes,
-  Suspicion,
-  isExplained,
-  crashMomentMs,
+  decideSuspicion,
   sightingLifetimeMs,
   type BlamePolicy,
-  type SuspectCrash,
-  type Sighting,
+  type ServiceHistory,
+  type Suspicion,
 } from '@lycheetally/decisions';
 import type { Milliseconds } from '@lycheetally/common';
 import {
@@ -20,7 +18,7 @@
 } from '../constants.js';
 import { Suspect, type SuspectServices } from './suspect.js';
 
-export class ServiceSuspects {
+export class ServiceSuspects implements ServiceHistory {
   /** When answers were written, here or elsewhere. */
   readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
   /** All crashes that are known, with whatever part. */
@@ -60,14 +58,7 @@
     now: Milliseconds,
   ): Suspicion {
     part.sightings.removeBefore(now - sightingLifetimeMs);
-    const crashes = this.listCrashes(part);
-    if (policy.decideSuspicion(crashes, now) === Suspicion.None) {
-      return Suspicion.None;
-    }
-    const unexplained = crashes.filter(
-      crash => !isExplained(part, this.listPresent(crash)),
-    );
-    return policy.decideSuspicion(unexplained, now);
+    return decideSuspicion(part, this.list(), this, policy, now);
   }
 
   /** Returns the part, tracked from now on. */
@@ -83,27 +74,6 @@
     return part;
   }
 
-  private listCrashes({ sightings }: Suspect): (SuspectCrash & Sighting)[] {
-    const live = sightings.listLive();
-    return live.map(sighting => {
-      const { at } = sighting;
-      const present = live.filter(
-        other => Math.abs(other.at - at) < crashMomentMs,
-      );
-      const known = this.crashTimes.count(at, crashMomentMs);
-      return {
-        ...sighting,
-        servedAfterMs: this.servings.computePause(at),
-        presence: present.length / Math.max(known, present.length),
-        serviceCrashes: this.crashTimes.countSince(at),
-      };
-    });
-  }
-
-  private listPresent({ crash }: Sighting): Suspect[] {
-    return this.list().filter(({ sightings }) => sightings.has(crash));
-  }
-
   /** Makes room: drops an eighth of the parts, those with the fewest and oldest crashes, refused ones last. */
   private trim(): void {
     if (this.parts.size < maxTrackedSuspects) {
