--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -157,9 +157,14 @@
 
   /** What tells that the same request comes again; known once the call is admitted. */
   get identity(): CallIdentity {
-    const { method, target, body } = this.received;
-    const account = this.admitted?.holder?.account ?? '';
-    this.knownIdentity ??= new CallIdentity({ method, target, account, body });
+    const { method, target, fields, body } = this.received;
+    this.knownIdentity ??= new CallIdentity({
+      method,
+      target,
+      account: this.admitted?.holder?.account ?? '',
+      parts: fields.promptParts,
+      body,
+    });
     return this.knownIdentity;
   }
 
--- a/packages/gateway/src/suspects/callIdentity.ts
+++ b/packages/gateway/src/suspects/callIdentity.ts
@@ -1,6 +1,7 @@
 /**
- * Identifies a request that comes again: the same method, path, client account and body,
- * whatever its id and its other headers. The service is kept beside the id.
+ * Identifies a request that comes again: the same method, path, client account, body and
+ * parts of the prompt, whatever its id and its other headers. The parts but the last one,
+ * which callers may name anew, describe the body. The service is kept beside the id.
  *
  * Bodies may be large and calls many, so the digest of a call is computed at most once, and
  * only when its server broke or a call with the same outline is tracked. A gateway keeps the
@@ -16,6 +17,8 @@
   readonly target: string;
   /** Client account; empty for a call without one. */
   readonly account: string;
+  /** Ids of the prompt's parts, without the last one. */
+  readonly parts: readonly string[];
   readonly body: Buffer;
 }
 
@@ -53,8 +56,8 @@
   }
 
   private formatHead(): string {
-    const { method, target, account, body } = this.content;
-    return JSON.stringify([method, target, account, body.length]);
+    const { method, target, account, parts, body } = this.content;
+    return JSON.stringify([method, target, account, parts, body.length]);
   }
 }
 
--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -2,13 +2,11 @@
 import {
   CrashTimes,
   ServingTimes,
-  Suspicion,
-  isExplained,
-  crashMomentMs,
+  decideSuspicion,
   maxRestartMs,
   sightingLifetimeMs,
-  type SuspectCrash,
-  type Sighting,
+  type ServiceHistory,
+  type Suspicion,
 } from '@lycheetally/decisions';
 import type { Milliseconds } from '@lycheetally/common';
 import {
@@ -25,7 +23,7 @@
 /** Share of the suspects of one kind that is dropped to make room. */
 const droppedShare = 1 / 8;
 
-export class ServiceSuspects {
+export class ServiceSuspects implements ServiceHistory {
   /** When answers were written, here or elsewhere. */
   readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
   /** All crashes that are known, with whatever suspect. */
@@ -70,14 +68,8 @@
   decideSuspicion(suspect: Suspect, now: Milliseconds): Suspicion {
     const { policy } = suspect.trait;
     suspect.sightings.removeBefore(now - policy.lifetimeMs);
-    const crashes = this.listCrashes(suspect);
-    if (policy.decideSuspicion(crashes, now) === Suspicion.None) {
-      return Suspicion.None;
-    }
-    const unexplained = crashes.filter(
-      crash => !isExplained(suspect, this.listRivals(suspect, crash)),
-    );
-    return policy.decideSuspicion(unexplained, now);
+    const rivals = this.listRivals(suspect);
+    return decideSuspicion(suspect, rivals, this, policy, now);
   }
 
   /** Returns the suspect, tracked from now on. */
@@ -101,29 +93,10 @@
     return crashedAt !== undefined && now - crashedAt < maxRestartMs;
   }
 
-  private listCrashes({ sightings }: Suspect): (SuspectCrash & Sighting)[] {
-    const live = sightings.listLive();
-    return live.map(sighting => {
-      const { at } = sighting;
-      const present = live.filter(
-        other => Math.abs(other.at - at) < crashMomentMs,
-      );
-      const known = this.crashTimes.count(at, crashMomentMs);
-      return {
-        ...sighting,
-        servedAfterMs: this.servings.computePause(at),
-        presence: present.length / Math.max(known, present.length),
-        serviceCrashes: this.crashTimes.countSince(at),
-      };
-    });
-  }
-
-  /** Suspects that were present at a crash, too; one of the other kind counts only once it is blamed, since a call and its parts are present together. */
-  private listRivals({ trait }: Suspect, { crash }: Sighting): Suspect[] {
+  /** Suspects that may explain a crash better; one of the other kind does so only once it is blamed, since a call and its parts are present together. */
+  private listRivals({ trait }: Suspect): Suspect[] {
     return this.list().filter(
-      other =>
-        other.sightings.has(crash) &&
-        (other.trait.kind === trait.kind || other.isBlamed),
+      other => other.trait.kind === trait.kind || other.isBlamed,
     );
   }
 
