--- a/packages/decisions/src/suspects/blamePolicy.ts
+++ b/packages/decisions/src/suspects/blamePolicy.ts
@@ -32,6 +32,12 @@
   readonly serviceCrashes: number;
 }
 
+/** What is known of a crash when a call that it broke is to be repeated. */
+export type RepeatedCrash = Pick<
+  SuspectCrash,
+  'at' | 'sentAt' | 'isOwn' | 'requestId'
+>;
+
 /** Strategy that decides which suspects are to blame. */
 export abstract class BlamePolicy {
   /** How long a crash counts while nothing is answered. */
@@ -55,7 +61,7 @@
   /** Whether a call whose server crashed may be sent to another one; its last crash is among the crashes. */
   abstract mayRepeat(
     suspicion: Suspicion,
-    crashes: readonly Pick<SuspectCrash, 'requestId'>[],
+    crashes: readonly RepeatedCrash[],
     requestId: string,
   ): boolean;
 
--- a/packages/decisions/src/suspects/crashTimes.ts
+++ b/packages/decisions/src/suspects/crashTimes.ts
@@ -16,6 +16,11 @@
     }
   }
 
+  /** Returns when the crash happened; `undefined` if it is not known. */
+  find(crash: string): Milliseconds | undefined {
+    return this.times.get(crash);
+  }
+
   /** Removes a supposed crash of a server that went on. */
   remove(crash: string): void {
     this.times.delete(crash);
--- a/packages/decisions/src/suspects/unservedCall.ts
+++ b/packages/decisions/src/suspects/unservedCall.ts
@@ -12,6 +12,7 @@
   BlamePolicy,
   Suspicion,
   countOwnCrashes,
+  type RepeatedCrash,
   type SuspectCrash,
 } from './blamePolicy.js';
 import { countSteps, maxNewsDelayMs } from './crashSteps.js';
@@ -68,14 +69,17 @@
     return crashes >= this.thresholds.minSteps;
   }
 
-  /** A new call is repeated once, since it may have been beside the cause of the crash; one that comes again is not. */
+  /** A call is repeated once if its kind crashed servers in one step, since it may have been beside the cause; equal calls may have been beside it, too. */
   override mayRepeat(
     suspicion: Suspicion,
-    crashes: readonly Pick<SuspectCrash, 'requestId'>[],
+    crashes: readonly RepeatedCrash[],
     requestId: string,
   ): boolean {
-    const own = countOwnCrashes(crashes, requestId);
-    return suspicion !== Suspicion.Blamed && own <= 1 && own === crashes.length;
+    return (
+      suspicion !== Suspicion.Blamed &&
+      countOwnCrashes(crashes, requestId) <= 1 &&
+      countSteps(crashes, this.thresholds.newsDelayMs) <= 1
+    );
   }
 
   override computeTrialInterval(failedTrials: number): Milliseconds {
--- a/packages/decisions/src/suspects/unservedPart.ts
+++ b/packages/decisions/src/suspects/unservedPart.ts
@@ -4,6 +4,7 @@
   BlamePolicy,
   Suspicion,
   countOwnCrashes,
+  type RepeatedCrash,
   type SuspectCrash,
 } from './blamePolicy.js';
 import { countMoments, crashMomentMs } from './crashSteps.js';
@@ -90,7 +91,7 @@
   }
   override mayRepeat(
     suspicion: Suspicion,
-    crashes: readonly Pick<SuspectCrash, 'requestId'>[],
+    crashes: readonly RepeatedCrash[],
     requestId: string,
   ): boolean {
     return (
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -298,6 +298,7 @@
     }
     if (changes.includes(SightingChange.Added)) {
       suspect.send('SIGHTED', now);
+      this.updateVerdict(service, suspect, now);
     }
     if (refusedAgeMs !== undefined && policy.mayHold(suspect.crashCount)) {
       suspect.refuseSince(now - refusedAgeMs, now);
@@ -337,6 +338,19 @@
     }
   }
 
+  /** Blames a suspect as soon as news complete the evidence; the other gateways may have less of it. */
+  private updateVerdict(
+    service: ServiceSuspects,
+    suspect: Suspect,
+    now: Milliseconds,
+  ): void {
+    const suspicion = service.decideSuspicion(suspect, now);
+    if (suspicion === Suspicion.Blamed && !suspect.isBlamed) {
+      this.changes += 1;
+      suspect.refuseSince(now, now);
+    }
+  }
+
   /** Judges all suspects of a call by the same evidence, and returns them. */
   private updateSuspicions(call: TracedCall, now: Milliseconds): Suspect[] {
     const service = this.getService(call.service);
