Keep no call from the last server for one crash that was answered before

Two servers, one crashed: equal calls that were at it were suspected and refused while the other one lived alone (crashingCalls.test.ts, 2 servers, /look/: 134 of 1,906 sound calls lost; 3 servers that crash in turn: 3 refusals of a popular call).

Change: a gateway remembers the digests of small calls that were answered lately; a suspect among them is placed only from the second step on. After it both tests pass.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -273,6 +273,15 @@
 /** Whole calls that a gateway tracks at most for each service; a crash makes suspects of all calls that its server had begun. */
 export const maxTrackedCalls = 256;
 
+/** Answered calls that a gateway remembers at most for each service. */
+export const maxAnsweredCalls = 1_024;
+
+/** How long a call is remembered as answered before a crash. */
+export const answeredLifetimeMs = 60_000;
+
+/** Largest body of a call that is remembered as answered, in bytes; its digest takes some microseconds. */
+export const maxRememberedBodyBytes = 16_384;
+
 /** Parts of one call that are considered at most. */
 export const maxPartsPerCall = 32;
 
--- a/packages/gateway/src/suspects/callIdentity.ts
+++ b/packages/gateway/src/suspects/callIdentity.ts
@@ -36,6 +36,10 @@
 
   constructor(private readonly content: CallContent) {}
 
+  get bodyBytes(): number {
+    return this.content.body.length;
+  }
+
   /** Digest of all but the bytes of the body, which is cheap; different calls may share it. */
   get outline(): string {
     this.knownOutline ??= hashText(this.formatHead()).toString(16);
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -208,8 +208,12 @@
   ): void {
     const service = this.getService(call.service);
     service.servings.add(now);
+    if (call.identity) {
+      service.answered.add(call.identity, now);
+    }
     for (const suspect of service.findAll(call)) {
       if (suspect.crashCount > 0) {
+        suspect.wasAnswered = true;
         this.changes += suspect.isShared ? 1 : 0;
         suspect.sightings.clear(now);
         suspect.send('SERVED', now);
--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -15,6 +15,7 @@
   maxTrackedIdLength,
   servingResolutionMs,
 } from '../constants.js';
+import { AnsweredCalls } from './answeredCalls.js';
 import { parseOutline } from './callIdentity.js';
 import { createTrait } from './callTrait.js';
 import { Suspect, type SuspectServices } from './suspect.js';
@@ -26,6 +27,8 @@
 export class ServiceSuspects implements ServiceHistory {
   /** When answers were written, here or elsewhere. */
   readonly servings = new ServingTimes(servingResolutionMs, sightingLifetimeMs);
+  /** Whole calls that were answered lately at this gateway. */
+  readonly answered = new AnsweredCalls();
   /** All crashes that are known, with whatever suspect. */
   readonly crashTimes = new CrashTimes(maxKnownCrashes);
   private readonly suspects = new Map<string, Suspect>();
@@ -81,6 +84,7 @@
     const { services, service } = this;
     const trait = createTrait(id, services.policies);
     const suspect = new Suspect(services, service, trait, now);
+    suspect.wasAnswered = this.answered.has(id, now);
     this.makeRoom(suspect);
     this.suspects.set(id, suspect);
     this.countOutline(suspect, 1);
--- a/packages/gateway/src/suspects/suspect.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -63,6 +63,8 @@
   readonly sightings = new SightingSet(maxSightingsPerSuspect);
   /** Whether another gateway may have a record of it. */
   isShared = false;
+  /** Whether calls with the trait were answered shortly before the first crash. */
+  wasAnswered = false;
   /** When calls with the trait began to be refused. */
   refusedAt: Milliseconds | undefined;
   /** When a call with the trait was last sent although it was suspected. */
@@ -102,7 +104,10 @@
 
   /** Whether all gateways send calls with the trait to the same server. */
   get isPlaced(): boolean {
-    return this.trait.policy.isPlaced && (this.isSuspected || this.isBlamed);
+    const isTrusted =
+      this.wasAnswered && countSteps(this.sightings.listLive()) <= 1;
+    const isSuspicious = this.isSuspected || this.isBlamed;
+    return this.trait.policy.isPlaced && isSuspicious && !isTrusted;
   }
 
   /** Time of the newest crash; suspects with older ones are forgotten first. */
