--- a/packages/decisions/src/suspects/crashTimes.ts
+++ b/packages/decisions/src/suspects/crashTimes.ts
@@ -16,6 +16,10 @@
     }
   }
 
+  has(crash: string): boolean {
+    return this.times.has(crash);
+  }
+
   /** Removes a supposed crash of a server that went on. */
   remove(crash: string): void {
     this.times.delete(crash);
