--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -213,7 +213,10 @@
   private async listenForMetrics(): Promise<void> {
     const { metrics } = this.settings.listen;
     const page =
-      metrics && (await this.listenWhenFree(() => this.pages.listen(metrics)));
+      metrics &&
+      (await this.listenWhenFree(() =>
+        this.pages.listen(metrics, this.suspects.page),
+      ));
     if (page?.err) {
       this.log.error('The metrics are not served.', {
         reason: page.val.message,
--- a/packages/gateway/src/statusPages.ts
+++ b/packages/gateway/src/statusPages.ts
@@ -1,5 +1,10 @@
-/** HTTP endpoints: readiness for the load balancer and metrics for operators. */
-import { createServer, type Server, type ServerResponse } from 'node:http';
+/** HTTP endpoints: readiness for the load balancer, and metrics and further pages for operators. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type { Registry } from 'prom-client';
 import { toMessage, type Address, type Result } from '@lycheetally/common';
 import { startListening } from '@lycheetally/node';
@@ -7,6 +12,12 @@
 /** Path of the metrics; any other path returns the readiness. */
 const metricsPath = '/metrics';
 
+/** A page for operators only. */
+export interface OperatorPage {
+  /** Answers a request for the page; returns `false` for any other one. */
+  receive(incoming: IncomingMessage, response: ServerResponse): boolean;
+}
+
 export class StatusPages {
   private readonly servers: Server[] = [];
 
@@ -15,9 +26,15 @@
     private readonly isReady: () => boolean,
   ) {}
 
-  /** Serves the endpoints on one more address. Fails with `BadAddress`. */
-  async listen(address: Address): Promise<Result<Address>> {
+  /** Serves the endpoints on one more address, and a page for operators, if there is one. Fails with `BadAddress`. */
+  async listen(
+    address: Address,
+    operatorPage?: OperatorPage,
+  ): Promise<Result<Address>> {
     const server = createServer((incoming, response) => {
+      if (operatorPage?.receive(incoming, response)) {
+        return;
+      }
       if (incoming.url === metricsPath) {
         void this.answerMetrics(response);
         return;
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -220,11 +220,11 @@
       }
     }
     if (attempt) {
-      this.disproveCrash(service, attempt, now);
+      this.dropDisproved(service, attempt, now);
     }
   }
 
-  override liftVerdict(id: string, now: Milliseconds): boolean {
+  override clearSuspect(id: string, now: Milliseconds): boolean {
     const suspects = this.list().filter(
       ({ trait, crashCount }) => trait.id === id && crashCount > 0,
     );
@@ -302,15 +302,16 @@
     }
     if (changes.includes(SightingChange.Added)) {
       suspect.send('SIGHTED', now);
-      this.updateVerdict(service, suspect, now);
     }
     if (refusedAgeMs !== undefined && policy.mayHold(suspect.crashCount)) {
       suspect.refuseSince(now - refusedAgeMs, now);
+    } else if (changes.includes(SightingChange.Added)) {
+      this.updateVerdict(service, suspect, now);
     }
   }
 
   /** Clears a supposed crash: the server, in the same run, answered what it was sent before. An answer that was on its way when it crashed comes at once. */
-  private disproveCrash(
+  private dropDisproved(
     service: ServiceSuspects,
     attempt: AnsweredAttempt,
     now: Milliseconds,
--- a/packages/gateway/src/suspects/suspect.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -166,8 +166,9 @@
     forget: (): void => {
       this.services.handleForgotten(this);
     },
-    mayTry: (now: Milliseconds): boolean =>
-      Number.isFinite(this.computeTrialInterval(now)),
+    isTrialDue: (now: Milliseconds): boolean => this.computeRefusal(now) <= 0,
+    hasExpired: (now: Milliseconds): boolean =>
+      this.computeVerdictLifetime(now) <= 0,
     /** Time until the next trial, or until the verdict is forgotten if there is none. */
     computeRefusalDelay: (now: Milliseconds): Milliseconds =>
       Math.min(
@@ -191,7 +192,7 @@
 
   /** Time for which a verdict without further trials holds. */
   private computeVerdictLifetime(now: Milliseconds): Milliseconds {
-    return this.chartActions.mayTry(now)
+    return Number.isFinite(this.computeTrialInterval(now))
       ? Infinity
       : (this.refusedAt ?? now) + this.trait.policy.lifetimeMs - now;
   }
@@ -274,7 +275,8 @@
     },
     guards: {
       isShared: suspect => suspect.isShared,
-      mayTry: (suspect, _, now) => suspect.chartActions.mayTry(now),
+      isTrialDue: (suspect, _, now) => suspect.chartActions.isTrialDue(now),
+      hasExpired: (suspect, _, now) => suspect.chartActions.hasExpired(now),
     },
     delays: {
       SIGHTING_LIFETIME: suspect => suspect.trait.policy.lifetimeMs,
--- a/packages/gateway/src/suspects/suspectTracker.ts
+++ b/packages/gateway/src/suspects/suspectTracker.ts
@@ -141,7 +141,7 @@
   ): void;
 
   /** Clears a suspect at an operator's request; returns whether it was known. */
-  abstract liftVerdict(id: string, now: Milliseconds): boolean;
+  abstract clearSuspect(id: string, now: Milliseconds): boolean;
 
   /** Number that grows with each change that other gateways should learn of soon. */
   abstract get revision(): number;
--- a/packages/gateway/src/suspects/suspects.ts
+++ b/packages/gateway/src/suspects/suspects.ts
@@ -17,6 +17,7 @@
 } from './crashSuspectTracker.js';
 import { SuspectExchange } from './suspectExchange.js';
 import { bindSuspectCharts } from './suspectExchangeCharts.js';
+import { SuspectPage } from './suspectPage.js';
 import { SuspectReceiver } from './suspectReceiver.js';
 import { bindSuspectChart } from './suspect.js';
 import type { SuspectTracker } from './suspectTracker.js';
@@ -35,6 +36,7 @@
   readonly tracker: SuspectTracker;
   private readonly found: CrashSuspectTracker;
   private readonly exchange: SuspectExchange;
+  readonly page: SuspectPage;
   private readonly receiver: SuspectReceiver;
   private readonly disposables = new DisposableStore();
 
@@ -61,6 +63,13 @@
         tracker: this.tracker,
       }),
     );
+    this.page = new SuspectPage({
+      postCompletion: run => {
+        services.postCompletion(run);
+      },
+      listSuspects: () => this.found.list(),
+      clearSuspect: (id, now) => this.tracker.clearSuspect(id, now),
+    });
     this.receiver = new SuspectReceiver({
       log,
       postCompletion: run => {
--- a/packages/gateway/src/suspects/watchedTracker.ts
+++ b/packages/gateway/src/suspects/watchedTracker.ts
@@ -90,8 +90,8 @@
     this.reportChange(now);
   }
 
-  override liftVerdict(id: string, now: Milliseconds): boolean {
-    const isKnown = this.tracker.liftVerdict(id, now);
+  override clearSuspect(id: string, now: Milliseconds): boolean {
+    const isKnown = this.tracker.clearSuspect(id, now);
     this.reportChange(now);
     return isKnown;
   }
