--- a/packages/decisions/src/suspects/unservedCall.ts
+++ b/packages/decisions/src/suspects/unservedCall.ts
@@ -17,7 +17,8 @@
 import { countSteps, maxNewsDelayMs } from './crashSteps.js';
 
 export interface CallThresholds {
-  /** See `countSteps`. */
+  readonly minCrashes: number;
+  /** See `countSteps`; the crashes of one step may have another cause. */
   readonly minSteps: number;
   /** Steps that are enough beside many crashes without the call. */
   readonly minStepsInStorm: number;
@@ -27,7 +28,8 @@
 }
 
 export const defaultCallThresholds: CallThresholds = {
-  minSteps: 3,
+  minCrashes: 3,
+  minSteps: 2,
   minStepsInStorm: 5,
   minPresence: 0.25,
   newsDelayMs: maxNewsDelayMs,
@@ -52,20 +54,19 @@
     if (crashes.length === 0) {
       return Suspicion.None;
     }
-    const { minSteps, minStepsInStorm, minPresence, newsDelayMs } =
-      this.thresholds;
+    const { thresholds } = this;
+    const { minPresence } = thresholds;
     const isStorm = computePresence(crashes) < minPresence;
-    const steps = countSteps(
-      crashes.filter(({ presence }) => presence >= minPresence),
-      newsDelayMs,
-    );
-    return steps >= (isStorm ? minStepsInStorm : minSteps)
+    const counted = crashes.filter(({ presence }) => presence >= minPresence);
+    const minSteps = isStorm ? thresholds.minStepsInStorm : thresholds.minSteps;
+    return counted.length >= thresholds.minCrashes &&
+      countSteps(counted, thresholds.newsDelayMs) >= minSteps
       ? Suspicion.Blamed
       : Suspicion.Suspected;
   }
 
   override mayHold(crashes: number): boolean {
-    return crashes >= this.thresholds.minSteps;
+    return crashes >= this.thresholds.minCrashes;
   }
 
   /** A new call is repeated once, since it may have been beside the cause of the crash; one that comes again is not. */
