--- a/packages/decisions/src/suspects/crashTimes.ts
+++ b/packages/decisions/src/suspects/crashTimes.ts
@@ -16,6 +16,11 @@
     }
   }
 
+  /** Returns when the crash happened; `undefined` if it is not known. */
+  find(crash: string): Milliseconds | undefined {
+    return this.times.get(crash);
+  }
+
   has(crash: string): boolean {
     return this.times.has(crash);
   }
