--- a/packages/gateway/src/suspects/suspectCalls.ts
+++ b/packages/gateway/src/suspects/suspectCalls.ts
@@ -39,13 +39,17 @@
 ): CallFault | undefined =>
   call.runs > 0 ? findRepeatFault(call, now) : findVerdictFault(call, now);
 
-/** Counts a call that is not sent, or not once more, after it was admitted. */
+/** Counts a call that is not sent, or not once more, after it was admitted; one that runs once in any case loses nothing. */
 export const noteSuspectRefusal = (
   call: GatewayCall,
   now: Milliseconds,
 ): void => {
   const decision = decideAttempt(call, now);
-  countRefusal(call, decision, call.runs > 0 ? 'repeat' : 'admission');
+  if (call.runs === 0) {
+    countRefusal(call, decision, 'admission');
+  } else if (call.admitted?.isRepeatable) {
+    countRefusal(call, decision, 'repeat');
+  }
 };
 
 /** Nothing forbids to resume an answer that was under way. */
