Log that a suspect is cleared

The line 'A part of prompts is cleared, since an answer was written.' was never written: its action asked the chart's state after the transition, when the suspect was neither suspected nor refused any more. The state before the event counts now (callVerdicts.test.ts, the line of an operator's clearing: 0 before, 1 after).

--- a/packages/gateway/src/suspects/suspect.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -69,6 +69,8 @@
   refusedAt: Milliseconds | undefined;
   /** When a call with the trait was last sent although it was suspected. */
   lastSentAt: Milliseconds = -Infinity;
+  /** Whether it was suspected or refused before the event that the chart handles. */
+  private wasDoubted = false;
   private readonly chart: ChartInstance<Suspect, SuspectEvent>;
 
   constructor(
@@ -116,6 +118,7 @@
   }
 
   send(type: SuspectEvent['type'], now: Milliseconds): void {
+    this.wasDoubted = this.isSuspected || this.isBlamed;
     this.chart.send({ type }, now);
   }
 
@@ -200,7 +203,7 @@
   private noteCleared(reason: 'cleared' | 'lifted', now: Milliseconds): void {
     this.refusedAt = undefined;
     this.lastSentAt = -Infinity;
-    if (this.isSuspected || this.isBlamed) {
+    if (this.wasDoubted) {
       this.recordChange(reason, now);
     }
   }
