--- a/packages/gateway/tests/wholeCalls.test.ts
+++ b/packages/gateway/tests/wholeCalls.test.ts
@@ -83,10 +83,10 @@
     this.incarnation += 1;
     const attempt = { serverId, incarnation: this.incarnation, sentAt };
     this.get(at).noteBroken(call, attempt, this.time.now);
-    this.tellAll(at);
+    this.sendToAll(at);
   }
 
-  tellAll(from: number): void {
+  sendToAll(from: number): void {
     const records = this.get(from).listRecords(this.time.now);
     this.gateways.forEach(tracker => {
       tracker.mergeRecords(records, this.time.now);
@@ -178,7 +178,7 @@
     expect(fleet.isAllowed(2, 'deadly')).toBe(true);
     fleet.crash(2, fleet.createCall('deadly'));
     fleet.addGateway();
-    fleet.tellAll(2);
+    fleet.sendToAll(2);
     for (const at of [0, 1, 2, 3]) {
       expect(fleet.isAllowed(at, 'deadly')).toBe(false);
       expect(fleet.isAllowed(at, 'sound')).toBe(true);
@@ -246,7 +246,7 @@
   it('is tried at most twice in a day, all gateways together', () => {
     const fleet = new Fleet(3);
     fleet.crashThree('deadly');
-    fleet.tellAll(0);
+    fleet.sendToAll(0);
     let sent = 0;
     for (let hour = 0; hour < 23; hour += 1) {
       for (let minute = 0; minute < 60; minute += 1) {
@@ -264,7 +264,7 @@
 
       // Gateways that start anew learn the trials from the others.
       const late = fleet.addGateway();
-      fleet.tellAll(0);
+      fleet.sendToAll(0);
       fleet.gateways.splice(fleet.gateways.indexOf(late), 1);
       fleet.gateways.splice(1 + (hour % 2), 1, late);
     }
@@ -275,15 +275,15 @@
   it('is sent again everywhere after an operator cleared it at one gateway', () => {
     const fleet = new Fleet(2);
     fleet.crashThree('deadly');
-    fleet.tellAll(0);
+    fleet.sendToAll(0);
     expect(fleet.isAllowed(1, 'deadly')).toBe(false);
     const { id } = fleet.createCall('deadly').identity ?? createIdentity();
     expect(fleet.get(0).clearSuspect('call:unknown', 0)).toBe(false);
     const before = fleet.get(0).revision;
     expect(fleet.get(0).clearSuspect(id, fleet.time.now)).toBe(true);
     expect(fleet.get(0).revision).toBeGreaterThan(before);
-    fleet.tellAll(0);
-    fleet.tellAll(1);
+    fleet.sendToAll(0);
+    fleet.sendToAll(1);
     expect(fleet.isAllowed(0, 'deadly')).toBe(true);
     expect(fleet.isAllowed(1, 'deadly')).toBe(true);
   });
