--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -107,6 +107,9 @@
   /** Drops some suspects of the same kind if there are too many, those with the fewest and oldest crashes, refused ones last. */
   private makeRoom({ trait }: Suspect): void {
     const { kind, maxTracked } = trait;
+    if (this.suspects.size < maxTracked) {
+      return;
+    }
     const alike = this.list().filter(other => other.trait.kind === kind);
     if (alike.length < maxTracked) {
       return;
