Soak gateways beside calls that kill their servers

Scenario 'deadly calls': the two or three servers are processes of their own, killed with SIGKILL 60 ms after a deadly call reaches them and started again after 1.5 s; three gateways that know each other, of which one is killed, stopped, frozen and reloaded. The check counts what the undisturbed gateways did: runs of the deadly call later than 2 s after its third crash (three at most), sound calls lost (5 in 100), and any time without a living server.

--- a/bench/src/soak/checkDeadlyCalls.ts
+++ b/bench/src/soak/checkDeadlyCalls.ts
@@ -41,6 +41,7 @@
   const times = outages.map(({ at }) => at).sort((a, b) => a - b);
   const knownAt = (times[2] ?? Infinity) + contactMs;
   const undisturbed = history.calls.filter(call => !isDisturbed(call, history));
+  const endedAt = Math.max(...history.calls.map(call => call.endedAt));
   const ids = new Set(undisturbed.map(({ requestId }) => requestId));
   const sound = undisturbed.filter(call => !isDeadly(call));
   return {
@@ -54,7 +55,7 @@
     lostCalls: sound.filter(({ status, isComplete }) => {
       return status !== 200 || !isComplete;
     }).length,
-    darkMs: computeDarkMs(record),
+    darkMs: computeDarkMs(record, endedAt),
   };
 };
 
@@ -83,10 +84,13 @@
   { resets }: DisturbedHistory,
 ): boolean => resets.some(each => each.port === port && each.at <= endedAt);
 
-const computeDarkMs = ({ outages, serverCount }: CrashRecord): number => {
+const computeDarkMs = (
+  { outages, serverCount }: CrashRecord,
+  endedAt: number,
+): number => {
   const times = outages.map(({ at }) => {
     const down = outages.filter(each => isDownAt(each, at));
-    const backAt = Math.min(...down.map(each => each.backAt));
+    const backAt = Math.min(endedAt, ...down.map(each => each.backAt));
     return down.length === serverCount ? backAt - at : 0;
   });
   return Math.max(0, ...times);
--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -1,4 +1,5 @@
 /** Checks the calls and runs of a soak against the guarantees of a gateway. */
+import { checkDeadlyCalls } from './checkDeadlyCalls.js';
 import { checkLeaving } from './checkLeaving.js';
 import { checkRefusal } from './checkRefusals.js';
 import { checkCuts } from './stopCuts.js';
@@ -41,6 +42,7 @@
       ];
     }),
     ...(history.isPlannedOnly ? checkCuts(history) : []),
+    ...checkDeadlyCalls(history),
   ];
 };
 
--- a/bench/src/soak/index.ts
+++ b/bench/src/soak/index.ts
@@ -1,4 +1,5 @@
 /** A soak test of gateway processes with faults injected from outside the processes. */
+export * from './checkDeadlyCalls.js';
 export * from './checkSoak.js';
 export * from './gatewaySoakBench.js';
 export * from './runSoak.js';
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -2,10 +2,11 @@
 import { millisecondsPerSecond } from '@lycheetally/common';
 import { SeededRandom, waitFor } from '@lycheetally/testkit';
 import { countBy } from '../load/reconcile.js';
+import { countCrashes, type CrashCounts } from './checkDeadlyCalls.js';
 import { checkSoak } from './checkSoak.js';
 import type { GatewayProcess } from './gatewayProcess.js';
 import { runCallers } from './soakCallers.js';
-import { SoakHarness, drainSeconds } from './soakHarness.js';
+import { SoakHarness, defaultProcesses, drainSeconds } from './soakHarness.js';
 import type { SoakScenario } from './soakScenario.js';
 import { countCuts, noCuts, type StopCuts } from './stopCuts.js';
 import type { GuaranteeViolation, SoakCall, SoakHistory } from './types.js';
@@ -17,6 +18,8 @@
   readonly statuses: Readonly<Record<string, number>>;
   /** Calls that stops of gateways cut. */
   readonly cuts: StopCuts;
+  /** What deadly calls did, if there were any. */
+  readonly crashes?: CrashCounts | undefined;
   readonly faults: readonly string[];
   readonly broken: readonly GuaranteeViolation[];
   /** Lines of the gateways' logs that name a call with a broken guarantee. */
@@ -40,7 +43,10 @@
   durationMs: number,
   scenario: SoakScenario,
 ): Promise<SoakResult> => {
-  const harness = new SoakHarness(seed, scenario.routeTimeoutMs);
+  const servers = scenario.getServerProcesses(seed);
+  const gateways = defaultProcesses.gateways + (servers > 0 ? 1 : 0);
+  const processes = { ...defaultProcesses, gateways, servers };
+  const harness = new SoakHarness(seed, scenario.routeTimeoutMs, processes);
   try {
     await harness.start();
     const load = {
@@ -130,7 +136,7 @@
 }: EndedSoak): SoakResult => {
   const history: SoakHistory = {
     calls: [...calls, ...callsAfterFaults],
-    runs: harness.servers.flatMap(({ runs }) => runs),
+    runs: harness.listRuns(),
     accounts: harness.accounts,
     revocationDeadlines: harness.revocationDeadlines,
     isPlannedOnly: scenario.isPlannedOnly,
@@ -148,6 +154,7 @@
     leaveDeadlines: harness.leaveDeadlines,
     recoveredAt,
     graceMs: drainSeconds * millisecondsPerSecond,
+    crashes: harness.getCrashes(),
   };
   const broken = [...checkSoak(history), ...checkRecovery(callsAfterFaults)];
   const ids = new Set(broken.map(({ requestId }) => requestId));
@@ -157,7 +164,17 @@
   const statuses = countBy(history.calls.map(({ status }) => String(status)));
   const { length } = history.calls;
   const cuts = countCuts(history);
-  return { seed, calls: length, statuses, cuts, faults, broken, lines };
+  const crashes = history.crashes && countCrashes(history.crashes, history);
+  return {
+    seed,
+    calls: length,
+    statuses,
+    cuts,
+    crashes,
+    faults,
+    broken,
+    lines,
+  };
 };
 
 const checkRecovery = (calls: readonly SoakCall[]): GuaranteeViolation[] => {
--- a/bench/src/soak/serverProcess.ts
+++ b/bench/src/soak/serverProcess.ts
@@ -36,6 +36,10 @@
 
   constructor(private readonly options: ServerProcessOptions) {}
 
+  get isDown(): boolean {
+    return this.outages.at(-1)?.backAt === Infinity;
+  }
+
   /** Starts the process and waits until it listens; does so again each time it ends. */
   async start(): Promise<void> {
     if (this.isDisposed) {
--- a/bench/src/soak/soakCallers.ts
+++ b/bench/src/soak/soakCallers.ts
@@ -16,6 +16,9 @@
 /** Events of a stream. */
 export const streamEvents = 20;
 
+/** Steps of a call that is repeated. */
+const repeatedSteps = 2;
+
 /** Mean time between two calls. */
 const meanArrivalIntervalMs = 25;
 
@@ -56,6 +59,38 @@
   return ended;
 };
 
+export interface RepeatedCall {
+  readonly kind: SoakKind;
+  readonly body: string;
+  /** Time between an answer and the next call, in milliseconds. */
+  readonly pauseMs: number;
+}
+
+/** Repeats one call at the gateways in turn for `durationMs`. */
+export const runRepeatedCall = async (
+  { seed, ports, keys, startedAt, durationMs }: SoakLoad,
+  { kind, body, pauseMs }: RepeatedCall,
+): Promise<SoakCall[]> => {
+  const endsAt = Date.now() + durationMs;
+  const calls: SoakCall[] = [];
+  for (let index = 0; Date.now() < endsAt; index += 1) {
+    const call = await sendCall({
+      requestId: `${String(seed)}-repeated-${String(index)}`,
+      kind,
+      body,
+      steps: repeatedSteps,
+      timeoutMs: callTimeoutMs,
+      key: keys[0] ?? '',
+      port: ports[index % ports.length] ?? 0,
+      agent: undefined,
+      startedAt,
+    });
+    calls.push(call);
+    await waitFor(pauseMs);
+  }
+  return calls;
+};
+
 /** Sessions with each gateway. */
 const sessionsPerGateway = 12;
 
@@ -139,6 +174,8 @@
 
 interface PlannedCall {
   readonly requestId: string;
+  /** A body that names the call if absent. */
+  readonly body?: string;
   readonly kind: SoakKind;
   readonly steps: number;
   readonly timeoutMs: number;
@@ -157,7 +194,7 @@
 };
 
 const sendCall = (planned: PlannedCall): Promise<SoakCall> => {
-  const body = `body of ${planned.requestId}`;
+  const body = planned.body ?? `body of ${planned.requestId}`;
   const getNow = (): number => Date.now() - planned.startedAt;
   const sent = {
     requestId: planned.requestId,
--- a/bench/src/soak/soakFaults.ts
+++ b/bench/src/soak/soakFaults.ts
@@ -27,7 +27,7 @@
     random: SeededRandom,
     forMs: number,
   ): Promise<void> {
-    const gateway = random.pickOne(harness.gateways);
+    const gateway = random.pickOne(harness.disturbed);
     await gateway.restart('SIGKILL', forMs / 4);
   }
 }
@@ -39,7 +39,7 @@
     harness: SoakHarness,
     random: SeededRandom,
   ): Promise<void> {
-    const gateway = random.pickOne(harness.gateways);
+    const gateway = random.pickOne(harness.disturbed);
     await gateway.restart('SIGTERM');
   }
 }
@@ -70,7 +70,7 @@
     random: SeededRandom,
     forMs: number,
   ): Promise<void> {
-    const gateway = random.pickOne(harness.gateways);
+    const gateway = random.pickOne(harness.disturbed);
     gateway.sendSignal('SIGSTOP');
     await waitFor(forMs);
     gateway.sendSignal('SIGCONT');
@@ -305,6 +305,16 @@
   ...Array.from({ length: 4 }, () => new PauseServersFault()),
 ];
 
+const crashFaults: readonly SoakFault[] = [
+  new KillGatewayFault(),
+  new RestartGatewayFault(),
+  new FreezeGatewayFault(),
+  new ReloadGatewayFault(),
+  new StoreChangeFault('change the configuration', harness => {
+    harness.publishConfiguration();
+  }),
+];
+
 /** Bounds of the pause of a sound server. */
 const minPauseMs = 300;
 const maxPauseMs = 2_000;
@@ -352,6 +362,18 @@
 ): Promise<string[]> =>
   runFaults(pausedFaults, longestPauseMs, { harness, random, durationMs });
 
+/** Disturbs one gateway and the configuration while servers crash, for `durationMs`; returns the names of the faults in order. */
+export const runCrashFaults = (
+  harness: SoakHarness,
+  random: SeededRandom,
+  durationMs: number,
+): Promise<string[]> =>
+  runFaults(crashFaults, longestPlannedPauseMs, {
+    harness,
+    random,
+    durationMs,
+  });
+
 /** Does planned work while servers pause, for `durationMs`; returns its names in order. */
 export const runPausedWork = (
   harness: SoakHarness,
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -15,8 +15,10 @@
 } from '@lycheetally/testkit';
 import { leaveMs } from './checkLeaving.js';
 import { GatewayProcess } from './gatewayProcess.js';
+import { ServerProcess } from './serverProcess.js';
 import { soakHost } from './soakCallers.js';
 import { SoakServer } from './soakServers.js';
+import type { CrashRecord, SoakRun } from './types.js';
 
 const gatewayCount = 2;
 const serverCount = 3;
@@ -41,10 +43,26 @@
   readonly value: unknown;
 }
 
+/** What a soak runs in processes. */
+export interface SoakProcesses {
+  readonly gateways: number;
+  /** With none, the servers live in this process. */
+  readonly servers: number;
+  /** Time from the end of a server process until it starts again, in milliseconds. */
+  readonly restartMs: number;
+}
+
+export const defaultProcesses: SoakProcesses = {
+  gateways: gatewayCount,
+  servers: 0,
+  restartMs: 1_500,
+};
+
 export class SoakHarness {
   readonly store = new PlatformStoreStandIn();
   readonly gateways: GatewayProcess[] = [];
   readonly servers: SoakServer[] = [];
+  readonly serverProcesses: ServerProcess[] = [];
   /** Links from each gateway to the store, and from all gateways to each server. */
   readonly storeLinks: TcpRelay[] = [];
   readonly serverLinks: TcpRelay[] = [];
@@ -63,6 +81,7 @@
     private readonly seed: number,
     /** Time limit of every route, from the next version of the configuration on. */
     public routeTimeoutMs: number,
+    private readonly processes = defaultProcesses,
   ) {
     for (let index = 0; index < keyCount; index += 1) {
       this.accounts.set(`key-${String(index)}`, `account-${String(index)}`);
@@ -71,16 +90,43 @@
 
   async start(): Promise<void> {
     const store = await this.store.listen();
-    for (let index = 0; index < serverCount; index += 1) {
+    const { gateways, servers } = this.processes;
+    for (let index = 0; index < servers; index += 1) {
+      await this.addServerProcess(`i-${String(index)}`);
+    }
+    for (let index = 0; servers === 0 && index < serverCount; index += 1) {
       await this.addServer(`i-${String(index)}`, this.seed * 10 + index);
     }
     this.publishConfiguration();
-    for (let index = 0; index < gatewayCount; index += 1) {
+    for (let index = 0; index < gateways; index += 1) {
       await this.addGateway(`gateway-${String(index)}`, store);
     }
     await this.waitUntilReady();
   }
 
+  /** Gateways that faults may stop: all, or one beside servers that crash. */
+  get disturbed(): readonly GatewayProcess[] {
+    return this.gateways.slice(0, this.processes.servers > 0 ? 1 : undefined);
+  }
+
+  listRuns(): SoakRun[] {
+    return [...this.servers, ...this.serverProcesses].flatMap(
+      ({ runs }) => runs,
+    );
+  }
+
+  /** Returns what became of the server processes, if there are any. */
+  getCrashes(): CrashRecord | undefined {
+    const { length } = this.serverProcesses;
+    return length === 0
+      ? undefined
+      : {
+          serverCount: length,
+          deadlyRuns: this.serverProcesses.flatMap(each => each.deadlyRuns),
+          outages: this.serverProcesses.flatMap(each => each.outages),
+        };
+  }
+
   /** Publishes a new version of the configuration; the store has it when the call returns. */
   publishConfiguration(): void {
     this.version += 1;
@@ -200,6 +246,9 @@
     for (const { backend } of this.servers) {
       backend.close();
     }
+    this.serverProcesses.forEach(each => {
+      each.dispose();
+    });
     this.store.close();
     rmSync(this.folder, { recursive: true });
   }
@@ -218,15 +267,35 @@
     this.put(serversTable, serverId, record);
   }
 
+  private async addServerProcess(serverId: string): Promise<void> {
+    const server = new ServerProcess({
+      serverId,
+      port: await findFreePort(),
+      restartMs: this.processes.restartMs,
+      getNow: () => Date.now() - this.startedAt,
+      publish: address => {
+        const fields = { slots: 50, born: Date.now() };
+        const record = formatServerRecord(address, fields);
+        this.put(serversTable, serverId, record);
+      },
+    });
+    this.serverProcesses.push(server);
+    await server.start();
+  }
+
   private async addGateway(name: string, store: string): Promise<void> {
     const link = new TcpRelay(store);
     this.storeLinks.push(link);
     const [port, readyPort] = [await findFreePort(), await findFreePort()];
+    const peerPort = await findFreePort();
     const gateway = new GatewayProcess(name, port, readyPort, this.folder, {
       process: { id: name, failureDomain: 'zone-a', drainSeconds },
       listen: {
         callers: `127.0.0.1:${String(port)}`,
         readiness: `127.0.0.1:${String(readyPort)}`,
+        ...(this.processes.servers > 0
+          ? { gateways: `127.0.0.1:${String(peerPort)}` }
+          : {}),
       },
       rules: {
         heartbeatMs: 1_200,
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -1,13 +1,15 @@
 /** What a soak does to its gateways, and who calls them meanwhile. */
-import type { SeededRandom } from '@lycheetally/testkit';
+import { SeededRandom } from '@lycheetally/testkit';
 import {
   mixedStreamSteps,
   shortSteps,
   runCallers,
+  runRepeatedCall,
   runSessions,
   type SoakLoad,
 } from './soakCallers.js';
 import {
+  runCrashFaults,
   runLeavingFaults,
   runPausedFaults,
   runPausedWork,
@@ -17,7 +19,7 @@
   runStops,
 } from './soakFaults.js';
 import type { SoakHarness } from './soakHarness.js';
-import type { SoakCall } from './types.js';
+import { SoakKind, deadlyBody, type SoakCall } from './types.js';
 
 export abstract class SoakScenario {
   abstract readonly name: string;
@@ -31,6 +33,11 @@
   /** Time limit of the routes at the start, in milliseconds. */
   abstract readonly routeTimeoutMs: number;
 
+  /** Server processes that deadly calls kill; with none, the servers live in this process. */
+  getServerProcesses(_seed: number): number {
+    return 0;
+  }
+
   /** Duration of a short soak in a test. */
   readonly testMs: number = 5_000;
 
@@ -163,3 +170,31 @@
     return runPausedWork(harness, random, durationMs);
   }
 }
+
+/** A call kills each server of a service of two or three that begins to run it, and comes again. */
+export class CrashScenario extends FaultScenario {
+  override readonly name = 'deadly calls';
+  override readonly testMs = 6_000;
+
+  override getServerProcesses(seed: number): number {
+    return 2 + (seed % 2);
+  }
+
+  override async runCallers(load: SoakLoad): Promise<SoakCall[]> {
+    const kind = new SeededRandom(load.seed).pickOne(Object.values(SoakKind));
+    const deadly = { kind, body: deadlyBody, pauseMs: deadlyPauseMs };
+    const calls = [runCallers(load), runRepeatedCall(load, deadly)];
+    return (await Promise.all(calls)).flat();
+  }
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    return runCrashFaults(harness, random, durationMs);
+  }
+}
+
+/** Time between an answer to a deadly call and the next one, in milliseconds. */
+const deadlyPauseMs = 300;
--- a/bench/src/soak/soakServers.ts
+++ b/bench/src/soak/soakServers.ts
@@ -10,7 +10,7 @@
   type ReceivedRequest,
 } from '@lycheetally/testkit';
 import { formatSoakEvent } from './checkSoak.js';
-import { SoakKind, type SoakRun } from './types.js';
+import { SoakKind, isDeadly, type SoakRun } from './types.js';
 
 /** How a server responds to a request. */
 const ResponseMode = {
@@ -87,6 +87,8 @@
       : this.random.pickOne(responseModes);
     if (request.headers.get('x-target-instance') !== this.serverId) {
       this.sendAnswer(request, '', '421 Misdirected Request');
+    } else if (isDeadly(request)) {
+      this.record(request, '', false);
     } else if (mode === ResponseMode.Refuse) {
       this.sendAnswer(request, '', '503 Busy', ['X-Not-Executed: 1']);
     } else if (request.target.startsWith(`/${SoakKind.Stream}/`)) {
@@ -167,6 +169,10 @@
     writeNext();
   }
 
+  protected keepRun(run: SoakRun): void {
+    this.runs.push(run);
+  }
+
   private record(
     { headers, target, body }: ReceivedRequest,
     answer: string,
@@ -175,7 +181,7 @@
     const kind = Object.values(SoakKind).find(each =>
       target.startsWith(`/${each}/`),
     );
-    this.runs.push({
+    this.keepRun({
       requestId: headers.get('x-request-id') ?? '',
       serverId: this.serverId,
       kind: kind ?? SoakKind.Booking,
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -48,6 +48,31 @@
   readonly isSuccess: boolean;
 }
 
+/** Body of the calls that kill each server that begins to run them. */
+export const deadlyBody = 'body of a deadly call';
+
+export const isDeadly = ({ body }: Pick<SoakCall, 'body'>): boolean =>
+  body === deadlyBody;
+
+/** A run and when it began, in milliseconds since the start of the soak. */
+export interface TimedRun {
+  readonly run: SoakRun;
+  readonly at: number;
+}
+
+/** A time without a server, in milliseconds since the start of the soak. */
+export interface ServerOutage {
+  readonly at: number;
+  backAt: number;
+}
+
+/** What deadly calls did to the servers of a soak. */
+export interface CrashRecord {
+  readonly serverCount: number;
+  readonly deadlyRuns: readonly TimedRun[];
+  readonly outages: readonly ServerOutage[];
+}
+
 /** A stop signal of a gateway. */
 export interface SoakStop {
   readonly port: number;
@@ -84,6 +109,8 @@
   readonly recoveredAt: number;
   /** Time from a stop signal until the platform kills the process, in milliseconds. */
   readonly graceMs: number;
+  /** Set if there were deadly calls. */
+  readonly crashes?: CrashRecord | undefined;
 }
 
 /** A guarantee that was broken, and the call for which it was. */
--- a/bench/tests/soak.test.ts
+++ b/bench/tests/soak.test.ts
@@ -1,6 +1,7 @@
 /** Tests the check of the gateway soak and runs short soaks; `lycheetally bench soak` runs many seeds. */
 import { describe, expect, it } from 'vitest';
 import {
+  CrashScenario,
   FaultScenario,
   LeavingScenario,
   PausedFaultScenario,
@@ -8,15 +9,20 @@
   PlannedScenario,
   SoakKind,
   StopScenario,
+  checkDeadlyCalls,
   checkSoak,
+  countCrashes,
   countCuts,
+  deadlyBody,
   fewCutsPromise,
   formatSoakEvent,
   runSoak,
+  type ServerOutage,
   type SoakCall,
   type SoakHistory,
   type SoakResult,
   type SoakRun,
+  type TimedRun,
 } from '../src/index.js';
 
 const steps = 20;
@@ -191,6 +197,44 @@
   });
 });
 
+describe('checkSoak with deadly calls', () => {
+  const deadly = { ...call, requestId: 'r-2', body: deadlyBody, status: 502 };
+  const deadlyRun = { ...run, requestId: 'r-2', body: deadlyBody };
+  const listOutages = (...times: readonly number[]): ServerOutage[] =>
+    times.map(at => ({ at, backAt: at + 50 }));
+  const listRuns = (count: number, at: number): TimedRun[] =>
+    Array.from({ length: count }, () => ({ run: deadlyRun, at }));
+  const isRetried =
+    'a call that crashed three servers is retried three times at most';
+
+  it.each([
+    ['three late runs', 3, 2_201, [], []],
+    ['four late runs', 4, 2_201, [], [isRetried]],
+    ['runs within the contact time', 4, 2_200, [], []],
+    ['runs of a gateway that stopped', 4, 2_201, [{ port: 1, at: 1 }], []],
+  ])('judges %s', (_, count, at, resets, promises) => {
+    const outages = listOutages(0, 100, 200);
+    const deadlyRuns = listRuns(count, at);
+    const crashes = { serverCount: 3, deadlyRuns, outages };
+    const history = createHistory([call, deadly], [], { crashes, resets });
+    expect(checkDeadlyCalls(history).map(each => each.promise)).toEqual(
+      promises,
+    );
+  });
+
+  it('finds sound calls that are lost and a time without a server', () => {
+    const outages = listOutages(0, 20, 40);
+    const crashes = { serverCount: 3, deadlyRuns: [], outages };
+    const lost = { ...call, status: 503 };
+    const history = createHistory([lost], [], { crashes });
+    expect(checkDeadlyCalls(history).map(each => each.promise)).toEqual([
+      'sound calls are served beside a deadly call',
+      'a deadly call leaves a server alive',
+    ]);
+    expect(countCrashes(crashes, history).darkMs).toBe(10);
+  });
+});
+
 describe('checkSoak with planned work only', () => {
   const stream: SoakCall = { ...call, kind: SoakKind.Stream };
   const streamRun = { ...run, kind: SoakKind.Stream };
@@ -338,6 +382,9 @@
   // Gateways took a pause of sound servers for their loss: they cut and refused calls.
   { scenario: new PausedScenario(), seed: 102 },
   { scenario: new PausedFaultScenario(), seed: 102 },
+  // A call without prompt parts killed every server of a service, again and again.
+  { scenario: new CrashScenario(), seed: 1 },
+  { scenario: new CrashScenario(), seed: 2 },
 ];
 
 const results = new Map<unknown, Promise<SoakResult>>();
@@ -350,7 +397,8 @@
   const running = results.get(each) ?? runSoak(seed, scenario.testMs, scenario);
   results.set(each, running);
   const result = await running;
-  const seen = [JSON.stringify(result.cuts), ...result.lines].join('\n');
+  const { cuts, crashes, lines } = result;
+  const seen = [JSON.stringify({ cuts, crashes }), ...lines].join('\n');
   return { ...result, seen };
 };
 
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -63,8 +63,8 @@
     public handleRequest: RequestHandler,
   ) {}
 
-  async listen(): Promise<string> {
-    const bound = await startListening(this.server, { host, port: 0 });
+  async listen(port = 0): Promise<string> {
+    const bound = await startListening(this.server, { host, port });
     this.address = formatAddress(bound.unwrap());
     return this.address;
   }
