--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -11,7 +11,7 @@
 import { FairnessBench } from './policy/fairnessBench.js';
 import { RanksBench } from './policy/ranksBench.js';
 import { RecoverBench } from './policy/recoverBench.js';
-import { GatewaySoakBench } from './soak/index.js';
+import { CrashTrialBench, GatewaySoakBench } from './soak/index.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
 
@@ -25,6 +25,7 @@
   new ClaimsBench(),
   new FaultsBench(),
   new GatewaySoakBench(),
+  new CrashTrialBench(),
   new BoundBench(),
   new RanksBench(),
   new FairnessBench(),
--- a/bench/src/soak/crashTrialBench.ts
+++ b/bench/src/soak/crashTrialBench.ts
@@ -105,13 +105,16 @@
 
 const isRefused = ({ status }: SoakCall): boolean => status === 503;
 
-/** Kills the server processes in turn. */
+/** Kills the server processes in turn, while more than half of them live. */
 const cutServers = async (
   { serverProcesses }: SoakHarness,
   pauseMs: number,
 ): Promise<void> => {
   for (let cut = 0; cut < durationMs / pauseMs; cut += 1) {
-    serverProcesses[cut % serverProcesses.length]?.cut();
+    const down = serverProcesses.filter(({ isDown }) => isDown);
+    if (down.length < Math.floor((serverProcesses.length - 1) / 2)) {
+      serverProcesses[cut % serverProcesses.length]?.cut();
+    }
     await waitFor(pauseMs);
   }
 };
--- a/bench/src/soak/index.ts
+++ b/bench/src/soak/index.ts
@@ -1,6 +1,7 @@
 /** A soak test of gateway processes with faults injected from outside the processes. */
 export * from './checkDeadlyCalls.js';
 export * from './checkSoak.js';
+export * from './crashTrialBench.js';
 export * from './gatewaySoakBench.js';
 export * from './runSoak.js';
 export * from './soakScenario.js';
