--- a/packages/gateway/src/suspects/suspects.ts
+++ b/packages/gateway/src/suspects/suspects.ts
@@ -1,4 +1,4 @@
-/** What a gateway knows about prompt parts, kept up to date with the other gateways. */
+/** What a gateway knows about suspects, kept up to date with the other gateways. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ChartTimers } from '@lycheetally/charts';
 import {
@@ -9,13 +9,15 @@
   type Disposable,
   type Milliseconds,
 } from '@lycheetally/common';
-import { UnservedPart } from '@lycheetally/decisions';
+import { UnservedCall, UnservedPart } from '@lycheetally/decisions';
+import type { TraitKind } from './callTrait.js';
 import {
   createSuspectTracker,
   type CrashSuspectTracker,
 } from './crashSuspectTracker.js';
 import { SuspectExchange } from './suspectExchange.js';
 import { bindSuspectCharts } from './suspectExchangeCharts.js';
+import { SuspectPage } from './suspectPage.js';
 import { SuspectReceiver } from './suspectReceiver.js';
 import { bindSuspectChart } from './suspect.js';
 import type { SuspectTracker } from './suspectTracker.js';
@@ -34,6 +36,7 @@
   readonly tracker: SuspectTracker;
   private readonly found: CrashSuspectTracker;
   private readonly exchange: SuspectExchange;
+  readonly page: SuspectPage;
   private readonly receiver: SuspectReceiver;
   private readonly disposables = new DisposableStore();
 
@@ -44,7 +47,7 @@
         machine: getOrThrow(bindSuspectChart()),
         timers,
         log,
-        policy: new UnservedPart(),
+        policies: { part: new UnservedPart(), call: new UnservedCall() },
         gatewayId,
       }),
     );
@@ -60,6 +63,13 @@
         tracker: this.tracker,
       }),
     );
+    this.page = new SuspectPage({
+      postCompletion: run => {
+        services.postCompletion(run);
+      },
+      listSuspects: () => this.found.list(),
+      clearSuspect: (id, now) => this.tracker.clearSuspect(id, now),
+    });
     this.receiver = new SuspectReceiver({
       log,
       postCompletion: run => {
@@ -69,14 +79,14 @@
     });
   }
 
-  /** Parts that were there when a server crashed. */
-  get trackedCount(): number {
-    return this.found.trackedParts;
+  /** Counts the suspects of a kind that were there when a server crashed. */
+  countTracked(kind: TraitKind): number {
+    return this.found.countTracked(kind);
   }
 
-  /** Parts with which calls are refused. */
-  get refusedCount(): number {
-    return this.found.refusedParts;
+  /** Counts the suspects of a kind with which calls are refused. */
+  countRefused(kind: TraitKind): number {
+    return this.found.countRefused(kind);
   }
 
   start(now: Milliseconds): void {
