--- a/packages/gateway/tests/callCrashEmulator.ts
+++ b/packages/gateway/tests/callCrashEmulator.ts
@@ -1,17 +1,9 @@
 /** Emulates gateways and servers of one service, and a call that crashes each server that runs it, in virtual time with a seed. */
-import {
-  CrashTimes,
-  ServingTimes,
-  SightingChange,
-  SightingSet,
-  Suspicion,
-  chooseSuspectServer,
-  decideSuspicion,
-  type BlamePolicy,
-  type Sighting,
-} from '@lycheetally/decisions';
+import type { BlamePolicy } from '@lycheetally/decisions';
 import { hashText } from '@lycheetally/common';
-import { VirtualTime } from './crashEmulator.js';
+import { CallIdentity } from '../src/suspects/callIdentity.js';
+import type { CrashSuspectTracker, TracedCall } from '../src/index.js';
+import { VirtualTime, createTracker } from './crashEmulator.js';
 
 export interface CallScenario {
   readonly seed: number;
@@ -46,11 +38,10 @@
 export const deadlyKey = 'deadly';
 export const hotKey = 'hot';
 
-interface Call {
+interface Call extends TracedCall {
   readonly key: string;
-  readonly requestId: string;
   readonly startedAt: number;
-  readonly isRepeatable: boolean;
+  isTrial: boolean;
   tries: number;
 }
 
@@ -65,126 +56,22 @@
   isUp = true;
   readonly runs = new Set<Run>();
 
-  constructor(readonly id: string) {}
-}
-
-/** One call that a gateway tracks. */
-class Tracked {
-  readonly sightings = new SightingSet(64);
-  blamedAt: number | undefined;
-  lastSentAt = -Infinity;
-
-  constructor(readonly key: string) {}
-
-  get crashCount(): number {
-    return this.sightings.listLive().length;
-  }
-
-  get isBlamed(): boolean {
-    return this.blamedAt !== undefined;
-  }
+  constructor(readonly serverId: string) {}
 }
 
-interface News {
-  readonly key: string;
-  readonly sightings: readonly Sighting[];
-  readonly blamedAt: number | undefined;
-  readonly sentAt: number;
-}
-
-class Gateway {
-  readonly tracked = new Map<string, Tracked>();
-  readonly servings = new ServingTimes(50, 120_000);
-  readonly crashTimes = new CrashTimes(256);
-  isAnnouncing = false;
-
-  constructor(
-    readonly id: string,
-    private readonly policy: BlamePolicy,
-  ) {}
-
-  track(key: string): Tracked {
-    const tracked = this.tracked.get(key) ?? new Tracked(key);
-    this.tracked.set(key, tracked);
-    return tracked;
-  }
-
-  /** Judges a call; a verdict holds until an answer. */
-  judge(key: string, now: number): Suspicion {
-    const tracked = this.tracked.get(key);
-    if (!tracked || tracked.isBlamed) {
-      return tracked ? Suspicion.Blamed : Suspicion.None;
-    }
-    tracked.sightings.removeBefore(now - this.policy.lifetimeMs);
-    const all = [...this.tracked.values()];
-    const suspicion = decideSuspicion(tracked, all, this, this.policy, now);
-    if (suspicion === Suspicion.Blamed) {
-      tracked.blamedAt = now;
-    }
-    return suspicion;
-  }
-
-  isTrialDue(key: string, now: number): boolean {
-    const { blamedAt = now, sightings, lastSentAt } = this.track(key);
-    const live = sightings.listLive();
-    const firstMs = this.policy.computeTrialInterval(0);
-    const failed = live.filter(({ at }) => at >= blamedAt + firstMs / 2).length;
-    const lastAt = Math.max(blamedAt, live.at(-1)?.at ?? 0, lastSentAt);
-    const ownMs = this.policy.computeTrialInterval(failed);
-    const offset = hashText(this.id) / 2 ** 32;
-    const intervalMs = sightings.isOwner()
-      ? ownMs
-      : Math.max(ownMs, this.policy.computeTrialInterval(1)) * (2 + offset);
-    return now >= lastAt + intervalMs;
-  }
-
-  noteServed(key: string, now: number): boolean {
-    this.servings.add(now);
-    const tracked = this.tracked.get(key);
-    const wasLive = (tracked?.crashCount ?? 0) > 0;
-    if (tracked && wasLive) {
-      tracked.sightings.clear(now);
-      tracked.blamedAt = undefined;
-    }
-    return wasLive;
-  }
-
-  /** Clears a supposed crash, since its server answered an earlier attempt. */
-  disprove(crash: string, now: number): void {
-    this.crashTimes.remove(crash);
-    for (const { sightings } of this.tracked.values()) {
-      sightings.clearCrash(crash, now);
-    }
-  }
-
-  merge({ key, sightings, blamedAt, sentAt }: News, now: number): void {
-    const tracked = this.track(key);
-    const delay = now - sentAt;
-    for (const sighting of sightings) {
-      const { at, clearedAt } = sighting;
-      this.crashTimes.add(sighting.crash, at + delay);
-      const change = tracked.sightings.join({
-        ...sighting,
-        at: at + delay,
-        sentAt: sighting.sentAt + delay,
-        clearedAt: clearedAt === undefined ? undefined : clearedAt + delay,
-        isOwn: false,
-      });
-      if (change === SightingChange.Cleared) {
-        this.servings.add(now);
-      }
-    }
-    if (!this.policy.mayHold(tracked.crashCount)) {
-      tracked.blamedAt = undefined;
-    } else if (blamedAt !== undefined) {
-      tracked.blamedAt = Math.min(tracked.blamedAt ?? now, blamedAt + delay);
-    }
-  }
+interface Gateway {
+  readonly tracker: CrashSuspectTracker;
+  /** Revision of the tracker that was last announced. */
+  announced: number;
+  isAnnouncing: boolean;
 }
 
 const restartMs = 3_200;
 const callerPatienceMs = 6_000;
 const waitStepMs = 50;
+const maxTries = 2;
+/** Time for which changes are collected before they are sent. */
+const coalesceMs = 50;
 
 export class CallCrashEmulator {
   readonly time = new VirtualTime();
@@ -217,24 +104,24 @@
   run(): this {
     const { scenario, time } = this;
     const { deadlyPauseMs, deadlyBurst, hotIntervalMs } = scenario;
-    this.repeat(deadlyPauseMs, 1_000, turn => {
+    this.scheduleEach(deadlyPauseMs, 1_000, turn => {
       const requestId = scenario.hasNewIds ? this.createId() : 'd';
       for (let index = 0; index < deadlyBurst; index += 1) {
         this.start(deadlyKey, requestId, turn + index);
       }
     });
-    this.repeat(hotIntervalMs, 0, turn => {
+    this.scheduleEach(hotIntervalMs, 0, turn => {
       this.start(hotKey, this.createId(), turn);
     });
-    this.repeat(1_000 / scenario.soundPerSecond, 0, () => {
+    this.scheduleEach(1_000 / scenario.soundPerSecond, 0, () => {
       const id = this.createId();
       this.start(id, id, this.pick(scenario.gateways));
     });
-    this.repeat(scenario.gatewayRestartMs, 1_500, turn => {
+    this.scheduleEach(scenario.gatewayRestartMs, 1_500, turn => {
       const index = turn % scenario.gateways;
       this.gateways[index] = this.createGateway(index, turn + 1);
     });
-    this.repeat(1_000, 1_000, () => {
+    this.scheduleEach(1_000, 1_000, () => {
       this.compareAll();
     });
     for (const { at, share } of scenario.otherCrashes) {
@@ -261,19 +148,18 @@
   }
 
   private createGateway(index: number, run: number): Gateway {
+    const { time, scenario } = this;
     const id = `g${String(index)}.${String(run)}`;
-    const gateway = new Gateway(id, this.scenario.policy);
+    const tracker = createTracker(time, id, undefined, scenario.policy);
+    const gateway = { tracker, announced: 0, isAnnouncing: false };
     if (run > 0) {
-      // A gateway that starts asks others.
-      this.time.schedule(this.draw() * this.scenario.maxNewsDelayMs, () => {
-        const from = this.pickOne(this.gateways);
-        this.sendNews(from, gateway, [...from.tracked.keys()]);
-      });
+      // A gateway that starts asks another one.
+      this.sendNews(this.pickOne(this.gateways), gateway);
     }
     return gateway;
   }
 
-  private repeat(
+  private scheduleEach(
     interval: number,
     first: number,
     run: (turn: number) => void,
@@ -307,61 +193,72 @@
   }
 
   private pickOne<T>(items: readonly T[]): T {
-    return items[this.pick(items.length)] as T;
+    return getOrFail(items[this.pick(items.length)]);
   }
 
   private start(key: string, requestId: string, turn: number): void {
-    const { gateways, time, scenario } = this;
+    const { gateways, time } = this;
+    const identity = createIdentity(key);
     const call: Call = {
       key,
       requestId,
+      service: 'model',
+      parts: [],
+      identity,
       startedAt: time.now,
-      isRepeatable: scenario.isRepeatable,
+      isTrial: false,
       tries: 0,
     };
     this.soundCalls += key === deadlyKey ? 0 : 1;
-    this.attempt(call, gateways[turn % gateways.length] as Gateway);
+    const gateway = getOrFail(gateways[turn % gateways.length]);
+    const decision = gateway.tracker.decideFirstAttempt(call, time.now);
+    if (decision.isAllowed) {
+      call.isTrial = decision.isTrial;
+      this.sendOrWait(call, gateway);
+    } else {
+      this.recordLost(call, true);
+    }
   }
 
   /** Sends a call to a server, or lets it wait for one. */
-  private attempt(call: Call, gateway: Gateway): void {
+  private sendOrWait(call: Call, gateway: Gateway): void {
     const { now } = this.time;
-    const suspicion = gateway.judge(call.key, now);
-    if (suspicion === Suspicion.Blamed && !gateway.isTrialDue(call.key, now)) {
-      this.lose(call, true);
+    const { tracker } = gateway;
+    const isFirst = call.tries === 0;
+    const decision = isFirst
+      ? tracker.decideDelayedAttempt(call, now)
+      : tracker.decideRepeat(call, now);
+    if (!decision.isAllowed && !call.isTrial) {
+      this.recordLost(call, isFirst);
       return;
     }
-    const server = this.chooseServer(call, gateway, suspicion);
+    const server = this.chooseServer(call, tracker);
     if (server) {
       this.send(call, gateway, server);
     } else if (now - call.startedAt >= callerPatienceMs) {
-      this.lose(call, false);
+      this.recordLost(call, false);
     } else {
       this.time.schedule(waitStepMs, () => {
-        this.attempt(call, gateway);
+        this.sendOrWait(call, gateway);
       });
     }
   }
 
   private chooseServer(
-    { key }: Call,
-    gateway: Gateway,
-    suspicion: Suspicion,
+    call: Call,
+    tracker: CrashSuspectTracker,
   ): Server | undefined {
-    const { policy, servers: total } = this.scenario;
     const up = this.servers.filter(({ isUp }) => isUp);
-    if (suspicion === Suspicion.None || !policy.isPlaced) {
-      return up.length > 0 ? this.pickOne(up) : undefined;
+    const choice = {
+      candidates: up,
+      usable: up,
+      total: this.scenario.servers,
+    };
+    const placement = tracker.choosePlacement(call, choice, this.time.now);
+    if (!placement.isFree) {
+      return up.find(({ serverId }) => serverId === placement.serverId);
     }
-    const { sightings } = gateway.track(key);
-    const chosen = chooseSuspectServer({
-      suspectId: key,
-      servers: up.map(({ id }) => id),
-      living: up.length,
-      total,
-      sinceCrashMs: this.time.now - (sightings.listLive().at(-1)?.at ?? 0),
-    });
-    return up.find(({ id }) => id === chosen);
+    return up.length > 0 ? this.pickOne(up) : undefined;
   }
 
   private send(call: Call, gateway: Gateway, server: Server): void {
@@ -372,7 +269,6 @@
     server.runs.add(run);
     if (isDeadly) {
       this.deadlySends.push(time.now);
-      gateway.track(call.key).lastSentAt = time.now;
     }
     const runMs = isDeadly
       ? scenario.runToCrashMs
@@ -391,16 +287,12 @@
   }
 
   private finish(run: Run, server: Server): void {
-    const { gateway, call } = run;
-    const { now } = this.time;
+    const { gateway, call, sentAt } = run;
+    const { serverId, incarnation } = server;
     server.runs.delete(run);
-    const supposed = nameCrash(server);
-    if (gateway.crashTimes.has(supposed)) {
-      gateway.disprove(supposed, now);
-    }
-    if (gateway.noteServed(call.key, now)) {
-      this.announce(gateway, call.key);
-    }
+    const attempt = { serverId, incarnation, sentAt };
+    gateway.tracker.noteServed(call, this.time.now, attempt);
+    this.publish(gateway);
   }
 
   private crash(server: Server): void {
@@ -416,115 +308,105 @@
       server.isUp = true;
       server.incarnation += 1;
     });
-    this.breakRuns(server, [...server.runs]);
+    this.cutRuns(server, [...server.runs]);
   }
 
   /** Resets the connections of half of the running calls; the server goes on. */
   private reset(server: Server): void {
-    this.breakRuns(
+    this.cutRuns(
       server,
       [...server.runs].filter(() => this.draw() < 0.5),
     );
   }
 
-  private breakRuns(server: Server, runs: readonly Run[]): void {
+  private cutRuns(server: Server, runs: readonly Run[]): void {
     const { now } = this.time;
-    const crash = nameCrash(server);
+    const { serverId, incarnation } = server;
     for (const run of runs) {
       const { call, gateway, sentAt } = run;
-      const { requestId } = call;
       server.runs.delete(run);
-      gateway.crashTimes.add(crash, now);
-      gateway.track(call.key).sightings.join({
-        crash,
-        requestId,
-        at: now,
-        sentAt,
-        clearedAt: undefined,
-        isOwn: true,
-      });
-      this.announce(gateway, call.key);
+      const attempt = { serverId, incarnation, sentAt };
+      gateway.tracker.noteBroken(call, attempt, now);
+      this.publish(gateway);
     }
-    // The reports of one crash come together.
+    // The connections of one server break together.
     for (const { call, gateway } of runs) {
-      this.repeatOrLose(call, gateway);
+      this.handleBroken(call, gateway);
     }
   }
 
-  private repeatOrLose(call: Call, gateway: Gateway): void {
-    const { now } = this.time;
-    const suspicion = gateway.judge(call.key, now);
-    const live = gateway.track(call.key).sightings.listLive();
-    const { policy } = this.scenario;
+  private handleBroken(call: Call, gateway: Gateway): void {
     const mayRepeat =
-      call.isRepeatable &&
-      call.tries < 2 &&
-      policy.mayRepeat(suspicion, live, call.requestId);
+      this.scenario.isRepeatable &&
+      call.tries < maxTries &&
+      !call.isTrial &&
+      gateway.tracker.decideRepeat(call, this.time.now).isAllowed;
     if (mayRepeat) {
       this.time.schedule(5, () => {
-        this.attempt(call, gateway);
+        this.sendOrWait(call, gateway);
       });
     } else {
-      this.lose(call, false);
+      this.recordLost(call, false);
     }
   }
 
-  private lose({ key }: Call, isRefused: boolean): void {
+  private recordLost({ key }: Call, isRefused: boolean): void {
     if (key !== deadlyKey) {
       this.soundLost += 1;
       this.soundRefused += isRefused ? 1 : 0;
     }
   }
 
-  /** Tells the other gateways what changed about a call. */
-  private announce(gateway: Gateway, key: string): void {
-    if (gateway.isAnnouncing) {
+  /** Tells the other gateways what changed. */
+  private publish(gateway: Gateway): void {
+    const { tracker, announced, isAnnouncing } = gateway;
+    if (isAnnouncing || tracker.revision === announced) {
       return;
     }
     gateway.isAnnouncing = true;
-    this.time.schedule(50, () => {
+    this.time.schedule(coalesceMs, () => {
       gateway.isAnnouncing = false;
+      gateway.announced = tracker.revision;
       for (const other of this.gateways) {
-        this.sendNews(gateway, other, [key, deadlyKey, hotKey]);
+        this.sendNews(gateway, other);
       }
     });
   }
 
-  /** Each gateway compares all records with another one now and then, since news may be lost. */
+  /** Each gateway compares its records with another one now and then, since news may be lost. */
   private compareAll(): void {
     for (const gateway of this.gateways) {
       const other = this.pickOne(this.gateways);
-      this.sendNews(gateway, other, [...gateway.tracked.keys()]);
-      this.sendNews(other, gateway, [...other.tracked.keys()]);
+      this.sendNews(gateway, other);
+      this.sendNews(other, gateway);
     }
   }
 
-  private sendNews(from: Gateway, to: Gateway, keys: readonly string[]): void {
+  private sendNews(from: Gateway, to: Gateway): void {
     const { scenario, time } = this;
-    if (from === to || this.draw() < scenario.newsLoss) {
+    const records = from.tracker.listRecords(time.now);
+    const isLost = this.draw() < scenario.newsLoss;
+    if (from === to || isLost || records.length === 0) {
       return;
     }
-    const sentAt = time.now;
-    const news = [...new Set(keys)].flatMap(key => {
-      const tracked = from.tracked.get(key);
-      return tracked
-        ? [
-            {
-              key,
-              sightings: tracked.sightings.listAll(),
-              blamedAt: tracked.blamedAt,
-              sentAt,
-            },
-          ]
-        : [];
-    });
-    time.schedule(this.draw() * (scenario.maxNewsDelayMs - 50), () => {
-      for (const item of news) {
-        to.merge(item, time.now);
-      }
+    time.schedule(this.draw() * (scenario.maxNewsDelayMs - coalesceMs), () => {
+      to.tracker.mergeRecords(records, time.now);
     });
   }
 }
 
-const nameCrash = ({ id, incarnation }: Server): string =>
-  `${id}#${String(incarnation)}`;
+const getOrFail = <T>(item: T | undefined): T => {
+  if (item === undefined) {
+    throw new Error('the emulated fleet is empty');
+  }
+  return item;
+};
+
+const createIdentity = (key: string): CallIdentity =>
+  new CallIdentity({
+    method: 'POST',
+    target: '/run',
+    account: '',
+    parts: [],
+    body: Buffer.from(key),
+  });
--- a/packages/gateway/tests/crashEmulator.ts
+++ b/packages/gateway/tests/crashEmulator.ts
@@ -77,12 +77,13 @@
   timers: ChartTimers,
   gatewayId: string,
   policy: BlamePolicy = new UnservedPart(),
+  callPolicy: BlamePolicy = new UnservedCall(),
 ): CrashSuspectTracker =>
   new CrashSuspectTracker({
     machine,
     timers,
     log: new SilentLog(),
-    policies: { part: policy, call: new UnservedCall() },
+    policies: { part: policy, call: callPolicy },
     gatewayId,
   });
 
