--- a/packages/decisions/src/suspects/unservedCall.ts
+++ b/packages/decisions/src/suspects/unservedCall.ts
@@ -23,8 +23,10 @@
   readonly minSteps: number;
   /** Steps that are enough beside many crashes without the call. */
   readonly minStepsInStorm: number;
-  /** Share of the service's crashes, at the time of a crash and since the first one, below which they have another cause. */
+  /** Share of the crashes at the time of one, below which it has another cause: a call crashes its own server only. */
   readonly minPresence: number;
+  /** Share of the service's crashes since the first one, below which they may have another cause. */
+  readonly minShare: number;
   readonly newsDelayMs: Milliseconds;
 }
 
@@ -32,7 +34,8 @@
   minCrashes: 3,
   minSteps: 2,
   minStepsInStorm: 5,
-  minPresence: 0.25,
+  minPresence: 0.6,
+  minShare: 0.25,
   newsDelayMs: maxNewsDelayMs,
 };
 
@@ -55,13 +58,7 @@
     if (crashes.length === 0) {
       return Suspicion.None;
     }
-    const { thresholds } = this;
-    const { minPresence } = thresholds;
-    const isStorm = computePresence(crashes) < minPresence;
-    const counted = crashes.filter(({ presence }) => presence >= minPresence);
-    const minSteps = isStorm ? thresholds.minStepsInStorm : thresholds.minSteps;
-    return counted.length >= thresholds.minCrashes &&
-      countSteps(counted, thresholds.newsDelayMs) >= minSteps
+    return this.isEvident(crashes) || this.isEvidentInStorm(crashes)
       ? Suspicion.Blamed
       : Suspicion.Suspected;
   }
@@ -86,8 +83,24 @@
   override computeTrialInterval(failedTrials: number): Milliseconds {
     return trialIntervalsMs[failedTrials] ?? Infinity;
   }
+
+  private isEvident(crashes: readonly SuspectCrash[]): boolean {
+    const { minCrashes, minSteps, minPresence, minShare, newsDelayMs } =
+      this.thresholds;
+    const counted = crashes.filter(({ presence }) => presence >= minPresence);
+    return (
+      counted.length >= minCrashes &&
+      countSteps(counted, newsDelayMs) >= minSteps &&
+      computeShare(crashes) >= minShare
+    );
+  }
+
+  private isEvidentInStorm(crashes: readonly SuspectCrash[]): boolean {
+    const { minStepsInStorm, newsDelayMs } = this.thresholds;
+    return countSteps(crashes, newsDelayMs) >= minStepsInStorm;
+  }
 }
 
 /** Share of the service's crashes since the first one at which the call was present. */
-const computePresence = (crashes: readonly SuspectCrash[]): number =>
+const computeShare = (crashes: readonly SuspectCrash[]): number =>
   crashes.length / Math.max(crashes[0]?.serviceCrashes ?? 0, crashes.length);
