--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -89,7 +89,7 @@
     const { services } = call;
     this.silence = new AttemptSilence(this, startedAt);
     this.record = chosen.first.record;
-    this.progress = new AttemptProgress(call);
+    this.progress = new AttemptProgress(call, this.record, startedAt);
     this.servers = new AttemptServers(
       services.serverRegistry,
       admitted,
@@ -254,7 +254,7 @@
       const message = this.fault?.message ?? '';
       this.blame.reportFault(event?.type ?? 'BROKEN', message, now);
       if (event?.isClosedByServer) {
-        this.progress.noteBroken(this.chosen.first.record, now);
+        this.progress.noteBroken(now);
       }
     },
     setError: (event: AttemptEvent | undefined): void => {
@@ -346,7 +346,10 @@
       events: this.progress.events,
       retriesLeft: this.countRetries(now),
       ...(type === 'ATTEMPT_BROKEN' && !this.progress.isUnderWay
-        ? { parts: call.received.fields.promptParts.join(',') }
+        ? {
+            parts: call.received.fields.promptParts.join(','),
+            suspect: call.identity.id,
+          }
         : {}),
     });
     call.instance?.send({ type, fault, attempt: this }, now);
--- a/packages/gateway/tests/crashEmulator.ts
+++ b/packages/gateway/tests/crashEmulator.ts
@@ -6,9 +6,14 @@
   getOrThrow,
   type Disposable,
 } from '@lycheetally/common';
-import { UnservedPart, type BlamePolicy } from '@lycheetally/decisions';
+import {
+  UnservedCall,
+  UnservedPart,
+  type BlamePolicy,
+} from '@lycheetally/decisions';
 import {
   CrashSuspectTracker,
+  TraitKind,
   bindSuspectChart,
   type TracedCall,
 } from '../src/index.js';
@@ -72,12 +77,13 @@
   timers: ChartTimers,
   gatewayId: string,
   policy: BlamePolicy = new UnservedPart(),
+  callPolicy: BlamePolicy = new UnservedCall(),
 ): CrashSuspectTracker =>
   new CrashSuspectTracker({
     machine,
     timers,
     log: new SilentLog(),
-    policy,
+    policies: { part: policy, call: callPolicy },
     gatewayId,
   });
 
@@ -356,7 +362,7 @@
   /** Sends all records to all gateways now and then, since news may be lost. */
   private sendAllNews(): void {
     this.trackers.forEach((tracker, index) => {
-      if (tracker.trackedParts > 0) {
+      if (tracker.countTracked(TraitKind.PromptPart) > 0) {
         this.sendNews(index);
       }
     });
@@ -366,9 +372,9 @@
   }
 
   private checkRefused(gateway: number): void {
-    for (const { part } of this.trackers[gateway]?.listRefused() ?? []) {
-      if (!this.scenario.deadlyParts.includes(part)) {
-        this.wronglyRefused.add(part);
+    for (const { trait } of this.trackers[gateway]?.listRefused() ?? []) {
+      if (!this.scenario.deadlyParts.includes(trait.id)) {
+        this.wronglyRefused.add(trait.id);
       }
     }
   }
