--- a/packages/decisions/src/suspects/unservedPart.ts
+++ b/packages/decisions/src/suspects/unservedPart.ts
@@ -89,6 +89,7 @@
   override mayHold(crashes: number): boolean {
     return crashes >= this.thresholds.minCrashes;
   }
+
   override mayRepeat(
     suspicion: Suspicion,
     crashes: readonly RepeatedCrash[],
