Begin the soak of deadly calls when all gateways know each other

With two servers and five gateways, a call repeated 100 ms after its refusal killed the last server in 3 of 3 trials: it came within the first second of the gateways' lives, in which they did not know each other yet. Two trials that waited 4 s had no time without a server, and one that waits for the gauge known_gateways had none. The harness of the soak now waits for that gauge.

--- a/bench/src/soak/gatewayProcess.ts
+++ b/bench/src/soak/gatewayProcess.ts
@@ -114,6 +114,19 @@
     });
   }
 
+  /** Waits until the process knows so many gateways, itself included. */
+  async waitForPeers(count: number): Promise<void> {
+    const url = `http://127.0.0.1:${String(this.readyPort)}/metrics`;
+    const known = /^lycheetally_gateway_known_gateways\S* (\d+)$/m;
+    await waitUntil(
+      `${this.name} knows ${String(count)} gateways`,
+      async () => {
+        const page = await fetch(url).then(response => response.text());
+        return known.exec(page)?.[1] === String(count);
+      },
+    );
+  }
+
   async dispose(): Promise<void> {
     this.stoppedChild = this.child;
     this.sendSignal('SIGKILL');
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -102,6 +102,9 @@
       await this.addGateway(`gateway-${String(index)}`, store);
     }
     await this.waitUntilReady();
+    if (servers > 0) {
+      await Promise.all(this.gateways.map(each => each.waitForPeers(gateways)));
+    }
   }
 
   /** Gateways that faults may stop: all, or one beside servers that crash. */
