Never run a suspected call at two servers at once for a silence

What callers would see: a call that crashes its servers, silent at the first one, would have been started at a second one as a hedge. Cause: the check of a repeat asks about calls that have run, and a hedged call has not ended its run. The tracker says whether a call may run at two servers.

--- a/packages/gateway/src/callHedge.ts
+++ b/packages/gateway/src/callHedge.ts
@@ -8,6 +8,7 @@
 import { chooseAlive, type ChosenServers } from './chooseServers.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import type { GatewayCall } from './gatewayCall.js';
+import { toTracedCall } from './suspects/suspectCalls.js';
 
 /** Chooses servers that are known to live and that the running attempt does not use. */
 export const chooseHedge = (
@@ -15,6 +16,9 @@
   now: Milliseconds,
 ): ChosenServers | undefined => {
   const { call, admitted, servers, silence } = attempt;
+  if (!call.services.suspects.mayRunTwice(toTracedCall(call))) {
+    return undefined;
+  }
   const chosen = chooseAlive(call, admitted, silence.proof, now);
   return chosen && !servers.hasAny(chosen) ? chosen : undefined;
 };
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -148,6 +148,12 @@
     return forbidding ? refuse(forbidding, now) : allow;
   }
 
+  override mayRunTwice(call: TracedCall): boolean {
+    return !this.findAll(call).some(
+      ({ isSuspected, isBlamed }) => isSuspected || isBlamed,
+    );
+  }
+
   override choosePlacement(
     call: TracedCall,
     { candidates, usable, total }: PlacementChoice,
--- a/packages/gateway/src/suspects/suspectTracker.ts
+++ b/packages/gateway/src/suspects/suspectTracker.ts
@@ -107,6 +107,9 @@
   /** Whether a call whose attempt broke may be sent to another server. */
   abstract decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision;
 
+  /** Whether a call may run at two servers at once: nothing that it has in common with others is suspected. */
+  abstract mayRunTwice(call: TracedCall): boolean;
+
   /** Chooses the server for a call with a suspected trait. */
   abstract choosePlacement(
     call: TracedCall,
--- a/packages/gateway/src/suspects/watchedTracker.ts
+++ b/packages/gateway/src/suspects/watchedTracker.ts
@@ -48,6 +48,10 @@
     return decision;
   }
 
+  override mayRunTwice(call: TracedCall): boolean {
+    return this.tracker.mayRunTwice(call);
+  }
+
   override choosePlacement(
     call: TracedCall,
     choice: PlacementChoice,
