Repeat a call whose server only dropped the response, though one other lives

A service of two servers, of which one closes a connection and goes on: the call was not sent to the other one, since that counted as the last (gateway.test.ts, 'that is idempotent is retried on another server when its response is lost': 502 instead of 200).

Change: 20 ms after a break the gateway opens a connection to the server, without a request; one that accepts it counts as living. The test passes, and so do the services of two and three servers in crashingCalls.test.ts.

--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attemptProgress.ts
@@ -1,20 +1,25 @@
 /** How far the answer to an attempt has come, and what that tells about what its call has in common with others. */
 import type { Milliseconds } from '@lycheetally/common';
+import type { BackendRecord } from '@lycheetally/decisions';
+import { crashCheckDelayMs } from './constants.js';
 import type { GatewayCall } from './gatewayCall.js';
 import { TraitKind } from './suspects/callTrait.js';
+import { checkAccepts } from './suspects/crashCheck.js';
 import { isAnswerUnderWay, toTracedCall } from './suspects/suspectCalls.js';
-import type { AnsweredAttempt, ServerRun } from './suspects/suspectTracker.js';
+import type { AnsweredAttempt } from './suspects/suspectTracker.js';
 
 export class AttemptProgress {
   private readonly eventsBefore: number;
+  private readonly address: string;
   private readonly attempt: AnsweredAttempt;
 
   constructor(
     private readonly call: GatewayCall,
-    { serverId, incarnation }: ServerRun,
+    { serverId, incarnation, address }: BackendRecord,
     sentAt: Milliseconds,
   ) {
     this.eventsBefore = call.eventsReceived;
+    this.address = address;
     this.attempt = { serverId, incarnation, sentAt };
   }
 
@@ -56,5 +61,18 @@
       metrics.countSuspectBreak(traced.service, TraitKind.PromptPart);
     }
     suspects.noteBroken(traced, this.attempt, now);
+    this.scheduleCheck(traced.service);
+  }
+
+  /** A server that crashed closes its connections before the listener, perhaps. */
+  private scheduleCheck(service: string): void {
+    const { services } = this.call;
+    services.timers.schedule(crashCheckDelayMs, () => {
+      checkAccepts(this.address, () => {
+        services.postCompletion(() => {
+          services.suspects.noteAccepting(service, this.attempt);
+        });
+      });
+    });
   }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -309,6 +309,9 @@
 /** Time after a supposed crash from which an answer of the server shows that it went on; one that was on its way comes sooner. */
 export const disproofDelayMs = 250;
 
+/** Delay after a server closed a connection before it is found out whether it accepts others. */
+export const crashCheckDelayMs = 20;
+
 /** Usual time until a server that crashed is back; `Retry-After` of calls that wait for it. */
 export const usualRestartMs = 3_500;
 
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -48,6 +48,7 @@
   type Placement,
   type PlacementChoice,
   type TracedCall,
+  type ServerRun,
   type SuspectDecision,
   type SuspectRecord,
 } from './suspectTracker.js';
@@ -190,7 +191,7 @@
       isOwn: true,
     };
     const service = this.getService(call.service);
-    service.crashTimes.add(sighting.crash, now);
+    service.noteCrashed(sighting.crash, now);
     for (const id of listTraitIds(call)) {
       const suspect = service.add(id, now);
       if (suspect.sightings.join(sighting) === SightingChange.Added) {
@@ -201,6 +202,10 @@
     this.updateSuspicions(call, now);
   }
 
+  override noteAccepting(service: string, run: ServerRun): void {
+    this.getService(service).noteAccepting(run);
+  }
+
   override noteServed(
     call: TracedCall,
     now: Milliseconds,
--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -31,6 +31,8 @@
   readonly answered = new AnsweredCalls();
   /** All crashes that are known, with whatever suspect. */
   readonly crashTimes = new CrashTimes(maxKnownCrashes);
+  /** Supposed crashes of servers that accept connections. */
+  private readonly accepting = new Set<string>();
   private readonly suspects = new Map<string, Suspect>();
   /** How many suspects have each outline of a whole call. */
   private readonly outlines = new Map<string, number>();
@@ -67,6 +69,20 @@
     suspect.dispose();
   }
 
+  noteCrashed(crash: string, now: Milliseconds): void {
+    this.accepting.delete(crash);
+    this.crashTimes.add(crash, now);
+  }
+
+  /** Records that a run of a server goes on, whatever it did with a call. */
+  noteAccepting(run: ServerRun): void {
+    this.accepting.add(formatCrash(run));
+    if (this.accepting.size > maxKnownCrashes) {
+      const [oldest] = this.accepting;
+      this.accepting.delete(oldest ?? '');
+    }
+  }
+
   /** Judges a suspect by the crashes that no other one explains better. */
   decideSuspicion(suspect: Suspect, now: Milliseconds): Suspicion {
     const { policy } = suspect.trait;
@@ -93,7 +109,10 @@
 
   /** Whether this run of the server has crashed, and the next one may not have begun. */
   hasCrashed(run: ServerRun, now: Milliseconds): boolean {
-    const crashedAt = this.crashTimes.find(formatCrash(run));
+    const crash = formatCrash(run);
+    const crashedAt = this.accepting.has(crash)
+      ? undefined
+      : this.crashTimes.find(crash);
     return crashedAt !== undefined && now - crashedAt < maxRestartMs;
   }
 
--- a/packages/gateway/src/suspects/suspectTracker.ts
+++ b/packages/gateway/src/suspects/suspectTracker.ts
@@ -124,6 +124,9 @@
     now: Milliseconds,
   ): void;
 
+  /** Records that a server accepts connections after one was closed, so that it counts as living. */
+  abstract noteAccepting(service: string, run: ServerRun): void;
+
   /** Records that a server writes, or wrote, an answer to the call. */
   abstract noteServed(
     call: TracedCall,
--- a/packages/gateway/src/suspects/watchedTracker.ts
+++ b/packages/gateway/src/suspects/watchedTracker.ts
@@ -8,6 +8,7 @@
   type PlacementChoice,
   type TracedCall,
   type SuspectDecision,
+  type ServerRun,
   type SuspectRecord,
 } from './suspectTracker.js';
 
@@ -69,6 +70,10 @@
     this.reportChange(now);
   }
 
+  override noteAccepting(service: string, run: ServerRun): void {
+    this.tracker.noteAccepting(service, run);
+  }
+
   override noteServed(
     call: TracedCall,
     now: Milliseconds,
