--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -86,8 +86,10 @@
     registry.listUsable('desk').map(server => server.record.address);
 
   const findAlive = (since: number): string | undefined => {
-    const services = { serverRegistry: registry, homeDomain: 'a' };
-    const call = { services, avoided: new Set() };
+    const suspects = { choosePlacement: () => ({ isFree: true }) };
+    const services = { serverRegistry: registry, homeDomain: 'a', suspects };
+    const received = { fields: { promptParts: [] } };
+    const call = { services, received, avoided: new Set() };
     const admitted = { service: { name: 'desk' } };
     return chooseAlive(
       call as unknown as GatewayCall,
