Count a server as living only if it keeps a connection open

What callers would see: where a crashed server's address still accepts connections and resets them, the service counted it as living, so a call that crashes servers could be sent to the last one that really lives. Cause: the check after a break took the accept for a proof of life.

A connection must stay open for 25 ms now, and a call whose server broke waits up to 200 ms for that proof before it fails. Tests: crashCheck.test.ts (a server that resets or closes the next connection); gateway.test.ts "is retried on another server when its response is lost" failed with the longer check alone (6 of 6 runs) and passes with the wait (4 of 4); crashingCalls, callVerdicts and wholeCalls pass.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -24,6 +24,7 @@
   mayReturnForCall,
 } from './chooseServers.js';
 import {
+  maxCheckWaitMs,
   maxIntakeRetryMs,
   maxResumeWaitMs,
   maxWaitShare,
@@ -87,6 +88,7 @@
       admitted !== undefined && mayReturnForCall(call, admitted, now);
     call.services.waitingCalls.add(call);
     const holdMs = admitted ? estimateHold(call, admitted, now) : 0;
+    call.heldSince = holdMs > 0 ? (call.heldSince ?? now) : undefined;
     const fault =
       holdMs > 0
         ? createHoldFault(holdMs)
@@ -315,7 +317,8 @@
 
 /**
  * Whether the call may wait for a server. Before its response starts it may do
- * so only for a short time, so that a refusal still comes early; only for servers
+ * so only for a short time, so that a refusal still comes early. One that has run waits
+ * until it is known whether its server crashed, as it would fail otherwise; only for servers
  * that may be back at any moment it waits until its deadline.
  */
 const mayWait = (call: GatewayCall, now: Milliseconds): boolean => {
@@ -326,6 +329,10 @@
   if (call.hasStartedResponse) {
     return now + intakeWaitMs - call.lastActivityAt < maxResumeWaitMs;
   }
+  const { runs, heldSince = -Infinity } = call;
+  if (runs > 0 && now - heldSince < maxCheckWaitMs) {
+    return true;
+  }
   const maxWaitMs = (admitted?.route.targetMs ?? 0) * maxWaitShare;
   const delayMs = Math.max(routeRetryDelayMs, intakeWaitMs);
   return now + delayMs - received.receivedAt <= maxWaitMs;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -315,6 +315,12 @@
 /** Delay after a server closed a connection before it is found out whether it accepts others. */
 export const crashCheckDelayMs = 20;
 
+/** Longest wait of a call until it is known whether its server has crashed. */
+export const maxCheckWaitMs = 200;
+
+/** Time for which a living server keeps a connection open that it has accepted; a reset follows the accept at once. */
+export const keptOpenMs = 25;
+
 /** Usual time until a server that crashed is back; `Retry-After` of calls that wait for it. */
 export const usualRestartMs = 3_500;
 
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -141,6 +141,8 @@
   isTrial = false;
   /** How long the limits of servers hold the call back, when it last found no server. */
   intakeWaitMs: Milliseconds = 0;
+  /** Since when the call is kept from the last living server, as those before it may have crashed. */
+  heldSince: Milliseconds | undefined;
   /** When the silence began for which its last attempt was given up. */
   movedSince: Milliseconds = -Infinity;
   /** Whether the call, when it last found no server, waits for silent ones that may only pause. */
--- a/packages/gateway/src/suspects/crashCheck.ts
+++ b/packages/gateway/src/suspects/crashCheck.ts
@@ -1,11 +1,11 @@
 /**
  * Finds out whether a server that closed a connection has crashed: it refuses new ones then,
- * and one that only dropped a response accepts them. No request is sent.
+ * or resets them, and one that only dropped a response keeps them open. No request is sent.
  */
 import { connect } from 'node:net';
-import { connectTimeoutMs } from '../constants.js';
+import { connectTimeoutMs, keptOpenMs } from '../constants.js';
 
-/** Calls back if the server at the address accepts a connection. */
+/** Calls back if the server at the address accepts a connection and keeps it open. */
 export const checkAccepts = (
   address: string,
   handleAccepted: () => void,
@@ -17,11 +17,16 @@
     timeout: connectTimeoutMs,
   });
   socket.on('error', () => undefined);
-  socket.on('timeout', () => {
-    socket.destroy();
-  });
   socket.on('connect', () => {
+    socket.setTimeout(keptOpenMs);
+  });
+  socket.on('timeout', () => {
+    const isOpen = !socket.connecting && !socket.readableEnded;
     socket.destroy();
-    handleAccepted();
+    if (isOpen) {
+      handleAccepted();
+    }
   });
+  // Reads on, so that a close by the server is seen.
+  socket.resume();
 };
