--- a/packages/decisions/src/gateway/durationForecast.ts
+++ b/packages/decisions/src/gateway/durationForecast.ts
@@ -11,8 +11,6 @@
 export interface ForecastCall {
   /** Calls of the same kind take similar times. */
   readonly kind: string;
-  /** Whether its response is read event by event. */
-  readonly isStream: boolean;
   /** The length that is expected of the response, in any unit; 1 if nothing is known of it. */
   readonly expectedSize: number;
   /** When the call ends at the latest. */
@@ -27,20 +25,14 @@
   readonly share: number;
   /** Calls that ended among those that the estimate is taken from. */
   readonly samples: number;
-  /** Time that streams take for an event now; 0 if durations are not taken from it. */
-  readonly paceMs: Milliseconds;
 }
 
-/** An open call whose progress the forecast observes. */
-export abstract class WatchedCall {
-  abstract noteEvents(count: number, now: Milliseconds): void;
-
-  /** Notes the end: with a full answer, or given up. */
-  abstract noteEnd(isComplete: boolean, now: Milliseconds): void;
-}
+/** Ends the observation of an open call. */
+export type NoteEnd = (isComplete: boolean, now: Milliseconds) => void;
 
 export abstract class DurationForecast {
-  abstract noteOpened(call: ForecastCall, now: Milliseconds): WatchedCall;
+  /** Notes that a call was opened. Returns what notes its end: with a full answer, or given up. */
+  abstract noteOpened(call: ForecastCall, now: Milliseconds): NoteEnd;
 
   /** Estimates how a call that starts now relates to that time. */
   abstract estimateBy(
@@ -50,21 +42,12 @@
   ): DurationEstimate;
 }
 
-/** A call whose progress does not matter. */
-class UnwatchedCall extends WatchedCall {
-  override noteEvents(): void {
-    // The deadline does not depend on it.
-  }
-
-  override noteEnd(): void {
-    // The deadline does not depend on it.
-  }
-}
-
 /** Baseline: a call takes until its deadline. */
 export class DeadlineForecast extends DurationForecast {
-  override noteOpened(): WatchedCall {
-    return new UnwatchedCall();
+  override noteOpened(): NoteEnd {
+    return () => {
+      // The deadline does not depend on other calls.
+    };
   }
 
   override estimateBy(
@@ -76,7 +59,6 @@
       slowestMs: Math.max(0, deadlineAt - now),
       share: deadlineAt <= endsAt ? 1 : 0,
       samples: 0,
-      paceMs: 0,
     };
   }
 }
--- a/packages/decisions/src/gateway/survivalForecast.ts
+++ b/packages/decisions/src/gateway/survivalForecast.ts
@@ -7,9 +7,9 @@
   DurationForecast,
   type DurationEstimate,
   type ForecastCall,
-  WatchedCall,
+  type NoteEnd,
 } from './durationForecast.js';
-import { RecentLifetimes, type OpenCall } from './recentLifetimes.js';
+import { RecentLifetimes } from './recentLifetimes.js';
 
 export interface SurvivalSettings {
   /** How long a call counts after it was opened. */
@@ -28,23 +28,6 @@
   readonly extraMs: Milliseconds;
 }
 
-class WatchedLifetime extends WatchedCall {
-  constructor(
-    private readonly lifetimes: RecentLifetimes,
-    private readonly open: OpenCall,
-  ) {
-    super();
-  }
-
-  override noteEvents(): void {
-    // Durations are taken from the ends of calls.
-  }
-
-  override noteEnd(isComplete: boolean, now: Milliseconds): void {
-    this.lifetimes.end(this.open, isComplete, now);
-  }
-}
-
 export class SurvivalForecast extends DurationForecast {
   private readonly kinds = new Map<string, RecentLifetimes>();
 
@@ -57,11 +40,13 @@
     return [...this.kinds.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
-  override noteOpened(call: ForecastCall, now: Milliseconds): WatchedCall {
+  override noteOpened(call: ForecastCall, now: Milliseconds): NoteEnd {
     const lifetimes = this.reuseKind(call.kind);
     const open = { openedAt: now, scale: this.computeScale(call) };
     lifetimes.add(open);
-    return new WatchedLifetime(lifetimes, open);
+    return (isComplete, endedAt) => {
+      lifetimes.end(open, isComplete, endedAt);
+    };
   }
 
   override estimateBy(
@@ -88,7 +73,6 @@
       slowestMs: isSlowestKnown ? Math.min(leftMs, longestMs) : leftMs,
       share: call.deadlineAt <= endsAt ? 1 : share,
       samples,
-      paceMs: 0,
     };
   }
 
--- a/packages/decisions/tests/durationForecast.test.ts
+++ b/packages/decisions/tests/durationForecast.test.ts
@@ -32,7 +32,6 @@
 
 const toCall = (life: Life): ForecastCall => ({
   ...life,
-  isStream: false,
   deadlineAt: farDeadline,
 });
 
@@ -57,10 +56,10 @@
 ): SurvivalForecast => {
   const forecast = new SurvivalForecast(settings);
   for (const life of lives) {
-    const watched = forecast.noteOpened(toCall(life), life.openedAt);
+    const noteEnd = forecast.noteOpened(toCall(life), life.openedAt);
     const endsAt = life.openedAt + life.durationMs;
     if (endsAt <= now) {
-      watched.noteEnd(life.isComplete, endsAt);
+      noteEnd(life.isComplete, endsAt);
     }
   }
   return forecast;
@@ -68,7 +67,6 @@
 
 const anyCall = fc.record({
   kind: fc.constantFrom('a', 'b', 'unknown'),
-  isStream: fc.constant(false),
   expectedSize: fc.integer({ min: 1, max: 9 }),
   leftMs: fc.integer({ min: -100, max: 60_000 }),
 });
@@ -165,12 +163,7 @@
       isComplete: true,
       ...life,
     }));
-  const anyOf = {
-    kind: 'a',
-    isStream: false,
-    expectedSize: 1,
-    deadlineAt: farDeadline,
-  };
+  const anyOf = { kind: 'a', expectedSize: 1, deadlineAt: farDeadline };
 
   it('is the product of the shares that survive each ending, as in a worked example', () => {
     const lives = [
@@ -190,7 +183,6 @@
       slowestMs: farDeadline - now,
       share: 0,
       samples: 1,
-      paceMs: 0,
     });
   });
 
@@ -221,15 +213,8 @@
     const forecast = new SurvivalForecast(settings);
     for (let at = 0; at < 20_000; at += 7) {
       const kind = `kind-${String(at % 11)}`;
-      const call = {
-        kind,
-        isStream: at % 3 === 0,
-        expectedSize: 1 + (at % 5),
-        deadlineAt: 1e12,
-      };
-      const watched = forecast.noteOpened(call, at);
-      watched.noteEvents(at % 13, at * 1.2);
-      watched.noteEnd(at % 2 === 0, at * 1.5);
+      const call = { kind, expectedSize: 1 + (at % 5), deadlineAt: 1e12 };
+      forecast.noteOpened(call, at)(at % 2 === 0, at * 1.5);
       // At most eight slots for each kind, and as many buckets as fit between 1 ms and 20 s.
       expect(forecast.size).toBeLessThanOrEqual(settings.maxKinds * 8 * 105);
     }
@@ -239,19 +224,9 @@
 describe('DeadlineForecast', () => {
   it('expects a call to take until its deadline', () => {
     const forecast = new DeadlineForecast();
-    const call = {
-      kind: 'a',
-      isStream: false,
-      expectedSize: 1,
-      deadlineAt: 1_500,
-    };
+    const call = { kind: 'a', expectedSize: 1, deadlineAt: 1_500 };
     const before = forecast.estimateBy(call, 1_499, 1_000);
-    expect(before).toEqual({
-      slowestMs: 500,
-      share: 0,
-      samples: 0,
-      paceMs: 0,
-    });
+    expect(before).toEqual({ slowestMs: 500, share: 0, samples: 0 });
     expect(forecast.estimateBy(call, 1_500, 1_000).share).toBe(1);
   });
 });
--- a/packages/decisions/tests/serverSpeed.ts
+++ b/packages/decisions/tests/serverSpeed.ts
@@ -14,15 +14,6 @@
     this.steps = [{ from: -Infinity, speed: 1 }, ...changes];
   }
 
-  /** Returns the time at the usual speed for what is done between the two times. */
-  measureWork(from: number, until: number): number {
-    return this.steps.reduce((sum, step, index) => {
-      const begin = Math.max(from, step.from);
-      const end = Math.min(until, this.getEnd(index));
-      return sum + Math.max(0, end - begin) * step.speed;
-    }, 0);
-  }
-
   /** Finds when work is done that begins at that time. */
   findEnd(from: number, workMs: number): number {
     let left = workMs;
--- a/packages/decisions/tests/stopEmulation.test.ts
+++ b/packages/decisions/tests/stopEmulation.test.ts
@@ -6,7 +6,7 @@
   SurvivalForecast,
   type DurationEstimate,
   type ForecastCall,
-  WatchedCall,
+  type NoteEnd,
 } from '../src/index.js';
 import {
   runStops,
@@ -15,29 +15,14 @@
   type TakeRule,
 } from './stopEmulator.js';
 
-class WatchedDuration extends WatchedCall {
-  constructor(
-    private readonly durations: number[],
-    private readonly openedAt: number,
-  ) {
-    super();
-  }
-
-  override noteEvents(): void {
-    // Only whole durations count.
-  }
-
-  override noteEnd(_: boolean, now: number): void {
-    this.durations.push(now - this.openedAt);
-  }
-}
-
 /** The rule before: the share of the calls that ended, whatever is open. */
 class EndedForecast extends DurationForecast {
   private readonly durations: number[] = [];
 
-  override noteOpened(_: ForecastCall, now: number): WatchedCall {
-    return new WatchedDuration(this.durations, now);
+  override noteOpened(_: ForecastCall, now: number): NoteEnd {
+    return (_isComplete, endedAt) => {
+      this.durations.push(endedAt - now);
+    };
   }
 
   override estimateBy(
@@ -52,7 +37,6 @@
       slowestMs: deadlineAt - now,
       share,
       samples: recent.length,
-      paceMs: 0,
     };
   }
 }
--- a/packages/decisions/tests/stopEmulator.ts
+++ b/packages/decisions/tests/stopEmulator.ts
@@ -85,7 +85,6 @@
     const cutAt = stoppedAt + drainMs;
     const call = {
       kind: 'a',
-      isStream: true,
       expectedSize,
       deadlineAt: now + deadlineMs,
     };
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -295,13 +295,12 @@
     forecastShare: toPrinted(call.drainForecast?.share),
     forecastSamples: call.drainForecast?.samples ?? -1,
     forecastMs: Math.round(call.drainForecast?.slowestMs ?? -1),
-    forecastPaceMs: Math.round(call.drainForecast?.paceMs ?? -1),
     drainLeftMs: Math.round(call.drainForecast?.timeLeftMs ?? -1),
     wasConnectionKept: received.isOnKeptConnection,
     lastEvent: call.events?.lastEventId ?? '',
     reason: outcome === Outcome.Complete ? '' : (call.fault?.message ?? ''),
   });
-  call.watched?.noteEnd(outcome === Outcome.Complete && isSuccess(status), now);
+  call.noteEnd?.(outcome === Outcome.Complete && isSuccess(status), now);
   call.instance?.dispose();
   services.waitingCalls.remove(call);
   services.handleCallEnded(call);
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/drainAdmission.ts
@@ -112,9 +112,9 @@
   );
 };
 
-/** Notes that a call was admitted; until it ends, its progress counts for others like it. */
+/** Notes that a call was admitted; until it ends, its age counts for others like it. */
 export const noteOpened = (call: GatewayCall, admitted: AdmittedCall): void => {
-  call.watched = call.services.durationForecast.noteOpened(
+  call.noteEnd = call.services.durationForecast.noteOpened(
     toForecastCall(call, admitted),
     call.received.receivedAt,
   );
@@ -136,7 +136,6 @@
       hinted > 0
         ? service.name
         : `${service.name} ${route.name} ${String(limitClass)}`,
-    isStream: route.isStream,
     expectedSize: Math.max(1, hinted),
     deadlineAt,
   };
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -488,7 +488,7 @@
       call.events = events;
       this.silence.noteEvent(now);
       this.progress.noteEvents(newEvents);
-      call.noteEventsSent(newEvents, now);
+      call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
       this.exchange?.pause();
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -9,10 +9,10 @@
   GatewayConfiguration,
   KeyHolder,
   Moment,
+  NoteEnd,
   RequestView,
   RetryPolicy,
   RouteRule,
-  WatchedCall,
 } from '@lycheetally/decisions';
 import type { AttemptMachine, GatewayAttempt } from './gatewayAttempt.js';
 import type { BackendPort } from './backendPort.js';
@@ -131,8 +131,8 @@
   fault: CallFault | undefined;
   /** Set when a stopping gateway decided whether to take the call or to retry it. */
   drainForecast: DrainForecast | undefined;
-  /** Observes how long the call is open and how its response proceeds. */
-  watched: WatchedCall | undefined;
+  /** Ends the observation of how long the call is open. */
+  noteEnd: NoteEnd | undefined;
   /** Events of a streamed response as the caller has them, over all attempts. */
   events: EventStream | undefined;
   /** Events that servers sent for this call, over all attempts, each once. */
@@ -179,8 +179,7 @@
   }
 
   /** Records that events were sent to the caller. */
-  noteEventsSent(count: number, now: Milliseconds): void {
-    this.watched?.noteEvents(count, now);
+  noteEventsSent(now: Milliseconds): void {
     if (this.eventsSentAt !== undefined) {
       this.longestPauseMs = Math.max(
         this.longestPauseMs,
--- a/packages/gateway/tests/stoppingGateway.ts
+++ b/packages/gateway/tests/stoppingGateway.ts
@@ -36,7 +36,7 @@
       return undefined;
     }
     noteOpened(call, admitted);
-    return endedAt => call.watched?.noteEnd(true, endedAt);
+    return endedAt => call.noteEnd?.(true, endedAt);
   }
 
   createCall(
