Work out the other run, and whether a suspect is doubted, in one place

Four functions of a hedged call computed the other one of two runs, and four places asked whether a suspect is suspected or refused. findOtherRun and Suspect.isDoubted answer both; behaviour is unchanged. hedgedCalls, callHedge, wholeCalls, suspectTracker and callVerdicts pass.

--- a/packages/gateway/src/callHedge.ts
+++ b/packages/gateway/src/callHedge.ts
@@ -46,8 +46,8 @@
 
 /** Cancels the run that has lost. */
 export const settleHedge = (call: GatewayCall, now: Milliseconds): void => {
-  const { answeredBy, attempt, hedge, services } = call;
-  const loser = answeredBy === hedge ? attempt : hedge;
+  const { answeredBy, hedge, services } = call;
+  const loser = findOtherRun(call, answeredBy);
   if (!answeredBy || !hedge || !loser) {
     return;
   }
@@ -69,7 +69,7 @@
   ended: GatewayAttempt | undefined,
 ): void => {
   call.services.metrics.countHedge('one failed');
-  keepAttempt(call, ended === call.hedge ? call.attempt : call.hedge);
+  keepAttempt(call, findOtherRun(call, ended));
 };
 
 /** Takes the end of this run for that of the call, and cancels the other run if there is one. */
@@ -78,9 +78,8 @@
   ended: GatewayAttempt | undefined,
   now: Milliseconds,
 ): void => {
-  const { attempt, hedge } = call;
-  const other = ended === hedge ? attempt : hedge;
-  if (hedge && ended && other) {
+  const other = findOtherRun(call, ended);
+  if (call.hedge && ended && other) {
     cancelAttempt(other, now);
     keepAttempt(call, ended);
   }
@@ -90,11 +89,15 @@
 export const hasLivingRun = (
   call: GatewayCall,
   ended: GatewayAttempt | undefined,
-): boolean => {
-  const { attempt, hedge } = call;
-  const other = ended === hedge ? attempt : hedge;
-  return hedge !== undefined && other?.chosen.first.isSilent === false;
-};
+): boolean =>
+  call.hedge !== undefined &&
+  findOtherRun(call, ended)?.chosen.first.isSilent === false;
+
+/** Finds the other one of two runs. */
+const findOtherRun = (
+  { attempt, hedge }: GatewayCall,
+  run: GatewayAttempt | undefined,
+): GatewayAttempt | undefined => (run === hedge ? attempt : hedge);
 
 const keepAttempt = (
   call: GatewayCall,
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -150,9 +150,7 @@
   }
 
   override mayRunTwice(call: TracedCall): boolean {
-    return !this.findAll(call).some(
-      ({ isSuspected, isBlamed }) => isSuspected || isBlamed,
-    );
+    return !this.findAll(call).some(({ isDoubted }) => isDoubted);
   }
 
   override choosePlacement(
--- a/packages/gateway/src/suspects/suspect.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -99,6 +99,11 @@
     return this.chart.matches('suspected');
   }
 
+  /** Whether calls with the trait are not sent as all others are. */
+  get isDoubted(): boolean {
+    return this.isSuspected || this.isBlamed;
+  }
+
   /** Whether one call may be sent to find out if the trait still crashes servers. */
   get isTrialDue(): boolean {
     return this.chart.matches('due');
@@ -108,8 +113,7 @@
   get isPlaced(): boolean {
     const isTrusted =
       this.wasAnswered && countSteps(this.sightings.listLive()) <= 1;
-    const isSuspicious = this.isSuspected || this.isBlamed;
-    return this.trait.policy.isPlaced && isSuspicious && !isTrusted;
+    return this.trait.policy.isPlaced && this.isDoubted && !isTrusted;
   }
 
   /** Time of the newest crash; suspects with older ones are forgotten first. */
@@ -118,7 +122,7 @@
   }
 
   send(type: SuspectEvent['type'], now: Milliseconds): void {
-    this.wasDoubted = this.isSuspected || this.isBlamed;
+    this.wasDoubted = this.isDoubted;
     this.chart.send({ type }, now);
   }
 
--- a/packages/gateway/src/suspects/suspectPage.ts
+++ b/packages/gateway/src/suspects/suspectPage.ts
@@ -43,7 +43,7 @@
     this.services.postCompletion(now => {
       const suspects = this.services
         .listSuspects()
-        .filter(({ isBlamed, isSuspected }) => isBlamed || isSuspected)
+        .filter(({ isDoubted }) => isDoubted)
         .map(suspect => describeSuspect(suspect, now));
       sendJson(response, 200, { suspects });
     });
