--- a/bench/src/soak/checkDeadlyCalls.ts
+++ b/bench/src/soak/checkDeadlyCalls.ts
@@ -9,7 +9,7 @@
   type SoakHistory,
 } from './types.js';
 
-/** Time after which gateways that are in touch know of a crash, in milliseconds. */
+/** Time after which connected gateways know of a crash, in milliseconds. */
 const contactMs = 2_000;
 
 /** Runs of a deadly call that may begin later than that after its third crash. */
