--- /dev/null
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -0,0 +1,228 @@
+/**
+ * What one server sends to one attempt: its head, its body or events, and how it ended.
+ *
+ * A streamed answer is passed to the caller event by event, any other when it is whole. The
+ * answer ends in one place, which decides whether it is complete.
+ */
+import { ByteCollector, type Milliseconds } from '@lycheetally/common';
+import {
+  createBackendFault,
+  createErrorFault,
+  createRefusalFault,
+  isSuccess,
+} from './attemptFaults.js';
+import {
+  BackendListener,
+  type BackendExchange,
+  type BackendFailure,
+  type BackendHead,
+  type BackendRequest,
+} from './backendPort.js';
+import { claimAnswer, isAnswering } from './callHedge.js';
+import { maxBufferedResponseBytes } from './constants.js';
+import type { EventStream } from './eventStream.js';
+import type { GatewayAttempt } from './gatewayAttempt.js';
+
+/** How the answer is passed to the caller. */
+const ResponseMode = {
+  /** Buffered until it is complete. */
+  Buffered: 'held',
+  /** Forwarded event by event. */
+  Streamed: 'events',
+} as const;
+
+export class AttemptAnswer extends BackendListener {
+  head: BackendHead | undefined;
+  /** What the server sends of a streamed answer, from the last event that the caller had at the start. */
+  events: EventStream | undefined;
+  private exchange: BackendExchange | undefined;
+  private readonly buffered = new ByteCollector();
+  private mode: string = ResponseMode.Buffered;
+
+  constructor(private readonly attempt: GatewayAttempt) {
+    super();
+  }
+
+  /** Whether the answer is forwarded event by event. */
+  get isStreamed(): boolean {
+    return this.mode === ResponseMode.Streamed;
+  }
+
+  /** Sends the request. */
+  open(request: BackendRequest): void {
+    const { call } = this.attempt;
+    this.events = call.events?.createNext();
+    this.exchange = call.services.backend.open(request, this);
+  }
+
+  close(): void {
+    this.exchange?.close();
+  }
+
+  /** Reads from the server again after the caller's connection has drained. */
+  resume(): void {
+    this.exchange?.resume();
+  }
+
+  /** Ends an exchange that cannot complete the call. */
+  fail(reason: string, isClosedByServer = false): void {
+    this.exchange?.close();
+    this.handleFailure({ reason, isClosedByServer });
+  }
+
+  /** Returns the body of a buffered answer and forgets it. */
+  takeBody(): Buffer {
+    return this.buffered.take();
+  }
+
+  override handleConnected(): void {
+    this.attempt.noteConnected();
+  }
+
+  override handleHead(head: BackendHead): void {
+    const { attempt } = this;
+    const { call, chosen } = attempt;
+    attempt.silence.noteActivity(call.services.getMoment().monotonic);
+    const { fields, status } = head;
+    if (fields.serverLoad !== undefined) {
+      chosen.first.noteLoad(fields.serverLoad);
+    }
+    if (fields.isLeaving && !fields.isMisdirected) {
+      attempt.noteLeaving();
+    }
+    if (fields.requestId !== call.requestId) {
+      this.fail('the answer names another call');
+      return;
+    }
+    this.head = head;
+    if (!fields.isMisdirected) {
+      attempt.noteIntake(fields);
+    }
+    if (isSuccess(status) && !fields.isAuthentic) {
+      this.fail('the answer is not signed by its server');
+    } else if (isSuccess(status) && attempt.admitted.route.isStream) {
+      this.beginStream(head);
+    }
+  }
+
+  override handleBody(chunk: Buffer): void {
+    const { call, silence } = this.attempt;
+    const now = call.services.getMoment().monotonic;
+    if (this.isStreamed) {
+      this.forwardEvents(chunk, now);
+      return;
+    }
+    silence.noteActivity(now);
+    this.buffered.append(chunk);
+    if (this.buffered.length > maxBufferedResponseBytes) {
+      this.failOverflow('the answer is larger than the gateway buffers');
+      return;
+    }
+    this.reserveMemory(this.buffered.memoryBytes);
+  }
+
+  override handleEnd(): void {
+    const { attempt, head } = this;
+    // A whole answer must not give way to others before the loop has handled its end.
+    attempt.call.services.bufferMemory.keep(attempt, this.buffered.memoryBytes);
+    if (!head) {
+      this.fail('the answer has no head');
+    } else if (head.fields.isNotRun) {
+      attempt.send({ type: 'NOT_RUN', fault: createRefusalFault(head) });
+    } else if (!isSuccess(head.status)) {
+      attempt.send({ type: 'ERROR', fault: createErrorFault(head) });
+    } else {
+      this.finishBody(head);
+    }
+  }
+
+  override handleFailure(failure: BackendFailure): void {
+    const { reason, isClosedByServer, isUnsendable = false } = failure;
+    const fault = createBackendFault(reason);
+    const type = isUnsendable ? 'UNSENDABLE' : 'BROKEN';
+    this.attempt.send({ type, fault, isClosedByServer });
+  }
+
+  private finishBody({ fields }: BackendHead): void {
+    const { attempt, isStreamed, events } = this;
+    if (isStreamed && events?.isAtBoundary === false) {
+      const reason = 'the stream ended inside an event';
+      this.fail(reason, !fields.isFramed);
+    } else if (
+      isStreamed &&
+      !fields.isFramed &&
+      attempt.call.eventsReceived === 0
+    ) {
+      this.fail('the stream ended before its first event', true);
+    } else if (claimAnswer(attempt)) {
+      attempt.send({ type: 'COMPLETE' });
+    }
+  }
+
+  /** Ends an exchange whose server sends more than any sound answer has. */
+  private failOverflow(reason: string): void {
+    this.exchange?.close();
+    this.buffered.clear();
+    const fault = createBackendFault(reason);
+    this.attempt.send({ type: 'OVERFLOWED', fault });
+  }
+
+  /** Records the memory that this answer takes; the largest answers fail when all of them take too much. */
+  private reserveMemory(bytes: number): void {
+    const { attempt } = this;
+    const { bufferMemory } = attempt.call.services;
+    for (const { answer } of bufferMemory.reserve(attempt, bytes)) {
+      answer.buffered.clear();
+      answer.fail(
+        'the responses that this gateway buffers take too much memory together',
+      );
+    }
+  }
+
+  private beginStream(head: BackendHead): void {
+    const { call } = this.attempt;
+    const { caller } = call;
+    this.mode = ResponseMode.Streamed;
+    if (!call.hasStartedResponse) {
+      const { status, statusText, fields } = head;
+      const sent = caller.startResponse(status, statusText, fields.forwarded);
+      if (sent.err) {
+        this.fail(sent.val.message);
+        return;
+      }
+      call.hasStartedResponse = true;
+      call.firstByteAt = call.lastActivityAt;
+      caller.setDrainListener(() => {
+        (call.answeredBy ?? call.attempt)?.answer.resume();
+      });
+    }
+  }
+
+  private forwardEvents(chunk: Buffer, now: Milliseconds): void {
+    const { attempt, events } = this;
+    const { call, silence } = attempt;
+    silence.noteByte(now);
+    const accepted = events?.accept(chunk, now);
+    if (!events || !accepted) {
+      return;
+    }
+    if (accepted.err) {
+      this.failOverflow(accepted.val.message);
+      return;
+    }
+    this.reserveMemory(events.bufferedBytes);
+    const { bytes, newEvents } = accepted.val;
+    if (!(newEvents > 0 ? claimAnswer(attempt) : isAnswering(attempt))) {
+      return;
+    }
+    if (newEvents > 0) {
+      call.events = events;
+      silence.noteEvent(now);
+      attempt.progress.noteEvents(newEvents);
+      call.noteEventsSent(now);
+    }
+    if (bytes.length > 0 && !call.caller.write(bytes)) {
+      this.exchange?.pause();
+    }
+  }
+}
--- a/packages/gateway/src/attemptBlame.ts
+++ b/packages/gateway/src/attemptBlame.ts
@@ -11,7 +11,8 @@
     message: string,
     now: Milliseconds,
   ): void {
-    const { head, chosen, call } = this.attempt;
+    const { answer, chosen, call } = this.attempt;
+    const { head } = answer;
     if (head?.fields.refusedBy !== undefined) {
       this.noteRefusal(head.fields.refusedBy, now);
     } else if (head?.fields.isMisdirected) {
@@ -38,12 +39,12 @@
 
   /** Keeps the call away from the servers that the chain lost, or from the first server unless it refused for another one. */
   keepFromFaultyServers(): void {
-    const { repair, head, chosen } = this.attempt;
+    const { repair, answer, chosen } = this.attempt;
     if (repair.lostServers.size > 0) {
       repair.lostServers.forEach(serverId => {
         this.keepFrom(serverId);
       });
-    } else if (head?.fields.refusedBy === undefined) {
+    } else if (answer.head?.fields.refusedBy === undefined) {
       this.keepFrom(chosen.first.record.serverId);
     }
   }
--- a/packages/gateway/src/attemptSilence.ts
+++ b/packages/gateway/src/attemptSilence.ts
@@ -144,14 +144,16 @@
   }
 
   private get checkAfterMs(): Milliseconds {
-    const { chosen, isStreamed } = this.attempt;
+    const { chosen, answer } = this.attempt;
     if (chosen.chain.length === 0) {
-      return isStreamed ? this.plainStreamCheckAfterMs : this.stallLimitMs;
+      return answer.isStreamed
+        ? this.plainStreamCheckAfterMs
+        : this.stallLimitMs;
     }
     if (chosen.first.isSilent) {
       return streamStallCheckMs;
     }
-    const first = isStreamed ? streamStallCheckMs : firstStallCheckMs;
+    const first = answer.isStreamed ? streamStallCheckMs : firstStallCheckMs;
     return Math.min(maxStallCheckMs, first * 2 ** this.checks);
   }
 
@@ -164,8 +166,8 @@
 
   /** Time without progress after which an attempt at a plain server that answers other questions has stalled. */
   private get stallLimitMs(): Milliseconds {
-    const { admitted, isStreamed } = this.attempt;
-    return isStreamed ? maxStallCheckMs : admitted.route.targetMs;
+    const { admitted, answer } = this.attempt;
+    return answer.isStreamed ? maxStallCheckMs : admitted.route.targetMs;
   }
 
   /** Since when a sound server would have had to say something; one that was silent needs time to go on. */
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -8,6 +8,7 @@
 import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
 import { admitCall } from './admitCall.js';
+import type { AttemptAnswer } from './attemptAnswer.js';
 import { createBackendFault, isSuccess } from './attemptFaults.js';
 import type { BackendHead } from './backendPort.js';
 import {
@@ -153,8 +154,8 @@
   const { attempt, caller } = call;
   if (call.hasStartedResponse) {
     caller.end();
-  } else if (attempt?.head) {
-    const sent = sendBuffered(call, attempt, attempt.head);
+  } else if (attempt?.answer.head) {
+    const sent = sendBuffered(call, attempt.answer, attempt.answer.head);
     if (sent.err) {
       const fault = createBackendFault(sent.val.message);
       call.fault = fault;
@@ -162,20 +163,20 @@
       return;
     }
   }
-  const status = attempt?.head?.status ?? 0;
+  const status = attempt?.answer.head?.status ?? 0;
   endCall(call, Outcome.Complete, status, now);
 };
 
 const sendBuffered = (
   { caller }: GatewayCall,
-  attempt: GatewayAttempt,
+  answer: AttemptAnswer,
   { status, statusText, fields }: BackendHead,
 ): Result<void> =>
   caller.sendResponse({
     status,
     text: statusText,
     headers: fields.forwarded,
-    body: attempt.takeBody(),
+    body: answer.takeBody(),
     isFramed: fields.isFramed,
   });
 
@@ -285,7 +286,7 @@
     stages: attempt?.chosen.chain.length ?? 0,
     firstByteMs:
       firstByteAt === undefined ? -1 : Math.round(firstByteAt - receivedAt),
-    serverLoad: attempt?.head?.fields.serverLoad ?? -1,
+    serverLoad: attempt?.answer.head?.fields.serverLoad ?? -1,
     longestPauseMs: Math.round(call.longestPauseMs),
     longestSilenceMs: Math.round(call.longestSilenceMs),
     durationMs: Math.round(now - receivedAt),
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/stallCheck.ts
@@ -41,10 +41,10 @@
 
 /** Whether the server sends an event in pieces that are too far apart to be sound; a pause between them doesn't count. */
 const hasOverdueEvent = (
-  { events, admitted, chosen }: GatewayAttempt,
+  { answer, admitted, chosen }: GatewayAttempt,
   now: Milliseconds,
 ): boolean => {
-  const since = events?.partialSince;
+  const since = answer.events?.partialSince;
   return (
     admitted.isRepeatable &&
     since !== undefined &&
@@ -94,7 +94,7 @@
   const { call, chosen } = attempt;
   const { lossHandler, serverRegistry } = call.services;
   if (hasOverdueEvent(attempt, now)) {
-    attempt.failExchange('the server began an event and did not end it');
+    attempt.answer.fail('the server began an event and did not end it');
     return;
   }
   if (chosen.chain.length === 0) {
