Log how each answer was delimited and ended, and which run gave which events

A report of a stream out of order could not be led to one run: the line of an attempt had the last event of the call, not of the run, and nothing on how the answer was delimited or how its connection ended; a complete call had neither, nor whose head its caller has. Each exchange watches the end of its connection now. That a reset was read as an end is told by the socket's peer, which is gone then; nothing acts on it yet.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -19,6 +19,7 @@
   type BackendRequest,
 } from './backendPort.js';
 import { claimAnswer, isAnswering } from './callHedge.js';
+import { ConnectionEnd } from './connectionEnd.js';
 import { maxBufferedResponseBytes } from './constants.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
@@ -31,6 +32,19 @@
   Streamed: 'events',
 } as const;
 
+export interface AnswerFacts {
+  /** How the answer was delimited; empty without a head. */
+  readonly framing: string;
+  readonly connection: ConnectionEnd;
+  /** Id of the first event that this run added to the caller's stream; empty if it added none. */
+  readonly firstEventOfRun: string;
+  /** Id of the last such event. */
+  readonly lastEventOfRun: string;
+}
+
+const describeFraming = ({ fields }: BackendHead): string =>
+  fields.isFramed ? 'by its head' : 'by its connection';
+
 export class AttemptAnswer extends BackendListener {
   head: BackendHead | undefined;
   /** What the server sends of a streamed answer, from the last event that the caller had at the start. */
@@ -38,6 +52,7 @@
   private exchange: BackendExchange | undefined;
   private readonly buffered = new ByteCollector();
   private mode: string = ResponseMode.Buffered;
+  private firstEventId: string | undefined;
 
   constructor(private readonly attempt: GatewayAttempt) {
     super();
@@ -75,6 +90,18 @@
     return this.buffered.take();
   }
 
+  /** What tells, for a log line, how the answer was delimited and how far this run alone came. */
+  describe(): AnswerFacts {
+    const { head, exchange, firstEventId, events } = this;
+    return {
+      framing: head ? describeFraming(head) : '',
+      connection: exchange?.connectionEnd ?? ConnectionEnd.Open,
+      firstEventOfRun: firstEventId ?? '',
+      lastEventOfRun:
+        firstEventId === undefined ? '' : (events?.lastEventId ?? ''),
+    };
+  }
+
   override handleConnected(): void {
     this.attempt.noteConnected();
   }
@@ -191,6 +218,7 @@
         return;
       }
       call.hasStartedResponse = true;
+      call.headFrom = this.attempt.chosen.first.record.serverId;
       call.firstByteAt = call.lastActivityAt;
       caller.setDrainListener(() => {
         (call.answeredBy ?? call.attempt)?.answer.resume();
@@ -217,6 +245,7 @@
     }
     if (newEvents > 0) {
       call.events = events;
+      this.firstEventId ??= accepted.val.firstEventId;
       silence.noteEvent(now);
       attempt.progress.noteEvents(newEvents);
       call.noteEventsSent(now);
--- a/packages/gateway/src/backendPort.ts
+++ b/packages/gateway/src/backendPort.ts
@@ -1,5 +1,6 @@
 /** Interface through which a gateway sends requests to backend servers. */
 import type { ResponseFields, RawHeaders } from './callFormat.js';
+import type { ConnectionEnd } from './connectionEnd.js';
 
 /** One request to one backend server. */
 export interface BackendRequest {
@@ -42,6 +43,8 @@
 
 /** A request in progress and its response. */
 export abstract class BackendExchange {
+  /** How the connection ended, as far as this exchange knows. */
+  abstract get connectionEnd(): ConnectionEnd;
   /** Closes the connection; the listener receives no further events. */
   abstract close(): void;
   abstract pause(): void;
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -298,6 +298,9 @@
     forecastMs: Math.round(call.drainForecast?.slowestMs ?? -1),
     drainLeftMs: Math.round(call.drainForecast?.timeLeftMs ?? -1),
     wasConnectionKept: received.isOnKeptConnection,
+    ...attempt?.answer.describe(),
+    headFrom: call.headFrom ?? '',
+    events: call.eventsReceived,
     lastEvent: call.events?.lastEventId ?? '',
     reason: outcome === Outcome.Complete ? '' : (call.fault?.message ?? ''),
   });
--- a/packages/gateway/src/callHedge.ts
+++ b/packages/gateway/src/callHedge.ts
@@ -58,6 +58,8 @@
     outcome,
     server: answeredBy.chosen.first.record.serverId,
     cancelled: loser.chosen.first.record.serverId,
+    headFrom: call.headFrom ?? '',
+    lastEvent: call.events?.lastEventId ?? '',
   });
   cancelAttempt(loser, now);
   keepAttempt(call, answeredBy);
--- a/packages/gateway/src/eventStream.ts
+++ b/packages/gateway/src/eventStream.ts
@@ -27,6 +27,8 @@
   readonly bytes: Buffer;
   /** Number of the events among them, without comments. */
   readonly newEvents: number;
+  /** Id of the first of them that has one. */
+  readonly firstEventId: string | undefined;
 }
 
 export class EventStream {
@@ -69,6 +71,7 @@
   accept(chunk: Buffer, now: Milliseconds): Result<EventBatch> {
     const complete: Buffer[] = [];
     let newEvents = 0;
+    let firstEventId: string | undefined;
     let from = 0;
     for (
       let end = this.findFirstEnd(chunk);
@@ -81,12 +84,13 @@
       if (this.isNew(id)) {
         complete.push(event);
         newEvents += isComment ? 0 : 1;
+        firstEventId ??= id;
       }
     }
     this.keepPartialEvent(chunk.subarray(from), now);
     return this.partialEvent.length > this.maxEventBytes
       ? Err(createOversizeError(this.maxEventBytes))
-      : Ok({ bytes: joinBuffers(complete), newEvents });
+      : Ok({ bytes: joinBuffers(complete), newEvents, firstEventId });
   }
 
   /** Finds the end of the event that the buffered bytes begin. */
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -240,6 +240,7 @@
       silentMs: Math.round(this.silence.measure(now)),
       lastEvent: call.events?.lastEventId ?? '',
       events: this.progress.events,
+      ...this.answer.describe(),
       retriesLeft: this.countRetries(now),
       ...(type === 'ATTEMPT_BROKEN' && !this.progress.isUnderWay
         ? {
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -122,6 +122,8 @@
   lastActivityAt: Milliseconds = 0;
   /** Whether the head of a streamed response was sent to the caller. */
   hasStartedResponse = false;
+  /** Id of the server whose head the caller of a streamed response has. */
+  headFrom: string | undefined;
   /** When the first byte of a streamed response was sent to the caller. */
   firstByteAt: Milliseconds | undefined;
   /** Longest pause between two events that were sent to the caller. */
--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -12,7 +12,7 @@
   type IncomingMessage,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import { toMessage } from '@lycheetally/common';
+import { DisposableStore, toMessage } from '@lycheetally/common';
 import { findResponseFault } from '@lycheetally/node';
 import {
   BackendExchange,
@@ -21,6 +21,7 @@
   type BackendRequest,
 } from './backendPort.js';
 import type { CallFormat } from './callFormat.js';
+import { ConnectionEnd, ConnectionEndWatch } from './connectionEnd.js';
 import { backendIdleMs, recentConnectionMs } from './constants.js';
 import { SafeReuseAgent, type ConnectionCounts } from './safeReuseAgent.js';
 
@@ -79,6 +80,7 @@
 
 /** An exchange whose request cannot be formed. */
 class UnsentExchange extends BackendExchange {
+  readonly connectionEnd = ConnectionEnd.Open;
   private isClosed = false;
 
   constructor(listener: BackendListener, reason: string) {
@@ -111,6 +113,8 @@
   private readonly outgoing: ClientRequest;
   private incoming: IncomingMessage | undefined;
   private isFinished = false;
+  private endWatch: ConnectionEndWatch | undefined;
+  private readonly disposables = new DisposableStore();
 
   constructor(
     request: BackendRequest,
@@ -133,6 +137,10 @@
     this.outgoing.end(request.body);
   }
 
+  override get connectionEnd(): ConnectionEnd {
+    return this.endWatch?.end ?? ConnectionEnd.Open;
+  }
+
   override close(): void {
     this.isFinished = true;
     this.outgoing.destroy();
@@ -157,6 +165,9 @@
     outgoing.on('error', error => {
       this.fail(error.message, isCloseByServer(error));
     });
+    outgoing.on('close', () => {
+      this.disposables.dispose();
+    });
     outgoing.on('upgrade', (_, socket) => {
       socket.destroy();
       this.fail('the server changed the protocol', false);
@@ -164,6 +175,7 @@
   }
 
   private handleSocket(socket: Socket): void {
+    this.endWatch = this.disposables.add(new ConnectionEndWatch(socket));
     socket.setNoDelay(true);
     if (!socket.connecting) {
       this.listener.handleConnected();
