Send the head of a stream with its first event, from the same run

A response starts with the first event now, from the head of the run that delivers it. Comments before it wait with their run. Until then the call can still end with a status, so that a stream that breaks before its first event is a 502 and not a cut 200. Whether a call may wait for another server still depends on whether a server has begun to stream.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -1,8 +1,9 @@
 /**
  * What one server sends to one attempt: its head, its body or events, and how it ended.
  *
- * A streamed answer is passed to the caller event by event, any other when it is whole. The
- * answer ends in one place, which decides whether it is complete.
+ * A streamed answer is passed to the caller event by event, any other when it is whole. Its
+ * head goes out with its first event, so that both come from the same run. The answer ends in
+ * one place, which decides whether it is complete.
  */
 import { ByteCollector, type Milliseconds } from '@lycheetally/common';
 import {
@@ -128,7 +129,8 @@
     if (isSuccess(status) && !fields.isAuthentic) {
       this.fail('the answer is not signed by its server');
     } else if (isSuccess(status) && attempt.admitted.route.isStream) {
-      this.beginStream(head);
+      this.mode = ResponseMode.Streamed;
+      call.hasBegunStream = true;
     }
   }
 
@@ -140,12 +142,7 @@
       return;
     }
     silence.noteActivity(now);
-    this.buffered.append(chunk);
-    if (this.buffered.length > maxBufferedResponseBytes) {
-      this.failOverflow('the answer is larger than the gateway buffers');
-      return;
-    }
-    this.reserveMemory(this.buffered.memoryBytes);
+    this.keepBytes(chunk);
   }
 
   override handleEnd(): void {
@@ -186,6 +183,15 @@
     }
   }
 
+  private keepBytes(bytes: Buffer): void {
+    this.buffered.append(bytes);
+    if (this.buffered.length > maxBufferedResponseBytes) {
+      this.failOverflow('the answer is larger than the gateway buffers');
+      return;
+    }
+    this.reserveMemory(this.buffered.memoryBytes);
+  }
+
   /** Ends an exchange whose server sends more than any sound answer has. */
   private failOverflow(reason: string): void {
     this.exchange?.close();
@@ -206,24 +212,31 @@
     }
   }
 
-  private beginStream(head: BackendHead): void {
-    const { call } = this.attempt;
+  /** Sends the head of this run to the caller, and the comments that came before its first event. */
+  private startResponse(): boolean {
+    const { attempt, head } = this;
+    const { call, chosen } = attempt;
+    if (!head) {
+      return false;
+    }
+    const { status, statusText, fields } = head;
     const { caller } = call;
-    this.mode = ResponseMode.Streamed;
-    if (!call.hasStartedResponse) {
-      const { status, statusText, fields } = head;
-      const sent = caller.startResponse(status, statusText, fields.forwarded);
-      if (sent.err) {
-        this.fail(sent.val.message);
-        return;
-      }
-      call.hasStartedResponse = true;
-      call.headFrom = this.attempt.chosen.first.record.serverId;
-      call.firstByteAt = call.lastActivityAt;
-      caller.setDrainListener(() => {
-        (call.answeredBy ?? call.attempt)?.answer.resume();
-      });
+    const sent = caller.startResponse(status, statusText, fields.forwarded);
+    if (sent.err) {
+      this.fail(sent.val.message);
+      return false;
     }
+    call.hasStartedResponse = true;
+    call.headFrom = chosen.first.record.serverId;
+    call.firstByteAt = call.lastActivityAt;
+    caller.setDrainListener(() => {
+      (call.answeredBy ?? call.attempt)?.answer.resume();
+    });
+    const comments = this.takeBody();
+    if (comments.length > 0) {
+      caller.write(comments);
+    }
+    return true;
   }
 
   private forwardEvents(chunk: Buffer, now: Milliseconds): void {
@@ -240,9 +253,17 @@
     }
     this.reserveMemory(events.bufferedBytes);
     const { bytes, newEvents } = accepted.val;
+    if (newEvents === 0 && !call.hasStartedResponse) {
+      // Another run may still answer, with a head of its own.
+      this.keepBytes(bytes);
+      return;
+    }
     if (!(newEvents > 0 ? claimAnswer(attempt) : isAnswering(attempt))) {
       return;
     }
+    if (!call.hasStartedResponse && !this.startResponse()) {
+      return;
+    }
     if (newEvents > 0) {
       call.events = events;
       this.firstEventId ??= accepted.val.firstEventId;
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -329,7 +329,7 @@
   if (call.isWaitingForSilent) {
     return true;
   }
-  if (call.hasStartedResponse) {
+  if (call.hasBegunStream) {
     return now + intakeWaitMs - call.lastActivityAt < maxResumeWaitMs;
   }
   const { runs, heldSince = -Infinity } = call;
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -120,6 +120,8 @@
   runs = 0;
   /** When data for this call was last received from a server. */
   lastActivityAt: Milliseconds = 0;
+  /** Whether a server has begun to stream an answer, of which the caller may have nothing yet. */
+  hasBegunStream = false;
   /** Whether the head of a streamed response was sent to the caller. */
   hasStartedResponse = false;
   /** Id of the server whose head the caller of a streamed response has. */
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/repeatRules.ts
@@ -14,13 +14,13 @@
   call: GatewayCall,
   now: Milliseconds,
 ): boolean =>
-  call.hasStartedResponse ||
+  call.hasBegunStream ||
   call.admitted === undefined ||
   mayTakeBeforeStop(call, call.admitted, now);
 
 /** Whether a stopping gateway would start another attempt. */
 const mayStartAnother = (call: GatewayCall, now: Milliseconds): boolean =>
-  call.hasStartedResponse ||
+  call.hasBegunStream ||
   call.admitted === undefined ||
   mayEndBeforeStop(call, call.admitted, now);
 
