Keep a stream whose other run ends with an error

A caller's stream could be cut, though a run was delivering it: when two runs overlap, the error of one that is handled before the loop has cancelled it ends the call if the other one's server still counts as silent, which is taken back only in a later turn.

Evidence: the new test in callHedge.test.ts failed before (false where true is due) and passes now. The run that answers the call counts as living now.

--- a/packages/gateway/src/callHedge.ts
+++ b/packages/gateway/src/callHedge.ts
@@ -87,13 +87,18 @@
   }
 };
 
-/** Whether the other one of two runs gets its answer, as far as is known. */
+/** Whether the other one of two runs answers the call, or gets its answer as far as is known. */
 export const hasLivingRun = (
   call: GatewayCall,
   ended: GatewayAttempt | undefined,
-): boolean =>
-  call.hedge !== undefined &&
-  findOtherRun(call, ended)?.chosen.first.isSilent === false;
+): boolean => {
+  const other = findOtherRun(call, ended);
+  return (
+    call.hedge !== undefined &&
+    other !== undefined &&
+    (call.answeredBy === other || !other.chosen.first.isSilent)
+  );
+};
 
 /** Finds the other one of two runs. */
 const findOtherRun = (
--- a/packages/gateway/tests/callHedge.test.ts
+++ b/packages/gateway/tests/callHedge.test.ts
@@ -1,6 +1,11 @@
 /** Of two runs of a call one alone answers, also before the loop has cancelled the other. */
 import { describe, expect, it, vi } from 'vitest';
-import { claimAnswer, dropAttempt, isAnswering } from '../src/callHedge.js';
+import {
+  claimAnswer,
+  dropAttempt,
+  hasLivingRun,
+  isAnswering,
+} from '../src/callHedge.js';
 import type { GatewayAttempt } from '../src/gatewayAttempt.js';
 import type { GatewayCall } from '../src/gatewayCall.js';
 
@@ -38,6 +43,15 @@
     expect(isAnswering(second)).toBe(false);
   });
 
+  // Guards against a stream that is cut by the error of the run that lost.
+  it('count as living while they deliver, whatever was thought of their server', () => {
+    const { first, second } = createCall();
+    Object.assign(first, { chosen: { first: { isSilent: true } } });
+    expect(hasLivingRun(first.call, second)).toBe(false);
+    claimAnswer(first);
+    expect(hasLivingRun(first.call, second)).toBe(true);
+  });
+
   // Guards against a call that ends with the first of its runs to fail.
   it('leave the call to the other when one ends', () => {
     const { call, first, second, postCompletion } = createCall();
