Move the watch of a connection's end to the node package

No behaviour changes. The log client, the entry's plain services and the store's client read answers to their end too, and the router may not import the gateway.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -5,6 +5,7 @@
  * answer ends in one place, which decides whether it is complete.
  */
 import { ByteCollector, type Milliseconds } from '@lycheetally/common';
+import { ConnectionEnd } from '@lycheetally/node';
 import {
   createBackendFault,
   createErrorFault,
@@ -19,7 +20,6 @@
   type BackendRequest,
 } from './backendPort.js';
 import { claimAnswer, isAnswering } from './callHedge.js';
-import { ConnectionEnd } from './connectionEnd.js';
 import { maxBufferedResponseBytes } from './constants.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
--- a/packages/gateway/src/backendPort.ts
+++ b/packages/gateway/src/backendPort.ts
@@ -1,6 +1,6 @@
 /** Interface through which a gateway sends requests to backend servers. */
+import type { ConnectionEnd } from '@lycheetally/node';
 import type { ResponseFields, RawHeaders } from './callFormat.js';
-import type { ConnectionEnd } from './connectionEnd.js';
 
 /** One request to one backend server. */
 export interface BackendRequest {
--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -13,7 +13,11 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import { DisposableStore, toMessage } from '@lycheetally/common';
-import { findResponseFault } from '@lycheetally/node';
+import {
+  ConnectionEnd,
+  ConnectionEndWatch,
+  findResponseFault,
+} from '@lycheetally/node';
 import {
   BackendExchange,
   BackendPort,
@@ -21,7 +25,6 @@
   type BackendRequest,
 } from './backendPort.js';
 import type { CallFormat } from './callFormat.js';
-import { ConnectionEnd, ConnectionEndWatch } from './connectionEnd.js';
 import { backendIdleMs, recentConnectionMs } from './constants.js';
 import { SafeReuseAgent, type ConnectionCounts } from './safeReuseAgent.js';
 
--- a/packages/gateway/src/connectionEnd.ts
+++ b/packages/node/src/connectionEnd.ts
@@ -9,7 +9,7 @@
 import type { Disposable, ValueOf } from '@lycheetally/common';
 
 export const ConnectionEnd = {
-  /** The server still has it open, or this gateway closed it. */
+  /** The other side still has it open, or this process closed it. */
   Open: 'open',
   /** The server closed it in order. */
   Closed: 'closed by the server',
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,5 +1,6 @@
 /** The event loop, clocks and HTTP helpers that every process uses. */
 export * from './clock.js';
+export * from './connectionEnd.js';
 export * from './constants.js';
 export * from './eventLoop.js';
 export * from './httpClient.js';
