Take no body for whole that a reset has cut off

A caller of an entry got 200 with a length and a part of the body when a plain service answered without length or chunks and its connection was reset in the turn in which its last bytes were read. The agent read the end of the stream that Node reports then as the end of the answer, and passed the part on.

readBody, which plain services, the log client, the VM list, news and messages about suspects use, asks at the end of the connection whether it was reset while the message was not complete, and fails. The others read JSON, in which a cut shows anyway.

--- a/packages/node/src/connectionEnd.ts
+++ b/packages/node/src/connectionEnd.ts
@@ -18,6 +18,10 @@
 } as const;
 export type ConnectionEnd = ValueOf<typeof ConnectionEnd>;
 
+/** Whether a socket was reset, asked when it reports its end. */
+export const isReset = (socket: Socket): boolean =>
+  socket.remoteAddress === undefined;
+
 /** Watches a connection for one exchange; connections are re-used. */
 export class ConnectionEndWatch implements Disposable {
   end: ConnectionEnd = ConnectionEnd.Open;
@@ -34,10 +38,9 @@
   }
 
   private readonly handleEnd = (): void => {
-    this.end =
-      this.socket.remoteAddress === undefined
-        ? ConnectionEnd.Reset
-        : ConnectionEnd.Closed;
+    this.end = isReset(this.socket)
+      ? ConnectionEnd.Reset
+      : ConnectionEnd.Closed;
   };
 
   private readonly handleError = (error: NodeJS.ErrnoException): void => {
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -9,6 +9,7 @@
   toMessage,
   type Result,
 } from '@lycheetally/common';
+import { BodyEndWatch } from './bodyEndWatch.js';
 
 /** Maximum size of a response body. */
 const maxResponseBytes = 16 * 1_024 * 1_024;
@@ -30,10 +31,30 @@
   readonly etag: string | undefined;
 }
 
-/** Reads a body to its end. Rejects when it is larger than the limit. */
+/** Reads a body to its end. Rejects when it is larger than the limit, or when its connection is reset before the end. */
 export const readBody = async (
   message: IncomingMessage,
   limit: number,
+): Promise<Buffer> => {
+  const endWatch = new BodyEndWatch(message);
+  try {
+    const body = await collectBody(message, limit);
+    if (endWatch.isCutOff) {
+      throw new TypedError(
+        ErrorKind.ConnectionLost,
+        'the connection was reset before the end of the body',
+        'check that the other side runs',
+      );
+    }
+    return body;
+  } finally {
+    endWatch.dispose();
+  }
+};
+
+const collectBody = async (
+  message: IncomingMessage,
+  limit: number,
 ): Promise<Buffer> => {
   const body = new ByteCollector();
   for await (const chunk of message as AsyncIterable<Buffer>) {
