End a request whose server changes the protocol

A request answered with 101 never ended: Node closes the connection without an error and without an answer, and the timeout then destroys what is closed already. A gateway did not check that server again, a follower of a table would have stopped, and a run of a plain service or model engine stayed open until its call's deadline.

readHead fails when the connection closes before a head; all clients of ours use it, and the run of an engine looks for the close itself, since it writes on while it reads.

Evidence: on the test of a report timed out after 60 s with a limit of 10 s; the tests of a plain service and of a model engine timed out after 5 s. Now they fail at once.

--- a/packages/gateway/src/news/newsClient.ts
+++ b/packages/gateway/src/news/newsClient.ts
@@ -1,5 +1,5 @@
 /** HTTP client that asks another gateway for news of the store. */
-import { Agent, request, type IncomingMessage } from 'node:http';
+import { Agent, request } from 'node:http';
 import {
   Err,
   ErrorKind,
@@ -10,7 +10,7 @@
   type Address,
   type Result,
 } from '@lycheetally/common';
-import { readBody } from '@lycheetally/node';
+import { readBody, readHead } from '@lycheetally/node';
 import { newsTimeoutMs } from '../constants.js';
 import { decodeNews, formatNewsPath } from './newsFormat.js';
 import type { NewsAnswer, NewsRequest } from './newsTable.js';
@@ -53,20 +53,15 @@
 
   private async exchange(address: Address, path: string): Promise<NewsAnswer> {
     const { host, port } = address;
-    const incoming = await new Promise<IncomingMessage>((resolve, reject) => {
-      const outgoing = request(
-        {
-          host,
-          port,
-          path,
-          agent: this.agent,
-          signal: AbortSignal.timeout(newsTimeoutMs),
-        },
-        resolve,
-      );
-      outgoing.on('error', reject);
-      outgoing.end();
+    const outgoing = request({
+      host,
+      port,
+      path,
+      agent: this.agent,
+      signal: AbortSignal.timeout(newsTimeoutMs),
     });
+    outgoing.end();
+    const incoming = await readHead(outgoing);
     const bytes = await readBody(incoming, maxNewsBytes);
     if (incoming.statusCode !== 200) {
       throw new Error(`status ${String(incoming.statusCode)}`);
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -1,5 +1,10 @@
 /** JSON requests over Node's `http`. */
-import { request, type Agent, type IncomingMessage } from 'node:http';
+import {
+  request,
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
 import {
   ByteCollector,
   Err,
@@ -31,6 +36,16 @@
   readonly etag: string | undefined;
 }
 
+/** Waits for the head of the answer. Rejects when there is none, also when the server changes the protocol, which Node tells by the close alone. */
+export const readHead = (outgoing: ClientRequest): Promise<IncomingMessage> =>
+  new Promise((resolve, reject) => {
+    outgoing.on('response', resolve);
+    outgoing.on('error', reject);
+    outgoing.on('close', () => {
+      reject(new Error('the connection was closed without an answer'));
+    });
+  });
+
 /** Reads a body to its end. Rejects when it is larger than the limit, or when its connection is reset before the end. */
 export const readBody = async (
   message: IncomingMessage,
@@ -92,20 +107,14 @@
 ): Promise<JsonResponse> => {
   const text =
     jsonRequest.body === undefined ? '' : JSON.stringify(jsonRequest.body);
-  const message = await new Promise<IncomingMessage>((resolve, reject) => {
-    const outgoing = request(
-      jsonRequest.url,
-      {
-        method: jsonRequest.method,
-        headers: { 'content-type': 'application/json', ...jsonRequest.headers },
-        signal: AbortSignal.timeout(jsonRequest.timeoutMs),
-        ...(jsonRequest.agent ? { agent: jsonRequest.agent } : {}),
-      },
-      resolve,
-    );
-    outgoing.on('error', reject);
-    outgoing.end(text);
+  const outgoing = request(jsonRequest.url, {
+    method: jsonRequest.method,
+    headers: { 'content-type': 'application/json', ...jsonRequest.headers },
+    signal: AbortSignal.timeout(jsonRequest.timeoutMs),
+    ...(jsonRequest.agent ? { agent: jsonRequest.agent } : {}),
   });
+  outgoing.end(text);
+  const message = await readHead(outgoing);
   const body = await readBody(message, maxResponseBytes);
   return {
     status: message.statusCode ?? 0,
--- a/packages/router/src/adapters/engineHttp.ts
+++ b/packages/router/src/adapters/engineHttp.ts
@@ -44,6 +44,7 @@
 /** One sequence that runs on an engine. */
 class EngineRun extends BackendRun {
   private isFinished = false;
+  private hasResponse = false;
 
   constructor(
     private readonly outgoing: ClientRequest,
@@ -53,7 +54,13 @@
     outgoing.on('error', thrown => {
       this.fail(toMessage(thrown));
     });
+    outgoing.on('close', () => {
+      if (!this.hasResponse) {
+        this.fail('it closed the connection without an answer');
+      }
+    });
     outgoing.on('response', response => {
+      this.hasResponse = true;
       const lines = createInterface({ input: response });
       lines.on('line', line => {
         this.receiveLine(line);
--- a/packages/router/src/adapters/plainServiceHttp.ts
+++ b/packages/router/src/adapters/plainServiceHttp.ts
@@ -1,10 +1,5 @@
 /** HTTP client of a plain service. */
-import {
-  Agent,
-  request,
-  type ClientRequest,
-  type IncomingMessage,
-} from 'node:http';
+import { Agent, request, type ClientRequest } from 'node:http';
 import { ErrorKind, TypedError, toMessage } from '@lycheetally/common';
 import type { Offer } from '@lycheetally/protocol';
 import {
@@ -12,7 +7,7 @@
   BackendRun,
   type BackendListener,
 } from '../ports/backend.js';
-import { readBody } from '@lycheetally/node';
+import { readBody, readHead } from '@lycheetally/node';
 
 /** The largest response body that is accepted from a plain service, in bytes. */
 const maxPlainAnswerBytes = 8 * 1_024 * 1_024;
@@ -25,12 +20,7 @@
     private readonly listener: BackendListener,
   ) {
     super();
-    outgoing.on('error', thrown => {
-      this.fail(toMessage(thrown));
-    });
-    outgoing.on('response', response => {
-      void this.readResponse(response);
-    });
+    void this.readResponse();
   }
 
   override pushActivations(): void {
@@ -50,8 +40,9 @@
     this.outgoing.destroy();
   }
 
-  private async readResponse(response: IncomingMessage): Promise<void> {
+  private async readResponse(): Promise<void> {
     try {
+      const response = await readHead(this.outgoing);
       const body = await readBody(response, maxPlainAnswerBytes);
       if (this.isFinished) {
         return;
