Take no answer for whole whose connection was reset, if only its end delimits it

Callers got streams that ended as complete before their last event, and plain answers with status 200 and a part of the body, when the server sent neither a length nor chunks and its connection was reset in the turn of the loop in which the last bytes were read.

Cause: when the hang-up of a socket is signalled together with a short read, libuv reports the end of the stream and doesn't ask the socket for its error; Node's parser takes that end for the end of an answer that nothing else delimits. The earlier tests waited 10 and 20 ms between the last bytes and the reset and so passed. Ruled out: framed answers, of which none in these tests looked whole before.

Change: the port to servers reports such an answer as broken by its server if the watch of the connection's end, which only logged so far, has seen a reset. What may be repeated or resumed goes on at another server; what may not is told as broken (502, or a stream without its last chunk). Answers with a length or chunks are untouched, as are orderly ends. Nothing else reads the peer's address of such a socket, and the watch's listeners go with each exchange.

Tests: each break of an unframed stream a while after its last bytes, with them, and with them while the loop is stalled, on new and on kept connections, and while the caller doesn't read; plain answers likewise, repeatable or not. A test counts the listeners of a connection that is used 12 times; it fails (12 counts where 1 is due) if the watch doesn't remove its own.

--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -3,7 +3,8 @@
  *
  * A connection that delivers unsolicited bytes is closed and not re-used. A
  * response belongs to a call only if it carries the call's request id. One whose head
- * could not be sent on is broken before it changes any state.
+ * could not be sent on is broken before it changes any state. One that only the end of its
+ * connection delimits is broken if the connection was reset.
  */
 import {
   Agent,
@@ -20,7 +21,7 @@
   type BackendListener,
   type BackendRequest,
 } from './backendPort.js';
-import type { CallFormat } from './callFormat.js';
+import type { CallFormat, ResponseFields } from './callFormat.js';
 import { ConnectionEnd, ConnectionEndWatch } from './connectionEnd.js';
 import { backendIdleMs, recentConnectionMs } from './constants.js';
 import { SafeReuseAgent, type ConnectionCounts } from './safeReuseAgent.js';
@@ -202,15 +203,15 @@
       this.fail(`the head of the answer is malformed (${fault})`, false);
       return;
     }
-    this.listenToBody(incoming);
-    this.listener.handleHead({
-      status,
-      statusText: reason,
-      fields: this.format.readResponse(status, incoming.rawHeaders),
-    });
+    const fields = this.format.readResponse(status, incoming.rawHeaders);
+    this.listenToBody(incoming, fields);
+    this.listener.handleHead({ status, statusText: reason, fields });
   }
 
-  private listenToBody(incoming: IncomingMessage): void {
+  private listenToBody(
+    incoming: IncomingMessage,
+    { isFramed }: ResponseFields,
+  ): void {
     incoming.on('data', (chunk: Buffer) => {
       if (!this.isFinished) {
         this.listener.handleBody(chunk);
@@ -219,6 +220,11 @@
     incoming.on('end', () => {
       if (!incoming.complete) {
         this.fail('the answer ended early', true);
+      } else if (!isFramed && this.connectionEnd === ConnectionEnd.Reset) {
+        this.fail(
+          'the connection of an answer without length or chunks was reset',
+          true,
+        );
       } else if (!this.isFinished) {
         this.isFinished = true;
         this.listener.handleEnd();
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -141,7 +141,7 @@
 }
 
 /** Closes the connection with a reset alone; `resetAndDestroy` of Node's sockets sends a regular end before it. */
-const resetConnection = (socket: Socket): void => {
+export const resetConnection = (socket: Socket): void => {
   const { _handle: handle } = socket as unknown as {
     _handle: { reset: (callback: () => void) => void } | null;
   };
