Take no crashed server for a living one on a busy loop

A server that closed a connection was asked for another one, and counted as living if that was open after 25 ms. A loop that was busy for that long handles the timer before the close that has arrived meanwhile, so that a crashed server, to whose address a link still connects, counted as living, and the calls that may have crashed it as disproved. In the same way a connection that was there already counted as refused.

Change: after the timeout the loop first handles what has arrived. A server that refuses connections has a test of its own.

--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attemptProgress.ts
@@ -68,10 +68,12 @@
   private scheduleCheck(service: string): void {
     const { services } = this.call;
     services.timers.schedule(crashCheckDelayMs, () => {
-      checkAccepts(this.address, () => {
-        services.postCompletion(() => {
-          services.suspects.noteAccepting(service, this.attempt);
-        });
+      checkAccepts(this.address, isAccepting => {
+        if (isAccepting) {
+          services.postCompletion(() => {
+            services.suspects.noteAccepting(service, this.attempt);
+          });
+        }
       });
     });
   }
--- a/packages/gateway/src/suspects/crashCheck.ts
+++ b/packages/gateway/src/suspects/crashCheck.ts
@@ -5,10 +5,10 @@
 import { connect } from 'node:net';
 import { connectTimeoutMs, keptOpenMs } from '../constants.js';
 
-/** Calls back if the server at the address accepts a connection and keeps it open. */
+/** Tells whether the server at the address accepts a connection and keeps it open. */
 export const checkAccepts = (
   address: string,
-  handleAccepted: () => void,
+  handleChecked: (isAccepting: boolean) => void,
 ): void => {
   const separator = address.lastIndexOf(':');
   const socket = connect({
@@ -16,16 +16,23 @@
     port: Number(address.slice(separator + 1)),
     timeout: connectTimeoutMs,
   });
+  let isKeptOpen = false;
   socket.on('error', () => undefined);
   socket.on('connect', () => {
     socket.setTimeout(keptOpenMs);
   });
   socket.on('timeout', () => {
-    const isOpen = !socket.connecting && !socket.readableEnded;
-    socket.destroy();
-    if (isOpen) {
-      handleAccepted();
-    }
+    const wasConnecting = socket.connecting;
+    // A busy loop handles a timeout before what has arrived meanwhile.
+    setImmediate(() => {
+      if (socket.connecting === wasConnecting && !socket.destroyed) {
+        isKeptOpen = !wasConnecting && !socket.readableEnded;
+        socket.destroy();
+      }
+    });
+  });
+  socket.on('close', () => {
+    handleChecked(isKeptOpen);
   });
   // Reads on, so that a close by the server is seen.
   socket.resume();
--- a/packages/gateway/tests/crashCheck.test.ts
+++ b/packages/gateway/tests/crashCheck.test.ts
@@ -3,6 +3,9 @@
 import { describe, expect, it } from 'vitest';
 import { checkAccepts } from '../src/suspects/crashCheck.js';
 
+/** Longer than a living server has to keep a connection open. */
+const busyMs = 80;
+
 /** Returns whether a server that does that with its connections counts as living. */
 const checkServer = async (
   handleSocket: (socket: Socket) => void,
@@ -13,21 +16,13 @@
   });
   const server = createServer(socket => {
     socket.on('error', () => undefined);
-    socket.on('close', () => {
-      // What the check finds out, it reports before the server sees the close.
-      setTimeout(() => {
-        resolveEnded(false);
-      }, 500);
-    });
     handleSocket(socket);
   });
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  checkAccepts(`127.0.0.1:${String(port)}`, () => {
-    resolveEnded(true);
-  });
+  checkAccepts(`127.0.0.1:${String(port)}`, resolveEnded);
   const isLiving = await ended;
   server.close();
   return isLiving;
@@ -46,7 +41,30 @@
   it.each([
     ['resets', (socket: Socket): unknown => socket.resetAndDestroy()],
     ['closes', (socket: Socket): unknown => socket.end()],
+    [
+      'closes, while the loop is busy,',
+      (socket: Socket): unknown =>
+        // After the connections of a turn are read, and before the timers of the next one.
+        setTimeout(setImmediate, 1, () => {
+          socket.destroy();
+          const endsAt = performance.now() + busyMs;
+          while (performance.now() < endsAt);
+        }),
+    ],
   ])('has crashed if it %s the next one', async (_, handleSocket) => {
     expect(await checkServer(handleSocket)).toBe(false);
   });
 });
+
+it('a server at whose address nothing listens has crashed', async () => {
+  const server = createServer();
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  const isLiving = await new Promise(resolve => {
+    checkAccepts(`127.0.0.1:${String(port)}`, resolve);
+  });
+  expect(isLiving).toBe(false);
+});
