Ask whether a server lives before its connection's end counts as the end of an answer

Callers got streams that ended as complete before their last event, and a part of a plain answer with status 200, when a server was killed in the middle of an answer without length or chunks.

Cause: the kernel ends the connections of a killed process in order if nothing unread waits, so that neither bytes nor connection show it. Besides, a resumed run was only asked whether the call had got an event in any run, so one that ended before its own first event was complete.

Change: such an end leads to the new chart state checkingEnd, for every run. It counts if the server still accepts a connection and keeps it open for 25 ms. If not, the attempt is broken by its server: a stream goes on elsewhere after its last event (a whole one ends there at once), what may be repeated is repeated, the rest gets 502, or a stream without its last chunk. The answer of a server that said that it leaves is taken if no other one can tell what is missing, as it may refuse connections before its last answer ends. A second run beside it may still answer the call while the check lasts. Answers with a length or chunks aren't checked.

Left: a server that resets a new connection because it has too many counts as gone, so that a plain answer that may not be repeated gets 502 there; one that is killed and listens again before the check (a gateway that is stopped for seconds) counts as living.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -63,6 +63,11 @@
     return this.mode === ResponseMode.Streamed;
   }
 
+  /** Whether the server has closed the connection in order. */
+  private get isClosedByServer(): boolean {
+    return this.exchange?.connectionEnd === ConnectionEnd.Closed;
+  }
+
   /** Sends the request. */
   open(request: BackendRequest): void {
     const { call } = this.attempt;
@@ -181,8 +186,10 @@
       attempt.call.eventsReceived === 0
     ) {
       this.fail('the stream ended before its first event', true);
-    } else if (claimAnswer(attempt)) {
-      attempt.send({ type: 'COMPLETE' });
+    } else if (!fields.isFramed && this.isClosedByServer) {
+      attempt.send({ type: 'ENDED' });
+    } else {
+      attempt.end.take();
     }
   }
 
--- a/packages/gateway/src/attemptBlame.ts
+++ b/packages/gateway/src/attemptBlame.ts
@@ -2,6 +2,12 @@
 import type { Milliseconds } from '@lycheetally/common';
 import type { AttemptEvent, GatewayAttempt } from './gatewayAttempt.js';
 
+/** Events after which a part of an answer is all there is. */
+const brokenTypes: ReadonlySet<AttemptEvent['type']> = new Set([
+  'BROKEN',
+  'END_DOUBTED',
+]);
+
 export class AttemptBlame {
   constructor(private readonly attempt: GatewayAttempt) {}
 
@@ -21,7 +27,7 @@
       chosen.first.noteOverflow(message, now);
     } else if (type === 'ERROR') {
       chosen.first.noteError(message, now);
-    } else if (type === 'BROKEN' && !call.services.isCancellingCalls()) {
+    } else if (brokenTypes.has(type) && !call.services.isCancellingCalls()) {
       chosen.first.noteError(message, now);
     }
   }
--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -54,6 +54,12 @@
       noteRepaired: (attempt, _, now) => {
         attempt.chartActions.noteRepaired(now);
       },
+      checkEnd: attempt => {
+        attempt.end.check();
+      },
+      takeEnd: attempt => {
+        attempt.end.take();
+      },
       restartStallCheck: (attempt, _, now) => {
         attempt.chartActions.restartStallCheck(now);
       },
@@ -72,6 +78,7 @@
     },
     guards: {
       isClosedByServer: (_, event) => event?.isClosedByServer ?? false,
+      isEndPlanned: (attempt, _, now) => attempt.end.isPlanned(now),
       isConnected: attempt => attempt.chartActions.isConnected(),
       isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
       isRepeatable: attempt => attempt.admitted.isRepeatable,
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -10,6 +10,7 @@
 import { checkStall } from './stallCheck.js';
 import { AttemptAnswer } from './attemptAnswer.js';
 import { AttemptBlame } from './attemptBlame.js';
+import { AttemptEnd } from './attemptEnd.js';
 import { AttemptProgress } from './attemptProgress.js';
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
@@ -20,6 +21,9 @@
   readonly type:
     | 'CONNECTED'
     | 'NOT_RUN'
+    | 'ENDED'
+    | 'END_CONFIRMED'
+    | 'END_DOUBTED'
     | 'COMPLETE'
     | 'ERROR'
     | 'BROKEN'
@@ -47,8 +51,9 @@
   /** Whether the request may have been sent; known before the loop handles `CONNECTED`. */
   private hasConnection = false;
   /** The first server as the list had it when the attempt began. */
-  private readonly record: BackendRecord;
+  readonly record: BackendRecord;
   readonly answer = new AttemptAnswer(this);
+  readonly end = new AttemptEnd(this);
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
