Reset the connection of an answer without a length that the process cannot send to its end

A caller that read slowly got 200 and a part of the body from a gateway that stopped. An answer that came without length or chunks is passed on without either, so its end is that of the connection; the process closed that in order at the end of its drain period, and the system sent what it had buffered and then a regular end. The gateway now resets such connections, if the answer was not handed over to its end, before it closes the others. Answers with a length or chunks show the cut and keep what is buffered.

Ruled out: a length or chunks for such answers, which would vouch for a body that the server may have cut. Open for the same reason: a process that is killed.

--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -163,6 +163,15 @@
     this.send({ type: 'HEAD_OVERDUE' });
   }
 
+  /** Closes it at once with a reset, which drops what was not sent. */
+  reset(): void {
+    // Node would end it in order first, after what waits to be sent.
+    this.socket.destroySoon = () => {
+      this.socket.destroy();
+    };
+    this.socket.resetAndDestroy();
+  }
+
   /** Notes that the socket has closed. */
   noteLost(): void {
     this.send({ type: 'LOST' });
--- a/packages/gateway/src/httpCaller.ts
+++ b/packages/gateway/src/httpCaller.ts
@@ -20,6 +20,9 @@
 } from './callerPort.js';
 
 export class HttpCaller extends CallerExchange {
+  /** Whether nothing but the end of the connection delimits the answer. */
+  private isUnframed = false;
+
   constructor(
     private readonly response: ServerResponse,
     private readonly connection: CallerConnection,
@@ -62,6 +65,7 @@
     if (!isFramed) {
       // The end of the connection alone delimited the body, which may be truncated;
       // a length would mark it as complete.
+      this.isUnframed = true;
       this.connection.noteCloseAnnounced();
       this.response.useChunkedEncodingByDefault = false;
     }
@@ -100,6 +104,13 @@
     this.response.destroy();
   }
 
+  /** Resets the connection of an answer that would look whole although it was not sent to its end. */
+  resetUnframed(): void {
+    if (this.isUnframed && !this.hasFinished) {
+      this.connection.reset();
+    }
+  }
+
   override setDrainListener(listener: () => void): void {
     this.response.on('drain', listener);
   }
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -182,6 +182,9 @@
 
   /** Stops listening and closes all connections. */
   dispose(): void {
+    for (const caller of this.openCallers) {
+      caller.resetUnframed();
+    }
     this.server.close();
     this.server.closeAllConnections();
   }
