--- a/packages/router/tests/callersServer.test.ts
+++ b/packages/router/tests/callersServer.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterAll, afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Outcome } from '@lycheetally/decisions';
 import { waitUntil } from '@lycheetally/testkit';
 import { CallersServer, CallersSink } from '../src/adapters/callersHttp.js';
@@ -179,6 +179,33 @@
   });
 });
 
+describe('a request whose body ends early', () => {
+  const head = 'POST /v1/services/stock/one HTTP/1.1\r\nHost: entry\r\n';
+  const sink = new RecordingSink();
+  const server = new CallersServer(sink, 10_000);
+
+  afterAll(() => {
+    server.dispose();
+  });
+
+  it.each([
+    ['a length', 'Content-Length: 9\r\n\r\npart'],
+    ['chunks', 'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n'],
+  ])('is not passed on (%s)', async (_, rest) => {
+    const address = { host: '127.0.0.1', port: 0 };
+    const { port } = (await server.listen(address)).unwrap();
+    for (const endRequest of ['end', 'resetAndDestroy'] as const) {
+      const { socket } = new RawCaller(port);
+      sink.refusals = 0;
+      socket.write(head + rest);
+      await once(socket, 'connect');
+      socket[endRequest]();
+      await waitUntil('it is refused', () => sink.refusals === 1);
+      expect(sink.exchanges).toHaveLength(0);
+    }
+  });
+});
+
 /** Shorter than the time after which an idle connection is closed anyway, in milliseconds. */
 const closeTimeoutMs = 2_000;
 
