Tell in the soak which run wrote each event and each head

A caller could not resume a stream either.

Each run now has a mark, in its signature and in each event. The check reads the events: 1 to n, each once, over a caller's own resumes too; one run after the other, all of them runs of that call; the head of the run of the first event; the end after the last event only. An answer that is no stream has the head and the whole body of one run.

The histories of the other tests move to a file of their own; their promises are as before.

--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -2,8 +2,9 @@
 import { checkDeadlyCalls } from './checkDeadlyCalls.js';
 import { checkLeaving } from './checkLeaving.js';
 import { checkRefusal } from './checkRefusals.js';
+import { checkResumes, checkStream } from './checkStreams.js';
 import { checkCuts } from './stopCuts.js';
-import { listViolations } from './violations.js';
+import { collectBy, listViolations } from './violations.js';
 import {
   SoakKind,
   type GuaranteeViolation,
@@ -15,10 +16,6 @@
 /** Statuses that guarantee that a call has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Formats one event of a stream as the server writes it. */
-export const formatSoakEvent = (requestId: string, eventId: number): string =>
-  `id: ${String(eventId)}\ndata: ${requestId}-${String(eventId)}\n\n`;
-
 /**
  * Time after its last byte within which a call may be lost to a connection that
  * closes; a gateway had no time to read such a call, in milliseconds.
@@ -27,7 +24,7 @@
 
 export const checkSoak = (history: SoakHistory): GuaranteeViolation[] => {
   const calls = new Map(history.calls.map(call => [call.requestId, call]));
-  const runs = collectRuns(history.runs);
+  const runs = collectBy(history.runs, ({ requestId }) => requestId);
   return [
     ...history.runs.flatMap(run =>
       checkRun(run, calls.get(run.requestId), history),
@@ -41,19 +38,12 @@
         ...(history.refusesOnlyAtStops ? checkRefusal(call, history) : []),
       ];
     }),
+    ...checkResumes(history.calls.filter(isSuccess)),
     ...(history.isPlannedOnly ? checkCuts(history) : []),
     ...checkDeadlyCalls(history),
   ];
 };
 
-const collectRuns = (runs: readonly SoakRun[]): Map<string, SoakRun[]> => {
-  const grouped = new Map<string, SoakRun[]>();
-  for (const run of runs) {
-    grouped.set(run.requestId, [...(grouped.get(run.requestId) ?? []), run]);
-  }
-  return grouped;
-};
-
 const checkRun = (
   run: SoakRun,
   call: SoakCall | undefined,
@@ -78,28 +68,31 @@
   runs: readonly SoakRun[],
 ): GuaranteeViolation[] => {
   const isBooking = call.kind === SoakKind.Booking;
-  const isSuccess = call.status >= 200 && call.status < 300;
-  return listViolations(call.requestId, {
+  const wasServed = isSuccess(call);
+  const isStream = call.kind === SoakKind.Stream;
+  const violations = listViolations(call.requestId, {
     'a booking runs once at most': !isBooking || runs.length <= 1,
     'a refused booking has not run':
       !isBooking || !notRunStatuses.has(call.status) || runs.length === 0,
-    'a success is signed by its server': !isSuccess || call.isSigned,
+    'a success is signed by its server': !wasServed || call.signature !== '',
     'a complete success is an answer of the server':
-      !isSuccess || !call.isComplete || matchesAnswer(call, runs),
-    'a stream has no gap and no repeat':
-      !isSuccess ||
-      call.kind !== SoakKind.Stream ||
-      formatCompleteStream(call).startsWith(call.answer),
+      !wasServed || !call.isComplete || isStream || matchesAnswer(call, runs),
   });
+  return wasServed && isStream
+    ? [...violations, ...checkStream(call, runs)]
+    : violations;
 };
 
+const isSuccess = ({ status }: SoakCall): boolean =>
+  status >= 200 && status < 300;
+
 /** Checks a call that nothing but planned work disturbed. */
 const checkPlanned = (
   call: SoakCall,
   runs: readonly SoakRun[],
   history: SoakHistory,
 ): GuaranteeViolation[] => {
-  const isAnswered = call.status >= 200 && call.status < 300 && call.isComplete;
+  const isAnswered = isSuccess(call) && call.isComplete;
   const hasRun = runs.length > 0;
   return listViolations(call.requestId, {
     'planned work leaves a call that runs its whole answer':
@@ -141,12 +134,14 @@
   status === 0 &&
   (bodySentAt === undefined || endedAt - bodySentAt <= crossingMs);
 
-const matchesAnswer = (call: SoakCall, runs: readonly SoakRun[]): boolean =>
-  call.kind === SoakKind.Stream
-    ? call.answer === formatCompleteStream(call)
-    : runs.some(run => run.isSuccess && run.answer === call.answer);
-
-const formatCompleteStream = ({ requestId, steps }: SoakCall): string =>
-  Array.from({ length: steps }, (_, index) =>
-    formatSoakEvent(requestId, index + 1),
-  ).join('');
+/** Whether the call got the whole answer of one run, with the head of that run. */
+const matchesAnswer = (
+  { answer, signature }: SoakCall,
+  runs: readonly SoakRun[],
+): boolean =>
+  runs.some(
+    run =>
+      run.isSuccess &&
+      run.answer === answer &&
+      (run.mark === signature || signature === ''),
+  );
--- a/bench/src/soak/soakCallers.ts
+++ b/bench/src/soak/soakCallers.ts
@@ -172,7 +172,7 @@
   return calls;
 };
 
-interface PlannedCall {
+export interface PlannedCall {
   readonly requestId: string;
   /** A body that names the call if absent. */
   readonly body?: string;
@@ -183,17 +183,19 @@
   readonly port: number;
   readonly agent: Agent | undefined;
   readonly startedAt: number;
+  /** The stream that the call resumes, if it does. */
+  readonly resumed?: Pick<SoakCall, 'streamId' | 'afterEvent'>;
 }
 
 const noAnswer = {
   status: 0,
   answer: '',
   isComplete: false,
-  isSigned: false,
+  signature: '',
   saidLeaving: false,
 };
 
-const sendCall = (planned: PlannedCall): Promise<SoakCall> => {
+export const sendCall = (planned: PlannedCall): Promise<SoakCall> => {
   const body = planned.body ?? `body of ${planned.requestId}`;
   const getNow = (): number => Date.now() - planned.startedAt;
   const sent = {
@@ -203,6 +205,9 @@
     key: planned.key,
     port: planned.port,
     body,
+    streamId: planned.requestId,
+    afterEvent: 0,
+    ...planned.resumed,
     sentAt: getNow(),
   };
   return new Promise(resolve => {
@@ -217,6 +222,7 @@
         'x-request-id': planned.requestId,
         'x-key': planned.key,
         'x-time-remaining': String(planned.timeoutMs),
+        ...formatResume(sent.afterEvent),
       },
     });
     const timer = setTimeout(() => outgoing.destroy(), planned.timeoutMs);
@@ -227,7 +233,7 @@
     const finish = (
       result: Pick<
         SoakCall,
-        'status' | 'answer' | 'isComplete' | 'isSigned' | 'saidLeaving'
+        'status' | 'answer' | 'isComplete' | 'signature' | 'saidLeaving'
       >,
     ): void => {
       clearTimeout(timer);
@@ -247,7 +253,7 @@
           status: incoming.statusCode ?? 0,
           answer,
           isComplete: incoming.complete,
-          isSigned: incoming.headers['x-response-signature'] !== undefined,
+          signature: String(incoming.headers['x-response-signature'] ?? ''),
           saidLeaving: incoming.headers['server-leaving'] !== undefined,
         });
       });
@@ -255,3 +261,6 @@
     outgoing.end(body);
   });
 };
+
+const formatResume = (afterEvent: number): Record<string, string> =>
+  afterEvent > 0 ? { 'last-event-id': String(afterEvent) } : {};
--- a/bench/src/soak/soakServers.ts
+++ b/bench/src/soak/soakServers.ts
@@ -9,7 +9,7 @@
   writeChunk,
   type ReceivedRequest,
 } from '@lycheetally/testkit';
-import { formatSoakEvent } from './checkSoak.js';
+import { formatSoakEvent } from './soakEvents.js';
 import { SoakKind, isDeadly, type SoakRun } from './types.js';
 
 /** How a server responds to a request. */
@@ -43,8 +43,9 @@
   /** Answers every request correctly when set. */
   isFaultFree = false;
   private isLeaving = false;
-  private leavingHeaders: readonly string[] = [];
-  private readonly random: SeededRandom;
+  protected leavingHeaders: readonly string[] = [];
+  protected readonly random: SeededRandom;
+  private received = 0;
 
   constructor(
     readonly serverId: string,
@@ -52,7 +53,9 @@
   ) {
     this.random = new SeededRandom(seed);
     this.backend = new BackendServerStandIn(serverId, request => {
-      this.serve(request);
+      this.received += 1;
+      const signature = `${serverId}.${String(process.pid)}.${String(this.received)}`;
+      this.serve({ ...request, signature });
     });
   }
 
@@ -89,9 +92,15 @@
       this.sendAnswer(request, '', '421 Misdirected Request');
     } else if (isDeadly(request)) {
       this.record(request, '', false);
-    } else if (mode === ResponseMode.Refuse) {
+    } else {
+      this.reply(request, mode);
+    }
+  }
+
+  protected reply(request: ReceivedRequest, mode: string): void {
+    if (mode === ResponseMode.Refuse) {
       this.sendAnswer(request, '', '503 Busy', ['X-Not-Executed: 1']);
-    } else if (request.target.startsWith(`/${SoakKind.Stream}/`)) {
+    } else if (isStreamRequest(request)) {
       this.record(request, '', true);
       this.streamEvents(request, mode);
     } else {
@@ -102,7 +111,7 @@
   private answer(request: ReceivedRequest, mode: string): void {
     const requestId = request.headers.get('x-request-id') ?? '';
     const isSuccess = mode !== ResponseMode.Fail;
-    const answer = `${requestId} by ${this.serverId}, run ${String(this.runs.length)}`;
+    const answer = `${requestId} by ${request.signature ?? ''}`;
     this.record(request, answer, isSuccess);
     switch (mode) {
       case ResponseMode.DelayAnswer:
@@ -163,7 +172,10 @@
       }
       at += 1;
       written += 1;
-      writeChunk(request, formatSoakEvent(requestId, at));
+      writeChunk(
+        request,
+        formatSoakEvent(requestId, at, request.signature ?? ''),
+      );
       setTimeout(writeNext, eventIntervalMs);
     };
     writeNext();
@@ -173,10 +185,11 @@
     this.runs.push(run);
   }
 
-  private record(
-    { headers, target, body }: ReceivedRequest,
+  protected record(
+    { headers, target, body, signature = '' }: ReceivedRequest,
     answer: string,
     isSuccess: boolean,
+    ending?: string,
   ): void {
     const kind = Object.values(SoakKind).find(each =>
       target.startsWith(`/${each}/`),
@@ -184,15 +197,20 @@
     this.keepRun({
       requestId: headers.get('x-request-id') ?? '',
       serverId: this.serverId,
+      mark: signature,
       kind: kind ?? SoakKind.Booking,
       body,
       account: headers.get('x-tenant') ?? '',
       answer,
       isSuccess,
+      ending,
     });
   }
 }
 
+export const isStreamRequest = ({ target }: ReceivedRequest): boolean =>
+  target.startsWith(`/${SoakKind.Stream}/`);
+
 /** Reads the steps of a call from its path, `/KIND/STEPS`. */
-const parseSteps = ({ target }: ReceivedRequest): number =>
+export const parseSteps = ({ target }: ReceivedRequest): number =>
   Number(target.split('/').at(-1));
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -12,6 +12,15 @@
 } as const;
 export type SoakKind = ValueOf<typeof SoakKind>;
 
+/** How the server processes of a soak answer. */
+export const ServerKind = {
+  /** Each answer is whole and framed. */
+  Sound: 'sound',
+  /** Answers end in many ways, some before their last piece. */
+  Breaking: 'breaking',
+} as const;
+export type ServerKind = ValueOf<typeof ServerKind>;
+
 /** A call as recorded by its caller. */
 export interface SoakCall {
   readonly requestId: string;
@@ -31,7 +40,12 @@
   readonly status: number;
   readonly answer: string;
   readonly isComplete: boolean;
-  readonly isSigned: boolean;
+  /** Mark of the run whose head the caller got; empty without one. */
+  readonly signature: string;
+  /** Id of the caller's stream, which it may resume with further calls. */
+  readonly streamId: string;
+  /** The last event that the caller had when it sent the call; 0 for none. */
+  readonly afterEvent: number;
   /** Whether the answer said that its server leaves. */
   readonly saidLeaving: boolean;
 }
@@ -40,12 +54,16 @@
 export interface SoakRun {
   readonly requestId: string;
   readonly serverId: string;
+  /** What names the run in its head and in each of its events. */
+  readonly mark: string;
   readonly kind: SoakKind;
   readonly body: string;
   readonly account: string;
   /** The complete answer that the server intended to send. */
   readonly answer: string;
   readonly isSuccess: boolean;
+  /** How the server meant to delimit and end the answer, if that varies. */
+  readonly ending?: string | undefined;
 }
 
 /** Body of the calls that kill each server that begins to run them. */
--- a/bench/tests/soak.test.ts
+++ b/bench/tests/soak.test.ts
@@ -10,7 +10,6 @@
   SoakKind,
   StopScenario,
   checkDeadlyCalls,
-  checkSoak,
   countCrashes,
   countCuts,
   deadlyBody,
@@ -19,71 +18,18 @@
   runSoak,
   type ServerOutage,
   type SoakCall,
-  type SoakHistory,
   type SoakResult,
   type SoakRun,
   type TimedRun,
 } from '../src/index.js';
-
-const steps = 20;
-
-const call: SoakCall = {
-  requestId: 'r-1',
-  kind: SoakKind.Booking,
-  key: 'key-1',
-  port: 1,
-  body: 'body',
-  steps,
-  sentAt: 100,
-  bodySentAt: 101,
-  endedAt: 300,
-  status: 200,
-  answer: 'answer',
-  isComplete: true,
-  isSigned: true,
-  saidLeaving: false,
-};
-
-const run: SoakRun = {
-  requestId: 'r-1',
-  serverId: 'i-1',
-  kind: SoakKind.Booking,
-  body: 'body',
-  account: 'account-1',
-  answer: 'answer',
-  isSuccess: true,
-};
-
-const createHistory = (
-  calls: readonly SoakCall[],
-  runs: readonly SoakRun[],
-  changes: Partial<SoakHistory>,
-): SoakHistory => ({
-  calls,
-  runs,
-  accounts: new Map([['key-1', 'account-1']]),
-  revocationDeadlines: new Map(),
-  isPlannedOnly: false,
-  refusesOnlyAtStops: false,
-  stops: [],
-  resets: [],
-  leaveDeadlines: new Map(),
-  recoveredAt: Infinity,
-  graceMs: 6_000,
-  ...changes,
-});
-
-const findViolations = (
-  calls: readonly SoakCall[],
-  runs: readonly SoakRun[],
-  changes: Partial<SoakHistory> = {},
-): string[] =>
-  checkSoak(createHistory(calls, runs, changes)).map(({ promise }) => promise);
-
-const formatEvents = (numbers: readonly number[]): string =>
-  numbers.map(at => formatSoakEvent('r-1', at)).join('');
-
-const allEvents = Array.from({ length: steps }, (_, at) => at + 1);
+import {
+  allEvents,
+  call,
+  createHistory,
+  findViolations,
+  formatEvents,
+  run,
+} from './soakHistory.js';
 
 describe('checkSoak', () => {
   it('finds no violation in a valid history', () => {
@@ -103,7 +49,7 @@
   it.each([
     ['a booking runs once at most', call, [run, run]],
     ['a refused booking has not run', { ...call, status: 503 }, [run]],
-    ['a success is signed by its server', { ...call, isSigned: false }, [run]],
+    ['a success is signed by its server', { ...call, signature: '' }, [run]],
     [
       'a complete success is an answer of the server',
       { ...call, answer: 'ans' },
@@ -174,7 +120,7 @@
   const refused = {
     ...call,
     status: 503,
-    isSigned: false,
+    signature: '',
     sentAt: 5_000,
     endedAt: 5_010,
   };
@@ -244,7 +190,7 @@
     isComplete: false,
   };
   const noAnswer = { ...call, status: 0, answer: '', isComplete: false };
-  const refused = { ...call, status: 503, isSigned: false };
+  const refused = { ...call, status: 503, signature: '' };
   const isCutBooking = 'a stop cuts no call that may not be repeated';
   const areManyCut =
     'a stop cuts few of the streams that are taken after its signal';
@@ -272,13 +218,13 @@
     ['a call that ran has no answer', noAnswer, [run], [isCutShort]],
     [
       'a call that ran fails at the gateway',
-      { ...call, status: 502, isSigned: false },
+      { ...call, status: 502, signature: '' },
       [run],
       [isCutShort],
     ],
     [
       'a stream that ran is refused',
-      { ...stream, status: 503, isSigned: false },
+      { ...stream, status: 503, signature: '' },
       [streamRun],
       [isCutShort],
     ],
@@ -316,7 +262,7 @@
     ['a stream of another gateway', { port: 2 }, [isCutShort]],
     [
       'a booking',
-      { kind: SoakKind.Booking, status: 502, isSigned: false },
+      { kind: SoakKind.Booking, status: 502, signature: '' },
       [isCutShort, isCutBooking],
     ],
   ])('judges %s by the stop of its gateway', (_, changed, promises) => {
@@ -333,8 +279,15 @@
   ])('judges a stop that cuts %s', (_, cut, whole, sentAt, violations) => {
     const cutCalls = Array.from({ length: cut }, (_each, at) => {
       const requestId = `cut-${String(at)}`;
-      const answer = formatSoakEvent(requestId, 1);
-      return { ...cutStream, requestId, answer, sentAt, endedAt: 5_100 };
+      const answer = formatSoakEvent(requestId, 1, run.mark);
+      return {
+        ...cutStream,
+        requestId,
+        streamId: requestId,
+        answer,
+        sentAt,
+        endedAt: 5_100,
+      };
     });
     const calls = [...cutCalls, ...listWholeCalls(whole, 3_100)];
     expect(findViolations(calls, calls.map(toRun), stopped)).toEqual(
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -16,6 +16,8 @@
   readonly body: string;
   /** The connection; handlers write the response to it or close it. */
   readonly socket: Socket;
+  /** What the response is signed with, if a handler sets it. */
+  readonly signature?: string;
 }
 
 /** Responds to one request. */
@@ -194,7 +196,7 @@
   [
     `HTTP/1.1 ${status}`,
     `X-Request-Id: ${request.headers.get('x-request-id') ?? ''}`,
-    'X-Response-Signature: signature',
+    `X-Response-Signature: ${request.signature ?? 'signature'}`,
     ...headers,
     '',
     '',
