Soak gateways with answers that break off, and end with their connections

The soak's servers framed every answer, so that it could show neither an answer whose reset is read as its end nor one whose server is killed, and the head of a stream came with its first event.

New scenario "answers that break off": three server processes, of whose answers two in three have neither a length nor chunks. Some are reset with or after their last bytes, some end inside an event, some are followed by a late answer; heads come 100 to 800 ms before the first event, and streams pause for 500 to 1,500 ms. Meanwhile gateways are stopped for 20 to 200 ms, server processes are paused and killed, and one gateway is restarted. Callers resume what broke. A result lists the calls and runs of each violation, and counts streams, second runs and endings.

--- a/bench/src/soak/crashTrialBench.ts
+++ b/bench/src/soak/crashTrialBench.ts
@@ -3,7 +3,7 @@
 import { Bench, type BenchOptions } from '../types.js';
 import { countCrashes, type CrashCounts } from './checkDeadlyCalls.js';
 import { runCallers, runRepeatedCall, type SoakLoad } from './soakCallers.js';
-import { SoakHarness } from './soakHarness.js';
+import { SoakHarness, defaultProcesses } from './soakHarness.js';
 import { SoakKind, deadlyBody, type SoakCall } from './types.js';
 
 const durationMs = 40_000;
@@ -72,7 +72,7 @@
 
 const runTrial = async (seed: number, trial: Trial): Promise<TrialResult> => {
   const { servers, gateways, kind, isSound = false } = trial;
-  const processes = { servers, gateways, restartMs };
+  const processes = { ...defaultProcesses, servers, gateways, restartMs };
   const harness = new SoakHarness(seed, routeTimeoutMs, processes);
   try {
     await harness.start();
--- a/bench/src/soak/gatewayProcess.ts
+++ b/bench/src/soak/gatewayProcess.ts
@@ -26,6 +26,8 @@
   readonly resetTimes: number[] = [];
   /** Number of ends that nobody asked for, or with an error. */
   failures = 0;
+  /** Second runs that the process started beside silent ones, as its log has them. */
+  secondRuns = 0;
   private child: ChildProcess | undefined;
   /** The child that was stopped on purpose; any other child that exits is restarted. */
   private stoppedChild: ChildProcess | undefined;
@@ -73,7 +75,11 @@
     for (const stream of [child.stdout, child.stderr]) {
       stream.on('data', (chunk: Buffer) => {
         hasWritten = true;
-        this.logLines.push(...chunk.toString().trimEnd().split('\n'));
+        const lines = chunk.toString().trimEnd().split('\n');
+        this.secondRuns += lines.filter(line =>
+          line.includes('A silent call runs at a second server too.'),
+        ).length;
+        this.logLines.push(...lines);
         this.logLines.splice(0, this.logLines.length - maxLogLines);
       });
     }
--- a/bench/src/soak/gatewaySoakBench.ts
+++ b/bench/src/soak/gatewaySoakBench.ts
@@ -2,6 +2,7 @@
 import { Bench, type BenchOptions } from '../types.js';
 import { runSoak } from './runSoak.js';
 import {
+  BreakScenario,
   CrashScenario,
   FaultScenario,
   LeavingScenario,
@@ -21,13 +22,14 @@
 const restoringSeeds = 20;
 const pausedSeeds = 20;
 const crashSeeds = 20;
+const breakSeeds = 50;
 const concurrentSeeds = 4;
 const durationMs = 8_000;
 
 export class GatewaySoakBench extends Bench {
   override readonly name = 'soak';
   override readonly summary =
-    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, in 20 with stops of gateways that started seconds before, in 20 with a store that comes back from older copies, in 40 with pauses of sound servers, and in 20 with calls that kill their servers';
+    'calls to gateway processes in 50 seeded runs with signals, link faults and store faults, in 50 with servers that leave meanwhile, in 20 with planned work only, in 20 with stops of gateways that started seconds before, in 20 with a store that comes back from older copies, in 40 with pauses of sound servers, in 20 with calls that kill their servers, and in 50 with answers that break off';
   override readonly unit = 'calls';
 
   protected override async measure({ seed, report }: BenchOptions): Promise<{
@@ -44,6 +46,7 @@
       ...listRuns(new PausedScenario(), seed, pausedSeeds),
       ...listRuns(new PausedFaultScenario(), seed, pausedSeeds),
       ...listRuns(new CrashScenario(), seed, crashSeeds),
+      ...listRuns(new BreakScenario(), seed, breakSeeds),
     ];
     let calls = 0;
     const failed: unknown[] = [];
@@ -53,7 +56,7 @@
         const result = await runSoak(next.seed, durationMs, scenario);
         calls += result.calls;
         report(
-          `${scenario.name}, seed ${String(next.seed)}: ${String(result.calls)} calls, ${String(result.broken.length)} broken, ${JSON.stringify(result.statuses)}, cut by stops ${JSON.stringify(result.cuts)}, deadly calls ${JSON.stringify(result.crashes)}`,
+          `${scenario.name}, seed ${String(next.seed)}: ${String(result.calls)} calls, ${String(result.broken.length)} broken, ${JSON.stringify(result.statuses)}, cut by stops ${JSON.stringify(result.cuts)}, deadly calls ${JSON.stringify(result.crashes)}, streams ${JSON.stringify(result.streams)}`,
         );
         if (result.broken.length > 0) {
           failed.push(result);
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -5,8 +5,9 @@
 import { countCrashes, type CrashCounts } from './checkDeadlyCalls.js';
 import { checkSoak } from './checkSoak.js';
 import type { GatewayProcess } from './gatewayProcess.js';
+import { countStreams, type StreamCounts } from './countStreams.js';
 import { runCallers } from './soakCallers.js';
-import { SoakHarness, defaultProcesses, drainSeconds } from './soakHarness.js';
+import { SoakHarness, drainSeconds } from './soakHarness.js';
 import type { SoakScenario } from './soakScenario.js';
 import { countCuts, noCuts, type StopCuts } from './stopCuts.js';
 import type { GuaranteeViolation, SoakCall, SoakHistory } from './types.js';
@@ -20,9 +21,11 @@
   readonly cuts: StopCuts;
   /** What deadly calls did, if there were any. */
   readonly crashes?: CrashCounts | undefined;
+  /** What the servers did to streams, unless gateways failed. */
+  readonly streams?: StreamCounts;
   readonly faults: readonly string[];
   readonly broken: readonly GuaranteeViolation[];
-  /** Lines of the gateways' logs that name a call with a broken guarantee. */
+  /** Calls with a broken guarantee, their runs, and the lines of the gateways' logs that name them. */
   readonly lines: readonly string[];
 }
 
@@ -43,9 +46,7 @@
   durationMs: number,
   scenario: SoakScenario,
 ): Promise<SoakResult> => {
-  const servers = scenario.getServerProcesses(seed);
-  const gateways = defaultProcesses.gateways + (servers > 0 ? 1 : 0);
-  const processes = { ...defaultProcesses, gateways, servers };
+  const processes = scenario.getProcesses(seed);
   const harness = new SoakHarness(seed, scenario.routeTimeoutMs, processes);
   try {
     await harness.start();
@@ -154,11 +155,14 @@
     leaveDeadlines: harness.leaveDeadlines,
     recoveredAt,
     graceMs: drainSeconds * millisecondsPerSecond,
-    crashes: harness.getCrashes(),
+    crashes: scenario.hasDeadlyCalls ? harness.getCrashes() : undefined,
   };
   const broken = [...checkSoak(history), ...checkRecovery(callsAfterFaults)];
   const ids = new Set(broken.map(({ requestId }) => requestId));
-  const lines = harness.gateways
+  const records = [...history.calls, ...history.runs]
+    .filter(({ requestId }) => ids.has(requestId))
+    .map(record => JSON.stringify(record));
+  const logLines = harness.gateways
     .flatMap(gateway => gateway.logLines)
     .filter(line => [...ids].some(id => id !== '' && line.includes(`"${id}"`)));
   const statuses = countBy(history.calls.map(({ status }) => String(status)));
@@ -171,9 +175,14 @@
     statuses,
     cuts,
     crashes,
+    streams: countStreams(
+      history.calls,
+      history.runs,
+      harness.gateways.reduce((sum, { secondRuns }) => sum + secondRuns, 0),
+    ),
     faults,
     broken,
-    lines,
+    lines: [...records, ...logLines],
   };
 };
 
--- a/bench/src/soak/serverProcess.ts
+++ b/bench/src/soak/serverProcess.ts
@@ -4,6 +4,7 @@
 import { waitFor } from '@lycheetally/testkit';
 import {
   isDeadly,
+  type ServerKind,
   type ServerOutage,
   type SoakRun,
   type TimedRun,
@@ -19,6 +20,8 @@
 export interface ServerProcessOptions {
   readonly serverId: string;
   readonly port: number;
+  readonly kind: ServerKind;
+  readonly seed: number;
   /** Time from the end of the process until it starts again. */
   readonly restartMs: number;
   /** Returns the milliseconds since the start of the soak. */
@@ -33,6 +36,7 @@
   readonly outages: ServerOutage[] = [];
   private child: ChildProcess | undefined;
   private isDisposed = false;
+  private hasEndedFaults = false;
 
   constructor(private readonly options: ServerProcessOptions) {}
 
@@ -45,8 +49,12 @@
     if (this.isDisposed) {
       return;
     }
-    const { serverId, port, getNow, publish } = this.options;
-    const child = fork(serverProgram, [serverId, String(port)]);
+    const { serverId, port, kind, getNow, publish } = this.options;
+    const seed = this.options.seed + this.outages.length;
+    const child = fork(
+      serverProgram,
+      [serverId, port, kind, seed].map(value => String(value)),
+    );
     this.child = child;
     child.once('exit', () => {
       void this.restart();
@@ -58,6 +66,7 @@
           this.outages.slice(-1).forEach(outage => {
             outage.backAt = getNow();
           });
+          this.sendFaultEnd();
           publish(`127.0.0.1:${String(port)}`);
           resolve();
         } else {
@@ -72,6 +81,26 @@
     this.child?.kill('SIGKILL');
   }
 
+  /** Stops the process for a while, as a sound server may fall silent. */
+  async pause(forMs: number): Promise<void> {
+    const { child } = this;
+    child?.kill('SIGSTOP');
+    await waitFor(forMs);
+    child?.kill('SIGCONT');
+  }
+
+  /** Has the server answer every request correctly from now on. */
+  endFaults(): void {
+    this.hasEndedFaults = true;
+    this.sendFaultEnd();
+  }
+
+  private sendFaultEnd(): void {
+    if (this.hasEndedFaults && this.child?.connected) {
+      this.child.send('end the faults');
+    }
+  }
+
   dispose(): void {
     this.isDisposed = true;
     this.cut();
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -18,7 +18,7 @@
 import { ServerProcess } from './serverProcess.js';
 import { soakHost } from './soakCallers.js';
 import { SoakServer } from './soakServers.js';
-import type { CrashRecord, SoakRun } from './types.js';
+import { ServerKind, type CrashRecord, type SoakRun } from './types.js';
 
 const gatewayCount = 2;
 const serverCount = 3;
@@ -50,12 +50,14 @@
   readonly servers: number;
   /** Time from the end of a server process until it starts again, in milliseconds. */
   readonly restartMs: number;
+  readonly serverKind: ServerKind;
 }
 
 export const defaultProcesses: SoakProcesses = {
   gateways: gatewayCount,
   servers: 0,
   restartMs: 1_500,
+  serverKind: ServerKind.Sound,
 };
 
 export class SoakHarness {
@@ -222,6 +224,9 @@
     for (const server of this.servers) {
       server.isFaultFree = true;
     }
+    this.serverProcesses.forEach(each => {
+      each.endFaults();
+    });
   }
 
   async waitUntilReady(): Promise<void> {
@@ -274,6 +279,8 @@
     const server = new ServerProcess({
       serverId,
       port: await findFreePort(),
+      kind: this.processes.serverKind,
+      seed: (this.seed * serverCount + this.serverProcesses.length) * 1_000,
       restartMs: this.processes.restartMs,
       getNow: () => Date.now() - this.startedAt,
       publish: address => {
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -9,6 +9,7 @@
   type SoakLoad,
 } from './soakCallers.js';
 import {
+  runBreakFaults,
   runCrashFaults,
   runLeavingFaults,
   runPausedFaults,
@@ -18,8 +19,13 @@
   runSoakFaults,
   runStops,
 } from './soakFaults.js';
-import type { SoakHarness } from './soakHarness.js';
-import { SoakKind, deadlyBody, type SoakCall } from './types.js';
+import {
+  defaultProcesses,
+  type SoakHarness,
+  type SoakProcesses,
+} from './soakHarness.js';
+import { runStreamCallers } from './streamCallers.js';
+import { ServerKind, SoakKind, deadlyBody, type SoakCall } from './types.js';
 
 export abstract class SoakScenario {
   abstract readonly name: string;
@@ -33,9 +39,12 @@
   /** Time limit of the routes at the start, in milliseconds. */
   abstract readonly routeTimeoutMs: number;
 
-  /** Server processes that deadly calls kill; with none, the servers live in this process. */
-  getServerProcesses(_seed: number): number {
-    return 0;
+  /** Whether calls kill their servers, which are judged by how many. */
+  readonly hasDeadlyCalls: boolean = false;
+
+  /** What runs in processes of its own. */
+  getProcesses(_seed: number): SoakProcesses {
+    return defaultProcesses;
   }
 
   /** Duration of a short soak in a test. */
@@ -56,7 +65,7 @@
 export class FaultScenario extends SoakScenario {
   override readonly name: string = 'faults';
   override readonly isPlannedOnly = false;
-  override readonly routeTimeoutMs = 3_000;
+  override readonly routeTimeoutMs: number = 3_000;
 
   override runCallers(load: SoakLoad): Promise<SoakCall[]> {
     return runCallers(load);
@@ -176,8 +185,10 @@
   override readonly name = 'deadly calls';
   override readonly testMs = 6_000;
 
-  override getServerProcesses(seed: number): number {
-    return 2 + (seed % 2);
+  override readonly hasDeadlyCalls = true;
+
+  override getProcesses(seed: number): SoakProcesses {
+    return { ...defaultProcesses, gateways: 3, servers: 2 + (seed % 2) };
   }
 
   override async runCallers(load: SoakLoad): Promise<SoakCall[]> {
@@ -196,5 +207,33 @@
   }
 }
 
+/** Streams and answers end in many ways, with their connections too, while gateways stall and servers pause and are killed. */
+export class BreakScenario extends FaultScenario {
+  override readonly name = 'answers that break off';
+  override readonly routeTimeoutMs = 6_000;
+  override readonly testMs = 8_000;
+
+  override getProcesses(): SoakProcesses {
+    return {
+      gateways: 3,
+      servers: 3,
+      restartMs: 600,
+      serverKind: ServerKind.Breaking,
+    };
+  }
+
+  override runCallers(load: SoakLoad): Promise<SoakCall[]> {
+    return runStreamCallers(load);
+  }
+
+  override runFaults(
+    harness: SoakHarness,
+    random: SeededRandom,
+    durationMs: number,
+  ): Promise<string[]> {
+    return runBreakFaults(harness, random, durationMs);
+  }
+}
+
 /** Time between an answer to a deadly call and the next one, in milliseconds. */
 const deadlyPauseMs = 300;
--- a/bench/tests/soak.test.ts
+++ b/bench/tests/soak.test.ts
@@ -1,6 +1,7 @@
 /** Tests the check of the gateway soak and runs short soaks; `lycheetally bench soak` runs many seeds. */
 import { describe, expect, it } from 'vitest';
 import {
+  BreakScenario,
   CrashScenario,
   FaultScenario,
   LeavingScenario,
@@ -338,6 +339,8 @@
   // A call without prompt parts killed every server of a service, again and again.
   { scenario: new CrashScenario(), seed: 1 },
   { scenario: new CrashScenario(), seed: 2 },
+  // A reset in the turn of the last bytes was read as the end of an answer without a length.
+  { scenario: new BreakScenario(), seed: 1 },
 ];
 
 const results = new Map<unknown, Promise<SoakResult>>();
