--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -10,7 +10,12 @@
 import { SoakHarness, drainSeconds } from './soakHarness.js';
 import type { SoakScenario } from './soakScenario.js';
 import { countCuts, noCuts, type StopCuts } from './stopCuts.js';
-import type { GuaranteeViolation, SoakCall, SoakHistory } from './types.js';
+import type {
+  GuaranteeViolation,
+  SoakCall,
+  SoakHistory,
+  SoakRun,
+} from './types.js';
 
 export interface SoakResult {
   readonly seed: number;
@@ -161,7 +166,7 @@
   const ids = new Set(broken.map(({ requestId }) => requestId));
   const records = [...history.calls, ...history.runs]
     .filter(({ requestId }) => ids.has(requestId))
-    .map(record => JSON.stringify(record));
+    .map(describeRecord);
   const logLines = harness.gateways
     .flatMap(gateway => gateway.logLines)
     .filter(line => [...ids].some(id => id !== '' && line.includes(`"${id}"`)));
@@ -186,6 +191,12 @@
   };
 };
 
+/** Characters at the end of an answer that a result shows. */
+const shownCharacters = 300;
+
+const describeRecord = (record: SoakCall | SoakRun): string =>
+  JSON.stringify({ ...record, answer: record.answer.slice(-shownCharacters) });
+
 const checkRecovery = (calls: readonly SoakCall[]): GuaranteeViolation[] => {
   const unserved = calls.filter(({ status }) => status !== 200);
   const isRecovered = unserved.length <= (1 - minServedShare) * calls.length;
