End the other run with one that had delivered events and was lost

Callers of streams could get events twice, or miss the next ones: of two runs, the first delivers events and is lost in the same turn of the loop, before HEDGE_DECIDED is handled, as when a connection to its server is refused or its entry goes just then. The call dropped the lost run and kept the other one, which began before these events: it delivers them again, so that a number goes back, or it had ended without being asked for more, and nobody ended the call before its deadline. It takes a loop with events in its queue and crashes beside silences; busy gateways on thin VMs have both.

Only a run that has not delivered is dropped for the other one. If the one that had delivered ends, the other is cancelled with it, and the call goes on with a new run after its last event.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -16,6 +16,7 @@
   dropAttempt,
   hasLivingRun,
   keepEnded,
+  mayDrop,
   settleHedge,
 } from './callHedge.js';
 import {
@@ -373,7 +374,7 @@
       cancelCall,
     },
     guards: {
-      isHedged: call => call.hedge !== undefined,
+      mayDrop: (call, event) => mayDrop(call, event?.attempt),
       hasLivingRun: (call, event) => hasLivingRun(call, event?.attempt),
       mayRetry: (call, _, now) => mayRetry(call, now),
       mayRepeat: (call, _, now) => mayRepeat(call, now),
--- a/packages/gateway/src/callHedge.ts
+++ b/packages/gateway/src/callHedge.ts
@@ -65,6 +65,12 @@
   keepAttempt(call, answeredBy);
 };
 
+/** Whether the other one of two runs can go on alone; one that began before the caller had the events of this run cannot. */
+export const mayDrop = (
+  call: GatewayCall,
+  ended: GatewayAttempt | undefined,
+): boolean => call.hedge !== undefined && call.answeredBy !== ended;
+
 /** Goes on with the other one of two runs after this one has ended without an answer. */
 export const dropAttempt = (
   call: GatewayCall,
