Take a run without events of its own for the end of a stream only after another end there

Callers could get a stream that ended as complete before its last event: a stream that went on at a second server, which answered with neither a length nor chunks and closed the connection before an event, counted as whole, as the end was checked against the events of all runs.

Evidence, callRuns.test.ts: 'a second run that ends without events beside one that has delivered' gave ['an early end'] before, and passes now; with it the 72 tests of callRuns, killedServers, hedgedCalls, unframedStreams and shortStreams. Ruled out: to refuse every such end, which told streams as broken that were whole and whose server was gone ('a whole stream ends with nothing added' failed).

Such an end counts where a run before it ended in order after the same event. Otherwise the run is broken, and the call goes on as long as it may. Answers with chunks say themselves that they end.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -54,6 +54,8 @@
   private readonly buffered = new ByteCollector();
   private mode: string = ResponseMode.Buffered;
   private firstEventId: string | undefined;
+  /** Whether this run added an event to the caller's stream. */
+  private hasDelivered = false;
 
   constructor(private readonly attempt: GatewayAttempt) {
     super();
@@ -69,6 +71,15 @@
     return this.exchange?.connectionEnd === ConnectionEnd.Closed;
   }
 
+  /** Whether this run should have added events and added none. There may be none left if another run ended in order at the same event. */
+  private get isMissingEvents(): boolean {
+    const { endedAfter } = this.attempt.call;
+    return (
+      !this.hasDelivered &&
+      (endedAfter === undefined || endedAfter !== this.events?.lastEventId)
+    );
+  }
+
   /** Sends the request. */
   open(request: BackendRequest): void {
     const { call } = this.attempt;
@@ -177,12 +188,8 @@
     if (isStreamed && events?.isAtBoundary === false) {
       const reason = 'the stream ended inside an event';
       this.fail(reason, !fields.isFramed);
-    } else if (
-      isStreamed &&
-      !fields.isFramed &&
-      attempt.call.eventsReceived === 0
-    ) {
-      this.fail('the stream ended before its first event', true);
+    } else if (isStreamed && !fields.isFramed && this.isMissingEvents) {
+      this.fail('the stream ended before its next event', true);
     } else if (!fields.isFramed && this.isClosedByServer) {
       attempt.send({ type: 'ENDED' });
     } else {
@@ -273,6 +280,7 @@
     }
     if (newEvents > 0) {
       call.events = events;
+      this.hasDelivered = true;
       this.firstEventId ??= accepted.val.firstEventId;
       silence.noteEvent(now);
       attempt.progress.noteEvents(newEvents);
--- a/packages/gateway/src/attemptEnd.ts
+++ b/packages/gateway/src/attemptEnd.ts
@@ -48,6 +48,7 @@
     const { attempt } = this;
     // Another server has to tell.
     attempt.blame.keepFromFaultyServers();
+    attempt.call.endedAfter = attempt.answer.events?.lastEventId;
     attempt.send({
       type: 'END_DOUBTED',
       fault: createBackendFault(
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -139,6 +139,8 @@
   noteEnd: NoteEnd | undefined;
   /** Events of a streamed response as the caller has them, over all attempts. */
   events: EventStream | undefined;
+  /** Id of the event after which a run ended in order, at a server that was gone then. */
+  endedAfter: string | undefined;
   /** Events that servers sent for this call, over all attempts, each once. */
   eventsReceived = 0;
   /** Whether calls like it are refused, and this one finds out if they still crash servers. */
