Kill servers in the property test of a call and its runs

The property test had no servers that are killed: their connections end in order, and an answer without framing looks whole wherever it ends.

A step kills the server of a run: what is unframed ends where it is, what is framed breaks. The emulator answers for its servers whether they accept connections; a killed one is back after 300 ms at the earliest. The test of two ends in one turn names both ends, so that it no longer depends on what comes after the steps.

--- a/packages/gateway/tests/callRuns.test.ts
+++ b/packages/gateway/tests/callRuns.test.ts
@@ -16,10 +16,8 @@
   type Step,
 } from './runSteps.js';
 
-// It asks over the network whether a server that broke off accepts connections.
-vi.mock('../src/suspects/crashCheck.js', () => ({
-  checkAccepts: () => undefined,
-}));
+// It asks over the network; the emulator answers for its servers.
+vi.mock('../src/suspects/crashCheck.js', () => import('./acceptChecks.js'));
 
 const createRecord = (
   range: LayerRange | undefined,
@@ -144,7 +142,9 @@
     expect(emulated !== chain || seen.repairs > minSeen).toBe(true);
   });
 
-  it.each<[string, EmulatedCall, readonly (readonly [string, number])[]]>([
+  it.each<
+    [string, EmulatedCall, readonly (readonly [string, number, number?])[]]
+  >([
     [
       'a second run that ends without events beside one that has delivered',
       stream,
@@ -184,15 +184,17 @@
         ['wait', 16],
         ['stall', 1],
         ['loseLast', 1],
+        ['head', 1],
+        ['head', 1, 1],
         ['refuseRepair', 1],
+        ['rest', 1],
+        ['end', 1],
+        ['rest', 1],
         ['end', 1],
-        ['bytes', 1],
-        ['head', 1],
-        ['bytes', 1],
       ],
     ],
   ])('gets one stream in order after %s', async (_, emulated, named) => {
-    const steps = named.map(([name, size]) => ({ name, at: 0, size }));
+    const steps = named.map(([name, size, at = 0]) => ({ name, at, size }));
     await checkSteps(emulated, steps, new Seen());
   });
 });
--- a/packages/gateway/tests/fakePorts.ts
+++ b/packages/gateway/tests/fakePorts.ts
@@ -22,7 +22,7 @@
 
 /** One run of the call at a server, which delivers when it is told to. */
 export class FakeRun extends BackendExchange {
-  readonly connectionEnd = ConnectionEnd.Open;
+  connectionEnd: ConnectionEnd = ConnectionEnd.Open;
   isOpen = true;
   isPaused = false;
   isConnected = false;
@@ -109,8 +109,20 @@
     }
   }
 
+  /** Ends as the kernel ends the connection of a killed server that has read everything. */
+  cutByKill(): void {
+    if (this.isFramed || !this.hasHead) {
+      this.cut();
+    } else if (this.isOpen && !this.isPaused) {
+      this.end();
+    }
+  }
+
   private end(): void {
     this.isOpen = false;
+    this.connectionEnd = this.isFramed
+      ? ConnectionEnd.Open
+      : ConnectionEnd.Closed;
     this.listener.handleEnd();
   }
 }
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -34,6 +34,7 @@
   type ServerReport,
 } from '../src/ports.js';
 import { WaitingCalls } from '../src/waitingCalls.js';
+import { setAcceptCheck } from './acceptChecks.js';
 import { VirtualTime } from './crashEmulator.js';
 import { FakeBackend, FakeCaller, FakeFormat } from './fakePorts.js';
 import { createQuietLoggers } from './quietLoggers.js';
@@ -136,6 +137,9 @@
   private readonly servers: GatewayServers;
 
   constructor(readonly emulated: EmulatedCall) {
+    setAcceptCheck((address, handleChecked) => {
+      this.checkAccepts(address, handleChecked);
+    });
     this.backend = new FakeBackend(emulated.isStream);
     this.servers = this.createServers();
     this.call = new GatewayCall(
@@ -193,6 +197,16 @@
     }
   }
 
+  private checkAccepts(
+    address: string,
+    handleChecked: (isAccepting: boolean) => void,
+  ): void {
+    const mode = this.control.modes.get(address);
+    this.time.schedule(acceptMs, () => {
+      handleChecked(mode !== ServerMode.Refusing);
+    });
+  }
+
   dispose(): void {
     this.call.instance?.dispose();
     this.servers.dispose();
@@ -261,6 +275,9 @@
   }
 }
 
+/** Time in which a server accepts or refuses a connection. */
+const acceptMs = 2;
+
 /** Longest time between two turns of the loop. */
 const stepMs = 25;
 
--- a/packages/gateway/tests/runSteps.ts
+++ b/packages/gateway/tests/runSteps.ts
@@ -21,6 +21,9 @@
 const pauseMs = 700;
 const longPauseMs = 2_000;
 
+/** Shortest time from the end of a killed server until it is back. */
+const restartMs = 300;
+
 /** Puts all the bytes that are left into one chunk. */
 const allBytes = 10_000;
 
@@ -38,6 +41,19 @@
   return server;
 };
 
+/** Changes how a server answers; one that was killed is back only after it was asked whether it is there. */
+const setMode = async (
+  emulator: RunEmulator,
+  address: string,
+  mode: ServerMode,
+): Promise<void> => {
+  const { modes } = emulator.control;
+  if (modes.get(address) === ServerMode.Refusing) {
+    await emulator.advance(restartMs);
+  }
+  modes.set(address, mode);
+};
+
 const runActions: Readonly<
   Record<string, (run: FakeRun, size: number) => void>
 > = {
@@ -72,21 +88,30 @@
   wait: (emulator, { size }) => emulator.advance(size * waitStepMs),
   // The first server of a run falls silent for a while.
   pause: async (emulator, { at, size }) => {
-    const { modes } = emulator.control;
     const address = pickRun(emulator, at)?.address ?? '';
-    modes.set(address, ServerMode.Silent);
+    await setMode(emulator, address, ServerMode.Silent);
     await emulator.advance(size % 2 === 0 ? pauseMs : longPauseMs);
-    modes.set(address, ServerMode.Answering);
+    await setMode(emulator, address, ServerMode.Answering);
   },
-  silence: (emulator, { at, size }) => {
+  silence: async (emulator, { at, size }) => {
     const { address } = pickServer(emulator, at);
-    emulator.control.modes.set(address, ServerMode.Silent);
-    return emulator.advance(size * waitStepMs);
+    await setMode(emulator, address, ServerMode.Silent);
+    await emulator.advance(size * waitStepMs);
   },
-  answer: (emulator, { at }) => {
+  answer: async (emulator, { at }) => {
     const { serverId, address } = pickServer(emulator, at);
-    emulator.control.modes.set(address, ServerMode.Answering);
+    await setMode(emulator, address, ServerMode.Answering);
     emulator.noteProof(serverId);
+  },
+  // The server of a run is killed; an answer without framing ends wherever it is.
+  kill: (emulator, { at }) => {
+    const { address = '' } = pickRun(emulator, at) ?? {};
+    emulator.control.modes.set(address, ServerMode.Refusing);
+    emulator.backend.runs
+      .filter(run => run.address === address)
+      .forEach(run => {
+        run.cutByKill();
+      });
     return undefined;
   },
   crash: (emulator, { at }) => {
@@ -165,6 +190,7 @@
   pause: 4,
   silence: 2,
   answer: 2,
+  kill: 3,
   crash: 1,
   block: 2,
   unblock: 2,
@@ -201,6 +227,7 @@
 /** Lets everything go well until the call has ended; returns whether it did. */
 export const runToEnd = async (emulator: RunEmulator): Promise<boolean> => {
   const { backend, caller, control } = emulator;
+  await emulator.advance(restartMs);
   control.modes.clear();
   control.stalledAt = undefined;
   caller.drain();
