--- a/bench/src/soak/soakFaults.ts
+++ b/bench/src/soak/soakFaults.ts
@@ -8,7 +8,7 @@
 } from '@lycheetally/testkit';
 import type { SoakHarness } from './soakHarness.js';
 
-abstract class SoakFault {
+export abstract class SoakFault {
   abstract readonly name: string;
 
   /** Injects the fault and removes it again after `forMs`. */
@@ -32,7 +32,7 @@
   }
 }
 
-class RestartGatewayFault extends SoakFault {
+export class RestartGatewayFault extends SoakFault {
   readonly name = 'stop a gateway and start it again';
 
   override async run(
@@ -77,7 +77,7 @@
   }
 }
 
-class ReloadGatewayFault extends SoakFault {
+export class ReloadGatewayFault extends SoakFault {
   readonly name = 'reload a gateway';
 
   override run(harness: SoakHarness, random: SeededRandom): Promise<void> {
@@ -132,7 +132,7 @@
 }
 
 /** A change of the stored data, which may coincide with other faults. */
-class StoreChangeFault extends SoakFault {
+export class StoreChangeFault extends SoakFault {
   constructor(
     readonly name: string,
     private readonly change: (
@@ -190,41 +190,6 @@
   }
 }
 
-/** The loop of a gateway finds what came in the meantime in one turn. */
-class StallGatewayFault extends SoakFault {
-  readonly name = 'stall a gateway';
-
-  override async run(
-    harness: SoakHarness,
-    random: SeededRandom,
-  ): Promise<void> {
-    const gateway = random.pickOne(harness.gateways);
-    gateway.sendSignal('SIGSTOP');
-    await waitFor(minStallMs + random.pickInteger(maxStallMs - minStallMs));
-    gateway.sendSignal('SIGCONT');
-  }
-}
-
-class PauseServerFault extends SoakFault {
-  readonly name = 'pause a server process';
-
-  override run(harness: SoakHarness, random: SeededRandom): Promise<void> {
-    const forMs =
-      minServerPauseMs +
-      random.pickInteger(maxServerPauseMs - minServerPauseMs);
-    return random.pickOne(harness.serverProcesses).pause(forMs);
-  }
-}
-
-class KillServerFault extends SoakFault {
-  readonly name = 'kill a server process';
-
-  override run(harness: SoakHarness, random: SeededRandom): Promise<void> {
-    random.pickOne(harness.serverProcesses).cut();
-    return Promise.resolve();
-  }
-}
-
 /** Revokes a key other than the first, which callers keep. */
 const revokeAnyKey = (harness: SoakHarness, random: SeededRandom): void => {
   const [, ...keys] = [...harness.accounts.keys()];
@@ -350,33 +315,14 @@
   }),
 ];
 
-const breakFaults: readonly SoakFault[] = [
-  ...Array.from({ length: 4 }, () => new StallGatewayFault()),
-  ...Array.from({ length: 3 }, () => new PauseServerFault()),
-  new KillServerFault(),
-  new RestartGatewayFault(),
-  new ReloadGatewayFault(),
-  new StoreChangeFault('change the configuration', harness => {
-    harness.publishConfiguration();
-  }),
-];
-
 /** Bounds of the pause of a sound server. */
 const minPauseMs = 300;
 const maxPauseMs = 2_000;
 
-/** Bounds of the pause of a server process, which second runs begin in. */
-const minServerPauseMs = 500;
-const maxServerPauseMs = 1_500;
-
-/** Bounds of the stall of a gateway. */
-const minStallMs = 20;
-const maxStallMs = 200;
-
 /** Bounds of a fault's duration and of the pause before the next one. */
 const minFaultMs = 200;
 const maxFaultMs = 1_800;
-const longestPauseMs = 900;
+export const longestPauseMs = 900;
 
 /** Longest pause before the next planned work; a gateway serves for some time between two stops. */
 const longestPlannedPauseMs = 2_400;
@@ -416,14 +362,6 @@
 ): Promise<string[]> =>
   runFaults(pausedFaults, longestPauseMs, { harness, random, durationMs });
 
-/** Stalls gateways, pauses and kills servers and does planned work, for `durationMs`; returns the names of the faults in order. */
-export const runBreakFaults = (
-  harness: SoakHarness,
-  random: SeededRandom,
-  durationMs: number,
-): Promise<string[]> =>
-  runFaults(breakFaults, longestPauseMs, { harness, random, durationMs });
-
 /** Disturbs one gateway and the configuration while servers crash, for `durationMs`; returns the names of the faults in order. */
 export const runCrashFaults = (
   harness: SoakHarness,
@@ -490,7 +428,7 @@
   readonly durationMs: number;
 }
 
-const runFaults = async (
+export const runFaults = async (
   choices: readonly SoakFault[],
   maxPauseMs: number,
   { harness, random, durationMs }: FaultRun,
--- a/bench/src/soak/soakScenario.ts
+++ b/bench/src/soak/soakScenario.ts
@@ -1,5 +1,6 @@
 /** What a soak does to its gateways, and who calls them meanwhile. */
 import { SeededRandom } from '@lycheetally/testkit';
+import { runBreakFaults } from './breakFaults.js';
 import {
   mixedStreamSteps,
   shortSteps,
@@ -9,7 +10,6 @@
   type SoakLoad,
 } from './soakCallers.js';
 import {
-  runBreakFaults,
   runCrashFaults,
   runLeavingFaults,
   runPausedFaults,
