Learn what is suspected before a started gateway uses a last server

What callers saw: a service of two servers was dark for up to 2.1 s. A gateway that was started again sent a deadly call to the last living server, before it knew that the call was suspected.

Cause: a gateway takes calls some 30 ms after it starts. It asked other gateways for suspects at once, when it knew none of them, and again only 500 ms later. The list of servers still names one that crashed, so the call was sent as any other.

Change: - It asks as soon as it has read the list of gateways (PEERS_READ, suspectPull). - Until then, and until one that is not starting itself has answered, or all that were asked have answered or failed, 2 s at most, it holds calls of services with up to four usable servers, which three crashes may have brought down to one (chart suspectLearning, mayBeLastServer). Answers say whether their gateway is starting; earlier builds ignore the field, and theirs counts as informed. - A call that it held is judged again by what it learnt: a suspect that came with news was regarded as suspected only from the next call on.

Ruled out: to report the gateway as not ready meanwhile, since callers with open connections send to it in any case.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -48,6 +48,7 @@
   SuspectPush: 'suspectPush',
   SuspectPull: 'suspectPull',
   SuspectPeer: 'suspectPeer',
+  SuspectLearning: 'suspectLearning',
   WorkSuspect: 'workSuspect',
 } as const;
 export type ChartName = ValueOf<typeof ChartName>;
--- a/packages/decisions/src/suspects/suspectPlacement.ts
+++ b/packages/decisions/src/suspects/suspectPlacement.ts
@@ -22,6 +22,13 @@
 /** Time for which crashed servers are expected back; then the last one takes suspected calls too. */
 export const maxRestartMs = 10_000;
 
+/** Servers of a service that may have crashed with one call before all gateways know of the verdict. */
+const maxUnknownCrashes = 3;
+
+/** Whether one of the servers that seem to live may be the only one, to a gateway that does not know of crashes yet. */
+export const mayBeLastServer = (usable: number, total: number): boolean =>
+  total > 1 && usable <= maxUnknownCrashes + 1;
+
 /** Returns the server for a suspected call; `undefined` if none is to take it now. */
 export const chooseSuspectServer = ({
   suspectId,
--- a/packages/decisions/tests/suspects.test.ts
+++ b/packages/decisions/tests/suspects.test.ts
@@ -8,6 +8,7 @@
   countSteps,
   isExplained,
   maxRestartMs,
+  mayBeLastServer,
   type Sighting,
   type SuspectCrash,
 } from '../src/index.js';
@@ -140,3 +141,18 @@
     expect(chooseSuspectServer({ ...last, sinceCrashMs })).toBe('a');
   });
 });
+
+describe('mayBeLastServer', () => {
+  it('holds calls of services that a deadly call may have brought down to one server', () => {
+    expect([1, 2, 4, 5].map(usable => mayBeLastServer(usable, 5))).toEqual([
+      true,
+      true,
+      true,
+      false,
+    ]);
+  });
+
+  it('holds nothing for a service of one server, which has no other to wait for', () => {
+    expect(mayBeLastServer(1, 1)).toBe(false);
+  });
+});
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -198,6 +198,9 @@
       if (!this.hasStopped) {
         this.news.start(now);
         this.suspects.start(now);
+        if (!this.settings.listen.gateways) {
+          this.suspects.notePeersRead(now);
+        }
         this.placer.start(now);
       }
     });
@@ -448,6 +451,9 @@
       countNews: isRelayed => {
         this.metrics.countNews(isRelayed);
       },
+      handlePeersRead: now => {
+        this.suspects.notePeersRead(now);
+      },
       receiveParts: (incoming, response) => {
         this.suspects.receive(incoming, response);
       },
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -88,6 +88,8 @@
   postCompletion(run: (now: Milliseconds) => void): void;
   getMoment(): Moment;
   countNews(isRelayed: boolean): void;
+  /** Handles that the list of gateways was read. */
+  handlePeersRead(now: Milliseconds): void;
   /** Handles a message about prompt parts. */
   readonly receiveParts: PostHandler;
   readonly applyConfigurations: RecordHandler<GatewayConfiguration>;
@@ -280,12 +282,13 @@
       NewsName.Gateways,
       { table: this.sources.gateways.table, decode: decodePeer },
       { waitMs: 0, readIntervalMs: peerReadIntervalMs },
-      records => {
+      (records, _, now) => {
         for (const { key, value, fault } of records) {
           if (fault === undefined) {
             this.directory.set(key, value);
           }
         }
+        this.services.handlePeersRead(now);
       },
     );
   }
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -132,7 +132,9 @@
     call: TracedCall,
     now: Milliseconds,
   ): SuspectDecision {
-    const forbidding = this.findAll(call).find(suspect => suspect.isBlamed);
+    const forbidding = this.updateSuspicions(call, now).find(
+      ({ isBlamed }) => isBlamed,
+    );
     return forbidding ? refuse(forbidding, now) : allow;
   }
 
--- a/packages/gateway/src/suspects/exchangeConstants.ts
+++ b/packages/gateway/src/suspects/exchangeConstants.ts
@@ -13,6 +13,9 @@
 /** Gateways that one asks for records of suspects when it starts. */
 export const suspectJoinPeers = 3;
 
+/** Time after the start after which a gateway sends all calls, whatever it has learnt from others. */
+export const suspectLearningLimitMs = 2_000;
+
 /** Delay before a gateway that starts asks again for records of suspects. */
 export const suspectJoinRetryMs = 500;
 
--- a/packages/gateway/src/suspects/suspectExchange.ts
+++ b/packages/gateway/src/suspects/suspectExchange.ts
@@ -7,7 +7,12 @@
  * `suspectPush` and `suspectPull`.
  */
 import type { ChartInstance, ChartTimers } from '@lycheetally/charts';
-import type { Address, Milliseconds, Result } from '@lycheetally/common';
+import type {
+  Address,
+  ComponentLogger,
+  Milliseconds,
+  Result,
+} from '@lycheetally/common';
 import {
   suspectComparedPeers,
   suspectJoinPeers,
@@ -25,6 +30,10 @@
   type SuspectAnswer,
   type SuspectMessage,
 } from './suspectMessage.js';
+import {
+  SuspectLearning,
+  type SuspectLearningMachine,
+} from './suspectLearning.js';
 import type { SuspectPeer, SuspectPeerMachine } from './suspectPeer.js';
 import { SuspectPeers } from './suspectPeers.js';
 import type { SuspectTracker } from './suspectTracker.js';
@@ -32,6 +41,7 @@
 
 export interface SuspectExchangeServices {
   readonly timers: ChartTimers;
+  readonly log: ComponentLogger;
   readonly tracker: SuspectTracker;
   /** Addresses of all other known gateways. */
   listPeers(): readonly Address[];
@@ -43,12 +53,14 @@
   readonly push: SuspectPushMachine;
   readonly pull: SuspectPullMachine;
   readonly peer: SuspectPeerMachine;
+  readonly learning: SuspectLearningMachine;
 }
 
 export class SuspectExchange {
   private readonly client = new SuspectClient();
   private readonly sent = new SentRecords();
   private readonly peers: SuspectPeers;
+  private readonly learning: SuspectLearning;
   private readonly push: ChartInstance<SuspectExchange, SuspectPushEvent>;
   private readonly pull: ChartInstance<SuspectExchange, SuspectPullEvent>;
   private startedAt: Milliseconds = 0;
@@ -58,21 +70,33 @@
     machines: SuspectMachines,
     private readonly services: SuspectExchangeServices,
   ) {
-    const { timers, tracker } = services;
+    const { timers, log, tracker } = services;
     this.peers = new SuspectPeers(machines.peer, timers, () =>
       services.listPeers(),
     );
+    this.learning = new SuspectLearning(machines.learning, timers, log);
     this.push = machines.push.createInstance(this, timers);
     this.pull = machines.pull.createInstance(this, timers);
     this.pushedRevision = tracker.revision;
   }
 
+  /** Whether this gateway has just started and may not know what the others suspect. */
+  get isLearning(): boolean {
+    return this.learning.isLearning;
+  }
+
   start(now: Milliseconds): void {
     this.startedAt = now;
+    this.learning.start(now);
     this.push.start(now);
     this.pull.start(now);
   }
 
+  /** Handles that the list of gateways was read, or that there is none. */
+  notePeersRead(now: Milliseconds): void {
+    this.pull.send({ type: 'PEERS_READ' }, now);
+  }
+
   /** Handles a change of the tracker's records. */
   noteChanged(now: Milliseconds): void {
     this.push.send({ type: 'CHANGED' }, now);
@@ -82,17 +106,19 @@
   /** Takes in another gateway's message and returns the answer. */
   receive(message: SuspectMessage, now: Milliseconds): SuspectAnswer {
     this.merge(message.records, now);
+    const { isLearning } = this;
     if (message.digest === undefined) {
-      return { isSame: true, records: [] };
+      return { isSame: true, isLearning, records: [] };
     }
     const records = this.listRecords(now);
     const isSame = computeDigest(records) === message.digest;
-    return { isSame, records: isSame ? [] : records };
+    return { isSame, isLearning, records: isSame ? [] : records };
   }
 
   dispose(): void {
     this.push.dispose();
     this.pull.dispose();
+    this.learning.dispose();
     this.peers.dispose();
     this.client.dispose();
   }
@@ -112,7 +138,8 @@
       }
     },
     requestAtStart: (now: Milliseconds): void => {
-      this.compare(suspectJoinPeers, now);
+      const questions = this.compare(suspectJoinPeers, now);
+      this.learning.noteAsked(questions, now);
     },
     requestComparison: (now: Milliseconds): void => {
       this.compare(suspectComparedPeers, now);
@@ -138,18 +165,33 @@
     this.sent.keepMerged(before, this.listRecords(now));
   }
 
-  private compare(count: number, now: Milliseconds): void {
+  /** Compares the records with those of some other gateways; returns how many were asked. */
+  private compare(count: number, now: Milliseconds): number {
     const digest = computeDigest(this.listRecords(now));
-    for (const peer of this.peers.listReachable(now).slice(0, count)) {
-      this.send(peer, { digest, records: [] }, (answer, answeredAt) => {
-        this.pull.send({ type: 'ANSWERED' }, answeredAt);
-        this.merge(answer.records, answeredAt);
-        const records = this.listRecords(answeredAt);
-        if (!answer.isSame && records.length > 0) {
-          this.sendRecords(peer, records);
+    const asked = this.peers.listReachable(now).slice(0, count);
+    for (const peer of asked) {
+      this.send(peer, { digest, records: [] }, (result, answeredAt) => {
+        if (result.ok) {
+          this.receiveComparison(peer, result.val, answeredAt);
         }
+        const isInformed = result.ok && result.val.isLearning !== true;
+        this.learning.noteAnswered(isInformed, answeredAt);
       });
     }
+    return asked.length;
+  }
+
+  private receiveComparison(
+    peer: SuspectPeer,
+    answer: SuspectAnswer,
+    now: Milliseconds,
+  ): void {
+    this.pull.send({ type: 'ANSWERED' }, now);
+    this.merge(answer.records, now);
+    const records = this.listRecords(now);
+    if (!answer.isSame && records.length > 0) {
+      this.sendRecords(peer, records);
+    }
   }
 
   private sendRecords(
@@ -166,25 +208,14 @@
   private send(
     peer: SuspectPeer,
     message: SuspectMessage,
-    handleAnswer: (answer: SuspectAnswer, now: Milliseconds) => void,
+    handleResult: (result: Result<SuspectAnswer>, now: Milliseconds) => void,
   ): void {
     void this.client.send(peer.address, message).then(result => {
       this.services.postCompletion(now => {
-        this.finish(peer, result, handleAnswer, now);
+        this.services.countMessage(result.ok);
+        peer.noteResult(result.ok, now);
+        handleResult(result, now);
       });
     });
   }
-
-  private finish(
-    peer: SuspectPeer,
-    result: Result<SuspectAnswer>,
-    handleAnswer: (answer: SuspectAnswer, now: Milliseconds) => void,
-    now: Milliseconds,
-  ): void {
-    this.services.countMessage(result.ok);
-    peer.noteResult(result.ok, now);
-    if (result.ok) {
-      handleAnswer(result.val, now);
-    }
-  }
 }
--- a/packages/gateway/src/suspects/suspectExchangeCharts.ts
+++ b/packages/gateway/src/suspects/suspectExchangeCharts.ts
@@ -7,6 +7,7 @@
   suspectPushIntervalMs,
 } from './exchangeConstants.js';
 import type { SuspectExchange, SuspectMachines } from './suspectExchange.js';
+import { bindLearningChart } from './suspectLearning.js';
 import { bindSuspectPeerChart } from './suspectPeer.js';
 
 export interface SuspectPushEvent {
@@ -14,7 +15,7 @@
 }
 
 export interface SuspectPullEvent {
-  readonly type: 'ANSWERED' | 'CHANGED';
+  readonly type: 'ANSWERED' | 'CHANGED' | 'PEERS_READ';
 }
 
 export type SuspectPushMachine = ChartMachine<
@@ -31,6 +32,7 @@
   push: getOrThrow(bindPushChart()),
   pull: getOrThrow(bindPullChart()),
   peer: getOrThrow(bindSuspectPeerChart()),
+  learning: getOrThrow(bindLearningChart()),
 });
 
 const bindPushChart = (): Result<SuspectPushMachine> =>
--- a/packages/gateway/src/suspects/suspectMessage.ts
+++ b/packages/gateway/src/suspects/suspectMessage.ts
@@ -46,6 +46,7 @@
 
 const answerSchema = z.object({
   isSame: z.boolean(),
+  isLearning: z.boolean().optional(),
   records: recordsSchema,
 });
 
@@ -60,6 +61,8 @@
 export interface SuspectAnswer {
   /** Whether the receiver's records have the same digest. */
   readonly isSame: boolean;
+  /** Whether the receiver has just started and may lack records itself. */
+  readonly isLearning?: boolean | undefined;
   readonly records: readonly SuspectRecord[];
 }
 
--- a/packages/gateway/src/suspects/suspectTracker.ts
+++ b/packages/gateway/src/suspects/suspectTracker.ts
@@ -98,7 +98,7 @@
     now: Milliseconds,
   ): SuspectDecision;
 
-  /** Whether a call that has waited for a server may still be sent; a verdict may have come meanwhile. */
+  /** Whether a call that has waited for a server may still be sent; news may have come meanwhile. */
   abstract decideDelayedAttempt(
     call: TracedCall,
     now: Milliseconds,
--- a/packages/gateway/src/suspects/suspects.ts
+++ b/packages/gateway/src/suspects/suspects.ts
@@ -11,6 +11,7 @@
 } from '@lycheetally/common';
 import { UnservedCall, UnservedPart } from '@lycheetally/decisions';
 import type { TraitKind } from './callTrait.js';
+import { LearningTracker } from './learningTracker.js';
 import {
   createSuspectTracker,
   type CrashSuspectTracker,
@@ -21,7 +22,6 @@
 import { SuspectReceiver } from './suspectReceiver.js';
 import { bindSuspectChart } from './suspect.js';
 import type { SuspectTracker } from './suspectTracker.js';
-import { WatchedTracker } from './watchedTracker.js';
 
 export interface SuspectsServices {
   readonly timers: ChartTimers;
@@ -51,12 +51,16 @@
         gatewayId,
       }),
     );
-    this.tracker = new WatchedTracker(this.found, () => {
-      // Records that another gateway sent are kept as known before changes are sent.
-      services.postCompletion(now => {
-        this.exchange.noteChanged(now);
-      });
-    });
+    this.tracker = new LearningTracker(
+      this.found,
+      () => {
+        // Records that another gateway sent are kept as known before changes are sent.
+        services.postCompletion(now => {
+          this.exchange.noteChanged(now);
+        });
+      },
+      () => this.exchange.isLearning,
+    );
     this.exchange = this.disposables.add(
       new SuspectExchange(bindSuspectCharts(), {
         ...services,
@@ -93,6 +97,11 @@
     this.exchange.start(now);
   }
 
+  /** Handles that the list of gateways was read, or that there is none. */
+  notePeersRead(now: Milliseconds): void {
+    this.exchange.notePeersRead(now);
+  }
+
   /** Answers another gateway's message. */
   receive(incoming: IncomingMessage, response: ServerResponse): void {
     this.receiver.receive(incoming, response);
--- a/packages/gateway/src/suspects/watchedTracker.ts
+++ b/packages/gateway/src/suspects/watchedTracker.ts
@@ -40,7 +40,9 @@
     call: TracedCall,
     now: Milliseconds,
   ): SuspectDecision {
-    return this.tracker.decideDelayedAttempt(call, now);
+    const decision = this.tracker.decideDelayedAttempt(call, now);
+    this.reportChange(now);
+    return decision;
   }
 
   override decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision {
