Take a sound answer whose check meets a server's limit of connections

A plain answer without length or chunks that may not be repeated became 502, and a stream was run again, though its server was there: the check of its end met the server's limit of connections and was reset, which counted as the end of the server.

The check tells a closed connection from an address where nothing listens now. After the first it asks again a moment later: a process that was killed no longer listens then, one that closes the second connection too is at its limit.

--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -1,7 +1,7 @@
 /** Connects the chart `gatewayAttempt` to the methods of `GatewayAttempt`. */
 import { ChartName, bindChart } from '@lycheetally/charts';
 import type { Result } from '@lycheetally/common';
-import { connectTimeoutMs } from './constants.js';
+import { connectTimeoutMs, crashCheckDelayMs } from './constants.js';
 import type {
   AttemptEvent,
   AttemptMachine,
@@ -92,6 +92,7 @@
     },
     delays: {
       CONNECT_TIMEOUT: () => connectTimeoutMs,
+      END_CHECK_DELAY: () => crashCheckDelayMs,
       STALL_CHECK: (attempt, now) =>
         attempt.chartActions.computeStallCheckDelay(now),
     },
--- a/packages/gateway/src/attemptEnd.ts
+++ b/packages/gateway/src/attemptEnd.ts
@@ -11,6 +11,7 @@
 import { claimAnswer } from './callHedge.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import { mayRunElsewhere } from './repeatRules.js';
+import { AcceptResult } from './suspects/acceptResult.js';
 import { checkAccepts } from './suspects/crashCheck.js';
 
 export class AttemptEnd {
@@ -19,11 +20,12 @@
   /** Asks whether the server that ended the answer lives. */
   check(): void {
     const { record } = this.attempt;
-    checkAccepts(record.address, isAccepting => {
-      if (isAccepting) {
-        this.attempt.send({ type: 'END_CONFIRMED' });
-      } else {
+    checkAccepts(record.address, result => {
+      if (result === AcceptResult.Absent) {
         this.reportDoubt();
+      } else {
+        const isOpen = result === AcceptResult.Open;
+        this.attempt.send({ type: isOpen ? 'END_CONFIRMED' : 'END_CLOSED' });
       }
     });
   }
--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attemptProgress.ts
@@ -4,6 +4,7 @@
 import { crashCheckDelayMs } from './constants.js';
 import type { GatewayCall } from './gatewayCall.js';
 import { TraitKind } from './suspects/callTrait.js';
+import { AcceptResult } from './suspects/acceptResult.js';
 import { checkAccepts } from './suspects/crashCheck.js';
 import { isAnswerUnderWay, toTracedCall } from './suspects/suspectCalls.js';
 import type { AnsweredAttempt } from './suspects/suspectTracker.js';
@@ -68,8 +69,8 @@
   private scheduleCheck(service: string): void {
     const { services } = this.call;
     services.timers.schedule(crashCheckDelayMs, () => {
-      checkAccepts(this.address, isAccepting => {
-        if (isAccepting) {
+      checkAccepts(this.address, result => {
+        if (result === AcceptResult.Open) {
           services.postCompletion(() => {
             services.suspects.noteAccepting(service, this.attempt);
           });
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -23,6 +23,7 @@
     | 'NOT_RUN'
     | 'ENDED'
     | 'END_CONFIRMED'
+    | 'END_CLOSED'
     | 'END_DOUBTED'
     | 'COMPLETE'
     | 'ERROR'
--- a/packages/gateway/src/suspects/crashCheck.ts
+++ b/packages/gateway/src/suspects/crashCheck.ts
@@ -4,11 +4,12 @@
  */
 import { connect } from 'node:net';
 import { connectTimeoutMs, keptOpenMs } from '../constants.js';
+import { AcceptResult } from './acceptResult.js';
 
 /** Tells whether the server at the address accepts a connection and keeps it open. */
 export const checkAccepts = (
   address: string,
-  handleChecked: (isAccepting: boolean) => void,
+  handleChecked: (result: AcceptResult) => void,
 ): void => {
   const separator = address.lastIndexOf(':');
   const socket = connect({
@@ -16,9 +17,14 @@
     port: Number(address.slice(separator + 1)),
     timeout: connectTimeoutMs,
   });
-  let isKeptOpen = false;
-  socket.on('error', () => undefined);
+  let result: AcceptResult = AcceptResult.Absent;
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code === 'ECONNRESET') {
+      result = AcceptResult.Closed;
+    }
+  });
   socket.on('connect', () => {
+    result = AcceptResult.Closed;
     socket.setTimeout(keptOpenMs);
   });
   socket.on('timeout', () => {
@@ -26,13 +32,15 @@
     // A busy loop handles a timeout before what has arrived meanwhile.
     setImmediate(() => {
       if (socket.connecting === wasConnecting && !socket.destroyed) {
-        isKeptOpen = !wasConnecting && !socket.readableEnded;
+        if (!wasConnecting && !socket.readableEnded) {
+          result = AcceptResult.Open;
+        }
         socket.destroy();
       }
     });
   });
   socket.on('close', () => {
-    handleChecked(isKeptOpen);
+    handleChecked(result);
   });
   // Reads on, so that a close by the server is seen.
   socket.resume();
--- a/packages/gateway/tests/acceptChecks.ts
+++ b/packages/gateway/tests/acceptChecks.ts
@@ -1,8 +1,9 @@
 /** Stands for the questions over the network whether a server accepts connections; an emulator answers them. */
+import type { AcceptResult } from '../src/suspects/acceptResult.js';
 
 type AcceptCheck = (
   address: string,
-  handleChecked: (isAccepting: boolean) => void,
+  handleChecked: (result: AcceptResult) => void,
 ) => void;
 
 let current: AcceptCheck | undefined;
--- a/packages/gateway/tests/crashCheck.test.ts
+++ b/packages/gateway/tests/crashCheck.test.ts
@@ -1,6 +1,7 @@
 /** Whether a server that closed a connection lives is told from one more connection to it. */
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { describe, expect, it } from 'vitest';
+import { AcceptResult } from '../src/suspects/acceptResult.js';
 import { checkAccepts } from '../src/suspects/crashCheck.js';
 
 /** Longer than a living server has to keep a connection open. */
@@ -9,9 +10,9 @@
 /** Returns whether a server that does that with its connections counts as living. */
 const checkServer = async (
   handleSocket: (socket: Socket) => void,
-): Promise<boolean> => {
-  let resolveEnded: (isLiving: boolean) => void = () => undefined;
-  const ended = new Promise<boolean>(resolve => {
+): Promise<AcceptResult> => {
+  let resolveEnded: (result: AcceptResult) => void = () => undefined;
+  const ended = new Promise<AcceptResult>(resolve => {
     resolveEnded = resolve;
   });
   const server = createServer(socket => {
@@ -23,9 +24,9 @@
   });
   const { port } = server.address() as AddressInfo;
   checkAccepts(`127.0.0.1:${String(port)}`, resolveEnded);
-  const isLiving = await ended;
+  const result = await ended;
   server.close();
-  return isLiving;
+  return result;
 };
 
 describe('a server that closed a connection', () => {
@@ -34,7 +35,7 @@
       await checkServer(socket => {
         socket.resume();
       }),
-    ).toBe(true);
+    ).toBe(AcceptResult.Open);
   });
 
   // Guards against a crashed server to whose address connections are still accepted.
@@ -52,7 +53,7 @@
         }),
     ],
   ])('has crashed if it %s the next one', async (_, handleSocket) => {
-    expect(await checkServer(handleSocket)).toBe(false);
+    expect(await checkServer(handleSocket)).toBe(AcceptResult.Closed);
   });
 });
 
@@ -63,8 +64,8 @@
   });
   const { port } = server.address() as AddressInfo;
   await new Promise(resolve => server.close(resolve));
-  const isLiving = await new Promise(resolve => {
+  const result = await new Promise(resolve => {
     checkAccepts(`127.0.0.1:${String(port)}`, resolve);
   });
-  expect(isLiving).toBe(false);
+  expect(result).toBe(AcceptResult.Absent);
 });
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -34,6 +34,7 @@
   type ServerReport,
 } from '../src/ports.js';
 import { WaitingCalls } from '../src/waitingCalls.js';
+import { AcceptResult } from '../src/suspects/acceptResult.js';
 import { setAcceptCheck } from './acceptChecks.js';
 import { VirtualTime } from './crashEmulator.js';
 import { FakeBackend, FakeCaller, FakeFormat } from './fakePorts.js';
@@ -199,11 +200,13 @@
 
   private checkAccepts(
     address: string,
-    handleChecked: (isAccepting: boolean) => void,
+    handleChecked: (result: AcceptResult) => void,
   ): void {
     const mode = this.control.modes.get(address);
     this.time.schedule(acceptMs, () => {
-      handleChecked(mode !== ServerMode.Refusing);
+      handleChecked(
+        mode === ServerMode.Refusing ? AcceptResult.Absent : AcceptResult.Open,
+      );
     });
   }
 
--- a/packages/testkit/src/platform/backendServer.ts
+++ b/packages/testkit/src/platform/backendServer.ts
@@ -43,10 +43,16 @@
   acceptedConnections = 0;
   /** Number of connections that have closed. */
   closedConnections = 0;
+  /** Whether it resets new connections, as at its limit of them. */
+  resetsConnections = false;
   private isPaused = false;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server = createServer(socket => {
     this.acceptedConnections += 1;
+    if (this.resetsConnections) {
+      resetConnection(socket);
+      return;
+    }
     this.sockets.add(socket);
     if (this.isPaused) {
       pauseSocket(socket);
