Ask all servers of a chain whether they live before its connection's end counts

Callers of streams through chains could get a part that ended as complete (ORDER): when a later server of the chain is gone, its first one cuts what it can't go on with, and an answer without length or chunks ends in order then.

The check asks each server of the chain. If one but the first is gone, it is the one that the call avoids from then on, and the first is not blamed.

--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -78,6 +78,9 @@
     },
     guards: {
       isClosedByServer: (_, event) => event?.isClosedByServer ?? false,
+      hasLostLater: (attempt, event) =>
+        event?.lost !== undefined &&
+        event.lost !== attempt.chosen.first.record.serverId,
       isEndPlanned: (attempt, _, now) => attempt.end.isPlanned(now),
       isConnected: attempt => attempt.chartActions.isConnected(),
       isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
--- a/packages/gateway/src/attemptEnd.ts
+++ b/packages/gateway/src/attemptEnd.ts
@@ -2,11 +2,13 @@
  * Whether an answer that only the end of its connection delimits is whole.
  *
  * The kernel closes the connections of a killed process in order if nothing unread waits. So such
- * an end counts if its server still accepts connections. If not, another run tells what is missing,
- * and where none may be made the answer isn't told as complete. That costs an answer without length
- * or chunks one connection and a moment; others aren't checked.
+ * an end counts if its server, and each later one of its chain, still accepts connections. If not,
+ * another run tells what is missing, and where none may be made the answer isn't told as complete.
+ * That costs an answer without length or chunks a connection to each server and a moment; others
+ * aren't checked.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import type { BackendRecord } from '@lycheetally/decisions';
 import { createBackendFault } from './attemptFaults.js';
 import { claimAnswer } from './callHedge.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
@@ -17,16 +19,19 @@
 export class AttemptEnd {
   constructor(private readonly attempt: GatewayAttempt) {}
 
-  /** Asks whether the server that ended the answer lives. */
+  /** Asks whether the servers that made the answer live. */
   check(): void {
-    const { record } = this.attempt;
-    checkAccepts(record.address, result => {
-      if (result === AcceptResult.Absent) {
-        this.reportDoubt();
-      } else {
-        const isOpen = result === AcceptResult.Open;
-        this.attempt.send({ type: isOpen ? 'END_CONFIRMED' : 'END_CLOSED' });
-      }
+    const { record, chosen } = this.attempt;
+    const later = chosen.chain.slice(1).map(({ server }) => server);
+    const servers = [record, ...later];
+    const results: AcceptResult[] = [];
+    servers.forEach((server, at) => {
+      checkAccepts(server.address, result => {
+        results[at] = result;
+        if (Object.keys(results).length === servers.length) {
+          this.report(servers, results);
+        }
+      });
     });
   }
 
@@ -46,15 +51,29 @@
     return isLeaving && !mayRunElsewhere(call, admitted, now);
   }
 
-  private reportDoubt(): void {
+  private report(
+    servers: readonly Pick<BackendRecord, 'serverId'>[],
+    results: readonly AcceptResult[],
+  ): void {
+    const lost = servers.find((_, at) => results[at] === AcceptResult.Absent);
+    if (lost) {
+      this.reportDoubt(lost.serverId);
+    } else {
+      const isClosed = results.includes(AcceptResult.Closed);
+      this.attempt.send({ type: isClosed ? 'END_CLOSED' : 'END_CONFIRMED' });
+    }
+  }
+
+  private reportDoubt(lost: string): void {
     const { attempt } = this;
-    // Another server has to tell.
-    attempt.blame.keepFromFaultyServers();
     attempt.call.endedAfter = attempt.answer.events?.lastEventId;
+    // Another server has to tell.
+    attempt.call.avoided.add(lost);
     attempt.send({
       type: 'END_DOUBTED',
+      lost,
       fault: createBackendFault(
-        'the server is gone after an answer without length or chunks',
+        `server ${lost} is gone after an answer without length or chunks`,
       ),
       isClosedByServer: true,
     });
