Count the first event of a stream while it arrives

Bytes without end in the first event of a stream, up to 256 KiB of each call, were not counted in the memory of buffered answers: the count of the event was overwritten by that of the comments before it. Found by the review; the new test failed before (1,024 bytes counted for 20,000) and passes now.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -203,7 +203,7 @@
       this.failOverflow('the answer is larger than the gateway buffers');
       return;
     }
-    this.reserveMemory(this.buffered.memoryBytes);
+    this.reserveMemory();
   }
 
   /** Ends an exchange whose server sends more than any sound answer has. */
@@ -215,8 +215,9 @@
   }
 
   /** Records the memory that this answer takes; the largest answers fail when all of them take too much. */
-  private reserveMemory(bytes: number): void {
-    const { attempt } = this;
+  private reserveMemory(): void {
+    const { attempt, buffered, events } = this;
+    const bytes = buffered.memoryBytes + (events?.bufferedBytes ?? 0);
     const { bufferMemory } = attempt.call.services;
     for (const { answer } of bufferMemory.reserve(attempt, bytes)) {
       answer.buffered.clear();
@@ -265,7 +266,7 @@
       this.failOverflow(accepted.val.message);
       return;
     }
-    this.reserveMemory(events.bufferedBytes);
+    this.reserveMemory();
     const { bytes, newEvents } = accepted.val;
     if (newEvents === 0 && !call.hasStartedResponse) {
       // Another run may still answer, with a head of its own.
