Measure the time to the first byte to the first event

firstByteMs and the histogram of first bytes took the time of the head, or of an earlier run, since the head goes out with the first event: they looked better than what callers saw. Found by the review; the new test failed before (3 where 7 is due) and passes now.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -228,7 +228,7 @@
   }
 
   /** Sends the head of this run to the caller, and the comments that came before its first event. */
-  private startResponse(): boolean {
+  private startResponse(now: Milliseconds): boolean {
     const { attempt, head } = this;
     const { call, chosen } = attempt;
     if (!head) {
@@ -243,7 +243,7 @@
     }
     call.hasStartedResponse = true;
     call.headFrom = chosen.first.record.serverId;
-    call.firstByteAt = call.lastActivityAt;
+    call.firstByteAt = now;
     caller.setDrainListener(() => {
       (call.answeredBy ?? call.attempt)?.answer.resume();
     });
@@ -276,7 +276,7 @@
     if (!(newEvents > 0 ? claimAnswer(attempt) : isAnswering(attempt))) {
       return;
     }
-    if (!call.hasStartedResponse && !this.startResponse()) {
+    if (!call.hasStartedResponse && !this.startResponse(now)) {
       return;
     }
     if (newEvents > 0) {
--- a/packages/gateway/tests/attemptAnswer.test.ts
+++ b/packages/gateway/tests/attemptAnswer.test.ts
@@ -59,3 +59,10 @@
   const [, bytes] = reserve.mock.lastCall as unknown as [unknown, number];
   expect(bytes).toBeGreaterThan(event.length);
 });
+
+// Guards against a time to the first byte that leaves out the wait for the first event.
+it('the first byte counts as sent with the first event', () => {
+  const { answer, call } = createAnswer();
+  answer.handleBody(Buffer.from('id: 1\ndata: 1\n\n'));
+  expect(call.firstByteAt).toBe(7);
+});
