Take the last answer of a server that left without a word

A plain answer without length or chunks became 502 if its server's entry was gone and the server ended after it: only servers that say that they leave were believed. A crash would have cut the answer before its entry lapsed.

--- a/packages/gateway/src/attemptEnd.ts
+++ b/packages/gateway/src/attemptEnd.ts
@@ -43,11 +43,13 @@
     }
   }
 
-  /** Whether the server is gone as it said it would be, and no other one can tell what is missing. */
+  /** Whether the server is gone as it or the list said, and no other one can tell what is missing. */
   isPlanned(now: Milliseconds): boolean {
     const { answer, call, admitted, chosen } = this.attempt;
     const isLeaving =
-      answer.head?.fields.isLeaving === true || chosen.first.record.isLeaving;
+      answer.head?.fields.isLeaving === true ||
+      chosen.first.record.isLeaving ||
+      !call.services.serverRegistry.find(chosen.first.record.serverId);
     return isLeaving && !mayRunElsewhere(call, admitted, now);
   }
 
