Keep the silent first run of a stream when the second one returns an error

A caller's stream was cut although its server might only pause: if the second run ended with an error and no attempt was left, the call ended and cancelled the first run. Breaks and refusals of the second run kept it. An error before the caller has anything is still passed on.

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -375,6 +375,8 @@
     },
     guards: {
       mayDrop: (call, event) => mayDrop(call, event?.attempt),
+      mayGoOn: (call, event) =>
+        call.hasStartedResponse && mayDrop(call, event?.attempt),
       hasLivingRun: (call, event) => hasLivingRun(call, event?.attempt),
       mayRetry: (call, _, now) => mayRetry(call, now),
       mayRepeat: (call, _, now) => mayRepeat(call, now),
--- a/packages/gateway/tests/callRuns.test.ts
+++ b/packages/gateway/tests/callRuns.test.ts
@@ -52,9 +52,11 @@
   isStream: false,
   service,
   servers: [undefined, undefined, undefined].map(createRecord),
+  maxAttempts: 3,
 };
 const stream: EmulatedCall = { ...answer, isStream: true };
 const chain: EmulatedCall = {
+  ...answer,
   isStream: true,
   service: { ...service, model },
   servers: [first, first, first, last, last, last, last].map(createRecord),
@@ -197,4 +199,32 @@
     const steps = named.map(([name, size, at = 0]) => ({ name, at, size }));
     await checkSteps(emulated, steps, new Seen());
   });
+
+  // Guards against a stream that is cut though its server may only pause.
+  it.each(['fail', 'break', 'refuse'])(
+    'keeps its silent run when the second one ends with: %s',
+    async ending => {
+      const emulator = new RunEmulator({ ...stream, maxAttempts: 2 });
+      const run = (name: string, at: number, size: number): Promise<void> =>
+        runStep(emulator, { name, at, size });
+      await run('turn', 0, 1);
+      await run('head', 0, 1);
+      await run('bytes', 0, 34);
+      await run('turn', 0, 1);
+      const { address } = emulator.backend.runs[0] ?? {};
+      const silent = stream.servers.findIndex(
+        record => record.address === address,
+      );
+      await run('silence', silent, 55);
+      expect(emulator.call.hedge).toBeDefined();
+      await run(ending, 1, 1);
+      await run('turn', 0, 1);
+      await run('turn', 0, 1);
+      expect(emulator.backend.runs.map(({ isOpen }) => isOpen)).toEqual([
+        true,
+        false,
+      ]);
+      emulator.dispose();
+    },
+  );
 });
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -56,6 +56,7 @@
   readonly isStream: boolean;
   readonly service: BackendService;
   readonly servers: readonly BackendRecord[];
+  readonly maxAttempts: number;
 }
 
 /** Time in which the first server answers a question; the last ones do so first, so that chains without the servers of the running one are found first. */
@@ -313,6 +314,7 @@
 const createConfiguration = ({
   isStream,
   service,
+  maxAttempts,
 }: EmulatedCall): ReturnType<CallServices['getConfiguration']> => {
   const route = {
     name: 'talk',
@@ -320,7 +322,7 @@
     isResumable: true,
     isRepeatable: true,
     isPublic: true,
-    maxAttempts: 3,
+    maxAttempts,
     timeoutMs,
     targetMs: 400,
     urgency: 0,
