Name the check of an answer's end for what it is

No behaviour changes. 'The end of an attempt' has another meaning in the decisions; the module that asks whether the servers of an unframed answer live is EndCheck now.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -193,7 +193,7 @@
     } else if (!fields.isFramed && this.isClosedByServer) {
       attempt.send({ type: 'ENDED' });
     } else {
-      attempt.end.take();
+      attempt.endCheck.take();
     }
   }
 
--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -55,10 +55,10 @@
         attempt.chartActions.noteRepaired(now);
       },
       checkEnd: attempt => {
-        attempt.end.check();
+        attempt.endCheck.check();
       },
       takeEnd: attempt => {
-        attempt.end.take();
+        attempt.endCheck.take();
       },
       restartStallCheck: (attempt, _, now) => {
         attempt.chartActions.restartStallCheck(now);
@@ -81,7 +81,7 @@
       hasLostLater: (attempt, event) =>
         event?.lost !== undefined &&
         event.lost !== attempt.chosen.first.record.serverId,
-      isEndPlanned: (attempt, _, now) => attempt.end.isPlanned(now),
+      isEndPlanned: (attempt, _, now) => attempt.endCheck.isPlanned(now),
       isConnected: attempt => attempt.chartActions.isConnected(),
       isSilent: (attempt, _, now) => attempt.chartActions.isSilent(now),
       isRepeatable: attempt => attempt.admitted.isRepeatable,
--- a/packages/gateway/src/attemptEnd.ts
+++ b/packages/gateway/src/endCheck.ts
@@ -16,7 +16,7 @@
 import { AcceptResult } from './suspects/acceptResult.js';
 import { checkAccepts } from './suspects/crashCheck.js';
 
-export class AttemptEnd {
+export class EndCheck {
   constructor(private readonly attempt: GatewayAttempt) {}
 
   /** Asks whether the servers that made the answer live. */
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -10,7 +10,7 @@
 import { checkStall } from './stallCheck.js';
 import { AttemptAnswer } from './attemptAnswer.js';
 import { AttemptBlame } from './attemptBlame.js';
-import { AttemptEnd } from './attemptEnd.js';
+import { EndCheck } from './endCheck.js';
 import { AttemptProgress } from './attemptProgress.js';
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
@@ -54,7 +54,7 @@
   /** The first server as the list had it when the attempt began. */
   readonly record: BackendRecord;
   readonly answer = new AttemptAnswer(this);
-  readonly end = new AttemptEnd(this);
+  readonly endCheck = new EndCheck(this);
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
--- a/packages/gateway/src/suspects/crashCheck.ts
+++ b/packages/gateway/src/suspects/crashCheck.ts
@@ -1,6 +1,7 @@
 /**
  * Finds out whether a server that closed a connection has crashed: it refuses new ones then,
- * or resets them, and one that only dropped a response keeps them open. No request is sent.
+ * or resets them, and one that only dropped a response keeps them open. No request is sent. Used for
+ * calls that may have crashed it, and for answers that only the end of their connection delimits.
  */
 import { connect } from 'node:net';
 import { connectTimeoutMs, keptOpenMs } from '../constants.js';
