Find events after the last one of a stream in the soak again

The new case of soakStreams.test.ts failed before (no violation found) and passes now, with the 16 others.

--- a/bench/src/soak/checkStreams.ts
+++ b/bench/src/soak/checkStreams.ts
@@ -26,6 +26,7 @@
   return listViolations(requestId, {
     'a stream has no gap and no repeat':
       isReadable &&
+      nextEvent <= steps + 1 &&
       events.every(({ eventId }, at) => eventId === afterEvent + at + 1) &&
       isEventStart(rest, requestId, nextEvent),
     'a stream has the events of its runs, one run after the other':
--- a/bench/tests/soakStreams.test.ts
+++ b/bench/tests/soakStreams.test.ts
@@ -43,6 +43,11 @@
       { answer: `${cut.answer}id: 9` },
       [isContinuous],
     ],
+    [
+      'with an event after its last one',
+      { answer: formatEvents([...allEvents, allEvents.length + 1]) },
+      [isContinuous],
+    ],
     ['with a repeat', { answer: formatEvents([1, 2, 2]) }, [isContinuous]],
     [
       'with an event of another answer',
