Finish an answer where it is read

No behaviour changes. A framed answer was completed through the check of unframed ends, which it does not need; claiming the call for a whole answer belongs to the answer.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -102,6 +102,14 @@
     this.handleFailure({ reason, isClosedByServer });
   }
 
+  /** Takes the answer for whole, unless another run answers the call. */
+  finish(): void {
+    const { attempt } = this;
+    if (claimAnswer(attempt)) {
+      attempt.send({ type: 'COMPLETE' });
+    }
+  }
+
   /** Returns the body of a buffered answer and forgets it. */
   takeBody(): Buffer {
     return this.buffered.take();
@@ -193,7 +201,7 @@
     } else if (!fields.isFramed && this.isClosedByServer) {
       attempt.send({ type: 'ENDED' });
     } else {
-      attempt.endCheck.take();
+      this.finish();
     }
   }
 
--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attemptChart.ts
@@ -58,7 +58,7 @@
         attempt.endCheck.check();
       },
       takeEnd: attempt => {
-        attempt.endCheck.take();
+        attempt.answer.finish();
       },
       restartStallCheck: (attempt, _, now) => {
         attempt.chartActions.restartStallCheck(now);
--- a/packages/gateway/src/endCheck.ts
+++ b/packages/gateway/src/endCheck.ts
@@ -10,7 +10,6 @@
 import type { Milliseconds } from '@lycheetally/common';
 import type { BackendRecord } from '@lycheetally/decisions';
 import { createBackendFault } from './attemptFaults.js';
-import { claimAnswer } from './callHedge.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 import { mayRunElsewhere } from './repeatRules.js';
 import { AcceptResult } from './suspects/acceptResult.js';
@@ -35,14 +34,6 @@
     });
   }
 
-  /** Takes the answer for whole, unless another run answers the call. */
-  take(): void {
-    const { attempt } = this;
-    if (claimAnswer(attempt)) {
-      attempt.send({ type: 'COMPLETE' });
-    }
-  }
-
   /** Whether the server is gone as it or the list said, and no other one can tell what is missing. */
   isPlanned(now: Milliseconds): boolean {
     const { answer, call, admitted, chosen } = this.attempt;
