Reserve memory once for each chunk before the first event, and count the answers of a check

Each chunk that came before the first event of a stream was counted twice in the memory of all answers. The check of an end counted the keys of a sparse array after each result.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -274,13 +274,13 @@
       this.failOverflow(accepted.val.message);
       return;
     }
-    this.reserveMemory();
     const { bytes, newEvents } = accepted.val;
     if (newEvents === 0 && !call.hasStartedResponse) {
       // Another run may still answer, with a head of its own.
       this.keepBytes(bytes);
       return;
     }
+    this.reserveMemory();
     if (!(newEvents > 0 ? claimAnswer(attempt) : isAnswering(attempt))) {
       return;
     }
--- a/packages/gateway/src/endCheck.ts
+++ b/packages/gateway/src/endCheck.ts
@@ -24,10 +24,12 @@
     const later = chosen.chain.slice(1).map(({ server }) => server);
     const servers = [record, ...later];
     const results: AcceptResult[] = [];
+    let unanswered = servers.length;
     servers.forEach((server, at) => {
       checkAccepts(server.address, result => {
         results[at] = result;
-        if (Object.keys(results).length === servers.length) {
+        unanswered -= 1;
+        if (unanswered === 0) {
           this.report(servers, results);
         }
       });
