Format no outline of a request while nothing is suspected

No behaviour changes. Each request of an entry was formatted to look for it in a table that is empty while no server crashes.

--- a/packages/router/src/entry/suspects/workSuspect.ts
+++ b/packages/router/src/entry/suspects/workSuspect.ts
@@ -60,7 +60,7 @@
     return !this.chart.matches('suspected');
   }
 
-  /** Whether one work item may be sent to find out if it still crashes servers. */
+  /** Whether one request may be sent to find out if its work still crashes servers. */
   get isTrialDue(): boolean {
     return this.chart.matches('due');
   }
--- a/packages/router/src/entry/suspects/workSuspects.ts
+++ b/packages/router/src/entry/suspects/workSuspects.ts
@@ -219,11 +219,10 @@
     return decideSuspicion(suspect, rivals, history, policy, now);
   }
 
-  /** Finds the suspect that is the same work; computes its digest only if one has its outline. */
+  /** Finds the suspect that is the same work; computes its outline only if there are suspects, and its digest only if one has its outline. */
   private find({ identity }: TracedWork): WorkSuspect | undefined {
-    const { outline } = identity;
     for (const suspect of this.suspects.values()) {
-      if (suspect.identity.outline === outline) {
+      if (suspect.identity.outline === identity.outline) {
         return this.suspects.get(identity.id);
       }
     }
