--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -18,6 +18,7 @@
   ConnectionEnd,
   ConnectionEndWatch,
   findResponseFault,
+  isResetError,
 } from '@lycheetally/node';
 import {
   BackendExchange,
@@ -251,12 +252,8 @@
   }
 }
 
-/** Codes of the errors with which Node reports that the other side closed a connection. */
-const closeCodes: ReadonlySet<string> = new Set([
-  'ECONNRESET',
-  'EPIPE',
-  'HPE_INVALID_EOF_STATE',
-]);
+/** Code of the error of a connection that ends in the middle of an answer with a length or chunks. */
+const earlyEndCode = 'HPE_INVALID_EOF_STATE';
 
 const isCloseByServer = (error: NodeJS.ErrnoException): boolean =>
-  closeCodes.has(error.code ?? '');
+  isResetError(error) || error.code === earlyEndCode;
--- a/packages/node/src/connectionEnd.ts
+++ b/packages/node/src/connectionEnd.ts
@@ -22,6 +22,15 @@
 export const isReset = (socket: Socket): boolean =>
   socket.remoteAddress === undefined;
 
+/** Codes of the errors with which Node reports that the other side closed a connection that was in use. */
+const resetCodes: readonly unknown[] = ['ECONNRESET', 'EPIPE'];
+
+/** Whether the other side closed a connection that was in use, by what was thrown. */
+export const isResetError = (thrown: unknown): boolean =>
+  thrown instanceof Error &&
+  'code' in thrown &&
+  resetCodes.includes(thrown.code);
+
 /** Watches a connection for one exchange; connections are re-used. */
 export class ConnectionEndWatch implements Disposable {
   end: ConnectionEnd = ConnectionEnd.Open;
@@ -43,8 +52,8 @@
       : ConnectionEnd.Closed;
   };
 
-  private readonly handleError = (error: NodeJS.ErrnoException): void => {
-    if (error.code === 'ECONNRESET' || error.code === 'EPIPE') {
+  private readonly handleError = (error: Error): void => {
+    if (isResetError(error)) {
       this.end = ConnectionEnd.Reset;
     }
   };
--- a/packages/router/src/adapters/backendError.ts
+++ b/packages/router/src/adapters/backendError.ts
@@ -1,15 +1,11 @@
 /** Tells a backend server that broke off a run from one that could not run it. */
 import { ErrorKind, TypedError } from '@lycheetally/common';
-
-/** Codes of connections that the server closed after it had accepted them. */
-const brokenCodes: readonly unknown[] = ['ECONNRESET', 'EPIPE'];
+import { isResetError } from '@lycheetally/node';
 
 const isBrokenOff = (thrown: unknown): boolean =>
   thrown instanceof TypedError
     ? thrown.kind === ErrorKind.ConnectionLost
-    : thrown instanceof Error &&
-      'code' in thrown &&
-      brokenCodes.includes(thrown.code);
+    : isResetError(thrown);
 
 /** Returns the kind of the error of a run that ended with what was thrown. */
 export const getFailureKind = (thrown: unknown): ErrorKind =>
