--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export * from './byteCollector.js';
 export * from './constants.js';
 export * from './disposableStore.js';
+export * from './dropOldest.js';
 export * from './emitter.js';
 export * from './errors.js';
 export * from './eventRingBuffer.js';
--- a/packages/decisions/src/gateway/survivalForecast.ts
+++ b/packages/decisions/src/gateway/survivalForecast.ts
@@ -2,7 +2,7 @@
  * Forecasts from the lifetimes of recent calls of the same kind. Calls that are still open
  * count at their ages: a process that began seconds ago has seen only short calls end.
  */
-import type { Milliseconds } from '@lycheetally/common';
+import { dropOldest, type Milliseconds } from '@lycheetally/common';
 import {
   DurationForecast,
   type DurationEstimate,
@@ -86,10 +86,7 @@
       this.kinds.get(kind) ?? new RecentLifetimes(this.settings.windowMs);
     this.kinds.delete(kind);
     this.kinds.set(kind, lifetimes);
-    const [oldest] = this.kinds.keys();
-    if (this.kinds.size > this.settings.maxKinds && oldest !== undefined) {
-      this.kinds.delete(oldest);
-    }
+    dropOldest(this.kinds, this.settings.maxKinds);
     return lifetimes;
   }
 }
--- a/packages/decisions/src/suspects/crashTimes.ts
+++ b/packages/decisions/src/suspects/crashTimes.ts
@@ -1,5 +1,5 @@
 /** When servers of one service crashed, each crash once, in a bounded table. */
-import type { Milliseconds } from '@lycheetally/common';
+import { dropOldest, type Milliseconds } from '@lycheetally/common';
 
 export class CrashTimes {
   private readonly times = new Map<string, Milliseconds>();
@@ -10,10 +10,7 @@
   add(crash: string, at: Milliseconds): void {
     const known = this.times.get(crash);
     this.times.set(crash, Math.min(known ?? at, at));
-    if (this.times.size > this.maxSize) {
-      const [oldest] = this.times.keys();
-      this.times.delete(oldest ?? crash);
-    }
+    dropOldest(this.times, this.maxSize);
   }
 
   /** Returns when the crash happened; `undefined` if it is not known. */
--- a/packages/decisions/src/suspects/serverRuns.ts
+++ b/packages/decisions/src/suspects/serverRuns.ts
@@ -2,7 +2,7 @@
  * Tells the runs of servers apart that do not report when they were started, by
  * the order of what they were sent and how it ended, in a bounded table.
  */
-import type { Milliseconds } from '@lycheetally/common';
+import { dropOldest, type Milliseconds } from '@lycheetally/common';
 import { maxRestartMs } from './suspectPlacement.js';
 
 interface ServerRunState {
@@ -60,9 +60,6 @@
   private put(serverId: string, state: ServerRunState): void {
     this.byServer.delete(serverId);
     this.byServer.set(serverId, state);
-    if (this.byServer.size > this.maxServers) {
-      const [oldest] = this.byServer.keys();
-      this.byServer.delete(oldest ?? serverId);
-    }
+    dropOldest(this.byServer, this.maxServers);
   }
 }
--- a/packages/gateway/src/departedServers.ts
+++ b/packages/gateway/src/departedServers.ts
@@ -1,4 +1,5 @@
 /** Servers that left the list, since their entries may be written or read late, or come back with an older copy of the store. */
+import { dropOldest } from '@lycheetally/common';
 import {
   isCopiedEntry,
   type BackendRecord,
@@ -19,10 +20,7 @@
     const { serverId } = entry.record;
     this.servers.delete(serverId);
     this.servers.set(serverId, { entry, hasSaidLeaving });
-    const [oldest] = this.servers.keys();
-    if (oldest !== undefined && this.servers.size > maxDepartedServers) {
-      this.servers.delete(oldest);
-    }
+    dropOldest(this.servers, maxDepartedServers);
   }
 
   /** Whether this incarnation of the server said that it leaves. */
--- a/packages/gateway/src/suspects/answeredCalls.ts
+++ b/packages/gateway/src/suspects/answeredCalls.ts
@@ -5,7 +5,7 @@
  * answered before tells it from one that crashes each server, so that it isn't kept from
  * the last server for one crash beside it.
  */
-import type { Milliseconds } from '@lycheetally/common';
+import { dropOldest, type Milliseconds } from '@lycheetally/common';
 import {
   answeredLifetimeMs,
   maxAnsweredCalls,
@@ -24,10 +24,7 @@
     }
     this.times.delete(identity.id);
     this.times.set(identity.id, now);
-    if (this.times.size > maxAnsweredCalls) {
-      const [oldest] = this.times.keys();
-      this.times.delete(oldest ?? identity.id);
-    }
+    dropOldest(this.times, maxAnsweredCalls);
   }
 
   has(id: string, now: Milliseconds): boolean {
