Show where a call waited before it was sent, and what the turns of the loop take

Callers that leave a busy gateway had their calls sent on, or run on at servers (GONE), and no line told where these calls had waited. 'A call ended.' and 'An attempt did not complete its call.' now have how long a call can have lain unread (estimated from the work since the last but one turn), how long it waited in the queue, when it was sent, how old the gateway's view of its sockets was then, when the connection was there, and how long the caller's end waited. A bounded warning and histograms show long turns, and the work of reads between them.

--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -11,6 +11,7 @@
 import { FairnessBench } from './policy/fairnessBench.js';
 import { RanksBench } from './policy/ranksBench.js';
 import { RecoverBench } from './policy/recoverBench.js';
+import { DeparturesBench } from './departures/index.js';
 import { CrashTrialBench, GatewaySoakBench } from './soak/index.js';
 import { RelayBench } from './relayBench.js';
 import type { Bench } from './types.js';
@@ -24,6 +25,7 @@
   new ChainRecoveryBench(),
   new ClaimsBench(),
   new FaultsBench(),
+  new DeparturesBench(),
   new GatewaySoakBench(),
   new CrashTrialBench(),
   new BoundBench(),
--- a/bench/src/soak/soakHarness.ts
+++ b/bench/src/soak/soakHarness.ts
@@ -1,6 +1,5 @@
 /** Runs gateway processes between a stand-in store and stand-in servers, with a TCP relay on each link. */
 import { mkdtempSync, rmSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import {
@@ -13,6 +12,7 @@
   formatConfigurationRecord,
   formatServerRecord,
 } from '@lycheetally/testkit';
+import { findFreePort } from '../freePort.js';
 import { leaveMs } from './checkLeaving.js';
 import { GatewayProcess } from './gatewayProcess.js';
 import { ServerProcess } from './serverProcess.js';
@@ -320,37 +320,3 @@
     gateway.start();
   }
 }
-
-/**
- * Ports below the range for outgoing connections, so that none of these takes
- * the port of a gateway that restarts.
- */
-const firstPort = 12_000;
-const portCount = 18_000;
-const portsPerProcess = 40;
-
-let nextPort = firstPort + ((process.pid * portsPerProcess) % portCount);
-
-/** Finds a port that nothing listens on. */
-const findFreePort = async (): Promise<number> => {
-  for (;;) {
-    const port = nextPort;
-    nextPort = firstPort + ((port + 1 - firstPort) % portCount);
-    if (await isFree(port)) {
-      return port;
-    }
-  }
-};
-
-const isFree = (port: number): Promise<boolean> =>
-  new Promise(resolve => {
-    const probe = createServer();
-    probe.on('error', () => {
-      resolve(false);
-    });
-    probe.listen(port, '127.0.0.1', () => {
-      probe.close(() => {
-        resolve(true);
-      });
-    });
-  });
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -291,6 +291,8 @@
     longestPauseMs: Math.round(call.longestPauseMs),
     longestSilenceMs: Math.round(call.longestSilenceMs),
     durationMs: Math.round(now - receivedAt),
+    ...call.describeWaits(now),
+    ...attempt?.times.describe(),
     afterStopMs: Math.round(services.drainPeriod.measureSinceStop(receivedAt)),
     maxOutputTokens: received.fields.maxOutputTokens ?? -1,
     hintedOutputTokens: received.fields.hintedOutputTokens ?? -1,
--- a/packages/gateway/src/callerPort.ts
+++ b/packages/gateway/src/callerPort.ts
@@ -10,6 +10,9 @@
   readonly path: string;
   readonly fields: CallFields;
   readonly body: Buffer;
+  /** The earliest time at which its last bytes can have arrived. */
+  readonly arrivedAt: Milliseconds;
+  /** When the gateway had read it. */
   readonly receivedAt: Milliseconds;
   /** Whether an earlier call came on the same connection. */
   readonly isOnKeptConnection: boolean;
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/chooseServers.ts
@@ -21,6 +21,18 @@
   call: GatewayCall,
   admitted: AdmittedCall,
   now: Milliseconds,
+): ChosenServers | undefined => {
+  const { services } = call;
+  const startedAt = services.getMoment().monotonic;
+  const chosen = chooseUsable(call, admitted, now);
+  services.metrics.observeChoice(services.getMoment().monotonic - startedAt);
+  return chosen;
+};
+
+const chooseUsable = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  now: Milliseconds,
 ): ChosenServers | undefined => {
   const { serverRegistry } = call.services;
   const usable = serverRegistry.listUsable(admitted.service.name);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -1,5 +1,11 @@
 /** Timeouts, intervals and limits of a gateway, in milliseconds unless the name says otherwise. */
 
+/** Work without a poll of the sockets after which a turn of the loop is logged. */
+export const longTurnMs = 100;
+
+/** Shortest time between two lines about long turns. */
+export const turnLogIntervalMs = 1_000;
+
 /** Timeout of connecting to a backend server; three round trips between regions. */
 export const connectTimeoutMs = 300;
 
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/gatewayAttempt.ts
@@ -15,6 +15,7 @@
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
 import { AttemptSilence } from './attemptSilence.js';
+import { AttemptTimes } from './attemptTimes.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 export interface AttemptEvent {
@@ -60,6 +61,7 @@
   readonly blame = new AttemptBlame(this);
   readonly progress: AttemptProgress;
   readonly silence: AttemptSilence;
+  readonly times: AttemptTimes;
 
   constructor(
     readonly call: GatewayCall,
@@ -69,6 +71,7 @@
   ) {
     const { services } = call;
     this.silence = new AttemptSilence(this, startedAt);
+    this.times = new AttemptTimes(call, startedAt);
     this.record = chosen.first.record;
     this.progress = new AttemptProgress(call, this.record, startedAt);
     this.servers = new AttemptServers(
@@ -90,6 +93,7 @@
   /** Records that the request may have been sent. */
   noteConnected(): void {
     this.hasConnection = true;
+    this.times.noteConnected(this.call.services.getMoment().monotonic);
     this.send({ type: 'CONNECTED' });
   }
 
@@ -246,6 +250,7 @@
       silentMs: Math.round(this.silence.measure(now)),
       lastEvent: call.events?.lastEventId ?? '',
       events: this.progress.events,
+      ...this.times.describe(),
       ...this.answer.describe(),
       retriesLeft: this.countRetries(now),
       ...(type === 'ATTEMPT_BROKEN' && !this.progress.isUnderWay
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -87,6 +87,8 @@
   /** When the store last confirmed that the configuration is the newest. */
   getConfirmedAt(): Moment | undefined;
   getMoment(): Moment;
+  /** When the sockets were last polled. */
+  getPolledAt(): Milliseconds;
   /** Whether the drain timeout has passed and open calls are being cancelled. */
   isCancellingCalls(): boolean;
   postCompletion(run: (now: Milliseconds) => void): void;
@@ -114,6 +116,8 @@
   hedge: GatewayAttempt | undefined;
   /** The one of both runs that answers; known before the loop cancels the other. */
   answeredBy: GatewayAttempt | undefined;
+  /** When the gateway saw that its caller has left. */
+  leftAt: Milliseconds | undefined;
   /** Attempts that were started. */
   attempts = 0;
   /** Attempts that ran or may have run. */
@@ -165,6 +169,8 @@
     readonly services: CallServices,
     readonly received: ReceivedCall,
     readonly caller: CallerExchange,
+    /** When the event loop took it. */
+    private readonly takenAt: Milliseconds,
   ) {}
 
   get requestId(): string {
@@ -184,6 +190,16 @@
     return this.knownIdentity;
   }
 
+  /** How long it may have waited unread, how long in the queue of the loop, and how long its caller's end waited there. */
+  describeWaits(now: Milliseconds): Readonly<Record<string, number>> {
+    const { received, takenAt, leftAt } = this;
+    return {
+      unreadMs: Math.round(received.receivedAt - received.arrivedAt),
+      queuedMs: Math.round(takenAt - received.receivedAt),
+      leftMs: leftAt === undefined ? -1 : Math.round(now - leftAt),
+    };
+  }
+
   /** Records that events were sent to the caller. */
   noteEventsSent(now: Milliseconds): void {
     if (this.eventsSentAt !== undefined) {
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /** Counters and latency histograms of a gateway. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { millisecondsPerSecond, type Milliseconds } from '@lycheetally/common';
+import type { TurnMeasure } from '@lycheetally/node';
 import type { TraitKind } from './suspects/callTrait.js';
 
 const prefix = 'lycheetally_gateway_';
@@ -10,6 +11,9 @@
   0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 20,
 ];
 
+/** Histogram buckets for what should take milliseconds, in seconds. */
+const delayBuckets = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1, 2, 5];
+
 export class GatewayMetrics {
   readonly registry = new Registry();
   private readonly calls = new Counter({
@@ -118,6 +122,48 @@
     registers: [this.registry],
   });
 
+  private readonly turns = this.addDelay(
+    'loop_turn_seconds',
+    'Time of a turn of the event loop',
+  );
+  private readonly reads = this.addDelay(
+    'loop_read_seconds',
+    'Work between two turns of the event loop, most of it reads',
+  );
+  private readonly waits = this.addDelay(
+    'loop_wait_seconds',
+    'Longest time that an event of a turn had waited',
+  );
+  private readonly unread = this.addDelay(
+    'call_unread_seconds',
+    'Longest time that a call can have waited before it was read',
+  );
+  private readonly queued = this.addDelay(
+    'call_queue_seconds',
+    'Time of a call in the queue of the event loop',
+  );
+  private readonly viewAges = this.addDelay(
+    'send_view_seconds',
+    'Time from the last poll of the sockets to the send of an attempt',
+  );
+  private readonly connects = this.addDelay(
+    'connect_seconds',
+    'Time from the send of an attempt to its connection',
+  );
+  private readonly choices = this.addDelay(
+    'choice_seconds',
+    'Time of a choice of servers',
+  );
+
+  private addDelay(name: string, help: string): Histogram {
+    return new Histogram({
+      name: `${prefix}${name}`,
+      help,
+      buckets: delayBuckets,
+      registers: [this.registry],
+    });
+  }
+
   /** Adds a gauge that is read when the metrics page is requested. */
   addGauge(name: string, help: string, read: () => number): void {
     const gauge = new Gauge({
@@ -130,6 +176,29 @@
     });
   }
 
+  observeTurn({ durationMs, readMs, longestWaitMs }: TurnMeasure): void {
+    this.turns.observe(durationMs / millisecondsPerSecond);
+    this.reads.observe(readMs / millisecondsPerSecond);
+    this.waits.observe(longestWaitMs / millisecondsPerSecond);
+  }
+
+  observeIntake(unreadMs: Milliseconds, queuedMs: Milliseconds): void {
+    this.unread.observe(unreadMs / millisecondsPerSecond);
+    this.queued.observe(queuedMs / millisecondsPerSecond);
+  }
+
+  observeSend(viewAgeMs: Milliseconds): void {
+    this.viewAges.observe(viewAgeMs / millisecondsPerSecond);
+  }
+
+  observeConnect(connectMs: Milliseconds): void {
+    this.connects.observe(connectMs / millisecondsPerSecond);
+  }
+
+  observeChoice(choiceMs: Milliseconds): void {
+    this.choices.observe(choiceMs / millisecondsPerSecond);
+  }
+
   observeSilence(
     service: string,
     outcome: string,
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -58,6 +58,7 @@
   type LifecycleEvent,
 } from './lifecycleChart.js';
 import { listenWhenFree } from './listenWhenFree.js';
+import { LoopMonitor } from './loopMonitor.js';
 import type {
   LeaderElectionPort,
   ServerControlPort,
@@ -139,6 +140,10 @@
         run(now);
       },
     });
+    const monitor = new LoopMonitor(this.metrics, this.log);
+    this.loop.turnMeasured.subscribe(turn => {
+      monitor.observe(turn, this.clock.getNow());
+    });
     this.loop.handlerFailed.subscribe(({ kind, thrown }) => {
       this.log.error('A handler of the loop failed.', {
         kind,
@@ -399,6 +404,10 @@
         });
       },
       receiveDisconnect: caller => {
+        const call = this.calls.get(caller);
+        if (call) {
+          call.leftAt = this.clock.getNow();
+        }
         this.post(now => {
           this.receiveDisconnect(caller, now);
         });
@@ -431,6 +440,7 @@
         this.post(run);
       },
       getNow: () => this.clock.getNow(),
+      estimateArrival: now => this.loop.estimateArrival(now),
     };
     return new HttpFrontend(
       this.ports.format,
@@ -549,6 +559,7 @@
       getConfiguration: () => this.configuration,
       getConfirmedAt: () => this.news.configurations.confirmedAt,
       getMoment: () => this.getMoment(),
+      getPolledAt: () => this.loop.turnStartedAt,
       lossHandler: this.servers.lossHandler,
       drainPeriod: this.drainPeriod,
       durationForecast: new SurvivalForecast(forecastSettings),
@@ -569,14 +580,18 @@
     caller: HttpCaller,
     now: Milliseconds,
   ): void {
+    const { arrivedAt, receivedAt } = received;
+    this.metrics.observeIntake(receivedAt - arrivedAt, now - receivedAt);
     if (caller.hasLeft) {
       this.metrics.countLeft();
       this.log.info('A call was dropped, since its caller had left.', {
         request: received.fields.requestId ?? '',
+        unreadMs: Math.round(receivedAt - arrivedAt),
+        queuedMs: Math.round(now - receivedAt),
       });
       return;
     }
-    const call = new GatewayCall(this.callServices, received, caller);
+    const call = new GatewayCall(this.callServices, received, caller, now);
     this.calls.set(caller, call);
     call.instance = this.callMachine.createInstance(call, this.loop);
     call.instance.start(now);
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -55,6 +55,8 @@
   /** Runs it in a later turn, after what can be read now. */
   postCompletion(run: (now: Milliseconds) => void): void;
   getNow(): Milliseconds;
+  /** Returns the earliest time at which what is read now can have arrived. */
+  estimateArrival(now: Milliseconds): Milliseconds;
 }
 
 /** Limits that apply until there is a configuration. */
@@ -326,13 +328,15 @@
     isOnKeptConnection: boolean,
   ): ReceivedCall {
     const target = incoming.url ?? '/';
+    const receivedAt = this.handler.getNow();
     return {
       method: incoming.method ?? 'GET',
       target,
       path: target.split('?', 1)[0] ?? '/',
       fields: this.format.readCall(incoming.rawHeaders),
       body,
-      receivedAt: this.handler.getNow(),
+      arrivedAt: this.handler.estimateArrival(receivedAt),
+      receivedAt,
       isOnKeptConnection,
     };
   }
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -148,6 +148,7 @@
       this.createServices(),
       createReceived(),
       this.caller,
+      0,
     );
     const machine = getOrThrow(bindCallChart());
     this.call.instance = machine.createInstance(this.call, this.time);
@@ -268,6 +269,7 @@
       getConfiguration: () => createConfiguration(this.emulated),
       getConfirmedAt: moment,
       getMoment: moment,
+      getPolledAt: () => 0,
       isCancellingCalls: () => false,
       postCompletion: run => {
         this.post(run);
@@ -307,6 +309,7 @@
     forwarded: [],
   },
   body: Buffer.alloc(0),
+  arrivedAt: 0,
   receivedAt: 0,
   isOnKeptConnection: false,
 });
--- a/packages/node/src/clock.ts
+++ b/packages/node/src/clock.ts
@@ -5,6 +5,8 @@
 export abstract class Clock {
   /** Returns the milliseconds since the Unix epoch. */
   abstract getNow(): Milliseconds;
+  /** Returns the milliseconds that the process has waited for I/O and timers since its start. */
+  abstract getIdleTime(): Milliseconds;
   /** Runs the callback once after the delay. */
   abstract schedule(delay: Milliseconds, callback: () => void): Disposable;
   /** Runs the callback after I/O that is ready now. */
@@ -20,6 +22,10 @@
     return Date.now();
   }
 
+  override getIdleTime(): Milliseconds {
+    return performance.eventLoopUtilization().idle;
+  }
+
   override schedule(delay: Milliseconds, callback: () => void): Disposable {
     const bounded = Math.min(Math.max(0, delay), maxTimerDelayMs);
     const timer = setTimeout(callback, bounded);
@@ -48,11 +54,12 @@
   }
 }
 
-/** A clock for tests that only `advance` moves. */
+/** A clock for tests that only `advance` and `advanceBusy` move. */
 export class ManualClock extends Clock {
   private timers: ManualTimer[] = [];
   private deferred: (() => void)[] = [];
   private order = 0;
+  private idleTime = 0;
 
   constructor(private now: Milliseconds = 0) {
     super();
@@ -62,6 +69,10 @@
     return this.now;
   }
 
+  override getIdleTime(): Milliseconds {
+    return this.idleTime;
+  }
+
   override schedule(delay: Milliseconds, callback: () => void): Disposable {
     this.order += 1;
     const timer = {
@@ -81,6 +92,20 @@
     this.deferred.push(callback);
   }
 
+  /** Moves the time as a callback does that works for so long. */
+  advanceBusy(duration: Milliseconds): void {
+    this.now += duration;
+  }
+
+  /** Runs the callbacks that are deferred now, as one iteration of Node's loop does. */
+  runIteration(): void {
+    const callbacks = this.deferred;
+    this.deferred = [];
+    for (const callback of callbacks) {
+      callback();
+    }
+  }
+
   /** Runs all deferred callbacks, including those that they defer. */
   runDeferred(): void {
     for (let next = this.deferred.shift(); next; next = this.deferred.shift()) {
@@ -97,11 +122,17 @@
       timer;
       timer = this.takeDueTimer(end)
     ) {
-      this.now = Math.max(this.now, timer.dueAt);
+      this.waitUntil(timer.dueAt);
       timer.callback();
       this.runDeferred();
     }
-    this.now = end;
+    this.waitUntil(end);
+  }
+
+  private waitUntil(time: Milliseconds): void {
+    const duration = Math.max(0, time - this.now);
+    this.now += duration;
+    this.idleTime += duration;
   }
 
   private takeDueTimer(end: Milliseconds): ManualTimer | undefined {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,5 @@
 /** The event loop, clocks and HTTP helpers that every process uses. */
+export * from './arrivalWatch.js';
 export * from './bodyEndWatch.js';
 export * from './clock.js';
 export * from './connectionEnd.js';
