End a turn of the loop after a bounded time, and handle departures first

Callers that left a busy gateway had their calls sent, and run on, up to seconds later (GONE): a turn handled up to 256 events before the sockets were read again, and a departure that was read waited behind all events posted before it.

A turn now takes no further event after 20 ms, whatever the events take, and ends go before other events; of these at least one is handled in each turn, so that ends alone hold nothing up. The constant of 256 events is gone: a number of events bounds no time.

--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -408,7 +408,7 @@
         if (call) {
           call.leftAt = this.clock.getNow();
         }
-        this.post(now => {
+        this.loop.postEnd('completion', now => {
           this.receiveDisconnect(caller, now);
         });
       },
--- a/packages/node/src/clock.ts
+++ b/packages/node/src/clock.ts
@@ -106,6 +106,17 @@
     }
   }
 
+  /** Runs the timers that are due now, without what they defer. */
+  runTimers(): void {
+    for (
+      let timer = this.takeDueTimer(this.now);
+      timer;
+      timer = this.takeDueTimer(this.now)
+    ) {
+      timer.callback();
+    }
+  }
+
   /** Runs all deferred callbacks, including those that they defer. */
   runDeferred(): void {
     for (let next = this.deferred.shift(); next; next = this.deferred.shift()) {
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -1,4 +1,4 @@
-/** Limits of the event loop. */
+/** Limits of the event loop, in milliseconds. */
 
-/** Events that the loop handles before it yields to I/O. */
-export const maxEventsPerTurn = 256;
+/** Time after which a turn handles no further event, and I/O is polled; a small part of the time in which a caller that left must be noticed. */
+export const maxTurnMs = 20;
--- a/packages/node/src/eventLoop.ts
+++ b/packages/node/src/eventLoop.ts
@@ -3,7 +3,8 @@
  *
  * Messages, timers and completions are queued as typed events. The loop
  * dispatches them one at a time to the handler of their kind, with the
- * current time.
+ * current time. A turn lasts for a bounded time, whatever its events take: it acts
+ * on what was read before it, and the end of a caller may wait to be read.
  */
 import {
   Emitter,
@@ -13,7 +14,9 @@
 import { ChartTimers } from '@lycheetally/charts';
 import { ArrivalWatch } from './arrivalWatch.js';
 import type { Clock } from './clock.js';
-import { maxEventsPerTurn } from './constants.js';
+import { maxTurnMs } from './constants.js';
+import { EventQueue, type QueuedEvent } from './eventQueue.js';
+import { TurnClock, type TurnMeasure } from './turnClock.js';
 
 /** The handler of each kind of event. */
 export type EventHandlers<Events> = {
@@ -26,29 +29,6 @@
   readonly thrown: unknown;
 }
 
-/** What a turn of the loop took. */
-export interface TurnMeasure {
-  readonly durationMs: Milliseconds;
-  /** Work between the turn before and this one, most of it reads. */
-  readonly readMs: Milliseconds;
-  readonly events: number;
-  /** Events that wait for the next turn. */
-  readonly waiting: number;
-  /** Longest time that an event of this turn had waited. */
-  readonly longestWaitMs: Milliseconds;
-  /** The event that took longest. */
-  readonly longestEventMs: Milliseconds;
-  readonly longestKind: string;
-}
-
-type Task = (now: Milliseconds) => void;
-
-interface QueuedTask {
-  readonly kind: string;
-  readonly queuedAt: Milliseconds;
-  readonly run: Task;
-}
-
 export class EventLoop<Events extends object> extends ChartTimers {
   /** Emits after each turn, so that the messages of a turn can be sent in one batch. */
   readonly turnEnded = new Emitter<Milliseconds>();
@@ -58,7 +38,7 @@
   readonly handlerFailed = new Emitter<HandlerError>();
 
   private handlers: EventHandlers<Events> | undefined;
-  private queue: QueuedTask[] = [];
+  private readonly queue = new EventQueue();
   private isScheduled = false;
   private readonly arrivals: ArrivalWatch;
   private startedAt: Milliseconds;
@@ -86,7 +66,14 @@
 
   /** Adds an event to the queue. */
   post<K extends keyof Events & string>(kind: K, payload: Events[K]): void {
-    this.enqueue(kind, now => this.handlers?.[kind](payload, now));
+    this.queue.add(this.createEvent(kind, payload));
+    this.scheduleTurn();
+  }
+
+  /** Adds an event that ends work; it goes before all others. */
+  postEnd<K extends keyof Events & string>(kind: K, payload: Events[K]): void {
+    this.queue.addEnd(this.createEvent(kind, payload));
+    this.scheduleTurn();
   }
 
   override schedule(
@@ -95,11 +82,14 @@
   ): Disposable {
     let isActive = true;
     const timer = this.clock.schedule(delay, () => {
-      this.enqueue('timer', now => {
+      const run = (now: Milliseconds): void => {
         if (isActive) {
           callback(now);
         }
-      });
+      };
+      const queuedAt = this.clock.getNow();
+      this.queue.add({ kind: 'timer', queuedAt, run });
+      this.scheduleTurn();
     });
     return {
       dispose: () => {
@@ -109,9 +99,15 @@
     };
   }
 
-  private enqueue(kind: string, run: Task): void {
-    this.queue.push({ kind, queuedAt: this.clock.getNow(), run });
-    this.scheduleTurn();
+  private createEvent<K extends keyof Events & string>(
+    kind: K,
+    payload: Events[K],
+  ): QueuedEvent {
+    return {
+      kind,
+      queuedAt: this.clock.getNow(),
+      run: now => this.handlers?.[kind](payload, now),
+    };
   }
 
   private scheduleTurn(): void {
@@ -126,45 +122,36 @@
 
   private runTurn(): void {
     this.isScheduled = false;
-    const batch = this.queue.slice(0, maxEventsPerTurn);
-    this.queue = this.queue.slice(maxEventsPerTurn);
     this.startedAt = this.clock.getNow();
     const readMs = this.arrivals.measureWork(this.startedAt);
-    let now = this.startedAt;
-    let longestWaitMs = 0;
-    let longestEventMs = 0;
-    let longestKind = '';
-    for (const task of batch) {
-      longestWaitMs = Math.max(longestWaitMs, now - task.queuedAt);
-      const endedAt = this.runTask(task, now);
-      if (endedAt - now > longestEventMs) {
-        longestEventMs = endedAt - now;
-        longestKind = task.kind;
-      }
-      now = endedAt;
+    this.queue.beginTurn();
+    const turn = new TurnClock(this.startedAt);
+    for (let event = this.queue.take(); event; event = this.takeInTime(turn)) {
+      turn.noteEvent(event, this.runEvent(event, turn.now));
     }
-    this.arrivals.noteTurnEnd(now);
-    this.turnEnded.emit(now);
+    this.arrivals.noteTurnEnd(turn.now);
+    this.turnEnded.emit(turn.now);
     this.turnMeasured.emit({
-      durationMs: now - this.startedAt,
+      ...turn.describe(),
       readMs,
-      events: batch.length,
       waiting: this.queue.length,
-      longestWaitMs,
-      longestEventMs,
-      longestKind,
     });
     if (this.queue.length > 0) {
       this.scheduleTurn();
     }
   }
 
-  /** Returns when the task has ended. */
-  private runTask(task: QueuedTask, now: Milliseconds): Milliseconds {
+  private takeInTime({ elapsedMs }: TurnClock): QueuedEvent | undefined {
+    const { queue } = this;
+    return elapsedMs < maxTurnMs ? queue.take() : queue.takeFirstOther();
+  }
+
+  /** Returns when the event was handled. */
+  private runEvent(event: QueuedEvent, now: Milliseconds): Milliseconds {
     try {
-      task.run(now);
+      event.run(now);
     } catch (thrown) {
-      this.handlerFailed.emit({ kind: task.kind, thrown });
+      this.handlerFailed.emit({ kind: event.kind, thrown });
     }
     return this.clock.getNow();
   }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,6 +5,8 @@
 export * from './connectionEnd.js';
 export * from './constants.js';
 export * from './eventLoop.js';
+export * from './eventQueue.js';
 export * from './httpClient.js';
 export * from './listen.js';
 export * from './messageHead.js';
+export * from './turnClock.js';
--- a/packages/router/tests/loop.test.ts
+++ b/packages/router/tests/loop.test.ts
@@ -59,6 +59,49 @@
     expect(seen).toEqual(['went on']);
   });
 
+  // Guards against turns that act for seconds on what was read before them.
+  it('ends a turn after a bounded time and polls before the next one', () => {
+    const { loop, clock, seen } = createLoop();
+    const eventMs = 9;
+    for (let value = 1; value <= 4; value += 1) {
+      loop.schedule(0, () => {
+        seen.push(`event ${String(value)}`);
+        clock.advanceBusy(eventMs);
+      });
+    }
+    loop.turnEnded.subscribe(() => seen.push('end of turn'));
+    clock.runTimers();
+    clock.runIteration();
+    const firstTurn = ['event 1', 'event 2', 'event 3', 'end of turn'];
+    expect(seen).toEqual(firstTurn);
+    clock.runIteration();
+    expect(seen).toEqual([...firstTurn, 'event 4', 'end of turn']);
+  });
+
+  // Guards against the end of a caller that waits behind the work of others.
+  it('handles ends before all other events, and one other event in each turn', () => {
+    const { loop, clock, seen } = createLoop();
+    loop.post('second', { value: 1 });
+    loop.post('second', { value: 2 });
+    const eventMs = 30;
+    loop.setHandlers({
+      first: ({ value }) => {
+        seen.push(`end ${String(value)}`);
+        clock.advanceBusy(eventMs);
+      },
+      second: ({ value }) => {
+        seen.push(`event ${String(value)}`);
+        clock.advanceBusy(eventMs);
+      },
+    });
+    loop.postEnd('first', { value: 1 });
+    loop.postEnd('first', { value: 2 });
+    clock.runIteration();
+    expect(seen).toEqual(['end 1', 'event 1']);
+    clock.runIteration();
+    expect(seen).toEqual(['end 1', 'event 1', 'end 2', 'event 2']);
+  });
+
   it('emits the end of each turn after its events', () => {
     const { loop, clock, seen } = createLoop();
     loop.turnEnded.subscribe(() => seen.push('end of turn'));
