Take a call only after the sockets were polled again

A call and the end of its caller often wait in one socket. Node reads them in two polls, and the loop was to take the call in the turn after the second one: it was posted by a deferred callback. If any other event of the same poll had scheduled a turn, that turn ran in the same iteration and sent the call; callers saw nothing, servers ran calls for nobody (GONE).

Calls wait in an intake of their own now, which the loop asks after the events of a turn, and which gives out a call in the second turn after it was read. The order in which calls are taken is a policy of the decisions; it stays that of arrival.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './config/index.js';
 export * from './admit/accountLimits.js';
 export * from './admit/rateLimitedAdmission.js';
+export * from './admit/intakeOrder.js';
 export * from './admit/overloadPolicy.js';
 export * from './admit/retryBudget.js';
 export * from './admit/slidingRetryBudget.js';
--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -11,6 +11,7 @@
   defaultCallTokens,
   maxEventBytes,
   notReadyRetryAfterMs,
+  overdueRetryAfterMs,
   retryAfterMs,
   staleRetryAfterMs,
 } from './constants.js';
@@ -23,6 +24,9 @@
 export const admitCall = (call: GatewayCall, now: Milliseconds): Admission => {
   const { services, received } = call;
   const { fields, path } = received;
+  if (services.intakeOrder.isOverdue(call.queuedAt, now)) {
+    return { fault: overdue };
+  }
   const configuration = services.getConfiguration();
   if (!configuration) {
     return { fault: noConfiguration };
@@ -108,6 +112,14 @@
 const toHostName = (host: string | undefined): string =>
   (host ?? '').toLowerCase().replace(/:\d*$/, '');
 
+const overdue: CallFault = {
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message:
+    'the call has waited too long at this gateway, which is overloaded; another one may take it sooner',
+  retryAfterMs: overdueRetryAfterMs,
+};
+
 const noConfiguration: CallFault = {
   status: 503,
   kind: ErrorKind.NoCapacity,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -42,6 +42,9 @@
 /** `Retry-After` of a gateway that cannot reach the store; time for a new connection to another gateway. */
 export const staleRetryAfterMs = 100;
 
+/** `Retry-After` of an overloaded gateway; time for a new connection to another gateway. */
+export const overdueRetryAfterMs = 100;
+
 /** `Retry-After` of a stopping gateway, so that callers go to another one at once. */
 export const stoppingRetryAfterMs = 50;
 
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -7,6 +7,7 @@
   ChainPolicy,
   DurationForecast,
   GatewayConfiguration,
+  IntakeOrder,
   KeyHolder,
   Moment,
   NoteEnd,
@@ -80,6 +81,7 @@
   readonly durationForecast: DurationForecast;
   readonly suspects: SuspectTracker;
   readonly waitingCalls: WaitingCalls;
+  readonly intakeOrder: IntakeOrder;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
   readonly revokeTimeoutMs: Milliseconds;
@@ -169,6 +171,8 @@
     readonly services: CallServices,
     readonly received: ReceivedCall,
     readonly caller: CallerExchange,
+    /** When the gateway was about to take it. */
+    readonly queuedAt: Milliseconds,
     /** When the event loop took it. */
     private readonly takenAt: Milliseconds,
   ) {}
@@ -192,10 +196,10 @@
 
   /** How long it may have waited unread, how long in the queue of the loop, and how long its caller's end waited there. */
   describeWaits(now: Milliseconds): Readonly<Record<string, number>> {
-    const { received, takenAt, leftAt } = this;
+    const { received, queuedAt, takenAt, leftAt } = this;
     return {
       unreadMs: Math.round(received.receivedAt - received.arrivedAt),
-      queuedMs: Math.round(takenAt - received.receivedAt),
+      queuedMs: Math.round(takenAt - queuedAt),
       leftMs: leftAt === undefined ? -1 : Math.round(now - leftAt),
     };
   }
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -11,6 +11,7 @@
   readonly connections: ConnectionCounts;
   readonly placer: LayerPlacer;
   countCalls(): number;
+  countQueued(): number;
   countBufferedBytes(): number;
   readonly news: GatewayNews;
   readonly suspects: Suspects;
@@ -28,6 +29,11 @@
   const { connections, placer } = sources;
   const gauges: readonly [string, string, () => number][] = [
     ['open_calls', 'Calls without a final answer', () => sources.countCalls()],
+    [
+      'queued_calls',
+      'Calls that were read and wait to be taken',
+      () => sources.countQueued(),
+    ],
     [
       'buffered_bytes',
       'Memory of buffered requests and responses',
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -17,6 +17,7 @@
   type Result,
 } from '@lycheetally/common';
 import {
+  ArrivalOrder,
   CheapestChain,
   LargestFirstMemory,
   Outcome,
@@ -30,7 +31,8 @@
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import { bindCallChart, type CallMachine } from './callActions.js';
 import type { CallFormat } from './callFormat.js';
-import type { CallerExchange, ReceivedCall } from './callerPort.js';
+import { CallIntake, type QueuedCall } from './callIntake.js';
+import type { CallerExchange } from './callerPort.js';
 import {
   forecastSettings,
   lingerTimeoutMs,
@@ -98,6 +100,10 @@
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
   private readonly drainPeriod = new DrainPeriod();
+  private readonly intakeOrder = new ArrivalOrder();
+  private readonly intake = new CallIntake(this.intakeOrder, (call, now) => {
+    this.takeCall(call, now);
+  });
   private readonly calls = new Map<CallerExchange, GatewayCall>();
   private readonly lifecycle: ChartInstance<GatewayNode, LifecycleEvent>;
   private configuration: GatewayConfiguration | undefined;
@@ -140,6 +146,7 @@
         run(now);
       },
     });
+    this.loop.setSource(this.intake);
     const monitor = new LoopMonitor(this.metrics, this.log);
     this.loop.turnMeasured.subscribe(turn => {
       monitor.observe(turn, this.clock.getNow());
@@ -157,6 +164,7 @@
     addGauges(this.metrics, {
       connections: this.backend.counts,
       countCalls: () => this.calls.size,
+      countQueued: () => this.intake.count,
       countBufferedBytes: () => this.bufferMemory.totalBytes,
       countUnreadable: () => this.servers.registry.unreadableCount,
       countDoubted: () => this.servers.registry.doubtedCount,
@@ -395,13 +403,8 @@
   private createFrontend(): HttpFrontend {
     const handler: CallHandler = {
       receiveCall: (received, caller) => {
-        // A gateway under load often has a call and the close of its connection to
-        // read; the close is read in the next turn.
-        this.clock.defer(() => {
-          this.post(now => {
-            this.receiveCall(received, caller, now);
-          });
-        });
+        this.intake.add({ received, caller, queuedAt: this.clock.getNow() });
+        this.loop.scheduleTurn();
       },
       receiveDisconnect: caller => {
         const call = this.calls.get(caller);
@@ -554,6 +557,7 @@
       suspects: this.suspects.tracker,
       waitingCalls: this.waitingCalls,
       bufferMemory: this.bufferMemory,
+      intakeOrder: this.intakeOrder,
       homeDomain: process.failureDomain,
       revokeTimeoutMs: rules.revokeMs,
       getConfiguration: () => this.configuration,
@@ -575,23 +579,28 @@
     };
   }
 
-  private receiveCall(
-    received: ReceivedCall,
-    caller: HttpCaller,
+  private takeCall(
+    { received, caller, queuedAt }: QueuedCall,
     now: Milliseconds,
   ): void {
     const { arrivedAt, receivedAt } = received;
-    this.metrics.observeIntake(receivedAt - arrivedAt, now - receivedAt);
+    this.metrics.observeIntake(receivedAt - arrivedAt, now - queuedAt);
     if (caller.hasLeft) {
       this.metrics.countLeft();
       this.log.info('A call was dropped, since its caller had left.', {
         request: received.fields.requestId ?? '',
         unreadMs: Math.round(receivedAt - arrivedAt),
-        queuedMs: Math.round(now - receivedAt),
+        queuedMs: Math.round(now - queuedAt),
       });
       return;
     }
-    const call = new GatewayCall(this.callServices, received, caller, now);
+    const call = new GatewayCall(
+      this.callServices,
+      received,
+      caller,
+      queuedAt,
+      now,
+    );
     this.calls.set(caller, call);
     call.instance = this.callMachine.createInstance(call, this.loop);
     call.instance.start(now);
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -13,6 +13,7 @@
   type Result,
 } from '@lycheetally/common';
 import {
+  ArrivalOrder,
   BoundedRetry,
   CheapestChain,
   LargestFirstMemory,
@@ -149,6 +150,7 @@
       createReceived(),
       this.caller,
       0,
+      0,
     );
     const machine = getOrThrow(bindCallChart());
     this.call.instance = machine.createInstance(this.call, this.time);
@@ -264,6 +266,7 @@
       durationForecast: new SurvivalForecast(forecastSettings),
       suspects: trustingSuspects,
       waitingCalls,
+      intakeOrder: new ArrivalOrder(),
       homeDomain: 'a',
       revokeTimeoutMs: timeoutMs,
       getConfiguration: () => createConfiguration(this.emulated),
--- a/packages/node/src/eventLoop.ts
+++ b/packages/node/src/eventLoop.ts
@@ -17,6 +17,7 @@
 import { maxTurnMs } from './constants.js';
 import { EventQueue, type QueuedEvent } from './eventQueue.js';
 import { TurnClock, type TurnMeasure } from './turnClock.js';
+import { EmptyTurnSource, type TurnSource } from './turnSource.js';
 
 /** The handler of each kind of event. */
 export type EventHandlers<Events> = {
@@ -39,6 +40,7 @@
 
   private handlers: EventHandlers<Events> | undefined;
   private readonly queue = new EventQueue();
+  private source: TurnSource = new EmptyTurnSource();
   private isScheduled = false;
   private readonly arrivals: ArrivalWatch;
   private startedAt: Milliseconds;
@@ -49,6 +51,11 @@
     this.startedAt = clock.getNow();
   }
 
+  /** Sets what the loop does after the events of a turn. */
+  setSource(source: TurnSource): void {
+    this.source = source;
+  }
+
   /** When the turn began that runs now, or ran last; I/O was polled just before. */
   get turnStartedAt(): Milliseconds {
     return this.startedAt;
@@ -110,7 +117,8 @@
     };
   }
 
-  private scheduleTurn(): void {
+  /** Runs a turn after I/O that is ready now. */
+  scheduleTurn(): void {
     if (this.isScheduled) {
       return;
     }
@@ -125,8 +133,9 @@
     this.startedAt = this.clock.getNow();
     const readMs = this.arrivals.measureWork(this.startedAt);
     this.queue.beginTurn();
+    this.source.beginTurn();
     const turn = new TurnClock(this.startedAt);
-    for (let event = this.queue.take(); event; event = this.takeInTime(turn)) {
+    for (let event = this.takeNext(turn); event; event = this.takeNext(turn)) {
       turn.noteEvent(event, this.runEvent(event, turn.now));
     }
     this.arrivals.noteTurnEnd(turn.now);
@@ -136,14 +145,21 @@
       readMs,
       waiting: this.queue.length,
     });
-    if (this.queue.length > 0) {
+    if (this.queue.length > 0 || this.source.isWaiting) {
       this.scheduleTurn();
     }
   }
 
-  private takeInTime({ elapsedMs }: TurnClock): QueuedEvent | undefined {
-    const { queue } = this;
-    return elapsedMs < maxTurnMs ? queue.take() : queue.takeFirstOther();
+  /** Takes what goes next: one event and one piece of work at least, more while the time of the turn lasts. */
+  private takeNext(turn: TurnClock): QueuedEvent | undefined {
+    const { queue, source } = this;
+    const hasTime = turn.elapsedMs < maxTurnMs;
+    const event = hasTime ? queue.take() : queue.takeFirstOther();
+    if (event || (turn.hasWorked && !hasTime)) {
+      return event;
+    }
+    turn.hasWorked = true;
+    return source.take(turn.now);
   }
 
   /** Returns when the event was handled. */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -10,3 +10,4 @@
 export * from './listen.js';
 export * from './messageHead.js';
 export * from './turnClock.js';
+export * from './turnSource.js';
--- a/packages/node/src/turnClock.ts
+++ b/packages/node/src/turnClock.ts
@@ -18,6 +18,8 @@
 }
 
 export class TurnClock {
+  /** Whether work that waits behind the events was done. */
+  hasWorked = false;
   private events = 0;
   private longestWaitMs = 0;
   private longestEventMs = 0;
