Take the newest call first while a gateway falls behind

While the oldest call has waited for 100 ms or more, the newest one is taken; those that have waited for a second are refused with 503 and a short Retry-After, not run, in turn with the newest, as another gateway takes them sooner.

--- a/packages/decisions/src/admit/intakeOrder.ts
+++ b/packages/decisions/src/admit/intakeOrder.ts
@@ -29,3 +29,32 @@
     return false;
   }
 }
+
+/** Wait of the oldest call up to which a queue is short, in milliseconds; a small part of the usual latency targets. */
+const shortWaitMs = 100;
+
+/** Wait after which a call is refused, in milliseconds; callers give up after a second or two. */
+const maxWaitMs = 1_000;
+
+/**
+ * Takes the newest call while the oldest one has waited for long: in the order of arrival,
+ * all would be served when their callers are about to leave. The overdue ones are refused in
+ * turn with the newest, so that neither holds the other up.
+ */
+export class NewestWhenLate extends IntakeOrder {
+  private wasOverdue = false;
+
+  override chooseEnd(
+    oldestQueuedAt: Milliseconds,
+    now: Milliseconds,
+  ): IntakeEnd {
+    this.wasOverdue = !this.wasOverdue && this.isOverdue(oldestQueuedAt, now);
+    return this.wasOverdue || now - oldestQueuedAt < shortWaitMs
+      ? IntakeEnd.Oldest
+      : IntakeEnd.Newest;
+  }
+
+  override isOverdue(queuedAt: Milliseconds, now: Milliseconds): boolean {
+    return now - queuedAt >= maxWaitMs;
+  }
+}
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -17,9 +17,9 @@
   type Result,
 } from '@lycheetally/common';
 import {
-  ArrivalOrder,
   CheapestChain,
   LargestFirstMemory,
+  NewestWhenLate,
   Outcome,
   ReplicaPerDomain,
   SlidingRetryBudget,
@@ -100,7 +100,7 @@
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
   private readonly drainPeriod = new DrainPeriod();
-  private readonly intakeOrder = new ArrivalOrder();
+  private readonly intakeOrder = new NewestWhenLate();
   private readonly intake = new CallIntake(this.intakeOrder, (call, now) => {
     this.takeCall(call, now);
   });
