Ask at each send whether the caller is there and time is left

Whether a caller had left was asked once, when its call was taken. A call that was refused by a server, or waited for one, was sent again while the departure that was read already waited in the queue of the loop (GONE).

--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -44,6 +44,7 @@
   noteSuspectRefusal,
 } from './suspects/suspectCalls.js';
 import {
+  findEndOfCall,
   isSuspectRefused,
   mayRepeat,
   mayRetry,
@@ -72,6 +73,11 @@
 
 const createAttempt: CallAction = (call, _, now) => {
   const { admitted } = call;
+  const end = findEndOfCall(call, now);
+  if (end) {
+    call.instance?.send({ type: end }, now);
+    return;
+  }
   if (!mayStartAttempt(call, now)) {
     // It waited for a server, and the time that was left has become too short.
     const fault = createStoppingFault(call, now);
--- a/packages/gateway/src/callerPort.ts
+++ b/packages/gateway/src/callerPort.ts
@@ -38,6 +38,8 @@
 
 /** Sends the response to one caller. */
 export abstract class CallerExchange {
+  /** Whether the caller has left, as far as its connection was read. */
+  abstract get hasLeft(): boolean;
   /** Sends the status and the headers of a response whose body follows. Fails with `BadMessage` if they cannot be sent. */
   abstract startResponse(
     status: number,
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/gatewayCall.ts
@@ -48,6 +48,7 @@
     | 'RESPONSE_STARTED'
     | 'SERVER_RETURNED'
     | 'CALLER_DISCONNECTED'
+    | 'TIME_OVER'
     | 'STOPPING';
   /** The fault, in an event that reports a refusal or a failure. */
   readonly fault?: CallFault | undefined;
--- a/packages/gateway/src/httpCaller.ts
+++ b/packages/gateway/src/httpCaller.ts
@@ -37,7 +37,7 @@
     return this.response.writableFinished;
   }
 
-  get hasLeft(): boolean {
+  override get hasLeft(): boolean {
     return this.connection.hasCallerLeft;
   }
 
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/repeatRules.ts
@@ -9,6 +9,20 @@
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
 import { findSuspectFault } from './suspects/suspectCalls.js';
 
+/**
+ * Why nothing is sent for the call any more, as the event for its chart. It is asked at each
+ * send: the events that say so may still wait in the queue of the loop.
+ */
+export const findEndOfCall = (
+  { caller, admitted }: GatewayCall,
+  now: Milliseconds,
+): 'CALLER_DISCONNECTED' | 'TIME_OVER' | undefined => {
+  if (caller.hasLeft) {
+    return 'CALLER_DISCONNECTED';
+  }
+  return admitted && admitted.deadlineAt <= now ? 'TIME_OVER' : undefined;
+};
+
 /** Whether a stopping gateway starts an attempt now; a stream that has begun goes on as long as it can. */
 export const mayStartAttempt = (
   call: GatewayCall,
--- a/packages/gateway/src/startHedge.ts
+++ b/packages/gateway/src/startHedge.ts
@@ -3,12 +3,13 @@
 import { chooseHedge } from './callHedge.js';
 import { GatewayAttempt } from './gatewayAttempt.js';
 import type { GatewayCall } from './gatewayCall.js';
+import { findEndOfCall } from './repeatRules.js';
 
 /** Starts a second run of the call; it counts as a retry. */
 export const startHedge = (call: GatewayCall, now: Milliseconds): void => {
   const { attempt, services } = call;
   const chosen = attempt && chooseHedge(attempt, now);
-  if (!chosen || call.hedge) {
+  if (!chosen || call.hedge || findEndOfCall(call, now)) {
     return;
   }
   services.retryPolicy.noteRetry(call.toRequestView(), now);
--- a/packages/gateway/tests/callRuns.test.ts
+++ b/packages/gateway/tests/callRuns.test.ts
@@ -5,7 +5,7 @@
  */
 import fc from 'fast-check';
 import { describe, expect, it, vi } from 'vitest';
-import type { BackendRecord, LayerRange } from '@lycheetally/decisions';
+import { createRecord, service } from './emulatedServers.js';
 import { eventCount } from './fakePorts.js';
 import { RunEmulator, type EmulatedCall } from './runEmulator.js';
 import {
@@ -19,23 +19,6 @@
 // It asks over the network; the emulator answers for its servers.
 vi.mock('../src/suspects/crashCheck.js', () => import('./acceptChecks.js'));
 
-const createRecord = (
-  range: LayerRange | undefined,
-  at: number,
-): BackendRecord => ({
-  serverId: `i-${String(at)}`,
-  service: 'desk',
-  address: `127.0.0.1:${String(at)}`,
-  failureDomain: 'a',
-  slots: 10,
-  isLeaving: false,
-  incarnation: 1_000,
-  sequence: 1,
-  kind: 'card',
-  range,
-});
-
-const service = { name: 'desk', healthPath: '/health', model: undefined };
 const model = {
   layers: 2,
   layerMegabytes: 1,
--- a/packages/gateway/tests/fakePorts.ts
+++ b/packages/gateway/tests/fakePorts.ts
@@ -209,6 +209,7 @@
   isComplete = false;
   isClosed = false;
   isBlocked = false;
+  override hasLeft = false;
   private handleDrain: () => void = () => undefined;
 
   drain(): void {
