Accept the connections that wait before the next turn of the loop

On a busy gateway, as one that gets the callers of its neighbours, turns took up to 1.8 s, and connections waited for seconds in the queue of the listener; the kernel drops what comes when that is full, and callers send it again after up to 6.4 s. That fits the users' record, where a call reaches a server 1.2 s after its caller sent it.

While connections come, turns are left out, so that polls follow each other, for as long as a turn may take; then a turn does its work.

--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -43,6 +43,10 @@
   getLimits(): CallLimits;
   isDraining(): boolean;
   getNow(): Milliseconds;
+  /** Returns the earliest time at which what is read now can have arrived. */
+  estimateArrival(now: Milliseconds): Milliseconds;
+  /** Notes that a connection was accepted, and returns the earliest time at which it can have come. */
+  noteAccepted(now: Milliseconds): Milliseconds;
   /** Runs it in a later turn, after what can be read now. */
   postCompletion(run: (now: Milliseconds) => void): void;
   forwardCall(call: ReceivedCall, caller: HttpCaller): void;
@@ -66,6 +70,9 @@
   private toldIdleMs: Milliseconds = 0;
   /** Raw response to what is no request. */
   private refusal: string | undefined;
+  private readonly acceptedAt: Milliseconds;
+  /** The earliest time at which it can have come to the listener. */
+  private readonly arrivedAt: Milliseconds;
 
   constructor(
     private readonly socket: Socket,
@@ -77,7 +84,16 @@
       this.send({ type: 'CLOSE' });
     };
     this.chart = machine.createInstance(this, services.timers);
-    this.chart.start(services.getNow());
+    this.acceptedAt = services.getNow();
+    this.arrivedAt = services.noteAccepted(this.acceptedAt);
+    this.chart.start(this.acceptedAt);
+  }
+
+  /** Returns the earliest time at which the first request, which is read now, can have arrived: with the connection, if the sockets were not polled in between. */
+  estimateFirstArrival(): Milliseconds {
+    const { acceptedAt, arrivedAt, services } = this;
+    const readFrom = services.estimateArrival(services.getNow());
+    return readFrom <= acceptedAt ? arrivedAt : readFrom;
   }
 
   /** Whether it closes after its last open response; further requests are not passed on. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -444,6 +444,10 @@
       },
       getNow: () => this.clock.getNow(),
       estimateArrival: now => this.loop.estimateArrival(now),
+      noteAccepted: now => {
+        this.loop.noteAccepted();
+        return this.loop.estimateConnection(now);
+      },
     };
     return new HttpFrontend(
       this.ports.format,
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/httpFrontend.ts
@@ -57,6 +57,8 @@
   getNow(): Milliseconds;
   /** Returns the earliest time at which what is read now can have arrived. */
   estimateArrival(now: Milliseconds): Milliseconds;
+  /** Notes that a connection was accepted, and returns the earliest time at which it can have come. */
+  noteAccepted(now: Milliseconds): Milliseconds;
 }
 
 /** Limits that apply until there is a configuration. */
@@ -255,6 +257,8 @@
       getLimits: () => this.limits,
       isDraining: () => this.isDraining,
       getNow: () => handler.getNow(),
+      estimateArrival: now => handler.estimateArrival(now),
+      noteAccepted: now => handler.noteAccepted(now),
       postCompletion: run => {
         handler.postCompletion(run);
       },
@@ -306,7 +310,15 @@
       },
       handleBody: body => {
         this.incomplete.delete(caller);
-        const call = this.createCall(incoming, body, isOnKeptConnection);
+        const arrivedAt = isOnKeptConnection
+          ? this.handler.estimateArrival(this.handler.getNow())
+          : connection.estimateFirstArrival();
+        const call = this.createCall(
+          incoming,
+          body,
+          arrivedAt,
+          isOnKeptConnection,
+        );
         connection.enqueue(call, caller);
       },
       handleRefusal: refusal => {
@@ -325,18 +337,18 @@
   private createCall(
     incoming: IncomingMessage,
     body: Buffer,
+    arrivedAt: Milliseconds,
     isOnKeptConnection: boolean,
   ): ReceivedCall {
     const target = incoming.url ?? '/';
-    const receivedAt = this.handler.getNow();
     return {
       method: incoming.method ?? 'GET',
       target,
       path: target.split('?', 1)[0] ?? '/',
       fields: this.format.readCall(incoming.rawHeaders),
       body,
-      arrivedAt: this.handler.estimateArrival(receivedAt),
-      receivedAt,
+      arrivedAt,
+      receivedAt: this.handler.getNow(),
       isOnKeptConnection,
     };
   }
--- a/packages/gateway/tests/httpCaller.test.ts
+++ b/packages/gateway/tests/httpCaller.test.ts
@@ -20,6 +20,8 @@
       idleTimeoutMs: 1_000,
     }),
     isDraining: () => false,
+    estimateArrival: now => now,
+    noteAccepted: now => now,
     getNow: () => 0,
     postCompletion: () => undefined,
     forwardCall: () => undefined,
--- a/packages/node/src/eventLoop.ts
+++ b/packages/node/src/eventLoop.ts
@@ -5,6 +5,9 @@
  * dispatches them one at a time to the handler of their kind, with the
  * current time. A turn lasts for a bounded time, whatever its events take: it acts
  * on what was read before it, and the end of a caller may wait to be read.
+ *
+ * Node accepts one connection in each poll. While connections come, turns are therefore
+ * left out, so that the queue of the listener is read empty; for a bounded time, too.
  */
 import {
   Emitter,
@@ -42,6 +45,10 @@
   private readonly queue = new EventQueue();
   private source: TurnSource = new EmptyTurnSource();
   private isScheduled = false;
+  /** Whether a connection was accepted since the last turn. */
+  private hasAccepted = false;
+  /** When the first connection was accepted after the last turn that was not left out. */
+  private acceptingSince: Milliseconds | undefined;
   private readonly arrivals: ArrivalWatch;
   private startedAt: Milliseconds;
 
@@ -61,6 +68,18 @@
     return this.startedAt;
   }
 
+  /** Notes that a connection was accepted; more of them may wait. */
+  noteAccepted(): void {
+    this.hasAccepted = true;
+    this.acceptingSince ??= this.clock.getNow();
+    this.scheduleTurn();
+  }
+
+  /** Returns the earliest time at which a connection that is accepted now can have come. */
+  estimateConnection(now: Milliseconds): Milliseconds {
+    return this.arrivals.estimateConnection(now);
+  }
+
   /** Returns the earliest time at which what is read now can have arrived. */
   estimateArrival(now: Milliseconds): Milliseconds {
     return this.arrivals.estimateArrival(now);
@@ -132,8 +151,14 @@
     this.isScheduled = false;
     this.startedAt = this.clock.getNow();
     const readMs = this.arrivals.measureWork(this.startedAt);
-    this.queue.beginTurn();
     this.source.beginTurn();
+    if (this.decideAccepting(this.startedAt)) {
+      this.arrivals.noteTurnEnd(this.startedAt);
+      this.scheduleTurn();
+      return;
+    }
+    this.acceptingSince = undefined;
+    this.queue.beginTurn();
     const turn = new TurnClock(this.startedAt);
     for (let event = this.takeNext(turn); event; event = this.takeNext(turn)) {
       turn.noteEvent(event, this.runEvent(event, turn.now));
@@ -150,6 +175,16 @@
     }
   }
 
+  /** Decides whether the turn is left out, since connections come that are to be accepted first. */
+  private decideAccepting(now: Milliseconds): boolean {
+    const { hasAccepted, acceptingSince = now } = this;
+    this.hasAccepted = false;
+    if (!hasAccepted) {
+      this.arrivals.noteNoneAccepted();
+    }
+    return hasAccepted && now - acceptingSince < maxTurnMs;
+  }
+
   /** Takes what goes next: one event and one piece of work at least, more while the time of the turn lasts. */
   private takeNext(turn: TurnClock): QueuedEvent | undefined {
     const { queue, source } = this;
--- a/packages/router/tests/loop.test.ts
+++ b/packages/router/tests/loop.test.ts
@@ -102,6 +102,60 @@
     expect(seen).toEqual(['end 1', 'event 1', 'end 2', 'event 2']);
   });
 
+  // Guards against connections that wait in the queue of the listener for one turn each.
+  it('leaves out turns while connections come, for a bounded time', () => {
+    const { loop, clock, seen } = createLoop();
+    const acceptMs = 8;
+    loop.post('second', { value: 1 });
+    for (let count = 1; count <= 3; count += 1) {
+      loop.noteAccepted();
+      clock.advanceBusy(acceptMs);
+      clock.runIteration();
+      expect(seen).toEqual(count < 3 ? [] : ['second 1']);
+    }
+    loop.post('second', { value: 2 });
+    clock.runIteration();
+    expect(seen).toEqual(['second 1', 'second 2']);
+  });
+
+  it('estimates when what is read now can have come', () => {
+    const { loop, clock } = createLoop();
+    const run = (busyMs: number): void => {
+      clock.advanceBusy(busyMs);
+      loop.scheduleTurn();
+      clock.runIteration();
+    };
+    run(0);
+    run(0);
+    const startedAt = clock.getNow();
+    run(30);
+    clock.advanceBusy(40);
+    expect(loop.estimateArrival(clock.getNow())).toBe(startedAt);
+    clock.advance(100);
+    const idleMs = 100;
+    expect(loop.estimateArrival(clock.getNow())).toBe(startedAt + idleMs);
+  });
+
+  it('estimates when a connection can have come by the last poll without one', () => {
+    const { loop, clock } = createLoop();
+    loop.scheduleTurn();
+    clock.runIteration();
+    loop.scheduleTurn();
+    clock.runIteration();
+    const emptyAt = clock.getNow();
+    for (let count = 0; count < 3; count += 1) {
+      clock.advanceBusy(30);
+      loop.noteAccepted();
+      expect(loop.estimateConnection(clock.getNow())).toBe(emptyAt);
+      clock.runIteration();
+    }
+    clock.advanceBusy(30);
+    const lastAt = clock.getNow();
+    loop.scheduleTurn();
+    clock.runIteration();
+    expect(loop.estimateConnection(clock.getNow())).toBe(lastAt - 30);
+  });
+
   it('emits the end of each turn after its events', () => {
     const { loop, clock, seen } = createLoop();
     loop.turnEnded.subscribe(() => seen.push('end of turn'));
