Count the time of a call from when it can have come

The time limit of a call, and the time that its server is told, counted from the moment at which the gateway had read it. A call that lay in its socket or in the queue of the listener while the gateway was busy got all of its time again; a call whose caller had left on its own clock passed for a living one (GONE), and servers were told more time than was left.

The limit and the wait for a server count from the earliest time at which the call can have come: the poll before the one that read it, or for the first call of a new connection the last poll that accepted none; time spent waiting for I/O in between doesn't count.

--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/admitCall.ts
@@ -65,7 +65,7 @@
   holder: KeyHolder | undefined,
   now: Milliseconds,
 ): Admission => {
-  const { fields, receivedAt } = call.received;
+  const { fields, arrivedAt } = call.received;
   const name = pickService(route, call.requestId);
   const service = configuration.services.get(name ?? '');
   if (!service) {
@@ -73,9 +73,9 @@
   }
   const isRepeatable = route.isStream ? route.isResumable : route.isRepeatable;
   const remainingMs = fields.remainingMs ?? route.timeoutMs;
-  const deadlineAt = receivedAt + Math.min(remainingMs, route.timeoutMs);
+  const deadlineAt = arrivedAt + Math.min(remainingMs, route.timeoutMs);
   if (deadlineAt <= now) {
-    // It waited behind other calls of its connection.
+    // It waited unread, in the queue of the loop, or behind other calls of its connection.
     return { fault: noTimeLeft };
   }
   if (route.isStream) {
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -347,7 +347,7 @@
   }
   const maxWaitMs = (admitted?.route.targetMs ?? 0) * maxWaitShare;
   const delayMs = Math.max(routeRetryDelayMs, intakeWaitMs);
-  return now + delayMs - received.receivedAt <= maxWaitMs;
+  return now + delayMs - received.arrivedAt <= maxWaitMs;
 };
 
 /** Binds the chart `gatewayCall`. Fails with `BadChart`. */
