Tell each call of the loss or the return of a server in an event of its own

When a server was lost, fell silent or came back, all calls that it concerned chose other servers in one event of the loop.

Each attempt and each waiting call is now told in an event of its own, so that a turn ends between them; an attempt that was heard again before its event is left alone.

--- a/packages/gateway/src/gatewayServers.ts
+++ b/packages/gateway/src/gatewayServers.ts
@@ -90,8 +90,8 @@
       handleLost: (server, now) => {
         this.lossHandler.handleLost(server, now);
       },
-      handleReturn: (server, now) => {
-        services.waitingCalls.handleReturn(server.record.service, now);
+      handleReturn: server => {
+        this.resumeWaitingCalls(server.record.service);
       },
       postCompletion: run => {
         services.postCompletion(run);
@@ -99,6 +99,16 @@
     });
   }
 
+  /** Has each call that waits for silent servers choose again, in an event of its own: a choice may be expensive. */
+  private resumeWaitingCalls(service: string): void {
+    const { services } = this;
+    for (const call of services.waitingCalls.listForSilent(service)) {
+      services.postCompletion(now => {
+        call.instance?.send({ type: 'SERVER_RETURNED' }, now);
+      });
+    }
+  }
+
   private createIntakePolicy(serverId: string): IntakePolicy {
     const { services } = this;
     return new SharedLimitIntake(limitPerSecond =>
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/serverLossHandler.ts
@@ -1,5 +1,6 @@
 /**
- * Handles the loss of a backend server that calls use, and its silence.
+ * Handles the loss of a backend server that calls use, and its silence. Each attempt is told
+ * in an event of its own, as the choice of other servers may be expensive.
  *
  * A silence may be the pause of a sound server, so it ends no call: an attempt moves away
  * only if another server can take it at once, and otherwise goes on where it is. A refused
@@ -110,7 +111,7 @@
     const { serverId } = server.record;
     for (const attempt of this.listSilentAttempts(silenceMs, now)) {
       if (attempt.servers.has(server)) {
-        sendServerEvent(attempt, type, serverId, now);
+        this.postServerEvent(attempt, type, serverId, silenceMs);
       }
     }
   }
@@ -123,7 +124,12 @@
         serverId !== undefined &&
         attempt.admitted.service.name === alive.record.service
       ) {
-        sendServerEvent(attempt, 'SERVER_SILENT', serverId, now);
+        this.postServerEvent(
+          attempt,
+          'SERVER_SILENT',
+          serverId,
+          unresponsiveSilenceMs,
+        );
       }
     }
   }
@@ -162,17 +168,21 @@
       .listUsable(service)
       .filter(server => !range || server.record.range !== undefined);
   }
-}
 
-const sendServerEvent = (
-  attempt: GatewayAttempt,
-  type: 'SERVER_LOST' | 'SERVER_SILENT',
-  serverId: string,
-  now: Milliseconds,
-): void => {
-  const state = type === 'SERVER_LOST' ? 'gone' : 'silent';
-  const fault = createBackendFault(
-    `server ${serverId} of the chain is ${state}`,
-  );
-  attempt.instance.send({ type, fault, lost: serverId }, now);
-};
+  private postServerEvent(
+    attempt: GatewayAttempt,
+    type: 'SERVER_LOST' | 'SERVER_SILENT',
+    serverId: string,
+    silenceMs: Milliseconds,
+  ): void {
+    const state = type === 'SERVER_LOST' ? 'gone' : 'silent';
+    const fault = createBackendFault(
+      `server ${serverId} of the chain is ${state}`,
+    );
+    this.services.postCompletion(now => {
+      if (attempt.silence.isSilentFor(silenceMs, now)) {
+        attempt.instance.send({ type, fault, lost: serverId }, now);
+      }
+    });
+  }
+}
--- a/packages/gateway/src/waitingCalls.ts
+++ b/packages/gateway/src/waitingCalls.ts
@@ -1,5 +1,4 @@
 /** The calls that wait for a server, by service, so that the most urgent ones are sent first. */
-import type { Milliseconds } from '@lycheetally/common';
 import type { GatewayCall } from './gatewayCall.js';
 
 export class WaitingCalls {
@@ -19,14 +18,11 @@
     }
   }
 
-  /** Routes the calls of the service that wait for silent servers, the most urgent first. */
-  handleReturn(service: string, now: Milliseconds): void {
-    const waiting = [...(this.byService.get(service) ?? [])]
+  /** Lists the calls of the service that wait for silent servers, the most urgent first. */
+  listForSilent(service: string): readonly GatewayCall[] {
+    return [...(this.byService.get(service) ?? [])]
       .filter(({ isWaitingForSilent }) => isWaitingForSilent)
       .sort((a, b) => (a.admitted?.urgency ?? 0) - (b.admitted?.urgency ?? 0));
-    for (const call of waiting) {
-      call.instance?.send({ type: 'SERVER_RETURNED' }, now);
-    }
   }
 
   /** Whether a call of the service waits for a turn that is more urgent; 0 is the most urgent. */
