Take in and send news of suspects at the cost of what they tell

Each message of another gateway about suspects had all records listed, trimmed and hashed, twice before and twice after the merge, and news for all gateways were sent in one event, formatted once for each of them.

Only the suspects that a message names are listed around the merge, one that asks whether there are records lists none, news are formatted once, and each gateway gets them in an event of its own. What is exchanged stays the same.

--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -50,6 +50,7 @@
   type TracedCall,
   type ServerRun,
   type SuspectDecision,
+  type SuspectName,
   type SuspectRecord,
 } from './suspectTracker.js';
 import {
@@ -248,10 +249,23 @@
   }
 
   override listRecords(now: Milliseconds): readonly SuspectRecord[] {
-    return this.list().flatMap(suspect => {
-      suspect.isShared = true;
-      return listSuspectRecords(suspect, now);
-    });
+    return this.list().flatMap(suspect => listShared(suspect, now));
+  }
+
+  override listRecordsOf(
+    suspects: readonly SuspectName[],
+    now: Milliseconds,
+  ): readonly SuspectRecord[] {
+    const known = suspects.flatMap(
+      ({ service, part }) => this.byService.get(service)?.find(part) ?? [],
+    );
+    return [...new Set(known)].flatMap(suspect => listShared(suspect, now));
+  }
+
+  override hasRecords(now: Milliseconds): boolean {
+    return this.list().some(
+      suspect => listSuspectRecords(suspect, now).length > 0,
+    );
   }
 
   override mergeRecords(
@@ -410,6 +424,15 @@
   options: SuspectTrackerOptions,
 ): CrashSuspectTracker => new CrashSuspectTracker(options);
 
+/** Lists the records of a suspect, of which others are told from now on. */
+const listShared = (
+  suspect: Suspect,
+  now: Milliseconds,
+): readonly SuspectRecord[] => {
+  suspect.isShared = true;
+  return listSuspectRecords(suspect, now);
+};
+
 const allow: SuspectDecision = { isAllowed: true, isTrial: false };
 
 const maySend = (suspect: Suspect, now: Milliseconds): boolean => {
--- a/packages/gateway/src/suspects/suspectClient.ts
+++ b/packages/gateway/src/suspects/suspectClient.ts
@@ -22,6 +22,8 @@
 export class SuspectClient {
   private readonly agent = new Agent({ keepAlive: true, maxFreeSockets: 1 });
   private readonly queue = new PQueue({ concurrency: maxSuspectMessages });
+  /** Messages as JSON; the same one goes to many gateways. */
+  private readonly texts = new WeakMap<SuspectMessage, string>();
 
   /** Fails with `PlatformUnavailable` if the other gateway does not answer in time, and with `BadMessage` if it answers something else. */
   send(
@@ -36,6 +38,12 @@
     this.agent.destroy();
   }
 
+  private formatMessage(message: SuspectMessage): string {
+    const text = this.texts.get(message) ?? JSON.stringify(message);
+    this.texts.set(message, text);
+    return text;
+  }
+
   private async exchange(
     address: Address,
     message: SuspectMessage,
@@ -43,7 +51,7 @@
     const response = await requestJson({
       method: 'POST',
       url: `http://${formatAddress(address)}${suspectPath}`,
-      body: message,
+      bodyText: this.formatMessage(message),
       timeoutMs: suspectTimeoutMs,
       agent: this.agent,
     });
--- a/packages/gateway/src/suspects/suspectExchange.ts
+++ b/packages/gateway/src/suspects/suspectExchange.ts
@@ -130,8 +130,13 @@
       const all = this.listRecords(now);
       const changed = this.sent.filterChanged(all);
       this.sent.keepAll(all);
+      // Each of them is sent in an event of its own, as there may be many.
+      const [allNews, news] = [{ records: all }, { records: changed }];
       for (const peer of this.peers.listReachable(now)) {
-        this.sendRecords(peer, peer.hasMissed ? all : changed);
+        const message = peer.hasMissed ? allNews : news;
+        this.services.postCompletion(() => {
+          this.sendNews(peer, message);
+        });
       }
       if (changed.length > 0) {
         this.peers.noteMissed();
@@ -146,10 +151,10 @@
     },
     hasUnsent: (now: Milliseconds): boolean =>
       this.services.tracker.revision !== this.pushedRevision ||
-      (this.peers.hasMissed && this.listRecords(now).length > 0),
+      (this.peers.hasMissed && this.services.tracker.hasRecords(now)),
     mayHaveMissed: (now: Milliseconds): boolean =>
       now - this.startedAt < suspectSettlingMs ||
-      this.listRecords(now).length > 0,
+      this.services.tracker.hasRecords(now),
   };
 
   private listRecords(now: Milliseconds): SuspectMessage['records'] {
@@ -160,9 +165,12 @@
     if (records.length === 0) {
       return;
     }
-    const before = this.listRecords(now);
-    this.services.tracker.mergeRecords(records, now);
-    this.sent.keepMerged(before, this.listRecords(now));
+    const { tracker } = this.services;
+    const listMerged = (): SuspectMessage['records'] =>
+      trimRecords(tracker.listRecordsOf(records, now));
+    const before = listMerged();
+    tracker.mergeRecords(records, now);
+    this.sent.keepMerged(before, listMerged());
   }
 
   /** Compares the records with those of some other gateways; returns how many were asked. */
@@ -190,19 +198,16 @@
     this.merge(answer.records, now);
     const records = this.listRecords(now);
     if (!answer.isSame && records.length > 0) {
-      this.sendRecords(peer, records);
+      this.sendNews(peer, { records });
     }
   }
 
-  private sendRecords(
-    peer: SuspectPeer,
-    records: SuspectMessage['records'],
-  ): void {
-    if (records.length === 0) {
+  private sendNews(peer: SuspectPeer, message: SuspectMessage): void {
+    if (message.records.length === 0) {
       return;
     }
     peer.hasMissed = false;
-    this.send(peer, { records }, () => undefined);
+    this.send(peer, message, () => undefined);
   }
 
   private send(
--- a/packages/gateway/src/suspects/suspectTracker.ts
+++ b/packages/gateway/src/suspects/suspectTracker.ts
@@ -79,11 +79,15 @@
   readonly sentAgeMs?: Milliseconds | undefined;
 }
 
-/** What gateways tell each other about one suspect; ages instead of times, since clocks differ. */
-export interface SuspectRecord {
+/** Names a suspect. */
+export interface SuspectName {
   readonly service: string;
   /** Id of the trait, be it a part of prompts or a whole call. */
   readonly part: string;
+}
+
+/** What gateways tell each other about one suspect; ages instead of times, since clocks differ. */
+export interface SuspectRecord extends SuspectName {
   readonly sightings: readonly CrashSighting[];
   /** Time since a call with the trait was last answered, if that was seen. */
   readonly servedAgeMs?: Milliseconds | undefined;
@@ -140,6 +144,15 @@
   /** Records of all suspects, for another gateway. */
   abstract listRecords(now: Milliseconds): readonly SuspectRecord[];
 
+  /** The same of some suspects. */
+  abstract listRecordsOf(
+    suspects: readonly SuspectName[],
+    now: Milliseconds,
+  ): readonly SuspectRecord[];
+
+  /** Whether there are records. */
+  abstract hasRecords(now: Milliseconds): boolean;
+
   /** Adds what another gateway saw. */
   abstract mergeRecords(
     records: readonly SuspectRecord[],
--- a/packages/gateway/src/suspects/watchedTracker.ts
+++ b/packages/gateway/src/suspects/watchedTracker.ts
@@ -9,6 +9,7 @@
   type TracedCall,
   type SuspectDecision,
   type ServerRun,
+  type SuspectName,
   type SuspectRecord,
 } from './suspectTracker.js';
 
@@ -93,6 +94,17 @@
     return this.tracker.listRecords(now);
   }
 
+  override listRecordsOf(
+    suspects: readonly SuspectName[],
+    now: Milliseconds,
+  ): readonly SuspectRecord[] {
+    return this.tracker.listRecordsOf(suspects, now);
+  }
+
+  override hasRecords(now: Milliseconds): boolean {
+    return this.tracker.hasRecords(now);
+  }
+
   override mergeRecords(
     records: readonly SuspectRecord[],
     now: Milliseconds,
--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -23,6 +23,8 @@
   readonly method: 'GET' | 'POST';
   readonly url: string;
   readonly body?: unknown;
+  /** The body as JSON, if it was formatted before. */
+  readonly bodyText?: string;
   readonly timeoutMs: number;
   readonly headers?: Readonly<Record<string, string>>;
   readonly agent?: Agent;
@@ -105,8 +107,9 @@
 const exchangeJson = async (
   jsonRequest: JsonRequest,
 ): Promise<JsonResponse> => {
+  const { body: content, bodyText } = jsonRequest;
   const text =
-    jsonRequest.body === undefined ? '' : JSON.stringify(jsonRequest.body);
+    bodyText ?? (content === undefined ? '' : JSON.stringify(content));
   const outgoing = request(jsonRequest.url, {
     method: jsonRequest.method,
     headers: { 'content-type': 'application/json', ...jsonRequest.headers },
