Take an answer whose status is none of HTTP for a failure of its server

Answers of the platform, of other processes and of health checks were read with any status.

Node's parser accepts any three digits. A status outside 200 to 599 is now a malformed head where heads are read: at the gateway, at the agent (plain services and engines), and in the one function that reads heads for the store, the platform, reports, health and news. It says nothing about whether the call ran, so that a call that may run once gets 502, and others run elsewhere.

--- a/packages/node/src/httpClient.ts
+++ b/packages/node/src/httpClient.ts
@@ -15,6 +15,7 @@
   type Result,
 } from '@lycheetally/common';
 import { BodyEndWatch } from './bodyEndWatch.js';
+import { findStatusFault } from './messageHead.js';
 
 /** Maximum size of a response body. */
 const maxResponseBytes = 16 * 1_024 * 1_024;
@@ -38,10 +39,18 @@
   readonly etag: string | undefined;
 }
 
-/** Waits for the head of the answer. Rejects when there is none, also when the server changes the protocol, which Node tells by the close alone. */
+/** Waits for the head of the answer. Rejects when there is none, also when the server changes the protocol, which Node tells by the close alone, and when its status is none. */
 export const readHead = (outgoing: ClientRequest): Promise<IncomingMessage> =>
   new Promise((resolve, reject) => {
-    outgoing.on('response', resolve);
+    outgoing.on('response', incoming => {
+      const fault = findStatusFault(incoming.statusCode ?? 0);
+      if (fault === undefined) {
+        resolve(incoming);
+        return;
+      }
+      reject(new Error(`the head of the answer is malformed (${fault})`));
+      outgoing.destroy();
+    });
     outgoing.on('error', reject);
     outgoing.on('close', () => {
       reject(new Error('the connection was closed without an answer'));
--- a/packages/node/src/messageHead.ts
+++ b/packages/node/src/messageHead.ts
@@ -8,8 +8,9 @@
 import { validateHeaderName, validateHeaderValue } from 'node:http';
 import { toMessage } from '@lycheetally/common';
 
-/** The smallest status code of a final response. */
+/** The status codes of final responses. */
 const minStatus = 200;
+const maxStatus = 599;
 
 /** Stands for the reason of a status line, which must be as a header's value. */
 const reasonName = 'reason';
@@ -30,14 +31,16 @@
   }
 };
 
+/** Returns what is wrong with the status of a response, or `undefined`; Node's parser accepts any three digits. */
+export const findStatusFault = (status: number): string | undefined =>
+  status < minStatus || status > maxStatus
+    ? `its status is ${String(status)}, which is none of HTTP`
+    : undefined;
+
 /** Returns what is wrong with the head of a response, or `undefined`. */
 export const findResponseFault = (
   status: number,
   reason: string,
   headers: readonly string[],
-): string | undefined => {
-  if (status < minStatus) {
-    return `its status is ${String(status)}`;
-  }
-  return findHeaderFault([reasonName, reason, ...headers]);
-};
+): string | undefined =>
+  findStatusFault(status) ?? findHeaderFault([reasonName, reason, ...headers]);
--- a/packages/router/src/adapters/engineHttp.ts
+++ b/packages/router/src/adapters/engineHttp.ts
@@ -17,7 +17,7 @@
   type StageActivations,
   type StageToken,
 } from '../ports/backend.js';
-import { parseJson } from '@lycheetally/node';
+import { findStatusFault, parseJson } from '@lycheetally/node';
 import { getFailureKind } from './backendError.js';
 
 const engineLineSchema = z.union([
@@ -62,6 +62,12 @@
     });
     outgoing.on('response', response => {
       this.hasResponse = true;
+      const fault = findStatusFault(response.statusCode ?? 0);
+      if (fault !== undefined) {
+        this.fail(`the head of its answer is malformed (${fault})`);
+        outgoing.destroy();
+        return;
+      }
       const lines = createInterface({ input: response });
       lines.on('line', line => {
         this.receiveLine(line);
--- a/packages/router/tests/backendAnswers.test.ts
+++ b/packages/router/tests/backendAnswers.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Offer } from '@lycheetally/protocol';
 import { BackendServerStandIn, resetConnection } from '@lycheetally/testkit';
-import { HttpEngine, type BackendPort } from '../src/index.js';
+import { HttpEngine, requestJson, type BackendPort } from '../src/index.js';
 import { HttpPlainService } from '../src/adapters/plainServiceHttp.js';
 
 const offer: Offer = {
@@ -112,6 +112,29 @@
   });
 });
 
+// Guards against a caller that gets an answer whose status is none of HTTP.
+describe.each(['000', '001', '099', '600', '999'])('status %s', status => {
+  it.each([
+    ['a plain service', (): BackendPort => new HttpPlainService(url)],
+    ['a model engine', (): BackendPort => new HttpEngine(url)],
+  ])('of %s is its failure', async (_, createBackend) => {
+    answer = `HTTP/1.1 ${status} Text\r\n${whole}`;
+    ending = 'an orderly end';
+    expect(await run(createBackend())).toEqual(['backend-failed']);
+  });
+
+  it('of the platform is the failure of the request', async () => {
+    answer = `HTTP/1.1 ${status} Text\r\nContent-Length: 2\r\n\r\n{}`;
+    ending = 'no end';
+    const response = await requestJson({
+      method: 'GET',
+      url: `${url}/`,
+      timeoutMs: 1_000,
+    });
+    expect(response.err).toBe(true);
+  });
+});
+
 // Guards against a run that stays open until its deadline, since Node tells of no error.
 it.each([
   ['a plain service', (): BackendPort => new HttpPlainService(url)],
