Handle departures first at the entry too, and start no call after them

The entry uses the same loop: the event of a caller's departure waited behind all others, and a call that was still queued then was started for nobody once departures went first. Departures go before other events there now, and a call whose caller has left is refused as not run and recorded.

Test: 'does not run a call whose caller has left before it is taken' in the system in memory; without the check the call runs to its end.

--- a/packages/router/src/adapters/httpExchange.ts
+++ b/packages/router/src/adapters/httpExchange.ts
@@ -89,6 +89,10 @@
     super();
   }
 
+  override get hasLeft(): boolean {
+    return this.response.destroyed;
+  }
+
   override handleAccepted(requestId: string): void {
     this.requestId = requestId;
     const shownRequestId = this.call.callerRequestId ?? requestId;
--- a/packages/router/src/entry/entryCallersSink.ts
+++ b/packages/router/src/entry/entryCallersSink.ts
@@ -29,7 +29,7 @@
   }
 
   override handleCallerDisconnected(exchange: CallerExchange): void {
-    this.loop.post('callerGone', { exchange });
+    this.loop.postEnd('callerGone', { exchange });
   }
 
   override handleResponseEnded(): void {
--- a/packages/router/src/entry/requestRegistry.ts
+++ b/packages/router/src/entry/requestRegistry.ts
@@ -2,9 +2,10 @@
 import type { ChartMachine, ChartTimers } from '@lycheetally/charts';
 import {
   Err,
+  ErrorKind,
+  TypedError,
   type Milliseconds,
   type Result,
-  type TypedError,
 } from '@lycheetally/common';
 import {
   Outcome,
@@ -73,7 +74,10 @@
   ): void {
     const requestId = this.createRequestId();
     exchange.handleAccepted(requestId);
-    const accepted = this.acceptCall(requestId, call, now);
+    // The event of its departure goes before this one.
+    const accepted = exchange.hasLeft
+      ? Err(callerLeft)
+      : this.acceptCall(requestId, call, now);
     if (accepted.err) {
       const error = accepted.val;
       const retryAfterMs = this.services.isStopping()
@@ -201,3 +205,9 @@
     return (configuration && findAccount(bearerKey, configuration)?.name) ?? '';
   }
 }
+
+const callerLeft = new TypedError(
+  ErrorKind.ConnectionLost,
+  'the caller has left before its call was taken',
+  'keep the connection open until the answer comes',
+);
--- a/packages/router/src/ports/callerExchange.ts
+++ b/packages/router/src/ports/callerExchange.ts
@@ -36,6 +36,8 @@
 
 /** Delivers tokens and the outcome to one caller. */
 export abstract class CallerExchange {
+  /** Whether the caller has left, as far as its connection was read. */
+  abstract get hasLeft(): boolean;
   /** Called with the id that was assigned to the request. */
   abstract handleAccepted(requestId: string): void;
   abstract sendToken(token: Token): void;
--- a/packages/router/tests/fakeSystem.ts
+++ b/packages/router/tests/fakeSystem.ts
@@ -61,6 +61,7 @@
   requestId = '';
   text = '';
   readonly ends: CallerOutcome[] = [];
+  override hasLeft = false;
 
   override handleAccepted(requestId: string): void {
     this.requestId = requestId;
@@ -143,8 +144,19 @@
     }
   }
 
+  /** Sends a call whose caller disconnects before the entry has handled it. */
+  addAbandonedCall(number: number): void {
+    this.addCall(number, exchange => {
+      exchange.hasLeft = true;
+      this.entry?.loop.postEnd('callerGone', { exchange });
+    });
+  }
+
   /** Sends a booking for a multiple of three, a completion for any other number. */
-  addCall(number: number): void {
+  addCall(
+    number: number,
+    handleSent: (exchange: FakeExchange) => void = () => undefined,
+  ): void {
     const callId = `call-${String(this.calls.length)}`;
     const exchange = new FakeExchange();
     const isModel = number % 3 !== 0;
@@ -175,6 +187,7 @@
       },
       exchange,
     });
+    handleSent(exchange);
     this.clock.runDeferred();
   }
 
@@ -183,7 +196,8 @@
     const call = pickAt(this.calls, number);
     if (call?.exchange.ends.length === 0) {
       const { exchange } = call;
-      this.entry?.loop.post('callerGone', { exchange });
+      exchange.hasLeft = true;
+      this.entry?.loop.postEnd('callerGone', { exchange });
       this.clock.runDeferred();
     }
   }
--- a/packages/router/tests/interleavings.test.ts
+++ b/packages/router/tests/interleavings.test.ts
@@ -87,6 +87,17 @@
     expect(checkHistory(history)).toEqual([]);
   });
 
+  // Guards against a call that is started after the departure of its caller was handled.
+  it('does not run a call whose caller has left before it is taken', async () => {
+    const system = new FakeSystem();
+    await system.start();
+    system.addAbandonedCall(1);
+    system.runUntilAnswered();
+    const history = system.readHistory();
+    expect(history.calls[0]?.answer?.outcome).toBe('not-run');
+    expect(history.passes).toEqual([]);
+  });
+
   it('does not repeat an answer of which only the final message is missing', async () => {
     const system = new FakeSystem();
     await system.start();
