--- a/bench/src/departures/countDepartures.ts
+++ b/bench/src/departures/countDepartures.ts
@@ -1,6 +1,6 @@
 /** Counts the calls that reached servers, or went on there, after their callers had left. */
-import type { DepartingCaller } from './departingCaller.js';
 import type { DepartureRun } from './departureServer.js';
+import type { EndedCaller } from './sendCalls.js';
 
 /** Time after a caller's departure within which its call may still reach a server or go on there, in milliseconds. */
 const graceMs = 500;
@@ -23,12 +23,12 @@
 }
 
 export const countDepartures = (
-  callers: readonly DepartingCaller[],
+  callers: readonly EndedCaller[],
   runs: readonly DepartureRun[],
 ): DepartureCounts => {
   const departures = new Map(
-    callers.flatMap(({ call, leftAt }) =>
-      leftAt === undefined ? [] : [[call.id, leftAt] as const],
+    callers.flatMap(({ id, leftAt }) =>
+      leftAt === undefined ? [] : [[id, leftAt] as const],
     ),
   );
   const delays = runs.flatMap(({ id, arrivedAt }) => {
--- a/bench/src/departures/departuresBench.ts
+++ b/bench/src/departures/departuresBench.ts
@@ -1,10 +1,7 @@
 /** Counts calls that a gateway on a slow VM sends on after their callers have left. */
 import { Bench, type BenchOptions } from '../types.js';
-import {
-  runDepartures,
-  type DepartureResult,
-  type DepartureTrial,
-} from './runDepartures.js';
+import { runDepartures, type DepartureResult } from './runDepartures.js';
+import type { DepartureTrial } from './sendCalls.js';
 
 const defaults = {
   durationMs: 20_000,
--- a/bench/src/departures/index.ts
+++ b/bench/src/departures/index.ts
@@ -2,3 +2,4 @@
 export * from './countDepartures.js';
 export * from './departuresBench.js';
 export * from './runDepartures.js';
+export * from './sendCalls.js';
--- a/bench/src/departures/runDepartures.ts
+++ b/bench/src/departures/runDepartures.ts
@@ -1,11 +1,14 @@
 /** Runs one gateway on a slow VM under bursts of callers that leave. */
+import { fork } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { DisposableStore, millisecondsPerSecond } from '@lycheetally/common';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { fileURLToPath } from 'node:url';
+import { DisposableStore } from '@lycheetally/common';
 import {
   PlatformStoreStandIn,
-  SeededRandom,
   formatConfigurationRecord,
   formatServerRecord,
   waitFor,
@@ -13,38 +16,20 @@
 import { findFreePort } from '../freePort.js';
 import { GatewayProcess } from '../soak/gatewayProcess.js';
 import { countDepartures, type DepartureCounts } from './countDepartures.js';
-import {
-  DepartingCaller,
-  DepartureKind,
-  departuresHost,
-  departuresKey,
-} from './departingCaller.js';
+import { departuresHost, departuresKey } from './departingCaller.js';
 import { DepartureServer } from './departureServer.js';
+import type { CallersOrder, DepartureTrial, EndedCaller } from './sendCalls.js';
 import { SlowVm } from './slowVm.js';
 
-export interface DepartureTrial {
-  readonly seed: number;
-  readonly durationMs: number;
-  /** Time that the gateway runs in each tenth of a second, in milliseconds; all of it with 100. */
-  readonly runMs: number;
-  readonly callsPerSecond: number;
-  /** Calls that come at the same moment, each on a new connection, and the time between two such moments. */
-  readonly burst: number;
-  readonly burstIntervalMs: number;
-  /** Time that calls name and after which their callers leave; drawn from between the two. */
-  readonly patienceMs: readonly [number, number];
-  /** Time that servers run a call; one in ten runs for `longRunMs`. */
-  readonly serverMs: number;
-}
-
 export interface DepartureResult extends DepartureCounts {
+  /** Longest time for which the servers were held up, which makes arrivals look late. */
+  readonly observerDelayMs: number;
   /** Lines of the gateway's log about long turns. */
   readonly longTurns: readonly string[];
 }
 
+const nanosecondsPerMillisecond = 1_000_000;
 const serverCount = 4;
-const longRunMs = 3_000;
-const longRunShare = 10;
 const routeTimeoutMs = 10_000;
 const slots = 500;
 
@@ -69,13 +54,19 @@
       };
       disposables.add(new SlowVm(sendSignal, trial.runMs));
     }
-    const callers = await sendCalls(trial, gateway.port);
+    const observerDelay = monitorEventLoopDelay();
+    observerDelay.enable();
+    const callers = await runCallers({ trial, port: gateway.port });
     await waitFor(settleMs);
+    observerDelay.disable();
     const runs = servers.flatMap(server => server.runs);
     const longTurns = gateway.logLines.filter(line =>
       line.includes('A turn of the loop was long.'),
     );
-    return { ...countDepartures(callers, runs), longTurns };
+    const observerDelayMs = Math.round(
+      observerDelay.max / nanosecondsPerMillisecond,
+    );
+    return { ...countDepartures(callers, runs), observerDelayMs, longTurns };
   } finally {
     disposables.dispose();
     await gateway.dispose();
@@ -83,6 +74,21 @@
   }
 };
 
+const callersProgram = fileURLToPath(
+  new URL('../../dist/departures/callersProgram.js', import.meta.url),
+);
+
+/** Runs the callers in a process of their own: their bursts would hold up the servers. */
+const runCallers = async (
+  order: CallersOrder,
+): Promise<readonly EndedCaller[]> => {
+  const child = fork(callersProgram);
+  child.send(order);
+  const [ended] = (await once(child, 'message')) as [readonly EndedCaller[]];
+  child.kill();
+  return ended;
+};
+
 const startGateway = async (
   folder: string,
   servers: readonly DepartureServer[],
@@ -127,40 +133,3 @@
   gateway.start();
   return gateway;
 };
-
-const sendCalls = async (
-  trial: DepartureTrial,
-  port: number,
-): Promise<readonly DepartingCaller[]> => {
-  const random = new SeededRandom(trial.seed);
-  const callers: DepartingCaller[] = [];
-  const kinds = Object.values(DepartureKind);
-  const [shortest, longest] = trial.patienceMs;
-  const addCaller = (): void => {
-    const isLong = random.pickInteger(longRunShare) === 0;
-    callers.push(
-      new DepartingCaller({
-        id: `${String(trial.seed)}-${String(callers.length)}`,
-        port,
-        runMs: isLong ? longRunMs : trial.serverMs,
-        patienceMs: shortest + random.pickInteger(longest - shortest + 1),
-        kind: random.pickOne(kinds),
-      }),
-    );
-  };
-  const startedAt = Date.now();
-  const endsAt = startedAt + trial.durationMs;
-  let nextBurstAt = startedAt + trial.burstIntervalMs;
-  while (Date.now() < endsAt) {
-    addCaller();
-    if (Date.now() >= nextBurstAt) {
-      nextBurstAt += trial.burstIntervalMs;
-      for (let count = 0; count < trial.burst; count += 1) {
-        addCaller();
-      }
-    }
-    await waitFor(millisecondsPerSecond / trial.callsPerSecond);
-  }
-  await Promise.all(callers.map(({ ended }) => ended));
-  return callers;
-};
