--- a/packages/decisions/src/placement/chainChoice.ts
+++ b/packages/decisions/src/placement/chainChoice.ts
@@ -83,158 +83,209 @@
   override chooseChain(
     request: ChainRequest,
   ): readonly ChainStage[] | undefined {
-    const holders = request.servers.filter(
-      server => server.range && !request.excluded.has(server.serverId),
-    );
-    const layers = getLayers(request);
-    const frontier = new Map<string, PartialChain>();
-    const start: PartialChain = {
-      cost: 0,
-      nextLayer: layers.from,
-      stage: undefined,
-      previous: undefined,
-      stages: 0,
-    };
-    let best: PartialChain | undefined;
-    frontier.set('', start);
-    for (
-      let partial = takeShortest(frontier);
-      partial;
-      partial = takeShortest(frontier)
-    ) {
-      if (partial.nextLayer >= layers.to) {
-        best = !best || partial.cost < best.cost ? partial : best;
-        continue;
-      }
-      if (partial.stages < maxStages) {
-        addExtensions(request, holders, partial, frontier);
-      }
-    }
-    return best ? listStages(best) : undefined;
+    return new ChainSearch(request).run();
   }
 }
 
-const getLayers = ({ layers, model }: ChainRequest): LayerRange =>
-  layers ?? { from: 0, to: model.layers };
-
-/** Removes and returns the partial chain that has run the fewest layers. */
-const takeShortest = (
-  frontier: Map<string, PartialChain>,
-): PartialChain | undefined => {
-  let shortest: [string, PartialChain] | undefined;
-  for (const entry of frontier) {
-    if (!shortest || entry[1].nextLayer < shortest[1].nextLayer) {
-      shortest = entry;
+/** A server that holds layers, with the layers at which its stages may end. */
+interface Holder {
+  readonly server: StageServer;
+  readonly range: LayerRange;
+  /** The end of its range, and before it the start of each range that begins within it and reaches further. */
+  readonly ends: readonly number[];
+  readonly costs: ServerCosts;
+}
+
+/** What the cost of a stage depends on, of its server. */
+interface ServerCosts {
+  /** Predicted time of a step for each layer, in milliseconds. */
+  readonly layerMs: Milliseconds;
+  /** Tokens times layers for which its KV cache has room. */
+  readonly room: number;
+  /** Whether it takes no further request as the first stage. */
+  readonly isCrowded: boolean;
+}
+
+/**
+ * One search, layer by layer: of the partial chains that end at the same layer in the same
+ * failure domain, the cheapest is kept. What depends on a server or a layer alone is
+ * computed once.
+ */
+class ChainSearch {
+  private readonly layers: LayerRange;
+  private readonly holders: readonly Holder[];
+  /** Partial chains by their next layer and their last failure domain. */
+  private readonly frontier = new Map<number, Map<string, PartialChain>>();
+
+  constructor(private readonly request: ChainRequest) {
+    const { model, layers = { from: 0, to: model.layers } } = request;
+    this.layers = layers;
+    this.holders = listHolders(request, layers.to);
+  }
+
+  run(): readonly ChainStage[] | undefined {
+    const { from, to } = this.layers;
+    const start = { cost: 0, stage: undefined, previous: undefined, stages: 0 };
+    this.frontier.set(from, new Map([['', { ...start, nextLayer: from }]]));
+    for (let layer = from; layer < to; layer += 1) {
+      const partials = this.frontier.get(layer);
+      if (partials) {
+        const candidates = this.listCandidates(layer);
+        for (const partial of partials.values()) {
+          this.addExtensions(partial, candidates);
+        }
+      }
     }
+    const ends = [...(this.frontier.get(to)?.values() ?? [])];
+    const best = ends.reduce<PartialChain | undefined>(
+      (cheapest, each) =>
+        cheapest && cheapest.cost <= each.cost ? cheapest : each,
+      undefined,
+    );
+    return best && listStages(best);
   }
-  if (shortest) {
-    frontier.delete(shortest[0]);
+
+  /** Lists the servers that may run a stage from the layer on. */
+  private listCandidates(layer: number): readonly Holder[] {
+    const { notFirst } = this.request;
+    return this.holders.filter(
+      ({ server, range }) =>
+        range.from <= layer &&
+        layer < range.to &&
+        (layer > 0 || notFirst?.has(server.serverId) !== true),
+    );
   }
-  return shortest?.[1];
-};
 
-const addExtensions = (
-  request: ChainRequest,
-  holders: readonly StageServer[],
-  partial: PartialChain,
-  frontier: Map<string, PartialChain>,
-): void => {
-  const { nextLayer } = partial;
-  const lastLayer = getLayers(request).to;
-  const candidates = holders.filter(
-    server =>
-      server.range &&
-      server.range.from <= nextLayer &&
-      nextLayer < server.range.to &&
-      (nextLayer > 0 || request.notFirst?.has(server.serverId) !== true) &&
-      !hasServer(partial, server),
-  );
-  for (const server of candidates) {
-    for (const end of listStageEnds(holders, server, partial, lastLayer)) {
-      const range = { from: nextLayer, to: end };
-      const cost =
-        partial.cost + computeStageCost(request, partial, server, range);
-      const key = `${String(end)} ${server.failureDomain}`;
-      const known = frontier.get(key);
-      if (!known || cost < known.cost) {
-        frontier.set(key, {
-          cost,
-          nextLayer: end,
-          stage: { server, range },
-          previous: partial,
-          stages: partial.stages + 1,
-        });
+  private addExtensions(
+    partial: PartialChain,
+    candidates: readonly Holder[],
+  ): void {
+    if (partial.stages >= maxStages) {
+      return;
+    }
+    for (const holder of candidates) {
+      if (!hasServer(partial, holder.server)) {
+        for (const end of holder.ends) {
+          if (end > partial.nextLayer) {
+            this.addStage(partial, holder, end);
+          }
+        }
       }
     }
   }
-};
 
-/** Says whether the chain contains the server already; engines reject a server that appears twice. */
-const hasServer = (chain: PartialChain, server: StageServer): boolean => {
-  for (let at: PartialChain | undefined = chain; at; at = at.previous) {
-    if (at.stage?.server === server) {
-      return true;
+  private addStage(
+    partial: PartialChain,
+    { server, costs }: Holder,
+    end: number,
+  ): void {
+    const range = { from: partial.nextLayer, to: end };
+    const { homeDomain, tokens } = this.request;
+    const cost =
+      partial.cost +
+      computeHopCost(partial, server, homeDomain) +
+      computeStageCost(costs, range, tokens);
+    const partials = this.frontier.get(end) ?? new Map<string, PartialChain>();
+    const known = partials.get(server.failureDomain);
+    if (!known || cost < known.cost) {
+      this.frontier.set(end, partials);
+      partials.set(server.failureDomain, {
+        cost,
+        nextLayer: end,
+        stage: { server, range },
+        previous: partial,
+        stages: partial.stages + 1,
+      });
     }
   }
-  return false;
+}
+
+const listHolders = (
+  request: ChainRequest,
+  lastLayer: number,
+): readonly Holder[] => {
+  const holders = request.servers.flatMap(server =>
+    server.range && !request.excluded.has(server.serverId)
+      ? [{ server, range: server.range }]
+      : [],
+  );
+  return holders.map(({ server, range }) => ({
+    server,
+    range,
+    ends: listStageEnds(range, holders, lastLayer),
+    costs: computeServerCosts(request, server, range),
+  }));
 };
 
-/**
- * Lists the layers at which a stage may end: the end of the server's range, and
- * the start of each range that begins within it and reaches further.
- */
 const listStageEnds = (
-  holders: readonly StageServer[],
-  server: StageServer,
-  { nextLayer: start }: PartialChain,
+  { from, to }: LayerRange,
+  holders: readonly Pick<Holder, 'range'>[],
   lastLayer: number,
-): number[] => {
-  const ownEnd = Math.min(server.range?.to ?? start, lastLayer);
+): readonly number[] => {
+  const ownEnd = Math.min(to, lastLayer);
   const ends = new Set([ownEnd]);
   for (const { range } of holders) {
-    if (
-      range &&
-      range.from > start &&
-      range.from < ownEnd &&
-      range.to > ownEnd
-    ) {
+    if (range.from > from && range.from < ownEnd && range.to > ownEnd) {
       ends.add(range.from);
     }
   }
   return [...ends];
 };
 
-const computeStageCost = (
-  request: ChainRequest,
-  previous: PartialChain,
+/** Says whether the chain contains the server already; engines reject a server that appears twice. */
+const hasServer = (chain: PartialChain, server: StageServer): boolean => {
+  for (let at: PartialChain | undefined = chain; at; at = at.previous) {
+    if (at.stage?.server === server) {
+      return true;
+    }
+  }
+  return false;
+};
+
+/** A server whose kind the model doesn't know counts as full. */
+const unknownCosts: ServerCosts = { layerMs: 0, room: -1, isCrowded: false };
+
+const computeServerCosts = (
+  { model, getLoad }: ChainRequest,
   server: StageServer,
   range: LayerRange,
-): Milliseconds => {
-  const { model, homeDomain } = request;
+): ServerCosts => {
   const kind = findAcceleratorKind(model, server.kind);
-  if (!kind || !server.range) {
-    return fullServerMs;
+  if (!kind) {
+    return unknownCosts;
   }
-  const load = request.getLoad(server.serverId);
-  const previousDomain = previous.stage?.server.failureDomain ?? homeDomain;
-  const isFirst = previous.nextLayer === 0;
-  const crossDomainMs = isFirst ? crossDomainEntryMs : crossDomainHopMs;
-  const hopMs =
-    previousDomain === server.failureDomain ? localHopMs : crossDomainMs;
-  const layers = range.to - range.from;
-  const capacity =
-    computeCacheCapacity(model, kind, server.range) * usableCacheShare;
-  const used = load.layerTokens + request.tokens * layers;
+  const load = getLoad(server.serverId);
+  const capacity = computeCacheCapacity(model, kind, range) * usableCacheShare;
   const contextThousands = load.layerTokens / model.layers / contextUnitTokens;
   const stepMs =
     model.stepMs +
     contextThousands * model.stepMsPerContextK +
     load.firstStageRequests * model.stepMsPerRequest;
-  const stageMs =
-    (layers / model.layers) * kind.stepFactor * load.stepTimeRatio * stepMs;
-  const isFull =
-    used > capacity || (isFirst && load.firstStageRequests >= server.slots);
-  return stageMs + hopMs + (isFull ? fullServerMs : 0);
+  return {
+    layerMs: (kind.stepFactor * load.stepTimeRatio * stepMs) / model.layers,
+    room: capacity - load.layerTokens,
+    isCrowded: load.firstStageRequests >= server.slots,
+  };
+};
+
+const computeStageCost = (
+  { layerMs, room, isCrowded }: ServerCosts,
+  { from, to }: LayerRange,
+  tokens: number,
+): Milliseconds => {
+  const isFull = tokens * (to - from) > room || (from === 0 && isCrowded);
+  return layerMs * (to - from) + (isFull ? fullServerMs : 0);
+};
+
+const computeHopCost = (
+  { stage, nextLayer }: PartialChain,
+  { failureDomain }: StageServer,
+  homeDomain: string,
+): Milliseconds => {
+  if ((stage?.server.failureDomain ?? homeDomain) === failureDomain) {
+    return localHopMs;
+  }
+  return nextLayer === 0 ? crossDomainEntryMs : crossDomainHopMs;
 };
 
 const contextUnitTokens = 1_000;
