Take no answer for late that waits in its socket

A gateway that was held up for longer than the timeout of a question (300 ms for a report) took the server for silent although its answer had come: Node runs the timers that are due before it polls.

Timeouts of messages between gateways are as before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,6 @@
 /** Gateway library: forwards calls unchanged to backend servers, which pass activations among themselves. */
 /** For the HTTP clients of a platform. */
-export { readBody, readHead } from '@lycheetally/node';
+export { readBody, readHead, scheduleAfterPoll } from '@lycheetally/node';
 export * from './backendPort.js';
 export * from './callFormat.js';
 export * from './callerPort.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -9,5 +9,6 @@
 export * from './httpClient.js';
 export * from './listen.js';
 export * from './messageHead.js';
+export * from './scheduleAfterPoll.js';
 export * from './turnClock.js';
 export * from './turnSource.js';
