Reset a stream that breaks off to a caller with HTTP/1.0

Such a caller gets no chunks: the end of its connection alone delimits the stream. An answer that goes out without length or chunks is now noted as such when its head is sent, and its connection is reset where the stream is dropped; the end of the process did so already.

Test: 'a stream that breaks off is reset' failed before; a whole one still ends in order.

--- a/packages/gateway/src/httpCaller.ts
+++ b/packages/gateway/src/httpCaller.ts
@@ -49,6 +49,8 @@
     const all = this.addConnectionHeaders([...headers]);
     return this.writeHead(status, text, all).map(() => {
       this.response.flushHeaders();
+      // A caller with HTTP/1.0 knows no chunks.
+      this.isUnframed = !this.response.chunkedEncoding;
     });
   }
 
@@ -101,7 +103,11 @@
   }
 
   override closeConnection(): void {
-    this.response.destroy();
+    if (this.isUnframed) {
+      this.connection.reset();
+    } else {
+      this.response.destroy();
+    }
   }
 
   /** Resets the connection of an answer that would look whole although it was not sent to its end. */
