Deliver a whole answer although the time limit of its call passes meanwhile

On a busy gateway the same happened to any whole answer whose event waited in the queue of the loop when the timer came: a decision on a view that is older than the turn.

The time limit ends no call whose running attempt has all of its answer; the event that waits, or the check, ends it at once, as complete or as what it is.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attemptAnswer.ts
@@ -50,6 +50,8 @@
   head: BackendHead | undefined;
   /** What the server sends of a streamed answer, from the last event that the caller had at the start. */
   events: EventStream | undefined;
+  /** Whether the server has sent all of it; the loop has yet to handle that, or it is checked for a moment whether the end counts. */
+  hasEnded = false;
   private exchange: BackendExchange | undefined;
   private readonly buffered = new ByteCollector();
   private mode: string = ResponseMode.Buffered;
@@ -171,6 +173,7 @@
 
   override handleEnd(): void {
     const { attempt, head } = this;
+    this.hasEnded = true;
     // A whole answer must not give way to others before the loop has handled its end.
     attempt.call.services.bufferMemory.keep(attempt, this.buffered.memoryBytes);
     if (!head) {
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/callActions.ts
@@ -16,6 +16,7 @@
   dropAttempt,
   hasLivingRun,
   keepEnded,
+  listAttempts,
   mayDrop,
   settleHedge,
 } from './callHedge.js';
@@ -393,6 +394,10 @@
       mayWait: (call, _, now) => mayWait(call, now),
       isSuspectRefused: (call, _, now) => isSuspectRefused(call, now),
       hasStartedResponse: call => call.hasStartedResponse,
+      hasWholeAnswer: call =>
+        listAttempts(call).some(
+          ({ answer, instance }) => answer.hasEnded && !instance.isFinal,
+        ),
     },
     delays: {
       TIME_LIMIT: (call, now) => (call.admitted?.deadlineAt ?? now) - now,
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -51,13 +51,15 @@
 export type ServerMode = (typeof ServerMode)[keyof typeof ServerMode];
 
 const requestId = 'r-1';
-const timeoutMs = 30_000;
+const defaultTimeoutMs = 30_000;
 
 export interface EmulatedCall {
   readonly isStream: boolean;
   readonly service: BackendService;
   readonly servers: readonly BackendRecord[];
   readonly maxAttempts: number;
+  /** Time limit of the call, in milliseconds. */
+  readonly timeoutMs?: number;
 }
 
 /** Time in which the first server answers a question; the last ones do so first, so that chains without the servers of the running one are found first. */
@@ -147,7 +149,7 @@
     this.servers = this.createServers();
     this.call = new GatewayCall(
       this.createServices(),
-      createReceived(),
+      createReceived(emulated),
       this.caller,
       0,
       0,
@@ -268,7 +270,7 @@
       waitingCalls,
       intakeOrder: new ArrivalOrder(),
       homeDomain: 'a',
-      revokeTimeoutMs: timeoutMs,
+      revokeTimeoutMs: defaultTimeoutMs,
       getConfiguration: () => createConfiguration(this.emulated),
       getConfirmedAt: moment,
       getMoment: moment,
@@ -296,7 +298,9 @@
   }
 };
 
-const createReceived = (): GatewayCall['received'] => ({
+const createReceived = ({
+  timeoutMs = defaultTimeoutMs,
+}: EmulatedCall): GatewayCall['received'] => ({
   method: 'POST',
   target: '/talk',
   path: '/talk',
@@ -321,6 +325,7 @@
   isStream,
   service,
   maxAttempts,
+  timeoutMs = defaultTimeoutMs,
 }: EmulatedCall): ReturnType<CallServices['getConfiguration']> => {
   const route = {
     name: 'talk',
