--- a/bench/src/departures/departingCaller.ts
+++ b/bench/src/departures/departingCaller.ts
@@ -1,5 +1,6 @@
 /** A caller that sends one call on a connection of its own and leaves when it has waited long enough. */
 import { connect, type Socket } from 'node:net';
+import type { ValueOf } from '@lycheetally/common';
 
 /** Host of the routes of the bench. */
 export const departuresHost = 'departures.example';
@@ -11,7 +12,7 @@
   Close: 'close',
   Reset: 'reset',
 } as const;
-export type DepartureKind = (typeof DepartureKind)[keyof typeof DepartureKind];
+export type DepartureKind = ValueOf<typeof DepartureKind>;
 
 export interface DepartingCall {
   readonly id: string;
--- a/packages/decisions/src/admit/intakeOrder.ts
+++ b/packages/decisions/src/admit/intakeOrder.ts
@@ -1,12 +1,12 @@
 /** Decides which of the calls that wait to be taken goes next, and which has waited too long. */
-import type { Milliseconds } from '@lycheetally/common';
+import type { Milliseconds, ValueOf } from '@lycheetally/common';
 
 /** The end of the queue at which the next call is taken. */
 export const IntakeEnd = {
   Oldest: 'oldest',
   Newest: 'newest',
 } as const;
-export type IntakeEnd = (typeof IntakeEnd)[keyof typeof IntakeEnd];
+export type IntakeEnd = ValueOf<typeof IntakeEnd>;
 
 export abstract class IntakeOrder {
   /** `oldestQueuedAt` is when the call came that has waited longest. */
