Sort the files of the gateway into folders by feature

packages/gateway/src held 59 files side by side. Those about callers, calls, attempts, servers and placement move into folders of their own, before the parts for scarce room and uneven demand are added beside them. Only paths and imports change; the build and the linter pass.

--- a/packages/gateway/src/attemptAnswer.ts
+++ b/packages/gateway/src/attempt/attemptAnswer.ts
@@ -19,9 +19,9 @@
   type BackendFailure,
   type BackendHead,
   type BackendRequest,
-} from './backendPort.js';
-import { claimAnswer, isAnswering } from './callHedge.js';
-import { maxBufferedResponseBytes } from './constants.js';
+} from '../backendPort.js';
+import { claimAnswer, isAnswering } from '../calls/callHedge.js';
+import { maxBufferedResponseBytes } from '../constants.js';
 import type { EventStream } from './eventStream.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
 
--- a/packages/gateway/src/attemptChart.ts
+++ b/packages/gateway/src/attempt/attemptChart.ts
@@ -1,7 +1,7 @@
 /** Connects the chart `gatewayAttempt` to the methods of `GatewayAttempt`. */
 import { ChartName, bindChart } from '@lycheetally/charts';
 import type { Result } from '@lycheetally/common';
-import { connectTimeoutMs, crashCheckDelayMs } from './constants.js';
+import { connectTimeoutMs, crashCheckDelayMs } from '../constants.js';
 import type {
   AttemptEvent,
   AttemptMachine,
--- a/packages/gateway/src/attemptFaults.ts
+++ b/packages/gateway/src/attempt/attemptFaults.ts
@@ -1,7 +1,7 @@
 /** Faults that the caller and the log receive when an attempt does not complete its call. */
 import { ErrorKind } from '@lycheetally/common';
-import type { BackendHead } from './backendPort.js';
-import type { CallFault } from './gatewayCall.js';
+import type { BackendHead } from '../backendPort.js';
+import type { CallFault } from '../calls/gatewayCall.js';
 
 export const isSuccess = (status: number): boolean =>
   status >= 200 && status < 300;
--- a/packages/gateway/src/attemptProgress.ts
+++ b/packages/gateway/src/attempt/attemptProgress.ts
@@ -1,13 +1,13 @@
 /** How far the answer to an attempt has come, and what that tells about what its call has in common with others. */
 import type { Milliseconds } from '@lycheetally/common';
 import type { BackendRecord } from '@lycheetally/decisions';
-import { crashCheckDelayMs } from './constants.js';
-import type { GatewayCall } from './gatewayCall.js';
-import { TraitKind } from './suspects/callTrait.js';
-import { AcceptResult } from './suspects/acceptResult.js';
-import { checkAccepts } from './suspects/crashCheck.js';
-import { isAnswerUnderWay, toTracedCall } from './suspects/suspectCalls.js';
-import type { AnsweredAttempt } from './suspects/suspectTracker.js';
+import { crashCheckDelayMs } from '../constants.js';
+import type { GatewayCall } from '../calls/gatewayCall.js';
+import { TraitKind } from '../suspects/callTrait.js';
+import { AcceptResult } from '../suspects/acceptResult.js';
+import { checkAccepts } from '../suspects/crashCheck.js';
+import { isAnswerUnderWay, toTracedCall } from '../suspects/suspectCalls.js';
+import type { AnsweredAttempt } from '../suspects/suspectTracker.js';
 
 export class AttemptProgress {
   private readonly eventsBefore: number;
--- a/packages/gateway/src/attemptRepair.ts
+++ b/packages/gateway/src/attempt/attemptRepair.ts
@@ -1,10 +1,10 @@
 /** Moves a running attempt to a chain without the servers that it lost. */
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { replaceStages, type ChainStage } from '@lycheetally/decisions';
-import { describeChainServers } from './chooseServers.js';
-import { maxChainRepairs } from './constants.js';
+import { describeChainServers } from '../calls/chooseServers.js';
+import { maxChainRepairs } from '../constants.js';
 import type { AttemptEvent, GatewayAttempt } from './gatewayAttempt.js';
-import type { ChainUpdateAnswer } from './ports.js';
+import type { ChainUpdateAnswer } from '../ports.js';
 
 export class AttemptRepair {
   /** Ids of the servers that the attempt lost. */
--- a/packages/gateway/src/attemptServers.ts
+++ b/packages/gateway/src/attempt/attemptServers.ts
@@ -1,8 +1,8 @@
 /** The servers that run an attempt, and the load that the attempt adds to them. */
-import type { AdmittedCall } from './gatewayCall.js';
-import type { ChosenServers } from './chooseServers.js';
-import type { Server } from './server.js';
-import type { ServerRegistry } from './serverRegistry.js';
+import type { AdmittedCall } from '../calls/gatewayCall.js';
+import type { ChosenServers } from '../calls/chooseServers.js';
+import type { Server } from '../servers/server.js';
+import type { ServerRegistry } from '../servers/serverRegistry.js';
 
 export class AttemptServers {
   /** The servers of the chain as the registry knows them; each event of a stream has passed all of them. */
--- a/packages/gateway/src/attemptSilence.ts
+++ b/packages/gateway/src/attempt/attemptSilence.ts
@@ -9,10 +9,10 @@
   maxStallCheckMs,
   plainStreamCheckMs,
   streamStallCheckMs,
-} from './constants.js';
-import type { ProofOfLife } from './chooseServers.js';
+} from '../constants.js';
+import type { ProofOfLife } from '../calls/chooseServers.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
-import type { Server } from './server.js';
+import type { Server } from '../servers/server.js';
 
 export class AttemptSilence {
   /** Id of the server at which the chain has stalled, as its first server said since the last event. */
--- a/packages/gateway/src/attemptTimes.ts
+++ b/packages/gateway/src/attempt/attemptTimes.ts
@@ -1,6 +1,6 @@
 /** When an attempt was sent and got its connection, for the log lines of its call. */
 import type { Milliseconds } from '@lycheetally/common';
-import type { GatewayCall } from './gatewayCall.js';
+import type { GatewayCall } from '../calls/gatewayCall.js';
 
 export class AttemptTimes {
   private connectedAt: Milliseconds | undefined;
--- a/packages/gateway/src/endCheck.ts
+++ b/packages/gateway/src/attempt/endCheck.ts
@@ -11,9 +11,9 @@
 import type { BackendRecord } from '@lycheetally/decisions';
 import { createBackendFault } from './attemptFaults.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
-import { mayRunElsewhere } from './repeatRules.js';
-import { AcceptResult } from './suspects/acceptResult.js';
-import { checkAccepts } from './suspects/crashCheck.js';
+import { mayRunElsewhere } from '../calls/repeatRules.js';
+import { AcceptResult } from '../suspects/acceptResult.js';
+import { checkAccepts } from '../suspects/crashCheck.js';
 
 export class EndCheck {
   constructor(private readonly attempt: GatewayAttempt) {}
--- a/packages/gateway/src/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -3,10 +3,10 @@
 import type { Milliseconds } from '@lycheetally/common';
 import type { BackendRecord } from '@lycheetally/decisions';
 import { createBackendFault } from './attemptFaults.js';
-import type { BackendHead } from './backendPort.js';
-import { chooseHedge } from './callHedge.js';
-import type { ChosenServers } from './chooseServers.js';
-import { mayMove, mayRunElsewhere } from './repeatRules.js';
+import type { BackendHead } from '../backendPort.js';
+import { chooseHedge } from '../calls/callHedge.js';
+import type { ChosenServers } from '../calls/chooseServers.js';
+import { mayMove, mayRunElsewhere } from '../calls/repeatRules.js';
 import { checkStall } from './stallCheck.js';
 import { AttemptAnswer } from './attemptAnswer.js';
 import { AttemptBlame } from './attemptBlame.js';
@@ -16,7 +16,11 @@
 import { AttemptServers } from './attemptServers.js';
 import { AttemptSilence } from './attemptSilence.js';
 import { AttemptTimes } from './attemptTimes.js';
-import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
+import type {
+  AdmittedCall,
+  CallFault,
+  GatewayCall,
+} from '../calls/gatewayCall.js';
 
 export interface AttemptEvent {
   readonly type:
--- a/packages/gateway/src/stallCheck.ts
+++ b/packages/gateway/src/attempt/stallCheck.ts
@@ -7,10 +7,10 @@
  */
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { createBackendFault } from './attemptFaults.js';
-import { maxPartialEventMs, reportTimeoutMs } from './constants.js';
+import { maxPartialEventMs, reportTimeoutMs } from '../constants.js';
 import type { GatewayAttempt } from './gatewayAttempt.js';
-import { ConnectionUse, type ServerReport } from './ports.js';
-import { ProbeResult, toProbeResult } from './serverCheck.js';
+import { ConnectionUse, type ServerReport } from '../ports.js';
+import { ProbeResult, toProbeResult } from '../servers/serverCheck.js';
 
 /** Checks the attempt; it receives `CHECKED` or `NO_REPORT`, or fails at once. */
 export const checkStall = (attempt: GatewayAttempt): void => {
--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -26,7 +26,7 @@
   ConnectionEvent,
   ConnectionMachine,
 } from './callerConnectionChart.js';
-import { headCheckMs, idleReserveMs } from './constants.js';
+import { headCheckMs, idleReserveMs } from '../constants.js';
 import type { ReceivedCall } from './callerPort.js';
 import type { HttpCaller } from './httpCaller.js';
 
--- a/packages/gateway/src/callerConnectionChart.ts
+++ b/packages/gateway/src/callers/callerConnectionChart.ts
@@ -2,7 +2,7 @@
 import { ChartName, bindChart, type ChartMachine } from '@lycheetally/charts';
 import type { Result } from '@lycheetally/common';
 import type { CallerConnection } from './callerConnection.js';
-import { lingerTimeoutMs } from './constants.js';
+import { lingerTimeoutMs } from '../constants.js';
 
 export interface ConnectionEvent {
   readonly type:
--- a/packages/gateway/src/callerPort.ts
+++ b/packages/gateway/src/callers/callerPort.ts
@@ -1,6 +1,6 @@
 /** Interface between a gateway and its callers. */
 import type { Milliseconds, Result } from '@lycheetally/common';
-import type { CallFields, RawHeaders } from './callFormat.js';
+import type { CallFields, RawHeaders } from '../callFormat.js';
 
 /** A call whose whole body was received. */
 export interface ReceivedCall {
--- a/packages/gateway/src/httpCaller.ts
+++ b/packages/gateway/src/callers/httpCaller.ts
@@ -11,7 +11,7 @@
   type Result,
 } from '@lycheetally/common';
 import type { KeptMemory } from '@lycheetally/decisions';
-import type { RawHeaders } from './callFormat.js';
+import type { RawHeaders } from '../callFormat.js';
 import type { CallerConnection } from './callerConnection.js';
 import {
   CallerExchange,
--- a/packages/gateway/src/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -28,7 +28,7 @@
 import type { ChartTimers } from '@lycheetally/charts';
 import { findHeaderFault, startListening } from '@lycheetally/node';
 import { BodyReader, BodyRefusal } from './bodyReader.js';
-import type { CallFields, CallFormat } from './callFormat.js';
+import type { CallFields, CallFormat } from '../callFormat.js';
 import {
   CallerConnection,
   type CloseReason,
@@ -36,7 +36,7 @@
 } from './callerConnection.js';
 import { bindConnectionChart } from './callerConnectionChart.js';
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
-import { headCheckMs, noRoomRetryAfterMs } from './constants.js';
+import { headCheckMs, noRoomRetryAfterMs } from '../constants.js';
 import { HttpCaller } from './httpCaller.js';
 
 /** Receives the calls that the HTTP server accepts. */
--- a/packages/gateway/src/admitCall.ts
+++ b/packages/gateway/src/calls/admitCall.ts
@@ -14,9 +14,9 @@
   overdueRetryAfterMs,
   retryAfterMs,
   staleRetryAfterMs,
-} from './constants.js';
+} from '../constants.js';
 import { createStoppingFault, mayTakeBeforeStop } from './drainAdmission.js';
-import { EventStream } from './eventStream.js';
+import { EventStream } from '../attempt/eventStream.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 type Admission = { admitted: AdmittedCall } | { fault: CallFault };
--- a/packages/gateway/src/callActions.ts
+++ b/packages/gateway/src/calls/callActions.ts
@@ -8,9 +8,9 @@
 import { ErrorKind, type Milliseconds, type Result } from '@lycheetally/common';
 import { Outcome } from '@lycheetally/decisions';
 import { admitCall } from './admitCall.js';
-import type { AttemptAnswer } from './attemptAnswer.js';
-import { createBackendFault, isSuccess } from './attemptFaults.js';
-import type { BackendHead } from './backendPort.js';
+import type { AttemptAnswer } from '../attempt/attemptAnswer.js';
+import { createBackendFault, isSuccess } from '../attempt/attemptFaults.js';
+import type { BackendHead } from '../backendPort.js';
 import {
   cancelAttempts,
   dropAttempt,
@@ -34,16 +34,16 @@
   retryAfterMs,
   routeRetryDelayMs,
   silentRetryDelayMs,
-} from './constants.js';
+} from '../constants.js';
 import { createStoppingFault, noteOpened } from './drainAdmission.js';
-import { GatewayAttempt } from './gatewayAttempt.js';
+import { GatewayAttempt } from '../attempt/gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
 import { startHedge } from './startHedge.js';
 import {
   decideFirstAttempt,
   findSuspectFault,
   noteSuspectRefusal,
-} from './suspects/suspectCalls.js';
+} from '../suspects/suspectCalls.js';
 import {
   findEndOfCall,
   isSuspectRefused,
--- a/packages/gateway/src/callHedge.ts
+++ b/packages/gateway/src/calls/callHedge.ts
@@ -6,9 +6,9 @@
  */
 import type { Milliseconds } from '@lycheetally/common';
 import { chooseAlive, type ChosenServers } from './chooseServers.js';
-import type { GatewayAttempt } from './gatewayAttempt.js';
+import type { GatewayAttempt } from '../attempt/gatewayAttempt.js';
 import type { GatewayCall } from './gatewayCall.js';
-import { toTracedCall } from './suspects/suspectCalls.js';
+import { toTracedCall } from '../suspects/suspectCalls.js';
 
 /** Chooses servers that are known to live and that the running attempt does not use. */
 export const chooseHedge = (
--- a/packages/gateway/src/callIntake.ts
+++ b/packages/gateway/src/calls/callIntake.ts
@@ -7,8 +7,8 @@
 import type { Milliseconds } from '@lycheetally/common';
 import { IntakeEnd, type IntakeOrder } from '@lycheetally/decisions';
 import { TurnSource, type QueuedEvent } from '@lycheetally/node';
-import type { ReceivedCall } from './callerPort.js';
-import type { HttpCaller } from './httpCaller.js';
+import type { ReceivedCall } from '../callers/callerPort.js';
+import type { HttpCaller } from '../callers/httpCaller.js';
 
 /** A call that waits to be taken. */
 export interface QueuedCall {
--- a/packages/gateway/src/chooseServers.ts
+++ b/packages/gateway/src/calls/chooseServers.ts
@@ -2,9 +2,9 @@
 import type { Milliseconds } from '@lycheetally/common';
 import type { ChainRequest, ChainStage } from '@lycheetally/decisions';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
-import type { Server } from './server.js';
-import { toTracedCall } from './suspects/suspectCalls.js';
-import { toStageServer } from './serverRegistry.js';
+import type { Server } from '../servers/server.js';
+import { toTracedCall } from '../suspects/suspectCalls.js';
+import { toStageServer } from '../servers/serverRegistry.js';
 
 /** The servers that an attempt uses. */
 export interface ChosenServers {
--- a/packages/gateway/src/drainAdmission.ts
+++ b/packages/gateway/src/calls/drainAdmission.ts
@@ -6,7 +6,7 @@
   drainEndReserveMs,
   minShareBeforeNotice,
   stoppingRetryAfterMs,
-} from './constants.js';
+} from '../constants.js';
 import type { AdmittedCall, CallFault, GatewayCall } from './gatewayCall.js';
 
 /** What was expected of a call when a stopping gateway decided on it. */
--- a/packages/gateway/src/drainPeriod.ts
+++ b/packages/gateway/src/calls/drainPeriod.ts
@@ -10,7 +10,7 @@
   lastStreamsShare,
   maxExitReserveMs,
   maxExitReserveShare,
-} from './constants.js';
+} from '../constants.js';
 
 export class DrainPeriod {
   private begunAt: Milliseconds = Infinity;
--- a/packages/gateway/src/gatewayCall.ts
+++ b/packages/gateway/src/calls/gatewayCall.ts
@@ -15,19 +15,22 @@
   RetryPolicy,
   RouteRule,
 } from '@lycheetally/decisions';
-import type { AttemptMachine, GatewayAttempt } from './gatewayAttempt.js';
-import type { BackendPort } from './backendPort.js';
-import type { CallFormat } from './callFormat.js';
-import type { CallerExchange, ReceivedCall } from './callerPort.js';
+import type {
+  AttemptMachine,
+  GatewayAttempt,
+} from '../attempt/gatewayAttempt.js';
+import type { BackendPort } from '../backendPort.js';
+import type { CallFormat } from '../callFormat.js';
+import type { CallerExchange, ReceivedCall } from '../callers/callerPort.js';
 import type { DrainForecast } from './drainAdmission.js';
 import type { DrainPeriod } from './drainPeriod.js';
-import type { EventStream } from './eventStream.js';
-import type { GatewayMetrics } from './gatewayMetrics.js';
-import { CallIdentity } from './suspects/callIdentity.js';
-import type { SuspectTracker } from './suspects/suspectTracker.js';
-import type { ServerControlPort } from './ports.js';
-import type { ServerRegistry } from './serverRegistry.js';
-import type { ServerLossHandler } from './serverLossHandler.js';
+import type { EventStream } from '../attempt/eventStream.js';
+import type { GatewayMetrics } from '../gatewayMetrics.js';
+import { CallIdentity } from '../suspects/callIdentity.js';
+import type { SuspectTracker } from '../suspects/suspectTracker.js';
+import type { ServerControlPort } from '../ports.js';
+import type { ServerRegistry } from '../servers/serverRegistry.js';
+import type { ServerLossHandler } from '../servers/serverLossHandler.js';
 import type { WaitingCalls } from './waitingCalls.js';
 
 export interface CallEvent {
--- a/packages/gateway/src/repeatRules.ts
+++ b/packages/gateway/src/calls/repeatRules.ts
@@ -7,7 +7,7 @@
 } from './chooseServers.js';
 import { mayEndBeforeStop, mayTakeBeforeStop } from './drainAdmission.js';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
-import { findSuspectFault } from './suspects/suspectCalls.js';
+import { findSuspectFault } from '../suspects/suspectCalls.js';
 
 /**
  * Why nothing is sent for the call any more, as the event for its chart. It is asked at each
--- a/packages/gateway/src/startHedge.ts
+++ b/packages/gateway/src/calls/startHedge.ts
@@ -1,7 +1,7 @@
 /** Starts the second run of a call whose server is silent. */
 import type { Milliseconds } from '@lycheetally/common';
 import { chooseHedge } from './callHedge.js';
-import { GatewayAttempt } from './gatewayAttempt.js';
+import { GatewayAttempt } from '../attempt/gatewayAttempt.js';
 import type { GatewayCall } from './gatewayCall.js';
 import { findEndOfCall } from './repeatRules.js';
 
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,6 +1,6 @@
 /** Gauges of a gateway, read when the metrics page is requested. */
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import type { LayerPlacer } from './layerPlacer.js';
+import type { LayerPlacer } from './placement/layerPlacer.js';
 import type { GatewayNews } from './news/gatewayNews.js';
 import { TraitKind } from './suspects/callTrait.js';
 import type { Suspects } from './suspects/suspects.js';
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -29,10 +29,10 @@
   type Moment,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
-import { bindCallChart, type CallMachine } from './callActions.js';
+import { bindCallChart, type CallMachine } from './calls/callActions.js';
 import type { CallFormat } from './callFormat.js';
-import { CallIntake, type QueuedCall } from './callIntake.js';
-import type { CallerExchange } from './callerPort.js';
+import { CallIntake, type QueuedCall } from './calls/callIntake.js';
+import type { CallerExchange } from './callers/callerPort.js';
 import {
   forecastSettings,
   lingerTimeoutMs,
@@ -40,20 +40,20 @@
   defaultMemoryMebibytes,
   maxBufferShare,
 } from './constants.js';
-import { bindAttemptChart } from './attemptChart.js';
-import { drainTimeoutFault, stoppingFault } from './drainAdmission.js';
-import { DrainPeriod } from './drainPeriod.js';
-import type { GatewayAttempt } from './gatewayAttempt.js';
-import { GatewayCall, type CallServices } from './gatewayCall.js';
+import { bindAttemptChart } from './attempt/attemptChart.js';
+import { drainTimeoutFault, stoppingFault } from './calls/drainAdmission.js';
+import { DrainPeriod } from './calls/drainPeriod.js';
+import type { GatewayAttempt } from './attempt/gatewayAttempt.js';
+import { GatewayCall, type CallServices } from './calls/gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
-import { GatewayServers } from './gatewayServers.js';
+import { GatewayServers } from './servers/gatewayServers.js';
 import type { GatewaySettings } from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
-import type { HttpCaller } from './httpCaller.js';
-import { HttpFrontend, type CallHandler } from './httpFrontend.js';
-import { bindOrderChart } from './layerOrder.js';
-import { bindLeaderChart, LayerPlacer } from './layerPlacer.js';
+import type { HttpCaller } from './callers/httpCaller.js';
+import { HttpFrontend, type CallHandler } from './callers/httpFrontend.js';
+import { bindOrderChart } from './placement/layerOrder.js';
+import { bindLeaderChart, LayerPlacer } from './placement/layerPlacer.js';
 import {
   bindLifecycleChart,
   type LifecycleActions,
@@ -68,7 +68,7 @@
 } from './ports.js';
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
-import { WaitingCalls } from './waitingCalls.js';
+import { WaitingCalls } from './calls/waitingCalls.js';
 import { Suspects } from './suspects/suspects.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,10 +3,10 @@
 export { readBody, readHead, scheduleAfterPoll } from '@lycheetally/node';
 export * from './backendPort.js';
 export * from './callFormat.js';
-export * from './callerPort.js';
+export * from './callers/callerPort.js';
 export * from './constants.js';
 export * from './eraWatch.js';
-export * from './eventStream.js';
+export * from './attempt/eventStream.js';
 export * from './gatewayNode.js';
 export * from './gatewaySettings.js';
 export { HttpBackend } from './httpBackend.js';
--- a/packages/gateway/src/layerOrder.ts
+++ b/packages/gateway/src/placement/layerOrder.ts
@@ -20,7 +20,7 @@
   layerLoadTimeoutMs,
   failedOrderTimeoutMs,
   reportTimeoutMs,
-} from './constants.js';
+} from '../constants.js';
 import {
   ConnectionUse,
   OrderRefusal,
@@ -28,9 +28,9 @@
   type OrderAnswer,
   type ServerControlPort,
   type ServerReport,
-} from './ports.js';
+} from '../ports.js';
 import type { OrderBackoff } from './orderBackoff.js';
-import type { Server } from './server.js';
+import type { Server } from '../servers/server.js';
 
 export interface OrderEvent {
   readonly type: 'ACCEPTED' | 'REFUSED' | 'UNANSWERED' | 'RESOLVED';
--- a/packages/gateway/src/layerPlacer.ts
+++ b/packages/gateway/src/placement/layerPlacer.ts
@@ -24,17 +24,20 @@
   serverReadIntervalMs,
   maxFirstPlacementWaitMs,
   joinQuietPeriodMs,
-} from './constants.js';
+} from '../constants.js';
 import {
   LayerOrder,
   type OrderMachine,
   type OrderServices,
 } from './layerOrder.js';
 import { OrderBackoff } from './orderBackoff.js';
-import type { LeaderGrant, LeaderElectionPort } from './ports.js';
-import type { Server } from './server.js';
-import { toStageServer, type ServerRegistry } from './serverRegistry.js';
-import type { ServerLossHandler } from './serverLossHandler.js';
+import type { LeaderGrant, LeaderElectionPort } from '../ports.js';
+import type { Server } from '../servers/server.js';
+import {
+  toStageServer,
+  type ServerRegistry,
+} from '../servers/serverRegistry.js';
+import type { ServerLossHandler } from '../servers/serverLossHandler.js';
 
 export interface LeaderEvent {
   readonly type: 'GRANTED' | 'DENIED' | 'GRANT_ENDED' | 'RESIGN';
--- a/packages/gateway/src/orderBackoff.ts
+++ b/packages/gateway/src/placement/orderBackoff.ts
@@ -5,8 +5,8 @@
  * take seconds, so the wait doubles with each refusal in a row.
  */
 import type { Milliseconds } from '@lycheetally/common';
-import { firstOrderCooldownMs, maxOrderCooldownMs } from './constants.js';
-import type { Server } from './server.js';
+import { firstOrderCooldownMs, maxOrderCooldownMs } from '../constants.js';
+import type { Server } from '../servers/server.js';
 
 type OrderedServer = Pick<Server, 'record'>;
 
--- a/packages/gateway/src/departedServers.ts
+++ b/packages/gateway/src/servers/departedServers.ts
@@ -5,7 +5,7 @@
   type BackendRecord,
   type ServerEntry,
 } from '@lycheetally/decisions';
-import { maxDepartedServers } from './constants.js';
+import { maxDepartedServers } from '../constants.js';
 
 interface DepartedServer {
   /** The last entry that was seen. */
--- a/packages/gateway/src/gatewayServers.ts
+++ b/packages/gateway/src/servers/gatewayServers.ts
@@ -12,17 +12,17 @@
   type GatewayConfiguration,
   type IntakePolicy,
 } from '@lycheetally/decisions';
-import type { GatewayCall } from './gatewayCall.js';
-import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { GatewayCall } from '../calls/gatewayCall.js';
+import type { GatewayMetrics } from '../gatewayMetrics.js';
 import { HealthRequests } from './healthRequests.js';
-import type { ServerControlPort } from './ports.js';
+import type { ServerControlPort } from '../ports.js';
 import { bindHealthChart } from './server.js';
 import { bindCheckChart } from './serverCheck.js';
 import { bindIntakeChart } from './serverIntake.js';
 import { bindListingChart, type StoreOutage } from './serverListing.js';
 import { ServerLossHandler } from './serverLossHandler.js';
 import { ServerRegistry } from './serverRegistry.js';
-import type { WaitingCalls } from './waitingCalls.js';
+import type { WaitingCalls } from '../calls/waitingCalls.js';
 
 export interface GatewayServersServices {
   readonly timers: ChartTimers;
--- a/packages/gateway/src/healthRequests.ts
+++ b/packages/gateway/src/servers/healthRequests.ts
@@ -2,8 +2,8 @@
 import PQueue from 'p-queue';
 import type { Result } from '@lycheetally/common';
 import type { BackendRecord } from '@lycheetally/decisions';
-import { healthTimeoutMs, maxHealthRequests } from './constants.js';
-import type { ServerControlPort, ServerHealth } from './ports.js';
+import { healthTimeoutMs, maxHealthRequests } from '../constants.js';
+import type { ServerControlPort, ServerHealth } from '../ports.js';
 
 export interface HealthRequestServices {
   readonly control: ServerControlPort;
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/servers/server.ts
@@ -23,7 +23,7 @@
   slowReportMs,
   unreachableRetryMs,
   unresponsiveSilenceMs,
-} from './constants.js';
+} from '../constants.js';
 import type { ServerIntake } from './serverIntake.js';
 
 export interface HealthEvent {
--- a/packages/gateway/src/serverCheck.ts
+++ b/packages/gateway/src/servers/serverCheck.ts
@@ -17,12 +17,12 @@
   reportTimeoutMs,
   watchPauseMs,
   watchTimeoutMs,
-} from './constants.js';
+} from '../constants.js';
 import {
   ConnectionUse,
   type ServerControlPort,
   type ServerReport,
-} from './ports.js';
+} from '../ports.js';
 import type { Server } from './server.js';
 
 export interface CheckEvent {
--- a/packages/gateway/src/serverIntake.ts
+++ b/packages/gateway/src/servers/serverIntake.ts
@@ -18,7 +18,7 @@
   Result,
 } from '@lycheetally/common';
 import type { IntakePolicy } from '@lycheetally/decisions';
-import { maxClosedMs } from './constants.js';
+import { maxClosedMs } from '../constants.js';
 
 export interface IntakeEvent {
   readonly type: 'LIMITED' | 'LIFTED' | 'CLOSED' | 'RESTARTED';
--- a/packages/gateway/src/serverListing.ts
+++ b/packages/gateway/src/servers/serverListing.ts
@@ -25,8 +25,8 @@
   healthRetryMs,
   missingServerGraceMs,
   serverReadIntervalMs,
-} from './constants.js';
-import type { ServerHealth } from './ports.js';
+} from '../constants.js';
+import type { ServerHealth } from '../ports.js';
 
 export interface ListingEvent {
   readonly type:
--- a/packages/gateway/src/serverLossHandler.ts
+++ b/packages/gateway/src/servers/serverLossHandler.ts
@@ -8,13 +8,13 @@
  */
 import type { ChartTimers } from '@lycheetally/charts';
 import type { Milliseconds } from '@lycheetally/common';
-import { createBackendFault } from './attemptFaults.js';
-import { listAttempts } from './callHedge.js';
-import { unresponsiveSilenceMs } from './constants.js';
-import type { GatewayAttempt } from './gatewayAttempt.js';
-import type { GatewayCall } from './gatewayCall.js';
-import type { GatewayMetrics } from './gatewayMetrics.js';
-import type { ServerControlPort } from './ports.js';
+import { createBackendFault } from '../attempt/attemptFaults.js';
+import { listAttempts } from '../calls/callHedge.js';
+import { unresponsiveSilenceMs } from '../constants.js';
+import type { GatewayAttempt } from '../attempt/gatewayAttempt.js';
+import type { GatewayCall } from '../calls/gatewayCall.js';
+import type { GatewayMetrics } from '../gatewayMetrics.js';
+import type { ServerControlPort } from '../ports.js';
 import type { Server } from './server.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import { ServerChecks, type CheckMachine } from './serverCheck.js';
--- a/packages/gateway/src/serverRegistry.ts
+++ b/packages/gateway/src/servers/serverRegistry.ts
@@ -9,9 +9,9 @@
   type StageServer,
   type StorePosition,
 } from '@lycheetally/decisions';
-import { placementSilenceMs } from './constants.js';
+import { placementSilenceMs } from '../constants.js';
 import { DepartedServers } from './departedServers.js';
-import type { TableRecord } from './ports.js';
+import type { TableRecord } from '../ports.js';
 import { Server, type HealthMachine } from './server.js';
 import { ServerIntake, type IntakeMachine } from './serverIntake.js';
 import {
--- a/packages/gateway/src/suspects/suspectCalls.ts
+++ b/packages/gateway/src/suspects/suspectCalls.ts
@@ -1,6 +1,6 @@
 /** Asks the tracker of suspects about calls, and turns its refusals into faults. */
 import type { Milliseconds } from '@lycheetally/common';
-import type { CallFault, GatewayCall } from '../gatewayCall.js';
+import type { CallFault, GatewayCall } from '../calls/gatewayCall.js';
 import type { SuspectDecision, TracedCall } from './suspectTracker.js';
 
 /** Events after which a server is certain to write an answer. */
--- a/packages/gateway/tests/attemptAnswer.test.ts
+++ b/packages/gateway/tests/attemptAnswer.test.ts
@@ -1,9 +1,9 @@
 /** What the beginning of a streamed answer takes of the gateway's memory, and when its first byte counts as sent. */
 import { expect, it, vi } from 'vitest';
-import { AttemptAnswer } from '../src/attemptAnswer.js';
-import { EventStream } from '../src/eventStream.js';
+import { AttemptAnswer } from '../src/attempt/attemptAnswer.js';
+import { EventStream } from '../src/attempt/eventStream.js';
 import type { BackendHead } from '../src/backendPort.js';
-import type { GatewayAttempt } from '../src/gatewayAttempt.js';
+import type { GatewayAttempt } from '../src/attempt/gatewayAttempt.js';
 
 const maxEventBytes = 100_000;
 
--- a/packages/gateway/tests/callHedge.test.ts
+++ b/packages/gateway/tests/callHedge.test.ts
@@ -5,9 +5,9 @@
   dropAttempt,
   hasLivingRun,
   isAnswering,
-} from '../src/callHedge.js';
-import type { GatewayAttempt } from '../src/gatewayAttempt.js';
-import type { GatewayCall } from '../src/gatewayCall.js';
+} from '../src/calls/callHedge.js';
+import type { GatewayAttempt } from '../src/attempt/gatewayAttempt.js';
+import type { GatewayCall } from '../src/calls/gatewayCall.js';
 
 const createCall = (): {
   call: GatewayCall;
--- a/packages/gateway/tests/drainAdmission.test.ts
+++ b/packages/gateway/tests/drainAdmission.test.ts
@@ -2,7 +2,7 @@
 import { SurvivalForecast } from '@lycheetally/decisions';
 import { describe, expect, it } from 'vitest';
 import { forecastSettings } from '../src/constants.js';
-import { mayRetry, mayStartAttempt } from '../src/repeatRules.js';
+import { mayRetry, mayStartAttempt } from '../src/calls/repeatRules.js';
 import { StoppingGateway, type TestCall } from './stoppingGateway.js';
 
 interface Stream {
--- a/packages/gateway/tests/drainPeriod.test.ts
+++ b/packages/gateway/tests/drainPeriod.test.ts
@@ -1,7 +1,7 @@
 /** Tests how a gateway divides the platform's grace period. */
 import { describe, expect, it } from 'vitest';
 import { millisecondsPerSecond } from '@lycheetally/common';
-import { DrainPeriod } from '../src/drainPeriod.js';
+import { DrainPeriod } from '../src/calls/drainPeriod.js';
 
 const maxGraceSeconds = 60;
 
--- a/packages/gateway/tests/fakePorts.ts
+++ b/packages/gateway/tests/fakePorts.ts
@@ -13,7 +13,10 @@
   type RequestFields,
   type ResponseFields,
 } from '../src/callFormat.js';
-import { CallerExchange, type BufferedResponse } from '../src/callerPort.js';
+import {
+  CallerExchange,
+  type BufferedResponse,
+} from '../src/callers/callerPort.js';
 
 /** Events of a whole stream. */
 export const eventCount = 4;
--- a/packages/gateway/tests/httpCaller.test.ts
+++ b/packages/gateway/tests/httpCaller.test.ts
@@ -5,9 +5,9 @@
 import { getOrThrow } from '@lycheetally/common';
 import { LargestFirstMemory } from '@lycheetally/decisions';
 import { startListening } from '@lycheetally/node';
-import { CallerConnection } from '../src/callerConnection.js';
-import { bindConnectionChart } from '../src/callerConnectionChart.js';
-import { HttpCaller, formatRetryAfter } from '../src/httpCaller.js';
+import { CallerConnection } from '../src/callers/callerConnection.js';
+import { bindConnectionChart } from '../src/callers/callerConnectionChart.js';
+import { HttpCaller, formatRetryAfter } from '../src/callers/httpCaller.js';
 import { ManualTimers } from './manualTimers.js';
 
 const createConnection = (socket: Socket): CallerConnection =>
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -20,8 +20,8 @@
   maxFirstPlacementWaitMs,
   placementIntervalMs,
 } from '../src/constants.js';
-import { bindOrderChart } from '../src/layerOrder.js';
-import { LayerPlacer, bindLeaderChart } from '../src/layerPlacer.js';
+import { bindOrderChart } from '../src/placement/layerOrder.js';
+import { LayerPlacer, bindLeaderChart } from '../src/placement/layerPlacer.js';
 import {
   LeaderElectionPort,
   OrderRefusal,
@@ -33,10 +33,10 @@
   type ServerHealth,
   type ServerReport,
 } from '../src/ports.js';
-import { bindHealthChart } from '../src/server.js';
-import { bindIntakeChart } from '../src/serverIntake.js';
-import { bindListingChart } from '../src/serverListing.js';
-import { ServerRegistry } from '../src/serverRegistry.js';
+import { bindHealthChart } from '../src/servers/server.js';
+import { bindIntakeChart } from '../src/servers/serverIntake.js';
+import { bindListingChart } from '../src/servers/serverListing.js';
+import { ServerRegistry } from '../src/servers/serverRegistry.js';
 import { createQuietLoggers } from './quietLoggers.js';
 
 const range = { from: 0, to: 8 };
--- a/packages/gateway/tests/lossOfManyRuns.test.ts
+++ b/packages/gateway/tests/lossOfManyRuns.test.ts
@@ -1,14 +1,14 @@
 /** What is said to many calls at once is said in many events, so that a turn of the loop can end between them. */
 import { expect, it } from 'vitest';
 import { getOrThrow } from '@lycheetally/common';
-import { bindCheckChart } from '../src/serverCheck.js';
+import { bindCheckChart } from '../src/servers/serverCheck.js';
 import {
   ServerLossHandler,
   type LossServices,
-} from '../src/serverLossHandler.js';
-import type { GatewayCall } from '../src/gatewayCall.js';
-import type { Server } from '../src/server.js';
-import { WaitingCalls } from '../src/waitingCalls.js';
+} from '../src/servers/serverLossHandler.js';
+import type { GatewayCall } from '../src/calls/gatewayCall.js';
+import type { Server } from '../src/servers/server.js';
+import { WaitingCalls } from '../src/calls/waitingCalls.js';
 import { ManualTimers } from './manualTimers.js';
 
 const callCount = 50;
--- a/packages/gateway/tests/orderBackoff.test.ts
+++ b/packages/gateway/tests/orderBackoff.test.ts
@@ -1,7 +1,7 @@
 /** How long a server that refuses orders is left alone. */
 import { describe, expect, it } from 'vitest';
 import { firstOrderCooldownMs, maxOrderCooldownMs } from '../src/constants.js';
-import { OrderBackoff } from '../src/orderBackoff.js';
+import { OrderBackoff } from '../src/placement/orderBackoff.js';
 
 const createServer = (incarnation: number) => ({
   record: {
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -21,20 +21,20 @@
   type BackendRecord,
   type BackendService,
 } from '@lycheetally/decisions';
-import { bindAttemptChart } from '../src/attemptChart.js';
-import { bindCallChart } from '../src/callActions.js';
+import { bindAttemptChart } from '../src/attempt/attemptChart.js';
+import { bindCallChart } from '../src/calls/callActions.js';
 import { forecastSettings } from '../src/constants.js';
-import { DrainPeriod } from '../src/drainPeriod.js';
-import type { GatewayAttempt } from '../src/gatewayAttempt.js';
-import { GatewayCall, type CallServices } from '../src/gatewayCall.js';
+import { DrainPeriod } from '../src/calls/drainPeriod.js';
+import type { GatewayAttempt } from '../src/attempt/gatewayAttempt.js';
+import { GatewayCall, type CallServices } from '../src/calls/gatewayCall.js';
 import { GatewayMetrics } from '../src/gatewayMetrics.js';
-import { GatewayServers } from '../src/gatewayServers.js';
+import { GatewayServers } from '../src/servers/gatewayServers.js';
 import {
   ServerControlPort,
   type ChainUpdateAnswer,
   type ServerReport,
 } from '../src/ports.js';
-import { WaitingCalls } from '../src/waitingCalls.js';
+import { WaitingCalls } from '../src/calls/waitingCalls.js';
 import { AcceptResult } from '../src/suspects/acceptResult.js';
 import { setAcceptCheck } from './acceptChecks.js';
 import { VirtualTime } from './crashEmulator.js';
--- a/packages/gateway/tests/serverCheck.test.ts
+++ b/packages/gateway/tests/serverCheck.test.ts
@@ -20,9 +20,9 @@
   type ServerHealth,
   type ServerReport,
 } from '../src/ports.js';
-import { Server, bindHealthChart } from '../src/server.js';
-import { ServerIntake, bindIntakeChart } from '../src/serverIntake.js';
-import { ServerChecks, bindCheckChart } from '../src/serverCheck.js';
+import { Server, bindHealthChart } from '../src/servers/server.js';
+import { ServerIntake, bindIntakeChart } from '../src/servers/serverIntake.js';
+import { ServerChecks, bindCheckChart } from '../src/servers/serverCheck.js';
 import { createQuietLoggers } from './quietLoggers.js';
 
 const unanswered = new TypedError(
--- a/packages/gateway/tests/serverRegistry.test.ts
+++ b/packages/gateway/tests/serverRegistry.test.ts
@@ -7,13 +7,13 @@
   type StorePosition,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
-import { chooseAlive } from '../src/chooseServers.js';
-import type { AdmittedCall, GatewayCall } from '../src/gatewayCall.js';
+import { chooseAlive } from '../src/calls/chooseServers.js';
+import type { AdmittedCall, GatewayCall } from '../src/calls/gatewayCall.js';
 import type { TableRecord } from '../src/ports.js';
-import { bindHealthChart } from '../src/server.js';
-import { bindIntakeChart } from '../src/serverIntake.js';
-import { bindListingChart } from '../src/serverListing.js';
-import { ServerRegistry } from '../src/serverRegistry.js';
+import { bindHealthChart } from '../src/servers/server.js';
+import { bindIntakeChart } from '../src/servers/serverIntake.js';
+import { bindListingChart } from '../src/servers/serverListing.js';
+import { ServerRegistry } from '../src/servers/serverRegistry.js';
 import { createQuietLoggers } from './quietLoggers.js';
 
 const record: BackendRecord = {
--- a/packages/gateway/tests/stoppingGateway.ts
+++ b/packages/gateway/tests/stoppingGateway.ts
@@ -1,8 +1,8 @@
 /** A gateway's admission during a stop, without its connections. */
 import { BoundedRetry, type DurationForecast } from '@lycheetally/decisions';
-import { mayEndBeforeStop, noteOpened } from '../src/drainAdmission.js';
-import { DrainPeriod } from '../src/drainPeriod.js';
-import type { AdmittedCall, GatewayCall } from '../src/gatewayCall.js';
+import { mayEndBeforeStop, noteOpened } from '../src/calls/drainAdmission.js';
+import { DrainPeriod } from '../src/calls/drainPeriod.js';
+import type { AdmittedCall, GatewayCall } from '../src/calls/gatewayCall.js';
 
 /** What a caller sends. */
 export interface TestCall {
