--- /dev/null
+++ b/packages/decisions/src/balance/index.ts
@@ -0,0 +1,2 @@
+/** How load is spread over servers and gateways. */
+export * from './room.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -38,5 +38,7 @@
 export * from './workOrder.js';
 export * from './gateway/index.js';
 export * from './intake/index.js';
+export * from './waiting/index.js';
+export * from './balance/index.js';
 export * from './placement/index.js';
 export * from './suspects/index.js';
--- a/packages/decisions/src/placement/chainChoice.ts
+++ b/packages/decisions/src/placement/chainChoice.ts
@@ -20,6 +20,16 @@
   readonly range: LayerRange;
 }
 
+/** A chain and what is expected of it. */
+export interface ChosenChain {
+  /** They run each layer once and in order. */
+  readonly stages: readonly ChainStage[];
+  /** Predicted time per token, without what a lack of room costs, in milliseconds. */
+  readonly tokenMs: Milliseconds;
+  /** Whether each of its servers has room for the request; otherwise the request slows or displaces others. */
+  readonly hasRoom: boolean;
+}
+
 /** Inputs for choosing a chain. */
 export interface ChainRequest {
   readonly model: LayeredModel;
@@ -39,10 +49,8 @@
 
 /** Strategy that chooses a chain. */
 export abstract class ChainPolicy {
-  /** Returns stages that run each layer once and in order, or `undefined`. */
-  abstract chooseChain(
-    request: ChainRequest,
-  ): readonly ChainStage[] | undefined;
+  /** Returns a chain that runs the layers, or `undefined` if there is none. */
+  abstract chooseChain(request: ChainRequest): ChosenChain | undefined;
 }
 
 /** The longest chain that the engines accept, in stages. */
@@ -76,13 +84,13 @@
   readonly stage: ChainStage | undefined;
   readonly previous: PartialChain | undefined;
   readonly stages: number;
+  /** Stages whose server is full. */
+  readonly fullStages: number;
 }
 
 /** Chooses the chain with the lowest predicted time per token. */
 export class CheapestChain extends ChainPolicy {
-  override chooseChain(
-    request: ChainRequest,
-  ): readonly ChainStage[] | undefined {
+  override chooseChain(request: ChainRequest): ChosenChain | undefined {
     return new ChainSearch(request).run();
   }
 }
@@ -123,9 +131,15 @@
     this.holders = listHolders(request, layers.to);
   }
 
-  run(): readonly ChainStage[] | undefined {
+  run(): ChosenChain | undefined {
     const { from, to } = this.layers;
-    const start = { cost: 0, stage: undefined, previous: undefined, stages: 0 };
+    const start = {
+      cost: 0,
+      stage: undefined,
+      previous: undefined,
+      stages: 0,
+      fullStages: 0,
+    };
     this.frontier.set(from, new Map([['', { ...start, nextLayer: from }]]));
     for (let layer = from; layer < to; layer += 1) {
       const partials = this.frontier.get(layer);
@@ -142,7 +156,13 @@
         cheapest && cheapest.cost <= each.cost ? cheapest : each,
       undefined,
     );
-    return best && listStages(best);
+    return (
+      best && {
+        stages: listStages(best),
+        tokenMs: best.cost - best.fullStages * fullServerMs,
+        hasRoom: best.fullStages === 0,
+      }
+    );
   }
 
   /** Lists the servers that may run a stage from the layer on. */
@@ -181,10 +201,11 @@
   ): void {
     const range = { from: partial.nextLayer, to: end };
     const { homeDomain, tokens } = this.request;
+    const isFull = isStageFull(costs, range, tokens);
     const cost =
       partial.cost +
       computeHopCost(partial, server, homeDomain) +
-      computeStageCost(costs, range, tokens);
+      computeStageCost(costs, range, isFull);
     const partials = this.frontier.get(end) ?? new Map<string, PartialChain>();
     const known = partials.get(server.failureDomain);
     if (!known || cost < known.cost) {
@@ -195,6 +216,7 @@
         stage: { server, range },
         previous: partial,
         stages: partial.stages + 1,
+        fullStages: partial.fullStages + Number(isFull),
       });
     }
   }
@@ -268,14 +290,17 @@
   };
 };
 
-const computeStageCost = (
-  { layerMs, room, isCrowded }: ServerCosts,
+const isStageFull = (
+  { room, isCrowded }: ServerCosts,
   { from, to }: LayerRange,
   tokens: number,
-): Milliseconds => {
-  const isFull = tokens * (to - from) > room || (from === 0 && isCrowded);
-  return layerMs * (to - from) + (isFull ? fullServerMs : 0);
-};
+): boolean => tokens * (to - from) > room || (from === 0 && isCrowded);
+
+const computeStageCost = (
+  { layerMs }: ServerCosts,
+  { from, to }: LayerRange,
+  isFull: boolean,
+): Milliseconds => layerMs * (to - from) + (isFull ? fullServerMs : 0);
 
 const computeHopCost = (
   { stage, nextLayer }: PartialChain,
--- a/packages/decisions/src/placement/chainRepair.ts
+++ b/packages/decisions/src/placement/chainRepair.ts
@@ -86,4 +86,4 @@
     homeDomain: previous.server.failureDomain,
     layers,
     excluded: new Set([...request.excluded, ...request.lost, ...used]),
-  });
+  })?.stages;
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -106,7 +106,7 @@
   servers: readonly StageServer[],
   excluded: readonly string[] = [],
 ): readonly ChainStage[] | undefined =>
-  new CheapestChain().chooseChain(buildRequest(servers, excluded));
+  new CheapestChain().chooseChain(buildRequest(servers, excluded))?.stages;
 
 const expectCompleteChain = (
   chain: readonly ChainStage[] | undefined,
--- a/packages/gateway/src/calls/chooseServers.ts
+++ b/packages/gateway/src/calls/chooseServers.ts
@@ -11,6 +11,8 @@
   readonly first: Server;
   /** Stages in order; empty for a plain service. */
   readonly chain: readonly ChainStage[];
+  /** Whether each server has room for the call, as far as this gateway knows. */
+  readonly hasRoom: boolean;
 }
 
 /** Calls added to the load of a server in another failure domain when servers are compared. */
@@ -176,8 +178,10 @@
         .map(({ record }) => record.serverId),
     ),
   });
-  const first = serverRegistry.find(chain?.[0]?.server.serverId ?? '');
-  return chain && first ? { first, chain } : undefined;
+  const first = serverRegistry.find(chain?.stages[0]?.server.serverId ?? '');
+  return chain && first
+    ? { first, chain: chain.stages, hasRoom: chain.hasRoom }
+    : undefined;
 };
 
 /** Describes servers and their load as the choice of a chain takes them. */
@@ -222,5 +226,5 @@
   const first = placement.isFree
     ? candidates[0]
     : candidates.find(({ record }) => record.serverId === placement.serverId);
-  return first && { first, chain: [] };
+  return first && { first, chain: [], hasRoom: first.hasPlace };
 };
--- a/packages/gateway/src/servers/server.ts
+++ b/packages/gateway/src/servers/server.ts
@@ -118,6 +118,11 @@
     };
   }
 
+  /** Whether it has a place for a further call, as far as this gateway knows. */
+  get hasPlace(): boolean {
+    return Math.max(this.calls, this.reportedCalls) < this.record.slots;
+  }
+
   /** Whether the server refused a call recently. */
   hasRefusedRecently(now: Milliseconds): boolean {
     return now - this.refusedAt < refusalCooldownMs;
