Bound what callers make a gateway keep, and close the costliest connection first

Node parses all requests of a read at once and keeps each with its response until the first one is answered; nothing counted heads, requests sent ahead, connections or unread answers, and a chunk costs the same work however small.

- RequestFeed passes at most one head at a time to Node's parser and stops at 16 open requests of a connection; the rest waits in the socket, unread.
- CostliestFirstAccount accounts for all connections.
- A body that does not go on for 60 s is refused (408, not run); an answer that nobody takes for 60 s is reset.
- Requests without a Host header are refused by the gateway, not by Node, which kept what was sent ahead of its own answers uncounted.

--- /dev/null
+++ b/packages/decisions/src/callers/callerAccount.ts
@@ -0,0 +1,134 @@
+/**
+ * Bounds what the callers of a gateway make it keep, and decides which connection gives way.
+ *
+ * Load patterns: many callers send bodies that stop just short of their end, heads that never
+ * end, requests ahead whose answers they don't read, or only open connections. Each of them
+ * stays within the limits of one request, but all of them together would exhaust the memory
+ * or the descriptors of the process.
+ *
+ * The connection that costs most and has shown least progress is closed first: what counts is
+ * the memory that it holds, for how long without progress, and how little its caller got for
+ * it so far. Of two alike, the one gives way whose address holds more. A connection whose call
+ * runs at a server, or whose answer is on its way, never gives way.
+ */
+import type { Milliseconds } from '@lycheetally/common';
+
+/** What one connection makes the gateway keep. */
+export interface CallerUsage {
+  /** Memory of the connection, its requests and its unread answers, in bytes. */
+  readonly bytes: number;
+  /** When it last brought a whole request or took an answer, or was opened. */
+  readonly progressAt: Milliseconds;
+  /** Answers that it has taken. */
+  readonly answers: number;
+  /** Whether one of its calls runs at a server, or its answer is on its way. */
+  readonly isProtected: boolean;
+}
+
+/** Limits of all connections of a gateway together. */
+export interface CallerLimits {
+  readonly maxBytes: number;
+  readonly maxConnections: number;
+}
+
+/** Accounts for the connections of a gateway; holders are compared by identity. */
+export abstract class CallerAccount<T> {
+  /** Sets what the connection of that address makes the gateway keep. */
+  abstract update(holder: T, address: string, usage: CallerUsage): void;
+  abstract release(holder: T): void;
+  /** Lists the connections that are to be closed, so that the others stay within the limits. */
+  abstract listExcess(now: Milliseconds): readonly T[];
+}
+
+interface Entry {
+  readonly address: string;
+  readonly usage: CallerUsage;
+}
+
+export class CostliestFirstAccount<T> extends CallerAccount<T> {
+  private readonly entries = new Map<T, Entry>();
+  private readonly bytesByAddress = new Map<string, number>();
+  private bytes = 0;
+
+  constructor(private readonly limits: CallerLimits) {
+    super();
+  }
+
+  /** Memory that all connections hold, in bytes. */
+  get totalBytes(): number {
+    return this.bytes;
+  }
+
+  get connections(): number {
+    return this.entries.size;
+  }
+
+  override update(holder: T, address: string, usage: CallerUsage): void {
+    this.release(holder);
+    this.entries.set(holder, { address, usage });
+    this.addBytes(address, usage.bytes);
+  }
+
+  override release(holder: T): void {
+    const entry = this.entries.get(holder);
+    if (entry) {
+      this.entries.delete(holder);
+      this.addBytes(entry.address, -entry.usage.bytes);
+    }
+  }
+
+  override listExcess(now: Milliseconds): readonly T[] {
+    const { maxBytes, maxConnections } = this.limits;
+    let excessBytes = this.bytes - maxBytes;
+    let excessConnections = this.entries.size - maxConnections;
+    if (excessBytes <= 0 && excessConnections <= 0) {
+      return [];
+    }
+    const excess: T[] = [];
+    for (const [holder, { usage }] of this.listByCost(now)) {
+      if (excessBytes <= 0 && excessConnections <= 0) {
+        break;
+      }
+      excess.push(holder);
+      excessBytes -= usage.bytes;
+      excessConnections -= 1;
+    }
+    return excess;
+  }
+
+  /** Lists the connections that may give way, the costliest first. */
+  private listByCost(now: Milliseconds): (readonly [T, Entry])[] {
+    const costs = new Map<T, number>();
+    const candidates = [...this.entries].filter(
+      ([, { usage }]) => !usage.isProtected,
+    );
+    for (const [holder, { usage }] of candidates) {
+      costs.set(holder, computeCost(usage, now));
+    }
+    return candidates.sort(
+      ([a, { address }], [b, other]) =>
+        (costs.get(b) ?? 0) - (costs.get(a) ?? 0) ||
+        this.getAddressBytes(other.address) - this.getAddressBytes(address),
+    );
+  }
+
+  private getAddressBytes(address: string): number {
+    return this.bytesByAddress.get(address) ?? 0;
+  }
+
+  private addBytes(address: string, bytes: number): void {
+    this.bytes += bytes;
+    const left = this.getAddressBytes(address) + bytes;
+    if (left > 0) {
+      this.bytesByAddress.set(address, left);
+    } else {
+      this.bytesByAddress.delete(address);
+    }
+  }
+}
+
+/** Byte-milliseconds that a connection has held without progress, for each answer that its caller got. */
+const computeCost = (
+  { bytes, progressAt, answers }: CallerUsage,
+  now: Milliseconds,
+): number => (bytes * Math.max(1, now - progressAt)) / (1 + answers);
--- /dev/null
+++ b/packages/decisions/src/callers/index.ts
@@ -0,0 +1,2 @@
+/** Bounds on what callers make a gateway keep. */
+export * from './callerAccount.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,5 +40,6 @@
 export * from './intake/index.js';
 export * from './waiting/index.js';
 export * from './balance/index.js';
+export * from './callers/index.js';
 export * from './placement/index.js';
 export * from './suspects/index.js';
--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -13,6 +13,8 @@
  * It is half-closed first and read until its caller closes it too. If bytes of the
  * caller arrived at a closed connection, TCP would reset it, and the reset destroys
  * an answer that is still on its way.
+ *
+ * Requests that are sent ahead are parsed up to a bound; the rest waits in the socket.
  */
 import type { Socket } from 'node:net';
 import type { ChartInstance, ChartTimers } from '@lycheetally/charts';
@@ -21,26 +23,43 @@
   type Milliseconds,
   type ValueOf,
 } from '@lycheetally/common';
-import type { CallLimits } from '@lycheetally/decisions';
+import type { CallLimits, CallerUsage } from '@lycheetally/decisions';
 import type {
   ConnectionEvent,
   ConnectionMachine,
 } from './callerConnectionChart.js';
 import { headCheckMs, idleReserveMs } from '../constants.js';
+import { connectionBytes, requestBytes } from './constants.js';
 import type { ReceivedCall } from './callerPort.js';
 import type { HttpCaller } from './httpCaller.js';
+import type { ReadingTurns } from './readingTurns.js';
+import { RequestFeed } from './requestFeed.js';
 
-/** Why a gateway closes a connection that has no open response. */
+/** Why a gateway closes a connection. */
 export const CloseReason = {
+  /** It had no open response for too long. */
   Idle: 'idle',
   Stop: 'stop',
+  /** The connections together hold too much memory, or there are too many, and this one gives way. */
+  Excess: 'excess',
+  /** An answer was not taken for too long. */
+  Unread: 'unread',
 } as const;
 export type CloseReason = ValueOf<typeof CloseReason>;
 
 /** Services that a caller's connection uses. */
 export interface ConnectionServices {
   readonly timers: ChartTimers;
+  readonly turns: ReadingTurns;
+  /** Requests that are parsed before the first of them is answered. */
+  readonly maxRequestsAhead: number;
   getLimits(): CallLimits;
+  /** Whether requests sent ahead may be parsed, or the connections hold too much already. */
+  mayReadAhead(): boolean;
+  /** Whether the body of the call is still being received. */
+  isReceiving(caller: HttpCaller): boolean;
+  /** Notes that what the connection holds may have changed. */
+  noteUsage(connection: CallerConnection): void;
   isDraining(): boolean;
   getNow(): Milliseconds;
   /** Returns the earliest time at which what is read now can have arrived. */
@@ -70,12 +89,19 @@
   private toldIdleMs: Milliseconds = 0;
   /** Raw response to what is no request. */
   private refusal: string | undefined;
+  private readonly feed: RequestFeed;
+  /** Requests that came while it was closing; Node keeps them until then. */
+  private droppedRequests = 0;
+  /** Bytes that were parsed since the last head ended. */
+  private headBytes = 0;
+  private answers = 0;
+  private progressAt: Milliseconds;
   private readonly acceptedAt: Milliseconds;
   /** The earliest time at which it can have come to the listener. */
   private readonly arrivedAt: Milliseconds;
 
   constructor(
-    private readonly socket: Socket,
+    readonly socket: Socket,
     machine: ConnectionMachine,
     private readonly services: ConnectionServices,
   ) {
@@ -85,27 +111,105 @@
     };
     this.chart = machine.createInstance(this, services.timers);
     this.acceptedAt = services.getNow();
+    this.progressAt = this.acceptedAt;
+    this.feed = new RequestFeed(socket, services.turns, {
+      mayParse: () => this.mayParse,
+      hasEnded: () => this.hasEnded,
+      notePiece: bytes => {
+        this.headBytes += bytes;
+      },
+      noteRead: () => {
+        services.noteUsage(this);
+      },
+      getNow: () => services.getNow(),
+      estimateArrival: now => services.estimateArrival(now),
+    });
     this.arrivedAt = services.noteAccepted(this.acceptedAt);
     this.chart.start(this.acceptedAt);
   }
 
   /** Returns the earliest time at which the first request, which is read now, can have arrived: with the connection, if the sockets were not polled in between. */
   estimateFirstArrival(): Milliseconds {
-    const { acceptedAt, arrivedAt, services } = this;
-    const readFrom = services.estimateArrival(services.getNow());
-    return readFrom <= acceptedAt ? arrivedAt : readFrom;
+    const readFrom = this.estimateArrival();
+    return readFrom <= this.acceptedAt ? this.arrivedAt : readFrom;
   }
 
-  /** Whether it closes after its last open response; further requests are not passed on. */
-  get isClosing(): boolean {
+  /** Returns the earliest time at which what is parsed now can have arrived. */
+  estimateArrival(): Milliseconds {
+    return this.feed.estimateArrival(this.services.getNow());
+  }
+
+  /** Address of the caller, or of what is between. */
+  get address(): string {
+    return this.socket.remoteAddress ?? '';
+  }
+
+  /** What it makes the gateway keep. */
+  describeUsage(): CallerUsage {
+    const { headBytes, openCallers, socket } = this;
+    let bytes =
+      connectionBytes +
+      headBytes +
+      socket.readableLength +
+      socket.writableLength +
+      this.droppedRequests * requestBytes;
+    let isProtected = false;
+    for (const caller of openCallers) {
+      bytes += requestBytes + caller.keptBytes;
+      isProtected ||=
+        !this.waiting.has(caller) && !this.services.isReceiving(caller);
+    }
+    const { progressAt, answers } = this;
+    return { bytes, progressAt, answers, isProtected };
+  }
+
+  /** Whether an answer waits that its caller does not take. */
+  get hasUnreadAnswer(): boolean {
+    return this.socket.writableLength > 0;
+  }
+
+  /** Counts a request that came while the connection closes. */
+  noteDropped(): void {
+    this.headBytes = 0;
+    this.droppedRequests += 1;
+  }
+
+  /** Notes that a part of a body was received. */
+  noteBody(): void {
+    this.headBytes = 0;
+  }
+
+  /** A piece may end one body and begin the next request, so that one request more than the bound is open at most. */
+  private get mayParse(): boolean {
+    const { maxRequestsAhead } = this.services;
+    const open = this.openCallers.size + this.droppedRequests;
+    const bound = this.services.mayReadAhead() ? maxRequestsAhead : 1;
+    return open < bound || (open === bound && this.isReceivingLast);
+  }
+
+  /** Whether the body of the last request goes on. */
+  private get isReceivingLast(): boolean {
+    let last: HttpCaller | undefined;
+    for (const caller of this.openCallers) {
+      last = caller;
+    }
+    return last !== undefined && this.services.isReceiving(last);
+  }
+
+  /** Whether nothing more is parsed: it was refused, or its last response has ended. */
+  private get hasEnded(): boolean {
     return (
-      this.isCloseAnnounced ||
       this.refusal !== undefined ||
       this.chart.matches('closing') ||
       this.chart.isFinal
     );
   }
 
+  /** Whether it closes after its last open response; further requests are not passed on. */
+  get isClosing(): boolean {
+    return this.isCloseAnnounced || this.hasEnded;
+  }
+
   /** Whether the caller has closed the connection, as far as the socket was read. */
   get hasCallerLeft(): boolean {
     return this.socket.destroyed || this.socket.readableEnded;
@@ -113,6 +217,7 @@
 
   add(caller: HttpCaller): void {
     this.hasServedCalls = true;
+    this.headBytes = 0;
     this.openCallers.add(caller);
     this.send({ type: 'REQUEST' });
   }
@@ -124,6 +229,7 @@
 
   /** Passes a call on once it is the first one without a response. */
   enqueue(call: ReceivedCall, caller: HttpCaller): void {
+    this.progressAt = this.services.getNow();
     this.waiting.set(caller, call);
     this.forwardNext();
   }
@@ -156,10 +262,15 @@
   finish(caller: HttpCaller): void {
     this.openCallers.delete(caller);
     this.waiting.delete(caller);
+    if (caller.hasFinished) {
+      this.answers += 1;
+      this.progressAt = this.services.getNow();
+    }
     if (this.openCallers.size === 0) {
       this.send({ type: 'ENDED' });
     }
     this.forwardNext();
+    this.feed.resume();
   }
 
   /** Closes the connection of a draining gateway if it has no open response and no request comes. */
@@ -190,6 +301,7 @@
 
   /** Notes that the socket has closed. */
   noteLost(): void {
+    this.feed.dispose();
     this.send({ type: 'LOST' });
   }
 
@@ -220,6 +332,8 @@
     },
     halfClose: (): void => {
       this.socket.end();
+      // A reset would follow bytes that are not read.
+      this.feed.resume();
     },
     destroySocket: (): void => {
       this.socket.destroy();
--- a/packages/gateway/src/callers/httpCaller.ts
+++ b/packages/gateway/src/callers/httpCaller.ts
@@ -20,6 +20,8 @@
 } from './callerPort.js';
 
 export class HttpCaller extends CallerExchange {
+  /** Memory of its head and of the part of its body that was received, in bytes. */
+  keptBytes = 0;
   /** Whether nothing but the end of the connection delimits the answer. */
   private isUnframed = false;
 
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -17,13 +17,16 @@
   millisecondsPerSecond,
   getOrThrow,
   type Address,
+  type LogFields,
   type Milliseconds,
   type Result,
 } from '@lycheetally/common';
 import {
+  CostliestFirstAccount,
   Outcome,
-  type KeptMemory,
+  type CallerLimits,
   type CallLimits,
+  type KeptMemory,
 } from '@lycheetally/decisions';
 import type { ChartTimers } from '@lycheetally/charts';
 import { findHeaderFault, startListening } from '@lycheetally/node';
@@ -31,13 +34,14 @@
 import type { CallFields, CallFormat } from '../callFormat.js';
 import {
   CallerConnection,
-  type CloseReason,
+  CloseReason,
   type ConnectionServices,
 } from './callerConnection.js';
 import { bindConnectionChart } from './callerConnectionChart.js';
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
 import { headCheckMs, noRoomRetryAfterMs } from '../constants.js';
 import { HttpCaller } from './httpCaller.js';
+import { ReadingTurns } from './readingTurns.js';
 
 /** Receives the calls that the HTTP server accepts. */
 export interface CallHandler {
@@ -50,8 +54,10 @@
   noteUnfinished(call: CallFields, error: ErrorResponse): void;
   /** Notes a call that is not passed on because its connection closes. */
   noteDropped(call: CallFields): void;
-  /** Notes that a connection without an open response is closed. */
+  /** Notes that the gateway closes a connection. */
   noteConnectionClosed(reason: CloseReason): void;
+  /** Notes what a connection held that gives way. */
+  noteExcess(fields: LogFields, now: Milliseconds): void;
   /** Runs it in a later turn, after what can be read now. */
   postCompletion(run: (now: Milliseconds) => void): void;
   getNow(): Milliseconds;
@@ -59,6 +65,15 @@
   estimateArrival(now: Milliseconds): Milliseconds;
   /** Notes that a connection was accepted, and returns the earliest time at which it can have come. */
   noteAccepted(now: Milliseconds): Milliseconds;
+  /** Runs it after what can be read now, outside the loop's turns. */
+  deferReading(run: () => void): void;
+}
+
+/** Limits on what all callers make the gateway keep. */
+export interface FrontendLimits extends CallerLimits {
+  readonly maxRequestsAhead: number;
+  /** Time after which a request or an answer without progress ends. */
+  readonly stalledMs: Milliseconds;
 }
 
 /** Limits that apply until there is a configuration. */
@@ -83,17 +98,22 @@
   private readonly incomplete = new Map<HttpCaller, BodyReader>();
   private handleEmpty: (() => void) | undefined;
   private readonly openCallers = new Set<HttpCaller>();
+  private readonly account: CostliestFirstAccount<CallerConnection>;
 
   constructor(
     private readonly format: CallFormat,
     private readonly handler: CallHandler,
     private readonly timers: ChartTimers,
     private readonly memory: KeptMemory,
+    private readonly callerLimits: FrontendLimits,
   ) {
+    this.account = new CostliestFirstAccount(callerLimits);
     this.server = createServer(
       {
         maxHeaderSize: parserHeaderBytes,
         connectionsCheckingInterval: headCheckMs,
+        // Node would answer itself, and keep what its caller sends ahead uncounted.
+        requireHostHeader: false,
         noDelay: true,
         keepAlive: true,
         keepAliveInitialDelay: millisecondsPerSecond,
@@ -109,6 +129,10 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.receiveFault(error, socket);
     });
+    this.server.timeout = callerLimits.stalledMs;
+    this.server.on('timeout', socket => {
+      this.handleStall(socket);
+    });
     // Node would destroy the connection.
     this.server.on('connect', (_, socket) => {
       this.refuseMalformed(socket, 'a tunnel is asked for');
@@ -122,6 +146,15 @@
     return this.openCallers.size;
   }
 
+  /** Memory that the connections of callers hold, in bytes. */
+  get callerBytes(): number {
+    return this.account.totalBytes;
+  }
+
+  get callerConnections(): number {
+    return this.account.connections;
+  }
+
   listen(address: Address): Promise<Result<Address>> {
     return startListening(this.server, address);
   }
@@ -205,6 +238,7 @@
     if (!connection || connection.isClosing) {
       // It is neither run nor answered: the caller sees the close instead.
       incoming.resume();
+      connection?.noteDropped();
       this.handler.noteDropped(this.format.readCall(incoming.rawHeaders));
       return;
     }
@@ -215,7 +249,9 @@
     response.once('close', () => {
       this.handleClosed(caller, connection);
     });
-    if (countHeaderBytes(incoming) > this.limits.maxHeaderBytes) {
+    const headerBytes = countHeaderBytes(incoming);
+    caller.keptBytes = headerBytes;
+    if (headerBytes > this.limits.maxHeaderBytes) {
       this.refuse(caller, 431, 'the headers are larger than the limit');
       return;
     }
@@ -239,8 +275,10 @@
       this.connectionServices,
     );
     this.connections.set(socket, connection);
+    this.updateUsage(connection);
     socket.once('close', () => {
       this.connections.delete(socket);
+      this.account.release(connection);
       connection.noteLost();
       // Node does not close the responses that wait for an earlier one to end.
       for (const caller of connection.listOpen()) {
@@ -250,10 +288,76 @@
     });
   }
 
+  /** Accounts for what the connection holds, and closes those that give way. */
+  private updateUsage(connection: CallerConnection): void {
+    if (!this.connections.has(connection.socket)) {
+      return;
+    }
+    this.account.update(
+      connection,
+      connection.address,
+      connection.describeUsage(),
+    );
+    const now = this.handler.getNow();
+    for (const excess of this.account.listExcess(now)) {
+      this.closeExcess(excess, now);
+    }
+  }
+
+  private closeExcess(connection: CallerConnection, now: Milliseconds): void {
+    const { bytes, progressAt, answers } = connection.describeUsage();
+    this.handler.noteConnectionClosed(CloseReason.Excess);
+    this.handler.noteExcess(
+      {
+        bytes,
+        withoutProgressMs: Math.round(now - progressAt),
+        answers,
+        openRequests: connection.listOpen().length,
+        totalBytes: this.account.totalBytes,
+        connections: this.account.connections,
+      },
+      now,
+    );
+    this.account.release(connection);
+    connection.reset();
+  }
+
+  /** Ends a request whose body does not go on, or an answer that is not taken. */
+  private handleStall(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (!connection) {
+      return;
+    }
+    const caller = connection.listOpen().at(-1);
+    const reader = caller && this.incomplete.get(caller);
+    if (connection.hasUnreadAnswer) {
+      this.handler.noteConnectionClosed(CloseReason.Unread);
+      connection.reset();
+    } else if (caller && reader) {
+      reader.drop();
+      this.refuseUnfinished(caller, reader, stalledError);
+    } else {
+      socket.setTimeout(this.callerLimits.stalledMs);
+    }
+  }
+
   private createConnectionServices(): ConnectionServices {
-    const { handler, timers } = this;
+    const { account, callerLimits, handler, timers } = this;
     return {
       timers,
+      turns: new ReadingTurns(
+        () => handler.getNow(),
+        run => {
+          handler.deferReading(run);
+        },
+      ),
+      maxRequestsAhead: callerLimits.maxRequestsAhead,
+      mayReadAhead: () => account.totalBytes < callerLimits.maxBytes,
+      isReceiving: caller =>
+        this.incomplete.get(caller)?.incoming.complete === false,
+      noteUsage: connection => {
+        this.updateUsage(connection);
+      },
       getLimits: () => this.limits,
       isDraining: () => this.isDraining,
       getNow: () => handler.getNow(),
@@ -284,6 +388,7 @@
     this.memory.release(caller);
     const waiting = connection.findWaiting(caller);
     connection.finish(caller);
+    this.updateUsage(connection);
     this.handler.noteResponseClosed();
     if (waiting) {
       this.handler.noteDropped(waiting.fields);
@@ -299,6 +404,7 @@
     isOnKeptConnection: boolean,
   ): void {
     let maxBytes = 0;
+    const headerBytes = caller.keptBytes;
     const reader = new BodyReader(incoming, {
       getMaxBytes: () => {
         maxBytes = Math.max(maxBytes, this.limits.maxBodyBytes);
@@ -306,12 +412,14 @@
       },
       hasRoom: bytes => this.memory.hasRoom(caller, bytes),
       noteMemory: bytes => {
+        connection.noteBody();
+        caller.keptBytes = headerBytes + bytes;
         this.memory.keep(caller, bytes);
       },
       handleBody: body => {
         this.incomplete.delete(caller);
         const arrivedAt = isOnKeptConnection
-          ? this.handler.estimateArrival(this.handler.getNow())
+          ? connection.estimateArrival()
           : connection.estimateFirstArrival();
         const call = this.createCall(
           incoming,
@@ -437,6 +545,13 @@
   retryAfterMs: noRoomRetryAfterMs,
 };
 
+const stalledError: ErrorResponse = {
+  status: 408,
+  kind: ErrorKind.DeadlineExceeded,
+  message: 'the body has not gone on for too long; send the request again',
+  outcome: Outcome.NotRun,
+};
+
 const parserErrorStatus: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 };
--- /dev/null
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -0,0 +1,141 @@
+/**
+ * Passes what arrives on a caller's connection to Node's HTTP parser, as far as it may be parsed now.
+ *
+ * Node parses a whole read at once: thousands of small requests, each with its objects,
+ * before the first one is answered. Here a piece holds one head at most, so that the
+ * connection can stop after each. What is not parsed yet stays in the socket, which is not
+ * read meanwhile: the caller's bytes then wait at the caller.
+ */
+import { Socket } from 'node:net';
+import type { Milliseconds } from '@lycheetally/common';
+import { maxPieceBytes } from './constants.js';
+import { ReadingConnection, type ReadingTurns } from './readingTurns.js';
+
+/** What a connection says about its bytes. */
+export interface FeedControl {
+  /** Whether a further request may be parsed. */
+  mayParse(): boolean;
+  /** Whether nothing is parsed any more; what still arrives is dropped. */
+  hasEnded(): boolean;
+  notePiece(bytes: number): void;
+  /** Notes that everything that may be parsed now was. */
+  noteRead(): void;
+  getNow(): Milliseconds;
+  /** Returns the earliest time at which what is read now can have arrived. */
+  estimateArrival(now: Milliseconds): Milliseconds;
+}
+
+type Parse = (this: Socket, bytes: Buffer) => void;
+
+export class RequestFeed extends ReadingConnection {
+  /** Whether the connection waits until an answer has ended. */
+  private isHeld = false;
+  /** Whether it waits, for an answer or for its turn. */
+  private isStopped = false;
+  /** When the bytes that wait in the socket can have arrived at the earliest. */
+  private waitingSince: Milliseconds | undefined;
+  private readonly parsers: readonly Parse[];
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly turns: ReadingTurns,
+    private readonly control: FeedControl,
+  ) {
+    super();
+    // Node's server has added its parser as a listener; an added one ends its direct reads of the handle.
+    this.parsers = socket.listeners('data') as Parse[];
+    socket.removeAllListeners('data');
+    // Node resumes the socket for each body that was read, and so would read on without end.
+    socket.resume = () => (this.isStopped ? socket : this.resumeSocket());
+    socket.on('data', (bytes: Buffer) => {
+      this.receive(bytes);
+    });
+  }
+
+  /** Returns the earliest time at which what is parsed now can have arrived. */
+  estimateArrival(now: Milliseconds): Milliseconds {
+    return this.waitingSince ?? this.control.estimateArrival(now);
+  }
+
+  /** Goes on after an answer has ended, or to drop what still arrives. */
+  resume(): void {
+    if (this.isHeld) {
+      this.isHeld = false;
+      this.turns.enqueue(this);
+      // Begins a turn if none runs, after which the connection goes on.
+      this.turns.hasTime(this.control.getNow());
+    }
+  }
+
+  override continueReading(): void {
+    this.isStopped = false;
+    if (!this.socket.destroyed) {
+      this.resumeSocket();
+      this.socket.read();
+    }
+  }
+
+  dispose(): void {
+    this.turns.remove(this);
+  }
+
+  private receive(bytes: Buffer): void {
+    const { control, turns } = this;
+    const startedAt = control.getNow();
+    let from = 0;
+    while (from < bytes.length && !control.hasEnded()) {
+      this.isHeld = !control.mayParse();
+      this.isStopped = this.isHeld || !turns.hasTime(startedAt);
+      if (this.isStopped) {
+        if (!this.isHeld) {
+          turns.enqueue(this);
+        }
+        this.keep(bytes.subarray(from));
+        return;
+      }
+      const to = findPieceEnd(bytes, from);
+      this.parse(bytes.subarray(from, to));
+      control.notePiece(to - from);
+      from = to;
+      if (from < bytes.length && this.socket.isPaused()) {
+        // Node goes on once its answers or the body were taken.
+        this.keep(bytes.subarray(from));
+        return;
+      }
+    }
+    this.waitingSince = undefined;
+    control.noteRead();
+  }
+
+  private resumeSocket(): Socket {
+    return Socket.prototype.resume.call(this.socket) as Socket;
+  }
+
+  private parse(bytes: Buffer): void {
+    for (const parse of this.parsers) {
+      parse.call(this.socket, bytes);
+    }
+  }
+
+  /** Leaves the bytes in the socket and reads no more for now. */
+  private keep(bytes: Buffer): void {
+    const { control, socket } = this;
+    this.waitingSince ??= control.estimateArrival(control.getNow());
+    if (!socket.destroyed) {
+      socket.pause();
+      socket.unshift(bytes);
+    }
+    control.noteRead();
+  }
+}
+
+const blankLines = ['\n\r\n', '\n\n'];
+
+/** Returns where the piece ends that begins there: after the next blank line, which ends a head. */
+const findPieceEnd = (bytes: Buffer, from: number): number => {
+  const piece = bytes.subarray(from, from + maxPieceBytes);
+  const ends = blankLines
+    .map(line => piece.indexOf(line) + line.length)
+    .filter((end, index) => end >= (blankLines[index]?.length ?? 0));
+  return from + Math.min(piece.length, ...ends);
+};
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -13,6 +13,8 @@
   countCalls(): number;
   countQueued(): number;
   countBufferedBytes(): number;
+  countCallerBytes(): number;
+  countCallerConnections(): number;
   readonly news: GatewayNews;
   readonly suspects: Suspects;
   countUnreadable(): number;
@@ -39,6 +41,16 @@
       'Memory of buffered requests and responses',
       () => sources.countBufferedBytes(),
     ],
+    [
+      'caller_bytes',
+      'Memory of the connections of callers, with their requests and unread answers',
+      () => sources.countCallerBytes(),
+    ],
+    [
+      'caller_connections',
+      'Connections of callers',
+      () => sources.countCallerConnections(),
+    ],
     [
       'configuration_version',
       'Version of the configuration in force',
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -51,6 +51,8 @@
 import type { GatewaySettings } from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './callers/httpCaller.js';
+import { excessLogLimit } from './callers/constants.js';
+import { computeFrontendLimits } from './callers/frontendLimits.js';
 import { HttpFrontend, type CallHandler } from './callers/httpFrontend.js';
 import { bindOrderChart } from './placement/layerOrder.js';
 import { bindLeaderChart, LayerPlacer } from './placement/layerPlacer.js';
@@ -60,6 +62,7 @@
   type LifecycleEvent,
 } from './lifecycleChart.js';
 import { listenWhenFree } from './listenWhenFree.js';
+import { LimitedLog } from './limitedLog.js';
 import { LoopMonitor } from './loopMonitor.js';
 import type {
   LeaderElectionPort,
@@ -89,6 +92,7 @@
   private readonly clock = new MonotonicClock();
   private readonly loop = new EventLoop<GatewayEvents>(this.clock);
   private readonly log: ComponentLogger;
+  private readonly callerLog: LimitedLog;
   private readonly backend: HttpBackend;
   private readonly bufferMemory: LargestFirstMemory<GatewayAttempt>;
   private readonly retryBudget: SlidingRetryBudget;
@@ -120,6 +124,7 @@
   ) {
     const startedAt = this.clock.getNow();
     this.log = loggers.createLogger(LogComponent.Process);
+    this.callerLog = new LimitedLog(this.log, excessLogLimit);
     this.backend = new HttpBackend(ports.format);
     const memoryMb = settings.limits?.memoryMb ?? defaultMemoryMebibytes;
     this.bufferMemory = new LargestFirstMemory(
@@ -166,6 +171,8 @@
       countCalls: () => this.calls.size,
       countQueued: () => this.intake.count,
       countBufferedBytes: () => this.bufferMemory.totalBytes,
+      countCallerBytes: () => this.frontend.callerBytes,
+      countCallerConnections: () => this.frontend.callerConnections,
       countUnreadable: () => this.servers.registry.unreadableCount,
       countDoubted: () => this.servers.registry.doubtedCount,
       countLimited: () => this.servers.registry.limitedCount,
@@ -439,6 +446,16 @@
       noteConnectionClosed: reason => {
         this.metrics.countConnectionClosed(reason);
       },
+      noteExcess: (fields, now) => {
+        this.callerLog.write(
+          'A connection was closed, since callers hold too much.',
+          fields,
+          now,
+        );
+      },
+      deferReading: run => {
+        this.clock.defer(run);
+      },
       postCompletion: run => {
         this.post(run);
       },
@@ -454,6 +471,7 @@
       handler,
       this.loop,
       this.bufferMemory,
+      computeFrontendLimits(this.settings),
     );
   }
 
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -4,6 +4,12 @@
 
 const positive = z.coerce.number().positive();
 
+/** A template has an empty value where the platform states none. */
+const optionalPositive = z.preprocess(
+  value => (value === '' ? undefined : value),
+  positive.optional(),
+);
+
 export const gatewaySettingsSchema = z.object({
   process: z.object({
     id: z
@@ -31,15 +37,18 @@
   }),
   limits: z
     .object({
-      // A template has an empty value where the platform states none.
-      memoryMb: z
-        .preprocess(
-          value => (value === '' ? undefined : value),
-          positive.optional(),
-        )
-        .describe(
-          'Memory of the VM in MiB; a quarter of it buffers requests and responses (256 without it)',
-        ),
+      memoryMb: optionalPositive.describe(
+        'Memory of the VM in MiB; a quarter of it buffers requests and responses (256 without it)',
+      ),
+      maxDescriptors: optionalPositive.describe(
+        'Descriptors of the VM; callers take six tenths of those that are not kept for files (4096 without it)',
+      ),
+      maxRequestsAhead: optionalPositive.describe(
+        'Requests of one connection that are parsed before the first of them is answered; the rest waits at the caller (16 without it)',
+      ),
+      stalledSeconds: optionalPositive.describe(
+        'Seconds after which a request or an answer without progress ends (60 without it)',
+      ),
     })
     .optional(),
   rules: z.object({
