--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -130,7 +130,7 @@
       this.receiveFault(error, socket);
     });
     this.server.timeout = callerLimits.stalledMs;
-    this.server.on('timeout', socket => {
+    this.server.on('timeout', (socket: Socket) => {
       this.handleStall(socket);
     });
     // Node would destroy the connection.
--- a/packages/gateway/src/callers/readingTurns.ts
+++ b/packages/gateway/src/callers/readingTurns.ts
@@ -10,7 +10,7 @@
 
 /** A connection whose bytes wait to be parsed. */
 export abstract class ReadingConnection {
-  abstract continueReading(): void;
+  abstract resumeReading(): void;
 }
 
 export class ReadingTurns {
@@ -65,7 +65,7 @@
         return;
       }
       this.waiting.delete(connection);
-      connection.continueReading();
+      connection.resumeReading();
     }
   }
 }
--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -67,7 +67,7 @@
     }
   }
 
-  override continueReading(): void {
+  override resumeReading(): void {
     this.isStopped = false;
     if (!this.socket.destroyed) {
       this.resumeSocket();
@@ -108,7 +108,8 @@
   }
 
   private resumeSocket(): Socket {
-    return Socket.prototype.resume.call(this.socket) as Socket;
+    Socket.prototype.resume.call(this.socket);
+    return this.socket;
   }
 
   private parse(bytes: Buffer): void {
