Have a member whose joins fail leave the group that elects the leader

The store carries out some calls whose answers are lost. A leader and those that would take over went on joining each second: the store kept them in the group, and kept the partition at a member that named an old generation, for as long as the fault lasted. The membership now has a chart of its own. A failed join is repeated after 0.25 s; a leader that cannot renew gives its lease up 0.3 s before its end and sends a leave, other members after two failures, and a member joins again when a leave was answered.

A member still sends at most one call a second while the store answers.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -39,6 +39,7 @@
   ServerListing: 'serverListing',
   ServerIntake: 'serverIntake',
   DutyHolder: 'dutyHolder',
+  GroupMember: 'groupMember',
   LayerOrder: 'layerOrder',
   ServerCheck: 'serverCheck',
   NewsRelay: 'newsRelay',
--- /dev/null
+++ b/packages/gateway/src/placement/constants.ts
@@ -0,0 +1,13 @@
+/** Delays of leadership and of the repair of placement, in milliseconds. */
+
+/** Delay before a join or leave that failed is sent again; two tries that time out fit into a lease after its first renewal. */
+export const leaseRetryDelayMs = 250;
+
+/** Failures in a row after which calls to the group are repeated only at the interval of renewals; each costs the store a call. */
+export const maxFastRetries = 2;
+
+/** Joins in a row that may fail before a member without a lease leaves; a single one may meet a short pause of the store. */
+export const maxFailedJoins = 2;
+
+/** Time before the end of its lease at which a leader that cannot renew it leaves the group; a leave takes a round trip to the store. */
+export const leaseHandoverMs = 300;
--- a/packages/gateway/src/placement/layerPlacer.ts
+++ b/packages/gateway/src/placement/layerPlacer.ts
@@ -8,7 +8,7 @@
   type ChartInstance,
   type ChartMachine,
 } from '@lycheetally/charts';
-import type { Disposable, Milliseconds, Result } from '@lycheetally/common';
+import type { Milliseconds, Result } from '@lycheetally/common';
 import type {
   BackendService,
   LayerRange,
@@ -17,8 +17,6 @@
   StageServer,
 } from '@lycheetally/decisions';
 import {
-  leaderLeaseMs,
-  leaseRenewIntervalMs,
   heartbeatLateShare,
   placementIntervalMs,
   serverReadIntervalMs,
@@ -30,8 +28,13 @@
   type OrderMachine,
   type OrderServices,
 } from './layerOrder.js';
+import {
+  GroupMember,
+  bindMemberChart,
+  type MemberMachine,
+  type MemberServices,
+} from './groupMember.js';
 import { OrderBackoff } from './orderBackoff.js';
-import type { LeaderGrant, LeaderElectionPort } from '../ports.js';
 import type { Server } from '../servers/server.js';
 import {
   toStageServer,
@@ -40,34 +43,31 @@
 import type { ServerLossHandler } from '../servers/serverLossHandler.js';
 
 export interface LeaderEvent {
-  readonly type: 'GRANTED' | 'DENIED' | 'GRANT_ENDED' | 'RESIGN';
+  readonly type: 'GRANTED' | 'DENIED' | 'RESIGN';
 }
 
-export type LeaderMachine = ChartMachine<LayerPlacer, LeaderEvent>;
+/** The charts of the leader and of its membership in the group. */
+export interface LeaderMachine {
+  readonly duty: ChartMachine<LayerPlacer, LeaderEvent>;
+  readonly member: MemberMachine;
+}
 
-export interface PlacerServices extends OrderServices {
-  readonly leaderElection: LeaderElectionPort;
+export interface PlacerServices extends OrderServices, MemberServices {
   readonly placement: PlacementPolicy;
   readonly serverRegistry: ServerRegistry;
   readonly startedAt: Milliseconds;
   /** Interval between two heartbeats of a server. */
   readonly heartbeatMs: Milliseconds;
   readonly lossHandler: Pick<ServerLossHandler, 'checkServer'>;
-  /** Sets this gateway's share of its group, from 0 to 1. */
-  setShare(share: number, now: Milliseconds): void;
   listServices(): Iterable<BackendService>;
 }
 
 export class LayerPlacer {
   /** Orders sent since the start. */
   orders = 0;
-  private fencingToken = 0;
-  private leaseExpiresAt: Milliseconds = -Infinity;
-  private leaseRequestedAt: Milliseconds = -Infinity;
-  private leaseRequests: Promise<void> = Promise.resolve();
   private readonly pendingOrders = new Map<string, LayerOrder>();
   private readonly backoff = new OrderBackoff();
-  private readonly subscription: Disposable;
+  private readonly member: GroupMember;
   private readonly chart: ChartInstance<LayerPlacer, LeaderEvent>;
 
   constructor(
@@ -75,11 +75,9 @@
     private readonly orderMachine: OrderMachine,
     private readonly services: PlacerServices,
   ) {
-    this.chart = machine.createInstance(this, services.timers);
-    this.subscription = services.leaderElection.grantEnded.subscribe(() => {
-      services.postCompletion(now => {
-        this.chart.send({ type: 'GRANT_ENDED' }, now);
-      });
+    this.chart = machine.duty.createInstance(this, services.timers);
+    this.member = new GroupMember(machine.member, services, (isLeader, now) => {
+      this.chart.send({ type: isLeader ? 'GRANTED' : 'DENIED' }, now);
     });
   }
 
@@ -89,44 +87,28 @@
 
   start(now: Milliseconds): void {
     this.chart.start(now);
+    this.member.start(now);
   }
 
   resign(now: Milliseconds): void {
     this.chart.send({ type: 'RESIGN' }, now);
+    this.member.resign(now);
   }
 
   dispose(): void {
-    this.subscription.dispose();
+    this.member.dispose();
     this.chart.dispose();
   }
 
   readonly chartActions = {
-    requestLease: (now: Milliseconds): void => {
-      this.leaseRequestedAt = now;
-      const { services } = this;
-      const request = services.leaderElection
-        .join(leaderLeaseMs)
-        .then(result => {
-          services.postCompletion(receivedAt => {
-            this.receiveGrant(result, now, receivedAt);
-          });
-        });
-      const earlier = this.leaseRequests;
-      this.leaseRequests = request.then(() => earlier);
-    },
-    renewLease: (now: Milliseconds): void => {
-      if (now - this.leaseRequestedAt >= leaseRenewIntervalMs) {
-        this.chartActions.requestLease(now);
-      }
-    },
     noteElected: (): void => {
       this.services.log.info('This gateway places layers now.', {
-        fencingToken: this.fencingToken,
+        fencingToken: this.member.fencingToken,
       });
     },
     noteLeaseEnded: (): void => {
       this.services.log.info('This gateway no longer places layers.', {
-        fencingToken: this.fencingToken,
+        fencingToken: this.member.fencingToken,
       });
     },
     placeLayers: (now: Milliseconds): void => {
@@ -138,40 +120,9 @@
         this.placeService(service, now);
       }
     },
-    leaveGroup: (): void => {
-      // A renewal that arrives after the leave would join the group again.
-      void this.leaseRequests.then(() => this.services.leaderElection.leave());
-    },
-    hasLease: (now: Milliseconds): boolean => this.hasLease(now),
+    hasLease: (now: Milliseconds): boolean => this.member.hasLease(now),
   };
 
-  private hasLease(now: Milliseconds): boolean {
-    return now < this.leaseExpiresAt;
-  }
-
-  private receiveGrant(
-    result: Result<LeaderGrant>,
-    sentAt: Milliseconds,
-    now: Milliseconds,
-  ): void {
-    if (result.err) {
-      this.services.log.warn(
-        'The leader lease for placing layers was not renewed.',
-        {
-          reason: result.val.message,
-          leaseMs: Math.round(this.leaseExpiresAt - now),
-        },
-      );
-      return;
-    }
-    this.services.setShare(result.val.share, now);
-    this.fencingToken = result.val.fencingToken;
-    if (result.val.isLeader) {
-      this.leaseExpiresAt = sentAt + leaderLeaseMs;
-    }
-    this.chart.send({ type: result.val.isLeader ? 'GRANTED' : 'DENIED' }, now);
-  }
-
   /** At the start servers join one by one; a plan made too early would split the model badly. */
   private isReadyToPlace(now: Milliseconds): boolean {
     const { startedAt, serverRegistry } = this.services;
@@ -261,10 +212,10 @@
       this.services,
       server,
       range,
-      this.fencingToken,
+      this.member.fencingToken,
       {
         backoff: this.backoff,
-        mayOrder: time => this.isLeader && this.hasLease(time),
+        mayOrder: time => this.isLeader && this.member.hasLease(time),
         handleFinished: () => this.pendingOrders.delete(serverId),
       },
     );
@@ -274,16 +225,15 @@
   }
 }
 
-/** Binds the chart `dutyHolder`. Fails with `BadChart`. */
+/** Binds the charts `dutyHolder` and `groupMember`. Fails with `BadChart`. */
 export const bindLeaderChart = (): Result<LeaderMachine> =>
+  bindMemberChart().andThen(member =>
+    bindDutyChart().map(duty => ({ duty, member })),
+  );
+
+const bindDutyChart = (): Result<LeaderMachine['duty']> =>
   bindChart<LayerPlacer, LeaderEvent>(ChartName.DutyHolder, {
     actions: {
-      requestLease: (placer, _, now) => {
-        placer.chartActions.requestLease(now);
-      },
-      renewLease: (placer, _, now) => {
-        placer.chartActions.renewLease(now);
-      },
       noteElected: placer => {
         placer.chartActions.noteElected();
       },
@@ -293,15 +243,11 @@
       placeLayers: (placer, _, now) => {
         placer.chartActions.placeLayers(now);
       },
-      leaveGroup: placer => {
-        placer.chartActions.leaveGroup();
-      },
     },
     guards: {
       hasLease: (placer, _, now) => placer.chartActions.hasLease(now),
     },
     delays: {
-      RENEW_INTERVAL: () => leaseRenewIntervalMs,
       PLACEMENT_INTERVAL: () => placementIntervalMs,
     },
   });
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -87,7 +87,8 @@
   readonly grantEnded = new Emitter<void>();
 
   abstract join(leaseMs: Milliseconds): Promise<Result<LeaderGrant>>;
-  abstract leave(): Promise<void>;
+  /** May be repeated, also by a gateway that is no member. Fails with `PlatformUnavailable`; it may have left all the same. */
+  abstract leave(): Promise<Result<void>>;
 }
 
 /** An order to load layers. */
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -81,9 +81,9 @@
     });
   }
 
-  override leave(): Promise<void> {
+  override leave(): Promise<Result<void>> {
     this.calls.push('leave');
-    return Promise.resolve();
+    return Promise.resolve(Ok(undefined));
   }
 
   answer(): void {
