Send all orders of a repair at once and keep to them, where the settings say so

With two servers less a domain may have memory for one replica instead of two; then every server seemed to hold too much, and each plan had one of them release layers, which drains it for seconds, loses a copy and raises no capacity. Orders without an answer were given up after 0.7 s and their servers told other layers, and an order counted on although its server had restarted.

With repair=committed the plans that follow from a state are computed at once, layers are released only where that widens a bottleneck and nothing loads, unanswered orders are repeated with the same layers, orders end with a restart of their server, and a refused connection or a restart has the leader plan 0.1 s later. The default plans as before.

--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -7,7 +7,12 @@
 import { updateCoverage } from './coverage.js';
 import { closeGaps } from './closeGaps.js';
 import { LayerCapacities } from './layerCapacities.js';
-import { chooseReleasingRange, releaseLayers } from './releaseLayers.js';
+import {
+  ReleaseBySize,
+  chooseReleasingRange,
+  releaseLayers,
+  type ReleaseRule,
+} from './releaseLayers.js';
 import { mayReassign, type LayerHolder } from './holders.js';
 import { planRepair } from './repairPlan.js';
 import {
@@ -46,13 +51,17 @@
  * proportion to its memory, so that every stage has the same KV cache capacity.
  */
 export class ReplicaPerDomain extends PlacementPolicy {
+  constructor(private readonly releaseRule: ReleaseRule = new ReleaseBySize()) {
+    super();
+  }
+
   override planPlacement(
     model: LayeredModel,
     servers: readonly StageServer[],
   ): PlacementPlan {
     const plan = new Map<string, LayerRange>();
     for (const group of listGroups(model, servers)) {
-      planGroup(model, servers, group, plan);
+      planGroup(model, servers, group, this.releaseRule, plan);
     }
     const holders = listHolders(servers, plan);
     if (holders.length > 0) {
@@ -104,6 +113,7 @@
   model: LayeredModel,
   servers: readonly StageServer[],
   group: readonly StageServer[],
+  releaseRule: ReleaseRule,
   plan: Map<string, LayerRange>,
 ): void => {
   const firstLayerHolders = countFirstLayerHolders(group);
@@ -116,7 +126,14 @@
     updateCoverage(coverage, range, 1);
   }
   closeGaps(model, servers, listHolders(group, plan), coverage, plan);
-  releaseLayers(model, servers, listHolders(group, plan), getLayerCount, plan);
+  releaseLayers(
+    model,
+    servers,
+    listHolders(group, plan),
+    getLayerCount,
+    releaseRule,
+    plan,
+  );
 };
 
 const countFirstLayerHolders = (group: readonly StageServer[]): number =>
--- a/packages/decisions/src/placement/releaseLayers.ts
+++ b/packages/decisions/src/placement/releaseLayers.ts
@@ -5,20 +5,73 @@
  * A server with more layers than its share has little KV cache left, which makes
  * its layers the bottleneck of the whole replica.
  */
+import { bottleneckMargin, minReleaseGain } from './constants.js';
 import { LayerCapacities, computeLayerCapacity } from './layerCapacities.js';
 import { mayGiveUp, mayReassign, type LayerHolder } from './holders.js';
 import type { LayerRange, LayeredModel, StageServer } from './types.js';
 
-/** Plans the release of layers by the oversized server with the least KV cache per layer. */
+/** The release of layers by one server of a group. */
+export interface LayerRelease {
+  readonly model: LayeredModel;
+  /** All servers of the group that hold layers. */
+  readonly holders: readonly LayerHolder[];
+  readonly holder: LayerHolder;
+  readonly kept: LayerRange;
+}
+
+/** Strategy that decides whether an oversized server releases layers. */
+export abstract class ReleaseRule {
+  /** How many oversized servers are considered, those with the least KV cache per layer first. */
+  abstract readonly maxCandidates: number;
+  abstract mayRelease(release: LayerRelease): boolean;
+}
+
+/** Lets the server with the least KV cache per layer release all that exceeds its share. */
+export class ReleaseBySize extends ReleaseRule {
+  override readonly maxCandidates = 1;
+
+  override mayRelease(): boolean {
+    return true;
+  }
+}
+
+/**
+ * Lets a server release layers if that widens a bottleneck of its group. The loss of a
+ * server may lower the number of replicas that a group has memory for, and with it the
+ * share of every server; without this rule each of them would then release layers, one
+ * after the other, and lose copies that the group still has memory for.
+ */
+export class ReleaseForCapacity extends ReleaseRule {
+  override readonly maxCandidates = Infinity;
+
+  override mayRelease(release: LayerRelease): boolean {
+    const { model, holders, holder, kept } = release;
+    if (holders.some(({ server }) => server.isLoading === true)) {
+      return false;
+    }
+    const capacities = new LayerCapacities(model, holders);
+    const before = capacities.findMinimum(holder.range);
+    const lowest = capacities.findMinimum({ from: 0, to: model.layers });
+    capacities.remove(holder);
+    capacities.add({ server: holder.server, range: kept });
+    const after = capacities.findMinimum(holder.range);
+    return (
+      before <= lowest * (1 + bottleneckMargin) &&
+      after >= before * (1 + minReleaseGain)
+    );
+  }
+}
+
+/** Plans the release of layers by an oversized server, those with the least KV cache per layer first. */
 export const releaseLayers = (
   model: LayeredModel,
   servers: readonly StageServer[],
   holders: readonly LayerHolder[],
   getLayerCount: (server: StageServer) => number,
+  rule: ReleaseRule,
   plan: Map<string, LayerRange>,
 ): void => {
-  const capacities = new LayerCapacities(model, holders);
-  const [bottleneck] = holders
+  const oversized = holders
     .filter(({ server }) => mayReassign(server, plan))
     .filter(
       ({ server, range }) => range.to - range.from > getLayerCount(server),
@@ -26,16 +79,18 @@
     .sort(
       (a, b) => computeLayerCapacity(model, a) - computeLayerCapacity(model, b),
     );
-  const kept =
-    bottleneck &&
-    findKeptRange(
-      model,
-      capacities,
-      bottleneck,
-      getLayerCount(bottleneck.server),
-    );
-  if (kept && mayGiveUp(bottleneck, kept, servers, plan)) {
-    plan.set(bottleneck.server.serverId, kept);
+  for (const holder of oversized.slice(0, rule.maxCandidates)) {
+    const capacities = new LayerCapacities(model, holders);
+    const size = getLayerCount(holder.server);
+    const kept = findKeptRange(model, capacities, holder, size);
+    if (
+      kept &&
+      mayGiveUp(holder, kept, servers, plan) &&
+      rule.mayRelease({ model, holders, holder, kept })
+    ) {
+      plan.set(holder.server.serverId, kept);
+      return;
+    }
   }
 };
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -21,9 +21,10 @@
   LargestFirstMemory,
   NewestWhenLate,
   Outcome,
-  ReplicaPerDomain,
+  RepairMode,
   SlidingRetryBudget,
   SurvivalForecast,
+  createPlacement,
   isFreshEnough,
   type GatewayConfiguration,
   type Moment,
@@ -54,6 +55,7 @@
 import { HttpFrontend, type CallHandler } from './callers/httpFrontend.js';
 import { bindOrderChart } from './placement/layerOrder.js';
 import { bindLeaderChart, LayerPlacer } from './placement/layerPlacer.js';
+import { createOrderRules } from './placement/orderRules.js';
 import {
   bindLifecycleChart,
   type LifecycleActions,
@@ -135,6 +137,9 @@
     this.suspects = this.createSuspects();
     this.news = this.createNews();
     this.placer = this.createPlacer(startedAt);
+    this.servers.lossHandler.serverLost.subscribe(now => {
+      this.placer.noteLoss(now);
+    });
     this.callServices = this.createCallServices();
     this.frontend = this.createFrontend();
     this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
@@ -520,6 +525,7 @@
   }
 
   private createPlacer(startedAt: Milliseconds): LayerPlacer {
+    const repair = this.settings.placement?.repair ?? RepairMode.Continuous;
     return new LayerPlacer(
       getOrThrow(bindLeaderChart()),
       getOrThrow(bindOrderChart()),
@@ -528,7 +534,8 @@
         log: this.loggers.createLogger(LogComponent.Layers),
         leaderElection: this.ports.leaderElection,
         control: this.ports.control,
-        placement: new ReplicaPerDomain(),
+        placement: createPlacement(repair),
+        orderRules: createOrderRules(repair),
         serverRegistry: this.servers.registry,
         startedAt,
         heartbeatMs: this.settings.rules.heartbeatMs,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,6 +1,7 @@
 /** The settings of a gateway, as its INI file names them. */
 import { z } from 'zod';
 import { addressSchema } from '@lycheetally/common';
+import { RepairMode } from '@lycheetally/decisions';
 
 const positive = z.coerce.number().positive();
 
@@ -42,6 +43,16 @@
         ),
     })
     .optional(),
+  placement: z
+    .object({
+      repair: z
+        .enum(RepairMode)
+        .default(RepairMode.Continuous)
+        .describe(
+          'Whether a loss of servers is answered by one plan that is kept until it is done, or by a new plan at each interval',
+        ),
+    })
+    .optional(),
   rules: z.object({
     heartbeatMs: positive.describe(
       'Milliseconds between two heartbeats of a backend server',
--- a/packages/gateway/src/placement/constants.ts
+++ b/packages/gateway/src/placement/constants.ts
@@ -11,3 +11,12 @@
 
 /** Time before the end of its lease at which a leader that cannot renew it leaves the group; a leave takes a round trip to the store. */
 export const leaseHandoverMs = 300;
+
+/** Time for an accepted order before it counts as lost; draining takes up to 10 s and loading some seconds more. */
+export const committedLoadTimeoutMs = 14_000;
+
+/** Age up to which an order without an answer is sent again; a server that stays silent is planned without by then. */
+export const maxRepeatAgeMs = 4_000;
+
+/** Time from the first sign of a loss until placement plans: the other servers are probed at once, and those that were lost with it refuse within a round trip. */
+export const jointLossMs = 100;
--- a/packages/gateway/src/placement/layerOrder.ts
+++ b/packages/gateway/src/placement/layerOrder.ts
@@ -16,11 +16,7 @@
   type Result,
 } from '@lycheetally/common';
 import type { BackendRecord, LayerRange } from '@lycheetally/decisions';
-import {
-  layerLoadTimeoutMs,
-  failedOrderTimeoutMs,
-  reportTimeoutMs,
-} from '../constants.js';
+import { failedOrderTimeoutMs, reportTimeoutMs } from '../constants.js';
 import {
   ConnectionUse,
   OrderRefusal,
@@ -30,6 +26,7 @@
   type ServerReport,
 } from '../ports.js';
 import type { OrderBackoff } from './orderBackoff.js';
+import type { OrderRules } from './orderRules.js';
 import type { Server } from '../servers/server.js';
 
 export interface OrderEvent {
@@ -49,8 +46,11 @@
 /** The placer that an order belongs to. */
 export interface OrderOwner {
   readonly backoff: OrderBackoff;
+  readonly rules: OrderRules;
   /** Whether it may still give orders. */
   mayOrder(now: Milliseconds): boolean;
+  /** Called when the server did not answer the order, or the question before it. */
+  handleUnanswered(now: Milliseconds): void;
   handleFinished(): void;
 }
 
@@ -61,6 +61,10 @@
   private entryRange: LayerRange | undefined;
   /** What the server's report said, and its entry at that time. */
   private reported: (HeldLayers & { record: BackendRecord }) | undefined;
+  private readonly incarnation: number;
+  private startedAt: Milliseconds = 0;
+  /** Whether the server may be carrying the order out although it has not said so. */
+  private mayBeBegun = false;
 
   constructor(
     machine: OrderMachine,
@@ -70,6 +74,7 @@
     private readonly fencingToken: number,
     private readonly owner: OrderOwner,
   ) {
+    this.incarnation = server.record.incarnation;
     this.chart = machine.createInstance(this, services.timers);
   }
 
@@ -92,10 +97,27 @@
     return this.isCoolingDown && !isSameRange(this.entryRange, record.range);
   }
 
+  /** Whether the server has restarted since, so that it carries nothing out. */
+  get isVoid(): boolean {
+    return (
+      this.owner.rules.endsAtRestart &&
+      this.server.record.incarnation !== this.incarnation
+    );
+  }
+
   start(now: Milliseconds): void {
+    this.startedAt = now;
     this.chart.start(now);
   }
 
+  get loadTimeoutMs(): Milliseconds {
+    return this.owner.rules.loadTimeoutMs;
+  }
+
+  mayRepeat(now: Milliseconds): boolean {
+    return this.owner.rules.mayRepeat(now - this.startedAt);
+  }
+
   computeCooldown(): Milliseconds {
     return this.owner.backoff.computeCooldown(this.server);
   }
@@ -136,7 +158,10 @@
     } else {
       this.noteHeld(report.val);
       const refusal = this.findRefusal(report.val);
-      if (refusal) {
+      if (this.mayBeBegun && report.val.isBusy) {
+        const detail = 'by its report, after an order without an answer';
+        this.receive(Ok({ refusal: undefined, detail }), now);
+      } else if (refusal) {
         this.receive(Ok({ refusal, detail: 'by its report' }), now);
       } else {
         this.placeLayers(report.val.orders);
@@ -165,6 +190,7 @@
   private placeLayers(expectedOrders: number): void {
     const { services, range, fencingToken } = this;
     const { serverId, address } = this.server.record;
+    this.mayBeBegun = true;
     void services.control
       .placeLayers({ serverId, address, range, fencingToken, expectedOrders })
       .then(result => {
@@ -186,16 +212,18 @@
       refusal: result.err ? '' : (result.val.refusal ?? ''),
       reason: result.err ? result.val.message : result.val.detail,
     });
-    this.noteAnswer(type);
+    this.noteAnswer(type, now);
     this.chart.send({ type }, now);
   }
 
-  private noteAnswer(type: OrderEvent['type']): void {
+  private noteAnswer(type: OrderEvent['type'], now: Milliseconds): void {
     const { backoff } = this.owner;
     if (type === 'REFUSED') {
       backoff.noteRefusal(this.server);
     } else if (type === 'ACCEPTED') {
       backoff.clear(this.server);
+    } else {
+      this.owner.handleUnanswered(now);
     }
   }
 }
@@ -231,9 +259,11 @@
         order.chartActions.finishOrder();
       },
     },
-    guards: {},
+    guards: {
+      mayRepeat: (order, _, now) => order.mayRepeat(now),
+    },
     delays: {
-      LOAD_TIMEOUT: () => layerLoadTimeoutMs,
+      LOAD_TIMEOUT: order => order.loadTimeoutMs,
       COOLDOWN: order => order.computeCooldown(),
       UNANSWERED_TIMEOUT: () => failedOrderTimeoutMs,
     },
--- a/packages/gateway/src/placement/layerPlacer.ts
+++ b/packages/gateway/src/placement/layerPlacer.ts
@@ -34,7 +34,9 @@
   type MemberMachine,
   type MemberServices,
 } from './groupMember.js';
+import { jointLossMs } from './constants.js';
 import { OrderBackoff } from './orderBackoff.js';
+import type { OrderRules } from './orderRules.js';
 import type { Server } from '../servers/server.js';
 import {
   toStageServer,
@@ -43,7 +45,7 @@
 import type { ServerLossHandler } from '../servers/serverLossHandler.js';
 
 export interface LeaderEvent {
-  readonly type: 'GRANTED' | 'DENIED' | 'RESIGN';
+  readonly type: 'GRANTED' | 'DENIED' | 'SERVER_LOST' | 'RESIGN';
 }
 
 /** The charts of the leader and of its membership in the group. */
@@ -54,6 +56,7 @@
 
 export interface PlacerServices extends OrderServices, MemberServices {
   readonly placement: PlacementPolicy;
+  readonly orderRules: OrderRules;
   readonly serverRegistry: ServerRegistry;
   readonly startedAt: Milliseconds;
   /** Interval between two heartbeats of a server. */
@@ -95,6 +98,11 @@
     this.member.resign(now);
   }
 
+  /** Handles the loss of a server, which may be one of several. */
+  noteLoss(now: Milliseconds): void {
+    this.chart.send({ type: 'SERVER_LOST' }, now);
+  }
+
   dispose(): void {
     this.member.dispose();
     this.chart.dispose();
@@ -121,6 +129,7 @@
       }
     },
     hasLease: (now: Milliseconds): boolean => this.member.hasLease(now),
+    wantsPlanAtLoss: (): boolean => this.services.orderRules.wantsPlanAtLoss,
   };
 
   /** At the start servers join one by one; a plan made too early would split the model badly. */
@@ -140,6 +149,7 @@
       if (
         order.isApplied ||
         order.isRefusalOver ||
+        order.isVoid ||
         !this.services.serverRegistry.find(order.server.record.serverId)
       ) {
         order.noteResolved(now);
@@ -201,6 +211,14 @@
     }
   }
 
+  /** Has a server probed that gets the same order again; until it is known to be lost, it is counted on. */
+  private handleUnanswered(server: Server, now: Milliseconds): void {
+    const { orderRules, lossHandler } = this.services;
+    if (orderRules.mayRepeat(0)) {
+      lossHandler.checkServer(server, 'it did not answer an order', now);
+    }
+  }
+
   private sendOrder(
     server: Server,
     range: LayerRange,
@@ -216,6 +234,10 @@
       {
         backoff: this.backoff,
         mayOrder: time => this.isLeader && this.member.hasLease(time),
+        rules: this.services.orderRules,
+        handleUnanswered: time => {
+          this.handleUnanswered(server, time);
+        },
         handleFinished: () => this.pendingOrders.delete(serverId),
       },
     );
@@ -246,8 +268,10 @@
     },
     guards: {
       hasLease: (placer, _, now) => placer.chartActions.hasLease(now),
+      wantsPlanAtLoss: placer => placer.chartActions.wantsPlanAtLoss(),
     },
     delays: {
+      JOINT_LOSS: () => jointLossMs,
       PLACEMENT_INTERVAL: () => placementIntervalMs,
     },
   });
--- a/packages/gateway/src/servers/serverLossHandler.ts
+++ b/packages/gateway/src/servers/serverLossHandler.ts
@@ -7,7 +7,7 @@
  * connection, a restart and a lapsed entry are evidence of the loss, and end its attempts.
  */
 import type { ChartTimers } from '@lycheetally/charts';
-import type { Milliseconds } from '@lycheetally/common';
+import { Emitter, type Milliseconds } from '@lycheetally/common';
 import { createBackendFault } from '../attempt/attemptFaults.js';
 import { listAttempts } from '../calls/callHedge.js';
 import { unresponsiveSilenceMs } from '../constants.js';
@@ -30,6 +30,8 @@
 }
 
 export class ServerLossHandler {
+  /** Emits the time at which a server became known to be lost. */
+  readonly serverLost = new Emitter<Milliseconds>();
   private readonly checks: ServerChecks;
 
   constructor(
@@ -68,6 +70,7 @@
   handleLost(server: Server, now: Milliseconds): void {
     this.sendToAttempts('SERVER_LOST', server, 0, now);
     this.checkOtherServers(server, now);
+    this.serverLost.emit(now);
   }
 
   /** Handles a server that did not answer a question; its attempts that are silent too look for another one. */
@@ -86,6 +89,7 @@
     server.noteUnreachable(reason, now);
     this.sendToSilentAttempts('SERVER_LOST', server, now);
     this.checkOtherServers(server, now);
+    this.serverLost.emit(now);
   }
 
   private sendToSilentAttempts(
--- a/packages/gateway/tests/layerPlacer.test.ts
+++ b/packages/gateway/tests/layerPlacer.test.ts
@@ -20,6 +20,7 @@
   maxFirstPlacementWaitMs,
   placementIntervalMs,
 } from '../src/constants.js';
+import { ContinuousOrders } from '../src/placement/orderRules.js';
 import { bindOrderChart } from '../src/placement/layerOrder.js';
 import { LayerPlacer, bindLeaderChart } from '../src/placement/layerPlacer.js';
 import {
@@ -179,6 +180,7 @@
         leaderElection: election,
         control,
         placement,
+        orderRules: new ContinuousOrders(),
         serverRegistry: registry,
         startedAt: clock.getNow() - maxFirstPlacementWaitMs,
         heartbeatMs: 60_000,
--- a/packages/gateway/tests/leaderHandover.test.ts
+++ b/packages/gateway/tests/leaderHandover.test.ts
@@ -4,32 +4,20 @@
  * did not answer, so the group kept the partition at a member that did not know it.
  */
 import fc from 'fast-check';
-import { expect, describe, it } from 'vitest';
-import {
-  Err,
-  ErrorKind,
-  LogComponent,
-  TypedError,
-  getOrThrow,
-  type Milliseconds,
-  type Result,
-} from '@lycheetally/common';
-import { ReplicaPerDomain, UnlimitedIntake } from '@lycheetally/decisions';
-import { leaderLeaseMs, maxFirstPlacementWaitMs } from '../src/constants.js';
+import { describe, expect, it } from 'vitest';
+import { Err, type Milliseconds, type Result } from '@lycheetally/common';
+import { ReplicaPerDomain } from '@lycheetally/decisions';
+import { leaderLeaseMs } from '../src/constants.js';
+import type { LayerPlacer } from '../src/placement/layerPlacer.js';
+import { ContinuousOrders } from '../src/placement/orderRules.js';
 import { ServerControlPort } from '../src/ports.js';
-import { bindOrderChart } from '../src/placement/layerOrder.js';
-import { LayerPlacer, bindLeaderChart } from '../src/placement/layerPlacer.js';
-import { bindHealthChart } from '../src/servers/server.js';
-import { bindIntakeChart } from '../src/servers/serverIntake.js';
-import { bindListingChart } from '../src/servers/serverListing.js';
-import { ServerRegistry } from '../src/servers/serverRegistry.js';
 import {
   EmulatedElection,
   EmulatedGroup,
   StoreAccess,
 } from './emulatedGroup.js';
 import { ManualTimers } from './manualTimers.js';
-import { createQuietLoggers } from './quietLoggers.js';
+import { createPlacer, unavailable } from './placerFixture.js';
 
 const gateways = 25;
 const stepMs = 5;
@@ -39,8 +27,6 @@
 /** The lease plus a second. */
 const maxGapMs = leaderLeaseMs + 1_000;
 
-const unavailable = new TypedError(ErrorKind.BackendFailed, 'no', 'start it');
-
 /** No servers are known, so none is asked. */
 class UnusedControl extends ServerControlPort {
   override placeLayers(): Promise<Result<never>> {
@@ -122,42 +108,15 @@
   group: EmulatedGroup,
   id: string,
 ): Member => {
-  const log = createQuietLoggers().createLogger(LogComponent.Layers);
   const election = new EmulatedElection(group, id);
-  const postCompletion = (run: (now: Milliseconds) => void): void => {
-    run(timers.now);
-  };
-  const serverRegistry = new ServerRegistry({
-    timers,
-    log,
-    healthMachine: getOrThrow(bindHealthChart()),
-    listingMachine: getOrThrow(bindListingChart()),
-    intakeMachine: getOrThrow(bindIntakeChart()),
-    createIntakePolicy: () => new UnlimitedIntake(),
-    getOutage: () => ({ outageSince: undefined, outageEndedAt: -Infinity }),
-    requestHealth: () => Promise.resolve(Err(unavailable)),
-    handleLost: () => undefined,
-    handleReturn: () => undefined,
-    postCompletion,
+  const { placer } = createPlacer(timers, {
+    leaderElection: election,
+    control: new UnusedControl(),
+    placement: new ReplicaPerDomain(),
+    orderRules: new ContinuousOrders(),
+    lossHandler: { checkServer: () => undefined },
+    listServices: () => [],
   });
-  const placer = new LayerPlacer(
-    getOrThrow(bindLeaderChart()),
-    getOrThrow(bindOrderChart()),
-    {
-      timers,
-      log,
-      leaderElection: election,
-      control: new UnusedControl(),
-      placement: new ReplicaPerDomain(),
-      serverRegistry,
-      startedAt: -maxFirstPlacementWaitMs,
-      heartbeatMs: 60_000,
-      lossHandler: { checkServer: () => undefined },
-      setShare: () => undefined,
-      postCompletion,
-      listServices: () => [],
-    },
-  );
   return { placer, election };
 };
 
