Spread calls over the chains that are fast enough, and count links as room

48 gateways see nearly the same load and all take the cheapest chain, so the busiest server got 8.6 times the mean and one crash of two servers hit most streams. SampledChain draws two chains of the home domain and one of another, servers in proportion to their free room, and takes the one with the least use of its busiest server; chains within the pace of the route are equally good. A draw looks at a bounded number of holders. A hop to another failure domain costs the transfer of prompt and tokens over the shared link, more the more the link is used, and counts as without room from 80 % on.

--- a/packages/decisions/src/balance/index.ts
+++ b/packages/decisions/src/balance/index.ts
@@ -1,2 +1,8 @@
 /** How load is spread over servers and gateways. */
+export { firstEventShare, maxReportAgeMs, paceShare } from './constants.js';
+export * from './estimateServerLoad.js';
+export * from './chainUse.js';
+export * from './linkUse.js';
+export * from './updateRatios.js';
 export * from './room.js';
+export * from './sampledChain.js';
--- a/packages/decisions/src/placement/chainChoice.ts
+++ b/packages/decisions/src/placement/chainChoice.ts
@@ -28,6 +28,8 @@
   readonly tokenMs: Milliseconds;
   /** Whether each of its servers has room for the request; otherwise the request slows or displaces others. */
   readonly hasRoom: boolean;
+  /** Time per token of each stage as expected of its kind of accelerator, from policies that take the observed pace into account. */
+  readonly stageMs?: readonly Milliseconds[];
 }
 
 /** Inputs for choosing a chain. */
@@ -45,6 +47,14 @@
   /** Servers that may only continue a chain, since they take no request now. */
   readonly notFirst?: ReadonlySet<string>;
   readonly getLoad: (serverId: string) => StageLoad;
+  /** Tokens of the prompt; the usual prompt of the model when absent. */
+  readonly promptTokens?: number;
+  /** Time per token up to which chains count as equally fast. */
+  readonly paceMs?: Milliseconds;
+  /** Time to the first event up to which chains count as equally fast. */
+  readonly firstEventMs?: Milliseconds;
+  /** Share of the link between two failure domains that is in use, from 0 to 1. */
+  readonly getLinkUse?: (from: string, to: string) => number;
 }
 
 /** Strategy that chooses a chain. */
@@ -57,7 +67,7 @@
 const maxStages = 32;
 
 /** Network delay and handover of a hop within a failure domain, in milliseconds. */
-const localHopMs = 0.15;
+export const localHopMs = 0.15;
 
 /**
  * Cost of a hop to another failure domain, in milliseconds. The activations of
@@ -70,7 +80,7 @@
  * Cost of reaching a first server in another failure domain, in milliseconds.
  * Lower than a hop between stages, since only text is sent.
  */
-const crossDomainEntryMs = 4;
+export const crossDomainEntryMs = 4;
 
 /** Share of its KV cache that a server may use before it counts as full. */
 const usableCacheShare = 0.9;
@@ -91,7 +101,49 @@
 /** Chooses the chain with the lowest predicted time per token. */
 export class CheapestChain extends ChainPolicy {
   override chooseChain(request: ChainRequest): ChosenChain | undefined {
-    return new ChainSearch(request).run();
+    return findChain(request, new PredictedCosts(request));
+  }
+}
+
+/** What a search minimizes; the sum over the hops and layers of a chain. */
+export abstract class ChainCosts {
+  abstract computeServerCosts(
+    server: StageServer,
+    range: LayerRange,
+  ): ServerCosts;
+
+  /** Computes the cost of a hop to a server that runs the layers from `nextLayer` on; `from` is the failure domain before it. */
+  abstract computeHopCost(from: string, to: string, nextLayer: number): number;
+}
+
+/** Finds the chain with the lowest costs; its `tokenMs` is in the unit of the costs. */
+export const findChain = (
+  request: ChainRequest,
+  costs: ChainCosts,
+): ChosenChain | undefined => new ChainSearch(request, costs).run();
+
+/** The predicted time per token, in milliseconds. */
+export class PredictedCosts extends ChainCosts {
+  constructor(private readonly request: ChainRequest) {
+    super();
+  }
+
+  override computeServerCosts(
+    server: StageServer,
+    range: LayerRange,
+  ): ServerCosts {
+    return computeServerCosts(this.request, server, range);
+  }
+
+  override computeHopCost(
+    from: string,
+    to: string,
+    nextLayer: number,
+  ): Milliseconds {
+    if (from === to) {
+      return localHopMs;
+    }
+    return nextLayer === 0 ? crossDomainEntryMs : crossDomainHopMs;
   }
 }
 
@@ -105,8 +157,8 @@
 }
 
 /** What the cost of a stage depends on, of its server. */
-interface ServerCosts {
-  /** Predicted time of a step for each layer, in milliseconds. */
+export interface ServerCosts {
+  /** Cost of each layer; the predicted time of a step, in milliseconds, when time is minimized. */
   readonly layerMs: Milliseconds;
   /** Tokens times layers for which its KV cache has room. */
   readonly room: number;
@@ -125,10 +177,13 @@
   /** Partial chains by their next layer and their last failure domain. */
   private readonly frontier = new Map<number, Map<string, PartialChain>>();
 
-  constructor(private readonly request: ChainRequest) {
+  constructor(
+    private readonly request: ChainRequest,
+    private readonly costs: ChainCosts,
+  ) {
     const { model, layers = { from: 0, to: model.layers } } = request;
     this.layers = layers;
-    this.holders = listHolders(request, layers.to);
+    this.holders = listHolders(request, costs, layers.to);
   }
 
   run(): ChosenChain | undefined {
@@ -204,7 +259,11 @@
     const isFull = isStageFull(costs, range, tokens);
     const cost =
       partial.cost +
-      computeHopCost(partial, server, homeDomain) +
+      this.costs.computeHopCost(
+        partial.stage?.server.failureDomain ?? homeDomain,
+        server.failureDomain,
+        partial.nextLayer,
+      ) +
       computeStageCost(costs, range, isFull);
     const partials = this.frontier.get(end) ?? new Map<string, PartialChain>();
     const known = partials.get(server.failureDomain);
@@ -224,6 +283,7 @@
 
 const listHolders = (
   request: ChainRequest,
+  costs: ChainCosts,
   lastLayer: number,
 ): readonly Holder[] => {
   const holders = request.servers.flatMap(server =>
@@ -235,7 +295,7 @@
     server,
     range,
     ends: listStageEnds(range, holders, lastLayer),
-    costs: computeServerCosts(request, server, range),
+    costs: costs.computeServerCosts(server, range),
   }));
 };
 
@@ -267,7 +327,8 @@
 /** A server whose kind the model doesn't know counts as full. */
 const unknownCosts: ServerCosts = { layerMs: 0, room: -1, isCrowded: false };
 
-const computeServerCosts = (
+/** Predicts the time of a step for each layer, and the room of the server. */
+export const computeServerCosts = (
   { model, getLoad }: ChainRequest,
   server: StageServer,
   range: LayerRange,
@@ -290,7 +351,8 @@
   };
 };
 
-const isStageFull = (
+/** Says whether the server lacks room for the tokens in these layers, or takes no further first stage. */
+export const isStageFull = (
   { room, isCrowded }: ServerCosts,
   { from, to }: LayerRange,
   tokens: number,
@@ -302,17 +364,6 @@
   isFull: boolean,
 ): Milliseconds => layerMs * (to - from) + (isFull ? fullServerMs : 0);
 
-const computeHopCost = (
-  { stage, nextLayer }: PartialChain,
-  { failureDomain }: StageServer,
-  homeDomain: string,
-): Milliseconds => {
-  if ((stage?.server.failureDomain ?? homeDomain) === failureDomain) {
-    return localHopMs;
-  }
-  return nextLayer === 0 ? crossDomainEntryMs : crossDomainHopMs;
-};
-
 const contextUnitTokens = 1_000;
 
 const listStages = (end: PartialChain): ChainStage[] => {
--- a/packages/decisions/src/placement/types.ts
+++ b/packages/decisions/src/placement/types.ts
@@ -13,6 +13,22 @@
   readonly memoryMegabytes: number;
   /** Time of a token step relative to the model's base time; larger is slower. */
   readonly stepFactor: number;
+  /** Time of reading a prompt relative to the model's base time; `stepFactor` when absent. */
+  readonly readFactor?: number | undefined;
+}
+
+/** What a stage sends to the next one, and the links between failure domains that carry it. */
+export interface ModelLink {
+  /** Bytes of activations per token and hop. */
+  readonly activationBytes: number;
+  /** Rate of the link that all chains between two failure domains share, in megabits per second. */
+  readonly megabitsPerSecond: number;
+}
+
+/** Mean token counts of the calls of a model. */
+export interface UsualTokens {
+  readonly prompt: number;
+  readonly answer: number;
 }
 
 /** A model whose layers are spread over several backend servers. */
@@ -28,6 +44,12 @@
   /** Milliseconds that 1,000 tokens of context add to a step. */
   readonly stepMsPerContextK: Milliseconds;
   readonly kinds: readonly AcceleratorKind[];
+  /** Tokens in each event of a stream. */
+  readonly tokensPerEvent?: number | undefined;
+  /** Prompt tokens that all layers read per second at factor 1. */
+  readonly readTokensPerSecond?: number | undefined;
+  readonly link?: ModelLink | undefined;
+  readonly usual?: UsualTokens | undefined;
 }
 
 /** A backend server that can hold a part of a model. */
