Let a setting choose how chains are chosen, and blend what servers tell of their load

The load of all gateways was estimated as this gateway's calls times the gateways of its domain. With `chains=sampled`, what a server told in its newest answer counts first and decays to the estimate with a half-life of 500 ms, and the pauses of streams correct how slow each server of their chains is taken to be. The default `chains=cheapest` keeps the present choice and estimate.

--- a/packages/gateway/src/attempt/attemptAnswer.ts
+++ b/packages/gateway/src/attempt/attemptAnswer.ts
@@ -136,10 +136,11 @@
   override handleHead(head: BackendHead): void {
     const { attempt } = this;
     const { call, chosen } = attempt;
-    attempt.silence.noteActivity(call.services.getMoment().monotonic);
+    const now = call.services.getMoment().monotonic;
+    attempt.silence.noteActivity(now);
     const { fields, status } = head;
     if (fields.serverLoad !== undefined) {
-      chosen.first.noteLoad(fields.serverLoad);
+      chosen.first.noteLoad(fields.serverLoad, now);
     }
     if (fields.isLeaving && !fields.isMisdirected) {
       attempt.noteLeaving();
@@ -296,6 +297,7 @@
       this.firstEventId ??= accepted.val.firstEventId;
       silence.noteEvent(now);
       attempt.progress.noteEvents(newEvents);
+      attempt.pace.noteEvents(newEvents, now);
       call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
--- a/packages/gateway/src/attempt/attemptRepair.ts
+++ b/packages/gateway/src/attempt/attemptRepair.ts
@@ -1,7 +1,10 @@
 /** Moves a running attempt to a chain without the servers that it lost. */
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { replaceStages, type ChainStage } from '@lycheetally/decisions';
-import { describeChainServers } from '../calls/chooseServers.js';
+import {
+  describeChainServers,
+  toBalancedCall,
+} from '../calls/chooseServers.js';
 import { maxChainRepairs } from '../constants.js';
 import type { AttemptEvent, GatewayAttempt } from './gatewayAttempt.js';
 import type { ChainUpdateAnswer } from '../ports.js';
@@ -95,18 +98,19 @@
     now: Milliseconds,
   ): readonly ChainStage[] | undefined {
     const { call, admitted, chosen } = this.attempt;
-    const { model, name } = admitted.service;
-    if (!model) {
+    const balanced = toBalancedCall(call, admitted);
+    if (!balanced) {
       return undefined;
     }
-    const { serverRegistry, chainPolicy, homeDomain } = call.services;
+    const { serverRegistry, balance, homeDomain } = call.services;
     const usable = serverRegistry
-      .listUsable(name)
+      .listUsable(admitted.service.name)
       .filter(({ lastAliveAt }) => lastAliveAt >= aliveSince)
       .filter(server => !server.hasRefusedRecently(now));
-    return replaceStages(chainPolicy, {
-      ...describeChainServers(usable, serverRegistry.gatewaysPerDomain),
-      model,
+    return replaceStages(balance.chainPolicy, {
+      ...describeChainServers(usable, balance, now),
+      ...balance.describeNeeds(balanced, now),
+      model: balanced.model,
       homeDomain,
       tokens: admitted.tokens,
       excluded: call.avoided,
--- a/packages/gateway/src/attempt/attemptServers.ts
+++ b/packages/gateway/src/attempt/attemptServers.ts
@@ -25,7 +25,7 @@
   /** Counts the load at the servers of a new chain, whose first server is the same. */
   replaceChain(chain: ChosenServers['chain']): void {
     this.updateLoad(-1);
-    this.servers = { ...this.servers, chain };
+    this.servers = { ...this.servers, chain, stageMs: undefined };
     this.layerTokens = computeLayerTokens(this.servers, this.admitted.tokens);
     this.stages = this.findStages();
     this.updateLoad(1);
--- a/packages/gateway/src/calls/chooseServers.ts
+++ b/packages/gateway/src/calls/chooseServers.ts
@@ -1,6 +1,11 @@
 /** Chooses the servers of one attempt: a chain for a model service, one server for a plain service. */
 import type { Milliseconds } from '@lycheetally/common';
-import type { ChainRequest, ChainStage } from '@lycheetally/decisions';
+import type {
+  ChainRequest,
+  ChainStage,
+  StageLoad,
+} from '@lycheetally/decisions';
+import type { BalancedCall, CallBalance } from '../balance/callBalance.js';
 import type { AdmittedCall, GatewayCall } from './gatewayCall.js';
 import type { Server } from '../servers/server.js';
 import { toTracedCall } from '../suspects/suspectCalls.js';
@@ -13,6 +18,8 @@
   readonly chain: readonly ChainStage[];
   /** Whether each server has room for the call, as far as this gateway knows. */
   readonly hasRoom: boolean;
+  /** Time per token of each stage as expected of its kind of accelerator; absent where no pace is observed. */
+  readonly stageMs?: readonly Milliseconds[] | undefined;
 }
 
 /** Calls added to the load of a server in another failure domain when servers are compared. */
@@ -162,12 +169,14 @@
 ): ChosenServers | undefined => {
   const { tokens } = admitted;
   const { model } = admitted.service;
-  const { serverRegistry, chainPolicy, homeDomain } = call.services;
-  if (!model) {
+  const { serverRegistry, balance, homeDomain } = call.services;
+  const balanced = toBalancedCall(call, admitted);
+  if (!model || !balanced) {
     return undefined;
   }
-  const chain = chainPolicy.chooseChain({
-    ...describeChainServers(usable, serverRegistry.gatewaysPerDomain),
+  const chain = balance.chainPolicy.chooseChain({
+    ...describeChainServers(usable, balance, now),
+    ...balance.describeNeeds(balanced, now),
     model,
     homeDomain,
     tokens,
@@ -180,21 +189,57 @@
   });
   const first = serverRegistry.find(chain?.stages[0]?.server.serverId ?? '');
   return chain && first
-    ? { first, chain: chain.stages, hasRoom: chain.hasRoom }
+    ? {
+        first,
+        chain: chain.stages,
+        hasRoom: chain.hasRoom,
+        stageMs: chain.stageMs,
+      }
     : undefined;
 };
 
+/** The call in the form that the spread of load takes; absent for a plain service. */
+export const toBalancedCall = (
+  { received }: GatewayCall,
+  { route, service }: AdmittedCall,
+): BalancedCall | undefined =>
+  service.model && {
+    model: service.model,
+    targetMs: route.targetMs,
+    promptTokens: received.fields.promptTokens,
+  };
+
+/** Tells the spread of load that the call is sent to the servers. */
+export const noteBalanced = (
+  call: GatewayCall,
+  admitted: AdmittedCall,
+  { chain, stageMs }: ChosenServers,
+  now: Milliseconds,
+): void => {
+  const balanced = toBalancedCall(call, admitted);
+  if (balanced) {
+    call.services.balance.noteSent(balanced, { stages: chain, stageMs }, now);
+  }
+};
+
 /** Describes servers and their load as the choice of a chain takes them. */
 export const describeChainServers = (
   usable: readonly Server[],
-  gateways: number,
+  balance: CallBalance,
+  now: Milliseconds,
 ): Pick<ChainRequest, 'servers' | 'getLoad'> => {
-  const loads = new Map(
-    usable.map(each => [each.record.serverId, each.estimateLoad(gateways)]),
-  );
+  const byId = new Map(usable.map(each => [each.record.serverId, each]));
+  const loads = new Map<string, StageLoad>();
   return {
     servers: usable.map(toStageServer),
-    getLoad: id => loads.get(id) ?? idleLoad,
+    getLoad: id => {
+      const server = byId.get(id);
+      const load =
+        loads.get(id) ??
+        (server ? balance.estimateLoad(server, now) : idleLoad);
+      loads.set(id, load);
+      return load;
+    },
   };
 };
 
--- a/packages/gateway/src/calls/gatewayCall.ts
+++ b/packages/gateway/src/calls/gatewayCall.ts
@@ -4,7 +4,6 @@
 import type {
   BackendService,
   BufferMemory,
-  ChainPolicy,
   DurationForecast,
   GatewayConfiguration,
   IntakeOrder,
@@ -20,6 +19,7 @@
   GatewayAttempt,
 } from '../attempt/gatewayAttempt.js';
 import type { BackendPort } from '../backendPort.js';
+import type { CallBalance } from '../balance/callBalance.js';
 import type { CallFormat } from '../callFormat.js';
 import type { CallerExchange, ReceivedCall } from '../callers/callerPort.js';
 import type { DrainForecast } from './drainAdmission.js';
@@ -75,7 +75,7 @@
   readonly format: CallFormat;
   readonly backend: BackendPort;
   readonly control: ServerControlPort;
-  readonly chainPolicy: ChainPolicy;
+  readonly balance: CallBalance;
   readonly retryPolicy: RetryPolicy;
   readonly serverRegistry: ServerRegistry;
   readonly lossHandler: ServerLossHandler;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -17,7 +17,6 @@
   type Result,
 } from '@lycheetally/common';
 import {
-  CheapestChain,
   LargestFirstMemory,
   NewestWhenLate,
   Outcome,
@@ -29,6 +28,8 @@
   type Moment,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import { CheapestBalance, type CallBalance } from './balance/callBalance.js';
+import { SpreadBalance } from './balance/spreadBalance.js';
 import { bindCallChart, type CallMachine } from './calls/callActions.js';
 import type { CallFormat } from './callFormat.js';
 import { CallIntake, type QueuedCall } from './calls/callIntake.js';
@@ -48,7 +49,7 @@
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { GatewayServers } from './servers/gatewayServers.js';
-import type { GatewaySettings } from './gatewaySettings.js';
+import { ChainChoice, type GatewaySettings } from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './callers/httpCaller.js';
 import { HttpFrontend, type CallHandler } from './callers/httpFrontend.js';
@@ -545,6 +546,19 @@
     );
   }
 
+  private createBalance(): CallBalance {
+    const { registry } = this.servers;
+    const { balance, process } = this.settings;
+    return balance?.chains === ChainChoice.Sampled
+      ? new SpreadBalance({
+          ownId: process.id,
+          counts: registry,
+          findServer: serverId => registry.find(serverId),
+          findOthers: () => undefined,
+        })
+      : new CheapestBalance(registry);
+  }
+
   private createCallServices(): CallServices {
     const { rules, process } = this.settings;
     return {
@@ -554,7 +568,7 @@
       format: this.ports.format,
       backend: this.backend,
       control: this.ports.control,
-      chainPolicy: new CheapestChain(),
+      balance: this.createBalance(),
       retryPolicy: this.retryBudget,
       serverRegistry: this.servers.registry,
       attemptMachine: getOrThrow(bindAttemptChart()),
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,6 +1,15 @@
 /** The settings of a gateway, as its INI file names them. */
 import { z } from 'zod';
-import { addressSchema } from '@lycheetally/common';
+import { addressSchema, type ValueOf } from '@lycheetally/common';
+
+/** How chains are chosen. */
+export const ChainChoice = {
+  Cheapest: 'cheapest',
+  Sampled: 'sampled',
+} as const;
+export type ChainChoice = ValueOf<typeof ChainChoice>;
+
+const Switch = { Off: 'off', On: 'on' } as const;
 
 const positive = z.coerce.number().positive();
 
@@ -42,6 +51,22 @@
         ),
     })
     .optional(),
+  balance: z
+    .object({
+      chains: z
+        .enum(ChainChoice)
+        .default(ChainChoice.Cheapest)
+        .describe(
+          'Which chain of servers runs a call: the cheapest one, or one of a few sampled by free room',
+        ),
+      loadReports: z
+        .enum(Switch)
+        .default(Switch.Off)
+        .describe(
+          'Whether gateways report to one another what they have in flight; needs `gateways` in `[listen]`, and counts for sampled chains only',
+        ),
+    })
+    .optional(),
   rules: z.object({
     heartbeatMs: positive.describe(
       'Milliseconds between two heartbeats of a backend server',
--- a/packages/gateway/src/servers/server.ts
+++ b/packages/gateway/src/servers/server.ts
@@ -11,7 +11,11 @@
   ComponentLogger,
   Result,
 } from '@lycheetally/common';
-import type { BackendRecord, StageLoad } from '@lycheetally/decisions';
+import type {
+  BackendRecord,
+  StageLoad,
+  ToldCalls,
+} from '@lycheetally/decisions';
 import {
   refusalCooldownMs,
   firstSuspensionMs,
@@ -55,6 +59,10 @@
   heardAgainAt: Milliseconds = -Infinity;
   /** Calls that the server reported in its newest response; 0 after a heartbeat. */
   private reportedCalls = 0;
+  /** What it told of its load in its newest response. */
+  told: ToldCalls | undefined;
+  /** Its observed step time relative to that of its kind; 1 while no pace is observed. */
+  stepTimeRatio = 1;
   private refusedAt: Milliseconds = -Infinity;
   /** When the server was found to be unreachable or silent. */
   private awaySince: Milliseconds = 0;
@@ -199,11 +207,14 @@
   }
 
   /** Records the load that the server reported in a response. */
-  noteLoad(calls: number): void {
+  noteLoad(calls: number, now: Milliseconds): void {
     this.reportedCalls = calls;
+    this.told = { calls, asOf: now, ownCalls: this.calls };
   }
 
   noteRestart(now: Milliseconds): void {
+    this.told = undefined;
+    this.stepTimeRatio = 1;
     this.intake.noteRestarted(now);
     this.chart.send({ type: 'RESTARTED' }, now);
   }
--- a/packages/gateway/src/servers/serverRegistry.ts
+++ b/packages/gateway/src/servers/serverRegistry.ts
@@ -63,6 +63,11 @@
     return this.services.getOutage().outageSince === undefined;
   }
 
+  /** Estimated number of all gateways. */
+  get gatewayCount(): number {
+    return this.gatewayShare > 0 ? 1 / this.gatewayShare : 1;
+  }
+
   /** Estimated number of gateways that use the servers of a failure domain; each knows only its own calls. */
   get gatewaysPerDomain(): number {
     return this.gatewayShare > 0
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -15,12 +15,12 @@
 import {
   ArrivalOrder,
   BoundedRetry,
-  CheapestChain,
   LargestFirstMemory,
   SurvivalForecast,
   type BackendRecord,
   type BackendService,
 } from '@lycheetally/decisions';
+import { CheapestBalance } from '../src/balance/callBalance.js';
 import { bindAttemptChart } from '../src/attempt/attemptChart.js';
 import { bindCallChart } from '../src/calls/callActions.js';
 import { forecastSettings } from '../src/constants.js';
@@ -258,7 +258,7 @@
       format: new FakeFormat(),
       backend,
       control,
-      chainPolicy: new CheapestChain(),
+      balance: new CheapestBalance(this.servers.registry),
       retryPolicy: new BoundedRetry(),
       serverRegistry: this.servers.registry,
       lossHandler: this.servers.lossHandler,
