Let calls wait for a place under an adaptive limit

Under a loss of capacity all streams ran at once, each slowed the others, and calls without servers asked again every 40 ms. With admission=adaptive in [waiting], the number of calls of a model service that a gateway runs follows the pauses, first events and failures of its own runs, and the others wait in a queue by rank, account and deadline, which wakes them. The default, unlimited, is the behaviour so far.

--- /dev/null
+++ b/packages/decisions/src/waiting/constants.ts
@@ -0,0 +1,122 @@
+/** Constants of admission by capacity, in milliseconds unless the name says otherwise. */
+
+/** Limit of a service at the start: ten times what a gateway runs in normal operation, above the 24 that it ran in a collapse. */
+export const initialLimit = 32;
+
+/** Lowest limit, so that every gateway always observes the service; its normal operation is about three. */
+export const minLimit = 2;
+
+/** Largest limit; the connections and buffers of a gateway end sooner. */
+export const maxLimit = 1_024;
+
+/** Length of a round of observations: a few events of each stream, and four decreases fit into the second in which the limit must have fallen. */
+export const roundMs = 200;
+
+/** A call may start this long after the last one whatever the limit is, so that stalled runs do not end the observation. */
+export const probeIntervalMs = 500;
+
+/** Pressure from which the limit falls: what runs is then nearly late. */
+export const highPressure = 0.8;
+
+/** Pressure up to which the limit may rise; between both marks it stays, so that it settles below the pressure at which calls are late. */
+export const lowPressure = 0.5;
+
+/** Pressure up to which it rises while the chosen chains seem to be full: the estimate of room is coarse, observations confirm it. */
+export const lowPressureWithoutRoom = 0.3;
+
+/** Share of the runs of a round that may be slow without an effect: one slow stream, or the streams of one crashed server, say little of the service. */
+export const slowShare = 0.25;
+
+/** Pressure that stands for a refusal by a server, a broken run or a run that ended at its deadline. */
+export const failurePressure = 1.5;
+
+/** Largest decrease of one round, as the factor that remains. */
+export const maxDecreaseFactor = 0.5;
+
+/** Increase of a round: as a share of the limit while calls are far from late, and at least by this number of calls. */
+export const increaseShare = 0.2;
+export const increaseStep = 1;
+
+/** Longest pause of a stream if its route names none; callers give up after two seconds. */
+export const defaultPauseTargetMs = 1_000;
+
+/** Smoothing of durations, as the weight of a new one; about the last ten calls of a gateway. */
+export const durationSmoothing = 0.15;
+
+/** Duration and time to the first event before any was observed: a usual stream of the users' deployments. */
+export const firstDurationMs = 700;
+export const firstAnswerMs = 100;
+
+/** Half-life of the rates of arrivals and starts; a burst lasts for some seconds. */
+export const rateHalfLifeMs = 2_000;
+
+/** Margin of a forecast, as a factor: durations vary by about a third. */
+export const forecastMargin = 1.3;
+
+/** A late answer counts for a tenth to a third of one on time. */
+export const lateValue = 0.2;
+
+/** A call waits to be late only while arrivals take less than this share of the places: otherwise it takes the place of one that is on time. */
+export const lateLoadShare = 0.8;
+
+/** Longest wait of a call that is going to be late; callers do better to return. */
+export const maxLateWaitMs = 2_000;
+
+/** Share of the served tokens that each rank below the most urgent one keeps, of its own share of the demand: less than it gets by its demand, so that no rank overtakes a more urgent one. */
+export const rankFloor = 0.1;
+
+/** Bounds of a queue: a few seconds of what one gateway can be asked for. */
+export const maxWaitingCalls = 256;
+export const maxWaitingBytes = 8 * 1_024 * 1_024;
+
+/** Longest age of a waiting call that has no events yet. */
+export const maxWaitMs = 4_000;
+
+/** Longest wait of a broken stream; callers give up after a pause of two seconds. */
+export const maxResumeWaitMs = 1_500;
+
+/** Shortest time without a chain that is assumed: a refused call or a repaired chain takes about as long. */
+export const minOutageMs = 100;
+
+/** Interval in which calls without a chain are routed again if no event says that one came: the end of a refusal is no event. */
+export const chainCheckMs = 200;
+
+/** Calls that are routed again in such an interval; a choice of servers takes some milliseconds. */
+export const callsPerChainCheck = 2;
+
+/** `Retry-After` of a refused call, at least and at most. */
+export const minReturnMs = 200;
+export const maxReturnMs = 3_000;
+
+/** Largest share of its time left that a caller may be told to wait; beyond a third callers ignore it. */
+export const maxReturnShare = 1 / 3;
+
+/** Jitter of a time to return, as a share in both directions. */
+export const returnJitter = 0.25;
+
+/** How much later each less urgent rank returns, as a share of its time. */
+export const rankReturnShare = 0.25;
+
+/** How much earlier than told a call may come back and still count as returned. */
+export const returnToleranceMs = 50;
+
+/** Refused calls that are remembered until they return. */
+export const maxRefusedCalls = 1_024;
+
+/** Work of a call against the usual one that counts at most when it is compared, in both directions: the largest calls must be served at least half as often. */
+export const maxWorkFactor = 2;
+
+/** A call of more than this multiple of the usual work of its kind is a large one. */
+export const largeFactor = 1.5;
+
+/** Large calls lose their disadvantage when they are served less often than this share of all; above the half that they are promised. */
+export const largeFloor = 0.7;
+
+/** Weight of an account whose calls were served least, against one whose calls were all served. */
+export const accountFloorFactor = 2;
+
+/** Half-life of what was offered and served by size and account. */
+export const servedHalfLifeMs = 10_000;
+
+/** Accounts whose service is remembered. */
+export const maxTrackedAccounts = 512;
--- a/packages/gateway/src/attempt/attemptAnswer.ts
+++ b/packages/gateway/src/attempt/attemptAnswer.ts
@@ -296,10 +296,12 @@
       this.firstEventId ??= accepted.val.firstEventId;
       silence.noteEvent(now);
       attempt.progress.noteEvents(newEvents);
+      call.place?.noteEvent(now);
       call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
       this.exchange?.pause();
+      call.place?.notePaused();
     }
   }
 }
--- a/packages/gateway/src/attempt/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -240,6 +240,9 @@
     this.blame.keepFromFaultyServers();
     this.silence.noteEnd(now);
     call.services.metrics.countAttempt(type);
+    if (type !== 'ATTEMPT_ERROR') {
+      call.place?.noteFailure(now);
+    }
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
       attempt: call.attempts,
--- a/packages/gateway/src/calls/callActions.ts
+++ b/packages/gateway/src/calls/callActions.ts
@@ -38,6 +38,7 @@
 import { createStoppingFault, noteOpened } from './drainAdmission.js';
 import { GatewayAttempt } from '../attempt/gatewayAttempt.js';
 import type { CallEvent, CallFault, GatewayCall } from './gatewayCall.js';
+import { endPlace, takePlace, waitForChain } from './placeOfCall.js';
 import { startHedge } from './startHedge.js';
 import {
   decideFirstAttempt,
@@ -90,12 +91,22 @@
     call.instance?.send({ type: 'SUSPECT_REFUSED', fault: suspectFault }, now);
     return;
   }
+  if (admitted && !takePlace(call, admitted, now)) {
+    return;
+  }
   const chosen = admitted && chooseServers(call, admitted, now);
   if (!admitted || !chosen) {
     call.intakeWaitMs = admitted ? estimateIntakeWait(call, admitted, now) : 0;
     call.isWaitingForSilent =
       admitted !== undefined && mayReturnForCall(call, admitted, now);
     call.services.waitingCalls.add(call);
+    const outlook = {
+      waitMs: call.intakeWaitMs,
+      mayReturn: call.isWaitingForSilent,
+    };
+    if (admitted && waitForChain(call, admitted, outlook, now)) {
+      return;
+    }
     const holdMs = admitted ? estimateHold(call, admitted, now) : 0;
     call.heldSince = holdMs > 0 ? (call.heldSince ?? now) : undefined;
     const fault =
@@ -107,6 +118,7 @@
   }
   call.services.waitingCalls.remove(call);
   call.isWaitingForSilent = false;
+  call.place?.noteChain(chosen.hasRoom, now);
   call.attempt = new GatewayAttempt(call, admitted, chosen, now);
   call.instance?.send({ type: 'ROUTED' }, now);
 };
@@ -309,6 +321,7 @@
     drainLeftMs: Math.round(call.drainForecast?.timeLeftMs ?? -1),
     wasConnectionKept: received.isOnKeptConnection,
     ...attempt?.answer.describe(),
+    ...call.place?.describe(),
     headFrom: call.headFrom ?? '',
     events: call.eventsReceived,
     lastEvent: call.events?.lastEventId ?? '',
@@ -317,6 +330,7 @@
   call.noteEnd?.(outcome === Outcome.Complete && isSuccess(status), now);
   call.instance?.dispose();
   services.waitingCalls.remove(call);
+  endPlace(call, outcome, status, now);
   services.handleCallEnded(call);
 };
 
--- a/packages/gateway/src/calls/gatewayCall.ts
+++ b/packages/gateway/src/calls/gatewayCall.ts
@@ -31,6 +31,8 @@
 import type { ServerControlPort } from '../ports.js';
 import type { ServerRegistry } from '../servers/serverRegistry.js';
 import type { ServerLossHandler } from '../servers/serverLossHandler.js';
+import type { CallPlace } from '../waiting/callPlace.js';
+import type { CallPlaces } from '../waiting/callPlaces.js';
 import type { WaitingCalls } from './waitingCalls.js';
 
 export interface CallEvent {
@@ -39,6 +41,9 @@
     | 'REFUSED'
     | 'ROUTED'
     | 'UNROUTABLE'
+    | 'QUEUED'
+    | 'GRANTED'
+    | 'GAVE_WAY'
     | 'SUSPECT_REFUSED'
     | 'ATTEMPT_COMPLETE'
     | 'ATTEMPT_NOT_RUN'
@@ -85,6 +90,7 @@
   readonly durationForecast: DurationForecast;
   readonly suspects: SuspectTracker;
   readonly waitingCalls: WaitingCalls;
+  readonly places: CallPlaces;
   readonly intakeOrder: IntakeOrder;
   readonly homeDomain: string;
   /** Time after which a revoked key must fail. */
@@ -118,6 +124,8 @@
   instance: ChartInstance<GatewayCall, CallEvent> | undefined;
   admitted: AdmittedCall | undefined;
   attempt: GatewayAttempt | undefined;
+  /** Its place in the queue of its service; absent if calls of the service don't wait for one. */
+  place: CallPlace | undefined;
   /** A second run beside the silent `attempt`, until one of them answers or ends. */
   hedge: GatewayAttempt | undefined;
   /** The one of both runs that answers; known before the loop cancels the other. */
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -14,6 +14,14 @@
 /** Histogram buckets for what should take milliseconds, in seconds. */
 const delayBuckets = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1, 2, 5];
 
+/** What the gauges show of the queue of a service. */
+export interface QueueFigures {
+  readonly waitingCount: number;
+  readonly runningCount: number;
+  readonly limit: number;
+  readonly pressure: number;
+}
+
 export class GatewayMetrics {
   readonly registry = new Registry();
   private readonly calls = new Counter({
@@ -122,6 +130,21 @@
     registers: [this.registry],
   });
 
+  private readonly waitSeconds = new Histogram({
+    name: `${prefix}wait_seconds`,
+    help: 'Time that calls waited for a place, of those that got one after a wait',
+    labelNames: ['service'],
+    buckets: secondsBuckets,
+    registers: [this.registry],
+  });
+  private readonly waitRefusals = new Counter({
+    name: `${prefix}wait_refusals_total`,
+    help: 'Calls refused by the queue of their service, by reason',
+    labelNames: ['service', 'reason'],
+    registers: [this.registry],
+  });
+  private readonly queues = new Map<string, QueueFigures>();
+
   private readonly turns = this.addDelay(
     'loop_turn_seconds',
     'Time of a turn of the event loop',
@@ -155,6 +178,10 @@
     'Time of a choice of servers',
   );
 
+  constructor() {
+    this.addQueueGauges();
+  }
+
   private addDelay(name: string, help: string): Histogram {
     return new Histogram({
       name: `${prefix}${name}`,
@@ -164,6 +191,50 @@
     });
   }
 
+  /** Adds the queue of a service to the gauges of queues. */
+  addQueue(service: string, figures: QueueFigures): void {
+    this.queues.set(service, figures);
+  }
+
+  private addQueueGauges(): void {
+    const gauges: readonly [string, string, (each: QueueFigures) => number][] =
+      [
+        [
+          'waiting_calls',
+          'Calls that wait for a place or a chain',
+          each => each.waitingCount,
+        ],
+        ['running_calls', 'Calls that have a place', each => each.runningCount],
+        ['call_limit', 'Calls that may run at once', each => each.limit],
+        [
+          'call_pressure',
+          'How close the running calls are to being late; 1 is late',
+          each => each.pressure,
+        ],
+      ];
+    for (const [name, help, read] of gauges) {
+      const gauge: Gauge = new Gauge({
+        name: `${prefix}${name}`,
+        help,
+        labelNames: ['service'],
+        registers: [this.registry],
+        collect: () => {
+          for (const [service, figures] of this.queues) {
+            gauge.set({ service }, read(figures));
+          }
+        },
+      });
+    }
+  }
+
+  observeWait(service: string, waitMs: Milliseconds): void {
+    this.waitSeconds.observe({ service }, waitMs / millisecondsPerSecond);
+  }
+
+  countWaitRefusal(service: string, reason: string): void {
+    this.waitRefusals.inc({ service, reason });
+  }
+
   /** Adds a gauge that is read when the metrics page is requested. */
   addGauge(name: string, help: string, read: () => number): void {
     const gauge = new Gauge({
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -69,6 +69,12 @@
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
 import { WaitingCalls } from './calls/waitingCalls.js';
+import {
+  AdaptivePlaces,
+  AdmissionMode,
+  UnlimitedPlaces,
+  type CallPlaces,
+} from './waiting/callPlaces.js';
 import { Suspects } from './suspects/suspects.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
@@ -93,6 +99,7 @@
   private readonly bufferMemory: LargestFirstMemory<GatewayAttempt>;
   private readonly retryBudget: SlidingRetryBudget;
   private readonly waitingCalls = new WaitingCalls();
+  private readonly places: CallPlaces;
   private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
@@ -135,6 +142,7 @@
     this.suspects = this.createSuspects();
     this.news = this.createNews();
     this.placer = this.createPlacer(startedAt);
+    this.places = this.createPlaces();
     this.callServices = this.createCallServices();
     this.frontend = this.createFrontend();
     this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
@@ -291,6 +299,7 @@
     this.news.dispose();
     this.suspects.dispose();
     this.placer.dispose();
+    this.places.dispose();
   }
 
   /** Actions and delays of the lifecycle chart. */
@@ -482,6 +491,7 @@
         this.storedVersion >= (this.configuration?.version ?? 0),
       applyServers: (records, isComplete, now) => {
         this.servers.registry.apply(records, isComplete, now);
+        this.places.noteServersChanged(now);
       },
     });
   }
@@ -545,6 +555,18 @@
     );
   }
 
+  private createPlaces(): CallPlaces {
+    return this.settings.waiting?.admission === AdmissionMode.Adaptive
+      ? new AdaptivePlaces({
+          timers: this.loop,
+          metrics: this.metrics,
+          postCompletion: run => {
+            this.post(run);
+          },
+        })
+      : new UnlimitedPlaces();
+  }
+
   private createCallServices(): CallServices {
     const { rules, process } = this.settings;
     return {
@@ -560,6 +582,7 @@
       attemptMachine: getOrThrow(bindAttemptChart()),
       suspects: this.suspects.tracker,
       waitingCalls: this.waitingCalls,
+      places: this.places,
       bufferMemory: this.bufferMemory,
       intakeOrder: this.intakeOrder,
       homeDomain: process.failureDomain,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,6 +1,7 @@
 /** The settings of a gateway, as its INI file names them. */
 import { z } from 'zod';
 import { addressSchema } from '@lycheetally/common';
+import { AdmissionMode } from './waiting/callPlaces.js';
 
 const positive = z.coerce.number().positive();
 
@@ -42,6 +43,16 @@
         ),
     })
     .optional(),
+  waiting: z
+    .object({
+      admission: z
+        .enum(AdmissionMode)
+        .optional()
+        .describe(
+          'Whether calls of model services wait for a place by what their servers can do in time, or are sent as soon as they have servers (unlimited without it)',
+        ),
+    })
+    .optional(),
   rules: z.object({
     heartbeatMs: positive.describe(
       'Milliseconds between two heartbeats of a backend server',
--- /dev/null
+++ b/packages/gateway/src/waiting/callPlaces.ts
@@ -0,0 +1,113 @@
+/** Which calls of a gateway wait for places: none, or those of the services with a model. */
+import type { ChartTimers } from '@lycheetally/charts';
+import type { Disposable, Milliseconds } from '@lycheetally/common';
+import {
+  AdaptiveConcurrency,
+  CallQueue,
+  type BackendService,
+} from '@lycheetally/decisions';
+import type { GatewayMetrics } from '../gatewayMetrics.js';
+import { CallPlace, type PlaceListener } from './callPlace.js';
+import { ServiceQueue } from './serviceQueue.js';
+
+/** How calls are admitted to servers. */
+export const AdmissionMode = {
+  Adaptive: 'adaptive',
+  Unlimited: 'unlimited',
+} as const;
+export type AdmissionMode = (typeof AdmissionMode)[keyof typeof AdmissionMode];
+
+export abstract class CallPlaces implements Disposable {
+  /** Creates the place of a call; `undefined` if calls of the service don't wait for one. */
+  abstract createPlace(
+    service: BackendService,
+    getRequestKey: () => string,
+    listener: PlaceListener,
+  ): CallPlace | undefined;
+
+  /** Handles a change of the server list, which may bring a chain. */
+  abstract noteServersChanged(now: Milliseconds): void;
+
+  abstract dispose(): void;
+}
+
+/** Every call is sent as soon as it has servers. */
+export class UnlimitedPlaces extends CallPlaces {
+  override createPlace(): undefined {
+    return undefined;
+  }
+
+  override noteServersChanged(): void {
+    return;
+  }
+
+  override dispose(): void {
+    return;
+  }
+}
+
+export interface AdaptivePlacesServices {
+  readonly timers: ChartTimers;
+  readonly metrics: GatewayMetrics;
+  postCompletion(run: (now: Milliseconds) => void): void;
+}
+
+/**
+ * Calls of model services wait for a place. A plain server runs what it takes beside each other
+ * and turns the rest away at once, so that its calls need no limit here.
+ */
+export class AdaptivePlaces extends CallPlaces {
+  private readonly queues = new Map<string, ServiceQueue>();
+  private placeCount = 0;
+
+  constructor(private readonly services: AdaptivePlacesServices) {
+    super();
+  }
+
+  override createPlace(
+    { name, model }: BackendService,
+    getRequestKey: () => string,
+    listener: PlaceListener,
+  ): CallPlace | undefined {
+    if (!model) {
+      return undefined;
+    }
+    const queue = this.queues.get(name) ?? this.createQueue(name);
+    this.queues.set(name, queue);
+    this.placeCount += 1;
+    const id = String(this.placeCount);
+    return new CallPlace(queue, id, getRequestKey, listener);
+  }
+
+  override noteServersChanged(now: Milliseconds): void {
+    for (const queue of this.queues.values()) {
+      queue.noteServersChanged(now);
+    }
+  }
+
+  override dispose(): void {
+    for (const queue of this.queues.values()) {
+      queue.dispose();
+    }
+  }
+
+  private createQueue(service: string): ServiceQueue {
+    const { timers, metrics, postCompletion } = this.services;
+    const calls = new CallQueue({
+      limit: new AdaptiveConcurrency(),
+      getWeight: () => 1,
+      getRandom: Math.random,
+    });
+    metrics.addQueue(service, calls);
+    return new ServiceQueue(calls, {
+      timers,
+      postCompletion,
+      observeWait: waitMs => {
+        metrics.observeWait(service, waitMs);
+      },
+      countRefusal: ({ reason }) => {
+        metrics.countWaitRefusal(service, reason);
+      },
+    });
+  }
+}
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -34,6 +34,7 @@
   type ChainUpdateAnswer,
   type ServerReport,
 } from '../src/ports.js';
+import { UnlimitedPlaces } from '../src/waiting/callPlaces.js';
 import { WaitingCalls } from '../src/calls/waitingCalls.js';
 import { AcceptResult } from '../src/suspects/acceptResult.js';
 import { setAcceptCheck } from './acceptChecks.js';
@@ -268,6 +269,7 @@
       durationForecast: new SurvivalForecast(forecastSettings),
       suspects: trustingSuspects,
       waitingCalls,
+      places: new UnlimitedPlaces(),
       intakeOrder: new ArrivalOrder(),
       homeDomain: 'a',
       revokeTimeoutMs: defaultTimeoutMs,
