Take the limit from what ran while the pressure arose

Decreases from the limit itself fell again while the runs beyond a lower limit ended, and a limit far above what ran let a burst at the moment of a loss start several seconds of work.

--- a/packages/decisions/src/waiting/adaptiveConcurrency.ts
+++ b/packages/decisions/src/waiting/adaptiveConcurrency.ts
@@ -1,15 +1,19 @@
 /**
  * A limit that follows what the gateway's own runs show.
  *
- * The pressure of a run is its longest pause in the round, one that goes on included, as a share
+ * The pressure of a run is its last pause, or the one that goes on if that is longer, as a share
  * of the pause that its route allows; before its first event, its age as a share of the target.
  * The pressure of the service is a low quantile over its runs, so that one slow stream has no
- * effect. The decision falls once in a round, and only on pauses that began after the last
- * decrease: earlier ones show what ran before it.
+ * effect. The decision falls once in a round.
  *
- * A decrease assumes that the pause grows at most in proportion to what runs, so that it never
- * goes below the number that would just be on time by that rule. The limit rises while runs are
- * well on time and the limit was used, by a share while they are far from late.
+ * The pause of a stream grows at most in proportion to what runs, so that `running x target
+ * pressure / pressure` is a number of runs that is on time: below the target pressure it is a
+ * careful estimate of what fits, above it a decrease that the next rounds continue. It is taken
+ * from what ran while the pressure arose, never from the limit, so that it does not fall again
+ * while the runs beyond a lower limit end.
+ *
+ * The limit rises only while it is used, in steps, and stays within a multiple of what ran
+ * lately, so that a burst at the moment of a loss cannot start more than a second of work.
  */
 import type { Milliseconds } from '@lycheetally/common';
 import {
@@ -18,18 +22,22 @@
   type RunTargets,
 } from './concurrencyLimit.js';
 import {
+  additiveStep,
   failurePressure,
-  highPressure,
   increaseShare,
   increaseStep,
   initialLimit,
-  lowPressure,
-  lowPressureWithoutRoom,
   maxDecreaseFactor,
+  maxHeadroom,
   maxLimit,
   minLimit,
+  peakHalfLifeMs,
+  restingLimit,
   roundMs,
   slowShare,
+  targetPressure,
+  targetPressureWithoutRoom,
+  unusedDecreaseFactor,
 } from './constants.js';
 
 interface ObservedRun {
@@ -37,24 +45,32 @@
   hasEvent: boolean;
   /** When it last started to wait for an event; infinite while its caller does not read. */
   waitsSince: Milliseconds;
-  /** Largest pressure in this round. */
+  /** Of its last pause, or of a failure since then. */
   pressure: number;
 }
 
+/** What ran in a round. */
+interface RoundCounts {
+  least: number;
+  most: number;
+}
+
 export class AdaptiveConcurrency extends ConcurrencyLimit {
   private limit = initialLimit;
   private lastPressure = 0;
   private readonly runs = new Map<string, ObservedRun>();
   /** Pressures of the runs that ended in this round. */
   private ended: number[] = [];
-  private mostRunning = 0;
+  private round: RoundCounts = { least: 0, most: 0 };
+  private previous: RoundCounts = { least: 0, most: 0 };
+  /** The most that ran lately; decays. */
+  private peak = 0;
   private hasHeld = false;
   private hasLackedRoom = false;
   private roundStartedAt: Milliseconds = -Infinity;
-  private decreasedAt: Milliseconds = -Infinity;
 
   override get value(): number {
-    return Math.floor(this.limit);
+    return Math.round(this.limit);
   }
 
   override get pressure(): number {
@@ -66,19 +82,15 @@
     targets: RunTargets,
     now: Milliseconds,
   ): void {
-    this.runs.set(id, {
-      targets,
-      hasEvent: false,
-      waitsSince: now,
-      pressure: 0,
-    });
-    this.mostRunning = Math.max(this.mostRunning, this.runs.size);
+    const run = { targets, hasEvent: false, waitsSince: now, pressure: 0 };
+    this.runs.set(id, run);
+    this.round.most = Math.max(this.round.most, this.runs.size);
   }
 
   override noteEvent(id: string, now: Milliseconds): void {
     const run = this.runs.get(id);
     if (run) {
-      run.pressure = Math.max(run.pressure, this.measureWait(run, now));
+      run.pressure = measureWait(run, now);
       run.hasEvent = true;
       run.waitsSince = now;
     }
@@ -94,7 +106,7 @@
   override noteFailure(id: string, now: Milliseconds): void {
     const run = this.runs.get(id);
     if (run) {
-      run.pressure = Math.max(run.pressure, failurePressure);
+      run.pressure = Math.max(failurePressure, measureWait(run, now));
       run.waitsSince = now;
     }
   }
@@ -105,13 +117,13 @@
       return;
     }
     this.runs.delete(id);
+    this.round.least = Math.min(this.round.least, this.runs.size);
     if (end === RunEnd.Cancelled && !run.hasEvent && run.pressure === 0) {
       // It shows nothing: its caller left, or it found no chain.
       return;
     }
-    const waited = this.measureWait(run, now);
-    const atEnd = end === RunEnd.Failed ? failurePressure : waited;
-    this.ended.push(Math.max(run.pressure, atEnd));
+    const atEnd = end === RunEnd.Failed ? failurePressure : 0;
+    this.ended.push(Math.max(atEnd, measurePressure(run, now)));
   }
 
   override noteHeld(): void {
@@ -123,64 +135,80 @@
   }
 
   override advance(now: Milliseconds): boolean {
-    if (now - this.roundStartedAt < roundMs) {
+    const roundLastedMs = now - this.roundStartedAt;
+    if (roundLastedMs < roundMs) {
       return false;
     }
+    const before = this.value;
+    this.peak = Math.max(
+      this.round.most,
+      this.peak * 2 ** (-roundLastedMs / peakHalfLifeMs),
+    );
     const pressures = [
       ...this.ended,
-      ...[...this.runs.values()].map(run =>
-        Math.max(run.pressure, this.measureWait(run, now)),
-      ),
+      ...[...this.runs.values()].map(run => measurePressure(run, now)),
     ].sort((a, b) => a - b);
-    const before = this.value;
     if (pressures.length > 0) {
       const at = Math.floor((1 - slowShare) * (pressures.length - 1));
       this.lastPressure = pressures[at] ?? 0;
-      this.update(this.lastPressure, now);
+      this.update(this.lastPressure);
     }
     this.startRound(now);
     return this.value !== before;
   }
 
-  /** The pressure of the wait that goes on; one that began before the last decrease counts from there. */
-  private measureWait(run: ObservedRun, now: Milliseconds): number {
-    const { firstMs, pauseMs } = run.targets;
-    const allowedMs = run.hasEvent ? pauseMs : firstMs;
-    const since = Math.max(run.waitsSince, this.decreasedAt);
-    return allowedMs === undefined ? 0 : Math.max(0, now - since) / allowedMs;
-  }
-
-  private update(pressure: number, now: Milliseconds): void {
-    const { limit, mostRunning } = this;
-    if (pressure >= highPressure) {
-      const factor = Math.max(maxDecreaseFactor, highPressure / pressure);
-      const isUsed = mostRunning >= limit / 2;
+  private update(pressure: number): void {
+    const { limit, round, previous, peak } = this;
+    const target = this.hasLackedRoom
+      ? targetPressureWithoutRoom
+      : targetPressure;
+    if (pressure > targetPressure) {
+      const most = Math.max(round.most, previous.most);
+      const fitting = (most * targetPressure) / pressure;
       this.limit = Math.max(
         minLimit,
-        Math.min(limit, (isUsed ? mostRunning : limit) * factor),
+        Math.min(limit, Math.max(fitting, limit * maxDecreaseFactor)),
       );
-      this.decreasedAt = now;
       return;
     }
-    const risesTo = this.hasLackedRoom ? lowPressureWithoutRoom : lowPressure;
-    const isUsed = this.hasHeld || mostRunning >= this.value;
-    if (pressure <= risesTo && (isUsed || limit < initialLimit)) {
-      const step = Math.max(
-        increaseStep,
-        limit * increaseShare * (1 - pressure / risesTo),
+    const headroom = Math.min(maxHeadroom, targetPressure / pressure);
+    const bound = Math.max(restingLimit, peak * headroom + additiveStep);
+    if (limit > bound) {
+      this.limit = Math.max(bound, limit * unusedDecreaseFactor);
+    } else if (this.hasHeld || round.most >= this.value) {
+      const least = Math.min(round.least, previous.least);
+      const fitting = (least * target) / pressure + additiveStep;
+      const step = Math.max(increaseStep, limit * increaseShare);
+      this.limit = Math.min(
+        maxLimit,
+        bound,
+        limit + step,
+        Math.max(limit, fitting),
       );
-      this.limit = Math.min(maxLimit, limit + step);
     }
   }
 
   private startRound(now: Milliseconds): void {
+    const { size } = this.runs;
     this.roundStartedAt = now;
     this.ended = [];
-    this.mostRunning = this.runs.size;
+    this.previous = this.round;
+    this.round = { least: size, most: size };
     this.hasHeld = false;
     this.hasLackedRoom = false;
-    for (const run of this.runs.values()) {
-      run.pressure = 0;
-    }
   }
 }
+
+const measurePressure = (run: ObservedRun, now: Milliseconds): number =>
+  Math.max(run.pressure, measureWait(run, now));
+
+/** The wait that goes on, as a share of what its route allows. */
+const measureWait = (
+  { targets, hasEvent, waitsSince }: ObservedRun,
+  now: Milliseconds,
+): number => {
+  const allowedMs = hasEvent ? targets.pauseMs : targets.firstMs;
+  return allowedMs === undefined
+    ? 0
+    : Math.max(0, now - waitsSince) / allowedMs;
+};
--- a/packages/decisions/src/waiting/callQueue.ts
+++ b/packages/decisions/src/waiting/callQueue.ts
@@ -563,7 +563,8 @@
   /** The ranks with floors in proportion to their demand, so that none is served more often than a more urgent one. */
   private listRanks(): readonly OrderedRank[] {
     const now = this.startedAt;
-    const demands = this.demand.map(each => each?.get(now) ?? 0);
+    // Ranks that no call had yet are holes.
+    const demands = Array.from(this.demand, each => each?.get(now) ?? 0);
     const total = demands.reduce((sum, each) => sum + each, 0);
     return demands.map((each, urgency) => ({
       urgency,
--- a/packages/decisions/src/waiting/constants.ts
+++ b/packages/decisions/src/waiting/constants.ts
@@ -3,26 +3,35 @@
 /** Limit of a service at the start: ten times what a gateway runs in normal operation, above the 24 that it ran in a collapse. */
 export const initialLimit = 32;
 
-/** Lowest limit, so that every gateway always observes the service; its normal operation is about three. */
-export const minLimit = 2;
+/** Lowest limit; together with the probes, every gateway always observes the service. */
+export const minLimit = 1;
+
+/** Below this the limit falls only when runs are nearly late; normal operation is about three. */
+export const restingLimit = 8;
 
 /** Largest limit; the connections and buffers of a gateway end sooner. */
 export const maxLimit = 1_024;
 
-/** Length of a round of observations: a few events of each stream, and four decreases fit into the second in which the limit must have fallen. */
-export const roundMs = 200;
+/** Length of a round of observations: about one pause of a stream near its limit, and ten decreases fit into the second in which the limit must have fallen. */
+export const roundMs = 100;
 
 /** A call may start this long after the last one whatever the limit is, so that stalled runs do not end the observation. */
 export const probeIntervalMs = 500;
 
-/** Pressure from which the limit falls: what runs is then nearly late. */
-export const highPressure = 0.8;
+/** Pressure to which the limit tends: a third of the allowed pause remains for what a round does not see. */
+export const targetPressure = 0.65;
+
+/** The same for an increase while the chosen chains seem to be full: the estimate of room is coarse, observations confirm it. */
+export const targetPressureWithoutRoom = 0.4;
 
-/** Pressure up to which the limit may rise; between both marks it stays, so that it settles below the pressure at which calls are late. */
-export const lowPressure = 0.5;
+/** How much higher than what ran lately the limit may be, as a factor: in the second of a loss no more than twice the usual number may start. */
+export const maxHeadroom = 2;
 
-/** Pressure up to which it rises while the chosen chains seem to be full: the estimate of room is coarse, observations confirm it. */
-export const lowPressureWithoutRoom = 0.3;
+/** Half-life of the most that ran lately; above the usual time between the bursts of a few callers. */
+export const peakHalfLifeMs = 2_500;
+
+/** What remains of an unused limit after a round, as a factor. */
+export const unusedDecreaseFactor = 0.9;
 
 /** Share of the runs of a round that may be slow without an effect: one slow stream, or the streams of one crashed server, say little of the service. */
 export const slowShare = 0.25;
@@ -33,10 +42,13 @@
 /** Largest decrease of one round, as the factor that remains. */
 export const maxDecreaseFactor = 0.5;
 
-/** Increase of a round: as a share of the limit while calls are far from late, and at least by this number of calls. */
-export const increaseShare = 0.2;
+/** Increase of a round: at most this share of the limit, which is nine times the limit in a second, and at least this number of calls. */
+export const increaseShare = 0.25;
 export const increaseStep = 1;
 
+/** Runs beyond what fits by the pressure; gateways that run few gain on those that run many. */
+export const additiveStep = 0.25;
+
 /** Longest pause of a stream if its route names none; callers give up after two seconds. */
 export const defaultPauseTargetMs = 1_000;
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -560,6 +560,7 @@
       ? new AdaptivePlaces({
           timers: this.loop,
           metrics: this.metrics,
+          getRandom: Math.random,
           postCompletion: run => {
             this.post(run);
           },
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -47,9 +47,9 @@
     .object({
       admission: z
         .enum(AdmissionMode)
-        .optional()
+        .default(AdmissionMode.Unlimited)
         .describe(
-          'Whether calls of model services wait for a place by what their servers can do in time, or are sent as soon as they have servers (unlimited without it)',
+          'Whether calls of model services wait for a place by what their servers can do in time, or are sent as soon as they have servers',
         ),
     })
     .optional(),
--- a/packages/gateway/src/waiting/callPlaces.ts
+++ b/packages/gateway/src/waiting/callPlaces.ts
@@ -49,6 +49,8 @@
 export interface AdaptivePlacesServices {
   readonly timers: ChartTimers;
   readonly metrics: GatewayMetrics;
+  /** Returns a number from 0 to 1. */
+  readonly getRandom: () => number;
   postCompletion(run: (now: Milliseconds) => void): void;
 }
 
@@ -92,11 +94,11 @@
   }
 
   private createQueue(service: string): ServiceQueue {
-    const { timers, metrics, postCompletion } = this.services;
+    const { timers, metrics, getRandom, postCompletion } = this.services;
     const calls = new CallQueue({
       limit: new AdaptiveConcurrency(),
       getWeight: () => 1,
-      getRandom: Math.random,
+      getRandom,
     });
     metrics.addQueue(service, calls);
     return new ServiceQueue(calls, {
