--- a/packages/decisions/src/order/rankedOrder.ts
+++ b/packages/decisions/src/order/rankedOrder.ts
@@ -31,6 +31,8 @@
   readonly getWeight: AccountWeight;
   /** Number of slots of the backend server. */
   readonly slots: number;
+  /** Share of the slots that only accounts below an equal share of the slots may use. */
+  readonly accountReserve?: number;
 }
 
 interface RankState<T extends WaitingWork> {
@@ -45,8 +47,8 @@
 
 /** Share of the slots that only the most urgent rank may use. */
 const urgentReserve = 0.08;
-/** Share of the slots that only accounts below an equal share of the slots may use. */
-const accountReserve = 0.08;
+/** `accountReserve` of an agent. */
+const defaultAccountReserve = 0.08;
 const prioritiesPerRank = 2;
 const servedHalfLifeMs = 5_000;
 /** Share of the served cost that may start early because it has little slack. */
@@ -107,14 +109,16 @@
 
   /** Within a rank, the engine too prefers accounts below an equal share of the slots. */
   override computePriority(work: T): number {
-    const { queue } = this.getRank(work.urgency);
-    const isBelowEqualShare = queue.isBelowEqualShare(
-      work.account,
-      this.settings.slots,
-    );
+    const isBelowEqualShare = this.isBelowEqualShare(work);
     return work.urgency * prioritiesPerRank + (isBelowEqualShare ? 0 : 1);
   }
 
+  /** Whether the account of the work uses less than an equal share of the slots. */
+  isBelowEqualShare({ urgency, account }: T): boolean {
+    const { queue } = this.getRank(urgency);
+    return queue.isBelowEqualShare(account, this.settings.slots);
+  }
+
   override finish(work: T, cost: number, runMs?: Milliseconds): void {
     this.running -= 1;
     this.getRank(work.urgency).queue.finish(work, cost);
@@ -164,7 +168,7 @@
   }
 
   private findMostUrgent(): T | undefined {
-    const { slots } = this.settings;
+    const { slots, accountReserve = defaultAccountReserve } = this.settings;
     for (const [urgency, rank] of this.ranks.entries()) {
       const freeSlots = this.countFreeSlots(urgency);
       if (freeSlots > 0 && rank.queue.size > 0) {
--- a/packages/decisions/src/waiting/callQueue.ts
+++ b/packages/decisions/src/waiting/callQueue.ts
@@ -6,10 +6,11 @@
  * all arrivals, for a late answer. A call that the forecast gives up is refused at that moment.
  *
  * Order: streams under way, which the limit never holds; then `RankedOrder`, by rank with floors,
- * by account, by deadline. A call that returned as told goes before the others of its account.
+ * by account, by deadline. A call that returned as told goes before the new ones of its rank.
  * Calls without a chain wait outside the order until something may have brought one.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import { AccountDemand } from './accountDemand.js';
 import type { AccountWeight } from '../order/accountQueue.js';
 import { RankedOrder, type OrderedRank } from '../order/rankedOrder.js';
 import { DecayingSum } from '../load/decayingSum.js';
@@ -33,6 +34,7 @@
   probeIntervalMs,
   rankFloor,
   rateHalfLifeMs,
+  reserveTimeMs,
   returnToleranceMs,
   roundMs,
 } from './constants.js';
@@ -102,12 +104,12 @@
     readonly call: QueuedCallView,
     readonly enqueuedAt: Milliseconds,
   ) {
-    this.rank = String(call.urgency);
-    this.urgency = call.urgency;
+    // Within each rank, calls that returned as told go first.
+    this.urgency = call.urgency * 2 + (call.refusals > 0 ? 0 : 1);
+    this.rank = String(this.urgency);
     this.account = call.account;
     this.cost = call.expectedTokens;
-    // A call that returned as told goes before all that were not refused before.
-    this.deadlineAt = call.deadlineAt - (call.refusals > 0 ? maxWaitMs : 0);
+    this.deadlineAt = call.deadlineAt;
   }
 }
 
@@ -126,7 +128,9 @@
   private readonly forecast = new PlaceForecast();
   private readonly returns = new ReturnTimes();
   private readonly cost = new WaitCost();
+  private readonly accounts = new AccountDemand();
   private readonly order: RankedOrder<Waiter>;
+  /** Tokens that were asked for, by urgency in the order. */
   private readonly demand: DecayingSum[] = [];
   /** All that wait, also without a chain. */
   private readonly waiters = new Map<string, Waiter>();
@@ -134,18 +138,24 @@
   private readonly running = new Map<string, Waiter>();
   private waitingBytes = 0;
   private startedAt: Milliseconds = -Infinity;
+  /** When a call was last held back, as of the newest decision. */
+  private heldAt: Milliseconds = -Infinity;
   /** Since when calls find no chain. */
   private outageSince: Milliseconds | undefined;
 
   constructor(private readonly settings: CallQueueSettings) {
     // `hasPlace` decides whether a call may start, also as a probe beyond the limit.
     const getSlots = (): number => Math.max(this.limit, this.running.size + 1);
+    const getReserve = (): number => this.accountReserve;
     this.order = new RankedOrder<Waiter>({
       listRanks: () => this.listRanks(),
       getWeight: settings.getWeight,
       get slots() {
         return getSlots();
       },
+      get accountReserve() {
+        return getReserve();
+      },
     });
   }
 
@@ -186,10 +196,13 @@
     }
     this.settings.limit.advance(now);
     this.forecast.noteArrived(now);
-    this.demand[call.urgency] ??= new DecayingSum(rateHalfLifeMs);
-    this.demand[call.urgency]?.add(call.expectedTokens, now);
     this.cost.noteOffered(call, now);
+    this.accounts.noteArrived(call.account, now);
     const waiter = new Waiter(call, now);
+    const demand = (this.demand[waiter.urgency] ??= new DecayingSum(
+      rateHalfLifeMs,
+    ));
+    demand.add(call.expectedTokens, now);
     if (call.isUnderWay) {
       this.start(waiter, now);
       return QueueDecision.Run;
@@ -203,6 +216,7 @@
       this.order.remove(waiter);
     }
     this.settings.limit.noteHeld();
+    this.heldAt = now;
     if (call.toldAt !== undefined && call.toldAt > now + returnToleranceMs) {
       return this.refuse(waiter, RefusalReason.Early, now);
     }
@@ -359,9 +373,10 @@
   private start(waiter: Waiter, now: Milliseconds): void {
     const { call } = waiter;
     this.running.set(call.id, waiter);
-    this.forecast.noteStarted(call.id, call.urgency, now);
+    this.forecast.noteStarted(call.id, waiter.urgency, now);
     this.settings.limit.noteStarted(call.id, call.targets, now);
     this.cost.noteServed(call, now);
+    this.accounts.countRunning(call.account, 1);
     this.startedAt = now;
   }
 
@@ -374,6 +389,7 @@
     const waiter = this.running.get(id);
     if (waiter) {
       this.running.delete(id);
+      this.accounts.countRunning(waiter.account, -1);
       this.forecast.noteEnded(id, end === RunEnd.Complete, now);
       this.settings.limit.noteEnded(id, end, now);
       if (!waiter.call.isUnderWay) {
@@ -427,6 +443,18 @@
       : undefined;
   }
 
+  /** While calls are held back, some places wait for the accounts that use few. */
+  private get accountReserve(): number {
+    const now = Math.max(this.startedAt, this.heldAt);
+    return now - this.heldAt < reserveTimeMs
+      ? this.accounts.computeReserve(
+          this.limit,
+          this.forecast.estimateDuration(now),
+          now,
+        )
+      : 0;
+  }
+
   private get isOverBound(): boolean {
     return (
       this.waiters.size > maxWaitingCalls || this.waitingBytes > maxWaitingBytes
@@ -449,6 +477,10 @@
 
   private mayWait(waiter: Waiter, now: Milliseconds): boolean {
     const { call } = waiter;
+    if (this.cost.isAheadOfItsRank(call.urgency, now)) {
+      // A longer target must not give a rank the places that a more urgent one is refused.
+      return false;
+    }
     const waitMs = this.estimateWait(waiter, now) * forecastMargin;
     const leftMs = call.targetAt - this.forecast.answerMs - now;
     if (waitMs <= leftMs) {
@@ -525,10 +557,15 @@
     }
     const { getWeight } = this.settings;
     const turns = (own + 1) / getWeight(waiter.account);
+    const reserved = this.order.isBelowEqualShare(waiter)
+      ? 0
+      : Math.ceil(this.limit * this.accountReserve);
     const byTurns = [...others].map(([account, count]) =>
       Math.min(count, turns * getWeight(account)),
     );
-    return urgent + own + byTurns.reduce((sum, each) => sum + each, 0);
+    return (
+      urgent + own + reserved + byTurns.reduce((sum, each) => sum + each, 0)
+    );
   }
 
   private refuse(
--- a/packages/decisions/src/waiting/constants.ts
+++ b/packages/decisions/src/waiting/constants.ts
@@ -77,6 +77,24 @@
 /** Share of the served tokens that each rank below the most urgent one keeps, of its own share of the demand: less than it gets by its demand, so that no rank overtakes a more urgent one. */
 export const rankFloor = 0.1;
 
+/** An account is large from this multiple of the mean of the active accounts on. */
+export const largeAccountFactor = 2;
+
+/** Share of the places that is kept from large accounts at most, so that none starves. */
+export const maxAccountReserve = 0.8;
+
+/** Half-life of what an account asked for. */
+export const accountHalfLifeMs = 5_000;
+
+/** How long after a call was held back places are kept for small accounts. */
+export const reserveTimeMs = 1_000;
+
+/** A rank may wait only if this multiple of its served share is below that of each more urgent rank that is not fully served. */
+export const rankMargin = 1.1;
+
+/** From this served share on a rank counts as fully served. */
+export const fullyServedShare = 0.9;
+
 /** Bounds of a queue: a few seconds of what one gateway can be asked for. */
 export const maxWaitingCalls = 256;
 export const maxWaitingBytes = 8 * 1_024 * 1_024;
--- a/packages/decisions/src/waiting/waitCost.ts
+++ b/packages/decisions/src/waiting/waitCost.ts
@@ -10,16 +10,17 @@
  * as refusing it again costs its caller most. A stream under way never gives way.
  */
 import type { Milliseconds } from '@lycheetally/common';
-import { DecayingSum } from '../load/decayingSum.js';
 import {
   accountFloorFactor,
+  fullyServedShare,
   largeFactor,
   largeFloor,
   lateValue,
   maxTrackedAccounts,
   maxWorkFactor,
-  servedHalfLifeMs,
+  rankMargin,
 } from './constants.js';
+import { ServedShare } from './servedShare.js';
 import type { WaitingCall } from './waitingCall.js';
 
 /** Value of a rank against the next more urgent one. */
@@ -31,26 +32,6 @@
 /** Weight of a new call in the usual work of its kind. */
 const workSmoothing = 0.05;
 
-/** The share of what was offered that was served. */
-class ServedShare {
-  private readonly offered = new DecayingSum(servedHalfLifeMs);
-  private readonly served = new DecayingSum(servedHalfLifeMs);
-
-  noteOffered(now: Milliseconds): void {
-    this.offered.add(1, now);
-  }
-
-  noteServed(now: Milliseconds): void {
-    this.served.add(1, now);
-  }
-
-  /** Returns 1 if nothing was offered. */
-  compute(now: Milliseconds): number {
-    const offered = this.offered.get(now);
-    return offered < 1 ? 1 : Math.min(1, this.served.get(now) / offered);
-  }
-}
-
 interface KindState {
   usualWork: number;
   readonly all: ServedShare;
@@ -60,6 +41,7 @@
 export class WaitCost {
   private readonly kinds = new Map<string, KindState>();
   private readonly accounts = new Map<string, ServedShare>();
+  private readonly ranks: ServedShare[] = [];
 
   noteOffered(call: WaitingCall, now: Milliseconds): void {
     const kind = this.getKind(call);
@@ -69,6 +51,7 @@
       kind.large.noteOffered(now);
     }
     this.getAccount(call.account).noteOffered(now);
+    this.getRank(call.urgency).noteOffered(now);
   }
 
   noteServed(call: WaitingCall, now: Milliseconds): void {
@@ -78,6 +61,16 @@
       kind.large.noteServed(now);
     }
     this.getAccount(call.account).noteServed(now);
+    this.getRank(call.urgency).noteServed(now);
+  }
+
+  /** Whether calls of a more urgent rank were served less often than those of this one. */
+  isAheadOfItsRank(urgency: number, now: Milliseconds): boolean {
+    const own = this.getRank(urgency).compute(now);
+    return this.ranks.slice(0, urgency).some(each => {
+      const share = each.compute(now);
+      return share < fullyServedShare && share < own * rankMargin;
+    });
   }
 
   compute(call: WaitingCall, isOnTime: boolean, now: Milliseconds): number {
@@ -116,6 +109,13 @@
     return known;
   }
 
+  private getRank(urgency: number): ServedShare {
+    while (this.ranks.length <= urgency) {
+      this.ranks.push(new ServedShare());
+    }
+    return this.ranks[urgency] ?? new ServedShare();
+  }
+
   private getAccount(account: string): ServedShare {
     const known = this.accounts.get(account) ?? new ServedShare();
     this.accounts.delete(account);
--- a/packages/gateway/tests/waitEmulator.ts
+++ b/packages/gateway/tests/waitEmulator.ts
@@ -50,9 +50,9 @@
 };
 
 const targets = [501, 601, 1_201];
-const pauseTargetMs = 300;
+export const pauseTargetMs = 300;
 const timeLimitMs = 20_000;
-const usualEvents = 17;
+export const usualEvents = 17;
 const largeFactor = 4;
 const accounts = 10;
 const leaveAfterMs = 200;
@@ -67,7 +67,7 @@
 const pollMs = 40;
 const pollShare = 0.12;
 
-/** Whole calls that run at once at one server, at least on time, by second: the pause grows by `pausePerRunMs`. */
+/** Time between two events of each stream of a server. */
 export const computePause = (running: number): number =>
   minPauseMs + pausePerRunMs * running;
 
@@ -126,8 +126,9 @@
   readonly calls: EmulatedCall[] = [];
   readonly places: readonly AdaptivePlaces[];
   private readonly generator;
+  /** The most that ran at one server, by tenth of a second. */
+  readonly peaks: number[] = [];
   private servers: Set<EmulatedCall>[] = [];
-  private owed = 0;
 
   constructor(private readonly load: WaitLoad) {
     this.generator = xoroshiro128plus(load.seed);
@@ -153,6 +154,11 @@
       this.servers.forEach(server => {
         this.stepServer(server);
       });
+      const tenth = Math.floor(this.time.now / 100);
+      this.peaks[tenth] = Math.max(
+        this.peaks[tenth] ?? 0,
+        ...this.servers.map(({ size }) => size),
+      );
       for (const call of this.calls) {
         if (call.endedAt === undefined && this.time.now >= this.findEnd(call)) {
           this.end(call, RunEnd.Cancelled);
@@ -178,14 +184,29 @@
     return (ended.length * 1_000) / (until - from);
   }
 
-  get running(): number {
-    return this.servers.reduce((sum, server) => sum + server.size, 0);
+  /** Share of the calls that arrived first within the time, and match, that end on time, perhaps after a return. */
+  computeServed(
+    from: number,
+    until: number,
+    matches: (call: EmulatedCall) => boolean = () => true,
+  ): number {
+    const served = new Set(
+      this.calls.filter(({ isOnTime }) => isOnTime).map(({ id }) => id),
+    );
+    const first = this.listArrived(from, until).filter(
+      call => call.refusals === 0 && matches(call),
+    );
+    return first.filter(({ id }) => served.has(id)).length / first.length;
   }
 
   private draw(): number {
     return uniformInt(this.generator, 0, 999_999) / 1_000_000;
   }
 
+  private drawGap(): number {
+    return -Math.log(1 - this.draw());
+  }
+
   private findValue(steps: Steps): number {
     return steps.filter(([at]) => at <= this.time.now).at(-1)?.[1] ?? 0;
   }
@@ -209,9 +230,9 @@
 
   private addArrivals(): void {
     const { load, time } = this;
-    this.owed += (this.findValue(load.demand) * stepMs) / 1_000;
-    // Two draws make the number vary as that of independent callers does.
-    for (; this.owed > 0 && this.draw() < 0.8; this.owed -= 1) {
+    const mean = (this.findValue(load.demand) * stepMs) / 1_000;
+    // Draws the times between independent callers until the step is over.
+    for (let at = this.drawGap(); at < mean; at += this.drawGap()) {
       let rank = 0;
       for (let left = this.draw(); rank < load.ranks.length - 1; rank += 1) {
         left -= load.ranks[rank] ?? 0;
