--- a/packages/gateway/src/attempt/attemptAnswer.ts
+++ b/packages/gateway/src/attempt/attemptAnswer.ts
@@ -298,10 +298,12 @@
       silence.noteEvent(now);
       attempt.progress.noteEvents(newEvents);
       attempt.pace.noteEvents(newEvents, now);
+      call.place?.noteEvent(now);
       call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
       this.exchange?.pause();
+      call.place?.notePaused();
     }
   }
 }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -75,6 +75,12 @@
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
 import { WaitingCalls } from './calls/waitingCalls.js';
+import {
+  AdaptivePlaces,
+  AdmissionMode,
+  UnlimitedPlaces,
+  type CallPlaces,
+} from './waiting/callPlaces.js';
 import { Suspects } from './suspects/suspects.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
@@ -100,6 +106,7 @@
   private readonly bufferMemory: LargestFirstMemory<GatewayAttempt>;
   private readonly retryBudget: SlidingRetryBudget;
   private readonly waitingCalls = new WaitingCalls();
+  private readonly places: CallPlaces;
   private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
@@ -146,6 +153,7 @@
     this.servers.lossHandler.serverLost.subscribe(now => {
       this.placer.noteLoss(now);
     });
+    this.places = this.createPlaces();
     this.callServices = this.createCallServices();
     this.frontend = this.createFrontend();
     this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
@@ -304,6 +312,7 @@
     this.news.dispose();
     this.suspects.dispose();
     this.placer.dispose();
+    this.places.dispose();
   }
 
   /** Actions and delays of the lifecycle chart. */
@@ -506,6 +515,7 @@
         this.storedVersion >= (this.configuration?.version ?? 0),
       applyServers: (records, isComplete, now) => {
         this.servers.registry.apply(records, isComplete, now);
+        this.places.noteServersChanged(now);
       },
     });
   }
@@ -584,6 +594,19 @@
       : new CheapestBalance(registry);
   }
 
+  private createPlaces(): CallPlaces {
+    return this.settings.waiting?.admission === AdmissionMode.Adaptive
+      ? new AdaptivePlaces({
+          timers: this.loop,
+          metrics: this.metrics,
+          getRandom: Math.random,
+          postCompletion: run => {
+            this.post(run);
+          },
+        })
+      : new UnlimitedPlaces();
+  }
+
   private createCallServices(): CallServices {
     const { rules, process } = this.settings;
     return {
@@ -599,6 +622,7 @@
       attemptMachine: getOrThrow(bindAttemptChart()),
       suspects: this.suspects.tracker,
       waitingCalls: this.waitingCalls,
+      places: this.places,
       bufferMemory: this.bufferMemory,
       intakeOrder: this.intakeOrder,
       homeDomain: process.failureDomain,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { addressSchema, type ValueOf } from '@lycheetally/common';
 import { RepairMode } from '@lycheetally/decisions';
+import { AdmissionMode } from './waiting/callPlaces.js';
 
 /** How chains are chosen. */
 export const ChainChoice = {
@@ -87,6 +88,16 @@
         ),
     })
     .optional(),
+  waiting: z
+    .object({
+      admission: z
+        .enum(AdmissionMode)
+        .default(AdmissionMode.Unlimited)
+        .describe(
+          'Whether calls of model services wait for a place by what their servers can do in time, or are sent as soon as they have servers',
+        ),
+    })
+    .optional(),
   rules: z.object({
     heartbeatMs: positive.describe(
       'Milliseconds between two heartbeats of a backend server',
