--- a/packages/decisions/src/waiting/adaptiveConcurrency.ts
+++ b/packages/decisions/src/waiting/adaptiveConcurrency.ts
@@ -47,6 +47,8 @@
   waitsSince: Milliseconds;
   /** Of its last pause, or of a failure since then. */
   pressure: number;
+  /** Whether it waits since a server of its chain was lost, which says nothing about the load of the others. */
+  isHeldUp: boolean;
 }
 
 /** What ran in a round. */
@@ -82,7 +84,13 @@
     targets: RunTargets,
     now: Milliseconds,
   ): void {
-    const run = { targets, hasEvent: false, waitsSince: now, pressure: 0 };
+    const run = {
+      targets,
+      hasEvent: false,
+      waitsSince: now,
+      pressure: 0,
+      isHeldUp: false,
+    };
     this.runs.set(id, run);
     this.round.most = Math.max(this.round.most, this.runs.size);
   }
@@ -90,7 +98,8 @@
   override noteEvent(id: string, now: Milliseconds): void {
     const run = this.runs.get(id);
     if (run) {
-      run.pressure = measureWait(run, now);
+      run.pressure = run.isHeldUp ? 0 : measureWait(run, now);
+      run.isHeldUp = false;
       run.hasEvent = true;
       run.waitsSince = now;
     }
@@ -103,6 +112,13 @@
     }
   }
 
+  override noteServerLost(id: string): void {
+    const run = this.runs.get(id);
+    if (run) {
+      run.isHeldUp = true;
+    }
+  }
+
   override noteFailure(id: string, now: Milliseconds): void {
     const run = this.runs.get(id);
     if (run) {
@@ -118,8 +134,11 @@
     }
     this.runs.delete(id);
     this.round.least = Math.min(this.round.least, this.runs.size);
-    if (end === RunEnd.Cancelled && !run.hasEvent && run.pressure === 0) {
-      // It shows nothing: its caller left, or it found no chain.
+    if (
+      run.isHeldUp ||
+      (end === RunEnd.Cancelled && !run.hasEvent && run.pressure === 0)
+    ) {
+      // It shows nothing: its caller left, it found no chain, or it lost a server.
       return;
     }
     const atEnd = end === RunEnd.Failed ? failurePressure : 0;
@@ -146,7 +165,9 @@
     );
     const pressures = [
       ...this.ended,
-      ...[...this.runs.values()].map(run => measurePressure(run, now)),
+      ...[...this.runs.values()]
+        .filter(({ isHeldUp }) => !isHeldUp)
+        .map(run => measurePressure(run, now)),
     ].sort((a, b) => a - b);
     if (pressures.length > 0) {
       const at = Math.floor((1 - slowShare) * (pressures.length - 1));
--- a/packages/decisions/src/waiting/callQueue.ts
+++ b/packages/decisions/src/waiting/callQueue.ts
@@ -263,6 +263,10 @@
     this.settings.limit.notePaused(id);
   }
 
+  noteServerLost(id: string): void {
+    this.settings.limit.noteServerLost(id);
+  }
+
   noteFailure(id: string, now: Milliseconds): void {
     this.settings.limit.noteFailure(id, now);
   }
--- a/packages/decisions/src/waiting/concurrencyLimit.ts
+++ b/packages/decisions/src/waiting/concurrencyLimit.ts
@@ -37,7 +37,9 @@
   abstract noteEvent(id: string, now: Milliseconds): void;
   /** Notes that the gateway stopped to read from the server, as the caller reads too slowly. */
   abstract notePaused(id: string): void;
-  /** Notes that a server refused the run or that it broke, though its call goes on. */
+  /** Notes that the run waits for a lost server of its chain, or broke with it, though its call goes on. */
+  abstract noteServerLost(id: string): void;
+  /** Notes that a server refused the run, though its call goes on. */
   abstract noteFailure(id: string, now: Milliseconds): void;
   abstract noteEnded(id: string, end: RunEnd, now: Milliseconds): void;
   /** Notes that a call was held back. */
@@ -65,6 +67,10 @@
     return;
   }
 
+  override noteServerLost(): void {
+    // Nothing is observed.
+  }
+
   override noteFailure(): void {
     return;
   }
--- a/packages/gateway/src/attempt/attemptRepair.ts
+++ b/packages/gateway/src/attempt/attemptRepair.ts
@@ -56,6 +56,7 @@
 
   noteLost(event: AttemptEvent | undefined): void {
     if (event?.lost !== undefined) {
+      this.attempt.call.place?.noteServerLost();
       this.lostServers.add(event.lost);
       if (event.type === 'SERVER_LOST') {
         this.goneServers.add(event.lost);
--- a/packages/gateway/src/attempt/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -243,8 +243,10 @@
     this.blame.keepFromFaultyServers();
     this.silence.noteEnd(now);
     call.services.metrics.countAttempt(type);
-    if (type !== 'ATTEMPT_ERROR') {
+    if (type === 'ATTEMPT_NOT_RUN') {
       call.place?.noteFailure(now);
+    } else if (type === 'ATTEMPT_BROKEN') {
+      call.place?.noteServerLost();
     }
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
--- a/packages/gateway/src/waiting/callPlace.ts
+++ b/packages/gateway/src/waiting/callPlace.ts
@@ -84,6 +84,10 @@
     this.queue.calls.notePaused(this.id);
   }
 
+  noteServerLost(): void {
+    this.queue.calls.noteServerLost(this.id);
+  }
+
   noteFailure(now: Milliseconds): void {
     this.queue.calls.noteFailure(this.id, now);
   }
