Give each layer a second holder in a domain with memory for two replicas

Ranges are chosen for equal KV cache capacity; some layers of a domain had one holder and others three, so the loss of one to three of 16 to 20 servers left the domain without a complete chain, and those layers were its bottleneck. With repair=committed the ranges of servers that hold nothing yet are moved or extended by up to four layers until each layer has two holders.

--- a/packages/decisions/src/placement/committedRepair.ts
+++ b/packages/decisions/src/placement/committedRepair.ts
@@ -14,10 +14,14 @@
 } from './placementPlan.js';
 import { RepairMode } from './repairMode.js';
 import { ReleaseForCapacity } from './releaseLayers.js';
+import { SecondHolders } from './spareCopies.js';
 import type { LayerRange, LayeredModel, StageServer } from './types.js';
 
 export class CommittedRepair extends PlacementPolicy {
-  private readonly policy = new ReplicaPerDomain(new ReleaseForCapacity());
+  private readonly policy = new ReplicaPerDomain(
+    new ReleaseForCapacity(),
+    new SecondHolders(),
+  );
 
   override planPlacement(
     model: LayeredModel,
--- a/packages/decisions/src/placement/layerCapacities.ts
+++ b/packages/decisions/src/placement/layerCapacities.ts
@@ -51,9 +51,18 @@
     return this.holderCounts.filter(count => count === 0).length;
   }
 
+  /** Returns the fewest holders that a layer of a range has. */
+  findFewestHolders(range: LayerRange): number {
+    return Math.min(...this.holderCounts.slice(range.from, range.to));
+  }
+
   /** Returns the lowest capacity of the layers of a range, in tokens. */
   findMinimum(range: LayerRange): number {
-    return Math.min(...this.capacities.slice(range.from, range.to));
+    let lowest = Infinity;
+    for (let layer = range.from; layer < range.to; layer += 1) {
+      lowest = Math.min(lowest, this.capacities[layer] ?? 0);
+    }
+    return lowest;
   }
 
   /**
--- a/packages/decisions/src/placement/placementPlan.ts
+++ b/packages/decisions/src/placement/placementPlan.ts
@@ -15,6 +15,7 @@
 } from './releaseLayers.js';
 import { mayReassign, type LayerHolder } from './holders.js';
 import { planRepair } from './repairPlan.js';
+import { NoSpares, type SpareRule } from './spareCopies.js';
 import {
   findAcceleratorKind,
   type LayerRange,
@@ -42,16 +43,31 @@
 /** Number of servers in a group for each holder of the first layers. */
 const serversPerFirstLayerHolder = 4;
 
+/** The largest share of one server's memory that weights may take for a spare copy. */
+const maxSpareShare = 0.75;
+
 /** The largest share of one server's memory that weights may take. */
 const maxServerShare = 0.9;
 
+/** The parts of placement that vary. */
+export interface PlacementRules {
+  readonly releaseRule: ReleaseRule;
+  readonly spareRule: SpareRule;
+}
+
 /**
  * Places one replica of the model in each failure domain with enough memory, and
  * one across all domains that are too small. Each server takes layers in
  * proportion to its memory, so that every stage has the same KV cache capacity.
  */
-export class ReplicaPerDomain extends PlacementPolicy {
-  constructor(private readonly releaseRule: ReleaseRule = new ReleaseBySize()) {
+export class ReplicaPerDomain
+  extends PlacementPolicy
+  implements PlacementRules
+{
+  constructor(
+    readonly releaseRule: ReleaseRule = new ReleaseBySize(),
+    readonly spareRule: SpareRule = new NoSpares(),
+  ) {
     super();
   }
 
@@ -61,7 +77,7 @@
   ): PlacementPlan {
     const plan = new Map<string, LayerRange>();
     for (const group of listGroups(model, servers)) {
-      planGroup(model, servers, group, this.releaseRule, plan);
+      planGroup(model, servers, group, this, plan);
     }
     const holders = listHolders(servers, plan);
     if (holders.length > 0) {
@@ -71,6 +87,17 @@
   }
 }
 
+/** Counts the layers that take at most this share of the server's memory. */
+const countMaxLayers = (
+  model: LayeredModel,
+  server: StageServer,
+  share: number,
+): number =>
+  Math.min(
+    model.layers,
+    Math.floor((getMemory(model, server) * share) / model.layerMegabytes),
+  );
+
 /** Lists servers with the layers that they have under the plan. */
 const listHolders = (
   servers: readonly StageServer[],
@@ -113,7 +140,7 @@
   model: LayeredModel,
   servers: readonly StageServer[],
   group: readonly StageServer[],
-  releaseRule: ReleaseRule,
+  rules: PlacementRules,
   plan: Map<string, LayerRange>,
 ): void => {
   const firstLayerHolders = countFirstLayerHolders(group);
@@ -121,6 +148,16 @@
   const getLayerCount = (server: StageServer): number =>
     layerCounts.get(server.serverId) ?? 0;
   placeEmptyServers(model, group, getLayerCount, firstLayerHolders, plan);
+  rules.spareRule.updateRanges(
+    {
+      model,
+      holders: listHolders(group, plan),
+      replicas: countReplicas(model, group),
+      getLayerCount,
+      getMaxLayers: server => countMaxLayers(model, server, maxSpareShare),
+    },
+    plan,
+  );
   const coverage = new Array<number>(model.layers).fill(0);
   for (const { range } of listHolders(group, plan)) {
     updateCoverage(coverage, range, 1);
@@ -131,7 +168,8 @@
     servers,
     listHolders(group, plan),
     getLayerCount,
-    releaseRule,
+    countReplicas(model, group),
+    rules.releaseRule,
     plan,
   );
 };
@@ -212,12 +250,7 @@
       computeMemory(model, group),
   );
   const getMaxLayers = (server: StageServer): number =>
-    Math.min(
-      model.layers,
-      Math.floor(
-        (getMemory(model, server) * maxServerShare) / model.layerMegabytes,
-      ),
-    );
+    countMaxLayers(model, server, maxServerShare);
   const layerCounts = new Map<string, number>();
   for (const server of group) {
     const wanted = (share * getMemory(model, server)) / model.layerMegabytes;
--- a/packages/decisions/src/placement/releaseLayers.ts
+++ b/packages/decisions/src/placement/releaseLayers.ts
@@ -5,7 +5,7 @@
  * A server with more layers than its share has little KV cache left, which makes
  * its layers the bottleneck of the whole replica.
  */
-import { bottleneckMargin, minReleaseGain } from './constants.js';
+import { bottleneckMargin, minReleaseGain, wantedCopies } from './constants.js';
 import { LayerCapacities, computeLayerCapacity } from './layerCapacities.js';
 import { mayGiveUp, mayReassign, type LayerHolder } from './holders.js';
 import type { LayerRange, LayeredModel, StageServer } from './types.js';
@@ -17,6 +17,8 @@
   readonly holders: readonly LayerHolder[];
   readonly holder: LayerHolder;
   readonly kept: LayerRange;
+  /** Number of replicas that the group has memory for. */
+  readonly replicas: number;
 }
 
 /** Strategy that decides whether an oversized server releases layers. */
@@ -45,7 +47,7 @@
   override readonly maxCandidates = Infinity;
 
   override mayRelease(release: LayerRelease): boolean {
-    const { model, holders, holder, kept } = release;
+    const { model, holders, holder, kept, replicas } = release;
     if (holders.some(({ server }) => server.isLoading === true)) {
       return false;
     }
@@ -55,7 +57,9 @@
     capacities.remove(holder);
     capacities.add({ server: holder.server, range: kept });
     const after = capacities.findMinimum(holder.range);
+    const copies = Math.min(replicas, wantedCopies);
     return (
+      capacities.findFewestHolders(holder.range) >= copies &&
       before <= lowest * (1 + bottleneckMargin) &&
       after >= before * (1 + minReleaseGain)
     );
@@ -68,6 +72,7 @@
   servers: readonly StageServer[],
   holders: readonly LayerHolder[],
   getLayerCount: (server: StageServer) => number,
+  replicas: number,
   rule: ReleaseRule,
   plan: Map<string, LayerRange>,
 ): void => {
@@ -86,7 +91,7 @@
     if (
       kept &&
       mayGiveUp(holder, kept, servers, plan) &&
-      rule.mayRelease({ model, holders, holder, kept })
+      rule.mayRelease({ model, holders, holder, kept, replicas })
     ) {
       plan.set(holder.server.serverId, kept);
       return;
--- a/packages/decisions/tests/layerRepair.test.ts
+++ b/packages/decisions/tests/layerRepair.test.ts
@@ -8,6 +8,8 @@
 import {
   CommittedRepair,
   ReplicaPerDomain,
+  computeCacheCapacity,
+  findAcceleratorKind,
   type LayerRange,
   type LayeredModel,
   type PlacementPolicy,
@@ -257,3 +259,158 @@
     }
   });
 });
+
+const domains = ['a', 'b', 'c'];
+
+/** Counts the servers whose loss alone leaves their domain without a complete chain. */
+const countSingleHolders = (servers: readonly StageServer[]): number =>
+  servers.filter(
+    server =>
+      listMissing(removeServers(servers, [server]), server.failureDomain)
+        .length > 0,
+  ).length;
+
+/** Computes the lowest KV cache capacity of a layer of the domain, in tokens. */
+const computeMinCapacity = (
+  servers: readonly StageServer[],
+  domain: string,
+): number => {
+  const capacities = new Array<number>(model.layers).fill(0);
+  for (const { failureDomain, kind, range } of servers) {
+    const found = findAcceleratorKind(model, kind);
+    if (failureDomain === domain && found && range) {
+      const tokens = computeCacheCapacity(model, found, range);
+      for (let layer = range.from; layer < range.to; layer += 1) {
+        const held = range.to - range.from;
+        capacities[layer] = (capacities[layer] ?? 0) + tokens / held;
+      }
+    }
+  }
+  return Math.min(...capacities);
+};
+
+/** Another mix of servers with memory for two replicas in each domain. */
+const otherFleet = [
+  ...createServers('a', { h100: 4, a100s: 5, l4: 5, t4: 5 }),
+  ...createServers('b', { h100: 2, a100s: 4, l4: 10, t4: 5 }),
+  ...createServers('c', { h100: 3, a100s: 2, l4: 7, t4: 8 }),
+];
+
+describe.each([
+  ['a fleet like that of tenant screening', fleet],
+  ['another fleet', otherFleet],
+])('%s, before any loss', (_, servers) => {
+  const before = placeUntilStable(new ReplicaPerDomain(), servers);
+  const after = placeUntilStable(committed, servers);
+
+  it('had servers whose loss alone broke the chains of their domain', () => {
+    expect(countSingleHolders(before)).toBeGreaterThan(0);
+  });
+
+  it('has a second holder of each layer in each domain', () => {
+    expect(countSingleHolders(after)).toBe(0);
+  });
+
+  it('has four holders of the first layers in each domain', () => {
+    for (const domain of domains) {
+      const first = after.filter(
+        ({ failureDomain, range }) =>
+          failureDomain === domain && range?.from === 0,
+      );
+      expect(first.length).toBeGreaterThanOrEqual(4);
+    }
+  });
+
+  it('has no less capacity at its bottlenecks', () => {
+    for (const domain of domains) {
+      expect(computeMinCapacity(after, domain)).toBeGreaterThanOrEqual(
+        computeMinCapacity(before, domain),
+      );
+    }
+  });
+
+  it('has complete chains in the other domains whichever two servers of one are lost', () => {
+    for (const lost of after) {
+      const own = after.filter(
+        ({ failureDomain }) => failureDomain === lost.failureDomain,
+      );
+      for (const second of own) {
+        const left = removeServers(after, [lost, second]);
+        const whole = domains.filter(
+          domain => listMissing(left, domain).length === 0,
+        );
+        expect(whole.length).toBeGreaterThanOrEqual(2);
+      }
+    }
+  });
+});
+
+describe('second holders', () => {
+  it('take no more than the memory of a server, and cost no first holder', () => {
+    const counts = fc.record({
+      h100: fc.nat(4),
+      a100s: fc.nat(6),
+      l4: fc.nat(8),
+      t4: fc.nat(8),
+    });
+    fc.assert(
+      fc.property(counts, counts, (a, b) => {
+        const servers = [...createServers('a', a), ...createServers('b', b)];
+        const before = placeUntilStable(new ReplicaPerDomain(), servers);
+        const after = placeUntilStable(committed, servers);
+        for (const { range, kind } of after) {
+          const memory = findAcceleratorKind(model, kind)?.memoryMegabytes ?? 0;
+          const layers = range ? range.to - range.from : 0;
+          expect(layers * model.layerMegabytes).toBeLessThanOrEqual(memory);
+          expect(range?.to ?? 0).toBeLessThanOrEqual(model.layers);
+        }
+        for (const domain of ['a', 'b']) {
+          expect(listMissing(after, domain).length).toBeLessThanOrEqual(
+            listMissing(before, domain).length,
+          );
+        }
+      }),
+      { seed: 23, numRuns: 60 },
+    );
+  });
+});
+
+/** Whether the server serves the layer now and keeps it, whatever the plan tells it. */
+const isSteadyHolder = (
+  { serverId, range, isBusy }: StageServer,
+  plan: ReadonlyMap<string, LayerRange>,
+  layer: number,
+): boolean =>
+  isBusy !== true &&
+  [range, plan.get(serverId) ?? range].every(
+    each => each !== undefined && each.from <= layer && layer < each.to,
+  );
+
+describe('a layer that one server serves and others still load', () => {
+  it('stays at that server when all orders go out at once', () => {
+    const losses = fc.array(fc.subarray(placed, { maxLength: 4 }), {
+      minLength: 1,
+      maxLength: 4,
+    });
+    fc.assert(
+      fc.property(losses, rounds => {
+        let servers = placed;
+        for (const lost of rounds) {
+          servers = removeServers(servers, lost);
+          const plan = committed.planPlacement(model, servers);
+          const dropped = Array.from(
+            { length: model.layers },
+            (_, layer) => layer,
+          ).filter(
+            layer =>
+              servers.some(each => isSteadyHolder(each, new Map(), layer)) &&
+              !servers.some(each => isSteadyHolder(each, plan, layer)),
+          );
+          expect(dropped).toEqual([]);
+          servers = applyPlan(servers, plan, true);
+        }
+      }),
+      { seed: 24, numRuns: 100 },
+    );
+  });
+});
