--- a/packages/gateway/tests/committedOrders.test.ts
+++ b/packages/gateway/tests/committedOrders.test.ts
@@ -6,12 +6,14 @@
 import { Err, Ok, type Milliseconds, type Result } from '@lycheetally/common';
 import {
   PlacementPolicy,
+  RepairMode,
   type BackendRecord,
   type LayerRange,
   type LayeredModel,
   type PlacementPlan,
   type StageServer,
 } from '@lycheetally/decisions';
+import { gatewaySettingsSchema } from '../src/gatewaySettings.js';
 import {
   CommittedOrders,
   ContinuousOrders,
@@ -261,3 +263,15 @@
     expect(scenario.placement.planned).toHaveLength(before);
   });
 });
+
+describe('the setting of repairs', () => {
+  const { placement } = gatewaySettingsSchema.shape;
+
+  it('plans continuously unless it says otherwise', () => {
+    expect(placement.parse({})).toEqual({ repair: RepairMode.Continuous });
+    expect(placement.parse({ repair: 'committed' })).toEqual({
+      repair: RepairMode.Committed,
+    });
+    expect(placement.safeParse({ repair: 'eager' }).success).toBe(false);
+  });
+});
--- a/packages/gateway/tests/leaderHandover.test.ts
+++ b/packages/gateway/tests/leaderHandover.test.ts
@@ -182,6 +182,26 @@
   }, 60_000);
 });
 
+describe('a store that is down for all gateways', () => {
+  it('has a leader within the lease plus a second after it is back', async () => {
+    for (const access of [StoreAccess.Refused, StoreAccess.Unanswered]) {
+      const fleet = new EmulatedFleet(createPhases(130));
+      await fleet.run(refusedFrom);
+      for (const { election } of fleet.members) {
+        election.access = access;
+      }
+      await fleet.run(refusedFor);
+      for (const { election } of fleet.members) {
+        election.access = StoreAccess.Open;
+      }
+      fleet.resetGap();
+      await fleet.run(2 * maxGapMs);
+      fleet.dispose();
+      expect(fleet.longestGapMs).toBeLessThanOrEqual(maxGapMs);
+    }
+  });
+});
+
 describe('a leader whose store answers', () => {
   it('costs each gateway no more than a call to the group a second', async () => {
     const fleet = new EmulatedFleet(createPhases(0));
