--- a/packages/gateway/tests/leaderHandover.test.ts
+++ b/packages/gateway/tests/leaderHandover.test.ts
@@ -149,6 +149,9 @@
 
 const refusedGateways = 9;
 
+/** Interval at which the store treats a gateway's calls in another way; shorter than that between two calls. */
+const changeMs = 100;
+
 describe('a store that turns away the leader and eight that would take over', () => {
   for (const access of [
     StoreAccess.Refused,
@@ -182,6 +185,37 @@
   }, 60_000);
 });
 
+describe('a store that treats each call of nine gateways in another way', () => {
+  it('has no two leaders and soon another one', async () => {
+    const accesses = Object.values(StoreAccess).filter(
+      access => access !== StoreAccess.Open,
+    );
+    await fc.assert(
+      fc.asyncProperty(
+        fc.infiniteStream(fc.constantFrom(...accesses)),
+        fc.nat(999),
+        async (stream, offset) => {
+          const fleet = new EmulatedFleet(createPhases(offset));
+          await fleet.run(refusedFrom);
+          fleet.resetGap();
+          for (let at = 0; at < refusedFor; at += changeMs) {
+            for (const { election } of fleet.members.slice(
+              0,
+              refusedGateways,
+            )) {
+              election.access = stream.next().value;
+            }
+            await fleet.run(changeMs);
+          }
+          fleet.dispose();
+          expect(fleet.longestGapMs).toBeLessThanOrEqual(maxGapMs);
+        },
+      ),
+      { seed: 12, numRuns: 30 },
+    );
+  }, 60_000);
+});
+
 describe('a store that is down for all gateways', () => {
   it('has a leader within the lease plus a second after it is back', async () => {
     for (const access of [StoreAccess.Refused, StoreAccess.Unanswered]) {
