--- a/packages/gateway/tests/leaderHandover.test.ts
+++ b/packages/gateway/tests/leaderHandover.test.ts
@@ -203,7 +203,8 @@
               0,
               refusedGateways,
             )) {
-              election.access = stream.next().value;
+              const next = stream.next();
+              election.access = next.done ? StoreAccess.Refused : next.value;
             }
             await fleet.run(changeMs);
           }
