Report between gateways what each has in flight, through the relays of their domains

A gateway knew only its own calls and took each other gateway for an equal one, which is far off for the few calls of each. With `loadReports=on`, each reports calls and layer tokens by server to the relay of its failure domain, and gets the sum of the others back; relays exchange the sums of their domains. Reports have an incarnation, a sequence number and an age, count fully for 1.5 s and not at all after 2 s, and less when under half of the gateways reported. The pause after a report keeps each partner below 1,900 bytes a second. Nothing is stored.

--- a/packages/charts/src/chartFiles.ts
+++ b/packages/charts/src/chartFiles.ts
@@ -44,6 +44,8 @@
   NewsRelay: 'newsRelay',
   RelayTrust: 'relayTrust',
   PeerRecord: 'peerRecord',
+  LoadReport: 'loadReport',
+  LoadView: 'loadView',
   Suspect: 'suspect',
   SuspectPush: 'suspectPush',
   SuspectPull: 'suspectPull',
--- a/packages/decisions/src/balance/constants.ts
+++ b/packages/decisions/src/balance/constants.ts
@@ -55,8 +55,8 @@
 /** Half-life of the calls that count as recent use of a link; about the time in which a prompt's transfers finish under load. */
 export const linkHalfLifeMs: Milliseconds = 1_000;
 
-/** Age up to which what other gateways reported counts in full; a report is due every half second. */
-export const freshReportMs: Milliseconds = 1_000;
+/** Age up to which what other gateways reported counts in full; two intervals of reports, one to the relay and one back, with a reserve. */
+export const freshReportMs: Milliseconds = 1_500;
 
 /** Age from which what other gateways reported no longer counts; most calls that it counted have ended. */
 export const maxReportAgeMs: Milliseconds = 2_000;
@@ -72,3 +72,15 @@
 
 /** Highest ratio of a server's observed step time to the predicted one; a slower one is stalled, which others find out. */
 export const maxStepTimeRatio = 16;
+
+/** Share of the other gateways that must have reported for their reports to count in full; the mean of fewer says little of the rest. */
+export const fullCoverage = 0.5;
+
+/** Time for which a report keeps older ones of its sender out; late messages are given up after a fraction of it. */
+export const reportMemoryMs: Milliseconds = 10_000;
+
+/** Senders whose reports are kept, at most; more than the gateways of any deployment. */
+export const maxReporters = 1_024;
+
+/** Servers in one message, at most; those with most in flight. With 14 bytes each a message stays below 2 KB. */
+export const maxFlights = 128;
--- a/packages/decisions/src/balance/estimateServerLoad.ts
+++ b/packages/decisions/src/balance/estimateServerLoad.ts
@@ -7,7 +7,12 @@
  */
 import type { Milliseconds } from '@lycheetally/common';
 import type { StageLoad } from '../placement/types.js';
-import { freshReportMs, maxReportAgeMs, toldHalfLifeMs } from './constants.js';
+import {
+  freshReportMs,
+  fullCoverage,
+  maxReportAgeMs,
+  toldHalfLifeMs,
+} from './constants.js';
 
 /** Calls in flight at a server and their KV cache. */
 export interface InFlight {
@@ -54,7 +59,7 @@
   now: Milliseconds,
 ): StageLoad => {
   const scaled = others && computeAllOthers(others, counts);
-  const share = others ? computeReportShare(now - others.asOf) : 0;
+  const share = others ? computeReportShare(others, counts, now) : 0;
   const estimate = (get: (each: InFlight) => number): number => {
     const guessed = get(own) * counts.perDomain;
     const reported = scaled ? get(own) + get(scaled) : guessed;
@@ -81,11 +86,17 @@
   return { calls: calls * factor, layerTokens: layerTokens * factor };
 };
 
-const computeReportShare = (ageMs: Milliseconds): number =>
-  Math.min(
-    1,
-    Math.max(0, (maxReportAgeMs - ageMs) / (maxReportAgeMs - freshReportMs)),
-  );
+/** Reports count less with age, and when few gateways sent them. */
+const computeReportShare = (
+  { asOf, gateways }: OthersInFlight,
+  { all }: GatewayCounts,
+  now: Milliseconds,
+): number => {
+  const leftMs = maxReportAgeMs - (now - asOf);
+  const freshness = leftMs / (maxReportAgeMs - freshReportMs);
+  const coverage = gateways / Math.max(1, (all - 1) * fullCoverage);
+  return Math.max(0, Math.min(1, freshness)) * Math.min(1, coverage);
+};
 
 const mixTold = (
   estimated: number,
--- a/packages/gateway/src/attempt/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -142,6 +142,7 @@
     },
     releaseLoad: (): void => {
       this.servers.updateLoad(-1);
+      this.call.services.balance.noteEnded();
       this.call.services.bufferMemory.release(this);
     },
     noteConnectionRefused: (
--- a/packages/gateway/src/balance/callBalance.ts
+++ b/packages/gateway/src/balance/callBalance.ts
@@ -45,6 +45,9 @@
     now: Milliseconds,
   ): void;
 
+  /** Handles that a call has ended at its servers. */
+  abstract noteEnded(): void;
+
   /** Records a pause between two events of a stream that runs on the chain. */
   abstract notePause(
     call: BalancedCall,
@@ -81,6 +84,10 @@
     // The choice doesn't depend on links.
   }
 
+  override noteEnded(): void {
+    // Nobody is told of the calls.
+  }
+
   override notePause(): void {
     // The choice takes each server for as fast as its kind.
   }
--- a/packages/gateway/src/balance/spreadBalance.ts
+++ b/packages/gateway/src/balance/spreadBalance.ts
@@ -31,6 +31,8 @@
   findServer(serverId: string): Server | undefined;
   /** What the other gateways reported for the server; absent without reports. */
   findOthers(server: Server): OthersInFlight | undefined;
+  /** Called when the calls in flight have changed. */
+  handleChanged(): void;
 }
 
 export class SpreadBalance extends CallBalance {
@@ -80,6 +82,11 @@
     const prompt = promptTokens ?? model.usual?.prompt ?? 0;
     const answer = model.usual?.answer ?? 0;
     this.linkUse.noteSent(model, stages, prompt + answer, now);
+    this.sources.handleChanged();
+  }
+
+  override noteEnded(): void {
+    this.sources.handleChanged();
   }
 
   override notePause(
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of a gateway, read when the metrics page is requested. */
+import type { LoadExchange } from './balance/loadExchange.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { LayerPlacer } from './placement/layerPlacer.js';
 import type { GatewayNews } from './news/gatewayNews.js';
@@ -15,6 +16,7 @@
   countBufferedBytes(): number;
   readonly news: GatewayNews;
   readonly suspects: Suspects;
+  readonly loadExchange: LoadExchange | undefined;
   countUnreadable(): number;
   countDoubted(): number;
   countLimited(): number;
@@ -49,6 +51,16 @@
       'Whether it places layers',
       () => Number(placer.isLeader),
     ],
+    [
+      'load_report_bytes',
+      'Bytes of load reports to other gateways and of their answers since the start',
+      () => sources.loadExchange?.bytes ?? 0,
+    ],
+    [
+      'load_report_gateways',
+      'Other gateways whose calls in flight are known from recent reports',
+      () => sources.loadExchange?.coveredGateways ?? 0,
+    ],
     ['orders', 'Orders to servers since the start', () => placer.orders],
     [
       'connections_opened',
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -25,10 +25,15 @@
   SurvivalForecast,
   isFreshEnough,
   type GatewayConfiguration,
+  type InFlight,
   type Moment,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
 import { CheapestBalance, type CallBalance } from './balance/callBalance.js';
+import { LoadExchange } from './balance/loadExchange.js';
+import { formatServerKey } from './balance/loadMessage.js';
+import { HttpLoadReports } from './balance/loadPorts.js';
+import { LoadReceiver } from './balance/loadReceiver.js';
 import { SpreadBalance } from './balance/spreadBalance.js';
 import { bindCallChart, type CallMachine } from './calls/callActions.js';
 import type { CallFormat } from './callFormat.js';
@@ -48,8 +53,13 @@
 import { GatewayCall, type CallServices } from './calls/gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import type { Server } from './servers/server.js';
 import { GatewayServers } from './servers/gatewayServers.js';
-import { ChainChoice, type GatewaySettings } from './gatewaySettings.js';
+import {
+  ChainChoice,
+  Switch,
+  type GatewaySettings,
+} from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './callers/httpCaller.js';
 import { HttpFrontend, type CallHandler } from './callers/httpFrontend.js';
@@ -97,6 +107,7 @@
   private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
+  private readonly loadExchange: LoadExchange | undefined;
   private readonly suspects: Suspects;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
@@ -134,6 +145,7 @@
     });
     this.servers = this.createServers();
     this.suspects = this.createSuspects();
+    this.loadExchange = this.createLoadExchange();
     this.news = this.createNews();
     this.placer = this.createPlacer(startedAt);
     this.callServices = this.createCallServices();
@@ -174,6 +186,7 @@
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
+      loadExchange: this.loadExchange,
       suspects: this.suspects,
     });
   }
@@ -211,6 +224,7 @@
     this.post(now => {
       if (!this.hasStopped) {
         this.news.start(now);
+        this.loadExchange?.start(now);
         this.suspects.start(now);
         if (!this.settings.listen.gateways) {
           this.suspects.notePeersRead(now);
@@ -289,6 +303,7 @@
     this.pages.dispose();
     this.backend.dispose();
     this.servers.dispose();
+    this.loadExchange?.dispose();
     this.news.dispose();
     this.suspects.dispose();
     this.placer.dispose();
@@ -459,6 +474,8 @@
   }
 
   private createNews(): GatewayNews {
+    const loadReceiver =
+      this.loadExchange && this.createLoadReceiver(this.loadExchange);
     return new GatewayNews(this.settings, this.ports, {
       timers: this.loop,
       loggers: this.loggers,
@@ -475,6 +492,11 @@
       receiveParts: (incoming, response) => {
         this.suspects.receive(incoming, response);
       },
+      receiveLoad:
+        loadReceiver &&
+        ((incoming, response) => {
+          loadReceiver.receive(incoming, response);
+        }),
       applyConfigurations: (records, isComplete, now) => {
         this.noteStored(records, isComplete);
         this.applyConfigurations(records, now);
@@ -546,6 +568,44 @@
     );
   }
 
+  /** Load reports, if they are switched on and other gateways can reach this one. */
+  private createLoadExchange(): LoadExchange | undefined {
+    const { balance, listen, process } = this.settings;
+    if (balance?.loadReports !== Switch.On || !listen.gateways) {
+      return undefined;
+    }
+    const { registry } = this.servers;
+    return new LoadExchange({
+      timers: this.loop,
+      log: this.loggers.createLogger(LogComponent.Servers),
+      port: new HttpLoadReports(),
+      ownId: process.id,
+      failureDomain: process.failureDomain,
+      incarnation: this.getMoment().wallClock,
+      chooseRelay: () => this.news.chooseRelay(),
+      listRelaysElsewhere: () => this.news.listRelaysElsewhere(),
+      listFlights: () =>
+        new Map(
+          registry
+            .listInUse()
+            .map(server => [formatKey(server), getFlight(server)]),
+        ),
+      postCompletion: run => {
+        this.post(run);
+      },
+    });
+  }
+
+  private createLoadReceiver(exchange: LoadExchange): LoadReceiver {
+    return new LoadReceiver({
+      log: this.loggers.createLogger(LogComponent.Servers),
+      postCompletion: run => {
+        this.post(run);
+      },
+      receiveReport: (report, now) => exchange.receiveReport(report, now),
+    });
+  }
+
   private createBalance(): CallBalance {
     const { registry } = this.servers;
     const { balance, process } = this.settings;
@@ -554,7 +614,11 @@
           ownId: process.id,
           counts: registry,
           findServer: serverId => registry.find(serverId),
-          findOthers: () => undefined,
+          findOthers: server =>
+            this.loadExchange?.findOthers(formatKey(server)),
+          handleChanged: () => {
+            this.loadExchange?.noteChanged();
+          },
         })
       : new CheapestBalance(registry);
   }
@@ -698,6 +762,14 @@
   }
 }
 
+const formatKey = ({ record }: Server): string =>
+  formatServerKey(record.service, record.serverId);
+
+const getFlight = ({ calls, layerTokens }: Server): InFlight => ({
+  calls,
+  layerTokens,
+});
+
 /** Cancels calls for the drain timeout. */
 const cancelCalls = (
   calls: readonly GatewayCall[],
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -9,7 +9,7 @@
 } as const;
 export type ChainChoice = ValueOf<typeof ChainChoice>;
 
-const Switch = { Off: 'off', On: 'on' } as const;
+export const Switch = { Off: 'off', On: 'on' } as const;
 
 const positive = z.coerce.number().positive();
 
--- a/packages/gateway/src/news/gatewayNews.ts
+++ b/packages/gateway/src/news/gatewayNews.ts
@@ -49,6 +49,8 @@
   PeerDirectory,
   bindTrustChart,
   type PeerRecord,
+  type DomainRelay,
+  type Relay,
 } from './peerDirectory.js';
 import {
   PeerAnnouncement,
@@ -92,6 +94,8 @@
   handlePeersRead(now: Milliseconds): void;
   /** Handles a message about prompt parts. */
   readonly receiveParts: PostHandler;
+  /** Handles a load report; absent if this gateway exchanges none. */
+  readonly receiveLoad?: PostHandler | undefined;
   readonly applyConfigurations: RecordHandler<GatewayConfiguration>;
   /** Whether the store has the configuration in force, or a newer one. */
   isConfigurationStored(): boolean;
@@ -162,6 +166,16 @@
     return this.directory.listOthers();
   }
 
+  /** Returns the gateway that relays for the own failure domain; `undefined` if it is this one. */
+  chooseRelay(): Relay | undefined {
+    return this.isRelaying ? undefined : this.directory.chooseRelay();
+  }
+
+  /** Gateways that relay for the other failure domains. */
+  listRelaysElsewhere(): readonly DomainRelay[] {
+    return this.directory.listRelaysElsewhere();
+  }
+
   get isRelaying(): boolean {
     return this.duty.isRelaying;
   }
@@ -214,17 +228,21 @@
   }
 
   private createServer(): NewsServer {
-    return new NewsServer((table, request, reply) => {
-      this.services.postCompletion(now => {
-        const news = this.tables.get(table);
-        if (!news) {
-          reply(undefined);
-          return;
-        }
-        this.duty.noteAsked(now);
-        news.receive(request, reply);
-      });
-    }, this.services.receiveParts);
+    return new NewsServer(
+      (table, request, reply) => {
+        this.services.postCompletion(now => {
+          const news = this.tables.get(table);
+          if (!news) {
+            reply(undefined);
+            return;
+          }
+          this.duty.noteAsked(now);
+          news.receive(request, reply);
+        });
+      },
+      this.services.receiveParts,
+      this.services.receiveLoad,
+    );
   }
 
   private createAnnouncement(address: Address): PeerAnnouncement {
--- a/packages/gateway/src/news/newsServer.ts
+++ b/packages/gateway/src/news/newsServer.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import type { Address, Result } from '@lycheetally/common';
 import { startListening } from '@lycheetally/node';
+import { loadPath } from '../balance/loadMessage.js';
 import { suspectPath } from '../suspects/suspectMessage.js';
 import { encodeNews, parseNewsPath } from './newsFormat.js';
 import type { NewsAnswer, NewsCallback, NewsRequest } from './newsTable.js';
@@ -33,6 +34,8 @@
   constructor(
     private readonly handleRequest: NewsHandler,
     private readonly receiveParts: PostHandler,
+    /** Handles a load report; they are refused without it. */
+    private readonly receiveLoad?: PostHandler,
   ) {
     this.server = createServer((incoming, response) => {
       this.receive(incoming, response);
@@ -54,6 +57,14 @@
       this.receiveParts(incoming, response);
       return;
     }
+    if (
+      this.receiveLoad &&
+      incoming.method === 'POST' &&
+      incoming.url === loadPath
+    ) {
+      this.receiveLoad(incoming, response);
+      return;
+    }
     incoming.resume();
     const parsed = parseNewsPath(incoming.url ?? '');
     if (!parsed) {
--- a/packages/gateway/src/news/peerDirectory.ts
+++ b/packages/gateway/src/news/peerDirectory.ts
@@ -6,11 +6,12 @@
   type ChartMachine,
   type ChartTimers,
 } from '@lycheetally/charts';
-import type {
-  Address,
-  ComponentLogger,
-  Milliseconds,
-  Result,
+import {
+  sortByRendezvous,
+  type Address,
+  type ComponentLogger,
+  type Milliseconds,
+  type Result,
 } from '@lycheetally/common';
 import type { RelayPolicy } from '@lycheetally/decisions';
 import { relaySuspicionMs } from '../constants.js';
@@ -27,6 +28,11 @@
   readonly address: Address;
 }
 
+/** A gateway that relays for a failure domain. */
+export interface DomainRelay extends Relay {
+  readonly failureDomain: string;
+}
+
 interface TrustEvent {
   readonly type: 'FAILED';
 }
@@ -147,6 +153,23 @@
       : undefined;
   }
 
+  /** Returns the gateway of each other failure domain that its members ask first. */
+  listRelaysElsewhere(): readonly DomainRelay[] {
+    const { failureDomain: ownDomain } = this.options;
+    const byDomain = new Map<string, string[]>();
+    for (const [id, { failureDomain }] of this.peers) {
+      if (failureDomain !== ownDomain) {
+        const ids = byDomain.get(failureDomain) ?? [];
+        byDomain.set(failureDomain, [...ids, id]);
+      }
+    }
+    return [...byDomain].flatMap(([failureDomain, ids]) => {
+      const [id = ''] = sortByRendezvous(failureDomain, ids);
+      const record = this.peers.get(id);
+      return record ? [{ id, address: record.address, failureDomain }] : [];
+    });
+  }
+
   noteFailure(id: string, reason: string, now: Milliseconds): void {
     const known = this.trust.get(id);
     const trust =
--- a/packages/gateway/src/servers/serverRegistry.ts
+++ b/packages/gateway/src/servers/serverRegistry.ts
@@ -134,6 +134,11 @@
       .map(({ server }) => server);
   }
 
+  /** Servers at which this gateway has calls in flight. */
+  listInUse(): Server[] {
+    return this.list(({ calls, layerTokens }) => calls > 0 || layerTokens > 0);
+  }
+
   listAll(service: string): Server[] {
     return this.list(({ record }) => record.service === service);
   }
