--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -7,6 +7,7 @@
 import { ClaimsBench } from './claimsBench.js';
 import { FaultsBench } from './faultsBench.js';
 import { BoundBench } from './policy/boundBench.js';
+import { ChainChoiceBench } from './policy/chainChoiceBench.js';
 import { DecideBench } from './policy/decideBench.js';
 import { FairnessBench } from './policy/fairnessBench.js';
 import { RanksBench } from './policy/ranksBench.js';
@@ -33,6 +34,7 @@
   new FairnessBench(),
   new RecoverBench(),
   new DecideBench(),
+  new ChainChoiceBench(),
 ];
 
 /** Finds a bench by name. */
--- a/packages/gateway/src/balance/loadMessage.ts
+++ b/packages/gateway/src/balance/loadMessage.ts
@@ -5,7 +5,7 @@
  * servers with the same hash, one pair in a thousand fleets of 2,800, share their figures.
  */
 import { z } from 'zod';
-import { hashText, type Milliseconds } from '@lycheetally/common';
+import { hashText } from '@lycheetally/common';
 import {
   maxFlights,
   trimFlights,
@@ -94,7 +94,7 @@
   return parsed.success
     ? {
         gateways: parsed.data.gateways,
-        ageMs: parsed.data.ageMs as Milliseconds,
+        ageMs: parsed.data.ageMs,
         flights: parseFlights(parsed.data.flights),
         bytes: JSON.stringify(json).length,
       }
