Keep stalls and slow callers out of the observed pace of servers

A pause of a stream while its caller reads slowly, or while this gateway is late, made the servers of its chain look slow. The next pause after the gateway stopped reading is not counted, and a pause counts up to four times the prediction.

--- a/packages/decisions/src/balance/constants.ts
+++ b/packages/decisions/src/balance/constants.ts
@@ -67,6 +67,9 @@
 /** Share of the error of a predicted pause that one pause corrects; a slow server is known after some tens of events. */
 export const paceCorrection = 0.1;
 
+/** Multiple of the predicted pause up to which a pause counts; a longer one is a stall or a late turn of this gateway, and says little of the pace. */
+export const maxPauseRatio = 4;
+
 /** Lowest ratio of a server's observed step time to the predicted one. */
 export const minStepTimeRatio = 0.5;
 
--- a/packages/decisions/src/balance/updateRatios.ts
+++ b/packages/decisions/src/balance/updateRatios.ts
@@ -7,6 +7,7 @@
  */
 import type { Milliseconds } from '@lycheetally/common';
 import {
+  maxPauseRatio,
   maxStepTimeRatio,
   minStepTimeRatio,
   paceCorrection,
@@ -28,7 +29,7 @@
   const sum = (get: (stage: PacedStage) => number): number =>
     stages.reduce((total, stage) => total + get(stage), 0);
   const predicted = sum(({ expectedMs, ratio }) => expectedMs * ratio);
-  const bounded = Math.min(tokenMs, predicted * maxStepTimeRatio);
+  const bounded = Math.min(tokenMs, predicted * maxPauseRatio);
   const squares = sum(({ expectedMs }) => expectedMs * expectedMs);
   const factor = ((bounded - predicted) * paceCorrection) / squares;
   return stages.map(({ expectedMs, ratio }) =>
--- a/packages/gateway/src/attempt/attemptAnswer.ts
+++ b/packages/gateway/src/attempt/attemptAnswer.ts
@@ -301,6 +301,7 @@
       call.noteEventsSent(now);
     }
     if (bytes.length > 0 && !call.caller.write(bytes)) {
+      attempt.pace.noteHeld();
       this.exchange?.pause();
     }
   }
--- a/packages/gateway/src/attempt/attemptPace.ts
+++ b/packages/gateway/src/attempt/attemptPace.ts
@@ -21,4 +21,9 @@
     }
     this.lastEventAt = now;
   }
+
+  /** Handles that this gateway stops reading for a slow caller; the next pause tells nothing of the servers. */
+  noteHeld(): void {
+    this.lastEventAt = undefined;
+  }
 }
--- a/packages/gateway/tests/attemptAnswer.test.ts
+++ b/packages/gateway/tests/attemptAnswer.test.ts
@@ -42,7 +42,7 @@
     chosen: { first: { record: { serverId: 'i-1' } } },
     admitted: { route: { isStream: true } },
     progress: { noteEvents: vi.fn() },
-    pace: { noteEvents: vi.fn() },
+    pace: { noteEvents: vi.fn(), noteHeld: vi.fn() },
     noteIntake: vi.fn(),
   } as unknown as GatewayAttempt;
   const answer = new AttemptAnswer(attempt);
