Mend five faults of requests that are sent ahead

Each test in requestsAhead.test.ts that is named here failed before: - An unknown Expect was answered by Node, uncounted; the gateway refuses it (417). - Dropped body bytes counted as a head without limit: 23 MB by one connection. - The end of a caller behind requests that wait was not noticed. - A stop announced the close although requests waited in the socket. - A head was refused as late while its rest waited in the socket.

--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -29,7 +29,7 @@
   ConnectionMachine,
 } from './callerConnectionChart.js';
 import { headCheckMs, idleReserveMs } from '../constants.js';
-import { connectionBytes, requestBytes } from './constants.js';
+import { connectionBytes, maxHeadBytes, requestBytes } from './constants.js';
 import type { ReceivedCall } from './callerPort.js';
 import type { HttpCaller } from './httpCaller.js';
 import type { ReadingTurns } from './readingTurns.js';
@@ -83,7 +83,7 @@
   private readonly waiting = new Map<HttpCaller, ReceivedCall>();
   private readonly chart: ChartInstance<CallerConnection, ConnectionEvent>;
   private quietSince: Milliseconds = 0;
-  /** Bytes that were read until the last response ended. */
+  /** Bytes that were parsed until the last response ended. */
   private quietBytes = 0;
   /** Idle time that the last response told the caller. */
   private toldIdleMs: Milliseconds = 0;
@@ -116,7 +116,8 @@
       mayParse: () => this.mayParse,
       hasEnded: () => this.hasEnded,
       notePiece: bytes => {
-        this.headBytes += bytes;
+        // The parser keeps no more; bytes that it drops count nothing.
+        this.headBytes = Math.min(this.headBytes + bytes, maxHeadBytes);
       },
       noteRead: () => {
         services.noteUsage(this);
@@ -241,7 +242,8 @@
 
   /** Decides whether the head of this response announces the close; before a refusal it doesn't, since the refusal will. */
   decideClose(caller: HttpCaller): boolean {
-    const isLast = this.listOpen().at(-1) === caller;
+    // Requests that wait in the socket came before the close is announced.
+    const isLast = this.listOpen().at(-1) === caller && !this.feed.hasWaiting;
     this.isCloseAnnounced ||= this.services.isDraining() && isLast;
     return this.isCloseAnnounced && isLast;
   }
@@ -308,11 +310,16 @@
   readonly chartActions = {
     noteQuiet: (now: Milliseconds): void => {
       this.quietSince = now;
-      this.quietBytes = this.socket.bytesRead;
+      this.quietBytes = this.socket.bytesRead - this.socket.readableLength;
     },
     awaitRead: (): void => {
       this.services.postCompletion(now => {
-        this.chart.send({ type: 'READ' }, now);
+        if (this.feed.hasWaiting) {
+          // What waits in the socket has arrived, and is parsed in a later turn.
+          this.chartActions.awaitRead();
+        } else {
+          this.chart.send({ type: 'READ' }, now);
+        }
       });
     },
     keepRefusal: (event: ConnectionEvent | undefined): void => {
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -21,6 +21,9 @@
 /** Memory of an idle connection, with its parser and its chart, in bytes. */
 export const connectionBytes = 8_192;
 
+/** Largest header block that Node's parser accepts, in bytes. */
+export const maxHeadBytes = 65_536;
+
 /** Memory of a request beside its head and its body, in bytes. */
 export const requestBytes = 6_144;
 
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -40,6 +40,7 @@
 import { bindConnectionChart } from './callerConnectionChart.js';
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
 import { headCheckMs, noRoomRetryAfterMs } from '../constants.js';
+import { maxHeadBytes } from './constants.js';
 import { HttpCaller } from './httpCaller.js';
 import { ReadingTurns } from './readingTurns.js';
 
@@ -84,9 +85,6 @@
   idleTimeoutMs: 15_000,
 };
 
-/** Largest header block that Node's parser accepts, in bytes. */
-const parserHeaderBytes = 65_536;
-
 export class HttpFrontend {
   private limits = initialLimits;
   private readonly connectionMachine = getOrThrow(bindConnectionChart());
@@ -110,7 +108,7 @@
     this.account = new CostliestFirstAccount(callerLimits);
     this.server = createServer(
       {
-        maxHeaderSize: parserHeaderBytes,
+        maxHeaderSize: maxHeadBytes,
         connectionsCheckingInterval: headCheckMs,
         // Node would answer itself, and keep what its caller sends ahead uncounted.
         requireHostHeader: false,
@@ -133,6 +131,13 @@
     this.server.on('timeout', (socket: Socket) => {
       this.handleStall(socket);
     });
+    // Node would answer itself, and keep what its caller sends ahead uncounted.
+    this.server.on(
+      'checkExpectation',
+      (incoming: IncomingMessage, response: ServerResponse) => {
+        this.receive(incoming, response);
+      },
+    );
     // Node would destroy the connection.
     this.server.on('connect', (_, socket) => {
       this.refuseMalformed(socket, 'a tunnel is asked for');
@@ -259,6 +264,10 @@
       this.refuse(caller, 400, 'the request line or its host is malformed');
       return;
     }
+    if (!matchesExpectation(incoming)) {
+      this.refuse(caller, 417, 'the expectation is unknown');
+      return;
+    }
     // Node's client would not send it, as if the server could not be reached.
     const fault = findHeaderFault(incoming.rawHeaders);
     if (fault !== undefined) {
@@ -290,7 +299,9 @@
 
   /** Accounts for what the connection holds, and closes those that give way. */
   private updateUsage(connection: CallerConnection): void {
-    if (!this.connections.has(connection.socket)) {
+    const { socket } = connection;
+    // One that was closed is counted no more, although its 'close' event comes later.
+    if (socket.destroyed || !this.connections.has(socket)) {
       return;
     }
     this.account.update(
@@ -479,7 +490,10 @@
     this.handler.noteRefused(status, message);
     caller.sendErrorAndClose({
       status,
-      kind: status === 400 ? ErrorKind.BadRequest : ErrorKind.TooLarge,
+      kind:
+        status === 400 || status === 417
+          ? ErrorKind.BadRequest
+          : ErrorKind.TooLarge,
       message,
       outcome: Outcome.NotRun,
     });
@@ -567,6 +581,15 @@
   return bytes;
 };
 
+/** Whether it expects nothing, or what Node's server does. */
+const matchesExpectation = ({
+  headers,
+  httpVersion,
+}: IncomingMessage): boolean =>
+  headers.expect === undefined ||
+  httpVersion !== '1.1' ||
+  /(?:^|\W)100-continue(?:$|\W)/i.test(headers.expect);
+
 /** Whether the request target is a path (origin form) and there is exactly one Host header. */
 const matchesOriginForm = (incoming: IncomingMessage): boolean => {
   const hosts = incoming.rawHeaders.filter(
--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -34,6 +34,8 @@
   private isStopped = false;
   /** When the bytes that wait in the socket can have arrived at the earliest. */
   private waitingSince: Milliseconds | undefined;
+  /** Whether the caller has ended the connection, as far as the socket was read. */
+  private hasCallerEnded = false;
   private readonly parsers: readonly Parse[];
 
   constructor(
@@ -47,6 +49,15 @@
     socket.removeAllListeners('data');
     // Node resumes the socket for each body that was read, and so would read on without end.
     socket.resume = () => (this.isStopped ? socket : this.resumeSocket());
+    // The 'end' event comes only after all bytes were taken, also those that wait.
+    socket.push = (bytes: unknown, encoding?: BufferEncoding) => {
+      const mayPush = Socket.prototype.push.call(socket, bytes, encoding);
+      if (bytes === null) {
+        this.hasCallerEnded = true;
+        this.resume();
+      }
+      return mayPush;
+    };
     socket.on('data', (bytes: Buffer) => {
       this.receive(bytes);
     });
@@ -57,6 +68,11 @@
     return this.waitingSince ?? this.control.estimateArrival(now);
   }
 
+  /** Whether bytes wait in the socket that were not parsed. */
+  get hasWaiting(): boolean {
+    return !this.socket.destroyed && this.socket.readableLength > 0;
+  }
+
   /** Goes on after an answer has ended, or to drop what still arrives. */
   resume(): void {
     if (this.isHeld) {
@@ -85,6 +101,11 @@
     let from = 0;
     while (from < bytes.length && !control.hasEnded()) {
       this.isHeld = !control.mayParse();
+      if (this.isHeld && this.hasCallerEnded) {
+        // Nobody takes the answers, and nothing is left in the network that a reset could follow.
+        this.socket.destroy();
+        return;
+      }
       this.isStopped = this.isHeld || !turns.hasTime(startedAt);
       if (this.isStopped) {
         if (!this.isHeld) {
