--- a/packages/decisions/tests/callerAccount.test.ts
+++ b/packages/decisions/tests/callerAccount.test.ts
@@ -55,11 +55,11 @@
   return { account, held };
 };
 
-const sumBytes = (held: ReadonlyMap<string, CallerUsage>): number =>
+const computeBytes = (held: ReadonlyMap<string, CallerUsage>): number =>
   [...held.values()].reduce((sum, { bytes }) => sum + bytes, 0);
 
-const exceedsLimits = (held: ReadonlyMap<string, CallerUsage>): boolean =>
-  sumBytes(held) > limits.maxBytes || held.size > limits.maxConnections;
+const isOverLimits = (held: ReadonlyMap<string, CallerUsage>): boolean =>
+  computeBytes(held) > limits.maxBytes || held.size > limits.maxConnections;
 
 const computeCost = ({ bytes, progressAt, answers }: CallerUsage): number =>
   (bytes * Math.max(1, now - progressAt)) / (1 + answers);
@@ -82,7 +82,7 @@
 describe('CostliestFirstAccount', () => {
   it('counts exactly what the connections hold', () => {
     checkChanges((account, held) => {
-      expect(account.totalBytes).toBe(sumBytes(held));
+      expect(account.totalBytes).toBe(computeBytes(held));
       expect(account.connections).toBe(held.size);
     });
   });
@@ -94,7 +94,7 @@
         held.delete(excess);
       }
       expect(
-        !exceedsLimits(held) ||
+        !isOverLimits(held) ||
           [...held.values()].every(({ isProtected }) => isProtected),
       ).toBe(true);
       expect(account.listExcess(now)).toEqual([]);
@@ -129,7 +129,7 @@
 
   it('lists nothing within the limits', () => {
     checkChanges((account, held) => {
-      if (!exceedsLimits(held)) {
+      if (!isOverLimits(held)) {
         expect(account.listExcess(now)).toEqual([]);
       }
     });
@@ -143,7 +143,7 @@
           held.delete(excess);
         }
       }
-      expect(last === undefined || exceedsLimits(held)).toBe(true);
+      expect(last === undefined || isOverLimits(held)).toBe(true);
     });
   });
 
