Spare ordinary callers where protected connections alone hold too much

Connections whose call runs count in the account but never give way, so a few of them with large requests ahead had every other connection reset, new ones too. A connection that holds less than 24 KiB now gives way only where there are too many connections, and requests are parsed ahead only while those of the connection take less than a 32nd of the memory for callers.

Two faults found by review in the same place: the arrival time of bytes that wait in the socket was forgotten after the first of them was parsed, and a CONNECT after an announced close left its bytes to a parser that Node had given up.

--- a/packages/decisions/src/callers/callerAccount.ts
+++ b/packages/decisions/src/callers/callerAccount.ts
@@ -28,6 +28,8 @@
 /** Limits of all connections of a gateway together. */
 export interface CallerLimits {
   readonly maxBytes: number;
+  /** A connection that holds less than this gives way only where there are too many: an ordinary call holds no more, and closing it frees little. */
+  readonly minExcessBytes: number;
   readonly maxConnections: number;
 }
 
@@ -78,7 +80,7 @@
   }
 
   override listExcess(now: Milliseconds): readonly T[] {
-    const { maxBytes, maxConnections } = this.limits;
+    const { maxBytes, minExcessBytes, maxConnections } = this.limits;
     let excessBytes = this.bytes - maxBytes;
     let excessConnections = this.entries.size - maxConnections;
     if (excessBytes <= 0 && excessConnections <= 0) {
@@ -89,9 +91,11 @@
       if (excessBytes <= 0 && excessConnections <= 0) {
         break;
       }
-      excess.push(holder);
-      excessBytes -= usage.bytes;
-      excessConnections -= 1;
+      if (excessConnections > 0 || usage.bytes >= minExcessBytes) {
+        excess.push(holder);
+        excessBytes -= usage.bytes;
+        excessConnections -= 1;
+      }
     }
     return excess;
   }
--- a/packages/decisions/tests/callerAccount.test.ts
+++ b/packages/decisions/tests/callerAccount.test.ts
@@ -3,7 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import { CostliestFirstAccount, type CallerUsage } from '../src/index.js';
 
-const limits = { maxBytes: 1_000, maxConnections: 5 };
+const limits = { maxBytes: 1_000, minExcessBytes: 0, maxConnections: 5 };
 const now = 100_000;
 const seed = 41;
 
@@ -203,3 +203,16 @@
     ]);
   });
 });
+
+// Guards against ordinary callers that are reset while protected connections alone hold too much.
+it('closes no connection that holds little for the memory of others', () => {
+  const account = new CostliestFirstAccount<string>({
+    ...limits,
+    minExcessBytes: 100,
+  });
+  const usage = { progressAt: 0, answers: 0, isProtected: false };
+  account.update('running', 'a', { ...usage, bytes: 2_000, isProtected: true });
+  account.update('ordinary', 'a', { ...usage, bytes: 99 });
+  account.update('large', 'a', { ...usage, bytes: 100 });
+  expect(account.listExcess(1)).toEqual(['large']);
+});
--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -54,8 +54,8 @@
   /** Requests that are parsed before the first of them is answered. */
   readonly maxRequestsAhead: number;
   getLimits(): CallLimits;
-  /** Whether requests sent ahead may be parsed, or the connections hold too much already. */
-  mayReadAhead(): boolean;
+  /** Whether a connection whose requests take that many bytes may have further ones parsed, or too much is held already. */
+  mayReadAhead(keptBytes: number): boolean;
   /** Whether the body of the call is still being received. */
   isReceiving(caller: HttpCaller): boolean;
   /** Notes that what the connection holds may have changed. */
@@ -94,6 +94,7 @@
   private droppedRequests = 0;
   /** Bytes that were parsed since the last head ended. */
   private headBytes = 0;
+  private hasParserEnded = false;
   private answers = 0;
   private progressAt: Milliseconds;
   private readonly acceptedAt: Milliseconds;
@@ -184,10 +185,20 @@
   private get mayParse(): boolean {
     const { maxRequestsAhead } = this.services;
     const open = this.openCallers.size + this.droppedRequests;
-    const bound = this.services.mayReadAhead() ? maxRequestsAhead : 1;
+    const mayReadAhead = this.services.mayReadAhead(this.countKeptBytes());
+    const bound = mayReadAhead ? maxRequestsAhead : 1;
     return open < bound || (open === bound && this.isReceivingLast);
   }
 
+  /** Memory of the open requests, in bytes. */
+  private countKeptBytes(): number {
+    let bytes = 0;
+    for (const { keptBytes } of this.openCallers) {
+      bytes += keptBytes;
+    }
+    return bytes;
+  }
+
   /** Whether the body of the last request goes on. */
   private get isReceivingLast(): boolean {
     let last: HttpCaller | undefined;
@@ -200,12 +211,18 @@
   /** Whether nothing more is parsed: it was refused, or its last response has ended. */
   private get hasEnded(): boolean {
     return (
+      this.hasParserEnded ||
       this.refusal !== undefined ||
       this.chart.matches('closing') ||
       this.chart.isFinal
     );
   }
 
+  /** Notes that Node has given the parser of the connection up, so that nothing may be parsed any more. */
+  noteParserEnded(): void {
+    this.hasParserEnded = true;
+  }
+
   /** Whether it closes after its last open response; further requests are not passed on. */
   get isClosing(): boolean {
     return this.isCloseAnnounced || this.hasEnded;
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -12,6 +12,12 @@
 /** Share of the other descriptors that callers may take; the rest is for servers, the store, gateways and the readiness check. */
 export const maxCallerDescriptorShare = 0.6;
 
+/** What a connection holds at least that gives way for its memory, in bytes; an ordinary call and its connection hold less. */
+export const minExcessBytes = 24_576;
+
+/** Share of the memory for callers that the requests of one connection may take before further ones are parsed. */
+export const maxAheadShare = 1 / 32;
+
 /** Requests of one connection that are parsed before the first of them is answered; the rest waits in the socket. */
 export const defaultMaxRequestsAhead = 16;
 
--- a/packages/gateway/src/callers/frontendLimits.ts
+++ b/packages/gateway/src/callers/frontendLimits.ts
@@ -9,6 +9,7 @@
   fileDescriptors,
   maxCallerDescriptorShare,
   maxCallerMemoryShare,
+  minExcessBytes,
 } from './constants.js';
 import type { FrontendLimits } from './httpFrontend.js';
 
@@ -24,6 +25,7 @@
   const descriptors = Math.max(0, maxDescriptors - fileDescriptors);
   return {
     maxBytes: memoryMb * bytesPerMebibyte * maxCallerMemoryShare,
+    minExcessBytes,
     maxConnections: Math.max(
       1,
       Math.floor(descriptors * maxCallerDescriptorShare),
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -40,7 +40,7 @@
 import { bindConnectionChart } from './callerConnectionChart.js';
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
 import { headCheckMs, noRoomRetryAfterMs } from '../constants.js';
-import { maxHeadBytes } from './constants.js';
+import { maxHeadBytes, maxAheadShare } from './constants.js';
 import { HttpCaller } from './httpCaller.js';
 import { ReadingTurns } from './readingTurns.js';
 
@@ -141,6 +141,7 @@
     // Node would destroy the connection.
     this.server.on('connect', (_, socket) => {
       this.refuseMalformed(socket, 'a tunnel is asked for');
+      this.findConnection(socket)?.noteParserEnded();
       socket.resume();
     });
     this.applyLimits(initialLimits);
@@ -363,7 +364,9 @@
         },
       ),
       maxRequestsAhead: callerLimits.maxRequestsAhead,
-      mayReadAhead: () => account.totalBytes < callerLimits.maxBytes,
+      mayReadAhead: keptBytes =>
+        keptBytes < callerLimits.maxBytes * maxAheadShare &&
+        account.totalBytes < callerLimits.maxBytes,
       isReceiving: caller =>
         this.incomplete.get(caller)?.incoming.complete === false,
       noteUsage: connection => {
--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -124,7 +124,9 @@
         return;
       }
     }
-    this.waitingSince = undefined;
+    if (!this.hasWaiting) {
+      this.waitingSince = undefined;
+    }
     control.noteRead();
   }
 
--- a/packages/gateway/tests/httpCaller.test.ts
+++ b/packages/gateway/tests/httpCaller.test.ts
@@ -8,11 +8,20 @@
 import { CallerConnection } from '../src/callers/callerConnection.js';
 import { bindConnectionChart } from '../src/callers/callerConnectionChart.js';
 import { HttpCaller, formatRetryAfter } from '../src/callers/httpCaller.js';
+import { ReadingTurns } from '../src/callers/readingTurns.js';
 import { ManualTimers } from './manualTimers.js';
 
 const createConnection = (socket: Socket): CallerConnection =>
   new CallerConnection(socket, getOrThrow(bindConnectionChart()), {
     timers: new ManualTimers(),
+    turns: new ReadingTurns(
+      () => 0,
+      () => undefined,
+    ),
+    maxRequestsAhead: 16,
+    mayReadAhead: () => true,
+    isReceiving: () => false,
+    noteUsage: () => undefined,
     getLimits: () => ({
       maxHeaderBytes: 1_000,
       maxBodyBytes: 1_000,
