--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -29,7 +29,7 @@
   ConnectionMachine,
 } from './callerConnectionChart.js';
 import { headCheckMs, idleReserveMs } from '../constants.js';
-import { connectionBytes, requestBytes } from './constants.js';
+import { connectionBytes, maxHeadBytes, requestBytes } from './constants.js';
 import type { ReceivedCall } from './callerPort.js';
 import type { HttpCaller } from './httpCaller.js';
 import type { ReadingTurns } from './readingTurns.js';
@@ -54,8 +54,8 @@
   /** Requests that are parsed before the first of them is answered. */
   readonly maxRequestsAhead: number;
   getLimits(): CallLimits;
-  /** Whether requests sent ahead may be parsed, or the connections hold too much already. */
-  mayReadAhead(): boolean;
+  /** Whether a connection whose requests take that many bytes may have further ones parsed, or too much is held already. */
+  mayReadAhead(keptBytes: number): boolean;
   /** Whether the body of the call is still being received. */
   isReceiving(caller: HttpCaller): boolean;
   /** Notes that what the connection holds may have changed. */
@@ -83,7 +83,7 @@
   private readonly waiting = new Map<HttpCaller, ReceivedCall>();
   private readonly chart: ChartInstance<CallerConnection, ConnectionEvent>;
   private quietSince: Milliseconds = 0;
-  /** Bytes that were read until the last response ended. */
+  /** Bytes that were parsed until the last response ended. */
   private quietBytes = 0;
   /** Idle time that the last response told the caller. */
   private toldIdleMs: Milliseconds = 0;
@@ -94,6 +94,7 @@
   private droppedRequests = 0;
   /** Bytes that were parsed since the last head ended. */
   private headBytes = 0;
+  private hasParserEnded = false;
   private answers = 0;
   private progressAt: Milliseconds;
   private readonly acceptedAt: Milliseconds;
@@ -116,7 +117,8 @@
       mayParse: () => this.mayParse,
       hasEnded: () => this.hasEnded,
       notePiece: bytes => {
-        this.headBytes += bytes;
+        // The parser keeps no more; bytes that it drops count nothing.
+        this.headBytes = Math.min(this.headBytes + bytes, maxHeadBytes);
       },
       noteRead: () => {
         services.noteUsage(this);
@@ -183,10 +185,20 @@
   private get mayParse(): boolean {
     const { maxRequestsAhead } = this.services;
     const open = this.openCallers.size + this.droppedRequests;
-    const bound = this.services.mayReadAhead() ? maxRequestsAhead : 1;
+    const mayReadAhead = this.services.mayReadAhead(this.countKeptBytes());
+    const bound = mayReadAhead ? maxRequestsAhead : 1;
     return open < bound || (open === bound && this.isReceivingLast);
   }
 
+  /** Memory of the open requests, in bytes. */
+  private countKeptBytes(): number {
+    let bytes = 0;
+    for (const { keptBytes } of this.openCallers) {
+      bytes += keptBytes;
+    }
+    return bytes;
+  }
+
   /** Whether the body of the last request goes on. */
   private get isReceivingLast(): boolean {
     let last: HttpCaller | undefined;
@@ -199,12 +211,18 @@
   /** Whether nothing more is parsed: it was refused, or its last response has ended. */
   private get hasEnded(): boolean {
     return (
+      this.hasParserEnded ||
       this.refusal !== undefined ||
       this.chart.matches('closing') ||
       this.chart.isFinal
     );
   }
 
+  /** Notes that Node has given the parser of the connection up, so that nothing may be parsed any more. */
+  noteParserEnded(): void {
+    this.hasParserEnded = true;
+  }
+
   /** Whether it closes after its last open response; further requests are not passed on. */
   get isClosing(): boolean {
     return this.isCloseAnnounced || this.hasEnded;
@@ -241,7 +259,8 @@
 
   /** Decides whether the head of this response announces the close; before a refusal it doesn't, since the refusal will. */
   decideClose(caller: HttpCaller): boolean {
-    const isLast = this.listOpen().at(-1) === caller;
+    // Requests that wait in the socket came before the close is announced.
+    const isLast = this.listOpen().at(-1) === caller && !this.feed.hasWaiting;
     this.isCloseAnnounced ||= this.services.isDraining() && isLast;
     return this.isCloseAnnounced && isLast;
   }
@@ -308,11 +327,16 @@
   readonly chartActions = {
     noteQuiet: (now: Milliseconds): void => {
       this.quietSince = now;
-      this.quietBytes = this.socket.bytesRead;
+      this.quietBytes = this.socket.bytesRead - this.socket.readableLength;
     },
     awaitRead: (): void => {
       this.services.postCompletion(now => {
-        this.chart.send({ type: 'READ' }, now);
+        if (this.feed.hasWaiting) {
+          // What waits in the socket has arrived, and is parsed in a later turn.
+          this.chartActions.awaitRead();
+        } else {
+          this.chart.send({ type: 'READ' }, now);
+        }
       });
     },
     keepRefusal: (event: ConnectionEvent | undefined): void => {
