--- a/packages/decisions/src/order/accountQueue.ts
+++ b/packages/decisions/src/order/accountQueue.ts
@@ -52,13 +52,22 @@
 
   /**
    * Returns the next work of the account with the lowest counter. Without
-   * `allowsAboveShare`, skips accounts that use at least an equal share of the slots.
+   * `allowsAboveShare`, skips accounts that use at least an equal share of the slots, or
+   * that `isLargeAccount` names.
    */
-  findNext(allowsAboveShare = true, slots = Infinity): T | undefined {
+  findNext(
+    allowsAboveShare = true,
+    slots = Infinity,
+    isLargeAccount?: (account: string) => boolean,
+  ): T | undefined {
     const equalShare = this.computeEqualShare(slots);
     let best: AccountState<T> | undefined;
     for (const state of this.backlogged) {
-      const isEligible = allowsAboveShare || state.running < equalShare;
+      const isEligible =
+        allowsAboveShare ||
+        (isLargeAccount
+          ? !isLargeAccount(state.waiting[0]?.account ?? '')
+          : state.running < equalShare);
       if (isEligible && (!best || state.counter <= best.counter)) {
         best = state;
       }
--- a/packages/decisions/src/order/rankedOrder.ts
+++ b/packages/decisions/src/order/rankedOrder.ts
@@ -31,8 +31,12 @@
   readonly getWeight: AccountWeight;
   /** Number of slots of the backend server. */
   readonly slots: number;
+  /** Returns the share of the slots that the rank leaves to more urgent ones; a constant without it. */
+  readonly getUrgentReserve?: (urgency: number) => number;
   /** Share of the slots that only accounts below an equal share of the slots may use. */
   readonly accountReserve?: number;
+  /** Whether an account uses too much for the reserve; by its equal share of the slots without it. */
+  readonly isLargeAccount?: (account: string) => boolean;
 }
 
 interface RankState<T extends WaitingWork> {
@@ -45,8 +49,8 @@
   readonly isEarly: boolean;
 }
 
-/** Share of the slots that only the most urgent rank may use. */
-const urgentReserve = 0.08;
+/** Share of the slots that only the most urgent rank of an agent may use. */
+const defaultUrgentReserve = 0.08;
 /** `accountReserve` of an agent. */
 const defaultAccountReserve = 0.08;
 const prioritiesPerRank = 2;
@@ -109,16 +113,14 @@
 
   /** Within a rank, the engine too prefers accounts below an equal share of the slots. */
   override computePriority(work: T): number {
-    const isBelowEqualShare = this.isBelowEqualShare(work);
+    const { queue } = this.getRank(work.urgency);
+    const isBelowEqualShare = queue.isBelowEqualShare(
+      work.account,
+      this.settings.slots,
+    );
     return work.urgency * prioritiesPerRank + (isBelowEqualShare ? 0 : 1);
   }
 
-  /** Whether the account of the work uses less than an equal share of the slots. */
-  isBelowEqualShare({ urgency, account }: T): boolean {
-    const { queue } = this.getRank(urgency);
-    return queue.isBelowEqualShare(account, this.settings.slots);
-  }
-
   override finish(work: T, cost: number, runMs?: Milliseconds): void {
     this.running -= 1;
     this.getRank(work.urgency).queue.finish(work, cost);
@@ -168,12 +170,20 @@
   }
 
   private findMostUrgent(): T | undefined {
-    const { slots, accountReserve = defaultAccountReserve } = this.settings;
+    const {
+      slots,
+      accountReserve = defaultAccountReserve,
+      isLargeAccount,
+    } = this.settings;
     for (const [urgency, rank] of this.ranks.entries()) {
       const freeSlots = this.countFreeSlots(urgency);
       if (freeSlots > 0 && rank.queue.size > 0) {
         const allowsAboveShare = freeSlots > slots * accountReserve;
-        const work = rank.queue.findNext(allowsAboveShare, slots);
+        const work = rank.queue.findNext(
+          allowsAboveShare,
+          slots,
+          isLargeAccount,
+        );
         if (work) {
           return work;
         }
@@ -184,8 +194,9 @@
 
   /** Returns the number of free slots that the rank may use. */
   private countFreeSlots(urgency: number): number {
-    const { slots } = this.settings;
-    const reserved = urgency > 0 ? slots * urgentReserve : 0;
+    const { slots, getUrgentReserve } = this.settings;
+    const share = getUrgentReserve?.(urgency) ?? defaultUrgentReserve;
+    const reserved = urgency > 0 ? slots * share : 0;
     return slots - reserved - this.running;
   }
 
--- a/packages/decisions/src/waiting/accountDemand.ts
+++ b/packages/decisions/src/waiting/accountDemand.ts
@@ -3,7 +3,7 @@
  *
  * A large account has a call for each place that comes, while the calls of small ones come now
  * and then and find all places taken. So as many places as the small accounts are going to need
- * by their rate of calls, and do not have yet, are kept from accounts above an equal share.
+ * by their rate of calls, and do not have yet, are kept from large accounts.
  */
 import type { Milliseconds } from '@lycheetally/common';
 import { DecayingSum } from '../load/decayingSum.js';
@@ -22,6 +22,15 @@
 /** Arrivals below which an account is no longer active. */
 const minArrivals = 0.5;
 
+/** Computes above how many recent arrivals an account is large. */
+const computeLarge = (
+  active: readonly AccountState[],
+  now: Milliseconds,
+): number =>
+  (largeAccountFactor *
+    active.reduce((sum, { arrivals }) => sum + arrivals.get(now), 0)) /
+  active.length;
+
 export class AccountDemand {
   private readonly accounts = new Map<string, AccountState>();
 
@@ -54,14 +63,8 @@
     durationMs: Milliseconds,
     now: Milliseconds,
   ): number {
-    const active = [...this.accounts.values()].filter(
-      ({ arrivals }) => arrivals.get(now) >= minArrivals,
-    );
-    const total = active.reduce(
-      (sum, { arrivals }) => sum + arrivals.get(now),
-      0,
-    );
-    const large = (largeAccountFactor * total) / active.length;
+    const active = this.listActive(now);
+    const large = computeLarge(active, now);
     const small = active.filter(({ arrivals }) => arrivals.get(now) <= large);
     if (small.length === active.length) {
       return 0;
@@ -74,4 +77,15 @@
     const kept = Math.min(needed, limit * maxAccountReserve) - running;
     return Math.max(0, kept) / limit;
   }
+
+  isLarge(account: string, now: Milliseconds): boolean {
+    const arrivals = this.accounts.get(account)?.arrivals.get(now) ?? 0;
+    return arrivals > computeLarge(this.listActive(now), now);
+  }
+
+  private listActive(now: Milliseconds): readonly AccountState[] {
+    return [...this.accounts.values()].filter(
+      ({ arrivals }) => arrivals.get(now) >= minArrivals,
+    );
+  }
 }
--- a/packages/decisions/src/waiting/adaptiveConcurrency.ts
+++ b/packages/decisions/src/waiting/adaptiveConcurrency.ts
@@ -146,7 +146,9 @@
     );
     const pressures = [
       ...this.ended,
-      ...[...this.runs.values()].map(run => measurePressure(run, now)),
+      ...[...this.runs.values()]
+        .filter(run => isTelling(run, now))
+        .map(run => measurePressure(run, now)),
     ].sort((a, b) => a - b);
     if (pressures.length > 0) {
       const at = Math.floor((1 - slowShare) * (pressures.length - 1));
@@ -202,6 +204,10 @@
 const measurePressure = (run: ObservedRun, now: Milliseconds): number =>
   Math.max(run.pressure, measureWait(run, now));
 
+/** Whether the run shows how busy the servers are; one without an event does so only once it is slow. */
+const isTelling = (run: ObservedRun, now: Milliseconds): boolean =>
+  run.hasEvent || measurePressure(run, now) > targetPressure;
+
 /** The wait that goes on, as a share of what its route allows. */
 const measureWait = (
   { targets, hasEvent, waitsSince }: ObservedRun,
--- a/packages/decisions/src/waiting/callQueue.ts
+++ b/packages/decisions/src/waiting/callQueue.ts
@@ -31,13 +31,16 @@
   maxWaitingBytes,
   maxWaitingCalls,
   minOutageMs,
-  probeIntervalMs,
+  minProbeMs,
+  probeDurations,
   rankFloor,
   rateHalfLifeMs,
   reserveTimeMs,
   returnToleranceMs,
+  scarcePressure,
   roundMs,
 } from './constants.js';
+import { RankDemand } from './rankDemand.js';
 import { PlaceForecast } from './placeForecast.js';
 import { ReturnTimes } from './returnTimes.js';
 import { WaitCost } from './waitCost.js';
@@ -129,6 +132,7 @@
   private readonly returns = new ReturnTimes();
   private readonly cost = new WaitCost();
   private readonly accounts = new AccountDemand();
+  private readonly ranks = new RankDemand();
   private readonly order: RankedOrder<Waiter>;
   /** Tokens that were asked for, by urgency in the order. */
   private readonly demand: DecayingSum[] = [];
@@ -138,7 +142,9 @@
   private readonly running = new Map<string, Waiter>();
   private waitingBytes = 0;
   private startedAt: Milliseconds = -Infinity;
-  /** When a call was last held back, as of the newest decision. */
+  /** Time of the newest decision, for what the order asks. */
+  private seenAt: Milliseconds = 0;
+  /** When a call was last held back. */
   private heldAt: Milliseconds = -Infinity;
   /** Since when calls find no chain. */
   private outageSince: Milliseconds | undefined;
@@ -150,6 +156,8 @@
     this.order = new RankedOrder<Waiter>({
       listRanks: () => this.listRanks(),
       getWeight: settings.getWeight,
+      getUrgentReserve: urgency => this.computeRankReserve(urgency),
+      isLargeAccount: account => this.accounts.isLarge(account, this.seenAt),
       get slots() {
         return getSlots();
       },
@@ -194,10 +202,11 @@
       // It was woken by an event that is not of the queue.
       this.drop(known);
     }
-    this.settings.limit.advance(now);
+    this.advance(now);
     this.forecast.noteArrived(now);
     this.cost.noteOffered(call, now);
     this.accounts.noteArrived(call.account, now);
+    this.ranks.noteArrived(call.urgency, now);
     const waiter = new Waiter(call, now);
     const demand = (this.demand[waiter.urgency] ??= new DecayingSum(
       rateHalfLifeMs,
@@ -207,7 +216,11 @@
       this.start(waiter, now);
       return QueueDecision.Run;
     }
-    if (this.hasPlace(now) && this.order.size === 0) {
+    if (
+      this.hasPlace(now) &&
+      this.order.size === 0 &&
+      !(this.keepsPlaces && this.cost.isAheadOfItsRank(call.urgency, now))
+    ) {
       this.order.add(waiter);
       if (this.order.takeNext(now)) {
         this.start(waiter, now);
@@ -295,7 +308,7 @@
 
   /** Takes the call that starts next, if one may. */
   takeNext(now: Milliseconds): QueuedCallView | undefined {
-    this.settings.limit.advance(now);
+    this.advance(now);
     const resumed = [...this.waiters.values()].find(
       ({ call, hasChain }) => call.isUnderWay && hasChain,
     );
@@ -313,7 +326,7 @@
   takeRefused(
     now: Milliseconds,
   ): readonly { call: QueuedCallView; refusal: Refusal }[] {
-    this.settings.limit.advance(now);
+    this.advance(now);
     return [...this.waiters.values()].flatMap(waiter => {
       const reason = this.findFault(waiter, now);
       if (reason === undefined) {
@@ -353,6 +366,11 @@
     );
   }
 
+  private advance(now: Milliseconds): void {
+    this.seenAt = now;
+    this.settings.limit.advance(now);
+  }
+
   private listWithoutChain(): Waiter[] {
     return [...this.waiters.values()].filter(({ hasChain }) => !hasChain);
   }
@@ -366,7 +384,12 @@
 
   private hasPlace(now: Milliseconds): boolean {
     return (
-      this.running.size < this.limit || now - this.startedAt >= probeIntervalMs
+      this.running.size < this.limit ||
+      now - this.startedAt >=
+        Math.max(
+          minProbeMs,
+          probeDurations * this.forecast.estimateDuration(now),
+        )
     );
   }
 
@@ -377,6 +400,7 @@
     this.settings.limit.noteStarted(call.id, call.targets, now);
     this.cost.noteServed(call, now);
     this.accounts.countRunning(call.account, 1);
+    this.ranks.countRunning(call.urgency, 1);
     this.startedAt = now;
   }
 
@@ -390,12 +414,13 @@
     if (waiter) {
       this.running.delete(id);
       this.accounts.countRunning(waiter.account, -1);
+      this.ranks.countRunning(waiter.call.urgency, -1);
       this.forecast.noteEnded(id, end === RunEnd.Complete, now);
       this.settings.limit.noteEnded(id, end, now);
       if (!waiter.call.isUnderWay) {
         this.order.finish(waiter, cost ?? waiter.cost);
       }
-      this.settings.limit.advance(now);
+      this.advance(now);
     }
     return waiter;
   }
@@ -443,10 +468,31 @@
       : undefined;
   }
 
+  /** Whether places are kept: only while calls are held back and servers are busy, not while the limit rises. */
+  private get keepsPlaces(): boolean {
+    return (
+      this.seenAt - this.heldAt < reserveTimeMs &&
+      this.pressure >= scarcePressure
+    );
+  }
+
+  /** Computes the share of the places that a rank of the order leaves to more urgent ranks of calls. */
+  private computeRankReserve(urgency: number): number {
+    const now = this.seenAt;
+    return this.keepsPlaces
+      ? this.ranks.computeReserve(
+          Math.floor(urgency / 2),
+          this.limit,
+          this.forecast.estimateDuration(now),
+          now,
+        )
+      : 0;
+  }
+
   /** While calls are held back, some places wait for the accounts that use few. */
   private get accountReserve(): number {
-    const now = Math.max(this.startedAt, this.heldAt);
-    return now - this.heldAt < reserveTimeMs
+    const now = this.seenAt;
+    return this.keepsPlaces
       ? this.accounts.computeReserve(
           this.limit,
           this.forecast.estimateDuration(now),
@@ -557,15 +603,17 @@
     }
     const { getWeight } = this.settings;
     const turns = (own + 1) / getWeight(waiter.account);
-    const reserved = this.order.isBelowEqualShare(waiter)
-      ? 0
-      : Math.ceil(this.limit * this.accountReserve);
+    const reserved = this.accounts.isLarge(waiter.account, this.seenAt)
+      ? Math.ceil(this.limit * this.accountReserve)
+      : 0;
+    const keptForRanks = Math.ceil(
+      this.limit * this.computeRankReserve(waiter.urgency),
+    );
+    const kept = Math.max(reserved, keptForRanks);
     const byTurns = [...others].map(([account, count]) =>
       Math.min(count, turns * getWeight(account)),
     );
-    return (
-      urgent + own + reserved + byTurns.reduce((sum, each) => sum + each, 0)
-    );
+    return urgent + own + kept + byTurns.reduce((sum, each) => sum + each, 0);
   }
 
   private refuse(
@@ -599,7 +647,7 @@
 
   /** The ranks with floors in proportion to their demand, so that none is served more often than a more urgent one. */
   private listRanks(): readonly OrderedRank[] {
-    const now = this.startedAt;
+    const now = this.seenAt;
     // Ranks that no call had yet are holes.
     const demands = Array.from(this.demand, each => each?.get(now) ?? 0);
     const total = demands.reduce((sum, each) => sum + each, 0);
--- a/packages/decisions/src/waiting/constants.ts
+++ b/packages/decisions/src/waiting/constants.ts
@@ -15,14 +15,15 @@
 /** Length of a round of observations: about one pause of a stream near its limit, and ten decreases fit into the second in which the limit must have fallen. */
 export const roundMs = 100;
 
-/** A call may start this long after the last one whatever the limit is, so that stalled runs do not end the observation. */
-export const probeIntervalMs = 500;
+/** A call may start this long after the last one, at least and in usual durations, whatever the limit is: stalled runs must not end the observation, and the probes of all gateways must not keep slow servers slow. */
+export const minProbeMs = 1_000;
+export const probeDurations = 2;
 
-/** Pressure to which the limit tends: a third of the allowed pause remains for what a round does not see. */
-export const targetPressure = 0.65;
+/** Pressure to which the limit tends: half of the allowed pause remains for what a round does not see, and streams are short enough to make room within seconds. */
+export const targetPressure = 0.5;
 
 /** The same for an increase while the chosen chains seem to be full: the estimate of room is coarse, observations confirm it. */
-export const targetPressureWithoutRoom = 0.4;
+export const targetPressureWithoutRoom = 0.35;
 
 /** How much higher than what ran lately the limit may be, as a factor: in the second of a loss no more than twice the usual number may start. */
 export const maxHeadroom = 2;
@@ -83,12 +84,18 @@
 /** Share of the places that is kept from large accounts at most, so that none starves. */
 export const maxAccountReserve = 0.8;
 
+/** Share of the places that is kept from a rank for more urgent ones at most. */
+export const maxRankReserve = 0.9;
+
 /** Half-life of what an account asked for. */
 export const accountHalfLifeMs = 5_000;
 
-/** How long after a call was held back places are kept for small accounts. */
+/** How long after a call was held back places are kept for small accounts and urgent ranks. */
 export const reserveTimeMs = 1_000;
 
+/** Pressure below which no places are kept; the limit rises then. */
+export const scarcePressure = 0.35;
+
 /** A rank may wait only if this multiple of its served share is below that of each more urgent rank that is not fully served. */
 export const rankMargin = 1.1;
 
