--- a/packages/decisions/src/waiting/adaptiveConcurrency.ts
+++ b/packages/decisions/src/waiting/adaptiveConcurrency.ts
@@ -40,6 +40,9 @@
   unusedDecreaseFactor,
 } from './constants.js';
 
+/** Below this pressures do not differ; it is divided by. */
+const minPressure = 0.01;
+
 interface ObservedRun {
   readonly targets: RunTargets;
   hasEvent: boolean;
@@ -153,7 +156,7 @@
     if (pressures.length > 0) {
       const at = Math.floor((1 - slowShare) * (pressures.length - 1));
       this.lastPressure = pressures[at] ?? 0;
-      this.update(this.lastPressure);
+      this.update(Math.max(minPressure, this.lastPressure));
     }
     this.startRound(now);
     return this.value !== before;
--- a/packages/decisions/src/waiting/callQueue.ts
+++ b/packages/decisions/src/waiting/callQueue.ts
@@ -13,7 +13,7 @@
 import { AccountDemand } from './accountDemand.js';
 import type { AccountWeight } from '../order/accountQueue.js';
 import { RankedOrder, type OrderedRank } from '../order/rankedOrder.js';
-import { DecayingSum } from '../load/decayingSum.js';
+import type { DecayingSum } from '../load/decayingSum.js';
 import type { WaitingWork } from '../workOrder.js';
 import {
   RunEnd,
@@ -34,13 +34,13 @@
   minProbeMs,
   probeDurations,
   rankFloor,
-  rateHalfLifeMs,
   reserveTimeMs,
   returnToleranceMs,
   scarcePressure,
   roundMs,
 } from './constants.js';
 import { RankDemand } from './rankDemand.js';
+import { getOrCreateSum } from './rankSums.js';
 import { PlaceForecast } from './placeForecast.js';
 import { ReturnTimes } from './returnTimes.js';
 import { WaitCost } from './waitCost.js';
@@ -208,9 +208,7 @@
     this.accounts.noteArrived(call.account, now);
     this.ranks.noteArrived(call.urgency, now);
     const waiter = new Waiter(call, now);
-    const demand = (this.demand[waiter.urgency] ??= new DecayingSum(
-      rateHalfLifeMs,
-    ));
+    const demand = getOrCreateSum(this.demand, waiter.urgency);
     demand.add(call.expectedTokens, now);
     if (call.isUnderWay) {
       this.start(waiter, now);
@@ -317,7 +315,7 @@
     if (!next) {
       return undefined;
     }
-    this.forgetWaiter(next);
+    this.clearWaiter(next);
     this.start(next, now);
     return next.call;
   }
@@ -433,14 +431,14 @@
     }
   }
 
-  private forgetWaiter(waiter: Waiter): void {
+  private clearWaiter(waiter: Waiter): void {
     if (this.waiters.delete(waiter.call.id)) {
       this.waitingBytes -= waiter.call.bytes;
     }
   }
 
   private drop(waiter: Waiter): void {
-    this.forgetWaiter(waiter);
+    this.clearWaiter(waiter);
     this.order.remove(waiter);
   }
 
@@ -648,8 +646,7 @@
   /** The ranks with floors in proportion to their demand, so that none is served more often than a more urgent one. */
   private listRanks(): readonly OrderedRank[] {
     const now = this.seenAt;
-    // Ranks that no call had yet are holes.
-    const demands = Array.from(this.demand, each => each?.get(now) ?? 0);
+    const demands = this.demand.map(each => each.get(now));
     const total = demands.reduce((sum, each) => sum + each, 0);
     return demands.map((each, urgency) => ({
       urgency,
--- a/packages/decisions/src/waiting/placeForecast.ts
+++ b/packages/decisions/src/waiting/placeForecast.ts
@@ -8,6 +8,7 @@
  */
 import type { Milliseconds } from '@lycheetally/common';
 import { DecayingSum } from '../load/decayingSum.js';
+import { getOrCreateSum } from './rankSums.js';
 import {
   durationSmoothing,
   firstAnswerMs,
@@ -57,8 +58,7 @@
   noteStarted(id: string, urgency: number, now: Milliseconds): void {
     this.running.set(id, now);
     this.unanswered.add(id);
-    this.started[urgency] ??= new DecayingSum(rateHalfLifeMs);
-    this.started[urgency].add(1, now);
+    getOrCreateSum(this.started, urgency).add(1, now);
   }
 
   noteAnswered(id: string, now: Milliseconds): void {
@@ -105,7 +105,7 @@
     const rate = this.computeRate(limit, now);
     const urgentRate = this.started
       .slice(0, urgency)
-      .reduce((sum, each) => sum + (each?.computeRate(now) ?? 0), 0);
+      .reduce((sum, each) => sum + each.computeRate(now), 0);
     return needed / Math.max(rate - urgentRate, rate * floor);
   }
 }
--- a/packages/decisions/src/waiting/rankDemand.ts
+++ b/packages/decisions/src/waiting/rankDemand.ts
@@ -45,11 +45,13 @@
 
   private getRank(urgency: number): RankState {
     while (this.ranks.length <= urgency) {
-      this.ranks.push({
-        arrivals: new DecayingSum(rateHalfLifeMs),
-        running: 0,
-      });
+      this.ranks.push(createRank());
     }
-    return this.ranks[urgency] as RankState;
+    return this.ranks[urgency] ?? createRank();
   }
 }
+
+const createRank = (): RankState => ({
+  arrivals: new DecayingSum(rateHalfLifeMs),
+  running: 0,
+});
--- a/packages/decisions/src/waiting/returnTimes.ts
+++ b/packages/decisions/src/waiting/returnTimes.ts
@@ -48,7 +48,7 @@
   reserve(request: ReturnRequest, now: Milliseconds): Milliseconds {
     const { call, waitMs, placeMs, random } = request;
     if (call.toldAt !== undefined && call.toldAt > now) {
-      return this.bound(call, call.toldAt - now, now);
+      return trimReturn(call, call.toldAt - now, now);
     }
     const { urgency } = call;
     const from = Math.max(now, this.nextAt[urgency] ?? -Infinity);
@@ -57,7 +57,7 @@
     const spread = 1 + returnJitter * (2 * random - 1);
     const aheadMs = Math.max(0, waitMs - (call.targetAt - call.arrivedAt) / 2);
     const laterMs = 1 + rankReturnShare * urgency;
-    return this.bound(
+    return trimReturn(
       call,
       Math.max(minReturnMs, aheadMs + from - now) * laterMs * spread,
       now,
@@ -90,17 +90,18 @@
   drop(id: string): void {
     this.refused.delete(id);
   }
-
-  private bound(
-    call: WaitingCall,
-    returnMs: Milliseconds,
-    now: Milliseconds,
-  ): Milliseconds {
-    const leftMs = Math.max(0, call.deadlineAt - now);
-    return Math.min(
-      Math.max(returnMs, minReturnMs),
-      maxReturnMs,
-      leftMs * maxReturnShare,
-    );
-  }
 }
+
+/** Keeps a time to return within its bounds and the patience of the caller. */
+const trimReturn = (
+  call: WaitingCall,
+  returnMs: Milliseconds,
+  now: Milliseconds,
+): Milliseconds => {
+  const leftMs = Math.max(0, call.deadlineAt - now);
+  return Math.min(
+    Math.max(returnMs, minReturnMs),
+    maxReturnMs,
+    leftMs * maxReturnShare,
+  );
+};
--- a/packages/gateway/src/waiting/callPlaces.ts
+++ b/packages/gateway/src/waiting/callPlaces.ts
@@ -94,7 +94,8 @@
   }
 
   private createQueue(service: string): ServiceQueue {
-    const { timers, metrics, getRandom, postCompletion } = this.services;
+    const { services } = this;
+    const { timers, metrics, getRandom } = services;
     const calls = new CallQueue({
       limit: new AdaptiveConcurrency(),
       getWeight: () => 1,
@@ -103,7 +104,9 @@
     metrics.addQueue(service, calls);
     return new ServiceQueue(calls, {
       timers,
-      postCompletion,
+      postCompletion: run => {
+        services.postCompletion(run);
+      },
       observeWait: waitMs => {
         metrics.observeWait(service, waitMs);
       },
--- a/packages/gateway/tests/waitEmulator.ts
+++ b/packages/gateway/tests/waitEmulator.ts
@@ -219,7 +219,7 @@
     for (const call of lost.flatMap(server => [...server])) {
       call.server = undefined;
       call.place?.noteFailure(this.time.now);
-      this.route(call);
+      this.send(call);
     }
   }
 
@@ -261,7 +261,7 @@
       }
     });
     if (!this.load.isAdaptive) {
-      this.route(call);
+      this.send(call);
       return;
     }
     call.place = this.places[call.gateway]?.createPlace(
@@ -269,7 +269,7 @@
       () => `${call.account}/${call.id}`,
       {
         handleGranted: () => {
-          this.route(call);
+          this.send(call);
         },
         handleRefused: ({ returnMs }) => {
           this.refuse(call, returnMs);
@@ -296,14 +296,14 @@
       this.time.now,
     );
     if (decision === QueueDecision.Run) {
-      this.route(call);
+      this.send(call);
     } else if (decision && decision !== QueueDecision.Wait) {
       this.refuse(call, decision.returnMs);
     }
   }
 
   /** Sends the call to the server that runs least of two. */
-  private route(call: EmulatedCall): void {
+  private send(call: EmulatedCall): void {
     if (call.endedAt !== undefined) {
       return;
     }
@@ -311,7 +311,7 @@
     const [first, second] = [this.pickServer(), this.pickServer()];
     const server = (first?.size ?? 0) <= (second?.size ?? 0) ? first : second;
     if (!server || server.size >= slots) {
-      this.routeAgain(call);
+      this.deferSend(call);
       return;
     }
     call.wasSentInVain ||= now >= this.findEnd(call);
@@ -321,11 +321,11 @@
     call.place?.noteChain(true, now);
   }
 
-  private routeAgain(call: EmulatedCall): void {
+  private deferSend(call: EmulatedCall): void {
     const maxWaitMs = (call.targetAt - call.arrivedAt) * pollShare;
     if (this.time.now + pollMs - call.arrivedAt <= maxWaitMs) {
       this.time.schedule(pollMs, () => {
-        this.route(call);
+        this.send(call);
       });
     } else {
       this.refuse(call, firstReturnMs);
