--- a/packages/decisions/src/waiting/adaptiveConcurrency.ts
+++ b/packages/decisions/src/waiting/adaptiveConcurrency.ts
@@ -40,6 +40,9 @@
   unusedDecreaseFactor,
 } from './constants.js';
 
+/** Below this pressures do not differ; it is divided by. */
+const minPressure = 0.01;
+
 interface ObservedRun {
   readonly targets: RunTargets;
   hasEvent: boolean;
@@ -166,13 +169,13 @@
     const pressures = [
       ...this.ended,
       ...[...this.runs.values()]
-        .filter(({ isHeldUp }) => !isHeldUp)
+        .filter(run => !run.isHeldUp && isTelling(run, now))
         .map(run => measurePressure(run, now)),
     ].sort((a, b) => a - b);
     if (pressures.length > 0) {
       const at = Math.floor((1 - slowShare) * (pressures.length - 1));
       this.lastPressure = pressures[at] ?? 0;
-      this.update(this.lastPressure);
+      this.update(Math.max(minPressure, this.lastPressure));
     }
     this.startRound(now);
     return this.value !== before;
@@ -223,6 +226,10 @@
 const measurePressure = (run: ObservedRun, now: Milliseconds): number =>
   Math.max(run.pressure, measureWait(run, now));
 
+/** Whether the run shows how busy the servers are; one without an event does so only once it is slow. */
+const isTelling = (run: ObservedRun, now: Milliseconds): boolean =>
+  run.hasEvent || measurePressure(run, now) > targetPressure;
+
 /** The wait that goes on, as a share of what its route allows. */
 const measureWait = (
   { targets, hasEvent, waitsSince }: ObservedRun,
