End the runs of a call at its time limit, also in an overloaded gateway

Cause: the timer of the time limit waited behind all other events of the loop; the time that is left was written when a request was made, not when its connection was there; a whole answer that was checked at the time limit lifted the limit of the other one of two runs; a chain was repaired for a call that was over.

Change: a chart names the delays that end work, whose timers go before other events. A request is written when its connection is there, with the time that is left then, and not at all once its call is over. The time limit keeps only the run whose whole answer may still count. Repairs ask whether the call is over.

Which cause held the reported runs is not known.

--- a/packages/charts/src/chart.ts
+++ b/packages/charts/src/chart.ts
@@ -10,6 +10,8 @@
 export interface ChartTimer {
   /** Name of the delay, or milliseconds written as digits. */
   readonly delay: string;
+  /** Whether it ends work, so that it goes before other events. */
+  readonly isEnd: boolean;
   readonly event: number;
   /** Index of the state that owns the timer. */
   readonly owner: number;
--- a/packages/charts/src/chartDefinition.ts
+++ b/packages/charts/src/chartDefinition.ts
@@ -3,7 +3,8 @@
  *
  * A file holds states with `on`, `guard`, `actions`, `entry`, `exit`, `after`,
  * nested states and final states. `meta.events` declares every event, so that
- * a misspelt name is found when the file is loaded.
+ * a misspelt name is found when the file is loaded. `meta.endDelays` names the delays that end
+ * work: their timers go before other events, as the end of a caller does.
  */
 import { z } from 'zod';
 
@@ -65,7 +66,11 @@
   ...stateShape,
   id: z.string().min(1),
   initial: z.string().min(1),
-  meta: z.strictObject({ events: z.array(z.string().min(1)) }),
+  meta: z.strictObject({
+    events: z.array(z.string().min(1)),
+    /** Delays whose timers end work, and go before other events that wait. */
+    endDelays: z.array(z.string().min(1)).optional(),
+  }),
   states: z.record(z.string(), stateSchema),
 });
 
--- a/packages/charts/src/chartMachine.ts
+++ b/packages/charts/src/chartMachine.ts
@@ -48,6 +48,8 @@
   abstract schedule(
     delay: Milliseconds,
     callback: (now: Milliseconds) => void,
+    /** Whether it ends work, so that it goes before other events that wait. */
+    isEnd?: boolean,
   ): Disposable;
 }
 
@@ -238,10 +240,14 @@
     const delay = computeDelay
       ? computeDelay(this.context, now)
       : Number(timer.delay);
-    const handle = this.timers.schedule(delay, firedAt => {
-      this.handleEvent(timer.event, undefined, firedAt);
-      this.handlePending(firedAt);
-    });
+    const handle = this.timers.schedule(
+      delay,
+      firedAt => {
+        this.handleEvent(timer.event, undefined, firedAt);
+        this.handlePending(firedAt);
+      },
+      timer.isEnd,
+    );
     const list = this.timersByState.get(timer.owner) ?? [];
     this.timersByState.set(timer.owner, [...list, handle]);
   }
--- a/packages/charts/src/compileChart.ts
+++ b/packages/charts/src/compileChart.ts
@@ -107,6 +107,16 @@
         }
       }
     }
+    const unused = this.definition.meta.endDelays?.find(
+      delay => !this.delayNames.has(delay),
+    );
+    if (unused !== undefined) {
+      throw createChartError(
+        this.file,
+        '(meta)',
+        `delay "${unused}" of meta.endDelays is not used`,
+      );
+    }
   }
 
   private buildInitial(leaf: StateNode): CompiledTransition {
@@ -211,6 +221,7 @@
   private buildTimers(node: StateNode): ChartTimer[] {
     return Object.keys(node.definition.after ?? {}).map(delay => ({
       delay,
+      isEnd: this.definition.meta.endDelays?.includes(delay) ?? false,
       event: this.eventIndex.get(formatTimerEvent(delay, node)) ?? -1,
       owner: node.index,
     }));
--- a/packages/charts/tests/chartMachine.test.ts
+++ b/packages/charts/tests/chartMachine.test.ts
@@ -10,13 +10,18 @@
 } from '../src/index.js';
 
 class ManualTimers extends ChartTimers {
-  pending: { delay: number; callback: (now: number) => void }[] = [];
+  pending: {
+    delay: number;
+    callback: (now: number) => void;
+    isEnd: boolean;
+  }[] = [];
 
   override schedule(
     delay: number,
     callback: (now: number) => void,
+    isEnd = false,
   ): Disposable {
-    const timer = { delay, callback };
+    const timer = { delay, callback, isEnd };
     this.pending.push(timer);
     return {
       dispose: () => {
@@ -34,7 +39,7 @@
 const definition = {
   id: 'timed',
   initial: 'waiting',
-  meta: { events: ['GO', 'AGAIN'] },
+  meta: { events: ['GO', 'AGAIN'], endDelays: ['LIMIT'] },
   states: {
     waiting: {
       entry: 'sendAgain',
@@ -90,6 +95,14 @@
     expect(timers.pending).toEqual([]);
   });
 
+  // Guards against a time limit that waits behind other events of the loop.
+  it('tells which timers end work', () => {
+    const { timers } = createTimed();
+    expect(timers.pending.map(({ isEnd }) => isEnd)).toEqual([true]);
+    timers.pending[0]?.callback(40);
+    expect(timers.pending.map(({ isEnd }) => isEnd)).toEqual([false]);
+  });
+
   it('ignores events that the state does not name', () => {
     const { instance } = createTimed();
     instance.send({ type: 'GO' }, 1);
--- a/packages/charts/tests/compileChart.test.ts
+++ b/packages/charts/tests/compileChart.test.ts
@@ -42,6 +42,11 @@
       { meta: { events: [] } },
       'lamp.json: off: event "PRESS" is not declared',
     ],
+    [
+      'an end delay that no state uses',
+      { meta: { events: ['PRESS'], endDelays: ['LIMIT'] } },
+      'lamp.json: (meta): delay "LIMIT" of meta.endDelays is not used',
+    ],
     [
       'a missing target',
       { states: { ...base.states, off: { on: { PRESS: 'dim' } } } },
--- a/packages/gateway/src/attempt/attemptRepair.ts
+++ b/packages/gateway/src/attempt/attemptRepair.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { replaceStages, type ChainStage } from '@lycheetally/decisions';
 import { describeChainServers } from '../calls/chooseServers.js';
+import { findEndOfCall } from '../calls/repeatRules.js';
 import { maxChainRepairs } from '../constants.js';
 import type { AttemptEvent, GatewayAttempt } from './gatewayAttempt.js';
 import type { ChainUpdateAnswer } from '../ports.js';
@@ -68,6 +69,10 @@
   /** Sends the new chain to the first server; the attempt receives `REPAIRED` or `REPAIR_FAILED`. */
   request(now: Milliseconds): void {
     this.repairs += 1;
+    if (findEndOfCall(this.attempt.call, now)) {
+      this.finish('the call is over', 'REPAIR_FAILED');
+      return;
+    }
     const { lostServers } = this;
     const chain =
       this.chooseChain(lostServers, this.attempt.silence.proofSince, now) ??
@@ -83,7 +88,7 @@
     void services.control
       .updateChain({ address, requestId, chain })
       .then(result => {
-        if (repairs === this.repairs) {
+        if (repairs === this.repairs && !attempt.instance.isFinal) {
           this.receive(result);
         }
       });
--- a/packages/gateway/src/attempt/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -4,9 +4,14 @@
 import type { BackendRecord } from '@lycheetally/decisions';
 import { createBackendFault } from './attemptFaults.js';
 import type { BackendHead } from '../backendPort.js';
+import type { RawHeaders } from '../callFormat.js';
 import { chooseHedge } from '../calls/callHedge.js';
 import type { ChosenServers } from '../calls/chooseServers.js';
-import { mayMove, mayRunElsewhere } from '../calls/repeatRules.js';
+import {
+  findEndOfCall,
+  mayMove,
+  mayRunElsewhere,
+} from '../calls/repeatRules.js';
 import { checkStall } from './stallCheck.js';
 import { AttemptAnswer } from './attemptAnswer.js';
 import { AttemptBlame } from './attemptBlame.js';
@@ -106,7 +111,6 @@
     openExchange: (now: Milliseconds): void => {
       const { call, admitted, chosen } = this;
       const { record } = chosen.first;
-      const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
       this.servers.updateLoad(1);
       chosen.first.intake.noteSent(now);
       const needsNewConnection = call.sentTo.has(record.address);
@@ -116,7 +120,6 @@
         call.received.method,
         {
           serverId: record.serverId,
-          remainingMs,
           account: admitted.holder?.account,
           urgency: admitted.urgency,
           chain: chosen.chain,
@@ -129,6 +132,7 @@
         method: call.received.method,
         target: call.received.target,
         headers,
+        listTimedHeaders: () => this.listTimedHeaders(),
         body: call.received.body,
         needsRecentConnection: !admitted.isRepeatable,
         needsNewConnection,
@@ -232,6 +236,18 @@
       this.silence.computeCheckDelay(now),
   };
 
+  /** Returns the time that is left now; nothing once the call is over. */
+  private listTimedHeaders(): RawHeaders | undefined {
+    const { call, admitted } = this;
+    const { services } = call;
+    const now = services.getMoment().monotonic;
+    if (findEndOfCall(call, now)) {
+      return undefined;
+    }
+    const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
+    return services.format.writeRemainingTime(remainingMs);
+  }
+
   private report(
     type: 'ATTEMPT_NOT_RUN' | 'ATTEMPT_ERROR' | 'ATTEMPT_BROKEN',
     now: Milliseconds,
--- a/packages/gateway/src/backendPort.ts
+++ b/packages/gateway/src/backendPort.ts
@@ -8,6 +8,11 @@
   readonly method: string;
   readonly target: string;
   readonly headers: RawHeaders;
+  /**
+   * Returns the headers whose values are those of the moment at which the request is written, when
+   * its connection is there; undefined if it must not be written any more.
+   */
+  readonly listTimedHeaders: () => RawHeaders | undefined;
   readonly body: Buffer;
   /** Re-uses only connections that were in use recently, which the server is unlikely to have closed. */
   readonly needsRecentConnection: boolean;
--- a/packages/gateway/src/callFormat.ts
+++ b/packages/gateway/src/callFormat.ts
@@ -28,7 +28,6 @@
 /** Fields that the gateway adds to the caller's headers when it sends a request to a backend server. */
 export interface RequestFields {
   readonly serverId: string;
-  readonly remainingMs: Milliseconds;
   readonly account: string | undefined;
   readonly urgency: number;
   readonly chain: readonly ChainStage[];
@@ -70,5 +69,7 @@
     method: string,
     send: RequestFields,
   ): string[];
+  /** Returns the headers that tell a server how much longer the caller waits. */
+  abstract writeRemainingTime(remainingMs: Milliseconds): string[];
   abstract readResponse(status: number, headers: RawHeaders): ResponseFields;
 }
--- a/packages/gateway/src/calls/callActions.ts
+++ b/packages/gateway/src/calls/callActions.ts
@@ -14,9 +14,9 @@
 import {
   cancelAttempts,
   dropAttempt,
+  findWholeRun,
   hasLivingRun,
   keepEnded,
-  listAttempts,
   mayDrop,
   settleHedge,
 } from './callHedge.js';
@@ -370,6 +370,9 @@
       keepEnded: (call, event, now) => {
         keepEnded(call, event?.attempt, now);
       },
+      keepWhole: (call, _, now) => {
+        keepEnded(call, findWholeRun(call), now);
+      },
       setError,
       setSuspectError,
       noteRetry,
@@ -394,10 +397,7 @@
       mayWait: (call, _, now) => mayWait(call, now),
       isSuspectRefused: (call, _, now) => isSuspectRefused(call, now),
       hasStartedResponse: call => call.hasStartedResponse,
-      hasWholeAnswer: call =>
-        listAttempts(call).some(
-          ({ answer, instance }) => answer.hasEnded && !instance.isFinal,
-        ),
+      hasWholeAnswer: call => findWholeRun(call) !== undefined,
     },
     delays: {
       TIME_LIMIT: (call, now) => (call.admitted?.deadlineAt ?? now) - now,
--- a/packages/gateway/src/calls/callHedge.ts
+++ b/packages/gateway/src/calls/callHedge.ts
@@ -93,6 +93,18 @@
   }
 };
 
+/**
+ * Finds the run whose whole answer has come and waits to be handled; of two runs only one that
+ * may still answer the call.
+ */
+export const findWholeRun = (call: GatewayCall): GatewayAttempt | undefined =>
+  listAttempts(call).find(
+    attempt =>
+      attempt.answer.hasEnded &&
+      !attempt.instance.isFinal &&
+      (call.answeredBy ?? attempt) === attempt,
+  );
+
 /** Whether the other one of two runs answers the call, or gets its answer as far as is known. */
 export const hasLivingRun = (
   call: GatewayCall,
--- a/packages/gateway/src/httpBackend.ts
+++ b/packages/gateway/src/httpBackend.ts
@@ -26,7 +26,7 @@
   type BackendListener,
   type BackendRequest,
 } from './backendPort.js';
-import type { CallFormat, ResponseFields } from './callFormat.js';
+import type { CallFormat, RawHeaders, ResponseFields } from './callFormat.js';
 import { backendIdleMs, recentConnectionMs } from './constants.js';
 import { SafeReuseAgent, type ConnectionCounts } from './safeReuseAgent.js';
 
@@ -122,7 +122,7 @@
   private readonly disposables = new DisposableStore();
 
   constructor(
-    request: BackendRequest,
+    private readonly request: BackendRequest,
     private readonly listener: BackendListener,
     private readonly format: CallFormat,
     agent: Agent,
@@ -135,11 +135,16 @@
       port: Number(port),
       method: request.method,
       path: request.target,
-      headers: request.headers,
+      setHost: false,
       agent,
     });
     this.listen();
-    this.outgoing.end(request.body);
+    try {
+      this.addHeaders(request.headers);
+    } catch (thrown) {
+      this.close();
+      throw thrown;
+    }
   }
 
   override get connectionEnd(): ConnectionEnd {
@@ -183,18 +188,41 @@
     this.endWatch = this.disposables.add(new ConnectionEndWatch(socket));
     socket.setNoDelay(true);
     if (!socket.connecting) {
-      this.listener.handleConnected();
+      this.write();
       return;
     }
     this.counts.opened += 1;
     socket.setKeepAlive(true, keepAliveProbeMs);
     socket.once('connect', () => {
       if (!this.isFinished) {
-        this.listener.handleConnected();
+        this.write();
       }
     });
   }
 
+  /** Writes the request to its connection, if it is still wanted: the connection may have taken a while. */
+  private write(): void {
+    const timed = this.request.listTimedHeaders();
+    if (!timed) {
+      this.close();
+      this.listener.handleFailure({
+        reason: 'the call was over before its connection was there',
+        isClosedByServer: false,
+        isUnsendable: true,
+      });
+      return;
+    }
+    this.addHeaders(timed);
+    this.outgoing.end(this.request.body);
+    this.listener.handleConnected();
+  }
+
+  private addHeaders(headers: RawHeaders): void {
+    for (let at = 0; at + 1 < headers.length; at += 2) {
+      this.outgoing.appendHeader(headers[at] ?? '', headers[at + 1] ?? '');
+    }
+  }
+
   private handleResponse(incoming: IncomingMessage): void {
     if (this.isFinished) {
       incoming.destroy();
--- a/packages/gateway/tests/fakePorts.ts
+++ b/packages/gateway/tests/fakePorts.ts
@@ -193,6 +193,10 @@
     throw new Error('the response is read already');
   }
 
+  override writeRemainingTime(): string[] {
+    return [];
+  }
+
   override writeRequest(
     _call: CallFields,
     _method: string,
--- a/packages/gateway/tests/httpBackend.test.ts
+++ b/packages/gateway/tests/httpBackend.test.ts
@@ -21,6 +21,10 @@
     return [];
   }
 
+  override writeRemainingTime(): string[] {
+    return [];
+  }
+
   override readResponse(): ResponseFields {
     throw new Error('no response is read');
   }
@@ -70,6 +74,7 @@
     {
       ...request,
       method: 'GET',
+      listTimedHeaders: () => [],
       body: Buffer.alloc(0),
       needsRecentConnection: false,
       needsNewConnection: false,
--- a/packages/node/src/eventLoop.ts
+++ b/packages/node/src/eventLoop.ts
@@ -106,6 +106,7 @@
   override schedule(
     delay: Milliseconds,
     callback: (now: Milliseconds) => void,
+    isEnd = false,
   ): Disposable {
     let isActive = true;
     const timer = this.clock.schedule(delay, () => {
@@ -115,7 +116,12 @@
         }
       };
       const queuedAt = this.clock.getNow();
-      this.queue.add({ kind: 'timer', queuedAt, run });
+      const event = { kind: 'timer', queuedAt, run };
+      if (isEnd) {
+        this.queue.addEnd(event);
+      } else {
+        this.queue.add(event);
+      }
       this.scheduleTurn();
     });
     return {
--- a/packages/router/tests/loop.test.ts
+++ b/packages/router/tests/loop.test.ts
@@ -102,6 +102,17 @@
     expect(seen).toEqual(['end 1', 'event 1', 'end 2', 'event 2']);
   });
 
+  // Guards against a time limit that waits behind the work of others while runs go on.
+  it('takes a timer that ends work before what was posted earlier', () => {
+    const { loop, clock, seen } = createLoop();
+    loop.post('second', { value: 1 });
+    loop.schedule(0, () => seen.push('other timer'));
+    loop.schedule(0, () => seen.push('limit'), true);
+    clock.runTimers();
+    clock.runIteration();
+    expect(seen).toEqual(['limit', 'second 1', 'other timer']);
+  });
+
   // Guards against connections that wait in the queue of the listener for one turn each.
   it('leaves out turns while connections come, for a bounded time', () => {
     const { loop, clock, seen } = createLoop();
