Excuse calls for crashes, and leave out second runs, in trouble of the whole fleet

Cause: in a collapse 88 calls were suspected of crashing servers and their retries held back, and 140 second runs in a second made the overload worse.

Change: a crash about the time at which 5 servers and a third of the fleet are in trouble makes no suspect of a whole call, until it has the 3 crashes of a verdict; verdicts stay. No second run starts while 3 servers and more than half are silent or slow. Prompt parts are not excused: a trial of it led to wrong verdicts in crashEmulation.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -42,3 +42,4 @@
 export * from './balance/index.js';
 export * from './placement/index.js';
 export * from './suspects/index.js';
+export * from './trouble/index.js';
--- a/packages/decisions/src/suspects/blamePolicy.ts
+++ b/packages/decisions/src/suspects/blamePolicy.ts
@@ -4,6 +4,7 @@
  *
  * A suspect is a part of prompts or a whole call; each kind has a policy.
  */
+import type { FleetTrouble } from '../trouble/fleetTrouble.js';
 import type { Milliseconds, ValueOf } from '@lycheetally/common';
 
 /** How a suspect is regarded. */
@@ -55,6 +56,15 @@
     now: Milliseconds,
   ): Suspicion;
 
+  /** Lists the crashes that count against something without a verdict, which may be fewer in trouble of the whole fleet. */
+  listCounted<C extends RepeatedCrash>(
+    crashes: readonly C[],
+    // eslint-disable-next-line @typescript-eslint/no-unused-vars
+    _trouble: FleetTrouble,
+  ): readonly C[] {
+    return crashes;
+  }
+
   /** Whether an earlier verdict, also of another gateway, holds with this many crashes. */
   abstract mayHold(crashes: number): boolean;
 
--- a/packages/decisions/src/suspects/crashTimes.ts
+++ b/packages/decisions/src/suspects/crashTimes.ts
@@ -36,6 +36,13 @@
     return crashes;
   }
 
+  /** Lists the crashes from a time on. */
+  listSince(at: Milliseconds): string[] {
+    return [...this.times].flatMap(([crash, time]) =>
+      time >= at ? [crash] : [],
+    );
+  }
+
   /** Counts the crashes less than `withinMs` before or after a time. */
   count(at: Milliseconds, withinMs: Milliseconds): number {
     let crashes = 0;
--- a/packages/decisions/src/suspects/suspectVerdict.ts
+++ b/packages/decisions/src/suspects/suspectVerdict.ts
@@ -10,6 +10,7 @@
 import { crashMomentMs } from './crashSteps.js';
 import type { CrashTimes } from './crashTimes.js';
 import type { ServingTimes } from './servingTimes.js';
+import type { FleetTrouble } from '../trouble/fleetTrouble.js';
 import type { Sighting, SightingSet } from './sightingSet.js';
 
 /** A suspect with the crashes at which it was present. */
@@ -23,6 +24,8 @@
   readonly servings: ServingTimes;
   /** When its servers crashed. */
   readonly crashTimes: CrashTimes;
+  /** When much of its fleet was in trouble. */
+  readonly trouble?: FleetTrouble;
 }
 
 /** Judges a suspect by the crashes that no other suspect of the service explains better. */
@@ -44,7 +47,11 @@
         suspects.filter(({ sightings }) => sightings.has(crash)),
       ),
   );
-  return policy.decideSuspicion(unexplained, now);
+  const suspicion = policy.decideSuspicion(unexplained, now);
+  const { trouble } = history;
+  return suspicion === Suspicion.Suspected && trouble
+    ? policy.decideSuspicion(policy.listCounted(unexplained, trouble), now)
+    : suspicion;
 };
 
 const listCrashes = (
--- a/packages/decisions/src/suspects/unservedCall.ts
+++ b/packages/decisions/src/suspects/unservedCall.ts
@@ -8,6 +8,7 @@
  * comes again.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import type { FleetTrouble } from '../trouble/fleetTrouble.js';
 import {
   BlamePolicy,
   Suspicion,
@@ -63,6 +64,16 @@
       : Suspicion.Suspected;
   }
 
+  /** Trouble of the fleet explains a crash in it. All count once they are as many as a verdict needs, so that it comes no later. */
+  override listCounted<C extends RepeatedCrash>(
+    crashes: readonly C[],
+    trouble: FleetTrouble,
+  ): readonly C[] {
+    return this.mayHold(crashes.length)
+      ? crashes
+      : crashes.filter(({ at }) => !trouble.matches(at));
+  }
+
   override mayHold(crashes: number): boolean {
     return crashes >= this.thresholds.minCrashes;
   }
--- a/packages/decisions/src/suspects/unservedPart.ts
+++ b/packages/decisions/src/suspects/unservedPart.ts
@@ -54,6 +54,10 @@
   settleMs: 1_000,
 };
 
+/**
+ * Trouble of the whole fleet excuses no part: a call that is repeated in it adds crashes to the sound
+ * parts that it has in common with others, which led to wrong verdicts in emulated storms.
+ */
 export class UnservedPart extends BlamePolicy {
   override readonly lifetimeMs = sightingLifetimeMs;
   override readonly sendIntervalMs = suspectIntervalMs;
--- /dev/null
+++ b/packages/decisions/src/trouble/index.ts
@@ -0,0 +1,3 @@
+/** Decisions about trouble that much of a fleet shares. */
+export * from './fleetTrouble.js';
+export * from './sharedSilence.js';
--- a/packages/gateway/src/attempt/attemptSilence.ts
+++ b/packages/gateway/src/attempt/attemptSilence.ts
@@ -3,8 +3,10 @@
  * attempt up, and since when another server must have shown that it lives.
  */
 import type { Milliseconds } from '@lycheetally/common';
+import { isSilenceShared } from '@lycheetally/decisions';
 import {
   firstStallCheckMs,
+  lossSilenceMs,
   maxPatienceMs,
   maxStallCheckMs,
   plainStreamCheckMs,
@@ -106,6 +108,21 @@
     );
   }
 
+  /** Whether most servers are silent or slow at once, so that another run would only add to their load. */
+  isShared(now: Milliseconds): boolean {
+    const { call, admitted } = this.attempt;
+    const { total, troubled } = call.services.serverRegistry.describeTrouble(
+      admitted.service.name,
+      now,
+    );
+    return isSilenceShared({ total, troubled: troubled.length });
+  }
+
+  /** Whether it is as long as that of a server that counts as lost. */
+  isAsLongAsLoss(now: Milliseconds): boolean {
+    return this.measure(now) >= lossSilenceMs;
+  }
+
   /** Returns the id of the server that holds the attempt up: a plain one itself, the one where its chain stalled, or a silent one. */
   findSilentServer(): string | undefined {
     const { first, chain } = this.attempt.chosen;
--- a/packages/gateway/src/attempt/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -219,6 +219,7 @@
       return (
         !call.hedge &&
         !silence.isPatient(now) &&
+        (silence.isAsLongAsLoss(now) || !silence.isShared(now)) &&
         mayMove(call, admitted, silence.proof, now)
       );
     },
--- a/packages/gateway/src/calls/callHedge.ts
+++ b/packages/gateway/src/calls/callHedge.ts
@@ -16,7 +16,10 @@
   now: Milliseconds,
 ): ChosenServers | undefined => {
   const { call, admitted, servers, silence } = attempt;
-  if (!call.services.suspects.mayRunTwice(toTracedCall(call))) {
+  if (
+    silence.isShared(now) ||
+    !call.services.suspects.mayRunTwice(toTracedCall(call))
+  ) {
     return undefined;
   }
   const chosen = chooseAlive(call, admitted, silence.proof, now);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -102,6 +102,9 @@
 /** Time after which a silent server counts as lost; sound ones pause for a second or so. */
 export const lossSilenceMs = 2_000;
 
+/** How long a server counts as in trouble after a silence; the servers of an overloaded fleet fall silent in turn. */
+export const recentTroubleMs = 1_000;
+
 /** Time after which placement plans without a silent server; loading its layers elsewhere takes longer than a pause. */
 export const placementSilenceMs = 800;
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -497,6 +497,8 @@
       countMessage: isAnswered => {
         this.metrics.countSuspectMessage(isAnswered);
       },
+      describeFleet: (service, now) =>
+        this.servers.registry.describeTrouble(service, now),
     });
   }
 
--- a/packages/gateway/src/servers/server.ts
+++ b/packages/gateway/src/servers/server.ts
@@ -17,6 +17,7 @@
   firstSuspensionMs,
   heartbeatDelayMs,
   lossSilenceMs,
+  recentTroubleMs,
   maxConsecutiveErrors,
   maxSuspensionMs,
   reportTimeoutMs,
@@ -103,6 +104,11 @@
     return this.awaySince - reportTimeoutMs;
   }
 
+  /** Whether it gets no calls now, or was silent or slow until just now. */
+  isInTrouble(now: Milliseconds): boolean {
+    return !this.isAvailable || now - this.returnedAt < recentTroubleMs;
+  }
+
   /** Whether it has been silent for less than that. */
   isSilentForLess(silenceMs: Milliseconds, now: Milliseconds): boolean {
     return this.isSilent && now - this.awaySince < silenceMs;
--- a/packages/gateway/src/servers/serverRegistry.ts
+++ b/packages/gateway/src/servers/serverRegistry.ts
@@ -34,6 +34,13 @@
   handleReturn(server: Server, now: Milliseconds): void;
 }
 
+/** How many servers of a service are in trouble. */
+export interface ServiceTrouble {
+  readonly total: number;
+  /** Ids of those that are silent, failing, lost or just back. */
+  readonly troubled: readonly string[];
+}
+
 interface KnownServer {
   readonly server: Server;
   readonly listing: ServerListing;
@@ -133,6 +140,19 @@
     return this.list(({ record }) => record.service === service);
   }
 
+  /** The servers of the service, of a model those that hold layers, and the ones in trouble among them. */
+  describeTrouble(service: string, now: Milliseconds): ServiceTrouble {
+    const all = this.listAll(service);
+    const holding = all.filter(({ record }) => record.range !== undefined);
+    const serving = holding.length > 0 ? holding : all;
+    return {
+      total: serving.length,
+      troubled: serving
+        .filter(server => server.isInTrouble(now))
+        .map(({ record }) => record.serverId),
+    };
+  }
+
   apply(
     records: readonly TableRecord<BackendRecord>[],
     isComplete: boolean,
--- a/packages/gateway/src/suspects/crashSuspectTracker.ts
+++ b/packages/gateway/src/suspects/crashSuspectTracker.ts
@@ -67,6 +67,7 @@
   readonly policies: TraitPolicies;
   /** Spreads the trials of several gateways over time. */
   readonly gatewayId: string;
+  readonly describeFleet?: SuspectServices['describeFleet'];
 }
 
 export class CrashSuspectTracker extends SuspectTracker implements Disposable {
@@ -141,11 +142,15 @@
 
   override decideRepeat(call: TracedCall, now: Milliseconds): SuspectDecision {
     const requestId = trimId(call.requestId);
+    const service = this.getService(call.service);
     const forbidding = this.updateSuspicions(call, now).find(
       ({ trait, sightings, isBlamed, isSuspected }) => {
         const unblamed = isSuspected ? Suspicion.Suspected : Suspicion.None;
         const suspicion = isBlamed ? Suspicion.Blamed : unblamed;
-        const crashes = sightings.listLive();
+        const crashes = trait.policy.listCounted(
+          sightings.listLive(),
+          service.trouble,
+        );
         return !trait.policy.mayRepeat(suspicion, crashes, requestId);
       },
     );
@@ -385,6 +390,9 @@
   private updateSuspicions(call: TracedCall, now: Milliseconds): Suspect[] {
     const service = this.getService(call.service);
     const suspects = service.findAll(call);
+    if (suspects.length > 0) {
+      service.checkTrouble(now);
+    }
     const judged = suspects
       .filter(({ isBlamed }) => !isBlamed)
       .map(suspect => ({
--- a/packages/gateway/src/suspects/serviceSuspects.ts
+++ b/packages/gateway/src/suspects/serviceSuspects.ts
@@ -1,10 +1,12 @@
 /** The suspects of one service, within limits, and when it wrote answers and its servers crashed. */
 import {
   CrashTimes,
+  FleetTrouble,
   ServingTimes,
   decideSuspicion,
   maxRestartMs,
   sightingLifetimeMs,
+  troubleMomentMs,
   type ServiceHistory,
   type Suspicion,
 } from '@lycheetally/decisions';
@@ -21,6 +23,9 @@
 import { Suspect, type SuspectServices } from './suspect.js';
 import type { ServerRun, TracedCall } from './suspectTracker.js';
 
+/** Shortest time between two looks at the fleet, which has up to thousands of servers. */
+const troubleCheckMs = 50;
+
 /** Share of the suspects of one kind that is dropped to make room. */
 const droppedShare = 1 / 8;
 
@@ -31,6 +36,8 @@
   readonly answered = new AnsweredCalls();
   /** All crashes that are known, with whatever suspect. */
   readonly crashTimes = new CrashTimes(maxKnownCrashes);
+  readonly trouble = new FleetTrouble();
+  private troubleCheckedAt: Milliseconds = -Infinity;
   /** Supposed crashes of servers that accept connections. */
   private readonly accepting = new Set<string>();
   private readonly suspects = new Map<string, Suspect>();
@@ -83,6 +90,36 @@
     }
   }
 
+  /** Records whether much of the fleet is in trouble: its servers that are away, and those that broke calls lately. */
+  checkTrouble(now: Milliseconds): void {
+    if (now - this.troubleCheckedAt < troubleCheckMs) {
+      return;
+    }
+    this.troubleCheckedAt = now;
+    const fleet = this.services.describeFleet?.(this.service, now);
+    if (!fleet) {
+      return;
+    }
+    const broken = this.crashTimes
+      .listSince(now - troubleMomentMs)
+      .map(crash => crash.slice(0, crash.lastIndexOf('#')));
+    const troubled = new Set([...fleet.troubled, ...broken]).size;
+    const { total } = fleet;
+    if (this.trouble.note({ total, troubled }, now)) {
+      this.services.log.write(
+        'Much of a service is in trouble; losses in it count little against calls.',
+        {
+          service: this.service,
+          total,
+          troubled,
+          away: fleet.troubled.length,
+          broken: broken.length,
+        },
+        now,
+      );
+    }
+  }
+
   /** Judges a suspect by the crashes that no other one explains better. */
   decideSuspicion(suspect: Suspect, now: Milliseconds): Suspicion {
     const { policy } = suspect.trait;
--- a/packages/gateway/src/suspects/suspect.ts
+++ b/packages/gateway/src/suspects/suspect.ts
@@ -28,6 +28,7 @@
   trialWaitMs,
 } from '../constants.js';
 import type { CallTrait, TraitMessages, TraitPolicies } from './callTrait.js';
+import type { ServiceTrouble } from '../servers/serverRegistry.js';
 import type { SuspectLog } from './suspectLog.js';
 
 export interface SuspectEvent {
@@ -52,6 +53,8 @@
   readonly policies: TraitPolicies;
   readonly gatewayId: string;
   handleForgotten(suspect: Suspect): void;
+  /** Returns how many servers the service has, and the ids of those in trouble; without it no trouble is known. */
+  describeFleet?(service: string, now: Milliseconds): ServiceTrouble;
 }
 
 /** Names the states of the chart in which no call is sent. */
--- a/packages/gateway/src/suspects/suspects.ts
+++ b/packages/gateway/src/suspects/suspects.ts
@@ -18,6 +18,7 @@
 } from './crashSuspectTracker.js';
 import { SuspectExchange } from './suspectExchange.js';
 import { bindSuspectCharts } from './suspectExchangeCharts.js';
+import type { ServiceTrouble } from '../servers/serverRegistry.js';
 import { SuspectPage } from './suspectPage.js';
 import { SuspectReceiver } from './suspectReceiver.js';
 import { bindSuspectChart } from './suspect.js';
@@ -30,6 +31,8 @@
   listPeers(): readonly Address[];
   postCompletion(run: (now: Milliseconds) => void): void;
   countMessage(isAnswered: boolean): void;
+  /** Returns how many servers the service has, and the ids of those in trouble. */
+  describeFleet(service: string, now: Milliseconds): ServiceTrouble;
 }
 
 export class Suspects implements Disposable {
@@ -49,6 +52,7 @@
         log,
         policies: { part: new UnservedPart(), call: new UnservedCall() },
         gatewayId,
+        describeFleet: (service, now) => services.describeFleet(service, now),
       }),
     );
     this.tracker = new LearningTracker(
--- a/packages/gateway/tests/callCrashEmulator.ts
+++ b/packages/gateway/tests/callCrashEmulator.ts
@@ -150,7 +150,12 @@
   private createGateway(index: number, run: number): Gateway {
     const { time, scenario } = this;
     const id = `g${String(index)}.${String(run)}`;
-    const tracker = createTracker(time, id, undefined, scenario.policy);
+    const tracker = createTracker(time, id, undefined, scenario.policy, () => ({
+      total: this.servers.length,
+      troubled: this.servers
+        .filter(({ isUp }) => !isUp)
+        .map(({ serverId }) => serverId),
+    }));
     const gateway = { tracker, announced: 0, isAnnouncing: false };
     if (run > 0) {
       // A gateway that starts asks another one.
--- a/packages/gateway/tests/crashEmulator.ts
+++ b/packages/gateway/tests/crashEmulator.ts
@@ -15,6 +15,7 @@
   CrashSuspectTracker,
   TraitKind,
   bindSuspectChart,
+  type SuspectTrackerOptions,
   type TracedCall,
 } from '../src/index.js';
 
@@ -78,6 +79,7 @@
   gatewayId: string,
   policy: BlamePolicy = new UnservedPart(),
   callPolicy: BlamePolicy = new UnservedCall(),
+  describeFleet?: SuspectTrackerOptions['describeFleet'],
 ): CrashSuspectTracker =>
   new CrashSuspectTracker({
     machine,
@@ -85,6 +87,7 @@
     log: new SilentLog(),
     policies: { part: policy, call: callPolicy },
     gatewayId,
+    ...(describeFleet && { describeFleet }),
   });
 
 export interface Scenario {
@@ -194,7 +197,18 @@
       tracker.dispose();
     });
     this.trackers = Array.from({ length: scenario.gateways }, (_, index) =>
-      createTracker(time, `gateway-${String(index)}`, scenario.policy),
+      createTracker(
+        time,
+        `gateway-${String(index)}`,
+        scenario.policy,
+        undefined,
+        () => ({
+          total: this.servers.length,
+          troubled: this.servers.flatMap(({ isUp }, at) =>
+            isUp ? [] : [`s${String(at)}`],
+          ),
+        }),
+      ),
     );
     this.announced.length = 0;
   }
