--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -43,3 +43,4 @@
 export * from './callers/index.js';
 export * from './placement/index.js';
 export * from './suspects/index.js';
+export * from './trouble/index.js';
--- a/packages/gateway/src/calls/callHedge.ts
+++ b/packages/gateway/src/calls/callHedge.ts
@@ -16,7 +16,10 @@
   now: Milliseconds,
 ): ChosenServers | undefined => {
   const { call, admitted, servers, silence } = attempt;
-  if (!call.services.suspects.mayRunTwice(toTracedCall(call))) {
+  if (
+    silence.isShared(now) ||
+    !call.services.suspects.mayRunTwice(toTracedCall(call))
+  ) {
     return undefined;
   }
   const chosen = chooseAlive(call, admitted, silence.proof, now);
@@ -93,6 +96,18 @@
   }
 };
 
+/**
+ * Finds the run whose whole answer has come and waits to be handled; of two runs only one that
+ * may still answer the call.
+ */
+export const findWholeRun = (call: GatewayCall): GatewayAttempt | undefined =>
+  listAttempts(call).find(
+    attempt =>
+      attempt.answer.hasEnded &&
+      !attempt.instance.isFinal &&
+      (call.answeredBy ?? attempt) === attempt,
+  );
+
 /** Whether the other one of two runs answers the call, or gets its answer as far as is known. */
 export const hasLivingRun = (
   call: GatewayCall,
--- a/packages/gateway/src/servers/server.ts
+++ b/packages/gateway/src/servers/server.ts
@@ -21,6 +21,7 @@
   firstSuspensionMs,
   heartbeatDelayMs,
   lossSilenceMs,
+  recentTroubleMs,
   maxConsecutiveErrors,
   maxSuspensionMs,
   reportTimeoutMs,
@@ -111,6 +112,11 @@
     return this.awaySince - reportTimeoutMs;
   }
 
+  /** Whether it gets no calls now, or was silent or slow until just now. */
+  isInTrouble(now: Milliseconds): boolean {
+    return !this.isAvailable || now - this.returnedAt < recentTroubleMs;
+  }
+
   /** Whether it has been silent for less than that. */
   isSilentForLess(silenceMs: Milliseconds, now: Milliseconds): boolean {
     return this.isSilent && now - this.awaySince < silenceMs;
