--- a/packages/gateway/src/attempt/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -5,12 +5,13 @@
 import { createBackendFault } from './attemptFaults.js';
 import type { BackendHead } from '../backendPort.js';
 import { chooseHedge } from '../calls/callHedge.js';
-import type { ChosenServers } from '../calls/chooseServers.js';
+import { noteBalanced, type ChosenServers } from '../calls/chooseServers.js';
 import { mayMove, mayRunElsewhere } from '../calls/repeatRules.js';
 import { checkStall } from './stallCheck.js';
 import { AttemptAnswer } from './attemptAnswer.js';
 import { AttemptBlame } from './attemptBlame.js';
 import { EndCheck } from './endCheck.js';
+import { AttemptPace } from './attemptPace.js';
 import { AttemptProgress } from './attemptProgress.js';
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
@@ -63,6 +64,7 @@
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
+  readonly pace = new AttemptPace(this);
   readonly progress: AttemptProgress;
   readonly silence: AttemptSilence;
   readonly times: AttemptTimes;
@@ -108,6 +110,7 @@
       const { record } = chosen.first;
       const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
       this.servers.updateLoad(1);
+      noteBalanced(call, admitted, chosen, now);
       chosen.first.intake.noteSent(now);
       const needsNewConnection = call.sentTo.has(record.address);
       call.sentTo.add(record.address);
@@ -139,6 +142,7 @@
     },
     releaseLoad: (): void => {
       this.servers.updateLoad(-1);
+      this.call.services.balance.noteEnded();
       this.call.services.bufferMemory.release(this);
     },
     noteConnectionRefused: (
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -17,7 +17,6 @@
   type Result,
 } from '@lycheetally/common';
 import {
-  CheapestChain,
   LargestFirstMemory,
   NewestWhenLate,
   Outcome,
@@ -27,9 +26,16 @@
   createPlacement,
   isFreshEnough,
   type GatewayConfiguration,
+  type InFlight,
   type Moment,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import { CheapestBalance, type CallBalance } from './balance/callBalance.js';
+import { LoadExchange } from './balance/loadExchange.js';
+import { formatServerKey } from './balance/loadMessage.js';
+import { HttpLoadReports } from './balance/loadPorts.js';
+import { LoadReceiver } from './balance/loadReceiver.js';
+import { SpreadBalance } from './balance/spreadBalance.js';
 import { bindCallChart, type CallMachine } from './calls/callActions.js';
 import type { CallFormat } from './callFormat.js';
 import { CallIntake, type QueuedCall } from './calls/callIntake.js';
@@ -48,8 +54,13 @@
 import { GatewayCall, type CallServices } from './calls/gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import type { Server } from './servers/server.js';
 import { GatewayServers } from './servers/gatewayServers.js';
-import type { GatewaySettings } from './gatewaySettings.js';
+import {
+  ChainChoice,
+  Switch,
+  type GatewaySettings,
+} from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './callers/httpCaller.js';
 import { HttpFrontend, type CallHandler } from './callers/httpFrontend.js';
@@ -98,6 +109,7 @@
   private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
+  private readonly loadExchange: LoadExchange | undefined;
   private readonly suspects: Suspects;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
@@ -135,6 +147,7 @@
     });
     this.servers = this.createServers();
     this.suspects = this.createSuspects();
+    this.loadExchange = this.createLoadExchange();
     this.news = this.createNews();
     this.placer = this.createPlacer(startedAt);
     this.servers.lossHandler.serverLost.subscribe(now => {
@@ -178,6 +191,7 @@
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
+      loadExchange: this.loadExchange,
       suspects: this.suspects,
     });
   }
@@ -215,6 +229,7 @@
     this.post(now => {
       if (!this.hasStopped) {
         this.news.start(now);
+        this.loadExchange?.start(now);
         this.suspects.start(now);
         if (!this.settings.listen.gateways) {
           this.suspects.notePeersRead(now);
@@ -293,6 +308,7 @@
     this.pages.dispose();
     this.backend.dispose();
     this.servers.dispose();
+    this.loadExchange?.dispose();
     this.news.dispose();
     this.suspects.dispose();
     this.placer.dispose();
@@ -463,6 +479,8 @@
   }
 
   private createNews(): GatewayNews {
+    const loadReceiver =
+      this.loadExchange && this.createLoadReceiver(this.loadExchange);
     return new GatewayNews(this.settings, this.ports, {
       timers: this.loop,
       loggers: this.loggers,
@@ -479,6 +497,11 @@
       receiveParts: (incoming, response) => {
         this.suspects.receive(incoming, response);
       },
+      receiveLoad:
+        loadReceiver &&
+        ((incoming, response) => {
+          loadReceiver.receive(incoming, response);
+        }),
       applyConfigurations: (records, isComplete, now) => {
         this.noteStored(records, isComplete);
         this.applyConfigurations(records, now);
@@ -552,6 +575,61 @@
     );
   }
 
+  /** Load reports, if they are switched on and other gateways can reach this one. */
+  private createLoadExchange(): LoadExchange | undefined {
+    const { balance, listen, process } = this.settings;
+    if (balance?.loadReports !== Switch.On || !listen.gateways) {
+      return undefined;
+    }
+    const { registry } = this.servers;
+    return new LoadExchange({
+      timers: this.loop,
+      log: this.loggers.createLogger(LogComponent.Servers),
+      port: new HttpLoadReports(),
+      ownId: process.id,
+      failureDomain: process.failureDomain,
+      incarnation: this.getMoment().wallClock,
+      chooseRelay: () => this.news.chooseRelay(),
+      listRelaysElsewhere: () => this.news.listRelaysElsewhere(),
+      listFlights: () =>
+        new Map(
+          registry
+            .listInUse()
+            .map(server => [formatKey(server), getFlight(server)]),
+        ),
+      postCompletion: run => {
+        this.post(run);
+      },
+    });
+  }
+
+  private createLoadReceiver(exchange: LoadExchange): LoadReceiver {
+    return new LoadReceiver({
+      log: this.loggers.createLogger(LogComponent.Servers),
+      postCompletion: run => {
+        this.post(run);
+      },
+      receiveReport: (report, now) => exchange.receiveReport(report, now),
+    });
+  }
+
+  private createBalance(): CallBalance {
+    const { registry } = this.servers;
+    const { balance, process } = this.settings;
+    return balance?.chains === ChainChoice.Sampled
+      ? new SpreadBalance({
+          ownId: process.id,
+          counts: registry,
+          findServer: serverId => registry.find(serverId),
+          findOthers: server =>
+            this.loadExchange?.findOthers(formatKey(server)),
+          handleChanged: () => {
+            this.loadExchange?.noteChanged();
+          },
+        })
+      : new CheapestBalance(registry);
+  }
+
   private createCallServices(): CallServices {
     const { rules, process } = this.settings;
     return {
@@ -561,7 +639,7 @@
       format: this.ports.format,
       backend: this.backend,
       control: this.ports.control,
-      chainPolicy: new CheapestChain(),
+      balance: this.createBalance(),
       retryPolicy: this.retryBudget,
       serverRegistry: this.servers.registry,
       attemptMachine: getOrThrow(bindAttemptChart()),
@@ -691,6 +769,14 @@
   }
 }
 
+const formatKey = ({ record }: Server): string =>
+  formatServerKey(record.service, record.serverId);
+
+const getFlight = ({ calls, layerTokens }: Server): InFlight => ({
+  calls,
+  layerTokens,
+});
+
 /** Cancels calls for the drain timeout. */
 const cancelCalls = (
   calls: readonly GatewayCall[],
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,8 +1,17 @@
 /** The settings of a gateway, as its INI file names them. */
 import { z } from 'zod';
-import { addressSchema } from '@lycheetally/common';
+import { addressSchema, type ValueOf } from '@lycheetally/common';
 import { RepairMode } from '@lycheetally/decisions';
 
+/** How chains are chosen. */
+export const ChainChoice = {
+  Cheapest: 'cheapest',
+  Sampled: 'sampled',
+} as const;
+export type ChainChoice = ValueOf<typeof ChainChoice>;
+
+const Switch = { Off: 'off', On: 'on' } as const;
+
 const positive = z.coerce.number().positive();
 
 export const gatewaySettingsSchema = z.object({
@@ -43,6 +52,7 @@
         ),
     })
     .optional(),
+<<<<<<< HEAD
   placement: z
     .object({
       repair: z
@@ -50,6 +60,21 @@
         .default(RepairMode.Continuous)
         .describe(
           'Whether a loss of servers is answered by one plan that is kept until it is done, or by a new plan at each interval',
+=======
+  balance: z
+    .object({
+      chains: z
+        .enum(ChainChoice)
+        .default(ChainChoice.Cheapest)
+        .describe(
+          'Which chain of servers runs a call: the cheapest one, or one of a few sampled by free room',
+        ),
+      loadReports: z
+        .enum(Switch)
+        .default(Switch.Off)
+        .describe(
+          'Whether gateways report to one another what they have in flight; needs `gateways` in `[listen]`, and counts for sampled chains only',
+>>>>>>> balance
         ),
     })
     .optional(),
