--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -10,7 +10,7 @@
 } as const;
 export type ChainChoice = ValueOf<typeof ChainChoice>;
 
-const Switch = { Off: 'off', On: 'on' } as const;
+export const Switch = { Off: 'off', On: 'on' } as const;
 
 const positive = z.coerce.number().positive();
 
@@ -52,7 +52,6 @@
         ),
     })
     .optional(),
-<<<<<<< HEAD
   placement: z
     .object({
       repair: z
@@ -60,7 +59,9 @@
         .default(RepairMode.Continuous)
         .describe(
           'Whether a loss of servers is answered by one plan that is kept until it is done, or by a new plan at each interval',
-=======
+        ),
+    })
+    .optional(),
   balance: z
     .object({
       chains: z
@@ -74,7 +75,6 @@
         .default(Switch.Off)
         .describe(
           'Whether gateways report to one another what they have in flight; needs `gateways` in `[listen]`, and counts for sampled chains only',
->>>>>>> balance
         ),
     })
     .optional(),
