Slow down the joins of a member that only its leaves are answered

Each answered leave set the count of failures back, so a gateway whose joins were refused while its leaves were answered began its fast retries over and over: 117 calls to the group in 10 s on an emulated store, where a gateway in normal operation sends 10. After the second answered leave without an answered join, joins are now repeated at the interval of renewals; the test bounds the calls at three a second.

--- a/packages/gateway/src/placement/constants.ts
+++ b/packages/gateway/src/placement/constants.ts
@@ -6,6 +6,9 @@
 /** Failures in a row after which calls to the group are repeated only at the interval of renewals; each costs the store a call. */
 export const maxFastRetries = 2;
 
+/** Answered leaves since the last answered join after which joins are repeated only at the interval of renewals; a store that refuses joins but answers leaves would get 12 calls a second otherwise. */
+export const maxFastLeaves = 1;
+
 /** Joins in a row that may fail before a member without a lease leaves; a single one may meet a short pause of the store. */
 export const maxFailedJoins = 2;
 
--- a/packages/gateway/src/placement/groupMember.ts
+++ b/packages/gateway/src/placement/groupMember.ts
@@ -30,6 +30,7 @@
   leaseHandoverMs,
   leaseRetryDelayMs,
   maxFailedJoins,
+  maxFastLeaves,
   maxFastRetries,
 } from './constants.js';
 
@@ -53,6 +54,8 @@
   fencingToken = 0;
   private leaseExpiresAt: Milliseconds = -Infinity;
   private failures = 0;
+  /** Leaves that the store answered since its last answer to a join. */
+  private leaves = 0;
   /** Number of grants that ended; a join that was sent before such an end grants nothing. */
   private endedGrants = 0;
   private lastRequest: Promise<void> = Promise.resolve();
@@ -131,7 +134,7 @@
   };
 
   computeRetryDelay(): Milliseconds {
-    return this.failures <= maxFastRetries
+    return this.failures <= maxFastRetries && this.leaves <= maxFastLeaves
       ? leaseRetryDelayMs
       : leaseRenewIntervalMs;
   }
@@ -147,6 +150,7 @@
     now: Milliseconds,
   ): void {
     this.failures = 0;
+    this.leaves = 0;
     this.services.setShare(share, now);
     this.fencingToken = fencingToken;
     this.leaseExpiresAt = isLeader ? sentAt + leaderLeaseMs : -Infinity;
@@ -170,6 +174,7 @@
   private receiveLeave(result: Result<void>, now: Milliseconds): void {
     const { failures } = this;
     this.failures += result.err ? 1 : -failures;
+    this.leaves += result.err ? 0 : 1;
     const type = result.err ? 'UNANSWERED' : 'LEFT';
     if (this.chart.send({ type }, now) && type === 'LEFT') {
       this.services.log.info(
--- a/packages/gateway/tests/leaderHandover.test.ts
+++ b/packages/gateway/tests/leaderHandover.test.ts
@@ -5,19 +5,24 @@
  */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { Err, type Milliseconds, type Result } from '@lycheetally/common';
+import { Err, Ok, type Milliseconds, type Result } from '@lycheetally/common';
 import { ReplicaPerDomain } from '@lycheetally/decisions';
 import { leaderLeaseMs } from '../src/constants.js';
 import type { LayerPlacer } from '../src/placement/layerPlacer.js';
 import { ContinuousOrders } from '../src/placement/orderRules.js';
-import { ServerControlPort } from '../src/ports.js';
+import { LeaderElectionPort, ServerControlPort } from '../src/ports.js';
 import {
   EmulatedElection,
   EmulatedGroup,
   StoreAccess,
 } from './emulatedGroup.js';
 import { ManualTimers } from './manualTimers.js';
-import { createPlacer, unavailable } from './placerFixture.js';
+import {
+  advanceTo,
+  createPlacer,
+  unavailable,
+  type FixtureServices,
+} from './placerFixture.js';
 
 const gateways = 25;
 const stepMs = 5;
@@ -110,16 +115,20 @@
 ): Member => {
   const election = new EmulatedElection(group, id);
   const { placer } = createPlacer(timers, {
+    ...memberServices,
     leaderElection: election,
-    control: new UnusedControl(),
-    placement: new ReplicaPerDomain(),
-    orderRules: new ContinuousOrders(),
-    lossHandler: { checkServer: () => undefined },
-    listServices: () => [],
   });
   return { placer, election };
 };
 
+const memberServices: Omit<FixtureServices, 'leaderElection'> = {
+  control: new UnusedControl(),
+  placement: new ReplicaPerDomain(),
+  orderRules: new ContinuousOrders(),
+  lossHandler: { checkServer: () => undefined },
+  listServices: () => [],
+};
+
 /** Runs until the store turns the gateways away, while it does, and until all are back. */
 const runRefusals = async (
   phases: readonly Milliseconds[],
@@ -237,6 +246,39 @@
   });
 });
 
+/** A store that refuses joins, as while its group is overloaded, and answers leaves. */
+class JoinlessElection extends LeaderElectionPort {
+  calls = 0;
+
+  override join(): Promise<Result<never>> {
+    this.calls += 1;
+    return Promise.resolve(Err(unavailable));
+  }
+
+  override leave(): Promise<Result<void>> {
+    this.calls += 1;
+    return Promise.resolve(Ok(undefined));
+  }
+}
+
+describe('a store that refuses joins and answers leaves', () => {
+  // Guards against leaves whose answers start the fast retries over and over.
+  it('gets no more than two joins and a leave in an interval of renewals, after the first ones', async () => {
+    const timers = new ManualTimers();
+    const election = new JoinlessElection();
+    const { placer } = createPlacer(timers, {
+      ...memberServices,
+      leaderElection: election,
+    });
+    placer.start(0);
+    await advanceTo(timers, 2_000);
+    const before = election.calls;
+    await advanceTo(timers, 12_000);
+    placer.dispose();
+    expect(election.calls - before).toBeLessThanOrEqual(10 * 3);
+  });
+});
+
 describe('a leader whose store answers', () => {
   it('costs each gateway no more than a call to the group a second', async () => {
     const fleet = new EmulatedFleet(createPhases(0));
