Stop repeats and probes of orders once the lease is gone

With repair=committed, a gateway that lost its lease while it asked a server for its report took that for an order without an answer: it had the server probed six times in 4 s and asked it again each 0.7 s, beside the next leader. The same happened to orders that had got no answer before, and after the placer was disposed. An order is now repeated, and its server probed, only under a lease, and disposing the placer disposes its orders. The three tests failed before. Nothing changes with repair=continuous, which neither repeats nor probes.

--- a/packages/gateway/src/placement/layerOrder.ts
+++ b/packages/gateway/src/placement/layerOrder.ts
@@ -110,12 +110,17 @@
     this.chart.start(now);
   }
 
+  dispose(): void {
+    this.chart.dispose();
+  }
+
   get loadTimeoutMs(): Milliseconds {
     return this.owner.rules.loadTimeoutMs;
   }
 
   mayRepeat(now: Milliseconds): boolean {
-    return this.owner.rules.mayRepeat(now - this.startedAt);
+    const { owner, startedAt } = this;
+    return owner.mayOrder(now) && owner.rules.mayRepeat(now - startedAt);
   }
 
   computeCooldown(): Milliseconds {
@@ -222,7 +227,8 @@
       backoff.noteRefusal(this.server);
     } else if (type === 'ACCEPTED') {
       backoff.clear(this.server);
-    } else {
+    } else if (this.owner.mayOrder(now)) {
+      // Without the lease the order was not sent, or is no longer repeated; the next leader probes.
       this.owner.handleUnanswered(now);
     }
   }
--- a/packages/gateway/src/placement/layerPlacer.ts
+++ b/packages/gateway/src/placement/layerPlacer.ts
@@ -106,6 +106,9 @@
   dispose(): void {
     this.member.dispose();
     this.chart.dispose();
+    for (const order of this.pendingOrders.values()) {
+      order.dispose();
+    }
   }
 
   readonly chartActions = {
--- a/packages/gateway/tests/committedOrders.test.ts
+++ b/packages/gateway/tests/committedOrders.test.ts
@@ -91,6 +91,7 @@
   report: Result<ServerReport> = Ok({ orders: 0, isBusy: false, stalled: [] });
   answer: Result<OrderAnswer> = Ok({ refusal: undefined, detail: '' });
   reports = 0;
+  whenAsked: () => void = () => undefined;
 
   override placeLayers(order: PlacementOrder): Promise<Result<OrderAnswer>> {
     this.orders.push(order);
@@ -99,6 +100,7 @@
 
   override readReport(): Promise<Result<ServerReport>> {
     this.reports += 1;
+    this.whenAsked();
     return Promise.resolve(this.report);
   }
 
@@ -156,6 +158,14 @@
     this.fixture.placer.noteLoss(this.timers.now);
   }
 
+  resign(): void {
+    this.fixture.placer.resign(this.timers.now);
+  }
+
+  dispose(): void {
+    this.fixture.placer.dispose();
+  }
+
   async runTo(until: Milliseconds): Promise<void> {
     await advanceTo(this.timers, until);
   }
@@ -212,6 +222,49 @@
   });
 });
 
+describe('a gateway that loses its lease while a server is asked for its report', () => {
+  const loseLease = async (): Promise<Scenario> => {
+    const scenario = new Scenario(new CommittedOrders());
+    scenario.control.whenAsked = () => {
+      scenario.resign();
+    };
+    await scenario.runTo(5_000);
+    return scenario;
+  };
+
+  // Guards against a server under suspicion that answered, and against questions by a gateway that no longer places layers.
+  it('sends no order, has no server probed, and asks no more', async () => {
+    const { control, checked } = await loseLease();
+    expect(control.orders).toEqual([]);
+    expect(checked).toEqual([]);
+    expect(control.reports).toBe(1);
+  });
+});
+
+describe('a gateway that stops placing layers after an order without an answer', () => {
+  // Guards against questions and probes that go on for 4 s beside those of the next leader.
+  it('asks the server no more', async () => {
+    const scenario = new Scenario(new CommittedOrders());
+    scenario.control.answer = Err(unavailable);
+    await scenario.runTo(100);
+    const { reports } = scenario.control;
+    expect(reports).toBe(1);
+    scenario.resign();
+    await scenario.runTo(6_000);
+    expect(scenario.control.reports).toBe(reports);
+  });
+
+  // Guards against timers of orders that outlive the gateway.
+  it('leaves no timer behind once it is disposed', async () => {
+    const scenario = new Scenario(new CommittedOrders());
+    scenario.control.answer = Err(unavailable);
+    await scenario.runTo(100);
+    scenario.dispose();
+    await scenario.runTo(6_000);
+    expect(scenario.control.reports).toBe(1);
+  });
+});
+
 describe('a server that drains for 10 s before it loads', () => {
   it('gets no other order meanwhile', async () => {
     const scenario = new Scenario(new CommittedOrders());
