Keep faulty load messages from ending the process or spoiling sums

An answer to a load report with a further value nested 50,000 deep was read, but its size was measured by encoding it again, which exceeded the stack; the rejection had no handler, which ends the process, and the reports ended with it. The size is now that of the values that count, and an exchange that fails in any way is logged and followed by others. Sums of the largest figures that a message may hold had more digits than a message may hold, so one faulty gateway made the sums of its relay unreadable for all others; they are now cut off.

--- a/packages/gateway/src/balance/loadExchange.ts
+++ b/packages/gateway/src/balance/loadExchange.ts
@@ -18,6 +18,7 @@
   DisposableStore,
   getOrThrow,
   millisecondsPerSecond,
+  toMessage,
   type ComponentLogger,
   type Milliseconds,
   type Result,
@@ -165,11 +166,17 @@
       const exchange = relay
         ? this.reportToRelay(relay, now)
         : this.exchangeDomains(now);
-      void exchange.then(() => {
-        this.services.postCompletion(endedAt => {
-          this.reportChart.send({ type: 'EXCHANGED' }, endedAt);
+      void exchange
+        .catch((thrown: unknown) => {
+          this.services.log.error('An exchange of load reports failed.', {
+            reason: toMessage(thrown),
+          });
+        })
+        .then(() => {
+          this.services.postCompletion(endedAt => {
+            this.reportChart.send({ type: 'EXCHANGED' }, endedAt);
+          });
         });
-      });
     },
     hasChanged: (): boolean => this.hasNews,
     /** The pause that keeps the bytes per second to each other gateway within the bound. */
--- a/packages/gateway/src/balance/loadMessage.ts
+++ b/packages/gateway/src/balance/loadMessage.ts
@@ -27,6 +27,9 @@
 /** Above any real figure, so that a faulty message can't make sums infinite. */
 const maxFigure = 1e9;
 
+/** The most that the nine digits of a figure of a server hold; sums of faulty figures are cut off there, so that they can be read. */
+const maxFlightFigure = 999_999_999;
+
 const flightsSchema = z
   .string()
   .max(maxFlights * maxEntryLength)
@@ -49,11 +52,14 @@
 export const formatServerKey = (service: string, serverId: string): string =>
   hashText(`${service} ${serverId}`).toString(radix);
 
+const formatFigure = (figure: number): string =>
+  String(Math.min(maxFlightFigure, figure));
+
 const formatFlights = (flights: Flights): string =>
   [...trimFlights(flights)]
     .map(([server, { calls, layerTokens }]) => {
       const units = Math.round(layerTokens / layerTokenUnit);
-      return `${server},${String(calls)},${String(units)};`;
+      return `${server},${formatFigure(calls)},${formatFigure(units)};`;
     })
     .join('');
 
@@ -71,7 +77,7 @@
 
 export const encodeSum = ({ gateways, ageMs, flights }: FlightSum): string =>
   JSON.stringify({
-    gateways,
+    gateways: Math.min(maxFigure, gateways),
     ageMs: Math.round(ageMs),
     flights: formatFlights(flights),
   });
@@ -79,6 +85,7 @@
 export const encodeReport = (report: FlightReport): string =>
   JSON.stringify({
     ...report,
+    gateways: Math.min(maxFigure, report.gateways),
     ageMs: Math.round(report.ageMs),
     flights: formatFlights(report.flights),
   });
@@ -96,7 +103,8 @@
         gateways: parsed.data.gateways,
         ageMs: parsed.data.ageMs,
         flights: parseFlights(parsed.data.flights),
-        bytes: JSON.stringify(json).length,
+        // Not of `json`: other values in it may be nested deeper than the stack.
+        bytes: JSON.stringify(parsed.data).length,
       }
     : undefined;
 };
--- a/packages/gateway/tests/loadExchange.test.ts
+++ b/packages/gateway/tests/loadExchange.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { LogComponent, type Address } from '@lycheetally/common';
 import {
+  FlightBoard,
   estimateServerLoad,
   type FlightReport,
   type Flights,
@@ -213,4 +214,49 @@
     const json: unknown = JSON.parse(encodeReport(report));
     expect(decodeReport({ ...(json as object), ...change })).toBeUndefined();
   });
+
+  // Guards against a faulty message of one gateway that makes the sums of its relay unreadable for all others.
+  it('with the largest figures leaves the sums readable', () => {
+    const board = new FlightBoard();
+    for (const sender of ['g-1', 'g-2']) {
+      const text = JSON.stringify({
+        ...report,
+        sender,
+        gateways: 1e9,
+        flights: 'x,999999999,999999999;',
+      });
+      const decoded = decodeReport(JSON.parse(text));
+      expect(decoded && board.accept(decoded, 0)).toBe(true);
+    }
+    const sum = board.computeSum(undefined, 0);
+    expect(decodeSum(JSON.parse(encodeSum(sum)))?.flights.size).toBe(1);
+    const told = encodeReport({ ...report, ...sum });
+    expect(decodeReport(JSON.parse(told))?.flights.size).toBe(1);
+  });
 });
+
+describe('an answer to a load report', () => {
+  // Guards against an exception that nothing handles, which ends the process.
+  it('is read even if it holds other values, nested however deep', () => {
+    const depth = 50_000;
+    const nested = '['.repeat(depth) + ']'.repeat(depth);
+    const text = `{"gateways":1,"ageMs":0,"flights":"","x":${nested}}`;
+    expect(decodeSum(JSON.parse(text))).toMatchObject({ gateways: 1 });
+  });
+});
+
+describe('an exchange of load reports that fails unexpectedly', () => {
+  // Guards against a rejection that nothing handles, and against reports that end with it.
+  it('is logged and followed by others', async () => {
+    const fleet = new FailingFleet(4);
+    await fleet.run(3_000);
+    expect(fleet.messages).toBeGreaterThan(8);
+  });
+});
+
+class FailingFleet extends EmulatedFleet {
+  override send(): Promise<ReceivedSum | undefined> {
+    this.messages += 1;
+    return Promise.reject(new Error('unexpected'));
+  }
+}
