Prefer the newer of two reports for a failure domain

Of two reports that covered as many gateways, the one that was kept first counted, for up to 2 s after newer figures had come from the other relay or in an answer. The test failed before.

--- a/packages/decisions/src/balance/flightBoard.ts
+++ b/packages/decisions/src/balance/flightBoard.ts
@@ -56,7 +56,7 @@
     return true;
   }
 
-  /** Sums the recent reports of all gateways but one; of several for the same domain, the one that covers most counts. */
+  /** Sums the recent reports of all gateways but one; of several for the same domain, the one that covers most counts, and the newest one of those. */
   computeSum(without: string | undefined, now: Milliseconds): FlightSum {
     const counted = new Map<string, FlightSum>();
     for (const report of this.reports.values()) {
@@ -66,7 +66,7 @@
       if (
         report.sender !== without &&
         ageMs <= maxReportAgeMs &&
-        !(other && other.gateways >= report.gateways)
+        !(other && isPreferred(other, { ...report, ageMs }))
       ) {
         counted.set(group, { ...report, ageMs });
       }
@@ -89,6 +89,11 @@
   (report.incarnation === known.incarnation &&
     report.sequence > known.sequence);
 
+const isPreferred = (sum: FlightSum, other: FlightSum): boolean =>
+  sum.gateways === other.gateways
+    ? sum.ageMs <= other.ageMs
+    : sum.gateways > other.gateways;
+
 /** Adds sums up; their age is the mean over the gateways. */
 export const computeFlightSum = (sums: readonly FlightSum[]): FlightSum => {
   const flights = new Map<string, InFlight>();
--- a/packages/decisions/tests/flightBoard.test.ts
+++ b/packages/decisions/tests/flightBoard.test.ts
@@ -57,6 +57,15 @@
     expect(board.computeSum('g-2', 10)).toMatchObject({ gateways: 1 });
   });
 
+  // Guards against a domain whose older figures count while newer ones are there.
+  it('counts the newer of two reports for a domain that cover as many gateways', () => {
+    const board = new FlightBoard();
+    const domain = 'b';
+    board.accept(createReport({ sender: 'g-1', domain, calls: 1 }), 0);
+    board.accept(createReport({ sender: 'g-2', domain, calls: 2 }), 1_000);
+    expect(countCalls(board, 1_100)).toBe(2);
+  });
+
   // Guards against the calls of a dead gateway that count for ever.
   it('leaves out reports older than two seconds, on their way too', () => {
     const board = new FlightBoard();
