Ignore layers beyond the model in the lowest capacity of a range

The rewritten search took a layer that the model does not have for one of capacity 0; it was ignored before. No caller passes such a range today; this restores the former result.

--- a/packages/decisions/src/placement/layerCapacities.ts
+++ b/packages/decisions/src/placement/layerCapacities.ts
@@ -59,7 +59,8 @@
   /** Returns the lowest capacity of the layers of a range, in tokens. */
   findMinimum(range: LayerRange): number {
     let lowest = Infinity;
-    for (let layer = range.from; layer < range.to; layer += 1) {
+    const to = Math.min(range.to, this.capacities.length);
+    for (let layer = range.from; layer < to; layer += 1) {
       lowest = Math.min(lowest, this.capacities[layer] ?? 0);
     }
     return lowest;
