--- a/packages/decisions/src/balance/sampledChain.ts
+++ b/packages/decisions/src/balance/sampledChain.ts
@@ -13,7 +13,9 @@
 import {
   ChainPolicy,
   CheapestChain,
+  computeServerCosts,
   findChain,
+  isStageFull,
   type ChainRequest,
   type ChosenChain,
 } from '../placement/chainChoice.js';
@@ -51,6 +53,9 @@
       }
     }
     for (let draws = 0; draws < mixedDraws && !hasRoom(drawn); draws += 1) {
+      draw(server => mayHaveRoom(request, server));
+    }
+    if (drawn.length === 0) {
       draw(() => true);
     }
     return findBest(drawn) ?? this.chooseAmongAll(request);
@@ -91,6 +96,17 @@
 /** Probes for a server of another domain; with three equal domains, one in a thousand calls finds none. */
 const maxDomainProbes = 6;
 
+/** Says whether the server has room for at least one layer of the request; a draw among these finds a chain with room even where most servers are full. */
+const mayHaveRoom = (request: ChainRequest, server: StageServer): boolean => {
+  const { range } = server;
+  if (!range) {
+    return false;
+  }
+  const oneLayer = { from: range.from, to: range.from + 1 };
+  const costs = computeServerCosts(request, server, range);
+  return !isStageFull(costs, oneLayer, request.tokens);
+};
+
 const hasRoom = (chains: readonly MeasuredChain[]): boolean =>
   chains.some(chain => chain.hasRoom);
 
--- a/packages/decisions/tests/sampledChain.test.ts
+++ b/packages/decisions/tests/sampledChain.test.ts
@@ -112,4 +112,48 @@
       { seed: 5, numRuns: 3_000 },
     );
   });
+
+  // Guards against draws that miss the few servers with room, so that calls wait or displace others although there is room.
+  it('finds the chain with room among 200 servers of which 190 are full', () => {
+    const stages = 10;
+    const model: LayeredModel = {
+      layers: 4 * stages,
+      layerMegabytes: 100,
+      cacheBytesPerToken: 1_000,
+      stepMs: 10,
+      stepMsPerRequest: 0.1,
+      stepMsPerContextK: 0.1,
+      kinds: [{ name: 'large', memoryMegabytes: 8_000, stepFactor: 1 }],
+    };
+    const fleet = Array.from({ length: 20 * stages }, (_, at): StageServer => {
+      const from = 4 * (at % stages);
+      return {
+        serverId: `i-${String(at)}`,
+        failureDomain: 'a',
+        kind: 'large',
+        slots: 20,
+        isBusy: false,
+        range: { from, to: from + 4 },
+      };
+    });
+    const free = new Set(
+      fleet.slice(0, stages).map(({ serverId }) => serverId),
+    );
+    const policy = new SampledChain(1);
+    for (let calls = 0; calls < 20; calls += 1) {
+      const chosen = policy.chooseChain({
+        model,
+        servers: fleet,
+        homeDomain: 'a',
+        tokens: 900,
+        excluded: new Set(),
+        getLoad: id => ({
+          layerTokens: free.has(id) ? 0 : 1e9,
+          firstStageRequests: 0,
+          stepTimeRatio: 1,
+        }),
+      });
+      expect(chosen?.hasRoom).toBe(true);
+    }
+  });
 });
