--- a/packages/gateway/src/balance/loadExchange.ts
+++ b/packages/gateway/src/balance/loadExchange.ts
@@ -78,6 +78,7 @@
   private sequence = 0;
   private hasNews = false;
   private isChangePosted = false;
+  private isDisposed = false;
   /** Bytes of the largest exchange of the last round. */
   private largestBytes = 0;
   private others: FlightSum | undefined;
@@ -108,6 +109,7 @@
   }
 
   dispose(): void {
+    this.isDisposed = true;
     this.disposables.dispose();
   }
 
@@ -138,7 +140,7 @@
     this.hasNews = true;
     if (!this.isChangePosted) {
       this.isChangePosted = true;
-      this.services.postCompletion(now => {
+      this.post(now => {
         this.isChangePosted = false;
         this.reportChart.send({ type: 'CHANGED' }, now);
       });
@@ -173,7 +175,7 @@
           });
         })
         .then(() => {
-          this.services.postCompletion(endedAt => {
+          this.post(endedAt => {
             this.reportChart.send({ type: 'EXCHANGED' }, endedAt);
           });
         });
@@ -202,11 +204,20 @@
     },
   };
 
+  /** Runs a completion on the loop, unless the exchange has ended before; an answer that is late starts no further report. */
+  private post(run: (now: Milliseconds) => void): void {
+    this.services.postCompletion(now => {
+      if (!this.isDisposed) {
+        run(now);
+      }
+    });
+  }
+
   private async reportToRelay(relay: Relay, now: Milliseconds): Promise<void> {
     const own = this.createOwnSum();
     const answer = await this.send(relay, { ...own, domain: undefined });
     if (answer) {
-      this.services.postCompletion(receivedAt => {
+      this.post(receivedAt => {
         // Delays on the way count as age.
         this.noteOthers(answer, now - answer.ageMs, receivedAt);
       });
@@ -229,7 +240,7 @@
         }
       }),
     );
-    services.postCompletion(endedAt => {
+    this.post(endedAt => {
       const others = this.computeOthers(ownId, endedAt);
       this.noteOthers(others, endedAt - others.ageMs, endedAt);
     });
--- a/packages/gateway/tests/loadExchange.test.ts
+++ b/packages/gateway/tests/loadExchange.test.ts
@@ -32,6 +32,7 @@
   readonly cutOff = new Set<number>();
   readonly exchanges: readonly LoadExchange[];
   messages = 0;
+  handleSent: (sender: string | undefined) => void = () => undefined;
 
   constructor(count: number) {
     super();
@@ -50,6 +51,7 @@
     this.messages += 1;
     const report = decodeReport(JSON.parse(text));
     const receiver = this.exchanges[port];
+    this.handleSent(report?.sender);
     if (!report || !receiver || this.cutOff.has(port)) {
       return Promise.resolve(undefined);
     }
@@ -254,6 +256,23 @@
   });
 });
 
+describe('an exchange of load reports that is disposed while it waits for an answer', () => {
+  // Guards against timers and connections that outlive the gateway.
+  it('sends no further report', async () => {
+    const fleet = new EmulatedFleet(4);
+    await fleet.run(3_000);
+    const last = fleet.exchanges[3];
+    const sent = last?.sent ?? 0;
+    fleet.handleSent = at => {
+      if (at === '3') {
+        last?.dispose();
+      }
+    };
+    await fleet.run(3_000);
+    expect(last?.sent).toBe(sent + 1);
+  });
+});
+
 class FailingFleet extends EmulatedFleet {
   override send(): Promise<ReceivedSum | undefined> {
     this.messages += 1;
