--- a/packages/gateway/tests/committedOrders.test.ts
+++ b/packages/gateway/tests/committedOrders.test.ts
@@ -91,7 +91,7 @@
   report: Result<ServerReport> = Ok({ orders: 0, isBusy: false, stalled: [] });
   answer: Result<OrderAnswer> = Ok({ refusal: undefined, detail: '' });
   reports = 0;
-  whenAsked: () => void = () => undefined;
+  handleAsked: () => void = () => undefined;
 
   override placeLayers(order: PlacementOrder): Promise<Result<OrderAnswer>> {
     this.orders.push(order);
@@ -100,7 +100,7 @@
 
   override readReport(): Promise<Result<ServerReport>> {
     this.reports += 1;
-    this.whenAsked();
+    this.handleAsked();
     return Promise.resolve(this.report);
   }
 
@@ -225,7 +225,7 @@
 describe('a gateway that loses its lease while a server is asked for its report', () => {
   const loseLease = async (): Promise<Scenario> => {
     const scenario = new Scenario(new CommittedOrders());
-    scenario.control.whenAsked = () => {
+    scenario.control.handleAsked = () => {
       scenario.resign();
     };
     await scenario.runTo(5_000);
