--- a/packages/decisions/src/suspects/blamePolicy.ts
+++ b/packages/decisions/src/suspects/blamePolicy.ts
@@ -59,7 +59,6 @@
   /** Lists the crashes that count against something without a verdict, which may be fewer in trouble of the whole fleet. */
   listCounted<C extends RepeatedCrash>(
     crashes: readonly C[],
-    // eslint-disable-next-line @typescript-eslint/no-unused-vars
     _trouble: FleetTrouble,
   ): readonly C[] {
     return crashes;
--- a/packages/gateway/src/balance/loadExchange.ts
+++ b/packages/gateway/src/balance/loadExchange.ts
@@ -18,6 +18,7 @@
   DisposableStore,
   getOrThrow,
   millisecondsPerSecond,
+  toMessage,
   type ComponentLogger,
   type Milliseconds,
   type Result,
@@ -77,6 +78,7 @@
   private sequence = 0;
   private hasNews = false;
   private isChangePosted = false;
+  private isDisposed = false;
   /** Bytes of the largest exchange of the last round. */
   private largestBytes = 0;
   private others: FlightSum | undefined;
@@ -107,6 +109,7 @@
   }
 
   dispose(): void {
+    this.isDisposed = true;
     this.disposables.dispose();
   }
 
@@ -137,7 +140,7 @@
     this.hasNews = true;
     if (!this.isChangePosted) {
       this.isChangePosted = true;
-      this.services.postCompletion(now => {
+      this.post(now => {
         this.isChangePosted = false;
         this.reportChart.send({ type: 'CHANGED' }, now);
       });
@@ -165,11 +168,17 @@
       const exchange = relay
         ? this.reportToRelay(relay, now)
         : this.exchangeDomains(now);
-      void exchange.then(() => {
-        this.services.postCompletion(endedAt => {
-          this.reportChart.send({ type: 'EXCHANGED' }, endedAt);
+      void exchange
+        .catch((thrown: unknown) => {
+          this.services.log.error('An exchange of load reports failed.', {
+            reason: toMessage(thrown),
+          });
+        })
+        .then(() => {
+          this.post(endedAt => {
+            this.reportChart.send({ type: 'EXCHANGED' }, endedAt);
+          });
         });
-      });
     },
     hasChanged: (): boolean => this.hasNews,
     /** The pause that keeps the bytes per second to each other gateway within the bound. */
@@ -195,11 +204,20 @@
     },
   };
 
+  /** Runs a completion on the loop, unless the exchange has ended before; an answer that is late starts no further report. */
+  private post(run: (now: Milliseconds) => void): void {
+    this.services.postCompletion(now => {
+      if (!this.isDisposed) {
+        run(now);
+      }
+    });
+  }
+
   private async reportToRelay(relay: Relay, now: Milliseconds): Promise<void> {
     const own = this.createOwnSum();
     const answer = await this.send(relay, { ...own, domain: undefined });
     if (answer) {
-      this.services.postCompletion(receivedAt => {
+      this.post(receivedAt => {
         // Delays on the way count as age.
         this.noteOthers(answer, now - answer.ageMs, receivedAt);
       });
@@ -222,7 +240,7 @@
         }
       }),
     );
-    services.postCompletion(endedAt => {
+    this.post(endedAt => {
       const others = this.computeOthers(ownId, endedAt);
       this.noteOthers(others, endedAt - others.ageMs, endedAt);
     });
--- a/packages/gateway/tests/collapse.test.ts
+++ b/packages/gateway/tests/collapse.test.ts
@@ -53,7 +53,7 @@
   createCall(`call-${String(at)}`),
 );
 
-const breakAt = (call: TracedCall, server: number, incarnation = 1): void => {
+const cutAt = (call: TracedCall, server: number, incarnation = 1): void => {
   const serverId = `i-${String(server)}`;
   const sentAt = time.now - 90;
   tracker.noteBroken(call, { serverId, incarnation, sentAt }, time.now);
@@ -67,23 +67,23 @@
   calls.filter(call => tracker.decideRepeat(call, time.now).isAllowed);
 
 /** Crashes two servers with all calls, then has others reset what was sent again, while many are silent. */
-const collapse = (silent: number): void => {
+const runCollapse = (silent: number): void => {
   advance(1_000);
   calls.forEach((call, at) => {
-    breakAt(call, at % 2);
+    cutAt(call, at % 2);
   });
   advance(300);
   away = Array.from({ length: silent }, (_, at) => `i-${String(at + 20)}`);
   advance(200);
   calls.forEach((call, at) => {
-    breakAt(call, 2 + (at % 10));
+    cutAt(call, 2 + (at % 10));
   });
 };
 
 describe('a collapse of the fleet', () => {
   // Guards against 88 calls that were suspected, and not sent again, since servers were lost around them.
   it('holds back no retry', () => {
-    collapse(34);
+    runCollapse(34);
     expect(listRepeated().length).toBe(openCalls);
     expect(calls.every(call => tracker.mayRunTwice(call))).toBe(true);
     expect(tracker.list().filter(({ isDoubted }) => isDoubted)).toEqual([]);
@@ -93,16 +93,16 @@
     advance(1_000);
     const [call] = calls;
     if (call) {
-      breakAt(call, 0);
+      cutAt(call, 0);
       advance(500);
-      breakAt(call, 1);
+      cutAt(call, 1);
       expect(tracker.decideRepeat(call, time.now).isAllowed).toBe(false);
       expect(tracker.mayRunTwice(call)).toBe(false);
     }
   });
 
   it('does not excuse a call after its third crash', () => {
-    collapse(34);
+    runCollapse(34);
     const deadly = createCall('deadly');
     const sends = [0, 1, 2, 3, 4, 5].filter(at => {
       const isFirst = at === 0;
@@ -111,7 +111,7 @@
         : tracker.decideRepeat(deadly, time.now);
       if (decision.isAllowed) {
         advance(400);
-        breakAt(deadly, 40 + at);
+        cutAt(deadly, 40 + at);
       }
       return decision.isAllowed;
     });
@@ -119,7 +119,7 @@
   });
 
   it('counts for nothing once it is over', () => {
-    collapse(34);
+    runCollapse(34);
     advance(1_000);
     away = [];
     calls.forEach(call => {
@@ -128,9 +128,9 @@
     advance(10_000);
     const [call] = calls;
     if (call) {
-      breakAt(call, 50);
+      cutAt(call, 50);
       advance(500);
-      breakAt(call, 51);
+      cutAt(call, 51);
       expect(tracker.decideRepeat(call, time.now).isAllowed).toBe(false);
     }
   });
--- a/packages/gateway/tests/repairsAfterTheEnd.test.ts
+++ b/packages/gateway/tests/repairsAfterTheEnd.test.ts
@@ -25,7 +25,7 @@
 });
 
 /** Runs a stream on a chain, and loses the last server of the chain after the change. */
-const loseLast = async (change: () => void): Promise<void> => {
+const crashLast = async (change: () => void): Promise<void> => {
   emulator = new RunEmulator({
     isStream: true,
     service: { ...service, model },
@@ -42,20 +42,20 @@
 };
 
 it('a chain that loses a server is repaired', async () => {
-  await loseLast(() => undefined);
+  await crashLast(() => undefined);
   expect(emulator.control.updateCount).toBe(1);
 });
 
 // Guards against an update that has other servers begin to run a call which is over.
 it('a chain is not repaired after the caller has left', async () => {
-  await loseLast(() => {
+  await crashLast(() => {
     emulator.caller.hasLeft = true;
   });
   expect(emulator.control.updateCount).toBe(0);
 });
 
 it('a chain is not repaired after the time limit', async () => {
-  await loseLast(() => {
+  await crashLast(() => {
     emulator.time.now += 30_000;
   });
   expect(emulator.control.updateCount).toBe(0);
