Check and compare gateway configurations before they are published

Faults of a gateway's configuration, such as a hidden route or a key that two accounts hold, showed only in refused calls. 'config check' now lists them with place, effect and remedy, compares a file with an earlier one, and gateways log the same findings when they take a configuration.

The configuration keeps its declared lists beside its indexes, since the indexes drop what the checks look for. The share of the memory for buffers moves to the decisions, so that the check of the body limit and the gateway use one copy.

--- a/apps/lycheetally/src/commands/configActions.ts
+++ b/apps/lycheetally/src/commands/configActions.ts
@@ -23,11 +23,19 @@
 } from '@lycheetally/router';
 import { describeConfiguration } from '../questionnaire/answers.js';
 import { formatDifference } from './configDifference.js';
+import {
+  checkGatewayFile,
+  isGatewayConfiguration,
+  type NamedText,
+} from './gatewayConfigCheck.js';
 
 export interface ConfigFlags {
   readonly log?: string;
   readonly base?: number;
   readonly author?: string;
+  readonly against?: string;
+  readonly memoryMb?: unknown;
+  readonly json?: boolean;
 }
 
 export abstract class ConfigAction {
@@ -44,7 +52,11 @@
 
   /** Reads a configuration file; throws an error that lists all faults, one per line. */
   protected readFile(path: string): RouterConfiguration {
-    const parsed = parseConfigFile(readText(path, this.usage));
+    return this.parseFile({ path, text: readText(path, this.usage) });
+  }
+
+  protected parseFile({ path, text }: NamedText): RouterConfiguration {
+    const parsed = parseConfigFile(text);
     if (parsed.err) {
       const faults = parsed.val.map(fault => formatFault(path, fault));
       throw new TypedError(
@@ -86,11 +98,32 @@
   readonly name = 'check';
   readonly usage = 'check config.ini';
 
-  override run(path: string): Promise<number> {
-    const configuration = this.readFile(path);
+  override run(path: string, flags: ConfigFlags): Promise<number> {
+    const file = { path, text: readText(path, this.usage) };
+    if (isGatewayConfiguration(file)) {
+      return Promise.resolve(this.checkForGateways(file, flags));
+    }
+    assertNoGatewayFlags(flags);
+    const configuration = this.parseFile(file);
     this.print(`${path} is valid: ${describeConfiguration(configuration)}.`);
     return Promise.resolve(ExitCode.Ok);
   }
+
+  private checkForGateways(file: NamedText, flags: ConfigFlags): number {
+    const { against: path, json } = flags;
+    const { exitCode, lines } = checkGatewayFile(file, {
+      memoryMb: parseMemory(flags.memoryMb),
+      against:
+        path === undefined
+          ? undefined
+          : { path, text: readText(path, this.usage) },
+      isJson: json === true,
+    });
+    lines.forEach(line => {
+      this.print(line);
+    });
+    return exitCode;
+  }
 }
 
 export class DiffAction extends ConfigAction {
@@ -169,6 +202,34 @@
   }
 }
 
+const assertNoGatewayFlags = ({
+  against,
+  memoryMb,
+  json,
+}: ConfigFlags): void => {
+  if (against !== undefined || memoryMb !== undefined || json === true) {
+    throw new TypedError(
+      ErrorKind.Usage,
+      "--against, --memory-mb and --json are for a gateway's configuration in JSON",
+      'name a JSON file, or leave them out; "config diff" compares INI files',
+    );
+  }
+};
+
+const parseMemory = (flag: unknown): number | undefined => {
+  if (flag === undefined) {
+    return undefined;
+  }
+  if (typeof flag !== 'number' || !(flag > 0)) {
+    throw new TypedError(
+      ErrorKind.Usage,
+      `"${String(flag)}" is not an amount of memory`,
+      'pass the MiB of the smallest VM to --memory-mb, such as 256',
+    );
+  }
+  return flag;
+};
+
 const formatDecision = (decision: ConfigDecision): string => {
   const { offset, verdict, reason, change, state } = decision;
   const version = state?.configuration.version ?? 0;
--- a/apps/lycheetally/src/commands/configCommand.ts
+++ b/apps/lycheetally/src/commands/configCommand.ts
@@ -26,7 +26,16 @@
       .command('config <action> [argument]', describeActions())
       .option('--log <url>', "Address of the platform's log")
       .option('--base <version>', 'Version that the change must build on')
-      .option('--author <name>', 'Name that the history shows');
+      .option('--author <name>', 'Name that the history shows')
+      .option(
+        '--against <file>',
+        "check: compare a gateway's configuration with this one",
+      )
+      .option(
+        '--memory-mb <mebibytes>',
+        'check: memory of the smallest VM that runs a gateway',
+      )
+      .option('--json', "check: print the result for a gateway's as JSON");
     for (const action of actions) {
       command.example(`lycheetally config ${action.usage}`);
     }
--- a/packages/decisions/src/config/index.ts
+++ b/packages/decisions/src/config/index.ts
@@ -6,3 +6,4 @@
 export * from './replay.js';
 export * from './snapshots.js';
 export * from './steps.js';
+export * from './gateway/index.js';
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -1,4 +1,5 @@
 /** Decisions of a gateway: routes, keys and their freshness. */
+export * from './declaredConfiguration.js';
 export * from './durationForecast.js';
 export * from './freshness.js';
 export * from './bufferMemory.js';
--- a/packages/decisions/src/gateway/routeTable.ts
+++ b/packages/decisions/src/gateway/routeTable.ts
@@ -20,6 +20,8 @@
   readonly timeoutMs: number;
   /** Latency goal in milliseconds, within which an answer counts at full value. */
   readonly targetMs: number;
+  /** Longest pause between two events of a stream that is on time, in milliseconds; absent if the operator names none. */
+  readonly maxPauseMs?: number | undefined;
   /** 0 is the most urgent. */
   readonly urgency: number;
   /** The most servers that one call may be sent to. */
--- a/packages/decisions/src/gateway/types.ts
+++ b/packages/decisions/src/gateway/types.ts
@@ -1,6 +1,7 @@
 /** The configuration and the backend servers of a gateway, as decisions use them. */
 import type { Milliseconds } from '@lycheetally/common';
 import type { LayerRange, LayeredModel } from '../placement/types.js';
+import type { DeclaredConfiguration } from './declaredConfiguration.js';
 import type { RouteTable } from './routeTable.js';
 
 /** A service that backend servers provide. */
@@ -35,6 +36,8 @@
   /** Holders by key; absent when calls need no key. */
   readonly keys: ReadonlyMap<string, KeyHolder> | undefined;
   readonly limits: CallLimits;
+  /** What it was indexed from; checks see entries that the indexes hide. */
+  readonly declared: DeclaredConfiguration;
 }
 
 /** A backend server as it announces itself. */
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -225,9 +225,6 @@
 /** Largest response that is buffered before it is forwarded, in bytes. */
 export const maxBufferedResponseBytes = 16 * 1_024 * 1_024;
 
-/** Share of the VM's memory in which requests and responses are buffered; the heap and the code take the rest. */
-export const maxBufferShare = 1 / 4;
-
 /** Memory of the VM if the settings do not state it; the smallest of the users' deployments has about as much. */
 export const defaultMemoryMebibytes = 256;
 
@@ -342,3 +339,6 @@
 /** Log lines with one message about suspects at most in each `suspectLogWindowMs`. */
 export const maxSuspectLogLines = 60;
 export const suspectLogWindowMs = 60_000;
+
+/** Log lines about faults of one configuration at most; the command that checks a file lists all. */
+export const maxFindingLines = 20;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -25,6 +25,7 @@
   SlidingRetryBudget,
   SurvivalForecast,
   isFreshEnough,
+  maxBufferShare,
   type GatewayConfiguration,
   type Moment,
 } from '@lycheetally/decisions';
@@ -38,7 +39,6 @@
   lingerTimeoutMs,
   closeConnectionsAfterMs,
   defaultMemoryMebibytes,
-  maxBufferShare,
 } from './constants.js';
 import { bindAttemptChart } from './attempt/attemptChart.js';
 import { drainTimeoutFault, stoppingFault } from './calls/drainAdmission.js';
@@ -60,6 +60,7 @@
   type LifecycleEvent,
 } from './lifecycleChart.js';
 import { listenWhenFree } from './listenWhenFree.js';
+import { reportFindings } from './reportFindings.js';
 import { LoopMonitor } from './loopMonitor.js';
 import type {
   LeaderElectionPort,
@@ -121,9 +122,8 @@
     const startedAt = this.clock.getNow();
     this.log = loggers.createLogger(LogComponent.Process);
     this.backend = new HttpBackend(ports.format);
-    const memoryMb = settings.limits?.memoryMb ?? defaultMemoryMebibytes;
     this.bufferMemory = new LargestFirstMemory(
-      memoryMb * bytesPerMebibyte * maxBufferShare,
+      this.memoryBytes * maxBufferShare,
     );
     this.callMachine = getOrThrow(bindCallChart());
     this.retryBudget = new SlidingRetryBudget({
@@ -364,6 +364,11 @@
     return [...this.calls.values()].filter(call => call.hasStartedResponse);
   }
 
+  private get memoryBytes(): number {
+    const { limits } = this.settings;
+    return (limits?.memoryMb ?? defaultMemoryMebibytes) * bytesPerMebibyte;
+  }
+
   private get graceMs(): Milliseconds {
     return this.settings.process.drainSeconds * millisecondsPerSecond;
   }
@@ -680,6 +685,7 @@
       services: configuration.services.size,
       keys: configuration.keys?.size ?? 0,
     });
+    reportFindings(this.log, configuration.declared, this.memoryBytes);
     this.lifecycle.send({ type: 'READY' }, now);
   }
 }
