Document the configuration check, and bound what gateways log of it

The message of the JSON parser quotes the text around a fault, which may hold a key; the command shows only the line. Kinds and splits of routes are compared in the operator's words, and a route to a single service is named without a place in a split that the file does not have.

--- a/apps/lycheetally/src/commands/configActions.ts
+++ b/apps/lycheetally/src/commands/configActions.ts
@@ -34,7 +34,8 @@
   readonly base?: number;
   readonly author?: string;
   readonly against?: string;
-  readonly memoryMb?: unknown;
+  /** A number, or the text that is none. */
+  readonly memoryMb?: number | string | boolean;
   readonly json?: boolean;
 }
 
@@ -216,7 +217,7 @@
   }
 };
 
-const parseMemory = (flag: unknown): number | undefined => {
+const parseMemory = (flag: ConfigFlags['memoryMb']): number | undefined => {
   if (flag === undefined) {
     return undefined;
   }
--- a/apps/lycheetally/src/commands/gatewayConfigCheck.ts
+++ b/apps/lycheetally/src/commands/gatewayConfigCheck.ts
@@ -117,12 +117,19 @@
   } catch (thrown) {
     throw new TypedError(
       ErrorKind.BadSetting,
-      `"${path}" is not readable as JSON: ${thrown instanceof Error ? thrown.message : ''}`,
+      `"${path}" is not readable as JSON${describeFaultPlace(text, thrown)}`,
       'write the configuration as the store holds it',
     );
   }
 };
 
+/** Leaves out the rest of the message of the parser, which may quote a key. */
+const describeFaultPlace = (text: string, thrown: unknown): string => {
+  const found = /at position (\d+)/.exec(String(thrown));
+  const lines = text.slice(0, Number(found?.[1])).split('\n');
+  return found ? `: see line ${String(lines.length)}` : '';
+};
+
 const formatReport = (report: CheckReport): string[] => {
   const { file, findings, differences } = report;
   const count = findings.length;
@@ -155,10 +162,12 @@
 /** Longest value in a cell, in characters; the JSON form has the whole. */
 const maxCellLength = 40;
 
-const trimCell = (text: string): string =>
-  text.length > maxCellLength
-    ? `${text.slice(0, maxCellLength - 3)}...`
-    : text || '-';
+const trimCell = (text: string): string => {
+  const line = text.replace(/\p{Cc}/gu, ' ');
+  return line.length > maxCellLength
+    ? `${line.slice(0, maxCellLength - 3)}...`
+    : line || '-';
+};
 
 const formatTable = (rows: readonly (readonly string[])[]): string[] => {
   const widths = (rows[0] ?? []).map((_, column) =>
--- a/apps/lycheetally/tests/gatewayConfigCheck.test.ts
+++ b/apps/lycheetally/tests/gatewayConfigCheck.test.ts
@@ -46,7 +46,7 @@
 
 const routes = createRecord().routes as readonly object[];
 
-const changeRoute = (change: object): Record<string, unknown> => ({
+const replaceInRoute = (change: object): Record<string, unknown> => ({
   routes: routes.map((route, at) =>
     at === 1 ? { ...route, ...change } : route,
   ),
@@ -62,7 +62,7 @@
 
   it("shows a fault with its place in the operator's names, its effect and the remedy", () => {
     const { status, stdout } = runCheck(
-      writeRecord(changeRoute({ latency_goal_ms: 2_000 })),
+      writeRecord(replaceInRoute({ latency_goal_ms: 2_000 })),
     );
     expect(status).toBe(1);
     expect(stdout).toContain('warning: routes[1] "look" latency_goal_ms: ');
@@ -71,7 +71,7 @@
 
   it('reads the pause limit', () => {
     const { stdout } = runCheck(
-      writeRecord(changeRoute({ gap_target_ms: 2_000 })),
+      writeRecord(replaceInRoute({ gap_target_ms: 2_000 })),
     );
     expect(stdout).toContain('routes[1] "look" gap_target_ms: ');
   });
@@ -96,7 +96,7 @@
       'timeout_ms',
     ],
   ])('reports %s with its place', (_, change, kind, field) => {
-    const run = runCheck(writeRecord(changeRoute(change)), '--json');
+    const run = runCheck(writeRecord(replaceInRoute(change)), '--json');
     expect(run.status).toBe(1);
     const { findings } = JSON.parse(run.stdout) as { findings: object[] };
     expect(findings).toEqual([
@@ -157,4 +157,21 @@
     expect(stderr).not.toBe('');
     expect(status).toBe(2);
   });
+
+  // The parser quotes the text around a fault, and a shell's output may be kept.
+  it('shows the line of malformed JSON, and no key', () => {
+    const { stderr } = runCheck(writeText('{\n"api_keys": ["secret-a" x]}'));
+    expect(stderr).toMatch(/is not readable as JSON/);
+    expect(stderr).not.toContain('secret');
+  });
+
+  it("checks the router's own configuration as before", () => {
+    const path = writeText(
+      '[rank.urgent]\nurgency=0\nfloor=0.5\ntargetMs=500\n',
+      'ini',
+    );
+    const { status, stdout } = runCheck(path);
+    expect(stdout).toContain(`${path} is valid: `);
+    expect(status).toBe(0);
+  });
 });
--- a/packages/decisions/src/config/gateway/configurationDifference.ts
+++ b/packages/decisions/src/config/gateway/configurationDifference.ts
@@ -74,6 +74,8 @@
 interface FieldText<T> {
   readonly field: ConfigurationField & keyof T;
   readonly effect: string;
+  /** Formats the value of an entry; absent if the value is shown as it is. */
+  readonly format?: (entry: T) => string;
 }
 
 /** Compares the entries of one section by name; of entries with the same name the last one counts. */
@@ -125,9 +127,11 @@
     after: T,
     place: ConfigurationPlace,
   ): Iterable<ConfigurationDifference> {
-    for (const { field, effect } of this.fields) {
-      const from = formatValue(before[field]);
-      const to = formatValue(after[field]);
+    for (const { field, effect, format } of this.fields) {
+      const show = (entry: T): string =>
+        format ? format(entry) : formatValue(entry[field]);
+      const from = show(before);
+      const to = show(after);
       if (from !== to) {
         yield {
           change: ChangeKind.Changed,
@@ -158,7 +162,7 @@
   }
 
   protected override describe({ host, pathPrefix, shares }: RouteRule): string {
-    return `${host}${pathPrefix} to ${formatValue(shares)}`;
+    return `${host}${pathPrefix} to ${formatShares(shares)}`;
   }
 
   protected override describeAdded(route: RouteRule): string {
@@ -277,10 +281,14 @@
   },
   {
     field: 'isRepeatable',
-    effect:
-      'if true, a call may run again at another server; if false, a failed one may have run',
+    effect: 'says whether a call that failed may run again at another server',
+    format: ({ isRepeatable }) => (isRepeatable ? 'repeatable' : 'runs once'),
+  },
+  {
+    field: 'isStream',
+    effect: 'says whether answers come as events',
+    format: ({ isStream }) => (isStream ? 'stream' : 'whole answer'),
   },
-  { field: 'isStream', effect: 'says whether answers come as events' },
   {
     field: 'isResumable',
     effect: 'says whether a broken stream goes on at another server',
@@ -303,7 +311,11 @@
     field: 'maxAttempts',
     effect: 'calls are sent to that many servers at most',
   },
-  { field: 'shares', effect: 'calls are split anew among the services' },
+  {
+    field: 'shares',
+    effect: 'calls go to these services, by weight',
+    format: ({ shares }) => formatShares(shares),
+  },
 ];
 
 const serviceFields: readonly FieldText<BackendService>[] = [
@@ -392,5 +404,17 @@
 const formatCount = (count: number, noun: string): string =>
   `${String(count)} ${noun}${count === 1 ? '' : 's'}`;
 
-const formatValue = (value: unknown): string =>
-  typeof value === 'string' ? value : (JSON.stringify(value) ?? 'none');
+const formatValue = (value: unknown): string => {
+  if (value === undefined) {
+    return 'none';
+  }
+  return typeof value === 'string' ? value : JSON.stringify(value);
+};
+
+/** Formats a split as `desk 9, shelf 1`, and one service by its name alone. */
+const formatShares = (shares: RouteRule['shares']): string =>
+  shares.length === 1 && shares[0]
+    ? shares[0].service
+    : shares
+        .map(({ service, weight }) => `${service} ${String(weight)}`)
+        .join(', ');
--- a/packages/decisions/src/config/gateway/limitChecks.ts
+++ b/packages/decisions/src/config/gateway/limitChecks.ts
@@ -88,7 +88,7 @@
       : {
           fault: `${String(maxAttempts)} attempts of ${String(targetMs)} ms, the latency target, take ${String(neededMs)} ms; the time limit is ${String(timeoutMs)} ms`,
           effect: 'the last attempts of a call are cut or not made',
-          remedy: `raise the time limit to ${String(neededMs)} ms, or allow ${String(Math.floor(timeoutMs / targetMs))} attempts`,
+          remedy: `raise the time limit to ${String(neededMs)} ms, or lower the attempts to ${String(Math.floor(timeoutMs / targetMs))}`,
         };
   }
 }
--- a/packages/decisions/src/config/gateway/nameChecks.ts
+++ b/packages/decisions/src/config/gateway/nameChecks.ts
@@ -6,6 +6,7 @@
   formatEntry,
   formatName,
   type ConfigurationFinding,
+  type ConfigurationPlace,
 } from './configurationFinding.js';
 
 const namedSections = ['routes', 'services', 'accounts'] as const;
@@ -61,13 +62,10 @@
         if (known.has(service)) {
           continue;
         }
-        const place = {
-          section: 'routes',
-          index,
-          name,
-          field: 'shares',
-          item,
-        } as const;
+        const route = { section: 'routes', index, name } as const;
+        // The operator's form has no split for a single service.
+        const place: ConfigurationPlace =
+          shares.length > 1 ? { ...route, field: 'shares', item } : route;
         yield this.createFinding(place, {
           fault:
             service === ''
--- a/packages/decisions/tests/gatewayConfigChecks.test.ts
+++ b/packages/decisions/tests/gatewayConfigChecks.test.ts
@@ -64,13 +64,13 @@
     ({ kind, place }) => `${kind} ${formatPlace(place)}`,
   );
 
-const withRoute = (
+const replaceRoute = (
   overrides: Partial<RouteRule>,
 ): Partial<DeclaredConfiguration> => ({
   routes: [createRoute('book'), createRoute('look', overrides)],
 });
 
-const withLimits = (
+const replaceLimits = (
   overrides: Partial<CallLimits>,
 ): Partial<DeclaredConfiguration> => ({ limits: { ...limits, ...overrides } });
 
@@ -93,22 +93,22 @@
     ],
     [
       'a route that another one hides',
-      withRoute({ pathPrefix: '/book/' }),
+      replaceRoute({ pathPrefix: '/book/' }),
       ['hidden-route routes[1] "look" pathPrefix'],
     ],
     [
       'a prefix that no path begins with',
-      withRoute({ pathPrefix: 'look/' }),
+      replaceRoute({ pathPrefix: 'look/' }),
       ['unmatchable-route routes[1] "look" pathPrefix'],
     ],
     [
       'a host with a port, which is cut off the host of a call',
-      withRoute({ host: 'one.example:443' }),
+      replaceRoute({ host: 'one.example:443' }),
       ['unmatchable-route routes[1] "look" host'],
     ],
     [
       'a service that does not exist',
-      withRoute({
+      replaceRoute({
         shares: [
           { service: 'desk', weight: 9 },
           { service: 'dusk', weight: 1 },
@@ -128,12 +128,12 @@
     ],
     [
       'weights that sum to nothing',
-      withRoute({ shares: [{ service: 'desk', weight: 0 }] }),
+      replaceRoute({ shares: [{ service: 'desk', weight: 0 }] }),
       ['no-traffic routes[1] "look" shares'],
     ],
     [
       'a weight that sends no traffic',
-      withRoute({
+      replaceRoute({
         shares: [
           { service: 'desk', weight: 1 },
           { service: 'desk', weight: -1 },
@@ -158,32 +158,32 @@
     ],
     [
       'a latency target over the time limit',
-      withRoute({ targetMs: 1_001 }),
+      replaceRoute({ targetMs: 1_001 }),
       ['target-over-time-limit routes[1] "look" targetMs'],
     ],
     [
       'a pause limit over the time limit',
-      withRoute({ maxPauseMs: 1_001 }),
+      replaceRoute({ maxPauseMs: 1_001 }),
       ['pause-over-time-limit routes[1] "look" maxPauseMs'],
     ],
     [
       'attempts that do not fit into the time limit',
-      withRoute({ maxAttempts: 3 }),
+      replaceRoute({ maxAttempts: 3 }),
       ['attempts-over-time-limit routes[1] "look" maxAttempts'],
     ],
     [
       'an idle limit below the head limit',
-      withLimits({ idleTimeoutMs: 2_999 }),
+      replaceLimits({ idleTimeoutMs: 2_999 }),
       ['idle-under-head-limit limits idleTimeoutMs'],
     ],
     [
       'an idle limit that is told as 0 seconds',
-      withLimits({ idleTimeoutMs: 999, headerTimeoutMs: 999 }),
+      replaceLimits({ idleTimeoutMs: 999, headerTimeoutMs: 999 }),
       ['idle-under-second limits idleTimeoutMs'],
     ],
     [
       'a limit of 0',
-      withLimits({ maxBodyBytes: 0 }),
+      replaceLimits({ maxBodyBytes: 0 }),
       ['limit-not-positive limits maxBodyBytes'],
     ],
   ])('finds %s', (_, overrides, expected) => {
@@ -192,24 +192,26 @@
 
   it('accepts limits that just fit', () => {
     const fitting = { targetMs: 500, maxPauseMs: 1_000, maxAttempts: 2 };
-    expect(listFound(withRoute(fitting))).toEqual([]);
-    expect(listFound(withLimits({ idleTimeoutMs: 3_000 }))).toEqual([]);
+    expect(listFound(replaceRoute(fitting))).toEqual([]);
+    expect(listFound(replaceLimits({ idleTimeoutMs: 3_000 }))).toEqual([]);
   });
 
   it('compares the body limit with an eighth of the memory', () => {
     const memoryBytes = 256 * bytesPerMebibyte;
     const eighth = memoryBytes / 8;
     expect(
-      listFound(withLimits({ maxBodyBytes: eighth }), memoryBytes),
+      listFound(replaceLimits({ maxBodyBytes: eighth }), memoryBytes),
     ).toEqual([]);
     expect(
-      listFound(withLimits({ maxBodyBytes: eighth + 1 }), memoryBytes),
+      listFound(replaceLimits({ maxBodyBytes: eighth + 1 }), memoryBytes),
     ).toEqual(['body-over-memory limits maxBodyBytes']);
-    expect(listFound(withLimits({ maxBodyBytes: eighth + 1 }))).toEqual([]);
+    expect(listFound(replaceLimits({ maxBodyBytes: eighth + 1 }))).toEqual([]);
   });
 
   it('calls the route hidden that the table does not choose', () => {
-    const declared = createConfiguration(withRoute({ pathPrefix: '/book/' }));
+    const declared = createConfiguration(
+      replaceRoute({ pathPrefix: '/book/' }),
+    );
     const { routes } = indexConfiguration(declared);
     expect(routes.findRoute('one.example', '/book/x')?.name).toBe('book');
   });
@@ -233,7 +235,7 @@
     const name = 'x\n'.repeat(50_000);
     const findings = checkGatewayConfiguration(
       createConfiguration({
-        ...withRoute({ name, shares: [{ service: name, weight: 1 }] }),
+        ...replaceRoute({ name, shares: [{ service: name, weight: 1 }] }),
       }),
     );
     expect(findings.map(({ kind }) => kind)).toEqual([
--- a/packages/decisions/tests/gatewayConfigDifferences.test.ts
+++ b/packages/decisions/tests/gatewayConfigDifferences.test.ts
@@ -92,6 +92,18 @@
     ]);
   });
 
+  it('shows kinds and splits in words', () => {
+    const routes = before.routes.map(route => ({
+      ...route,
+      isStream: true,
+      shares: ['desk', 'shelf'].map(service => ({ service, weight: 2 })),
+    }));
+    const lines = listLines({ routes });
+    expect(lines).toHaveLength(4);
+    expect(lines[0]).toContain('isStream: whole answer -> stream: ');
+    expect(lines[1]).toContain('shares: desk -> desk 2, shelf 2: ');
+  });
+
   it('counts keys that are refused and keys that changed hands, and shows none', () => {
     const lines = listLines({
       accounts: [
