--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -25,6 +25,7 @@
   SurvivalForecast,
   createPlacement,
   isFreshEnough,
+  maxBufferShare,
   type GatewayConfiguration,
   type InFlight,
   type Moment,
@@ -45,7 +46,6 @@
   lingerTimeoutMs,
   closeConnectionsAfterMs,
   defaultMemoryMebibytes,
-  maxBufferShare,
 } from './constants.js';
 import { bindAttemptChart } from './attempt/attemptChart.js';
 import { drainTimeoutFault, stoppingFault } from './calls/drainAdmission.js';
@@ -76,6 +76,7 @@
 } from './lifecycleChart.js';
 import { listenWhenFree } from './listenWhenFree.js';
 import { LimitedLog } from './limitedLog.js';
+import { reportFindings } from './reportFindings.js';
 import { LoopMonitor } from './loopMonitor.js';
 import type {
   LeaderElectionPort,
@@ -147,9 +148,8 @@
     this.log = loggers.createLogger(LogComponent.Process);
     this.callerLog = new LimitedLog(this.log, excessLogLimit);
     this.backend = new HttpBackend(ports.format);
-    const memoryMb = settings.limits?.memoryMb ?? defaultMemoryMebibytes;
     this.bufferMemory = new LargestFirstMemory(
-      memoryMb * bytesPerMebibyte * maxBufferShare,
+      this.memoryBytes * maxBufferShare,
     );
     this.callMachine = getOrThrow(bindCallChart());
     this.retryBudget = new SlidingRetryBudget({
@@ -401,6 +401,11 @@
     return [...this.calls.values()].filter(call => call.hasStartedResponse);
   }
 
+  private get memoryBytes(): number {
+    const { limits } = this.settings;
+    return (limits?.memoryMb ?? defaultMemoryMebibytes) * bytesPerMebibyte;
+  }
+
   private get graceMs(): Milliseconds {
     return this.settings.process.drainSeconds * millisecondsPerSecond;
   }
@@ -809,6 +814,7 @@
       services: configuration.services.size,
       keys: configuration.keys?.size ?? 0,
     });
+    reportFindings(this.log, configuration.declared, this.memoryBytes);
     this.lifecycle.send({ type: 'READY' }, now);
   }
 }
