--- a/packages/decisions/tests/sampledChain.test.ts
+++ b/packages/decisions/tests/sampledChain.test.ts
@@ -46,6 +46,7 @@
     list.map(({ from, size, ...rest }, at) => ({
       ...rest,
       serverId: `i-${String(at)}`,
+      address: 'x:1',
       isBusy: false,
       range: { from, to: Math.min(layers, from + size) },
     })),
@@ -56,7 +57,7 @@
   servers,
   tokens: fc.constantFrom(0, 500, 1e7),
   promptTokens: fc.constantFrom(undefined, 0, 700),
-  from: fc.constantFrom(0, 0, 0, 5),
+  from: fc.constantFrom<number[]>(0, 0, 0, 5),
   used: fc.constantFrom(0, 1e4, 1e12),
   ratio: fc.constantFrom(0.5, 1, 16),
   linkUse: fc.constantFrom(0, 0.5, 7),
@@ -129,6 +130,7 @@
       const from = 4 * (at % stages);
       return {
         serverId: `i-${String(at)}`,
+        address: 'x:1',
         failureDomain: 'a',
         kind: 'large',
         slots: 20,
