--- a/packages/decisions/src/waiting/constants.ts
+++ b/packages/decisions/src/waiting/constants.ts
@@ -34,8 +34,8 @@
 /** What remains of an unused limit after a round, as a factor. */
 export const unusedDecreaseFactor = 0.9;
 
-/** Share of the runs of a round that may be slow without an effect: the crash of servers that chains share holds up to half of the streams for a moment, and says little of the others. */
-export const slowShare = 0.4;
+/** Share of the runs of a round that may be slow without an effect: one slow stream, or the streams of one crashed server, say little of the service. */
+export const slowShare = 0.25;
 
 /** Pressure that stands for a refusal by a server, a broken run or a run that ended at its deadline. */
 export const failurePressure = 1.5;
