Derive repair and admission from the losses that a deployment bears at once

Both now take effect only where the settings state that several VMs may be lost at once; sections of the settings go before that.

A body that gives way to others is refused as not run (503) instead of reset: the test of callers with large bodies asks for that and failed.

--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -37,7 +37,7 @@
 export const maxPieceBytes = 4_096;
 
 /** Time that a turn of reading takes at most; a stream that waits behind it notices no pause. */
-export const maxReadingMs = 10;
+export const maxReadingMs = 25;
 
 /** Time of a turn that one connection takes at most while others wait to be read. */
 export const maxConnectionReadingMs = 1;
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -316,6 +316,7 @@
     }
   }
 
+  /** Refuses the call whose body still arrives, which frees its memory; a connection without one is reset. */
   private closeExcess(connection: CallerConnection, now: Milliseconds): void {
     const { bytes, progressAt, answers } = connection.describeUsage();
     this.handler.noteConnectionClosed(CloseReason.Excess);
@@ -330,8 +331,20 @@
       },
       now,
     );
-    this.account.release(connection);
-    connection.reset();
+    const caller = connection.listOpen().at(-1);
+    const reader = caller && this.incomplete.get(caller);
+    if (caller && reader && !connection.isClosing) {
+      reader.drop();
+      this.refuseUnfinished(caller, reader, noRoomError);
+      this.account.update(
+        connection,
+        connection.address,
+        connection.describeUsage(),
+      );
+    } else {
+      this.account.release(connection);
+      connection.reset();
+    }
   }
 
   /** Ends a request whose body does not go on, or an answer that is not taken. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -20,7 +20,6 @@
   LargestFirstMemory,
   NewestWhenLate,
   Outcome,
-  RepairMode,
   SlidingRetryBudget,
   SurvivalForecast,
   createPlacement,
@@ -76,6 +75,7 @@
 } from './lifecycleChart.js';
 import { listenWhenFree } from './listenWhenFree.js';
 import { LimitedLog } from './limitedLog.js';
+import { chooseAdmission, chooseRepair } from './lossesAtOnce.js';
 import { reportFindings } from './reportFindings.js';
 import { LoopMonitor } from './loopMonitor.js';
 import type {
@@ -583,7 +583,7 @@
   }
 
   private createPlacer(startedAt: Milliseconds): LayerPlacer {
-    const repair = this.settings.placement?.repair ?? RepairMode.Continuous;
+    const repair = chooseRepair(this.settings);
     return new LayerPlacer(
       getOrThrow(bindLeaderChart()),
       getOrThrow(bindOrderChart()),
@@ -666,7 +666,7 @@
   }
 
   private createPlaces(): CallPlaces {
-    return this.settings.waiting?.admission === AdmissionMode.Adaptive
+    return chooseAdmission(this.settings) === AdmissionMode.Adaptive
       ? new AdaptivePlaces({
           timers: this.loop,
           metrics: this.metrics,
