--- a/packages/decisions/src/order/rankedOrder.ts
+++ b/packages/decisions/src/order/rankedOrder.ts
@@ -31,6 +31,12 @@
   readonly getWeight: AccountWeight;
   /** Number of slots of the backend server. */
   readonly slots: number;
+  /** Returns the share of the slots that the rank leaves to more urgent ones; a constant without it. */
+  readonly getUrgentReserve?: (urgency: number) => number;
+  /** Share of the slots that only accounts below an equal share of the slots may use. */
+  readonly accountReserve?: number;
+  /** Whether an account uses too much for the reserve; by its equal share of the slots without it. */
+  readonly isLargeAccount?: (account: string) => boolean;
 }
 
 interface RankState<T extends WaitingWork> {
@@ -43,10 +49,10 @@
   readonly isEarly: boolean;
 }
 
-/** Share of the slots that only the most urgent rank may use. */
-const urgentReserve = 0.08;
-/** Share of the slots that only accounts below an equal share of the slots may use. */
-const accountReserve = 0.08;
+/** Share of the slots that only the most urgent rank of an agent may use. */
+const defaultUrgentReserve = 0.08;
+/** `accountReserve` of an agent. */
+const defaultAccountReserve = 0.08;
 const prioritiesPerRank = 2;
 const servedHalfLifeMs = 5_000;
 /** Share of the served cost that may start early because it has little slack. */
@@ -164,12 +170,20 @@
   }
 
   private findMostUrgent(): T | undefined {
-    const { slots } = this.settings;
+    const {
+      slots,
+      accountReserve = defaultAccountReserve,
+      isLargeAccount,
+    } = this.settings;
     for (const [urgency, rank] of this.ranks.entries()) {
       const freeSlots = this.countFreeSlots(urgency);
       if (freeSlots > 0 && rank.queue.size > 0) {
         const allowsAboveShare = freeSlots > slots * accountReserve;
-        const work = rank.queue.findNext(allowsAboveShare, slots);
+        const work = rank.queue.findNext(
+          allowsAboveShare,
+          slots,
+          isLargeAccount,
+        );
         if (work) {
           return work;
         }
@@ -180,8 +194,9 @@
 
   /** Returns the number of free slots that the rank may use. */
   private countFreeSlots(urgency: number): number {
-    const { slots } = this.settings;
-    const reserved = urgency > 0 ? slots * urgentReserve : 0;
+    const { slots, getUrgentReserve } = this.settings;
+    const share = getUrgentReserve?.(urgency) ?? defaultUrgentReserve;
+    const reserved = urgency > 0 ? slots * share : 0;
     return slots - reserved - this.running;
   }
 
--- a/packages/gateway/src/attempt/attemptRepair.ts
+++ b/packages/gateway/src/attempt/attemptRepair.ts
@@ -1,7 +1,11 @@
 /** Moves a running attempt to a chain without the servers that it lost. */
 import type { Milliseconds, Result } from '@lycheetally/common';
 import { replaceStages, type ChainStage } from '@lycheetally/decisions';
-import { describeChainServers } from '../calls/chooseServers.js';
+import {
+  describeChainServers,
+  toBalancedCall,
+} from '../calls/chooseServers.js';
+import { findEndOfCall } from '../calls/repeatRules.js';
 import { maxChainRepairs } from '../constants.js';
 import type { AttemptEvent, GatewayAttempt } from './gatewayAttempt.js';
 import type { ChainUpdateAnswer } from '../ports.js';
@@ -53,6 +57,7 @@
 
   noteLost(event: AttemptEvent | undefined): void {
     if (event?.lost !== undefined) {
+      this.attempt.call.place?.noteServerLost();
       this.lostServers.add(event.lost);
       if (event.type === 'SERVER_LOST') {
         this.goneServers.add(event.lost);
@@ -68,6 +73,10 @@
   /** Sends the new chain to the first server; the attempt receives `REPAIRED` or `REPAIR_FAILED`. */
   request(now: Milliseconds): void {
     this.repairs += 1;
+    if (findEndOfCall(this.attempt.call, now)) {
+      this.finish('the call is over', 'REPAIR_FAILED');
+      return;
+    }
     const { lostServers } = this;
     const chain =
       this.chooseChain(lostServers, this.attempt.silence.proofSince, now) ??
@@ -83,7 +92,7 @@
     void services.control
       .updateChain({ address, requestId, chain })
       .then(result => {
-        if (repairs === this.repairs) {
+        if (repairs === this.repairs && !attempt.instance.isFinal) {
           this.receive(result);
         }
       });
@@ -95,18 +104,19 @@
     now: Milliseconds,
   ): readonly ChainStage[] | undefined {
     const { call, admitted, chosen } = this.attempt;
-    const { model, name } = admitted.service;
-    if (!model) {
+    const balanced = toBalancedCall(call, admitted);
+    if (!balanced) {
       return undefined;
     }
-    const { serverRegistry, chainPolicy, homeDomain } = call.services;
+    const { serverRegistry, balance, homeDomain } = call.services;
     const usable = serverRegistry
-      .listUsable(name)
+      .listUsable(admitted.service.name)
       .filter(({ lastAliveAt }) => lastAliveAt >= aliveSince)
       .filter(server => !server.hasRefusedRecently(now));
-    return replaceStages(chainPolicy, {
-      ...describeChainServers(usable, serverRegistry.gatewaysPerDomain),
-      model,
+    return replaceStages(balance.chainPolicy, {
+      ...describeChainServers(usable, balance, now),
+      ...balance.describeNeeds(balanced, now),
+      model: balanced.model,
       homeDomain,
       tokens: admitted.tokens,
       excluded: call.avoided,
--- a/packages/gateway/src/attempt/gatewayAttempt.ts
+++ b/packages/gateway/src/attempt/gatewayAttempt.ts
@@ -4,13 +4,19 @@
 import type { BackendRecord } from '@lycheetally/decisions';
 import { createBackendFault } from './attemptFaults.js';
 import type { BackendHead } from '../backendPort.js';
+import type { RawHeaders } from '../callFormat.js';
 import { chooseHedge } from '../calls/callHedge.js';
-import type { ChosenServers } from '../calls/chooseServers.js';
-import { mayMove, mayRunElsewhere } from '../calls/repeatRules.js';
+import { noteBalanced, type ChosenServers } from '../calls/chooseServers.js';
+import {
+  findEndOfCall,
+  mayMove,
+  mayRunElsewhere,
+} from '../calls/repeatRules.js';
 import { checkStall } from './stallCheck.js';
 import { AttemptAnswer } from './attemptAnswer.js';
 import { AttemptBlame } from './attemptBlame.js';
 import { EndCheck } from './endCheck.js';
+import { AttemptPace } from './attemptPace.js';
 import { AttemptProgress } from './attemptProgress.js';
 import { AttemptRepair } from './attemptRepair.js';
 import { AttemptServers } from './attemptServers.js';
@@ -63,6 +69,7 @@
   readonly servers: AttemptServers;
   readonly repair = new AttemptRepair(this);
   readonly blame = new AttemptBlame(this);
+  readonly pace = new AttemptPace(this);
   readonly progress: AttemptProgress;
   readonly silence: AttemptSilence;
   readonly times: AttemptTimes;
@@ -106,8 +113,8 @@
     openExchange: (now: Milliseconds): void => {
       const { call, admitted, chosen } = this;
       const { record } = chosen.first;
-      const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
       this.servers.updateLoad(1);
+      noteBalanced(call, admitted, chosen, now);
       chosen.first.intake.noteSent(now);
       const needsNewConnection = call.sentTo.has(record.address);
       call.sentTo.add(record.address);
@@ -116,7 +123,6 @@
         call.received.method,
         {
           serverId: record.serverId,
-          remainingMs,
           account: admitted.holder?.account,
           urgency: admitted.urgency,
           chain: chosen.chain,
@@ -129,6 +135,7 @@
         method: call.received.method,
         target: call.received.target,
         headers,
+        listTimedHeaders: () => this.listTimedHeaders(),
         body: call.received.body,
         needsRecentConnection: !admitted.isRepeatable,
         needsNewConnection,
@@ -139,6 +146,7 @@
     },
     releaseLoad: (): void => {
       this.servers.updateLoad(-1);
+      this.call.services.balance.noteEnded();
       this.call.services.bufferMemory.release(this);
     },
     noteConnectionRefused: (
@@ -215,6 +223,7 @@
       return (
         !call.hedge &&
         !silence.isPatient(now) &&
+        (silence.isAsLongAsLoss(now) || !silence.isShared(now)) &&
         mayMove(call, admitted, silence.proof, now)
       );
     },
@@ -232,6 +241,18 @@
       this.silence.computeCheckDelay(now),
   };
 
+  /** Returns the time that is left now; nothing once the call is over. */
+  private listTimedHeaders(): RawHeaders | undefined {
+    const { call, admitted } = this;
+    const { services } = call;
+    const now = services.getMoment().monotonic;
+    if (findEndOfCall(call, now)) {
+      return undefined;
+    }
+    const remainingMs = Math.max(1, Math.round(admitted.deadlineAt - now));
+    return services.format.writeRemainingTime(remainingMs);
+  }
+
   private report(
     type: 'ATTEMPT_NOT_RUN' | 'ATTEMPT_ERROR' | 'ATTEMPT_BROKEN',
     now: Milliseconds,
@@ -240,6 +261,11 @@
     this.blame.keepFromFaultyServers();
     this.silence.noteEnd(now);
     call.services.metrics.countAttempt(type);
+    if (type === 'ATTEMPT_NOT_RUN') {
+      call.place?.noteFailure(now);
+    } else if (type === 'ATTEMPT_BROKEN') {
+      call.place?.noteServerLost();
+    }
     call.services.log.info('An attempt did not complete its call.', {
       request: call.requestId,
       attempt: call.attempts,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -102,6 +102,9 @@
 /** Time after which a silent server counts as lost; sound ones pause for a second or so. */
 export const lossSilenceMs = 2_000;
 
+/** How long a server counts as in trouble after a silence; the servers of an overloaded fleet fall silent in turn. */
+export const recentTroubleMs = 1_000;
+
 /** Time after which placement plans without a silent server; loading its layers elsewhere takes longer than a pause. */
 export const placementSilenceMs = 800;
 
@@ -225,9 +228,6 @@
 /** Largest response that is buffered before it is forwarded, in bytes. */
 export const maxBufferedResponseBytes = 16 * 1_024 * 1_024;
 
-/** Share of the VM's memory in which requests and responses are buffered; the heap and the code take the rest. */
-export const maxBufferShare = 1 / 4;
-
 /** Memory of the VM if the settings do not state it; the smallest of the users' deployments has about as much. */
 export const defaultMemoryMebibytes = 256;
 
@@ -342,3 +342,6 @@
 /** Log lines with one message about suspects at most in each `suspectLogWindowMs`. */
 export const maxSuspectLogLines = 60;
 export const suspectLogWindowMs = 60_000;
+
+/** Log lines about faults of one configuration at most; the command that checks a file lists all. */
+export const maxFindingLines = 20;
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -17,18 +17,25 @@
   type Result,
 } from '@lycheetally/common';
 import {
-  CheapestChain,
   LargestFirstMemory,
   NewestWhenLate,
   Outcome,
-  ReplicaPerDomain,
   SlidingRetryBudget,
   SurvivalForecast,
+  createPlacement,
   isFreshEnough,
+  maxBufferShare,
   type GatewayConfiguration,
+  type InFlight,
   type Moment,
 } from '@lycheetally/decisions';
 import { EventLoop, MonotonicClock } from '@lycheetally/node';
+import { CheapestBalance, type CallBalance } from './balance/callBalance.js';
+import { LoadExchange } from './balance/loadExchange.js';
+import { formatServerKey } from './balance/loadMessage.js';
+import { HttpLoadReports } from './balance/loadPorts.js';
+import { LoadReceiver } from './balance/loadReceiver.js';
+import { SpreadBalance } from './balance/spreadBalance.js';
 import { bindCallChart, type CallMachine } from './calls/callActions.js';
 import type { CallFormat } from './callFormat.js';
 import { CallIntake, type QueuedCall } from './calls/callIntake.js';
@@ -38,7 +45,6 @@
   lingerTimeoutMs,
   closeConnectionsAfterMs,
   defaultMemoryMebibytes,
-  maxBufferShare,
 } from './constants.js';
 import { bindAttemptChart } from './attempt/attemptChart.js';
 import { drainTimeoutFault, stoppingFault } from './calls/drainAdmission.js';
@@ -47,19 +53,30 @@
 import { GatewayCall, type CallServices } from './calls/gatewayCall.js';
 import { addGauges } from './gatewayGauges.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import type { Server } from './servers/server.js';
 import { GatewayServers } from './servers/gatewayServers.js';
-import type { GatewaySettings } from './gatewaySettings.js';
+import {
+  ChainChoice,
+  Switch,
+  type GatewaySettings,
+} from './gatewaySettings.js';
 import { HttpBackend } from './httpBackend.js';
 import type { HttpCaller } from './callers/httpCaller.js';
+import { excessLogLimit } from './callers/constants.js';
+import { computeFrontendLimits } from './callers/frontendLimits.js';
 import { HttpFrontend, type CallHandler } from './callers/httpFrontend.js';
 import { bindOrderChart } from './placement/layerOrder.js';
 import { bindLeaderChart, LayerPlacer } from './placement/layerPlacer.js';
+import { createOrderRules } from './placement/orderRules.js';
 import {
   bindLifecycleChart,
   type LifecycleActions,
   type LifecycleEvent,
 } from './lifecycleChart.js';
 import { listenWhenFree } from './listenWhenFree.js';
+import { LimitedLog } from './limitedLog.js';
+import { chooseAdmission, chooseRepair } from './lossesAtOnce.js';
+import { reportFindings } from './reportFindings.js';
 import { LoopMonitor } from './loopMonitor.js';
 import type {
   LeaderElectionPort,
@@ -69,6 +86,12 @@
 import { StatusPages } from './statusPages.js';
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
 import { WaitingCalls } from './calls/waitingCalls.js';
+import {
+  AdaptivePlaces,
+  AdmissionMode,
+  UnlimitedPlaces,
+  type CallPlaces,
+} from './waiting/callPlaces.js';
 import { Suspects } from './suspects/suspects.js';
 
 /** Interfaces that a platform's adapter implements for a gateway. */
@@ -89,13 +112,16 @@
   private readonly clock = new MonotonicClock();
   private readonly loop = new EventLoop<GatewayEvents>(this.clock);
   private readonly log: ComponentLogger;
+  private readonly callerLog: LimitedLog;
   private readonly backend: HttpBackend;
   private readonly bufferMemory: LargestFirstMemory<GatewayAttempt>;
   private readonly retryBudget: SlidingRetryBudget;
   private readonly waitingCalls = new WaitingCalls();
+  private readonly places: CallPlaces;
   private readonly servers: GatewayServers;
   private readonly placer: LayerPlacer;
   private readonly news: GatewayNews;
+  private readonly loadExchange: LoadExchange | undefined;
   private readonly suspects: Suspects;
   private readonly callMachine: CallMachine;
   private readonly callServices: CallServices;
@@ -120,10 +146,10 @@
   ) {
     const startedAt = this.clock.getNow();
     this.log = loggers.createLogger(LogComponent.Process);
+    this.callerLog = new LimitedLog(this.log, excessLogLimit);
     this.backend = new HttpBackend(ports.format);
-    const memoryMb = settings.limits?.memoryMb ?? defaultMemoryMebibytes;
     this.bufferMemory = new LargestFirstMemory(
-      memoryMb * bytesPerMebibyte * maxBufferShare,
+      this.memoryBytes * maxBufferShare,
     );
     this.callMachine = getOrThrow(bindCallChart());
     this.retryBudget = new SlidingRetryBudget({
@@ -133,8 +159,13 @@
     });
     this.servers = this.createServers();
     this.suspects = this.createSuspects();
+    this.loadExchange = this.createLoadExchange();
     this.news = this.createNews();
     this.placer = this.createPlacer(startedAt);
+    this.servers.lossHandler.serverLost.subscribe(now => {
+      this.placer.noteLoss(now);
+    });
+    this.places = this.createPlaces();
     this.callServices = this.createCallServices();
     this.frontend = this.createFrontend();
     this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
@@ -166,6 +197,8 @@
       countCalls: () => this.calls.size,
       countQueued: () => this.intake.count,
       countBufferedBytes: () => this.bufferMemory.totalBytes,
+      countCallerBytes: () => this.frontend.callerBytes,
+      countCallerConnections: () => this.frontend.callerConnections,
       countUnreadable: () => this.servers.registry.unreadableCount,
       countDoubted: () => this.servers.registry.doubtedCount,
       countLimited: () => this.servers.registry.limitedCount,
@@ -173,6 +206,7 @@
       getVersion: () => this.configuration?.version ?? 0,
       placer: this.placer,
       news: this.news,
+      loadExchange: this.loadExchange,
       suspects: this.suspects,
     });
   }
@@ -210,6 +244,7 @@
     this.post(now => {
       if (!this.hasStopped) {
         this.news.start(now);
+        this.loadExchange?.start(now);
         this.suspects.start(now);
         if (!this.settings.listen.gateways) {
           this.suspects.notePeersRead(now);
@@ -288,9 +323,11 @@
     this.pages.dispose();
     this.backend.dispose();
     this.servers.dispose();
+    this.loadExchange?.dispose();
     this.news.dispose();
     this.suspects.dispose();
     this.placer.dispose();
+    this.places.dispose();
   }
 
   /** Actions and delays of the lifecycle chart. */
@@ -364,6 +401,11 @@
     return [...this.calls.values()].filter(call => call.hasStartedResponse);
   }
 
+  private get memoryBytes(): number {
+    const { limits } = this.settings;
+    return (limits?.memoryMb ?? defaultMemoryMebibytes) * bytesPerMebibyte;
+  }
+
   private get graceMs(): Milliseconds {
     return this.settings.process.drainSeconds * millisecondsPerSecond;
   }
@@ -439,6 +481,16 @@
       noteConnectionClosed: reason => {
         this.metrics.countConnectionClosed(reason);
       },
+      noteExcess: (fields, now) => {
+        this.callerLog.write(
+          'A connection was closed, since callers hold too much.',
+          fields,
+          now,
+        );
+      },
+      deferReading: run => {
+        this.clock.defer(run);
+      },
       postCompletion: run => {
         this.post(run);
       },
@@ -454,10 +506,13 @@
       handler,
       this.loop,
       this.bufferMemory,
+      computeFrontendLimits(this.settings),
     );
   }
 
   private createNews(): GatewayNews {
+    const loadReceiver =
+      this.loadExchange && this.createLoadReceiver(this.loadExchange);
     return new GatewayNews(this.settings, this.ports, {
       timers: this.loop,
       loggers: this.loggers,
@@ -474,6 +529,11 @@
       receiveParts: (incoming, response) => {
         this.suspects.receive(incoming, response);
       },
+      receiveLoad:
+        loadReceiver &&
+        ((incoming, response) => {
+          loadReceiver.receive(incoming, response);
+        }),
       applyConfigurations: (records, isComplete, now) => {
         this.noteStored(records, isComplete);
         this.applyConfigurations(records, now);
@@ -482,6 +542,7 @@
         this.storedVersion >= (this.configuration?.version ?? 0),
       applyServers: (records, isComplete, now) => {
         this.servers.registry.apply(records, isComplete, now);
+        this.places.noteServersChanged(now);
       },
     });
   }
@@ -497,6 +558,8 @@
       countMessage: isAnswered => {
         this.metrics.countSuspectMessage(isAnswered);
       },
+      describeFleet: (service, now) =>
+        this.servers.registry.describeTrouble(service, now),
     });
   }
 
@@ -520,6 +583,7 @@
   }
 
   private createPlacer(startedAt: Milliseconds): LayerPlacer {
+    const repair = chooseRepair(this.settings);
     return new LayerPlacer(
       getOrThrow(bindLeaderChart()),
       getOrThrow(bindOrderChart()),
@@ -528,7 +592,8 @@
         log: this.loggers.createLogger(LogComponent.Layers),
         leaderElection: this.ports.leaderElection,
         control: this.ports.control,
-        placement: new ReplicaPerDomain(),
+        placement: createPlacement(repair),
+        orderRules: createOrderRules(repair),
         serverRegistry: this.servers.registry,
         startedAt,
         heartbeatMs: this.settings.rules.heartbeatMs,
@@ -545,6 +610,74 @@
     );
   }
 
+  /** Load reports, if they are switched on and other gateways can reach this one. */
+  private createLoadExchange(): LoadExchange | undefined {
+    const { balance, listen, process } = this.settings;
+    if (balance?.loadReports !== Switch.On || !listen.gateways) {
+      return undefined;
+    }
+    const { registry } = this.servers;
+    return new LoadExchange({
+      timers: this.loop,
+      log: this.loggers.createLogger(LogComponent.Servers),
+      port: new HttpLoadReports(),
+      ownId: process.id,
+      failureDomain: process.failureDomain,
+      incarnation: this.getMoment().wallClock,
+      chooseRelay: () => this.news.chooseRelay(),
+      listRelaysElsewhere: () => this.news.listRelaysElsewhere(),
+      listFlights: () =>
+        new Map(
+          registry
+            .listInUse()
+            .map(server => [formatKey(server), getFlight(server)]),
+        ),
+      postCompletion: run => {
+        this.post(run);
+      },
+    });
+  }
+
+  private createLoadReceiver(exchange: LoadExchange): LoadReceiver {
+    return new LoadReceiver({
+      log: this.loggers.createLogger(LogComponent.Servers),
+      postCompletion: run => {
+        this.post(run);
+      },
+      receiveReport: (report, now) => exchange.receiveReport(report, now),
+    });
+  }
+
+  private createBalance(): CallBalance {
+    const { registry } = this.servers;
+    const { balance, process } = this.settings;
+    return balance?.chains === ChainChoice.Sampled
+      ? new SpreadBalance({
+          ownId: process.id,
+          counts: registry,
+          findServer: serverId => registry.find(serverId),
+          findOthers: server =>
+            this.loadExchange?.findOthers(formatKey(server)),
+          handleChanged: () => {
+            this.loadExchange?.noteChanged();
+          },
+        })
+      : new CheapestBalance(registry);
+  }
+
+  private createPlaces(): CallPlaces {
+    return chooseAdmission(this.settings) === AdmissionMode.Adaptive
+      ? new AdaptivePlaces({
+          timers: this.loop,
+          metrics: this.metrics,
+          getRandom: Math.random,
+          postCompletion: run => {
+            this.post(run);
+          },
+        })
+      : new UnlimitedPlaces();
+  }
+
   private createCallServices(): CallServices {
     const { rules, process } = this.settings;
     return {
@@ -554,12 +687,13 @@
       format: this.ports.format,
       backend: this.backend,
       control: this.ports.control,
-      chainPolicy: new CheapestChain(),
+      balance: this.createBalance(),
       retryPolicy: this.retryBudget,
       serverRegistry: this.servers.registry,
       attemptMachine: getOrThrow(bindAttemptChart()),
       suspects: this.suspects.tracker,
       waitingCalls: this.waitingCalls,
+      places: this.places,
       bufferMemory: this.bufferMemory,
       intakeOrder: this.intakeOrder,
       homeDomain: process.failureDomain,
@@ -680,10 +814,19 @@
       services: configuration.services.size,
       keys: configuration.keys?.size ?? 0,
     });
+    reportFindings(this.log, configuration.declared, this.memoryBytes);
     this.lifecycle.send({ type: 'READY' }, now);
   }
 }
 
+const formatKey = ({ record }: Server): string =>
+  formatServerKey(record.service, record.serverId);
+
+const getFlight = ({ calls, layerTokens }: Server): InFlight => ({
+  calls,
+  layerTokens,
+});
+
 /** Cancels calls for the drain timeout. */
 const cancelCalls = (
   calls: readonly GatewayCall[],
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,9 +1,26 @@
 /** The settings of a gateway, as its INI file names them. */
 import { z } from 'zod';
-import { addressSchema } from '@lycheetally/common';
+import { addressSchema, type ValueOf } from '@lycheetally/common';
+import { RepairMode } from '@lycheetally/decisions';
+import { AdmissionMode } from './waiting/callPlaces.js';
+
+/** How chains are chosen. */
+export const ChainChoice = {
+  Cheapest: 'cheapest',
+  Sampled: 'sampled',
+} as const;
+export type ChainChoice = ValueOf<typeof ChainChoice>;
+
+export const Switch = { Off: 'off', On: 'on' } as const;
 
 const positive = z.coerce.number().positive();
 
+/** A template has an empty value where the platform states none. */
+const optionalPositive = z.preprocess(
+  value => (value === '' ? undefined : value),
+  positive.optional(),
+);
+
 export const gatewaySettingsSchema = z.object({
   process: z.object({
     id: z
@@ -31,18 +48,60 @@
   }),
   limits: z
     .object({
-      // A template has an empty value where the platform states none.
-      memoryMb: z
-        .preprocess(
-          value => (value === '' ? undefined : value),
-          positive.optional(),
-        )
+      memoryMb: optionalPositive.describe(
+        'Memory of the VM in MiB; a quarter of it buffers requests and responses (256 without it)',
+      ),
+      maxDescriptors: optionalPositive.describe(
+        'Descriptors of the VM; callers take six tenths of those that are not kept for files (4096 without it)',
+      ),
+      maxRequestsAhead: optionalPositive.describe(
+        'Requests of one connection that are parsed before the first of them is answered; the rest waits at the caller (16 without it)',
+      ),
+      stalledSeconds: optionalPositive.describe(
+        'Seconds after which a request or an answer without progress ends (60 without it)',
+      ),
+    })
+    .optional(),
+  placement: z
+    .object({
+      repair: z
+        .enum(RepairMode)
+        .default(RepairMode.Continuous)
         .describe(
-          'Memory of the VM in MiB; a quarter of it buffers requests and responses (256 without it)',
+          'Whether a loss of servers is answered by one plan that is kept until it is done, or by a new plan at each interval',
+        ),
+    })
+    .optional(),
+  balance: z
+    .object({
+      chains: z
+        .enum(ChainChoice)
+        .default(ChainChoice.Cheapest)
+        .describe(
+          'Which chain of servers runs a call: the cheapest one, or one of a few sampled by free room',
+        ),
+      loadReports: z
+        .enum(Switch)
+        .default(Switch.Off)
+        .describe(
+          'Whether gateways report to one another what they have in flight; needs `gateways` in `[listen]`, and counts for sampled chains only',
+        ),
+    })
+    .optional(),
+  waiting: z
+    .object({
+      admission: z
+        .enum(AdmissionMode)
+        .default(AdmissionMode.Unlimited)
+        .describe(
+          'Whether calls of model services wait for a place by what their servers can do in time, or are sent as soon as they have servers',
         ),
     })
     .optional(),
   rules: z.object({
+    lossesAtOnce: optionalPositive.describe(
+      'VMs that may be lost at the same time; from 2 on, repairs are committed and admission is adaptive unless `[placement]` and `[waiting]` say otherwise (1 without it)',
+    ),
     heartbeatMs: positive.describe(
       'Milliseconds between two heartbeats of a backend server',
     ),
--- a/packages/gateway/src/servers/server.ts
+++ b/packages/gateway/src/servers/server.ts
@@ -11,12 +11,17 @@
   ComponentLogger,
   Result,
 } from '@lycheetally/common';
-import type { BackendRecord, StageLoad } from '@lycheetally/decisions';
+import type {
+  BackendRecord,
+  StageLoad,
+  ToldCalls,
+} from '@lycheetally/decisions';
 import {
   refusalCooldownMs,
   firstSuspensionMs,
   heartbeatDelayMs,
   lossSilenceMs,
+  recentTroubleMs,
   maxConsecutiveErrors,
   maxSuspensionMs,
   reportTimeoutMs,
@@ -55,6 +60,10 @@
   heardAgainAt: Milliseconds = -Infinity;
   /** Calls that the server reported in its newest response; 0 after a heartbeat. */
   private reportedCalls = 0;
+  /** What it told of its load in its newest response. */
+  told: ToldCalls | undefined;
+  /** Its observed step time relative to that of its kind; 1 while no pace is observed. */
+  stepTimeRatio = 1;
   private refusedAt: Milliseconds = -Infinity;
   /** When the server was found to be unreachable or silent. */
   private awaySince: Milliseconds = 0;
@@ -103,6 +112,11 @@
     return this.awaySince - reportTimeoutMs;
   }
 
+  /** Whether it gets no calls now, or was silent or slow until just now. */
+  isInTrouble(now: Milliseconds): boolean {
+    return !this.isAvailable || now - this.returnedAt < recentTroubleMs;
+  }
+
   /** Whether it has been silent for less than that. */
   isSilentForLess(silenceMs: Milliseconds, now: Milliseconds): boolean {
     return this.isSilent && now - this.awaySince < silenceMs;
@@ -199,11 +213,14 @@
   }
 
   /** Records the load that the server reported in a response. */
-  noteLoad(calls: number): void {
+  noteLoad(calls: number, now: Milliseconds): void {
     this.reportedCalls = calls;
+    this.told = { calls, asOf: now, ownCalls: this.calls };
   }
 
   noteRestart(now: Milliseconds): void {
+    this.told = undefined;
+    this.stepTimeRatio = 1;
     this.intake.noteRestarted(now);
     this.chart.send({ type: 'RESTARTED' }, now);
   }
--- a/packages/gateway/src/servers/serverRegistry.ts
+++ b/packages/gateway/src/servers/serverRegistry.ts
@@ -34,6 +34,13 @@
   handleReturn(server: Server, now: Milliseconds): void;
 }
 
+/** How many servers of a service are in trouble. */
+export interface ServiceTrouble {
+  readonly total: number;
+  /** Ids of those that are silent, failing, lost or just back. */
+  readonly troubled: readonly string[];
+}
+
 interface KnownServer {
   readonly server: Server;
   readonly listing: ServerListing;
@@ -63,6 +70,11 @@
     return this.services.getOutage().outageSince === undefined;
   }
 
+  /** Estimated number of all gateways. */
+  get gatewayCount(): number {
+    return this.gatewayShare > 0 ? 1 / this.gatewayShare : 1;
+  }
+
   /** Estimated number of gateways that use the servers of a failure domain; each knows only its own calls. */
   get gatewaysPerDomain(): number {
     return this.gatewayShare > 0
@@ -129,10 +141,28 @@
       .map(({ server }) => server);
   }
 
+  /** Servers at which this gateway has calls in flight. */
+  listInUse(): Server[] {
+    return this.list(({ calls, layerTokens }) => calls > 0 || layerTokens > 0);
+  }
+
   listAll(service: string): Server[] {
     return this.list(({ record }) => record.service === service);
   }
 
+  /** The servers of the service, of a model those that hold layers, and the ones in trouble among them. */
+  describeTrouble(service: string, now: Milliseconds): ServiceTrouble {
+    const all = this.listAll(service);
+    const holding = all.filter(({ record }) => record.range !== undefined);
+    const serving = holding.length > 0 ? holding : all;
+    return {
+      total: serving.length,
+      troubled: serving
+        .filter(server => server.isInTrouble(now))
+        .map(({ record }) => record.serverId),
+    };
+  }
+
   apply(
     records: readonly TableRecord<BackendRecord>[],
     isComplete: boolean,
