--- a/packages/decisions/src/balance/constants.ts
+++ b/packages/decisions/src/balance/constants.ts
@@ -4,7 +4,7 @@
 /** Chains that are drawn within the home domain for each call; two random choices already flatten the busiest server most. */
 export const homeDraws = 2;
 
-/** Chains that are drawn within another domain for each call, so that a crowded domain hands calls over. */
+/** Chains that are drawn within another domain for each call, so that a busy domain sends calls to another one. */
 export const otherDraws = 1;
 
 /** Chains over all domains that are drawn, at most, while no domain has a chain with room. */
--- a/packages/decisions/src/waiting/callQueue.ts
+++ b/packages/decisions/src/waiting/callQueue.ts
@@ -9,7 +9,7 @@
  * by account, by deadline. A call that returned as told goes before the new ones of its rank.
  * Calls without a chain wait outside the order until something may have brought one.
  */
-import type { Milliseconds } from '@lycheetally/common';
+import type { Milliseconds, ValueOf } from '@lycheetally/common';
 import { AccountDemand } from './accountDemand.js';
 import type { AccountWeight } from '../order/accountQueue.js';
 import { RankedOrder, type OrderedRank } from '../order/rankedOrder.js';
@@ -59,7 +59,7 @@
   /** It came back before the time that it was told. */
   Early: 'early',
 } as const;
-export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
+export type RefusalReason = ValueOf<typeof RefusalReason>;
 
 export interface Refusal {
   readonly reason: RefusalReason;
@@ -75,8 +75,7 @@
   Run: 'run',
   Wait: 'wait',
 } as const;
-export type QueueDecision =
-  (typeof QueueDecision)[keyof typeof QueueDecision] | Refusal;
+export type QueueDecision = ValueOf<typeof QueueDecision> | Refusal;
 
 /** A call with what the queue needs beside the contract. */
 export interface QueuedCallView extends WaitingCall {
--- a/packages/decisions/src/waiting/concurrencyLimit.ts
+++ b/packages/decisions/src/waiting/concurrencyLimit.ts
@@ -4,7 +4,7 @@
  * A limit is told of each run and of what the run sends; it says how many may run. It never ends
  * a run: a lower limit only holds back what has not started.
  */
-import type { Milliseconds } from '@lycheetally/common';
+import type { Milliseconds, ValueOf } from '@lycheetally/common';
 
 /** What a run must keep to be on time. */
 export interface RunTargets {
@@ -22,7 +22,7 @@
   /** A server refused it, it broke, or it ended at its deadline. */
   Failed: 'failed',
 } as const;
-export type RunEnd = (typeof RunEnd)[keyof typeof RunEnd];
+export type RunEnd = ValueOf<typeof RunEnd>;
 
 export abstract class ConcurrencyLimit {
   /** The number of calls that may run at once. */
--- a/packages/gateway/src/waiting/callPlaces.ts
+++ b/packages/gateway/src/waiting/callPlaces.ts
@@ -1,6 +1,6 @@
 /** Which calls of a gateway wait for places: none, or those of the services with a model. */
 import type { ChartTimers } from '@lycheetally/charts';
-import type { Disposable, Milliseconds } from '@lycheetally/common';
+import type { Disposable, Milliseconds, ValueOf } from '@lycheetally/common';
 import {
   AdaptiveConcurrency,
   CallQueue,
@@ -15,7 +15,7 @@
   Adaptive: 'adaptive',
   Unlimited: 'unlimited',
 } as const;
-export type AdmissionMode = (typeof AdmissionMode)[keyof typeof AdmissionMode];
+export type AdmissionMode = ValueOf<typeof AdmissionMode>;
 
 export abstract class CallPlaces implements Disposable {
   /** Creates the place of a call; `undefined` if calls of the service don't wait for one. */
