--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -20,6 +20,7 @@
   LargestFirstMemory,
   NewestWhenLate,
   Outcome,
+  RepairMode,
   SlidingRetryBudget,
   SurvivalForecast,
   createPlacement,
@@ -75,7 +76,6 @@
 } from './lifecycleChart.js';
 import { listenWhenFree } from './listenWhenFree.js';
 import { LimitedLog } from './limitedLog.js';
-import { chooseAdmission, chooseRepair } from './lossesAtOnce.js';
 import { reportFindings } from './reportFindings.js';
 import { LoopMonitor } from './loopMonitor.js';
 import type {
@@ -583,7 +583,7 @@
   }
 
   private createPlacer(startedAt: Milliseconds): LayerPlacer {
-    const repair = chooseRepair(this.settings);
+    const repair = this.settings.placement?.repair ?? RepairMode.Continuous;
     return new LayerPlacer(
       getOrThrow(bindLeaderChart()),
       getOrThrow(bindOrderChart()),
@@ -666,7 +666,7 @@
   }
 
   private createPlaces(): CallPlaces {
-    return chooseAdmission(this.settings) === AdmissionMode.Adaptive
+    return this.settings.waiting?.admission === AdmissionMode.Adaptive
       ? new AdaptivePlaces({
           timers: this.loop,
           metrics: this.metrics,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -99,9 +99,6 @@
     })
     .optional(),
   rules: z.object({
-    lossesAtOnce: optionalPositive.describe(
-      'VMs that may be lost at the same time; from 2 on, repairs are committed and admission is adaptive unless `[placement]` and `[waiting]` say otherwise (1 without it)',
-    ),
     heartbeatMs: positive.describe(
       'Milliseconds between two heartbeats of a backend server',
     ),
