Share what the new parts had written twice

Found by reading the change once more; behaviour and assertions stay.

- The frontend looked up the request whose body arrives in four places and refused it in three: findReceiving and refuseReceiving.
- ReadingTurns begins a turn when a connection waits, so that RequestFeed need not ask for time to begin one.
- Checks of one field of the limits, and of one field of each route, have a base each (LimitCheck, RouteCheck); the text of a finding had two types.
- The choice of admission stands beside its classes (createPlaces), as those of placement and order rules do, and not in GatewayNode.
- findChain took the model twice.
- Test fixtures (servers of a model, a stable placement, an unused format, a declared route) are shared by the tests that each had a copy.

--- a/packages/decisions/src/config/gateway/configurationCheck.ts
+++ b/packages/decisions/src/config/gateway/configurationCheck.ts
@@ -15,7 +15,10 @@
 }
 
 /** What is wrong, what it means for callers and what to do. */
-type FindingText = Pick<ConfigurationFinding, 'fault' | 'effect' | 'remedy'>;
+export type FindingText = Pick<
+  ConfigurationFinding,
+  'fault' | 'effect' | 'remedy'
+>;
 
 /** A check looks at each entry a fixed number of times, since gateways run all checks on large configurations. */
 export abstract class ConfigurationCheck {
--- a/packages/decisions/src/config/gateway/limitChecks.ts
+++ b/packages/decisions/src/config/gateway/limitChecks.ts
@@ -2,7 +2,12 @@
 import { millisecondsPerSecond } from '@lycheetally/common';
 import { maxBufferShare, maxCallShare } from '../../gateway/bufferMemory.js';
 import type { RouteRule } from '../../gateway/routeTable.js';
-import { ConfigurationCheck, type CheckSubject } from './configurationCheck.js';
+import {
+  ConfigurationCheck,
+  type CheckSubject,
+  type FindingText,
+} from './configurationCheck.js';
+import { RouteCheck } from './routeCheck.js';
 import {
   FindingKind,
   FindingSeverity,
@@ -10,28 +15,24 @@
   type ConfigurationFinding,
 } from './configurationFinding.js';
 
-type FindingText = Pick<ConfigurationFinding, 'fault' | 'effect' | 'remedy'>;
+/** Limits of a route that contradict each other; it serves calls all the same. */
+abstract class RouteLimitCheck extends RouteCheck {
+  protected override readonly severity = FindingSeverity.Warning;
+}
 
-/** A check that looks at one route after the other. */
-abstract class RouteLimitCheck extends ConfigurationCheck {
+/** A check of one field of the limits. */
+abstract class LimitCheck extends ConfigurationCheck {
   protected override readonly severity = FindingSeverity.Warning;
   protected abstract readonly field: ConfigurationField;
 
-  protected abstract describe(route: RouteRule): FindingText | undefined;
+  protected abstract describe(subject: CheckSubject): FindingText | undefined;
 
-  override *listFindings({
-    configuration: { routes },
-  }: CheckSubject): Iterable<ConfigurationFinding> {
-    const { field } = this;
-    for (const [index, route] of routes.entries()) {
-      const text = this.describe(route);
-      if (text) {
-        const { name } = route;
-        yield this.createFinding(
-          { section: 'routes', index, name, field },
-          text,
-        );
-      }
+  override *listFindings(
+    subject: CheckSubject,
+  ): Iterable<ConfigurationFinding> {
+    const text = this.describe(subject);
+    if (text) {
+      yield this.createFinding({ section: 'limits', field: this.field }, text);
     }
   }
 }
@@ -122,68 +123,59 @@
   }
 }
 
-export class IdleUnderHeadLimitCheck extends ConfigurationCheck {
+export class IdleUnderHeadLimitCheck extends LimitCheck {
   protected override readonly kind = FindingKind.IdleUnderHeadLimit;
-  protected override readonly severity = FindingSeverity.Warning;
+  protected override readonly field = 'idleTimeoutMs';
 
-  override *listFindings({
+  protected override describe({
     configuration: { limits },
-  }: CheckSubject): Iterable<ConfigurationFinding> {
+  }: CheckSubject): FindingText | undefined {
     const { idleTimeoutMs, headerTimeoutMs } = limits;
-    if (idleTimeoutMs < headerTimeoutMs) {
-      yield this.createFinding(
-        { section: 'limits', field: 'idleTimeoutMs' },
-        {
+    return idleTimeoutMs >= headerTimeoutMs
+      ? undefined
+      : {
           fault: `the idle limit of ${String(idleTimeoutMs)} ms is below the limit of ${String(headerTimeoutMs)} ms for the head of a call`,
           effect:
             'a connection is closed while its next call could still be within the limit for its head',
           remedy: `raise the idle limit to ${String(headerTimeoutMs)} ms or more`,
-        },
-      );
-    }
+        };
   }
 }
 
-export class IdleUnderSecondCheck extends ConfigurationCheck {
+export class IdleUnderSecondCheck extends LimitCheck {
   protected override readonly kind = FindingKind.IdleUnderSecond;
-  protected override readonly severity = FindingSeverity.Warning;
+  protected override readonly field = 'idleTimeoutMs';
 
-  override *listFindings({
+  protected override describe({
     configuration: { limits },
-  }: CheckSubject): Iterable<ConfigurationFinding> {
+  }: CheckSubject): FindingText | undefined {
     const { idleTimeoutMs } = limits;
-    if (idleTimeoutMs > 0 && idleTimeoutMs < millisecondsPerSecond) {
-      yield this.createFinding(
-        { section: 'limits', field: 'idleTimeoutMs' },
-        {
+    return idleTimeoutMs <= 0 || idleTimeoutMs >= millisecondsPerSecond
+      ? undefined
+      : {
           fault: `the idle limit of ${String(idleTimeoutMs)} ms is told in whole seconds, as Keep-Alive: timeout=0`,
           effect: 'callers open a new connection for each call',
           remedy: `raise the idle limit to ${String(millisecondsPerSecond)} ms or more`,
-        },
-      );
-    }
+        };
   }
 }
 
-export class BodyOverMemoryCheck extends ConfigurationCheck {
+export class BodyOverMemoryCheck extends LimitCheck {
   protected override readonly kind = FindingKind.BodyOverMemory;
-  protected override readonly severity = FindingSeverity.Warning;
+  protected override readonly field = 'maxBodyBytes';
 
-  override *listFindings({
+  protected override describe({
     configuration: { limits },
     memoryBytes = Infinity,
-  }: CheckSubject): Iterable<ConfigurationFinding> {
+  }: CheckSubject): FindingText | undefined {
     const maxBytes = Math.floor(memoryBytes * maxBufferShare * maxCallShare);
-    if (limits.maxBodyBytes > maxBytes) {
-      yield this.createFinding(
-        { section: 'limits', field: 'maxBodyBytes' },
-        {
+    return limits.maxBodyBytes <= maxBytes
+      ? undefined
+      : {
           fault: `the body limit of ${String(limits.maxBodyBytes)} bytes is over the ${String(maxBytes)} bytes that a VM may buffer of calls`,
           effect:
             'calls within the body limit are refused with 503 at each try',
           remedy: `lower the body limit to ${String(maxBytes)} bytes, or give the VMs more memory`,
-        },
-      );
-    }
+        };
   }
 }
--- a/packages/decisions/src/config/gateway/routeChecks.ts
+++ b/packages/decisions/src/config/gateway/routeChecks.ts
@@ -1,6 +1,10 @@
 /** Checks of routes that get no calls, and of weights that send none. */
 import type { RouteRule } from '../../gateway/routeTable.js';
-import { ConfigurationCheck, type CheckSubject } from './configurationCheck.js';
+import {
+  ConfigurationCheck,
+  type CheckSubject,
+  type FindingText,
+} from './configurationCheck.js';
 import {
   FindingKind,
   FindingSeverity,
@@ -8,6 +12,7 @@
   formatName,
   type ConfigurationFinding,
 } from './configurationFinding.js';
+import { RouteCheck } from './routeCheck.js';
 
 /** The longest prefix wins, so that only a route with the same host and prefix hides another. */
 export class HiddenRouteCheck extends ConfigurationCheck {
@@ -74,25 +79,19 @@
   }
 }
 
-export class NoTrafficCheck extends ConfigurationCheck {
+export class NoTrafficCheck extends RouteCheck {
   protected override readonly kind = FindingKind.NoTraffic;
   protected override readonly severity = FindingSeverity.Error;
+  protected override readonly field = 'shares';
 
-  override *listFindings({
-    configuration: { routes },
-  }: CheckSubject): Iterable<ConfigurationFinding> {
-    for (const [index, route] of routes.entries()) {
-      if (!hasTraffic(route)) {
-        yield this.createFinding(
-          { section: 'routes', index, name: route.name, field: 'shares' },
-          {
-            fault: 'no weight is above 0',
-            effect: 'each call of the route is refused with 503',
-            remedy: 'give at least one service a weight above 0',
-          },
-        );
-      }
-    }
+  protected override describe(route: RouteRule): FindingText | undefined {
+    return hasTraffic(route)
+      ? undefined
+      : {
+          fault: 'no weight is above 0',
+          effect: 'each call of the route is refused with 503',
+          remedy: 'give at least one service a weight above 0',
+        };
   }
 }
 
--- a/packages/decisions/tests/gatewayConfigChecks.test.ts
+++ b/packages/decisions/tests/gatewayConfigChecks.test.ts
@@ -10,25 +10,7 @@
   type DeclaredConfiguration,
   type RouteRule,
 } from '../src/index.js';
-
-const createRoute = (
-  name: string,
-  overrides: Partial<RouteRule> = {},
-): RouteRule => ({
-  name,
-  host: 'one.example',
-  pathPrefix: `/${name}/`,
-  isRepeatable: true,
-  isStream: false,
-  isResumable: false,
-  isPublic: false,
-  timeoutMs: 1_000,
-  targetMs: 400,
-  urgency: 0,
-  maxAttempts: 2,
-  shares: [{ service: 'desk', weight: 1 }],
-  ...overrides,
-});
+import { createRoute } from './declaredRoute.js';
 
 const createService = (
   name: string,
--- a/packages/decisions/tests/gatewayConfigDifferences.test.ts
+++ b/packages/decisions/tests/gatewayConfigDifferences.test.ts
@@ -5,27 +5,15 @@
   formatPlace,
   listDifferences,
   type DeclaredConfiguration,
-  type RouteRule,
 } from '../src/index.js';
-
-const createRoute = (name: string, pathPrefix: string): RouteRule => ({
-  name,
-  host: 'one.example',
-  pathPrefix,
-  isRepeatable: true,
-  isStream: false,
-  isResumable: false,
-  isPublic: false,
-  timeoutMs: 1_000,
-  targetMs: 400,
-  urgency: 0,
-  maxAttempts: 2,
-  shares: [{ service: 'desk', weight: 1 }],
-});
+import { createRoute } from './declaredRoute.js';
 
 const before: DeclaredConfiguration = {
   version: 3,
-  routes: [createRoute('all', '/'), createRoute('look', '/look/')],
+  routes: [
+    createRoute('all', { pathPrefix: '/' }),
+    createRoute('look', { pathPrefix: '/look/' }),
+  ],
   services: [{ name: 'desk', healthPath: '/health', model: undefined }],
   accounts: [
     { name: 'north', keys: ['secret-a', 'secret-b'], urgency: undefined },
@@ -72,7 +60,10 @@
   });
 
   it('names the route whose calls an added one takes', () => {
-    const routes = [...before.routes, createRoute('find', '/find/')];
+    const routes = [
+      ...before.routes,
+      createRoute('find', { pathPrefix: '/find/' }),
+    ];
     expect(listLines({ routes })).toEqual([
       expect.stringMatching(
         /^added routes\[2\] "find": .*follow this route instead of "all"$/,
--- a/packages/decisions/tests/layerRepair.test.ts
+++ b/packages/decisions/tests/layerRepair.test.ts
@@ -15,6 +15,7 @@
   type PlacementPolicy,
   type StageServer,
 } from '../src/index.js';
+import { createServers, placeUntilStable } from './stageServers.js';
 
 const model: LayeredModel = {
   layers: 80,
@@ -31,21 +32,6 @@
   ],
 };
 
-const createServers = (
-  domain: string,
-  counts: Readonly<Record<string, number>>,
-): StageServer[] =>
-  Object.entries(counts).flatMap(([kind, count]) =>
-    Array.from({ length: count }, (_, index) => ({
-      serverId: `${domain}-${kind}-${String(index)}`,
-      address: `${domain}-${kind}-${String(index)}:1`,
-      failureDomain: domain,
-      kind,
-      range: undefined,
-      slots: 134,
-    })),
-  );
-
 const fleet = [
   ...createServers('a', { h100: 2, a100s: 4, l4: 6, t4: 8 }),
   ...createServers('b', { h100: 1, a100s: 6, l4: 7, t4: 5 }),
@@ -64,24 +50,8 @@
       : server;
   });
 
-/** Applies plans, each carried out at once, until one is empty. */
-const placeUntilStable = (
-  policy: PlacementPolicy,
-  servers: readonly StageServer[],
-): StageServer[] => {
-  let current = [...servers];
-  for (let rounds = 0; rounds < 40; rounds += 1) {
-    const plan = policy.planPlacement(model, current);
-    if (plan.size === 0) {
-      return current;
-    }
-    current = applyPlan(current, plan, false);
-  }
-  throw new Error('the placement does not converge');
-};
-
 const committed = new CommittedRepair();
-const placed = placeUntilStable(committed, fleet);
+const placed = placeUntilStable(committed, model, fleet);
 
 /** Plans that fit into the 6 s for which orders went out; no load ends in them. */
 const plansOfRepair = 15;
@@ -237,9 +207,13 @@
   it('lead to a stable placement without gaps, whichever servers were lost', () => {
     fc.assert(
       fc.property(fc.subarray(placed, { maxLength: 6 }), lost => {
-        const left = placeUntilStable(committed, removeServers(placed, lost));
+        const left = placeUntilStable(
+          committed,
+          model,
+          removeServers(placed, lost),
+        );
         const back = lost.map(server => ({ ...server, range: undefined }));
-        const after = placeUntilStable(committed, [...left, ...back]);
+        const after = placeUntilStable(committed, model, [...left, ...back]);
         for (const domain of ['a', 'b', 'c']) {
           expect(listMissing(after, domain)).toEqual([]);
         }
@@ -300,8 +274,8 @@
   ['a fleet like that of tenant screening', fleet],
   ['another fleet', otherFleet],
 ])('%s, before any loss', (_, servers) => {
-  const before = placeUntilStable(new ReplicaPerDomain(), servers);
-  const after = placeUntilStable(committed, servers);
+  const before = placeUntilStable(new ReplicaPerDomain(), model, servers);
+  const after = placeUntilStable(committed, model, servers);
 
   it('had servers whose loss alone broke the chains of their domain', () => {
     expect(countSingleHolders(before)).toBeGreaterThan(0);
@@ -356,8 +330,8 @@
     fc.assert(
       fc.property(counts, counts, (a, b) => {
         const servers = [...createServers('a', a), ...createServers('b', b)];
-        const before = placeUntilStable(new ReplicaPerDomain(), servers);
-        const after = placeUntilStable(committed, servers);
+        const before = placeUntilStable(new ReplicaPerDomain(), model, servers);
+        const after = placeUntilStable(committed, model, servers);
         for (const { range, kind } of after) {
           const memory = findAcceleratorKind(model, kind)?.memoryMegabytes ?? 0;
           const layers = range ? range.to - range.from : 0;
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -13,6 +13,7 @@
   type PlacementPlan,
   type StageServer,
 } from '../src/index.js';
+import { createServers, placeUntilStable } from './stageServers.js';
 
 const model: LayeredModel = {
   layers: 80,
@@ -28,21 +29,6 @@
   ],
 };
 
-const createServers = (
-  domain: string,
-  counts: Readonly<Record<string, number>>,
-): StageServer[] =>
-  Object.entries(counts).flatMap(([kind, count]) =>
-    Array.from({ length: count }, (_, index) => ({
-      serverId: `${domain}-${kind}-${String(index)}`,
-      address: `${domain}-${kind}-${String(index)}:1`,
-      failureDomain: domain,
-      kind,
-      range: undefined,
-      slots: 134,
-    })),
-  );
-
 const fleet = [
   ...createServers('a', { large: 1, small: 6, slow: 6 }),
   ...createServers('b', { large: 1, small: 10, slow: 4 }),
@@ -57,19 +43,6 @@
   }));
 };
 
-/** Applies plans until one is empty; fails when none is within 40 rounds. */
-const placeUntilStable = (servers: readonly StageServer[]): StageServer[] => {
-  let current = [...servers];
-  for (let rounds = 0; rounds < 40; rounds += 1) {
-    const plan = new ReplicaPerDomain().planPlacement(model, current);
-    if (plan.size === 0) {
-      return current;
-    }
-    current = applyPlan(current);
-  }
-  throw new Error('the placement does not converge');
-};
-
 /** Computes the lowest KV cache capacity of any layer, in tokens. */
 const computeMinCapacity = (servers: readonly StageServer[]): number => {
   const capacities = new Array<number>(model.layers).fill(0);
@@ -266,10 +239,16 @@
         server.failureDomain === failureDomain;
       const before = computeMinCapacity(placed.filter(isInSameDomain));
       const repaired = placeUntilStable(
+        new ReplicaPerDomain(),
+        model,
         placed.filter(server => server.serverId !== serverId),
       );
       const [back] = fleet.filter(server => server.serverId === serverId);
-      const after = placeUntilStable(back ? [...repaired, back] : repaired);
+      const after = placeUntilStable(
+        new ReplicaPerDomain(),
+        model,
+        back ? [...repaired, back] : repaired,
+      );
       const capacity = computeMinCapacity(after.filter(isInSameDomain));
       expect(capacity, serverId).toBeGreaterThan(0.75 * before);
     }
@@ -281,10 +260,12 @@
     fc.assert(
       fc.property(fc.subarray(ids), lost => {
         const left = placeUntilStable(
+          new ReplicaPerDomain(),
+          model,
           placed.filter(({ serverId }) => !lost.includes(serverId)),
         );
         const back = fleet.filter(({ serverId }) => lost.includes(serverId));
-        placeUntilStable([...left, ...back]);
+        placeUntilStable(new ReplicaPerDomain(), model, [...left, ...back]);
       }),
       { seed: 3, numRuns: 100 },
     );
@@ -323,7 +304,7 @@
 
 describe('a failure domain with memory for two replicas', () => {
   const large = createServers('a', { large: 2, small: 10, slow: 13 });
-  const placed = placeUntilStable(large);
+  const placed = placeUntilStable(new ReplicaPerDomain(), model, large);
 
   it('runs a whole chain whichever server it loses', () => {
     for (const { serverId } of placed) {
@@ -334,6 +315,8 @@
 
 describe('replaceStages', () => {
   const placed = placeUntilStable(
+    new ReplicaPerDomain(),
+    model,
     createServers('a', { large: 2, small: 10, slow: 13 }),
   );
   const chain = chooseChain(placed) ?? [];
--- a/packages/decisions/tests/spreadEmulator.ts
+++ b/packages/decisions/tests/spreadEmulator.ts
@@ -12,6 +12,7 @@
   type OthersInFlight,
   type StageServer,
 } from '../src/index.js';
+import { createServers, placeUntilStable } from './stageServers.js';
 
 export const model: LayeredModel = {
   layers: 80,
@@ -40,31 +41,22 @@
 export const domains = ['a', 'b', 'c'];
 
 /** Servers of the second deployment as `ReplicaPerDomain` places them, or a multiple of them. */
-export const placeFleet = (copies = 1): readonly StageServer[] => {
-  let servers: readonly StageServer[] = domains.flatMap((domain, at) =>
-    Object.entries(counts).flatMap(([kind, perDomain]) =>
-      Array.from({ length: (perDomain[at] ?? 0) * copies }, (_, index) => ({
-        serverId: `${domain}-${kind}-${String(index)}`,
-        address: `${domain}-${kind}-${String(index)}:1`,
-        failureDomain: domain,
-        kind,
-        range: undefined,
-        slots: 134,
-      })),
+export const placeFleet = (copies = 1): readonly StageServer[] =>
+  placeUntilStable(
+    new ReplicaPerDomain(),
+    model,
+    domains.flatMap((domain, at) =>
+      createServers(
+        domain,
+        Object.fromEntries(
+          Object.entries(counts).map(([kind, perDomain]) => [
+            kind,
+            (perDomain[at] ?? 0) * copies,
+          ]),
+        ),
+      ),
     ),
   );
-  for (let rounds = 0; rounds < 40; rounds += 1) {
-    const plan = new ReplicaPerDomain().planPlacement(model, servers);
-    if (plan.size === 0) {
-      return servers;
-    }
-    servers = servers.map(server => ({
-      ...server,
-      range: plan.get(server.serverId) ?? server.range,
-    }));
-  }
-  throw new Error('the placement does not converge');
-};
 
 /** Tokens of a call's prompt and answer. */
 const callTokens = 1_055;
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -70,6 +70,12 @@
   deferReading(run: () => void): void;
 }
 
+/** A request whose body is being received. */
+interface ReceivingRequest {
+  readonly caller: HttpCaller;
+  readonly reader: BodyReader;
+}
+
 /** Limits on what all callers make the gateway keep. */
 export interface FrontendLimits extends CallerLimits {
   readonly maxRequestsAhead: number;
@@ -197,8 +203,7 @@
   /** Refuses the requests whose body is still being received. */
   refuseIncomplete(error: ErrorResponse): void {
     for (const [caller, reader] of [...this.incomplete]) {
-      reader.drop();
-      this.refuseUnfinished(caller, reader, error);
+      this.refuseReceiving({ caller, reader }, error);
     }
   }
 
@@ -331,11 +336,9 @@
       },
       now,
     );
-    const caller = connection.listOpen().at(-1);
-    const reader = caller && this.incomplete.get(caller);
-    if (caller && reader && !connection.isClosing) {
-      reader.drop();
-      this.refuseUnfinished(caller, reader, noRoomError);
+    const receiving = this.findReceiving(connection);
+    if (receiving && !connection.isClosing) {
+      this.refuseReceiving(receiving, noRoomError);
       this.account.update(
         connection,
         connection.address,
@@ -353,14 +356,12 @@
     if (!connection) {
       return;
     }
-    const caller = connection.listOpen().at(-1);
-    const reader = caller && this.incomplete.get(caller);
+    const receiving = this.findReceiving(connection);
     if (connection.hasUnreadAnswer) {
       this.handler.noteConnectionClosed(CloseReason.Unread);
       connection.reset();
-    } else if (caller && reader) {
-      reader.drop();
-      this.refuseUnfinished(caller, reader, stalledError);
+    } else if (receiving) {
+      this.refuseReceiving(receiving, stalledError);
     } else {
       socket.setTimeout(this.callerLimits.stalledMs);
     }
@@ -548,17 +549,35 @@
     status: number,
     reason: string,
   ): boolean {
-    const caller = connection.listOpen().at(-1);
-    const reader = caller && this.incomplete.get(caller);
-    if (!caller || reader?.incoming.complete !== false) {
+    const receiving = this.findReceiving(connection);
+    if (receiving?.reader.incoming.complete !== false) {
       return false;
     }
+    const { caller, reader } = receiving;
     reader.drop();
     this.incomplete.delete(caller);
     this.refuse(caller, status, `the body is malformed (${reason})`);
     return true;
   }
 
+  /** Finds the request of the connection whose body is being received; it can only be the last one. */
+  private findReceiving(
+    connection: CallerConnection,
+  ): ReceivingRequest | undefined {
+    const caller = connection.listOpen().at(-1);
+    const reader = caller && this.incomplete.get(caller);
+    return caller && reader && { caller, reader };
+  }
+
+  /** Refuses a request whose body is being received; what still arrives of it is not kept. */
+  private refuseReceiving(
+    { caller, reader }: ReceivingRequest,
+    error: ErrorResponse,
+  ): void {
+    reader.drop();
+    this.refuseUnfinished(caller, reader, error);
+  }
+
   private findConnection(socket: Duplex): CallerConnection | undefined {
     return socket instanceof Socket ? this.connections.get(socket) : undefined;
   }
--- a/packages/gateway/src/callers/readingTurns.ts
+++ b/packages/gateway/src/callers/readingTurns.ts
@@ -26,10 +26,7 @@
   /** Whether a connection that has been read since then in this turn may go on. */
   hasTime(since: Milliseconds): boolean {
     const now = this.getNow();
-    if (this.startedAt === undefined) {
-      this.begin(now);
-    }
-    const turnMs = now - (this.startedAt ?? now);
+    const turnMs = now - this.beginIfNone(now);
     const ownMs = now - since;
     return (
       turnMs < maxReadingMs &&
@@ -40,12 +37,21 @@
   /** Reads the connection in a later turn. */
   enqueue(connection: ReadingConnection): void {
     this.waiting.add(connection);
+    this.beginIfNone(this.getNow());
   }
 
   remove(connection: ReadingConnection): void {
     this.waiting.delete(connection);
   }
 
+  /** Begins a turn unless one runs; returns when the turn began. */
+  private beginIfNone(now: Milliseconds): Milliseconds {
+    if (this.startedAt === undefined) {
+      this.begin(now);
+    }
+    return this.startedAt ?? now;
+  }
+
   private begin(now: Milliseconds): void {
     this.startedAt = now;
     this.defer(() => {
--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -78,8 +78,6 @@
     if (this.isHeld) {
       this.isHeld = false;
       this.turns.enqueue(this);
-      // Begins a turn if none runs, after which the connection goes on.
-      this.turns.hasTime(this.control.getNow());
     }
   }
 
--- a/packages/gateway/src/calls/chooseServers.ts
+++ b/packages/gateway/src/calls/chooseServers.ts
@@ -168,16 +168,15 @@
   now: Milliseconds,
 ): ChosenServers | undefined => {
   const { tokens } = admitted;
-  const { model } = admitted.service;
   const { serverRegistry, balance, homeDomain } = call.services;
   const balanced = toBalancedCall(call, admitted);
-  if (!model || !balanced) {
+  if (!balanced) {
     return undefined;
   }
   const chain = balance.chainPolicy.chooseChain({
     ...describeChainServers(usable, balance, now),
     ...balance.describeNeeds(balanced, now),
-    model,
+    model: balanced.model,
     homeDomain,
     tokens,
     excluded: call.avoided,
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -87,9 +87,8 @@
 import { GatewayNews, type NewsSources } from './news/gatewayNews.js';
 import { WaitingCalls } from './calls/waitingCalls.js';
 import {
-  AdaptivePlaces,
   AdmissionMode,
-  UnlimitedPlaces,
+  createPlaces,
   type CallPlaces,
 } from './waiting/callPlaces.js';
 import { Suspects } from './suspects/suspects.js';
@@ -165,7 +164,17 @@
     this.servers.lossHandler.serverLost.subscribe(now => {
       this.placer.noteLoss(now);
     });
-    this.places = this.createPlaces();
+    this.places = createPlaces(
+      settings.waiting?.admission ?? AdmissionMode.Unlimited,
+      {
+        timers: this.loop,
+        metrics: this.metrics,
+        getRandom: Math.random,
+        postCompletion: run => {
+          this.post(run);
+        },
+      },
+    );
     this.callServices = this.createCallServices();
     this.frontend = this.createFrontend();
     this.pages = new StatusPages(this.metrics.registry, () => this.isReady);
@@ -665,19 +674,6 @@
       : new CheapestBalance(registry);
   }
 
-  private createPlaces(): CallPlaces {
-    return this.settings.waiting?.admission === AdmissionMode.Adaptive
-      ? new AdaptivePlaces({
-          timers: this.loop,
-          metrics: this.metrics,
-          getRandom: Math.random,
-          postCompletion: run => {
-            this.post(run);
-          },
-        })
-      : new UnlimitedPlaces();
-  }
-
   private createCallServices(): CallServices {
     const { rules, process } = this.settings;
     return {
--- a/packages/gateway/src/waiting/callPlaces.ts
+++ b/packages/gateway/src/waiting/callPlaces.ts
@@ -116,3 +116,12 @@
     });
   }
 }
+
+/** Creates the places that the mode calls for. */
+export const createPlaces = (
+  mode: AdmissionMode,
+  services: AdaptivePlacesServices,
+): CallPlaces =>
+  mode === AdmissionMode.Adaptive
+    ? new AdaptivePlaces(services)
+    : new UnlimitedPlaces();
--- a/packages/gateway/tests/httpBackend.test.ts
+++ b/packages/gateway/tests/httpBackend.test.ts
@@ -5,30 +5,8 @@
   type BackendFailure,
   type BackendHead,
 } from '../src/backendPort.js';
-import {
-  CallFormat,
-  type CallFields,
-  type ResponseFields,
-} from '../src/callFormat.js';
 import { HttpBackend } from '../src/httpBackend.js';
-
-class UnusedFormat extends CallFormat {
-  override readCall(): CallFields {
-    throw new Error('no call is read');
-  }
-
-  override writeRequest(): string[] {
-    return [];
-  }
-
-  override writeRemainingTime(): string[] {
-    return [];
-  }
-
-  override readResponse(): ResponseFields {
-    throw new Error('no response is read');
-  }
-}
+import { UnusedFormat } from './unusedFormat.js';
 
 class FailureListener extends BackendListener {
   readonly failed: Promise<BackendFailure>;
--- a/packages/gateway/tests/timeLeftAtWrite.test.ts
+++ b/packages/gateway/tests/timeLeftAtWrite.test.ts
@@ -2,31 +2,9 @@
 import { createServer, type Server } from 'node:net';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { BackendListener, type BackendFailure } from '../src/backendPort.js';
-import {
-  CallFormat,
-  type CallFields,
-  type RawHeaders,
-  type ResponseFields,
-} from '../src/callFormat.js';
+import type { RawHeaders } from '../src/callFormat.js';
 import { HttpBackend } from '../src/httpBackend.js';
-
-class UnusedFormat extends CallFormat {
-  override readCall(): CallFields {
-    throw new Error('no call is read');
-  }
-
-  override writeRequest(): string[] {
-    return [];
-  }
-
-  override writeRemainingTime(): string[] {
-    return [];
-  }
-
-  override readResponse(): ResponseFields {
-    throw new Error('no response is read');
-  }
-}
+import { UnusedFormat } from './unusedFormat.js';
 
 class OpenListener extends BackendListener {
   failure: BackendFailure | undefined;
