Tell where a call waited unread, and how old the view was when it was written

An operator could not tell from the logs whether a call that reached its server after its caller had left was written on an old view. viewAgeMs ran from the start of a turn to the choice of a server; the poll before that turn, and everything between the choice and the write, were in no line. unreadMs was one figure for the queue of the listener, the socket and a read that was put off.

viewAgeMs, and the histogram send_view_seconds, are now taken when the request is written, as the most that the view can be behind: the work since the turn before the last poll. listenMs and putOffMs are the parts of unreadMs in the queue of the listener and between the read of the bytes and their parse.

No decision changes.

--- a/packages/gateway/src/attempt/attemptTimes.ts
+++ b/packages/gateway/src/attempt/attemptTimes.ts
@@ -4,29 +4,30 @@
 
 export class AttemptTimes {
   private connectedAt: Milliseconds | undefined;
-  /** Age of what the gateway had read when it sent the attempt, such as the end of its caller. */
-  private readonly viewAgeMs: Milliseconds;
+  /** Age of what the gateway had read when it wrote the request, such as the end of its caller. */
+  private viewAgeMs: Milliseconds | undefined;
 
   constructor(
     private readonly call: GatewayCall,
     private readonly sentAt: Milliseconds,
-  ) {
-    this.viewAgeMs = sentAt - call.services.getPolledAt();
-    call.services.metrics.observeSend(this.viewAgeMs);
-  }
+  ) {}
 
   noteConnected(now: Milliseconds): void {
+    const { services } = this.call;
+    const { metrics } = services;
     this.connectedAt = now;
-    this.call.services.metrics.observeConnect(now - this.sentAt);
+    this.viewAgeMs = services.measureViewAge(now);
+    metrics.observeConnect(now - this.sentAt);
+    metrics.observeWrite(this.viewAgeMs);
   }
 
   describe(): Readonly<Record<string, number>> {
-    const { call, sentAt, connectedAt } = this;
+    const { call, sentAt, connectedAt, viewAgeMs = -1 } = this;
     return {
       sentMs: Math.round(sentAt - call.received.receivedAt),
-      viewAgeMs: Math.round(this.viewAgeMs),
       connectMs:
         connectedAt === undefined ? -1 : Math.round(connectedAt - sentAt),
+      viewAgeMs: Math.round(viewAgeMs),
     };
   }
 }
--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -30,7 +30,7 @@
 } from './callerConnectionChart.js';
 import { headCheckMs, idleReserveMs } from '../constants.js';
 import { connectionBytes, maxHeadBytes, requestBytes } from './constants.js';
-import type { ReceivedCall } from './callerPort.js';
+import type { ReadWaits, ReceivedCall } from './callerPort.js';
 import type { HttpCaller } from './httpCaller.js';
 import type { ReadingTurns } from './readingTurns.js';
 import { RequestFeed } from './requestFeed.js';
@@ -141,6 +141,15 @@
     return this.feed.estimateArrival(this.services.getNow());
   }
 
+  /** Tells where the request that is read now waited. */
+  describeReadWaits(isOnKeptConnection: boolean): ReadWaits {
+    const { acceptedAt, arrivedAt, feed } = this;
+    return {
+      listenMs: isOnKeptConnection ? 0 : acceptedAt - arrivedAt,
+      putOffMs: feed.putOffMs,
+    };
+  }
+
   /** Address of the caller, or of what is between. */
   get address(): string {
     return this.socket.remoteAddress ?? '';
--- a/packages/gateway/src/callers/callerPort.ts
+++ b/packages/gateway/src/callers/callerPort.ts
@@ -2,6 +2,14 @@
 import type { Milliseconds, Result } from '@lycheetally/common';
 import type { CallFields, RawHeaders } from '../callFormat.js';
 
+/** Where a call waited before it was read; what is left of the time was in its socket. */
+export interface ReadWaits {
+  /** Longest time that its connection can have waited in the queue of the listener. */
+  readonly listenMs: Milliseconds;
+  /** Time from the read of its bytes to their turn to be parsed. */
+  readonly putOffMs: Milliseconds;
+}
+
 /** A call whose whole body was received. */
 export interface ReceivedCall {
   readonly method: string;
@@ -14,10 +22,22 @@
   readonly arrivedAt: Milliseconds;
   /** When the gateway had read it. */
   readonly receivedAt: Milliseconds;
+  readonly readWaits: ReadWaits;
   /** Whether an earlier call came on the same connection. */
   readonly isOnKeptConnection: boolean;
 }
 
+/** Describes how long a call can have waited unread, and where, for a log line. */
+export const describeUnread = ({
+  arrivedAt,
+  receivedAt,
+  readWaits: { listenMs, putOffMs },
+}: ReceivedCall): Readonly<Record<string, number>> => ({
+  unreadMs: Math.round(receivedAt - arrivedAt),
+  listenMs: Math.round(listenMs),
+  putOffMs: Math.round(putOffMs),
+});
+
 /** An error response that the gateway itself produces. */
 export interface ErrorResponse {
   readonly status: number;
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -449,12 +449,12 @@
         const arrivedAt = isOnKeptConnection
           ? connection.estimateArrival()
           : connection.estimateFirstArrival();
-        const call = this.createCall(
-          incoming,
+        const call = this.createCall(incoming, {
           body,
           arrivedAt,
+          readWaits: connection.describeReadWaits(isOnKeptConnection),
           isOnKeptConnection,
-        );
+        });
         connection.enqueue(call, caller);
       },
       handleRefusal: refusal => {
@@ -472,9 +472,10 @@
 
   private createCall(
     incoming: IncomingMessage,
-    body: Buffer,
-    arrivedAt: Milliseconds,
-    isOnKeptConnection: boolean,
+    read: Pick<
+      ReceivedCall,
+      'body' | 'arrivedAt' | 'readWaits' | 'isOnKeptConnection'
+    >,
   ): ReceivedCall {
     const target = incoming.url ?? '/';
     return {
@@ -482,10 +483,8 @@
       target,
       path: target.split('?', 1)[0] ?? '/',
       fields: this.format.readCall(incoming.rawHeaders),
-      body,
-      arrivedAt,
       receivedAt: this.handler.getNow(),
-      isOnKeptConnection,
+      ...read,
     };
   }
 
--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -32,6 +32,10 @@
   private isHeld = false;
   /** Whether it waits, for an answer or for its turn. */
   private isStopped = false;
+  /** Time for which the bytes that were parsed last had waited for their turn, or for an answer before them. */
+  putOffMs: Milliseconds = 0;
+  /** Since when bytes wait in the socket that were read. */
+  private putOffSince: Milliseconds | undefined;
   /** When the bytes that wait in the socket can have arrived at the earliest. */
   private waitingSince: Milliseconds | undefined;
   /** Whether the caller has ended the connection, as far as the socket was read. */
@@ -96,6 +100,8 @@
   private receive(bytes: Buffer): void {
     const { control, turns } = this;
     const startedAt = control.getNow();
+    this.putOffMs =
+      this.putOffSince === undefined ? 0 : startedAt - this.putOffSince;
     let from = 0;
     while (from < bytes.length && !control.hasEnded()) {
       this.isHeld = !control.mayParse();
@@ -124,6 +130,7 @@
     }
     if (!this.hasWaiting) {
       this.waitingSince = undefined;
+      this.putOffSince = undefined;
     }
     control.noteRead();
   }
@@ -142,7 +149,9 @@
   /** Leaves the bytes in the socket and reads no more for now. */
   private keep(bytes: Buffer): void {
     const { control, socket } = this;
-    this.waitingSince ??= control.estimateArrival(control.getNow());
+    const now = control.getNow();
+    this.putOffSince ??= now;
+    this.waitingSince ??= control.estimateArrival(now);
     if (!socket.destroyed) {
       socket.pause();
       socket.unshift(bytes);
--- a/packages/gateway/src/calls/gatewayCall.ts
+++ b/packages/gateway/src/calls/gatewayCall.ts
@@ -21,7 +21,11 @@
 import type { BackendPort } from '../backendPort.js';
 import type { CallBalance } from '../balance/callBalance.js';
 import type { CallFormat } from '../callFormat.js';
-import type { CallerExchange, ReceivedCall } from '../callers/callerPort.js';
+import {
+  describeUnread,
+  type CallerExchange,
+  type ReceivedCall,
+} from '../callers/callerPort.js';
 import type { DrainForecast } from './drainAdmission.js';
 import type { DrainPeriod } from './drainPeriod.js';
 import type { EventStream } from '../attempt/eventStream.js';
@@ -99,8 +103,8 @@
   /** When the store last confirmed that the configuration is the newest. */
   getConfirmedAt(): Moment | undefined;
   getMoment(): Moment;
-  /** When the sockets were last polled. */
-  getPolledAt(): Milliseconds;
+  /** Returns the most that the view of the sockets can be behind. */
+  measureViewAge(now: Milliseconds): Milliseconds;
   /** Whether the drain timeout has passed and open calls are being cancelled. */
   isCancellingCalls(): boolean;
   postCompletion(run: (now: Milliseconds) => void): void;
@@ -206,11 +210,11 @@
     return this.knownIdentity;
   }
 
-  /** How long it may have waited unread, how long in the queue of the loop, and how long its caller's end waited there. */
+  /** How long it may have waited unread and where, how long in the queue of the loop, and how long its caller's end waited there. */
   describeWaits(now: Milliseconds): Readonly<Record<string, number>> {
     const { received, queuedAt, takenAt, leftAt } = this;
     return {
-      unreadMs: Math.round(received.receivedAt - received.arrivedAt),
+      ...describeUnread(received),
       queuedMs: Math.round(takenAt - queuedAt),
       leftMs: leftAt === undefined ? -1 : Math.round(now - leftAt),
     };
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -167,7 +167,7 @@
   );
   private readonly viewAges = this.addDelay(
     'send_view_seconds',
-    'Time from the last poll of the sockets to the send of an attempt',
+    'Age of what was read when an attempt was written to its server',
   );
   private readonly connects = this.addDelay(
     'connect_seconds',
@@ -258,7 +258,7 @@
     this.queued.observe(queuedMs / millisecondsPerSecond);
   }
 
-  observeSend(viewAgeMs: Milliseconds): void {
+  observeWrite(viewAgeMs: Milliseconds): void {
     this.viewAges.observe(viewAgeMs / millisecondsPerSecond);
   }
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -40,7 +40,7 @@
 import { bindCallChart, type CallMachine } from './calls/callActions.js';
 import type { CallFormat } from './callFormat.js';
 import { CallIntake, type QueuedCall } from './calls/callIntake.js';
-import type { CallerExchange } from './callers/callerPort.js';
+import { describeUnread, type CallerExchange } from './callers/callerPort.js';
 import {
   forecastSettings,
   lingerTimeoutMs,
@@ -697,7 +697,7 @@
       getConfiguration: () => this.configuration,
       getConfirmedAt: () => this.news.configurations.confirmedAt,
       getMoment: () => this.getMoment(),
-      getPolledAt: () => this.loop.turnStartedAt,
+      measureViewAge: now => this.loop.measureViewAge(now),
       lossHandler: this.servers.lossHandler,
       drainPeriod: this.drainPeriod,
       durationForecast: new SurvivalForecast(forecastSettings),
@@ -723,7 +723,7 @@
       this.metrics.countLeft();
       this.log.info('A call was dropped, since its caller had left.', {
         request: received.fields.requestId ?? '',
-        unreadMs: Math.round(receivedAt - arrivedAt),
+        ...describeUnread(received),
         queuedMs: Math.round(now - queuedAt),
       });
       return;
--- a/packages/gateway/tests/runEmulator.ts
+++ b/packages/gateway/tests/runEmulator.ts
@@ -285,7 +285,7 @@
       getConfiguration: () => createConfiguration(this.emulated),
       getConfirmedAt: moment,
       getMoment: moment,
-      getPolledAt: () => 0,
+      measureViewAge: () => 0,
       isCancellingCalls: () => false,
       postCompletion: run => {
         this.post(run);
@@ -329,6 +329,7 @@
   body: Buffer.alloc(0),
   arrivedAt: 0,
   receivedAt: 0,
+  readWaits: { listenMs: 0, putOffMs: 0 },
   isOnKeptConnection: false,
 });
 
--- a/packages/node/src/eventLoop.ts
+++ b/packages/node/src/eventLoop.ts
@@ -51,12 +51,10 @@
   /** When the first connection was accepted after the last turn that was not left out. */
   private acceptingSince: Milliseconds | undefined;
   private readonly arrivals: ArrivalWatch;
-  private startedAt: Milliseconds;
 
   constructor(private readonly clock: Clock) {
     super();
     this.arrivals = new ArrivalWatch(clock);
-    this.startedAt = clock.getNow();
   }
 
   /** Sets what the loop does after the events of a turn. */
@@ -64,9 +62,9 @@
     this.source = source;
   }
 
-  /** When the turn began that runs now, or ran last; I/O was polled just before. */
-  get turnStartedAt(): Milliseconds {
-    return this.startedAt;
+  /** Returns the most that the view of the sockets can be behind: what came that long ago may not be read yet. */
+  measureViewAge(now: Milliseconds): Milliseconds {
+    return now - this.arrivals.estimateArrival(now);
   }
 
   /** Notes that a connection was accepted; more of them may wait. */
@@ -156,17 +154,17 @@
 
   private runTurn(): void {
     this.isScheduled = false;
-    this.startedAt = this.clock.getNow();
-    const readMs = this.arrivals.measureWork(this.startedAt);
+    const startedAt = this.clock.getNow();
+    const readMs = this.arrivals.measureWork(startedAt);
     this.source.beginTurn();
-    if (this.decideAccepting(this.startedAt)) {
-      this.arrivals.noteTurnEnd(this.startedAt);
+    if (this.decideAccepting(startedAt)) {
+      this.arrivals.noteTurnEnd(startedAt);
       this.scheduleTurn();
       return;
     }
     this.acceptingSince = undefined;
     this.queue.beginTurn();
-    const turn = new TurnClock(this.startedAt);
+    const turn = new TurnClock(startedAt);
     for (let event = this.takeNext(turn); event; event = this.takeNext(turn)) {
       turn.noteEvent(event, this.runEvent(event, turn.now));
     }
