Count the time of a call that was put off from its arrival

Callers whose bytes were read by a busy gateway and put off to a later turn of reading were served after their time limit, by as long as they had waited.

Cause: the connection keeps when the bytes that wait arrived, but drops it once they are parsed. Node tells of a whole request in a later tick, so that the call got the time of the parse. Found while looking for the causes of runs for callers that had left: such a call is still sent when its caller's deadline has passed.

Change: the feed keeps the time of arrival of what it parsed last.

--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -138,7 +138,7 @@
 
   /** Returns the earliest time at which what is parsed now can have arrived. */
   estimateArrival(): Milliseconds {
-    return this.feed.estimateArrival(this.services.getNow());
+    return this.feed.arrivedAt;
   }
 
   /** Tells where the request that is read now waited. */
--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -32,6 +32,8 @@
   private isHeld = false;
   /** Whether it waits, for an answer or for its turn. */
   private isStopped = false;
+  /** The earliest time at which the bytes that were parsed last can have arrived. Node tells of a whole request only after their parse. */
+  arrivedAt: Milliseconds;
   /** Time for which the bytes that were parsed last had waited for their turn, or for an answer before them. */
   putOffMs: Milliseconds = 0;
   /** Since when bytes wait in the socket that were read. */
@@ -48,6 +50,7 @@
     private readonly control: FeedControl,
   ) {
     super();
+    this.arrivedAt = control.estimateArrival(control.getNow());
     // Node's server has added its parser as a listener; an added one ends its direct reads of the handle.
     this.parsers = socket.listeners('data') as Parse[];
     socket.removeAllListeners('data');
@@ -67,11 +70,6 @@
     });
   }
 
-  /** Returns the earliest time at which what is parsed now can have arrived. */
-  estimateArrival(now: Milliseconds): Milliseconds {
-    return this.waitingSince ?? this.control.estimateArrival(now);
-  }
-
   /** Whether bytes wait in the socket that were not parsed. */
   get hasWaiting(): boolean {
     return !this.socket.destroyed && this.socket.readableLength > 0;
@@ -100,6 +98,7 @@
   private receive(bytes: Buffer): void {
     const { control, turns } = this;
     const startedAt = control.getNow();
+    this.arrivedAt = this.waitingSince ?? control.estimateArrival(startedAt);
     this.putOffMs =
       this.putOffSince === undefined ? 0 : startedAt - this.putOffSince;
     let from = 0;
@@ -149,9 +148,8 @@
   /** Leaves the bytes in the socket and reads no more for now. */
   private keep(bytes: Buffer): void {
     const { control, socket } = this;
-    const now = control.getNow();
-    this.putOffSince ??= now;
-    this.waitingSince ??= control.estimateArrival(now);
+    this.putOffSince ??= control.getNow();
+    this.waitingSince ??= this.arrivedAt;
     if (!socket.destroyed) {
       socket.pause();
       socket.unshift(bytes);
