Show what crowds of callers outside the limits still do to a gateway

Crowds and bounds of the gateway's settings, fixed before the product changes, and red on the code as it stands:

- The account of the callers looks at each of 200 connections in each read while none of them may give way: 20,100 looks, where 200 do.

--- a/packages/decisions/tests/callerAccount.test.ts
+++ b/packages/decisions/tests/callerAccount.test.ts
@@ -216,3 +216,28 @@
   account.update('large', 'a', { ...usage, bytes: 100 });
   expect(account.listExcess(1)).toEqual(['large']);
 });
+
+// Guards against reads that each look at all connections, which holds a gateway up beside many that hold little.
+it('looks at no connection while none that may give way holds enough', () => {
+  const account = new CostliestFirstAccount<string>({
+    ...limits,
+    minExcessBytes: 100,
+    maxConnections: 1_000,
+  });
+  let looks = 0;
+  const watched: CallerUsage = {
+    ...usage,
+    bytes: 99,
+    get progressAt() {
+      looks += 1;
+      return now;
+    },
+  };
+  const connections = 200;
+  account.update('running', 'a', { ...usage, bytes: 2_000, isProtected: true });
+  for (let id = 0; id < connections; id += 1) {
+    account.update(`c-${String(id)}`, 'a', watched);
+    expect(account.listExcess(now)).toEqual([]);
+  }
+  expect(looks).toBeLessThanOrEqual(connections);
+});
