Listen for errors on the sockets of tunnels that were refused

A client that asked for a tunnel (CONNECT) and reset its connection ended the gateway, and with it the calls of all others.

Cause: Node hands the socket over without its parser and its listeners; an error on a socket without a listener is one that no code caught, which stops the process. The connection itself stays in the account and closes as any other. Upgrades have no listener here, so that Node treats them as plain requests, and Node's client closes what a server hands over.

Change: each accepted socket has a listener for errors from the moment it is accepted.

--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -291,6 +291,8 @@
     );
     this.connections.set(socket, connection);
     this.updateUsage(connection);
+    // Node removes its own listener from a socket that it hands over; 'close' follows each error.
+    socket.on('error', () => undefined);
     socket.once('close', () => {
       this.connections.delete(socket);
       this.account.release(connection);
