Count the memory of parsed headers, not only their bytes

Heads of many small headers, each within the limits, exhausted the heap of a gateway: the process ended, and with it the calls of all others.

Cause: the account of the callers counts a head by its bytes. A parsed header is two strings and places in three lists, so that a head of 1,500 headers of ten bytes takes a multiple of its bytes, and none of such connections gave way.

Change: each header counts 256 bytes beside its own. A connection with a head as above holds enough to give way first; one of an ordinary call with some twenty headers does not.

--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -33,6 +33,9 @@
 /** Memory of a request beside its head and its body, in bytes. */
 export const requestBytes = 6_144;
 
+/** Memory of a parsed header beside its bytes: its strings, and its places in Node's lists of headers. */
+export const headerMemoryBytes = 256;
+
 /** Largest piece that is parsed at once, in bytes; in chunks of a byte each it takes about a millisecond. */
 export const maxPieceBytes = 4_096;
 
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -40,7 +40,7 @@
 import { bindConnectionChart } from './callerConnectionChart.js';
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
 import { headCheckMs, noRoomRetryAfterMs } from '../constants.js';
-import { maxHeadBytes, maxAheadShare } from './constants.js';
+import { headerMemoryBytes, maxHeadBytes, maxAheadShare } from './constants.js';
 import { HttpCaller } from './httpCaller.js';
 import { ReadingTurns } from './readingTurns.js';
 
@@ -261,7 +261,7 @@
       this.handleClosed(caller, connection);
     });
     const headerBytes = countHeaderBytes(incoming);
-    caller.keptBytes = headerBytes;
+    caller.keptBytes = headerBytes + countHeaderMemory(incoming);
     if (headerBytes > this.limits.maxHeaderBytes) {
       this.refuse(caller, 431, 'the headers are larger than the limit');
       return;
@@ -434,7 +434,7 @@
     isOnKeptConnection: boolean,
   ): void {
     let maxBytes = 0;
-    const headerBytes = caller.keptBytes;
+    const headBytes = caller.keptBytes;
     const reader = new BodyReader(incoming, {
       getMaxBytes: () => {
         maxBytes = Math.max(maxBytes, this.limits.maxBodyBytes);
@@ -443,7 +443,7 @@
       hasRoom: bytes => this.memory.hasRoom(caller, bytes),
       noteMemory: bytes => {
         connection.noteBody();
-        caller.keptBytes = headerBytes + bytes;
+        caller.keptBytes = headBytes + bytes;
         this.memory.keep(caller, bytes);
       },
       handleBody: body => {
@@ -617,6 +617,10 @@
   return bytes;
 };
 
+/** Memory that the parsed headers take beside their bytes. */
+const countHeaderMemory = ({ rawHeaders }: IncomingMessage): number =>
+  (rawHeaders.length / 2) * headerMemoryBytes;
+
 /** Whether it expects nothing, or what Node's server does. */
 const matchesExpectation = ({
   headers,
