Move refusals and the checks of heads out of the callers' front end

The answers that the gateway gives itself and the costs and checks of a head have modules of their own; nothing else changes.

--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -39,10 +39,22 @@
 } from './callerConnection.js';
 import { bindConnectionChart } from './callerConnectionChart.js';
 import type { ErrorResponse, ReceivedCall } from './callerPort.js';
-import { headCheckMs, noRoomRetryAfterMs } from '../constants.js';
-import { headerMemoryBytes, maxHeadBytes, maxAheadShare } from './constants.js';
+import { headCheckMs } from '../constants.js';
+import { maxHeadBytes, maxAheadShare } from './constants.js';
 import { HttpCaller } from './httpCaller.js';
 import { ReadingTurns } from './readingTurns.js';
+import {
+  formatRefusal,
+  noRoomError,
+  parserErrorStatus,
+  stalledError,
+} from './refusals.js';
+import {
+  countHeaderBytes,
+  countHeaderMemory,
+  matchesExpectation,
+  matchesOriginForm,
+} from './requestHead.js';
 
 /** Receives the calls that the HTTP server accepts. */
 export interface CallHandler {
@@ -583,57 +595,3 @@
     return socket instanceof Socket ? this.connections.get(socket) : undefined;
   }
 }
-
-const formatRefusal = (status: string): string =>
-  `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
-
-const noRoomError: ErrorResponse = {
-  status: 503,
-  kind: ErrorKind.NoCapacity,
-  message: 'the buffers of this gateway are full; another one may have room',
-  outcome: Outcome.NotRun,
-  retryAfterMs: noRoomRetryAfterMs,
-};
-
-const stalledError: ErrorResponse = {
-  status: 408,
-  kind: ErrorKind.DeadlineExceeded,
-  message: 'the body has not gone on for too long; send the request again',
-  outcome: Outcome.NotRun,
-};
-
-const parserErrorStatus: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-};
-
-/** Bytes of the name-value separator and the line end. */
-const headerLineOverhead = 4;
-
-const countHeaderBytes = (incoming: IncomingMessage): number => {
-  let bytes = (incoming.url ?? '').length;
-  for (const [index, text] of incoming.rawHeaders.entries()) {
-    bytes += text.length + (index % 2 === 0 ? headerLineOverhead : 0);
-  }
-  return bytes;
-};
-
-/** Memory that the parsed headers take beside their bytes. */
-const countHeaderMemory = ({ rawHeaders }: IncomingMessage): number =>
-  (rawHeaders.length / 2) * headerMemoryBytes;
-
-/** Whether it expects nothing, or what Node's server does. */
-const matchesExpectation = ({
-  headers,
-  httpVersion,
-}: IncomingMessage): boolean =>
-  headers.expect === undefined ||
-  httpVersion !== '1.1' ||
-  /(?:^|\W)100-continue(?:$|\W)/i.test(headers.expect);
-
-/** Whether the request target is a path (origin form) and there is exactly one Host header. */
-const matchesOriginForm = (incoming: IncomingMessage): boolean => {
-  const hosts = incoming.rawHeaders.filter(
-    (name, index) => index % 2 === 0 && name.toLowerCase() === 'host',
-  );
-  return hosts.length === 1 && (incoming.url ?? '').startsWith('/');
-};
