Look at no connection while none that may give way holds enough

Cause: while the account of the callers is over its limit and each connection holds too little to give way, each read filtered and sorted all connections, and found none.

Change: the account keeps the connections that hold enough, and looks at all others only if there is one, or if there are too many connections.

--- a/packages/decisions/src/callers/callerAccount.ts
+++ b/packages/decisions/src/callers/callerAccount.ts
@@ -49,6 +49,8 @@
 
 export class CostliestFirstAccount<T> extends CallerAccount<T> {
   private readonly entries = new Map<T, Entry>();
+  /** Connections that hold enough to give way for the memory of others. */
+  private readonly large = new Set<T>();
   private readonly bytesByAddress = new Map<string, number>();
   private bytes = 0;
 
@@ -68,6 +70,9 @@
   override update(holder: T, address: string, usage: CallerUsage): void {
     this.release(holder);
     this.entries.set(holder, { address, usage });
+    if (mayGiveWay(usage) && usage.bytes >= this.limits.minExcessBytes) {
+      this.large.add(holder);
+    }
     this.addBytes(address, usage.bytes);
   }
 
@@ -75,6 +80,7 @@
     const entry = this.entries.get(holder);
     if (entry) {
       this.entries.delete(holder);
+      this.large.delete(holder);
       this.addBytes(entry.address, -entry.usage.bytes);
     }
   }
@@ -83,7 +89,8 @@
     const { maxBytes, minExcessBytes, maxConnections } = this.limits;
     let excessBytes = this.bytes - maxBytes;
     let excessConnections = this.entries.size - maxConnections;
-    if (excessBytes <= 0 && excessConnections <= 0) {
+    const hasLargeExcess = excessBytes > 0 && this.large.size > 0;
+    if (!hasLargeExcess && excessConnections <= 0) {
       return [];
     }
     const excess: T[] = [];
@@ -103,8 +110,8 @@
   /** Lists the connections that may give way, the costliest first. */
   private listByCost(now: Milliseconds): (readonly [T, Entry])[] {
     const costs = new Map<T, number>();
-    const candidates = [...this.entries].filter(
-      ([, { usage }]) => !usage.isProtected,
+    const candidates = [...this.entries].filter(([, { usage }]) =>
+      mayGiveWay(usage),
     );
     for (const [holder, { usage }] of candidates) {
       costs.set(holder, computeCost(usage, now));
@@ -131,6 +138,8 @@
   }
 }
 
+const mayGiveWay = ({ isProtected }: CallerUsage): boolean => !isProtected;
+
 /** Byte-milliseconds that a connection has held without progress, for each answer that its caller got. */
 const computeCost = (
   { bytes, progressAt, answers }: CallerUsage,
