Leave places to new callers while the calls of others run

No new caller was answered while callers whose calls run, or whose answers are on their way, held all connections: behind a slow server each of them was reset, for as long as those stayed.

Cause: a connection whose call runs is protected and never gives way, and nothing bounded how many of them there are. The newcomer, which is not protected yet, gave way first.

Change: protected connections have a share of their own, two thirds of the connections and of the memory for callers. That is also what descriptors allow, as each of these calls takes one for its server. Where the share is used up, a call takes the place of one whose caller has sent further requests ahead, the costliest first; without any it is refused as not run, with a time to return. A call without requests behind it is never cut.

--- a/packages/decisions/src/callers/callerAccount.ts
+++ b/packages/decisions/src/callers/callerAccount.ts
@@ -9,7 +9,9 @@
  * The connection that costs most and has shown least progress is closed first: what counts is
  * the memory that it holds, for how long without progress, and how little its caller got for
  * it so far. Of two alike, the one gives way whose address holds more. A connection whose call
- * runs at a server, or whose answer is on its way, never gives way.
+ * runs at a server, or whose answer is on its way, doesn't give way to connections. They have a
+ * share of the places and of the memory, so that new callers always find some. Where it is
+ * used up, a call takes the place of one whose caller has sent further requests ahead, or is refused.
  */
 import type { Milliseconds } from '@lycheetally/common';
 
@@ -23,6 +25,8 @@
   readonly answers: number;
   /** Whether one of its calls runs at a server, or its answer is on its way. */
   readonly isProtected: boolean;
+  /** Whether further requests wait behind that call. */
+  readonly hasRequestsAhead?: boolean;
 }
 
 /** Limits of all connections of a gateway together. */
@@ -40,8 +44,15 @@
   abstract release(holder: T): void;
   /** Lists the connections that are to be closed, so that the others stay within the limits. */
   abstract listExcess(now: Milliseconds): readonly T[];
+  /** Whether the call of a further connection may run. */
+  abstract get mayRunFurther(): boolean;
+  /** Chooses the connection that gives its place to another call that is to run; it has requests ahead. */
+  abstract chooseRunning(now: Milliseconds): T | undefined;
 }
 
+/** Share of the connections, and of their memory, that those may take whose calls run; each of them takes a descriptor for its server beside its own. */
+export const maxRunningShare = 2 / 3;
+
 interface Entry {
   readonly address: string;
   readonly usage: CallerUsage;
@@ -53,6 +64,9 @@
   private readonly large = new Set<T>();
   private readonly bytesByAddress = new Map<string, number>();
   private bytes = 0;
+  /** Connections whose calls run, with their bytes. */
+  private readonly running = new Map<T, number>();
+  private runningBytes = 0;
 
   constructor(private readonly limits: CallerLimits) {
     super();
@@ -70,7 +84,10 @@
   override update(holder: T, address: string, usage: CallerUsage): void {
     this.release(holder);
     this.entries.set(holder, { address, usage });
-    if (mayGiveWay(usage) && usage.bytes >= this.limits.minExcessBytes) {
+    if (usage.isProtected) {
+      this.running.set(holder, usage.bytes);
+      this.runningBytes += usage.bytes;
+    } else if (usage.bytes >= this.limits.minExcessBytes) {
       this.large.add(holder);
     }
     this.addBytes(address, usage.bytes);
@@ -81,6 +98,8 @@
     if (entry) {
       this.entries.delete(holder);
       this.large.delete(holder);
+      this.runningBytes -= this.running.get(holder) ?? 0;
+      this.running.delete(holder);
       this.addBytes(entry.address, -entry.usage.bytes);
     }
   }
@@ -107,11 +126,35 @@
     return excess;
   }
 
+  override get mayRunFurther(): boolean {
+    const { maxBytes, maxConnections } = this.limits;
+    return (
+      this.running.size < Math.max(1, maxConnections * maxRunningShare) &&
+      this.runningBytes < maxBytes * maxRunningShare
+    );
+  }
+
+  override chooseRunning(now: Milliseconds): T | undefined {
+    let chosen: T | undefined;
+    let chosenCost = -Infinity;
+    for (const holder of this.running.keys()) {
+      const usage = this.entries.get(holder)?.usage;
+      const cost = usage?.hasRequestsAhead
+        ? computeCost(usage, now)
+        : -Infinity;
+      if (cost > chosenCost) {
+        chosen = holder;
+        chosenCost = cost;
+      }
+    }
+    return chosen;
+  }
+
   /** Lists the connections that may give way, the costliest first. */
   private listByCost(now: Milliseconds): (readonly [T, Entry])[] {
     const costs = new Map<T, number>();
-    const candidates = [...this.entries].filter(([, { usage }]) =>
-      mayGiveWay(usage),
+    const candidates = [...this.entries].filter(
+      ([, { usage }]) => !usage.isProtected,
     );
     for (const [holder, { usage }] of candidates) {
       costs.set(holder, computeCost(usage, now));
@@ -138,8 +181,6 @@
   }
 }
 
-const mayGiveWay = ({ isProtected }: CallerUsage): boolean => !isProtected;
-
 /** Byte-milliseconds that a connection has held without progress, for each answer that its caller got. */
 const computeCost = (
   { bytes, progressAt, answers }: CallerUsage,
--- a/packages/decisions/tests/callerAccount.test.ts
+++ b/packages/decisions/tests/callerAccount.test.ts
@@ -241,3 +241,44 @@
   }
   expect(looks).toBeLessThanOrEqual(connections);
 });
+
+describe('the share of connections whose calls run', () => {
+  const running = { ...usage, bytes: 10, isProtected: true };
+
+  // Guards against running calls that take all connections, so that new callers are reset.
+  it('leaves a third of the connections to others', () => {
+    const account = new CostliestFirstAccount<string>({
+      ...limits,
+      maxConnections: 6,
+    });
+    for (let id = 0; id < 4; id += 1) {
+      expect(account.mayRunFurther).toBe(true);
+      account.update(`c-${String(id)}`, 'a', running);
+    }
+    expect(account.mayRunFurther).toBe(false);
+    account.release('c-0');
+    expect(account.mayRunFurther).toBe(true);
+  });
+
+  it('leaves a third of the memory to others', () => {
+    const account = new CostliestFirstAccount<string>(limits);
+    account.update('one', 'a', { ...running, bytes: 666 });
+    expect(account.mayRunFurther).toBe(true);
+    account.update('one', 'a', { ...running, bytes: 667 });
+    expect(account.mayRunFurther).toBe(false);
+    account.update('one', 'a', { ...usage, bytes: 667 });
+    expect(account.mayRunFurther).toBe(true);
+  });
+
+  // Guards against requests sent ahead that keep the places of running calls.
+  it('chooses the costliest connection with requests ahead, and no other', () => {
+    const account = new CostliestFirstAccount<string>(limits);
+    account.update('single', 'a', { ...running, bytes: 300 });
+    expect(account.chooseRunning(now)).toBeUndefined();
+    const ahead = { ...running, hasRequestsAhead: true };
+    account.update('small', 'a', ahead);
+    account.update('large', 'a', { ...ahead, bytes: 20 });
+    account.update('unread', 'a', { ...ahead, bytes: 400, isProtected: false });
+    expect(account.chooseRunning(now)).toBe('large');
+  });
+});
--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -68,7 +68,11 @@
   noteAccepted(now: Milliseconds): Milliseconds;
   /** Runs it in a later turn, after what can be read now. */
   postCompletion(run: (now: Milliseconds) => void): void;
-  forwardCall(call: ReceivedCall, caller: HttpCaller): void;
+  forwardCall(
+    call: ReceivedCall,
+    caller: HttpCaller,
+    connection: CallerConnection,
+  ): void;
   noteClosed(reason: CloseReason): void;
   /** Formats the refusal of a head that came too slowly, and notes it. */
   refuseSlowHead(): string;
@@ -170,8 +174,9 @@
       isProtected ||=
         !this.waiting.has(caller) && !this.services.isReceiving(caller);
     }
-    const { progressAt, answers } = this;
-    return { bytes, progressAt, answers, isProtected };
+    const { progressAt, answers, feed } = this;
+    const hasRequestsAhead = openCallers.size > 1 || feed.hasWaiting;
+    return { bytes, progressAt, answers, isProtected, hasRequestsAhead };
   }
 
   /** Whether an answer waits that its caller does not take. */
@@ -396,6 +401,6 @@
       return;
     }
     this.waiting.delete(first);
-    this.services.forwardCall(call, first);
+    this.services.forwardCall(call, first, this);
   }
 }
--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -45,6 +45,7 @@
 import { ReadingTurns } from './readingTurns.js';
 import {
   formatRefusal,
+  noPlaceError,
   noRoomError,
   parserErrorStatus,
   stalledError,
@@ -63,7 +64,7 @@
   /** Notes that a response has ended and its bytes were passed to the network, or that its connection closed. */
   noteResponseClosed(): void;
   noteRefused(status: number, reason: string): void;
-  /** Notes a call that was refused before its whole body was received. */
+  /** Notes a call that was refused before it was passed on. */
   noteUnfinished(call: CallFields, error: ErrorResponse): void;
   /** Notes a call that is not passed on because its connection closes. */
   noteDropped(call: CallFields): void;
@@ -408,8 +409,8 @@
       postCompletion: run => {
         handler.postCompletion(run);
       },
-      forwardCall: (call, caller) => {
-        handler.receiveCall(call, caller);
+      forwardCall: (call, caller, connection) => {
+        this.forwardCall(call, caller, connection);
       },
       noteClosed: reason => {
         handler.noteConnectionClosed(reason);
@@ -421,6 +422,27 @@
     };
   }
 
+  /** Passes a call on, or refuses it where too many run. */
+  private forwardCall(
+    call: ReceivedCall,
+    caller: HttpCaller,
+    connection: CallerConnection,
+  ): void {
+    const now = this.handler.getNow();
+    const givingWay = this.account.mayRunFurther
+      ? undefined
+      : this.account.chooseRunning(now);
+    if (givingWay) {
+      this.closeExcess(givingWay, now);
+    } else if (!this.account.mayRunFurther) {
+      this.handler.noteUnfinished(call.fields, noPlaceError);
+      caller.sendError(noPlaceError);
+      return;
+    }
+    this.handler.receiveCall(call, caller);
+    this.updateUsage(connection);
+  }
+
   /** Handles the end of a response, or of its connection before. */
   private handleClosed(caller: HttpCaller, connection: CallerConnection): void {
     if (!this.openCallers.delete(caller)) {
--- a/packages/gateway/src/callers/refusals.ts
+++ b/packages/gateway/src/callers/refusals.ts
@@ -16,6 +16,14 @@
   retryAfterMs: noRoomRetryAfterMs,
 };
 
+export const noPlaceError: ErrorResponse = {
+  status: 503,
+  kind: ErrorKind.NoCapacity,
+  message: 'too many calls run at this gateway; another one may take it',
+  outcome: Outcome.NotRun,
+  retryAfterMs: noRoomRetryAfterMs,
+};
+
 export const stalledError: ErrorResponse = {
   status: 408,
   kind: ErrorKind.DeadlineExceeded,
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -471,7 +471,7 @@
       },
       noteUnfinished: ({ requestId = '' }, { status, message }) => {
         this.metrics.countRefused(status);
-        this.log.info('A call was refused while its body was received.', {
+        this.log.info('A call was refused before it was passed on.', {
           request: requestId,
           reason: message,
           bufferedBytes: this.bufferMemory.totalBytes,
