Divide among callers and buffers what the process leaves of its VM

On a VM of 112 MiB, crowds within the limits of a request made a gateway take more memory than its machine has.

Cause: the limits are shares of the whole VM (0.11 for connections, a quarter for buffers), of which the process takes some 70 MiB before the first call. And connections that each hold too little to give way for memory were bounded by descriptors only: 1,500 heads of 8 kB count 33 MB where 12.9 MB may be held.

Change: on VMs below some 200 MiB the shares are of what is over 80 MiB. The number of connections follows the memory as well as the descriptors: one for each 24 KiB, and 256 at least, so that small connections in all stay within the limit. VMs of 256 MiB and more keep their buffers. A body of 4 MiB fits on each VM.

--- a/packages/decisions/src/config/gateway/limitChecks.ts
+++ b/packages/decisions/src/config/gateway/limitChecks.ts
@@ -1,6 +1,7 @@
 /** Checks of limits that contradict each other. */
 import { millisecondsPerSecond } from '@lycheetally/common';
-import { maxBufferShare, maxCallShare } from '../../gateway/bufferMemory.js';
+import { maxCallShare } from '../../gateway/bufferMemory.js';
+import { computeBufferBytes } from '../../gateway/memoryShares.js';
 import type { RouteRule } from '../../gateway/routeTable.js';
 import {
   ConfigurationCheck,
@@ -168,7 +169,7 @@
     configuration: { limits },
     memoryBytes = Infinity,
   }: CheckSubject): FindingText | undefined {
-    const maxBytes = Math.floor(memoryBytes * maxBufferShare * maxCallShare);
+    const maxBytes = Math.floor(computeBufferBytes(memoryBytes) * maxCallShare);
     return limits.maxBodyBytes <= maxBytes
       ? undefined
       : {
--- a/packages/decisions/src/gateway/bufferMemory.ts
+++ b/packages/decisions/src/gateway/bufferMemory.ts
@@ -26,9 +26,6 @@
   abstract reserve(holder: T, bytes: number): readonly T[];
 }
 
-/** Share of the VM's memory in which requests and responses are buffered; the heap and the code take the rest. */
-export const maxBufferShare = 1 / 4;
-
 /** Share of the buffers that calls may take; the rest is left to their responses. */
 export const maxCallShare = 1 / 2;
 
--- a/packages/decisions/src/gateway/index.ts
+++ b/packages/decisions/src/gateway/index.ts
@@ -3,6 +3,7 @@
 export * from './durationForecast.js';
 export * from './freshness.js';
 export * from './bufferMemory.js';
+export * from './memoryShares.js';
 export * from './routeTable.js';
 export * from './survivalForecast.js';
 export * from './serverEntry.js';
--- a/packages/gateway/src/callers/constants.ts
+++ b/packages/gateway/src/callers/constants.ts
@@ -1,8 +1,5 @@
 /** Limits on what callers make a gateway keep; a deployment may set those that its settings name. */
 
-/** Share of the VM's memory that connections of callers may take with their requests; the buffers of running calls and their answers take more beside it. */
-export const maxCallerMemoryShare = 0.11;
-
 /** Descriptors of the VM if the settings do not state them. */
 export const defaultMaxDescriptors = 4_096;
 
@@ -12,6 +9,9 @@
 /** Share of the other descriptors that callers may take; the rest is for servers, the store, gateways and the readiness check. */
 export const maxCallerDescriptorShare = 0.6;
 
+/** Connections of callers that any VM has room for. */
+export const minConnections = 256;
+
 /** What a connection holds at least that gives way for its memory, in bytes; an ordinary call and its connection hold less. */
 export const minExcessBytes = 24_576;
 
--- a/packages/gateway/src/callers/frontendLimits.ts
+++ b/packages/gateway/src/callers/frontendLimits.ts
@@ -1,5 +1,6 @@
 /** Derives the limits on what callers make a gateway keep from the settings of its VM. */
 import { bytesPerMebibyte, millisecondsPerSecond } from '@lycheetally/common';
+import { computeCallerBytes } from '@lycheetally/decisions';
 import { defaultMemoryMebibytes } from '../constants.js';
 import type { GatewaySettings } from '../gatewaySettings.js';
 import {
@@ -8,7 +9,7 @@
   defaultStalledSeconds,
   fileDescriptors,
   maxCallerDescriptorShare,
-  maxCallerMemoryShare,
+  minConnections,
   minExcessBytes,
 } from './constants.js';
 import type { FrontendLimits } from './httpFrontend.js';
@@ -23,13 +24,16 @@
     stalledSeconds = defaultStalledSeconds,
   } = limits;
   const descriptors = Math.max(0, maxDescriptors - fileDescriptors);
+  const maxBytes = computeCallerBytes(memoryMb * bytesPerMebibyte);
+  // Connections that are too small to give way for memory are bounded by their number.
+  const maxConnections = Math.min(
+    descriptors * maxCallerDescriptorShare,
+    Math.max(minConnections, maxBytes / minExcessBytes),
+  );
   return {
-    maxBytes: memoryMb * bytesPerMebibyte * maxCallerMemoryShare,
+    maxBytes,
     minExcessBytes,
-    maxConnections: Math.max(
-      1,
-      Math.floor(descriptors * maxCallerDescriptorShare),
-    ),
+    maxConnections: Math.max(1, Math.floor(maxConnections)),
     maxRequestsAhead,
     stalledMs: stalledSeconds * millisecondsPerSecond,
   };
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -25,7 +25,7 @@
   SurvivalForecast,
   createPlacement,
   isFreshEnough,
-  maxBufferShare,
+  computeBufferBytes,
   type GatewayConfiguration,
   type InFlight,
   type Moment,
@@ -148,7 +148,7 @@
     this.callerLog = new LimitedLog(this.log, excessLogLimit);
     this.backend = new HttpBackend(ports.format, this.loop.viewGate);
     this.bufferMemory = new LargestFirstMemory(
-      this.memoryBytes * maxBufferShare,
+      computeBufferBytes(this.memoryBytes),
     );
     this.callMachine = getOrThrow(bindCallChart());
     this.retryBudget = new SlidingRetryBudget({
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -49,10 +49,10 @@
   limits: z
     .object({
       memoryMb: optionalPositive.describe(
-        'Memory of the VM in MiB; a quarter of it buffers requests and responses (256 without it)',
+        'Memory of the VM in MiB; a quarter of it, or two fifths of what is over 80 MiB, buffers requests and responses (256 without it)',
       ),
       maxDescriptors: optionalPositive.describe(
-        'Descriptors of the VM; callers take six tenths of those that are not kept for files (4096 without it)',
+        'Descriptors of the VM; callers take six tenths of those that are not kept for files, or as many as their memory has room for (4096 without it)',
       ),
       maxRequestsAhead: optionalPositive.describe(
         'Requests of one connection that are parsed before the first of them is answered; the rest waits at the caller (16 without it)',
