Keep the young generation small on VMs with little memory

A gateway on a VM of 112 MiB took up to 149 MB beside 400 bodies that stop short of their end, and 82 MiB before the first call.

Cause: V8's young generation grows to 48 MiB, whatever the limit of the old one that the deploy file sets, and the bytes of what was read stay as garbage until it is collected.

Change: the daemon keeps the young generation from growing until it knows the memory of its VM, and lets it grow as usual from 256 MiB on. V8 reads the factor of the growth at each growth; the other limits of the heap can't follow the settings after the start.

--- a/apps/gateway/src/main.ts
+++ b/apps/gateway/src/main.ts
@@ -4,6 +4,8 @@
 // process. It can be ignored: the settings are read after loading anyway.
 process.on('SIGHUP', () => undefined);
 
+const { keepYoungGeneration } = await import('./youngGeneration.js');
+keepYoungGeneration();
 const { parseDaemonFlags } = await import('@lycheetally/common');
 const { runGateway } = await import('./runGateway.js');
 await runGateway(parseDaemonFlags(process.argv));
--- a/apps/gateway/src/runGateway.ts
+++ b/apps/gateway/src/runGateway.ts
@@ -12,7 +12,7 @@
   type DaemonFlags,
   type Result,
 } from '@lycheetally/common';
-import { GatewayNode } from '@lycheetally/gateway';
+import { GatewayNode, defaultMemoryMebibytes } from '@lycheetally/gateway';
 import {
   createPlatformPorts,
   platformSettingsSchema,
@@ -20,6 +20,7 @@
   type PlatformSettings,
 } from '@lycheetally/platform';
 import { waitForSettings } from './waitForSettings.js';
+import { applyVmMemory } from './youngGeneration.js';
 
 /** Poll interval of the settings file, which may change without a SIGHUP. */
 const settingsPollMs = 2_000;
@@ -45,6 +46,8 @@
     process.stdout.write(`${path} is valid\n`);
     return;
   }
+  const { limits } = settings.unwrap();
+  applyVmMemory(limits?.memoryMb ?? defaultMemoryMebibytes);
   keepRunningWithoutReaders();
   const gateway = createGateway(settings.unwrap());
   listenToSignals(gateway, path, loadSettings);
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -49,7 +49,7 @@
   limits: z
     .object({
       memoryMb: optionalPositive.describe(
-        'Memory of the VM in MiB; a quarter of it, or two fifths of what is over 80 MiB, buffers requests and responses (256 without it)',
+        'Memory of the VM in MiB; a quarter of it, or two fifths of what is over 80 MiB, buffers requests and responses; below 256 MiB the heap of new objects stays small (256 without it)',
       ),
       maxDescriptors: optionalPositive.describe(
         'Descriptors of the VM; callers take six tenths of those that are not kept for files, or as many as their memory has room for (4096 without it)',
