Keep no whole read for the few bytes that wait in a socket

Bodies in tiny chunks made a gateway on a VM of 112 MiB take more memory than the machine has.

Cause: what finds no time to be parsed waits in its socket as a slice of the read, which keeps the up to 64 KiB of the read in use; the account of the callers counts the slice.

Change: what waits is copied where it is less than half of the memory that it keeps.

--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -157,12 +157,16 @@
     this.waitingSince ??= this.arrivedAt;
     if (!socket.destroyed) {
       socket.pause();
-      socket.unshift(bytes);
+      socket.unshift(copyIfSmall(bytes));
     }
     control.noteRead();
   }
 }
 
+/** Returns bytes that don't keep the memory of a whole read, where they are a small part of it. */
+const copyIfSmall = (bytes: Buffer): Buffer =>
+  bytes.length < bytes.buffer.byteLength / 2 ? Buffer.from(bytes) : bytes;
+
 const blankLines = ['\n\r\n', '\n\n'];
 
 /** Returns where the piece ends that begins there: after the next blank line, which ends a head. */
