Let a connection keep its place for its next call

Where the places of running calls are used up, a caller with requests ahead got its first answer and then a reset.

Cause: the next call of a connection is passed on as the one before ends, while the account still has the connection as running with requests ahead, so that it was chosen to give way to its own call.

Change: the connection leaves the account before its call looks for a place, and comes back with what it holds then, also after a refusal.

Before: 1 of 16 answers where one call may run; after: 16 of 16 (requestsAhead.test.ts).

--- a/packages/gateway/src/callers/httpFrontend.ts
+++ b/packages/gateway/src/callers/httpFrontend.ts
@@ -442,18 +442,22 @@
     caller: HttpCaller,
     connection: CallerConnection,
   ): void {
-    const now = this.handler.getNow();
-    const givingWay = this.account.mayRunFurther
+    const { account, handler } = this;
+    // The call before it may have left its place just now.
+    account.release(connection);
+    const now = handler.getNow();
+    const givingWay = account.mayRunFurther
       ? undefined
-      : this.account.chooseRunning(now);
+      : account.chooseRunning(now);
     if (givingWay) {
       this.closeExcess(givingWay, now);
-    } else if (!this.account.mayRunFurther) {
-      this.handler.noteUnfinished(call.fields, noPlaceError);
+    }
+    if (account.mayRunFurther) {
+      handler.receiveCall(call, caller);
+    } else {
+      handler.noteUnfinished(call.fields, noPlaceError);
       caller.sendError(noPlaceError);
-      return;
     }
-    this.handler.receiveCall(call, caller);
     this.updateUsage(connection);
   }
 
