Count no wait to connect for a request that came later

listenMs was the time that a connection can have waited in the queue of the listener for each first request, also for one that came seconds after the connection. It is now 0 unless the request can have come with it, as for the time limit of the call. Found by reading the change; no decision changes.

--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -141,8 +141,12 @@
 
   /** Returns the earliest time at which the first request, which is read now, can have arrived: with the connection, if the sockets were not polled in between. */
   estimateFirstArrival(): Milliseconds {
-    const readFrom = this.estimateArrival();
-    return readFrom <= this.acceptedAt ? this.arrivedAt : readFrom;
+    return this.hasComeWithConnection ? this.arrivedAt : this.estimateArrival();
+  }
+
+  /** Whether what is parsed now can have come with the connection. */
+  private get hasComeWithConnection(): boolean {
+    return this.feed.arrivedAt <= this.acceptedAt;
   }
 
   /** Returns the earliest time at which what is parsed now can have arrived. */
@@ -152,10 +156,11 @@
 
   /** Tells where the request that is read now waited. */
   describeReadWaits(isOnKeptConnection: boolean): ReadWaits {
-    const { acceptedAt, arrivedAt, feed } = this;
+    const hasWaitedToConnect =
+      !isOnKeptConnection && this.hasComeWithConnection;
     return {
-      listenMs: isOnKeptConnection ? 0 : acceptedAt - arrivedAt,
-      putOffMs: feed.putOffMs,
+      listenMs: hasWaitedToConnect ? this.acceptedAt - this.arrivedAt : 0,
+      putOffMs: this.feed.putOffMs,
     };
   }
 
