--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -157,14 +157,14 @@
     this.waitingSince ??= this.arrivedAt;
     if (!socket.destroyed) {
       socket.pause();
-      socket.unshift(copyIfSmall(bytes));
+      socket.unshift(trimKept(bytes));
     }
     control.noteRead();
   }
 }
 
 /** Returns bytes that don't keep the memory of a whole read, where they are a small part of it. */
-const copyIfSmall = (bytes: Buffer): Buffer =>
+const trimKept = (bytes: Buffer): Buffer =>
   bytes.length < bytes.buffer.byteLength / 2 ? Buffer.from(bytes) : bytes;
 
 const blankLines = ['\n\r\n', '\n\n'];
