Keep what waits in a socket in one place, and a test's gate with the stand-ins

Nothing a caller sees changes.

- The feed had two fields, set and cleared together, for the bytes that wait; they are one.
- OpenViewGate was product code that only tests use; it is in the testkit now.
- putOffReads.test.ts uses Node's own timer promise.

--- a/packages/gateway/src/callers/requestFeed.ts
+++ b/packages/gateway/src/callers/requestFeed.ts
@@ -38,10 +38,10 @@
   arrivedAt: Milliseconds;
   /** Time for which the bytes that were parsed last had waited for their turn, or for an answer before them. */
   putOffMs: Milliseconds = 0;
-  /** Since when bytes wait in the socket that were read. */
-  private putOffSince: Milliseconds | undefined;
-  /** When the bytes that wait in the socket can have arrived at the earliest. */
-  private waitingSince: Milliseconds | undefined;
+  /** Of the bytes that wait in the socket: when they can have arrived at the earliest, and since when they are kept. */
+  private waiting:
+    | { readonly arrivedAt: Milliseconds; readonly keptAt: Milliseconds }
+    | undefined;
   /** Whether the caller has ended the connection, as far as the socket was read. */
   private hasCallerEnded = false;
   private readonly parsers: readonly Parse[];
@@ -103,9 +103,12 @@
   private receive(bytes: Buffer): void {
     const { control, turns } = this;
     const startedAt = control.getNow();
-    this.arrivedAt = this.waitingSince ?? control.estimateArrival(startedAt);
-    this.putOffMs =
-      this.putOffSince === undefined ? 0 : startedAt - this.putOffSince;
+    const { arrivedAt, keptAt } = this.waiting ?? {
+      arrivedAt: control.estimateArrival(startedAt),
+      keptAt: startedAt,
+    };
+    this.arrivedAt = arrivedAt;
+    this.putOffMs = startedAt - keptAt;
     let from = 0;
     while (from < bytes.length && !control.hasEnded()) {
       this.isHeld = !control.mayParse();
@@ -133,8 +136,7 @@
       }
     }
     if (!this.hasWaiting) {
-      this.waitingSince = undefined;
-      this.putOffSince = undefined;
+      this.waiting = undefined;
     }
     control.noteRead();
   }
@@ -153,8 +155,8 @@
   /** Leaves the bytes in the socket and reads no more for now. */
   private keep(bytes: Buffer): void {
     const { control, socket } = this;
-    this.putOffSince ??= control.getNow();
-    this.waitingSince ??= this.arrivedAt;
+    const { arrivedAt } = this;
+    this.waiting ??= { arrivedAt, keptAt: control.getNow() };
     if (!socket.destroyed) {
       socket.pause();
       socket.unshift(trimKept(bytes));
--- a/packages/gateway/tests/httpBackend.test.ts
+++ b/packages/gateway/tests/httpBackend.test.ts
@@ -1,6 +1,6 @@
 /** Requests to backend servers that cannot be formed. */
 import { expect, it } from 'vitest';
-import { OpenViewGate } from '@lycheetally/node';
+import { OpenViewGate } from '@lycheetally/testkit';
 import {
   BackendListener,
   type BackendFailure,
--- a/packages/gateway/tests/putOffReads.test.ts
+++ b/packages/gateway/tests/putOffReads.test.ts
@@ -1,10 +1,11 @@
 /** What is known of a call whose bytes were read, and parsed only in a later turn. */
 import { connect, type Socket } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { getOrThrow } from '@lycheetally/common';
 import { LargestFirstMemory } from '@lycheetally/decisions';
 import { GarbageCollector } from '@lycheetally/node';
-import type { CallFields, RawHeaders } from '../src/callFormat.js';
+import type { CallFields } from '../src/callFormat.js';
 import type { ReceivedCall } from '../src/callers/callerPort.js';
 import { maxReadingMs } from '../src/callers/constants.js';
 import { HttpFrontend, type CallHandler } from '../src/callers/httpFrontend.js';
@@ -12,7 +13,7 @@
 import { UnusedFormat } from './unusedFormat.js';
 
 class EmptyFormat extends UnusedFormat {
-  override readCall(_: RawHeaders = []): CallFields {
+  override readCall(): CallFields {
     return {
       requestId: 'put-off',
       host: 'one.example',
@@ -99,11 +100,6 @@
   frontend.dispose();
 });
 
-const wait = (forMs: number): Promise<void> =>
-  new Promise(resolve => {
-    setTimeout(resolve, forMs);
-  });
-
 // Guards against a time limit that begins when a call is parsed, though its bytes had arrived long before.
 it('a call that was put off keeps the time of its arrival', async () => {
   const { port } = getOrThrow(
--- a/packages/gateway/tests/timeLeftAtWrite.test.ts
+++ b/packages/gateway/tests/timeLeftAtWrite.test.ts
@@ -1,7 +1,7 @@
 /** What a request says of the time that is left holds when it is written, which may be long after it was made. */
 import { createServer, type Server } from 'node:net';
 import { afterEach, beforeEach, expect, it } from 'vitest';
-import { OpenViewGate } from '@lycheetally/node';
+import { OpenViewGate } from '@lycheetally/testkit';
 import { BackendListener, type BackendFailure } from '../src/backendPort.js';
 import type { RawHeaders } from '../src/callFormat.js';
 import { HttpBackend } from '../src/httpBackend.js';
--- a/packages/node/src/viewGate.ts
+++ b/packages/node/src/viewGate.ts
@@ -16,13 +16,6 @@
   abstract run(action: () => void): void;
 }
 
-/** Runs each action at once. */
-export class OpenViewGate extends ViewGate {
-  override run(action: () => void): void {
-    action();
-  }
-}
-
 export class RecentViewGate extends ViewGate {
   private readonly waiting: QueuedEvent[] = [];
   /** Whether the last turn left actions waiting, since its poll took too long. */
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -14,6 +14,7 @@
 export * from './standIns/logService.js';
 export * from './standIns/modelEngine.js';
 export * from './standIns/modelMath.js';
+export * from './standIns/openViewGate.js';
 export * from './standIns/plainService.js';
 export * from './standIns/standInServer.js';
 export * from './standIns/vmList.js';
