--- a/packages/decisions/src/callers/callerAccount.ts
+++ b/packages/decisions/src/callers/callerAccount.ts
@@ -64,8 +64,8 @@
   private readonly large = new Set<T>();
   private readonly bytesByAddress = new Map<string, number>();
   private bytes = 0;
-  /** Connections whose calls run, with their bytes. */
-  private readonly running = new Map<T, number>();
+  /** Connections whose calls run. */
+  private readonly running = new Set<T>();
   private runningBytes = 0;
 
   constructor(private readonly limits: CallerLimits) {
@@ -85,7 +85,7 @@
     this.release(holder);
     this.entries.set(holder, { address, usage });
     if (usage.isProtected) {
-      this.running.set(holder, usage.bytes);
+      this.running.add(holder);
       this.runningBytes += usage.bytes;
     } else if (usage.bytes >= this.limits.minExcessBytes) {
       this.large.add(holder);
@@ -98,8 +98,9 @@
     if (entry) {
       this.entries.delete(holder);
       this.large.delete(holder);
-      this.runningBytes -= this.running.get(holder) ?? 0;
-      this.running.delete(holder);
+      if (this.running.delete(holder)) {
+        this.runningBytes -= entry.usage.bytes;
+      }
       this.addBytes(entry.address, -entry.usage.bytes);
     }
   }
@@ -137,7 +138,7 @@
   override chooseRunning(now: Milliseconds): T | undefined {
     let chosen: T | undefined;
     let chosenCost = -Infinity;
-    for (const holder of this.running.keys()) {
+    for (const holder of this.running) {
       const usage = this.entries.get(holder)?.usage;
       const cost = usage?.hasRequestsAhead
         ? computeCost(usage, now)
--- a/packages/decisions/src/gateway/memoryShares.ts
+++ b/packages/decisions/src/gateway/memoryShares.ts
@@ -5,9 +5,10 @@
  * exceed what is left. Buffers and connections therefore share what the process leaves. On larger
  * VMs shares of the whole are the lower bound of the two.
  */
+import { bytesPerMebibyte } from '@lycheetally/common';
 
 /** Memory of a process without calls, in bytes: Node, the code and the tables of some hundred servers. */
-const processBytes = 80 * 1_024 * 1_024;
+const processBytes = 80 * bytesPerMebibyte;
 
 /** Share of a VM that calls find at least, where the settings state less than a process takes. */
 const minSpareShare = 1 / 4;
--- a/packages/node/src/garbageCollector.ts
+++ b/packages/node/src/garbageCollector.ts
@@ -12,20 +12,24 @@
 type Collect = (options: { type: 'minor' | 'major' }) => void;
 
 export class V8GarbageCollector extends GarbageCollector {
-  private readonly collect: Collect;
-
-  constructor() {
-    super();
-    // Contexts that are made after the flag is set have the function.
-    setFlagsFromString('--expose-gc');
-    this.collect = runInNewContext('gc') as Collect;
-  }
+  private collect: Collect | undefined;
 
   override collectYoung(): void {
-    this.collect({ type: 'minor' });
+    this.run('minor');
   }
 
   override collectAll(): void {
-    this.collect({ type: 'major' });
+    this.run('major');
+  }
+
+  private run(type: 'minor' | 'major'): void {
+    this.collect ??= takeCollect();
+    this.collect({ type });
   }
 }
+
+const takeCollect = (): Collect => {
+  setFlagsFromString('--expose-gc');
+  // Contexts that are made after the flag is set have the function.
+  return runInNewContext('gc') as Collect;
+};
